--- /dev/null
+++ b/coordination/upstreamscheduler.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "coordination/work.h"
+#include "core/errors.h"
+
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace ApricotStep
+{
+
+// Events.
+
+/** A request wants to run on this upstream. */
+struct WorkArrived
+{
+    WorkItem item;
+};
+/** The caller went away, or the request was given up on. */
+struct WorkCancelled
+{
+    RequestId id;
+};
+/** A dispatched request ended, whatever its outcome. */
+struct WorkFinished
+{
+    RequestId id;
+};
+/** The answer to a StartLoad. */
+struct LoadFinished
+{
+    AdapterKey adapter;
+    bool isLoaded = false;
+};
+/** The answer to a StartEvict. */
+struct EvictFinished
+{
+    AdapterKey adapter;
+    bool isEvicted = false;
+};
+/** The upstream restarted: nothing is loaded there any more. */
+struct UpstreamRestarted
+{
+};
+/** Time went by. */
+struct Tick
+{
+};
+using SchedulerEvent = std::variant<WorkArrived, WorkCancelled, WorkFinished, LoadFinished, EvictFinished, UpstreamRestarted, Tick>;
+
+// Actions.
+
+struct StartLoad
+{
+    AdapterKey adapter;
+};
+struct StartEvict
+{
+    AdapterKey adapter;
+};
+struct Dispatch
+{
+    RequestId id;
+};
+/** The request did not run and will not. */
+struct Refuse
+{
+    RequestId id;
+    ErrorKind kind = ErrorKind::Overloaded;
+    /** When the caller should come back; zero means no advice. */
+    Duration retryAfter;
+};
+using SchedulerAction = std::variant<StartLoad, StartEvict, Dispatch, Refuse>;
+
+struct SchedulerLimits
+{
+    /** Adapters that fit at once. */
+    int slots = 8;
+    /** Requests that run at once. */
+    int batch = 16;
+    /** Expected time of one load. */
+    Duration loadTime { 250 };
+};
+
+/**
+ * Decides for one engine who waits, who runs and which adapters are loaded.
+ *
+ * A state machine without I/O: give it what happened and the time, carry out the actions that it returns in their order. It is not
+ * thread-safe; the caller holds the shard's lock.
+ */
+class UpstreamScheduler
+{
+public:
+    explicit UpstreamScheduler(SchedulerLimits limits);
+    ~UpstreamScheduler();
+    UpstreamScheduler(UpstreamScheduler &&) noexcept;
+    UpstreamScheduler &operator=(UpstreamScheduler &&) noexcept;
+
+    std::vector<SchedulerAction> handle(const SchedulerEvent &event, Time now);
+
+    int queuedCount() const;
+    int runningCount() const;
+    /** Adapters loaded or being loaded, sorted. */
+    std::vector<AdapterKey> residentAdapters() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/core/clock.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace ApricotStep
+{
+
+/** A span of time in whole milliseconds; may be negative. */
+class Duration
+{
+public:
+    constexpr Duration() = default;
+    constexpr explicit Duration(std::int64_t milliseconds)
+        : m_milliseconds(milliseconds)
+    {
+    }
+    static constexpr Duration seconds(std::int64_t count)
+    {
+        return Duration(count * 1000);
+    }
+
+    constexpr std::int64_t milliseconds() const
+    {
+        return m_milliseconds;
+    }
+    constexpr double toSeconds() const
+    {
+        return static_cast<double>(m_milliseconds) / 1000.0;
+    }
+    constexpr auto operator<=>(const Duration &) const = default;
+    constexpr Duration operator+(Duration other) const
+    {
+        return Duration(m_milliseconds + other.m_milliseconds);
+    }
+    constexpr Duration operator-(Duration other) const
+    {
+        return Duration(m_milliseconds - other.m_milliseconds);
+    }
+    constexpr Duration operator*(std::int64_t factor) const
+    {
+        return Duration(m_milliseconds * factor);
+    }
+
+private:
+    std::int64_t m_milliseconds = 0;
+};
+
+/** A moment in milliseconds. Moments of different clocks must not be compared. */
+class Time
+{
+public:
+    constexpr Time() = default;
+    constexpr explicit Time(std::int64_t milliseconds)
+        : m_milliseconds(milliseconds)
+    {
+    }
+    static constexpr Time never()
+    {
+        return Time(INT64_MAX / 2);
+    }
+
+    constexpr std::int64_t milliseconds() const
+    {
+        return m_milliseconds;
+    }
+    constexpr auto operator<=>(const Time &) const = default;
+    constexpr Time operator+(Duration span) const
+    {
+        return Time(m_milliseconds + span.milliseconds());
+    }
+    constexpr Time operator-(Duration span) const
+    {
+        return Time(m_milliseconds - span.milliseconds());
+    }
+    constexpr Duration operator-(Time other) const
+    {
+        return Duration(m_milliseconds - other.m_milliseconds);
+    }
+
+private:
+    std::int64_t m_milliseconds = 0;
+};
+
+/** Source of the time. Decisions take the time as an argument; only wiring holds a clock. */
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+    /** Steady time since an arbitrary start; counts on while the process is paused. */
+    virtual Time now() const = 0;
+    /** Time since 1970, for values that cross processes. May step in either direction. */
+    virtual Time wallTime() const = 0;
+};
+
+/** The machine's clocks. */
+class SystemClock final : public Clock
+{
+public:
+    Time now() const override;
+    Time wallTime() const override;
+};
+
+/** A clock that moves only when told to, for tests and virtual time. */
+class ManualClock final : public Clock
+{
+public:
+    Time now() const override
+    {
+        return m_now;
+    }
+    Time wallTime() const override
+    {
+        return m_now;
+    }
+    void advance(Duration span)
+    {
+        m_now = m_now + span;
+    }
+
+private:
+    Time m_now { 1 };
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/examples/demo.sh
@@ -0,0 +1,112 @@
+#!/usr/bin/env bash
+# Runs the whole path on loopback with stand-ins: three nodes, three engines, one plain service, and then a few callers.
+set -euo pipefail
+BUILD="$(cd "$1" && pwd)"
+WORK="$(mktemp -d)"
+PIDS=()
+finish() {
+    for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done
+    wait 2>/dev/null || true
+    rm -rf "$WORK"
+}
+trap finish EXIT
+
+# Starts a program, waits for its line "ready ...", and leaves that line in READY.
+start() {
+    local name="$1"
+    shift
+    "$@" >"$WORK/$name.out" 2>"$WORK/$name.log" &
+    PIDS+=($!)
+    for _ in $(seq 100); do
+        READY="$(grep -m1 '^ready' "$WORK/$name.out" || true)"
+        [ -n "$READY" ] && return
+        sleep 0.1
+    done
+    echo "$name did not start:"
+    cat "$WORK/$name.log"
+    exit 1
+}
+value() { sed "s/.*$1=\([0-9]*\).*/\1/" <<<"$READY"; }
+
+echo "== stand-ins: weight store, three engines, a plain service, configuration, VM list"
+start store "$BUILD/tests/standins/standin" store
+STORE="http://127.0.0.1:$(value port)"
+UPSTREAMS=""
+for i in 1 2 3; do
+    start "engine$i" "$BUILD/tests/standins/standin" engine --slots 2 --store "$STORE"
+    UPSTREAMS+="{\"id\":\"engine$i\",\"address\":\"127.0.0.1:$(value port)\",\"zone\":\"zone$i\",\"slots\":2,\"batch\":8},"
+done
+start payments "$BUILD/tests/standins/standin" service
+PAYMENTS="$(value port)"
+cat >"$WORK/catalog.json" <<CATALOG
+{"version":1,
+ "adapters":[{"id":"lessons","version":"1","labels":{"shop":"accra","track":"stable"}},
+             {"id":"lessons","version":"2","labels":{"shop":"accra","track":"canary"}},
+             {"id":"kitchen","version":"1","labels":{"shop":"kumasi","track":"stable"}}],
+ "upstreams":[$UPSTREAMS{"id":"payments1","kind":"service","address":"127.0.0.1:$PAYMENTS","zone":"zone1"}],
+ "services":[{"name":"payments","upstreams":["payments1"]}]}
+CATALOG
+echo '{"vms":[]}' >"$WORK/vms.json"
+start config "$BUILD/tests/standins/standin" config --file "$WORK/catalog.json"
+CONFIG="$(value port)"
+start vmlist "$BUILD/tests/standins/standin" vmlist --file "$WORK/vms.json"
+VMLIST="$(value port)"
+
+echo "== three nodes"
+VMS=""
+for i in 1 2 3; do
+    cat >"$WORK/node$i.ini" <<INI
+[node]
+id = node$i
+zone = zone$i
+[callers]
+port = 0
+[operator]
+port = 0
+[platform]
+config_url = http://127.0.0.1:$CONFIG
+vm_list_url = http://127.0.0.1:$VMLIST/vms
+[fleet]
+secret = only-for-this-demo-0123
+[shutdown]
+linger_ms = 100
+INI
+    start "node$i" "$BUILD/main/apricotstep" node --settings "$WORK/node$i.ini"
+    CALLERS="$(value callers)"
+    VMS+="${VMS:+,}{\"id\":\"node$i\",\"role\":\"entry\",\"zone\":\"zone$i\",\"caller_address\":\"127.0.0.1:$CALLERS\"}"
+    echo "node$i serves callers on 127.0.0.1:$CALLERS"
+done
+echo "{\"vms\":[$VMS]}" >"$WORK/vms.json"
+NODE="127.0.0.1:$CALLERS"
+for _ in $(seq 100); do
+    [ "$(curl -s "http://$NODE/v1/address?model=kitchen" | jq -r '.addresses | length' 2>/dev/null)" = 3 ] && break
+    sleep 0.1
+done
+
+echo "== address look-up: who serves the stable version of shop accra?"
+ANSWER="$(curl -s "http://$NODE/v1/address?model=shop=accra,track=stable&once=1")"
+jq -c . <<<"$ANSWER"
+ADDRESS="$(jq -r '.addresses[0].address' <<<"$ANSWER")"
+KEY="$(jq -r .idempotency_key <<<"$ANSWER")"
+KEY_ADDRESS="$NODE"
+
+echo "== streamed chat through the selector"
+STREAM="$(curl -sN "http://$ADDRESS/v1/chat/completions" -H 'X-Priority: urgent' \
+    -d '{"model":"shop=accra,track=stable","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"how long does the broth simmer?"}]}')"
+echo "$STREAM"
+grep -q 'data: \[DONE\]' <<<"$STREAM"
+grep -q 'lessons@1' <<<"$STREAM"
+
+echo "== a payment sent twice under one key"
+for _ in 1 2; do
+    curl -s -D - "http://$KEY_ADDRESS/svc/payments/enrol" -H "Idempotency-Key: $KEY" -d '{"amount":120}' | grep -iE 'replayed|receipt'
+    echo
+done
+RUNS="$(curl -s "http://127.0.0.1:$PAYMENTS/control/runs" | jq .total)"
+echo "runs at the payment service: $RUNS"
+[ "$RUNS" = 1 ]
+
+echo "== graceful shutdown of node1"
+kill -TERM "${PIDS[-3]}"
+wait "${PIDS[-3]}"
+echo "demo passed"
--- /dev/null
+++ b/main/callerfrontend.cpp
@@ -0,0 +1,280 @@
+#include "main/callerfrontend.h"
+
+#include "coordination/placement.h"
+#include "main/log.h"
+#include "protocol/callerapi.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/numbers.h>
+#include <absl/synchronization/mutex.h>
+
+#include <array>
+#include <atomic>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr std::string_view ServicePrefix = "/svc/";
+constexpr std::size_t MaxModelsListed = 1000;
+constexpr std::size_t MaxAddresses = 4;
+constexpr int DefaultTokens = 256;
+constexpr std::array<std::string_view, PriorityCount> DeadlineSettings { "deadlines.urgent_ms", "deadlines.standard_ms",
+    "deadlines.patient_ms" };
+constexpr std::int64_t MaxDeadlineMs = 86'400'000;
+
+void respondJson(HttpExchange &exchange, std::string body)
+{
+    exchange.respond(200, { { "Content-Type", "application/json" } }, std::move(body));
+}
+
+} // namespace
+
+struct CallerFrontend::Private
+{
+    explicit Private(const FrontendParts &allParts)
+        : parts(allParts)
+        , log(partLog("caller"))
+    {
+    }
+
+    FrontendParts parts;
+    Logger log;
+    std::atomic<std::uint64_t> counter { 1 };
+    std::atomic<std::int64_t> lingerUntilMs { Time::never().milliseconds() };
+    std::atomic<bool> isDraining { false };
+    mutable absl::Mutex mutex;
+    absl::flat_hash_map<UpstreamId, std::shared_ptr<EngineRunner>> engines ABSL_GUARDED_BY(mutex);
+
+    std::string requestId(RequestId id) const;
+    void refuse(HttpExchange &exchange, const Error &error, const std::string &id, const std::string &address = {});
+    std::shared_ptr<EngineRunner> engine(const UpstreamSpec &spec);
+    std::vector<Candidate> candidates(const AdapterKey &adapter, const Catalog &catalog, const FleetView &fleet) const;
+    Result<WorkItem> workItem(const HttpRequest &request, const CompletionRequest &completion, RequestId id) const;
+    void completion(
+        const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange, const Catalog &catalog, const FleetView &fleet);
+    void address(const HttpRequest &request, HttpExchange &exchange, const Catalog &catalog, const FleetView &fleet);
+    void service(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange, const std::shared_ptr<const Catalog> &catalog,
+        const std::shared_ptr<const FleetView> &fleet);
+};
+
+std::string CallerFrontend::Private::requestId(RequestId id) const
+{
+    return parts.self.value() + "-" + std::to_string(parts.incarnation.value()) + "-" + std::to_string(id.value());
+}
+
+void CallerFrontend::Private::refuse(HttpExchange &exchange, const Error &error, const std::string &id, const std::string &address)
+{
+    ErrorDetails details;
+    details.detail = error.detail;
+    details.requestId = id;
+    details.address = address;
+    if (errorAnswer(error.kind).retry == RetryAdvice::AfterDelay) {
+        details.retryAfter = Duration::seconds(1);
+    }
+    log->info("[{}] outcome={} detail='{}'", id, errorAnswer(error.kind).word, error.detail);
+    respondError(exchange, error.kind, details);
+}
+
+std::shared_ptr<EngineRunner> CallerFrontend::Private::engine(const UpstreamSpec &spec)
+{
+    const absl::MutexLock lock(&mutex);
+    auto &runner = engines[spec.id];
+    if (runner == nullptr) {
+        runner = std::make_shared<EngineRunner>(spec, parts.settings, parts.client, parts.clock, parts.metrics);
+    }
+    return runner;
+}
+
+// A node that drains is still an owner in its own eyes until the others see it leave, but it names only others to callers.
+std::vector<Candidate> CallerFrontend::Private::candidates(const AdapterKey &adapter, const Catalog &catalog, const FleetView &fleet) const
+{
+    return placementFor(adapter, catalog, fleet);
+}
+
+Result<WorkItem> CallerFrontend::Private::workItem(const HttpRequest &request, const CompletionRequest &completion, RequestId id) const
+{
+    WorkItem work;
+    work.id = id;
+    work.arrival = parts.clock.now();
+    const std::string priority = request.header("x-priority");
+    if (!priority.empty()) {
+        const auto parsed = parsePriority(priority);
+        if (!parsed.isOk()) {
+            return parsed.error();
+        }
+        work.priority = parsed.value();
+    }
+    Duration allowed = parts.settings.duration(DeadlineSettings[static_cast<std::size_t>(work.priority)]);
+    const std::string deadline = request.header("x-deadline-ms");
+    if (!deadline.empty()) {
+        std::int64_t milliseconds = 0;
+        if (!absl::SimpleAtoi(deadline, &milliseconds) || milliseconds < 1 || milliseconds > MaxDeadlineMs) {
+            return Error { ErrorKind::BadRequest, "X-Deadline-Ms must be a whole number from 1 to 86400000" };
+        }
+        allowed = Duration(milliseconds);
+    }
+    work.deadline = work.arrival + allowed;
+    const std::string caller = request.header("x-caller-id");
+    work.caller = CallerId(!caller.empty() ? caller : !completion.user.empty() ? completion.user : request.peer);
+    work.tokens = completion.maxTokens > 0 ? completion.maxTokens : DefaultTokens;
+    return work;
+}
+
+void CallerFrontend::Private::completion(
+    const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange, const Catalog &catalog, const FleetView &fleet)
+{
+    const RequestId id(counter.fetch_add(1));
+    const std::string idText = requestId(id);
+    const auto parsed = parseCompletionRequest(request.body);
+    if (!parsed.isOk()) {
+        refuse(*exchange, parsed.error(), idText);
+        return;
+    }
+    const auto adapter = catalog.resolve(parsed.value().selector);
+    if (!adapter.isOk()) {
+        refuse(*exchange, adapter.error(), idText);
+        return;
+    }
+    auto work = workItem(request, parsed.value(), id);
+    if (!work.isOk()) {
+        refuse(*exchange, work.error(), idText);
+        return;
+    }
+    work.value().adapter = adapter.value();
+    const auto places = candidates(adapter.value(), catalog, fleet);
+    if (places.empty()) {
+        refuse(*exchange, { ErrorKind::NoUpstream, {} }, idText);
+        return;
+    }
+    if (places.front().owner->id != parts.self) {
+        refuse(*exchange, { ErrorKind::WrongNode, {} }, idText, places.front().owner->callerAddress);
+        return;
+    }
+    CompletionJob job;
+    job.work = work.value();
+    job.path = request.path;
+    job.body = withModel(request.body, adapter.value());
+    job.isStream = parsed.value().isStream;
+    job.headers = { { "X-Adapter", adapter.value().name() }, { "X-Config-Version", std::to_string(catalog.version().value()) },
+        { "X-Request-Id", idText } };
+    job.requestId = idText;
+    job.exchange = exchange;
+    engine(*places.front().upstream)->submit(std::move(job));
+}
+
+void CallerFrontend::Private::address(const HttpRequest &request, HttpExchange &exchange, const Catalog &catalog, const FleetView &fleet)
+{
+    const std::string id = requestId(RequestId(counter.fetch_add(1)));
+    const auto adapter = catalog.resolve(request.parameter("model"));
+    if (!adapter.isOk()) {
+        refuse(exchange, adapter.error(), id);
+        return;
+    }
+    AddressAnswer answer;
+    answer.adapter = adapter.value();
+    answer.version = catalog.version();
+    answer.keepFor = parts.settings.duration("callers.address_keep_ms");
+    for (const Candidate &candidate : candidates(adapter.value(), catalog, fleet)) {
+        const NodeView &owner = *candidate.owner;
+        const bool isListed =
+            std::any_of(answer.choices.begin(), answer.choices.end(), [&](const auto &choice) { return choice.node == owner.id; });
+        if (!isListed && !(isDraining && owner.id == parts.self) && answer.choices.size() < MaxAddresses) {
+            answer.choices.push_back({ owner.id, owner.zone, owner.callerAddress });
+        }
+    }
+    if (answer.choices.empty()) {
+        refuse(exchange, { ErrorKind::NoUpstream, {} }, id);
+        return;
+    }
+    if (request.parameter("once") == "1") {
+        answer.key = parts.services.mintKey();
+    }
+    respondJson(exchange, addressBody(answer));
+}
+
+void CallerFrontend::Private::service(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange,
+    const std::shared_ptr<const Catalog> &catalog, const std::shared_ptr<const FleetView> &fleet)
+{
+    ServiceJob job;
+    const std::string rest = request.path.substr(ServicePrefix.size());
+    const std::size_t slash = rest.find('/');
+    job.service = ServiceName(rest.substr(0, slash));
+    job.target = (slash == std::string::npos ? "/" : rest.substr(slash)) + (request.query.empty() ? "" : "?" + request.query);
+    job.requestId = requestId(RequestId(counter.fetch_add(1)));
+    job.request = std::move(request);
+    job.exchange = exchange;
+    job.catalog = catalog;
+    job.fleet = fleet;
+    parts.services.submit(std::move(job));
+}
+
+CallerFrontend::CallerFrontend(const FrontendParts &parts)
+    : d(std::make_unique<Private>(parts))
+{
+}
+
+CallerFrontend::~CallerFrontend() = default;
+
+void CallerFrontend::handle(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto catalog = d->parts.catalog.get();
+    const auto fleet = d->parts.fleet.get();
+    const std::string &path = request.path;
+    if (catalog == nullptr || fleet == nullptr) {
+        d->refuse(*exchange, { ErrorKind::NotReady, {} }, {});
+    } else if (d->parts.clock.now().milliseconds() > d->lingerUntilMs) {
+        d->refuse(*exchange, { ErrorKind::Draining, {} }, {});
+    } else if (path.starts_with(ServicePrefix)) {
+        d->service(std::move(request), exchange, catalog, fleet);
+    } else if (path == "/v1/chat/completions" || path == "/v1/completions") {
+        if (request.method != "POST") {
+            d->refuse(*exchange, { ErrorKind::MethodNotAllowed, "use POST" }, {});
+            return;
+        }
+        d->completion(request, exchange, *catalog, *fleet);
+    } else if (path == "/v1/address") {
+        d->address(request, *exchange, *catalog, *fleet);
+    } else if (path == "/v1/keys" && request.method == "POST") {
+        respondJson(*exchange, keyBody(d->parts.services.mintKey(), d->parts.settings.duration("keys.lifetime_ms")));
+    } else if (path == "/v1/models") {
+        respondJson(*exchange, modelsBody(*catalog, MaxModelsListed));
+    } else {
+        d->refuse(*exchange, { ErrorKind::NotFound, {} }, {});
+    }
+}
+
+void CallerFrontend::drain(Time lingerUntil)
+{
+    d->isDraining = true;
+    d->lingerUntilMs = lingerUntil.milliseconds();
+}
+
+void CallerFrontend::tick()
+{
+    std::vector<std::shared_ptr<EngineRunner>> runners;
+    {
+        const absl::MutexLock lock(&d->mutex);
+        for (const auto &[id, runner] : d->engines) {
+            runners.push_back(runner);
+        }
+    }
+    for (const auto &runner : runners) {
+        runner->tick();
+    }
+}
+
+std::vector<EngineStatus> CallerFrontend::engineStatus() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    std::vector<EngineStatus> all;
+    for (const auto &[id, runner] : d->engines) {
+        all.push_back(runner->status());
+    }
+    return all;
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/callerfrontend.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "main/enginerunner.h"
+#include "main/servicerunner.h"
+#include "state/fleetview.h"
+#include "state/published.h"
+
+#include <memory>
+
+namespace ApricotStep
+{
+
+/** What the caller interface needs of the rest of the node. All must outlive it. */
+struct FrontendParts
+{
+    NodeId self;
+    Incarnation incarnation;
+    const Settings &settings;
+    const Clock &clock;
+    HttpClient &client;
+    Metrics &metrics;
+    Published<Catalog> &catalog;
+    Published<FleetView> &fleet;
+    ServiceRunner &services;
+};
+
+/** The caller interface: reads requests, resolves selectors and hands the work on. Thread-safe. */
+class CallerFrontend
+{
+public:
+    explicit CallerFrontend(const FrontendParts &parts);
+    ~CallerFrontend();
+
+    /** Takes a request of the caller port. */
+    void handle(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange);
+    /** From now on this node is not named in address answers and takes no new work after @p lingerUntil. */
+    void drain(Time lingerUntil);
+    void tick();
+    /** The engines that this node has run work on. */
+    std::vector<EngineStatus> engineStatus() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/main.cpp
@@ -0,0 +1,70 @@
+#include "main/log.h"
+#include "main/node.h"
+#include "main/settings.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <iostream>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+constexpr int UsageExit = 2;
+
+int runNode(const std::string &path)
+{
+    const auto settings = Settings::load(path);
+    if (!settings.isOk()) {
+        std::cerr << settings.error().detail;
+        return UsageExit;
+    }
+    startLog(settings.value()->text("log.level"), settings.value()->text("log.format"));
+    // Blocked before any thread starts, so that only the wait below takes them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c): a caller that left must not end the node
+
+    auto node = Node::start(settings.value());
+    if (!node.isOk()) {
+        std::cerr << path << ":0: " << node.error().detail << "\n";
+        return UsageExit;
+    }
+    std::cout << "ready callers=" << node.value()->callerPort() << " operators=" << node.value()->operatorPort() << std::endl;
+    int signal = 0;
+    sigwait(&signals, &signal);
+    node.value()->drain();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app { "Serves many LoRA adapters of one base model from many small nodes." };
+    app.set_version_flag("--version", "apricotstep 0.1.0");
+    app.require_subcommand(1);
+
+    std::string settingsPath;
+    auto *node = app.add_subcommand("node", "Run a node.");
+    node->add_option("--settings", settingsPath, "INI file with the settings below.")->required();
+    node->footer(settingsHelp());
+    auto *page = app.add_subcommand("settings-page", "Print docs/SETTINGS.md.");
+
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        const int code = app.exit(error);
+        return code == 0 ? 0 : UsageExit;
+    }
+    if (*page) {
+        std::cout << settingsPage();
+        return 0;
+    }
+    return runNode(settingsPath);
+}
--- /dev/null
+++ b/main/metrics.cpp
@@ -0,0 +1,113 @@
+#include "main/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+const prometheus::Histogram::BucketBoundaries SecondsBuckets { 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1, 2.5, 5, 10, 30, 60, 300,
+    1800 };
+
+std::string wordOf(Priority priority)
+{
+    return std::string(PriorityWords[static_cast<std::size_t>(priority)]);
+}
+
+} // namespace
+
+struct Metrics::Private
+{
+    prometheus::Registry registry;
+
+    prometheus::Family<prometheus::Counter> &completions =
+        prometheus::BuildCounter().Name("apricotstep_completions_total").Help("Completions by class and outcome.").Register(registry);
+    prometheus::Family<prometheus::Histogram> &stalls = prometheus::BuildHistogram()
+                                                            .Name("apricotstep_load_stall_seconds")
+                                                            .Help("Time a completion waited for its adapter to load.")
+                                                            .Register(registry);
+    prometheus::Family<prometheus::Histogram> &firstTokens = prometheus::BuildHistogram()
+                                                                 .Name("apricotstep_first_token_seconds")
+                                                                 .Help("Time from arrival to the first byte of the answer.")
+                                                                 .Register(registry);
+    prometheus::Family<prometheus::Histogram> &durations = prometheus::BuildHistogram()
+                                                               .Name("apricotstep_completion_seconds")
+                                                               .Help("Time from arrival to the end of the answer.")
+                                                               .Register(registry);
+    prometheus::Family<prometheus::Counter> &serviceCalls = prometheus::BuildCounter()
+                                                                .Name("apricotstep_service_calls_total")
+                                                                .Help("Calls to plain services by service and status.")
+                                                                .Register(registry);
+    prometheus::Family<prometheus::Histogram> &loads = prometheus::BuildHistogram()
+                                                           .Name("apricotstep_adapter_load_seconds")
+                                                           .Help("Time an adapter took to load, by outcome.")
+                                                           .Register(registry);
+    prometheus::Family<prometheus::Counter> &evictions =
+        prometheus::BuildCounter().Name("apricotstep_evictions_total").Help("Evictions by outcome.").Register(registry);
+    prometheus::Gauge &config =
+        prometheus::BuildGauge().Name("apricotstep_config_version").Help("Configuration version in force.").Register(registry).Add({});
+    prometheus::Counter &lateAnswers = prometheus::BuildCounter()
+                                           .Name("apricotstep_late_answers_total")
+                                           .Help("Answers that came for attempts already given up.")
+                                           .Register(registry)
+                                           .Add({});
+};
+
+Metrics::Metrics()
+    : d(std::make_unique<Private>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::completionServed(Priority priority, Duration stall, Duration firstToken, Duration whole)
+{
+    const std::string word = wordOf(priority);
+    d->completions.Add({ { "class", word }, { "outcome", "ok" } }).Increment();
+    d->stalls.Add({ { "class", word } }, SecondsBuckets).Observe(stall.toSeconds());
+    d->firstTokens.Add({ { "class", word } }, SecondsBuckets).Observe(firstToken.toSeconds());
+    d->durations.Add({ { "class", word } }, SecondsBuckets).Observe(whole.toSeconds());
+}
+
+void Metrics::completionFailed(Priority priority, ErrorKind kind)
+{
+    d->completions.Add({ { "class", wordOf(priority) }, { "outcome", std::string(errorAnswer(kind).word) } }).Increment();
+}
+
+void Metrics::serviceCall(const std::string &service, int status)
+{
+    d->serviceCalls.Add({ { "service", service }, { "status", std::to_string(status) } }).Increment();
+}
+
+void Metrics::adapterLoad(bool isLoaded, Duration took)
+{
+    d->loads.Add({ { "outcome", isLoaded ? "ok" : "failed" } }, SecondsBuckets).Observe(took.toSeconds());
+}
+
+void Metrics::eviction(bool isEvicted)
+{
+    d->evictions.Add({ { "outcome", isEvicted ? "ok" : "failed" } }).Increment();
+}
+
+void Metrics::configVersion(std::uint64_t version)
+{
+    d->config.Set(static_cast<double>(version));
+}
+
+void Metrics::lateAnswerDropped()
+{
+    d->lateAnswers.Increment();
+}
+
+std::string Metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(d->registry.Collect());
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/metrics.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "coordination/work.h"
+#include "core/errors.h"
+
+#include <memory>
+#include <string>
+
+namespace ApricotStep
+{
+
+/** The counters of a node, in Prometheus' text form on the operator port. Thread-safe. */
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+
+    /** A completion ended well. Times from its arrival: @p stall of waiting for its adapter, @p firstToken, @p whole. */
+    void completionServed(Priority priority, Duration stall, Duration firstToken, Duration whole);
+    void completionFailed(Priority priority, ErrorKind kind);
+    void serviceCall(const std::string &service, int status);
+    void adapterLoad(bool isLoaded, Duration took);
+    void eviction(bool isEvicted);
+    void configVersion(std::uint64_t version);
+    void lateAnswerDropped();
+
+    std::string text() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/node.cpp
@@ -0,0 +1,196 @@
+#include "main/node.h"
+
+#include "main/callerfrontend.h"
+#include "main/log.h"
+#include "main/platformreader.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <random>
+#include <thread>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr auto TickInterval = std::chrono::milliseconds(20);
+constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
+constexpr int OperatorThreads = 1;
+
+// Later starts are greater, and two starts in one millisecond still differ.
+Incarnation newIncarnation(const Clock &clock)
+{
+    constexpr std::uint64_t RandomRange = 1000;
+    std::random_device random;
+    return Incarnation(static_cast<std::uint64_t>(clock.wallTime().milliseconds()) * RandomRange + random() % RandomRange);
+}
+
+HttpServerSettings callerServerSettings(const Settings &settings)
+{
+    HttpServerSettings server;
+    server.address = settings.text("callers.address");
+    server.port = static_cast<std::uint16_t>(settings.number("callers.port"));
+    server.threads = static_cast<int>(settings.number("callers.threads"));
+    server.maxBodyBytes = static_cast<std::size_t>(settings.number("callers.max_body_bytes"));
+    server.maxHeaderBytes = static_cast<std::size_t>(settings.number("callers.max_header_bytes"));
+    server.maxConnections = static_cast<int>(settings.number("callers.max_connections"));
+    server.idleTimeout = settings.duration("callers.idle_timeout_ms");
+    return server;
+}
+
+} // namespace
+
+// Members are destroyed from the last to the first: the ticker and the servers end before what they use.
+struct Node::Private
+{
+    explicit Private(std::shared_ptr<const Settings> checked)
+        : settings(std::move(checked))
+        , incarnation(newIncarnation(clock))
+        , log(partLog("node"))
+        , client(std::make_unique<HttpClient>())
+        , services(NodeId(settings->text("node.id")), incarnation, *settings, *client, clock, metrics)
+        , frontend({ NodeId(settings->text("node.id")), incarnation, *settings, clock, *client, metrics, catalog, fleet, services })
+        , platform(*settings, *client, clock, metrics, catalog, fleet)
+    {
+    }
+
+    ~Private()
+    {
+        isStopping = true;
+        if (ticker.joinable()) {
+            ticker.join();
+        }
+        callers.reset();
+        operators.reset();
+        client.reset(); // Calls in progress end here, while what their callbacks use still stands.
+    }
+
+    std::shared_ptr<const Settings> settings;
+    SystemClock clock;
+    Incarnation incarnation;
+    Logger log;
+    Metrics metrics;
+    Published<Catalog> catalog;
+    Published<FleetView> fleet;
+    std::unique_ptr<HttpClient> client;
+    ServiceRunner services;
+    CallerFrontend frontend;
+    PlatformReader platform;
+    std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<HttpServer> operators;
+    std::atomic<bool> isStopping { false };
+    std::atomic<bool> isDraining { false };
+    std::thread ticker;
+
+    std::string statusBody() const;
+    void handleOperator(const HttpRequest &request, HttpExchange &exchange) const;
+    void tickLoop();
+};
+
+std::string Node::Private::statusBody() const
+{
+    const auto current = catalog.get();
+    const auto view = fleet.get();
+    nlohmann::json json;
+    json["node"] = settings->text("node.id");
+    json["zone"] = settings->text("node.zone");
+    json["incarnation"] = incarnation.value();
+    json["draining"] = isDraining.load();
+    json["config_version"] = current ? current->version().value() : 0;
+    json["nodes"] = nlohmann::json::array();
+    json["engines"] = nlohmann::json::array();
+    json["ledger_entries"] = services.ledgerSize();
+    if (view) {
+        for (const NodeView &node : view->nodes) {
+            json["nodes"].push_back({ { "id", node.id.value() }, { "zone", node.zone.value() }, { "address", node.callerAddress } });
+        }
+    }
+    for (const EngineStatus &engine : frontend.engineStatus()) {
+        json["engines"].push_back({ { "id", engine.id.value() }, { "queued", engine.queued }, { "running", engine.running },
+            { "resident", engine.residents.size() } });
+    }
+    return json.dump(2) + "\n";
+}
+
+void Node::Private::handleOperator(const HttpRequest &request, HttpExchange &exchange) const
+{
+    const HttpHeaders plain { { "Content-Type", "text/plain; version=0.0.4" } };
+    if (request.path == "/healthz") {
+        exchange.respond(200, plain, "ok\n");
+    } else if (request.path == "/readyz") {
+        const bool isReady = catalog.get() != nullptr && fleet.get() != nullptr && !isDraining;
+        exchange.respond(isReady ? 200 : 503, plain, isReady ? "ready\n" : "not ready\n");
+    } else if (request.path == "/metrics") {
+        exchange.respond(200, plain, metrics.text());
+    } else if (request.path == "/status") {
+        exchange.respond(200, { { "Content-Type", "application/json" } }, statusBody());
+    } else {
+        exchange.respond(404, plain, "not found\n");
+    }
+}
+
+void Node::Private::tickLoop()
+{
+    while (!isStopping) {
+        std::this_thread::sleep_for(TickInterval);
+        platform.tick();
+        frontend.tick();
+        services.tick();
+    }
+}
+
+Node::Node() = default;
+Node::~Node() = default;
+
+Result<std::unique_ptr<Node>> Node::start(std::shared_ptr<const Settings> settings)
+{
+    std::unique_ptr<Node> node(new Node);
+    node->d = std::make_unique<Private>(std::move(settings));
+    Private *d = node->d.get();
+    auto callers = HttpServer::start(callerServerSettings(*d->settings),
+        [d](HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { d->frontend.handle(std::move(request), exchange); });
+    if (!callers.isOk()) {
+        return callers.error();
+    }
+    d->callers = std::move(callers.value());
+    HttpServerSettings operatorSettings;
+    operatorSettings.address = d->settings->text("operator.address");
+    operatorSettings.port = static_cast<std::uint16_t>(d->settings->number("operator.port"));
+    operatorSettings.threads = OperatorThreads;
+    auto operators = HttpServer::start(operatorSettings,
+        [d](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { d->handleOperator(request, *exchange); });
+    if (!operators.isOk()) {
+        return operators.error();
+    }
+    d->operators = std::move(operators.value());
+    d->ticker = std::thread([d] { d->tickLoop(); });
+    d->log->info("Node {} started. callers={} operators={}", d->settings->text("node.id"), node->callerPort(), node->operatorPort());
+    return node;
+}
+
+std::uint16_t Node::callerPort() const
+{
+    return d->callers->port();
+}
+
+std::uint16_t Node::operatorPort() const
+{
+    return d->operators->port();
+}
+
+void Node::drain()
+{
+    d->isDraining = true;
+    const Time lingerUntil = d->clock.now() + d->settings->duration("shutdown.linger_ms");
+    d->frontend.drain(lingerUntil);
+    d->log->info("Draining.");
+    while (d->clock.now() < lingerUntil || d->callers->activeCount() > 0) {
+        std::this_thread::sleep_for(DrainCheckInterval);
+    }
+    d->log->info("Every request has its answer.");
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/platformreader.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "main/metrics.h"
+#include "main/settings.h"
+#include "state/catalog.h"
+#include "state/fleetview.h"
+#include "state/published.h"
+#include "transport/httpclient.h"
+
+#include <memory>
+
+namespace ApricotStep
+{
+
+/** Reads and watches what the platform publishes, and keeps the newest valid values. */
+class PlatformReader
+{
+public:
+    /** Begins to read. The references must outlive the reader. */
+    PlatformReader(const Settings &settings, HttpClient &client, const Clock &clock, Metrics &metrics, Published<Catalog> &catalog,
+        Published<FleetView> &fleet);
+    /** Stops; no callback comes afterwards. */
+    ~PlatformReader();
+
+    /** Starts the reads that are due; every 20 to 100 ms. */
+    void tick();
+
+private:
+    struct Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/settingtable.cpp
@@ -0,0 +1,77 @@
+#include "main/settings.h"
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::int64_t DayMs = 86'400'000;
+
+SettingSpec text(std::string_view section, std::string_view key, std::string_view defaultValue, std::string_view description)
+{
+    return { section, key, SettingType::Text, "", 0, 0, defaultValue, false, description };
+}
+
+SettingSpec required(std::string_view section, std::string_view key, std::string_view description)
+{
+    return { section, key, SettingType::Text, "", 0, 0, "", true, description };
+}
+
+SettingSpec number(std::string_view section, std::string_view key, std::string_view unit, std::int64_t min, std::int64_t max,
+    std::string_view defaultValue, std::string_view description)
+{
+    return { section, key, SettingType::Number, unit, min, max, defaultValue, false, description };
+}
+
+SettingSpec milliseconds(std::string_view section, std::string_view key, std::int64_t min, std::int64_t max, std::string_view defaultValue,
+    std::string_view description)
+{
+    return { section, key, SettingType::Milliseconds, "ms", min, max, defaultValue, false, description };
+}
+
+} // namespace
+
+const std::vector<SettingSpec> &settingTable()
+{
+    static const std::vector<SettingSpec> table {
+        required("node", "id", "Name of this node, as the VM list has it; a word without dots."),
+        required("node", "zone", "Availability zone of this node."),
+        text("callers", "address", "127.0.0.1", "IP number of the caller port."),
+        number("callers", "port", "", 0, MaxPort, "8080", "TCP port for callers; 0 picks a free one."),
+        number("callers", "threads", "", 1, 64, "2", "Threads that serve callers."),
+        number("callers", "max_body_bytes", "bytes", 1024, 1 << 30, "8388608", "Largest request body that is taken."),
+        number("callers", "max_header_bytes", "bytes", 4096, 1 << 20, "32768", "Largest request head that is taken."),
+        number("callers", "max_connections", "", 16, 100'000, "4096", "Connections at once; more are not accepted."),
+        milliseconds(
+            "callers", "idle_timeout_ms", 1000, 3'600'000, "75000", "A caller's connection that is silent for this long is closed."),
+        milliseconds("callers", "address_keep_ms", 100, 600'000, "10000", "How long a caller may keep an address answer."),
+        text("operator", "address", "127.0.0.1", "IP number of the operator port."),
+        number("operator", "port", "", 0, MaxPort, "9090", "TCP port for /metrics, /healthz, /readyz and /status; 0 picks a free one."),
+        required("platform", "config_url", "Base URL of the configuration service."),
+        required("platform", "vm_list_url", "URL of the VM list."),
+        milliseconds("platform", "vm_list_interval_ms", 100, 60'000, "1000", "How often the VM list is read."),
+        milliseconds("platform", "watch_ms", 100, 300'000, "30000", "How long one watch of the configuration service waits."),
+        required("fleet", "secret", "Secret that all nodes share; it signs idempotency keys. At least 16 characters."),
+        milliseconds("deadlines", "urgent_ms", 10, DayMs, "10000", "Time to the first token of urgent requests, unless the caller says."),
+        milliseconds(
+            "deadlines", "standard_ms", 10, DayMs, "60000", "Time to the first token of standard requests, unless the caller says."),
+        milliseconds(
+            "deadlines", "patient_ms", 10, DayMs, "3600000", "Time to the first token of patient requests, unless the caller says."),
+        milliseconds("upstreams", "connect_timeout_ms", 1, 60'000, "1000", "Time to connect to an upstream."),
+        milliseconds(
+            "upstreams", "silence_timeout_ms", 1000, 3'600'000, "60000", "An upstream that is silent for this long in a call has failed."),
+        milliseconds("upstreams", "service_timeout_ms", 10, DayMs, "30000", "Longest call to a plain service."),
+        milliseconds("upstreams", "load_timeout_ms", 100, 600'000, "30000", "Longest load or eviction of an adapter."),
+        milliseconds("keys", "lifetime_ms", 1000, DayMs, "3600000", "How long an idempotency key is good for."),
+        number("keys", "capacity", "entries", 16, 10'000'000, "100000", "One-time requests remembered at once."),
+        milliseconds("shutdown", "linger_ms", 0, 600'000, "3000",
+            "After SIGTERM new requests are still served for this long, while callers learn other addresses."),
+        text("log", "level", "info", "debug, info, warn or error."),
+        text("log", "format", "text", "text or json."),
+    };
+    return table;
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/protocol/callerapi.cpp
@@ -0,0 +1,144 @@
+#include "protocol/callerapi.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr int MaxTokensLimit = 1'000'000;
+
+Error bad(std::string detail)
+{
+    return { ErrorKind::BadRequest, std::move(detail) };
+}
+
+std::string dump(const Json &json)
+{
+    // Replaces invalid UTF-8 instead of throwing: a caller's bytes may be quoted in an error.
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace
+
+Result<CompletionRequest> parseCompletionRequest(std::string_view body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        return bad("the body is not a JSON object");
+    }
+    const auto model = json.find("model");
+    if (model == json.end() || !model->is_string()) {
+        return bad("'model' must be a string: adapter, adapter@version or name=value[,name=value]");
+    }
+    CompletionRequest request;
+    request.selector = model->get<std::string>();
+    const auto stream = json.find("stream");
+    if (stream != json.end()) {
+        if (!stream->is_boolean()) {
+            return bad("'stream' must be true or false");
+        }
+        request.isStream = stream->get<bool>();
+    }
+    const auto maxTokens = json.find("max_tokens");
+    if (maxTokens != json.end()) {
+        if (!maxTokens->is_number_integer() || maxTokens->get<std::int64_t>() < 1 || maxTokens->get<std::int64_t>() > MaxTokensLimit) {
+            return bad("'max_tokens' must be a whole number from 1 to 1000000");
+        }
+        request.maxTokens = maxTokens->get<int>();
+    }
+    const auto user = json.find("user");
+    if (user != json.end() && user->is_string()) {
+        request.user = user->get<std::string>();
+    }
+    return request;
+}
+
+std::string withModel(std::string_view body, const AdapterKey &adapter)
+{
+    Json json = Json::parse(body, nullptr, false);
+    json["model"] = adapter.name();
+    return dump(json);
+}
+
+std::string addressBody(const AddressAnswer &answer)
+{
+    Json json;
+    json["adapter"] = answer.adapter.id.value();
+    json["version"] = answer.adapter.version.value();
+    json["config_version"] = answer.version.value();
+    json["keep_ms"] = answer.keepFor.milliseconds();
+    json["addresses"] = Json::array();
+    for (const AddressChoice &choice : answer.choices) {
+        json["addresses"].push_back({ { "node", choice.node.value() }, { "zone", choice.zone.value() }, { "address", choice.address } });
+    }
+    if (!answer.key.empty()) {
+        json["idempotency_key"] = answer.key;
+    }
+    return dump(json);
+}
+
+std::string keyBody(std::string_view key, Duration lifetime)
+{
+    return dump({ { "idempotency_key", key }, { "lifetime_ms", lifetime.milliseconds() } });
+}
+
+std::string errorBody(ErrorKind kind, const ErrorDetails &details)
+{
+    const ErrorAnswer &answer = errorAnswer(kind);
+    Json error;
+    error["message"] = std::string(answer.sentence) + (details.detail.empty() ? "" : " " + details.detail);
+    error["type"] = answer.httpStatus < 500 ? "invalid_request_error" : "server_error";
+    error["code"] = answer.word;
+    error["not_run"] = answer.runState == RunState::NotRun;
+    error["retry"] = retryAdviceWord(answer.retry);
+    if (details.retryAfter > Duration(0)) {
+        error["retry_after_ms"] = details.retryAfter.milliseconds();
+    }
+    if (!details.address.empty()) {
+        error["address"] = details.address;
+    }
+    if (!details.key.empty()) {
+        error["idempotency_key"] = details.key;
+    }
+    if (!details.requestId.empty()) {
+        error["request_id"] = details.requestId;
+    }
+    return dump({ { "error", error } });
+}
+
+std::string errorEvent(ErrorKind kind, const ErrorDetails &details)
+{
+    return "event: error\ndata: " + errorBody(kind, details) + "\n\n";
+}
+
+std::string modelsBody(const Catalog &catalog, std::size_t limit)
+{
+    Json list = Json::array();
+    const auto &adapters = catalog.adapters();
+    for (std::size_t i = 0; i < std::min(limit, adapters.size()); ++i) {
+        Json labels = Json::object();
+        for (const Label &label : adapters[i].labels) {
+            labels[label.name] = label.value;
+        }
+        list.push_back({ { "id", adapters[i].key.name() }, { "object", "model" }, { "owned_by", "apricotstep" }, { "labels", labels } });
+    }
+    return dump({ { "object", "list" }, { "data", list }, { "total", adapters.size() }, { "config_version", catalog.version().value() } });
+}
+
+Result<Priority> parsePriority(std::string_view word)
+{
+    const auto at = std::find(PriorityWords.begin(), PriorityWords.end(), word);
+    if (at == PriorityWords.end()) {
+        return bad("the priority must be urgent, standard or patient");
+    }
+    return static_cast<Priority>(at - PriorityWords.begin());
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/tests/core/testerrors.cpp
@@ -0,0 +1,38 @@
+#include "core/errors.h"
+
+#include <set>
+#include <string_view>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+Test(errors, everyKindHasItsOwnRowAndWord)
+{
+    std::set<std::string_view> words;
+    int expected = 1;
+    for (const ErrorAnswer *row = errorAnswersBegin(); row != errorAnswersEnd(); ++row) {
+        cr_assert_eq(static_cast<int>(row->kind), expected, "row %d stands in another's place", expected);
+        cr_assert(words.insert(row->word).second, "a word is used twice");
+        cr_assert(row->httpStatus >= 400 && row->httpStatus <= 599);
+        cr_assert_eq(&errorAnswer(row->kind), row);
+        ++expected;
+    }
+}
+
+Test(errors, whatMayHaveRunIsNeverAdvisedToBeSentAgain)
+{
+    // A program that follows the advice must not run a payment twice.
+    for (const ErrorAnswer *row = errorAnswersBegin(); row != errorAnswersEnd(); ++row) {
+        if (row->runState == RunState::MayHaveRun) {
+            cr_assert(row->retry == RetryAdvice::Never, "kind %d", static_cast<int>(row->kind));
+        }
+    }
+}
+
+Test(errors, aKindIsAnErrorCode)
+{
+    const std::error_code code = ErrorKind::Overloaded;
+    cr_assert_eq(code.value(), static_cast<int>(ErrorKind::Overloaded));
+    cr_assert(std::string_view(code.category().name()) == "apricotstep");
+}
--- /dev/null
+++ b/tests/main/testsettings.cpp
@@ -0,0 +1,35 @@
+#include "main/settings.h"
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+const std::string Good = "[node]\nid = n1\nzone = a\n[platform]\nconfig_url = http://127.0.0.1:1\nvm_list_url = http://127.0.0.1:2\n"
+                         "[fleet]\nsecret = 0123456789abcdef\n";
+
+bool faultSays(const std::string &text, const std::string &part)
+{
+    const auto settings = Settings::parse(text, "n.ini");
+    return !settings.isOk() && settings.error().detail.find(part) != std::string::npos;
+}
+
+} // namespace
+
+Test(settings, defaultsFillWhatIsNotSet)
+{
+    const auto settings = Settings::parse(Good, "n.ini");
+    cr_assert(settings.isOk());
+    cr_assert(settings.value()->text("node.id") == "n1");
+    cr_assert_eq(settings.value()->number("callers.port"), 8080);
+}
+
+Test(settings, eachFaultNamesFileLineAndFix)
+{
+    cr_assert(faultSays(Good + "[callers]\nprot = 1\n", "n.ini:10: unknown setting 'prot'"));
+    cr_assert(faultSays(Good + "[callers]\nport = 70000\n", "n.ini:10: 'port' must be a whole number from 0 to 65535"));
+    cr_assert(faultSays("[node]\nid = n1\n", "'zone' is missing; add it to [node]"));
+    cr_assert(faultSays(Good + "nonsense\n", "n.ini:9: is neither"));
+}
--- /dev/null
+++ b/tests/protocol/testcallerapi.cpp
@@ -0,0 +1,40 @@
+#include "protocol/callerapi.h"
+
+#include <nlohmann/json.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+Test(callerapi, readsWhatItNeedsAndKeepsTheRest)
+{
+    const std::string body = R"({"model":"shop=accra","stream":true,"max_tokens":9,"temperature":0.5})";
+    const auto request = parseCompletionRequest(body);
+    cr_assert(request.isOk());
+    cr_assert(request.value().selector == "shop=accra");
+    cr_assert(request.value().isStream);
+    cr_assert_eq(request.value().maxTokens, 9);
+    const auto forwarded = nlohmann::json::parse(withModel(body, { AdapterId("ramen"), AdapterVersion("1") }));
+    cr_assert(forwarded["model"] == "ramen@1");
+    cr_assert(forwarded["temperature"] == 0.5);
+}
+
+Test(callerapi, badBodiesAreRefusedWithWhatIsWrong)
+{
+    for (const char *body :
+        { "", "{", "[]", "{}", R"({"model":7})", R"({"model":"a","stream":"yes"})", R"({"model":"a","max_tokens":0})" }) {
+        const auto request = parseCompletionRequest(body);
+        cr_assert_not(request.isOk(), "%s", body);
+        cr_assert(request.error().kind == ErrorKind::BadRequest);
+        cr_assert_not(request.error().detail.empty());
+    }
+}
+
+Test(callerapi, anErrorTellsWhetherTheRequestRan)
+{
+    const auto body = nlohmann::json::parse(errorBody(ErrorKind::Overloaded, { "queue is full", Duration(1500), {}, {}, "r1" }));
+    cr_assert(body["error"]["code"] == "overloaded");
+    cr_assert(body["error"]["not_run"] == true);
+    cr_assert(body["error"]["retry_after_ms"] == 1500);
+    cr_assert(nlohmann::json::parse(errorBody(ErrorKind::StreamCut, {}))["error"]["not_run"] == false);
+}
--- /dev/null
+++ b/tests/standins/standin.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "transport/httpserver.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+// Small stand-ins for what the platform gives. Each is one mode of one program, so that a test starts it with one line.
+
+namespace StandIn
+{
+
+/** Options that the modes share. */
+struct Options
+{
+    std::uint16_t port = 0;
+    /** Engine: adapters that fit at once. */
+    int slots = 4;
+    /** Engine: requests that run at once. */
+    int batch = 8;
+    /** Engine: time between two tokens. */
+    int tokenMs = 5;
+    /** Engine: URL of the weight store; empty loads at once. */
+    std::string store;
+    /** Engine: refuses an order with a fencing token lower than one it has seen. */
+    bool checksFencing = false;
+    /** Weight store: time of one load while no more than `parallel` are in flight. */
+    int loadMs = 250;
+    int parallel = 8;
+    /** Config and VM list: the file whose content is handed out; read again on each call. */
+    std::string file;
+    /** Config: the first value ever read is handed out for good, as by a stale replica. */
+    bool isStale = false;
+};
+
+using Handler = std::function<void(ApricotStep::HttpRequest, std::shared_ptr<ApricotStep::HttpExchange>)>;
+
+Handler makeEngine(const Options &options);
+Handler makeStore(const Options &options);
+Handler makeConfig(const Options &options);
+Handler makeVmList(const Options &options);
+Handler makeService(const Options &options);
+
+/** Calls @p what after @p milliseconds on a thread of its own that all calls share. */
+void after(int milliseconds, std::function<void()> what);
+
+void respondJson(ApricotStep::HttpExchange &exchange, int status, std::string body);
+std::string readFile(const std::string &path);
+
+} // namespace StandIn
--- /dev/null
+++ b/tests/transport/testhttp.cpp
@@ -0,0 +1,149 @@
+#include "transport/httpclient.h"
+#include "transport/httpserver.h"
+
+#include <absl/synchronization/notification.h>
+
+#include <atomic>
+#include <thread>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+struct Answer
+{
+    CallResult result;
+    std::string body;
+};
+
+std::unique_ptr<HttpServer> serve(HttpHandler handler)
+{
+    return std::move(HttpServer::start({}, std::move(handler)).value());
+}
+
+Answer call(HttpClient &client, const HttpServer &server, const std::string &body = {}, const std::function<bool()> &maySend = {})
+{
+    auto answer = std::make_shared<Answer>();
+    auto done = std::make_shared<absl::Notification>();
+    HttpCall what;
+    what.method = body.empty() ? "GET" : "POST";
+    what.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/x?y=1";
+    what.body = body;
+    what.maySend = maySend;
+    what.onData = [answer](std::string_view data) {
+        answer->body.append(data);
+        return true;
+    };
+    what.onDone = [answer, done](const CallResult &result) {
+        answer->result = result;
+        done->Notify();
+    };
+    client.start(std::move(what));
+    done->WaitForNotification();
+    return *answer;
+}
+
+} // namespace
+
+Test(http, aRequestIsHandedOnOnceAndWhole)
+{
+    std::atomic<int> count { 0 };
+    const auto server = serve([&](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+        ++count;
+        exchange->respond(200, {}, request.method + request.path + request.query + std::to_string(request.body.size()));
+    });
+    HttpClient client;
+    cr_assert(call(client, *server, std::string(100'000, 'b')).body == "POST/xy=1100000");
+    cr_assert_eq(count, 1);
+}
+
+Test(http, aBodyOverTheLimitIsRefused)
+{
+    HttpServerSettings settings;
+    settings.maxBodyBytes = 10;
+    std::atomic<int> count { 0 };
+    const auto server = HttpServer::start(settings, [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &) { ++count; });
+    HttpClient client;
+    cr_assert_eq(call(client, *server.value(), std::string(11, 'b')).result.status, 413);
+    cr_assert_eq(count, 0);
+}
+
+Test(http, anAbortedStreamDoesNotLookWhole)
+{
+    // The engine dies in the middle of an answer. A caller whose connection ends cleanly would take half an assessment for all of it.
+    const auto server = serve([](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->beginStream(200, {});
+        exchange->write("half");
+        exchange->abort();
+    });
+    HttpClient client;
+    const Answer answer = call(client, *server);
+    cr_assert(answer.result.state == AttemptState::Sent);
+    cr_assert(answer.result.error == ErrorKind::UpstreamFailed);
+}
+
+Test(http, aStreamArrivesWholeThoughTheCallerPauses)
+{
+    constexpr std::size_t Parts = 2000;
+    const auto server = serve([](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->beginStream(200, {});
+        std::thread([exchange] {
+            for (std::size_t i = 0; i < Parts; ++i) {
+                exchange->write(std::string(1000, 'x'));
+            }
+            exchange->finish();
+        }).detach();
+    });
+    HttpClient client;
+    std::size_t size = 0;
+    std::atomic<CallId> id { 0 };
+    absl::Notification done;
+    HttpCall what;
+    what.url = "http://127.0.0.1:" + std::to_string(server->port()) + "/";
+    what.onData = [&](std::string_view data) {
+        size += data.size();
+        std::thread([&] { client.resume(id); }).join();
+        return false;
+    };
+    what.onDone = [&](const CallResult &) { done.Notify(); };
+    id = client.start(std::move(what));
+    while (!done.WaitForNotificationWithTimeout(absl::Milliseconds(20))) {
+        client.resume(id);
+    }
+    cr_assert_eq(size, Parts * 1000);
+}
+
+Test(http, aCallThatMayNotBeSentIsKnownAsNotSent)
+{
+    // A node is paused between its decision and the sending, and wakes after the deadline. It must not send then.
+    std::atomic<int> count { 0 };
+    const auto server = serve([&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        ++count;
+        exchange->respond(200, {}, "");
+    });
+    HttpClient client;
+    const Answer answer = call(client, *server, "pay", [] { return false; });
+    cr_assert(answer.result.state == AttemptState::NotSent);
+    cr_assert(answer.result.error == ErrorKind::DeadlinePassed);
+    cr_assert_eq(count, 0);
+}
+
+Test(http, aCallerThatLeavesWhileItWaitsIsNoticed)
+{
+    absl::Notification gone;
+    absl::Notification arrived;
+    const auto server = serve([&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->onCallerGone([&] { gone.Notify(); });
+        arrived.Notify();
+    });
+    HttpClient client;
+    HttpCall what;
+    what.url = "http://127.0.0.1:" + std::to_string(server->port()) + "/";
+    const CallId id = client.start(std::move(what));
+    arrived.WaitForNotification();
+    client.cancel(id);
+    cr_assert(gone.WaitForNotificationWithTimeout(absl::Seconds(20)));
+}
--- /dev/null
+++ b/transport/httpclient.cpp
@@ -0,0 +1,336 @@
+#include "transport/httpclient.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/ascii.h>
+#include <absl/synchronization/mutex.h>
+#include <curl/curl.h>
+
+#include <atomic>
+#include <deque>
+#include <thread>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr int PollMilliseconds = 1000;
+
+struct Transfer
+{
+    CallId id = 0;
+    HttpCall call;
+    CURL *easy = nullptr;
+    curl_slist *headerList = nullptr;
+    bool isSent = false;
+    bool isHeadDone = false;
+    bool isPausePending = false;
+    std::vector<std::pair<std::string, std::string>> answerHeaders;
+
+    ~Transfer()
+    {
+        curl_slist_free_all(headerList);
+    }
+};
+
+int statusOf(CURL *easy)
+{
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    return static_cast<int>(status);
+}
+
+void announceHead(Transfer &transfer)
+{
+    if (!transfer.isHeadDone) {
+        transfer.isHeadDone = true;
+        if (transfer.call.onHead) {
+            transfer.call.onHead(statusOf(transfer.easy), transfer.answerHeaders);
+        }
+    }
+}
+
+std::size_t onHeaderLine(char *data, std::size_t, std::size_t count, void *context)
+{
+    auto &transfer = *static_cast<Transfer *>(context);
+    const std::string_view line(data, count);
+    if (line.starts_with("HTTP/")) {
+        transfer.answerHeaders.clear();
+        return count;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        transfer.answerHeaders.emplace_back(absl::AsciiStrToLower(std::string(line.substr(0, colon))),
+            std::string(absl::StripAsciiWhitespace(std::string(line.substr(colon + 1)))));
+    }
+    return count;
+}
+
+std::size_t onBody(char *data, std::size_t, std::size_t count, void *context)
+{
+    auto &transfer = *static_cast<Transfer *>(context);
+    // libcurl hands the refused bytes out again after a pause, so the pause is asked for on the next part, not on the one just taken.
+    if (transfer.isPausePending) {
+        transfer.isPausePending = false;
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    announceHead(transfer);
+    if (transfer.call.onData && !transfer.call.onData(std::string_view(data, count))) {
+        transfer.isPausePending = true;
+    }
+    return count;
+}
+
+int beforeRequest(void *context, char *, char *, int, int)
+{
+    auto &transfer = *static_cast<Transfer *>(context);
+    // A process that was paused wakes here with its deadline long past: asked at this moment, the call is stopped as not sent.
+    if (transfer.call.maySend && !transfer.call.maySend()) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    transfer.isSent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+ErrorKind errorOf(CURLcode code, bool isSent)
+{
+    if (!isSent) {
+        return code == CURLE_ABORTED_BY_CALLBACK ? ErrorKind::DeadlinePassed : ErrorKind::UpstreamUnreachable;
+    }
+    return code == CURLE_OPERATION_TIMEDOUT ? ErrorKind::UpstreamTimeout : ErrorKind::UpstreamFailed;
+}
+
+} // namespace
+
+struct HttpClient::Private
+{
+    struct Command
+    {
+        enum class Kind {
+            Start,
+            Cancel,
+            Resume,
+        };
+        Kind kind = Kind::Start;
+        CallId id = 0;
+        std::unique_ptr<Transfer> transfer;
+    };
+
+    CURLM *multi = nullptr;
+    std::thread thread;
+    std::atomic<CallId> nextId { 1 };
+    std::atomic<bool> isStopping { false };
+    absl::Mutex mutex;
+    std::deque<Command> commands ABSL_GUARDED_BY(mutex);
+    // Only the client's thread touches these.
+    absl::flat_hash_map<CallId, std::unique_ptr<Transfer>> transfers;
+    std::vector<CURL *> idleHandles;
+
+    void post(Command command);
+    void run();
+    void carryOut(Command command);
+    void begin(std::unique_ptr<Transfer> transfer);
+    void prepare(Transfer &transfer);
+    void end(Transfer &transfer, const CallResult &result);
+    void collectDone();
+};
+
+void HttpClient::Private::post(Command command)
+{
+    {
+        const absl::MutexLock lock(&mutex);
+        commands.push_back(std::move(command));
+    }
+    curl_multi_wakeup(multi);
+}
+
+void HttpClient::Private::run()
+{
+    while (!isStopping) {
+        std::deque<Command> batch;
+        {
+            const absl::MutexLock lock(&mutex);
+            batch.swap(commands);
+        }
+        for (Command &command : batch) {
+            carryOut(std::move(command));
+        }
+        int running = 0;
+        curl_multi_perform(multi, &running);
+        collectDone();
+        curl_multi_poll(multi, nullptr, 0, PollMilliseconds, nullptr);
+    }
+    {
+        const absl::MutexLock lock(&mutex);
+        for (Command &command : commands) {
+            if (command.transfer != nullptr) {
+                transfers.emplace(command.id, std::move(command.transfer));
+            }
+        }
+    }
+    while (!transfers.empty()) {
+        Transfer &transfer = *transfers.begin()->second;
+        const auto state = transfer.isSent ? AttemptState::Sent : AttemptState::NotSent;
+        end(transfer, CallResult { state, 0, transfer.isSent ? ErrorKind::UpstreamFailed : ErrorKind::Draining, "the client stops" });
+    }
+}
+
+void HttpClient::Private::carryOut(Command command)
+{
+    if (command.kind == Command::Kind::Start) {
+        begin(std::move(command.transfer));
+        return;
+    }
+    const auto at = transfers.find(command.id);
+    if (at == transfers.end()) {
+        return;
+    }
+    Transfer &transfer = *at->second;
+    if (command.kind == Command::Kind::Resume) {
+        transfer.isPausePending = false;
+        curl_easy_pause(transfer.easy, CURLPAUSE_CONT);
+        return;
+    }
+    const auto state = transfer.isSent ? AttemptState::Sent : AttemptState::NotSent;
+    end(transfer, CallResult { state, statusOf(transfer.easy), ErrorKind::CallerGone, "cancelled" });
+}
+
+void HttpClient::Private::begin(std::unique_ptr<Transfer> transfer)
+{
+    if (idleHandles.empty()) {
+        transfer->easy = curl_easy_init();
+    } else {
+        transfer->easy = idleHandles.back();
+        idleHandles.pop_back();
+        curl_easy_reset(transfer->easy);
+    }
+    prepare(*transfer);
+    curl_multi_add_handle(multi, transfer->easy);
+    transfers.emplace(transfer->id, std::move(transfer));
+}
+
+void HttpClient::Private::prepare(Transfer &transfer)
+{
+    CURL *easy = transfer.easy;
+    const HttpCall &call = transfer.call;
+    curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    if (call.method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    }
+    if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.c_str());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
+        transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
+    }
+    for (const auto &[name, value] : call.headers) {
+        std::string line = name;
+        line.append(": ").append(value);
+        transfer.headerList = curl_slist_append(transfer.headerList, line.c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headerList);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connectTimeout.milliseconds()));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.totalTimeout.milliseconds()));
+    if (call.silenceTimeout > Duration(0)) {
+        curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+        curl_easy_setopt(easy, CURLOPT_LOW_SPEED_TIME, static_cast<long>(call.silenceTimeout.milliseconds() / 1000));
+    }
+    if (!call.isRepeatable) {
+        // On a reused connection that dies before the first answer byte libcurl sends the request again by itself, POST included: a
+        // payment would run twice. A connection of its own rules that out.
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &beforeRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeaderLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+}
+
+void HttpClient::Private::end(Transfer &transfer, const CallResult &result)
+{
+    if (transfer.easy != nullptr) {
+        curl_multi_remove_handle(multi, transfer.easy);
+        idleHandles.push_back(transfer.easy);
+    }
+    const auto held = std::move(transfers.extract(transfer.id).mapped());
+    if (held->call.onDone) {
+        held->call.onDone(result);
+    }
+}
+
+void HttpClient::Private::collectDone()
+{
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(multi, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        const CURLcode code = message->data.result;
+        void *context = nullptr;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &context);
+        auto &transfer = *static_cast<Transfer *>(context);
+        CallResult result;
+        result.status = statusOf(transfer.easy);
+        if (code == CURLE_OK) {
+            announceHead(transfer);
+            result.state = AttemptState::Answered;
+        } else {
+            result.state = transfer.isSent ? AttemptState::Sent : AttemptState::NotSent;
+            result.error = errorOf(code, transfer.isSent);
+            result.detail = curl_easy_strerror(code);
+        }
+        end(transfer, result);
+    }
+}
+
+HttpClient::HttpClient()
+    : d(std::make_unique<Private>())
+{
+    static const CURLcode initialised = curl_global_init(CURL_GLOBAL_ALL);
+    static_cast<void>(initialised);
+    d->multi = curl_multi_init();
+    d->thread = std::thread([this] { d->run(); });
+}
+
+HttpClient::~HttpClient()
+{
+    d->isStopping = true;
+    curl_multi_wakeup(d->multi);
+    d->thread.join();
+    for (CURL *easy : d->idleHandles) {
+        curl_easy_cleanup(easy);
+    }
+    curl_multi_cleanup(d->multi);
+}
+
+CallId HttpClient::start(HttpCall call)
+{
+    auto transfer = std::make_unique<Transfer>();
+    transfer->id = d->nextId.fetch_add(1);
+    transfer->call = std::move(call);
+    const CallId id = transfer->id;
+    d->post({ Private::Command::Kind::Start, id, std::move(transfer) });
+    return id;
+}
+
+void HttpClient::cancel(CallId id)
+{
+    d->post({ Private::Command::Kind::Cancel, id, nullptr });
+}
+
+void HttpClient::resume(CallId id)
+{
+    d->post({ Private::Command::Kind::Resume, id, nullptr });
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/transport/httpclient.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/errors.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace ApricotStep
+{
+
+/** How far a call to an upstream came. */
+enum class AttemptState {
+    /** Nothing can have reached the upstream. */
+    NotSent,
+    /** The request may have reached the upstream, in whole or in part. */
+    Sent,
+    /** The upstream's answer is whole. */
+    Answered,
+};
+
+struct CallResult
+{
+    AttemptState state = AttemptState::NotSent;
+    /** HTTP status, 0 when none came. */
+    int status = 0;
+    /** Unset when state is Answered. */
+    ErrorKind error = ErrorKind::Internal;
+    std::string detail;
+};
+
+/** One call to an upstream or to the platform. The callbacks come from the client's thread and must not block. */
+struct HttpCall
+{
+    std::string method = "GET";
+    std::string url;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    /** 1 ms at least. */
+    Duration connectTimeout = Duration(1000);
+    /** For the whole call; zero means none. */
+    Duration totalTimeout = Duration(0);
+    /** Longest silence of the upstream after the request was sent; whole seconds; zero means none. */
+    Duration silenceTimeout = Duration(0);
+    /** False for a call that must not run twice: it gets a connection of its own, since libcurl by itself sends again on a reused one. */
+    bool isRepeatable = true;
+    /** Asked on the open connection right before the first byte leaves; false stops the call as not sent. May be empty. */
+    std::function<bool()> maySend;
+    /** Status and headers (names in lower case) of the answer. May be empty. */
+    std::function<void(int, const std::vector<std::pair<std::string, std::string>> &)> onHead;
+    /** Part of the answer's body. False pauses the answer until resume(); that part counts as taken. May be empty. */
+    std::function<bool(std::string_view)> onData;
+    /** Called exactly once, also after cancel(). */
+    std::function<void(const CallResult &)> onDone;
+};
+
+using CallId = std::uint64_t;
+
+/** Makes many HTTP calls at once, each client on one thread of its own. */
+class HttpClient
+{
+public:
+    HttpClient();
+    /** Ends the calls in progress; each gets its onDone. */
+    ~HttpClient();
+
+    /** Starts a call; from any thread. */
+    CallId start(HttpCall call);
+    /** Ends a call early; its connection is closed, which tells the upstream to stop. Nothing happens when it has ended already. */
+    void cancel(CallId id);
+    /** Goes on with an answer that onData paused. */
+    void resume(CallId id);
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace ApricotStep
