--- a/coordination/upstreamscheduler.cpp
+++ b/coordination/upstreamscheduler.cpp
@@ -43,6 +43,9 @@
     void on(const LoadFinished &event, Time now);
     void on(const EvictFinished &event, Time now);
     void on(const UpstreamRestarted &event, Time now);
+    void on(const PermitGranted &event, Time now);
+    void on(const LoadReport &event, Time now);
+    void on(const EvictionRule &event, Time now);
     void on(const Tick &event, Time now);
 
     void refuseLate(Time now);
@@ -109,6 +112,18 @@
     slots.clear();
 }
 
+void UpstreamScheduler::Private::on(const PermitGranted &, Time)
+{
+}
+
+void UpstreamScheduler::Private::on(const LoadReport &, Time)
+{
+}
+
+void UpstreamScheduler::Private::on(const EvictionRule &, Time)
+{
+}
+
 void UpstreamScheduler::Private::on(const Tick &, Time)
 {
 }
--- a/coordination/upstreamscheduler.h
+++ b/coordination/upstreamscheduler.h
@@ -4,6 +4,7 @@
 #include "core/errors.h"
 
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -43,14 +44,47 @@
 struct UpstreamRestarted
 {
 };
+/** A load that was asked for with AskPermit may start, until it expires. */
+struct PermitGranted
+{
+    AdapterKey adapter;
+    Time expiry;
+};
+/** What the upstream said of itself; it lags. */
+struct LoadReport
+{
+    /** When the upstream took it, on this node's clock, at the earliest. */
+    Time takenAt;
+    std::vector<AdapterKey> loaded;
+    /** Adapters that some request runs or waits on there, from whichever node. */
+    std::vector<AdapterKey> inUse;
+    int running = 0;
+    int waiting = 0;
+};
+/** Whether evictions are safe now, as the ownership of this upstream has it, and what must stay loaded all the same. */
+struct EvictionRule
+{
+    bool mayEvict = true;
+    std::vector<AdapterKey> inUseElsewhere;
+};
 /** Time went by. */
 struct Tick
 {
 };
-using SchedulerEvent = std::variant<WorkArrived, WorkCancelled, WorkFinished, LoadFinished, EvictFinished, UpstreamRestarted, Tick>;
+using SchedulerEvent = std::variant<WorkArrived, WorkCancelled, WorkFinished, LoadFinished, EvictFinished, UpstreamRestarted, PermitGranted,
+    LoadReport, EvictionRule, Tick>;
 
 // Actions.
 
+/** Asks for the fleet's leave to load. Answered by PermitGranted, in its own time. */
+struct AskPermit
+{
+    AdapterKey adapter;
+    /** The most urgent class that waits for it; empty for a prefetch. */
+    std::optional<Priority> urgency;
+    /** Requests that wait for it now. */
+    int waiting = 0;
+};
 struct StartLoad
 {
     AdapterKey adapter;
@@ -71,7 +105,7 @@
     /** When the caller should come back; zero means no advice. */
     Duration retryAfter;
 };
-using SchedulerAction = std::variant<StartLoad, StartEvict, Dispatch, Refuse>;
+using SchedulerAction = std::variant<AskPermit, StartLoad, StartEvict, Dispatch, Refuse>;
 
 struct SchedulerLimits
 {
@@ -81,6 +115,8 @@
     int batch = 16;
     /** Expected time of one load. */
     Duration loadTime { 250 };
+    /** Whether a load needs a permit of the fleet (AskPermit) before StartLoad. */
+    bool needsPermits = false;
 };
 
 /**
--- a/main/enginerunner.cpp
+++ b/main/enginerunner.cpp
@@ -78,6 +78,7 @@
     absl::flat_hash_map<RequestId, JobPointer> jobs ABSL_GUARDED_BY(mutex);
 
     void handle(const SchedulerEvent &event);
+    void carryOut(const AskPermit &action);
     void carryOut(const StartLoad &action);
     void carryOut(const StartEvict &action);
     void carryOut(const Dispatch &action);
@@ -123,6 +124,11 @@
     client.start(std::move(call));
 }
 
+void EngineRunner::Private::carryOut(const AskPermit &action)
+{
+    handle(PermitGranted { action.adapter, clock.now() + Duration::seconds(5) });
+}
+
 void EngineRunner::Private::carryOut(const StartLoad &action)
 {
     const Time startedAt = clock.now();
--- /dev/null
+++ b/transport/peers.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/result.h"
+#include "core/strongid.h"
+#include "transport/httpserver.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace ApricotStep
+{
+
+/** What one node may ask of another over node RPC. Callbacks come from the RPC's thread and must not block. */
+class Peers
+{
+public:
+    virtual ~Peers() = default;
+
+    /**
+     * Has the node at @p rpcAddress serve @p request and streams its answer to @p exchange. A peer that cannot be reached answers
+     * PeerUnreachable (not run); one that is lost after the request left counts as may have run. @p hops: forwards so far, this one
+     * included.
+     */
+    virtual void forward(
+        const std::string &rpcAddress, const HttpRequest &request, int hops, const std::shared_ptr<HttpExchange> &exchange) = 0;
+
+    /** Fetches the value that the peer holds under @p name, such as a page of the configuration. Errors: PeerUnreachable, NotFound. */
+    virtual void fetch(const std::string &rpcAddress, const std::string &name, std::function<void(Result<std::string>)> done) = 0;
+
+    /** Sends a short message of one part to the same part of the peer and gets its answer. Errors: PeerUnreachable. */
+    virtual void tell(const std::string &rpcAddress, const std::string &part, const std::string &message,
+        std::function<void(Result<std::string>)> done) = 0;
+};
+
+} // namespace ApricotStep
