Contain an upstream's trouble in decisions without I/O

Cause: a failed call was given up or sent again a fixed number of times, whatever the state of the upstream. A failing fleet would get several times its load, and one failing or slow upstream would take its full share of requests.

Change: a retry budget (a share of successful traffic), rules for what may be tried again and where, outlier ejection with a ceiling and a slow return, and a concurrency limit that follows measured latency. Nothing calls them yet.

--- /dev/null
+++ b/coordination/attempt.cpp
@@ -0,0 +1,72 @@
+#include "coordination/attempt.h"
+
+#include <algorithm>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// Kinds that another attempt cannot change: the caller's own fault, its absence, or time that has run out.
+bool isFinal(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::UpstreamUnreachable:
+    case ErrorKind::UpstreamRefused:
+    case ErrorKind::UpstreamFailed:
+    case ErrorKind::UpstreamTimeout:
+    case ErrorKind::StreamCut:
+    case ErrorKind::AdapterLoadFailed:
+        return false;
+    default:
+        return true;
+    }
+}
+
+Duration jitteredPause(int attempts, const RetryLimits &limits, std::mt19937_64 &random)
+{
+    constexpr int MaxDoublings = 16;
+    const std::int64_t doubled = limits.firstPause.milliseconds() << std::min(attempts - 1, MaxDoublings);
+    const std::int64_t cap = std::min(doubled, limits.longestPause.milliseconds());
+    return Duration(std::uniform_int_distribution<std::int64_t>(0, std::max<std::int64_t>(cap, 0))(random));
+}
+
+} // namespace
+
+bool isSafeToRepeat(const AttemptFailure &failure, const RetryFacts &facts)
+{
+    if (facts.hasCallerBytes) {
+        return false;
+    }
+    // A refusal for a missing adapter comes before execution by the engine's contract.
+    const bool hasNotRun = failure.phase == AttemptPhase::Queued || (failure.phase == AttemptPhase::Answered && failure.isAdapterMissing);
+    return hasNotRun || facts.repeatability == Repeatability::Idempotent;
+}
+
+RetryDecision decideRetry(const AttemptFailure &failure, const RetryFacts &facts, const RetryLimits &limits, RetryBudget &budget,
+    std::mt19937_64 &random, Time now)
+{
+    const GiveUp giveUp { failure.kind };
+    if (!isSafeToRepeat(failure, facts) || isFinal(failure.kind) || facts.attempts >= limits.maxAttempts) {
+        return giveUp;
+    }
+    const bool toOther = facts.hasOtherUpstream && !failure.isAdapterMissing;
+    // A reload goes back through the queue at once; all that wait for it share one load.
+    const Duration pause = toOther || failure.isAdapterMissing ? Duration(0) : jitteredPause(facts.attempts, limits, random);
+    if (now + pause >= facts.deadline) {
+        return giveUp;
+    }
+    // A refusal before execution costs the engine nothing, and one restart refuses a whole batch at once: it takes no budget.
+    if (!failure.isAdapterMissing && !budget.take(now)) {
+        return giveUp;
+    }
+    return TryAgain { toOther ? RetryTarget::OtherUpstream : RetryTarget::SameUpstream, pause };
+}
+
+Duration timeLeft(Time deadline, Time now)
+{
+    return std::max(deadline - now, Duration(1));
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/concurrencylimit.cpp
@@ -0,0 +1,70 @@
+#include "coordination/concurrencylimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// The usual latency forgets a better past slowly: a lasting slowdown becomes the new usual after some hundred windows, so that the limit
+// does not stay low for ever when the work itself changed.
+constexpr double UsualRise = 0.01;
+constexpr double UsualFall = 0.5;
+constexpr double LargestCut = 0.5;
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(ConcurrencyBounds bounds)
+    : m_bounds(bounds)
+    , m_limit(bounds.max)
+{
+}
+
+void ConcurrencyLimit::onSample(Duration latency, int inFlight, Time now)
+{
+    if (m_samples == 0) {
+        m_windowStart = now;
+    }
+    m_sumMs += std::max(static_cast<double>(latency.milliseconds()), 1.0);
+    m_maxInFlight = std::max(m_maxInFlight, inFlight);
+    ++m_samples;
+    if (m_samples >= m_bounds.windowSamples || now - m_windowStart >= m_bounds.windowTime) {
+        closeWindow();
+    }
+}
+
+void ConcurrencyLimit::closeWindow()
+{
+    const double recent = m_sumMs / m_samples;
+    if (m_usualMs == 0) {
+        m_usualMs = recent;
+    }
+    const double gradient = std::clamp(m_bounds.tolerance * m_usualMs / recent, LargestCut, 1.0);
+    // An upstream that is not filled proves nothing about a higher limit.
+    const bool isFilled = m_maxInFlight * 2 >= static_cast<int>(m_limit);
+    const double growth = gradient >= 1.0 && isFilled ? std::sqrt(m_limit) : 0;
+    m_limit = std::clamp(m_limit * gradient + growth, static_cast<double>(m_bounds.min), static_cast<double>(m_bounds.max));
+    m_usualMs += (recent - m_usualMs) * (recent < m_usualMs ? UsualFall : UsualRise);
+    m_sumMs = 0;
+    m_samples = 0;
+    m_maxInFlight = 0;
+}
+
+void ConcurrencyLimit::onDropped(Time now)
+{
+    if (m_droppedAt != Time() && now - m_droppedAt < m_bounds.windowTime) {
+        return;
+    }
+    m_droppedAt = now;
+    m_limit = std::max(m_limit * LargestCut, static_cast<double>(m_bounds.min));
+}
+
+int ConcurrencyLimit::limit() const
+{
+    return static_cast<int>(m_limit);
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/outliers.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/strongid.h"
+
+#include <memory>
+#include <vector>
+
+namespace ApricotStep
+{
+
+// Load pattern: one upstream of many fails or hangs while the others are well, flaps, or comes back cold.
+// Without ejection: its share of all requests pays a failed attempt each, for as long as the fault lasts. Without the ceiling: a fault that
+// all share (a bad adapter, a lost zone) ejects everything, and the rest drowns. Without the slow return: a restarted engine with empty
+// caches gets a full share at once, fails again and flaps. One would notice a saw-tooth in its failures.
+// Grounds for the figures: five failures in a row happen by chance less than once in 10^5 requests at a tenth failing. The first ejection
+// lasts five seconds, about a restart of a process; each next one doubles to a minute, so that a flapping upstream costs a few requests a
+// minute. At most half of the candidates are ejected: the rest then has twice its load, which shedding can still order.
+
+struct OutlierLimits
+{
+    /** Failures in a row that eject; at least 1. */
+    int failuresToEject = 5;
+    Duration firstEjection = Duration::seconds(5);
+    Duration longestEjection = Duration::seconds(60);
+    /** Time from the return of an upstream to its full share. */
+    Duration rampTime = Duration::seconds(10);
+    /** Share at the start of the ramp, above 0 to 1. */
+    double startShare = 0.1;
+    /** Share of all upstreams that may be ejected at once, 0 to 1. */
+    double maxEjectedShare = 0.5;
+};
+
+/** Watches the outcomes of upstreams and says how much of its share each should get. Not thread-safe. */
+class Outliers
+{
+public:
+    explicit Outliers(OutlierLimits limits);
+    ~Outliers();
+    Outliers(Outliers &&) noexcept;
+    Outliers &operator=(Outliers &&) noexcept;
+
+    /** The upstreams that exist now; others are forgotten. Without this call an upstream is known from its first outcome. */
+    void setUpstreams(const std::vector<UpstreamId> &upstreams);
+    void onSuccess(const UpstreamId &upstream, Time now);
+    /** A failure that the upstream caused: unreachable, cut, timed out, 5xx. Never a refusal that is the caller's fault. */
+    void onFailure(const UpstreamId &upstream, Time now);
+    /** It came back cold: from here on its share grows slowly. */
+    void onRestart(const UpstreamId &upstream, Time now);
+
+    bool isEjected(const UpstreamId &upstream, Time now) const;
+    /** 0 when ejected, else from the start share of its ramp to 1. */
+    double share(const UpstreamId &upstream, Time now) const;
+    int ejectedCount(Time now) const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace ApricotStep
