Let nodes fetch values, send messages and forward requests over Cap'n Proto

Nodes had no way to reach each other. NodeRpc serves and calls peers on one KJ thread: short values and messages with a deadline, and forwarded requests whose answers stream back. Both sides of a connection prove that they know the fleet's secret before a peer gets any capability. At most 256 KiB of an answer are unacknowledged, so a slow caller holds the engine back and not memory. A peer that takes connections but is paused fails the connection by its time limit, or two missed pings while a forward is in progress.

--- /dev/null
+++ b/transport/peerlink.cpp
@@ -0,0 +1,184 @@
+#include "transport/peerlink.h"
+
+#include "core/hash.h"
+#include "transport/rpcauthentication.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr std::size_t MessageSlackBytes = 1U << 20U;
+constexpr int KeepAliveIdleSeconds = 15;
+constexpr int KeepAliveIntervalSeconds = 5;
+constexpr int KeepAliveProbes = 3;
+// A process that itself wakes from a pause finds its timers overdue before it has read what came meanwhile; the second ping is fair.
+constexpr int MaxMissedPings = 2;
+
+kj::Duration span(Duration duration)
+{
+    return duration.milliseconds() * kj::MILLISECONDS;
+}
+
+void setOption(kj::AsyncIoStream &stream, int level, int option, int value)
+{
+    stream.setsockopt(level, option, &value, sizeof(value));
+}
+
+} // namespace
+
+capnp::ReaderOptions readerOptions(const NodeRpcSettings &settings)
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = 2 * (settings.maxBodyBytes + MessageSlackBytes) / sizeof(capnp::word);
+    return options;
+}
+
+void keepAlive(kj::AsyncIoStream &stream)
+{
+    setOption(stream, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+    setOption(stream, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+    setOption(stream, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+PeerLink::PeerLink(kj::Own<kj::AsyncIoStream> stream, const NodeRpcSettings &settings, kj::Timer &timer)
+    : m_settings(settings)
+    , m_timer(timer)
+    , m_stream(kj::mv(stream))
+    , m_network(*m_stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions(settings))
+    , m_rpc(capnp::makeRpcClient(m_network))
+    , m_death(nullptr)
+    , m_watch(nullptr)
+{
+    auto death = kj::newPromiseAndFulfiller<void>();
+    m_kill = kj::mv(death.fulfiller);
+    m_death = death.promise.fork();
+    m_watch = m_network.onDisconnect().then([this] { die("the connection closed"); }).eagerlyEvaluate(nullptr);
+}
+
+kj::Promise<void> PeerLink::authenticate()
+{
+    capnp::MallocMessageBuilder message;
+    auto vat = message.initRoot<capnp::rpc::twoparty::VatId>();
+    vat.setSide(capnp::rpc::twoparty::Side::SERVER);
+    auto gate = m_rpc.bootstrap(vat).castAs<Wire::Gate>();
+    const std::string nonce = newNonce();
+    auto hello = gate.helloRequest();
+    hello.setNonce(nonce.c_str());
+    return hello.send().then([this, gate, nonce](capnp::Response<Wire::Gate::HelloResults> &&answer) mutable {
+        const std::string serverNonce = answer.getNonce().cStr();
+        if (!equalConstantTime(answer.getProof().cStr(), serverProof(m_settings.secret, nonce, serverNonce))) {
+            failRpc("the peer does not know the fleet's secret");
+        }
+        auto authenticate = gate.authenticateRequest();
+        authenticate.setProof(clientProof(m_settings.secret, nonce, serverNonce).c_str());
+        return authenticate.send().then([this](capnp::Response<Wire::Gate::AuthenticateResults> &&results) { m_node = results.getNode(); });
+    });
+}
+
+Wire::PeerNode::Client &PeerLink::node()
+{
+    return KJ_ASSERT_NONNULL(m_node);
+}
+
+bool PeerLink::isDead() const
+{
+    return m_isDead;
+}
+
+void PeerLink::die(const std::string &why)
+{
+    if (!m_isDead) {
+        m_isDead = true;
+        m_kill->reject(KJ_EXCEPTION(DISCONNECTED, why.c_str()));
+    }
+}
+
+kj::Promise<void> PeerLink::guard(kj::Promise<void> call)
+{
+    if (m_guarded++ == 0) {
+        m_pings = pingLoop().eagerlyEvaluate(nullptr);
+    }
+    auto end = kj::defer([self = shared_from_this()] {
+        if (--self->m_guarded == 0) {
+            self->m_pings = nullptr;
+        }
+    });
+    return call.exclusiveJoin(m_death.addBranch()).attach(kj::mv(end));
+}
+
+kj::Promise<void> PeerLink::pingLoop()
+{
+    auto missed = std::make_shared<int>(0);
+    const auto ping = [this, missed] {
+        return m_timer.timeoutAfter(span(m_settings.pingTimeout), node().pingRequest().send().ignoreResult())
+            .then([missed] { *missed = 0; },
+                [this, missed](kj::Exception &&exception) {
+                    if (++*missed >= MaxMissedPings || exception.getType() == kj::Exception::Type::DISCONNECTED) {
+                        die("it answers no pings");
+                    }
+                });
+    };
+    return m_timer.afterDelay(span(m_settings.pingTimeout)).then(ping).then([this]() -> kj::Promise<void> {
+        if (m_isDead) {
+            return kj::READY_NOW;
+        }
+        return pingLoop();
+    });
+}
+
+PeerLinks::PeerLinks(RpcLoop &loop, const NodeRpcSettings &settings, kj::Maybe<kj::TlsContext &> tls)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_tls(tls)
+{
+}
+
+kj::Promise<std::shared_ptr<PeerLink>> PeerLinks::get(const std::string &address)
+{
+    std::shared_ptr<Entry> &entry = m_entries[address];
+    if (entry == nullptr || entry->isFailed || (entry->made != nullptr && entry->made->isDead())) {
+        entry = std::make_shared<Entry>();
+        entry->link = connect(address).fork();
+    }
+    return entry->link.addBranch().then(
+        [entry = entry](std::shared_ptr<PeerLink> &&link) {
+            entry->made = link;
+            return kj::mv(link);
+        },
+        [entry = entry](kj::Exception &&exception) -> std::shared_ptr<PeerLink> {
+            entry->isFailed = true;
+            kj::throwFatalException(kj::mv(exception));
+        });
+}
+
+kj::Promise<std::shared_ptr<PeerLink>> PeerLinks::connect(const std::string &address)
+{
+    auto linked = m_loop.network()
+                      .parseAddress(address.c_str())
+                      .then([](kj::Own<kj::NetworkAddress> &&parsed) {
+                          auto connecting = parsed->connect();
+                          return connecting.attach(kj::mv(parsed));
+                      })
+                      .then([this](kj::Own<kj::AsyncIoStream> &&stream) -> kj::Promise<kj::Own<kj::AsyncIoStream>> {
+                          keepAlive(*stream);
+                          KJ_IF_MAYBE (tls, m_tls) {
+                              return tls->wrapClient(kj::mv(stream), m_settings.tlsName.c_str());
+                          }
+                          return kj::mv(stream);
+                      })
+                      .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
+                          auto link = std::make_shared<PeerLink>(kj::mv(stream), m_settings, m_loop.timer());
+                          return link->authenticate().then([link] { return link; });
+                      });
+    return m_loop.timer().timeoutAfter(span(m_settings.connectTimeout), kj::mv(linked));
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/transport/rpcanswer.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "protocol/node.capnp.h"
+#include "transport/httpserver.h"
+#include "transport/rpcloop.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace ApricotStep
+{
+
+class AnswerSender;
+class AnswerReceiver;
+
+/**
+ * The calls of one kind that live on the loop, by number. Other threads hold the number only: what it stands for must not be touched or
+ * destroyed outside the loop's thread, and may have ended meanwhile.
+ */
+template<typename T>
+struct LiveCalls
+{
+    std::uint64_t last = 0;
+    absl::flat_hash_map<std::uint64_t, T *> byNumber;
+
+    T *find(std::uint64_t number) const
+    {
+        const auto at = byNumber.find(number);
+        return at == byNumber.end() ? nullptr : at->second;
+    }
+};
+
+/**
+ * At the owner: an answer on its way to the node where the caller is. Thread-safe.
+ *
+ * Back-pressure: at most WindowBytes (and one write) are unacknowledged; then write() returns false until half of them are taken. Without
+ * it one slow caller would let a whole answer, or many, pile up in this node's memory.
+ */
+class RpcExchange final : public HttpExchange, public std::enable_shared_from_this<RpcExchange>
+{
+public:
+    static constexpr std::size_t WindowBytes = 256U << 10U;
+
+    RpcExchange(std::shared_ptr<RpcLoop> loop, std::shared_ptr<LiveCalls<AnswerSender>> senders, std::uint64_t number);
+
+    void respond(int status, const HttpHeaders &headers, std::string body) override;
+    void beginStream(int status, const HttpHeaders &headers) override;
+    bool write(std::string_view data) override;
+    void finish() override;
+    void abort() override;
+    void onDrained(std::function<void()> callback) override;
+    void onCallerGone(std::function<void()> callback) override;
+
+    // From the loop's thread.
+    std::string takePending();
+    void acknowledge(std::size_t bytes);
+    /** The call is over; tells onCallerGone when the answer was not whole. */
+    void close();
+
+private:
+    void post(std::function<void(AnswerSender &)> task);
+
+    const std::shared_ptr<RpcLoop> m_loop;
+    const std::shared_ptr<LiveCalls<AnswerSender>> m_senders;
+    const std::uint64_t m_number;
+    absl::Mutex m_mutex;
+    bool m_hasAnswer ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isEnded ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isClosed ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isGone ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isFull ABSL_GUARDED_BY(m_mutex) = false;
+    std::size_t m_unacknowledged ABSL_GUARDED_BY(m_mutex) = 0;
+    std::string m_pending ABSL_GUARDED_BY(m_mutex);
+    std::function<void()> m_drained ABSL_GUARDED_BY(m_mutex);
+    std::function<void()> m_gone ABSL_GUARDED_BY(m_mutex);
+};
+
+/** At the owner, on the loop's thread: hands the answer of one RpcExchange to the caller's node. Lives as long as the call. */
+class AnswerSender final : private kj::TaskSet::ErrorHandler
+{
+public:
+    AnswerSender(const std::shared_ptr<RpcLoop> &loop, std::shared_ptr<LiveCalls<AnswerSender>> senders, Wire::AnswerSink::Client sink,
+        Duration timeout);
+    ~AnswerSender();
+
+    const std::shared_ptr<RpcExchange> &exchange() const;
+    /** Resolves when the answer is whole at the other node; rejected when that node takes nothing for the timeout. Once. */
+    kj::Promise<void> whole();
+
+    void respond(int status, const HttpHeaders &headers, const std::string &body);
+    void begin(int status, const HttpHeaders &headers);
+    void flush();
+    void end(bool isAborted);
+
+private:
+    void taskFailed(kj::Exception &&exception) override;
+    void add(kj::Promise<void> promise);
+
+    kj::Timer &m_timer;
+    std::shared_ptr<LiveCalls<AnswerSender>> m_senders;
+    std::uint64_t m_number;
+    Wire::AnswerSink::Client m_sink;
+    Duration m_timeout;
+    std::shared_ptr<RpcExchange> m_exchange;
+    kj::PromiseFulfillerPair<void> m_whole;
+    kj::TaskSet m_tasks;
+};
+
+/** At the caller's node, on the loop's thread: passes an answer from the owner on to the caller. */
+class AnswerReceiver
+{
+public:
+    AnswerReceiver(
+        const std::shared_ptr<RpcLoop> &loop, std::shared_ptr<LiveCalls<AnswerReceiver>> receivers, std::shared_ptr<HttpExchange> exchange);
+    ~AnswerReceiver();
+
+    /** What the owner sends to; may outlive this. */
+    Wire::AnswerSink::Client sink();
+    /** Resolves when the caller has gone. Once. */
+    kj::Promise<void> gone();
+    bool isEnded() const;
+
+    void respond(Wire::AnswerSink::RespondParams::Reader params);
+    void begin(Wire::AnswerSink::BeginParams::Reader params);
+    kj::Promise<void> write(capnp::Data::Reader data);
+    void end(bool isAborted);
+    /** The owner was lost: the caller must not take what came so far for a whole answer. */
+    void lose(const std::string &why);
+    /** Nothing left: whoever forwards answers. */
+    void release();
+    void drained();
+    void callerGone();
+
+private:
+    std::shared_ptr<LiveCalls<AnswerReceiver>> m_receivers;
+    std::uint64_t m_number;
+    std::shared_ptr<HttpExchange> m_exchange;
+    bool m_hasBegun = false;
+    bool m_isEnded = false;
+    bool m_isFull = false;
+    bool m_isEventStream = false;
+    std::vector<kj::Own<kj::PromiseFulfiller<void>>> m_waiting;
+    kj::PromiseFulfillerPair<void> m_goneSignal;
+};
+
+void writeHeaders(capnp::List<Wire::Header>::Builder builder, const HttpHeaders &headers);
+HttpHeaders readHeaders(capnp::List<Wire::Header>::Reader reader);
+
+} // namespace ApricotStep
