Find out which nodes live by probing, not from the VM list

The view of the fleet came straight from the VM list, which lags: a node that had died stayed an owner, a leaving upstream got work until the next read of every node, and a partition or a pause went unnoticed.

Nodes now run SWIM over UDP: pings, indirect pings through relays of the target's and the own availability zone, suspicion that further accusers shorten, refutation, Lifeguard's local health, gossip with a bounded number of retransmits and a slow synchronisation by digests, so that a healed partition and a late node converge. Leaving, configuration and hand-off facts travel on the same datagrams. Each datagram is signed with the fleet's secret; forged, malformed and replayed ones are dropped and counted. A process that stood still is not fresh until peers have answered. The VM list only seeds: it kills no member that answers.

--- /dev/null
+++ b/coordination/membermessage.cpp
@@ -0,0 +1,16 @@
+#include "coordination/membermessage.h"
+
+#include <tuple>
+
+namespace ApricotStep
+{
+
+bool supersedes(const MemberUpdate &news, const MemberUpdate &known)
+{
+    const auto rank = [](const MemberUpdate &update) {
+        return std::make_tuple(update.incarnation, update.state == MemberState::Left, update.refutation, update.state);
+    };
+    return rank(news) > rank(known);
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/membership.cpp
@@ -0,0 +1,790 @@
+#include "coordination/membership.h"
+
+#include "coordination/factset.h"
+#include "coordination/gossipqueue.h"
+#include "coordination/localhealth.h"
+#include "coordination/membertable.h"
+#include "coordination/probeschedule.h"
+#include "core/hash.h"
+#include "core/result.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// What one datagram carries besides its head and what it says of its two ends; all together stay under 1200 bytes, which every path takes
+// in one piece.
+constexpr std::size_t PiggybackBytes = 800;
+constexpr std::size_t MaxSyncReplies = 40;
+constexpr int ConfirmationsWanted = 3;
+constexpr int RetransmitFactor = 4;
+constexpr std::size_t ConfirmingProbes = 4;
+constexpr std::size_t RefreshPeers = 3;
+
+// A probe on its way, this node's own or one that it relays.
+struct Probe
+{
+    NodeId target;
+    Time sentAt;
+    Time indirectAt;
+    Time endsAt;
+    bool isIndirect = false;
+    /** To somebody who is not a live member: no answer means nothing. */
+    bool isMeeting = false;
+    int relays = 0;
+    int nacks = 0;
+    // For a relayed probe.
+    std::string requester;
+    std::uint32_t requesterSequence = 0;
+};
+
+int transmitLimit(std::size_t members)
+{
+    return RetransmitFactor * static_cast<int>(std::ceil(std::log10(static_cast<double>(members) + 2)));
+}
+
+} // namespace
+
+struct Membership::Private
+{
+    MemberUpdate self;
+    MembershipLimits limits;
+    Random random;
+    MemberTable table;
+    FactSet facts;
+    GossipQueue queue;
+    ProbeSchedule schedule;
+    LocalHealth health;
+    MembershipCounters counters;
+    // Entry VMs of the newest VM list.
+    std::vector<VmRecord> listed;
+    std::shared_ptr<const FleetView> view = std::make_shared<FleetView>();
+    absl::flat_hash_map<std::uint32_t, Probe> probes;
+    std::vector<MembershipAction> actions;
+    std::uint32_t counter = 0;
+    std::uint32_t sequence = 0;
+    std::uint16_t numberSalt = 0;
+    bool isLeaving = false;
+    bool isViewDue = true;
+    bool isViewShown = false;
+    bool hasVmList = false;
+    Time lastTick;
+    Time startedAt;
+    Time wokeAt;
+    Time lastHeard;
+    Time nextProbe;
+    Time nextGossip;
+    Time nextSync;
+    Time nextReconnect;
+    absl::flat_hash_set<NodeId> heardSinceWake;
+
+    void on(const MembershipTick &event, Time now);
+    void on(const DatagramReceived &event, Time now);
+    void on(const VmListRead &event, Time now);
+    void on(const AnnounceRumour &event, Time now);
+    void on(const AnnounceLeaving &event, Time now);
+    void on(const AnnounceLeft &event, Time now);
+
+    void onBody(const Ping &ping, const DatagramReceived &event, Time now);
+    void onBody(const Ack &ack, const DatagramReceived &event, Time now);
+    void onBody(const Nack &nack, const DatagramReceived &event, Time now);
+    void onBody(const PingRequest &request, const DatagramReceived &event, Time now);
+    void onBody(const Gossip &gossip, const DatagramReceived &event, Time now);
+    void onBody(const SyncRequest &request, const DatagramReceived &event, Time now);
+    void onBody(const SyncReply &reply, const DatagramReceived &event, Time now);
+
+    void send(const std::string &address, MemberBody body, const Member *receiver, Time now);
+    void sendEmpty(const std::string &address, MemberBody body, Time now, std::vector<MemberUpdate> updates = {});
+    bool acceptCounter(const MemberDatagram &datagram);
+    bool takeUpdate(const MemberUpdate &update, Time now);
+    void takeOpinionOfSelf(const MemberUpdate &update, Time now);
+    void takeRumour(const AgedRumour &rumour, Time now);
+    void confirmSuspicion(Member &member, const NodeId &accuser);
+    void heard(const NodeId &id, Time now);
+
+    void probe(const NodeId &target, Time now);
+    void meet(const std::string &address, const Member *member, Time now);
+    bool canBeMet(const VmRecord &vm) const;
+    bool isFresh(Time now) const;
+    bool mayShowView(Time now) const;
+    void askRelays(std::uint32_t probeSequence, Probe &probe, Time now);
+    void checkProbes(Time now);
+    void failProbe(const Probe &probe, Time now);
+    void suspect(const NodeId &id, Time now);
+    void checkSuspicions(Time now);
+    Duration suspicionTime(const Member &member) const;
+    void gossip(Time now);
+    void spread(Time now);
+    void synchronise(const std::string &address, Time now);
+    void reconnect(Time now);
+    void wake(Time now);
+    void settleNumber(Time now);
+    bool isListedLeaving(const NodeId &id) const;
+    void refreshView();
+    BucketDigests digests() const;
+    std::uint32_t digest() const;
+    int retransmits() const;
+};
+
+int Membership::Private::retransmits() const
+{
+    return transmitLimit(table.liveCount());
+}
+
+BucketDigests Membership::Private::digests() const
+{
+    BucketDigests all = table.digests();
+    for (std::size_t i = 0; i < DigestBuckets; ++i) {
+        all[i] ^= facts.digests()[i];
+    }
+    all[digestBucket(self.id.value())] ^= digestOf(self);
+    return all;
+}
+
+std::uint32_t Membership::Private::digest() const
+{
+    std::string bytes;
+    for (const std::uint32_t bucket : digests()) {
+        bytes.append(reinterpret_cast<const char *>(&bucket), sizeof bucket);
+    }
+    return static_cast<std::uint32_t>(stableHash(bytes));
+}
+
+void Membership::Private::sendEmpty(const std::string &address, MemberBody body, Time, std::vector<MemberUpdate> updates)
+{
+    MemberDatagram datagram;
+    datagram.sender = self.id;
+    datagram.incarnation = self.incarnation;
+    datagram.counter = ++counter;
+    datagram.digest = digest();
+    datagram.body = std::move(body);
+    datagram.updates = std::move(updates);
+    actions.emplace_back(SendDatagram { address, std::move(datagram) });
+}
+
+// A receiver that does not count as alive here is told so first: a member that was wrongly declared dead, as by the other side of a
+// partition, must hear of it to refute it.
+void Membership::Private::send(const std::string &address, MemberBody body, const Member *receiver, Time now)
+{
+    std::vector<MemberUpdate> updates;
+    if (receiver == nullptr || !receiver->isLive()) {
+        updates.push_back(self);
+    }
+    if (receiver != nullptr && receiver->update.state != MemberState::Alive) {
+        updates.push_back(receiver->update);
+    }
+    sendEmpty(address, std::move(body), now, std::move(updates));
+    queue.fill(std::get<SendDatagram>(actions.back()).datagram, PiggybackBytes, retransmits(), now);
+}
+
+void Membership::Private::confirmSuspicion(Member &member, const NodeId &accuser)
+{
+    if (!accuser.isEmpty()) {
+        member.accusers.insert(accuser);
+    }
+}
+
+void Membership::Private::takeOpinionOfSelf(const MemberUpdate &update, Time now)
+{
+    const bool isAgainst = update.state == MemberState::Suspect || update.state == MemberState::Dead;
+    if (!isAgainst || update.incarnation != self.incarnation || update.refutation < self.refutation) {
+        return;
+    }
+    self.refutation = update.refutation + 1;
+    ++counters.refutations;
+    health.worsen();
+    queue.add(self, now);
+    spread(now);
+}
+
+bool Membership::Private::takeUpdate(const MemberUpdate &update, Time now)
+{
+    if (update.id == self.id) {
+        takeOpinionOfSelf(update, now);
+        return false;
+    }
+    Member *known = table.find(update.id);
+    const bool isSameSuspicion = known != nullptr && known->update.state == MemberState::Suspect && update.state == MemberState::Suspect
+        && known->update.incarnation == update.incarnation && known->update.refutation == update.refutation;
+    if (isSameSuspicion && !known->accusers.contains(update.accuser) && std::cmp_less(known->accusers.size(), ConfirmationsWanted + 1)) {
+        confirmSuspicion(*known, update.accuser);
+        queue.add(update, now); // Each further accuser shortens the time to refute everywhere.
+        return false;
+    }
+    // An unknown member without addresses can neither be probed nor served: a later Alive brings them.
+    const bool isUseless = known == nullptr && update.membershipAddress.empty();
+    const bool wasLive = known != nullptr && known->isLive();
+    if (isUseless || !table.merge(update, now)) {
+        return false;
+    }
+    Member &member = *table.find(update.id);
+    if (update.state == MemberState::Suspect) {
+        member.suspectedAt = now;
+        member.accusers.clear();
+        confirmSuspicion(member, update.accuser);
+        // Few of those who hear of it look for themselves at once, so that a dead member is confirmed within one probe.
+        if (random() % (table.liveCount() + 1) < ConfirmingProbes) {
+            probe(update.id, now);
+        }
+    } else if (wasLive && update.state == MemberState::Dead) {
+        ++counters.deaths;
+    }
+    queue.add(update, now);
+    isViewDue = true;
+    return true;
+}
+
+void Membership::Private::takeRumour(const AgedRumour &rumour, Time now)
+{
+    if (!facts.merge(rumour, now)) {
+        return;
+    }
+    queue.add(rumour, now);
+    actions.emplace_back(RumourLearned { rumour.rumour });
+    isViewDue = true;
+    nextGossip = std::min(nextGossip, now);
+}
+
+void Membership::Private::heard(const NodeId &id, Time now)
+{
+    lastHeard = now;
+    if (heardSinceWake.size() < RefreshPeers) {
+        heardSinceWake.insert(id);
+    }
+}
+
+// Facts merge in any order and acks are matched by sequence, so a replayed datagram does little harm; it is still not let in.
+bool Membership::Private::acceptCounter(const MemberDatagram &datagram)
+{
+    Member *sender = table.find(datagram.sender);
+    if (sender == nullptr || datagram.incarnation > sender->update.incarnation) {
+        return true;
+    }
+    return datagram.incarnation == sender->update.incarnation && sender->window.accept(datagram.counter);
+}
+
+void Membership::Private::on(const DatagramReceived &event, Time now)
+{
+    const MemberDatagram &datagram = event.datagram;
+    if (datagram.sender == self.id) {
+        return;
+    }
+    if (!acceptCounter(datagram)) {
+        ++counters.replays;
+        return;
+    }
+    for (const MemberUpdate &update : datagram.updates) {
+        takeUpdate(update, now);
+    }
+    for (const AgedRumour &rumour : datagram.rumours) {
+        takeRumour(rumour, now);
+    }
+    std::visit([&](const auto &body) { onBody(body, event, now); }, datagram.body);
+    if (datagram.digest != digest() && now >= nextSync && queue.isEmpty()) {
+        synchronise(event.from, now);
+    }
+}
+
+void Membership::Private::onBody(const Ping &ping, const DatagramReceived &event, Time now)
+{
+    send(event.from, Ack { ping.sequence }, table.find(event.datagram.sender), now);
+}
+
+void Membership::Private::onBody(const Ack &ack, const DatagramReceived &event, Time now)
+{
+    const auto at = probes.find(ack.sequence);
+    if (at == probes.end()) {
+        return;
+    }
+    const Probe probe = at->second;
+    probes.erase(at);
+    if (!probe.requester.empty()) {
+        sendEmpty(probe.requester, Ack { probe.requesterSequence }, now);
+        return;
+    }
+    heard(event.datagram.sender, now);
+    health.improve();
+}
+
+void Membership::Private::onBody(const Nack &nack, const DatagramReceived &, Time)
+{
+    const auto at = probes.find(nack.sequence);
+    if (at != probes.end()) {
+        ++at->second.nacks;
+    }
+}
+
+void Membership::Private::onBody(const PingRequest &request, const DatagramReceived &event, Time now)
+{
+    Probe relayed;
+    relayed.sentAt = now;
+    relayed.indirectAt = Time::never();
+    relayed.endsAt = now + limits.probeTimeout;
+    relayed.requester = event.from;
+    relayed.requesterSequence = request.sequence;
+    probes.emplace(++sequence, relayed);
+    sendEmpty(request.targetAddress, Ping { sequence }, now);
+}
+
+void Membership::Private::onBody(const Gossip &, const DatagramReceived &, Time)
+{
+}
+
+void Membership::Private::onBody(const SyncRequest &request, const DatagramReceived &event, Time now)
+{
+    const BucketDigests own = digests();
+    std::vector<MemberUpdate> updates;
+    std::vector<AgedRumour> rumours;
+    const auto differs = [&](const std::string &name) {
+        const std::size_t bucket = digestBucket(name);
+        return own[bucket] != request.digests[bucket];
+    };
+    if (differs(self.id.value())) {
+        updates.push_back(self);
+    }
+    for (const auto &[id, member] : table.members()) {
+        if (differs(id.value())) {
+            updates.push_back(member.update);
+        }
+    }
+    for (const AgedRumour &rumour : facts.all(now)) {
+        if (differs(rumourName(rumour.rumour))) {
+            rumours.push_back(rumour);
+        }
+    }
+    for (std::size_t replies = 0; replies < MaxSyncReplies; ++replies) {
+        sendEmpty(event.from, SyncReply { request.sequence }, now);
+        MemberDatagram &datagram = std::get<SendDatagram>(actions.back()).datagram;
+        std::size_t bytes = 0;
+        while (!updates.empty() && bytes + wireSize(updates.back()) <= PiggybackBytes) {
+            bytes += wireSize(updates.back());
+            datagram.updates.push_back(updates.back());
+            updates.pop_back();
+        }
+        while (!rumours.empty() && bytes + wireSize(rumours.back()) <= PiggybackBytes) {
+            bytes += wireSize(rumours.back());
+            datagram.rumours.push_back(rumours.back());
+            rumours.pop_back();
+        }
+        if (updates.empty() && rumours.empty()) {
+            return;
+        }
+    }
+}
+
+void Membership::Private::onBody(const SyncReply &, const DatagramReceived &event, Time now)
+{
+    heard(event.datagram.sender, now);
+}
+
+void Membership::Private::synchronise(const std::string &address, Time now)
+{
+    std::uniform_int_distribution<std::int64_t> jitter(0, limits.syncInterval.milliseconds());
+    nextSync = now + Duration(limits.syncInterval.milliseconds() / 2 + jitter(random));
+    sendEmpty(address, SyncRequest { ++sequence, digests() }, now, { self });
+}
+
+void Membership::Private::probe(const NodeId &target, Time now)
+{
+    const Member *member = table.find(target);
+    if (member == nullptr) {
+        return;
+    }
+    Probe probe;
+    probe.target = target;
+    probe.sentAt = now;
+    probe.indirectAt = now + limits.probeTimeout * health.factor();
+    probe.endsAt = now + limits.probeInterval * health.factor();
+    probes.emplace(++sequence, probe);
+    send(member->update.membershipAddress, Ping { sequence }, member, now);
+}
+
+void Membership::Private::askRelays(std::uint32_t probeSequence, Probe &probe, Time now)
+{
+    const Member *target = table.find(probe.target);
+    probe.isIndirect = true;
+    if (target == nullptr) {
+        return;
+    }
+    // A second direct ping costs one datagram and turns a lost one from a suspicion into nothing.
+    sendEmpty(target->update.membershipAddress, Ping { probeSequence }, now);
+    for (const NodeId &relay : chooseRelays(table, *target, self.zone, static_cast<std::size_t>(limits.relays), random)) {
+        ++probe.relays;
+        sendEmpty(table.find(relay)->update.membershipAddress, PingRequest { probeSequence, target->update.membershipAddress }, now);
+    }
+}
+
+void Membership::Private::checkProbes(Time now)
+{
+    std::vector<std::uint32_t> sequences;
+    for (const auto &[probeSequence, probe] : probes) {
+        if (now >= probe.endsAt || (!probe.isIndirect && now >= probe.indirectAt)) {
+            sequences.push_back(probeSequence);
+        }
+    }
+    std::sort(sequences.begin(), sequences.end());
+    for (const std::uint32_t probeSequence : sequences) {
+        Probe &probe = probes.at(probeSequence);
+        if (now < probe.endsAt) {
+            askRelays(probeSequence, probe, now);
+            continue;
+        }
+        const Probe ended = probe;
+        probes.erase(probeSequence);
+        if (!ended.requester.empty()) {
+            sendEmpty(ended.requester, Nack { ended.requesterSequence }, now);
+        } else if (!ended.isMeeting) {
+            failProbe(ended, now);
+        }
+    }
+}
+
+void Membership::Private::failProbe(const Probe &probe, Time now)
+{
+    // Relays that live say so. When they are silent too, the fault may well be here.
+    if (probe.relays == 0 || probe.nacks < probe.relays) {
+        health.worsen();
+    }
+    suspect(probe.target, now);
+}
+
+void Membership::Private::suspect(const NodeId &id, Time now)
+{
+    const Member *member = table.find(id);
+    if (member == nullptr || !member->isLive()) {
+        return;
+    }
+    MemberUpdate update = member->update;
+    const bool isFirst = update.state == MemberState::Alive;
+    update.state = MemberState::Suspect;
+    update.accuser = self.id;
+    counters.suspicions += isFirst ? 1 : 0;
+    takeUpdate(update, now);
+    if (isFirst) {
+        // The suspected member hears it from here, not only in its turn, so that it can refute in time.
+        sendEmpty(update.membershipAddress, Gossip {}, now, { update });
+    }
+}
+
+Duration Membership::Private::suspicionTime(const Member &member) const
+{
+    const std::size_t others = table.liveCount() > 1 ? table.liveCount() - 1 : 0;
+    const double wanted = static_cast<double>(std::min<std::size_t>(ConfirmationsWanted, others));
+    const auto min = static_cast<double>(limits.suspicionMin.milliseconds());
+    const auto max = static_cast<double>(limits.suspicionMax.milliseconds());
+    if (wanted < 1) {
+        return limits.suspicionMin * health.factor();
+    }
+    const double confirmed = static_cast<double>(member.accusers.size() > 1 ? member.accusers.size() - 1 : 0);
+    const double time = max - (max - min) * std::log(confirmed + 1) / std::log(wanted + 1);
+    return Duration(static_cast<std::int64_t>(std::max(min, time))) * health.factor();
+}
+
+void Membership::Private::checkSuspicions(Time now)
+{
+    std::vector<MemberUpdate> dead;
+    for (const auto &[id, member] : table.members()) {
+        if (member.update.state == MemberState::Suspect && now - member.suspectedAt >= suspicionTime(member)) {
+            dead.push_back(member.update);
+        }
+    }
+    for (MemberUpdate &update : dead) {
+        update.state = MemberState::Dead;
+        update.accuser = {};
+        takeUpdate(update, now);
+        spread(now);
+    }
+}
+
+// Sends the news to a few peers at once. An item that nobody has heard yet spreads by doubling from here.
+void Membership::Private::spread(Time now)
+{
+    for (const NodeId &id : chooseLive(table, static_cast<std::size_t>(limits.gossipFanOut), {}, random)) {
+        const Member *member = table.find(id);
+        send(member->update.membershipAddress, Gossip {}, member, now);
+    }
+    nextGossip = now + limits.gossipInterval;
+}
+
+void Membership::Private::gossip(Time now)
+{
+    if (now >= nextGossip && !queue.isEmpty() && table.liveCount() > 0) {
+        spread(now);
+    }
+}
+
+// A member that does not live in the view is looked for slowly and for ever while the VM list names it, and for a while after it was
+// seen last. Without this both sides of a partition would stay apart after it has healed, since neither probes what it holds for dead.
+void Membership::Private::reconnect(Time now)
+{
+    if (now < nextReconnect) {
+        return;
+    }
+    nextReconnect = now + limits.reconnectInterval;
+    std::vector<std::string> addresses;
+    for (const VmRecord &vm : listed) {
+        const Member *member = table.find(NodeId(vm.id));
+        if (canBeMet(vm) && (member == nullptr || !member->isLive())) {
+            addresses.push_back(vm.membershipAddress);
+        }
+    }
+    for (const auto &[id, member] : table.members()) {
+        if (member.update.state == MemberState::Dead) {
+            addresses.push_back(member.update.membershipAddress);
+        }
+    }
+    if (addresses.empty()) {
+        return;
+    }
+    std::sort(addresses.begin(), addresses.end());
+    const std::string &address = addresses[random() % addresses.size()];
+    for (const auto &[id, member] : table.members()) {
+        if (member.update.membershipAddress == address) {
+            meet(address, &member, now);
+            return;
+        }
+    }
+    meet(address, nullptr, now);
+}
+
+bool Membership::Private::canBeMet(const VmRecord &vm) const
+{
+    return NodeId(vm.id) != self.id && !vm.membershipAddress.empty();
+}
+
+void Membership::Private::meet(const std::string &address, const Member *member, Time now)
+{
+    Probe probe;
+    probe.sentAt = now;
+    probe.indirectAt = Time::never();
+    probe.endsAt = now + limits.probeInterval;
+    probe.isMeeting = true;
+    probes.emplace(++sequence, probe);
+    send(address, Ping { sequence }, member, now);
+}
+
+void Membership::Private::wake(Time now)
+{
+    ++counters.pauses;
+    wokeAt = now;
+    heardSinceWake.clear();
+    // What ran out while this process stood still says nothing about the others: it could not have heard them.
+    probes.clear();
+    for (const auto &[id, member] : table.members()) {
+        if (member.update.state == MemberState::Suspect) {
+            table.find(id)->suspectedAt = now;
+        }
+    }
+    for (const NodeId &id : chooseLive(table, RefreshPeers, {}, random)) {
+        synchronise(table.find(id)->update.membershipAddress, now);
+    }
+}
+
+void Membership::Private::on(const MembershipTick &, Time now)
+{
+    if (lastTick == Time()) {
+        startedAt = now;
+        wokeAt = now;
+        lastTick = now;
+    }
+    const bool hasPaused = now - lastTick >= limits.pauseGap;
+    lastTick = now;
+    if (hasPaused) {
+        wake(now);
+    }
+    checkProbes(now);
+    checkSuspicions(now);
+    if (now >= nextProbe) {
+        nextProbe = now + limits.probeInterval * health.factor();
+        probe(schedule.next(table, random), now);
+    }
+    reconnect(now);
+    gossip(now);
+    isViewDue = facts.expire(now) || isViewDue;
+    table.forgetBefore(now - limits.forgetAfter);
+}
+
+void Membership::Private::on(const VmListRead &event, Time now)
+{
+    hasVmList = true;
+    listed.clear();
+    for (const VmRecord &vm : event.list.vms) {
+        if (vm.role == VmRole::Entry) {
+            listed.push_back(vm);
+        } else if (vm.leaving) {
+            takeRumour({ LeavingFact { vm.id, Incarnation() }, Duration() }, now);
+        }
+    }
+    if (table.liveCount() == 0) {
+        // A node that starts asks several at once: until one answers it knows nobody.
+        for (const VmRecord &vm : listed) {
+            if (canBeMet(vm) && random() % listed.size() < RefreshPeers) {
+                meet(vm.membershipAddress, table.find(NodeId(vm.id)), now);
+            }
+        }
+    }
+    isViewDue = true;
+}
+
+void Membership::Private::on(const AnnounceRumour &event, Time now)
+{
+    takeRumour({ event.rumour, Duration() }, now);
+    gossip(now);
+}
+
+void Membership::Private::on(const AnnounceLeaving &, Time now)
+{
+    isLeaving = true;
+    takeRumour({ LeavingFact { self.id.value(), self.incarnation }, Duration() }, now);
+    spread(now);
+}
+
+void Membership::Private::on(const AnnounceLeft &, Time now)
+{
+    self.state = MemberState::Left;
+    queue.add(self, now);
+    // It has no later turn: the news goes out twice as wide as usual.
+    spread(now);
+    spread(now);
+}
+
+// Two nodes with one number could make equal fencing tokens, and a new owner's order would not shut out an old one's. The one with the
+// greater id gives way.
+void Membership::Private::settleNumber(Time now)
+{
+    const auto isTaken = [&] {
+        return std::any_of(table.members().begin(), table.members().end(),
+            [&](const auto &entry) { return entry.second.isLive() && entry.second.update.number == self.number && entry.first < self.id; });
+    };
+    while (isTaken()) {
+        self.number = static_cast<std::uint16_t>(stableHash(self.id.value(), std::to_string(++numberSalt)));
+        ++self.refutation;
+        queue.add(self, now);
+    }
+}
+
+bool Membership::Private::isFresh(Time now) const
+{
+    if (lastTick == Time() || now - lastTick >= limits.pauseGap) {
+        return false;
+    }
+    if (table.liveCount() == 0) {
+        // Alone: at once when there is nobody to meet, else when there was time enough to be met.
+        const bool isAlone = hasVmList && std::none_of(listed.begin(), listed.end(), [&](const VmRecord &vm) { return canBeMet(vm); });
+        return isAlone || now - wokeAt >= limits.freshFor;
+    }
+    const std::size_t wanted = std::min(RefreshPeers, table.liveCount());
+    return heardSinceWake.size() >= wanted && now - lastHeard < limits.freshFor;
+}
+
+// A node that starts and shows a view of itself alone would take itself for the owner of everything.
+bool Membership::Private::mayShowView(Time now) const
+{
+    const bool areAllMet = std::all_of(listed.begin(), listed.end(), [&](const VmRecord &vm) {
+        const Member *member = table.find(NodeId(vm.id));
+        return !canBeMet(vm) || (member != nullptr && member->isLive());
+    });
+    return isFresh(now) && hasVmList && (areAllMet || now - startedAt >= limits.suspicionMax);
+}
+
+bool Membership::Private::isListedLeaving(const NodeId &id) const
+{
+    return std::any_of(listed.begin(), listed.end(), [&](const VmRecord &vm) { return vm.leaving && NodeId(vm.id) == id; });
+}
+
+void Membership::Private::refreshView()
+{
+    auto next = std::make_shared<FleetView>();
+    const auto add = [&](const MemberUpdate &update) {
+        NodeView node { update.id, update.zone, update.callerAddress, update.rpcAddress, update.incarnation };
+        const bool isGoing = facts.isLeaving(update.id.value(), update.incarnation) || isListedLeaving(update.id);
+        (isGoing ? next->leavingNodes : next->nodes).push_back(std::move(node));
+    };
+    add(self);
+    for (const auto &[id, member] : table.members()) {
+        if (member.isLive()) {
+            add(member.update);
+        }
+    }
+    // A VM that the list names without a membership address cannot be probed: it is taken at the list's word.
+    for (const VmRecord &vm : listed) {
+        if (vm.membershipAddress.empty() && !vm.leaving && NodeId(vm.id) != self.id && table.find(NodeId(vm.id)) == nullptr) {
+            next->nodes.push_back({ NodeId(vm.id), vm.zone, vm.callerAddress, vm.rpcAddress, Incarnation() });
+        }
+    }
+    for (const AgedRumour &fact : facts.all(lastTick)) {
+        const auto *leaving = std::get_if<LeavingFact>(&fact.rumour);
+        if (leaving != nullptr && leaving->incarnation == Incarnation()) {
+            next->leaving.insert(UpstreamId(leaving->vm));
+        }
+    }
+    const auto byId = [](const NodeView &a, const NodeView &b) { return a.id < b.id; };
+    std::sort(next->nodes.begin(), next->nodes.end(), byId);
+    std::sort(next->leavingNodes.begin(), next->leavingNodes.end(), byId);
+    if (*next != *view) {
+        view = std::move(next);
+        actions.emplace_back(ViewChanged { view });
+    }
+}
+
+Membership::Membership(MemberUpdate self, MembershipLimits limits, std::uint64_t seed)
+    : d(std::make_unique<Private>())
+{
+    d->self = std::move(self);
+    d->self.number = static_cast<std::uint16_t>(stableHash(d->self.id.value(), "number"));
+    d->limits = limits;
+    d->random.seed(seed);
+    // Acks are matched by sequence: one that is guessed from a fixed start would let an old datagram stand for a new answer.
+    d->sequence = static_cast<std::uint32_t>(d->random());
+}
+
+Membership::~Membership() = default;
+
+std::vector<MembershipAction> Membership::handle(const MembershipEvent &event, Time now)
+{
+    d->actions.clear();
+    std::visit([&](const auto &what) { d->on(what, now); }, event);
+    d->isViewShown = d->isViewShown || d->mayShowView(now);
+    if (d->isViewDue && d->isViewShown) {
+        d->isViewDue = false;
+        d->settleNumber(now);
+        d->refreshView();
+    }
+    return std::move(d->actions);
+}
+
+bool Membership::isFresh(Time now) const
+{
+    return d->isFresh(now);
+}
+
+std::uint16_t Membership::number() const
+{
+    return d->self.number;
+}
+
+std::shared_ptr<const FleetView> Membership::view() const
+{
+    return d->view;
+}
+
+std::vector<Rumour> Membership::rumours() const
+{
+    std::vector<Rumour> known;
+    for (const AgedRumour &fact : d->facts.all(d->lastTick)) {
+        known.push_back(fact.rumour);
+    }
+    return known;
+}
+
+const MembershipCounters &Membership::counters() const
+{
+    return d->counters;
+}
+
+} // namespace ApricotStep
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -73,7 +73,8 @@
 INI
     start "node$i" "$BUILD/main/apricotstep" node --settings "$WORK/node$i.ini"
     CALLERS="$(value callers)"
-    VMS+="${VMS:+,}{\"id\":\"node$i\",\"role\":\"entry\",\"zone\":\"zone$i\",\"caller_address\":\"127.0.0.1:$CALLERS\"}"
+    VMS+="${VMS:+,}{\"id\":\"node$i\",\"role\":\"entry\",\"zone\":\"zone$i\",\"caller_address\":\"127.0.0.1:$CALLERS\","
+    VMS+="\"membership_address\":\"127.0.0.1:$(value membership)\"}"
     echo "node$i serves callers on 127.0.0.1:$CALLERS"
 done
 echo "{\"vms\":[$VMS]}" >"$WORK/vms.json"
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -35,7 +35,8 @@
         std::cerr << path << ":0: " << node.error().detail << "\n";
         return UsageExit;
     }
-    std::cout << "ready callers=" << node.value()->callerPort() << " operators=" << node.value()->operatorPort() << std::endl;
+    std::cout << "ready callers=" << node.value()->callerPort() << " operators=" << node.value()->operatorPort()
+              << " membership=" << node.value()->membershipPort() << std::endl;
     int signal = 0;
     sigwait(&signals, &signal);
     node.value()->drain();
--- /dev/null
+++ b/main/membershiprunner.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "coordination/membership.h"
+#include "core/clock.h"
+#include "core/result.h"
+#include "main/settings.h"
+#include "state/fleetview.h"
+#include "state/published.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ApricotStep
+{
+
+/** Where others reach this node; known once its ports are open. */
+struct NodeAddresses
+{
+    std::string caller;
+    std::string rpc;
+};
+
+/** Runs the membership of this node over UDP and publishes its view. Thread-safe. */
+class MembershipRunner
+{
+public:
+    using RumourHandler = std::function<void(const Rumour &)>;
+
+    /** Opens the membership port. The references must outlive the runner. Errors: SettingsInvalid. */
+    static Result<std::unique_ptr<MembershipRunner>> open(
+        const Settings &settings, const Clock &clock, Incarnation incarnation, Published<FleetView> &fleet);
+    ~MembershipRunner();
+
+    std::uint16_t port() const;
+    /** Called for each rumour that is new to this node, its own included, from any thread; must not block. Only before start(). */
+    void onRumour(RumourHandler handler);
+    /** Begins to take part. */
+    void start(const NodeAddresses &addresses);
+    /** Lets time pass; every 20 to 100 ms. */
+    void tick();
+    void vmListRead(VmList list);
+    /** Tells the fleet. */
+    void announce(Rumour rumour);
+    /** This node begins to shut down: from here on others give it no new work. */
+    void announceLeaving();
+    /** This node ends. */
+    void announceLeft();
+
+    /** See Membership::isFresh(); for this moment. */
+    bool isFresh() const;
+    /** Low bits of this node's fencing tokens. */
+    std::uint16_t number() const;
+    std::vector<Rumour> rumours() const;
+    MembershipCounters counters() const;
+    /** Datagrams that were malformed, forged or too long. */
+    std::uint64_t rejectedCount() const;
+    std::uint64_t bytesSent() const;
+    std::uint64_t bytesReceived() const;
+
+private:
+    MembershipRunner();
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace ApricotStep
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -2,6 +2,7 @@
 
 #include "main/callerfrontend.h"
 #include "main/log.h"
+#include "main/membershiprunner.h"
 #include "main/platformreader.h"
 
 #include <nlohmann/json.hpp>
@@ -53,7 +54,7 @@
         , client(std::make_unique<HttpClient>())
         , services(NodeId(settings->text("node.id")), incarnation, *settings, *client, clock, metrics)
         , frontend({ NodeId(settings->text("node.id")), incarnation, *settings, clock, *client, metrics, catalog, fleet, services })
-        , platform(*settings, *client, clock, metrics, catalog, fleet)
+        , platform(*settings, *client, clock, metrics, catalog, [this](VmList list) { membership->vmListRead(std::move(list)); })
     {
     }
 
@@ -66,6 +67,7 @@
         callers.reset();
         operators.reset();
         client.reset(); // Calls in progress end here, while what their callbacks use still stands.
+        membership.reset();
     }
 
     std::shared_ptr<const Settings> settings;
@@ -75,6 +77,7 @@
     Metrics metrics;
     Published<Catalog> catalog;
     Published<FleetView> fleet;
+    std::unique_ptr<MembershipRunner> membership;
     std::unique_ptr<HttpClient> client;
     ServiceRunner services;
     CallerFrontend frontend;
@@ -103,6 +106,11 @@
     json["nodes"] = nlohmann::json::array();
     json["engines"] = nlohmann::json::array();
     json["ledger_entries"] = services.ledgerSize();
+    json["fresh"] = membership->isFresh();
+    const MembershipCounters counters = membership->counters();
+    json["membership"] = { { "suspicions", counters.suspicions }, { "deaths", counters.deaths }, { "refutations", counters.refutations },
+        { "pauses", counters.pauses }, { "replayed", counters.replays }, { "rejected", membership->rejectedCount() },
+        { "bytes_sent", membership->bytesSent() }, { "bytes_received", membership->bytesReceived() } };
     if (view) {
         for (const NodeView &node : view->nodes) {
             json["nodes"].push_back({ { "id", node.id.value() }, { "zone", node.zone.value() }, { "address", node.callerAddress } });
@@ -136,6 +144,7 @@
 {
     while (!isStopping) {
         std::this_thread::sleep_for(TickInterval);
+        membership->tick();
         platform.tick();
         frontend.tick();
         services.tick();
@@ -150,6 +159,11 @@
     std::unique_ptr<Node> node(new Node);
     node->d = std::make_unique<Private>(std::move(settings));
     Private *d = node->d.get();
+    auto membership = MembershipRunner::open(*d->settings, d->clock, d->incarnation, d->fleet);
+    if (!membership.isOk()) {
+        return membership.error();
+    }
+    d->membership = std::move(membership.value());
     auto callers = HttpServer::start(callerServerSettings(*d->settings),
         [d](HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { d->frontend.handle(std::move(request), exchange); });
     if (!callers.isOk()) {
@@ -166,8 +180,10 @@
         return operators.error();
     }
     d->operators = std::move(operators.value());
+    d->membership->start({ d->settings->text("callers.address") + ':' + std::to_string(node->callerPort()), {} });
     d->ticker = std::thread([d] { d->tickLoop(); });
-    d->log->info("Node {} started. callers={} operators={}", d->settings->text("node.id"), node->callerPort(), node->operatorPort());
+    d->log->info("Node {} started. callers={} operators={} membership={}", d->settings->text("node.id"), node->callerPort(),
+        node->operatorPort(), node->membershipPort());
     return node;
 }
 
@@ -181,15 +197,22 @@
     return d->operators->port();
 }
 
+std::uint16_t Node::membershipPort() const
+{
+    return d->membership->port();
+}
+
 void Node::drain()
 {
     d->isDraining = true;
+    d->membership->announceLeaving();
     const Time lingerUntil = d->clock.now() + d->settings->duration("shutdown.linger_ms");
     d->frontend.drain(lingerUntil);
     d->log->info("Draining.");
     while (d->clock.now() < lingerUntil || d->callers->activeCount() > 0) {
         std::this_thread::sleep_for(DrainCheckInterval);
     }
+    d->membership->announceLeft();
     d->log->info("Every request has its answer.");
 }
 
--- a/main/node.h
+++ b/main/node.h
@@ -19,6 +19,7 @@
 
     std::uint16_t callerPort() const;
     std::uint16_t operatorPort() const;
+    std::uint16_t membershipPort() const;
     /** Takes no new work after the linger time, and returns when every request in progress has its whole answer. */
     void drain();
 
--- a/main/platformreader.cpp
+++ b/main/platformreader.cpp
@@ -21,13 +21,13 @@
 struct PlatformReader::Private : std::enable_shared_from_this<Private>
 {
     Private(const Settings &allSettings, HttpClient &httpClient, const Clock &aClock, Metrics &allMetrics, Published<Catalog> &catalogs,
-        Published<FleetView> &fleets)
+        VmListHandler vmListHandler)
         : settings(allSettings)
         , client(httpClient)
         , clock(aClock)
         , metrics(allMetrics)
         , catalog(catalogs)
-        , fleet(fleets)
+        , onVmList(std::move(vmListHandler))
         , log(partLog("config"))
     {
     }
@@ -37,7 +37,7 @@
     const Clock &clock;
     Metrics &metrics;
     Published<Catalog> &catalog;
-    Published<FleetView> &fleet;
+    VmListHandler onVmList;
     Logger log;
     absl::Mutex mutex;
     Time nextConfigRead ABSL_GUARDED_BY(mutex);
@@ -120,25 +120,17 @@
 
 void PlatformReader::Private::takeVmList(const std::string &text)
 {
-    const auto list = parseVmList(text);
+    auto list = parseVmList(text);
     if (!list.isOk()) {
         log->error("Refused a VM list. {}", list.error().detail);
         return;
     }
-    auto view = std::make_shared<FleetView>();
-    for (const VmRecord &vm : list.value().vms) {
-        if (vm.role == VmRole::Entry && !vm.leaving) {
-            view->nodes.push_back({ NodeId(vm.id), vm.zone, vm.callerAddress, vm.rpcAddress });
-        } else if (vm.role == VmRole::Upstream && vm.leaving) {
-            view->leaving.insert(UpstreamId(vm.id));
-        }
-    }
-    fleet.set(std::move(view));
+    onVmList(std::move(list.value()));
 }
 
-PlatformReader::PlatformReader(const Settings &settings, HttpClient &client, const Clock &clock, Metrics &metrics,
-    Published<Catalog> &catalog, Published<FleetView> &fleet)
-    : d(std::make_shared<Private>(settings, client, clock, metrics, catalog, fleet))
+PlatformReader::PlatformReader(
+    const Settings &settings, HttpClient &client, const Clock &clock, Metrics &metrics, Published<Catalog> &catalog, VmListHandler onVmList)
+    : d(std::make_shared<Private>(settings, client, clock, metrics, catalog, std::move(onVmList)))
 {
 }
 
--- a/main/platformreader.h
+++ b/main/platformreader.h
@@ -3,10 +3,11 @@
 #include "main/metrics.h"
 #include "main/settings.h"
 #include "state/catalog.h"
-#include "state/fleetview.h"
 #include "state/published.h"
+#include "state/vmlist.h"
 #include "transport/httpclient.h"
 
+#include <functional>
 #include <memory>
 
 namespace ApricotStep
@@ -16,9 +17,12 @@
 class PlatformReader
 {
 public:
+    /** Called with each VM list that was read, from the client's thread. */
+    using VmListHandler = std::function<void(VmList)>;
+
     /** Begins to read. The references must outlive the reader. */
     PlatformReader(const Settings &settings, HttpClient &client, const Clock &clock, Metrics &metrics, Published<Catalog> &catalog,
-        Published<FleetView> &fleet);
+        VmListHandler onVmList);
     /** Stops; no callback comes afterwards. */
     ~PlatformReader();
 
--- a/main/settingtable.cpp
+++ b/main/settingtable.cpp
@@ -54,6 +54,18 @@
         milliseconds("platform", "vm_list_interval_ms", 100, 60'000, "1000", "How often the VM list is read."),
         milliseconds("platform", "watch_ms", 100, 300'000, "30000", "How long one watch of the configuration service waits."),
         required("fleet", "secret", "Secret that all nodes share; it signs idempotency keys. At least 16 characters."),
+        text("membership", "address", "127.0.0.1", "IP number that membership datagrams are taken on."),
+        number("membership", "port", "", 0, MaxPort, "0",
+            "UDP port for membership datagrams; 0 picks a free one, which only suits nodes whose VM list is written afterwards."),
+        text("membership", "advertise", "", "IP number under which other nodes reach this one; empty means membership.address."),
+        milliseconds("membership", "probe_interval_ms", 50, 60'000, "500", "Between two probes of this node."),
+        milliseconds("membership", "probe_timeout_ms", 10, 60'000, "200",
+            "For the direct answer to a probe; above the longest round trip between nodes."),
+        milliseconds(
+            "membership", "suspicion_min_ms", 100, 600'000, "1500", "A member that several nodes suspect has this long to refute."),
+        milliseconds("membership", "suspicion_max_ms", 100, 600'000, "4000", "A member that one node suspects has this long to refute."),
+        milliseconds("membership", "pause_gap_ms", 200, 60'000, "2000",
+            "A process that stood still for this long refreshes its view before it takes decisions that rest on it."),
         milliseconds("deadlines", "urgent_ms", 10, DayMs, "10000", "Time to the first token of urgent requests, unless the caller says."),
         milliseconds(
             "deadlines", "standard_ms", 10, DayMs, "60000", "Time to the first token of standard requests, unless the caller says."),
--- /dev/null
+++ b/protocol/bytewriter.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace ApricotStep
+{
+
+/** Appends numbers, low byte first, and texts with a length byte. */
+class ByteWriter
+{
+public:
+    template<typename T>
+    void number(T value)
+    {
+        for (std::size_t i = 0; i < sizeof value; ++i) {
+            m_bytes.push_back(static_cast<char>((static_cast<std::uint64_t>(value) >> (8 * i)) & 0xff));
+        }
+    }
+    /** Cuts what is longer than 255 bytes. */
+    void text(std::string_view value)
+    {
+        value = value.substr(0, 255);
+        number(static_cast<std::uint8_t>(value.size()));
+        m_bytes.append(value);
+    }
+    std::string &bytes()
+    {
+        return m_bytes;
+    }
+
+private:
+    std::string m_bytes;
+};
+
+/** Reads what a ByteWriter wrote. Reading past the end gives zeros and empty texts, and isGood() turns false. */
+class ByteReader
+{
+public:
+    explicit ByteReader(std::string_view bytes)
+        : m_left(bytes)
+    {
+    }
+
+    template<typename T>
+    T number()
+    {
+        if (m_left.size() < sizeof(T)) {
+            m_isGood = false;
+            return 0;
+        }
+        std::uint64_t value = 0;
+        for (std::size_t i = 0; i < sizeof(T); ++i) {
+            value |= std::uint64_t { static_cast<std::uint8_t>(m_left[i]) } << (8 * i);
+        }
+        m_left.remove_prefix(sizeof(T));
+        return static_cast<T>(value);
+    }
+    std::string text()
+    {
+        const std::size_t size = number<std::uint8_t>();
+        if (m_left.size() < size) {
+            m_isGood = false;
+            return {};
+        }
+        std::string value(m_left.substr(0, size));
+        m_left.remove_prefix(size);
+        return value;
+    }
+    bool isGood() const
+    {
+        return m_isGood;
+    }
+    bool isAtEnd() const
+    {
+        return m_left.empty();
+    }
+
+private:
+    std::string_view m_left;
+    bool m_isGood = true;
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/transport/udpsocket.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/result.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace ApricotStep
+{
+
+/** A non-blocking UDP socket and the one thread that reads it. */
+class UdpSocket
+{
+public:
+    /** Bytes of one datagram and its sender as host:port; called from the socket's thread, must not block. */
+    using Handler = std::function<void(std::string_view, const std::string &)>;
+
+    /** Binds to @p port of the IPv4 number @p address; 0 picks a free one. Errors: SettingsInvalid. */
+    static Result<std::unique_ptr<UdpSocket>> open(const std::string &address, std::uint16_t port);
+    /** Stops the thread; the handler is not called afterwards. */
+    ~UdpSocket();
+
+    std::uint16_t port() const;
+    /** Begins to read; once. */
+    void start(Handler handler);
+    /** Sends to host:port from any thread; false when the address is no IPv4 number or the datagram could not leave. */
+    bool send(const std::string &to, std::string_view bytes);
+
+private:
+    UdpSocket();
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace ApricotStep
