--- /dev/null
+++ b/coordination/loadorder.cpp
@@ -0,0 +1,201 @@
+#include "coordination/loadorder.h"
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <tuple>
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// The part of a patient request's allowance that its load may wait for sharers, at a batch share of 1.
+constexpr double MaxHoldPart = 0.1;
+// A failure this long ago says nothing of the next try.
+constexpr Duration FailureMemory { 60'000 };
+
+using Ranked = std::tuple<QueueLevel, Time, AdapterKey>;
+using Waking = std::pair<Time, AdapterKey>;
+
+struct Wanted
+{
+    AdapterDemand demand;
+    // Where it stands: in the order when wakeAt is zero, else among those that sleep.
+    Time rank;
+    Time wakeAt;
+};
+
+struct Failure
+{
+    int tries = 0;
+    Time nextTry;
+    Time last;
+};
+
+} // namespace
+
+struct LoadOrder::Private
+{
+    LoadOrderLimits limits;
+    std::mt19937_64 random;
+    absl::flat_hash_map<AdapterKey, Wanted> wanted;
+    absl::btree_set<Ranked> order;
+    absl::btree_set<Waking> sleeping;
+    std::array<int, QueueLevelCount> counts {};
+    absl::flat_hash_map<AdapterKey, Failure> failures;
+
+    void unlink(const AdapterKey &adapter, const Wanted &entry);
+    void link(const AdapterKey &adapter, Wanted &entry, Time now);
+    Time wakeTime(const AdapterKey &adapter, const AdapterDemand &demand) const;
+};
+
+void LoadOrder::Private::unlink(const AdapterKey &adapter, const Wanted &entry)
+{
+    if (entry.wakeAt == Time()) {
+        order.erase({ entry.demand.level, entry.rank, adapter });
+        --counts[static_cast<std::size_t>(entry.demand.level)];
+    } else {
+        sleeping.erase({ entry.wakeAt, adapter });
+    }
+}
+
+Time LoadOrder::Private::wakeTime(const AdapterKey &adapter, const AdapterDemand &demand) const
+{
+    Time wake;
+    const auto failure = failures.find(adapter);
+    if (failure != failures.end()) {
+        wake = failure->second.nextTry;
+    }
+    if (demand.level == QueueLevel::Patient && demand.waiting < limits.enoughSharers) {
+        const double hold = static_cast<double>(demand.allowance.milliseconds()) * MaxHoldPart * limits.batchShare;
+        wake = std::max(wake, demand.oldest + Duration(static_cast<std::int64_t>(hold)));
+    }
+    return wake;
+}
+
+void LoadOrder::Private::link(const AdapterKey &adapter, Wanted &entry, Time now)
+{
+    const Time wake = wakeTime(adapter, entry.demand);
+    if (wake > now) {
+        entry.wakeAt = wake;
+        sleeping.insert({ wake, adapter });
+        return;
+    }
+    entry.wakeAt = Time();
+    entry.rank = entry.demand.oldest - limits.perWaiting * (entry.demand.waiting - 1);
+    order.insert({ entry.demand.level, entry.rank, adapter });
+    ++counts[static_cast<std::size_t>(entry.demand.level)];
+}
+
+LoadOrder::LoadOrder(LoadOrderLimits limits, std::uint64_t seed)
+    : d(std::make_unique<Private>())
+{
+    d->limits = limits;
+    d->random.seed(seed);
+}
+
+LoadOrder::~LoadOrder() = default;
+LoadOrder::LoadOrder(LoadOrder &&) noexcept = default;
+LoadOrder &LoadOrder::operator=(LoadOrder &&) noexcept = default;
+
+void LoadOrder::update(const AdapterKey &adapter, const AdapterDemand &demand, Time now)
+{
+    if (demand.waiting == 0) {
+        remove(adapter);
+        return;
+    }
+    const auto [at, isNew] = d->wanted.try_emplace(adapter);
+    if (!isNew) {
+        d->unlink(adapter, at->second);
+    }
+    at->second.demand = demand;
+    d->link(adapter, at->second, now);
+}
+
+void LoadOrder::remove(const AdapterKey &adapter)
+{
+    const auto at = d->wanted.find(adapter);
+    if (at != d->wanted.end()) {
+        d->unlink(adapter, at->second);
+        d->wanted.erase(at);
+    }
+}
+
+void LoadOrder::wake(Time now)
+{
+    while (!d->sleeping.empty() && d->sleeping.begin()->first <= now) {
+        const AdapterKey adapter = d->sleeping.begin()->second;
+        Wanted &entry = d->wanted.at(adapter);
+        d->unlink(adapter, entry);
+        d->link(adapter, entry, now);
+    }
+}
+
+std::vector<AdapterKey> LoadOrder::first(int count) const
+{
+    std::vector<AdapterKey> adapters;
+    for (const auto &[level, rank, adapter] : d->order) {
+        if (std::cmp_greater_equal(adapters.size(), count)) {
+            break;
+        }
+        adapters.push_back(adapter);
+    }
+    return adapters;
+}
+
+int LoadOrder::countBefore(QueueLevel level) const
+{
+    int before = 0;
+    for (std::size_t at = 0; at <= static_cast<std::size_t>(level); ++at) {
+        before += d->counts[at];
+    }
+    return before;
+}
+
+std::optional<AdapterDemand> LoadOrder::demand(const AdapterKey &adapter) const
+{
+    const auto at = d->wanted.find(adapter);
+    return at == d->wanted.end() ? std::nullopt : std::optional(at->second.demand);
+}
+
+bool LoadOrder::isEmpty() const
+{
+    return d->order.empty();
+}
+
+std::optional<Time> LoadOrder::failed(const AdapterKey &adapter, Time now)
+{
+    absl::erase_if(d->failures, [&](const auto &entry) { return now - entry.second.last > FailureMemory; });
+    Failure &failure = d->failures[adapter];
+    const std::int64_t doubled = d->limits.firstBackoff.milliseconds() << std::min(failure.tries, 10);
+    const std::int64_t longest = std::min(doubled, d->limits.maxBackoff.milliseconds());
+    std::uniform_int_distribution<std::int64_t> jittered(longest / 2, longest);
+    ++failure.tries;
+    failure.last = now;
+    failure.nextTry = now + Duration(jittered(d->random));
+    const auto at = d->wanted.find(adapter);
+    if (at != d->wanted.end()) {
+        d->unlink(adapter, at->second);
+        d->link(adapter, at->second, now);
+    }
+    return failure.tries >= d->limits.maxTries ? std::nullopt : std::optional(failure.nextTry);
+}
+
+void LoadOrder::succeeded(const AdapterKey &adapter)
+{
+    d->failures.erase(adapter);
+}
+
+Duration LoadOrder::backoffLeft(const AdapterKey &adapter, Time now) const
+{
+    const auto at = d->failures.find(adapter);
+    return at == d->failures.end() || at->second.nextTry <= now ? Duration() : at->second.nextTry - now;
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/loadpermits.cpp
@@ -0,0 +1,298 @@
+#include "coordination/loadpermits.h"
+
+#include "coordination/rendezvous.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr std::string_view GiverKey = "load-permits";
+// Each further request that shares a load counts as if the first had waited half a second longer: the time of one load at 2 a second.
+constexpr Duration PerWaiting { 500 };
+// Unspent rate is kept for this many loads at most: the store serves one at a time at full speed.
+constexpr double MaxSaved = 1.0;
+// A giver that could not be reached is left alone this long.
+constexpr Duration GiverRetryDelay { 2000 };
+
+// Urgent, standard, patient, then prefetch.
+int rankOf(const std::optional<Priority> &urgency)
+{
+    return urgency.has_value() ? static_cast<int>(*urgency) : static_cast<int>(PriorityCount);
+}
+
+using Ranked = std::tuple<int, Time, PermitName>;
+
+struct Waiting
+{
+    Ranked place;
+    Time heardAt;
+};
+
+} // namespace
+
+NodeId permitGiverOf(const std::vector<NodeId> &live)
+{
+    NodeId best;
+    double bestScore = 0;
+    for (const NodeId &node : live) {
+        const double score = rendezvousScore(GiverKey, node.value(), 1.0);
+        if (best.isEmpty() || score > bestScore || (score == bestScore && node < best)) {
+            best = node;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+struct PermitGiver::Private
+{
+    LoadBudget budget;
+    double share = 1.0;
+    double saved = MaxSaved;
+    Time savedAt;
+    absl::btree_set<Ranked> order;
+    absl::btree_map<PermitName, Waiting> waiting;
+    absl::btree_map<PermitName, Time> inFlight;
+
+    void save(Time now);
+    void forget(const PermitName &name);
+    void dropStale(Time now);
+    int parallel() const;
+};
+
+void PermitGiver::Private::save(Time now)
+{
+    const double earned = (now - savedAt).toSeconds() * budget.ratePerSecond * share;
+    saved = std::min(MaxSaved, saved + std::max(0.0, earned));
+    savedAt = now;
+}
+
+void PermitGiver::Private::forget(const PermitName &name)
+{
+    const auto at = waiting.find(name);
+    if (at != waiting.end()) {
+        order.erase(at->second.place);
+        waiting.erase(at);
+    }
+}
+
+void PermitGiver::Private::dropStale(Time now)
+{
+    while (!order.empty()) {
+        const PermitName &first = std::get<PermitName>(*order.begin());
+        if (now - waiting.at(first).heardAt <= budget.requestLife) {
+            break;
+        }
+        forget(PermitName(first));
+    }
+    for (auto at = inFlight.begin(); at != inFlight.end();) {
+        at = at->second <= now ? inFlight.erase(at) : std::next(at);
+    }
+}
+
+int PermitGiver::Private::parallel() const
+{
+    return std::max(1, static_cast<int>(budget.parallel * share));
+}
+
+PermitGiver::PermitGiver(LoadBudget budget)
+    : d(std::make_unique<Private>())
+{
+    d->budget = budget;
+}
+
+PermitGiver::~PermitGiver() = default;
+PermitGiver::PermitGiver(PermitGiver &&) noexcept = default;
+PermitGiver &PermitGiver::operator=(PermitGiver &&) noexcept = default;
+
+void PermitGiver::setShare(double share, Time now)
+{
+    d->save(now);
+    d->share = std::clamp(share, 0.0, 1.0);
+}
+
+void PermitGiver::request(const PermitRequest &request, Time now)
+{
+    if (d->inFlight.contains(request.name)) {
+        return;
+    }
+    d->forget(request.name);
+    const Time since = now - request.waited - PerWaiting * std::max(0, request.waiting - 1);
+    const Ranked place { rankOf(request.urgency), since, request.name };
+    d->order.insert(place);
+    d->waiting[request.name] = { place, now };
+}
+
+void PermitGiver::giveBack(const PermitReturn &returned, Time now)
+{
+    d->save(now);
+    d->forget(returned.name);
+    const bool wasGranted = d->inFlight.erase(returned.name) > 0;
+    if (wasGranted && !returned.isUsed) {
+        d->saved = std::min(MaxSaved, d->saved + 1.0);
+    }
+}
+
+std::vector<PermitGrant> PermitGiver::grant(Time now)
+{
+    d->save(now);
+    d->dropStale(now);
+    std::vector<PermitGrant> grants;
+    while (!d->order.empty() && d->saved >= 1.0 && std::cmp_less(d->inFlight.size(), d->parallel())) {
+        const PermitName name = std::get<PermitName>(*d->order.begin());
+        d->forget(name);
+        d->saved -= 1.0;
+        d->inFlight[name] = now + d->budget.permitLife;
+        grants.push_back({ name, d->budget.permitLife });
+        d->dropStale(now);
+    }
+    return grants;
+}
+
+int PermitGiver::waitingCount() const
+{
+    return static_cast<int>(d->waiting.size());
+}
+
+int PermitGiver::inFlightCount() const
+{
+    return static_cast<int>(d->inFlight.size());
+}
+
+struct PermitAsker::Private
+{
+    Private(NodeId aSelf, const LoadBudget &aBudget)
+        : self(std::move(aSelf))
+        , budget(aBudget)
+        , ownPart(aBudget)
+    {
+    }
+
+    struct Pending
+    {
+        PermitRequest request;
+        Time askedAt;
+    };
+
+    NodeId self;
+    LoadBudget budget;
+    // Takes the giver's place while none answers.
+    PermitGiver ownPart;
+    NodeId giver;
+    Time giverAbsentUntil;
+    absl::btree_map<PermitName, Pending> pending;
+
+    bool hasGiver(Time now) const
+    {
+        return !giver.isEmpty() && now >= giverAbsentUntil;
+    }
+    void send(const Pending &what, Time now, std::vector<PermitAction> &actions);
+    void takeOwnGrants(Time now, std::vector<PermitAction> &actions);
+};
+
+void PermitAsker::Private::send(const Pending &what, Time now, std::vector<PermitAction> &actions)
+{
+    PermitRequest request = what.request;
+    request.waited = request.waited + (now - what.askedAt);
+    if (hasGiver(now)) {
+        actions.emplace_back(SendToGiver { giver, request });
+    } else {
+        ownPart.request(request, now);
+    }
+}
+
+void PermitAsker::Private::takeOwnGrants(Time now, std::vector<PermitAction> &actions)
+{
+    if (hasGiver(now)) {
+        return;
+    }
+    for (const PermitGrant &grant : ownPart.grant(now)) {
+        pending.erase(grant.name);
+        actions.emplace_back(PermitArrived { grant.name.upstream, grant.name.adapter, now + grant.life });
+    }
+}
+
+PermitAsker::PermitAsker(NodeId self, LoadBudget budget)
+    : d(std::make_unique<Private>(std::move(self), budget))
+{
+}
+
+PermitAsker::~PermitAsker() = default;
+PermitAsker::PermitAsker(PermitAsker &&) noexcept = default;
+PermitAsker &PermitAsker::operator=(PermitAsker &&) noexcept = default;
+
+void PermitAsker::setFleet(const std::vector<NodeId> &live, int listed, Time now)
+{
+    const NodeId next = permitGiverOf(live);
+    if (next != d->giver) {
+        d->giver = next;
+        d->giverAbsentUntil = Time();
+    }
+    d->ownPart.setShare(1.0 / std::max({ 1, listed, static_cast<int>(live.size()) }), now);
+}
+
+std::vector<PermitAction> PermitAsker::ask(const PermitRequest &request, Time now)
+{
+    std::vector<PermitAction> actions;
+    Private::Pending &pending = d->pending[request.name];
+    pending = { request, now };
+    d->send(pending, now, actions);
+    d->takeOwnGrants(now, actions);
+    return actions;
+}
+
+std::vector<PermitAction> PermitAsker::giveBack(const PermitReturn &returned, Time now)
+{
+    std::vector<PermitAction> actions;
+    d->pending.erase(returned.name);
+    d->ownPart.giveBack(returned, now);
+    if (d->hasGiver(now)) {
+        actions.emplace_back(SendToGiver { d->giver, returned });
+    }
+    d->takeOwnGrants(now, actions);
+    return actions;
+}
+
+std::vector<PermitAction> PermitAsker::granted(const PermitGrant &grant, Time now)
+{
+    // A permit that nobody waits for any more goes back at once, or the store idles for its life.
+    if (d->pending.erase(grant.name) == 0) {
+        return giveBack({ grant.name, false }, now);
+    }
+    return { PermitArrived { grant.name.upstream, grant.name.adapter, now + grant.life } };
+}
+
+void PermitAsker::giverAnswered(bool isReached, Time now)
+{
+    d->giverAbsentUntil = isReached ? Time() : now + GiverRetryDelay;
+}
+
+std::vector<PermitAction> PermitAsker::tick(Time now)
+{
+    std::vector<PermitAction> actions;
+    for (auto &[name, pending] : d->pending) {
+        if (now - pending.askedAt >= d->budget.requestInterval) {
+            d->send(pending, now, actions);
+            pending.request.waited = pending.request.waited + (now - pending.askedAt);
+            pending.askedAt = now;
+        }
+    }
+    d->takeOwnGrants(now, actions);
+    return actions;
+}
+
+const NodeId &PermitAsker::giver() const
+{
+    return d->giver;
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/residency.cpp
@@ -0,0 +1,408 @@
+#include "coordination/residency.h"
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// An engine that refused an eviction is asked again after this long, not at once and for ever.
+constexpr Duration EvictionRetryDelay { 1000 };
+// Evictions are remembered this long, to see that a report which still lists the adapter is older. Reports lag by seconds at most.
+constexpr Duration EvictionMemory { 60'000 };
+// A load that took long costs more to repeat, but a store under pressure must not make one adapter immovable.
+constexpr double MaxCostFactor = 4.0;
+
+struct Slot
+{
+    SlotState state = SlotState::Loading;
+    Time since;
+    Time noEvictionBefore;
+    double cost = 1.0;
+    bool hasCrossedRestart = false;
+};
+
+struct Pins
+{
+    int queued = 0;
+    int running = 0;
+};
+
+using Ranked = std::pair<double, AdapterKey>;
+
+// Adds one use at @p at to a decayed count. Both sides are kept as logarithms relative to a fixed origin, so that the order of two
+// adapters does not change while time goes by, and no count has to be touched for its decay.
+double addUse(double score, double at)
+{
+    const double high = std::max(score, at);
+    const double low = std::min(score, at);
+    return high + std::log2(1.0 + std::exp2(low - high));
+}
+
+} // namespace
+
+struct Residency::Private
+{
+    ResidencyLimits limits;
+    absl::flat_hash_map<AdapterKey, Slot> slots;
+    absl::flat_hash_map<AdapterKey, Pins> pins;
+    absl::flat_hash_map<AdapterKey, double> scores;
+    // Adapters without a slot, least popular first.
+    absl::btree_set<Ranked> absent;
+    // Slots that no request of this node needs, least worth first.
+    absl::btree_set<Ranked> idle;
+    absl::flat_hash_map<AdapterKey, double> idleRank;
+    absl::flat_hash_map<AdapterKey, Time> evictedAt;
+    absl::flat_hash_set<AdapterKey> reportedInUse;
+    absl::flat_hash_set<AdapterKey> inUseElsewhere;
+    bool mayEvict = true;
+    int evicting = 0;
+
+    double scoreOf(const AdapterKey &adapter) const;
+    void refreshIdle(const AdapterKey &adapter);
+    void setState(const AdapterKey &adapter, SlotState state, Time now);
+    void erase(const AdapterKey &adapter);
+    void setScore(const AdapterKey &adapter, double score);
+    void forgetLeastPopular();
+    void unpin(const AdapterKey &adapter, int Pins::*count);
+    bool isEvictable(const AdapterKey &adapter, const Slot &slot, bool isUrgent, Time now) const;
+    bool applyToSlot(const AdapterKey &adapter, bool isListed, Time takenAt, Time now);
+};
+
+double Residency::Private::scoreOf(const AdapterKey &adapter) const
+{
+    const auto at = scores.find(adapter);
+    return at == scores.end() ? NoScore : at->second;
+}
+
+// Keeps the place of one slot among the idle ones.
+void Residency::Private::refreshIdle(const AdapterKey &adapter)
+{
+    const auto ranked = idleRank.find(adapter);
+    if (ranked != idleRank.end()) {
+        idle.erase({ ranked->second, adapter });
+        idleRank.erase(ranked);
+    }
+    const auto slot = slots.find(adapter);
+    const bool isSettled = slot != slots.end() && (slot->second.state == SlotState::Loaded || slot->second.state == SlotState::Unknown);
+    if (isSettled && !pins.contains(adapter)) {
+        const double rank = scoreOf(adapter) + std::log2(slot->second.cost);
+        idle.insert({ rank, adapter });
+        idleRank[adapter] = rank;
+    }
+}
+
+void Residency::Private::setState(const AdapterKey &adapter, SlotState state, Time now)
+{
+    const auto [at, isNew] = slots.try_emplace(adapter);
+    if (isNew) {
+        absent.erase({ scoreOf(adapter), adapter });
+    }
+    evicting += (state == SlotState::Evicting ? 1 : 0) - (!isNew && at->second.state == SlotState::Evicting ? 1 : 0);
+    at->second.state = state;
+    at->second.since = now;
+    refreshIdle(adapter);
+}
+
+void Residency::Private::erase(const AdapterKey &adapter)
+{
+    const auto at = slots.find(adapter);
+    if (at == slots.end()) {
+        return;
+    }
+    evicting -= at->second.state == SlotState::Evicting ? 1 : 0;
+    slots.erase(at);
+    refreshIdle(adapter);
+    const auto score = scores.find(adapter);
+    if (score != scores.end()) {
+        absent.insert({ score->second, adapter });
+    }
+}
+
+void Residency::Private::setScore(const AdapterKey &adapter, double score)
+{
+    const bool isAbsent = !slots.contains(adapter);
+    if (isAbsent) {
+        absent.erase({ scoreOf(adapter), adapter });
+        absent.insert({ score, adapter });
+    }
+    scores[adapter] = score;
+    if (isAbsent) {
+        forgetLeastPopular();
+    } else {
+        refreshIdle(adapter);
+    }
+}
+
+void Residency::Private::forgetLeastPopular()
+{
+    while (std::cmp_greater(absent.size(), limits.remembered)) {
+        scores.erase(absent.begin()->second);
+        absent.erase(absent.begin());
+    }
+}
+
+void Residency::Private::unpin(const AdapterKey &adapter, int Pins::*count)
+{
+    const auto at = pins.find(adapter);
+    if (at == pins.end() || at->second.*count == 0) {
+        return;
+    }
+    --(at->second.*count);
+    if (at->second.queued == 0 && at->second.running == 0) {
+        pins.erase(at);
+        refreshIdle(adapter);
+    }
+}
+
+bool Residency::Private::isEvictable(const AdapterKey &adapter, const Slot &slot, bool isUrgent, Time now) const
+{
+    // Another node may have a request on it that this one does not count. Evicting it would cut that answer off midway.
+    if (inUseElsewhere.contains(adapter) || reportedInUse.contains(adapter)) {
+        return false;
+    }
+    return now >= slot.noEvictionBefore && (isUrgent || now - slot.since >= limits.minimumResidence);
+}
+
+// Brings one slot in line with a report; true when its state changed. Reports lag: what changed after @p takenAt is newer than they.
+bool Residency::Private::applyToSlot(const AdapterKey &adapter, bool isListed, Time takenAt, Time now)
+{
+    const auto at = slots.find(adapter);
+    if (at == slots.end()) {
+        const auto gone = evictedAt.find(adapter);
+        if (!isListed || (gone != evictedAt.end() && takenAt <= gone->second)) {
+            return false;
+        }
+        setState(adapter, SlotState::Loaded, now);
+        return true;
+    }
+    if (takenAt <= at->second.since || at->second.state == SlotState::Loading || at->second.state == SlotState::Evicting) {
+        return false;
+    }
+    if (isListed && at->second.state == SlotState::Unknown) {
+        setState(adapter, SlotState::Loaded, now);
+        return true;
+    }
+    if (!isListed) {
+        erase(adapter);
+        return true;
+    }
+    return false;
+}
+
+Residency::Residency(ResidencyLimits limits)
+    : d(std::make_unique<Private>())
+{
+    d->limits = limits;
+}
+
+Residency::~Residency() = default;
+Residency::Residency(Residency &&) noexcept = default;
+Residency &Residency::operator=(Residency &&) noexcept = default;
+
+void Residency::noteDemand(const AdapterKey &adapter, Time now)
+{
+    d->setScore(adapter, addUse(d->scoreOf(adapter), scoreOfOneUse(now)));
+}
+
+void Residency::addQueued(const AdapterKey &adapter)
+{
+    ++d->pins[adapter].queued;
+    d->refreshIdle(adapter);
+}
+
+void Residency::removeQueued(const AdapterKey &adapter)
+{
+    d->unpin(adapter, &Pins::queued);
+}
+
+void Residency::addRunning(const AdapterKey &adapter)
+{
+    ++d->pins[adapter].running;
+    d->refreshIdle(adapter);
+}
+
+void Residency::removeRunning(const AdapterKey &adapter)
+{
+    d->unpin(adapter, &Pins::running);
+}
+
+std::optional<SlotState> Residency::state(const AdapterKey &adapter) const
+{
+    const auto at = d->slots.find(adapter);
+    return at == d->slots.end() ? std::nullopt : std::optional(at->second.state);
+}
+
+bool Residency::isLoaded(const AdapterKey &adapter) const
+{
+    return state(adapter) == SlotState::Loaded;
+}
+
+int Residency::freeSlots() const
+{
+    return std::max(0, d->limits.slots - static_cast<int>(d->slots.size()));
+}
+
+int Residency::evictingCount() const
+{
+    return d->evicting;
+}
+
+int Residency::obtainableSlots() const
+{
+    return freeSlots() + d->evicting + (d->mayEvict ? static_cast<int>(d->idle.size()) : 0);
+}
+
+void Residency::beginLoad(const AdapterKey &adapter, Time now)
+{
+    d->setState(adapter, SlotState::Loading, now);
+    d->slots[adapter].hasCrossedRestart = false;
+}
+
+void Residency::endLoad(const AdapterKey &adapter, OrderOutcome outcome, Time now)
+{
+    const auto at = d->slots.find(adapter);
+    if (at == d->slots.end() || at->second.state != SlotState::Loading) {
+        return;
+    }
+    if (outcome == OrderOutcome::Failed) {
+        d->erase(adapter);
+        return;
+    }
+    // A timeout says nothing of the engine: taking the adapter for absent would fill its slot twice, and the next load would fail.
+    // The same holds for an answer that comes after a restart, when it is not known which start gave it.
+    if (outcome == OrderOutcome::Unknown || at->second.hasCrossedRestart) {
+        d->setState(adapter, SlotState::Unknown, now);
+        return;
+    }
+    const double expected = std::max<double>(1.0, static_cast<double>(d->limits.loadTime.milliseconds()));
+    at->second.cost = std::clamp(static_cast<double>((now - at->second.since).milliseconds()) / expected, 1.0, MaxCostFactor);
+    d->setState(adapter, SlotState::Loaded, now);
+}
+
+std::optional<AdapterKey> Residency::beginEviction(bool isUrgent, Time now, double belowScore)
+{
+    if (!d->mayEvict) {
+        return std::nullopt;
+    }
+    for (const auto &[rank, adapter] : d->idle) {
+        if (rank >= belowScore) {
+            return std::nullopt;
+        }
+        if (d->isEvictable(adapter, d->slots.at(adapter), isUrgent, now)) {
+            const AdapterKey victim = adapter;
+            d->setState(victim, SlotState::Evicting, now);
+            return victim;
+        }
+    }
+    return std::nullopt;
+}
+
+void Residency::endEviction(const AdapterKey &adapter, OrderOutcome outcome, Time now)
+{
+    const auto at = d->slots.find(adapter);
+    if (at == d->slots.end() || at->second.state != SlotState::Evicting) {
+        return;
+    }
+    at->second.noEvictionBefore = now + EvictionRetryDelay;
+    switch (outcome) {
+    case OrderOutcome::Done:
+        d->erase(adapter);
+        absl::erase_if(d->evictedAt, [&](const auto &entry) { return now - entry.second > EvictionMemory; });
+        d->evictedAt[adapter] = now;
+        break;
+    case OrderOutcome::Failed:
+        d->setState(adapter, SlotState::Loaded, now);
+        break;
+    case OrderOutcome::Unknown:
+        d->setState(adapter, SlotState::Unknown, now);
+        break;
+    }
+}
+
+void Residency::restart()
+{
+    std::vector<AdapterKey> gone;
+    for (auto &[adapter, slot] : d->slots) {
+        if (slot.state == SlotState::Loading) {
+            slot.hasCrossedRestart = true;
+        } else {
+            gone.push_back(adapter);
+        }
+    }
+    for (const AdapterKey &adapter : gone) {
+        d->erase(adapter);
+    }
+    d->reportedInUse.clear();
+}
+
+std::vector<AdapterKey> Residency::applyReport(
+    Time takenAt, const std::vector<AdapterKey> &loaded, const std::vector<AdapterKey> &inUse, Time now)
+{
+    std::vector<AdapterKey> known;
+    for (const auto &[adapter, slot] : d->slots) {
+        known.push_back(adapter);
+    }
+    const absl::flat_hash_set<AdapterKey> listed(loaded.begin(), loaded.end());
+    std::vector<AdapterKey> changed;
+    for (const AdapterKey &adapter : known) {
+        if (d->applyToSlot(adapter, listed.contains(adapter), takenAt, now)) {
+            changed.push_back(adapter);
+        }
+    }
+    for (const AdapterKey &adapter : loaded) {
+        if (!d->slots.contains(adapter) && d->applyToSlot(adapter, true, takenAt, now)) {
+            changed.push_back(adapter);
+        }
+    }
+    d->reportedInUse = absl::flat_hash_set<AdapterKey>(inUse.begin(), inUse.end());
+    return changed;
+}
+
+void Residency::applyRule(bool mayEvict, const std::vector<AdapterKey> &inUseElsewhere)
+{
+    d->mayEvict = mayEvict;
+    d->inUseElsewhere = absl::flat_hash_set<AdapterKey>(inUseElsewhere.begin(), inUseElsewhere.end());
+}
+
+double Residency::score(const AdapterKey &adapter) const
+{
+    return d->scoreOf(adapter);
+}
+
+double Residency::scoreOfOneUse(Time now) const
+{
+    return static_cast<double>(now.milliseconds()) / static_cast<double>(d->limits.halfLife.milliseconds());
+}
+
+double Residency::leastIdleScore() const
+{
+    return d->idle.empty() ? -NoScore : d->idle.begin()->first;
+}
+
+std::optional<AdapterKey> Residency::mostWantedAbsent() const
+{
+    return d->absent.empty() ? std::nullopt : std::optional(d->absent.rbegin()->second);
+}
+
+std::vector<AdapterKey> Residency::residents() const
+{
+    std::vector<AdapterKey> all;
+    all.reserve(d->slots.size());
+    for (const auto &[adapter, slot] : d->slots) {
+        all.push_back(adapter);
+    }
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
+} // namespace ApricotStep
--- a/coordination/upstreamscheduler.cpp
+++ b/coordination/upstreamscheduler.cpp
@@ -1,11 +1,15 @@
 #include "coordination/upstreamscheduler.h"
 
-#include "core/result.h"
+#include "coordination/loadorder.h"
+#include "coordination/residency.h"
+#include "coordination/workqueue.h"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
-#include <list>
+#include <array>
+#include <cmath>
+#include <utility>
 
 namespace ApricotStep
 {
@@ -13,28 +17,111 @@
 namespace
 {
 
-enum class SlotState {
-    Loading,
-    Loaded,
-    Evicting,
+// More permits at once than this would only take turns from other engines.
+constexpr int MaxAsks = 4;
+// A permit is asked for again when nothing came, since the message or the giver may be lost.
+constexpr Duration AskAgainAfter { 2000 };
+// Weight of the newest sample in a moving average.
+constexpr double NewestWeight = 0.1;
+constexpr double NewestIntervalWeight = 0.3;
+// Patient work is held for a fuller batch for this part of its allowance at most, at a batch share of 1.
+constexpr double MaxHoldPart = 0.1;
+constexpr Duration MinRetryAfter { 1000 };
+constexpr Duration MaxRetryAfter { 60'000 };
+// Callers that are refused together are told to come back spread over this part of the wait, in hundredths.
+constexpr int RetrySpreadPercent = 25;
+// An adapter is fetched ahead of need when it was asked for at least twice of late, and twice as often as the one that goes for it.
+constexpr double PrefetchUses = 2.0;
+constexpr double PrefetchAdvantage = 1.0;
+
+struct Running
+{
+    WorkItem item;
+    Time dispatchedAt;
+    std::uint64_t start = 0;
+};
+
+struct Ask
+{
+    std::optional<Priority> urgency;
+    int waiting = 0;
+    Time askedAt;
 };
 
-struct Slot
+struct HeldPermit
 {
-    SlotState state = SlotState::Loading;
-    int running = 0;
-    int queued = 0;
-    Time lastUse;
+    AdapterKey askedFor;
+    Time expiry;
 };
 
+OrderOutcome outcomeOf(bool isDone, bool isUnknown)
+{
+    if (isUnknown) {
+        return OrderOutcome::Unknown;
+    }
+    return isDone ? OrderOutcome::Done : OrderOutcome::Failed;
+}
+
+ResidencyLimits residencyLimits(const SchedulerLimits &limits)
+{
+    ResidencyLimits residency;
+    residency.slots = limits.slots;
+    residency.loadTime = limits.loadTime;
+    residency.minimumResidence = limits.loadTime * 4;
+    return residency;
+}
+
+double batchShareOf(const SchedulerLimits &limits)
+{
+    const int sum = limits.stallWeight + limits.batchWeight;
+    return sum <= 0 ? 0.0 : static_cast<double>(limits.batchWeight) / sum;
+}
+
+LoadOrderLimits orderLimits(const SchedulerLimits &limits)
+{
+    LoadOrderLimits order;
+    order.batchShare = batchShareOf(limits);
+    order.enoughSharers = std::max(2, limits.batch / 4);
+    return order;
+}
+
 } // namespace
 
 struct UpstreamScheduler::Private
 {
+    explicit Private(const SchedulerLimits &theLimits)
+        : limits(theLimits)
+        , residency(residencyLimits(theLimits))
+        , order(orderLimits(theLimits), theLimits.seed)
+        , batchShare(batchShareOf(theLimits))
+        , keptSeats(theLimits.batch * theLimits.urgentSeatsPercent / 100)
+    {
+        loadInterval.fill(static_cast<double>(theLimits.loadTime.milliseconds()));
+    }
+
     SchedulerLimits limits;
-    std::list<WorkItem> queue;
-    absl::flat_hash_map<RequestId, AdapterKey> running;
-    absl::flat_hash_map<AdapterKey, Slot> slots;
+    Residency residency;
+    WorkQueue queue;
+    LoadOrder order;
+    absl::flat_hash_map<RequestId, Running> running;
+    // Seats taken by requests of the engine's present start; those of an earlier one hold no seat there.
+    int seats = 0;
+    int othersSeats = 0;
+    std::uint64_t start = 0;
+    double batchShare;
+    int keptSeats;
+    bool isPatientOpen = false;
+    // Tokens a millisecond that one seat has served lately; 0 until measured.
+    double seatRate = 0;
+    // Milliseconds between loads of this engine while something waited at the level or a more urgent one.
+    std::array<double, QueueLevelCount> loadInterval {};
+    std::array<bool, QueueLevelCount> hadBacklog {};
+    Time lastLoadStart;
+    std::vector<HeldPermit> permits;
+    absl::flat_hash_map<AdapterKey, Ask> asks;
+    // Which permit a load in flight was started with, by the adapter it loads.
+    absl::flat_hash_map<AdapterKey, AdapterKey> usedPermits;
+    int loadsInFlight = 0;
     std::vector<SchedulerAction> actions;
 
     void on(const WorkArrived &event, Time now);
@@ -48,24 +135,112 @@
     void on(const EvictionRule &event, Time now);
     void on(const Tick &event, Time now);
 
+    Duration expectedWait(const WorkItem &item, Time now) const;
+    Duration expectedLoadWait(const AdapterKey &adapter, QueueLevel level, Time now) const;
+    void refuse(const WorkItem &item, ErrorKind kind, Duration wait);
+    void refuseAll(const std::vector<WorkItem> &items, ErrorKind kind, Duration wait);
+    void leaveQueue(const WorkItem &item);
+    void refreshAdapter(const AdapterKey &adapter, Time now);
+    void ageQueue(Time now);
     void refuseLate(Time now);
+    bool mayPatientLeave(Time now);
+    std::optional<QueueLevel> lowestLevel(Time now);
     void dispatchReady(Time now);
+    void returnExpiredPermits(Time now);
+    int loadBudget() const;
+    bool makeRoom(const AdapterKey &adapter, int &slotsComing, Time now);
     void startLoads(Time now);
-    bool makeRoom();
-    int queuedFor(const AdapterKey &adapter) const;
+    void startLoad(const AdapterKey &adapter, Time now);
+    void noteLoadStart(Time now);
+    void askPermits(Time now);
+    void askPermit(const AdapterKey &adapter, const Ask &ask, Duration waited);
+    std::optional<AdapterKey> prefetchTarget(Time now) const;
+    void prefetch(Time now);
 };
 
-void UpstreamScheduler::Private::on(const WorkArrived &event, Time)
+Duration UpstreamScheduler::Private::expectedLoadWait(const AdapterKey &adapter, QueueLevel level, Time now) const
 {
-    const auto before =
-        std::find_if(queue.begin(), queue.end(), [&](const WorkItem &other) { return other.priority > event.item.priority; });
-    queue.insert(before, event.item);
+    if (residency.isLoaded(adapter)) {
+        return {};
+    }
+    const auto state = residency.state(adapter);
+    const auto present = order.demand(adapter);
+    // The load is under way or has its place already; this request only joins it.
+    if (state == SlotState::Loading || (present.has_value() && present->level <= level)) {
+        return std::max(limits.loadTime, order.backoffLeft(adapter, now));
+    }
+    const double before = order.countBefore(level) * loadInterval[static_cast<std::size_t>(level)];
+    return std::max(Duration(static_cast<std::int64_t>(before)) + limits.loadTime, order.backoffLeft(adapter, now));
+}
+
+// How long a request that arrives now would wait for its first token, by what is ahead of it and how fast that went lately.
+Duration UpstreamScheduler::Private::expectedWait(const WorkItem &item, Time now) const
+{
+    const QueueLevel level = levelOf(item.priority);
+    const Duration load = expectedLoadWait(item.adapter, level, now);
+    const std::int64_t ahead = queue.tokensAhead(item.caller, level);
+    if (seatRate <= 0 || (ahead == 0 && seats < limits.batch)) {
+        return load;
+    }
+    const double tokens = static_cast<double>(ahead) + (seats >= limits.batch ? item.tokens : 0);
+    const double wait = tokens / (seatRate * limits.batch);
+    return std::max(load, Duration(static_cast<std::int64_t>(std::min(wait, 1e12))));
+}
+
+void UpstreamScheduler::Private::refuse(const WorkItem &item, ErrorKind kind, Duration wait)
+{
+    const std::int64_t base = std::clamp(wait, MinRetryAfter, MaxRetryAfter).milliseconds();
+    const auto spread = static_cast<std::int64_t>(item.id.value() % RetrySpreadPercent);
+    actions.emplace_back(Refuse { item.id, kind, Duration(base + base * spread / 100) });
+}
+
+void UpstreamScheduler::Private::refuseAll(const std::vector<WorkItem> &items, ErrorKind kind, Duration wait)
+{
+    for (const WorkItem &item : items) {
+        leaveQueue(item);
+        refuse(item, kind, wait);
+    }
+}
+
+void UpstreamScheduler::Private::leaveQueue(const WorkItem &item)
+{
+    residency.removeQueued(item.adapter);
+}
+
+// Brings the readiness of an adapter's requests and its place among the loads in line with its slot.
+void UpstreamScheduler::Private::refreshAdapter(const AdapterKey &adapter, Time now)
+{
+    const auto state = residency.state(adapter);
+    queue.setReady(adapter, state == SlotState::Loaded);
+    const bool mayLoad = !state.has_value() || state == SlotState::Unknown;
+    const AdapterDemand demand = mayLoad ? queue.demand(adapter) : AdapterDemand {};
+    order.update(adapter, demand, now);
+    if (demand.waiting == 0 && asks.erase(adapter) > 0) {
+        actions.emplace_back(ReturnPermit { adapter, false });
+    }
+}
+
+void UpstreamScheduler::Private::on(const WorkArrived &event, Time now)
+{
+    const WorkItem &item = event.item;
+    residency.noteDemand(item.adapter, now);
+    const Duration wait = expectedWait(item, now);
+    const Duration allowed = item.deadline - now;
+    if (wait > allowed) {
+        refuse(item, ErrorKind::Overloaded, wait - allowed);
+        return;
+    }
+    queue.add(item);
+    residency.addQueued(item.adapter);
+    refreshAdapter(item.adapter, now);
 }
 
 void UpstreamScheduler::Private::on(const WorkCancelled &event, Time now)
 {
-    queue.remove_if([&](const WorkItem &item) { return item.id == event.id; });
-    on(WorkFinished { event.id }, now);
+    if (const auto item = queue.remove(event.id)) {
+        leaveQueue(*item);
+        refreshAdapter(item->adapter, now);
+    }
 }
 
 void UpstreamScheduler::Private::on(const WorkFinished &event, Time now)
@@ -74,133 +249,296 @@
     if (at == running.end()) {
         return;
     }
-    const auto slot = slots.find(at->second);
-    if (slot != slots.end()) {
-        --slot->second.running;
-        slot->second.lastUse = now;
+    const Running &ended = at->second;
+    residency.removeRunning(ended.item.adapter);
+    if (ended.start == start) {
+        --seats;
+        othersSeats -= ended.item.priority == Priority::Urgent ? 0 : 1;
+        const double took = std::max<double>(1.0, static_cast<double>((now - ended.dispatchedAt).milliseconds()));
+        const double rate = ended.item.tokens / took;
+        seatRate = seatRate <= 0 ? rate : seatRate + (rate - seatRate) * NewestWeight;
     }
     running.erase(at);
 }
 
 void UpstreamScheduler::Private::on(const LoadFinished &event, Time now)
 {
-    if (event.isLoaded) {
-        slots[event.adapter] = Slot { SlotState::Loaded, 0, 0, now };
+    loadsInFlight = std::max(0, loadsInFlight - 1);
+    const auto permit = usedPermits.find(event.adapter);
+    if (permit != usedPermits.end()) {
+        actions.emplace_back(ReturnPermit { permit->second, true });
+        usedPermits.erase(permit);
+    }
+    const OrderOutcome outcome = outcomeOf(event.isLoaded, event.isUnknown);
+    residency.endLoad(event.adapter, outcome, now);
+    if (outcome == OrderOutcome::Done) {
+        order.succeeded(event.adapter);
+        refreshAdapter(event.adapter, now);
         return;
     }
-    slots.erase(event.adapter);
-    queue.remove_if([&](const WorkItem &item) {
-        if (item.adapter != event.adapter) {
-            return false;
-        }
-        actions.push_back(Refuse { item.id, ErrorKind::AdapterLoadFailed, Duration::seconds(1) });
-        return true;
-    });
+    // What could still be served by another try keeps its place; the rest learns now that it was not run.
+    const auto nextTry = order.failed(event.adapter, now);
+    const Time hopeless = nextTry.has_value() ? *nextTry + limits.loadTime : Time::never();
+    refuseAll(queue.takeAdapter(event.adapter, hopeless), ErrorKind::AdapterLoadFailed, order.backoffLeft(event.adapter, now));
+    refreshAdapter(event.adapter, now);
 }
 
 void UpstreamScheduler::Private::on(const EvictFinished &event, Time now)
 {
-    if (event.isEvicted) {
-        slots.erase(event.adapter);
-    } else {
-        slots[event.adapter] = Slot { SlotState::Loaded, 0, 0, now };
-    }
+    residency.endEviction(event.adapter, outcomeOf(event.isEvicted, event.isUnknown), now);
+    refreshAdapter(event.adapter, now);
 }
 
-void UpstreamScheduler::Private::on(const UpstreamRestarted &, Time)
+// Requests of the old start still count as users of their adapter until each has ended: the restart may have been inferred wrongly,
+// and an eviction under a request that still runs would break its answer midway. They no longer hold seats.
+void UpstreamScheduler::Private::on(const UpstreamRestarted &, Time now)
 {
-    slots.clear();
+    const std::vector<AdapterKey> before = residency.residents();
+    ++start;
+    seats = 0;
+    othersSeats = 0;
+    residency.restart();
+    for (const AdapterKey &adapter : before) {
+        refreshAdapter(adapter, now);
+    }
 }
 
-void UpstreamScheduler::Private::on(const PermitGranted &, Time)
+void UpstreamScheduler::Private::on(const PermitGranted &event, Time)
 {
+    asks.erase(event.adapter);
+    permits.push_back({ event.adapter, event.expiry });
 }
 
-void UpstreamScheduler::Private::on(const LoadReport &, Time)
+void UpstreamScheduler::Private::on(const LoadReport &event, Time now)
 {
+    for (const AdapterKey &adapter : residency.applyReport(event.takenAt, event.loaded, event.inUse, now)) {
+        refreshAdapter(adapter, now);
+    }
 }
 
-void UpstreamScheduler::Private::on(const EvictionRule &, Time)
+void UpstreamScheduler::Private::on(const EvictionRule &event, Time)
 {
+    residency.applyRule(event.mayEvict, event.inUseElsewhere);
 }
 
 void UpstreamScheduler::Private::on(const Tick &, Time)
 {
 }
 
+void UpstreamScheduler::Private::ageQueue(Time now)
+{
+    for (const AdapterKey &adapter : queue.age(now)) {
+        refreshAdapter(adapter, now);
+    }
+}
+
 void UpstreamScheduler::Private::refuseLate(Time now)
 {
-    queue.remove_if([&](const WorkItem &item) {
-        if (item.deadline > now) {
+    const std::vector<WorkItem> late = queue.takeExpired(now);
+    refuseAll(late, ErrorKind::DeadlinePassed, MinRetryAfter);
+    for (const WorkItem &item : late) {
+        refreshAdapter(item.adapter, now);
+    }
+}
+
+// Whether patient requests leave now or wait for a fuller batch. Once they leave, all that are ready go.
+bool UpstreamScheduler::Private::mayPatientLeave(Time now)
+{
+    const int ready = queue.readyCount(QueueLevel::Patient);
+    if (ready == 0) {
+        isPatientOpen = false;
+        return false;
+    }
+    if (isPatientOpen || seats + ready >= batchShare * limits.batch) {
+        isPatientOpen = true;
+        return true;
+    }
+    const WorkItem &oldest = *queue.oldestReadyPatient();
+    const double hold = static_cast<double>((oldest.deadline - oldest.arrival).milliseconds()) * MaxHoldPart * batchShare;
+    isPatientOpen = now - oldest.arrival >= Duration(static_cast<std::int64_t>(hold));
+    return isPatientOpen;
+}
+
+std::optional<QueueLevel> UpstreamScheduler::Private::lowestLevel(Time now)
+{
+    if (seats >= limits.batch) {
+        return std::nullopt;
+    }
+    if (othersSeats >= limits.batch - keptSeats) {
+        return QueueLevel::Urgent;
+    }
+    return mayPatientLeave(now) ? QueueLevel::Patient : QueueLevel::Standard;
+}
+
+void UpstreamScheduler::Private::dispatchReady(Time now)
+{
+    for (auto lowest = lowestLevel(now); lowest.has_value(); lowest = lowestLevel(now)) {
+        const auto item = queue.next(*lowest);
+        if (!item.has_value()) {
+            return;
+        }
+        residency.addRunning(item->adapter);
+        leaveQueue(*item);
+        ++seats;
+        othersSeats += item->priority == Priority::Urgent ? 0 : 1;
+        actions.emplace_back(Dispatch { item->id });
+        running.emplace(item->id, Running { *item, now, start });
+    }
+}
+
+void UpstreamScheduler::Private::returnExpiredPermits(Time now)
+{
+    std::erase_if(permits, [&](const HeldPermit &permit) {
+        if (permit.expiry > now) {
             return false;
         }
-        actions.push_back(Refuse { item.id, ErrorKind::DeadlinePassed, Duration::seconds(1) });
+        actions.emplace_back(ReturnPermit { permit.askedFor, false });
         return true;
     });
 }
 
-void UpstreamScheduler::Private::dispatchReady(Time now)
+int UpstreamScheduler::Private::loadBudget() const
+{
+    return limits.needsPermits ? static_cast<int>(permits.size()) : limits.parallelLoads - loadsInFlight;
+}
+
+// True when @p adapter can be loaded at once. Otherwise sees to it that a slot comes free, if one can.
+bool UpstreamScheduler::Private::makeRoom(const AdapterKey &adapter, int &slotsComing, Time now)
+{
+    if (residency.state(adapter) == SlotState::Unknown || residency.freeSlots() > 0) {
+        return true;
+    }
+    if (slotsComing > 0) {
+        --slotsComing;
+        return false;
+    }
+    const auto demand = order.demand(adapter);
+    const bool isUrgent = demand.has_value() && demand->level <= QueueLevel::Aged;
+    if (const auto victim = residency.beginEviction(isUrgent, now)) {
+        queue.setReady(*victim, false);
+        actions.emplace_back(StartEvict { *victim });
+    }
+    return false;
+}
+
+void UpstreamScheduler::Private::noteLoadStart(Time now)
 {
-    for (auto at = queue.begin(); at != queue.end() && std::cmp_less(running.size(), limits.batch);) {
-        const auto slot = slots.find(at->adapter);
-        if (slot == slots.end() || slot->second.state != SlotState::Loaded) {
-            ++at;
-            continue;
+    const auto since = static_cast<double>((now - lastLoadStart).milliseconds());
+    for (std::size_t level = 0; level < QueueLevelCount; ++level) {
+        if (hadBacklog[level]) {
+            loadInterval[level] += (since - loadInterval[level]) * NewestIntervalWeight;
         }
-        ++slot->second.running;
-        slot->second.lastUse = now;
-        running.emplace(at->id, at->adapter);
-        actions.push_back(Dispatch { at->id });
-        at = queue.erase(at);
+        hadBacklog[level] = order.countBefore(static_cast<QueueLevel>(level)) > 0;
     }
+    lastLoadStart = now;
 }
 
-int UpstreamScheduler::Private::queuedFor(const AdapterKey &adapter) const
+void UpstreamScheduler::Private::startLoad(const AdapterKey &adapter, Time now)
 {
-    return static_cast<int>(std::count_if(queue.begin(), queue.end(), [&](const WorkItem &item) { return item.adapter == adapter; }));
+    residency.beginLoad(adapter, now);
+    order.remove(adapter);
+    ++loadsInFlight;
+    if (limits.needsPermits) {
+        // Any permit of this engine serves; its own, if there, keeps the giver's books simple.
+        auto own = std::find_if(permits.begin(), permits.end(), [&](const auto &permit) { return permit.askedFor == adapter; });
+        if (own == permits.end()) {
+            own = permits.begin();
+        }
+        usedPermits[adapter] = own->askedFor;
+        permits.erase(own);
+        if (asks.erase(adapter) > 0) {
+            actions.emplace_back(ReturnPermit { adapter, false });
+        }
+    }
+    noteLoadStart(now);
+    actions.emplace_back(StartLoad { adapter });
 }
 
-// Starts the eviction of the least recently used adapter that nothing runs on or waits for.
-bool UpstreamScheduler::Private::makeRoom()
+void UpstreamScheduler::Private::startLoads(Time now)
 {
-    auto victim = slots.end();
-    for (auto at = slots.begin(); at != slots.end(); ++at) {
-        const bool isIdle = at->second.state == SlotState::Loaded && at->second.running == 0 && queuedFor(at->first) == 0;
-        if (isIdle && (victim == slots.end() || at->second.lastUse < victim->second.lastUse)) {
-            victim = at;
+    order.wake(now);
+    returnExpiredPermits(now);
+    const int budget = loadBudget();
+    if (budget <= 0) {
+        return;
+    }
+    int slotsComing = residency.evictingCount();
+    for (const AdapterKey &adapter : order.first(budget)) {
+        if (makeRoom(adapter, slotsComing, now)) {
+            startLoad(adapter, now);
         }
     }
-    if (victim == slots.end()) {
-        return false;
+    if (limits.needsPermits && order.isEmpty()) {
+        prefetch(now);
     }
-    victim->second.state = SlotState::Evicting;
-    actions.push_back(StartEvict { victim->first });
-    return true;
 }
 
-void UpstreamScheduler::Private::startLoads(Time now)
+std::optional<AdapterKey> UpstreamScheduler::Private::prefetchTarget(Time now) const
 {
-    int evicting = static_cast<int>(
-        std::count_if(slots.begin(), slots.end(), [](const auto &entry) { return entry.second.state == SlotState::Evicting; }));
-    for (const WorkItem &item : queue) {
-        if (slots.contains(item.adapter)) {
-            continue;
+    const auto target = residency.mostWantedAbsent();
+    if (!target.has_value()) {
+        return std::nullopt;
+    }
+    const double score = residency.score(*target);
+    const double uses = std::exp2(score - residency.scoreOfOneUse(now));
+    const bool hasRoom = residency.freeSlots() > 0 || residency.leastIdleScore() < score - PrefetchAdvantage;
+    const bool isTried = order.backoffLeft(*target, now) > Duration();
+    return uses >= PrefetchUses && hasRoom && !isTried ? target : std::nullopt;
+}
+
+// Uses a permit that no waiting request needs any more, or gives it back so that another engine can.
+void UpstreamScheduler::Private::prefetch(Time now)
+{
+    const auto target = prefetchTarget(now);
+    if (target.has_value() && !permits.empty() && residency.freeSlots() > 0) {
+        startLoad(*target, now);
+        return;
+    }
+    if (target.has_value() && residency.evictingCount() == 0) {
+        if (const auto victim = residency.beginEviction(false, now, residency.score(*target) - PrefetchAdvantage)) {
+            actions.emplace_back(StartEvict { *victim });
         }
-        if (std::cmp_less(slots.size(), limits.slots)) {
-            slots[item.adapter] = Slot { SlotState::Loading, 0, 0, now };
-            actions.push_back(StartLoad { item.adapter });
-        } else if (evicting > 0) {
-            --evicting; // A slot is on its way for this one.
-        } else if (!makeRoom()) {
-            return;
+    }
+    if (residency.evictingCount() > 0) {
+        return;
+    }
+    for (const HeldPermit &permit : permits) {
+        actions.emplace_back(ReturnPermit { permit.askedFor, false });
+    }
+    permits.clear();
+}
+
+void UpstreamScheduler::Private::askPermit(const AdapterKey &adapter, const Ask &ask, Duration waited)
+{
+    asks[adapter] = ask;
+    actions.emplace_back(AskPermit { adapter, ask.urgency, ask.waiting, waited });
+}
+
+void UpstreamScheduler::Private::askPermits(Time now)
+{
+    if (!limits.needsPermits) {
+        return;
+    }
+    const int room = std::min(MaxAsks, residency.obtainableSlots() - static_cast<int>(permits.size()));
+    for (const AdapterKey &adapter : order.first(room)) {
+        const AdapterDemand demand = order.demand(adapter).value_or(AdapterDemand {});
+        const auto at = asks.find(adapter);
+        const bool isNews = at == asks.end() || at->second.urgency != demand.priority || demand.waiting >= at->second.waiting * 2
+            || now - at->second.askedAt >= AskAgainAfter;
+        if (isNews) {
+            askPermit(adapter, { demand.priority, demand.waiting, now }, now - demand.oldest);
+        }
+    }
+    if (order.isEmpty() && asks.empty() && permits.empty()) {
+        if (const auto target = prefetchTarget(now)) {
+            askPermit(*target, { std::nullopt, 0, now }, Duration());
         }
     }
 }
 
 UpstreamScheduler::UpstreamScheduler(SchedulerLimits limits)
-    : d(std::make_unique<Private>())
+    : d(std::make_unique<Private>(limits))
 {
-    d->limits = limits;
 }
 
 UpstreamScheduler::~UpstreamScheduler() = default;
@@ -212,14 +550,16 @@
     d->actions.clear();
     std::visit([&](const auto &what) { d->on(what, now); }, event);
     d->refuseLate(now);
+    d->ageQueue(now);
     d->dispatchReady(now);
     d->startLoads(now);
+    d->askPermits(now);
     return std::move(d->actions);
 }
 
 int UpstreamScheduler::queuedCount() const
 {
-    return static_cast<int>(d->queue.size());
+    return d->queue.size();
 }
 
 int UpstreamScheduler::runningCount() const
@@ -229,12 +569,7 @@
 
 std::vector<AdapterKey> UpstreamScheduler::residentAdapters() const
 {
-    std::vector<AdapterKey> resident;
-    for (const auto &[adapter, slot] : d->slots) {
-        resident.push_back(adapter);
-    }
-    std::sort(resident.begin(), resident.end());
-    return resident;
+    return d->residency.residents();
 }
 
 } // namespace ApricotStep
--- a/coordination/upstreamscheduler.h
+++ b/coordination/upstreamscheduler.h
@@ -3,6 +3,7 @@
 #include "coordination/work.h"
 #include "core/errors.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <variant>
@@ -18,7 +19,10 @@
 {
     WorkItem item;
 };
-/** The caller went away, or the request was given up on. */
+/**
+ * The caller went away, or the request was given up on. A waiting request is forgotten; one that was dispatched may still run, so it
+ * counts until its WorkFinished.
+ */
 struct WorkCancelled
 {
     RequestId id;
@@ -33,12 +37,16 @@
 {
     AdapterKey adapter;
     bool isLoaded = false;
+    /** No answer came, as after a timeout: the adapter may be loaded or not. */
+    bool isUnknown = false;
 };
 /** The answer to a StartEvict. */
 struct EvictFinished
 {
     AdapterKey adapter;
     bool isEvicted = false;
+    /** No answer came: the adapter may be there or not. */
+    bool isUnknown = false;
 };
 /** The upstream restarted: nothing is loaded there any more. */
 struct UpstreamRestarted
@@ -84,6 +92,15 @@
     std::optional<Priority> urgency;
     /** Requests that wait for it now. */
     int waiting = 0;
+    /** How long the first of them has waited. */
+    Duration waited;
+};
+/** The load that a permit was for has ended, or it will not be used, or is no longer asked for. */
+struct ReturnPermit
+{
+    /** As in the AskPermit. */
+    AdapterKey adapter;
+    bool isUsed = false;
 };
 struct StartLoad
 {
@@ -105,7 +122,7 @@
     /** When the caller should come back; zero means no advice. */
     Duration retryAfter;
 };
-using SchedulerAction = std::variant<AskPermit, StartLoad, StartEvict, Dispatch, Refuse>;
+using SchedulerAction = std::variant<AskPermit, ReturnPermit, StartLoad, StartEvict, Dispatch, Refuse>;
 
 struct SchedulerLimits
 {
@@ -117,8 +134,21 @@
     Duration loadTime { 250 };
     /** Whether a load needs a permit of the fleet (AskPermit) before StartLoad. */
     bool needsPermits = false;
+    /** Loads in flight at once on this engine when no permits are needed. */
+    int parallelLoads = 8;
+    /** Weight of short stalls against full batches; the two count as their shares of the sum. */
+    int stallWeight = 50;
+    int batchWeight = 50;
+    /** Part of the batch that only urgent requests take, 0 to 90. */
+    int urgentSeatsPercent = 12;
+    /** Seed of the jitter of back-off. */
+    std::uint64_t seed = 1;
 };
 
+// Composed of residency.h (which adapters are held), loadorder.h (which is loaded next) and workqueue.h (who leaves next).
+// Grounds for the figures here: of a batch of 16, two seats kept for urgent requests let a question start at once while patient work
+// fills the rest; patient work that is held for a fuller batch waits a tenth of its allowance at most.
+
 /**
  * Decides for one engine who waits, who runs and which adapters are loaded.
  *
--- a/main/enginerunner.cpp
+++ b/main/enginerunner.cpp
@@ -1,5 +1,6 @@
 #include "main/enginerunner.h"
 
+#include "core/hash.h"
 #include "core/result.h"
 #include "main/log.h"
 #include "protocol/callerapi.h"
@@ -42,6 +43,27 @@
 
 using JobPointer = std::shared_ptr<Job>;
 
+// How an order to an engine ended.
+struct OrderResult
+{
+    bool isDone = false;
+    bool isUnknown = false;
+};
+
+SchedulerLimits schedulerLimits(const UpstreamSpec &spec, const Settings &settings)
+{
+    SchedulerLimits limits;
+    limits.slots = spec.slots;
+    limits.batch = spec.batch;
+    limits.loadTime = settings.duration("scheduling.load_time_ms");
+    limits.parallelLoads = static_cast<int>(settings.number("scheduling.store_parallel"));
+    limits.stallWeight = static_cast<int>(settings.number("scheduling.stall_weight"));
+    limits.batchWeight = static_cast<int>(settings.number("scheduling.batch_weight"));
+    limits.urgentSeatsPercent = static_cast<int>(settings.number("scheduling.urgent_seats_percent"));
+    limits.seed = stableHash(spec.id.value());
+    return limits;
+}
+
 } // namespace
 
 void respondError(HttpExchange &exchange, ErrorKind kind, const ErrorDetails &details)
@@ -62,7 +84,7 @@
         , clock(aClock)
         , metrics(allMetrics)
         , log(partLog("engine"))
-        , scheduler({ upstream.slots, upstream.batch, Duration(250) })
+        , scheduler(schedulerLimits(upstream, allSettings))
     {
     }
 
@@ -79,11 +101,12 @@
 
     void handle(const SchedulerEvent &event);
     void carryOut(const AskPermit &action);
+    void carryOut(const ReturnPermit &action);
     void carryOut(const StartLoad &action);
     void carryOut(const StartEvict &action);
     void carryOut(const Dispatch &action);
     void carryOut(const Refuse &action);
-    void order(std::string_view path, std::string body, std::function<void(bool)> done);
+    void order(std::string_view path, std::string body, std::function<void(const OrderResult &)> done);
 
     JobPointer job(RequestId id) const;
     JobPointer takeJob(RequestId id);
@@ -110,7 +133,7 @@
     }
 }
 
-void EngineRunner::Private::order(std::string_view path, std::string body, std::function<void(bool)> done)
+void EngineRunner::Private::order(std::string_view path, std::string body, std::function<void(const OrderResult &)> done)
 {
     HttpCall call;
     call.method = "POST";
@@ -119,8 +142,10 @@
     call.body = std::move(body);
     call.connectTimeout = settings.duration("upstreams.connect_timeout_ms");
     call.totalTimeout = settings.duration("upstreams.load_timeout_ms");
-    call.onDone = [done = std::move(done)](
-                      const CallResult &result) { done(result.state == AttemptState::Answered && result.status == OkStatus); };
+    call.onDone = [done = std::move(done)](const CallResult &result) {
+        // Once sent and unanswered, the order may have been carried out all the same.
+        done({ result.state == AttemptState::Answered && result.status == OkStatus, result.state == AttemptState::Sent });
+    };
     client.start(std::move(call));
 }
 
@@ -129,22 +154,30 @@
     handle(PermitGranted { action.adapter, clock.now() + Duration::seconds(5) });
 }
 
+// Without permits of the fleet there is nobody to give one back to.
+void EngineRunner::Private::carryOut(const ReturnPermit &)
+{
+}
+
 void EngineRunner::Private::carryOut(const StartLoad &action)
 {
     const Time startedAt = clock.now();
-    order(EngineLoadPath, engineLoadBody(action.adapter), [self = shared_from_this(), adapter = action.adapter, startedAt](bool isLoaded) {
-        self->metrics.adapterLoad(isLoaded, self->clock.now() - startedAt);
-        self->log->info("Load of {} on {} {}.", adapter.name(), self->spec.id.value(), isLoaded ? "done" : "failed");
-        self->handle(LoadFinished { adapter, isLoaded });
-    });
+    order(EngineLoadPath, engineLoadBody(action.adapter),
+        [self = shared_from_this(), adapter = action.adapter, startedAt](const OrderResult &result) {
+            const bool isLoaded = result.isDone;
+            self->metrics.adapterLoad(isLoaded, self->clock.now() - startedAt);
+            self->log->info("Load of {} on {} {}.", adapter.name(), self->spec.id.value(), isLoaded ? "done" : "failed");
+            self->handle(LoadFinished { adapter, isLoaded, result.isUnknown });
+        });
 }
 
 void EngineRunner::Private::carryOut(const StartEvict &action)
 {
-    order(EngineUnloadPath, engineUnloadBody(action.adapter), [self = shared_from_this(), adapter = action.adapter](bool isEvicted) {
-        self->metrics.eviction(isEvicted);
-        self->handle(EvictFinished { adapter, isEvicted });
-    });
+    order(EngineUnloadPath, engineUnloadBody(action.adapter),
+        [self = shared_from_this(), adapter = action.adapter](const OrderResult &result) {
+            self->metrics.eviction(result.isDone);
+            self->handle(EvictFinished { adapter, result.isDone, result.isUnknown });
+        });
 }
 
 void EngineRunner::Private::carryOut(const Dispatch &action)
--- /dev/null
+++ b/tests/coordination/testloadpermits.cpp
@@ -0,0 +1,120 @@
+#include "coordination/loadpermits.h"
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+PermitName name(const char *node, const char *adapterId)
+{
+    return { NodeId(node), UpstreamId("e"), { AdapterId(adapterId), AdapterVersion("1") } };
+}
+
+PermitRequest request(const char *adapterId, std::optional<Priority> urgency, Duration waited = Duration())
+{
+    return { name("n", adapterId), urgency, 1, waited };
+}
+
+template<typename T>
+int count(const std::vector<PermitAction> &actions)
+{
+    int found = 0;
+    for (const PermitAction &action : actions) {
+        found += std::holds_alternative<T>(action) ? 1 : 0;
+    }
+    return found;
+}
+
+} // namespace
+
+Test(loadpermits, theMostUrgentOfTheFleetGoesFirst)
+{
+    PermitGiver giver({});
+    giver.grant(Time(1));
+    giver.request(request("prefetch", std::nullopt), Time(1));
+    giver.request(request("patient", Priority::Patient, Duration(60'000)), Time(1));
+    giver.request(request("urgent", Priority::Urgent), Time(1));
+    const auto grants = giver.grant(Time(1));
+    cr_assert_eq(grants.size(), 1, "one load at a time at full speed");
+    cr_assert_eq(grants.front().name.adapter.id, AdapterId("urgent"));
+    cr_assert_eq(giver.grant(Time(400)).size(), 0);
+    cr_assert_eq(giver.grant(Time(501)).front().name.adapter.id, AdapterId("patient"));
+}
+
+Test(loadpermits, aLostEngineHoldsBackLittle)
+{
+    // A node takes a permit and dies. Its load never ends; were it counted for ever, the fleet would stop loading after a few deaths.
+    LoadBudget budget;
+    budget.parallel = 1;
+    PermitGiver giver(budget);
+    giver.request(request("dead", Priority::Urgent), Time(1));
+    cr_assert_eq(giver.grant(Time(1)).size(), 1);
+    giver.request(request("other", Priority::Urgent), Time(1900));
+    cr_assert_eq(giver.grant(Time(1900)).size(), 0);
+    cr_assert_eq(giver.grant(Time(2100)).size(), 1);
+}
+
+Test(loadpermits, theRequestOfALostAskerIsForgotten)
+{
+    LoadBudget budget;
+    budget.parallel = 1;
+    PermitGiver giver(budget);
+    giver.request(request("a", Priority::Urgent), Time(1));
+    giver.grant(Time(1));
+    giver.request(request("ghost", Priority::Urgent), Time(1));
+    cr_assert_eq(giver.grant(Time(6000)).size(), 0);
+    cr_assert_eq(giver.waitingCount(), 0);
+}
+
+Test(loadpermits, anUnusedPermitGoesToTheNext)
+{
+    PermitGiver giver({});
+    giver.request(request("a", Priority::Urgent), Time(1));
+    giver.request(request("b", Priority::Urgent), Time(1));
+    cr_assert_eq(giver.grant(Time(1)).size(), 1);
+    giver.giveBack({ name("n", "a"), false }, Time(2));
+    cr_assert_eq(giver.grant(Time(2)).size(), 1);
+}
+
+Test(loadpermits, aSideOfAPartitionTakesItsShare)
+{
+    // The fleet splits in two, and each side has a giver. With the whole budget each, the store would be asked for twice its rate and
+    // every load would take twice as long.
+    PermitGiver giver({});
+    giver.setShare(0.5, Time(1));
+    int granted = 0;
+    for (int now = 1; now <= 10'000; now += 100) {
+        giver.request(request("a", Priority::Urgent), Time(now));
+        for (const PermitGrant &grant : giver.grant(Time(now))) {
+            giver.giveBack({ grant.name, true }, Time(now));
+            ++granted;
+        }
+    }
+    cr_assert_geq(granted, 9);
+    cr_assert_leq(granted, 11);
+}
+
+Test(loadpermits, withoutAGiverANodeGoesByItsEvenPart)
+{
+    // The giver is lost. Engines must go on loading, or every cold adapter stalls until the view has settled.
+    PermitAsker asker(NodeId("n"), {});
+    asker.setFleet({ NodeId("giver") }, 10, Time(1));
+    cr_assert_eq(count<SendToGiver>(asker.ask(request("a", Priority::Urgent), Time(1))), 1);
+    asker.giverAnswered(false, Time(2));
+    cr_assert_eq(count<PermitArrived>(asker.tick(Time(1100))), 1, "the first load of its part is free at once");
+    cr_assert_eq(count<PermitArrived>(asker.ask(request("b", Priority::Urgent), Time(1200))), 0, "2 a second over 10 nodes");
+    cr_assert_eq(count<SendToGiver>(asker.tick(Time(2300))), 1, "the giver is tried again");
+}
+
+Test(loadpermits, aGrantThatNobodyWaitsForGoesBack)
+{
+    PermitAsker asker(NodeId("n"), {});
+    asker.setFleet({ NodeId("giver") }, 1, Time(1));
+    asker.ask(request("a", Priority::Urgent), Time(1));
+    asker.giveBack({ name("n", "a"), false }, Time(2));
+    const auto actions = asker.granted({ name("n", "a"), Duration(2000) }, Time(3));
+    cr_assert_eq(count<PermitArrived>(actions), 0);
+    cr_assert_eq(count<SendToGiver>(actions), 1);
+}
