Bound a request's arrival and serve TLS on the caller port

Cause: a sender that drips a byte now and then never trips the idle timeout, and a certificate could not be used, let alone renewed. Before: a request cut in its body held its connection for as long as it dripped.

--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,3 +1,4 @@
+#include "main/errorspage.h"
 #include "main/log.h"
 #include "main/node.h"
 #include "main/settings.h"
@@ -27,6 +28,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c): a caller that left must not end the node
 
@@ -38,7 +40,9 @@
     std::cout << "ready callers=" << node.value()->callerPort() << " operators=" << node.value()->operatorPort()
               << " membership=" << node.value()->membershipPort() << std::endl;
     int signal = 0;
-    sigwait(&signals, &signal);
+    while (sigwait(&signals, &signal) != 0 || signal == SIGHUP) {
+        node.value()->reload();
+    }
     node.value()->drain();
     return 0;
 }
@@ -55,6 +59,7 @@
     auto *node = app.add_subcommand("node", "Run a node.");
     node->add_option("--settings", settingsPath, "INI file with the settings below.")->required();
     node->footer(settingsHelp());
+    auto *errors = app.add_subcommand("errors-page", "Print docs/ERRORS.md.");
     auto *page = app.add_subcommand("settings-page", "Print docs/SETTINGS.md.");
 
     try {
@@ -67,5 +72,9 @@
         std::cout << settingsPage();
         return 0;
     }
+    if (*errors) {
+        std::cout << errorsPage();
+        return 0;
+    }
     return runNode(settingsPath);
 }
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -39,6 +39,7 @@
     server.maxHeaderBytes = static_cast<std::size_t>(settings.number("callers.max_header_bytes"));
     server.maxConnections = static_cast<int>(settings.number("callers.max_connections"));
     server.idleTimeout = settings.duration("callers.idle_timeout_ms");
+    server.arrivalTimeout = settings.duration("callers.arrival_timeout_ms");
     return server;
 }
 
@@ -82,6 +83,7 @@
     ServiceRunner services;
     CallerFrontend frontend;
     PlatformReader platform;
+    std::shared_ptr<TlsCredentials> tls;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> operators;
     std::atomic<bool> isStopping { false };
@@ -202,6 +204,19 @@
     return d->membership->port();
 }
 
+void Node::reload()
+{
+    if (d->tls == nullptr) {
+        return;
+    }
+    const auto reloaded = d->tls->reload();
+    if (reloaded.isOk()) {
+        d->log->info("The certificate was read again.");
+    } else {
+        d->log->error("The old certificate stays. {}", reloaded.error().detail);
+    }
+}
+
 void Node::drain()
 {
     d->isDraining = true;
--- a/main/settingtable.cpp
+++ b/main/settingtable.cpp
@@ -46,6 +46,11 @@
         number("callers", "max_connections", "", 16, 100'000, "4096", "Connections at once; more are not accepted."),
         milliseconds(
             "callers", "idle_timeout_ms", 1000, 3'600'000, "75000", "A caller's connection that is silent for this long is closed."),
+        milliseconds("callers", "arrival_timeout_ms", 100, 3'600'000, "75000",
+            "A request that has not arrived whole after this long is refused, and an idle connection closed."),
+        text("callers", "tls_certificate", "",
+            "PEM file with the certificate chain of the caller port; empty serves without TLS. Read again on SIGHUP."),
+        text("callers", "tls_key", "", "PEM file with the key of tls_certificate."),
         milliseconds("callers", "address_keep_ms", 100, 600'000, "10000", "How long a caller may keep an address answer."),
         text("operator", "address", "127.0.0.1", "IP number of the operator port."),
         number("operator", "port", "", 0, MaxPort, "9090", "TCP port for /metrics, /healthz, /readyz and /status; 0 picks a free one."),
--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -242,6 +242,9 @@
         curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
         curl_easy_setopt(easy, CURLOPT_LOW_SPEED_TIME, static_cast<long>(call.silenceTimeout.milliseconds() / 1000));
     }
+    if (!call.authorityFile.empty()) {
+        curl_easy_setopt(easy, CURLOPT_CAINFO, call.authorityFile.c_str());
+    }
     if (!call.isRepeatable) {
         // On a reused connection that dies before the first answer byte libcurl sends the request again by itself, POST included: a
         // payment would run twice. A connection of its own rules that out.
--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -1,16 +1,16 @@
 #include "transport/httpserver.h"
 
-#include <absl/base/thread_annotations.h>
+#include "transport/connectionwatch.h"
+#include "transport/mhdexchange.h"
+#include "transport/tlsgeneration.h"
+
 #include <absl/container/flat_hash_set.h>
 #include <absl/strings/ascii.h>
-#include <absl/synchronization/mutex.h>
 #include <arpa/inet.h>
 #include <microhttpd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
-#include <deque>
 #include <thread>
 #include <utility>
 
@@ -20,17 +20,13 @@
 namespace
 {
 
-// Bytes of a stream that wait for the caller before write() asks for a pause.
-constexpr std::size_t HighWaterBytes = 256U << 10U;
-constexpr std::size_t StreamBlockBytes = 16U << 10U;
 constexpr std::string_view TooLargeBody =
     R"({"error":{"message":"The request is larger than this node accepts.","type":"invalid_request_error","code":"request_too_large","not_run":true,"retry":"never"}})";
 constexpr int TooLargeStatus = 413;
+constexpr const char *TlsPriorities = "SECURE256:SECURE128:-VERS-ALL:+VERS-TLS1.3:+VERS-TLS1.2";
 // A caller that leaves while its request waits is noticed within this time.
 constexpr auto GoneCheckInterval = std::chrono::milliseconds(200);
 
-class Exchange;
-
 std::string peerText(MHD_Connection *connection)
 {
     const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
@@ -50,251 +46,23 @@
     MHD_Daemon *daemon = nullptr;
     std::atomic<int> active { 0 };
     std::atomic<bool> isStopping { false };
+    SystemClock clock;
+    std::unique_ptr<ConnectionWatch> watch;
     std::thread goneChecker;
     absl::Mutex mutex;
-    absl::flat_hash_set<std::shared_ptr<Exchange>> exchanges ABSL_GUARDED_BY(mutex);
+    absl::flat_hash_set<std::shared_ptr<MhdExchange>> exchanges ABSL_GUARDED_BY(mutex);
 
     void checkGone();
     MHD_Result onAccess(MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **state);
-    void onCompleted(void **state, MHD_RequestTerminationCode code);
+    void onCompleted(MHD_Connection *connection, void **state, MHD_RequestTerminationCode code);
+    void onConnection(MHD_Connection *connection, void **socketContext, MHD_ConnectionNotificationCode code);
+    static int retrieveCertificate(gnutls_session_t session, const gnutls_datum_t *authorities, int authorityCount,
+        const gnutls_pk_algorithm_t *algorithms, int algorithmCount, gnutls_pcert_st **chain, unsigned int *length, gnutls_privkey_t *key);
 };
 
 namespace
 {
 
-// Locks: m_mutex guards all below it. MHD is called with it held only for suspend and resume, which do not call back.
-class Exchange final : public HttpExchange, public std::enable_shared_from_this<Exchange>
-{
-public:
-    explicit Exchange(MHD_Connection *connection)
-        : m_connection(connection)
-    {
-        const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        m_socket = info != nullptr ? info->connect_fd : -1;
-    }
-
-    HttpRequest request;
-    bool isTooLarge = false;
-    bool isHandled = false;
-
-    void respond(int status, const HttpHeaders &headers, std::string body) override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        if (m_hasAnswer || m_isClosed) {
-            return;
-        }
-        m_hasAnswer = true;
-        m_isWhole = true;
-        m_status = status;
-        m_headers = headers;
-        m_buffer = std::move(body);
-        resumeLocked();
-    }
-
-    void beginStream(int status, const HttpHeaders &headers) override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        if (m_hasAnswer || m_isClosed) {
-            return;
-        }
-        m_hasAnswer = true;
-        m_status = status;
-        m_headers = headers;
-        resumeLocked();
-    }
-
-    bool write(std::string_view data) override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        if (m_isClosed || m_isFinished) {
-            return true;
-        }
-        m_buffer.append(data);
-        resumeLocked();
-        m_isFull = m_isFull || m_buffer.size() - m_offset > HighWaterBytes;
-        return !m_isFull;
-    }
-
-    void finish() override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        m_isFinished = true;
-        resumeLocked();
-    }
-
-    void abort() override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        m_isFinished = true;
-        m_isAborted = true;
-        m_hasAnswer = true;
-        resumeLocked();
-    }
-
-    void onDrained(std::function<void()> callback) override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        m_drained = std::move(callback);
-    }
-
-    void onCallerGone(std::function<void()> callback) override
-    {
-        {
-            const absl::MutexLock lock(&m_mutex);
-            if (!m_isGone) {
-                m_gone = std::move(callback);
-                return;
-            }
-        }
-        callback();
-    }
-
-    // From the server's thread: the answer if there is one, else suspends until there is.
-    MHD_Result answerOrSuspend()
-    {
-        const absl::MutexLock lock(&m_mutex);
-        if (!m_hasAnswer) {
-            suspendLocked();
-            return MHD_YES;
-        }
-        if (m_isAborted) {
-            return MHD_NO;
-        }
-        MHD_Response *response = m_isWhole
-            ? MHD_create_response_from_buffer(m_buffer.size(), m_buffer.data(), MHD_RESPMEM_MUST_COPY)
-            : MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, StreamBlockBytes, &Exchange::read, this, nullptr);
-        for (const auto &[name, value] : m_headers) {
-            MHD_add_response_header(response, name.c_str(), value.c_str());
-        }
-        const MHD_Result result = MHD_queue_response(m_connection, static_cast<unsigned int>(m_status), response);
-        MHD_destroy_response(response);
-        return result;
-    }
-
-    // The connection is over. isWhole tells whether the caller got everything.
-    void close(bool isWhole)
-    {
-        std::function<void()> gone;
-        {
-            const absl::MutexLock lock(&m_mutex);
-            if (m_isClosed) {
-                return;
-            }
-            m_isClosed = true;
-            m_isSuspended = false;
-            if (!isWhole && !m_isAborted && !m_isGone) {
-                m_isGone = true;
-                gone = std::move(m_gone);
-            }
-            m_gone = nullptr;
-            m_drained = nullptr;
-        }
-        if (gone) {
-            gone();
-        }
-    }
-
-    // MHD does not watch a suspended connection, so a caller that left would hold its place in the queue until it was served.
-    void checkGone()
-    {
-        std::function<void()> gone;
-        {
-            const absl::MutexLock lock(&m_mutex);
-            char byte = 0;
-            if (!m_isSuspended || m_isGone || recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0) {
-                return;
-            }
-            m_isGone = true;
-            gone = std::move(m_gone);
-            m_hasAnswer = true;
-            m_isAborted = true;
-            m_isFinished = true;
-            resumeLocked();
-        }
-        if (gone) {
-            gone();
-        }
-    }
-
-private:
-    static ssize_t read(void *context, std::uint64_t, char *out, std::size_t max)
-    {
-        return static_cast<Exchange *>(context)->readSome(out, max);
-    }
-
-    ssize_t readSome(char *out, std::size_t max)
-    {
-        std::function<void()> drained;
-        ssize_t result = 0;
-        {
-            const absl::MutexLock lock(&m_mutex);
-            const std::size_t count = std::min(max, m_buffer.size() - m_offset);
-            m_buffer.copy(out, count, m_offset);
-            m_offset += count;
-            result = static_cast<ssize_t>(count);
-            if (m_offset == m_buffer.size()) {
-                m_buffer.clear();
-                m_offset = 0;
-                if (m_isFull) {
-                    m_isFull = false;
-                    drained = m_drained;
-                }
-                if (count == 0) {
-                    result = nothingToReadLocked();
-                }
-            }
-        }
-        if (drained) {
-            drained();
-        }
-        return result;
-    }
-
-    ssize_t nothingToReadLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
-    {
-        if (m_isAborted) {
-            return MHD_CONTENT_READER_END_WITH_ERROR;
-        }
-        if (m_isFinished) {
-            return MHD_CONTENT_READER_END_OF_STREAM;
-        }
-        suspendLocked();
-        return 0;
-    }
-
-    void suspendLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
-    {
-        m_isSuspended = true;
-        MHD_suspend_connection(m_connection);
-    }
-
-    void resumeLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
-    {
-        if (m_isSuspended) {
-            m_isSuspended = false;
-            MHD_resume_connection(m_connection);
-        }
-    }
-
-    MHD_Connection *m_connection;
-    int m_socket = -1;
-    absl::Mutex m_mutex;
-    bool m_hasAnswer ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_isWhole ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_isFinished ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_isAborted ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_isClosed ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_isSuspended ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_isFull ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_isGone ABSL_GUARDED_BY(m_mutex) = false;
-    int m_status ABSL_GUARDED_BY(m_mutex) = 0;
-    HttpHeaders m_headers ABSL_GUARDED_BY(m_mutex);
-    std::string m_buffer ABSL_GUARDED_BY(m_mutex);
-    std::size_t m_offset ABSL_GUARDED_BY(m_mutex) = 0;
-    std::function<void()> m_drained ABSL_GUARDED_BY(m_mutex);
-    std::function<void()> m_gone ABSL_GUARDED_BY(m_mutex);
-};
-
 MHD_Result addHeader(void *context, MHD_ValueKind, const char *name, const char *value)
 {
     static_cast<HttpRequest *>(context)->headers[absl::AsciiStrToLower(name)] = value != nullptr ? value : "";
@@ -307,15 +75,21 @@
     return MHD_YES;
 }
 
+int socketOf(MHD_Connection *connection)
+{
+    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info != nullptr ? info->connect_fd : -1;
+}
+
 // Keeps the raw query beside MHD's parsed one, so that it can be passed on unchanged.
 void *onUri(void *, const char *uri, MHD_Connection *connection)
 {
-    auto exchange = std::make_shared<Exchange>(connection);
+    auto exchange = std::make_shared<MhdExchange>(connection);
     const char *mark = std::char_traits<char>::find(uri, std::char_traits<char>::length(uri), '?');
     if (mark != nullptr) {
         exchange->request.query = mark + 1;
     }
-    return new std::shared_ptr<Exchange>(std::move(exchange));
+    return new std::shared_ptr<MhdExchange>(std::move(exchange));
 }
 
 } // namespace
@@ -337,7 +111,7 @@
 {
     // MHD calls this several times for one request: at its headers, for each part of its body, at its end and after each resume. The
     // request is handed on once, at its end, else it would be admitted and run more than once.
-    auto *exchange = static_cast<std::shared_ptr<Exchange> *>(*state)->get();
+    auto *exchange = static_cast<std::shared_ptr<MhdExchange> *>(*state)->get();
     HttpRequest &request = exchange->request;
     if (request.method.empty()) {
         request.method = method;
@@ -347,7 +121,7 @@
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, addParameter, &request);
         active.fetch_add(1);
         const absl::MutexLock lock(&mutex);
-        exchanges.insert(*static_cast<std::shared_ptr<Exchange> *>(*state));
+        exchanges.insert(*static_cast<std::shared_ptr<MhdExchange> *>(*state));
         return MHD_YES;
     }
     if (*size > 0) {
@@ -360,6 +134,9 @@
     }
     if (!exchange->isHandled) {
         exchange->isHandled = true;
+        if (!watch->serving(socketOf(connection))) {
+            return MHD_NO;
+        }
         if (exchange->isTooLarge) {
             exchange->respond(TooLargeStatus, { { "Content-Type", "application/json" } }, std::string(TooLargeBody));
         } else {
@@ -369,9 +146,10 @@
     return exchange->answerOrSuspend();
 }
 
-void HttpServer::Private::onCompleted(void **state, MHD_RequestTerminationCode code)
+void HttpServer::Private::onCompleted(MHD_Connection *connection, void **state, MHD_RequestTerminationCode code)
 {
-    auto *held = static_cast<std::shared_ptr<Exchange> *>(*state);
+    watch->served(socketOf(connection));
+    auto *held = static_cast<std::shared_ptr<MhdExchange> *>(*state);
     if (held == nullptr) {
         return;
     }
@@ -390,7 +168,7 @@
 {
     while (!isStopping) {
         std::this_thread::sleep_for(GoneCheckInterval);
-        std::vector<std::shared_ptr<Exchange>> current;
+        std::vector<std::shared_ptr<MhdExchange>> current;
         {
             const absl::MutexLock lock(&mutex);
             current.assign(exchanges.begin(), exchanges.end());
@@ -398,6 +176,36 @@
         for (const auto &exchange : current) {
             exchange->checkGone();
         }
+        watch->closeOverdue();
+    }
+}
+
+// GnuTLS asks for the certificate at each handshake, so a reload needs no new listener and cuts off nobody.
+int HttpServer::Private::retrieveCertificate(gnutls_session_t session, const gnutls_datum_t *, int, const gnutls_pk_algorithm_t *, int,
+    gnutls_pcert_st **chain, unsigned int *length, gnutls_privkey_t *key)
+{
+    auto *connection = static_cast<MHD_Connection *>(gnutls_session_get_ptr(session));
+    if (connection == nullptr) {
+        return -1;
+    }
+    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    if (info == nullptr || info->socket_context == nullptr) {
+        return -1;
+    }
+    const TlsCredentials::Generation *generation = static_cast<Private *>(info->socket_context)->settings.tls->current();
+    *chain = const_cast<gnutls_pcert_st *>(generation->chain.data());
+    *length = generation->chainLength;
+    *key = generation->key;
+    return 0;
+}
+
+void HttpServer::Private::onConnection(MHD_Connection *connection, void **socketContext, MHD_ConnectionNotificationCode code)
+{
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        *socketContext = this;
+        watch->opened(socketOf(connection), settings.tls == nullptr);
+    } else {
+        watch->closed(socketOf(connection));
     }
 }
 
@@ -422,16 +230,31 @@
                             std::size_t *size, void **state) -> MHD_Result {
         return static_cast<Private *>(context)->onAccess(connection, url, method, data, size, state);
     };
-    const auto completed = [](void *context, MHD_Connection *, void **state, MHD_RequestTerminationCode code) {
-        static_cast<Private *>(context)->onCompleted(state, code);
+    const auto completed = [](void *context, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code) {
+        static_cast<Private *>(context)->onCompleted(connection, state, code);
+    };
+    const auto notify = [](void *context, MHD_Connection *connection, void **socketContext, MHD_ConnectionNotificationCode code) {
+        static_cast<Private *>(context)->onConnection(connection, socketContext, code);
     };
-    d->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, settings.port, nullptr, nullptr,
-        +access, d, MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&address), MHD_OPTION_NOTIFY_COMPLETED,
-        static_cast<MHD_RequestCompletedCallback>(+completed), d, MHD_OPTION_URI_LOG_CALLBACK, &onUri, d, MHD_OPTION_THREAD_POOL_SIZE,
-        static_cast<unsigned int>(settings.threads > 1 ? settings.threads : 0), MHD_OPTION_CONNECTION_LIMIT,
-        static_cast<unsigned int>(settings.maxConnections), MHD_OPTION_CONNECTION_TIMEOUT,
-        static_cast<unsigned int>(settings.idleTimeout.milliseconds() / 1000), MHD_OPTION_CONNECTION_MEMORY_LIMIT, settings.maxHeaderBytes,
-        MHD_OPTION_END);
+    d->watch = std::make_unique<ConnectionWatch>(d->clock, settings.arrivalTimeout);
+    std::vector<MHD_OptionItem> options {
+        { MHD_OPTION_SOCK_ADDR, 0, &address },
+        { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(static_cast<MHD_RequestCompletedCallback>(+completed)), d },
+        { MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<std::intptr_t>(static_cast<MHD_NotifyConnectionCallback>(+notify)), d },
+        { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&onUri), d },
+        { MHD_OPTION_THREAD_POOL_SIZE, settings.threads > 1 ? settings.threads : 0, nullptr },
+        { MHD_OPTION_CONNECTION_LIMIT, settings.maxConnections, nullptr },
+        { MHD_OPTION_CONNECTION_TIMEOUT, settings.idleTimeout.milliseconds() / 1000, nullptr },
+        { MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(settings.maxHeaderBytes), nullptr },
+    };
+    if (settings.tls != nullptr) {
+        options.push_back({ MHD_OPTION_HTTPS_CERT_CALLBACK, 0, reinterpret_cast<void *>(&Private::retrieveCertificate) });
+        options.push_back({ MHD_OPTION_HTTPS_PRIORITIES, 0, const_cast<char *>(TlsPriorities) });
+    }
+    options.push_back({ MHD_OPTION_END, 0, nullptr });
+    const unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC
+        | (settings.tls != nullptr ? static_cast<unsigned int>(MHD_USE_TLS) : 0U);
+    d->daemon = MHD_start_daemon(flags, settings.port, nullptr, nullptr, +access, d, MHD_OPTION_ARRAY, options.data(), MHD_OPTION_END);
     if (d->daemon == nullptr) {
         return Error { ErrorKind::SettingsInvalid, "cannot listen on " + settings.address + ":" + std::to_string(settings.port) };
     }
@@ -448,7 +271,7 @@
     if (d->daemon == nullptr) {
         return;
     }
-    std::vector<std::shared_ptr<Exchange>> current;
+    std::vector<std::shared_ptr<MhdExchange>> current;
     {
         const absl::MutexLock lock(&d->mutex);
         current.assign(d->exchanges.begin(), d->exchanges.end());
--- a/transport/httpserver.h
+++ b/transport/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/result.h"
+#include "transport/tlscredentials.h"
 
 #include <cstdint>
 #include <functional>
@@ -79,6 +80,10 @@
     /** A connection with nothing sent or received for this long is closed; 1 to 3600 s. */
     Duration idleTimeout = Duration::seconds(75);
     int maxConnections = 4096;
+    /** A request that has not arrived whole after this long is ended with 408; 100 ms to 1 h. Also how long a connection may idle. */
+    Duration arrivalTimeout = Duration::seconds(75);
+    /** Serves TLS only when set. */
+    std::shared_ptr<TlsCredentials> tls;
 };
 
 /** An HTTP/1.1 server. */
--- /dev/null
+++ b/transport/mhdexchange.cpp
@@ -0,0 +1,224 @@
+#include "transport/mhdexchange.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// Bytes of a stream that wait for the caller before write() asks for a pause.
+constexpr std::size_t HighWaterBytes = 256U << 10U;
+constexpr std::size_t StreamBlockBytes = 16U << 10U;
+
+} // namespace
+
+MhdExchange::MhdExchange(MHD_Connection *connection)
+    : m_connection(connection)
+{
+    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    m_socket = info != nullptr ? info->connect_fd : -1;
+}
+
+void MhdExchange::respond(int status, const HttpHeaders &headers, std::string body)
+{
+    const absl::MutexLock lock(&m_mutex);
+    if (m_hasAnswer || m_isClosed) {
+        return;
+    }
+    m_hasAnswer = true;
+    m_isWhole = true;
+    m_status = status;
+    m_headers = headers;
+    m_buffer = std::move(body);
+    resumeLocked();
+}
+
+void MhdExchange::beginStream(int status, const HttpHeaders &headers)
+{
+    const absl::MutexLock lock(&m_mutex);
+    if (m_hasAnswer || m_isClosed) {
+        return;
+    }
+    m_hasAnswer = true;
+    m_status = status;
+    m_headers = headers;
+    resumeLocked();
+}
+
+bool MhdExchange::write(std::string_view data)
+{
+    const absl::MutexLock lock(&m_mutex);
+    if (m_isClosed || m_isFinished) {
+        return true;
+    }
+    m_buffer.append(data);
+    resumeLocked();
+    m_isFull = m_isFull || m_buffer.size() - m_offset > HighWaterBytes;
+    return !m_isFull;
+}
+
+void MhdExchange::finish()
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_isFinished = true;
+    resumeLocked();
+}
+
+void MhdExchange::abort()
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_isFinished = true;
+    m_isAborted = true;
+    m_hasAnswer = true;
+    resumeLocked();
+}
+
+void MhdExchange::onDrained(std::function<void()> callback)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_drained = std::move(callback);
+}
+
+void MhdExchange::onCallerGone(std::function<void()> callback)
+{
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (!m_isGone) {
+            m_gone = std::move(callback);
+            return;
+        }
+    }
+    callback();
+}
+
+// From the server's thread: the answer if there is one, else suspends until there is.
+MHD_Result MhdExchange::answerOrSuspend()
+{
+    const absl::MutexLock lock(&m_mutex);
+    if (!m_hasAnswer) {
+        suspendLocked();
+        return MHD_YES;
+    }
+    if (m_isAborted) {
+        return MHD_NO;
+    }
+    MHD_Response *response = m_isWhole
+        ? MHD_create_response_from_buffer(m_buffer.size(), m_buffer.data(), MHD_RESPMEM_MUST_COPY)
+        : MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, StreamBlockBytes, &MhdExchange::read, this, nullptr);
+    for (const auto &[name, value] : m_headers) {
+        MHD_add_response_header(response, name.c_str(), value.c_str());
+    }
+    const MHD_Result result = MHD_queue_response(m_connection, static_cast<unsigned int>(m_status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+// The connection is over. isWhole tells whether the caller got everything.
+void MhdExchange::close(bool isWhole)
+{
+    std::function<void()> gone;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_isClosed) {
+            return;
+        }
+        m_isClosed = true;
+        m_isSuspended = false;
+        if (!isWhole && !m_isAborted && !m_isGone) {
+            m_isGone = true;
+            gone = std::move(m_gone);
+        }
+        m_gone = nullptr;
+        m_drained = nullptr;
+    }
+    if (gone) {
+        gone();
+    }
+}
+
+// MHD does not watch a suspended connection, so a caller that left would hold its place in the queue until it was served.
+void MhdExchange::checkGone()
+{
+    std::function<void()> gone;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        char byte = 0;
+        if (!m_isSuspended || m_isGone || recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0) {
+            return;
+        }
+        m_isGone = true;
+        gone = std::move(m_gone);
+        m_hasAnswer = true;
+        m_isAborted = true;
+        m_isFinished = true;
+        resumeLocked();
+    }
+    if (gone) {
+        gone();
+    }
+}
+
+ssize_t MhdExchange::read(void *context, std::uint64_t, char *out, std::size_t max)
+{
+    return static_cast<MhdExchange *>(context)->readSome(out, max);
+}
+
+ssize_t MhdExchange::readSome(char *out, std::size_t max)
+{
+    std::function<void()> drained;
+    ssize_t result = 0;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const std::size_t count = std::min(max, m_buffer.size() - m_offset);
+        m_buffer.copy(out, count, m_offset);
+        m_offset += count;
+        result = static_cast<ssize_t>(count);
+        if (m_offset == m_buffer.size()) {
+            m_buffer.clear();
+            m_offset = 0;
+            if (m_isFull) {
+                m_isFull = false;
+                drained = m_drained;
+            }
+            if (count == 0) {
+                result = nothingToReadLocked();
+            }
+        }
+    }
+    if (drained) {
+        drained();
+    }
+    return result;
+}
+
+ssize_t MhdExchange::nothingToReadLocked()
+{
+    if (m_isAborted) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (m_isFinished) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    suspendLocked();
+    return 0;
+}
+
+void MhdExchange::suspendLocked()
+{
+    m_isSuspended = true;
+    MHD_suspend_connection(m_connection);
+}
+
+void MhdExchange::resumeLocked()
+{
+    if (m_isSuspended) {
+        m_isSuspended = false;
+        MHD_resume_connection(m_connection);
+    }
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/transport/mhdexchange.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "transport/httpserver.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <microhttpd.h>
+
+namespace ApricotStep
+{
+
+/**
+ * The exchange of one request of a libmicrohttpd connection. Internal to transport.
+ *
+ * m_mutex guards all state; MHD is called with it held only for suspend and resume, which do not call back.
+ */
+class MhdExchange final : public HttpExchange, public std::enable_shared_from_this<MhdExchange>
+{
+public:
+    explicit MhdExchange(MHD_Connection *connection);
+
+    // Only the connection's server thread touches these.
+    HttpRequest request;
+    bool isTooLarge = false;
+    bool isHandled = false;
+
+    void respond(int status, const HttpHeaders &headers, std::string body) override;
+    void beginStream(int status, const HttpHeaders &headers) override;
+    bool write(std::string_view data) override;
+    void finish() override;
+    void abort() override;
+    void onDrained(std::function<void()> callback) override;
+    void onCallerGone(std::function<void()> callback) override;
+
+    /** From the server's thread: queues the answer if there is one, else suspends the connection until there is. */
+    MHD_Result answerOrSuspend();
+    /** The request is over; @p isWhole tells whether the caller got everything. */
+    void close(bool isWhole);
+    /** Notices a caller that left while its connection is suspended; called now and then. */
+    void checkGone();
+
+private:
+    static ssize_t read(void *context, std::uint64_t position, char *out, std::size_t max);
+    ssize_t readSome(char *out, std::size_t max);
+    ssize_t nothingToReadLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void suspendLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void resumeLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    MHD_Connection *m_connection;
+    int m_socket = -1;
+    absl::Mutex m_mutex;
+    bool m_hasAnswer ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isWhole ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isFinished ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isAborted ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isClosed ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isSuspended ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isFull ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isGone ABSL_GUARDED_BY(m_mutex) = false;
+    int m_status ABSL_GUARDED_BY(m_mutex) = 0;
+    HttpHeaders m_headers ABSL_GUARDED_BY(m_mutex);
+    std::string m_buffer ABSL_GUARDED_BY(m_mutex);
+    std::size_t m_offset ABSL_GUARDED_BY(m_mutex) = 0;
+    std::function<void()> m_drained ABSL_GUARDED_BY(m_mutex);
+    std::function<void()> m_gone ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace ApricotStep
