Decide who may act as the owner of an engine, with fencing tokens and a lease

Two nodes can take themselves for the owner of one engine after a failure, in a partition or when a process wakes late, and one could evict an adapter that the other's request runs on.

A node that takes over reads the engine's highest token, claims a higher one, and acts only while a recent load report shows its own token as the highest. It evicts only after the time in which a former owner must have stopped, and dispatches only then where the engine does not check tokens. Where the engine tells no token it does not evict while any node is missing.

--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -711,6 +711,10 @@
             add(member.update);
         }
     }
+    next->isNodeMissing = std::any_of(listed.begin(), listed.end(), [&](const VmRecord &vm) {
+        const Member *member = table.find(NodeId(vm.id));
+        return canBeMet(vm) && !vm.leaving && (member == nullptr || member->update.state == MemberState::Dead);
+    });
     // A VM that the list names without a membership address cannot be probed: it is taken at the list's word.
     for (const VmRecord &vm : listed) {
         if (vm.membershipAddress.empty() && !vm.leaving && NodeId(vm.id) != self.id && table.find(NodeId(vm.id)) == nullptr) {
--- a/main/settingtable.cpp
+++ b/main/settingtable.cpp
@@ -71,6 +71,14 @@
         milliseconds("membership", "suspicion_max_ms", 100, 600'000, "4000", "A member that one node suspects has this long to refute."),
         milliseconds("membership", "pause_gap_ms", 200, 60'000, "2000",
             "A process that stood still for this long refreshes its view before it takes decisions that rest on it."),
+        milliseconds("ownership", "poll_interval_ms", 100, 600'000, "1000", "Between two load reports of an engine that this node owns."),
+        milliseconds("ownership", "report_lag_ms", 0, 600'000, "1000", "How old the content of an engine's load report may be at most."),
+        milliseconds("ownership", "lease_ms", 500, 3'600'000, "4000",
+            "A load report that shows this node's fencing token as the highest lets it act for this long; at least lag + 2 polls is "
+            "taken."),
+        milliseconds("ownership", "dispatch_delay_ms", 0, 600'000, "5000",
+            "An engine closes a connection on which no request arrives for this long; bounds how late a paused node's request can arrive."),
+        milliseconds("ownership", "clock_margin_ms", 0, 60'000, "1000", "How far the clocks of two nodes run apart over a takeover."),
         milliseconds("deadlines", "urgent_ms", 10, DayMs, "10000", "Time to the first token of urgent requests, unless the caller says."),
         milliseconds(
             "deadlines", "standard_ms", 10, DayMs, "60000", "Time to the first token of standard requests, unless the caller says."),
--- /dev/null
+++ b/main/upstreamguard.cpp
@@ -0,0 +1,223 @@
+#include "main/upstreamguard.h"
+
+#include "coordination/ownership.h"
+#include "coordination/rendezvous.h"
+#include "core/result.h"
+#include "main/log.h"
+#include "protocol/engineapi.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <algorithm>
+#include <atomic>
+#include <random>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr int OkStatus = 200;
+constexpr std::size_t MaxReportBytes = 1U << 20U;
+// A report or a claim that takes longer is of no use: the lease that it could renew is over.
+constexpr Duration CallTimeout = Duration::seconds(2);
+
+OwnershipLimits limitsOf(const Settings &settings, const UpstreamSpec &spec)
+{
+    OwnershipLimits limits;
+    limits.pollInterval = settings.duration("ownership.poll_interval_ms");
+    limits.lease =
+        std::max(settings.duration("ownership.lease_ms"), settings.duration("ownership.report_lag_ms") + limits.pollInterval * 2);
+    limits.dispatchDelay = settings.duration("ownership.dispatch_delay_ms");
+    limits.clockMargin = settings.duration("ownership.clock_margin_ms");
+    limits.checksFencing = spec.checksFencing;
+    return limits;
+}
+
+} // namespace
+
+struct UpstreamGuard::Private : std::enable_shared_from_this<Private>
+{
+    Private(const UpstreamSpec &upstream, const Settings &allSettings, HttpClient &httpClient, const Clock &aClock,
+        const OwnershipSource &ownershipSource, Listener schedulerListener)
+        : spec(upstream)
+        , settings(allSettings)
+        , client(httpClient)
+        , clock(aClock)
+        , source(ownershipSource)
+        , listener(std::move(schedulerListener))
+        , log(partLog("ownership"))
+        , ownership(limitsOf(allSettings, upstream), std::random_device()())
+    {
+    }
+
+    const UpstreamSpec spec;
+    const Settings &settings;
+    HttpClient &client;
+    const Clock &clock;
+    const OwnershipSource source;
+    const Listener listener;
+    Logger log;
+    std::atomic<bool> isOwner { false };
+    std::atomic<bool> isSilent { false };
+    mutable absl::Mutex mutex;
+    UpstreamOwnership ownership ABSL_GUARDED_BY(mutex);
+
+    void handle(const OwnershipEvent &event);
+    void carryOut(const AskReport &action);
+    void carryOut(const Claim &action);
+    void carryOut(const RuleChanged &action);
+    void tick();
+    void takeReport(Time askedAt, const CallResult &result, const std::string &body);
+    HttpCall call(std::string_view path) const;
+};
+
+void UpstreamGuard::Private::handle(const OwnershipEvent &event)
+{
+    std::vector<OwnershipAction> actions;
+    {
+        const absl::MutexLock lock(&mutex);
+        actions = ownership.handle(event, clock.now());
+    }
+    for (const OwnershipAction &action : actions) {
+        std::visit([this](const auto &what) { carryOut(what); }, action);
+    }
+}
+
+void UpstreamGuard::Private::tick()
+{
+    const auto view = source.fleet.get();
+    if (view == nullptr) {
+        return;
+    }
+    const NodeView *owner = ownerOf(spec.id, spec.zone, view->nodes);
+    const bool isMine = owner != nullptr && owner->id == source.self;
+    if (isMine != isOwner.exchange(isMine)) {
+        log->info("{} {}.", isMine ? "Taking over" : "Gave up", spec.id.value());
+    }
+    handle(OwnerView { isMine, source.isFresh(), view->isNodeMissing, source.number() });
+}
+
+HttpCall UpstreamGuard::Private::call(std::string_view path) const
+{
+    HttpCall call;
+    call.url = "http://" + spec.address + std::string(path);
+    call.connectTimeout = std::min(settings.duration("upstreams.connect_timeout_ms"), CallTimeout);
+    call.totalTimeout = CallTimeout;
+    return call;
+}
+
+void UpstreamGuard::Private::carryOut(const AskReport &)
+{
+    const Time askedAt = clock.now();
+    auto body = std::make_shared<std::string>();
+    HttpCall report = call(EngineReportPath);
+    report.onData = [body](std::string_view data) {
+        if (body->size() + data.size() <= MaxReportBytes) {
+            body->append(data);
+        }
+        return true;
+    };
+    report.onDone = [self = shared_from_this(), body, askedAt](const CallResult &result) { self->takeReport(askedAt, result, *body); };
+    client.start(std::move(report));
+}
+
+void UpstreamGuard::Private::takeReport(Time askedAt, const CallResult &result, const std::string &body)
+{
+    const bool isAnswered = result.state == AttemptState::Answered && result.status == OkStatus;
+    auto report = isAnswered ? parseEngineLoadReport(body) : Result<EngineLoadReport>(Error { ErrorKind::UpstreamUnreachable, {} });
+    if (!report.isOk()) {
+        if (!isSilent.exchange(true)) {
+            log->warn("{} gives no load report. status={} {}", spec.id.value(), result.status, report.error().detail);
+        }
+        handle(ReportFailed {});
+        return;
+    }
+    isSilent = false;
+    const EngineLoadReport &content = report.value();
+    const Time takenAt = askedAt - settings.duration("ownership.report_lag_ms");
+    handle(OwnershipReport { takenAt, content.fencingToken, content.loaded, content.inUse });
+    listener(LoadReport { takenAt, content.loaded, content.inUse, content.running, content.waiting });
+}
+
+void UpstreamGuard::Private::carryOut(const Claim &action)
+{
+    HttpCall claim = call(EngineUnloadPath);
+    claim.method = "POST";
+    claim.headers = { { "Content-Type", "application/json" }, { std::string(FencingHeader), std::to_string(action.token.value()) } };
+    claim.body = engineClaimBody();
+    auto body = std::make_shared<std::string>();
+    claim.onData = [body](std::string_view data) {
+        if (body->size() + data.size() <= MaxReportBytes) {
+            body->append(data);
+        }
+        return true;
+    };
+    claim.onDone = [self = shared_from_this(), body, token = action.token](const CallResult &result) {
+        if (result.state != AttemptState::Answered) {
+            self->handle(ClaimFailed {});
+        } else if (isFencedAnswer(result.status, *body)) {
+            self->handle(OrderFenced {});
+        } else {
+            // An engine may well answer that it does not hold such an adapter; it has seen the token all the same.
+            self->log->info("Claimed {} with fencing token {}.", self->spec.id.value(), token.value());
+            self->handle(ClaimAccepted { token });
+        }
+    };
+    client.start(std::move(claim));
+}
+
+void UpstreamGuard::Private::carryOut(const RuleChanged &action)
+{
+    listener(action.rule);
+}
+
+UpstreamGuard::UpstreamGuard(const UpstreamSpec &spec, const Settings &settings, HttpClient &client, const Clock &clock,
+    const OwnershipSource &source, Listener listener)
+    : d(std::make_shared<Private>(spec, settings, client, clock, source, std::move(listener)))
+{
+}
+
+UpstreamGuard::~UpstreamGuard() = default;
+
+void UpstreamGuard::tick()
+{
+    d->tick();
+}
+
+bool UpstreamGuard::isOwner() const
+{
+    return d->isOwner;
+}
+
+bool UpstreamGuard::isSilent() const
+{
+    return d->isSilent;
+}
+
+bool UpstreamGuard::mayDispatch() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    return d->ownership.mayDispatch(d->clock.now());
+}
+
+std::optional<FencingToken> UpstreamGuard::loadToken() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    return d->ownership.loadToken(d->clock.now());
+}
+
+std::optional<FencingToken> UpstreamGuard::evictToken(const AdapterKey &adapter) const
+{
+    const absl::MutexLock lock(&d->mutex);
+    return d->ownership.evictToken(adapter, d->clock.now());
+}
+
+void UpstreamGuard::orderFenced()
+{
+    d->handle(OrderFenced {});
+}
+
+} // namespace ApricotStep
--- a/protocol/engineapi.cpp
+++ b/protocol/engineapi.cpp
@@ -5,6 +5,26 @@
 namespace ApricotStep
 {
 
+namespace
+{
+
+using Json = nlohmann::json;
+
+// Adapter names always have an '@', so this one cannot be meant for an adapter.
+constexpr std::string_view ClaimName = "apricotstep-claim";
+constexpr int ConflictStatus = 409;
+constexpr std::string_view FencedWord = "fenced";
+
+void addAdapter(std::vector<AdapterKey> &adapters, const std::string &name)
+{
+    const std::size_t at = name.rfind('@');
+    if (at != std::string::npos) {
+        adapters.push_back({ AdapterId(name.substr(0, at)), AdapterVersion(name.substr(at + 1)) });
+    }
+}
+
+} // namespace
+
 std::string engineLoadBody(const AdapterKey &adapter)
 {
     return nlohmann::json({ { "lora_name", adapter.name() }, { "lora_path", "store:" + adapter.name() } }).dump();
@@ -15,4 +35,36 @@
     return nlohmann::json({ { "lora_name", adapter.name() } }).dump();
 }
 
+std::string engineClaimBody()
+{
+    return nlohmann::json({ { "lora_name", ClaimName } }).dump();
+}
+
+Result<EngineLoadReport> parseEngineLoadReport(std::string_view text)
+{
+    try {
+        const Json json = Json::parse(text);
+        EngineLoadReport report;
+        for (const Json &name : json.at("loaded")) {
+            addAdapter(report.loaded, name.get<std::string>());
+        }
+        for (const auto &[name, count] : json.at("running").items()) {
+            addAdapter(report.inUse, name);
+            report.running += count.get<int>();
+        }
+        report.waiting = json.value("waiting", 0);
+        if (json.contains("fencing_token")) {
+            report.fencingToken = FencingToken(json.at("fencing_token").get<std::uint64_t>());
+        }
+        return report;
+    } catch (const Json::exception &exception) {
+        return Error { ErrorKind::UpstreamFailed, std::string("load report: ") + exception.what() };
+    }
+}
+
+bool isFencedAnswer(int status, std::string_view body)
+{
+    return status == ConflictStatus && body.find(FencedWord) != std::string_view::npos;
+}
+
 } // namespace ApricotStep
--- a/state/fleetview.h
+++ b/state/fleetview.h
@@ -33,6 +33,8 @@
     /** Those that live and are leaving: they own nothing and get no new work, but still answer for their own keys. */
     std::vector<NodeView> leavingNodes;
     absl::flat_hash_set<UpstreamId> leaving;
+    /** The VM list names a node that does not live here: it may be dead, or on the other side of a partition. */
+    bool isNodeMissing = false;
 
     bool operator==(const FleetView &) const = default;
 
