--- a/protocol/engineapi.cpp
+++ b/protocol/engineapi.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
+
 namespace ApricotStep
 {
 
@@ -45,12 +47,12 @@
     try {
         const Json json = Json::parse(text);
         EngineLoadReport report;
-        for (const Json &name : json.at("loaded")) {
-            addAdapter(report.loaded, name.get<std::string>());
+        for (const auto &name : json.at("loaded").get<std::vector<std::string>>()) {
+            addAdapter(report.loaded, name);
         }
-        for (const auto &[name, count] : json.at("running").items()) {
+        for (const auto &[name, count] : json.at("running").get<std::map<std::string, int>>()) {
             addAdapter(report.inUse, name);
-            report.running += count.get<int>();
+            report.running += count;
         }
         report.waiting = json.value("waiting", 0);
         if (json.contains("fencing_token")) {
