Decide how far a hot adapter spreads and which replica to use

Cause: each adapter had one home, so a popular one queued there while other engines idled, and nothing said how it should spread.

Nothing calls them yet.

--- /dev/null
+++ b/coordination/replicachoice.cpp
@@ -0,0 +1,68 @@
+#include "coordination/replicachoice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr double FarZoneCost = 0.5;
+constexpr double PrefixGain = 2;
+
+double chance(std::mt19937_64 &random)
+{
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+double bias(const ReplicaView &view)
+{
+    return (view.isNear ? 0 : FarZoneCost) - (view.hasPrefix ? PrefixGain : 0);
+}
+
+// How much worse @p a is than @p b. Depths count only when both are known: taken as empty, an unknown one would draw everything.
+double difference(const ReplicaView &a, const ReplicaView &b)
+{
+    const int depths = a.depth && b.depth ? *a.depth - *b.depth : 0;
+    return depths + bias(a) - bias(b);
+}
+
+std::size_t wholeWidth(double width, std::mt19937_64 &random)
+{
+    const double whole = std::floor(width);
+    return static_cast<std::size_t>(whole) + (chance(random) < width - whole ? 1 : 0);
+}
+
+} // namespace
+
+std::optional<std::size_t> chooseReplica(std::span<const ReplicaView> candidates, double width, std::mt19937_64 &random)
+{
+    const std::size_t wanted = std::max<std::size_t>(wholeWidth(width, random), 1);
+    std::vector<std::size_t> open;
+    std::optional<std::size_t> skipped;
+    for (std::size_t i = 0; i < candidates.size() && open.size() < wanted; ++i) {
+        const ReplicaView &view = candidates[i];
+        if (view.isTried || view.share <= 0) {
+            continue;
+        }
+        if (view.share < 1 && chance(random) >= view.share) {
+            skipped = skipped.value_or(i);
+            continue;
+        }
+        open.push_back(i);
+    }
+    if (open.empty()) {
+        return skipped;
+    }
+    const std::size_t first = std::uniform_int_distribution<std::size_t>(0, open.size() - 1)(random);
+    if (open.size() == 1) {
+        return open[first];
+    }
+    const std::size_t other = (first + std::uniform_int_distribution<std::size_t>(1, open.size() - 1)(random)) % open.size();
+    return difference(candidates[open[first]], candidates[open[other]]) <= 0 ? open[first] : open[other];
+}
+
+} // namespace ApricotStep
