--- a/coordination/placement.cpp
+++ b/coordination/placement.cpp
@@ -1,36 +1,161 @@
 #include "coordination/placement.h"
 
 #include "coordination/rendezvous.h"
+#include "core/hash.h"
+
+#include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
+#include <array>
+#include <map>
 
 namespace ApricotStep
 {
 
-std::vector<Candidate> placementFor(const AdapterKey &adapter, const Catalog &catalog, const FleetView &fleet)
+namespace
+{
+
+// Engines of the same weight, so that their hashes alone order them. The hashes stand apart: the search reads nothing else.
+struct Group
 {
-    struct Scored
+    std::vector<std::uint64_t> hashes;
+    std::vector<Candidate> members;
+};
+
+// The greatest values seen so far, greatest first.
+class Best
+{
+public:
+    void offer(std::uint64_t value, std::size_t position)
     {
-        double score;
-        const UpstreamSpec *upstream;
+        if (value <= m_least) {
+            return;
+        }
+        std::size_t at = m_count < m_entries.size() ? m_count++ : m_count - 1;
+        for (; at > 0 && m_entries[at - 1].value < value; --at) {
+            m_entries[at] = m_entries[at - 1];
+        }
+        m_entries[at] = { value, position };
+        m_least = m_count == m_entries.size() ? m_entries.back().value : 0;
+    }
+
+    struct Entry
+    {
+        std::uint64_t value = 0;
+        std::size_t position = 0;
     };
-    const std::string name = adapter.name();
+    const Entry *begin() const
+    {
+        return m_entries.data();
+    }
+    const Entry *end() const
+    {
+        return m_entries.data() + m_count;
+    }
+
+private:
+    std::array<Entry, Placement::MaxCandidates> m_entries;
+    std::size_t m_count = 0;
+    std::uint64_t m_least = 0;
+};
+
+struct Scored
+{
+    double score = 0;
+    const Candidate *candidate = nullptr;
+};
+
+bool isBefore(const Scored &a, const Scored &b)
+{
+    return a.score != b.score ? a.score > b.score : a.candidate->upstream->id < b.candidate->upstream->id;
+}
+
+} // namespace
+
+struct Placement::Private
+{
+    std::shared_ptr<const Catalog> catalog;
+    std::shared_ptr<const FleetView> fleet;
+    absl::flat_hash_map<ZoneId, std::vector<NodeView>> nodesByZone;
+    // By slots. Within a group by id.
+    std::map<int, Group> groups;
+
+    const NodeView *owner(const UpstreamSpec &upstream) const
+    {
+        const auto near = nodesByZone.find(upstream.zone);
+        return ownerOf(upstream.id, upstream.zone, near == nodesByZone.end() ? fleet->nodes : near->second);
+    }
+};
+
+Placement::Placement(std::shared_ptr<const Catalog> catalog, std::shared_ptr<const FleetView> fleet)
+    : d(std::make_unique<Private>())
+{
+    d->catalog = std::move(catalog);
+    d->fleet = std::move(fleet);
+    for (const NodeView &node : d->fleet->nodes) {
+        d->nodesByZone[node.zone].push_back(node);
+    }
+    for (const UpstreamSpec &upstream : d->catalog->upstreams()) {
+        if (upstream.kind != UpstreamKind::Engine || d->fleet->leaving.contains(upstream.id)) {
+            continue;
+        }
+        const NodeView *owner = d->owner(upstream);
+        if (owner != nullptr) {
+            d->groups[upstream.slots].members.push_back({ &upstream, owner });
+        }
+    }
+    // Equal hash values are broken by position, so positions must not depend on the order in which the catalog was written.
+    for (auto &[slots, group] : d->groups) {
+        std::sort(group.members.begin(), group.members.end(),
+            [](const Candidate &a, const Candidate &b) { return a.upstream->id < b.upstream->id; });
+        group.hashes.reserve(group.members.size());
+        for (const Candidate &member : group.members) {
+            group.hashes.push_back(stableHash(member.upstream->id.value()));
+        }
+    }
+}
+
+Placement::~Placement() = default;
+
+std::vector<Candidate> Placement::candidates(const AdapterKey &adapter) const
+{
+    const std::uint64_t adapterHash = stableHash(adapter.name());
     std::vector<Scored> scored;
-    for (const UpstreamSpec &upstream : catalog.upstreams()) {
-        if (upstream.kind == UpstreamKind::Engine && !fleet.leaving.contains(upstream.id)) {
-            scored.push_back({ rendezvousScore(name, upstream.id.value(), upstream.slots), &upstream });
+    scored.reserve(MaxCandidates * d->groups.size());
+    for (const auto &[slots, group] : d->groups) {
+        Best best;
+        for (std::size_t i = 0; i < group.hashes.size(); ++i) {
+            best.offer(mixHashes(adapterHash, group.hashes[i]), i);
+        }
+        for (const Best::Entry &entry : best) {
+            scored.push_back({ rendezvousScore(entry.value, slots), &group.members[entry.position] });
         }
     }
-    std::sort(scored.begin(), scored.end(),
-        [](const Scored &a, const Scored &b) { return a.score != b.score ? a.score > b.score : a.upstream->id < b.upstream->id; });
+    std::sort(scored.begin(), scored.end(), isBefore);
     std::vector<Candidate> candidates;
-    for (const Scored &entry : scored) {
-        const NodeView *owner = ownerOf(entry.upstream->id, entry.upstream->zone, fleet.nodes);
-        if (owner != nullptr) {
-            candidates.push_back({ entry.upstream, owner });
-        }
+    candidates.reserve(MaxCandidates);
+    for (std::size_t i = 0; i < std::min(scored.size(), MaxCandidates); ++i) {
+        candidates.push_back(*scored[i].candidate);
     }
     return candidates;
 }
 
+std::vector<const UpstreamSpec *> Placement::ownedBy(const NodeId &node) const
+{
+    std::vector<const UpstreamSpec *> owned;
+    for (const auto &[slots, group] : d->groups) {
+        for (const Candidate &member : group.members) {
+            if (member.owner->id == node) {
+                owned.push_back(member.upstream);
+            }
+        }
+    }
+    return owned;
+}
+
+bool Placement::isOf(const std::shared_ptr<const Catalog> &catalog, const std::shared_ptr<const FleetView> &fleet) const
+{
+    return d->catalog == catalog && d->fleet == fleet;
+}
+
 } // namespace ApricotStep
--- a/coordination/rendezvous.cpp
+++ b/coordination/rendezvous.cpp
@@ -29,14 +29,19 @@
 
 } // namespace
 
-double rendezvousScore(std::string_view key, std::string_view member, double weight)
+double rendezvousScore(std::uint64_t hash, double weight)
 {
     // The logarithmic form keeps shares proportional to weights and moves only what a changed weight must move.
     constexpr double Steps = 9007199254740992.0; // 2^53
-    const double unit = (static_cast<double>(stableHash(key, member) >> 11) + 0.5) / Steps;
+    const double unit = (static_cast<double>(hash >> 11) + 0.5) / Steps;
     return -weight / std::log(unit);
 }
 
+double rendezvousScore(std::string_view key, std::string_view member, double weight)
+{
+    return rendezvousScore(stableHash(key, member), weight);
+}
+
 const NodeView *ownerOf(const UpstreamId &upstream, const ZoneId &zone, const std::vector<NodeView> &nodes)
 {
     const NodeView *near = best(upstream, &zone, nodes);
--- a/coordination/rendezvous.h
+++ b/coordination/rendezvous.h
@@ -3,12 +3,16 @@
 #include "core/strongid.h"
 #include "state/fleetview.h"
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
 namespace ApricotStep
 {
 
+/** The score of a pair whose hash is @p hash, for a member of @p weight above 0. Greater wins; at equal weights the greater hash. */
+double rendezvousScore(std::uint64_t hash, double weight);
+
 /** Weight of (@p key, @p member) in rendezvous hashing; equal on all nodes. Greater wins. */
 double rendezvousScore(std::string_view key, std::string_view member, double weight);
 
--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -1,6 +1,6 @@
 #include "main/callerfrontend.h"
 
-#include "coordination/placement.h"
+#include "main/engineplacer.h"
 #include "main/log.h"
 #include "protocol/callerapi.h"
 
@@ -33,15 +33,17 @@
 
 } // namespace
 
-struct CallerFrontend::Private
+struct CallerFrontend::Private final : CompletionRouter
 {
     explicit Private(const FrontendParts &allParts)
         : parts(allParts)
+        , placer(allParts.self, allParts.zone, allParts.clock, allParts.health, allParts.incarnation.value())
         , log(partLog("caller"))
     {
     }
 
     FrontendParts parts;
+    EnginePlacer placer;
     Logger log;
     std::atomic<std::uint64_t> counter { 1 };
     std::atomic<std::int64_t> lingerUntilMs { Time::never().milliseconds() };
@@ -52,11 +54,14 @@
     std::string requestId(RequestId id) const;
     void refuse(HttpExchange &exchange, const Error &error, const std::string &id, const std::string &address = {});
     std::shared_ptr<EngineRunner> engine(const UpstreamSpec &spec);
-    std::vector<Candidate> candidates(const AdapterKey &adapter, const Catalog &catalog, const FleetView &fleet) const;
+    int depthOf(const UpstreamId &id) const;
+    std::optional<Candidate> choose(const PlaceRequest &request, const Placement &placement);
+    bool hasOther(const CompletionJob &job) override;
+    void routeToOther(CompletionJob job) override;
     Result<WorkItem> workItem(const HttpRequest &request, const CompletionRequest &completion, RequestId id) const;
     void completion(
-        const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange, const Catalog &catalog, const FleetView &fleet);
-    void address(const HttpRequest &request, HttpExchange &exchange, const Catalog &catalog, const FleetView &fleet);
+        const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange, const Catalog &catalog, const Placement &placement);
+    void address(const HttpRequest &request, HttpExchange &exchange, const Catalog &catalog, const Placement &placement);
     void service(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange, const std::shared_ptr<const Catalog> &catalog,
         const std::shared_ptr<const FleetView> &fleet);
 };
@@ -84,15 +89,43 @@
     const absl::MutexLock lock(&mutex);
     auto &runner = engines[spec.id];
     if (runner == nullptr) {
-        runner = std::make_shared<EngineRunner>(spec, parts.settings, parts.client, parts.clock, parts.metrics);
+        runner = std::make_shared<EngineRunner>(
+            spec, EngineParts { parts.settings, parts.client, parts.clock, parts.metrics, parts.health, *this });
     }
     return runner;
 }
 
-// A node that drains is still an owner in its own eyes until the others see it leave, but it names only others to callers.
-std::vector<Candidate> CallerFrontend::Private::candidates(const AdapterKey &adapter, const Catalog &catalog, const FleetView &fleet) const
+int CallerFrontend::Private::depthOf(const UpstreamId &id) const
 {
-    return placementFor(adapter, catalog, fleet);
+    std::shared_ptr<EngineRunner> runner;
+    {
+        const absl::MutexLock lock(&mutex);
+        const auto at = engines.find(id);
+        runner = at == engines.end() ? nullptr : at->second;
+    }
+    return runner == nullptr ? 0 : runner->depth();
+}
+
+std::optional<Candidate> CallerFrontend::Private::choose(const PlaceRequest &request, const Placement &placement)
+{
+    return placer.choose(request, placement, [this](const UpstreamId &id) { return depthOf(id); });
+}
+
+bool CallerFrontend::Private::hasOther(const CompletionJob &job)
+{
+    const auto placement = placer.placement(parts.catalog.get(), parts.fleet.get());
+    return choose({ job.work.adapter, job.tried }, *placement).has_value();
+}
+
+void CallerFrontend::Private::routeToOther(CompletionJob job)
+{
+    const auto placement = placer.placement(parts.catalog.get(), parts.fleet.get());
+    const auto place = choose({ job.work.adapter, job.tried }, *placement);
+    if (!place) {
+        refuse(*job.exchange, { ErrorKind::NoUpstream, {} }, job.requestId);
+        return;
+    }
+    engine(*place->upstream)->submit(std::move(job));
 }
 
 Result<WorkItem> CallerFrontend::Private::workItem(const HttpRequest &request, const CompletionRequest &completion, RequestId id) const
@@ -125,7 +158,7 @@
 }
 
 void CallerFrontend::Private::completion(
-    const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange, const Catalog &catalog, const FleetView &fleet)
+    const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange, const Catalog &catalog, const Placement &placement)
 {
     const RequestId id(counter.fetch_add(1));
     const std::string idText = requestId(id);
@@ -145,13 +178,13 @@
         return;
     }
     work.value().adapter = adapter.value();
-    const auto places = candidates(adapter.value(), catalog, fleet);
-    if (places.empty()) {
+    const auto place = choose({ adapter.value(), {} }, placement);
+    if (!place) {
         refuse(*exchange, { ErrorKind::NoUpstream, {} }, idText);
         return;
     }
-    if (places.front().owner->id != parts.self) {
-        refuse(*exchange, { ErrorKind::WrongNode, {} }, idText, places.front().owner->callerAddress);
+    if (place->owner->id != parts.self) {
+        refuse(*exchange, { ErrorKind::WrongNode, {} }, idText, place->owner->callerAddress);
         return;
     }
     CompletionJob job;
@@ -163,10 +196,12 @@
         { "X-Request-Id", idText } };
     job.requestId = idText;
     job.exchange = exchange;
-    engine(*places.front().upstream)->submit(std::move(job));
+    job.inProgress = placer.begin(adapter.value());
+    engine(*place->upstream)->submit(std::move(job));
 }
 
-void CallerFrontend::Private::address(const HttpRequest &request, HttpExchange &exchange, const Catalog &catalog, const FleetView &fleet)
+void CallerFrontend::Private::address(
+    const HttpRequest &request, HttpExchange &exchange, const Catalog &catalog, const Placement &placement)
 {
     const std::string id = requestId(RequestId(counter.fetch_add(1)));
     const auto adapter = catalog.resolve(request.parameter("model"));
@@ -178,7 +213,7 @@
     answer.adapter = adapter.value();
     answer.version = catalog.version();
     answer.keepFor = parts.settings.duration("callers.address_keep_ms");
-    for (const Candidate &candidate : candidates(adapter.value(), catalog, fleet)) {
+    for (const Candidate &candidate : placement.candidates(adapter.value())) {
         const NodeView &owner = *candidate.owner;
         const bool isListed =
             std::any_of(answer.choices.begin(), answer.choices.end(), [&](const auto &choice) { return choice.node == owner.id; });
@@ -235,9 +270,9 @@
             d->refuse(*exchange, { ErrorKind::MethodNotAllowed, "use POST" }, {});
             return;
         }
-        d->completion(request, exchange, *catalog, *fleet);
+        d->completion(request, exchange, *catalog, *d->placer.placement(catalog, fleet));
     } else if (path == "/v1/address") {
-        d->address(request, *exchange, *catalog, *fleet);
+        d->address(request, *exchange, *catalog, *d->placer.placement(catalog, fleet));
     } else if (path == "/v1/keys" && request.method == "POST") {
         respondJson(*exchange, keyBody(d->parts.services.mintKey(), d->parts.settings.duration("keys.lifetime_ms")));
     } else if (path == "/v1/models") {
--- a/main/callerfrontend.h
+++ b/main/callerfrontend.h
@@ -15,6 +15,7 @@
 {
     NodeId self;
     Incarnation incarnation;
+    ZoneId zone;
     const Settings &settings;
     const Clock &clock;
     HttpClient &client;
@@ -22,6 +23,7 @@
     Published<Catalog> &catalog;
     Published<FleetView> &fleet;
     ServiceRunner &services;
+    UpstreamHealth &health;
 };
 
 /** The caller interface: reads requests, resolves selectors and hands the work on. Thread-safe. */
--- /dev/null
+++ b/main/engineplacer.cpp
@@ -0,0 +1,113 @@
+#include "main/engineplacer.h"
+
+#include "coordination/hotspread.h"
+#include "coordination/replicachoice.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <algorithm>
+
+namespace ApricotStep
+{
+
+struct EnginePlacer::Private
+{
+    Private(NodeId aSelf, ZoneId aZone, const Clock &aClock, UpstreamHealth &aHealth, std::uint64_t seed)
+        : self(std::move(aSelf))
+        , zone(std::move(aZone))
+        , clock(aClock)
+        , health(aHealth)
+        , random(seed)
+    {
+    }
+
+    const NodeId self;
+    const ZoneId zone;
+    const Clock &clock;
+    UpstreamHealth &health;
+    absl::Mutex placementMutex;
+    std::shared_ptr<const Placement> current ABSL_GUARDED_BY(placementMutex);
+    absl::Mutex heatMutex;
+    HotSpread spread ABSL_GUARDED_BY(heatMutex) { SpreadLimits {} };
+    std::mt19937_64 random ABSL_GUARDED_BY(heatMutex);
+
+    ReplicaView view(const Candidate &candidate, const PlaceRequest &request, const DepthOf &depthOf) const;
+};
+
+// An engine of another node counts as tried: its owner would send the request back here, to the home of the adapter.
+ReplicaView EnginePlacer::Private::view(const Candidate &candidate, const PlaceRequest &request, const DepthOf &depthOf) const
+{
+    const UpstreamId &id = candidate.upstream->id;
+    ReplicaView view;
+    view.isTried = candidate.owner->id != self || std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
+    if (!view.isTried) {
+        view.depth = depthOf(id);
+        view.share = health.share(id);
+        view.isNear = candidate.upstream->zone == zone;
+    }
+    return view;
+}
+
+EnginePlacer::EnginePlacer(NodeId self, ZoneId zone, const Clock &clock, UpstreamHealth &health, std::uint64_t seed)
+    : d(std::make_unique<Private>(std::move(self), std::move(zone), clock, health, seed))
+{
+}
+
+EnginePlacer::~EnginePlacer() = default;
+
+std::shared_ptr<const Placement> EnginePlacer::placement(
+    const std::shared_ptr<const Catalog> &catalog, const std::shared_ptr<const FleetView> &fleet)
+{
+    {
+        const absl::MutexLock lock(&d->placementMutex);
+        if (d->current != nullptr && d->current->isOf(catalog, fleet)) {
+            return d->current;
+        }
+    }
+    // Two threads may do this at once; both come to the same result.
+    auto made = std::make_shared<const Placement>(catalog, fleet);
+    std::vector<UpstreamId> upstreams;
+    for (const UpstreamSpec &upstream : catalog->upstreams()) {
+        upstreams.push_back(upstream.id);
+    }
+    d->health.setUpstreams(catalog->version(), upstreams);
+    const absl::MutexLock lock(&d->placementMutex);
+    d->current = made;
+    return made;
+}
+
+std::optional<Candidate> EnginePlacer::choose(const PlaceRequest &request, const Placement &placement, const DepthOf &depthOf)
+{
+    const std::vector<Candidate> candidates = placement.candidates(request.adapter);
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    const bool isHome = candidates.front().owner->id == d->self;
+    if (!isHome && !request.isForwarded && request.tried.empty()) {
+        return candidates.front();
+    }
+    std::vector<ReplicaView> views;
+    views.reserve(candidates.size());
+    for (const Candidate &candidate : candidates) {
+        views.push_back(d->view(candidate, request, depthOf));
+    }
+    const absl::MutexLock lock(&d->heatMutex);
+    const double width = d->spread.width(request.adapter, d->clock.now());
+    const auto chosen = chooseReplica(views, width, d->random);
+    return chosen ? std::optional(candidates[*chosen]) : std::nullopt;
+}
+
+std::shared_ptr<void> EnginePlacer::begin(const AdapterKey &adapter)
+{
+    {
+        const absl::MutexLock lock(&d->heatMutex);
+        d->spread.onArrival(adapter, d->clock.now());
+    }
+    return std::shared_ptr<void>(nullptr, [self = d.get(), adapter](void *) {
+        const absl::MutexLock lock(&self->heatMutex);
+        self->spread.onEnd(adapter, self->clock.now());
+    });
+}
+
+} // namespace ApricotStep
--- a/main/enginerunner.cpp
+++ b/main/enginerunner.cpp
@@ -1,8 +1,11 @@
 #include "main/enginerunner.h"
 
+#include "coordination/concurrencylimit.h"
 #include "core/hash.h"
 #include "core/result.h"
+#include "main/enginereply.h"
 #include "main/log.h"
+#include "main/pausedwork.h"
 #include "protocol/callerapi.h"
 #include "protocol/engineapi.h"
 
@@ -18,27 +21,25 @@
 namespace
 {
 
-constexpr std::size_t MaxWholeAnswerBytes = 64U << 20U;
-constexpr std::string_view StreamEnd = "data: [DONE]";
 constexpr int OkStatus = 200;
-// An engine says so, before it runs anything, of an adapter that it does not hold.
-constexpr int NotLoadedStatus = 404;
 
-// One job from its arrival to its end. The fields after `call` belong to the client's thread once the job is dispatched.
+// One attempt at this engine from its arrival in the queue to its end. `reply` belongs to the client's thread once it is dispatched.
 struct Job
 {
+    explicit Job(CompletionJob job)
+        : what(std::move(job))
+        , reply(what)
+    {
+    }
+
     CompletionJob what;
+    EngineReply reply;
     Time dispatchedAt;
+    /** How often the engine was known to have lost its adapters when this was dispatched. */
+    std::uint64_t losses = 0;
+    int inFlight = 0;
     std::atomic<CallId> call { 0 };
     std::atomic<bool> isGone { false };
-
-    int status = 0;
-    bool isBegun = false;
-    bool isForeign = false;
-    Time firstByteAt;
-    std::string body;
-    std::string tail;
-    std::string contentType = "application/json";
 };
 
 using JobPointer = std::shared_ptr<Job>;
@@ -77,27 +78,25 @@
 
 struct EngineRunner::Private : std::enable_shared_from_this<Private>
 {
-    Private(const UpstreamSpec &upstream, const Settings &allSettings, HttpClient &httpClient, const Clock &aClock, Metrics &allMetrics)
+    Private(const UpstreamSpec &upstream, const EngineParts &allParts)
         : spec(upstream)
-        , settings(allSettings)
-        , client(httpClient)
-        , clock(aClock)
-        , metrics(allMetrics)
+        , parts(allParts)
         , log(partLog("engine"))
-        , scheduler(schedulerLimits(upstream, allSettings))
+        , scheduler(schedulerLimits(upstream, allParts.settings))
+        , limit({ 1, upstream.batch })
     {
     }
 
     const UpstreamSpec spec;
-    const Settings &settings;
-    HttpClient &client;
-    const Clock &clock;
-    Metrics &metrics;
+    const EngineParts parts;
     Logger log;
 
     mutable absl::Mutex mutex;
     UpstreamScheduler scheduler ABSL_GUARDED_BY(mutex);
+    ConcurrencyLimit limit ABSL_GUARDED_BY(mutex);
     absl::flat_hash_map<RequestId, JobPointer> jobs ABSL_GUARDED_BY(mutex);
+    std::uint64_t losses ABSL_GUARDED_BY(mutex) = 0;
+    PausedWork paused;
 
     void handle(const SchedulerEvent &event);
     void carryOut(const AskPermit &action);
@@ -108,13 +107,17 @@
     void carryOut(const Refuse &action);
     void order(std::string_view path, std::string body, std::function<void(const OrderResult &)> done);
 
+    void submit(CompletionJob what);
     JobPointer job(RequestId id) const;
     JobPointer takeJob(RequestId id);
+    HttpCall callFor(const JobPointer &job);
     bool maySend(const JobPointer &job) const;
-    void onHead(const JobPointer &job, int status, const std::vector<std::pair<std::string, std::string>> &headers);
     bool onData(const JobPointer &job, std::string_view data);
     void onDone(const JobPointer &job, const CallResult &result);
-    void answerWhole(const JobPointer &job);
+    void noteOutcome(const Job &job, const ReplyEnd &end);
+    void noteLostAdapters(const Job &job);
+    void afterFailure(const JobPointer &job, const AttemptFailure &failure, const std::string &detail, Duration retryAfter);
+    void tryAgain(const JobPointer &job, const TryAgain &how, const std::string &detail);
     void fail(const JobPointer &job, ErrorKind kind, const std::string &detail, Duration retryAfter);
     void served(const JobPointer &job);
     void callerGone(RequestId id);
@@ -126,7 +129,7 @@
     std::vector<SchedulerAction> actions;
     {
         const absl::MutexLock lock(&mutex);
-        actions = scheduler.handle(event, clock.now());
+        actions = scheduler.handle(event, parts.clock.now());
     }
     for (const SchedulerAction &action : actions) {
         std::visit([this](const auto &what) { carryOut(what); }, action);
@@ -140,18 +143,18 @@
     call.url = "http://" + spec.address + std::string(path);
     call.headers = { { "Content-Type", "application/json" } };
     call.body = std::move(body);
-    call.connectTimeout = settings.duration("upstreams.connect_timeout_ms");
-    call.totalTimeout = settings.duration("upstreams.load_timeout_ms");
+    call.connectTimeout = parts.settings.duration("upstreams.connect_timeout_ms");
+    call.totalTimeout = parts.settings.duration("upstreams.load_timeout_ms");
     call.onDone = [done = std::move(done)](const CallResult &result) {
         // Once sent and unanswered, the order may have been carried out all the same.
         done({ result.state == AttemptState::Answered && result.status == OkStatus, result.state == AttemptState::Sent });
     };
-    client.start(std::move(call));
+    parts.client.start(std::move(call));
 }
 
 void EngineRunner::Private::carryOut(const AskPermit &action)
 {
-    handle(PermitGranted { action.adapter, clock.now() + Duration::seconds(5) });
+    handle(PermitGranted { action.adapter, parts.clock.now() + Duration::seconds(5) });
 }
 
 // Without permits of the fleet there is nobody to give one back to.
@@ -161,11 +164,11 @@
 
 void EngineRunner::Private::carryOut(const StartLoad &action)
 {
-    const Time startedAt = clock.now();
+    const Time startedAt = parts.clock.now();
     order(EngineLoadPath, engineLoadBody(action.adapter),
         [self = shared_from_this(), adapter = action.adapter, startedAt](const OrderResult &result) {
             const bool isLoaded = result.isDone;
-            self->metrics.adapterLoad(isLoaded, self->clock.now() - startedAt);
+            self->parts.metrics.adapterLoad(isLoaded, self->parts.clock.now() - startedAt);
             self->log->info("Load of {} on {} {}.", adapter.name(), self->spec.id.value(), isLoaded ? "done" : "failed");
             self->handle(LoadFinished { adapter, isLoaded, result.isUnknown });
         });
@@ -175,7 +178,7 @@
 {
     order(EngineUnloadPath, engineUnloadBody(action.adapter),
         [self = shared_from_this(), adapter = action.adapter](const OrderResult &result) {
-            self->metrics.eviction(result.isDone);
+            self->parts.metrics.eviction(result.isDone);
             self->handle(EvictFinished { adapter, result.isDone, result.isUnknown });
         });
 }
@@ -187,28 +190,40 @@
         handle(WorkFinished { action.id });
         return;
     }
-    job->dispatchedAt = clock.now();
+    job->dispatchedAt = parts.clock.now();
+    {
+        const absl::MutexLock lock(&mutex);
+        job->losses = losses;
+        job->inFlight = scheduler.runningCount();
+    }
+    job->call = parts.client.start(callFor(job));
+    job->what.exchange->onDrained([self = shared_from_this(), job] { self->parts.client.resume(job->call); });
+}
+
+HttpCall EngineRunner::Private::callFor(const JobPointer &job)
+{
+    const CompletionJob &what = job->what;
     HttpCall call;
     call.method = "POST";
-    call.url = "http://" + spec.address + job->what.path;
-    call.headers = { { "Content-Type", "application/json" }, { std::string(AttemptHeader), job->what.requestId },
-        { "X-Priority", std::string(PriorityWords[static_cast<std::size_t>(job->what.work.priority)]) } };
-    call.body = std::move(job->what.body);
-    call.connectTimeout = settings.duration("upstreams.connect_timeout_ms");
-    call.silenceTimeout = settings.duration("upstreams.silence_timeout_ms");
+    call.url = "http://" + spec.address + what.path;
+    call.headers = { { "Content-Type", "application/json" }, { std::string(AttemptHeader), what.attemptId() },
+        { "X-Priority", std::string(PriorityWords[static_cast<std::size_t>(what.work.priority)]) },
+        { "X-Deadline-Ms", std::to_string(timeLeft(what.work.deadline, parts.clock.now()).milliseconds()) } };
+    call.body = what.body;
+    call.connectTimeout = parts.settings.duration("upstreams.connect_timeout_ms");
+    call.silenceTimeout = parts.settings.duration("upstreams.silence_timeout_ms");
     call.maySend = [self = shared_from_this(), job] { return self->maySend(job); };
-    call.onHead = [self = shared_from_this(), job](int status, const auto &headers) { self->onHead(job, status, headers); };
+    call.onHead = [job](int status, const auto &headers) { job->reply.onHead(status, headers); };
     call.onData = [self = shared_from_this(), job](std::string_view data) { return self->onData(job, data); };
     call.onDone = [self = shared_from_this(), job](const CallResult &result) { self->onDone(job, result); };
-    job->call = client.start(std::move(call));
-    job->what.exchange->onDrained([self = shared_from_this(), job] { self->client.resume(job->call); });
+    return call;
 }
 
 void EngineRunner::Private::carryOut(const Refuse &action)
 {
     const JobPointer job = takeJob(action.id);
     if (job != nullptr) {
-        fail(job, action.kind, {}, action.retryAfter);
+        afterFailure(job, { AttemptPhase::Queued, action.kind, false }, {}, action.retryAfter);
     }
 }
 
@@ -233,101 +248,119 @@
 
 bool EngineRunner::Private::maySend(const JobPointer &job) const
 {
-    return !job->isGone && clock.now() < job->what.work.deadline;
+    return !job->isGone && parts.clock.now() < job->what.work.deadline;
 }
 
-void EngineRunner::Private::onHead(const JobPointer &job, int status, const std::vector<std::pair<std::string, std::string>> &headers)
+bool EngineRunner::Private::onData(const JobPointer &job, std::string_view data)
 {
-    job->status = status;
-    for (const auto &[name, value] : headers) {
-        if (name == "content-type") {
-            job->contentType = value;
-        }
-        // An answer that names another attempt belongs to another request: a caller would read someone else's answer.
-        if (name == "x-attempt-id" && value != job->what.requestId) {
-            job->isForeign = true;
-        }
-    }
-    if (status == OkStatus && job->what.isStream && !job->isForeign) {
-        job->isBegun = true;
-        HttpHeaders answer = job->what.headers;
-        answer.emplace_back("Content-Type", job->contentType);
-        answer.emplace_back("Cache-Control", "no-store");
-        job->what.exchange->beginStream(status, answer);
+    const bool goesOn = job->reply.onData(data, parts.clock.now());
+    if (job->reply.isTooLarge()) {
+        parts.client.cancel(job->call);
     }
+    return goesOn;
 }
 
-bool EngineRunner::Private::onData(const JobPointer &job, std::string_view data)
+void EngineRunner::Private::onDone(const JobPointer &job, const CallResult &result)
 {
-    if (job->firstByteAt == Time()) {
-        job->firstByteAt = clock.now();
+    const ReplyEnd end = job->reply.end(result);
+    takeJob(job->what.work.id);
+    noteOutcome(*job, end);
+    // Before WorkFinished, which could else dispatch more to an adapter that is not there.
+    if (end.failure.isAdapterMissing) {
+        noteLostAdapters(*job);
     }
-    if (job->isForeign) {
-        return true;
+    handle(WorkFinished { job->what.work.id });
+    if (end.isWhole) {
+        job->reply.deliver();
+        served(job);
+        return;
     }
-    if (!job->isBegun) {
-        if (job->body.size() + data.size() > MaxWholeAnswerBytes) {
-            client.cancel(job->call);
-            return true;
-        }
-        job->body.append(data);
-        return true;
+    if (job->reply.isForeign()) {
+        parts.metrics.lateAnswerDropped();
+    }
+    afterFailure(job, end.failure, end.detail, Duration());
+}
+
+// An abandoned call says nothing of the engine.
+void EngineRunner::Private::noteOutcome(const Job &job, const ReplyEnd &end)
+{
+    const bool isFault = !end.isWhole && isUpstreamsFault(end.failure.kind) && !job.isGone;
+    if (end.isWhole) {
+        parts.health.onSuccess(spec.id, EnginePool);
+    } else if (isFault) {
+        parts.health.onFailure(spec.id);
     }
-    job->tail.append(data);
-    if (job->tail.size() > StreamEnd.size() * 2) {
-        job->tail.erase(0, job->tail.size() - StreamEnd.size() * 2);
+    const Time now = parts.clock.now();
+    const absl::MutexLock lock(&mutex);
+    if (isFault) {
+        limit.onDropped(now);
+    } else if (end.isWhole && job.reply.hasCallerBytes()) {
+        // Only streams tell the time to the first token; a whole answer's time grows with its length.
+        limit.onSample(job.reply.firstByteAt() - job.dispatchedAt, job.inFlight, now);
     }
-    return job->what.exchange->write(data);
 }
 
-void EngineRunner::Private::onDone(const JobPointer &job, const CallResult &result)
+// A restart is noticed once for each request that ran into it. Told twice, the scheduler would forget what it has loaded since.
+void EngineRunner::Private::noteLostAdapters(const Job &job)
 {
-    const RequestId id = job->what.work.id;
-    takeJob(id);
-    handle(WorkFinished { id });
-    if (job->isForeign) {
-        metrics.lateAnswerDropped();
-        fail(job, ErrorKind::UpstreamFailed, "the answer belonged to another attempt", Duration());
-    } else if (result.state != AttemptState::Answered) {
-        fail(job, result.error, result.detail, Duration());
-    } else if (job->isBegun) {
-        // A stream that just ends looks whole to a caller; only the end event tells that it is.
-        if (job->tail.find(StreamEnd) == std::string::npos) {
-            fail(job, ErrorKind::StreamCut, "the upstream ended the stream without its end event", Duration());
+    {
+        const absl::MutexLock lock(&mutex);
+        if (job.losses != losses) {
             return;
         }
-        job->what.exchange->finish();
-        served(job);
-    } else {
-        answerWhole(job);
+        ++losses;
     }
+    log->warn("{} lost its adapters, as after a restart.", spec.id.value());
+    parts.health.onRestart(spec.id);
+    handle(UpstreamRestarted {});
 }
 
-void EngineRunner::Private::answerWhole(const JobPointer &job)
+void EngineRunner::Private::afterFailure(
+    const JobPointer &job, const AttemptFailure &failure, const std::string &detail, Duration retryAfter)
 {
-    if (job->status == NotLoadedStatus) {
-        // The engine lost the adapter, as after a restart. It refused before running, so this is truly not run.
-        handle(UpstreamRestarted {});
-        fail(job, ErrorKind::UpstreamRefused, "the engine does not hold the adapter", Duration(1000));
+    if (job->isGone) {
+        fail(job, ErrorKind::CallerGone, detail, Duration());
         return;
     }
-    if (job->status >= 500) {
-        fail(job, ErrorKind::UpstreamFailed, "the engine answered " + std::to_string(job->status), Duration());
-        return;
+    CompletionJob next = job->what;
+    ++next.attempts;
+    next.tried.push_back(spec.id);
+    RetryFacts facts;
+    facts.hasCallerBytes = job->reply.hasCallerBytes();
+    facts.attempts = next.attempts;
+    facts.deadline = next.work.deadline;
+    facts.hasOtherUpstream = parts.router.hasOther(next);
+    const RetryDecision decision = parts.health.decide(failure, facts, EnginePool);
+    std::visit(Overloaded {
+                   [&](const TryAgain &how) { tryAgain(job, how, detail); },
+                   [&](const GiveUp &end) { fail(job, end.kind, detail, retryAfter); },
+               },
+        decision);
+}
+
+void EngineRunner::Private::tryAgain(const JobPointer &job, const TryAgain &how, const std::string &detail)
+{
+    CompletionJob next = job->what;
+    ++next.attempts;
+    log->info("[{}] upstream={} attempt={} failed, trying again. detail='{}'", next.requestId, spec.id.value(), next.attempts, detail);
+    if (how.target == RetryTarget::OtherUpstream) {
+        next.tried.push_back(spec.id);
+        parts.router.routeToOther(std::move(next));
+    } else if (how.pause > Duration(0)) {
+        paused.add(parts.clock.now() + how.pause, [this, next = std::move(next)] { submit(next); });
+    } else {
+        submit(std::move(next));
     }
-    HttpHeaders headers = job->what.headers;
-    headers.emplace_back("Content-Type", job->contentType);
-    job->what.exchange->respond(job->status, headers, std::move(job->body));
-    served(job);
 }
 
 void EngineRunner::Private::served(const JobPointer &job)
 {
     const WorkItem &work = job->what.work;
-    const Time now = clock.now();
-    metrics.completionServed(work.priority, job->dispatchedAt - work.arrival, job->firstByteAt - work.arrival, now - work.arrival);
-    log->info("[{}] caller={} adapter={} upstream={} outcome=ok status={} ms={}", job->what.requestId, work.caller.value(),
-        work.adapter.name(), spec.id.value(), job->status == 0 ? OkStatus : job->status, (now - work.arrival).milliseconds());
+    const Time now = parts.clock.now();
+    const Time firstByteAt = job->reply.firstByteAt() == Time() ? now : job->reply.firstByteAt();
+    parts.metrics.completionServed(work.priority, job->dispatchedAt - work.arrival, firstByteAt - work.arrival, now - work.arrival);
+    log->info("[{}] caller={} adapter={} upstream={} outcome=ok status={} attempts={} ms={}", job->what.requestId, work.caller.value(),
+        work.adapter.name(), spec.id.value(), job->reply.status(), job->what.attempts + 1, (now - work.arrival).milliseconds());
 }
 
 void EngineRunner::Private::fail(const JobPointer &job, ErrorKind kind, const std::string &detail, Duration retryAfter)
@@ -337,12 +370,15 @@
     details.detail = detail;
     details.retryAfter = retryAfter;
     details.requestId = job->what.requestId;
-    metrics.completionFailed(work.priority, kind);
-    log->info("[{}] caller={} adapter={} upstream={} outcome={} detail='{}' ms={}", job->what.requestId, work.caller.value(),
-        work.adapter.name(), spec.id.value(), errorAnswer(kind).word, detail, (clock.now() - work.arrival).milliseconds());
-    if (job->isBegun) {
-        job->what.exchange->write(errorEvent(ErrorKind::StreamCut, details));
-        job->what.exchange->abort();
+    if (details.retryAfter == Duration(0) && errorAnswer(kind).retry == RetryAdvice::AfterDelay) {
+        details.retryAfter = Duration::seconds(1);
+    }
+    parts.metrics.completionFailed(work.priority, kind);
+    log->info("[{}] caller={} adapter={} upstream={} outcome={} detail='{}' attempts={} ms={}", job->what.requestId, work.caller.value(),
+        work.adapter.name(), spec.id.value(), errorAnswer(kind).word, detail, job->what.attempts + 1,
+        (parts.clock.now() - work.arrival).milliseconds());
+    if (job->reply.hasCallerBytes()) {
+        job->reply.breakOff(job->what.requestId, detail);
         return;
     }
     respondError(*job->what.exchange, kind, details);
@@ -356,7 +392,7 @@
     }
     job->isGone = true;
     if (job->call != 0) {
-        client.cancel(job->call); // Its onDone ends the job.
+        parts.client.cancel(job->call); // Its onDone ends the job.
         return;
     }
     takeJob(id);
@@ -364,32 +400,37 @@
     fail(job, ErrorKind::CallerGone, {}, Duration());
 }
 
-EngineRunner::EngineRunner(const UpstreamSpec &spec, const Settings &settings, HttpClient &client, const Clock &clock, Metrics &metrics)
-    : d(std::make_shared<Private>(spec, settings, client, clock, metrics))
+void EngineRunner::Private::submit(CompletionJob what)
 {
-}
-
-EngineRunner::~EngineRunner() = default;
-
-void EngineRunner::submit(CompletionJob what)
-{
-    const auto job = std::make_shared<Job>();
-    const WorkItem work = what.work;
-    job->what = std::move(what);
+    const auto job = std::make_shared<Job>(std::move(what));
+    const WorkItem &work = job->what.work;
     {
-        const absl::MutexLock lock(&d->mutex);
-        d->jobs.emplace(work.id, job);
+        const absl::MutexLock lock(&mutex);
+        jobs.insert_or_assign(work.id, job);
     }
-    job->what.exchange->onCallerGone([weak = std::weak_ptr<Private>(d), id = work.id] {
+    job->what.exchange->onCallerGone([weak = weak_from_this(), id = work.id] {
         if (const auto self = weak.lock()) {
             self->callerGone(id);
         }
     });
-    d->handle(WorkArrived { work });
+    handle(WorkArrived { work });
+}
+
+EngineRunner::EngineRunner(const UpstreamSpec &spec, const EngineParts &parts)
+    : d(std::make_shared<Private>(spec, parts))
+{
+}
+
+EngineRunner::~EngineRunner() = default;
+
+void EngineRunner::submit(CompletionJob job)
+{
+    d->submit(std::move(job));
 }
 
 void EngineRunner::tick()
 {
+    d->paused.run(d->parts.clock.now());
     d->handle(Tick {});
 }
 
@@ -399,4 +440,10 @@
     return { d->spec.id, d->scheduler.queuedCount(), d->scheduler.runningCount(), d->scheduler.residentAdapters() };
 }
 
+int EngineRunner::depth() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    return d->scheduler.queuedCount() + d->scheduler.runningCount();
+}
+
 } // namespace ApricotStep
--- a/main/enginerunner.h
+++ b/main/enginerunner.h
@@ -1,33 +1,18 @@
 #pragma once
 
 #include "coordination/upstreamscheduler.h"
+#include "main/completionjob.h"
 #include "main/metrics.h"
 #include "main/settings.h"
+#include "main/upstreamhealth.h"
 #include "state/catalog.h"
 #include "transport/httpclient.h"
-#include "transport/httpserver.h"
 
 #include <memory>
-#include <string>
 
 namespace ApricotStep
 {
 
-/** One completion on its way through this node. */
-struct CompletionJob
-{
-    WorkItem work;
-    /** /v1/chat/completions or /v1/completions. */
-    std::string path;
-    /** The body for the engine, with the resolved adapter as its model. */
-    std::string body;
-    bool isStream = false;
-    /** Headers of the answer that tell what the request resolved to. */
-    HttpHeaders headers;
-    std::string requestId;
-    std::shared_ptr<HttpExchange> exchange;
-};
-
 /** What /status shows of an engine. */
 struct EngineStatus
 {
@@ -37,12 +22,22 @@
     std::vector<AdapterKey> residents;
 };
 
+/** What the runners of engines share. All must outlive them and every call that they started. */
+struct EngineParts
+{
+    const Settings &settings;
+    HttpClient &client;
+    const Clock &clock;
+    Metrics &metrics;
+    UpstreamHealth &health;
+    CompletionRouter &router;
+};
+
 /** Carries out the decisions of the scheduler of one engine that this node owns. Thread-safe. */
 class EngineRunner
 {
 public:
-    /** The references must outlive the runner and every call that it started. */
-    EngineRunner(const UpstreamSpec &spec, const Settings &settings, HttpClient &client, const Clock &clock, Metrics &metrics);
+    EngineRunner(const UpstreamSpec &spec, const EngineParts &parts);
     ~EngineRunner();
 
     /** Takes a job; it ends with an answer on its exchange. */
@@ -50,6 +45,8 @@
     /** Lets time pass; every 20 to 100 ms. */
     void tick();
     EngineStatus status() const;
+    /** Requests queued and running. */
+    int depth() const;
 
 private:
     struct Private;
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -53,8 +53,10 @@
         , incarnation(newIncarnation(clock))
         , log(partLog("node"))
         , client(std::make_unique<HttpClient>())
-        , services(NodeId(settings->text("node.id")), incarnation, *settings, *client, clock, metrics)
-        , frontend({ NodeId(settings->text("node.id")), incarnation, *settings, clock, *client, metrics, catalog, fleet, services })
+        , health(clock, incarnation.value())
+        , services(NodeId(settings->text("node.id")), incarnation, *settings, *client, clock, metrics, health)
+        , frontend({ NodeId(settings->text("node.id")), incarnation, ZoneId(settings->text("node.zone")), *settings, clock, *client,
+              metrics, catalog, fleet, services, health })
         , platform(*settings, *client, clock, metrics, catalog, [this](VmList list) { membership->vmListRead(std::move(list)); })
     {
     }
@@ -80,6 +82,7 @@
     Published<FleetView> fleet;
     std::unique_ptr<MembershipRunner> membership;
     std::unique_ptr<HttpClient> client;
+    UpstreamHealth health;
     ServiceRunner services;
     CallerFrontend frontend;
     PlatformReader platform;
--- /dev/null
+++ b/main/pausedwork.cpp
@@ -0,0 +1,29 @@
+#include "main/pausedwork.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace ApricotStep
+{
+
+void PausedWork::add(Time due, std::function<void()> work)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_entries.push_back({ due, std::move(work) });
+}
+
+void PausedWork::run(Time now)
+{
+    std::vector<Entry> due;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const auto firstDue = std::partition(m_entries.begin(), m_entries.end(), [now](const Entry &entry) { return entry.due > now; });
+        due.assign(std::make_move_iterator(firstDue), std::make_move_iterator(m_entries.end()));
+        m_entries.erase(firstDue, m_entries.end());
+    }
+    for (const Entry &entry : due) {
+        entry.work();
+    }
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/pausedwork.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <functional>
+#include <vector>
+
+namespace ApricotStep
+{
+
+/** Work that waits for a moment, such as a further attempt after its pause. Thread-safe. */
+class PausedWork
+{
+public:
+    void add(Time due, std::function<void()> work);
+    /** Runs what is due, outside the lock. */
+    void run(Time now);
+
+private:
+    struct Entry
+    {
+        Time due;
+        std::function<void()> work;
+    };
+
+    absl::Mutex m_mutex;
+    std::vector<Entry> m_entries ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace ApricotStep
--- a/main/servicerunner.cpp
+++ b/main/servicerunner.cpp
@@ -5,6 +5,8 @@
 #include "core/result.h"
 #include "main/enginerunner.h"
 #include "main/log.h"
+#include "main/pausedwork.h"
+#include "main/servicelimits.h"
 #include "protocol/callerapi.h"
 
 #include <absl/base/thread_annotations.h>
@@ -22,7 +24,9 @@
 
 constexpr std::size_t ShardCount = 16;
 constexpr std::size_t MaxAnswerBytes = 8U << 20U;
-constexpr int MaxAttempts = 3;
+// 502, 503 and 504 tell of a service that cannot answer; other 5xx may be the fault of the one request.
+constexpr int FirstGatewayError = 502;
+constexpr int LastGatewayError = 504;
 
 struct Waiter
 {
@@ -46,7 +50,10 @@
 {
     ServiceJob job;
     std::vector<const UpstreamSpec *> upstreams;
-    std::size_t attempt = 0;
+    /** Position of the upstream that the call is at. */
+    std::size_t at = 0;
+    int attempts = 0;
+    Time startedAt;
     bool isIdempotent = false;
     bool hasKey = false;
     IdempotencyKey key;
@@ -92,13 +99,16 @@
 
 struct ServiceRunner::Private : std::enable_shared_from_this<Private>
 {
-    Private(NodeId node, Incarnation start, const Settings &allSettings, HttpClient &httpClient, const Clock &aClock, Metrics &allMetrics)
+    Private(NodeId node, Incarnation start, const Settings &allSettings, HttpClient &httpClient, const Clock &aClock, Metrics &allMetrics,
+        UpstreamHealth &upstreamHealth)
         : self(std::move(node))
         , incarnation(start)
         , settings(allSettings)
         , client(httpClient)
         , clock(aClock)
         , metrics(allMetrics)
+        , health(upstreamHealth)
+        , limits(static_cast<int>(allSettings.number("upstreams.service_concurrency")))
         , log(partLog("service"))
     {
         const auto capacity = static_cast<std::size_t>(settings.number("keys.capacity")) / ShardCount;
@@ -113,6 +123,9 @@
     HttpClient &client;
     const Clock &clock;
     Metrics &metrics;
+    UpstreamHealth &health;
+    ServiceLimits limits;
+    PausedWork paused;
     Logger log;
     std::atomic<std::uint64_t> keyCounter { 1 };
     std::atomic<std::uint64_t> turn { 0 };
@@ -126,9 +139,14 @@
     // True when the call is to be started now; otherwise it has been answered or waits for the first one under its key.
     bool admit(const RunningPointer &running);
     bool admitKeyed(const RunningPointer &running);
-    void start(const RunningPointer &running);
+    // Begins an attempt at the next upstream after the one at @p from that has room.
+    void start(const RunningPointer &running, std::size_t from);
+    bool takePlace(const RunningPointer &running, std::size_t from);
+    HttpCall callFor(const RunningPointer &running);
     bool maySend(const RunningPointer &running);
     void onDone(const RunningPointer &running, const CallResult &result);
+    void noteOutcome(const Running &running, const CallResult &result);
+    void tryAgain(const RunningPointer &running, const TryAgain &how);
     void settle(const RunningPointer &running, const StoredAnswer &stored);
     void settleFailed(const RunningPointer &running, ErrorKind kind, const std::string &detail);
     std::vector<Waiter> takeWaiters(Shard &shard, const IdempotencyKey &key) ABSL_EXCLUSIVE_LOCKS_REQUIRED(shard.mutex);
@@ -216,14 +234,42 @@
     return shard.ledger.markSent(running->key);
 }
 
-void ServiceRunner::Private::start(const RunningPointer &running)
+// Ejected upstreams come last: when all others are full or out, trying one is better than refusing.
+bool ServiceRunner::Private::takePlace(const RunningPointer &running, std::size_t from)
+{
+    const std::size_t count = running->upstreams.size();
+    for (const bool wantsEjected : { false, true }) {
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::size_t at = (from + i) % count;
+            const UpstreamId &id = running->upstreams[at]->id;
+            if ((health.share(id) == 0) == wantsEjected && limits.tryStart(id)) {
+                running->at = at;
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void ServiceRunner::Private::start(const RunningPointer &running, std::size_t from)
+{
+    if (!takePlace(running, from)) {
+        settleFailed(running, ErrorKind::Overloaded, "every upstream of the service runs as many calls as it bears");
+        return;
+    }
+    ++running->attempts;
+    running->startedAt = clock.now();
+    client.start(callFor(running));
+}
+
+HttpCall ServiceRunner::Private::callFor(const RunningPointer &running)
 {
     const ServiceJob &job = running->job;
-    const UpstreamSpec &upstream = *running->upstreams[running->attempt % running->upstreams.size()];
+    const Duration left = timeLeft(running->deadline, clock.now());
     HttpCall call;
     call.method = job.request.method;
-    call.url = "http://" + upstream.address + job.target;
-    call.headers = { { "X-Request-Id", job.requestId } };
+    call.url = "http://" + running->upstreams[running->at]->address + job.target;
+    call.headers = { { "X-Request-Id", job.requestId }, { "X-Deadline-Ms", std::to_string(left.milliseconds()) } };
     for (const char *name : { "content-type", "accept", "authorization", "idempotency-key" }) {
         const std::string value = job.request.header(name);
         if (!value.empty()) {
@@ -232,7 +278,7 @@
     }
     call.body = job.request.body;
     call.connectTimeout = settings.duration("upstreams.connect_timeout_ms");
-    call.totalTimeout = std::max(running->deadline - clock.now(), Duration(1));
+    call.totalTimeout = left;
     call.isRepeatable = running->isIdempotent;
     call.maySend = [self = shared_from_this(), running] { return self->maySend(running); };
     call.onHead = [running](int, const auto &headers) {
@@ -250,25 +296,58 @@
         return true;
     };
     call.onDone = [self = shared_from_this(), running](const CallResult &result) { self->onDone(running, result); };
-    client.start(std::move(call));
+    return call;
+}
+
+void ServiceRunner::Private::noteOutcome(const Running &running, const CallResult &result)
+{
+    const UpstreamId &id = running.upstreams[running.at]->id;
+    const Time now = clock.now();
+    const bool isAnswered = result.state == AttemptState::Answered;
+    const bool isFault =
+        isAnswered ? result.status >= FirstGatewayError && result.status <= LastGatewayError : isUpstreamsFault(result.error);
+    const ServiceOutcome outcome = isFault ? ServiceOutcome::Failed : isAnswered ? ServiceOutcome::Answered : ServiceOutcome::Abandoned;
+    limits.onEnd(id, outcome, now - running.startedAt, now);
+    if (isFault) {
+        health.onFailure(id);
+    } else if (isAnswered) {
+        health.onSuccess(id, running.job.service.value());
+    }
 }
 
 void ServiceRunner::Private::onDone(const RunningPointer &running, const CallResult &result)
 {
-    const bool isAnswered = result.state == AttemptState::Answered && !running->isTooLarge;
-    if (isAnswered) {
-        settle(running, { result.status, running->contentType, std::move(running->body) });
+    noteOutcome(*running, result);
+    if (running->isTooLarge) {
+        settleFailed(running, ErrorKind::UpstreamFailed, "the answer is larger than this node holds");
         return;
     }
-    // Sent again only when nothing left, or when running twice does no harm.
-    const bool mayRepeat = result.state == AttemptState::NotSent || running->isIdempotent;
-    ++running->attempt;
-    if (mayRepeat && !running->isTooLarge && running->attempt < MaxAttempts && clock.now() < running->deadline) {
-        running->body.clear();
-        start(running);
+    if (result.state == AttemptState::Answered) {
+        settle(running, { result.status, running->contentType, std::move(running->body) });
         return;
     }
-    settleFailed(running, running->isTooLarge ? ErrorKind::UpstreamFailed : result.error, result.detail);
+    const AttemptFailure failure { result.state == AttemptState::NotSent ? AttemptPhase::Queued : AttemptPhase::Unknown, result.error };
+    RetryFacts facts;
+    facts.repeatability = running->isIdempotent ? Repeatability::Idempotent : Repeatability::NonIdempotent;
+    facts.attempts = running->attempts;
+    facts.deadline = running->deadline;
+    facts.hasOtherUpstream = running->upstreams.size() > 1;
+    std::visit(Overloaded {
+                   [&](const TryAgain &how) { tryAgain(running, how); },
+                   [&](const GiveUp &end) { settleFailed(running, end.kind, result.detail); },
+               },
+        health.decide(failure, facts, running->job.service.value()));
+}
+
+void ServiceRunner::Private::tryAgain(const RunningPointer &running, const TryAgain &how)
+{
+    running->body.clear();
+    const std::size_t next = running->at + (how.target == RetryTarget::OtherUpstream ? 1 : 0);
+    if (how.pause > Duration(0)) {
+        paused.add(clock.now() + how.pause, [this, running, next] { start(running, next); });
+    } else {
+        start(running, next);
+    }
 }
 
 std::vector<Waiter> ServiceRunner::Private::takeWaiters(Shard &shard, const IdempotencyKey &key)
@@ -293,7 +372,7 @@
         waiters = takeWaiters(shard, running->key);
     }
     metrics.serviceCall(job.service.value(), stored.status);
-    log->info("[{}] service={} outcome=ok status={} attempts={}", job.requestId, job.service.value(), stored.status, running->attempt + 1);
+    log->info("[{}] service={} outcome=ok status={} attempts={}", job.requestId, job.service.value(), stored.status, running->attempts);
     answer(*job.exchange, stored, job.requestId, false);
     for (const Waiter &waiter : waiters) {
         answer(*waiter.exchange, stored, waiter.requestId, true);
@@ -312,16 +391,16 @@
     }
     metrics.serviceCall(job.service.value(), errorAnswer(kind).httpStatus);
     log->info("[{}] service={} outcome={} detail='{}' attempts={}", job.requestId, job.service.value(), errorAnswer(kind).word, detail,
-        running->attempt);
+        running->attempts);
     refuse(*job.exchange, kind, job.requestId, detail);
     for (const Waiter &waiter : waiters) {
         refuse(*waiter.exchange, kind, waiter.requestId, detail);
     }
 }
 
-ServiceRunner::ServiceRunner(
-    NodeId self, Incarnation incarnation, const Settings &settings, HttpClient &client, const Clock &clock, Metrics &metrics)
-    : d(std::make_shared<Private>(std::move(self), incarnation, settings, client, clock, metrics))
+ServiceRunner::ServiceRunner(NodeId self, Incarnation incarnation, const Settings &settings, HttpClient &client, const Clock &clock,
+    Metrics &metrics, UpstreamHealth &health)
+    : d(std::make_shared<Private>(std::move(self), incarnation, settings, client, clock, metrics, health))
 {
 }
 
@@ -355,13 +434,14 @@
     running->deadline = d->clock.now() + d->settings.duration("upstreams.service_timeout_ms");
     running->job = std::move(job);
     if (d->admit(running)) {
-        d->start(running);
+        d->start(running, 0);
     }
 }
 
 void ServiceRunner::tick()
 {
     const Time now = d->clock.now();
+    d->paused.run(now);
     for (auto &shard : d->shards) {
         const absl::MutexLock lock(&shard->mutex);
         shard->ledger.expire(now);
--- a/main/servicerunner.h
+++ b/main/servicerunner.h
@@ -3,6 +3,7 @@
 #include "coordination/idempotencykey.h"
 #include "main/metrics.h"
 #include "main/settings.h"
+#include "main/upstreamhealth.h"
 #include "state/catalog.h"
 #include "state/fleetview.h"
 #include "transport/httpclient.h"
@@ -32,14 +33,15 @@
 {
 public:
     /** The references must outlive the runner and every call that it started. */
-    ServiceRunner(NodeId self, Incarnation incarnation, const Settings &settings, HttpClient &client, const Clock &clock, Metrics &metrics);
+    ServiceRunner(NodeId self, Incarnation incarnation, const Settings &settings, HttpClient &client, const Clock &clock, Metrics &metrics,
+        UpstreamHealth &health);
     ~ServiceRunner();
 
     /** A fresh idempotency key that only this start of this node runs. */
     std::string mintKey();
     /** Takes a call; it ends with an answer on its exchange. */
     void submit(ServiceJob job);
-    /** Lets time pass; about every second. */
+    /** Lets time pass; every 20 to 100 ms. */
     void tick();
     /** One-time requests remembered now. */
     std::size_t ledgerSize() const;
--- a/main/settingtable.cpp
+++ b/main/settingtable.cpp
@@ -88,6 +88,8 @@
         milliseconds(
             "upstreams", "silence_timeout_ms", 1000, 3'600'000, "60000", "An upstream that is silent for this long in a call has failed."),
         milliseconds("upstreams", "service_timeout_ms", 10, DayMs, "30000", "Longest call to a plain service."),
+        number("upstreams", "service_concurrency", "calls", 1, 100'000, "256",
+            "Calls that run at once at one upstream of a plain service at most; a slow one gets fewer."),
         milliseconds("upstreams", "load_timeout_ms", 100, 600'000, "30000", "Longest load or eviction of an adapter."),
         number("scheduling", "stall_weight", "", 0, 1000, "50", "Weight of short waits for an adapter's load, against batch_weight."),
         number("scheduling", "batch_weight", "", 0, 1000, "50",
--- /dev/null
+++ b/tests/main/rig.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "main/metrics.h"
+#include "main/settings.h"
+#include "main/upstreamhealth.h"
+#include "state/catalog.h"
+#include "transport/httpclient.h"
+#include "transport/httpserver.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+// What tests of the runners share: a caller's side that records its answer, and an upstream on a port of its own.
+
+namespace Rig
+{
+
+using namespace ApricotStep;
+
+/** The caller's side of one request. */
+class Caller final : public HttpExchange
+{
+public:
+    void respond(int status, const HttpHeaders &headers, std::string body) override
+    {
+        m_status = status;
+        m_headers = headers;
+        m_body = std::move(body);
+        m_done.Notify();
+    }
+    void beginStream(int status, const HttpHeaders &) override
+    {
+        m_status = status;
+        ++m_begun;
+    }
+    bool write(std::string_view data) override
+    {
+        m_body.append(data);
+        return true;
+    }
+    void finish() override
+    {
+        m_isFinished = true;
+        m_done.Notify();
+    }
+    void abort() override
+    {
+        m_done.Notify();
+    }
+    void onDrained(std::function<void()>) override
+    {
+    }
+    void onCallerGone(std::function<void()>) override
+    {
+    }
+
+    /** Lets @p tick pass until the answer is whole or broken; false after 20 s. */
+    bool wait(const std::function<void()> &tick)
+    {
+        for (int i = 0; i < 4000 && !m_done.HasBeenNotified(); ++i) {
+            tick();
+            m_done.WaitForNotificationWithTimeout(absl::Milliseconds(5));
+        }
+        return m_done.HasBeenNotified();
+    }
+    int status() const
+    {
+        return m_status;
+    }
+    int begun() const
+    {
+        return m_begun;
+    }
+    bool isFinished() const
+    {
+        return m_isFinished;
+    }
+    bool says(std::string_view part) const
+    {
+        return m_body.find(part) != std::string::npos;
+    }
+
+private:
+    absl::Notification m_done;
+    int m_status = 0;
+    std::atomic<int> m_begun { 0 };
+    bool m_isFinished = false;
+    HttpHeaders m_headers;
+    std::string m_body;
+};
+
+/** An upstream whose answers the test writes. */
+class Upstream
+{
+public:
+    explicit Upstream(HttpHandler handler)
+        : m_server(std::move(HttpServer::start({}, std::move(handler)).value()))
+    {
+    }
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_server->port());
+    }
+
+private:
+    std::unique_ptr<HttpServer> m_server;
+};
+
+/** The rest of a node, as far as runners need it. The client ends first, while what its callbacks use still stands. */
+struct Parts
+{
+    SystemClock clock;
+    Metrics metrics;
+    UpstreamHealth health { clock, 1 };
+    std::shared_ptr<const Settings> settings =
+        Settings::parse("[node]\nid = n1\nzone = a\n[platform]\nconfig_url = http://127.0.0.1:1\nvm_list_url = http://127.0.0.1:2\n"
+                        "[fleet]\nsecret = 0123456789abcdef\n[upstreams]\nservice_concurrency = 2\n",
+            "test.ini")
+            .value();
+    std::unique_ptr<HttpClient> client = std::make_unique<HttpClient>();
+};
+
+} // namespace Rig
