Place adapters on engines of their own base model

Cause: a fleet may serve several base models, and placement took every engine for every adapter: a request could come to an engine that cannot run its adapter, and each decision looked at all engines.

Change: the placement keeps engines by base model and weight.

--- a/coordination/placement.cpp
+++ b/coordination/placement.cpp
@@ -65,6 +65,16 @@
     const Candidate *candidate = nullptr;
 };
 
+void finish(Group &group)
+{
+    std::sort(
+        group.members.begin(), group.members.end(), [](const Candidate &a, const Candidate &b) { return a.upstream->id < b.upstream->id; });
+    group.hashes.reserve(group.members.size());
+    for (const Candidate &member : group.members) {
+        group.hashes.push_back(stableHash(member.upstream->id.value()));
+    }
+}
+
 bool isBefore(const Scored &a, const Scored &b)
 {
     return a.score != b.score ? a.score > b.score : a.candidate->upstream->id < b.candidate->upstream->id;
@@ -77,8 +87,8 @@
     std::shared_ptr<const Catalog> catalog;
     std::shared_ptr<const FleetView> fleet;
     absl::flat_hash_map<ZoneId, std::vector<NodeView>> nodesByZone;
-    // By slots. Within a group by id.
-    std::map<int, Group> groups;
+    // By base model and slots. Within a group by id.
+    absl::flat_hash_map<BaseModelId, std::map<int, Group>> models;
 
     const NodeView *owner(const UpstreamSpec &upstream) const
     {
@@ -101,16 +111,13 @@
         }
         const NodeView *owner = d->owner(upstream);
         if (owner != nullptr) {
-            d->groups[upstream.slots].members.push_back({ &upstream, owner });
+            d->models[upstream.baseModel][upstream.slots].members.push_back({ &upstream, owner });
         }
     }
     // Equal hash values are broken by position, so positions must not depend on the order in which the catalog was written.
-    for (auto &[slots, group] : d->groups) {
-        std::sort(group.members.begin(), group.members.end(),
-            [](const Candidate &a, const Candidate &b) { return a.upstream->id < b.upstream->id; });
-        group.hashes.reserve(group.members.size());
-        for (const Candidate &member : group.members) {
-            group.hashes.push_back(stableHash(member.upstream->id.value()));
+    for (auto &[model, groups] : d->models) {
+        for (auto &[slots, group] : groups) {
+            finish(group);
         }
     }
 }
@@ -119,10 +126,14 @@
 
 std::vector<Candidate> Placement::candidates(const AdapterKey &adapter) const
 {
+    const auto model = d->models.find(d->catalog->baseModelOf(adapter));
+    if (model == d->models.end()) {
+        return {};
+    }
     const std::uint64_t adapterHash = stableHash(adapter.name());
     std::vector<Scored> scored;
-    scored.reserve(MaxCandidates * d->groups.size());
-    for (const auto &[slots, group] : d->groups) {
+    scored.reserve(MaxCandidates * model->second.size());
+    for (const auto &[slots, group] : model->second) {
         Best best;
         for (std::size_t i = 0; i < group.hashes.size(); ++i) {
             best.offer(mixHashes(adapterHash, group.hashes[i]), i);
@@ -140,19 +151,6 @@
     return candidates;
 }
 
-std::vector<const UpstreamSpec *> Placement::ownedBy(const NodeId &node) const
-{
-    std::vector<const UpstreamSpec *> owned;
-    for (const auto &[slots, group] : d->groups) {
-        for (const Candidate &member : group.members) {
-            if (member.owner->id == node) {
-                owned.push_back(member.upstream);
-            }
-        }
-    }
-    return owned;
-}
-
 bool Placement::isOf(const std::shared_ptr<const Catalog> &catalog, const std::shared_ptr<const FleetView> &fleet) const
 {
     return d->catalog == catalog && d->fleet == fleet;
--- a/coordination/placement.h
+++ b/coordination/placement.h
@@ -37,10 +37,11 @@
     Placement(std::shared_ptr<const Catalog> catalog, std::shared_ptr<const FleetView> fleet);
     ~Placement();
 
-    /** The engines for @p adapter in rendezvous order by capacity, best first, at most MaxCandidates; empty when no node owns any. */
+    /**
+     * The engines of the base model of @p adapter in rendezvous order by capacity, best first, at most MaxCandidates. Empty when no node
+     * owns any.
+     */
     std::vector<Candidate> candidates(const AdapterKey &adapter) const;
-    /** The engines that @p node owns. */
-    std::vector<const UpstreamSpec *> ownedBy(const NodeId &node) const;
     /** Whether this placement was made from these very snapshots. */
     bool isOf(const std::shared_ptr<const Catalog> &catalog, const std::shared_ptr<const FleetView> &fleet) const;
 
--- a/tests/coordination/testplacement.cpp
+++ b/tests/coordination/testplacement.cpp
@@ -100,3 +100,21 @@
         cr_assert(now.front().upstream->id == old[expected].upstream->id);
     }
 }
+
+Test(placement, anAdapterIsPlacedOnItsBaseModelAlone)
+{
+    // Two base models share the fleet. An adapter sent to an engine of the other model would fail to load, or answer nonsense.
+    CatalogContent content;
+    content.version = ConfigVersion(1);
+    content.upstreams = engines(6);
+    for (std::size_t i = 0; i < content.upstreams.size(); ++i) {
+        content.upstreams[i].baseModel = BaseModelId(i % 2 == 0 ? "even" : "odd");
+    }
+    content.adapters = { { adapter(1), {}, BaseModelId("odd") }, { adapter(2), {}, BaseModelId("none") } };
+    const Placement placement(Catalog::create(std::move(content)).value(), fleet(3));
+    cr_assert_eq(placement.candidates(adapter(1)).size(), 3);
+    for (const Candidate &candidate : placement.candidates(adapter(1))) {
+        cr_assert(candidate.upstream->baseModel == BaseModelId("odd"));
+    }
+    cr_assert(placement.candidates(adapter(2)).empty());
+}
