Eject an upstream only when it fails more than the others

Cause: five failures in a row ejected an upstream also when all of them failed, and up to half could go; under a fault that all share each ejection pushes its load onto the rest.

Change: an upstream is ejected only when its recent share of failures exceeds the mean of the others by three in ten, and at most a third at once.

--- /dev/null
+++ b/bench/retries.cpp
@@ -0,0 +1,379 @@
+// What a retry budget, an adaptive limit and ejection do for callers, under virtual time against simulated upstreams.
+// Prints one line a figure: scenario.variant.figure value unit. Options: --seeds N (default 20).
+
+#include "coordination/attempt.h"
+#include "coordination/concurrencylimit.h"
+#include "coordination/outliers.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <cstring>
+#include <deque>
+#include <functional>
+#include <numeric>
+#include <queue>
+#include <string>
+#include <vector>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+constexpr int UpstreamCount = 9;
+constexpr int Batch = 16;
+constexpr double MeanServiceMs = 100;
+constexpr Duration CallerDeadline { 2000 };
+constexpr Duration AttemptTimeout { 400 };
+constexpr Duration Length = Duration::seconds(60);
+
+struct Scenario
+{
+    std::string name;
+    /** Offered load over the capacity of all upstreams. */
+    double load = 0.7;
+    /** Share of attempts that fail after having been worked on. */
+    double failing = 0;
+    /** From 10 s to 40 s the first upstream works this much slower. */
+    double slowdown = 1;
+};
+
+struct Variant
+{
+    std::string name;
+    int maxAttempts = 3;
+    bool hasBudget = false;
+    bool hasLimit = false;
+    bool hasEjection = false;
+};
+
+struct Figures
+{
+    double requests = 0;
+    double attempts = 0;
+    double good = 0;
+    double refused = 0;
+    std::vector<double> latenciesMs;
+};
+
+struct Request
+{
+    Time arrival;
+    int attempts = 0;
+    int lastUpstream = -1;
+};
+
+struct Attempt
+{
+    std::size_t request = 0;
+    int upstream = 0;
+    Time sentAt;
+    int inFlight = 0;
+    bool isOver = false;
+};
+
+struct Upstream
+{
+    int running = 0;
+    // Sent and not over, as the sender sees it.
+    int inFlight = 0;
+    std::deque<std::size_t> waiting;
+    ConcurrencyLimit limit { { 1, Batch } };
+};
+
+enum class EventKind {
+    Arrival,
+    Sent,
+    WorkDone,
+    TimedOut,
+};
+
+struct Event
+{
+    Time at;
+    std::uint64_t order = 0;
+    EventKind kind = EventKind::Arrival;
+    std::size_t subject = 0;
+
+    bool operator>(const Event &other) const
+    {
+        return at != other.at ? at > other.at : order > other.order;
+    }
+};
+
+RetryBudgetLimits budgetOf(const Variant &variant)
+{
+    RetryBudgetLimits limits;
+    if (!variant.hasBudget) {
+        limits.reserve = 1e12;
+    }
+    return limits;
+}
+
+UpstreamId idOf(int upstream)
+{
+    return UpstreamId("u" + std::to_string(upstream));
+}
+
+class Simulation
+{
+public:
+    Simulation(const Scenario &scenario, const Variant &variant, std::uint64_t seed)
+        : m_scenario(scenario)
+        , m_variant(variant)
+        , m_random(seed)
+        , m_budget(budgetOf(variant), Time(0))
+        , m_upstreams(UpstreamCount)
+    {
+        m_retries.maxAttempts = variant.maxAttempts;
+        std::vector<UpstreamId> ids;
+        ids.reserve(UpstreamCount);
+        for (int i = 0; i < UpstreamCount; ++i) {
+            ids.push_back(idOf(i));
+        }
+        m_outliers.setUpstreams(ids);
+    }
+
+    Figures run()
+    {
+        post(Time(1), EventKind::Arrival, 0);
+        while (!m_events.empty()) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            handle(event);
+        }
+        m_figures.requests = static_cast<double>(m_requests.size());
+        m_figures.attempts = static_cast<double>(m_attempts.size());
+        return std::move(m_figures);
+    }
+
+private:
+    double chance()
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random);
+    }
+    void post(Time at, EventKind kind, std::size_t subject)
+    {
+        m_events.push({ at, m_order++, kind, subject });
+    }
+    void handle(const Event &event)
+    {
+        switch (event.kind) {
+        case EventKind::Arrival:
+            arrive();
+            break;
+        case EventKind::Sent:
+            send(event.subject);
+            break;
+        case EventKind::WorkDone:
+            workDone(event.subject);
+            break;
+        case EventKind::TimedOut:
+            over(event.subject, ErrorKind::UpstreamTimeout, AttemptPhase::Unknown);
+            break;
+        }
+    }
+
+    void arrive()
+    {
+        m_requests.push_back({ m_now });
+        send(m_requests.size() - 1);
+        const double perMs = m_scenario.load * UpstreamCount * Batch / MeanServiceMs;
+        m_nextArrivalMs += std::exponential_distribution<double>(perMs)(m_random);
+        const Time next(1 + static_cast<std::int64_t>(m_nextArrivalMs));
+        if (next < Time(0) + Length) {
+            post(next, EventKind::Arrival, 0);
+        }
+    }
+
+    bool isOpen(int upstream)
+    {
+        const Upstream &at = m_upstreams[static_cast<std::size_t>(upstream)];
+        if (m_variant.hasLimit && at.inFlight >= at.limit.limit()) {
+            return false;
+        }
+        return !m_variant.hasEjection || chance() < m_outliers.share(idOf(upstream), m_now);
+    }
+
+    // A random order stands for the candidate lists of many adapters.
+    int pick(int last)
+    {
+        std::array<int, UpstreamCount> order;
+        std::iota(order.begin(), order.end(), 0);
+        std::shuffle(order.begin(), order.end(), m_random);
+        const auto open = std::find_if(order.begin(), order.end(), [&](int upstream) { return upstream != last && isOpen(upstream); });
+        return open == order.end() ? -1 : *open;
+    }
+
+    void send(std::size_t number)
+    {
+        Request &request = m_requests[number];
+        const int upstream = pick(request.lastUpstream);
+        if (upstream < 0) {
+            m_figures.refused += 1;
+            return;
+        }
+        ++request.attempts;
+        request.lastUpstream = upstream;
+        Upstream &at = m_upstreams[static_cast<std::size_t>(upstream)];
+        ++at.inFlight;
+        m_attempts.push_back({ number, upstream, m_now, at.inFlight });
+        const std::size_t attempt = m_attempts.size() - 1;
+        const Time deadline = request.arrival + CallerDeadline;
+        post(std::min(m_now + AttemptTimeout, deadline), EventKind::TimedOut, attempt);
+        at.waiting.push_back(attempt);
+        work(at, upstream);
+    }
+
+    double slowdown(int upstream) const
+    {
+        const bool isSlow = upstream == 0 && m_now >= Time(10'000) && m_now < Time(40'000);
+        return isSlow ? m_scenario.slowdown : 1;
+    }
+
+    // The upstream works on what it was sent, abandoned or not: it does not know that nobody waits any more.
+    void work(Upstream &at, int upstream)
+    {
+        while (at.running < Batch && !at.waiting.empty()) {
+            const std::size_t attempt = at.waiting.front();
+            at.waiting.pop_front();
+            ++at.running;
+            const double took = std::gamma_distribution<double>(4, MeanServiceMs / 4)(m_random) * slowdown(upstream);
+            post(m_now + Duration(std::max<std::int64_t>(1, std::llround(took))), EventKind::WorkDone, attempt);
+        }
+    }
+
+    void workDone(std::size_t number)
+    {
+        const int upstream = m_attempts[number].upstream;
+        Upstream &at = m_upstreams[static_cast<std::size_t>(upstream)];
+        --at.running;
+        if (!m_attempts[number].isOver) {
+            if (chance() < m_scenario.failing) {
+                over(number, ErrorKind::UpstreamFailed, AttemptPhase::Unknown);
+            } else {
+                succeed(number);
+            }
+        }
+        work(at, upstream);
+    }
+
+    void succeed(std::size_t number)
+    {
+        Attempt &attempt = m_attempts[number];
+        attempt.isOver = true;
+        Upstream &at = m_upstreams[static_cast<std::size_t>(attempt.upstream)];
+        --at.inFlight;
+        at.limit.onSample(m_now - attempt.sentAt, attempt.inFlight, m_now);
+        m_outliers.onSuccess(idOf(attempt.upstream), m_now);
+        m_budget.onSuccess(m_now);
+        m_figures.good += 1;
+        m_figures.latenciesMs.push_back(static_cast<double>((m_now - m_requests[attempt.request].arrival).milliseconds()));
+    }
+
+    void over(std::size_t number, ErrorKind kind, AttemptPhase phase)
+    {
+        Attempt &attempt = m_attempts[number];
+        if (attempt.isOver) {
+            return;
+        }
+        attempt.isOver = true;
+        Upstream &at = m_upstreams[static_cast<std::size_t>(attempt.upstream)];
+        --at.inFlight;
+        at.limit.onDropped(m_now);
+        m_outliers.onFailure(idOf(attempt.upstream), m_now);
+        const Request &request = m_requests[attempt.request];
+        const RetryFacts facts { Repeatability::Idempotent, false, request.attempts, request.arrival + CallerDeadline, true };
+        const RetryDecision decision = decideRetry({ phase, kind }, facts, m_retries, m_budget, m_random, m_now);
+        if (const auto *again = std::get_if<TryAgain>(&decision)) {
+            post(m_now + again->pause, EventKind::Sent, attempt.request);
+        }
+    }
+
+    const Scenario m_scenario;
+    const Variant m_variant;
+    std::mt19937_64 m_random;
+    RetryLimits m_retries;
+    RetryBudget m_budget;
+    Outliers m_outliers { OutlierLimits {} };
+    std::vector<Upstream> m_upstreams;
+    std::vector<Request> m_requests;
+    std::vector<Attempt> m_attempts;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::uint64_t m_order = 0;
+    double m_nextArrivalMs = 0;
+    Time m_now;
+    Figures m_figures;
+};
+
+double percentile(std::vector<double> values, double part)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto at = values.begin() + static_cast<long>(part * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), at, values.end());
+    return *at;
+}
+
+void print(const Scenario &scenario, const Variant &variant, const char *figure, double value, const char *unit)
+{
+    std::printf("%s.%s.%s %.3f %s\n", scenario.name.c_str(), variant.name.c_str(), figure, value, unit);
+}
+
+void measure(const Scenario &scenario, const Variant &variant, int seeds)
+{
+    Figures all;
+    for (int seed = 1; seed <= seeds; ++seed) {
+        const Figures one = Simulation(scenario, variant, static_cast<std::uint64_t>(seed)).run();
+        all.requests += one.requests;
+        all.attempts += one.attempts;
+        all.good += one.good;
+        all.refused += one.refused;
+        all.latenciesMs.insert(all.latenciesMs.end(), one.latenciesMs.begin(), one.latenciesMs.end());
+    }
+    print(scenario, variant, "goodput", all.good / all.requests, "share");
+    print(scenario, variant, "load", all.attempts / all.requests, "attempts/request");
+    print(scenario, variant, "refused", all.refused / all.requests, "share");
+    print(scenario, variant, "p95", percentile(all.latenciesMs, 0.95), "ms");
+    print(scenario, variant, "p99", percentile(all.latenciesMs, 0.99), "ms");
+}
+
+int seedsFrom(int count, char **arguments)
+{
+    constexpr int DefaultSeeds = 20;
+    for (int i = 1; i + 1 < count; ++i) {
+        if (std::strcmp(arguments[i], "--seeds") == 0) {
+            return std::max(1, static_cast<int>(std::strtol(arguments[i + 1], nullptr, 10)));
+        }
+    }
+    return DefaultSeeds;
+}
+
+} // namespace
+
+int main(int count, char **arguments)
+{
+    const int seeds = seedsFrom(count, arguments);
+    // The base rate of failures is a tenth of all attempts.
+    const std::vector<Scenario> failing { { "failures-1x", 0.7, 0.1 }, { "failures-2x", 0.7, 0.2 }, { "failures-5x", 0.7, 0.5 },
+        { "failures-5x-busy", 0.9, 0.5 } };
+    const std::vector<Variant> retrying { { "no-retries", 1 }, { "three-attempts", 3 }, { "budget", 3, true } };
+    for (const Scenario &scenario : failing) {
+        for (const Variant &variant : retrying) {
+            measure(scenario, variant, seeds);
+        }
+    }
+    const std::vector<Scenario> slow { { "slow-5x", 0.7, 0, 5 }, { "slow-20x", 0.7, 0, 20 }, { "overload-1.3x", 1.3 } };
+    const std::vector<Variant> containing { { "budget", 3, true }, { "limit", 3, true, true }, { "ejection", 3, true, false, true },
+        { "both", 3, true, true, true } };
+    for (const Scenario &scenario : slow) {
+        for (const Variant &variant : containing) {
+            measure(scenario, variant, seeds);
+        }
+    }
+    return 0;
+}
--- a/coordination/outliers.cpp
+++ b/coordination/outliers.cpp
@@ -10,9 +10,14 @@
 namespace
 {
 
+// Weight of the newest outcome in the recent share of failures: about the last ten count.
+constexpr double Newest = 0.1;
+
 struct Watched
 {
     int failuresInRow = 0;
+    /** Recent share of failures, 0 to 1. */
+    double failing = 0;
     int ejections = 0;
     /** Ejected before this. */
     Time ejectedUntil;
@@ -36,7 +41,21 @@
     }
     bool mayEjectOneMore(Time now) const
     {
-        return ejectedCount(now) + 1 <= static_cast<int>(limits.maxEjectedShare * static_cast<double>(watched.size()));
+        const auto most = static_cast<int>(limits.maxEjectedShare * static_cast<double>(watched.size()));
+        return ejectedCount(now) < std::max(most, watched.size() > 1 ? 1 : 0);
+    }
+    // Ejected ones are left out: their share is old news and would make the next seem no worse than usual.
+    bool isWorseThanOthers(const Watched &suspect, Time now) const
+    {
+        double sum = 0;
+        int others = 0;
+        for (const auto &[id, entry] : watched) {
+            if (&entry != &suspect && now >= entry.ejectedUntil) {
+                sum += entry.failing;
+                ++others;
+            }
+        }
+        return others > 0 && suspect.failing >= sum / others + limits.worseBy;
     }
     Duration ejectionTime(int ejections) const
     {
@@ -77,6 +96,7 @@
     Watched &entry = d->watched[upstream];
     d->forgive(entry, now);
     entry.failuresInRow = 0;
+    entry.failing -= entry.failing * Newest;
 }
 
 void Outliers::onFailure(const UpstreamId &upstream, Time now)
@@ -84,10 +104,11 @@
     Watched &entry = d->watched[upstream];
     d->forgive(entry, now);
     ++entry.failuresInRow;
+    entry.failing += (1 - entry.failing) * Newest;
     // One that just returned has no credit: a single failure of the first trial ejects it again.
     const bool isOnTrial = entry.returnedAt != Time() && now < entry.returnedAt + d->limits.rampTime;
     const bool isOut = entry.failuresInRow >= d->limits.failuresToEject || (isOnTrial && entry.ejections > 0);
-    if (!isOut || now < entry.ejectedUntil || !d->mayEjectOneMore(now)) {
+    if (!isOut || now < entry.ejectedUntil || !d->mayEjectOneMore(now) || !d->isWorseThanOthers(entry, now)) {
         return;
     }
     entry.ejectedUntil = now + d->ejectionTime(entry.ejections);
--- a/coordination/outliers.h
+++ b/coordination/outliers.h
@@ -10,12 +10,13 @@
 {
 
 // Load pattern: one upstream of many fails or hangs while the others are well, flaps, or comes back cold.
-// Without ejection: its share of all requests pays a failed attempt each, for as long as the fault lasts. Without the ceiling: a fault that
-// all share (a bad adapter, a lost zone) ejects everything, and the rest drowns. Without the slow return: a restarted engine with empty
-// caches gets a full share at once, fails again and flaps. One would notice a saw-tooth in its failures.
-// Grounds for the figures: five failures in a row happen by chance less than once in 10^5 requests at a tenth failing. The first ejection
-// lasts five seconds, about a restart of a process; each next one doubles to a minute, so that a flapping upstream costs a few requests a
-// minute. At most half of the candidates are ejected: the rest then has twice its load, which shedding can still order.
+// Without ejection: its share of all requests pays a failed attempt each, for as long as the fault lasts. Without the comparison with the
+// others and the ceiling: a fault that all share (overload, a bad adapter, a lost zone) ejects one after the other, and the rest drowns.
+// Without the slow return: a restarted engine with empty caches gets a full share at once, fails again and flaps. One would notice a
+// saw-tooth in its failures. Grounds for the figures: five failures in a row happen by chance less than once in 10^5 requests at a tenth
+// failing. The first ejection lasts five seconds, about a restart of a process; each next one doubles to a minute, so that a flapping
+// upstream costs a few requests a minute. An outlier fails three more in ten than the others' mean: under a fault that all share no one
+// does. At most a third is ejected: the rest then has half as much again to bear.
 
 struct OutlierLimits
 {
@@ -27,8 +28,10 @@
     Duration rampTime = Duration::seconds(10);
     /** Share at the start of the ramp, above 0 to 1. */
     double startShare = 0.1;
-    /** Share of all upstreams that may be ejected at once, 0 to 1. */
-    double maxEjectedShare = 0.5;
+    /** Share of all upstreams that may be ejected at once, 0 to 1; one of two or more always may. */
+    double maxEjectedShare = 0.34;
+    /** Only an upstream whose recent share of failures exceeds the mean of the others by this is ejected. */
+    double worseBy = 0.3;
 };
 
 /** Watches the outcomes of upstreams and says how much of its share each should get. Not thread-safe. */
