Fill a slow engine less than its batch

Cause: a slow engine kept getting its whole batch. What waits inside an engine can neither be ordered by urgency nor refused in time.

Change: the scheduler takes BatchLimited and keeps its seats within it; the runner of an engine follows the time to the first token of streams and tells it. Retries and ejections are counted on the operator port.

--- a/coordination/upstreamscheduler.cpp
+++ b/coordination/upstreamscheduler.cpp
@@ -95,6 +95,7 @@
         , order(orderLimits(theLimits), theLimits.seed)
         , batchShare(batchShareOf(theLimits))
         , keptSeats(theLimits.batch * theLimits.urgentSeatsPercent / 100)
+        , publishedBatch(theLimits.batch)
     {
         loadInterval.fill(static_cast<double>(theLimits.loadTime.milliseconds()));
     }
@@ -110,6 +111,7 @@
     std::uint64_t start = 0;
     double batchShare;
     int keptSeats;
+    int publishedBatch;
     bool isPatientOpen = false;
     // Tokens a millisecond that one seat has served lately; 0 until measured.
     double seatRate = 0;
@@ -133,6 +135,7 @@
     void on(const PermitGranted &event, Time now);
     void on(const LoadReport &event, Time now);
     void on(const EvictionRule &event, Time now);
+    void on(const BatchLimited &event, Time now);
     void on(const Tick &event, Time now);
 
     Duration expectedWait(const WorkItem &item, Time now) const;
@@ -316,6 +319,12 @@
     }
 }
 
+void UpstreamScheduler::Private::on(const BatchLimited &event, Time)
+{
+    limits.batch = std::clamp(event.seats, 1, publishedBatch);
+    keptSeats = limits.batch * limits.urgentSeatsPercent / 100;
+}
+
 void UpstreamScheduler::Private::on(const EvictionRule &event, Time)
 {
     residency.applyRule(event.mayEvict, event.inUseElsewhere);
--- a/coordination/upstreamscheduler.h
+++ b/coordination/upstreamscheduler.h
@@ -75,12 +75,17 @@
     bool mayEvict = true;
     std::vector<AdapterKey> inUseElsewhere;
 };
+/** The upstream is slow, or well again: this many requests may run there at once from now on, 1 to its batch. */
+struct BatchLimited
+{
+    int seats = 1;
+};
 /** Time went by. */
 struct Tick
 {
 };
 using SchedulerEvent = std::variant<WorkArrived, WorkCancelled, WorkFinished, LoadFinished, EvictFinished, UpstreamRestarted, PermitGranted,
-    LoadReport, EvictionRule, Tick>;
+    LoadReport, EvictionRule, BatchLimited, Tick>;
 
 // Actions.
 
--- a/main/enginerunner.cpp
+++ b/main/enginerunner.cpp
@@ -13,6 +13,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
 
+#include <algorithm>
 #include <atomic>
 
 namespace ApricotStep
@@ -22,6 +23,10 @@
 {
 
 constexpr int OkStatus = 200;
+// A batch below a quarter wastes the engine even when it is slow. Times to the first token swing with the length of prompts, so twice the
+// usual one is still no trouble.
+constexpr int LeastBatchPart = 4;
+constexpr double EngineTolerance = 2;
 
 // One attempt at this engine from its arrival in the queue to its end. `reply` belongs to the client's thread once it is dispatched.
 struct Job
@@ -83,7 +88,7 @@
         , parts(allParts)
         , log(partLog("engine"))
         , scheduler(schedulerLimits(upstream, allParts.settings))
-        , limit({ 1, upstream.batch })
+        , limit({ std::max(1, upstream.batch / LeastBatchPart), upstream.batch, EngineTolerance })
     {
     }
 
@@ -94,6 +99,7 @@
     mutable absl::Mutex mutex;
     UpstreamScheduler scheduler ABSL_GUARDED_BY(mutex);
     ConcurrencyLimit limit ABSL_GUARDED_BY(mutex);
+    int seats ABSL_GUARDED_BY(mutex) = spec.batch;
     absl::flat_hash_map<RequestId, JobPointer> jobs ABSL_GUARDED_BY(mutex);
     std::uint64_t losses ABSL_GUARDED_BY(mutex) = 0;
     PausedWork paused;
@@ -115,6 +121,7 @@
     bool onData(const JobPointer &job, std::string_view data);
     void onDone(const JobPointer &job, const CallResult &result);
     void noteOutcome(const Job &job, const ReplyEnd &end);
+    void adaptSeats(const Job &job, bool isWhole, bool isFault);
     void noteLostAdapters(const Job &job);
     void afterFailure(const JobPointer &job, const AttemptFailure &failure, const std::string &detail, Duration retryAfter);
     void tryAgain(const JobPointer &job, const TryAgain &how, const std::string &detail);
@@ -290,14 +297,28 @@
     } else if (isFault) {
         parts.health.onFailure(spec.id);
     }
+    adaptSeats(job, end.isWhole, isFault);
+}
+
+void EngineRunner::Private::adaptSeats(const Job &job, bool isWhole, bool isFault)
+{
     const Time now = parts.clock.now();
-    const absl::MutexLock lock(&mutex);
-    if (isFault) {
-        limit.onDropped(now);
-    } else if (end.isWhole && job.reply.hasCallerBytes()) {
-        // Only streams tell the time to the first token; a whole answer's time grows with its length.
-        limit.onSample(job.reply.firstByteAt() - job.dispatchedAt, job.inFlight, now);
+    int allowed = 0;
+    {
+        const absl::MutexLock lock(&mutex);
+        if (isFault) {
+            limit.onDropped(now);
+        } else if (isWhole && job.reply.hasCallerBytes()) {
+            // Only streams tell the time to the first token; a whole answer's time grows with its length.
+            limit.onSample(job.reply.firstByteAt() - job.dispatchedAt, job.inFlight, now);
+        }
+        allowed = limit.limit();
+        if (allowed == seats) {
+            return;
+        }
+        seats = allowed;
     }
+    handle(BatchLimited { allowed });
 }
 
 // A restart is noticed once for each request that ran into it. Told twice, the scheduler would forget what it has loaded since.
--- a/main/metrics.cpp
+++ b/main/metrics.cpp
@@ -50,6 +50,12 @@
                                                            .Register(registry);
     prometheus::Family<prometheus::Counter> &evictions =
         prometheus::BuildCounter().Name("apricotstep_evictions_total").Help("Evictions by outcome.").Register(registry);
+    prometheus::Family<prometheus::Counter> &retries =
+        prometheus::BuildCounter().Name("apricotstep_retries_total").Help("Calls made again, by retry budget.").Register(registry);
+    prometheus::Family<prometheus::Counter> &ejections = prometheus::BuildCounter()
+                                                             .Name("apricotstep_ejections_total")
+                                                             .Help("Times that a failing upstream was left out.")
+                                                             .Register(registry);
     prometheus::Gauge &config =
         prometheus::BuildGauge().Name("apricotstep_config_version").Help("Configuration version in force.").Register(registry).Add({});
     prometheus::Counter &lateAnswers = prometheus::BuildCounter()
@@ -105,6 +111,16 @@
     d->lateAnswers.Increment();
 }
 
+void Metrics::retry(const std::string &pool)
+{
+    d->retries.Add({ { "pool", pool } }).Increment();
+}
+
+void Metrics::ejection(const std::string &upstream)
+{
+    d->ejections.Add({ { "upstream", upstream } }).Increment();
+}
+
 std::string Metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(d->registry.Collect());
--- a/main/metrics.h
+++ b/main/metrics.h
@@ -24,6 +24,9 @@
     void eviction(bool isEvicted);
     void configVersion(std::uint64_t version);
     void lateAnswerDropped();
+    /** A call is made again; @p pool names the traffic that shares its retry budget. */
+    void retry(const std::string &pool);
+    void ejection(const std::string &upstream);
 
     std::string text() const;
 
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -53,7 +53,7 @@
         , incarnation(newIncarnation(clock))
         , log(partLog("node"))
         , client(std::make_unique<HttpClient>())
-        , health(clock, incarnation.value())
+        , health(clock, metrics, incarnation.value())
         , services(NodeId(settings->text("node.id")), incarnation, *settings, *client, clock, metrics, health)
         , frontend({ NodeId(settings->text("node.id")), incarnation, ZoneId(settings->text("node.zone")), *settings, clock, *client,
               metrics, catalog, fleet, services, health })
--- a/main/upstreamhealth.cpp
+++ b/main/upstreamhealth.cpp
@@ -11,14 +11,16 @@
 
 struct UpstreamHealth::Private
 {
-    Private(const Clock &aClock, std::uint64_t seed)
+    Private(const Clock &aClock, Metrics &allMetrics, std::uint64_t seed)
         : clock(aClock)
+        , metrics(allMetrics)
         , log(partLog("health"))
         , random(seed)
     {
     }
 
     const Clock &clock;
+    Metrics &metrics;
     Logger log;
     mutable absl::Mutex mutex;
     ConfigVersion version ABSL_GUARDED_BY(mutex);
@@ -32,8 +34,8 @@
     }
 };
 
-UpstreamHealth::UpstreamHealth(const Clock &clock, std::uint64_t seed)
-    : d(std::make_unique<Private>(clock, seed))
+UpstreamHealth::UpstreamHealth(const Clock &clock, Metrics &metrics, std::uint64_t seed)
+    : d(std::make_unique<Private>(clock, metrics, seed))
 {
 }
 
@@ -67,6 +69,7 @@
         isNewlyEjected = !wasEjected && d->outliers.isEjected(upstream, now);
     }
     if (isNewlyEjected) {
+        d->metrics.ejection(upstream.value());
         d->log->warn("{} keeps failing and is ejected for a while.", upstream.value());
     }
 }
@@ -86,8 +89,15 @@
 RetryDecision UpstreamHealth::decide(const AttemptFailure &failure, const RetryFacts &facts, const std::string &pool)
 {
     const Time now = d->clock.now();
-    const absl::MutexLock lock(&d->mutex);
-    return decideRetry(failure, facts, RetryLimits {}, d->budget(pool, now), d->random, now);
+    RetryDecision decision;
+    {
+        const absl::MutexLock lock(&d->mutex);
+        decision = decideRetry(failure, facts, RetryLimits {}, d->budget(pool, now), d->random, now);
+    }
+    if (std::holds_alternative<TryAgain>(decision)) {
+        d->metrics.retry(pool);
+    }
+    return decision;
 }
 
 bool isUpstreamsFault(ErrorKind kind)
--- a/main/upstreamhealth.h
+++ b/main/upstreamhealth.h
@@ -4,6 +4,7 @@
 #include "coordination/outliers.h"
 #include "core/clock.h"
 #include "core/strongid.h"
+#include "main/metrics.h"
 
 #include <memory>
 #include <string>
@@ -16,8 +17,8 @@
 class UpstreamHealth
 {
 public:
-    /** @p clock must outlive it. @p seed makes pauses between attempts differ from other nodes'. */
-    UpstreamHealth(const Clock &clock, std::uint64_t seed);
+    /** The references must outlive it. @p seed makes pauses between attempts differ from other nodes'. */
+    UpstreamHealth(const Clock &clock, Metrics &metrics, std::uint64_t seed);
     ~UpstreamHealth();
 
     /** The upstreams of the configuration in force. Cheap when nothing changed. */
--- a/tests/coordination/testupstreamscheduler.cpp
+++ b/tests/coordination/testupstreamscheduler.cpp
@@ -203,3 +203,17 @@
     cr_assert_eq(count<ReturnPermit>(scheduler.handle(WorkCancelled { RequestId(1) }, Time(50))), 1);
     cr_assert_eq(count<ReturnPermit>(scheduler.handle(PermitGranted { adapter("a"), Time(2000) }, Time(100))), 1);
 }
+
+Test(upstreamscheduler, aSlowEngineGetsFewerRequestsAndLaterItsBatchAgain)
+{
+    // An engine answers late. Sent on at the old rate, requests would wait inside it, where an urgent one cannot pass the others.
+    UpstreamScheduler scheduler({ 2, 8, Duration(250) });
+    scheduler.handle(BatchLimited { 2 }, Time(1));
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        scheduler.handle(WorkArrived { work(id, "a") }, Time(2));
+    }
+    cr_assert_eq(count<Dispatch>(scheduler.handle(LoadFinished { adapter("a"), true }, Time(3))), 2);
+    cr_assert_eq(count<Dispatch>(scheduler.handle(WorkFinished { RequestId(1) }, Time(4))), 1);
+    cr_assert_eq(count<Dispatch>(scheduler.handle(BatchLimited { 100 }, Time(5))), 2);
+    cr_assert_eq(scheduler.runningCount(), 4);
+}
--- a/tests/main/rig.h
+++ b/tests/main/rig.h
@@ -116,7 +116,7 @@
 {
     SystemClock clock;
     Metrics metrics;
-    UpstreamHealth health { clock, 1 };
+    UpstreamHealth health { clock, metrics, 1 };
     std::shared_ptr<const Settings> settings =
         Settings::parse("[node]\nid = n1\nzone = a\n[platform]\nconfig_url = http://127.0.0.1:1\nvm_list_url = http://127.0.0.1:2\n"
                         "[fleet]\nsecret = 0123456789abcdef\n[upstreams]\nservice_concurrency = 2\n",
