Move what waits for a failed load to another engine at once

Cause: after a failed load the scheduler keeps the requests that another try may still serve. On an engine that is gone that try failed too, and a caller waited 6.2 s for an answer that another engine of the node could give.

Change: requests that wait for the adapter of a failed load go to another engine of this node within the retry budget; a job is either dispatched or moved, under the runner's lock. An engine that could not be reached for a load counts as failing.

Placement of a hot adapter, past an ejected home and of a forwarded request is tested where it is chosen.

--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -56,7 +56,7 @@
     std::shared_ptr<EngineRunner> engine(const UpstreamSpec &spec);
     int depthOf(const UpstreamId &id) const;
     std::optional<Candidate> choose(const PlaceRequest &request, const Placement &placement);
-    bool hasOther(const CompletionJob &job) override;
+    bool hasOther(const AdapterKey &adapter, const std::vector<UpstreamId> &tried) override;
     void routeToOther(CompletionJob job) override;
     Result<WorkItem> workItem(const HttpRequest &request, const CompletionRequest &completion, RequestId id) const;
     void completion(
@@ -111,10 +111,10 @@
     return placer.choose(request, placement, [this](const UpstreamId &id) { return depthOf(id); });
 }
 
-bool CallerFrontend::Private::hasOther(const CompletionJob &job)
+bool CallerFrontend::Private::hasOther(const AdapterKey &adapter, const std::vector<UpstreamId> &tried)
 {
     const auto placement = placer.placement(parts.catalog.get(), parts.fleet.get());
-    return choose({ job.work.adapter, job.tried }, *placement).has_value();
+    return choose({ adapter, tried }, *placement).has_value();
 }
 
 void CallerFrontend::Private::routeToOther(CompletionJob job)
--- a/main/completionjob.h
+++ b/main/completionjob.h
@@ -43,8 +43,8 @@
 public:
     virtual ~CompletionRouter() = default;
 
-    /** Whether this node has an engine for @p job that has not failed it. */
-    virtual bool hasOther(const CompletionJob &job) = 0;
+    /** Whether this node has an engine for @p adapter besides those in @p tried. */
+    virtual bool hasOther(const AdapterKey &adapter, const std::vector<UpstreamId> &tried) = 0;
     /** Hands it to such an engine; it ends with an answer on its exchange. */
     virtual void routeToOther(CompletionJob job) = 0;
 };
--- a/main/enginerunner.cpp
+++ b/main/enginerunner.cpp
@@ -43,6 +43,8 @@
     /** How often the engine was known to have lost its adapters when this was dispatched. */
     std::uint64_t losses = 0;
     int inFlight = 0;
+    /** The scheduler let it go; guarded by the runner's lock. */
+    bool isDispatched = false;
     std::atomic<CallId> call { 0 };
     std::atomic<bool> isGone { false };
 };
@@ -54,6 +56,8 @@
 {
     bool isDone = false;
     bool isUnknown = false;
+    /** The engine could not be reached, or broke off. */
+    bool isEnginesFault = false;
 };
 
 SchedulerLimits schedulerLimits(const UpstreamSpec &spec, const Settings &settings)
@@ -116,6 +120,11 @@
     void submit(CompletionJob what);
     JobPointer job(RequestId id) const;
     JobPointer takeJob(RequestId id);
+    JobPointer claimForDispatch(RequestId id);
+    std::vector<JobPointer> waitingFor(const AdapterKey &adapter) const;
+    bool takeWaiting(RequestId id);
+    void moveWaiting(const AdapterKey &adapter);
+    RetryFacts factsOf(const Job &job);
     HttpCall callFor(const JobPointer &job);
     bool maySend(const JobPointer &job) const;
     bool onData(const JobPointer &job, std::string_view data);
@@ -154,7 +163,8 @@
     call.totalTimeout = parts.settings.duration("upstreams.load_timeout_ms");
     call.onDone = [done = std::move(done)](const CallResult &result) {
         // Once sent and unanswered, the order may have been carried out all the same.
-        done({ result.state == AttemptState::Answered && result.status == OkStatus, result.state == AttemptState::Sent });
+        done({ result.state == AttemptState::Answered && result.status == OkStatus, result.state == AttemptState::Sent,
+            result.state != AttemptState::Answered && isUpstreamsFault(result.error) });
     };
     parts.client.start(std::move(call));
 }
@@ -177,7 +187,13 @@
             const bool isLoaded = result.isDone;
             self->parts.metrics.adapterLoad(isLoaded, self->parts.clock.now() - startedAt);
             self->log->info("Load of {} on {} {}.", adapter.name(), self->spec.id.value(), isLoaded ? "done" : "failed");
+            if (result.isEnginesFault) {
+                self->parts.health.onFailure(self->spec.id);
+            }
             self->handle(LoadFinished { adapter, isLoaded, result.isUnknown });
+            if (!isLoaded) {
+                self->moveWaiting(adapter);
+            }
         });
 }
 
@@ -192,7 +208,7 @@
 
 void EngineRunner::Private::carryOut(const Dispatch &action)
 {
-    const JobPointer job = this->job(action.id);
+    const JobPointer job = claimForDispatch(action.id);
     if (job == nullptr) {
         handle(WorkFinished { action.id });
         return;
@@ -253,6 +269,60 @@
     return job;
 }
 
+// A job is either dispatched here or moved to another engine, never both: two engines would write into one answer.
+JobPointer EngineRunner::Private::claimForDispatch(RequestId id)
+{
+    const absl::MutexLock lock(&mutex);
+    const auto at = jobs.find(id);
+    if (at == jobs.end()) {
+        return nullptr;
+    }
+    at->second->isDispatched = true;
+    return at->second;
+}
+
+bool EngineRunner::Private::takeWaiting(RequestId id)
+{
+    const absl::MutexLock lock(&mutex);
+    const auto at = jobs.find(id);
+    if (at == jobs.end() || at->second->isDispatched) {
+        return false;
+    }
+    jobs.erase(at);
+    return true;
+}
+
+std::vector<JobPointer> EngineRunner::Private::waitingFor(const AdapterKey &adapter) const
+{
+    std::vector<JobPointer> waiting;
+    const absl::MutexLock lock(&mutex);
+    for (const auto &[id, job] : jobs) {
+        if (job->what.work.adapter == adapter && !job->isDispatched) {
+            waiting.push_back(job);
+        }
+    }
+    return waiting;
+}
+
+// After a failed load the scheduler keeps what another try may still serve. On an engine that is gone that try fails too, and callers
+// would wait out its back-off; those that another engine can take go there now.
+void EngineRunner::Private::moveWaiting(const AdapterKey &adapter)
+{
+    for (const JobPointer &job : waitingFor(adapter)) {
+        const RetryFacts facts = factsOf(*job);
+        const AttemptFailure failure { AttemptPhase::Queued, ErrorKind::AdapterLoadFailed, false };
+        if (!facts.hasOtherUpstream) {
+            continue;
+        }
+        const RetryDecision decision = parts.health.decide(failure, facts, EnginePool);
+        const auto *again = std::get_if<TryAgain>(&decision);
+        if (again != nullptr && takeWaiting(job->what.work.id)) {
+            handle(WorkCancelled { job->what.work.id });
+            tryAgain(job, *again, "its adapter could not be loaded");
+        }
+    }
+}
+
 bool EngineRunner::Private::maySend(const JobPointer &job) const
 {
     return !job->isGone && parts.clock.now() < job->what.work.deadline;
@@ -343,15 +413,7 @@
         fail(job, ErrorKind::CallerGone, detail, Duration());
         return;
     }
-    CompletionJob next = job->what;
-    ++next.attempts;
-    next.tried.push_back(spec.id);
-    RetryFacts facts;
-    facts.hasCallerBytes = job->reply.hasCallerBytes();
-    facts.attempts = next.attempts;
-    facts.deadline = next.work.deadline;
-    facts.hasOtherUpstream = parts.router.hasOther(next);
-    const RetryDecision decision = parts.health.decide(failure, facts, EnginePool);
+    const RetryDecision decision = parts.health.decide(failure, factsOf(*job), EnginePool);
     std::visit(Overloaded {
                    [&](const TryAgain &how) { tryAgain(job, how, detail); },
                    [&](const GiveUp &end) { fail(job, end.kind, detail, retryAfter); },
@@ -359,6 +421,18 @@
         decision);
 }
 
+RetryFacts EngineRunner::Private::factsOf(const Job &job)
+{
+    std::vector<UpstreamId> tried = job.what.tried;
+    tried.push_back(spec.id);
+    RetryFacts facts;
+    facts.hasCallerBytes = job.reply.hasCallerBytes();
+    facts.attempts = job.what.attempts + 1;
+    facts.deadline = job.what.work.deadline;
+    facts.hasOtherUpstream = parts.router.hasOther(job.what.work.adapter, tried);
+    return facts;
+}
+
 void EngineRunner::Private::tryAgain(const JobPointer &job, const TryAgain &how, const std::string &detail)
 {
     CompletionJob next = job->what;
--- /dev/null
+++ b/tests/main/testengineplacer.cpp
@@ -0,0 +1,113 @@
+#include "main/engineplacer.h"
+
+#include "main/metrics.h"
+
+#include <map>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+const AdapterKey Lesson { AdapterId("lesson"), AdapterVersion("1") };
+
+// Three engines, one a zone, and a node in each of the first @p nodes zones; engines of zones without one go to the others.
+struct Placer
+{
+    explicit Placer(int nodes)
+        : placer(NodeId("n0"), ZoneId("z0"), clock, health, 1)
+    {
+        CatalogContent content;
+        content.version = ConfigVersion(1);
+        for (int i = 0; i < 3; ++i) {
+            UpstreamSpec spec;
+            spec.id = UpstreamId("e" + std::to_string(i));
+            spec.address = "127.0.0.1:1";
+            spec.zone = ZoneId("z" + std::to_string(i));
+            content.upstreams.push_back(spec);
+        }
+        auto view = std::make_shared<FleetView>();
+        for (int i = 0; i < nodes; ++i) {
+            view->nodes.push_back({ NodeId("n" + std::to_string(i)), ZoneId("z" + std::to_string(i)), "", "", {} });
+        }
+        placement = placer.placement(Catalog::create(std::move(content)).value(), view);
+    }
+    std::optional<Candidate> choose(const PlaceRequest &request)
+    {
+        return placer.choose(request, *placement, [this](const UpstreamId &id) { return depths[id.value()]; });
+    }
+    void failHome()
+    {
+        for (int i = 0; i < OutlierLimits {}.failuresToEject; ++i) {
+            health.onFailure(placement->candidates(Lesson).front().upstream->id);
+        }
+    }
+
+    ManualClock clock;
+    Metrics metrics;
+    UpstreamHealth health { clock, metrics, 1 };
+    EnginePlacer placer;
+    std::shared_ptr<const Placement> placement;
+    std::map<std::string, int> depths;
+};
+
+} // namespace
+
+Test(engineplacer, anEjectedHomeIsSkippedAndComesBack)
+{
+    // The engine where an adapter is at home keeps failing. Its requests go to the next engine until it has had time to recover.
+    Placer placer(1);
+    const auto candidates = placer.placement->candidates(Lesson);
+    cr_assert(placer.choose({ Lesson })->upstream == candidates[0].upstream);
+    placer.failHome();
+    cr_assert(placer.choose({ Lesson })->upstream == candidates[1].upstream);
+    cr_assert(placer.choose({ Lesson, { candidates[1].upstream->id } })->upstream == candidates[2].upstream);
+    placer.clock.advance(OutlierLimits {}.firstEjection + OutlierLimits {}.rampTime);
+    cr_assert(placer.choose({ Lesson })->upstream == candidates[0].upstream);
+}
+
+Test(engineplacer, theHomeOfAnotherNodeIsLeftToItUnlessItSentTheRequestHere)
+{
+    // Two nodes see the fleet differently for a while. A request that was sent here must run here or be refused, not go in circles.
+    Placer placer(3);
+    int foreign = 0;
+    for (int i = 0; i < 50; ++i) {
+        const AdapterKey adapter { AdapterId("a" + std::to_string(i)), AdapterVersion("1") };
+        const auto home = placer.placement->candidates(adapter).front();
+        cr_assert(placer.choose({ adapter })->upstream == home.upstream);
+        foreign += home.owner->id == NodeId("n0") ? 0 : 1;
+        cr_assert(placer.choose({ adapter, {}, true })->owner->id == NodeId("n0"));
+    }
+    cr_assert_geq(foreign, 20);
+}
+
+Test(engineplacer, aHotAdapterUsesMoreEnginesAndThenOneAgain)
+{
+    // Forty trainees open the same lesson. Its home would queue them while two engines idle.
+    Placer placer(1);
+    std::vector<std::shared_ptr<void>> inProgress;
+    for (int i = 0; i < 40; ++i) {
+        inProgress.push_back(placer.placer.begin(Lesson));
+    }
+    const auto spread = [&] {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < 300; ++i) {
+            ++counts[placer.choose({ Lesson })->upstream->id.value()];
+        }
+        return counts.size();
+    };
+    cr_assert_eq(spread(), 1);
+    for (int second = 0; second < 30; ++second) {
+        placer.clock.advance(Duration::seconds(1));
+        spread();
+    }
+    cr_assert_eq(spread(), 3);
+    inProgress.clear();
+    for (int second = 0; second < 120; ++second) {
+        placer.clock.advance(Duration::seconds(1));
+        placer.choose({ Lesson });
+    }
+    cr_assert_eq(spread(), 1);
+}
--- a/tests/main/testretries.cpp
+++ b/tests/main/testretries.cpp
@@ -79,9 +79,9 @@
     {
         client.reset();
     }
-    bool hasOther(const CompletionJob &job) override
+    bool hasOther(const AdapterKey &, const std::vector<UpstreamId> &tried) override
     {
-        return other != nullptr && job.tried.size() == 1;
+        return other != nullptr && tried.size() == 1;
     }
     void routeToOther(CompletionJob job) override
     {
