Forward completions to the node that owns their upstream

A caller with an old address got 421 and had to ask again. The receiving node now passes the request on over node RPC and streams the answer back, at most two hops, with the time left until the deadline and the caller's id. When an owner cannot be reached and nothing left, the next candidate is asked, or the request runs at the best engine of this node's own; the refusal with the address stays for the rest. Past the linger time of a shutdown new completions are passed on likewise. Settings [rpc] name the port, the TLS files and the limits.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -54,6 +54,7 @@
 
 echo "== three nodes"
 VMS=""
+ALL_CALLERS=()
 for i in 1 2 3; do
     cat >"$WORK/node$i.ini" <<INI
 [node]
@@ -74,7 +75,8 @@
     start "node$i" "$BUILD/main/apricotstep" node --settings "$WORK/node$i.ini"
     CALLERS="$(value callers)"
     VMS+="${VMS:+,}{\"id\":\"node$i\",\"role\":\"entry\",\"zone\":\"zone$i\",\"caller_address\":\"127.0.0.1:$CALLERS\","
-    VMS+="\"membership_address\":\"127.0.0.1:$(value membership)\"}"
+    VMS+="\"rpc_address\":\"127.0.0.1:$(value rpc)\",\"membership_address\":\"127.0.0.1:$(value membership)\"}"
+    ALL_CALLERS+=("$CALLERS")
     echo "node$i serves callers on 127.0.0.1:$CALLERS"
 done
 echo "{\"vms\":[$VMS]}" >"$WORK/vms.json"
@@ -98,6 +100,12 @@
 grep -q 'data: \[DONE\]' <<<"$STREAM"
 grep -q 'lessons@1' <<<"$STREAM"
 
+echo "== the same question at each node: the two wrong ones forward it"
+for CALLERS in "${ALL_CALLERS[@]}"; do
+    curl -sf "http://127.0.0.1:$CALLERS/v1/chat/completions" \
+        -d '{"model":"kitchen","max_tokens":3,"messages":[{"role":"user","content":"where is the ladle?"}]}' | jq -c .choices
+done
+
 echo "== a payment sent twice under one key"
 for _ in 1 2; do
     curl -s -D - "http://$KEY_ADDRESS/svc/payments/enrol" -H "Idempotency-Key: $KEY" -d '{"amount":120}' | grep -iE 'replayed|receipt'
--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -9,6 +9,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/synchronization/mutex.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 
@@ -39,12 +40,14 @@
         : parts(allParts)
         , placer(allParts.self, allParts.zone, allParts.clock, allParts.health, allParts.incarnation.value())
         , log(partLog("caller"))
+        , forwarder(allParts.peers, allParts.metrics)
     {
     }
 
     FrontendParts parts;
     EnginePlacer placer;
     Logger log;
+    Forwarder forwarder;
     std::atomic<std::uint64_t> counter { 1 };
     std::atomic<std::int64_t> lingerUntilMs { Time::never().milliseconds() };
     std::atomic<bool> isDraining { false };
@@ -59,8 +62,11 @@
     bool hasOther(const AdapterKey &adapter, const std::vector<UpstreamId> &tried) override;
     void routeToOther(CompletionJob job) override;
     Result<WorkItem> workItem(const HttpRequest &request, const CompletionRequest &completion, RequestId id) const;
-    void completion(
-        const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange, const Catalog &catalog, const Placement &placement);
+    void completion(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange, int hops, const Catalog &catalog,
+        const std::shared_ptr<const Placement> &placement);
+    bool isClosed() const;
+    bool runHere(CompletionJob &job, bool isForwarded, const Placement &placement);
+    void passOn(CompletionJob job, const HttpRequest &request, int hops, const std::shared_ptr<const Placement> &placement);
     void address(const HttpRequest &request, HttpExchange &exchange, const Catalog &catalog, const Placement &placement);
     void service(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange, const std::shared_ptr<const Catalog> &catalog,
         const std::shared_ptr<const FleetView> &fleet);
@@ -157,8 +163,58 @@
     return work;
 }
 
-void CallerFrontend::Private::completion(
-    const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange, const Catalog &catalog, const Placement &placement)
+bool CallerFrontend::Private::isClosed() const
+{
+    return parts.clock.now().milliseconds() > lingerUntilMs;
+}
+
+bool CallerFrontend::Private::runHere(CompletionJob &job, bool isForwarded, const Placement &placement)
+{
+    if (isClosed()) {
+        return false;
+    }
+    const auto place = choose({ job.work.adapter, job.tried, isForwarded }, placement);
+    if (!place || place->owner->id != parts.self) {
+        return false;
+    }
+    job.inProgress = placer.begin(job.work.adapter);
+    engine(*place->upstream)->submit(std::move(job));
+    return true;
+}
+
+// Asks the owners of the adapter's engines, best first. When none can be reached and nothing left, an engine of this node's own may still
+// serve it.
+void CallerFrontend::Private::passOn(
+    CompletionJob job, const HttpRequest &request, int hops, const std::shared_ptr<const Placement> &placement)
+{
+    ForwardJob forward;
+    for (const Candidate &place : placement->candidates(job.work.adapter)) {
+        const auto isSame = [&](const NodeView &target) { return target.id == place.owner->id; };
+        if (place.owner->id != parts.self && std::none_of(forward.targets.begin(), forward.targets.end(), isSame)) {
+            forward.targets.push_back(*place.owner);
+        }
+    }
+    const std::string address = forward.targets.empty() ? std::string() : forward.targets.front().callerAddress;
+    forward.request = forwardedRequest(request, job.work, parts.clock.now());
+    forward.hops = hops;
+    forward.exchange = job.exchange;
+    forward.requestId = job.requestId;
+    forward.onNoneReached = [this, address, placement, job = std::move(job)](const Error &error) {
+        CompletionJob own = job;
+        if (runHere(own, true, *placement)) {
+            return;
+        }
+        const ErrorKind kind = error.kind == ErrorKind::TooManyHops ? ErrorKind::TooManyHops
+            : isClosed()                                            ? ErrorKind::Draining
+            : address.empty()                                       ? ErrorKind::NoUpstream
+                                                                    : ErrorKind::WrongNode;
+        refuse(*job.exchange, { kind, error.detail }, job.requestId, address);
+    };
+    forwarder.forward(std::move(forward));
+}
+
+void CallerFrontend::Private::completion(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange, int hops,
+    const Catalog &catalog, const std::shared_ptr<const Placement> &placement)
 {
     const RequestId id(counter.fetch_add(1));
     const std::string idText = requestId(id);
@@ -178,15 +234,10 @@
         return;
     }
     work.value().adapter = adapter.value();
-    const auto place = choose({ adapter.value(), {} }, placement);
-    if (!place) {
+    if (placement->candidates(adapter.value()).empty()) {
         refuse(*exchange, { ErrorKind::NoUpstream, {} }, idText);
         return;
     }
-    if (place->owner->id != parts.self) {
-        refuse(*exchange, { ErrorKind::WrongNode, {} }, idText, place->owner->callerAddress);
-        return;
-    }
     CompletionJob job;
     job.work = work.value();
     job.path = request.path;
@@ -196,8 +247,9 @@
         { "X-Request-Id", idText } };
     job.requestId = idText;
     job.exchange = exchange;
-    job.inProgress = placer.begin(adapter.value());
-    engine(*place->upstream)->submit(std::move(job));
+    if (!runHere(job, hops > 0, *placement)) {
+        passOn(std::move(job), request, hops, placement);
+    }
 }
 
 void CallerFrontend::Private::address(
@@ -254,23 +306,23 @@
 
 CallerFrontend::~CallerFrontend() = default;
 
-void CallerFrontend::handle(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange)
+void CallerFrontend::handle(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange, int hops)
 {
     const auto catalog = d->parts.catalog.get();
     const auto fleet = d->parts.fleet.get();
     const std::string &path = request.path;
     if (catalog == nullptr || fleet == nullptr) {
         d->refuse(*exchange, { ErrorKind::NotReady, {} }, {});
-    } else if (d->parts.clock.now().milliseconds() > d->lingerUntilMs) {
-        d->refuse(*exchange, { ErrorKind::Draining, {} }, {});
-    } else if (path.starts_with(ServicePrefix)) {
-        d->service(std::move(request), exchange, catalog, fleet);
     } else if (path == "/v1/chat/completions" || path == "/v1/completions") {
         if (request.method != "POST") {
             d->refuse(*exchange, { ErrorKind::MethodNotAllowed, "use POST" }, {});
             return;
         }
-        d->completion(request, exchange, *catalog, *d->placer.placement(catalog, fleet));
+        d->completion(request, exchange, hops, *catalog, d->placer.placement(catalog, fleet));
+    } else if (d->isClosed()) {
+        d->refuse(*exchange, { ErrorKind::Draining, {} }, {});
+    } else if (path.starts_with(ServicePrefix)) {
+        d->service(std::move(request), exchange, catalog, fleet);
     } else if (path == "/v1/address") {
         d->address(request, *exchange, *catalog, *d->placer.placement(catalog, fleet));
     } else if (path == "/v1/keys" && request.method == "POST") {
--- a/main/callerfrontend.h
+++ b/main/callerfrontend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "main/enginerunner.h"
+#include "main/forwarder.h"
 #include "main/servicerunner.h"
 #include "state/fleetview.h"
 #include "state/published.h"
@@ -24,6 +25,7 @@
     Published<FleetView> &fleet;
     ServiceRunner &services;
     UpstreamHealth &health;
+    Peers &peers;
 };
 
 /** The caller interface: reads requests, resolves selectors and hands the work on. Thread-safe. */
@@ -33,8 +35,8 @@
     explicit CallerFrontend(const FrontendParts &parts);
     ~CallerFrontend();
 
-    /** Takes a request of the caller port. */
-    void handle(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange);
+    /** Takes a request of the caller port, or one that another node forwarded; @p hops: forwards so far. */
+    void handle(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange, int hops = 0);
     /** From now on this node is not named in address answers and takes no new work after @p lingerUntil. */
     void drain(Time lingerUntil);
     void tick();
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -38,7 +38,7 @@
         return UsageExit;
     }
     std::cout << "ready callers=" << node.value()->callerPort() << " operators=" << node.value()->operatorPort()
-              << " membership=" << node.value()->membershipPort() << std::endl;
+              << " membership=" << node.value()->membershipPort() << " rpc=" << node.value()->rpcPort() << std::endl;
     int signal = 0;
     while (sigwait(&signals, &signal) != 0 || signal == SIGHUP) {
         node.value()->reload();
--- a/main/metrics.cpp
+++ b/main/metrics.cpp
@@ -56,6 +56,8 @@
                                                              .Name("apricotstep_ejections_total")
                                                              .Help("Times that a failing upstream was left out.")
                                                              .Register(registry);
+    prometheus::Family<prometheus::Counter> &forwards =
+        prometheus::BuildCounter().Name("apricotstep_forwards_total").Help("Requests passed on to other nodes.").Register(registry);
     prometheus::Gauge &config =
         prometheus::BuildGauge().Name("apricotstep_config_version").Help("Configuration version in force.").Register(registry).Add({});
     prometheus::Counter &lateAnswers = prometheus::BuildCounter()
@@ -101,6 +103,11 @@
     d->evictions.Add({ { "outcome", isEvicted ? "ok" : "failed" } }).Increment();
 }
 
+void Metrics::forward(const std::string &outcome)
+{
+    d->forwards.Add({ { "outcome", outcome } }).Increment();
+}
+
 void Metrics::configVersion(std::uint64_t version)
 {
     d->config.Set(static_cast<double>(version));
--- a/main/metrics.h
+++ b/main/metrics.h
@@ -22,6 +22,8 @@
     void serviceCall(const std::string &service, int status);
     void adapterLoad(bool isLoaded, Duration took);
     void eviction(bool isEvicted);
+    /** @p outcome: tried, unreachable or too_many_hops. */
+    void forward(const std::string &outcome);
     void configVersion(std::uint64_t version);
     void lateAnswerDropped();
     /** A call is made again; @p pool names the traffic that shares its retry budget. */
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -4,6 +4,7 @@
 #include "main/log.h"
 #include "main/membershiprunner.h"
 #include "main/platformreader.h"
+#include "main/rpcsettings.h"
 
 #include <nlohmann/json.hpp>
 
@@ -48,15 +49,16 @@
 // Members are destroyed from the last to the first: the ticker and the servers end before what they use.
 struct Node::Private
 {
-    explicit Private(std::shared_ptr<const Settings> checked)
+    Private(std::shared_ptr<const Settings> checked, std::unique_ptr<NodeRpc> nodeRpc)
         : settings(std::move(checked))
         , incarnation(newIncarnation(clock))
         , log(partLog("node"))
         , client(std::make_unique<HttpClient>())
+        , rpc(std::move(nodeRpc))
         , health(clock, metrics, incarnation.value())
         , services(NodeId(settings->text("node.id")), incarnation, *settings, *client, clock, metrics, health)
         , frontend({ NodeId(settings->text("node.id")), incarnation, ZoneId(settings->text("node.zone")), *settings, clock, *client,
-              metrics, catalog, fleet, services, health })
+              metrics, catalog, fleet, services, health, *rpc })
         , platform(*settings, *client, clock, metrics, catalog, [this](VmList list) { membership->vmListRead(std::move(list)); })
     {
     }
@@ -68,6 +70,7 @@
             ticker.join();
         }
         callers.reset();
+        rpc.reset();
         operators.reset();
         client.reset(); // Calls in progress end here, while what their callbacks use still stands.
         membership.reset();
@@ -82,6 +85,7 @@
     Published<FleetView> fleet;
     std::unique_ptr<MembershipRunner> membership;
     std::unique_ptr<HttpClient> client;
+    std::unique_ptr<NodeRpc> rpc;
     UpstreamHealth health;
     ServiceRunner services;
     CallerFrontend frontend;
@@ -118,7 +122,8 @@
         { "bytes_sent", membership->bytesSent() }, { "bytes_received", membership->bytesReceived() } };
     if (view) {
         for (const NodeView &node : view->nodes) {
-            json["nodes"].push_back({ { "id", node.id.value() }, { "zone", node.zone.value() }, { "address", node.callerAddress } });
+            json["nodes"].push_back({ { "id", node.id.value() }, { "zone", node.zone.value() }, { "address", node.callerAddress },
+                { "rpc_address", node.rpcAddress } });
         }
     }
     for (const EngineStatus &engine : frontend.engineStatus()) {
@@ -161,14 +166,25 @@
 
 Result<std::unique_ptr<Node>> Node::start(std::shared_ptr<const Settings> settings)
 {
+    const auto forPeers = rpcSettings(*settings);
+    if (!forPeers.isOk()) {
+        return forPeers.error();
+    }
+    auto rpc = NodeRpc::start(forPeers.value());
+    if (!rpc.isOk()) {
+        return rpc.error();
+    }
     std::unique_ptr<Node> node(new Node);
-    node->d = std::make_unique<Private>(std::move(settings));
+    node->d = std::make_unique<Private>(std::move(settings), std::move(rpc.value()));
     Private *d = node->d.get();
     auto membership = MembershipRunner::open(*d->settings, d->clock, d->incarnation, d->fleet);
     if (!membership.isOk()) {
         return membership.error();
     }
     d->membership = std::move(membership.value());
+    d->rpc->serveForwards([d](HttpRequest request, int hops, const std::shared_ptr<HttpExchange> &exchange) {
+        d->frontend.handle(std::move(request), exchange, hops);
+    });
     auto callers = HttpServer::start(callerServerSettings(*d->settings),
         [d](HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { d->frontend.handle(std::move(request), exchange); });
     if (!callers.isOk()) {
@@ -185,10 +201,12 @@
         return operators.error();
     }
     d->operators = std::move(operators.value());
-    d->membership->start({ d->settings->text("callers.address") + ':' + std::to_string(node->callerPort()), {} });
+    const std::string &advertised = d->settings->text("rpc.advertise");
+    d->membership->start({ d->settings->text("callers.address") + ':' + std::to_string(node->callerPort()),
+        !advertised.empty() ? advertised : d->settings->text("rpc.address") + ':' + std::to_string(node->rpcPort()) });
     d->ticker = std::thread([d] { d->tickLoop(); });
-    d->log->info("Node {} started. callers={} operators={} membership={}", d->settings->text("node.id"), node->callerPort(),
-        node->operatorPort(), node->membershipPort());
+    d->log->info("Node {} started. callers={} operators={} membership={} rpc={}", d->settings->text("node.id"), node->callerPort(),
+        node->operatorPort(), node->membershipPort(), node->rpcPort());
     return node;
 }
 
@@ -197,6 +215,11 @@
     return d->callers->port();
 }
 
+std::uint16_t Node::rpcPort() const
+{
+    return d->rpc->port();
+}
+
 std::uint16_t Node::operatorPort() const
 {
     return d->operators->port();
@@ -227,7 +250,7 @@
     const Time lingerUntil = d->clock.now() + d->settings->duration("shutdown.linger_ms");
     d->frontend.drain(lingerUntil);
     d->log->info("Draining.");
-    while (d->clock.now() < lingerUntil || d->callers->activeCount() > 0) {
+    while (d->clock.now() < lingerUntil || d->callers->activeCount() > 0 || d->rpc->servedCount() > 0) {
         std::this_thread::sleep_for(DrainCheckInterval);
     }
     d->membership->announceLeft();
--- a/main/node.h
+++ b/main/node.h
@@ -20,6 +20,7 @@
     std::uint16_t callerPort() const;
     std::uint16_t operatorPort() const;
     std::uint16_t membershipPort() const;
+    std::uint16_t rpcPort() const;
     /** Reads the certificate of the caller port again; on a fault the old one stays, and the log says so. */
     void reload();
     /** Takes no new work after the linger time, and returns when every request in progress has its whole answer. */
