Keep the jobs of an engine in a table of their own

Change: EngineJobs holds the jobs under a lock of its own and keeps that rule. No behaviour changes.

--- a/main/enginerunner.cpp
+++ b/main/enginerunner.cpp
@@ -3,18 +3,16 @@
 #include "coordination/concurrencylimit.h"
 #include "core/hash.h"
 #include "core/result.h"
-#include "main/enginereply.h"
+#include "main/enginejobs.h"
 #include "main/log.h"
 #include "main/pausedwork.h"
 #include "protocol/callerapi.h"
 #include "protocol/engineapi.h"
 
 #include <absl/base/thread_annotations.h>
-#include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
 
 #include <algorithm>
-#include <atomic>
 
 namespace ApricotStep
 {
@@ -28,29 +26,6 @@
 constexpr int LeastBatchPart = 4;
 constexpr double EngineTolerance = 2;
 
-// One attempt at this engine from its arrival in the queue to its end. `reply` belongs to the client's thread once it is dispatched.
-struct Job
-{
-    explicit Job(CompletionJob job)
-        : what(std::move(job))
-        , reply(what)
-    {
-    }
-
-    CompletionJob what;
-    EngineReply reply;
-    Time dispatchedAt;
-    /** How often the engine was known to have lost its adapters when this was dispatched. */
-    std::uint64_t losses = 0;
-    int inFlight = 0;
-    /** The scheduler let it go; guarded by the runner's lock. */
-    bool isDispatched = false;
-    std::atomic<CallId> call { 0 };
-    std::atomic<bool> isGone { false };
-};
-
-using JobPointer = std::shared_ptr<Job>;
-
 // How an order to an engine ended.
 struct OrderResult
 {
@@ -104,7 +79,7 @@
     UpstreamScheduler scheduler ABSL_GUARDED_BY(mutex);
     ConcurrencyLimit limit ABSL_GUARDED_BY(mutex);
     int seats ABSL_GUARDED_BY(mutex) = spec.batch;
-    absl::flat_hash_map<RequestId, JobPointer> jobs ABSL_GUARDED_BY(mutex);
+    EngineJobs jobs;
     std::uint64_t losses ABSL_GUARDED_BY(mutex) = 0;
     PausedWork paused;
 
@@ -118,24 +93,19 @@
     void order(std::string_view path, std::string body, std::function<void(const OrderResult &)> done);
 
     void submit(CompletionJob what);
-    JobPointer job(RequestId id) const;
-    JobPointer takeJob(RequestId id);
-    JobPointer claimForDispatch(RequestId id);
-    std::vector<JobPointer> waitingFor(const AdapterKey &adapter) const;
-    bool takeWaiting(RequestId id);
     void moveWaiting(const AdapterKey &adapter);
-    RetryFacts factsOf(const Job &job);
-    HttpCall callFor(const JobPointer &job);
-    bool maySend(const JobPointer &job) const;
-    bool onData(const JobPointer &job, std::string_view data);
-    void onDone(const JobPointer &job, const CallResult &result);
-    void noteOutcome(const Job &job, const ReplyEnd &end);
-    void adaptSeats(const Job &job, bool isWhole, bool isFault);
-    void noteLostAdapters(const Job &job);
-    void afterFailure(const JobPointer &job, const AttemptFailure &failure, const std::string &detail, Duration retryAfter);
-    void tryAgain(const JobPointer &job, const TryAgain &how, const std::string &detail);
-    void fail(const JobPointer &job, ErrorKind kind, const std::string &detail, Duration retryAfter);
-    void served(const JobPointer &job);
+    RetryFacts factsOf(const EngineJob &job);
+    HttpCall callFor(const EngineJobPointer &job);
+    bool maySend(const EngineJobPointer &job) const;
+    bool onData(const EngineJobPointer &job, std::string_view data);
+    void onDone(const EngineJobPointer &job, const CallResult &result);
+    void noteOutcome(const EngineJob &job, const ReplyEnd &end);
+    void adaptSeats(const EngineJob &job, bool isWhole, bool isFault);
+    void noteLostAdapters(const EngineJob &job);
+    void afterFailure(const EngineJobPointer &job, const AttemptFailure &failure, const std::string &detail, Duration retryAfter);
+    void tryAgain(const EngineJobPointer &job, const TryAgain &how, const std::string &detail);
+    void fail(const EngineJobPointer &job, ErrorKind kind, const std::string &detail, Duration retryAfter);
+    void served(const EngineJobPointer &job);
     void callerGone(RequestId id);
 };
 
@@ -208,7 +178,7 @@
 
 void EngineRunner::Private::carryOut(const Dispatch &action)
 {
-    const JobPointer job = claimForDispatch(action.id);
+    const EngineJobPointer job = jobs.claimForDispatch(action.id);
     if (job == nullptr) {
         handle(WorkFinished { action.id });
         return;
@@ -223,7 +193,7 @@
     job->what.exchange->onDrained([self = shared_from_this(), job] { self->parts.client.resume(job->call); });
 }
 
-HttpCall EngineRunner::Private::callFor(const JobPointer &job)
+HttpCall EngineRunner::Private::callFor(const EngineJobPointer &job)
 {
     const CompletionJob &what = job->what;
     HttpCall call;
@@ -244,71 +214,17 @@
 
 void EngineRunner::Private::carryOut(const Refuse &action)
 {
-    const JobPointer job = takeJob(action.id);
+    const EngineJobPointer job = jobs.take(action.id);
     if (job != nullptr) {
         afterFailure(job, { AttemptPhase::Queued, action.kind, false }, {}, action.retryAfter);
     }
 }
 
-JobPointer EngineRunner::Private::job(RequestId id) const
-{
-    const absl::MutexLock lock(&mutex);
-    const auto at = jobs.find(id);
-    return at == jobs.end() ? nullptr : at->second;
-}
-
-JobPointer EngineRunner::Private::takeJob(RequestId id)
-{
-    const absl::MutexLock lock(&mutex);
-    const auto at = jobs.find(id);
-    if (at == jobs.end()) {
-        return nullptr;
-    }
-    JobPointer job = at->second;
-    jobs.erase(at);
-    return job;
-}
-
-// A job is either dispatched here or moved to another engine, never both: two engines would write into one answer.
-JobPointer EngineRunner::Private::claimForDispatch(RequestId id)
-{
-    const absl::MutexLock lock(&mutex);
-    const auto at = jobs.find(id);
-    if (at == jobs.end()) {
-        return nullptr;
-    }
-    at->second->isDispatched = true;
-    return at->second;
-}
-
-bool EngineRunner::Private::takeWaiting(RequestId id)
-{
-    const absl::MutexLock lock(&mutex);
-    const auto at = jobs.find(id);
-    if (at == jobs.end() || at->second->isDispatched) {
-        return false;
-    }
-    jobs.erase(at);
-    return true;
-}
-
-std::vector<JobPointer> EngineRunner::Private::waitingFor(const AdapterKey &adapter) const
-{
-    std::vector<JobPointer> waiting;
-    const absl::MutexLock lock(&mutex);
-    for (const auto &[id, job] : jobs) {
-        if (job->what.work.adapter == adapter && !job->isDispatched) {
-            waiting.push_back(job);
-        }
-    }
-    return waiting;
-}
-
 // After a failed load the scheduler keeps what another try may still serve. On an engine that is gone that try fails too, and callers
 // would wait out its back-off; those that another engine can take go there now.
 void EngineRunner::Private::moveWaiting(const AdapterKey &adapter)
 {
-    for (const JobPointer &job : waitingFor(adapter)) {
+    for (const EngineJobPointer &job : jobs.waitingFor(adapter)) {
         const RetryFacts facts = factsOf(*job);
         const AttemptFailure failure { AttemptPhase::Queued, ErrorKind::AdapterLoadFailed, false };
         if (!facts.hasOtherUpstream) {
@@ -316,19 +232,19 @@
         }
         const RetryDecision decision = parts.health.decide(failure, facts, EnginePool);
         const auto *again = std::get_if<TryAgain>(&decision);
-        if (again != nullptr && takeWaiting(job->what.work.id)) {
+        if (again != nullptr && jobs.takeWaiting(job->what.work.id)) {
             handle(WorkCancelled { job->what.work.id });
             tryAgain(job, *again, "its adapter could not be loaded");
         }
     }
 }
 
-bool EngineRunner::Private::maySend(const JobPointer &job) const
+bool EngineRunner::Private::maySend(const EngineJobPointer &job) const
 {
     return !job->isGone && parts.clock.now() < job->what.work.deadline;
 }
 
-bool EngineRunner::Private::onData(const JobPointer &job, std::string_view data)
+bool EngineRunner::Private::onData(const EngineJobPointer &job, std::string_view data)
 {
     const bool goesOn = job->reply.onData(data, parts.clock.now());
     if (job->reply.isTooLarge()) {
@@ -337,10 +253,10 @@
     return goesOn;
 }
 
-void EngineRunner::Private::onDone(const JobPointer &job, const CallResult &result)
+void EngineRunner::Private::onDone(const EngineJobPointer &job, const CallResult &result)
 {
     const ReplyEnd end = job->reply.end(result);
-    takeJob(job->what.work.id);
+    jobs.take(job->what.work.id);
     noteOutcome(*job, end);
     // Before WorkFinished, which could else dispatch more to an adapter that is not there.
     if (end.failure.isAdapterMissing) {
@@ -359,7 +275,7 @@
 }
 
 // An abandoned call says nothing of the engine.
-void EngineRunner::Private::noteOutcome(const Job &job, const ReplyEnd &end)
+void EngineRunner::Private::noteOutcome(const EngineJob &job, const ReplyEnd &end)
 {
     const bool isFault = !end.isWhole && isUpstreamsFault(end.failure.kind) && !job.isGone;
     if (end.isWhole) {
@@ -370,7 +286,7 @@
     adaptSeats(job, end.isWhole, isFault);
 }
 
-void EngineRunner::Private::adaptSeats(const Job &job, bool isWhole, bool isFault)
+void EngineRunner::Private::adaptSeats(const EngineJob &job, bool isWhole, bool isFault)
 {
     const Time now = parts.clock.now();
     int allowed = 0;
@@ -392,7 +308,7 @@
 }
 
 // A restart is noticed once for each request that ran into it. Told twice, the scheduler would forget what it has loaded since.
-void EngineRunner::Private::noteLostAdapters(const Job &job)
+void EngineRunner::Private::noteLostAdapters(const EngineJob &job)
 {
     {
         const absl::MutexLock lock(&mutex);
@@ -407,7 +323,7 @@
 }
 
 void EngineRunner::Private::afterFailure(
-    const JobPointer &job, const AttemptFailure &failure, const std::string &detail, Duration retryAfter)
+    const EngineJobPointer &job, const AttemptFailure &failure, const std::string &detail, Duration retryAfter)
 {
     if (job->isGone) {
         fail(job, ErrorKind::CallerGone, detail, Duration());
@@ -421,7 +337,7 @@
         decision);
 }
 
-RetryFacts EngineRunner::Private::factsOf(const Job &job)
+RetryFacts EngineRunner::Private::factsOf(const EngineJob &job)
 {
     std::vector<UpstreamId> tried = job.what.tried;
     tried.push_back(spec.id);
@@ -433,7 +349,7 @@
     return facts;
 }
 
-void EngineRunner::Private::tryAgain(const JobPointer &job, const TryAgain &how, const std::string &detail)
+void EngineRunner::Private::tryAgain(const EngineJobPointer &job, const TryAgain &how, const std::string &detail)
 {
     CompletionJob next = job->what;
     ++next.attempts;
@@ -448,7 +364,7 @@
     }
 }
 
-void EngineRunner::Private::served(const JobPointer &job)
+void EngineRunner::Private::served(const EngineJobPointer &job)
 {
     const WorkItem &work = job->what.work;
     const Time now = parts.clock.now();
@@ -458,7 +374,7 @@
         work.adapter.name(), spec.id.value(), job->reply.status(), job->what.attempts + 1, (now - work.arrival).milliseconds());
 }
 
-void EngineRunner::Private::fail(const JobPointer &job, ErrorKind kind, const std::string &detail, Duration retryAfter)
+void EngineRunner::Private::fail(const EngineJobPointer &job, ErrorKind kind, const std::string &detail, Duration retryAfter)
 {
     const WorkItem &work = job->what.work;
     ErrorDetails details;
@@ -481,7 +397,7 @@
 
 void EngineRunner::Private::callerGone(RequestId id)
 {
-    const JobPointer job = this->job(id);
+    const EngineJobPointer job = jobs.find(id);
     if (job == nullptr) {
         return;
     }
@@ -490,19 +406,16 @@
         parts.client.cancel(job->call); // Its onDone ends the job.
         return;
     }
-    takeJob(id);
+    jobs.take(id);
     handle(WorkCancelled { id });
     fail(job, ErrorKind::CallerGone, {}, Duration());
 }
 
 void EngineRunner::Private::submit(CompletionJob what)
 {
-    const auto job = std::make_shared<Job>(std::move(what));
+    const auto job = std::make_shared<EngineJob>(std::move(what));
     const WorkItem &work = job->what.work;
-    {
-        const absl::MutexLock lock(&mutex);
-        jobs.insert_or_assign(work.id, job);
-    }
+    jobs.add(job);
     job->what.exchange->onCallerGone([weak = weak_from_this(), id = work.id] {
         if (const auto self = weak.lock()) {
             self->callerGone(id);
