Spread and retry completions over the engines of other nodes

Cause: most nodes own one engine, so a hot adapter could not spread and a completion that its engine failed had nowhere else to go.

Change: the home of an adapter may choose an engine of another node and forwards the request there; that node runs it on an engine of its own. So do completions that failed before the first byte of their answer, unless they were forwarded already.

--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -59,14 +59,15 @@
     std::shared_ptr<EngineRunner> engine(const UpstreamSpec &spec);
     int depthOf(const UpstreamId &id) const;
     std::optional<Candidate> choose(const PlaceRequest &request, const Placement &placement);
-    bool hasOther(const AdapterKey &adapter, const std::vector<UpstreamId> &tried) override;
+    bool hasOther(const CompletionJob &job, const UpstreamId &failed) override;
     void routeToOther(CompletionJob job) override;
     Result<WorkItem> workItem(const HttpRequest &request, const CompletionRequest &completion, RequestId id) const;
     void completion(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange, int hops, const Catalog &catalog,
         const std::shared_ptr<const Placement> &placement);
     bool isClosed() const;
     bool runHere(CompletionJob &job, bool isForwarded, const Placement &placement);
-    void passOn(CompletionJob job, const HttpRequest &request, int hops, const std::shared_ptr<const Placement> &placement);
+    void passOn(CompletionJob job, const HttpRequest &request, const std::shared_ptr<const Placement> &placement,
+        const std::optional<Candidate> &first);
     void address(const HttpRequest &request, HttpExchange &exchange, const Catalog &catalog, const Placement &placement);
     void service(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange, const std::shared_ptr<const Catalog> &catalog,
         const std::shared_ptr<const FleetView> &fleet);
@@ -117,21 +118,29 @@
     return placer.choose(request, placement, [this](const UpstreamId &id) { return depthOf(id); });
 }
 
-bool CallerFrontend::Private::hasOther(const AdapterKey &adapter, const std::vector<UpstreamId> &tried)
+bool CallerFrontend::Private::hasOther(const CompletionJob &job, const UpstreamId &failed)
 {
     const auto placement = placer.placement(parts.catalog.get(), parts.fleet.get());
-    return choose({ adapter, tried }, *placement).has_value();
+    std::vector<UpstreamId> tried = job.tried;
+    tried.push_back(failed);
+    return choose({ job.work.adapter, std::move(tried), false, job.hops == 0 }, *placement).has_value();
 }
 
 void CallerFrontend::Private::routeToOther(CompletionJob job)
 {
     const auto placement = placer.placement(parts.catalog.get(), parts.fleet.get());
-    const auto place = choose({ job.work.adapter, job.tried }, *placement);
-    if (!place) {
-        refuse(*job.exchange, { ErrorKind::NoUpstream, {} }, job.requestId);
+    const auto place = choose({ job.work.adapter, job.tried, false, job.hops == 0 }, *placement);
+    if (place && place->owner->id == parts.self) {
+        engine(*place->upstream)->submit(std::move(job));
         return;
     }
-    engine(*place->upstream)->submit(std::move(job));
+    // The body names the adapter version that the request resolved to, so the other node cannot take a different one.
+    HttpRequest request;
+    request.method = "POST";
+    request.path = job.path;
+    request.headers["x-priority"] = PriorityWords[static_cast<std::size_t>(job.work.priority)];
+    request.body = job.body;
+    passOn(std::move(job), request, placement, place);
 }
 
 Result<WorkItem> CallerFrontend::Private::workItem(const HttpRequest &request, const CompletionRequest &completion, RequestId id) const
@@ -177,17 +186,22 @@
     if (!place || place->owner->id != parts.self) {
         return false;
     }
-    job.inProgress = placer.begin(job.work.adapter);
+    if (job.inProgress == nullptr) {
+        job.inProgress = placer.begin(job.work.adapter);
+    }
     engine(*place->upstream)->submit(std::move(job));
     return true;
 }
 
-// Asks the owners of the adapter's engines, best first. When none can be reached and nothing left, an engine of this node's own may still
-// serve it.
+// Asks the owner of @p first and then those of the adapter's other engines, best first. When none can be reached and nothing left, an
+// engine of this node's own may still serve it.
 void CallerFrontend::Private::passOn(
-    CompletionJob job, const HttpRequest &request, int hops, const std::shared_ptr<const Placement> &placement)
+    CompletionJob job, const HttpRequest &request, const std::shared_ptr<const Placement> &placement, const std::optional<Candidate> &first)
 {
     ForwardJob forward;
+    if (first && first->owner->id != parts.self) {
+        forward.targets.push_back(*first->owner);
+    }
     for (const Candidate &place : placement->candidates(job.work.adapter)) {
         const auto isSame = [&](const NodeView &target) { return target.id == place.owner->id; };
         if (place.owner->id != parts.self && std::none_of(forward.targets.begin(), forward.targets.end(), isSame)) {
@@ -196,7 +210,7 @@
     }
     const std::string address = forward.targets.empty() ? std::string() : forward.targets.front().callerAddress;
     forward.request = forwardedRequest(request, job.work, parts.clock.now());
-    forward.hops = hops;
+    forward.hops = job.hops;
     forward.exchange = job.exchange;
     forward.requestId = job.requestId;
     forward.onNoneReached = [this, address, placement, job = std::move(job)](const Error &error) {
@@ -247,8 +261,16 @@
         { "X-Request-Id", idText } };
     job.requestId = idText;
     job.exchange = exchange;
-    if (!runHere(job, hops > 0, *placement)) {
-        passOn(std::move(job), request, hops, placement);
+    job.hops = hops;
+    // At its home a request counts as demand wherever it runs, so that a spread over other nodes' engines does not hide it.
+    if (placement->candidates(adapter.value()).front().owner->id == parts.self) {
+        job.inProgress = placer.begin(adapter.value());
+    }
+    const auto place = isClosed() ? std::nullopt : choose({ adapter.value(), {}, hops > 0, hops == 0 }, *placement);
+    if (place && place->owner->id == parts.self) {
+        engine(*place->upstream)->submit(std::move(job));
+    } else {
+        passOn(std::move(job), request, placement, place);
     }
 }
 
--- a/main/completionjob.h
+++ b/main/completionjob.h
@@ -23,6 +23,8 @@
     HttpHeaders headers;
     std::string requestId;
     std::shared_ptr<HttpExchange> exchange;
+    /** Forwards between nodes before it came here. */
+    int hops = 0;
     /** Attempts made so far. */
     int attempts = 0;
     /** Engines that failed it. */
@@ -43,9 +45,9 @@
 public:
     virtual ~CompletionRouter() = default;
 
-    /** Whether this node has an engine for @p adapter besides those in @p tried. */
-    virtual bool hasOther(const AdapterKey &adapter, const std::vector<UpstreamId> &tried) = 0;
-    /** Hands it to such an engine; it ends with an answer on its exchange. */
+    /** Whether there is an engine for @p job besides those that it tried and @p failed. */
+    virtual bool hasOther(const CompletionJob &job, const UpstreamId &failed) = 0;
+    /** Hands it to such an engine, of this node or another; it ends with an answer on its exchange. */
     virtual void routeToOther(CompletionJob job) = 0;
 };
 
--- a/main/engineplacer.cpp
+++ b/main/engineplacer.cpp
@@ -35,16 +35,17 @@
     ReplicaView view(const Candidate &candidate, const PlaceRequest &request, const DepthOf &depthOf) const;
 };
 
-// An engine of another node counts as tried: its owner would send the request back here, to the home of the adapter.
+// Unless it takes the request as forwarded, the owner of another engine would send it back here, to the home of the adapter.
 ReplicaView EnginePlacer::Private::view(const Candidate &candidate, const PlaceRequest &request, const DepthOf &depthOf) const
 {
     const UpstreamId &id = candidate.upstream->id;
+    const bool isOwn = candidate.owner->id == self;
     ReplicaView view;
-    view.isTried = candidate.owner->id != self || std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
-    if (!view.isTried) {
+    view.isTried = (!isOwn && !request.mayForward) || std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
+    view.isNear = candidate.upstream->zone == zone;
+    if (!view.isTried && isOwn) {
         view.depth = depthOf(id);
         view.share = health.share(id);
-        view.isNear = candidate.upstream->zone == zone;
     }
     return view;
 }
@@ -104,7 +105,7 @@
         const absl::MutexLock lock(&d->heatMutex);
         d->spread.onArrival(adapter, d->clock.now());
     }
-    return std::shared_ptr<void>(nullptr, [self = d.get(), adapter](void *) {
+    return std::shared_ptr<void>(d.get(), [self = d.get(), adapter](void *) {
         const absl::MutexLock lock(&self->heatMutex);
         self->spread.onEnd(adapter, self->clock.now());
     });
--- a/main/engineplacer.h
+++ b/main/engineplacer.h
@@ -20,6 +20,8 @@
     std::vector<UpstreamId> tried;
     /** Another node sent it here because it sees this node as the right one. */
     bool isForwarded = false;
+    /** It may go to an engine of another node, which takes it as forwarded. */
+    bool mayForward = false;
 };
 
 /** Requests queued and running on an engine that this node owns. */
@@ -37,7 +39,8 @@
     std::shared_ptr<const Placement> placement(
         const std::shared_ptr<const Catalog> &catalog, const std::shared_ptr<const FleetView> &fleet);
     /**
-     * The engine for @p request. One of another node only when that node is the home of the adapter. Empty when no engine can take it now.
+     * The engine for @p request. One of another node only when that node is the home of the adapter or the request may be forwarded. Empty
+     * when no engine can take it now.
      */
     std::optional<Candidate> choose(const PlaceRequest &request, const Placement &placement, const DepthOf &depthOf);
     /** Counts a completion for @p adapter as in progress until what it returns is released; this must outlive that. */
--- a/main/enginerunner.cpp
+++ b/main/enginerunner.cpp
@@ -339,13 +339,11 @@
 
 RetryFacts EngineRunner::Private::factsOf(const EngineJob &job)
 {
-    std::vector<UpstreamId> tried = job.what.tried;
-    tried.push_back(spec.id);
     RetryFacts facts;
     facts.hasCallerBytes = job.reply.hasCallerBytes();
     facts.attempts = job.what.attempts + 1;
     facts.deadline = job.what.work.deadline;
-    facts.hasOtherUpstream = parts.router.hasOther(job.what.work.adapter, tried);
+    facts.hasOtherUpstream = parts.router.hasOther(job.what, spec.id);
     return facts;
 }
 
--- a/tests/main/testengineplacer.cpp
+++ b/tests/main/testengineplacer.cpp
@@ -83,6 +83,25 @@
     cr_assert_geq(foreign, 20);
 }
 
+Test(engineplacer, aRequestMayGoOnToAnotherNodesEngineWhenItsOwnFailed)
+{
+    // Each of three nodes owns one engine, and the home of an adapter is gone. Its node sends the request to the next owner.
+    Placer placer(3);
+    int own = 0;
+    for (int i = 0; i < 50; ++i) {
+        const AdapterKey adapter { AdapterId("a" + std::to_string(i)), AdapterVersion("1") };
+        const auto candidates = placer.placement->candidates(adapter);
+        if (candidates.front().owner->id != NodeId("n0")) {
+            continue;
+        }
+        ++own;
+        cr_assert_not(placer.choose({ adapter, { candidates[0].upstream->id } }).has_value());
+        const auto next = placer.choose({ adapter, { candidates[0].upstream->id }, false, true });
+        cr_assert(next->upstream == candidates[1].upstream);
+    }
+    cr_assert_geq(own, 5);
+}
+
 Test(engineplacer, aHotAdapterUsesMoreEnginesAndThenOneAgain)
 {
     // Forty trainees open the same lesson. Its home would queue them while two engines idle.
--- a/tests/main/testretries.cpp
+++ b/tests/main/testretries.cpp
@@ -79,9 +79,9 @@
     {
         client.reset();
     }
-    bool hasOther(const AdapterKey &, const std::vector<UpstreamId> &tried) override
+    bool hasOther(const CompletionJob &job, const UpstreamId &) override
     {
-        return other != nullptr && tried.size() == 1;
+        return other != nullptr && job.tried.empty();
     }
     void routeToOther(CompletionJob job) override
     {
