Publish a configuration as a head, pages and small changes

A configuration was one JSON value of all adapters: at 130,000 it would break the platform's limit of a megabyte, and each change would send all of it to each node. INI reading is shared with the settings.

--- /dev/null
+++ b/coordination/configjob.cpp
@@ -0,0 +1,125 @@
+#include "coordination/configjob.h"
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// A node that was away for longer takes the base: at 300 B a change this many weigh less than a tenth of one page.
+constexpr std::size_t MaxChangesBehind = 256;
+// Ends a walk through a history that never meets its base.
+constexpr std::size_t MaxChain = 4096;
+
+} // namespace
+
+ConfigJob::ConfigJob(ConfigHead head, std::shared_ptr<const Catalog> current, std::string currentDelta)
+    : m_head(std::move(head))
+    , m_current(std::move(current))
+    , m_currentDelta(std::move(currentDelta))
+    , m_isFromBase(m_current == nullptr)
+{
+}
+
+const ConfigHead &ConfigJob::head() const
+{
+    return m_head;
+}
+
+std::variant<WantedValue, JobResult> ConfigJob::next()
+{
+    if (m_isBaseOnly) {
+        return readBase();
+    }
+    const ConfigVersion reached = m_chain.empty() ? m_head.version : m_chain.back().change.from;
+    const std::string &wanted = m_chain.empty() ? m_head.deltaHash : m_chain.back().previous;
+    if (!m_isFromBase && reached == m_current->version()) {
+        if (m_currentDelta.empty() || wanted == m_currentDelta) {
+            return build(m_current);
+        }
+        m_isForked = true;
+    } else if (!m_isFromBase && reached < m_current->version()) {
+        m_isForked = true;
+    }
+    m_isFromBase = m_isFromBase || m_isForked || m_chain.size() >= MaxChangesBehind || wanted.empty();
+    if (m_isFromBase && reached <= m_head.baseVersion) {
+        return readBase();
+    }
+    if (wanted.empty() || m_chain.size() >= MaxChain) {
+        return failed("the changes from the base " + std::to_string(m_head.baseVersion.value()) + " on are not complete");
+    }
+    return WantedValue { ConfigValueKind::Delta, wanted };
+}
+
+std::variant<WantedValue, JobResult> ConfigJob::readBase()
+{
+    if (!m_base) {
+        return WantedValue { ConfigValueKind::Base, m_head.baseHash };
+    }
+    if (m_pages.size() < m_base->pages.size()) {
+        return WantedValue { ConfigValueKind::Page, m_base->pages[m_pages.size()] };
+    }
+    if (m_base->version != m_head.baseVersion) {
+        return failed("the base is of another version than the head says");
+    }
+    CatalogContent content;
+    content.version = m_base->version;
+    for (const ConfigPage &page : m_pages) {
+        const CatalogContent &part = page.content;
+        content.adapters.insert(content.adapters.end(), part.adapters.begin(), part.adapters.end());
+        content.upstreams.insert(content.upstreams.end(), part.upstreams.begin(), part.upstreams.end());
+        content.services.insert(content.services.end(), part.services.begin(), part.services.end());
+    }
+    auto base = Catalog::create(std::move(content));
+    if (!base.isOk()) {
+        return failed(base.error().detail);
+    }
+    return build(base.value());
+}
+
+JobResult ConfigJob::build(std::shared_ptr<const Catalog> start) const
+{
+    std::shared_ptr<const Catalog> base = start->version() == m_head.baseVersion ? start : nullptr;
+    for (auto delta = m_chain.rbegin(); delta != m_chain.rend() && !m_isBaseOnly; ++delta) {
+        if (delta->change.version <= start->version()) {
+            continue; // A change that the base holds already.
+        }
+        auto following = start->apply(delta->change);
+        if (!following.isOk()) {
+            return failed(following.error().detail);
+        }
+        start = following.value();
+        base = start->version() == m_head.baseVersion ? start : base;
+    }
+    if (!m_isBaseOnly && start->version() != m_head.version) {
+        return failed("the changes lead to version " + std::to_string(start->version().value()) + " and not to the head's");
+    }
+    return { std::move(start), std::move(base), m_isForked, m_isBaseOnly };
+}
+
+JobResult ConfigJob::failed(std::string detail) const
+{
+    return { Error { ErrorKind::ConfigInvalid, std::move(detail) }, {}, m_isForked, m_isBaseOnly };
+}
+
+void ConfigJob::take(ConfigValue value)
+{
+    std::visit(Overloaded {
+                   [](ConfigHead &) {},
+                   [this](ConfigDelta &delta) { m_chain.push_back(std::move(delta)); },
+                   [this](ConfigBase &base) { m_base = std::move(base); },
+                   [this](ConfigPage &page) { m_pages.push_back(std::move(page)); },
+               },
+        value);
+}
+
+bool ConfigJob::skipChanges()
+{
+    if (m_isBaseOnly || (m_current != nullptr && m_head.baseVersion <= m_current->version())) {
+        return false;
+    }
+    m_isBaseOnly = true;
+    return true;
+}
+
+} // namespace ApricotStep
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,6 +1,8 @@
+#include "main/checkcommand.h"
 #include "main/errorspage.h"
 #include "main/log.h"
 #include "main/node.h"
+#include "main/packcommand.h"
 #include "main/settings.h"
 
 #include <CLI/CLI.hpp>
@@ -60,6 +62,14 @@
     node->add_option("--settings", settingsPath, "INI file with the settings below.")->required();
     node->footer(settingsHelp());
     auto *errors = app.add_subcommand("errors-page", "Print docs/ERRORS.md.");
+    std::string catalogPath;
+    auto *check = app.add_subcommand("check-config", "Check a catalog INI; all faults at once.");
+    check->add_option("catalog", catalogPath, "The operator's catalog.")->required();
+    PackOptions packing;
+    auto *pack = app.add_subcommand("pack", "Make the values to publish of a catalog INI.");
+    pack->add_option("--in", packing.in, "The operator's catalog.")->required();
+    pack->add_option("--out", packing.out, "Directory for the values; a file each, named as the service is to hand it out.")->required();
+    pack->add_option("--previous", packing.previous, "Directory of the last publication; may be the same as --out.");
     auto *page = app.add_subcommand("settings-page", "Print docs/SETTINGS.md.");
 
     try {
@@ -76,5 +86,11 @@
         std::cout << errorsPage();
         return 0;
     }
+    if (*check) {
+        return checkConfig(catalogPath, std::cout, std::cerr);
+    }
+    if (*pack) {
+        return packConfig(packing, SystemClock().wallTime(), std::cout, std::cerr);
+    }
     return runNode(settingsPath);
 }
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -1,7 +1,8 @@
 #include "main/settings.h"
 
+#include "main/inidocument.h"
+
 #include <absl/strings/numbers.h>
-#include <ini.h>
 
 #include <cstdlib>
 #include <cstring>
@@ -18,43 +19,6 @@
 
 constexpr std::size_t MinSecretLength = 16;
 
-struct Row
-{
-    std::string value;
-    int line = 0;
-};
-
-// inih does not tell the handler its line, but it reads line by line and calls the handler before the next: counting reads is exact.
-struct Reader
-{
-    std::istringstream input;
-    std::string name;
-    int line = 0;
-    std::map<std::string, Row, std::less<>> rows;
-    std::string faults;
-
-    void fault(int at, const std::string &what)
-    {
-        faults += name + ":" + std::to_string(at) + ": " + what + "\n";
-    }
-};
-
-char *readLine(char *out, int size, void *context)
-{
-    auto &reader = *static_cast<Reader *>(context);
-    std::string line;
-    if (!std::getline(reader.input, line)) {
-        return nullptr;
-    }
-    ++reader.line;
-    if (line.size() + 2 > static_cast<std::size_t>(size)) {
-        reader.fault(reader.line, "the line is longer than " + std::to_string(size - 2) + " characters; shorten it");
-        line.clear();
-    }
-    std::snprintf(out, static_cast<std::size_t>(size), "%s\n", line.c_str());
-    return out;
-}
-
 const SettingSpec *specOf(std::string_view name)
 {
     for (const SettingSpec &spec : settingTable()) {
@@ -71,17 +35,20 @@
     return std::string(spec.section) + '.' + std::string(spec.key);
 }
 
-int onPair(void *context, const char *section, const char *key, const char *value)
+// The pairs by name. Unknown and repeated ones become faults.
+std::map<std::string, IniPair, std::less<>> rowsOf(IniDocument &document)
 {
-    auto &reader = *static_cast<Reader *>(context);
-    const std::string name = std::string(section) + '.' + key;
-    if (specOf(name) == nullptr) {
-        reader.fault(
-            reader.line, "unknown setting '" + std::string(key) + "' in [" + section + "]; see 'apricotstep node --help' for all of them");
-    } else if (!reader.rows.emplace(name, Row { value, reader.line }).second) {
-        reader.fault(reader.line, "'" + std::string(key) + "' in [" + section + "] is set twice; remove one");
+    std::map<std::string, IniPair, std::less<>> rows;
+    for (const IniPair &pair : std::vector<IniPair>(document.pairs)) {
+        const std::string name = pair.section + '.' + pair.key;
+        if (specOf(name) == nullptr) {
+            document.addFault(
+                pair.line, "unknown setting '" + pair.key + "' in [" + pair.section + "]; see 'apricotstep node --help' for all of them");
+        } else if (!rows.emplace(name, pair).second) {
+            document.addFault(pair.line, "'" + pair.key + "' in [" + pair.section + "] is set twice; remove one");
+        }
     }
-    return 1;
+    return rows;
 }
 
 // Empty when the value is good, else what to change.
@@ -161,30 +128,28 @@
 
 Result<std::shared_ptr<const Settings>> Settings::parse(const std::string &text, const std::string &name)
 {
-    Reader reader { std::istringstream(text), name, 0, {}, {} };
-    const int badLine = ini_parse_stream(readLine, &reader, onPair, &reader);
-    if (badLine > 0) {
-        reader.fault(badLine, "is neither '[section]' nor 'key = value'; correct or remove the line");
-    }
+    IniDocument document = parseIni(text, name);
+    const auto rows = rowsOf(document);
     std::shared_ptr<Settings> settings(new Settings);
     for (const SettingSpec &spec : settingTable()) {
         const std::string full = nameOf(spec);
-        const auto row = reader.rows.find(full);
-        if (row == reader.rows.end()) {
+        const auto row = rows.find(full);
+        if (row == rows.end()) {
             if (spec.isRequired) {
-                reader.fault(reader.line, "'" + std::string(spec.key) + "' is missing; add it to [" + std::string(spec.section) + "]");
+                document.addFault(
+                    document.lineCount, "'" + std::string(spec.key) + "' is missing; add it to [" + std::string(spec.section) + "]");
             }
             settings->d->values[full] = std::string(spec.defaultValue);
             continue;
         }
         const std::string wrong = checkValue(spec, row->second.value);
         if (!wrong.empty()) {
-            reader.fault(row->second.line, wrong);
+            document.addFault(row->second.line, wrong);
         }
         settings->d->values[full] = row->second.value;
     }
-    if (!reader.faults.empty()) {
-        return Error { ErrorKind::SettingsInvalid, reader.faults };
+    if (!document.faults.empty()) {
+        return Error { ErrorKind::SettingsInvalid, document.faults };
     }
     return std::shared_ptr<const Settings>(std::move(settings));
 }
--- a/state/catalog.cpp
+++ b/state/catalog.cpp
@@ -94,7 +94,9 @@
     return firstEntry(text) | UINT32_MAX;
 }
 
-std::string checkAdapter(const AdapterSpec &spec)
+} // namespace
+
+std::string adapterFault(const AdapterSpec &spec)
 {
     if (!isWord(spec.key.id.value()) || !isWord(spec.key.version.value())) {
         return "adapter '" + spec.key.name() + "': id and version must be words without '@', '=', ',' or blanks";
@@ -116,7 +118,7 @@
     return {};
 }
 
-std::string checkUpstream(const UpstreamSpec &spec)
+std::string upstreamFault(const UpstreamSpec &spec)
 {
     if (!isWord(spec.id.value())) {
         return "upstream '" + spec.id.value() + "': the id must be a word";
@@ -130,6 +132,9 @@
     return {};
 }
 
+namespace
+{
+
 // Upstreams and services of one snapshot. Successive snapshots share them as long as no change touches them.
 struct Fleet
 {
@@ -146,7 +151,7 @@
     upstreamIndex.clear();
     serviceIndex.clear();
     for (std::uint32_t i = 0; i < upstreams.size(); ++i) {
-        std::string fault = checkUpstream(upstreams[i]);
+        std::string fault = upstreamFault(upstreams[i]);
         if (!fault.empty()) {
             return fault;
         }
@@ -220,7 +225,7 @@
     ids.reserve(adapters.size());
     for (std::uint32_t i = 0; i < adapters.size(); ++i) {
         const AdapterSpec &spec = adapters[i];
-        std::string fault = checkAdapter(spec);
+        std::string fault = adapterFault(spec);
         if (!fault.empty()) {
             return fault;
         }
@@ -275,7 +280,7 @@
         records.remove(*number);
     }
     for (const AdapterSpec &spec : delta.adapters) {
-        std::string fault = checkAdapter(spec);
+        std::string fault = adapterFault(spec);
         if (!fault.empty()) {
             return fault;
         }
--- a/state/catalog.h
+++ b/state/catalog.h
@@ -71,6 +71,10 @@
     bool operator==(const ServiceSpec &) const = default;
 };
 
+/** What is wrong with @p spec by itself; empty when it is good. */
+std::string adapterFault(const AdapterSpec &spec);
+std::string upstreamFault(const UpstreamSpec &spec);
+
 /** Everything one configuration version says. */
 struct CatalogContent
 {
--- /dev/null
+++ b/tests/main/testpack.cpp
@@ -0,0 +1,157 @@
+#include "main/catalogini.h"
+#include "main/checkcommand.h"
+#include "main/configstore.h"
+#include "main/packcommand.h"
+#include "main/valuedirectory.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+const std::string Good = "[adapters]\nlessons@1 = shop=accra, track=stable\n[adapters llama]\nkitchen@1 = track=stable\n"
+                         "[upstream e1]\naddress = 127.0.0.1:1\nzone = a\nbase_model = llama\nchecks = fencing, keys\n"
+                         "[upstream p1]\nkind = service\naddress = 127.0.0.1:2\n[service payments]\nupstreams = p1\n";
+
+class Folder
+{
+public:
+    Folder()
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "packXXXXXX").string();
+        m_path = mkdtemp(name.data());
+    }
+    ~Folder()
+    {
+        std::filesystem::remove_all(m_path);
+    }
+    std::string operator/(const std::string &name) const
+    {
+        return m_path + "/" + name;
+    }
+
+private:
+    std::string m_path;
+};
+
+void write(const std::string &path, const std::string &text)
+{
+    std::ofstream(path) << text;
+}
+
+bool faultSays(const std::string &text, const std::string &part)
+{
+    const auto content = parseCatalogIni(text, "c.ini");
+    return !content.isOk() && content.error().detail.find(part) != std::string::npos;
+}
+
+ConfigHead headOf(const std::string &path)
+{
+    return std::get<ConfigHead>(ValueDirectory(path).read(ConfigValueKind::Head, {}).value());
+}
+
+} // namespace
+
+Test(catalogini, aCatalogIsReadWhole)
+{
+    const auto content = parseCatalogIni(Good, "c.ini");
+    cr_assert(content.isOk());
+    cr_assert(content.value().adapters[1].baseModel == BaseModelId("llama"));
+    cr_assert(content.value().upstreams[0].checksFencing && content.value().upstreams[0].checksKeys);
+    cr_assert(content.value().upstreams[1].kind == UpstreamKind::Service);
+}
+
+Test(catalogini, eachFaultNamesFileLineAndFix)
+{
+    cr_assert(faultSays("[adapters]\nlessons = track=x\n", "c.ini:2: 'lessons' has no version; write it as id@version"));
+    cr_assert(faultSays("[adapters]\na@1 = stable\n", "c.ini:2: label 'stable' of 'a@1' has no value; write it as name=value"));
+    cr_assert(faultSays("[adapters]\na@1 =\na@1 =\n", "c.ini:3: 'a@1' stands in line 2 already; remove one"));
+    cr_assert(faultSays("[upstream e1]\nslots = many\n", "c.ini:2: 'slots' must be a whole number, not 'many'"));
+    cr_assert(faultSays("[upstream e1]\naddress = nowhere\n", "c.ini:1: upstream 'e1': address 'nowhere' is not host:port"));
+    cr_assert(faultSays("[upstream e1]\n", "c.ini:1: upstream 'e1': address '' is not host:port"));
+    cr_assert(faultSays("[upstraem e1]\n", "c.ini:1: unknown section '[upstraem e1]'"));
+    cr_assert(faultSays("[service s]\nupstreams = x\n", "c.ini:1: [service s] names unknown upstream 'x'; add [upstream x]"));
+    cr_assert(faultSays("[adapters]\n" + std::string(60, 'a') + "@1 = track=x\n", "c.ini:2: a name is longer than 49 characters"));
+    cr_assert(faultSays("nonsense\n", "c.ini:1: is neither"));
+}
+
+Test(catalogini, allFaultsComeAtOnce)
+{
+    cr_assert(faultSays("[adapters]\na = x\n[upstream e1]\nslots = many\n", "c.ini:2:"));
+    cr_assert(faultSays("[adapters]\na = x\n[upstream e1]\nslots = many\n", "c.ini:4:"));
+}
+
+Test(checkconfig, saysWhatItHoldsOrWhatIsWrong)
+{
+    const Folder folder;
+    write(folder / "c.ini", Good);
+    std::ostringstream out;
+    std::ostringstream faults;
+    cr_assert_eq(checkConfig(folder / "c.ini", out, faults), 0);
+    cr_assert(out.str().find("good. adapters=2 upstreams=2 services=1") != std::string::npos);
+    cr_assert_eq(checkConfig(folder / "missing.ini", out, faults), 2);
+    cr_assert(faults.str().find("missing.ini:0: cannot be read") != std::string::npos);
+}
+
+Test(pack, aChangeIsPublishedAsASmallDeltaWithTheNextVersion)
+{
+    const Folder folder;
+    write(folder / "c.ini", Good);
+    std::ostringstream out;
+    std::ostringstream faults;
+    cr_assert_eq(packConfig({ folder / "c.ini", folder / "v", "" }, Time(7'000'000), out, faults), 0);
+    cr_assert_eq(headOf(folder / "v").version.value(), 7000);
+    write(folder / "c.ini", Good + "[adapters]\nkitchen@2 = track=canary\n");
+    cr_assert_eq(packConfig({ folder / "c.ini", folder / "v", folder / "v" }, Time(1), out, faults), 0);
+    const ConfigHead head = headOf(folder / "v");
+    cr_assert_eq(head.version.value(), 7001);
+    cr_assert_eq(head.baseVersion.value(), 7000);
+    cr_assert_lt(ValueDirectory(folder / "v").text(head.deltaHash).value().size(), 300);
+    const auto catalog = ValueDirectory(folder / "v").catalog().value();
+    cr_assert(catalog->resolve("track=canary").value().name() == "kitchen@2");
+    // Nothing changed: no new version.
+    cr_assert_eq(packConfig({ folder / "c.ini", folder / "v", folder / "v" }, Time(1), out, faults), 0);
+    cr_assert_eq(headOf(folder / "v").version.value(), 7001);
+}
+
+Test(pack, aLongHistoryGetsANewBaseThatNodesCanWorkOut)
+{
+    const Folder folder;
+    std::ostringstream out;
+    std::ostringstream faults;
+    std::string text = Good;
+    write(folder / "c.ini", text);
+    cr_assert_eq(packConfig({ folder / "c.ini", folder / "v", "" }, Time(1000), out, faults), 0);
+    for (int i = 0; i < 65; ++i) {
+        text += "[adapters]\nmore" + std::to_string(i) + "@1 = track=x\n";
+        write(folder / "c.ini", text);
+        cr_assert_eq(packConfig({ folder / "c.ini", folder / "v", folder / "v" }, Time(1), out, faults), 0);
+    }
+    const ConfigHead head = headOf(folder / "v");
+    cr_assert_eq(head.baseVersion.value(), 66);
+    const auto catalog = ValueDirectory(folder / "v").catalog().value();
+    ConfigStore store;
+    store.putInForce(head, configBaseTexts(catalog->content()));
+    cr_assert(store.find(head.baseHash).isOk());
+    cr_assert_not(store.lacksBase(head));
+}
+
+Test(pack, whatTheCheckRefusesIsNotPublished)
+{
+    const Folder folder;
+    write(folder / "c.ini", "[service s]\nupstreams = x\n");
+    std::ostringstream out;
+    std::ostringstream faults;
+    cr_assert_eq(packConfig({ folder / "c.ini", folder / "v", "" }, Time(1), out, faults), 2);
+    cr_assert_not(ValueDirectory(folder / "v").hasHead());
+    write(folder / "c.ini", Good);
+    cr_assert_eq(packConfig({ folder / "c.ini", folder / "v", folder / "v" }, Time(1), out, faults), 2);
+    cr_assert(faults.str().find("has no head value") != std::string::npos);
+}
