Keep the configuration at the newest version from the service or from peers

Every node watched the service alone, so calls grew with the fleet, a node behind a dead service stayed behind, and a node that started behind a stale service took an old version as good. ConfigSync decides without I/O: two nodes of a zone watch, the others learn by rumour and fetch from peers by hash, polls that slow down with the fleet find what the rumours miss, and a starting node asks its peers first. Invalid, conflicting, forked, stale, corrupted and missing values are told apart, shown in /status and counted in apricotstep_config_refused_total. The configuration stand-in serves a directory and can be down, stale, slow or limited.

Nodes do not yet ask each other: the reader is connected to the service alone.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -34,20 +34,31 @@
 UPSTREAMS=""
 for i in 1 2 3; do
     start "engine$i" "$BUILD/tests/standins/standin" engine --slots 2 --store "$STORE"
-    UPSTREAMS+="{\"id\":\"engine$i\",\"address\":\"127.0.0.1:$(value port)\",\"zone\":\"zone$i\",\"slots\":2,\"batch\":8},"
+    UPSTREAMS+="[upstream engine$i]
+address = 127.0.0.1:$(value port)
+zone = zone$i
+slots = 2
+batch = 8
+"
 done
 start payments "$BUILD/tests/standins/standin" service
 PAYMENTS="$(value port)"
-cat >"$WORK/catalog.json" <<CATALOG
-{"version":1,
- "adapters":[{"id":"lessons","version":"1","labels":{"shop":"accra","track":"stable"}},
-             {"id":"lessons","version":"2","labels":{"shop":"accra","track":"canary"}},
-             {"id":"kitchen","version":"1","labels":{"shop":"kumasi","track":"stable"}}],
- "upstreams":[$UPSTREAMS{"id":"payments1","kind":"service","address":"127.0.0.1:$PAYMENTS","zone":"zone1"}],
- "services":[{"name":"payments","upstreams":["payments1"]}]}
+cat >"$WORK/catalog.ini" <<CATALOG
+[adapters]
+lessons@1 = shop=accra, track=stable
+lessons@2 = shop=accra, track=canary
+kitchen@1 = shop=kumasi, track=stable
+$UPSTREAMS
+[upstream payments1]
+kind = service
+address = 127.0.0.1:$PAYMENTS
+zone = zone1
+[service payments]
+upstreams = payments1
 CATALOG
+"$BUILD/main/apricotstep" pack --in "$WORK/catalog.ini" --out "$WORK/values"
 echo '{"vms":[]}' >"$WORK/vms.json"
-start config "$BUILD/tests/standins/standin" config --file "$WORK/catalog.json"
+start config "$BUILD/tests/standins/standin" config --dir "$WORK/values"
 CONFIG="$(value port)"
 start vmlist "$BUILD/tests/standins/standin" vmlist --file "$WORK/vms.json"
 VMLIST="$(value port)"
--- /dev/null
+++ b/main/configreader.cpp
@@ -0,0 +1,291 @@
+#include "main/configreader.h"
+
+#include "coordination/configsync.h"
+#include "main/configstore.h"
+#include "main/log.h"
+#include "protocol/configvalues.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <random>
+#include <thread>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr int OkStatus = 200;
+constexpr int NotFoundStatus = 404;
+constexpr absl::Duration TickInterval = absl::Milliseconds(50);
+
+// What the worker has to take, in the order of its coming.
+struct FetchedText
+{
+    FetchValue fetch;
+    Result<std::string> text;
+};
+
+using Arrival = std::variant<FetchedText, ConfigFact>;
+
+ConfigSyncSettings syncSettings(const Settings &settings)
+{
+    ConfigSyncSettings sync;
+    sync.self = NodeId(settings.text("node.id"));
+    sync.zone = ZoneId(settings.text("node.zone"));
+    sync.watch = settings.duration("platform.watch_ms");
+    sync.seed = std::random_device()();
+    return sync;
+}
+
+} // namespace
+
+struct ConfigReader::Private : std::enable_shared_from_this<Private>
+{
+    Private(const Settings &allSettings, HttpClient &httpClient, const Clock &aClock, Metrics &allMetrics, Published<Catalog> &catalogs,
+        const Published<FleetView> &fleets)
+        : settings(allSettings)
+        , client(httpClient)
+        , clock(aClock)
+        , metrics(allMetrics)
+        , catalog(catalogs)
+        , fleet(fleets)
+        , log(partLog("config"))
+        , sync(syncSettings(settings))
+    {
+    }
+
+    const Settings &settings;
+    HttpClient &client;
+    const Clock &clock;
+    Metrics &metrics;
+    Published<Catalog> &catalog;
+    const Published<FleetView> &fleet;
+    Logger log;
+    Peers *peers = nullptr;
+    Announcer announce;
+    std::thread worker;
+
+    // Of the worker alone.
+    ConfigSync sync;
+    std::shared_ptr<const FleetView> lastFleet;
+
+    mutable absl::Mutex mutex;
+    std::vector<Arrival> arrivals ABSL_GUARDED_BY(mutex);
+    ConfigStore store ABSL_GUARDED_BY(mutex);
+    ConfigStatus status ABSL_GUARDED_BY(mutex);
+    bool isStopping ABSL_GUARDED_BY(mutex) = false;
+
+    void run();
+    bool waitForArrivals(std::vector<Arrival> &taken);
+    void arrived(Arrival arrival);
+    void take(const FetchedText &fetched);
+    void take(const ConfigFact &fact);
+    void handle(const ConfigEvent &event);
+    void carryOut(const FetchValue &fetch);
+    void carryOut(const PutInForce &version);
+    void carryOut(const ReportTrouble &report);
+    void askService(const FetchValue &fetch);
+    void askPeer(const FetchValue &fetch, const std::string &address);
+};
+
+void ConfigReader::Private::run()
+{
+    std::vector<Arrival> taken;
+    while (waitForArrivals(taken)) {
+        const auto view = fleet.get();
+        if (view != nullptr && view != lastFleet) {
+            lastFleet = view;
+            handle(PeersChanged { view->nodes });
+        }
+        for (const Arrival &arrival : taken) {
+            std::visit([this](const auto &one) { take(one); }, arrival);
+        }
+        handle(ConfigTick {});
+    }
+}
+
+// False when the reader stops.
+bool ConfigReader::Private::waitForArrivals(std::vector<Arrival> &taken)
+{
+    const absl::MutexLock lock(&mutex);
+    const auto isDue = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) { return isStopping || !arrivals.empty(); };
+    mutex.AwaitWithTimeout(absl::Condition(&isDue), TickInterval);
+    taken = std::exchange(arrivals, {});
+    return !isStopping;
+}
+
+void ConfigReader::Private::arrived(Arrival arrival)
+{
+    const absl::MutexLock lock(&mutex);
+    if (!isStopping) {
+        arrivals.push_back(std::move(arrival));
+    }
+}
+
+void ConfigReader::Private::take(const FetchedText &fetched)
+{
+    const FetchValue &fetch = fetched.fetch;
+    if (!fetched.text.isOk()) {
+        handle(ValueFetched { fetch.id, fetched.text.error() });
+        return;
+    }
+    auto value = parseConfigValue(fetch.kind, fetch.hash, fetched.text.value());
+    if (value.isOk()) {
+        const absl::MutexLock lock(&mutex);
+        store.put(value.value(), fetched.text.value());
+    }
+    handle(ValueFetched { fetch.id, std::move(value) });
+}
+
+void ConfigReader::Private::take(const ConfigFact &fact)
+{
+    handle(VersionHeard { fact });
+}
+
+void ConfigReader::Private::handle(const ConfigEvent &event)
+{
+    for (const ConfigAction &action : sync.handle(event, clock.now())) {
+        std::visit([this](const auto &one) { carryOut(one); }, action);
+    }
+    const absl::MutexLock lock(&mutex);
+    status.isWatcher = sync.isWatcher();
+}
+
+void ConfigReader::Private::carryOut(const FetchValue &fetch)
+{
+    if (!fetch.peer) {
+        askService(fetch);
+        return;
+    }
+    const auto view = fleet.get();
+    const NodeView *node = view == nullptr ? nullptr : view->node(*fetch.peer);
+    if (peers == nullptr || node == nullptr || node->rpcAddress.empty()) {
+        arrived(FetchedText { fetch, Error { ErrorKind::PeerUnreachable, "node " + fetch.peer->value() + " has no address" } });
+        return;
+    }
+    askPeer(fetch, node->rpcAddress);
+}
+
+void ConfigReader::Private::askPeer(const FetchValue &fetch, const std::string &address)
+{
+    const std::string name = std::string(ConfigValuePrefix) + (fetch.kind == ConfigValueKind::Head ? std::string(HeadName) : fetch.hash);
+    peers->fetch(address, name, [self = shared_from_this(), fetch](Result<std::string> text) {
+        self->arrived(FetchedText { fetch, std::move(text) });
+    });
+}
+
+void ConfigReader::Private::askService(const FetchValue &fetch)
+{
+    const std::string name = fetch.kind == ConfigValueKind::Head ? std::string(HeadName) : fetch.hash;
+    HttpCall call;
+    call.url = settings.text("platform.config_url") + "/v1/values/" + name;
+    if (fetch.wait > Duration(0)) {
+        call.url += "?after=" + std::to_string(fetch.after.value()) + "&wait_ms=" + std::to_string(fetch.wait.milliseconds());
+    }
+    call.totalTimeout = fetch.timeout;
+    const auto body = std::make_shared<std::string>();
+    call.onData = [body](std::string_view data) {
+        if (body->size() <= MaxConfigValueBytes) {
+            body->append(data);
+        }
+        return true;
+    };
+    call.onDone = [self = shared_from_this(), fetch, body](const CallResult &result) {
+        if (result.state == AttemptState::Answered && result.status == OkStatus) {
+            self->arrived(FetchedText { fetch, std::move(*body) });
+            return;
+        }
+        const bool isMissing = result.state == AttemptState::Answered && result.status == NotFoundStatus;
+        self->arrived(FetchedText { fetch, Error { isMissing ? ErrorKind::NotFound : ErrorKind::UpstreamUnreachable, result.detail } });
+    };
+    client.start(std::move(call));
+}
+
+void ConfigReader::Private::carryOut(const PutInForce &version)
+{
+    catalog.set(version.catalog);
+    metrics.configVersion(version.catalog->version().value());
+    bool isBaseLacking = false;
+    {
+        const absl::MutexLock lock(&mutex);
+        isBaseLacking = version.base != nullptr && store.lacksBase(version.head);
+    }
+    const auto base = isBaseLacking ? std::optional(configBaseTexts(version.base->content())) : std::nullopt;
+    {
+        const absl::MutexLock lock(&mutex);
+        store.putInForce(version.head, base);
+        status.version = version.catalog->version().value();
+        status.valueCount = store.count();
+        status.valueBytes = store.bytes();
+    }
+    log->info("Configuration {} is in force. adapters={} upstreams={}", version.catalog->version().value(), version.catalog->adapterCount(),
+        version.catalog->upstreams().size());
+    if (announce) {
+        announce({ NodeId(settings.text("node.id")), version.catalog->version() });
+    }
+}
+
+void ConfigReader::Private::carryOut(const ReportTrouble &report)
+{
+    const std::string word(configTroubleWord(report.trouble));
+    metrics.configRefused(word);
+    log->error("Configuration {} is in trouble. reason={} detail='{}'", report.version.value(), word, report.detail);
+    const absl::MutexLock lock(&mutex);
+    status.trouble = "version " + std::to_string(report.version.value()) + ", " + word + ": " + report.detail;
+}
+
+ConfigReader::ConfigReader(const Settings &settings, HttpClient &client, const Clock &clock, Metrics &metrics, Published<Catalog> &catalog,
+    const Published<FleetView> &fleet)
+    : d(std::make_shared<Private>(settings, client, clock, metrics, catalog, fleet))
+{
+}
+
+ConfigReader::~ConfigReader()
+{
+    stop();
+}
+
+void ConfigReader::connect(Peers &peers, Announcer announce)
+{
+    d->peers = &peers;
+    d->announce = std::move(announce);
+}
+
+void ConfigReader::start()
+{
+    d->worker = std::thread([reader = d.get()] { reader->run(); });
+}
+
+void ConfigReader::stop()
+{
+    {
+        const absl::MutexLock lock(&d->mutex);
+        d->isStopping = true;
+    }
+    if (d->worker.joinable()) {
+        d->worker.join();
+    }
+}
+
+void ConfigReader::versionHeard(const ConfigFact &fact)
+{
+    d->arrived(fact);
+}
+
+Result<std::string> ConfigReader::value(const std::string &name) const
+{
+    const std::string_view prefix = ConfigValuePrefix;
+    const absl::MutexLock lock(&d->mutex);
+    return d->store.find(name.starts_with(prefix) ? name.substr(prefix.size()) : name);
+}
+
+ConfigStatus ConfigReader::status() const
+{
+    const absl::MutexLock lock(&d->mutex);
+    return d->status;
+}
+
+} // namespace ApricotStep
--- a/main/metrics.cpp
+++ b/main/metrics.cpp
@@ -60,6 +60,10 @@
         prometheus::BuildCounter().Name("apricotstep_forwards_total").Help("Requests passed on to other nodes.").Register(registry);
     prometheus::Gauge &config =
         prometheus::BuildGauge().Name("apricotstep_config_version").Help("Configuration version in force.").Register(registry).Add({});
+    prometheus::Family<prometheus::Counter> &configRefusals = prometheus::BuildCounter()
+                                                                  .Name("apricotstep_config_refused_total")
+                                                                  .Help("Configurations not taken as published, by reason.")
+                                                                  .Register(registry);
     prometheus::Counter &lateAnswers = prometheus::BuildCounter()
                                            .Name("apricotstep_late_answers_total")
                                            .Help("Answers that came for attempts already given up.")
@@ -113,6 +117,11 @@
     d->config.Set(static_cast<double>(version));
 }
 
+void Metrics::configRefused(const std::string &reason)
+{
+    d->configRefusals.Add({ { "reason", reason } }).Increment();
+}
+
 void Metrics::lateAnswerDropped()
 {
     d->lateAnswers.Increment();
--- a/main/metrics.h
+++ b/main/metrics.h
@@ -25,6 +25,8 @@
     /** @p outcome: tried, unreachable or too_many_hops. */
     void forward(const std::string &outcome);
     void configVersion(std::uint64_t version);
+    /** A configuration was not taken as published; @p reason: a word of configTroubleWord(). */
+    void configRefused(const std::string &reason);
     void lateAnswerDropped();
     /** A call is made again; @p pool names the traffic that shares its retry budget. */
     void retry(const std::string &pool);
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -1,6 +1,7 @@
 #include "main/node.h"
 
 #include "main/callerfrontend.h"
+#include "main/configreader.h"
 #include "main/log.h"
 #include "main/membershiprunner.h"
 #include "main/platformreader.h"
@@ -59,7 +60,8 @@
         , services(NodeId(settings->text("node.id")), incarnation, *settings, *client, clock, metrics, health)
         , frontend({ NodeId(settings->text("node.id")), incarnation, ZoneId(settings->text("node.zone")), *settings, clock, *client,
               metrics, catalog, fleet, services, health, *rpc })
-        , platform(*settings, *client, clock, metrics, catalog, [this](VmList list) { membership->vmListRead(std::move(list)); })
+        , config(*settings, *client, clock, metrics, catalog, fleet)
+        , platform(*settings, *client, clock, [this](VmList list) { membership->vmListRead(std::move(list)); })
     {
     }
 
@@ -69,6 +71,7 @@
         if (ticker.joinable()) {
             ticker.join();
         }
+        config.stop();
         callers.reset();
         rpc.reset();
         operators.reset();
@@ -89,6 +92,7 @@
     UpstreamHealth health;
     ServiceRunner services;
     CallerFrontend frontend;
+    ConfigReader config;
     PlatformReader platform;
     std::shared_ptr<TlsCredentials> tls;
     std::unique_ptr<HttpServer> callers;
@@ -112,6 +116,9 @@
     json["incarnation"] = incarnation.value();
     json["draining"] = isDraining.load();
     json["config_version"] = current ? current->version().value() : 0;
+    const ConfigStatus configStatus = config.status();
+    json["config"] = { { "watcher", configStatus.isWatcher }, { "trouble", configStatus.trouble }, { "values", configStatus.valueCount },
+        { "value_bytes", configStatus.valueBytes } };
     json["nodes"] = nlohmann::json::array();
     json["engines"] = nlohmann::json::array();
     json["ledger_entries"] = services.ledgerSize();
@@ -185,6 +192,11 @@
     d->rpc->serveForwards([d](HttpRequest request, int hops, const std::shared_ptr<HttpExchange> &exchange) {
         d->frontend.handle(std::move(request), exchange, hops);
     });
+    d->membership->onRumour([d](const Rumour &rumour) {
+        if (const auto *fact = std::get_if<ConfigFact>(&rumour)) {
+            d->config.versionHeard(*fact);
+        }
+    });
     auto callers = HttpServer::start(callerServerSettings(*d->settings),
         [d](HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { d->frontend.handle(std::move(request), exchange); });
     if (!callers.isOk()) {
@@ -204,6 +216,7 @@
     const std::string &advertised = d->settings->text("rpc.advertise");
     d->membership->start({ d->settings->text("callers.address") + ':' + std::to_string(node->callerPort()),
         !advertised.empty() ? advertised : d->settings->text("rpc.address") + ':' + std::to_string(node->rpcPort()) });
+    d->config.start();
     d->ticker = std::thread([d] { d->tickLoop(); });
     d->log->info("Node {} started. callers={} operators={} membership={} rpc={}", d->settings->text("node.id"), node->callerPort(),
         node->operatorPort(), node->membershipPort(), node->rpcPort());
--- a/main/platformreader.h
+++ b/main/platformreader.h
@@ -1,9 +1,6 @@
 #pragma once
 
-#include "main/metrics.h"
 #include "main/settings.h"
-#include "state/catalog.h"
-#include "state/published.h"
 #include "state/vmlist.h"
 #include "transport/httpclient.h"
 
@@ -13,7 +10,7 @@
 namespace ApricotStep
 {
 
-/** Reads and watches what the platform publishes, and keeps the newest valid values. */
+/** Reads the platform's VM list at the interval of the settings. */
 class PlatformReader
 {
 public:
@@ -21,12 +18,11 @@
     using VmListHandler = std::function<void(VmList)>;
 
     /** Begins to read. The references must outlive the reader. */
-    PlatformReader(const Settings &settings, HttpClient &client, const Clock &clock, Metrics &metrics, Published<Catalog> &catalog,
-        VmListHandler onVmList);
+    PlatformReader(const Settings &settings, HttpClient &client, const Clock &clock, VmListHandler onVmList);
     /** Stops; no callback comes afterwards. */
     ~PlatformReader();
 
-    /** Starts the reads that are due; every 20 to 100 ms. */
+    /** Starts a read that is due; every 20 to 100 ms. */
     void tick();
 
 private:
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -100,6 +100,8 @@
     app.add_option("--load-ms", options.loadMs);
     app.add_option("--parallel", options.parallel);
     app.add_option("--file", options.file);
+    app.add_option("--dir", options.directory);
+    app.add_option("--limit-per-second", options.limitPerSecond);
     app.add_flag("--stale", options.isStale);
     CLI11_PARSE(app, argc, argv);
 
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <mutex>
 
@@ -46,38 +47,84 @@
     return json.is_object() ? json.value("version", std::uint64_t { 0 }) : 0;
 }
 
-// Answers a watch as soon as the value is newer than what the reader has, or with 304 when its time is up.
+// Hands out the files of a directory by name, as the configuration service does. /control switches it at run time:
+// down=1 breaks every call off, stale=1 keeps to the head of that moment, slow_ms=N delays every answer.
 struct Config
 {
     Options options;
     std::mutex mutex;
-    std::string staleText;
-
-    std::string current()
+    bool isDown = false;
+    int slowMs = 0;
+    std::string staleHead;
+    std::uint64_t calls = 0;
+    std::uint64_t refused = 0;
+    std::chrono::steady_clock::time_point second = std::chrono::steady_clock::now();
+    int callsInSecond = 0;
+
+    std::string head()
+    {
+        const std::lock_guard lock(mutex);
+        return staleHead.empty() ? readFile(options.directory + "/head") : staleHead;
+    }
+    // Counts a call, a waiting watch as one; false when it is over the limit.
+    bool admit()
+    {
+        const std::lock_guard lock(mutex);
+        const auto now = std::chrono::steady_clock::now();
+        if (now - second >= std::chrono::seconds(1)) {
+            second = now;
+            callsInSecond = 0;
+        }
+        ++calls;
+        const bool isAdmitted = options.limitPerSecond == 0 || callsInSecond++ < options.limitPerSecond;
+        refused += isAdmitted ? 0 : 1;
+        return isAdmitted;
+    }
+    void control(const HttpRequest &request, HttpExchange &exchange)
     {
+        const std::string head = readFile(options.directory + "/head");
         const std::lock_guard lock(mutex);
-        if (!options.isStale) {
-            return readFile(options.file);
+        const auto has = [&](const char *name) { return request.parameters.contains(name); };
+        if (has("down")) {
+            isDown = request.parameter("down") == "1";
+        }
+        if (has("stale")) {
+            staleHead = request.parameter("stale") == "1" ? head : "";
         }
-        if (staleText.empty()) {
-            staleText = readFile(options.file);
+        if (has("slow_ms")) {
+            slowMs = std::atoi(request.parameter("slow_ms").c_str());
         }
-        return staleText;
+        respondJson(exchange, 200,
+            Json { { "calls", calls }, { "refused", refused }, { "down", isDown }, { "stale", !staleHead.empty() }, { "slow_ms", slowMs } }
+                .dump());
     }
 };
 
+// Answers with the head as soon as it is newer than what the reader has, or when the wait is over.
 void watch(const std::shared_ptr<Config> &config, std::uint64_t have, int leftMs, const std::shared_ptr<HttpExchange> &exchange)
 {
-    const std::string text = config->current();
-    if (versionOf(text) != have) {
+    const std::string text = config->head();
+    if (text.empty()) {
+        respondJson(*exchange, 404, "{}");
+    } else if (versionOf(text) > have || leftMs <= 0) {
         respondJson(*exchange, 200, text);
-    } else if (leftMs <= 0) {
-        respondJson(*exchange, 304, "");
     } else {
         after(WatchStepMs, [=] { watch(config, have, leftMs - WatchStepMs, exchange); });
     }
 }
 
+void readValue(const std::shared_ptr<Config> &config, const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
+{
+    const std::string name = request.path.substr(request.path.rfind('/') + 1);
+    if (name == "head") {
+        const auto have = std::strtoull(request.parameter("after").c_str(), nullptr, 10);
+        watch(config, have, std::atoi(request.parameter("wait_ms").c_str()), exchange);
+        return;
+    }
+    const std::string text = readFile(config->options.directory + "/" + name);
+    respondJson(*exchange, text.empty() ? 404 : 200, text);
+}
+
 // Counts how often each keyed call ran, which is what a doubled payment shows in.
 struct Service
 {
@@ -109,9 +156,32 @@
 {
     const auto config = std::make_shared<Config>();
     config->options = options;
+    if (options.isStale) {
+        config->staleHead = readFile(options.directory + "/head");
+    }
     return [config](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
-        const auto have = std::strtoull(request.parameter("after").c_str(), nullptr, 10);
-        watch(config, have, std::atoi(request.parameter("wait_ms").c_str()), exchange);
+        if (request.path == "/control") {
+            config->control(request, *exchange);
+            return;
+        }
+        if (!config->admit()) {
+            respondJson(*exchange, 429, "{}");
+            return;
+        }
+        bool isDown = false;
+        int slowMs = 0;
+        {
+            const std::lock_guard lock(config->mutex);
+            isDown = config->isDown;
+            slowMs = config->slowMs;
+        }
+        if (isDown) {
+            exchange->abort();
+        } else if (slowMs > 0) {
+            after(slowMs, [=] { readValue(config, request, exchange); });
+        } else {
+            readValue(config, request, exchange);
+        }
     };
 }
 
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -28,9 +28,13 @@
     /** Weight store: time of one load while no more than `parallel` are in flight. */
     int loadMs = 250;
     int parallel = 8;
-    /** Config and VM list: the file whose content is handed out; read again on each call. */
+    /** VM list: the file whose content is handed out; read again on each call. */
     std::string file;
-    /** Config: the first value ever read is handed out for good, as by a stale replica. */
+    /** Config: the directory whose files are the values; the head is read again on each call. */
+    std::string directory;
+    /** Config: calls a second that are answered, a waiting watch counted once; zero means no limit. */
+    int limitPerSecond = 0;
+    /** Config: the head of the start is handed out until /control?stale=0, as by a stale replica. */
     bool isStale = false;
 };
 
