Let nodes fetch configuration values from each other

The configuration reader was connected to the service alone: a node behind a dead service stayed behind. It now announces what it has in force through the membership, hears of versions from it, and fetches and hands out values over node RPC under config/.

--- a/main/node.cpp
+++ b/main/node.cpp
@@ -192,6 +192,8 @@
     d->rpc->serveForwards([d](HttpRequest request, int hops, const std::shared_ptr<HttpExchange> &exchange) {
         d->frontend.handle(std::move(request), exchange, hops);
     });
+    d->rpc->serveValue(std::string(ConfigValuePrefix), [d](const std::string &name) { return d->config.value(name); });
+    d->config.connect(*d->rpc, [d](const ConfigFact &fact) { d->membership->announce(fact); });
     d->membership->onRumour([d](const Rumour &rumour) {
         if (const auto *fact = std::get_if<ConfigFact>(&rumour)) {
             d->config.versionHeard(*fact);
--- a/tests/coordination/configworld.h
+++ b/tests/coordination/configworld.h
@@ -101,7 +101,7 @@
     }
 
     /** Publishes a change; @p mark tells apart two changes of the same version. */
-    ConfigVersion publish(const std::string &mark = {}, std::vector<AdapterSpec> adapters = {})
+    ConfigVersion publish(const std::string &mark = {}, const std::vector<AdapterSpec> &adapters = {})
     {
         const ConfigVersion version = head.version + ConfigVersion(1);
         const std::string name = std::to_string(version.value()) + mark;
