Measure the decisions under virtual time, and mend the permits' books

bench/decisions runs the scheduler, the permits, the placement and the spread of hot adapters against fake engines and a fake store, beside four policies that a user would build first and two bounds. bench/decisioncost times one decision.

Now a withdrawal and an unused permit are told apart, and a held permit stands for the first load in order. Loads for other than urgent work leave a quarter of the slots unpinned (urgent_slots_percent), since a long job holds its slot until it ends. Patient requests that are loaded are held for a fuller batch only while no other adapter waits for a slot.

--- /dev/null
+++ b/bench/decisions.cpp
@@ -0,0 +1,163 @@
+// Runs the decisions of coordination/ under virtual time against small fakes, beside the policies that a user would build first and the
+// bounds that no policy passes. Prints one line a figure: name value unit.
+
+#include "bench/decisions/figures.h"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace
+{
+
+using namespace DecisionBench;
+
+struct Options
+{
+    std::uint64_t seed = 1;
+    int seeds = 1;
+    std::string deployment = "kumasi";
+    std::string scenario = "all";
+    std::string store = "rate";
+    int threads = 4;
+    double offered = 0;
+    int stallWeight = -1;
+    int batchWeight = -1;
+    int urgentSlots = -1;
+};
+
+constexpr Policy Baselines[] = { Policy::RandomLru, Policy::LeastLoadedLru, Policy::HashLru, Policy::Fifo };
+
+/** Figures of all policies under one seed, named policy.figure, and the ratios between them. */
+Figures runSeed(const Deployment &deployment, Scenario scenario, StoreReading reading, std::uint64_t seed)
+{
+    Figures all;
+    std::map<Policy, Figures> byPolicy;
+    RunResult ours;
+    for (std::size_t index = 0; index < PolicyCount; ++index) {
+        const auto policy = static_cast<Policy>(index);
+        RunResult result = runOnce(deployment, { policy, scenario, reading, seed });
+        byPolicy[policy] = figuresOf(deployment, result);
+        const std::string prefix = std::string(policyName(policy)) + '.';
+        for (const auto &[name, figure] : byPolicy[policy]) {
+            std::string full = prefix;
+            all[full.append(name)] = figure;
+        }
+        if (policy == Policy::Ours) {
+            ours = std::move(result);
+        }
+    }
+    const auto bestOf = [&](const std::string &name, bool isLeast) {
+        double best = isLeast ? 1e18 : 0;
+        for (const Policy policy : Baselines) {
+            const double value = byPolicy[policy].at(name).value;
+            best = isLeast ? std::min(best, value) : std::max(best, value);
+        }
+        return best;
+    };
+    const auto ratio = [](double value, double base) { return base > 0 ? value / base : 0.0; };
+    const auto &own = byPolicy[Policy::Ours];
+    for (const std::string name : { "urgent.stall.p99", "urgent.stall_with_refused.p99", "urgent.first_token.p95", "loads" }) {
+        all["ratio." + name] = { ratio(own.at(name).value, bestOf(name, true)), "ours/best" };
+    }
+    for (const std::string name : { "batch_fill", "goodput" }) {
+        all["ratio." + name] = { ratio(own.at(name).value, bestOf(name, false)), "ours/best" };
+    }
+    all["bound.clairvoyant_loads"] = { clairvoyantLoads(deployment, ours), "loads/s" };
+    all["bound.batch_fill"] = { fillBound(deployment, ours), "of-1" };
+    all["ratio.loads_to_clairvoyant"] = { ratio(own.at("loads").value, all["bound.clairvoyant_loads"].value), "ours/bound" };
+    all["ratio.goodput_to_capacity"] = { own.at("goodput").value / deployment.capacity, "ours/capacity" };
+    if (scenario == Scenario::HotCaller) {
+        const auto isOther = [](const Arrival &arrival) { return arrival.caller != HotCaller; };
+        for (const Policy policy : { Policy::Ours, Policy::HashLru }) {
+            const double without = firstTokenP95(runOnce(deployment, { policy, Scenario::Steady, reading, seed }), isOther);
+            const double with = firstTokenP95(runOnce(deployment, { policy, scenario, reading, seed }), isOther);
+            all[std::string(policyName(policy)) + ".others.first_token.p95"] = { with, "s" };
+            all["ratio.others_p95_with_to_without." + std::string(policyName(policy))] = { ratio(with, without), "with/without" };
+        }
+    }
+    return all;
+}
+
+void print(const Options &options, const std::string &prefix, const std::vector<Figures> &seeds)
+{
+    for (const auto &[name, first] : seeds.front()) {
+        std::vector<double> values;
+        values.reserve(seeds.size());
+        for (const Figures &figures : seeds) {
+            values.push_back(figures.at(name).value);
+        }
+        std::string full = prefix;
+        full.append(".").append(name);
+        std::printf("%s %.4g %s\n", full.c_str(), percentile(values, 0.5), first.unit.c_str());
+        // Promises are judged seed by seed, so the worst ones are shown too.
+        const bool isCount = first.unit == "requests" || first.unit == "evictions";
+        if (options.seeds > 1 && (name.starts_with("ratio.") || (isCount && name.starts_with("ours.")))) {
+            std::printf("%s.min %.4g %s\n", full.c_str(), percentile(values, 0.0), first.unit.c_str());
+            std::printf("%s.max %.4g %s\n", full.c_str(), percentile(values, 1.0), first.unit.c_str());
+        }
+    }
+    std::fflush(stdout);
+}
+
+void runScenario(const Options &options, const Deployment &deployment, Scenario scenario)
+{
+    const StoreReading reading = options.store == "parallel" ? StoreReading::Parallel : StoreReading::Rate;
+    std::vector<Figures> seeds(static_cast<std::size_t>(options.seeds));
+    std::atomic<int> next { 0 };
+    std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(options.threads));
+    for (int thread = 0; thread < std::min(options.threads, options.seeds); ++thread) {
+        threads.emplace_back([&] {
+            for (int index = next++; index < options.seeds; index = next++) {
+                seeds[static_cast<std::size_t>(index)] =
+                    runSeed(deployment, scenario, reading, options.seed + static_cast<std::uint64_t>(index));
+            }
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    print(options, std::string(deployment.name) + '.' + std::string(scenarioName(scenario)), seeds);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Options options;
+    std::set<std::string> scenarios { "all" };
+    for (std::size_t index = 0; index < ScenarioCount; ++index) {
+        scenarios.insert(std::string(scenarioName(static_cast<Scenario>(index))));
+    }
+    CLI::App app("Measures the decisions under load; prints one line a figure: name value unit. Figures of several seeds are medians.");
+    app.add_option("--seed", options.seed, "First seed");
+    app.add_option("--seeds", options.seeds, "How many seeds")->check(CLI::Range(1, 1000));
+    app.add_option("--deployment", options.deployment)->check(CLI::IsMember({ "kumasi", "ksiegowo" }));
+    app.add_option("--scenario", options.scenario)->check(CLI::IsMember(scenarios));
+    app.add_option("--store", options.store, "Reading of the store's limit")->check(CLI::IsMember({ "rate", "parallel" }));
+    app.add_option("--threads", options.threads, "Seeds that run at once")->check(CLI::Range(1, 64));
+    app.add_option("--offered", options.offered, "Requests a second in place of the deployment's own");
+    app.add_option("--stall-weight", options.stallWeight);
+    app.add_option("--batch-weight", options.batchWeight);
+    app.add_option("--urgent-slots", options.urgentSlots, "Percent of the slots left to urgent work");
+    CLI11_PARSE(app, argc, argv);
+
+    Deployment deployment = options.deployment == "kumasi" ? kumasi() : ksiegowo();
+    deployment.offered = options.offered > 0 ? options.offered : deployment.offered;
+    deployment.stallWeight = options.stallWeight >= 0 ? options.stallWeight : deployment.stallWeight;
+    deployment.batchWeight = options.batchWeight >= 0 ? options.batchWeight : deployment.batchWeight;
+    deployment.urgentSlotsPercent = options.urgentSlots >= 0 ? options.urgentSlots : deployment.urgentSlotsPercent;
+    for (std::size_t index = 0; index < ScenarioCount; ++index) {
+        const auto scenario = static_cast<Scenario>(index);
+        if (options.scenario == "all" || options.scenario == scenarioName(scenario)) {
+            runScenario(options, deployment, scenario);
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/decisions/fakes.cpp
@@ -0,0 +1,189 @@
+#include "bench/decisions/fakes.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace DecisionBench
+{
+
+namespace
+{
+
+constexpr Micros TurnInterval = 500 * Millisecond;
+constexpr Micros TransferTime = 250 * Millisecond;
+constexpr double FullSpeedTransfers = 8;
+
+} // namespace
+
+void EventLoop::runUntil(Micros end)
+{
+    while (!m_events.empty() && m_events.top().when <= end) {
+        m_now = m_events.top().when;
+        const auto what = m_events.top().what;
+        m_events.pop();
+        what();
+    }
+    m_now = end;
+}
+
+void WeightStore::fetch(std::function<void()> done)
+{
+    ++m_fetches;
+    if (m_reading == StoreReading::Rate) {
+        fetchAtRate(std::move(done));
+        return;
+    }
+    share();
+    m_transfers.push_back({ static_cast<double>(TransferTime), std::move(done) });
+    share();
+}
+
+void WeightStore::fetchAtRate(std::function<void()> done)
+{
+    const Micros turn = std::max(m_loop.now(), m_nextTurn);
+    m_nextTurn = turn + TurnInterval;
+    m_loop.at(turn + TransferTime, std::move(done));
+}
+
+// Brings the transfers forward to now and sets the time at which the next one ends.
+void WeightStore::share()
+{
+    const double speed = std::min(1.0, FullSpeedTransfers / std::max<double>(1.0, static_cast<double>(m_transfers.size())));
+    const double moved = static_cast<double>(m_loop.now() - m_sharedAt) * speed;
+    m_sharedAt = m_loop.now();
+    std::vector<std::function<void()>> ended;
+    for (Transfer &transfer : m_transfers) {
+        transfer.left -= moved;
+        if (transfer.left < 1) {
+            ended.push_back(std::move(transfer.done));
+        }
+    }
+    std::erase_if(m_transfers, [](const Transfer &transfer) { return transfer.left < 1; });
+    const std::uint64_t round = ++m_round;
+    if (!m_transfers.empty()) {
+        double least = std::numeric_limits<double>::max();
+        for (const Transfer &transfer : m_transfers) {
+            least = std::min(least, transfer.left);
+        }
+        const double factor = std::max(1.0, static_cast<double>(m_transfers.size()) / FullSpeedTransfers);
+        m_loop.after(static_cast<Micros>(least * factor) + 1, [this, round] {
+            if (round == m_round) {
+                share();
+            }
+        });
+    }
+    for (const auto &done : ended) {
+        done();
+    }
+}
+
+FakeEngine::FakeEngine(EventLoop &loop, WeightStore &store, const Deployment &deployment, Callbacks callbacks)
+    : m_loop(loop)
+    , m_store(store)
+    , m_deployment(deployment)
+    , m_callbacks(std::move(callbacks))
+{
+}
+
+bool FakeEngine::submit(std::uint64_t request, int adapter, int tokens)
+{
+    if (!holds(adapter)) {
+        return false;
+    }
+    m_running.push_back({ request, adapter, tokens, false, false });
+    if (!m_isStepping) {
+        scheduleStep();
+    }
+    return true;
+}
+
+void FakeEngine::load(int adapter, bool willFail)
+{
+    const bool hasRoom = std::cmp_less(m_loadedAt.size() + m_loading.size(), m_deployment.slots) || holds(adapter);
+    if (!hasRoom) {
+        m_loop.after(Millisecond, [this, adapter] { m_callbacks.onLoaded(adapter, false); });
+        return;
+    }
+    m_loading.insert(adapter);
+    m_store.fetch([this, adapter, willFail, start = m_start] {
+        const bool isLoaded = !willFail && start == m_start;
+        if (start == m_start) {
+            m_loading.erase(adapter);
+        }
+        if (isLoaded) {
+            m_loadedAt[adapter] = m_loop.now();
+        }
+        m_callbacks.onLoaded(adapter, isLoaded);
+    });
+}
+
+bool FakeEngine::unload(int adapter)
+{
+    const bool isInUse = std::any_of(m_running.begin(), m_running.end(), [&](const auto &running) { return running.adapter == adapter; });
+    m_evictedInUse += isInUse ? 1 : 0;
+    return m_loadedAt.erase(adapter) > 0;
+}
+
+void FakeEngine::restart()
+{
+    ++m_start;
+    m_loadedAt.clear();
+    m_loading.clear();
+    m_isStepping = false;
+    const std::vector<Running> cut = std::exchange(m_running, {});
+    for (const Running &running : cut) {
+        m_callbacks.onDone(running.request, false);
+    }
+}
+
+void FakeEngine::scheduleStep()
+{
+    m_isStepping = true;
+    Micros joining = 0;
+    for (Running &running : m_running) {
+        joining += running.isJoined ? 0 : 1;
+        running.isJoined = true;
+    }
+    const Micros span =
+        m_deployment.stepBase + m_deployment.stepPerRequest * static_cast<Micros>(m_running.size()) + m_deployment.prefill * joining;
+    m_loop.after(static_cast<Micros>(static_cast<double>(span) * m_slowness), [this, start = m_start] {
+        if (start == m_start) {
+            step();
+        }
+    });
+}
+
+void FakeEngine::step()
+{
+    ++m_steps;
+    std::vector<std::uint64_t> first;
+    std::vector<std::uint64_t> done;
+    for (Running &running : m_running) {
+        // What came during the step joins with the next.
+        if (!running.isJoined) {
+            continue;
+        }
+        ++m_stepTokens;
+        if (!running.hasToken) {
+            running.hasToken = true;
+            first.push_back(running.request);
+        }
+        if (--running.left == 0) {
+            done.push_back(running.request);
+        }
+    }
+    std::erase_if(m_running, [](const auto &running) { return running.left <= 0; });
+    m_isStepping = false;
+    for (const std::uint64_t request : first) {
+        m_callbacks.onFirstToken(request);
+    }
+    for (const std::uint64_t request : done) {
+        m_callbacks.onDone(request, true);
+    }
+    if (!m_running.empty() && !m_isStepping) {
+        scheduleStep();
+    }
+}
+
+} // namespace DecisionBench
--- /dev/null
+++ b/bench/decisions/run.cpp
@@ -0,0 +1,388 @@
+#include "bench/decisions/run.h"
+
+#include "bench/decisions/baseline.h"
+#include "coordination/hotspread.h"
+#include "coordination/loadpermits.h"
+#include "coordination/placement.h"
+#include "coordination/replicachoice.h"
+#include "coordination/upstreamscheduler.h"
+#include "core/result.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+
+namespace DecisionBench
+{
+
+using namespace ApricotStep;
+
+namespace
+{
+
+constexpr Micros TickInterval = 50 * Millisecond;
+constexpr Micros OrderDelay = 2 * Millisecond;
+constexpr Micros MessageDelay = Millisecond;
+// After the last arrival the run goes on until the most patient request has its answer.
+constexpr Micros DrainTime = 2400 * Second;
+constexpr double LoadFailureRate = 0.1;
+constexpr double Slowness = 4;
+constexpr std::array<Micros, 2> Restarts { 300 * Second, 480 * Second };
+constexpr int Nodes = 12;
+constexpr int Zones = 4;
+
+Time timeAt(Micros at)
+{
+    return Time(at / Millisecond);
+}
+
+AdapterKey keyOf(int adapter)
+{
+    return { AdapterId(std::to_string(adapter)), AdapterVersion("1") };
+}
+
+int numberOf(const AdapterKey &key)
+{
+    return std::stoi(key.id.value());
+}
+
+using EngineScheduler = std::variant<UpstreamScheduler, BaselineScheduler>;
+
+SchedulerLimits limitsFor(const Deployment &deployment, const RunOptions &options, int engine)
+{
+    SchedulerLimits limits;
+    limits.slots = deployment.slots;
+    limits.batch = deployment.batch;
+    limits.needsPermits = options.policy == Policy::Ours;
+    limits.stallWeight = deployment.stallWeight;
+    limits.batchWeight = deployment.batchWeight;
+    limits.urgentSlotsPercent = deployment.urgentSlotsPercent;
+    limits.seed = options.seed * 100 + static_cast<std::uint64_t>(engine);
+    return limits;
+}
+
+LoadBudget budgetFor(StoreReading reading)
+{
+    LoadBudget budget;
+    budget.ratePerSecond = reading == StoreReading::Rate ? 2.0 : 32.0;
+    budget.parallel = reading == StoreReading::Rate ? 1 : 8;
+    return budget;
+}
+
+EngineScheduler makeScheduler(const Deployment &deployment, const RunOptions &options, int engine)
+{
+    const SchedulerLimits limits = limitsFor(deployment, options, engine);
+    if (options.policy == Policy::Ours) {
+        return UpstreamScheduler(limits);
+    }
+    return BaselineScheduler(limits, options.policy == Policy::Fifo);
+}
+
+class Run
+{
+public:
+    Run(const Deployment &deployment, const RunOptions &options);
+    RunResult go();
+
+private:
+    void buildFleet();
+    int route(int adapter);
+    const std::vector<int> &candidatesOf(int adapter);
+    int chooseEngine(int adapter);
+    int loadOf(int engine) const;
+    void ended(std::uint64_t request);
+    void arrive(std::size_t request);
+    void handle(int engine, const SchedulerEvent &event);
+    void carryOut(int engine, const AskPermit &action);
+    void carryOut(int engine, const ReturnPermit &action);
+    void carryOut(int engine, const StartLoad &action);
+    void carryOut(int engine, const StartEvict &action);
+    void carryOut(int engine, const Dispatch &action);
+    void carryOut(int engine, const Refuse &action);
+    void sendGrants();
+    PermitName permitName(int engine, const AdapterKey &adapter) const;
+    void tick();
+    void scheduleFaults();
+
+    const Deployment &m_deployment;
+    RunOptions m_options;
+    EventLoop m_loop;
+    WeightStore m_store;
+    PermitGiver m_giver;
+    std::vector<std::unique_ptr<FakeEngine>> m_engines;
+    std::vector<EngineScheduler> m_schedulers;
+    std::unique_ptr<Placement> m_placement;
+    HotSpread m_spread { SpreadLimits {} };
+    std::vector<std::vector<int>> m_candidates;
+    std::mt19937_64 m_random;
+    int m_loadsAtWarmUp = 0;
+    RunResult m_result;
+};
+
+Run::Run(const Deployment &deployment, const RunOptions &options)
+    : m_deployment(deployment)
+    , m_options(options)
+    , m_store(m_loop, options.reading)
+    , m_giver(budgetFor(options.reading))
+    , m_candidates(static_cast<std::size_t>(deployment.adapters))
+    , m_random(options.seed * 7919)
+{
+    m_result.arrivals = makeArrivals(deployment, options.scenario, options.seed);
+    m_result.outcomes.resize(m_result.arrivals.size());
+    for (int engine = 0; engine < deployment.engines; ++engine) {
+        FakeEngine::Callbacks callbacks;
+        callbacks.onFirstToken = [this](std::uint64_t request) { m_result.outcomes[request].firstTokenAt = m_loop.now(); };
+        callbacks.onDone = [this, engine](std::uint64_t request, bool isWhole) {
+            m_result.outcomes[request].isWhole = isWhole;
+            m_result.outcomes[request].isCut = !isWhole;
+            ended(request);
+            handle(engine, WorkFinished { RequestId(request) });
+        };
+        callbacks.onLoaded = [this, engine](int adapter, bool isLoaded) { handle(engine, LoadFinished { keyOf(adapter), isLoaded }); };
+        m_engines.push_back(std::make_unique<FakeEngine>(m_loop, m_store, deployment, std::move(callbacks)));
+        m_schedulers.push_back(makeScheduler(deployment, options, engine));
+    }
+    buildFleet();
+}
+
+void Run::buildFleet()
+{
+    CatalogContent content;
+    content.version = ConfigVersion(1);
+    for (int engine = 0; engine < m_deployment.engines; ++engine) {
+        UpstreamSpec spec;
+        spec.id = UpstreamId("engine-" + std::to_string(engine));
+        spec.address = "127.0.0.1:" + std::to_string(1 + engine);
+        spec.zone = ZoneId("zone-" + std::to_string(engine % Zones));
+        spec.slots = m_deployment.slots;
+        spec.batch = m_deployment.batch;
+        content.upstreams.push_back(spec);
+    }
+    const auto fleet = std::make_shared<FleetView>();
+    for (int node = 0; node < Nodes; ++node) {
+        fleet->nodes.push_back({ NodeId("node-" + std::to_string(node)), ZoneId("zone-" + std::to_string(node % Zones)), "", "" });
+    }
+    m_placement = std::make_unique<Placement>(Catalog::create(std::move(content)).value(), fleet);
+}
+
+const std::vector<int> &Run::candidatesOf(int adapter)
+{
+    std::vector<int> &engines = m_candidates[static_cast<std::size_t>(adapter)];
+    if (engines.empty()) {
+        for (const Candidate &candidate : m_placement->candidates(keyOf(adapter))) {
+            engines.push_back(std::stoi(candidate.upstream->id.value().substr(std::string_view("engine-").size())));
+        }
+    }
+    return engines;
+}
+
+int Run::loadOf(int engine) const
+{
+    return std::visit(Overloaded { [](const UpstreamScheduler &scheduler) { return scheduler.queuedCount() + scheduler.runningCount(); },
+                          [](const BaselineScheduler &scheduler) { return scheduler.load(); } },
+        m_schedulers[static_cast<std::size_t>(engine)]);
+}
+
+int Run::chooseEngine(int adapter)
+{
+    const std::vector<int> &engines = candidatesOf(adapter);
+    std::vector<ReplicaView> views;
+    views.reserve(engines.size());
+    for (const int engine : engines) {
+        views.push_back({ loadOf(engine) });
+    }
+    const auto choice = chooseReplica(views, m_spread.width(keyOf(adapter), timeAt(m_loop.now())), m_random);
+    return engines[choice.value_or(0)];
+}
+
+int Run::route(int adapter)
+{
+    if (m_options.policy == Policy::RandomLru) {
+        return std::uniform_int_distribution<int>(0, m_deployment.engines - 1)(m_random);
+    }
+    if (m_options.policy == Policy::LeastLoadedLru) {
+        int least = 0;
+        for (int engine = 1; engine < m_deployment.engines; ++engine) {
+            least = loadOf(engine) < loadOf(least) ? engine : least;
+        }
+        return least;
+    }
+    if (m_options.policy != Policy::Ours) {
+        return candidatesOf(adapter).front();
+    }
+    m_spread.onArrival(keyOf(adapter), timeAt(m_loop.now()));
+    return chooseEngine(adapter);
+}
+
+void Run::ended(std::uint64_t request)
+{
+    if (m_options.policy == Policy::Ours) {
+        m_spread.onEnd(keyOf(m_result.arrivals[request].adapter), timeAt(m_loop.now()));
+    }
+}
+
+void Run::arrive(std::size_t request)
+{
+    const Arrival &arrival = m_result.arrivals[request];
+    WorkItem item;
+    item.id = RequestId(request);
+    item.adapter = keyOf(arrival.adapter);
+    item.priority = arrival.priority;
+    item.caller = CallerId(std::to_string(arrival.caller));
+    item.arrival = timeAt(arrival.at);
+    item.deadline = timeAt(arrival.deadline);
+    item.tokens = arrival.tokens;
+    handle(route(arrival.adapter), WorkArrived { item });
+    if (request + 1 < m_result.arrivals.size()) {
+        m_loop.at(m_result.arrivals[request + 1].at, [this, request] { arrive(request + 1); });
+    }
+}
+
+void Run::handle(int engine, const SchedulerEvent &event)
+{
+    const auto actions = std::visit(
+        [&](auto &scheduler) { return scheduler.handle(event, timeAt(m_loop.now())); }, m_schedulers[static_cast<std::size_t>(engine)]);
+    for (const SchedulerAction &action : actions) {
+        std::visit([&](const auto &what) { carryOut(engine, what); }, action);
+    }
+}
+
+PermitName Run::permitName(int engine, const AdapterKey &adapter) const
+{
+    return { NodeId("node"), UpstreamId(std::to_string(engine)), adapter };
+}
+
+void Run::carryOut(int engine, const AskPermit &action)
+{
+    m_loop.after(MessageDelay, [this, engine, action] {
+        m_giver.request({ permitName(engine, action.adapter), action.urgency, action.waiting, action.waited }, timeAt(m_loop.now()));
+        sendGrants();
+    });
+}
+
+void Run::carryOut(int engine, const ReturnPermit &action)
+{
+    m_loop.after(MessageDelay, [this, engine, action] {
+        m_giver.giveBack({ permitName(engine, action.adapter), action.end }, timeAt(m_loop.now()));
+        sendGrants();
+    });
+}
+
+void Run::sendGrants()
+{
+    for (const PermitGrant &grant : m_giver.grant(timeAt(m_loop.now()))) {
+        m_loop.after(MessageDelay, [this, grant] {
+            handle(std::stoi(grant.name.upstream.value()), PermitGranted { grant.name.adapter, timeAt(m_loop.now()) + grant.life });
+        });
+    }
+}
+
+void Run::carryOut(int engine, const StartLoad &action)
+{
+    const bool willFail =
+        m_options.scenario == Scenario::LoadFailures && std::uniform_real_distribution<double>(0, 1)(m_random) < LoadFailureRate;
+    m_loop.after(OrderDelay, [this, engine, adapter = numberOf(action.adapter), willFail] {
+        m_engines[static_cast<std::size_t>(engine)]->load(adapter, willFail);
+    });
+}
+
+void Run::carryOut(int engine, const StartEvict &action)
+{
+    m_loop.after(OrderDelay, [this, engine, adapter = action.adapter] {
+        m_engines[static_cast<std::size_t>(engine)]->unload(numberOf(adapter));
+        handle(engine, EvictFinished { adapter, true });
+    });
+}
+
+void Run::carryOut(int engine, const Dispatch &action)
+{
+    const std::uint64_t request = action.id.value();
+    const Arrival &arrival = m_result.arrivals[request];
+    FakeEngine &target = *m_engines[static_cast<std::size_t>(engine)];
+    Outcome &outcome = m_result.outcomes[request];
+    if (!target.submit(request, arrival.adapter, arrival.tokens)) {
+        ++m_result.sentToUnloaded;
+        m_loop.after(MessageDelay, [this, engine, request] {
+            m_result.outcomes[request].isRefused = true;
+            ended(request);
+            handle(engine, WorkFinished { RequestId(request) });
+        });
+        return;
+    }
+    outcome.isDispatched = true;
+    outcome.stall = std::max<Micros>(0, target.loadedAt(arrival.adapter) - arrival.at);
+}
+
+void Run::carryOut(int, const Refuse &action)
+{
+    Outcome &outcome = m_result.outcomes[action.id.value()];
+    m_result.toldNotRunButRan += outcome.isDispatched ? 1 : 0;
+    outcome.isRefused = true;
+    ended(action.id.value());
+}
+
+void Run::tick()
+{
+    for (int engine = 0; engine < m_deployment.engines; ++engine) {
+        handle(engine, Tick {});
+    }
+    sendGrants();
+    m_loop.after(TickInterval, [this] { tick(); });
+}
+
+void Run::scheduleFaults()
+{
+    if (m_options.scenario == Scenario::SlowUpstream) {
+        m_engines.front()->setSlowness(Slowness);
+    }
+    if (m_options.scenario != Scenario::EngineRestart) {
+        return;
+    }
+    for (std::size_t index = 0; index < Restarts.size(); ++index) {
+        m_loop.at(Restarts[index], [this, engine = static_cast<int>(index)] {
+            m_engines[static_cast<std::size_t>(engine)]->restart();
+            handle(engine, UpstreamRestarted {});
+        });
+    }
+}
+
+RunResult Run::go()
+{
+    m_loop.at(m_result.arrivals.front().at, [this] { arrive(0); });
+    m_loop.at(0, [this] { tick(); });
+    scheduleFaults();
+    m_loop.runUntil(WarmUp);
+    for (const auto &engine : m_engines) {
+        engine->resetSteps();
+    }
+    m_loadsAtWarmUp = m_store.fetchCount();
+    m_loop.runUntil(ArrivalsEnd);
+    for (const auto &engine : m_engines) {
+        m_result.steps += engine->steps();
+        m_result.stepTokens += engine->stepTokens();
+    }
+    m_result.loads = m_store.fetchCount() - m_loadsAtWarmUp;
+    m_loop.runUntil(ArrivalsEnd + DrainTime);
+    for (const auto &engine : m_engines) {
+        m_result.evictedInUse += engine->evictedInUse();
+    }
+    return std::move(m_result);
+}
+
+} // namespace
+
+std::string_view policyName(Policy policy)
+{
+    static constexpr std::array<std::string_view, PolicyCount> Names { "ours", "random-lru", "least-loaded-lru", "hash-lru", "fifo" };
+    return Names[static_cast<std::size_t>(policy)];
+}
+
+RunResult runOnce(const Deployment &deployment, const RunOptions &options)
+{
+    return Run(deployment, options).go();
+}
+
+} // namespace DecisionBench
--- a/coordination/loadorder.cpp
+++ b/coordination/loadorder.cpp
@@ -53,6 +53,7 @@
     void unlink(const AdapterKey &adapter, const Wanted &entry);
     void link(const AdapterKey &adapter, Wanted &entry, Time now);
     Time wakeTime(const AdapterKey &adapter, const AdapterDemand &demand) const;
+    Duration worthOfSharing(const AdapterDemand &demand) const;
 };
 
 void LoadOrder::Private::unlink(const AdapterKey &adapter, const Wanted &entry)
@@ -79,6 +80,17 @@
     return wake;
 }
 
+// How much longer an adapter counts as having waited for each further request that shares its load. Patient work can afford to let
+// adapters with more sharers go first, by a part of its allowance.
+Duration LoadOrder::Private::worthOfSharing(const AdapterDemand &demand) const
+{
+    if (demand.level != QueueLevel::Patient) {
+        return limits.perWaiting;
+    }
+    const double worth = static_cast<double>(demand.allowance.milliseconds()) * MaxHoldPart * limits.batchShare;
+    return std::max(limits.perWaiting, Duration(static_cast<std::int64_t>(worth)));
+}
+
 void LoadOrder::Private::link(const AdapterKey &adapter, Wanted &entry, Time now)
 {
     const Time wake = wakeTime(adapter, entry.demand);
@@ -88,7 +100,7 @@
         return;
     }
     entry.wakeAt = Time();
-    entry.rank = entry.demand.oldest - limits.perWaiting * (entry.demand.waiting - 1);
+    entry.rank = entry.demand.oldest - worthOfSharing(entry.demand) * (entry.demand.waiting - 1);
     order.insert({ entry.demand.level, entry.rank, adapter });
     ++counts[static_cast<std::size_t>(entry.demand.level)];
 }
--- a/coordination/loadpermits.cpp
+++ b/coordination/loadpermits.cpp
@@ -135,9 +135,13 @@
 void PermitGiver::giveBack(const PermitReturn &returned, Time now)
 {
     d->save(now);
-    d->forget(returned.name);
+    // A withdrawal may cross the grant: the permit is then still out, and comes back as unused in its own time.
+    if (returned.end == PermitEnd::Withdrawn) {
+        d->forget(returned.name);
+        return;
+    }
     const bool wasGranted = d->inFlight.erase(returned.name) > 0;
-    if (wasGranted && !returned.isUsed) {
+    if (wasGranted && returned.end == PermitEnd::Unused) {
         d->saved = std::min(MaxSaved, d->saved + 1.0);
     }
 }
@@ -266,7 +270,7 @@
 {
     // A permit that nobody waits for any more goes back at once, or the store idles for its life.
     if (d->pending.erase(grant.name) == 0) {
-        return giveBack({ grant.name, false }, now);
+        return giveBack({ grant.name, PermitEnd::Unused }, now);
     }
     return { PermitArrived { grant.name.upstream, grant.name.adapter, now + grant.life } };
 }
--- a/coordination/loadpermits.h
+++ b/coordination/loadpermits.h
@@ -64,8 +64,7 @@
 struct PermitReturn
 {
     PermitName name;
-    /** The store was asked: its rate was spent. */
-    bool isUsed = false;
+    PermitEnd end = PermitEnd::Used;
 };
 
 /** The node that hands out permits: the same at all nodes that see the same live ones; empty when there are none. */
--- a/coordination/residency.cpp
+++ b/coordination/residency.cpp
@@ -257,6 +257,11 @@
     return d->evicting;
 }
 
+int Residency::unpinnedSlots() const
+{
+    return freeSlots() + static_cast<int>(d->idle.size());
+}
+
 int Residency::obtainableSlots() const
 {
     return freeSlots() + d->evicting + (d->mayEvict ? static_cast<int>(d->idle.size()) : 0);
--- a/coordination/residency.h
+++ b/coordination/residency.h
@@ -74,6 +74,8 @@
     bool isLoaded(const AdapterKey &adapter) const;
     int freeSlots() const;
     int evictingCount() const;
+    /** Slots that no request of this node needs: free, or held by an adapter that nothing waits for or runs on. */
+    int unpinnedSlots() const;
     /** Slots that are free or could be made free now, at most. */
     int obtainableSlots() const;
 
--- a/coordination/upstreamscheduler.cpp
+++ b/coordination/upstreamscheduler.cpp
@@ -96,6 +96,7 @@
         , batchShare(batchShareOf(theLimits))
         , keptSeats(theLimits.batch * theLimits.urgentSeatsPercent / 100)
         , publishedBatch(theLimits.batch)
+        , keptSlots(theLimits.slots * theLimits.urgentSlotsPercent / 100)
     {
         loadInterval.fill(static_cast<double>(theLimits.loadTime.milliseconds()));
     }
@@ -112,6 +113,7 @@
     double batchShare;
     int keptSeats;
     int publishedBatch;
+    int keptSlots;
     bool isPatientOpen = false;
     // Tokens a millisecond that one seat has served lately; 0 until measured.
     double seatRate = 0;
@@ -151,6 +153,7 @@
     void dispatchReady(Time now);
     void returnExpiredPermits(Time now);
     int loadBudget() const;
+    bool maySlotBeTaken(const AdapterKey &adapter) const;
     bool makeRoom(const AdapterKey &adapter, int &slotsComing, Time now);
     void startLoads(Time now);
     void startLoad(const AdapterKey &adapter, Time now);
@@ -219,7 +222,7 @@
     const AdapterDemand demand = mayLoad ? queue.demand(adapter) : AdapterDemand {};
     order.update(adapter, demand, now);
     if (demand.waiting == 0 && asks.erase(adapter) > 0) {
-        actions.emplace_back(ReturnPermit { adapter, false });
+        actions.emplace_back(ReturnPermit { adapter, PermitEnd::Withdrawn });
     }
 }
 
@@ -269,7 +272,7 @@
     loadsInFlight = std::max(0, loadsInFlight - 1);
     const auto permit = usedPermits.find(event.adapter);
     if (permit != usedPermits.end()) {
-        actions.emplace_back(ReturnPermit { permit->second, true });
+        actions.emplace_back(ReturnPermit { permit->second, PermitEnd::Used });
         usedPermits.erase(permit);
     }
     const OrderOutcome outcome = outcomeOf(event.isLoaded, event.isUnknown);
@@ -358,7 +361,8 @@
         isPatientOpen = false;
         return false;
     }
-    if (isPatientOpen || seats + ready >= batchShare * limits.batch) {
+    // A held request keeps its adapter's slot, so none is held while another adapter waits for one.
+    if (isPatientOpen || !order.isEmpty() || seats + ready >= batchShare * limits.batch) {
         isPatientOpen = true;
         return true;
     }
@@ -401,7 +405,7 @@
         if (permit.expiry > now) {
             return false;
         }
-        actions.emplace_back(ReturnPermit { permit.askedFor, false });
+        actions.emplace_back(ReturnPermit { permit.askedFor, PermitEnd::Unused });
         return true;
     });
 }
@@ -411,6 +415,16 @@
     return limits.needsPermits ? static_cast<int>(permits.size()) : limits.parallelLoads - loadsInFlight;
 }
 
+// A long job holds its slot until it ends. Were all slots taken by such, an urgent request for another adapter would wait for one of
+// them to end, however soon its load could be had; so the last slots are left to urgent work.
+bool UpstreamScheduler::Private::maySlotBeTaken(const AdapterKey &adapter) const
+{
+    const auto demand = order.demand(adapter);
+    const bool isUrgent = demand.has_value() && demand->level == QueueLevel::Urgent;
+    const bool hasSlot = residency.state(adapter) == SlotState::Unknown;
+    return isUrgent || hasSlot || residency.unpinnedSlots() + residency.evictingCount() > keptSlots;
+}
+
 // True when @p adapter can be loaded at once. Otherwise sees to it that a slot comes free, if one can.
 bool UpstreamScheduler::Private::makeRoom(const AdapterKey &adapter, int &slotsComing, Time now)
 {
@@ -456,7 +470,7 @@
         usedPermits[adapter] = own->askedFor;
         permits.erase(own);
         if (asks.erase(adapter) > 0) {
-            actions.emplace_back(ReturnPermit { adapter, false });
+            actions.emplace_back(ReturnPermit { adapter, PermitEnd::Withdrawn });
         }
     }
     noteLoadStart(now);
@@ -473,6 +487,9 @@
     }
     int slotsComing = residency.evictingCount();
     for (const AdapterKey &adapter : order.first(budget)) {
+        if (!maySlotBeTaken(adapter)) {
+            break;
+        }
         if (makeRoom(adapter, slotsComing, now)) {
             startLoad(adapter, now);
         }
@@ -512,7 +529,7 @@
         return;
     }
     for (const HeldPermit &permit : permits) {
-        actions.emplace_back(ReturnPermit { permit.askedFor, false });
+        actions.emplace_back(ReturnPermit { permit.askedFor, PermitEnd::Unused });
     }
     permits.clear();
 }
@@ -528,8 +545,16 @@
     if (!limits.needsPermits) {
         return;
     }
-    const int room = std::min(MaxAsks, residency.obtainableSlots() - static_cast<int>(permits.size()));
+    const int room = std::min(MaxAsks, residency.obtainableSlots());
+    int held = static_cast<int>(permits.size());
     for (const AdapterKey &adapter : order.first(room)) {
+        if (!maySlotBeTaken(adapter)) {
+            break;
+        }
+        // The permits that are here already are for the first ones.
+        if (held-- > 0) {
+            continue;
+        }
         const AdapterDemand demand = order.demand(adapter).value_or(AdapterDemand {});
         const auto at = asks.find(adapter);
         const bool isNews = at == asks.end() || at->second.urgency != demand.priority || demand.waiting >= at->second.waiting * 2
--- a/coordination/upstreamscheduler.h
+++ b/coordination/upstreamscheduler.h
@@ -100,12 +100,12 @@
     /** How long the first of them has waited. */
     Duration waited;
 };
-/** The load that a permit was for has ended, or it will not be used, or is no longer asked for. */
+/** A permit, or the wish for one, ends. */
 struct ReturnPermit
 {
     /** As in the AskPermit. */
     AdapterKey adapter;
-    bool isUsed = false;
+    PermitEnd end = PermitEnd::Used;
 };
 struct StartLoad
 {
@@ -140,12 +140,14 @@
     /** Whether a load needs a permit of the fleet (AskPermit) before StartLoad. */
     bool needsPermits = false;
     /** Loads in flight at once on this engine when no permits are needed. */
-    int parallelLoads = 8;
+    int parallelLoads = 2;
     /** Weight of short stalls against full batches; the two count as their shares of the sum. */
     int stallWeight = 50;
     int batchWeight = 50;
     /** Part of the batch that only urgent requests take, 0 to 90. */
     int urgentSeatsPercent = 12;
+    /** Part of the slots that loads for other than urgent work leave unpinned, 0 to 90. */
+    int urgentSlotsPercent = 25;
     /** Seed of the jitter of back-off. */
     std::uint64_t seed = 1;
 };
--- a/coordination/work.h
+++ b/coordination/work.h
@@ -19,6 +19,16 @@
 inline constexpr std::size_t PriorityCount = 3;
 inline constexpr std::array<std::string_view, PriorityCount> PriorityWords { "urgent", "standard", "patient" };
 
+/** Why a permit, or the wish for one, ends. */
+enum class PermitEnd {
+    /** The load that it was for has ended. */
+    Used,
+    /** It was granted and will not be used. */
+    Unused,
+    /** It is no longer asked for. */
+    Withdrawn,
+};
+
 /** A request as the decisions see it. */
 struct WorkItem
 {
--- a/main/enginerunner.cpp
+++ b/main/enginerunner.cpp
@@ -41,10 +41,10 @@
     limits.slots = spec.slots;
     limits.batch = spec.batch;
     limits.loadTime = settings.duration("scheduling.load_time_ms");
-    limits.parallelLoads = static_cast<int>(settings.number("scheduling.store_parallel"));
     limits.stallWeight = static_cast<int>(settings.number("scheduling.stall_weight"));
     limits.batchWeight = static_cast<int>(settings.number("scheduling.batch_weight"));
     limits.urgentSeatsPercent = static_cast<int>(settings.number("scheduling.urgent_seats_percent"));
+    limits.urgentSlotsPercent = static_cast<int>(settings.number("scheduling.urgent_slots_percent"));
     limits.seed = stableHash(spec.id.value());
     return limits;
 }
--- a/tests/coordination/testloadpermits.cpp
+++ b/tests/coordination/testloadpermits.cpp
@@ -74,7 +74,7 @@
     giver.request(request("a", Priority::Urgent), Time(1));
     giver.request(request("b", Priority::Urgent), Time(1));
     cr_assert_eq(giver.grant(Time(1)).size(), 1);
-    giver.giveBack({ name("n", "a"), false }, Time(2));
+    giver.giveBack({ name("n", "a"), PermitEnd::Unused }, Time(2));
     cr_assert_eq(giver.grant(Time(2)).size(), 1);
 }
 
@@ -88,7 +88,7 @@
     for (int now = 1; now <= 10'000; now += 100) {
         giver.request(request("a", Priority::Urgent), Time(now));
         for (const PermitGrant &grant : giver.grant(Time(now))) {
-            giver.giveBack({ grant.name, true }, Time(now));
+            giver.giveBack({ grant.name, PermitEnd::Used }, Time(now));
             ++granted;
         }
     }
@@ -113,7 +113,7 @@
     PermitAsker asker(NodeId("n"), {});
     asker.setFleet({ NodeId("giver") }, 1, Time(1));
     asker.ask(request("a", Priority::Urgent), Time(1));
-    asker.giveBack({ name("n", "a"), false }, Time(2));
+    asker.giveBack({ name("n", "a"), PermitEnd::Withdrawn }, Time(2));
     const auto actions = asker.granted({ name("n", "a"), Duration(2000) }, Time(3));
     cr_assert_eq(count<PermitArrived>(actions), 0);
     cr_assert_eq(count<SendToGiver>(actions), 1);
