Hand one-time requests over to a successor at shutdown

A graceful shutdown lost the ledger: a repeat of a payment elsewhere got outcome_unknown for good, and a repeat at the draining node was told 'draining, not run' even when the first had run. Now a key minted elsewhere is forwarded to its node or to the successor of its node; a draining node answers repeats from its ledger; after everything in progress has ended the ledger is sealed and handed over in batches, the successor announces it, and answers for the old start. What was never sent is left out, and the successor says not run and offers a fresh key. Memory is bounded by bytes: room for an answer is set aside before a request runs, and an answer over keys.max_answer_bytes is kept as its status, hash and size. GET, HEAD and OPTIONS ignore a key; other methods with one run once. A known key is answered also when its service has no upstream left. The new kind owner_unreachable says that an earlier arrival may have run, where wrong_node promised not run.

The demo repeats a payment at another node, ends the node that took it with two SIGTERMs, and repeats it again: one run.

--- a/coordination/ledger.cpp
+++ b/coordination/ledger.cpp
@@ -1,5 +1,7 @@
 #include "coordination/ledger.h"
 
+#include "core/hash.h"
+
 #include <absl/container/flat_hash_map.h>
 
 #include <utility>
@@ -10,7 +12,7 @@
 namespace
 {
 
-enum class EntryState {
+enum class EntryState : std::uint8_t {
     Accepted,
     Sent,
     Answered,
@@ -19,27 +21,72 @@
 
 struct Entry
 {
-    EntryState state = EntryState::Accepted;
     std::string bodyHash;
     Time mintedAt;
-    StoredAnswer answer;
+    std::unique_ptr<StoredAnswer> answer;
+    EntryState state = EntryState::Accepted;
 };
 
+// An entry, its key, the share of the table that is empty, and the parts on the heap: see bench/ledger.cpp.
+constexpr std::size_t EntryBytes = 256;
+
+std::size_t answerBytes(const StoredAnswer &answer)
+{
+    return sizeof(StoredAnswer) + answer.body.size() + answer.contentType.size() + answer.droppedHash.size();
+}
+
+void dropLargeBody(StoredAnswer &answer, std::size_t limit)
+{
+    if (answer.body.size() > limit) {
+        answer.droppedBytes = answer.body.size();
+        answer.droppedHash = sha256Hex(answer.body);
+        answer.body = std::string();
+    }
+}
+
 } // namespace
 
 struct Ledger::Private
 {
     Duration lifetime;
     std::size_t capacity = 1;
+    LedgerBytes limits;
+    std::size_t bytes = 0;
+    bool isAccepting = true;
+    bool isSealed = false;
     // Keys of this node and incarnation differ in their counters only.
     absl::flat_hash_map<std::uint64_t, Entry> entries;
+
+    // What an entry counts for: room for the largest answer while its own is not known yet.
+    std::size_t charge(const Entry &entry) const
+    {
+        switch (entry.state) {
+        case EntryState::Answered:
+            return EntryBytes + answerBytes(*entry.answer);
+        case EntryState::Unknown:
+            return EntryBytes;
+        default:
+            return EntryBytes + sizeof(StoredAnswer) + limits.answer;
+        }
+    }
+    void setState(Entry &entry, EntryState state)
+    {
+        bytes -= charge(entry);
+        entry.state = state;
+        bytes += charge(entry);
+    }
+    RefuseKey refuseNew() const
+    {
+        return { isAccepting ? ErrorKind::LedgerFull : ErrorKind::Draining };
+    }
 };
 
-Ledger::Ledger(Duration lifetime, std::size_t capacity)
+Ledger::Ledger(Duration lifetime, std::size_t capacity, LedgerBytes limits)
     : d(std::make_unique<Private>())
 {
     d->lifetime = lifetime;
     d->capacity = capacity;
+    d->limits = limits;
 }
 
 Ledger::~Ledger() = default;
@@ -51,10 +98,13 @@
     }
     const auto at = d->entries.find(key.counter);
     if (at == d->entries.end()) {
-        if (d->entries.size() >= d->capacity) {
-            return RefuseKey { ErrorKind::LedgerFull };
+        Entry entry { bodyHash, key.mintedAt, nullptr, EntryState::Accepted };
+        const std::size_t charge = d->charge(entry);
+        if (!d->isAccepting || d->entries.size() >= d->capacity || d->bytes + charge > d->limits.total) {
+            return d->refuseNew();
         }
-        d->entries.emplace(key.counter, Entry { EntryState::Accepted, bodyHash, key.mintedAt, {} });
+        d->bytes += charge;
+        d->entries.emplace(key.counter, std::move(entry));
         return RunNow {};
     }
     const Entry &entry = at->second;
@@ -63,10 +113,14 @@
     }
     switch (entry.state) {
     case EntryState::Accepted:
+        if (d->isSealed) {
+            return RefuseKey { ErrorKind::Draining };
+        }
+        return WaitForFirst {};
     case EntryState::Sent:
         return WaitForFirst {};
     case EntryState::Answered:
-        return Replay { entry.answer };
+        return Replay { *entry.answer };
     case EntryState::Unknown:
         break;
     }
@@ -76,20 +130,24 @@
 bool Ledger::markSent(const IdempotencyKey &key)
 {
     const auto at = d->entries.find(key.counter);
-    if (at == d->entries.end() || at->second.state != EntryState::Accepted) {
+    if (d->isSealed || at == d->entries.end() || at->second.state != EntryState::Accepted) {
         return false;
     }
-    at->second.state = EntryState::Sent;
+    d->setState(at->second, EntryState::Sent);
     return true;
 }
 
 void Ledger::complete(const IdempotencyKey &key, StoredAnswer answer)
 {
     const auto at = d->entries.find(key.counter);
-    if (at != d->entries.end()) {
-        at->second.state = EntryState::Answered;
-        at->second.answer = std::move(answer);
+    if (at == d->entries.end()) {
+        return;
     }
+    dropLargeBody(answer, d->limits.answer);
+    d->bytes -= d->charge(at->second);
+    at->second.answer = std::make_unique<StoredAnswer>(std::move(answer));
+    at->second.state = EntryState::Answered;
+    d->bytes += d->charge(at->second);
 }
 
 void Ledger::fail(const IdempotencyKey &key)
@@ -99,9 +157,10 @@
         return;
     }
     if (at->second.state == EntryState::Accepted) {
+        d->bytes -= d->charge(at->second);
         d->entries.erase(at);
     } else if (at->second.state == EntryState::Sent) {
-        at->second.state = EntryState::Unknown;
+        d->setState(at->second, EntryState::Unknown);
     }
 }
 
@@ -109,13 +168,114 @@
 {
     absl::erase_if(d->entries, [&](const auto &entry) {
         const bool isOver = entry.second.state == EntryState::Answered || entry.second.state == EntryState::Unknown;
-        return isOver && entry.second.mintedAt + d->lifetime <= now;
+        const bool isGone = isOver && entry.second.mintedAt + d->lifetime <= now;
+        d->bytes -= isGone ? d->charge(entry.second) : 0;
+        return isGone;
     });
 }
 
+void Ledger::stopAccepting()
+{
+    d->isAccepting = false;
+}
+
+void Ledger::seal(std::vector<LedgerRecord> &records)
+{
+    d->isAccepting = false;
+    d->isSealed = true;
+    for (const auto &[counter, entry] : d->entries) {
+        if (entry.state != EntryState::Accepted) {
+            const bool isAnswered = entry.state == EntryState::Answered;
+            records.push_back({ counter, entry.bodyHash, isAnswered, isAnswered ? *entry.answer : StoredAnswer() });
+        }
+    }
+}
+
 std::size_t Ledger::size() const
 {
     return d->entries.size();
 }
 
+std::size_t Ledger::bytes() const
+{
+    return d->bytes;
+}
+
+struct InheritedLedger::Private
+{
+    NodeId node;
+    Incarnation incarnation;
+    Time sealedAt;
+    Duration lifetime;
+    Time cameAt;
+    std::size_t bytes = 0;
+    absl::flat_hash_map<std::uint64_t, LedgerRecord> records;
+
+    // The time on the clock of the start that left, had it gone on.
+    Time theirTime(Time now) const
+    {
+        return sealedAt + (now - cameAt);
+    }
+};
+
+InheritedLedger::InheritedLedger(SealedLedger ledger, Time now)
+    : d(std::make_unique<Private>())
+{
+    d->node = std::move(ledger.node);
+    d->incarnation = ledger.incarnation;
+    d->sealedAt = ledger.sealedAt;
+    d->lifetime = ledger.lifetime;
+    d->cameAt = now;
+    for (LedgerRecord &record : ledger.records) {
+        d->bytes += EntryBytes + answerBytes(record.answer);
+        d->records.emplace(record.counter, std::move(record));
+    }
+}
+
+InheritedLedger::~InheritedLedger() = default;
+InheritedLedger::InheritedLedger(InheritedLedger &&) noexcept = default;
+InheritedLedger &InheritedLedger::operator=(InheritedLedger &&) noexcept = default;
+
+LedgerDecision InheritedLedger::accept(const IdempotencyKey &key, const std::string &bodyHash, Time now) const
+{
+    if (key.mintedAt + d->lifetime <= d->theirTime(now)) {
+        return RefuseKey { ErrorKind::KeyExpired };
+    }
+    const auto at = d->records.find(key.counter);
+    if (at == d->records.end()) {
+        return RefuseKey { ErrorKind::KeyRequired };
+    }
+    if (at->second.bodyHash != bodyHash) {
+        return RefuseKey { ErrorKind::KeyMismatch };
+    }
+    if (at->second.isAnswered) {
+        return Replay { at->second.answer };
+    }
+    return RefuseKey { ErrorKind::OutcomeUnknown };
+}
+
+bool InheritedLedger::isOver(Time now) const
+{
+    return now - d->cameAt >= d->lifetime;
+}
+
+SealedLedger InheritedLedger::handOver(Time now) const
+{
+    SealedLedger ledger { d->node, d->incarnation, d->theirTime(now), d->lifetime, {} };
+    for (const auto &[counter, record] : d->records) {
+        ledger.records.push_back(record);
+    }
+    return ledger;
+}
+
+std::size_t InheritedLedger::size() const
+{
+    return d->records.size();
+}
+
+std::size_t InheritedLedger::bytes() const
+{
+    return d->bytes;
+}
+
 } // namespace ApricotStep
--- a/core/errors.cpp
+++ b/core/errors.cpp
@@ -65,9 +65,12 @@
         StaleConfig, 500, "stale_config", NotRun, RetryAdvice::Never, "The published configuration is older than the one in force." },
     ErrorAnswer { PeerUnreachable, 503, "peer_unreachable", NotRun, RetryAdvice::OtherNode,
         "The node that serves this could not be reached; nothing was sent." },
+    // Not NotRun: an earlier arrival under the same key may have run at the node that cannot be asked.
+    ErrorAnswer { OwnerUnreachable, 503, "owner_unreachable", MayHaveRun, RetryAdvice::Never,
+        "The node that knows whether this one-time request ran could not be reached; asking again with the same key is safe." },
 };
 
-static_assert(Answers.size() == static_cast<std::size_t>(PeerUnreachable), "one row for every kind");
+static_assert(Answers.size() == static_cast<std::size_t>(OwnerUnreachable), "one row for every kind");
 
 class Category final : public std::error_category
 {
--- a/core/errors.h
+++ b/core/errors.h
@@ -42,6 +42,7 @@
     ConfigInvalid,
     StaleConfig,
     PeerUnreachable,
+    OwnerUnreachable,
 };
 
 /** What a failed request may have done at an upstream. */
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -102,7 +102,6 @@
 jq -c . <<<"$ANSWER"
 ADDRESS="$(jq -r '.addresses[0].address' <<<"$ANSWER")"
 KEY="$(jq -r .idempotency_key <<<"$ANSWER")"
-KEY_ADDRESS="$NODE"
 
 echo "== streamed chat through the selector"
 STREAM="$(curl -sN "http://$ADDRESS/v1/chat/completions" -H 'X-Priority: urgent' \
@@ -117,8 +116,8 @@
         -d '{"model":"kitchen","max_tokens":3,"messages":[{"role":"user","content":"where is the ladle?"}]}' | jq -c .choices
 done
 
-echo "== a payment sent twice under one key"
-for _ in 1 2; do
+echo "== a payment sent twice under one key, the second time to another node"
+for KEY_ADDRESS in "$NODE" "127.0.0.1:${ALL_CALLERS[0]}"; do
     curl -s -D - "http://$KEY_ADDRESS/svc/payments/enrol" -H "Idempotency-Key: $KEY" -d '{"amount":120}' | grep -iE 'replayed|receipt'
     echo
 done
@@ -126,7 +125,17 @@
 echo "runs at the payment service: $RUNS"
 [ "$RUNS" = 1 ]
 
-echo "== graceful shutdown of node1"
-kill -TERM "${PIDS[-3]}"
-wait "${PIDS[-3]}"
+echo "== graceful shutdown of node3, which took the payment; a second SIGTERM cuts nothing off"
+kill -TERM "${PIDS[-1]}"
+kill -TERM "${PIDS[-1]}"
+wait "${PIDS[-1]}"
+unset 'PIDS[-1]'
+echo "== the same payment at node1: the successor of node3 has the receipt"
+for _ in $(seq 50); do
+    REPEAT="$(curl -s -D - "http://127.0.0.1:${ALL_CALLERS[0]}/svc/payments/enrol" -H "Idempotency-Key: $KEY" -d '{"amount":120}')"
+    grep -qi replayed <<<"$REPEAT" && break
+    sleep 0.1
+done
+grep -iE 'replayed|receipt' <<<"$REPEAT"
+[ "$(curl -s "http://127.0.0.1:$PAYMENTS/control/runs" | jq .total)" = 1 ]
 echo "demo passed"
--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -69,8 +69,9 @@
     void passOn(CompletionJob job, const HttpRequest &request, const std::shared_ptr<const Placement> &placement,
         const std::optional<Candidate> &first);
     void address(const HttpRequest &request, HttpExchange &exchange, const Catalog &catalog, const Placement &placement);
-    void service(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange, const std::shared_ptr<const Catalog> &catalog,
-        const std::shared_ptr<const FleetView> &fleet);
+    void service(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange, int hops,
+        const std::shared_ptr<const Catalog> &catalog, const std::shared_ptr<const FleetView> &fleet);
+    void passOnKeyed(const ServiceJob &job, const IdempotencyKey &key);
 };
 
 std::string CallerFrontend::Private::requestId(RequestId id) const
@@ -300,12 +301,39 @@
         return;
     }
     if (request.parameter("once") == "1") {
-        answer.key = parts.services.mintKey();
+        answer.key = parts.services.oneTime().mintKey();
     }
     respondJson(exchange, addressBody(answer));
 }
 
-void CallerFrontend::Private::service(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange,
+// To the successors of the start that minted the key, then to its node. Whoever cannot be asked may have run it.
+void CallerFrontend::Private::passOnKeyed(const ServiceJob &job, const IdempotencyKey &key)
+{
+    ForwardJob forward;
+    std::vector<NodeId> nodes = parts.services.oneTime().successors(key);
+    nodes.push_back(key.node);
+    for (const NodeId &id : nodes) {
+        const NodeView *node = id == parts.self ? nullptr : job.fleet->node(id);
+        if (node != nullptr) {
+            forward.targets.push_back(*node);
+        }
+    }
+    if (forward.targets.empty()) {
+        refuse(*job.exchange, { ErrorKind::OutcomeUnknown, "the node that minted this key has gone" }, job.requestId);
+        return;
+    }
+    forward.request = job.request;
+    forward.hops = job.hops;
+    forward.exchange = job.exchange;
+    forward.requestId = job.requestId;
+    forward.onNoneReached = [this, exchange = job.exchange, id = job.requestId, address = forward.targets.front().callerAddress](
+                                const Error &error) {
+        refuse(*exchange, { ErrorKind::OwnerUnreachable, error.detail }, id, address);
+    };
+    forwarder.forward(std::move(forward));
+}
+
+void CallerFrontend::Private::service(HttpRequest request, const std::shared_ptr<HttpExchange> &exchange, int hops,
     const std::shared_ptr<const Catalog> &catalog, const std::shared_ptr<const FleetView> &fleet)
 {
     ServiceJob job;
@@ -318,6 +346,8 @@
     job.exchange = exchange;
     job.catalog = catalog;
     job.fleet = fleet;
+    job.hops = hops;
+    job.passOn = [this](const ServiceJob &foreign, const IdempotencyKey &key) { passOnKeyed(foreign, key); };
     parts.services.submit(std::move(job));
 }
 
@@ -341,14 +371,15 @@
             return;
         }
         d->completion(request, exchange, hops, *catalog, d->placer.placement(catalog, fleet));
+    } else if (path.starts_with(ServicePrefix) && (!d->isClosed() || !request.header("idempotency-key").empty())) {
+        // A repeat of a one-time request must not hear 'not run' only because this node is shutting down: its ledger knows.
+        d->service(std::move(request), exchange, hops, catalog, fleet);
     } else if (d->isClosed()) {
         d->refuse(*exchange, { ErrorKind::Draining, {} }, {});
-    } else if (path.starts_with(ServicePrefix)) {
-        d->service(std::move(request), exchange, catalog, fleet);
     } else if (path == "/v1/address") {
         d->address(request, *exchange, *catalog, *d->placer.placement(catalog, fleet));
     } else if (path == "/v1/keys" && request.method == "POST") {
-        respondJson(*exchange, keyBody(d->parts.services.mintKey(), d->parts.settings.duration("keys.lifetime_ms")));
+        respondJson(*exchange, keyBody(d->parts.services.oneTime().mintKey(), d->parts.settings.duration("keys.lifetime_ms")));
     } else if (path == "/v1/models") {
         respondJson(*exchange, modelsBody(*catalog, MaxModelsListed));
     } else {
--- /dev/null
+++ b/main/ledgerhandover.cpp
@@ -0,0 +1,75 @@
+#include "main/ledgerhandover.h"
+
+#include "coordination/rendezvous.h"
+#include "main/log.h"
+#include "protocol/ledgercodec.h"
+
+#include <absl/synchronization/notification.h>
+
+#include <algorithm>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr std::size_t BatchBytes = 512U << 10U;
+// A fleet that loses a whole zone has other things to do than to take one node's ledger at the tenth try.
+constexpr std::size_t MaxTries = 5;
+
+bool tellAndWait(Peers &peers, const NodeView &node, const std::string &batch)
+{
+    absl::Notification done;
+    bool isTaken = false;
+    peers.tell(node.rpcAddress, LedgerPart, batch, [&](const Result<std::string> &answer) {
+        isTaken = answer.isOk();
+        if (!isTaken) {
+            partLog("ledger")->warn("{} did not take a batch. {}", node.id.value(), answer.error().detail);
+        }
+        done.Notify();
+    });
+    done.WaitForNotification(); // The call has a time limit of its own.
+    return isTaken;
+}
+
+bool handOver(Peers &peers, const NodeView &node, const std::vector<SealedLedger> &ledgers)
+{
+    for (const SealedLedger &ledger : ledgers) {
+        for (const std::string &batch : encodeLedger(ledger, BatchBytes)) {
+            if (!tellAndWait(peers, node, batch)) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::vector<NodeView> successorsFor(const NodeId &self, const FleetView &fleet)
+{
+    std::vector<NodeView> nodes;
+    for (const NodeView &node : fleet.nodes) {
+        if (node.id != self && !node.rpcAddress.empty()) {
+            nodes.push_back(node);
+        }
+    }
+    std::sort(nodes.begin(), nodes.end(), [&](const NodeView &a, const NodeView &b) {
+        return rendezvousScore(self.value(), a.id.value(), 1) > rendezvousScore(self.value(), b.id.value(), 1);
+    });
+    return nodes;
+}
+
+std::optional<NodeId> handOverLedgers(Peers &peers, const std::vector<SealedLedger> &ledgers, const std::vector<NodeView> &candidates)
+{
+    for (std::size_t i = 0; i < std::min(candidates.size(), MaxTries); ++i) {
+        // A candidate that took a part and then failed holds what is true; the next one may hold the same.
+        if (handOver(peers, candidates[i], ledgers)) {
+            return candidates[i].id;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace ApricotStep
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -2,6 +2,7 @@
 
 #include "main/callerfrontend.h"
 #include "main/configreader.h"
+#include "main/ledgerhandover.h"
 #include "main/log.h"
 #include "main/membershiprunner.h"
 #include "main/platformreader.h"
@@ -101,12 +102,15 @@
     std::atomic<bool> isDraining { false };
     std::thread ticker;
 
-    std::string statusBody() const;
-    void handleOperator(const HttpRequest &request, HttpExchange &exchange) const;
+    std::string statusBody();
+    void handleOperator(const HttpRequest &request, HttpExchange &exchange);
+    bool isBusy() const;
+    void handOver();
+    Result<std::string> takeLedgerBatch(const std::string &bytes);
     void tickLoop();
 };
 
-std::string Node::Private::statusBody() const
+std::string Node::Private::statusBody()
 {
     const auto current = catalog.get();
     const auto view = fleet.get();
@@ -121,7 +125,8 @@
         { "value_bytes", configStatus.valueBytes } };
     json["nodes"] = nlohmann::json::array();
     json["engines"] = nlohmann::json::array();
-    json["ledger_entries"] = services.ledgerSize();
+    json["ledger_entries"] = services.oneTime().size();
+    json["ledger_bytes"] = services.oneTime().bytes();
     json["fresh"] = membership->isFresh();
     const MembershipCounters counters = membership->counters();
     json["membership"] = { { "suspicions", counters.suspicions }, { "deaths", counters.deaths }, { "refutations", counters.refutations },
@@ -140,7 +145,7 @@
     return json.dump(2) + "\n";
 }
 
-void Node::Private::handleOperator(const HttpRequest &request, HttpExchange &exchange) const
+void Node::Private::handleOperator(const HttpRequest &request, HttpExchange &exchange)
 {
     const HttpHeaders plain { { "Content-Type", "text/plain; version=0.0.4" } };
     if (request.path == "/healthz") {
@@ -168,6 +173,42 @@
     }
 }
 
+bool Node::Private::isBusy() const
+{
+    return callers->activeCount() > 0 || rpc->servedCount() > 0 || services.activeCount() > 0;
+}
+
+// The successor tells the fleet, since this node may have ended before its own word has spread.
+Result<std::string> Node::Private::takeLedgerBatch(const std::string &bytes)
+{
+    HandOffFact fact;
+    const auto isWhole = services.oneTime().takeBatch(bytes, &fact);
+    if (!isWhole.isOk()) {
+        return isWhole.error();
+    }
+    if (isWhole.value()) {
+        log->info("Took the one-time requests of {}.", fact.node.value());
+        membership->announce(fact);
+    }
+    return std::string();
+}
+
+void Node::Private::handOver()
+{
+    const std::vector<SealedLedger> ledgers = services.oneTime().seal();
+    const auto view = fleet.get();
+    const auto candidates = view == nullptr ? std::vector<NodeView>() : successorsFor(NodeId(settings->text("node.id")), *view);
+    const auto successor = handOverLedgers(*rpc, ledgers, candidates);
+    if (!successor) {
+        log->warn("No node took the one-time requests; repeats of them will be answered with outcome_unknown.");
+        return;
+    }
+    log->info("Handed the one-time requests to {}.", successor->value());
+    for (const SealedLedger &ledger : ledgers) {
+        membership->announce(HandOffFact { ledger.node, ledger.incarnation, *successor });
+    }
+}
+
 Node::Node() = default;
 Node::~Node() = default;
 
@@ -199,6 +240,12 @@
             d->config.versionHeard(*fact);
         }
     });
+    d->rpc->servePart(LedgerPart, [d](const std::string &bytes) { return d->takeLedgerBatch(bytes); });
+    d->membership->onRumour([d](const Rumour &rumour) {
+        if (const auto *fact = std::get_if<HandOffFact>(&rumour)) {
+            d->services.oneTime().learn(*fact);
+        }
+    });
     auto callers = HttpServer::start(callerServerSettings(*d->settings),
         [d](HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { d->frontend.handle(std::move(request), exchange); });
     if (!callers.isOk()) {
@@ -265,9 +312,18 @@
     const Time lingerUntil = d->clock.now() + d->settings->duration("shutdown.linger_ms");
     d->frontend.drain(lingerUntil);
     d->log->info("Draining.");
-    while (d->clock.now() < lingerUntil || d->callers->activeCount() > 0 || d->rpc->servedCount() > 0) {
+    while (d->clock.now() < lingerUntil) {
         std::this_thread::sleep_for(DrainCheckInterval);
     }
+    d->services.oneTime().stopAccepting();
+    d->callers->stopAccepting();
+    while (d->isBusy()) {
+        std::this_thread::sleep_for(DrainCheckInterval);
+    }
+    d->handOver();
+    while (d->isBusy()) {
+        std::this_thread::sleep_for(DrainCheckInterval); // Repeats that came meanwhile are being answered from the sealed ledger.
+    }
     d->membership->announceLeft();
     d->log->info("Every request has its answer.");
 }
--- a/main/servicerunner.cpp
+++ b/main/servicerunner.cpp
@@ -1,6 +1,5 @@
 #include "main/servicerunner.h"
 
-#include "coordination/ledger.h"
 #include "core/hash.h"
 #include "core/result.h"
 #include "main/enginerunner.h"
@@ -9,11 +8,9 @@
 #include "main/servicelimits.h"
 #include "protocol/callerapi.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/container/flat_hash_map.h>
-#include <absl/synchronization/mutex.h>
+#include <absl/strings/escaping.h>
 
-#include <array>
+#include <algorithm>
 #include <atomic>
 
 namespace ApricotStep
@@ -22,29 +19,11 @@
 namespace
 {
 
-constexpr std::size_t ShardCount = 16;
 constexpr std::size_t MaxAnswerBytes = 8U << 20U;
 // 502, 503 and 504 tell of a service that cannot answer; other 5xx may be the fault of the one request.
 constexpr int FirstGatewayError = 502;
 constexpr int LastGatewayError = 504;
 
-struct Waiter
-{
-    std::shared_ptr<HttpExchange> exchange;
-    std::string requestId;
-};
-
-struct Shard
-{
-    Shard(Duration lifetime, std::size_t capacity)
-        : ledger(lifetime, capacity)
-    {
-    }
-    absl::Mutex mutex;
-    Ledger ledger ABSL_GUARDED_BY(mutex);
-    absl::flat_hash_map<std::uint64_t, std::vector<Waiter>> waiters ABSL_GUARDED_BY(mutex);
-};
-
 // One call from its arrival to its end.
 struct Running
 {
@@ -54,6 +33,7 @@
     std::size_t at = 0;
     int attempts = 0;
     Time startedAt;
+    bool isKnown = false;
     bool isIdempotent = false;
     bool hasKey = false;
     IdempotencyKey key;
@@ -70,9 +50,17 @@
     return method == "GET" || method == "HEAD" || method == "PUT" || method == "DELETE" || method == "OPTIONS";
 }
 
+bool isSafeMethod(const std::string &method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+// 120 bits of SHA-256: enough to tell two requests apart, and short enough to stand in a std::string without memory of its own.
 std::string requestHash(const ServiceJob &job)
 {
-    return sha256Hex(job.request.method + '\n' + job.service.value() + '\n' + job.target + '\n' + job.request.body);
+    constexpr std::size_t HashDigits = 30;
+    return absl::HexStringToBytes(
+        sha256Hex(job.request.method + '\n' + job.service.value() + '\n' + job.target + '\n' + job.request.body).substr(0, HashDigits));
 }
 
 void answer(HttpExchange &exchange, const StoredAnswer &stored, const std::string &requestId, bool isReplay)
@@ -81,7 +69,16 @@
     if (isReplay) {
         headers.emplace_back("Idempotent-Replayed", "true");
     }
-    exchange.respond(stored.status, headers, stored.body);
+    if (stored.droppedHash.empty()) {
+        exchange.respond(stored.status, headers, stored.body);
+        return;
+    }
+    // The first answer was too large to keep. The caller learns that the action is done and how, and can tell the answer by its hash.
+    headers.front().second = "application/json";
+    headers.emplace_back("X-Answer-Sha256", stored.droppedHash);
+    exchange.respond(stored.status, headers,
+        R"({"replayed":true,"answer_kept":false,"answer_bytes":)" + std::to_string(stored.droppedBytes) + R"(,"answer_sha256":")"
+            + stored.droppedHash + "\"}");
 }
 
 void refuse(HttpExchange &exchange, ErrorKind kind, const std::string &requestId, const std::string &detail = {})
@@ -101,8 +98,7 @@
 {
     Private(NodeId node, Incarnation start, const Settings &allSettings, HttpClient &httpClient, const Clock &aClock, Metrics &allMetrics,
         UpstreamHealth &upstreamHealth)
-        : self(std::move(node))
-        , incarnation(start)
+        : oneTime(std::move(node), start, allSettings, aClock)
         , settings(allSettings)
         , client(httpClient)
         , clock(aClock)
@@ -111,14 +107,10 @@
         , limits(static_cast<int>(allSettings.number("upstreams.service_concurrency")))
         , log(partLog("service"))
     {
-        const auto capacity = static_cast<std::size_t>(settings.number("keys.capacity")) / ShardCount;
-        for (auto &shard : shards) {
-            shard = std::make_unique<Shard>(settings.duration("keys.lifetime_ms"), std::max<std::size_t>(capacity, 1));
-        }
     }
 
-    const NodeId self;
-    const Incarnation incarnation;
+    OneTimeRequests oneTime;
+    std::atomic<int> active { 0 };
     const Settings &settings;
     HttpClient &client;
     const Clock &clock;
@@ -127,18 +119,14 @@
     ServiceLimits limits;
     PausedWork paused;
     Logger log;
-    std::atomic<std::uint64_t> keyCounter { 1 };
     std::atomic<std::uint64_t> turn { 0 };
-    std::array<std::unique_ptr<Shard>, ShardCount> shards;
 
-    Shard &shardOf(const IdempotencyKey &key)
-    {
-        return *shards[key.counter % ShardCount];
-    }
-    std::string mintKey();
     // True when the call is to be started now; otherwise it has been answered or waits for the first one under its key.
     bool admit(const RunningPointer &running);
     bool admitKeyed(const RunningPointer &running);
+    // Refuses a call that no upstream can take now.
+    bool canStart(const RunningPointer &running);
+    void refuseKey(const ServiceJob &job, ErrorKind kind);
     // Begins an attempt at the next upstream after the one at @p from that has room.
     void start(const RunningPointer &running, std::size_t from);
     bool takePlace(const RunningPointer &running, std::size_t from);
@@ -149,31 +137,26 @@
     void tryAgain(const RunningPointer &running, const TryAgain &how);
     void settle(const RunningPointer &running, const StoredAnswer &stored);
     void settleFailed(const RunningPointer &running, ErrorKind kind, const std::string &detail);
-    std::vector<Waiter> takeWaiters(Shard &shard, const IdempotencyKey &key) ABSL_EXCLUSIVE_LOCKS_REQUIRED(shard.mutex);
 };
 
-std::string ServiceRunner::Private::mintKey()
-{
-    return IdempotencyKey { self, incarnation, clock.now(), keyCounter.fetch_add(1) }.encode(settings.text("fleet.secret"));
-}
-
 bool ServiceRunner::Private::admit(const RunningPointer &running)
 {
     const ServiceJob &job = running->job;
     const std::string text = job.request.header("idempotency-key");
-    if (text.empty()) {
-        return true;
+    // A safe method changes nothing: it runs afresh each time, since a stored answer to a look-up would be stale.
+    if (text.empty() || isSafeMethod(job.request.method)) {
+        return canStart(running);
     }
     const auto key = IdempotencyKey::decode(text, settings.text("fleet.secret"));
     if (!key.isOk()) {
         const bool isCheckedThere = !running->upstreams.empty()
             && std::all_of(running->upstreams.begin(), running->upstreams.end(), [](const auto *upstream) { return upstream->checksKeys; });
         if (isCheckedThere) {
-            return true;
+            return canStart(running);
         }
         ErrorDetails details;
         details.requestId = job.requestId;
-        details.key = mintKey();
+        details.key = oneTime.mintKey();
         respondError(*job.exchange, ErrorKind::KeyRequired, details);
         return false;
     }
@@ -185,28 +168,25 @@
 {
     const ServiceJob &job = running->job;
     const IdempotencyKey &key = running->key;
-    if (key.node != self || key.incarnation != incarnation) {
-        // Only the start that minted the key knows whether it ran. Running it here would double it.
-        const NodeView *owner = key.node == self ? nullptr : job.fleet->node(key.node);
-        ErrorDetails details;
-        details.requestId = job.requestId;
-        details.address = owner != nullptr ? owner->callerAddress : "";
-        respondError(*job.exchange, owner != nullptr ? ErrorKind::WrongNode : ErrorKind::OutcomeUnknown, details);
-        return false;
-    }
-    Shard &shard = shardOf(key);
-    LedgerDecision decision;
-    {
-        const absl::MutexLock lock(&shard.mutex);
-        decision = shard.ledger.accept(key, requestHash(job), clock.now());
-        if (std::holds_alternative<WaitForFirst>(decision)) {
-            shard.waiters[key.counter].push_back({ job.exchange, job.requestId });
+    if (!oneTime.holds(key)) {
+        // Only the start that minted the key, or its successor, knows whether it ran. Running it here would double it.
+        if (job.passOn) {
+            job.passOn(job, key);
+        } else {
+            refuse(*job.exchange, ErrorKind::OutcomeUnknown, job.requestId);
         }
+        return false;
     }
+    const LedgerDecision decision = oneTime.accept(key, requestHash(job), { job.exchange, job.requestId });
     return std::visit(Overloaded {
                           [&](const RunNow &) {
                               running->hasKey = true;
-                              return true;
+                              running->isIdempotent = false;
+                              if (canStart(running)) {
+                                  return true;
+                              }
+                              oneTime.fail(key);
+                              return false;
                           },
                           [&](const WaitForFirst &) { return false; },
                           [&](const Replay &replay) {
@@ -214,13 +194,34 @@
                               return false;
                           },
                           [&](const RefuseKey &refusal) {
-                              refuse(*job.exchange, refusal.kind, job.requestId);
+                              refuseKey(job, refusal.kind);
                               return false;
                           },
                       },
         decision);
 }
 
+bool ServiceRunner::Private::canStart(const RunningPointer &running)
+{
+    if (!running->upstreams.empty()) {
+        return true;
+    }
+    refuse(*running->job.exchange, running->isKnown ? ErrorKind::NoUpstream : ErrorKind::UnknownService, running->job.requestId);
+    return false;
+}
+
+void ServiceRunner::Private::refuseKey(const ServiceJob &job, ErrorKind kind)
+{
+    if (kind != ErrorKind::KeyRequired) {
+        refuse(*job.exchange, kind, job.requestId);
+        return;
+    }
+    ErrorDetails details;
+    details.requestId = job.requestId;
+    details.key = oneTime.mintKey();
+    respondError(*job.exchange, kind, details);
+}
+
 bool ServiceRunner::Private::maySend(const RunningPointer &running)
 {
     if (clock.now() >= running->deadline) {
@@ -229,9 +230,7 @@
     if (!running->hasKey) {
         return true;
     }
-    Shard &shard = shardOf(running->key);
-    const absl::MutexLock lock(&shard.mutex);
-    return shard.ledger.markSent(running->key);
+    return oneTime.markSent(running->key);
 }
 
 // Ejected upstreams come last: when all others are full or out, trying one is better than refusing.
@@ -350,31 +349,15 @@
     }
 }
 
-std::vector<Waiter> ServiceRunner::Private::takeWaiters(Shard &shard, const IdempotencyKey &key)
-{
-    const auto at = shard.waiters.find(key.counter);
-    if (at == shard.waiters.end()) {
-        return {};
-    }
-    std::vector<Waiter> waiters = std::move(at->second);
-    shard.waiters.erase(at);
-    return waiters;
-}
-
 void ServiceRunner::Private::settle(const RunningPointer &running, const StoredAnswer &stored)
 {
     const ServiceJob &job = running->job;
-    std::vector<Waiter> waiters;
-    if (running->hasKey) {
-        Shard &shard = shardOf(running->key);
-        const absl::MutexLock lock(&shard.mutex);
-        shard.ledger.complete(running->key, stored);
-        waiters = takeWaiters(shard, running->key);
-    }
+    const auto waiters = running->hasKey ? oneTime.complete(running->key, stored) : std::vector<OneTimeWaiter>();
     metrics.serviceCall(job.service.value(), stored.status);
     log->info("[{}] service={} outcome=ok status={} attempts={}", job.requestId, job.service.value(), stored.status, running->attempts);
+    --active;
     answer(*job.exchange, stored, job.requestId, false);
-    for (const Waiter &waiter : waiters) {
+    for (const OneTimeWaiter &waiter : waiters) {
         answer(*waiter.exchange, stored, waiter.requestId, true);
     }
 }
@@ -382,18 +365,13 @@
 void ServiceRunner::Private::settleFailed(const RunningPointer &running, ErrorKind kind, const std::string &detail)
 {
     const ServiceJob &job = running->job;
-    std::vector<Waiter> waiters;
-    if (running->hasKey) {
-        Shard &shard = shardOf(running->key);
-        const absl::MutexLock lock(&shard.mutex);
-        shard.ledger.fail(running->key);
-        waiters = takeWaiters(shard, running->key);
-    }
+    const auto waiters = running->hasKey ? oneTime.fail(running->key) : std::vector<OneTimeWaiter>();
     metrics.serviceCall(job.service.value(), errorAnswer(kind).httpStatus);
     log->info("[{}] service={} outcome={} detail='{}' attempts={}", job.requestId, job.service.value(), errorAnswer(kind).word, detail,
         running->attempts);
+    --active;
     refuse(*job.exchange, kind, job.requestId, detail);
-    for (const Waiter &waiter : waiters) {
+    for (const OneTimeWaiter &waiter : waiters) {
         refuse(*waiter.exchange, kind, waiter.requestId, detail);
     }
 }
@@ -408,54 +386,47 @@
 
 std::string ServiceRunner::mintKey()
 {
-    return d->mintKey();
+    return d->oneTime.mintKey();
+}
+
+OneTimeRequests &ServiceRunner::oneTime()
+{
+    return d->oneTime;
 }
 
 void ServiceRunner::submit(ServiceJob job)
 {
-    const ServiceSpec *service = job.catalog->service(job.service);
-    if (service == nullptr) {
-        refuse(*job.exchange, ErrorKind::UnknownService, job.requestId);
-        return;
-    }
     auto running = std::make_shared<Running>();
-    for (const UpstreamId &id : service->upstreams) {
+    const ServiceSpec *service = job.catalog->service(job.service);
+    running->isKnown = service != nullptr;
+    for (const UpstreamId &id : service != nullptr ? service->upstreams : std::vector<UpstreamId>()) {
         if (!job.fleet->leaving.contains(id)) {
             running->upstreams.push_back(job.catalog->upstream(id));
         }
     }
-    if (running->upstreams.empty()) {
-        refuse(*job.exchange, ErrorKind::NoUpstream, job.requestId);
-        return;
+    if (!running->upstreams.empty()) {
+        std::rotate(running->upstreams.begin(),
+            running->upstreams.begin() + static_cast<long>(d->turn.fetch_add(1) % running->upstreams.size()), running->upstreams.end());
     }
-    std::rotate(running->upstreams.begin(),
-        running->upstreams.begin() + static_cast<long>(d->turn.fetch_add(1) % running->upstreams.size()), running->upstreams.end());
     running->isIdempotent = isIdempotentMethod(job.request.method);
     running->deadline = d->clock.now() + d->settings.duration("upstreams.service_timeout_ms");
     running->job = std::move(job);
     if (d->admit(running)) {
+        ++d->active;
         d->start(running, 0);
     }
 }
 
-void ServiceRunner::tick()
+int ServiceRunner::activeCount() const
 {
-    const Time now = d->clock.now();
-    d->paused.run(now);
-    for (auto &shard : d->shards) {
-        const absl::MutexLock lock(&shard->mutex);
-        shard->ledger.expire(now);
-    }
+    return d->active;
 }
 
-std::size_t ServiceRunner::ledgerSize() const
+void ServiceRunner::tick()
 {
-    std::size_t size = 0;
-    for (auto &shard : d->shards) {
-        const absl::MutexLock lock(&shard->mutex);
-        size += shard->ledger.size();
-    }
-    return size;
+    const Time now = d->clock.now();
+    d->paused.run(now);
+    d->oneTime.tick();
 }
 
 } // namespace ApricotStep
--- a/main/servicerunner.h
+++ b/main/servicerunner.h
@@ -2,6 +2,7 @@
 
 #include "coordination/idempotencykey.h"
 #include "main/metrics.h"
+#include "main/onetimerequests.h"
 #include "main/settings.h"
 #include "main/upstreamhealth.h"
 #include "state/catalog.h"
@@ -18,6 +19,9 @@
 /** One call to a plain service on its way through this node. */
 struct ServiceJob
 {
+    /** Passes a call on whose key another node answers for. */
+    using PassOn = std::function<void(const ServiceJob &, const IdempotencyKey &)>;
+
     HttpRequest request;
     ServiceName service;
     /** Path at the service, with its query. */
@@ -26,6 +30,9 @@
     std::shared_ptr<HttpExchange> exchange;
     std::shared_ptr<const Catalog> catalog;
     std::shared_ptr<const FleetView> fleet;
+    /** Forwards before it came here. */
+    int hops = 0;
+    PassOn passOn;
 };
 
 /** Calls plain services; one-time calls through the ledger of minted keys. Thread-safe. */
@@ -39,12 +46,13 @@
 
     /** A fresh idempotency key that only this start of this node runs. */
     std::string mintKey();
+    OneTimeRequests &oneTime();
+    /** Calls in progress; a one-time call goes on when its caller has left. */
+    int activeCount() const;
     /** Takes a call; it ends with an answer on its exchange. */
     void submit(ServiceJob job);
     /** Lets time pass; every 20 to 100 ms. */
     void tick();
-    /** One-time requests remembered now. */
-    std::size_t ledgerSize() const;
 
 private:
     struct Private;
--- a/tests/coordination/testledger.cpp
+++ b/tests/coordination/testledger.cpp
@@ -92,3 +92,81 @@
     cr_assert_not(IdempotencyKey::decode("ik1.n1.5.1000.43" + text.substr(text.rfind('.')), "a secret of the fleet").isOk());
     cr_assert_not(IdempotencyKey::decode("", "a secret of the fleet").isOk());
 }
+
+namespace
+{
+
+SealedLedger sealOf(Ledger &ledger, Time at)
+{
+    SealedLedger sealed { NodeId("n1"), Incarnation(5), at, Lifetime, {} };
+    ledger.seal(sealed.records);
+    return sealed;
+}
+
+} // namespace
+
+Test(ledger, aSealedLedgerRunsNothingAndStillAnswers)
+{
+    // A node shuts down while callers repeat payments at it. It must run none of them any more, and say truthfully what became of each.
+    Ledger ledger(Lifetime, 10);
+    ledger.accept(key(1), "h", Time(1001));
+    ledger.markSent(key(1));
+    ledger.complete(key(1), { 200, "text/plain", "receipt 1" });
+    ledger.accept(key(2), "h", Time(1001));
+    ledger.stopAccepting();
+    cr_assert(isRefused(ledger.accept(key(3), "h", Time(1002)), ErrorKind::Draining), "a key not seen yet does not run");
+    cr_assert(is<WaitForFirst>(ledger.accept(key(2), "h", Time(1002))), "what is in progress goes on");
+    const SealedLedger sealed = sealOf(ledger, Time(1003));
+    cr_assert_not(ledger.markSent(key(2)));
+    cr_assert(isRefused(ledger.accept(key(2), "h", Time(1004)), ErrorKind::Draining));
+    cr_assert(is<Replay>(ledger.accept(key(1), "h", Time(1004))));
+    cr_assert_eq(sealed.records.size(), 1, "what was never sent is not handed over");
+}
+
+Test(ledger, aSuccessorAnswersForTheNodeThatLeft)
+{
+    // The node that took a payment is replaced. A repeat at its successor must get the receipt, or the truth when there is none.
+    Ledger ledger(Lifetime, 10);
+    ledger.accept(key(1), "h", Time(1001));
+    ledger.markSent(key(1));
+    ledger.complete(key(1), { 200, "text/plain", "receipt 1" });
+    ledger.accept(key(2), "h", Time(1001));
+    ledger.markSent(key(2));
+    ledger.fail(key(2));
+    ledger.accept(key(3), "h", Time(1001));
+    const Time sealedAt(31'000);
+    const Time came(500'000); // Another node's clock.
+    InheritedLedger first(sealOf(ledger, sealedAt), came);
+    InheritedLedger second(first.handOver(came + Duration(1000)), Time(7));
+    const Time later = Time(7) + Duration(1000);
+    cr_assert(std::get<Replay>(second.accept(key(1), "h", later)).answer.body == "receipt 1");
+    cr_assert(isRefused(second.accept(key(1), "other", later), ErrorKind::KeyMismatch));
+    cr_assert(isRefused(second.accept(key(2), "h", later), ErrorKind::OutcomeUnknown));
+    cr_assert(isRefused(second.accept(key(3), "h", later), ErrorKind::KeyRequired), "never sent: not run, and a fresh key is offered");
+    cr_assert(isRefused(second.accept(key(1), "h", Time(7) + Duration(29'000)), ErrorKind::KeyExpired));
+    cr_assert_not(second.isOver(later));
+    cr_assert(second.isOver(Time(7) + Lifetime));
+}
+
+Test(ledger, memoryIsBoundedByBytesBeforeARequestRuns)
+{
+    // Many one-time requests with large answers come at once. The node must refuse some as not run, not end for lack of memory.
+    constexpr std::size_t AnswerLimit = 1000;
+    Ledger ledger(Lifetime, 1000, { 10'000, AnswerLimit });
+    std::uint64_t accepted = 0;
+    while (is<RunNow>(ledger.accept(key(accepted), "h", Time(1001)))) {
+        ++accepted;
+    }
+    cr_assert(accepted > 0 && accepted < 10);
+    cr_assert(isRefused(ledger.accept(key(accepted), "h", Time(1001)), ErrorKind::LedgerFull));
+    for (std::uint64_t i = 0; i < accepted; ++i) {
+        ledger.markSent(key(i));
+        ledger.complete(key(i), { 200, "text/plain", std::string(AnswerLimit + 1, 'x') });
+        cr_assert_leq(ledger.bytes(), 10'000);
+    }
+    const auto replay = ledger.accept(key(0), "h", Time(1002));
+    const StoredAnswer &stored = std::get<Replay>(replay).answer;
+    cr_assert(stored.status == 200 && stored.body.empty() && stored.droppedBytes == AnswerLimit + 1 && stored.droppedHash.size() == 64);
+    ledger.expire(Time(1000) + Lifetime);
+    cr_assert_eq(ledger.bytes(), 0);
+}
--- /dev/null
+++ b/tests/main/testonetimerequests.cpp
@@ -0,0 +1,80 @@
+#include "main/ledgerhandover.h"
+#include "main/onetimerequests.h"
+#include "protocol/ledgercodec.h"
+#include "tests/main/rig.h"
+#include "transport/noderpc.h"
+
+#include <criterion/criterion.h>
+
+using namespace Rig;
+
+namespace
+{
+
+constexpr const char *Secret = "0123456789abcdef";
+
+std::unique_ptr<NodeRpc> startRpc()
+{
+    NodeRpcSettings settings;
+    settings.secret = Secret;
+    return std::move(NodeRpc::start(settings).value());
+}
+
+IdempotencyKey minted(OneTimeRequests &requests)
+{
+    return IdempotencyKey::decode(requests.mintKey(), Secret).value();
+}
+
+} // namespace
+
+Test(onetimerequests, aLeavingNodesLedgerIsTakenWholeOverNodeRpc)
+{
+    // A node with many payments behind it is replaced. The first successor cannot be reached; the next takes all batches, and a repeat
+    // there gets the first receipt, without a second charge.
+    constexpr int Payments = 200;
+    Parts parts;
+    OneTimeRequests leaving(NodeId("n1"), Incarnation(1), *parts.settings, parts.clock);
+    OneTimeRequests staying(NodeId("n2"), Incarnation(1), *parts.settings, parts.clock);
+    std::vector<IdempotencyKey> keys;
+    for (int i = 0; i < Payments; ++i) {
+        keys.push_back(minted(leaving));
+        cr_assert(std::holds_alternative<RunNow>(leaving.accept(keys.back(), "h", {})));
+        cr_assert(leaving.markSent(keys.back()));
+        leaving.complete(keys.back(), { 200, "text/plain", std::string(10'000, 'r') + std::to_string(i) });
+    }
+    const auto from = startRpc();
+    const auto to = startRpc();
+    HandOffFact fact;
+    to->servePart(LedgerPart, [&](const std::string &bytes) -> Result<std::string> {
+        const auto taken = staying.takeBatch(bytes, &fact);
+        return taken.isOk() ? Result<std::string>(std::string()) : Result<std::string>(taken.error());
+    });
+    const std::vector<NodeView> candidates { { NodeId("n3"), ZoneId("a"), "", "127.0.0.1:1" },
+        { NodeId("n2"), ZoneId("a"), "", "127.0.0.1:" + std::to_string(to->port()) } };
+    cr_assert(handOverLedgers(*from, leaving.seal(), candidates) == NodeId("n2"));
+    cr_assert(fact == (HandOffFact { NodeId("n1"), Incarnation(1), NodeId("n2") }));
+    cr_assert(staying.holds(keys.back()));
+    for (int i = 0; i < Payments; ++i) {
+        const auto decision = staying.accept(keys[static_cast<std::size_t>(i)], "h", {});
+        cr_assert(std::get<Replay>(decision).answer.body.ends_with("r" + std::to_string(i)));
+    }
+    cr_assert_not(leaving.takeBatch(encodeLedger(staying.seal().front(), 1000).front(), &fact).isOk(), "a sealed node takes no ledger");
+}
+
+Test(onetimerequests, aMissingBatchIsNotTakenForAWholeLedger)
+{
+    // A batch is lost on the way. Taken for whole, the ledger would say 'not run' of payments that ran.
+    Parts parts;
+    OneTimeRequests staying(NodeId("n2"), Incarnation(1), *parts.settings, parts.clock);
+    SealedLedger ledger { NodeId("n1"), Incarnation(1), Time(5), Duration::seconds(60), {} };
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        ledger.records.push_back({ i, "h", true, { 200, "text/plain", std::string(1000, 'r') } });
+    }
+    const auto batches = encodeLedger(ledger, 1000);
+    cr_assert_eq(batches.size(), 3);
+    HandOffFact fact;
+    cr_assert_not(staying.takeBatch(batches[0], &fact).value());
+    cr_assert_not(staying.takeBatch(batches[2], &fact).isOk());
+    cr_assert_not(staying.holds({ NodeId("n1"), Incarnation(1), Time(1), 0 }));
+    cr_assert_not(staying.takeBatch("nonsense", &fact).isOk());
+}
