Keep the ping of a node link alive until it runs

Cause: the promise held a reference to a local lambda, since KJ keeps an lvalue by reference. A node crashed at the first ping, two seconds into a forward.

Change: the lambda is moved into the promise.

--- a/transport/peerlink.cpp
+++ b/transport/peerlink.cpp
@@ -117,7 +117,7 @@
 kj::Promise<void> PeerLink::pingLoop()
 {
     auto missed = std::make_shared<int>(0);
-    const auto ping = [this, missed] {
+    auto ping = [this, missed] {
         return m_timer.timeoutAfter(span(m_settings.pingTimeout), node().pingRequest().send().ignoreResult())
             .then([missed] { *missed = 0; },
                 [this, missed](kj::Exception &&exception) {
@@ -126,7 +126,7 @@
                     }
                 });
     };
-    return m_timer.afterDelay(span(m_settings.pingTimeout)).then(ping).then([this]() -> kj::Promise<void> {
+    return m_timer.afterDelay(span(m_settings.pingTimeout)).then(kj::mv(ping)).then([this]() -> kj::Promise<void> {
         if (m_isDead) {
             return kj::READY_NOW;
         }
