Refuse urgent requests at the door by the fleet's wait for loads

Cause: the expected wait for a load counted what this engine had to load. In a burst each engine has one or two urgent loads to wait for and the fleet dozens, so nothing was refused on arrival, and those served had waited almost their whole allowance.

Change: the giver of permits answers each request with the wait that it sees; the age of the first load in line and the wait of the last one tell the rest. An urgent request that needs a load is let in only while that wait is under a part of its allowance, 15% at a stall share of 1, all of it at a batch share of 1.

--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -74,11 +74,18 @@
     all["ratio.goodput_to_capacity"] = { own.at("goodput").value / deployment.capacity, "ours/capacity" };
     if (scenario == Scenario::HotCaller) {
         const auto isOther = [](const Arrival &arrival) { return arrival.caller != HotCaller; };
+        const auto isOtherUrgent = [](const Arrival &arrival) {
+            return arrival.caller != HotCaller && arrival.priority == ApricotStep::Priority::Urgent;
+        };
         for (const Policy policy : { Policy::Ours, Policy::HashLru }) {
-            const double without = firstTokenP95(runOnce(deployment, { policy, Scenario::Steady, reading, seed }), isOther);
-            const double with = firstTokenP95(runOnce(deployment, { policy, scenario, reading, seed }), isOther);
-            all[std::string(policyName(policy)) + ".others.first_token.p95"] = { with, "s" };
-            all["ratio.others_p95_with_to_without." + std::string(policyName(policy))] = { ratio(with, without), "with/without" };
+            const std::string name(policyName(policy));
+            const RunResult without = runOnce(deployment, { policy, Scenario::Steady, reading, seed });
+            const RunResult with = runOnce(deployment, { policy, scenario, reading, seed });
+            all["ratio.others_p95_with_to_without." + name] = { ratio(firstTokenP95(with, isOther), firstTokenP95(without, isOther)),
+                "with/without" };
+            all["ratio.others_urgent_p95_with_to_without." + name] = {
+                ratio(firstTokenP95(with, isOtherUrgent), firstTokenP95(without, isOtherUrgent)), "with/without"
+            };
         }
     }
     return all;
--- a/bench/decisions/run.cpp
+++ b/bench/decisions/run.cpp
@@ -260,6 +260,10 @@
     m_loop.after(MessageDelay, [this, engine, action] {
         m_giver.request({ permitName(engine, action.adapter), action.urgency, action.waiting, action.waited }, timeAt(m_loop.now()));
         sendGrants();
+        if (action.urgency.has_value()) {
+            const PermitExpected expected { *action.urgency, m_giver.expectedWait(action.urgency) };
+            m_loop.after(MessageDelay, [this, engine, expected] { handle(engine, expected); });
+        }
     });
 }
 
--- a/coordination/loadorder.cpp
+++ b/coordination/loadorder.cpp
@@ -4,7 +4,6 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
-#include <array>
 #include <random>
 #include <tuple>
 #include <utility>
@@ -47,7 +46,6 @@
     absl::flat_hash_map<AdapterKey, Wanted> wanted;
     absl::btree_set<Ranked> order;
     absl::btree_set<Waking> sleeping;
-    std::array<int, QueueLevelCount> counts {};
     absl::flat_hash_map<AdapterKey, Failure> failures;
 
     void unlink(const AdapterKey &adapter, const Wanted &entry);
@@ -60,7 +58,6 @@
 {
     if (entry.wakeAt == Time()) {
         order.erase({ entry.demand.level, entry.rank, adapter });
-        --counts[static_cast<std::size_t>(entry.demand.level)];
     } else {
         sleeping.erase({ entry.wakeAt, adapter });
     }
@@ -102,7 +99,6 @@
     entry.wakeAt = Time();
     entry.rank = entry.demand.oldest - worthOfSharing(entry.demand) * (entry.demand.waiting - 1);
     order.insert({ entry.demand.level, entry.rank, adapter });
-    ++counts[static_cast<std::size_t>(entry.demand.level)];
 }
 
 LoadOrder::LoadOrder(LoadOrderLimits limits, std::uint64_t seed)
@@ -161,13 +157,13 @@
     return adapters;
 }
 
-int LoadOrder::countBefore(QueueLevel level) const
+std::optional<Time> LoadOrder::headOfLine(QueueLevel level) const
 {
-    int before = 0;
-    for (std::size_t at = 0; at <= static_cast<std::size_t>(level); ++at) {
-        before += d->counts[at];
+    const auto at = d->order.lower_bound(Ranked { level, Time(INT64_MIN), AdapterKey {} });
+    if (at == d->order.end() || std::get<QueueLevel>(*at) != level) {
+        return std::nullopt;
     }
-    return before;
+    return d->wanted.at(std::get<AdapterKey>(*at)).demand.oldest;
 }
 
 std::optional<AdapterDemand> LoadOrder::demand(const AdapterKey &adapter) const
--- a/coordination/loadorder.h
+++ b/coordination/loadorder.h
@@ -51,8 +51,8 @@
 
     /** The first adapters to load, at most @p count. */
     std::vector<AdapterKey> first(int count) const;
-    /** Adapters that would be loaded before one that is first asked for now at @p level. */
-    int countBefore(QueueLevel level) const;
+    /** When the load that is next at @p level was first asked for; empty when none waits there. */
+    std::optional<Time> headOfLine(QueueLevel level) const;
     std::optional<AdapterDemand> demand(const AdapterKey &adapter) const;
     bool isEmpty() const;
 
--- a/coordination/loadpermits.cpp
+++ b/coordination/loadpermits.cpp
@@ -6,6 +6,7 @@
 #include <absl/container/btree_set.h>
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 #include <utility>
 
@@ -60,6 +61,8 @@
     double saved = MaxSaved;
     Time savedAt;
     absl::btree_set<Ranked> order;
+    // Requests that wait, by rank.
+    std::array<int, PriorityCount + 1> counts {};
     absl::btree_map<PermitName, Waiting> waiting;
     absl::btree_map<PermitName, Time> inFlight;
 
@@ -81,6 +84,7 @@
     const auto at = waiting.find(name);
     if (at != waiting.end()) {
         order.erase(at->second.place);
+        --counts[static_cast<std::size_t>(std::get<int>(at->second.place))];
         waiting.erase(at);
     }
 }
@@ -129,6 +133,7 @@
     const Time since = now - request.waited - PerWaiting * std::max(0, request.waiting - 1);
     const Ranked place { rankOf(request.urgency), since, request.name };
     d->order.insert(place);
+    ++d->counts[static_cast<std::size_t>(std::get<int>(place))];
     d->waiting[request.name] = { place, now };
 }
 
@@ -162,6 +167,16 @@
     return grants;
 }
 
+Duration PermitGiver::expectedWait(const std::optional<Priority> &urgency) const
+{
+    int before = 0;
+    for (int rank = 0; rank <= rankOf(urgency); ++rank) {
+        before += d->counts[static_cast<std::size_t>(rank)];
+    }
+    const double rate = std::max(d->budget.ratePerSecond * d->share, 1e-3);
+    return Duration(static_cast<std::int64_t>(before / rate * 1000.0));
+}
+
 int PermitGiver::waitingCount() const
 {
     return static_cast<int>(d->waiting.size());
--- a/coordination/loadpermits.h
+++ b/coordination/loadpermits.h
@@ -60,6 +60,13 @@
     PermitName name;
     Duration life;
 };
+/** The answer to a request: how long one that is asked for now at this urgency will wait, as the giver sees the whole fleet. */
+struct PermitOutlook
+{
+    PermitName name;
+    std::optional<Priority> urgency;
+    Duration wait;
+};
 /** The load ended, or the request or permit is no longer needed. */
 struct PermitReturn
 {
@@ -86,6 +93,9 @@
     /** The permits that may be given now; call it after each message and every 20 to 100 ms. */
     std::vector<PermitGrant> grant(Time now);
 
+    /** How long a request that comes now with this urgency will wait. */
+    Duration expectedWait(const std::optional<Priority> &urgency) const;
+
     int waitingCount() const;
     int inFlightCount() const;
 
--- a/coordination/upstreamscheduler.cpp
+++ b/coordination/upstreamscheduler.cpp
@@ -26,6 +26,12 @@
 constexpr double NewestIntervalWeight = 0.3;
 // Patient work is held for a fuller batch for this part of its allowance at most, at a batch share of 1.
 constexpr double MaxHoldPart = 0.1;
+// The wait of a load that started this long ago says something of the next one's.
+constexpr Duration LoadWaitMemory { 2000 };
+// The part of its allowance that an urgent request is let in to wait for a load, at a stall share of 1 and of 0. Under a burst the loads
+// serve as many either way; a short queue serves them sooner and tells the rest at once.
+constexpr double ShortLoadWait = 0.15;
+constexpr double LongLoadWait = 1.0;
 constexpr Duration MinRetryAfter { 1000 };
 constexpr Duration MaxRetryAfter { 60'000 };
 // Callers that are refused together are told to come back spread over this part of the wait, in hundredths.
@@ -98,7 +104,6 @@
         , publishedBatch(theLimits.batch)
         , keptSlots(theLimits.slots * theLimits.urgentSlotsPercent / 100)
     {
-        loadInterval.fill(static_cast<double>(theLimits.loadTime.milliseconds()));
     }
 
     SchedulerLimits limits;
@@ -117,10 +122,12 @@
     bool isPatientOpen = false;
     // Tokens a millisecond that one seat has served lately; 0 until measured.
     double seatRate = 0;
-    // Milliseconds between loads of this engine while something waited at the level or a more urgent one.
-    std::array<double, QueueLevelCount> loadInterval {};
-    std::array<bool, QueueLevelCount> hadBacklog {};
-    Time lastLoadStart;
+    // How long the last load at each level had been waited for when it started, and when that was.
+    std::array<Duration, QueueLevelCount> lastLoadWait {};
+    std::array<Time, QueueLevelCount> lastLoadStart {};
+    // What the giver of permits last said of the wait at each level, and when.
+    std::array<Duration, QueueLevelCount> permitWait {};
+    std::array<Time, QueueLevelCount> permitWaitAt {};
     std::vector<HeldPermit> permits;
     absl::flat_hash_map<AdapterKey, Ask> asks;
     // Which permit a load in flight was started with, by the adapter it loads.
@@ -135,12 +142,14 @@
     void on(const EvictFinished &event, Time now);
     void on(const UpstreamRestarted &event, Time now);
     void on(const PermitGranted &event, Time now);
+    void on(const PermitExpected &event, Time now);
     void on(const LoadReport &event, Time now);
     void on(const EvictionRule &event, Time now);
     void on(const BatchLimited &event, Time now);
     void on(const Tick &event, Time now);
 
     Duration expectedWait(const WorkItem &item, Time now) const;
+    Duration allowedWait(const WorkItem &item, Time now) const;
     Duration expectedLoadWait(const AdapterKey &adapter, QueueLevel level, Time now) const;
     void refuse(const WorkItem &item, ErrorKind kind, Duration wait);
     void refuseAll(const std::vector<WorkItem> &items, ErrorKind kind, Duration wait);
@@ -157,13 +166,26 @@
     bool makeRoom(const AdapterKey &adapter, int &slotsComing, Time now);
     void startLoads(Time now);
     void startLoad(const AdapterKey &adapter, Time now);
-    void noteLoadStart(Time now);
+    void noteLoadStart(const AdapterKey &adapter, Time now);
     void askPermits(Time now);
     void askPermit(const AdapterKey &adapter, const Ask &ask, Duration waited);
     std::optional<AdapterKey> prefetchTarget(Time now) const;
     void prefetch(Time now);
 };
 
+// The longest expected wait with which a request is let in.
+Duration UpstreamScheduler::Private::allowedWait(const WorkItem &item, Time now) const
+{
+    const Duration left = item.deadline - now;
+    const bool waitsForLoad = item.priority == Priority::Urgent && !residency.isLoaded(item.adapter);
+    if (!waitsForLoad) {
+        return left;
+    }
+    const double part = ShortLoadWait + (LongLoadWait - ShortLoadWait) * batchShare;
+    const Duration shortened(static_cast<std::int64_t>(static_cast<double>(left.milliseconds()) * part));
+    return std::min(left, std::max(shortened, limits.loadTime * 2));
+}
+
 Duration UpstreamScheduler::Private::expectedLoadWait(const AdapterKey &adapter, QueueLevel level, Time now) const
 {
     if (residency.isLoaded(adapter)) {
@@ -175,8 +197,21 @@
     if (state == SlotState::Loading || (present.has_value() && present->level <= level)) {
         return std::max(limits.loadTime, order.backoffLeft(adapter, now));
     }
-    const double before = order.countBefore(level) * loadInterval[static_cast<std::size_t>(level)];
-    return std::max(Duration(static_cast<std::int64_t>(before)) + limits.loadTime, order.backoffLeft(adapter, now));
+    // Loads of a level go about in the order of arrival, over the whole fleet, so the wait of the one that is next, and of the one that
+    // went last, tell that of the next to come, and the giver of permits says what it sees. A count of those ahead would not: it knows this
+    // engine's alone.
+    Duration wait;
+    if (const auto head = order.headOfLine(level)) {
+        wait = now - *head;
+    }
+    const auto index = static_cast<std::size_t>(level);
+    if (now - lastLoadStart[index] < LoadWaitMemory) {
+        wait = std::max(wait, lastLoadWait[index]);
+    }
+    if (now - permitWaitAt[index] < LoadWaitMemory) {
+        wait = std::max(wait, permitWait[index]);
+    }
+    return std::max(wait + limits.loadTime, order.backoffLeft(adapter, now));
 }
 
 // How long a request that arrives now would wait for its first token, by what is ahead of it and how fast that went lately.
@@ -231,7 +266,7 @@
     const WorkItem &item = event.item;
     residency.noteDemand(item.adapter, now);
     const Duration wait = expectedWait(item, now);
-    const Duration allowed = item.deadline - now;
+    const Duration allowed = allowedWait(item, now);
     if (wait > allowed) {
         refuse(item, ErrorKind::Overloaded, wait - allowed);
         return;
@@ -315,6 +350,13 @@
     permits.push_back({ event.adapter, event.expiry });
 }
 
+void UpstreamScheduler::Private::on(const PermitExpected &event, Time now)
+{
+    const auto index = static_cast<std::size_t>(levelOf(event.urgency));
+    permitWait[index] = event.wait;
+    permitWaitAt[index] = now;
+}
+
 void UpstreamScheduler::Private::on(const LoadReport &event, Time now)
 {
     for (const AdapterKey &adapter : residency.applyReport(event.takenAt, event.loaded, event.inUse, now)) {
@@ -444,21 +486,19 @@
     return false;
 }
 
-void UpstreamScheduler::Private::noteLoadStart(Time now)
+void UpstreamScheduler::Private::noteLoadStart(const AdapterKey &adapter, Time now)
 {
-    const auto since = static_cast<double>((now - lastLoadStart).milliseconds());
-    for (std::size_t level = 0; level < QueueLevelCount; ++level) {
-        if (hadBacklog[level]) {
-            loadInterval[level] += (since - loadInterval[level]) * NewestIntervalWeight;
-        }
-        hadBacklog[level] = order.countBefore(static_cast<QueueLevel>(level)) > 0;
+    if (const auto demand = order.demand(adapter)) {
+        const auto index = static_cast<std::size_t>(demand->level);
+        lastLoadWait[index] = now - demand->oldest;
+        lastLoadStart[index] = now;
     }
-    lastLoadStart = now;
 }
 
 void UpstreamScheduler::Private::startLoad(const AdapterKey &adapter, Time now)
 {
     residency.beginLoad(adapter, now);
+    noteLoadStart(adapter, now);
     order.remove(adapter);
     ++loadsInFlight;
     if (limits.needsPermits) {
@@ -473,7 +513,6 @@
             actions.emplace_back(ReturnPermit { adapter, PermitEnd::Withdrawn });
         }
     }
-    noteLoadStart(now);
     actions.emplace_back(StartLoad { adapter });
 }
 
--- a/coordination/upstreamscheduler.h
+++ b/coordination/upstreamscheduler.h
@@ -58,6 +58,12 @@
     AdapterKey adapter;
     Time expiry;
 };
+/** How long a load that is asked for now will wait for its permit, as the giver sees it. */
+struct PermitExpected
+{
+    Priority urgency = Priority::Standard;
+    Duration wait;
+};
 /** What the upstream said of itself; it lags. */
 struct LoadReport
 {
@@ -85,7 +91,7 @@
 {
 };
 using SchedulerEvent = std::variant<WorkArrived, WorkCancelled, WorkFinished, LoadFinished, EvictFinished, UpstreamRestarted, PermitGranted,
-    LoadReport, EvictionRule, BatchLimited, Tick>;
+    PermitExpected, LoadReport, EvictionRule, BatchLimited, Tick>;
 
 // Actions.
 
--- a/tests/coordination/testloadpermits.cpp
+++ b/tests/coordination/testloadpermits.cpp
@@ -118,3 +118,32 @@
     cr_assert_eq(count<PermitArrived>(actions), 0);
     cr_assert_eq(count<SendToGiver>(actions), 1);
 }
+
+Test(loadpermits, theGiverSaysHowLongTheFleetsQueueIs)
+{
+    // A burst hits all engines at once. Each has one load to wait for and thinks nothing of it; only the giver sees that they are ten.
+    PermitGiver giver({});
+    giver.grant(Time(1));
+    for (const char *adapterId : { "a", "b", "c", "d" }) {
+        giver.request(request(adapterId, Priority::Urgent), Time(1));
+    }
+    giver.request(request("e", Priority::Patient), Time(1));
+    cr_assert_eq(giver.expectedWait(Priority::Urgent), Duration(2000), "four ahead at two a second");
+    cr_assert_eq(giver.expectedWait(Priority::Patient), Duration(2500));
+    giver.giveBack({ name("n", "a"), PermitEnd::Withdrawn }, Time(2));
+    cr_assert_eq(giver.expectedWait(Priority::Urgent), Duration(1500));
+}
+
+Test(loadpermits, aWithdrawalThatCrossesTheGrantDoesNotMintAPermit)
+{
+    // An engine no longer wants a load just as its permit is sent. Were the withdrawal booked as a permit that came back, the permit
+    // would be spent twice, and the store be asked for more than it can give.
+    PermitGiver giver({});
+    giver.request(request("a", Priority::Urgent), Time(1));
+    cr_assert_eq(giver.grant(Time(1)).size(), 1);
+    giver.giveBack({ name("n", "a"), PermitEnd::Withdrawn }, Time(2));
+    giver.request(request("b", Priority::Urgent), Time(2));
+    cr_assert_eq(giver.grant(Time(2)).size(), 0);
+    giver.giveBack({ name("n", "a"), PermitEnd::Unused }, Time(3));
+    cr_assert_eq(giver.grant(Time(3)).size(), 1);
+}
--- a/tests/coordination/testupstreamscheduler.cpp
+++ b/tests/coordination/testupstreamscheduler.cpp
@@ -217,3 +217,44 @@
     cr_assert_eq(count<Dispatch>(scheduler.handle(BatchLimited { 100 }, Time(5))), 2);
     cr_assert_eq(scheduler.runningCount(), 4);
 }
+
+Test(upstreamscheduler, anUrgentRequestIsToldAtOnceWhenTheFleetsLoadsAreTakenForLong)
+{
+    // A burst has filled the fleet's queue for loads. Let in, the question would wait nearly its whole allowance and hold up those after
+    // it; refused at once, its caller knows when to come back. A request whose adapter is loaded is not concerned.
+    SchedulerLimits limits { 2, 4, Duration(250) };
+    limits.needsPermits = true;
+    limits.stallWeight = 100;
+    limits.batchWeight = 0;
+    UpstreamScheduler scheduler(limits);
+    scheduler.handle(WorkArrived { work(1, "warm") }, Time(0));
+    scheduler.handle(PermitGranted { adapter("warm"), Time(2000) }, Time(1));
+    scheduler.handle(LoadFinished { adapter("warm"), true }, Time(300));
+    scheduler.handle(PermitExpected { Priority::Urgent, Duration(6000) }, Time(1000));
+    const auto cold = scheduler.handle(WorkArrived { work(2, "cold", Priority::Urgent, Time(11'000)) }, Time(1000));
+    const auto warm = scheduler.handle(WorkArrived { work(3, "warm", Priority::Urgent, Time(11'000)) }, Time(1000));
+    cr_assert_eq(count<Refuse>(cold), 1);
+    cr_assert_eq(count<Dispatch>(warm), 1);
+    // What the giver said is forgotten soon: the burst may be over.
+    cr_assert_eq(count<Refuse>(scheduler.handle(WorkArrived { work(4, "cold", Priority::Urgent, Time(14'000)) }, Time(4000))), 0);
+}
+
+Test(upstreamscheduler, longJobsLeaveASlotForUrgentWork)
+{
+    // Summaries on rare adapters take all slots for a minute each. Without a slot of its own an urgent question for another adapter
+    // waits for one of them to end, however soon its load could be had.
+    SchedulerLimits limits { 4, 16, Duration(250) };
+    limits.urgentSlotsPercent = 25;
+    UpstreamScheduler scheduler(limits);
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        const std::string name = "long-" + std::to_string(id);
+        for (const auto &action : scheduler.handle(WorkArrived { work(id, name.c_str()) }, Time(0))) {
+            if (const auto *load = std::get_if<StartLoad>(&action)) {
+                scheduler.handle(LoadFinished { load->adapter, true }, Time(1));
+            }
+        }
+    }
+    scheduler.handle(Tick {}, Time(5000));
+    cr_assert_eq(scheduler.residentAdapters().size(), 3);
+    cr_assert_eq(count<StartLoad>(scheduler.handle(WorkArrived { work(9, "urgent", Priority::Urgent) }, Time(5000))), 1);
+}
