Send to an engine only as its owner, under a fencing token

The engine runner loaded, evicted and dispatched whenever its own scheduler said so, also when another node had taken the engine over.

Each runner now has a guard, which follows the view, reads the engine's load reports and claims it. Loads and evictions carry X-Fencing-Token; what the ownership does not allow yet waits, and goes elsewhere when it is lost. The check is made once more on the open connection right before the first byte. A fenced refusal leads to a new claim. An eviction without answer keeps its adapter out of use until it can no longer arrive. A node takes its engines over as soon as the view names it, not with their first request.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -85,12 +85,19 @@
 INI
     start "node$i" "$BUILD/main/apricotstep" node --settings "$WORK/node$i.ini"
     CALLERS="$(value callers)"
+    OPERATORS="${OPERATORS:-} $(value operators)"
     VMS+="${VMS:+,}{\"id\":\"node$i\",\"role\":\"entry\",\"zone\":\"zone$i\",\"caller_address\":\"127.0.0.1:$CALLERS\","
     VMS+="\"rpc_address\":\"127.0.0.1:$(value rpc)\",\"membership_address\":\"127.0.0.1:$(value membership)\"}"
     ALL_CALLERS+=("$CALLERS")
     echo "node$i serves callers on 127.0.0.1:$CALLERS"
 done
 echo "{\"vms\":[$VMS]}" >"$WORK/vms.json"
+for port in $OPERATORS; do
+    for _ in $(seq 150); do
+        curl -sf "http://127.0.0.1:$port/readyz" >/dev/null && break
+        sleep 0.1
+    done
+done
 NODE="127.0.0.1:$CALLERS"
 for _ in $(seq 100); do
     [ "$(curl -s "http://$NODE/v1/address?model=kitchen" | jq -r '.addresses | length' 2>/dev/null)" = 3 ] && break
--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -1,5 +1,6 @@
 #include "main/callerfrontend.h"
 
+#include "coordination/rendezvous.h"
 #include "main/engineplacer.h"
 #include "main/log.h"
 #include "protocol/callerapi.h"
@@ -51,12 +52,16 @@
     std::atomic<std::uint64_t> counter { 1 };
     std::atomic<std::int64_t> lingerUntilMs { Time::never().milliseconds() };
     std::atomic<bool> isDraining { false };
+    // Only the ticking thread uses these.
+    std::shared_ptr<const Catalog> lastCatalog;
+    std::shared_ptr<const FleetView> lastFleet;
     mutable absl::Mutex mutex;
     absl::flat_hash_map<UpstreamId, std::shared_ptr<EngineRunner>> engines ABSL_GUARDED_BY(mutex);
 
     std::string requestId(RequestId id) const;
     void refuse(HttpExchange &exchange, const Error &error, const std::string &id, const std::string &address = {});
     std::shared_ptr<EngineRunner> engine(const UpstreamSpec &spec);
+    void takeOwnedEngines();
     int depthOf(const UpstreamId &id) const;
     std::optional<Candidate> choose(const PlaceRequest &request, const Placement &placement);
     bool hasOther(const CompletionJob &job, const UpstreamId &failed) override;
@@ -98,11 +103,29 @@
     auto &runner = engines[spec.id];
     if (runner == nullptr) {
         runner = std::make_shared<EngineRunner>(
-            spec, EngineParts { parts.settings, parts.client, parts.clock, parts.metrics, parts.health, *this });
+            spec, EngineParts { parts.settings, parts.client, parts.clock, parts.metrics, parts.health, *this, parts.ownership });
     }
     return runner;
 }
 
+// An engine's ownership begins with its runner. Taken over only with its first request, the engine would keep that one waiting.
+void CallerFrontend::Private::takeOwnedEngines()
+{
+    const auto catalog = parts.catalog.get();
+    const auto fleet = parts.fleet.get();
+    if (parts.ownership == nullptr || catalog == nullptr || fleet == nullptr || (catalog == lastCatalog && fleet == lastFleet)) {
+        return;
+    }
+    lastCatalog = catalog;
+    lastFleet = fleet;
+    for (const UpstreamSpec &spec : catalog->upstreams()) {
+        const NodeView *owner = spec.kind == UpstreamKind::Engine ? ownerOf(spec.id, spec.zone, fleet->nodes) : nullptr;
+        if (owner != nullptr && owner->id == parts.self) {
+            engine(spec);
+        }
+    }
+}
+
 int CallerFrontend::Private::depthOf(const UpstreamId &id) const
 {
     std::shared_ptr<EngineRunner> runner;
@@ -395,6 +418,7 @@
 
 void CallerFrontend::tick()
 {
+    d->takeOwnedEngines();
     std::vector<std::shared_ptr<EngineRunner>> runners;
     {
         const absl::MutexLock lock(&d->mutex);
--- a/main/callerfrontend.h
+++ b/main/callerfrontend.h
@@ -26,6 +26,8 @@
     ServiceRunner &services;
     UpstreamHealth &health;
     Peers &peers;
+    /** Who owns engines; null when nobody but this node uses them. */
+    const OwnershipSource *ownership = nullptr;
 };
 
 /** The caller interface: reads requests, resolves selectors and hands the work on. Thread-safe. */
--- a/main/enginerunner.cpp
+++ b/main/enginerunner.cpp
@@ -4,8 +4,10 @@
 #include "core/hash.h"
 #include "core/result.h"
 #include "main/enginejobs.h"
+#include "main/helddispatches.h"
 #include "main/log.h"
 #include "main/pausedwork.h"
+#include "main/upstreamguard.h"
 #include "protocol/callerapi.h"
 #include "protocol/engineapi.h"
 
@@ -21,6 +23,7 @@
 {
 
 constexpr int OkStatus = 200;
+constexpr std::size_t MaxOrderAnswerBytes = 4096;
 // A batch below a quarter wastes the engine even when it is slow. Times to the first token swing with the length of prompts, so twice the
 // usual one is still no trouble.
 constexpr int LeastBatchPart = 4;
@@ -82,7 +85,14 @@
     EngineJobs jobs;
     std::uint64_t losses ABSL_GUARDED_BY(mutex) = 0;
     PausedWork paused;
-
+    /** Null when nobody else can own the engine. Set once, before the first event. */
+    std::unique_ptr<UpstreamGuard> guard;
+    HeldDispatches held;
+
+    void watchOwnership();
+    void releaseHeld();
+    void giveBack(RequestId id, ErrorKind kind);
+    void finishEvict(const AdapterKey &adapter, const OrderResult &result);
     void handle(const SchedulerEvent &event);
     void carryOut(const AskPermit &action);
     void carryOut(const ReturnPermit &action);
@@ -90,7 +100,10 @@
     void carryOut(const StartEvict &action);
     void carryOut(const Dispatch &action);
     void carryOut(const Refuse &action);
-    void order(std::string_view path, std::string body, std::function<void(const OrderResult &)> done);
+    void order(HttpCall call, std::function<void(const OrderResult &)> done);
+    HttpCall orderCall(std::string_view path, std::string body) const;
+    void startLoad(const AdapterKey &adapter, std::optional<FencingToken> token);
+    void startDispatch(RequestId id);
 
     void submit(CompletionJob what);
     void moveWaiting(const AdapterKey &adapter);
@@ -122,7 +135,7 @@
     }
 }
 
-void EngineRunner::Private::order(std::string_view path, std::string body, std::function<void(const OrderResult &)> done)
+HttpCall EngineRunner::Private::orderCall(std::string_view path, std::string body) const
 {
     HttpCall call;
     call.method = "POST";
@@ -131,10 +144,24 @@
     call.body = std::move(body);
     call.connectTimeout = parts.settings.duration("upstreams.connect_timeout_ms");
     call.totalTimeout = parts.settings.duration("upstreams.load_timeout_ms");
-    call.onDone = [done = std::move(done)](const CallResult &result) {
+    return call;
+}
+
+void EngineRunner::Private::order(HttpCall call, std::function<void(const OrderResult &)> done)
+{
+    const auto answer = std::make_shared<std::string>();
+    call.onData = [answer](std::string_view data) {
+        answer->append(data.substr(0, MaxOrderAnswerBytes - std::min(MaxOrderAnswerBytes, answer->size())));
+        return true;
+    };
+    call.onDone = [self = shared_from_this(), answer, done = std::move(done)](const CallResult &result) {
+        const bool isAnswered = result.state == AttemptState::Answered;
+        if (self->guard != nullptr && isAnswered && isFencedAnswer(result.status, *answer)) {
+            self->guard->orderFenced();
+        }
         // Once sent and unanswered, the order may have been carried out all the same.
-        done({ result.state == AttemptState::Answered && result.status == OkStatus, result.state == AttemptState::Sent,
-            result.state != AttemptState::Answered && isUpstreamsFault(result.error) });
+        done(
+            { isAnswered && result.status == OkStatus, result.state == AttemptState::Sent, !isAnswered && isUpstreamsFault(result.error) });
     };
     parts.client.start(std::move(call));
 }
@@ -149,38 +176,137 @@
 {
 }
 
+// Without the ownership the load waits; the engine's slots may be another node's to fill.
 void EngineRunner::Private::carryOut(const StartLoad &action)
+{
+    const auto token = guard == nullptr ? std::nullopt : guard->loadToken();
+    if (guard != nullptr && !token.has_value()) {
+        held.addLoad(action.adapter, parts.clock.now());
+        return;
+    }
+    startLoad(action.adapter, token);
+}
+
+void EngineRunner::Private::startLoad(const AdapterKey &adapter, std::optional<FencingToken> token)
 {
     const Time startedAt = parts.clock.now();
-    order(EngineLoadPath, engineLoadBody(action.adapter),
-        [self = shared_from_this(), adapter = action.adapter, startedAt](const OrderResult &result) {
-            const bool isLoaded = result.isDone;
-            self->parts.metrics.adapterLoad(isLoaded, self->parts.clock.now() - startedAt);
-            self->log->info("Load of {} on {} {}.", adapter.name(), self->spec.id.value(), isLoaded ? "done" : "failed");
-            if (result.isEnginesFault) {
-                self->parts.health.onFailure(self->spec.id);
-            }
-            self->handle(LoadFinished { adapter, isLoaded, result.isUnknown });
-            if (!isLoaded) {
-                self->moveWaiting(adapter);
-            }
-        });
+    HttpCall call = orderCall(EngineLoadPath, engineLoadBody(adapter));
+    if (token.has_value()) {
+        call.headers.emplace_back(std::string(FencingHeader), std::to_string(token->value()));
+        call.maySend = [self = shared_from_this(), token] { return self->guard->loadToken() == token; };
+    }
+    order(std::move(call), [self = shared_from_this(), adapter, startedAt](const OrderResult &result) {
+        const bool isLoaded = result.isDone;
+        self->parts.metrics.adapterLoad(isLoaded, self->parts.clock.now() - startedAt);
+        self->log->info("Load of {} on {} {}.", adapter.name(), self->spec.id.value(), isLoaded ? "done" : "failed");
+        if (result.isEnginesFault) {
+            self->parts.health.onFailure(self->spec.id);
+        }
+        self->handle(LoadFinished { adapter, isLoaded, result.isUnknown });
+        if (!isLoaded) {
+            self->moveWaiting(adapter);
+        }
+    });
 }
 
 void EngineRunner::Private::carryOut(const StartEvict &action)
 {
-    order(EngineUnloadPath, engineUnloadBody(action.adapter),
-        [self = shared_from_this(), adapter = action.adapter](const OrderResult &result) {
-            self->parts.metrics.eviction(result.isDone);
-            self->handle(EvictFinished { adapter, result.isDone, result.isUnknown });
+    HttpCall call = orderCall(EngineUnloadPath, engineUnloadBody(action.adapter));
+    if (guard != nullptr) {
+        const auto token = guard->evictToken(action.adapter);
+        if (!token.has_value()) {
+            handle(EvictFinished { action.adapter, false, false });
+            return;
+        }
+        call.headers.emplace_back(std::string(FencingHeader), std::to_string(token->value()));
+        call.maySend = [self = shared_from_this(), token, adapter = action.adapter] { return self->guard->evictToken(adapter) == token; };
+        // libcurl would send it again by itself on a reused connection that died; a late second one would hit what was loaded since.
+        call.isRepeatable = false;
+    }
+    order(std::move(call), [self = shared_from_this(), adapter = action.adapter](const OrderResult &result) {
+        self->parts.metrics.eviction(result.isDone);
+        self->finishEvict(adapter, result);
+    });
+}
+
+// An eviction without answer may still arrive. Were its adapter used again at once, it would be taken from under a running request.
+void EngineRunner::Private::finishEvict(const AdapterKey &adapter, const OrderResult &result)
+{
+    if (!result.isUnknown) {
+        handle(EvictFinished { adapter, result.isDone, false });
+        return;
+    }
+    const Time due = parts.clock.now() + parts.settings.duration("ownership.dispatch_delay_ms");
+    paused.add(due, [this, adapter] { handle(EvictFinished { adapter, false, true }); });
+}
+
+void EngineRunner::Private::watchOwnership()
+{
+    if (parts.ownership == nullptr) {
+        return;
+    }
+    guard = std::make_unique<UpstreamGuard>(
+        spec, parts.settings, parts.client, parts.clock, *parts.ownership, [weak = weak_from_this()](const SchedulerEvent &event) {
+            if (const auto self = weak.lock()) {
+                self->handle(event);
+            }
         });
 }
 
+// What waited for the ownership goes on, or elsewhere when this node does not own the engine any more or cannot reach it.
+void EngineRunner::Private::releaseHeld()
+{
+    const Time now = parts.clock.now();
+    const bool isLost = !guard->isOwner() || guard->isSilent() || guard->isLeaving();
+    const ErrorKind kind = guard->isSilent() ? ErrorKind::UpstreamUnreachable : ErrorKind::WrongNode;
+    for (const RequestId id : held.takeDispatches()) {
+        const EngineJobPointer job = jobs.find(id);
+        if (job == nullptr || guard->mayDispatch()) {
+            startDispatch(id);
+        } else if (isLost || now >= job->what.work.deadline) {
+            giveBack(id, isLost ? kind : ErrorKind::DeadlinePassed);
+        } else {
+            held.addDispatch(id);
+        }
+    }
+    const Time oldest = now - parts.settings.duration("upstreams.load_timeout_ms");
+    for (const HeldLoad &load : held.takeLoads()) {
+        const auto token = guard->loadToken();
+        if (token.has_value()) {
+            startLoad(load.adapter, token);
+        } else if (isLost || load.since < oldest) {
+            handle(LoadFinished { load.adapter, false, false });
+            moveWaiting(load.adapter);
+        } else {
+            held.addLoad(load.adapter, load.since);
+        }
+    }
+}
+
+void EngineRunner::Private::giveBack(RequestId id, ErrorKind kind)
+{
+    const EngineJobPointer job = jobs.find(id);
+    const bool isTaken = job != nullptr && jobs.takeWaiting(id);
+    handle(WorkFinished { id });
+    if (isTaken) {
+        afterFailure(job, { AttemptPhase::Queued, kind, false }, "this node does not own the engine now", Duration());
+    }
+}
+
 void EngineRunner::Private::carryOut(const Dispatch &action)
 {
-    const EngineJobPointer job = jobs.claimForDispatch(action.id);
+    if (guard != nullptr && !guard->mayDispatch()) {
+        held.addDispatch(action.id);
+        return;
+    }
+    startDispatch(action.id);
+}
+
+void EngineRunner::Private::startDispatch(RequestId id)
+{
+    const EngineJobPointer job = jobs.claimForDispatch(id);
     if (job == nullptr) {
-        handle(WorkFinished { action.id });
+        handle(WorkFinished { id });
         return;
     }
     job->dispatchedAt = parts.clock.now();
@@ -241,7 +367,7 @@
 
 bool EngineRunner::Private::maySend(const EngineJobPointer &job) const
 {
-    return !job->isGone && parts.clock.now() < job->what.work.deadline;
+    return !job->isGone && parts.clock.now() < job->what.work.deadline && (guard == nullptr || guard->mayDispatch());
 }
 
 bool EngineRunner::Private::onData(const EngineJobPointer &job, std::string_view data)
@@ -425,6 +551,7 @@
 EngineRunner::EngineRunner(const UpstreamSpec &spec, const EngineParts &parts)
     : d(std::make_shared<Private>(spec, parts))
 {
+    d->watchOwnership();
 }
 
 EngineRunner::~EngineRunner() = default;
@@ -437,6 +564,10 @@
 void EngineRunner::tick()
 {
     d->paused.run(d->parts.clock.now());
+    if (d->guard != nullptr) {
+        d->guard->tick();
+        d->releaseHeld();
+    }
     d->handle(Tick {});
 }
 
--- a/main/enginerunner.h
+++ b/main/enginerunner.h
@@ -4,6 +4,7 @@
 #include "main/completionjob.h"
 #include "main/metrics.h"
 #include "main/settings.h"
+#include "main/upstreamguard.h"
 #include "main/upstreamhealth.h"
 #include "state/catalog.h"
 #include "transport/httpclient.h"
@@ -31,6 +32,8 @@
     Metrics &metrics;
     UpstreamHealth &health;
     CompletionRouter &router;
+    /** Who owns engines; null when nobody but this process uses them. */
+    const OwnershipSource *ownership = nullptr;
 };
 
 /** Carries out the decisions of the scheduler of one engine that this node owns. Thread-safe. */
--- /dev/null
+++ b/main/helddispatches.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/strongid.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <vector>
+
+namespace ApricotStep
+{
+
+struct HeldLoad
+{
+    AdapterKey adapter;
+    Time since;
+};
+
+/** What the scheduler decided and the ownership of the engine does not allow yet. Thread-safe. */
+class HeldDispatches
+{
+public:
+    void addDispatch(RequestId id);
+    /** An adapter that is held already stays as it is. */
+    void addLoad(const AdapterKey &adapter, Time since);
+    std::vector<RequestId> takeDispatches();
+    std::vector<HeldLoad> takeLoads();
+
+private:
+    absl::Mutex m_mutex;
+    std::vector<RequestId> m_dispatches ABSL_GUARDED_BY(m_mutex);
+    std::vector<HeldLoad> m_loads ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace ApricotStep
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -60,7 +60,7 @@
         , health(clock, metrics, incarnation.value())
         , services(NodeId(settings->text("node.id")), incarnation, *settings, *client, clock, metrics, health)
         , frontend({ NodeId(settings->text("node.id")), incarnation, ZoneId(settings->text("node.zone")), *settings, clock, *client,
-              metrics, catalog, fleet, services, health, *rpc })
+              metrics, catalog, fleet, services, health, *rpc, &ownership })
         , config(*settings, *client, clock, metrics, catalog, fleet)
         , platform(*settings, *client, clock, [this](VmList list) { membership->vmListRead(std::move(list)); })
     {
@@ -88,6 +88,8 @@
     Published<Catalog> catalog;
     Published<FleetView> fleet;
     std::unique_ptr<MembershipRunner> membership;
+    OwnershipSource ownership { NodeId(settings->text("node.id")), fleet, [this] { return membership->isFresh(); },
+        [this] { return membership->number(); } };
     std::unique_ptr<HttpClient> client;
     std::unique_ptr<NodeRpc> rpc;
     UpstreamHealth health;
--- a/main/upstreamguard.cpp
+++ b/main/upstreamguard.cpp
@@ -61,7 +61,10 @@
     const Listener listener;
     Logger log;
     std::atomic<bool> isOwner { false };
+    std::atomic<bool> isLeaving { false };
     std::atomic<bool> isSilent { false };
+    /** Only the ticking thread uses it: the owner is worked out once for each view. */
+    std::shared_ptr<const FleetView> lastView;
     mutable absl::Mutex mutex;
     UpstreamOwnership ownership ABSL_GUARDED_BY(mutex);
 
@@ -92,12 +95,16 @@
     if (view == nullptr) {
         return;
     }
-    const NodeView *owner = ownerOf(spec.id, spec.zone, view->nodes);
-    const bool isMine = owner != nullptr && owner->id == source.self;
-    if (isMine != isOwner.exchange(isMine)) {
-        log->info("{} {}.", isMine ? "Taking over" : "Gave up", spec.id.value());
+    if (view != lastView) {
+        lastView = view;
+        const NodeView *owner = ownerOf(spec.id, spec.zone, view->nodes);
+        const bool isMine = owner != nullptr && owner->id == source.self;
+        isLeaving = view->leaving.contains(spec.id);
+        if (isMine != isOwner.exchange(isMine)) {
+            log->info("{} {}.", isMine ? "Taking over" : "Gave up", spec.id.value());
+        }
     }
-    handle(OwnerView { isMine, source.isFresh(), view->isNodeMissing, source.number() });
+    handle(OwnerView { isOwner, source.isFresh(), view->isNodeMissing, source.number() });
 }
 
 HttpCall UpstreamGuard::Private::call(std::string_view path) const
@@ -192,6 +199,11 @@
     return d->isOwner;
 }
 
+bool UpstreamGuard::isLeaving() const
+{
+    return d->isLeaving;
+}
+
 bool UpstreamGuard::isSilent() const
 {
     return d->isSilent;
@@ -199,6 +211,10 @@
 
 bool UpstreamGuard::mayDispatch() const
 {
+    const auto view = d->source.fleet.get();
+    if (view == nullptr || view->leaving.contains(d->spec.id)) {
+        return false;
+    }
     const absl::MutexLock lock(&d->mutex);
     return d->ownership.mayDispatch(d->clock.now());
 }
--- a/main/upstreamguard.h
+++ b/main/upstreamguard.h
@@ -43,6 +43,8 @@
     /** Takes the view in and asks for reports when they are due; every 20 to 100 ms. */
     void tick();
     bool isOwner() const;
+    /** The view says that the engine is leaving. */
+    bool isLeaving() const;
     /** Whether the newest report could not be had. */
     bool isSilent() const;
 
