Compare stalls only with policies that served who had to wait

A baseline that served no urgent request which needed a load had a p99 stall of 0 and made the ratio 0.

--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -56,6 +56,10 @@
         double best = isLeast ? 1e18 : 0;
         for (const Policy policy : Baselines) {
             const double value = byPolicy[policy].at(name).value;
+            // A policy that served nothing which had to wait has no wait to compare with.
+            if (isLeast && value <= 0) {
+                continue;
+            }
             best = isLeast ? std::min(best, value) : std::max(best, value);
         }
         return best;
