Add a fault-injecting proxy and a scenario language

Cause: promises under failure are to be shown with real processes. Change: TCP and UDP proxies with faults, a runner that starts nodes and stand-ins, drives them line by line, sends callers that behave as the examples do, and judges every run by what callers received and the stand-ins counted; KNOWN-RED.txt handling in the test command. Measured: not run yet; the first scenarios run when the stand-in serves packed values. Conclusion: the language stands.

--- /dev/null
+++ b/tests/knownred.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Runs CTest so that the tests of KNOWN-RED.txt run and are shown but do not fail the build. Usage: tests/knownred.sh BUILD-FOLDER [ctest options]
+set -uo pipefail
+build="$1"
+shift
+list="$(dirname "$0")/../KNOWN-RED.txt"
+names=""
+[ -f "$list" ] && names="$(grep -v -e '^#' -e '^$' "$list" | cut -d'|' -f1 | tr -d ' ' | paste -sd'|')"
+if [ -z "$names" ]; then
+    exec ctest --test-dir "$build" --output-on-failure --no-tests=error "$@"
+fi
+echo "== known red, shown but not counted (KNOWN-RED.txt):"
+grep -v -e '^#' -e '^$' "$list"
+for name in ${names//|/ }; do
+    if ctest --test-dir "$build" -R "^$name\$" --no-tests=error >"$build/known-red.log" 2>&1; then
+        echo "KNOWN-RED PASSED: $name; take it off the list"
+    else
+        echo "KNOWN-RED FAILED: $name"
+        tail -30 "$build/known-red.log"
+    fi
+done
+exec ctest --test-dir "$build" --output-on-failure --no-tests=error -E "^($names)\$" "$@"
--- /dev/null
+++ b/tests/scenarios/runner/judge.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "tests/scenarios/runner/callers.h"
+#include "tests/scenarios/runner/world.h"
+
+#include <string>
+#include <vector>
+
+namespace Scenario
+{
+
+/** What the stand-ins counted. */
+struct Counts
+{
+    /** How often an engine began to generate for a mark. */
+    std::map<std::string, int> generated;
+    /** How often a service ran a body. */
+    std::map<std::string, int> runs;
+    int evictedInUse = 0;
+};
+
+Counts readCounts(const World &world);
+
+/** Each broken promise as a sentence; empty when all were kept. Judged by what callers received and the stand-ins counted. */
+std::vector<std::string> brokenPromises(const std::vector<Record> &records, const Counts &counts);
+
+} // namespace Scenario
--- /dev/null
+++ b/tests/scenarios/runner/main.cpp
@@ -0,0 +1,462 @@
+#include "tests/scenarios/runner/callers.h"
+#include "tests/scenarios/runner/judge.h"
+#include "tests/scenarios/runner/plainhttp.h"
+#include "tests/scenarios/runner/script.h"
+#include "tests/scenarios/runner/world.h"
+
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <functional>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
+
+// Runs one scenario: real processes behind proxies, driven line by line. docs/SCENARIOS.md describes the language.
+
+using namespace Scenario;
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr double DefaultWithinSeconds = 30;
+constexpr int PollMs = 50;
+constexpr int StatusTimeoutMs = 1000;
+
+void sleepSeconds(double seconds)
+{
+    std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+}
+
+double secondsOf(const std::string &text)
+{
+    return text.ends_with("ms") ? std::stod(text) / 1000 : std::stod(text);
+}
+
+std::string outcomeWord(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Ok:
+        return "ok";
+    case Outcome::NotRun:
+        return "not_run";
+    case Outcome::MayHaveRun:
+        return "may_have_run";
+    case Outcome::Broken:
+        return "broken";
+    case Outcome::NoAnswer:
+        return "no_answer";
+    }
+    return "";
+}
+
+class Run
+{
+public:
+    Run(const std::string &build, const std::string &work)
+        : m_world(build, work)
+        , m_callers(std::make_unique<Callers>(m_world))
+    {
+    }
+
+    void carryOut(const Line &line)
+    {
+        const auto at = commands().find(line.command);
+        if (at == commands().end()) {
+            throw std::runtime_error("unknown command '" + line.command + "'");
+        }
+        (this->*at->second)(line);
+    }
+
+    // Judges what has always to hold; throws when something was broken.
+    void finish()
+    {
+        m_callers->joinAll();
+        const auto broken = brokenPromises(m_callers->records(), readCounts(m_world));
+        printGroups();
+        if (broken.empty()) {
+            return;
+        }
+        std::string all = "broken promises: " + std::to_string(broken.size());
+        for (std::size_t i = 0; i < std::min<std::size_t>(broken.size(), 10); ++i) {
+            all += "\n  " + broken[i];
+        }
+        throw std::runtime_error(all);
+    }
+
+private:
+    using Command = void (Run::*)(const Line &);
+
+    static const std::map<std::string, Command> &commands()
+    {
+        static const std::map<std::string, Command> all { { "store", &Run::store }, { "engine", &Run::engine },
+            { "service", &Run::service }, { "adapter", &Run::adapter }, { "remove-adapter", &Run::removeAdapter },
+            { "publish", &Run::publish }, { "node", &Run::node }, { "fault", &Run::fault }, { "partition", &Run::partition },
+            { "heal", &Run::heal }, { "pause", &Run::pause }, { "resume", &Run::resume }, { "kill", &Run::kill }, { "term", &Run::term },
+            { "vm", &Run::vm }, { "control", &Run::control }, { "chat", &Run::chat }, { "pay", &Run::pay }, { "key", &Run::key },
+            { "load", &Run::load }, { "join", &Run::join }, { "await", &Run::await }, { "expect", &Run::expect },
+            { "expect-runs", &Run::expectRuns }, { "expect-share", &Run::expectShare }, { "expect-quiet", &Run::expectQuiet },
+            { "sleep", &Run::sleep } };
+        return all;
+    }
+
+    void store(const Line &line)
+    {
+        m_world.addStore(line.options);
+    }
+    void engine(const Line &line)
+    {
+        m_world.addEngine(line.word(0), line.options);
+    }
+    void service(const Line &line)
+    {
+        m_world.addService(line.word(0), line.options);
+    }
+    void adapter(const Line &line)
+    {
+        std::string labels;
+        for (const auto &[name, value] : line.options) {
+            labels += (labels.empty() ? "" : ", ") + name + "=" + value;
+        }
+        m_world.addAdapter(line.word(0), labels);
+    }
+    void removeAdapter(const Line &line)
+    {
+        m_world.removeAdapter(line.word(0));
+    }
+    void publish(const Line &)
+    {
+        m_world.publish();
+    }
+    void node(const Line &line)
+    {
+        m_world.addNode(line.word(0), line.options);
+    }
+    void fault(const Line &line)
+    {
+        FaultProxy::Faults &faults = m_world.faults(line.word(0));
+        const std::map<std::string, std::function<void(int)>> setters { { "delay_ms", [&](int value) { faults.delayMs = value; } },
+            { "cut_answer_after", [&](int value) { faults.cutAnswerAfter = value; } },
+            { "cut_request_after", [&](int value) { faults.cutRequestAfter = value; } },
+            { "drip_bytes_per_second", [&](int value) { faults.dripBytesPerSecond = value; } },
+            { "loss_percent", [&](int value) { faults.lossPercent = value; } },
+            { "duplicate_percent", [&](int value) { faults.duplicatePercent = value; } },
+            { "reorder_percent", [&](int value) { faults.reorderPercent = value; } } };
+        for (const auto &[name, value] : line.options) {
+            const auto setter = setters.find(name);
+            if (setter == setters.end()) {
+                throw std::runtime_error("unknown fault '" + name + "'");
+            }
+            setter->second(std::stoi(value));
+        }
+        for (std::size_t i = 1; i < line.words.size(); ++i) {
+            setFlag(faults, line.words[i]);
+        }
+    }
+    static void setFlag(FaultProxy::Faults &faults, const std::string &flag)
+    {
+        if (flag == "clear") {
+            faults.clear();
+        } else if (flag == "black_hole") {
+            faults.isBlackHole = true;
+        } else if (flag == "half_open") {
+            faults.isHalfOpen = true;
+        } else if (flag == "reset") {
+            faults.isReset = true;
+        } else {
+            throw std::runtime_error("unknown fault '" + flag + "'");
+        }
+    }
+    // partition n1 n2 | n3: neither side reaches the other.
+    void partition(const Line &line)
+    {
+        std::vector<std::string> sides[2];
+        int side = 0;
+        for (const std::string &word : line.words) {
+            if (word == "|") {
+                side = 1;
+            } else {
+                sides[side].push_back(word);
+            }
+        }
+        for (const std::string &a : sides[0]) {
+            for (const std::string &b : sides[1]) {
+                m_world.partition().block(a, b);
+                m_world.partition().block(b, a);
+            }
+        }
+    }
+    void heal(const Line &)
+    {
+        m_world.partition().clear();
+    }
+    void pause(const Line &line)
+    {
+        m_world.node(line.word(0)).signal(SIGSTOP);
+    }
+    void resume(const Line &line)
+    {
+        m_world.node(line.word(0)).signal(SIGCONT);
+    }
+    void kill(const Line &line)
+    {
+        Process &process = m_world.node(line.word(0));
+        process.signal(SIGKILL);
+        process.waitEnd(DefaultWithinSeconds);
+    }
+    // term n1: asks for a graceful end and waits for it; the exit code must be 0. term n1 nowait: only asks.
+    void term(const Line &line)
+    {
+        Process &process = m_world.node(line.word(0));
+        process.signal(SIGTERM);
+        if (line.words.size() > 1 && line.words[1] == "nowait") {
+            return;
+        }
+        if (!process.waitEnd(DefaultWithinSeconds) || process.exitCode() != 0) {
+            throw std::runtime_error(line.word(0) + " did not end gracefully, exit code " + std::to_string(process.exitCode()));
+        }
+    }
+    void vm(const Line &line)
+    {
+        m_world.setVm(line.word(0), line.word(1));
+    }
+    // control UPSTREAM PATH: calls a control path of a stand-in, e.g. control e1 /control/restart.
+    void control(const Line &line)
+    {
+        std::string path = line.word(1);
+        for (const auto &[name, value] : line.options) {
+            path += (path.find('?') == std::string::npos ? "?" : "&") + name + "=" + value;
+        }
+        if (callHttp("http://" + m_world.directAddress(line.word(0)) + path, "", {}, StatusTimeoutMs).status != 200) {
+            throw std::runtime_error("control call failed");
+        }
+    }
+    void chat(const Line &line)
+    {
+        m_callers->chat(line.word(0), withFlags(line));
+    }
+    void pay(const Line &line)
+    {
+        m_callers->pay(line.word(0), withFlags(line));
+    }
+    void key(const Line &line)
+    {
+        m_callers->fetchKey(line.word(0), line.options.at("node"));
+    }
+    void load(const Line &line)
+    {
+        m_callers->load(line.word(0), withFlags(line));
+    }
+    void join(const Line &line)
+    {
+        for (const std::string &group : line.words) {
+            m_callers->join(group);
+        }
+    }
+    static Options withFlags(const Line &line)
+    {
+        Options options = line.options;
+        for (std::size_t i = 1; i < line.words.size(); ++i) {
+            options[line.words[i]] = "yes";
+        }
+        return options;
+    }
+
+    // await WHAT ... within=SECONDS: waits on an event with a generous bound.
+    void await(const Line &line)
+    {
+        const double within = secondsOf(optionOr(line.options, "within", std::to_string(DefaultWithinSeconds)));
+        const auto until = std::chrono::steady_clock::now() + std::chrono::duration<double>(within);
+        while (!holds(line)) {
+            if (std::chrono::steady_clock::now() > until) {
+                throw std::runtime_error("did not come about within " + std::to_string(within) + " s; last seen: " + m_lastSeen);
+            }
+            sleepSeconds(PollMs / 1000.0);
+        }
+    }
+    bool holds(const Line &line)
+    {
+        const std::string &what = line.word(0);
+        if (what == "runs") {
+            const int total = totalRuns();
+            m_lastSeen = std::to_string(total) + " runs";
+            return total >= std::stoi(line.options.at("total"));
+        }
+        if (what == "began") {
+            return began(line.word(1));
+        }
+        for (std::size_t i = 1; i < line.words.size(); ++i) {
+            if (!nodeHolds(line.words[i], what, line.options)) {
+                return false;
+            }
+        }
+        return true;
+    }
+    bool nodeHolds(const std::string &name, const std::string &what, const Options &options)
+    {
+        const std::string address = m_world.operatorAddress(name);
+        if (what == "ready") {
+            m_lastSeen = name + " not ready";
+            return callHttp("http://" + address + "/readyz", "", {}, StatusTimeoutMs).status == 200;
+        }
+        const HttpReply reply = callHttp("http://" + address + "/status", "", {}, StatusTimeoutMs);
+        const Json status = Json::parse(reply.body, nullptr, false);
+        m_lastSeen = name + ": " + reply.body.substr(0, 2000);
+        if (!status.is_object()) {
+            return false;
+        }
+        if (what == "nodes") {
+            return std::cmp_equal(status["nodes"].size(), std::stoi(options.at("count")));
+        }
+        if (what == "config") {
+            return status.value("config_version", 0) >= std::stoi(options.at("version"));
+        }
+        throw std::runtime_error("cannot await '" + what + "'");
+    }
+    int totalRuns()
+    {
+        int total = 0;
+        for (const auto &[mark, count] : readCounts(m_world).runs) {
+            total += count;
+        }
+        return total;
+    }
+    bool began(const std::string &group)
+    {
+        const Counts counts = readCounts(m_world);
+        const auto isOfGroup = [&](const auto &entry) { return entry.first.starts_with(group + "#"); };
+        return std::any_of(counts.generated.begin(), counts.generated.end(), isOfGroup)
+            || std::any_of(counts.runs.begin(), counts.runs.end(), isOfGroup);
+    }
+
+    // expect GROUP outcome=ok [adapter=] [code=]: all requests of the group ended so. outcome=a,b allows several.
+    void expect(const Line &line)
+    {
+        m_callers->join(line.word(0));
+        for (const Record &record : m_callers->records()) {
+            if (record.group == line.word(0)) {
+                expectRecord(record, line.options);
+            }
+        }
+    }
+    static void expectRecord(const Record &record, const Options &options)
+    {
+        const Answer &last = record.last();
+        const std::string seen =
+            outcomeWord(last.outcome) + " status=" + std::to_string(last.status) + " code=" + last.code + " adapter=" + last.adapter;
+        const std::string wanted = "," + optionOr(options, "outcome", outcomeWord(last.outcome)) + ",";
+        const std::string codes = "," + optionOr(options, "code", last.code) + ",";
+        const bool isAsWanted = wanted.find("," + outcomeWord(last.outcome) + ",") != std::string::npos
+            && codes.find("," + last.code + ",") != std::string::npos && optionOr(options, "adapter", last.adapter) == last.adapter;
+        if (!isAsWanted) {
+            throw std::runtime_error(record.mark + ": got " + seen);
+        }
+    }
+    // expect-runs GROUP min= max=: how often each one-time request of the group ran.
+    void expectRuns(const Line &line)
+    {
+        m_callers->join(line.word(0));
+        const Counts counts = readCounts(m_world);
+        for (const Record &record : m_callers->records()) {
+            const auto at = counts.runs.find(record.mark);
+            const int ran = at == counts.runs.end() ? 0 : at->second;
+            if (record.group == line.word(0)
+                && (ran < std::stoi(optionOr(line.options, "min", "0")) || ran > std::stoi(optionOr(line.options, "max", "1")))) {
+                throw std::runtime_error(record.mark + " ran " + std::to_string(ran) + " times");
+            }
+        }
+    }
+    // expect-share GROUP ok=PERCENT: at least so many of the group's requests ended with a whole answer.
+    void expectShare(const Line &line)
+    {
+        m_callers->join(line.word(0));
+        int all = 0;
+        int ok = 0;
+        for (const Record &record : m_callers->records()) {
+            if (record.group == line.word(0)) {
+                ++all;
+                ok += record.last().outcome == Outcome::Ok ? 1 : 0;
+            }
+        }
+        if (all == 0 || ok * 100 < std::stoi(line.options.at("ok")) * all) {
+            throw std::runtime_error(std::to_string(ok) + " of " + std::to_string(all) + " were served");
+        }
+    }
+    // expect-quiet UPSTREAM for=SECONDS: the upstream begins no new work in that time.
+    void expectQuiet(const Line &line)
+    {
+        const auto begun = [&] {
+            int total = 0;
+            for (const auto &[mark, count] :
+                Json::parse(callHttp("http://" + m_world.directAddress(line.word(0)) + "/control/prompts", "", {}, StatusTimeoutMs).body)
+                    .items()) {
+                total += count.get<int>();
+            }
+            return total;
+        };
+        const int before = begun();
+        sleepSeconds(secondsOf(line.options.at("for")));
+        const int after = begun();
+        if (after != before) {
+            throw std::runtime_error(line.word(0) + " got " + std::to_string(after - before) + " new requests");
+        }
+    }
+    void sleep(const Line &line)
+    {
+        sleepSeconds(secondsOf(line.word(0)));
+    }
+
+    void printGroups() const
+    {
+        std::map<std::string, std::map<std::string, int>> groups;
+        for (const Record &record : m_callers->records()) {
+            ++groups[record.group][outcomeWord(record.last().outcome)];
+        }
+        for (const auto &[group, outcomes] : groups) {
+            std::cout << "  " << group << ":";
+            for (const auto &[word, count] : outcomes) {
+                std::cout << " " << word << "=" << count;
+            }
+            std::cout << "\n";
+        }
+    }
+
+    World m_world;
+    std::unique_ptr<Callers> m_callers;
+    std::string m_lastSeen;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc != 3) {
+        std::cerr << "usage: scenario BUILD-FOLDER FILE.scn\n";
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    std::string pattern = (std::filesystem::temp_directory_path() / "apricotstep-scenario-XXXXXX").string();
+    const std::string work = mkdtemp(pattern.data());
+    int number = 0;
+    bool isPassed = false;
+    try {
+        const auto lines = readScript(argv[2]);
+        Run run(std::filesystem::absolute(argv[1]).string(), work);
+        for (const Line &line : lines) {
+            number = line.number;
+            run.carryOut(line);
+        }
+        run.finish();
+        isPassed = true;
+    } catch (const std::exception &exception) {
+        std::cout << argv[2] << ":" << number << ": " << exception.what() << "\n  logs: " << work << "\n";
+    }
+    if (isPassed) {
+        std::filesystem::remove_all(work);
+    }
+    std::cout << argv[2] << ": " << (isPassed ? "passed" : "FAILED") << std::endl;
+    return isPassed ? 0 : 1;
+}
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -57,6 +57,9 @@
         } else if (request.path == "/control/restart") {
             restart();
             respondJson(*exchange, 200, "{}");
+        } else if (request.path == "/control/prompts") {
+            const std::lock_guard lock(m_mutex);
+            respondJson(*exchange, 200, Json(m_prompts).dump());
         } else if (request.path == "/control/fail_loads") {
             m_failLoads = std::atoi(request.parameter("count").c_str());
             respondJson(*exchange, 200, "{}");
@@ -188,6 +191,7 @@
     {
         const std::lock_guard lock(m_mutex);
         while (!m_waiting.empty() && std::cmp_less(m_running.size(), m_options.batch)) {
+            ++m_prompts[m_waiting.front()->prompt];
             begin(m_waiting.front());
             m_running.push_back(m_waiting.front());
             m_waiting.pop_front();
@@ -243,6 +247,8 @@
     std::size_t m_loading = 0;
     std::atomic<int> m_failLoads { 0 };
     unsigned long long m_fencing = 0;
+    // How often generation began for each prompt; what was told 'not run' must not be here.
+    std::map<std::string, int> m_prompts;
     std::size_t m_steps = 0;
     std::size_t m_tokens = 0;
     int m_evictedInUse = 0;
