Let scenarios know the newest version and tell a refused look-up

Cause: a refused address look-up showed as no address, and versions are not small numbers. Change: the look-up's refusal is the answer; await config waits for what was published last.

--- a/tests/scenarios/runner/callers.cpp
+++ b/tests/scenarios/runner/callers.cpp
@@ -126,7 +126,7 @@
     Answer sendChat(const std::string &address, const Record &record, const Options &options) const;
     Answer sendPayment(const std::string &address, const Record &record, const std::string &key, const Options &options) const;
     std::string anyNode(std::size_t turn) const;
-    std::vector<std::string> lookUp(const std::string &model, std::size_t turn) const;
+    std::vector<std::string> lookUp(const std::string &model, std::size_t turn, Answer &refusal) const;
     std::string mintKey(std::string &address, std::size_t turn) const;
     void chatWithRetries(Record &record, const Options &options) const;
     void payWithRetries(Record &record, const Options &options) const;
@@ -198,7 +198,7 @@
     return addresses.empty() ? "127.0.0.1:1" : addresses[turn % addresses.size()];
 }
 
-std::vector<std::string> Callers::Private::lookUp(const std::string &model, std::size_t turn) const
+std::vector<std::string> Callers::Private::lookUp(const std::string &model, std::size_t turn, Answer &refusal) const
 {
     const HttpReply reply = callHttp("http://" + anyNode(turn) + "/v1/address?model=" + model, "", {}, LookUpTimeoutMs);
     const Json json = Json::parse(reply.body, nullptr, false);
@@ -208,6 +208,12 @@
             addresses.push_back(choice.value("address", ""));
         }
     }
+    refusal = answerOf(reply, false);
+    if (refusal.outcome != Outcome::NotRun) {
+        // A look-up runs nothing, whatever became of it.
+        refusal.outcome = Outcome::NotRun;
+        refusal.code = "no_address";
+    }
     return addresses;
 }
 
@@ -230,9 +236,10 @@
 {
     const auto turn = static_cast<std::size_t>(counter.load());
     for (int i = 0; i < MaxTries; ++i) {
-        const auto addresses = lookUp(options.at("model"), turn + static_cast<std::size_t>(i));
+        Answer refusal;
+        const auto addresses = lookUp(options.at("model"), turn + static_cast<std::size_t>(i), refusal);
         if (addresses.empty()) {
-            record.answers.push_back({ Outcome::NotRun, 0, "no_address", 0, {}, {}, false });
+            record.answers.push_back(refusal);
         } else {
             record.answers.push_back(sendChat(addresses[static_cast<std::size_t>(i) % addresses.size()], record, options));
         }
--- a/tests/scenarios/runner/main.cpp
+++ b/tests/scenarios/runner/main.cpp
@@ -312,7 +312,7 @@
             return std::cmp_equal(status["nodes"].size(), std::stoi(options.at("count")));
         }
         if (what == "config") {
-            return status.value("config_version", 0) >= std::stoi(options.at("version"));
+            return status.value("config_version", std::uint64_t { 0 }) >= m_world.publishedVersion();
         }
         throw std::runtime_error("cannot await '" + what + "'");
     }
--- a/tests/scenarios/runner/world.cpp
+++ b/tests/scenarios/runner/world.cpp
@@ -104,6 +104,7 @@
     std::map<std::string, NodeEntry> nodes;
     std::map<std::string, std::string> vmStates;
     int publishCount = 0;
+    std::uint64_t version = 0;
 
     std::string log(const std::string &name) const
     {
@@ -307,6 +308,8 @@
     if (std::system((line + " >>" + d->log("pack") + " 2>&1").c_str()) != 0) {
         throw std::runtime_error("pack failed; see " + d->log("pack"));
     }
+    std::ifstream head(values + "/head");
+    d->version = nlohmann::json::parse(head).at("version").get<std::uint64_t>();
     if (d->config == nullptr) {
         d->config = d->start("config", { d->standin(), "config", "--dir", values });
         d->configProxy = d->proxyTo("config", d->config->readyNumber("port"));
@@ -418,6 +421,11 @@
     return local(d->upstreams.at(upstream).process->readyNumber("port"));
 }
 
+std::uint64_t World::publishedVersion() const
+{
+    return d->version;
+}
+
 std::vector<std::string> World::engines() const
 {
     std::vector<std::string> names;
