--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -69,6 +69,7 @@
 {
     std::vector<std::vector<double>> times(static_cast<std::size_t>(callers));
     std::vector<std::thread> threads;
+    threads.reserve(times.size());
     std::atomic<int> failed { 0 };
     const auto until = Clock::now() + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
     for (auto &mine : times) {
@@ -114,6 +115,7 @@
         const Target atNode { "http://" + node + "/v1/chat/completions", bodyFor(model, isStream) };
         for (const int callers : { 1, 8, 64 }) {
             std::vector<std::pair<Result, Result>> seen;
+            seen.reserve(static_cast<std::size_t>(rounds));
             for (int i = 0; i < rounds; ++i) {
                 seen.emplace_back(measure(atEngine, callers, seconds), measure(atNode, callers, seconds));
             }
