--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -331,6 +331,15 @@
 void Membership::Private::onBody(const Ping &ping, const DatagramReceived &event, Time now)
 {
     send(event.from, Ack { ping.sequence }, table.find(event.datagram.sender), now);
+    // Who introduces itself does not know this node, also when this node knows it already, as when the first answer was lost. Without
+    // the word of this node it would take itself to be alone.
+    const auto isOf = [](const NodeId &id) { return [&id](const MemberUpdate &update) { return update.id == id; }; };
+    const auto &told = event.datagram.updates;
+    auto &answer = std::get<SendDatagram>(actions.back()).datagram.updates;
+    const bool isIntroduced = std::any_of(told.begin(), told.end(), isOf(event.datagram.sender));
+    if (isIntroduced && std::none_of(answer.begin(), answer.end(), isOf(self.id))) {
+        answer.push_back(self);
+    }
 }
 
 void Membership::Private::onBody(const Ack &ack, const DatagramReceived &event, Time now)
--- a/tests/coordination/testmembership.cpp
+++ b/tests/coordination/testmembership.cpp
@@ -154,6 +154,24 @@
     cr_assert(fleet.nodes[0].membership->view()->leavingNodes.empty());
 }
 
+Test(membership, aNodeThatIntroducesItselfIsToldWhoAnswers)
+{
+    // The first answer to a node that starts gets lost. Its peer knows it by then; if that answered with a bare ack from now on, the new
+    // node would take itself to be alone and for the owner of everything. Seeds 654, 4451 and 6836 of the exploration showed it.
+    Membership known({ NodeId("b"), Incarnation(1), 0, 0, MemberState::Alive, {}, 1, ZoneId("z"), "10.0.0.1:1", "", "" }, {}, 1);
+    MemberDatagram datagram;
+    datagram.sender = NodeId("a");
+    datagram.incarnation = Incarnation(1);
+    datagram.updates.push_back({ NodeId("a"), Incarnation(1), 0, 0, MemberState::Alive, {}, 2, ZoneId("z"), "10.0.0.2:1", "", "" });
+    for (std::uint32_t counter = 1; counter <= 3; ++counter) {
+        datagram.counter = counter;
+        datagram.body = Ping { counter };
+        const auto actions = known.handle(DatagramReceived { datagram, "10.0.0.2:1" }, Time(counter));
+        const auto &answer = std::get<SendDatagram>(actions.front()).datagram;
+        cr_assert(std::any_of(answer.updates.begin(), answer.updates.end(), [](const auto &update) { return update.id == NodeId("b"); }));
+    }
+}
+
 Test(membership, noTwoLiveNodesShareANumber)
 {
     // Numbers are 16 bits of a hash: among 600 nodes two are likely to draw the same one, and could then make equal fencing tokens.
--- a/tests/fakes/exploration.cpp
+++ b/tests/fakes/exploration.cpp
@@ -31,7 +31,7 @@
 constexpr Duration DispatchDelay(800);
 constexpr Duration ReportLag(300);
 constexpr Duration KeyLifetime = Duration::seconds(8);
-constexpr Duration VmListLag(1500);
+constexpr Duration ReadInterval(1000);
 /** From the first node's seeing it: gossip or the own VM list, the wake-up of a paused node and the longest way to the upstream. */
 constexpr Duration LeavingBound = Duration::seconds(3);
 constexpr Duration ConfigBound = Duration::seconds(4);
@@ -116,7 +116,7 @@
     bool isDraining = false;
     int active = 0;
     std::uint64_t nextRequest = 0;
-    Time lastCut;
+    Time nextRead;
 };
 
 struct Event
@@ -390,6 +390,7 @@
     }
     node.version = 0;
     node.isReady = false;
+    node.nextRead = m_now + Duration(draw(0, 500));
     node.isDraining = false;
     node.active = 0;
     const int start = node.start;
@@ -453,7 +454,8 @@
     enter(index, start, [this, index] {
         ExploredNode &node = m_nodes[index];
         membershipEvent(index, MembershipTick {});
-        if (chance(0.2)) {
+        if (m_now >= node.nextRead) {
+            node.nextRead = m_now + ReadInterval;
             membershipEvent(index, VmListRead { vmList() });
             readConfig(index);
         }
@@ -578,7 +580,8 @@
     const std::uint64_t served = m_servedVersion;
     if (!node.isReady) {
         // What peers tell comes before what the service says: it may be stale.
-        if (!isLeftOut(Guard::StartVersion) && !node.membership->isFresh(clockOf(node))) {
+        const bool hasView = node.membership->isFresh(clockOf(node)) && !node.membership->view()->nodes.empty();
+        if (!isLeftOut(Guard::StartVersion) && !hasView) {
             return;
         }
         if (!isLeftOut(Guard::StartVersion)) {
