Write each log line as valid JSON, and bound repeated refusals

The pattern for JSON lines put the raw message between quotes, so a message with a quote, a backslash or a line break made a line that no reader of JSON takes, and those are the lines about faults. The line now comes from a JSON library; bytes that are not UTF-8 are replaced.

A node that refuses much wrote a line for each refusal. Ten a second of each outcome are written now, and the next line names how many were left out. A test takes 500 refusals in half a second: 10 lines, 490 counted.

--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -3,6 +3,7 @@
 #include "coordination/rendezvous.h"
 #include "main/engineplacer.h"
 #include "main/log.h"
+#include "main/loglimit.h"
 #include "protocol/callerapi.h"
 
 #include <absl/base/thread_annotations.h>
@@ -48,6 +49,7 @@
     FrontendParts parts;
     EnginePlacer placer;
     Logger log;
+    LogLimit logLimit;
     Forwarder forwarder;
     std::atomic<std::uint64_t> counter { 1 };
     std::atomic<std::int64_t> lingerUntilMs { Time::never().milliseconds() };
@@ -93,7 +95,11 @@
     if (errorAnswer(error.kind).retry == RetryAdvice::AfterDelay) {
         details.retryAfter = Duration::seconds(1);
     }
-    log->info("[{}] outcome={} detail='{}'", id, errorAnswer(error.kind).word, error.detail);
+    const std::string_view word = errorAnswer(error.kind).word;
+    if (const auto leftOut = logLimit.take(std::string(word), parts.clock.now())) {
+        log->info("[{}] outcome={} detail='{}'{}", id, word, error.detail,
+            *leftOut == 0 ? std::string() : " left_out=" + std::to_string(*leftOut));
+    }
     respondError(exchange, error.kind, details);
 }
 
--- a/main/log.cpp
+++ b/main/log.cpp
@@ -1,5 +1,7 @@
 #include "main/log.h"
 
+#include "main/logformat.h"
+
 #include <spdlog/sinks/stdout_sinks.h>
 
 namespace ApricotStep
@@ -9,14 +11,17 @@
 {
 
 constexpr const char *TextPattern = "%Y-%m-%dT%H:%M:%S.%e %L %n: %v";
-constexpr const char *JsonPattern = R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","part":"%n","message":"%v"})";
 
 } // namespace
 
 void startLog(const std::string &level, const std::string &format)
 {
     auto main = std::make_shared<spdlog::logger>("node", std::make_shared<spdlog::sinks::stderr_sink_mt>());
-    main->set_pattern(format == "json" ? JsonPattern : TextPattern);
+    if (format == "json") {
+        main->set_formatter(std::make_unique<JsonLogFormatter>());
+    } else {
+        main->set_pattern(TextPattern);
+    }
     main->set_level(spdlog::level::from_str(level));
     main->flush_on(spdlog::level::info);
     spdlog::set_default_logger(main);
--- /dev/null
+++ b/tests/main/testlog.cpp
@@ -0,0 +1,50 @@
+#include "main/logformat.h"
+#include "main/loglimit.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <sstream>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+Test(log, aMessageOfAnyBytesIsOneLineOfJson)
+{
+    // An upstream's error text holds quotes, line breaks or bytes that are no UTF-8, and goes into the log as a detail. With a line that is
+    // not JSON, the operator's log collector drops just the lines about the faults.
+    std::ostringstream out;
+    spdlog::logger logger("part \"x\"", std::make_shared<spdlog::sinks::ostream_sink_mt>(out));
+    logger.set_formatter(std::make_unique<JsonLogFormatter>());
+    const std::string message = "detail='say \"no\"' \\ back\nnext\ttab \x01";
+    logger.info("{}", message);
+    logger.warn("{}", std::string("not utf-8: \xff\xc3(") + '\0' + "end");
+    std::istringstream lines(out.str());
+    std::string line;
+    cr_assert(std::getline(lines, line));
+    const auto first = nlohmann::json::parse(line);
+    cr_assert(first.at("message") == message);
+    cr_assert(first.at("level") == "info" && first.at("part") == "part \"x\"");
+    cr_assert(std::getline(lines, line));
+    cr_assert(nlohmann::json::parse(line).at("message").get<std::string>().ends_with("end"));
+    cr_assert_not(std::getline(lines, line));
+}
+
+Test(log, repeatedLinesAreBoundedAndCounted)
+{
+    // A node that is not ready yet refuses hundreds of requests a second; each wrote a line, and the cause was lost among them.
+    LogLimit limit;
+    const Time start(5'000);
+    std::uint64_t written = 0;
+    for (int i = 0; i < 500; ++i) {
+        written += limit.take("not_ready", start + Duration(i)).has_value() ? 1 : 0;
+    }
+    cr_assert_eq(written, LogLimit::LinesPerSecond);
+    cr_assert(limit.take("overloaded", start) == 0U, "another sort has its own bound");
+    const auto next = limit.take("not_ready", start + Duration(1000));
+    cr_assert(next.has_value());
+    cr_assert_eq(*next + written, 500, "no line is lost from the count");
+    cr_assert(limit.take("not_ready", start + Duration(1001)) == 0U);
+}
