Show service-level burn, status and addresses to operators

A service's own 5xx is bad; a 4xx and the caller's mistakes are not. Refusals at the door, for want of a configuration, an upstream or an owner, count for completions too; they were in no metric before.

The operator port moves from the node into a module of its own and gets /slo. With ?all=1, /slo and /status ask every node over node RPC, and name those that did not answer, so that a part never looks like the whole. The commands burn, status and address show them as text, JSON or a page.

The operators' server now ends before node RPC, since its handlers ask through it.

--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -252,6 +252,7 @@
             : isClosed()                                            ? ErrorKind::Draining
             : address.empty()                                       ? ErrorKind::NoUpstream
                                                                     : ErrorKind::WrongNode;
+        parts.metrics.completionFailed(job.work.priority, kind);
         refuse(*job.exchange, { kind, error.detail }, job.requestId, address);
     };
     forwarder.forward(std::move(forward));
@@ -279,6 +280,7 @@
     }
     work.value().adapter = adapter.value();
     if (placement->candidates(adapter.value()).empty()) {
+        parts.metrics.completionFailed(work.value().priority, ErrorKind::NoUpstream);
         refuse(*exchange, { ErrorKind::NoUpstream, {} }, idText);
         return;
     }
@@ -393,6 +395,10 @@
     const auto fleet = d->parts.fleet.get();
     const std::string &path = request.path;
     if (catalog == nullptr || fleet == nullptr) {
+        if (path == "/v1/chat/completions" || path == "/v1/completions") {
+            const auto priority = parsePriority(request.header("x-priority"));
+            d->parts.metrics.completionFailed(priority.isOk() ? priority.value() : Priority::Standard, ErrorKind::NotReady);
+        }
         d->refuse(*exchange, { ErrorKind::NotReady, {} }, {});
     } else if (path == "/v1/chat/completions" || path == "/v1/completions") {
         if (request.method != "POST") {
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -2,6 +2,7 @@
 #include "main/errorspage.h"
 #include "main/log.h"
 #include "main/node.h"
+#include "main/operatorcommands.h"
 #include "main/packcommand.h"
 #include "main/settings.h"
 
@@ -70,6 +71,21 @@
     pack->add_option("--in", packing.in, "The operator's catalog.")->required();
     pack->add_option("--out", packing.out, "Directory for the values; a file each, named as the service is to hand it out.")->required();
     pack->add_option("--previous", packing.previous, "Directory of the last publication; may be the same as --out.");
+    OperatorQuery query;
+    auto *burn = app.add_subcommand("burn", "Show how fast the error budgets go, by class.");
+    burn->add_option("--node", query.node, "host:port of a node's operator port.")->required();
+    burn->add_flag("--all", query.isOfAll, "Over all nodes, asked by that one.");
+    burn->add_flag("--json", query.isJson, "Print JSON.");
+    burn->add_option("--html", query.htmlFile, "Write a page with plots to this file.");
+    auto *status = app.add_subcommand("status", "Show nodes, engines and the configuration in force.");
+    status->add_option("--node", query.node, "host:port of a node's operator port.")->required();
+    status->add_flag("--all", query.isOfAll, "Of all nodes, asked by that one.");
+    status->add_flag("--json", query.isJson, "Print JSON.");
+    std::string selector;
+    auto *address = app.add_subcommand("address", "Show what a caller would be told about a model.");
+    address->add_option("--node", query.node, "host:port of a node's caller port.")->required();
+    address->add_option("--model", selector, "As a request names it.")->required();
+    address->add_flag("--json", query.isJson, "Print JSON.");
     auto *page = app.add_subcommand("settings-page", "Print docs/SETTINGS.md.");
 
     try {
@@ -92,5 +108,14 @@
     if (*pack) {
         return packConfig(packing, SystemClock().wallTime(), std::cout, std::cerr);
     }
+    if (*burn) {
+        return showBurn(query, std::cout, std::cerr);
+    }
+    if (*status) {
+        return showStatus(query, std::cout, std::cerr);
+    }
+    if (*address) {
+        return showAddress(query.node, selector, query.isJson, std::cout, std::cerr);
+    }
     return runNode(settingsPath);
 }
--- a/main/metrics.cpp
+++ b/main/metrics.cpp
@@ -15,6 +15,15 @@
 const prometheus::Histogram::BucketBoundaries SecondsBuckets { 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1, 2.5, 5, 10, 30, 60, 300,
     1800 };
 
+constexpr int FirstServerError = 500;
+
+static_assert(static_cast<std::size_t>(ServiceClass::Service) == PriorityCount, "the classes of completions come first, in their order");
+
+ServiceClass classOf(Priority priority)
+{
+    return static_cast<ServiceClass>(priority);
+}
+
 std::string wordOf(Priority priority)
 {
     return std::string(PriorityWords[static_cast<std::size_t>(priority)]);
@@ -24,6 +33,22 @@
 
 struct Metrics::Private
 {
+    ServiceLevels *levels = nullptr;
+    const Clock *clock = nullptr;
+
+    void answered(ServiceClass serviceClass, Duration took)
+    {
+        if (levels != nullptr) {
+            levels->answered(serviceClass, took, clock->now());
+        }
+    }
+    void failed(ServiceClass serviceClass, ErrorKind kind)
+    {
+        if (levels != nullptr) {
+            levels->failed(serviceClass, kind, clock->now());
+        }
+    }
+
     prometheus::Registry registry;
 
     prometheus::Family<prometheus::Counter> &completions =
@@ -78,6 +103,12 @@
 
 Metrics::~Metrics() = default;
 
+void Metrics::feed(ServiceLevels &levels, const Clock &clock)
+{
+    d->levels = &levels;
+    d->clock = &clock;
+}
+
 void Metrics::completionServed(Priority priority, Duration stall, Duration firstToken, Duration whole)
 {
     const std::string word = wordOf(priority);
@@ -85,16 +116,29 @@
     d->stalls.Add({ { "class", word } }, SecondsBuckets).Observe(stall.toSeconds());
     d->firstTokens.Add({ { "class", word } }, SecondsBuckets).Observe(firstToken.toSeconds());
     d->durations.Add({ { "class", word } }, SecondsBuckets).Observe(whole.toSeconds());
+    d->answered(classOf(priority), firstToken);
 }
 
 void Metrics::completionFailed(Priority priority, ErrorKind kind)
 {
     d->completions.Add({ { "class", wordOf(priority) }, { "outcome", std::string(errorAnswer(kind).word) } }).Increment();
+    d->failed(classOf(priority), kind);
 }
 
-void Metrics::serviceCall(const std::string &service, int status)
+void Metrics::serviceCall(const std::string &service, int status, Duration took)
 {
     d->serviceCalls.Add({ { "service", service }, { "status", std::to_string(status) } }).Increment();
+    if (status >= FirstServerError) {
+        d->failed(ServiceClass::Service, ErrorKind::UpstreamFailed);
+    } else {
+        d->answered(ServiceClass::Service, took);
+    }
+}
+
+void Metrics::serviceFailed(const std::string &service, ErrorKind kind)
+{
+    d->serviceCalls.Add({ { "service", service }, { "status", std::to_string(errorAnswer(kind).httpStatus) } }).Increment();
+    d->failed(ServiceClass::Service, kind);
 }
 
 void Metrics::adapterLoad(bool isLoaded, Duration took)
--- a/main/metrics.h
+++ b/main/metrics.h
@@ -2,6 +2,7 @@
 
 #include "coordination/work.h"
 #include "core/errors.h"
+#include "state/servicelevel.h"
 
 #include <memory>
 #include <string>
@@ -16,10 +17,16 @@
     Metrics();
     ~Metrics();
 
+    /** Also counts the ends below in @p levels, which must outlive this. Before other threads use this. */
+    void feed(ServiceLevels &levels, const Clock &clock);
+
     /** A completion ended well. Times from its arrival: @p stall of waiting for its adapter, @p firstToken, @p whole. */
     void completionServed(Priority priority, Duration stall, Duration firstToken, Duration whole);
     void completionFailed(Priority priority, ErrorKind kind);
-    void serviceCall(const std::string &service, int status);
+    /** A plain service answered with @p status, @p took after the call's arrival. A 5xx is bad; a 4xx is the caller's own mistake. */
+    void serviceCall(const std::string &service, int status, Duration took);
+    /** A call to a plain service got no answer of it. */
+    void serviceFailed(const std::string &service, ErrorKind kind);
     void adapterLoad(bool isLoaded, Duration took);
     void eviction(bool isEvicted);
     /** @p outcome: tried, unreachable or too_many_hops. */
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -5,11 +5,10 @@
 #include "main/ledgerhandover.h"
 #include "main/log.h"
 #include "main/membershiprunner.h"
+#include "main/operatorport.h"
 #include "main/platformreader.h"
 #include "main/rpcsettings.h"
 
-#include <nlohmann/json.hpp>
-
 #include <atomic>
 #include <random>
 #include <thread>
@@ -55,6 +54,7 @@
         : settings(std::move(checked))
         , incarnation(newIncarnation(clock))
         , log(partLog("node"))
+        , levels(objectivesOf(*settings))
         , client(std::make_unique<HttpClient>())
         , rpc(std::move(nodeRpc))
         , health(clock, metrics, incarnation.value())
@@ -64,6 +64,7 @@
         , config(*settings, *client, clock, metrics, catalog, fleet)
         , platform(*settings, *client, clock, [this](VmList list) { membership->vmListRead(std::move(list)); })
     {
+        metrics.feed(levels, clock);
     }
 
     ~Private()
@@ -74,8 +75,8 @@
         }
         config.stop();
         callers.reset();
+        operators.reset(); // Before what it asks other nodes through.
         rpc.reset();
-        operators.reset();
         client.reset(); // Calls in progress end here, while what their callbacks use still stands.
         membership.reset();
     }
@@ -84,6 +85,7 @@
     SystemClock clock;
     Incarnation incarnation;
     Logger log;
+    ServiceLevels levels;
     Metrics metrics;
     Published<Catalog> catalog;
     Published<FleetView> fleet;
@@ -98,72 +100,19 @@
     ConfigReader config;
     PlatformReader platform;
     std::shared_ptr<TlsCredentials> tls;
+    std::unique_ptr<OperatorPort> operatorPort;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> operators;
     std::atomic<bool> isStopping { false };
     std::atomic<bool> isDraining { false };
     std::thread ticker;
 
-    std::string statusBody();
-    void handleOperator(const HttpRequest &request, HttpExchange &exchange);
     bool isBusy() const;
     void handOver();
     Result<std::string> takeLedgerBatch(const std::string &bytes);
     void tickLoop();
 };
 
-std::string Node::Private::statusBody()
-{
-    const auto current = catalog.get();
-    const auto view = fleet.get();
-    nlohmann::json json;
-    json["node"] = settings->text("node.id");
-    json["zone"] = settings->text("node.zone");
-    json["incarnation"] = incarnation.value();
-    json["draining"] = isDraining.load();
-    json["config_version"] = current ? current->version().value() : 0;
-    const ConfigStatus configStatus = config.status();
-    json["config"] = { { "watcher", configStatus.isWatcher }, { "trouble", configStatus.trouble }, { "values", configStatus.valueCount },
-        { "value_bytes", configStatus.valueBytes } };
-    json["nodes"] = nlohmann::json::array();
-    json["engines"] = nlohmann::json::array();
-    json["ledger_entries"] = services.oneTime().size();
-    json["ledger_bytes"] = services.oneTime().bytes();
-    json["fresh"] = membership->isFresh();
-    const MembershipCounters counters = membership->counters();
-    json["membership"] = { { "suspicions", counters.suspicions }, { "deaths", counters.deaths }, { "refutations", counters.refutations },
-        { "pauses", counters.pauses }, { "replayed", counters.replays }, { "rejected", membership->rejectedCount() },
-        { "bytes_sent", membership->bytesSent() }, { "bytes_received", membership->bytesReceived() } };
-    if (view) {
-        for (const NodeView &node : view->nodes) {
-            json["nodes"].push_back({ { "id", node.id.value() }, { "zone", node.zone.value() }, { "address", node.callerAddress },
-                { "rpc_address", node.rpcAddress } });
-        }
-    }
-    for (const EngineStatus &engine : frontend.engineStatus()) {
-        json["engines"].push_back({ { "id", engine.id.value() }, { "queued", engine.queued }, { "running", engine.running },
-            { "resident", engine.residents.size() } });
-    }
-    return json.dump(2) + "\n";
-}
-
-void Node::Private::handleOperator(const HttpRequest &request, HttpExchange &exchange)
-{
-    const HttpHeaders plain { { "Content-Type", "text/plain; version=0.0.4" } };
-    if (request.path == "/healthz") {
-        exchange.respond(200, plain, "ok\n");
-    } else if (request.path == "/readyz") {
-        const bool isReady = catalog.get() != nullptr && fleet.get() != nullptr && !isDraining;
-        exchange.respond(isReady ? 200 : 503, plain, isReady ? "ready\n" : "not ready\n");
-    } else if (request.path == "/metrics") {
-        exchange.respond(200, plain, metrics.text());
-    } else if (request.path == "/status") {
-        exchange.respond(200, { { "Content-Type", "application/json" } }, statusBody());
-    } else {
-        exchange.respond(404, plain, "not found\n");
-    }
-}
-
 void Node::Private::tickLoop()
 {
     while (!isStopping) {
@@ -248,6 +197,9 @@
             d->services.oneTime().learn(*fact);
         }
     });
+    d->operatorPort = std::make_unique<OperatorPort>(OperatorParts { *d->settings, d->clock, d->incarnation, d->metrics, d->levels,
+        d->catalog, d->fleet, d->frontend, d->services, d->config, *d->membership, *d->rpc, d->isDraining });
+    d->rpc->servePart(OperatorPart, [d](const std::string &topic) { return d->operatorPort->answerPeer(topic); });
     auto callers = HttpServer::start(callerServerSettings(*d->settings),
         [d](HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { d->frontend.handle(std::move(request), exchange); });
     if (!callers.isOk()) {
@@ -259,7 +211,7 @@
     operatorSettings.port = static_cast<std::uint16_t>(d->settings->number("operator.port"));
     operatorSettings.threads = OperatorThreads;
     auto operators = HttpServer::start(operatorSettings,
-        [d](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { d->handleOperator(request, *exchange); });
+        [d](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { d->operatorPort->handle(request, exchange); });
     if (!operators.isOk()) {
         return operators.error();
     }
--- /dev/null
+++ b/main/operatorcommands.cpp
@@ -0,0 +1,193 @@
+#include "main/operatorcommands.h"
+
+#include "main/burnreport.h"
+#include "transport/httpclient.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/synchronization/notification.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <cctype>
+#include <fstream>
+#include <ostream>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr int FailedExit = 1;
+constexpr int UsageExit = 2;
+constexpr Duration AskTimeout = Duration::seconds(10);
+constexpr int MaxPort = 65535;
+
+bool isHostPort(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    int port = 0;
+    return colon != std::string::npos && colon > 0 && text.find('/') == std::string::npos && absl::SimpleAtoi(text.substr(colon + 1), &port)
+        && port > 0 && port <= MaxPort;
+}
+
+std::string encoded(const std::string &text)
+{
+    std::string safe;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        safe += std::isalnum(byte) != 0 ? std::string(1, c) : fmt::format("%{:02X}", byte);
+    }
+    return safe;
+}
+
+/** Asks a node and waits. The exit code, and with 0 the body; with others the fault was printed. */
+std::pair<int, std::string> ask(const std::string &node, const std::string &target, std::ostream &faults)
+{
+    if (!isHostPort(node)) {
+        faults << "--node '" << node << "' is not host:port; give for example 127.0.0.1:9090\n";
+        return { UsageExit, {} };
+    }
+    std::string body;
+    CallResult result;
+    absl::Notification done;
+    HttpClient client;
+    HttpCall call;
+    call.url = "http://" + node + target;
+    call.totalTimeout = AskTimeout;
+    call.onData = [&](std::string_view data) {
+        body.append(data);
+        return true;
+    };
+    call.onDone = [&](const CallResult &ended) {
+        result = ended;
+        done.Notify();
+    };
+    client.start(std::move(call));
+    done.WaitForNotification();
+    if (result.state != AttemptState::Answered) {
+        faults << "node " << node << " did not answer: " << result.detail << "\n";
+        return { FailedExit, {} };
+    }
+    if (result.status != 200) {
+        faults << "node " << node << " answered " << result.status << ": " << body << "\n";
+        return { FailedExit, {} };
+    }
+    return { 0, body };
+}
+
+std::string wordOf(const Json &value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+void printStatus(const Json &status, std::ostream &out)
+{
+    const Json &config = status.at("config");
+    out << fmt::format("node {}  zone {}  config version {}  draining {}  fresh {}  nodes seen {}\n", wordOf(status.at("node")),
+        wordOf(status.at("zone")), wordOf(status.at("config_version")), wordOf(status.at("draining")), wordOf(status.at("fresh")),
+        status.at("nodes").size());
+    out << fmt::format("  one-time requests {} ({} bytes)  watches the configuration {}  trouble {}\n", wordOf(status.at("ledger_entries")),
+        wordOf(status.at("ledger_bytes")), wordOf(config.at("watcher")),
+        wordOf(config.at("trouble")).empty() ? "none" : wordOf(config.at("trouble")));
+    const Json &membership = status.at("membership");
+    out << fmt::format("  membership: suspicions {}  deaths {}  refutations {}  pauses {}  rejected {}\n",
+        wordOf(membership.at("suspicions")), wordOf(membership.at("deaths")), wordOf(membership.at("refutations")),
+        wordOf(membership.at("pauses")), wordOf(membership.at("rejected")));
+    for (const Json &engine : status.at("engines")) {
+        out << fmt::format("  engine {}  queued {}  running {}  resident {}\n", wordOf(engine.at("id")), wordOf(engine.at("queued")),
+            wordOf(engine.at("running")), wordOf(engine.at("resident")));
+    }
+    out << fmt::format("  leaving: nodes {}  upstreams {}\n", status.at("leaving_nodes").dump(), status.at("leaving_upstreams").dump());
+}
+
+} // namespace
+
+int showBurn(const OperatorQuery &query, std::ostream &out, std::ostream &faults)
+{
+    if (query.isJson && !query.htmlFile.empty()) {
+        faults << "--json and --html exclude each other; give one\n";
+        return UsageExit;
+    }
+    const auto [code, body] = ask(query.node, query.isOfAll ? "/slo?all=1" : "/slo", faults);
+    if (code != 0) {
+        return code;
+    }
+    const auto report = parseBurnJson(body);
+    if (!report.isOk()) {
+        faults << "node " << query.node << ": " << report.error().detail << "\n";
+        return FailedExit;
+    }
+    if (query.htmlFile.empty()) {
+        out << (query.isJson ? burnJson(report.value()) + "\n" : burnText(report.value()));
+        return 0;
+    }
+    std::ofstream page(query.htmlFile);
+    page << burnHtml(report.value());
+    page.close();
+    if (!page) {
+        faults << query.htmlFile << " cannot be written; give a file in a directory that exists\n";
+        return FailedExit;
+    }
+    return 0;
+}
+
+int showStatus(const OperatorQuery &query, std::ostream &out, std::ostream &faults)
+{
+    const auto [code, body] = ask(query.node, query.isOfAll ? "/status?all=1" : "/status", faults);
+    if (code != 0) {
+        return code;
+    }
+    if (query.isJson) {
+        out << body;
+        return 0;
+    }
+    try {
+        const Json json = Json::parse(body);
+        if (!query.isOfAll) {
+            printStatus(json, out);
+            return 0;
+        }
+        for (const Json &status : json.at("nodes")) {
+            printStatus(status, out);
+        }
+        for (const Json &missing : json.at("missing")) {
+            out << "missing: " << wordOf(missing) << "\n";
+        }
+        return 0;
+    } catch (const Json::exception &exception) {
+        faults << "node " << query.node << " gave no status: " << exception.what() << "\n";
+        return FailedExit;
+    }
+}
+
+int showAddress(const std::string &callerPort, const std::string &selector, bool isJson, std::ostream &out, std::ostream &faults)
+{
+    const auto [code, body] = ask(callerPort, "/v1/address?model=" + encoded(selector), faults);
+    if (code != 0) {
+        return code;
+    }
+    if (isJson) {
+        out << body << "\n";
+        return 0;
+    }
+    try {
+        const Json json = Json::parse(body);
+        out << fmt::format("{} resolves to {}@{} in configuration version {}; keep for {} ms\n", selector, wordOf(json.at("adapter")),
+            wordOf(json.at("version")), wordOf(json.at("config_version")), wordOf(json.at("keep_ms")));
+        int rank = 0;
+        for (const Json &choice : json.at("addresses")) {
+            ++rank;
+            out << fmt::format("{}. node {} in zone {} at {}: {}\n", rank, wordOf(choice.at("node")), wordOf(choice.at("zone")),
+                wordOf(choice.at("address")), rank == 1 ? "owns the first engine of the adapter" : "owns the next one");
+        }
+        return 0;
+    } catch (const Json::exception &exception) {
+        faults << "node " << callerPort << " gave no address: " << exception.what() << "\n";
+        return FailedExit;
+    }
+}
+
+} // namespace ApricotStep
--- a/main/servicerunner.cpp
+++ b/main/servicerunner.cpp
@@ -32,6 +32,7 @@
     /** Position of the upstream that the call is at. */
     std::size_t at = 0;
     int attempts = 0;
+    Time arrivedAt;
     Time startedAt;
     bool isKnown = false;
     bool isIdempotent = false;
@@ -206,7 +207,11 @@
     if (!running->upstreams.empty()) {
         return true;
     }
-    refuse(*running->job.exchange, running->isKnown ? ErrorKind::NoUpstream : ErrorKind::UnknownService, running->job.requestId);
+    const ErrorKind kind = running->isKnown ? ErrorKind::NoUpstream : ErrorKind::UnknownService;
+    if (running->isKnown) { // The name of an unknown one comes from the caller, who could fill the registry with made-up ones.
+        metrics.serviceFailed(running->job.service.value(), kind);
+    }
+    refuse(*running->job.exchange, kind, running->job.requestId);
     return false;
 }
 
@@ -353,7 +358,7 @@
 {
     const ServiceJob &job = running->job;
     const auto waiters = running->hasKey ? oneTime.complete(running->key, stored) : std::vector<OneTimeWaiter>();
-    metrics.serviceCall(job.service.value(), stored.status);
+    metrics.serviceCall(job.service.value(), stored.status, clock.now() - running->arrivedAt);
     log->info("[{}] service={} outcome=ok status={} attempts={}", job.requestId, job.service.value(), stored.status, running->attempts);
     --active;
     answer(*job.exchange, stored, job.requestId, false);
@@ -366,7 +371,7 @@
 {
     const ServiceJob &job = running->job;
     const auto waiters = running->hasKey ? oneTime.fail(running->key) : std::vector<OneTimeWaiter>();
-    metrics.serviceCall(job.service.value(), errorAnswer(kind).httpStatus);
+    metrics.serviceFailed(job.service.value(), kind);
     log->info("[{}] service={} outcome={} detail='{}' attempts={}", job.requestId, job.service.value(), errorAnswer(kind).word, detail,
         running->attempts);
     --active;
@@ -409,7 +414,8 @@
             running->upstreams.begin() + static_cast<long>(d->turn.fetch_add(1) % running->upstreams.size()), running->upstreams.end());
     }
     running->isIdempotent = isIdempotentMethod(job.request.method);
-    running->deadline = d->clock.now() + d->settings.duration("upstreams.service_timeout_ms");
+    running->arrivedAt = d->clock.now();
+    running->deadline = running->arrivedAt + d->settings.duration("upstreams.service_timeout_ms");
     running->job = std::move(job);
     if (d->admit(running)) {
         ++d->active;
