Document metrics, alert rules and burn, and hold them against real processes

docs/METRICS.md lists each metric with its type and labels.

tests/operators/burn.sh runs two nodes and a service whose process ends after 160 served calls; 40 fail. The ring's size is corrected in its comment: 360 minutes of 24 bytes for 4 classes are 34,560 bytes, not 24 KB.

--- a/state/servicelevel.h
+++ b/state/servicelevel.h
@@ -53,7 +53,7 @@
 bool spendsBudget(ErrorKind kind);
 
 /**
- * Counts of good and bad events by class and minute over the last six hours, kept in memory: about 24 KB. Thread-safe; each class has a
+ * Counts of good and bad events by class and minute over the last six hours, kept in memory: about 35 KB. Thread-safe; each class has a
  * lock of its own.
  */
 class ServiceLevels
--- /dev/null
+++ b/tests/main/testmetrics.cpp
@@ -0,0 +1,117 @@
+#include "main/metrics.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <regex>
+#include <set>
+#include <sstream>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+/** A file of the source tree; the test runner names its root. */
+std::string sourceFile(const std::string &name)
+{
+    const char *root = std::getenv("APRICOTSTEP_SOURCE");
+    std::ifstream file(std::string(root != nullptr ? root : ".") + "/" + name);
+    cr_assert(file.good(), "%s is not there; run in the root of the sources or set APRICOTSTEP_SOURCE", name.c_str());
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/** The rows of the reference page that @p text, in Prometheus' form, calls for. */
+std::set<std::string> rowsOf(const std::string &text)
+{
+    std::map<std::string, std::string> help;
+    std::map<std::string, std::string> type;
+    std::map<std::string, std::set<std::string>> labels;
+    std::istringstream lines(text);
+    const std::regex label("([a-z_]+)=\"");
+    for (std::string line; std::getline(lines, line);) {
+        std::istringstream words(line);
+        std::string mark;
+        std::string kind;
+        std::string name;
+        words >> mark >> kind >> name;
+        if (mark == "#") {
+            std::string rest;
+            std::getline(words >> std::ws, rest);
+            (kind == "HELP" ? help : type)[name] = rest;
+            continue;
+        }
+        const std::string sample = line.substr(0, line.find_first_of("{ "));
+        for (std::sregex_iterator at(line.begin(), line.end(), label), end; at != end; ++at) {
+            for (const char *suffix : { "", "_bucket" }) {
+                const std::string family = sample.ends_with(suffix) ? sample.substr(0, sample.size() - std::string(suffix).size()) : "";
+                if (help.contains(family) && at->str(1) != "le") {
+                    labels[family].insert('`' + at->str(1) + '`');
+                }
+            }
+        }
+    }
+    std::set<std::string> rows;
+    for (const auto &[name, sentence] : help) {
+        std::string all;
+        for (const std::string &one : labels[name]) {
+            all += (all.empty() ? "" : ", ") + one;
+        }
+        rows.insert("| `" + name + "` | " + type[name] + " | " + (all.empty() ? "none" : all) + " | " + sentence + " |");
+    }
+    return rows;
+}
+
+} // namespace
+
+Test(metrics, theReferencePageHasEachOneAsItIs)
+{
+    // An operator writes alert rules by the page. A rule on a metric or a label that has gone by never fires, and nobody notices.
+    Metrics metrics;
+    metrics.completionServed(Priority::Urgent, Duration(1), Duration(2), Duration(3));
+    metrics.serviceCall("payments", 200, Duration(1));
+    metrics.adapterLoad(true, Duration(1));
+    metrics.eviction(true);
+    metrics.forward("tried");
+    metrics.configRefused("conflict");
+    metrics.retry("engines");
+    metrics.ejection("e1");
+    const std::string page = sourceFile("docs/METRICS.md");
+    std::set<std::string> written;
+    std::istringstream lines(page);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("| `apricotstep_")) {
+            written.insert(line);
+        }
+    }
+    for (const std::string &row : rowsOf(metrics.text())) {
+        cr_expect(written.contains(row), "docs/METRICS.md lacks: %s", row.c_str());
+        written.erase(row);
+    }
+    for (const std::string &row : written) {
+        cr_expect(false, "no such metric, or not used above: %s", row.c_str());
+    }
+    // A metric with labels shows only once it has counted, so those that the lines above leave out are found in the source.
+    const std::string source = sourceFile("main/metrics.cpp") + sourceFile("main/metrics.h");
+    const std::regex name("\"(apricotstep_[a-z_]+)\"");
+    for (std::sregex_iterator at(source.begin(), source.end(), name), end; at != end; ++at) {
+        cr_expect(page.find('`' + at->str(1) + '`') != std::string::npos, "docs/METRICS.md lacks %s", at->str(1).c_str());
+    }
+}
+
+Test(metrics, theAlertRulesNameMetricsThatExist)
+{
+    const std::string page = sourceFile("docs/METRICS.md");
+    const std::string rules = sourceFile("examples/alert-rules.yml");
+    const std::regex name("apricotstep_[a-z_]+");
+    int count = 0;
+    for (std::sregex_iterator at(rules.begin(), rules.end(), name), end; at != end; ++at, ++count) {
+        const std::string family = std::regex_replace(at->str(), std::regex("_(bucket|count|sum)$"), "");
+        cr_expect(page.find('`' + family + '`') != std::string::npos, "docs/METRICS.md lacks %s", family.c_str());
+    }
+    cr_assert_gt(count, 0);
+}
--- /dev/null
+++ b/tests/operators/burn.sh
@@ -0,0 +1,101 @@
+#!/usr/bin/env bash
+# An outage with real processes: two nodes, a plain service that dies. `apricotstep burn --all` must show what arithmetic says, within 1 %.
+# Usage: tests/operators/burn.sh BUILD
+set -euo pipefail
+BUILD="$(cd "$1" && pwd)"
+WORK="$(mktemp -d)"
+PIDS=()
+finish() {
+    for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done
+    wait 2>/dev/null || true
+    rm -rf "$WORK"
+}
+trap finish EXIT
+
+# Starts a program, waits for its line "ready ...", and leaves that line in READY.
+start() {
+    local name="$1"
+    shift
+    "$@" >"$WORK/$name.out" 2>"$WORK/$name.log" &
+    PIDS+=($!)
+    for _ in $(seq 200); do
+        READY="$(grep -m1 '^ready' "$WORK/$name.out" || true)"
+        [ -n "$READY" ] && return
+        sleep 0.1
+    done
+    echo "$name did not start:"
+    cat "$WORK/$name.log"
+    exit 1
+}
+value() { sed "s/.*$1=\([0-9]*\).*/\1/" <<<"$READY"; }
+burn() { "$BUILD/main/apricotstep" burn --node "$OPERATORS" --all "$@"; }
+
+start lookups "$BUILD/tests/standins/standin" service
+SERVICE_PID="${PIDS[-1]}"
+cat >"$WORK/catalog.ini" <<CATALOG
+[adapters]
+kitchen@1 = shop=kumasi
+[upstream lookups1]
+kind = service
+address = 127.0.0.1:$(value port)
+zone = zone1
+[service lookups]
+upstreams = lookups1
+CATALOG
+"$BUILD/main/apricotstep" pack --in "$WORK/catalog.ini" --out "$WORK/values" >/dev/null
+echo '{"vms":[]}' >"$WORK/vms.json"
+start config "$BUILD/tests/standins/standin" config --dir "$WORK/values"
+CONFIG="$(value port)"
+start vmlist "$BUILD/tests/standins/standin" vmlist --file "$WORK/vms.json"
+VMLIST="$(value port)"
+VMS=""
+CALLERS=()
+for i in 1 2; do
+    cat >"$WORK/node$i.ini" <<INI
+[node]
+id = node$i
+zone = zone$i
+[callers]
+port = 0
+[operator]
+port = 0
+[platform]
+config_url = http://127.0.0.1:$CONFIG
+vm_list_url = http://127.0.0.1:$VMLIST/vms
+[fleet]
+secret = only-for-this-test-0123
+[objectives]
+service_target = 9900
+INI
+    start "node$i" "$BUILD/main/apricotstep" node --settings "$WORK/node$i.ini"
+    CALLERS+=("127.0.0.1:$(value callers)")
+    OPERATORS="127.0.0.1:$(value operators)"
+    VMS+="${VMS:+,}{\"id\":\"node$i\",\"role\":\"entry\",\"zone\":\"zone$i\",\"caller_address\":\"${CALLERS[-1]}\","
+    VMS+="\"rpc_address\":\"127.0.0.1:$(value rpc)\",\"membership_address\":\"127.0.0.1:$(value membership)\"}"
+done
+echo "{\"vms\":[$VMS]}" >"$WORK/vms.json"
+for _ in $(seq 200); do
+    "$BUILD/main/apricotstep" status --node "$OPERATORS" --all --json >"$WORK/status.json" 2>/dev/null || true
+    [ "$(jq '[.nodes[] | select(.config_version > 0)] | length' "$WORK/status.json" 2>/dev/null)" = 2 ] && break
+    sleep 0.1
+done
+
+# call COUNT STATUS: that many calls over both nodes, each of which must get that status.
+call() {
+    for i in $(seq "$1"); do
+        got="$(curl -s -o /dev/null -w '%{http_code}' "http://${CALLERS[$((i % 2))]}/svc/lookups/menu")"
+        [[ "$got" =~ $2 ]] || { echo "a call got $got, not $2"; exit 1; }
+    done
+}
+call 160 '^200$'
+kill -TERM "$SERVICE_PID"
+wait "$SERVICE_PID" || true
+call 40 '^50.$'
+burn
+burn --html "$WORK/burn.html"
+grep -q '<svg' "$WORK/burn.html"
+# 40 of 200 bad at a target of 99 %: 20 % over 1 % is a burn of 20.
+burn --json | jq -e '.missing == [] and (.nodes | length) == 2 and .classes.service.bad == 40 and .classes.service.good == 160
+    and (.classes.service.burn_5m | . > 19.8 and . < 20.2) and .classes.service.alert == "page"' >/dev/null \
+    || { echo "the burn is not what arithmetic says"; burn --json | jq -c '.nodes, .missing, (.classes.service | del(.minutes))'; exit 1; }
+echo "burn test passed"
