Tell operators which engines an address answer comes from

`apricotstep address` showed the nodes that a caller is told, and not why. With explain=1 the address answer also lists the adapter's engines in order with their owners; callers get the same answer as before. tests/operators/burn.sh now also holds the command against what a caller is told by a real node.

--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -315,12 +315,16 @@
         refuse(exchange, adapter.error(), id);
         return;
     }
+    const bool isExplained = request.parameter("explain") == "1";
     AddressAnswer answer;
     answer.adapter = adapter.value();
     answer.version = catalog.version();
     answer.keepFor = parts.settings.duration("callers.address_keep_ms");
     for (const Candidate &candidate : placement.candidates(adapter.value())) {
         const NodeView &owner = *candidate.owner;
+        if (isExplained) {
+            answer.candidates.push_back({ candidate.upstream->id, owner.id });
+        }
         const bool isListed =
             std::any_of(answer.choices.begin(), answer.choices.end(), [&](const auto &choice) { return choice.node == owner.id; });
         if (!isListed && !(isDraining && owner.id == parts.self) && answer.choices.size() < MaxAddresses) {
--- a/main/operatorcommands.cpp
+++ b/main/operatorcommands.cpp
@@ -165,7 +165,7 @@
 
 int showAddress(const std::string &callerPort, const std::string &selector, bool isJson, std::ostream &out, std::ostream &faults)
 {
-    const auto [code, body] = ask(callerPort, "/v1/address?model=" + encoded(selector), faults);
+    const auto [code, body] = ask(callerPort, "/v1/address?explain=1&model=" + encoded(selector), faults);
     if (code != 0) {
         return code;
     }
@@ -177,11 +177,12 @@
         const Json json = Json::parse(body);
         out << fmt::format("{} resolves to {}@{} in configuration version {}; keep for {} ms\n", selector, wordOf(json.at("adapter")),
             wordOf(json.at("version")), wordOf(json.at("config_version")), wordOf(json.at("keep_ms")));
-        int rank = 0;
+        for (const Json &candidate : json.at("candidates")) {
+            out << fmt::format("engine {} of node {}\n", wordOf(candidate.at("upstream")), wordOf(candidate.at("owner")));
+        }
         for (const Json &choice : json.at("addresses")) {
-            ++rank;
-            out << fmt::format("{}. node {} in zone {} at {}: {}\n", rank, wordOf(choice.at("node")), wordOf(choice.at("zone")),
-                wordOf(choice.at("address")), rank == 1 ? "owns the first engine of the adapter" : "owns the next one");
+            out << fmt::format("caller is told: node {} in zone {} at {}\n", wordOf(choice.at("node")), wordOf(choice.at("zone")),
+                wordOf(choice.at("address")));
         }
         return 0;
     } catch (const Json::exception &exception) {
--- a/protocol/callerapi.cpp
+++ b/protocol/callerapi.cpp
@@ -81,6 +81,9 @@
     if (!answer.key.empty()) {
         json["idempotency_key"] = answer.key;
     }
+    for (const AddressCandidate &candidate : answer.candidates) {
+        json["candidates"].push_back({ { "upstream", candidate.upstream.value() }, { "owner", candidate.owner.value() } });
+    }
     return dump(json);
 }
 
--- a/protocol/callerapi.h
+++ b/protocol/callerapi.h
@@ -31,6 +31,13 @@
     std::string address;
 };
 
+/** An engine of an adapter and the node that owns it. */
+struct AddressCandidate
+{
+    UpstreamId upstream;
+    NodeId owner;
+};
+
 struct AddressAnswer
 {
     AdapterKey adapter;
@@ -41,6 +48,8 @@
     Duration keepFor;
     /** A minted idempotency key, or empty. */
     std::string key;
+    /** The adapter's engines, best first, from which the choices come; empty unless asked for. */
+    std::vector<AddressCandidate> candidates;
 };
 
 /** What stands beside an error in its answer. */
--- a/tests/operators/burn.sh
+++ b/tests/operators/burn.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # An outage with real processes: two nodes, a plain service that dies. `apricotstep burn --all` must show what arithmetic says, within 1 %.
+# Before that, `apricotstep address` must tell what the node would tell a caller, and say so when there is no such model.
 # Usage: tests/operators/burn.sh BUILD
 set -euo pipefail
 BUILD="$(cd "$1" && pwd)"
@@ -30,11 +31,19 @@
 value() { sed "s/.*$1=\([0-9]*\).*/\1/" <<<"$READY"; }
 burn() { "$BUILD/main/apricotstep" burn --node "$OPERATORS" --all "$@"; }
 
+start store "$BUILD/tests/standins/standin" store
+start engine1 "$BUILD/tests/standins/standin" engine --slots 2 --store "http://127.0.0.1:$(value port)"
+ENGINE="$(value port)"
 start lookups "$BUILD/tests/standins/standin" service
 SERVICE_PID="${PIDS[-1]}"
 cat >"$WORK/catalog.ini" <<CATALOG
 [adapters]
 kitchen@1 = shop=kumasi
+[upstream engine1]
+address = 127.0.0.1:$ENGINE
+zone = zone1
+slots = 2
+batch = 8
 [upstream lookups1]
 kind = service
 address = 127.0.0.1:$(value port)
@@ -87,6 +96,17 @@
         [[ "$got" =~ $2 ]] || { echo "a call got $got, not $2"; exit 1; }
     done
 }
+address() { "$BUILD/main/apricotstep" address --node "${CALLERS[0]}" "$@"; }
+address --model shop=kumasi | tee "$WORK/address.txt"
+TOLD="$(curl -s "http://${CALLERS[0]}/v1/address?model=shop=kumasi")"
+grep -q 'resolves to kitchen@1' "$WORK/address.txt"
+grep -q "^engine engine1 of node $(jq -r '.addresses[0].node' <<<"$TOLD")$" "$WORK/address.txt"
+grep -q "^caller is told: .* at $(jq -r '.addresses[0].address' <<<"$TOLD")$" "$WORK/address.txt"
+[ "$(jq 'has("candidates")' <<<"$TOLD")" = false ]
+CODE=0
+address --model shop=nowhere 2>"$WORK/unknown.txt" || CODE=$?
+[ "$CODE" = 1 ]
+grep -q unknown_selector "$WORK/unknown.txt"
 call 160 '^200$'
 kill -TERM "$SERVICE_PID"
 wait "$SERVICE_PID" || true
