--- /dev/null
+++ b/bench/path.sh
@@ -0,0 +1,68 @@
+#!/usr/bin/env bash
+# What a node adds to a request, against the same stand-in engine called directly, in turns within one run. Usage: bench/path.sh BUILD-FOLDER
+set -euo pipefail
+BUILD="$(cd "$1" && pwd)"
+WORK="$(mktemp -d)"
+PIDS=()
+finish() {
+    for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done
+    wait 2>/dev/null || true
+    rm -rf "$WORK"
+}
+trap finish EXIT
+
+start() {
+    local name="$1"
+    shift
+    "$@" >"$WORK/$name.out" 2>"$WORK/$name.log" &
+    PIDS+=($!)
+    for _ in $(seq 200); do
+        READY="$(grep -m1 '^ready' "$WORK/$name.out" || true)"
+        [ -n "$READY" ] && return
+        sleep 0.05
+    done
+    cat "$WORK/$name.log"
+    exit 1
+}
+value() { sed "s/.*$1=\([0-9]*\).*/\1/" <<<"$READY"; }
+
+# An engine that answers at once: what is measured is the way, not the model.
+start engine "$BUILD/tests/standins/standin" engine --slots 4 --batch 256 --token-ms 0
+ENGINE="127.0.0.1:$(value port)"
+printf '[adapters]\nlessons@1 = track=stable\n[upstream e1]\naddress = %s\nzone = a\nslots = 4\nbatch = 256\n' "$ENGINE" >"$WORK/catalog.ini"
+"$BUILD/main/apricotstep" pack --in "$WORK/catalog.ini" --out "$WORK/values" >/dev/null
+echo '{"vms":[]}' >"$WORK/vms.json"
+start config "$BUILD/tests/standins/standin" config --dir "$WORK/values"
+CONFIG="$(value port)"
+start vmlist "$BUILD/tests/standins/standin" vmlist --file "$WORK/vms.json"
+VMLIST="$(value port)"
+cat >"$WORK/node.ini" <<INI
+[node]
+id = n1
+zone = a
+[callers]
+port = 0
+threads = 4
+[operator]
+port = 0
+[platform]
+config_url = http://127.0.0.1:$CONFIG
+vm_list_url = http://127.0.0.1:$VMLIST/vms
+[fleet]
+secret = only-for-this-bench-0123
+[log]
+level = warn
+INI
+start node "$BUILD/main/apricotstep" node --settings "$WORK/node.ini"
+NODE="127.0.0.1:$(value callers)"
+NODE_PID="${PIDS[-1]}"
+BODY='{"model":"lessons@1","max_tokens":1,"messages":[{"role":"user","content":"hi"}]}'
+for _ in $(seq 300); do
+    curl -s -o /dev/null -w '%{http_code}' "http://$NODE/v1/chat/completions" -d "$BODY" | grep -q 200 && break
+    sleep 0.1
+done
+memory() { awk '/VmRSS/ {print $2}' "/proc/$NODE_PID/status"; }
+BEFORE="$(memory)"
+"$BUILD/bench/bench_path" --direct "$ENGINE" --node "$NODE" --model lessons@1 "${@:2}"
+echo "node_memory_before_kb $BEFORE"
+echo "node_memory_after_kb $(memory)"
