--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -437,8 +437,20 @@
         show("report.bytes", spent / 100, "B_a_read")
 
 
+def part_permits(options):
+    """What permits cost while adapters wake as fast as the store gives them, 2 a second over the fleet."""
+    with Fleet(options.build, nodes=6, upstreams=30, adapters=2000, store_rate=200) as fleet:
+        idle = fleet.measure(options.seconds)
+        counts, during = paced(1.8, lambda i: completion(fleet.ports[i % 6]["callers"], i, 1))
+        figures = fleet.measure(options.seconds, during)
+        show("permits.calls", counts["calls"], "calls")
+        show("permits.failed", counts["failed"], "calls")
+        show_point("permits", "idle", idle)
+        show_point("permits", "waking", figures)
+
+
 PARTS = {"nodes": part_nodes, "list": part_list, "adapters": part_adapters, "upstreams": part_upstreams, "changes": part_changes,
-         "requests": part_requests, "forwards": part_forwards, "keys": part_keys, "report": part_report}
+         "requests": part_requests, "forwards": part_forwards, "keys": part_keys, "permits": part_permits, "report": part_report}
 
 
 def main():
--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -108,8 +108,8 @@
     const absl::MutexLock lock(&mutex);
     auto &runner = engines[spec.id];
     if (runner == nullptr) {
-        runner = std::make_shared<EngineRunner>(
-            spec, EngineParts { parts.settings, parts.client, parts.clock, parts.metrics, parts.health, *this, parts.ownership });
+        runner = std::make_shared<EngineRunner>(spec,
+            EngineParts { parts.settings, parts.client, parts.clock, parts.metrics, parts.health, *this, parts.ownership, parts.permits });
     }
     return runner;
 }
@@ -432,6 +432,19 @@
     d->lingerUntilMs = lingerUntil.milliseconds();
 }
 
+void CallerFrontend::permitAnswered(const UpstreamId &upstream, const SchedulerEvent &event)
+{
+    std::shared_ptr<EngineRunner> runner;
+    {
+        const absl::MutexLock lock(&d->mutex);
+        const auto at = d->engines.find(upstream);
+        runner = at == d->engines.end() ? nullptr : at->second;
+    }
+    if (runner != nullptr) {
+        runner->permitAnswered(event);
+    }
+}
+
 void CallerFrontend::tick()
 {
     d->takeOwnedEngines();
--- a/main/callerfrontend.h
+++ b/main/callerfrontend.h
@@ -28,6 +28,8 @@
     Peers &peers;
     /** Who owns engines; null when nobody but this node uses them. */
     const OwnershipSource *ownership = nullptr;
+    /** Null where loads need no permit of the fleet. */
+    PermitRunner *permits = nullptr;
 };
 
 /** The caller interface: reads requests, resolves selectors and hands the work on. Thread-safe. */
@@ -42,6 +44,8 @@
     /** From now on this node is not named in address answers and takes no new work after @p lingerUntil. */
     void drain(Time lingerUntil);
     void tick();
+    /** What became of an engine's wish for a load permit. */
+    void permitAnswered(const UpstreamId &upstream, const SchedulerEvent &event);
     /** The engines that this node has run work on. */
     std::vector<EngineStatus> engineStatus() const;
 
--- a/main/enginerunner.cpp
+++ b/main/enginerunner.cpp
@@ -7,6 +7,7 @@
 #include "main/helddispatches.h"
 #include "main/log.h"
 #include "main/pausedwork.h"
+#include "main/permitrunner.h"
 #include "main/upstreamguard.h"
 #include "protocol/callerapi.h"
 #include "protocol/engineapi.h"
@@ -38,7 +39,7 @@
     bool isEnginesFault = false;
 };
 
-SchedulerLimits schedulerLimits(const UpstreamSpec &spec, const Settings &settings)
+SchedulerLimits schedulerLimits(const UpstreamSpec &spec, const Settings &settings, bool needsPermits)
 {
     SchedulerLimits limits;
     limits.slots = spec.slots;
@@ -49,6 +50,7 @@
     limits.urgentSeatsPercent = static_cast<int>(settings.number("scheduling.urgent_seats_percent"));
     limits.urgentSlotsPercent = static_cast<int>(settings.number("scheduling.urgent_slots_percent"));
     limits.seed = stableHash(spec.id.value());
+    limits.needsPermits = needsPermits;
     return limits;
 }
 
@@ -69,7 +71,7 @@
         : spec(upstream)
         , parts(allParts)
         , log(partLog("engine"))
-        , scheduler(schedulerLimits(upstream, allParts.settings))
+        , scheduler(schedulerLimits(upstream, allParts.settings, allParts.permits != nullptr))
         , limit({ std::max(1, upstream.batch / LeastBatchPart), upstream.batch, EngineTolerance })
     {
     }
@@ -168,12 +170,16 @@
 
 void EngineRunner::Private::carryOut(const AskPermit &action)
 {
-    handle(PermitGranted { action.adapter, parts.clock.now() + Duration::seconds(5) });
+    if (parts.permits != nullptr) {
+        parts.permits->ask(spec.id, action);
+    }
 }
 
-// Without permits of the fleet there is nobody to give one back to.
-void EngineRunner::Private::carryOut(const ReturnPermit &)
+void EngineRunner::Private::carryOut(const ReturnPermit &action)
 {
+    if (parts.permits != nullptr) {
+        parts.permits->giveBack(spec.id, action);
+    }
 }
 
 // Without the ownership the load waits; the engine's slots may be another node's to fill.
@@ -556,6 +562,11 @@
 
 EngineRunner::~EngineRunner() = default;
 
+void EngineRunner::permitAnswered(const SchedulerEvent &event)
+{
+    d->handle(event);
+}
+
 void EngineRunner::submit(CompletionJob job)
 {
     d->submit(std::move(job));
--- a/main/enginerunner.h
+++ b/main/enginerunner.h
@@ -14,6 +14,8 @@
 namespace ApricotStep
 {
 
+class PermitRunner;
+
 /** What /status shows of an engine. */
 struct EngineStatus
 {
@@ -34,6 +36,8 @@
     CompletionRouter &router;
     /** Who owns engines; null when nobody but this process uses them. */
     const OwnershipSource *ownership = nullptr;
+    /** Null where loads need no permit of the fleet. */
+    PermitRunner *permits = nullptr;
 };
 
 /** Carries out the decisions of the scheduler of one engine that this node owns. Thread-safe. */
@@ -43,6 +47,8 @@
     EngineRunner(const UpstreamSpec &spec, const EngineParts &parts);
     ~EngineRunner();
 
+    /** An answer to a wish for a load permit: PermitGranted or PermitExpected. */
+    void permitAnswered(const SchedulerEvent &event);
     /** Takes a job; it ends with an answer on its exchange. */
     void submit(CompletionJob job);
     /** Lets time pass; every 20 to 100 ms. */
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -6,9 +6,11 @@
 #include "main/log.h"
 #include "main/membershiprunner.h"
 #include "main/operatorport.h"
+#include "main/permitrunner.h"
 #include "main/platformreader.h"
 #include "main/rpcsettings.h"
 
+#include <algorithm>
 #include <atomic>
 #include <random>
 #include <thread>
@@ -59,17 +61,20 @@
         , rpc(std::move(nodeRpc))
         , health(clock, metrics, incarnation.value())
         , services(NodeId(settings->text("node.id")), incarnation, *settings, *client, clock, metrics, health)
+        , permits(NodeId(settings->text("node.id")), *settings, clock, fleet, *rpc)
         , frontend({ NodeId(settings->text("node.id")), incarnation, ZoneId(settings->text("node.zone")), *settings, clock, *client,
-              metrics, catalog, fleet, services, health, *rpc, &ownership })
+              metrics, catalog, fleet, services, health, *rpc, &ownership, &permits })
         , config(*settings, *client, clock, metrics, catalog, fleet)
-        , platform(*settings, *client, clock, [this](VmList list) { membership->vmListRead(std::move(list)); })
+        , platform(*settings, *client, clock, [this](VmList list) { vmListRead(std::move(list)); })
     {
         metrics.feed(levels, clock);
+        permits.onAnswer([this](const UpstreamId &upstream, const SchedulerEvent &event) { frontend.permitAnswered(upstream, event); });
     }
 
     ~Private()
     {
         isStopping = true;
+        permits.stop();
         if (ticker.joinable()) {
             ticker.join();
         }
@@ -96,6 +101,7 @@
     std::unique_ptr<NodeRpc> rpc;
     UpstreamHealth health;
     ServiceRunner services;
+    PermitRunner permits;
     CallerFrontend frontend;
     ConfigReader config;
     PlatformReader platform;
@@ -110,15 +116,24 @@
     bool isBusy() const;
     void handOver();
     Result<std::string> takeLedgerBatch(const std::string &bytes);
+    void vmListRead(VmList list);
     void tickLoop();
 };
 
+void Node::Private::vmListRead(VmList list)
+{
+    permits.setListed(static_cast<int>(
+        std::count_if(list.vms.begin(), list.vms.end(), [](const VmRecord &vm) { return vm.role == VmRole::Entry && !vm.leaving; })));
+    membership->vmListRead(std::move(list));
+}
+
 void Node::Private::tickLoop()
 {
     while (!isStopping) {
         std::this_thread::sleep_for(TickInterval);
         membership->tick();
         platform.tick();
+        permits.tick();
         frontend.tick();
         services.tick();
     }
@@ -191,6 +206,7 @@
             d->config.versionHeard(*fact);
         }
     });
+    d->rpc->servePart(std::string(PermitPart), [d](const std::string &bytes) { return d->permits.take(bytes); });
     d->rpc->servePart(LedgerPart, [d](const std::string &bytes) { return d->takeLedgerBatch(bytes); });
     d->membership->onRumour([d](const Rumour &rumour) {
         if (const auto *fact = std::get_if<HandOffFact>(&rumour)) {
