--- a/tests/scenarios/runner/main.cpp
+++ b/tests/scenarios/runner/main.cpp
@@ -99,7 +99,7 @@
             { "vm", &Run::vm }, { "control", &Run::control }, { "chat", &Run::chat }, { "pay", &Run::pay }, { "key", &Run::key },
             { "load", &Run::load }, { "join", &Run::join }, { "await", &Run::await }, { "expect", &Run::expect },
             { "expect-runs", &Run::expectRuns }, { "expect-share", &Run::expectShare }, { "expect-quiet", &Run::expectQuiet },
-            { "sleep", &Run::sleep } };
+            { "expect-load-rate", &Run::expectLoadRate }, { "sleep", &Run::sleep } };
         return all;
     }
 
@@ -404,6 +404,15 @@
             throw std::runtime_error(line.word(0) + " got " + std::to_string(after - before) + " new requests");
         }
     }
+    // expect-load-rate max=: the weight store began at most so many loads a second since it started.
+    void expectLoadRate(const Line &line)
+    {
+        const double rate = m_world.loadsPerSecond();
+        std::cout << "  loads a second: " << rate << "\n";
+        if (rate > std::stod(line.options.at("max"))) {
+            throw std::runtime_error(std::to_string(rate) + " loads a second");
+        }
+    }
     void sleep(const Line &line)
     {
         sleepSeconds(secondsOf(line.word(0)));
--- a/tests/scenarios/runner/world.cpp
+++ b/tests/scenarios/runner/world.cpp
@@ -1,6 +1,9 @@
 #include "tests/scenarios/runner/world.h"
 
+#include "tests/scenarios/runner/plainhttp.h"
+
 #include <arpa/inet.h>
+#include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -105,6 +108,7 @@
     std::map<std::string, std::string> vmStates;
     int publishCount = 0;
     std::uint64_t version = 0;
+    std::chrono::steady_clock::time_point storeStartedAt;
 
     std::string log(const std::string &name) const
     {
@@ -259,6 +263,7 @@
 
 void World::addStore(const Options &options)
 {
+    d->storeStartedAt = std::chrono::steady_clock::now();
     d->store = d->start("store",
         { d->standin(), "store", "--load-ms", optionOr(options, "load_ms", "50"), "--parallel", optionOr(options, "parallel", "8") });
 }
@@ -421,6 +426,14 @@
     return local(d->upstreams.at(upstream).process->readyNumber("port"));
 }
 
+double World::loadsPerSecond() const
+{
+    constexpr int TimeoutMs = 3000;
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - d->storeStartedAt;
+    return std::atof(callHttp("http://" + local(d->store->readyNumber("port")) + "/control/loads", "", {}, TimeoutMs).body.c_str())
+        / elapsed.count();
+}
+
 std::uint64_t World::publishedVersion() const
 {
     return d->version;
--- a/tests/scenarios/runner/world.h
+++ b/tests/scenarios/runner/world.h
@@ -51,6 +51,8 @@
     std::string operatorAddress(const std::string &node) const;
     /** An upstream itself, not through its proxy. */
     std::string directAddress(const std::string &upstream) const;
+    /** Loads that the weight store began, a second since it started. */
+    double loadsPerSecond() const;
     /** Of the newest publish(). */
     std::uint64_t publishedVersion() const;
     std::vector<std::string> engines() const;
