Bind a forwarded request to the version it resolved to

Cause: a request that reached the wrong node was forwarded with its selector, and the owner resolved it again under its own configuration. While a change spreads, a label could so lead to the version before the one that the first node had resolved. Found by reading. Change: the forwarded body names the resolved adapter version; an owner whose configuration does not have it yet answers not_ready (not run, another node) instead of 'no such adapter, never'. Conclusion: a change of configuration does not move a request that has resolved.

--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -29,6 +29,15 @@
     "deadlines.patient_ms" };
 constexpr std::int64_t MaxDeadlineMs = 86'400'000;
 
+// A forwarded request names a version that another node's configuration has: this one is behind, and the caller made no mistake.
+Error unknownHere(const Error &error)
+{
+    if (error.kind != ErrorKind::UnknownSelector) {
+        return error;
+    }
+    return { ErrorKind::NotReady, "The configuration version that has this adapter is not in force here yet. " + error.detail };
+}
+
 void respondJson(HttpExchange &exchange, std::string body)
 {
     exchange.respond(200, { { "Content-Type", "application/json" } }, std::move(body));
@@ -240,6 +249,9 @@
     }
     const std::string address = forward.targets.empty() ? std::string() : forward.targets.front().callerAddress;
     forward.request = forwardedRequest(request, job.work, parts.clock.now());
+    // The request is bound to what it resolved to here. With its selector it would resolve again at the owner, whose configuration may be
+    // an older one, and the caller would get an answer of an adapter version that it did not ask for.
+    forward.request.body = job.body;
     forward.hops = job.hops;
     forward.exchange = job.exchange;
     forward.requestId = job.requestId;
@@ -270,7 +282,7 @@
     }
     const auto adapter = catalog.resolve(parsed.value().selector);
     if (!adapter.isOk()) {
-        refuse(*exchange, adapter.error(), idText);
+        refuse(*exchange, hops > 0 ? unknownHere(adapter.error()) : adapter.error(), idText);
         return;
     }
     auto work = workItem(request, parsed.value(), id);
--- /dev/null
+++ b/tests/main/testcallerfrontend.cpp
@@ -0,0 +1,104 @@
+#include "main/callerfrontend.h"
+#include "tests/main/rig.h"
+
+#include <nlohmann/json.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+const std::string SettingsText =
+    "[node]\nid = n1\nzone = a\n[platform]\nconfig_url = http://127.0.0.1:1\nvm_list_url = http://127.0.0.1:2\n"
+    "[fleet]\nsecret = 0123456789abcdef\n";
+
+// Keeps what was forwarded; nothing is sent.
+class RecordingPeers final : public Peers
+{
+public:
+    void forward(const std::string &rpcAddress, const HttpRequest &request, int hops, const std::shared_ptr<HttpExchange> &,
+        std::function<void(const Error &)>) override
+    {
+        address = rpcAddress;
+        forwarded = request;
+        hopsSoFar = hops;
+    }
+    void fetch(const std::string &, const std::string &, std::function<void(Result<std::string>)>) override
+    {
+    }
+    void tell(const std::string &, const std::string &, const std::string &, std::function<void(Result<std::string>)>) override
+    {
+    }
+
+    std::string address;
+    HttpRequest forwarded;
+    int hopsSoFar = 0;
+};
+
+// Node n1 in zone a; the only engine is in zone b, where n2 owns it.
+struct TwoNodes
+{
+    TwoNodes()
+    {
+        CatalogContent content;
+        content.version = ConfigVersion(2);
+        content.adapters = { { { AdapterId("lessons"), AdapterVersion("1") }, { { "track", "old" } } },
+            { { AdapterId("lessons"), AdapterVersion("2") }, { { "track", "stable" } } } };
+        content.upstreams = { { UpstreamId("e1"), UpstreamKind::Engine, "127.0.0.1:9", ZoneId("b") } };
+        catalog.set(Catalog::create(content).value());
+        auto view = std::make_shared<FleetView>();
+        view->nodes = { { NodeId("n1"), ZoneId("a"), "127.0.0.1:11", "127.0.0.1:12" },
+            { NodeId("n2"), ZoneId("b"), "127.0.0.1:21", "127.0.0.1:22" } };
+        fleet.set(std::move(view));
+    }
+
+    HttpRequest completion(const std::string &model) const
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.path = "/v1/chat/completions";
+        request.body = nlohmann::json { { "model", model }, { "messages", nlohmann::json::array() } }.dump();
+        return request;
+    }
+
+    std::shared_ptr<const Settings> settings = Settings::parse(SettingsText, "n1.ini").value();
+    ManualClock clock;
+    HttpClient client;
+    Metrics metrics;
+    Published<Catalog> catalog;
+    Published<FleetView> fleet;
+    UpstreamHealth health { clock, metrics, 1 };
+    ServiceRunner services { NodeId("n1"), Incarnation(1), *settings, client, clock, metrics, health };
+    RecordingPeers peers;
+    CallerFrontend frontend { FrontendParts {
+        NodeId("n1"), Incarnation(1), ZoneId("a"), *settings, clock, client, metrics, catalog, fleet, services, health, peers } };
+};
+
+} // namespace
+
+Test(callerfrontend, aForwardedRequestNamesTheVersionThatItResolvedTo)
+{
+    // A configuration has just moved a label to a new version, and the owner of the engine has not seen it yet. Forwarded with its label,
+    // the request would resolve again there and run on the version before: the caller would get an answer of the adapter it had replaced.
+    TwoNodes nodes;
+    nodes.frontend.handle(nodes.completion("track=stable"), std::make_shared<Rig::Caller>());
+    cr_assert(nodes.peers.address == "127.0.0.1:22");
+    cr_assert_eq(nodes.peers.hopsSoFar, 1);
+    cr_assert(nlohmann::json::parse(nodes.peers.forwarded.body)["model"] == "lessons@2", "%s", nodes.peers.forwarded.body.c_str());
+}
+
+Test(callerfrontend, aVersionThatThisNodeDoesNotKnowYetIsNoMistakeOfTheCaller)
+{
+    // The same moment, seen from the owner: it is asked for a version that only the newer configuration has. Told 'no such adapter, never
+    // ask again', the caller would give up on something that is there.
+    TwoNodes nodes;
+    const auto forwarded = std::make_shared<Rig::Caller>();
+    nodes.frontend.handle(nodes.completion("lessons@3"), forwarded, 1);
+    cr_assert(forwarded->says("\"code\":\"not_ready\""));
+    cr_assert(forwarded->says("\"not_run\":true"));
+    const auto direct = std::make_shared<Rig::Caller>();
+    nodes.frontend.handle(nodes.completion("lessons@3"), direct);
+    cr_assert(direct->says("\"code\":\"unknown_selector\""));
+}
