Start example processes and read scenario times in one place

Cause: three scripts wrote the platform's start, a node's settings and its VM record each for itself, and the scenario runner read times twice. Change: startPlatform, startNode and vmEntry in examples/processes.sh; one secondsOf() in the runner.

--- a/bench/path.sh
+++ b/bench/path.sh
@@ -9,29 +9,8 @@
 ENGINE="127.0.0.1:$(value port)"
 printf '[adapters]\nlessons@1 = track=stable\n[upstream e1]\naddress = %s\nzone = a\nslots = 4\nbatch = 256\n' "$ENGINE" >"$WORK/catalog.ini"
 "$BUILD/main/apricotstep" pack --in "$WORK/catalog.ini" --out "$WORK/values" >/dev/null
-echo '{"vms":[]}' >"$WORK/vms.json"
-start config "$BUILD/tests/standins/standin" config --dir "$WORK/values"
-CONFIG="$(value port)"
-start vmlist "$BUILD/tests/standins/standin" vmlist --file "$WORK/vms.json"
-VMLIST="$(value port)"
-cat >"$WORK/node.ini" <<INI
-[node]
-id = n1
-zone = a
-[callers]
-port = 0
-threads = 4
-[operator]
-port = 0
-[platform]
-config_url = http://127.0.0.1:$CONFIG
-vm_list_url = http://127.0.0.1:$VMLIST/vms
-[fleet]
-secret = only-for-this-bench-0123
-[log]
-level = warn
-INI
-start node "$BUILD/main/apricotstep" node --settings "$WORK/node.ini"
+startPlatform
+startNode n1 a $'threads = 4\n[log]\nlevel = warn'
 NODE="127.0.0.1:$(value callers)"
 NODE_PID="${PIDS[-1]}"
 BODY='{"model":"lessons@1","max_tokens":1,"messages":[{"role":"user","content":"hi"}]}'
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -33,37 +33,16 @@
 upstreams = payments1
 CATALOG
 "$BUILD/main/apricotstep" pack --in "$WORK/catalog.ini" --out "$WORK/values"
-echo '{"vms":[]}' >"$WORK/vms.json"
-start config "$BUILD/tests/standins/standin" config --dir "$WORK/values"
-CONFIG="$(value port)"
-start vmlist "$BUILD/tests/standins/standin" vmlist --file "$WORK/vms.json"
-VMLIST="$(value port)"
+startPlatform
 
 echo "== three nodes"
 VMS=""
 ALL_CALLERS=()
 for i in 1 2 3; do
-    cat >"$WORK/node$i.ini" <<INI
-[node]
-id = node$i
-zone = zone$i
-[callers]
-port = 0
-[operator]
-port = 0
-[platform]
-config_url = http://127.0.0.1:$CONFIG
-vm_list_url = http://127.0.0.1:$VMLIST/vms
-[fleet]
-secret = only-for-this-demo-0123
-[shutdown]
-linger_ms = 100
-INI
-    start "node$i" "$BUILD/main/apricotstep" node --settings "$WORK/node$i.ini"
+    startNode "node$i" "zone$i" $'[shutdown]\nlinger_ms = 100'
     CALLERS="$(value callers)"
     OPERATORS="${OPERATORS:-} $(value operators)"
-    VMS+="${VMS:+,}{\"id\":\"node$i\",\"role\":\"entry\",\"zone\":\"zone$i\",\"caller_address\":\"127.0.0.1:$CALLERS\","
-    VMS+="\"rpc_address\":\"127.0.0.1:$(value rpc)\",\"membership_address\":\"127.0.0.1:$(value membership)\"}"
+    VMS+="${VMS:+,}$(vmEntry "node$i" "zone$i")"
     ALL_CALLERS+=("$CALLERS")
     echo "node$i serves callers on 127.0.0.1:$CALLERS"
 done
--- a/examples/processes.sh
+++ b/examples/processes.sh
@@ -25,3 +25,37 @@
 }
 # value KEY: the number behind KEY= in READY.
 value() { sed "s/.*$1=\([0-9]*\).*/\1/" <<<"$READY"; }
+
+# startPlatform: serves the packed values of $WORK/values and the VM list $WORK/vms.json, empty at first. Needs BUILD.
+startPlatform() {
+    echo '{"vms":[]}' >"$WORK/vms.json"
+    start config "$BUILD/tests/standins/standin" config --dir "$WORK/values"
+    CONFIG="$(value port)"
+    start vmlist "$BUILD/tests/standins/standin" vmlist --file "$WORK/vms.json"
+    VMLIST="$(value port)"
+}
+
+# startNode NAME ZONE [SETTINGS]: a node on ephemeral ports; SETTINGS are further INI lines; they begin in [callers].
+startNode() {
+    cat >"$WORK/$1.ini" <<INI
+[node]
+id = $1
+zone = $2
+[operator]
+port = 0
+[platform]
+config_url = http://127.0.0.1:$CONFIG
+vm_list_url = http://127.0.0.1:$VMLIST/vms
+[fleet]
+secret = only-for-examples-0123
+[callers]
+port = 0
+${3:-}
+INI
+    start "$1" "$BUILD/main/apricotstep" node --settings "$WORK/$1.ini"
+}
+
+# vmEntry NAME ZONE: the VM list's record of the node that started last.
+vmEntry() {
+    echo "{\"id\":\"$1\",\"role\":\"entry\",\"zone\":\"$2\",\"caller_address\":\"127.0.0.1:$(value callers)\",\"rpc_address\":\"127.0.0.1:$(value rpc)\",\"membership_address\":\"127.0.0.1:$(value membership)\"}"
+}
--- a/tests/operators/burn.sh
+++ b/tests/operators/burn.sh
@@ -28,35 +28,14 @@
 upstreams = lookups1
 CATALOG
 "$BUILD/main/apricotstep" pack --in "$WORK/catalog.ini" --out "$WORK/values" >/dev/null
-echo '{"vms":[]}' >"$WORK/vms.json"
-start config "$BUILD/tests/standins/standin" config --dir "$WORK/values"
-CONFIG="$(value port)"
-start vmlist "$BUILD/tests/standins/standin" vmlist --file "$WORK/vms.json"
-VMLIST="$(value port)"
+startPlatform
 VMS=""
 CALLERS=()
 for i in 1 2; do
-    cat >"$WORK/node$i.ini" <<INI
-[node]
-id = node$i
-zone = zone$i
-[callers]
-port = 0
-[operator]
-port = 0
-[platform]
-config_url = http://127.0.0.1:$CONFIG
-vm_list_url = http://127.0.0.1:$VMLIST/vms
-[fleet]
-secret = only-for-this-test-0123
-[objectives]
-service_target = 9900
-INI
-    start "node$i" "$BUILD/main/apricotstep" node --settings "$WORK/node$i.ini"
+    startNode "node$i" "zone$i" $'[objectives]\nservice_target = 9900'
     CALLERS+=("127.0.0.1:$(value callers)")
     OPERATORS="127.0.0.1:$(value operators)"
-    VMS+="${VMS:+,}{\"id\":\"node$i\",\"role\":\"entry\",\"zone\":\"zone$i\",\"caller_address\":\"${CALLERS[-1]}\","
-    VMS+="\"rpc_address\":\"127.0.0.1:$(value rpc)\",\"membership_address\":\"127.0.0.1:$(value membership)\"}"
+    VMS+="${VMS:+,}$(vmEntry "node$i" "zone$i")"
 done
 echo "{\"vms\":[$VMS]}" >"$WORK/vms.json"
 for _ in $(seq 200); do
--- a/tests/scenarios/runner/callers.cpp
+++ b/tests/scenarios/runner/callers.cpp
@@ -95,11 +95,6 @@
     return parts;
 }
 
-double secondsOf(const std::string &text)
-{
-    return text.ends_with("ms") ? std::stod(text) / 1000 : std::stod(text);
-}
-
 } // namespace
 
 struct Callers::Private
--- a/tests/scenarios/runner/main.cpp
+++ b/tests/scenarios/runner/main.cpp
@@ -31,11 +31,6 @@
     std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
 }
 
-double secondsOf(const std::string &text)
-{
-    return text.ends_with("ms") ? std::stod(text) / 1000 : std::stod(text);
-}
-
 std::string outcomeWord(Outcome outcome)
 {
     switch (outcome) {
--- a/tests/scenarios/runner/world.cpp
+++ b/tests/scenarios/runner/world.cpp
@@ -91,6 +91,11 @@
     return at == options.end() ? fallback : at->second;
 }
 
+double secondsOf(const std::string &text)
+{
+    return text.ends_with("ms") ? std::stod(text) / 1000 : std::stod(text);
+}
+
 struct World::Private
 {
     std::string build;
--- a/tests/scenarios/runner/world.h
+++ b/tests/scenarios/runner/world.h
@@ -17,6 +17,9 @@
 
 std::string optionOr(const Options &options, const std::string &key, const std::string &fallback);
 
+/** A span as a script writes it, in seconds or with "ms" in milliseconds. */
+double secondsOf(const std::string &text);
+
 /**
  * The processes of one scenario, and the proxies between them. Upstreams and the platform are reached through TCP proxies; nodes reach each
  * other through proxies on IP numbers of their own. Thread-safe where callers need it (nodeAddresses).
