Say when to come back where the answer is made

Cause: three places filled in the same wait of one second before they called respondError(), and two minted a key for the same refusal. Change: respondError() fills it in for each kind that advises a delay; admit() calls refuseKey(). Answers are as they were. Conclusion: a new refusal cannot forget the advice.

--- a/main/callerfrontend.cpp
+++ b/main/callerfrontend.cpp
@@ -101,9 +101,6 @@
     details.detail = error.detail;
     details.requestId = id;
     details.address = address;
-    if (errorAnswer(error.kind).retry == RetryAdvice::AfterDelay) {
-        details.retryAfter = Duration::seconds(1);
-    }
     const std::string_view word = errorAnswer(error.kind).word;
     if (const auto leftOut = logLimit.take(std::string(word), parts.clock.now())) {
         log->info("[{}] outcome={} detail='{}'{}", id, word, error.detail,
--- a/main/enginerunner.cpp
+++ b/main/enginerunner.cpp
@@ -24,6 +24,8 @@
 {
 
 constexpr int OkStatus = 200;
+// Where nothing better is known; long enough for a load or a change of owner to begin.
+constexpr Duration DefaultRetryAfter = Duration::seconds(1);
 constexpr std::size_t MaxOrderAnswerBytes = 4096;
 // A batch below a quarter wastes the engine even when it is slow. Times to the first token swing with the length of prompts, so twice the
 // usual one is still no trouble.
@@ -58,11 +60,16 @@
 
 void respondError(HttpExchange &exchange, ErrorKind kind, const ErrorDetails &details)
 {
+    ErrorDetails told = details;
+    // Advised to wait without being told how long, a caller would come back at once.
+    if (told.retryAfter == Duration(0) && errorAnswer(kind).retry == RetryAdvice::AfterDelay) {
+        told.retryAfter = DefaultRetryAfter;
+    }
     HttpHeaders headers { { "Content-Type", "application/json" } };
-    if (details.retryAfter > Duration(0)) {
-        headers.emplace_back("Retry-After", std::to_string((details.retryAfter.milliseconds() + 999) / 1000));
+    if (told.retryAfter > Duration(0)) {
+        headers.emplace_back("Retry-After", std::to_string((told.retryAfter.milliseconds() + 999) / 1000));
     }
-    exchange.respond(errorAnswer(kind).httpStatus, headers, errorBody(kind, details));
+    exchange.respond(errorAnswer(kind).httpStatus, headers, errorBody(kind, told));
 }
 
 struct EngineRunner::Private : std::enable_shared_from_this<Private>
@@ -511,9 +518,6 @@
     details.detail = detail;
     details.retryAfter = retryAfter;
     details.requestId = job->what.requestId;
-    if (details.retryAfter == Duration(0) && errorAnswer(kind).retry == RetryAdvice::AfterDelay) {
-        details.retryAfter = Duration::seconds(1);
-    }
     parts.metrics.completionFailed(work.priority, kind);
     log->info("[{}] caller={} adapter={} upstream={} outcome={} detail='{}' attempts={} ms={}", job->what.requestId, work.caller.value(),
         work.adapter.name(), spec.id.value(), errorAnswer(kind).word, detail, job->what.attempts + 1,
--- a/main/enginerunner.h
+++ b/main/enginerunner.h
@@ -62,7 +62,10 @@
     std::shared_ptr<Private> d;
 };
 
-/** Answers with the row of the error table for @p kind, as a whole JSON body. */
+/**
+ * Answers with the row of the error table for @p kind, as a whole JSON body. A kind that advises to come back later says when, in one
+ * second unless @p details knows better.
+ */
 void respondError(HttpExchange &exchange, ErrorKind kind, const struct ErrorDetails &details);
 
 } // namespace ApricotStep
--- a/main/servicerunner.cpp
+++ b/main/servicerunner.cpp
@@ -87,9 +87,6 @@
     ErrorDetails details;
     details.requestId = requestId;
     details.detail = detail;
-    if (errorAnswer(kind).retry == RetryAdvice::AfterDelay) {
-        details.retryAfter = Duration::seconds(1);
-    }
     respondError(exchange, kind, details);
 }
 
@@ -155,10 +152,7 @@
         if (isCheckedThere) {
             return canStart(running);
         }
-        ErrorDetails details;
-        details.requestId = job.requestId;
-        details.key = oneTime.mintKey();
-        respondError(*job.exchange, ErrorKind::KeyRequired, details);
+        refuseKey(job, ErrorKind::KeyRequired);
         return false;
     }
     running->key = key.value();
