--- /dev/null
+++ b/coordination/adapterplan.cpp
@@ -0,0 +1,559 @@
+#include "coordination/adapterplan.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+enum class CopyState {
+    /** An order to load it is to be given, or its answer is awaited. */
+    Ordered,
+    Loading,
+    Ready,
+    /** An order to drop it is on its way. */
+    Dropping,
+};
+
+struct Copy
+{
+    AdapterVersion version;
+    CopyState state = CopyState::Ready;
+    /** The present state's begin. */
+    Time since;
+    /** When the engine is asked (again) whether the load is done. */
+    Time askAt = Time::never();
+    Time usedAt;
+    /** An order about it is on its way. */
+    bool isAsked = false;
+};
+
+struct Engine
+{
+    PlannedEngine planned;
+    UpstreamRecord record;
+    std::map<AdapterRef, Copy> copies;
+    /** Base models on their way, since when. */
+    std::map<BaseModelId, Time> loadingModels;
+    std::vector<BaseModelId> models;
+    Time reportAskedAt;
+    std::uint64_t sequence = 0;
+    bool isChanged = true;
+};
+
+struct Popularity
+{
+    double value = 0;
+    Time at;
+};
+
+struct NodeUses
+{
+    std::vector<AdapterUse> uses;
+    Time heardAt;
+};
+
+// What a node said counts for this long: six messages missed.
+constexpr Duration UseMemory { 1500 };
+
+} // namespace
+
+struct AdapterPlan::Private
+{
+    AdapterPlanLimits limits;
+    FencingToken fence;
+    std::map<UpstreamId, Engine> engines;
+    std::map<AdapterRef, AdapterVersion> versions;
+    std::map<AdapterRef, Popularity> popularity;
+    absl::flat_hash_map<NodeId, NodeUses> nodes;
+
+    double popularityOf(const AdapterRef &adapter, Time now) const;
+    void addPopularity(const AdapterRef &adapter, double count, Time now);
+    bool isUsed(const UpstreamId &engine, const AdapterRef &adapter, Time now) const;
+    int loadsUnderWay() const;
+    static int loadsUnderWay(const Engine &engine);
+    static bool holdsModel(const Engine &engine, const BaseModelId &model);
+    AdapterVersion newestVersion(const AdapterRef &adapter) const;
+
+    std::optional<AdapterRef> victim(const UpstreamId &id, const Engine &engine, Time now) const;
+    std::optional<double> costOfPlace(const UpstreamId &id, const Engine &engine, const AdapterRef &adapter, Time now) const;
+    double waitAt(const Engine &engine) const;
+    void place(const AdapterRef &adapter, bool isCrowded, Time now, std::vector<PlanAction> &actions);
+    void beginLoad(const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions);
+    void verify(const AdapterRef &adapter, Time now);
+    void serveWants(Time now, std::vector<PlanAction> &actions);
+    void askAgain(Time now, std::vector<PlanAction> &actions);
+    void replaceOld(Time now);
+    void loadModels(Time now, std::vector<PlanAction> &actions);
+    void askReports(Time now, std::vector<PlanAction> &actions);
+    void announce(std::vector<PlanAction> &actions);
+    EngineOrder loadOrder(const UpstreamId &id, const AdapterRef &adapter) const;
+};
+
+double AdapterPlan::Private::popularityOf(const AdapterRef &adapter, Time now) const
+{
+    const auto at = popularity.find(adapter);
+    if (at == popularity.end()) {
+        return 0;
+    }
+    return at->second.value * std::exp2(-(now - at->second.at).toSeconds() / limits.popularityHalfLife.toSeconds());
+}
+
+void AdapterPlan::Private::addPopularity(const AdapterRef &adapter, double count, Time now)
+{
+    popularity[adapter] = Popularity { popularityOf(adapter, now) + count, now };
+}
+
+bool AdapterPlan::Private::isUsed(const UpstreamId &engine, const AdapterRef &adapter, Time now) const
+{
+    for (const auto &[node, known] : nodes) {
+        if (now - known.heardAt > UseMemory) {
+            continue;
+        }
+        for (const AdapterUse &use : known.uses) {
+            if (use.engine == engine && use.adapter == adapter.adapter && use.model == adapter.model) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+int AdapterPlan::Private::loadsUnderWay(const Engine &engine)
+{
+    return static_cast<int>(std::count_if(engine.copies.begin(), engine.copies.end(),
+        [](const auto &entry) { return entry.second.state == CopyState::Ordered || entry.second.state == CopyState::Loading; }));
+}
+
+int AdapterPlan::Private::loadsUnderWay() const
+{
+    int sum = 0;
+    for (const auto &[id, engine] : engines) {
+        sum += loadsUnderWay(engine);
+    }
+    return sum;
+}
+
+bool AdapterPlan::Private::holdsModel(const Engine &engine, const BaseModelId &model)
+{
+    return std::find(engine.models.begin(), engine.models.end(), model) != engine.models.end();
+}
+
+AdapterVersion AdapterPlan::Private::newestVersion(const AdapterRef &adapter) const
+{
+    const auto at = versions.find(adapter);
+    return at == versions.end() ? AdapterVersion() : at->second;
+}
+
+double AdapterPlan::Private::waitAt(const Engine &engine) const
+{
+    return engine.planned.pendingTokens / limits.promptTokensPerMs + engine.planned.running * limits.runningCostMs;
+}
+
+std::optional<AdapterRef> AdapterPlan::Private::victim(const UpstreamId &id, const Engine &engine, Time now) const
+{
+    std::optional<AdapterRef> least;
+    double leastValue = std::numeric_limits<double>::max();
+    for (const auto &[adapter, copy] : engine.copies) {
+        if (copy.state != CopyState::Ready || now - copy.since < limits.minimumStay || isUsed(id, adapter, now)) {
+            continue;
+        }
+        const double value = popularityOf(adapter, now);
+        if (value < leastValue) {
+            least = adapter;
+            leastValue = value;
+        }
+    }
+    return least;
+}
+
+// Empty when the engine cannot take it now.
+std::optional<double> AdapterPlan::Private::costOfPlace(
+    const UpstreamId &id, const Engine &engine, const AdapterRef &adapter, Time now) const
+{
+    const bool isBarred = engine.planned.spec == nullptr || engine.planned.share <= 0 || engine.copies.contains(adapter);
+    if (isBarred || !holdsModel(engine, adapter.model) || loadsUnderWay(engine) >= limits.loadsAtOnceOfEngine) {
+        return std::nullopt;
+    }
+    double cost = waitAt(engine) / std::max(engine.planned.share, 0.1);
+    if (static_cast<int>(engine.copies.size()) < engine.planned.spec->adapterSlots) {
+        // Free places are filled evenly: an engine with few copies gets few requests.
+        return cost + limits.evictionCostMs * static_cast<double>(engine.copies.size()) / std::max(engine.planned.spec->adapterSlots, 1);
+    }
+    const auto least = victim(id, engine, now);
+    if (!least) {
+        return std::nullopt;
+    }
+    return cost + limits.evictionCostMs * (1 + popularityOf(*least, now));
+}
+
+EngineOrder AdapterPlan::Private::loadOrder(const UpstreamId &id, const AdapterRef &adapter) const
+{
+    return EngineOrder { EngineOrder::Kind::Load, adapter.model, adapter.adapter, newestVersion(adapter), id };
+}
+
+void AdapterPlan::Private::beginLoad(
+    const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions)
+{
+    engine.copies[adapter] = Copy { newestVersion(adapter), CopyState::Ordered, now, Time::never(), now, true };
+    engine.isChanged = true;
+    actions.emplace_back(GiveOrder { loadOrder(id, adapter) });
+}
+
+void AdapterPlan::Private::place(const AdapterRef &adapter, bool isCrowded, Time now, std::vector<PlanAction> &actions)
+{
+    if (loadsUnderWay() >= limits.loadsAtOnce) {
+        return;
+    }
+    Engine *best = nullptr;
+    UpstreamId bestId;
+    double bestCost = std::numeric_limits<double>::max();
+    double presentWait = std::numeric_limits<double>::max();
+    for (auto &[id, engine] : engines) {
+        if (engine.copies.contains(adapter)) {
+            presentWait = std::min(presentWait, waitAt(engine));
+        }
+        const auto cost = costOfPlace(id, engine, adapter, now);
+        if (cost && *cost < bestCost) {
+            best = &engine;
+            bestId = id;
+            bestCost = *cost;
+        }
+    }
+    if (best == nullptr || (isCrowded && bestCost + limits.crowdedGainMs > presentWait)) {
+        return;
+    }
+    if (static_cast<int>(best->copies.size()) < best->planned.spec->adapterSlots) {
+        beginLoad(bestId, *best, adapter, now, actions);
+        return;
+    }
+    // The place is free once the engine says so; the want is still there then.
+    const AdapterRef least = *victim(bestId, *best, now);
+    Copy &copy = best->copies[least];
+    copy.state = CopyState::Dropping;
+    copy.since = now;
+    copy.isAsked = true;
+    best->isChanged = true;
+    actions.emplace_back(GiveOrder { EngineOrder { EngineOrder::Kind::Unload, least.model, least.adapter, {}, bestId } });
+}
+
+// Some node wants an adapter that should be in place: it does not know yet, or the engine lost it. The engine is asked.
+void AdapterPlan::Private::verify(const AdapterRef &adapter, Time now)
+{
+    for (auto &[id, engine] : engines) {
+        const auto at = engine.copies.find(adapter);
+        if (at != engine.copies.end() && at->second.state == CopyState::Ready && now - at->second.since > limits.askAgain) {
+            at->second.state = CopyState::Loading;
+            at->second.since = now;
+            at->second.askAt = now;
+            engine.isChanged = true;
+        }
+    }
+}
+
+void AdapterPlan::Private::serveWants(Time now, std::vector<PlanAction> &actions)
+{
+    std::map<AdapterRef, bool> wants;
+    for (const auto &[node, known] : nodes) {
+        if (now - known.heardAt > UseMemory) {
+            continue;
+        }
+        for (const AdapterUse &use : known.uses) {
+            if (use.engine.isEmpty()) {
+                const AdapterRef adapter { use.model, use.adapter };
+                const auto [at, isNew] = wants.emplace(adapter, use.isCrowded);
+                at->second = at->second && use.isCrowded;
+            }
+        }
+    }
+    for (const auto &[adapter, isCrowded] : wants) {
+        bool isUnderWay = false;
+        bool isReady = false;
+        for (const auto &[id, engine] : engines) {
+            const auto at = engine.copies.find(adapter);
+            if (at != engine.copies.end()) {
+                isUnderWay = isUnderWay || at->second.state == CopyState::Ordered || at->second.state == CopyState::Loading;
+                isReady = isReady || at->second.state == CopyState::Ready;
+            }
+        }
+        if (isUnderWay) {
+            continue;
+        }
+        if (isReady && !isCrowded) {
+            verify(adapter, now);
+        } else {
+            place(adapter, isReady, now, actions);
+        }
+    }
+}
+
+void AdapterPlan::Private::askAgain(Time now, std::vector<PlanAction> &actions)
+{
+    for (auto &[id, engine] : engines) {
+        for (auto at = engine.copies.begin(); at != engine.copies.end();) {
+            Copy &copy = at->second;
+            if (copy.state == CopyState::Loading && now - copy.since > limits.loadTimeout) {
+                engine.isChanged = true;
+                at = engine.copies.erase(at);
+                continue;
+            }
+            if (copy.state == CopyState::Loading && !copy.isAsked && now >= copy.askAt) {
+                copy.isAsked = true;
+                actions.emplace_back(GiveOrder { loadOrder(id, at->first) });
+            }
+            ++at;
+        }
+    }
+}
+
+// Copies of an older version are loaded anew in place; the engine waits for their runs.
+void AdapterPlan::Private::replaceOld(Time now)
+{
+    for (auto &[id, engine] : engines) {
+        for (auto &[adapter, copy] : engine.copies) {
+            const AdapterVersion newest = newestVersion(adapter);
+            if (copy.state == CopyState::Ready && !newest.isEmpty() && copy.version != newest) {
+                copy.state = CopyState::Loading;
+                copy.since = now;
+                copy.askAt = now;
+                engine.isChanged = true;
+            }
+        }
+    }
+}
+
+void AdapterPlan::Private::loadModels(Time now, std::vector<PlanAction> &actions)
+{
+    int underWay = 0;
+    for (auto &[id, engine] : engines) {
+        underWay += static_cast<int>(engine.loadingModels.size());
+    }
+    for (auto &[id, engine] : engines) {
+        if (engine.planned.spec == nullptr || !engine.models.empty() || !engine.loadingModels.empty()) {
+            continue;
+        }
+        if (underWay >= limits.modelLoadsAtOnce || engine.planned.spec->models.empty()) {
+            continue;
+        }
+        const BaseModelId &model = engine.planned.spec->models.front().id;
+        engine.loadingModels.emplace(model, now);
+        ++underWay;
+        actions.emplace_back(GiveOrder { EngineOrder { EngineOrder::Kind::Load, model, {}, {}, id } });
+    }
+}
+
+void AdapterPlan::Private::askReports(Time now, std::vector<PlanAction> &actions)
+{
+    for (auto &[id, engine] : engines) {
+        const Duration interval = engine.loadingModels.empty() ? limits.reportInterval : limits.reportInterval - limits.reportLag;
+        if (engine.planned.spec != nullptr && now - engine.reportAskedAt >= interval) {
+            engine.reportAskedAt = now;
+            actions.emplace_back(AskEngineReport { id });
+        }
+    }
+}
+
+void AdapterPlan::Private::announce(std::vector<PlanAction> &actions)
+{
+    for (auto &[id, engine] : engines) {
+        if (!engine.isChanged || engine.planned.spec == nullptr) {
+            continue;
+        }
+        engine.isChanged = false;
+        EngineRow row { id, engine.record.startedAt, fence, ++engine.sequence, {} };
+        for (const auto &[adapter, copy] : engine.copies) {
+            if (copy.state != CopyState::Dropping) {
+                row.copies.push_back(AdapterCopy { adapter.model, adapter.adapter, copy.version, copy.state == CopyState::Ready });
+            }
+        }
+        actions.emplace_back(AnnounceRow { std::move(row) });
+    }
+}
+
+AdapterPlan::AdapterPlan(AdapterPlanLimits limits, FencingToken fence)
+    : d(std::make_unique<Private>())
+{
+    d->limits = limits;
+    d->fence = fence;
+}
+
+AdapterPlan::~AdapterPlan() = default;
+
+void AdapterPlan::setEngines(const std::vector<PlannedEngine> &engines, const EngineRows &rows, Time now)
+{
+    std::map<UpstreamId, const PlannedEngine *> present;
+    for (const PlannedEngine &planned : engines) {
+        present[planned.record->id] = &planned;
+    }
+    std::erase_if(d->engines, [&present](const auto &entry) { return !present.contains(entry.first); });
+    for (const auto &[id, planned] : present) {
+        Engine &engine = d->engines[id];
+        const bool isNew = engine.record.id.isEmpty() || engine.record.startedAt != planned->record->startedAt;
+        if (isNew) {
+            engine = Engine {};
+            engine.reportAskedAt = now - d->limits.reportInterval;
+        }
+        engine.planned = *planned;
+        if (isNew) {
+            for (const HeldModel &held : planned->record->models) {
+                engine.models.push_back(held.id);
+                for (const AdapterKey &key : held.adapters) {
+                    engine.copies[AdapterRef { held.id, key.id }] = Copy { key.version, CopyState::Ready, now, Time::never(), now, false };
+                }
+            }
+            if (const EngineRow *row = rows.row(*planned->record)) {
+                for (const AdapterCopy &copy : row->copies) {
+                    // A load under way is asked about at once; the engine knows.
+                    const CopyState state = copy.isReady ? CopyState::Ready : CopyState::Loading;
+                    engine.copies[AdapterRef { copy.model, copy.adapter }] = Copy { copy.version, state, now, now, now, false };
+                }
+            }
+        }
+        engine.record = *planned->record;
+        engine.planned.record = &engine.record;
+    }
+}
+
+void AdapterPlan::setVersion(const AdapterRef &adapter, const AdapterVersion &version)
+{
+    d->versions[adapter] = version;
+}
+
+void AdapterPlan::onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now)
+{
+    d->nodes[node] = NodeUses { uses, now };
+    for (const AdapterUse &use : uses) {
+        if (use.count > 0) {
+            d->addPopularity(AdapterRef { use.model, use.adapter }, use.count, now);
+        }
+    }
+}
+
+void AdapterPlan::onOrderAnswer(const EngineOrder &order, OrderAnswer answer, Time now)
+{
+    const auto at = d->engines.find(order.engine);
+    if (at == d->engines.end()) {
+        return;
+    }
+    Engine &engine = at->second;
+    if (order.adapter.isEmpty()) {
+        if (answer != OrderAnswer::Accepted && answer != OrderAnswer::Busy) {
+            engine.loadingModels.erase(order.model);
+        }
+        if (answer == OrderAnswer::Done && !Private::holdsModel(engine, order.model)) {
+            engine.models.push_back(order.model);
+        }
+        return;
+    }
+    const AdapterRef adapter { order.model, order.adapter };
+    const auto found = engine.copies.find(adapter);
+    if (found == engine.copies.end()) {
+        return;
+    }
+    Copy &copy = found->second;
+    copy.isAsked = false;
+    engine.isChanged = true;
+    if (order.kind == EngineOrder::Kind::Unload) {
+        if (answer == OrderAnswer::Done || answer == OrderAnswer::Accepted) {
+            engine.copies.erase(found);
+        } else {
+            // In use after all, or nobody knows: it counts as there, and as just used.
+            copy.state = CopyState::Ready;
+            copy.since = now;
+        }
+        return;
+    }
+    switch (answer) {
+    case OrderAnswer::Done:
+        copy.state = CopyState::Ready;
+        copy.since = now;
+        copy.version = order.version.isEmpty() ? copy.version : order.version;
+        break;
+    case OrderAnswer::Accepted:
+        if (copy.state == CopyState::Ordered) {
+            copy.state = CopyState::Loading;
+            copy.since = now;
+            copy.askAt = now + d->limits.warmLoad;
+        } else {
+            copy.askAt = std::max(now + d->limits.askAgain, copy.since + d->limits.coldLoad);
+        }
+        break;
+    case OrderAnswer::Busy:
+    case OrderAnswer::Unknown:
+        if (copy.state == CopyState::Ordered) {
+            copy.state = CopyState::Loading;
+            copy.since = now;
+        }
+        copy.askAt = std::max(now + d->limits.askAgain, copy.since + d->limits.coldLoad);
+        break;
+    case OrderAnswer::Fenced:
+    case OrderAnswer::WrongEngine:
+    case OrderAnswer::Refused:
+        engine.copies.erase(found);
+        break;
+    }
+}
+
+void AdapterPlan::onReport(const UpstreamId &id, const EngineReport &report, Time now)
+{
+    const auto at = d->engines.find(id);
+    if (at == d->engines.end()) {
+        return;
+    }
+    Engine &engine = at->second;
+    engine.models.clear();
+    std::map<AdapterRef, AdapterVersion> held;
+    for (const HeldModel &model : report.models) {
+        engine.models.push_back(model.id);
+        engine.loadingModels.erase(model.id);
+        for (const AdapterKey &key : model.adapters) {
+            held[AdapterRef { model.id, key.id }] = key.version;
+        }
+    }
+    std::erase_if(engine.loadingModels,
+        [this, now, &report](const auto &entry) { return !report.isBusy && now - entry.second > d->limits.loadTimeout; });
+    for (const auto &[adapter, version] : held) {
+        const auto known = engine.copies.find(adapter);
+        if (known == engine.copies.end()) {
+            // Not ours to know: a former holder's order. It takes a place all the same.
+            engine.copies[adapter] = Copy { version, CopyState::Ready, now, Time::never(), now, false };
+            engine.isChanged = true;
+        } else if (known->second.version.isEmpty()) {
+            known->second.version = version;
+            engine.isChanged = true;
+        }
+    }
+    for (auto copy = engine.copies.begin(); copy != engine.copies.end();) {
+        const bool isOld = now - copy->second.since > d->limits.reportLag;
+        if (copy->second.state == CopyState::Ready && isOld && !held.contains(copy->first)) {
+            engine.isChanged = true;
+            copy = engine.copies.erase(copy);
+        } else {
+            ++copy;
+        }
+    }
+}
+
+std::vector<PlanAction> AdapterPlan::decide(Time now)
+{
+    std::vector<PlanAction> actions;
+    d->replaceOld(now);
+    d->loadModels(now, actions);
+    d->serveWants(now, actions);
+    d->askAgain(now, actions);
+    d->askReports(now, actions);
+    d->announce(actions);
+    return actions;
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/adapterplan.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "coordination/engineorder.h"
+#include "coordination/enginerows.h"
+#include "coordination/fleetmessage.h"
+#include "core/clock.h"
+#include "core/strongid.h"
+#include "state/routetable.h"
+#include "state/upstreamrecord.h"
+
+#include <memory>
+#include <vector>
+
+namespace ApricotStep
+{
+
+// Load pattern: thousands of adapters with skewed popularity, eight places an engine, and at every second a third of the requests ask for
+// one that stands nowhere.
+// Without one plan for all engines: two nodes load the same adapter at two engines and evict two others for it; an engine that is ordered
+// beyond its places crashes; and more than the few loads at once that the weight store bears makes all of them slow. One would notice more
+// loads than requests for adapters that stand nowhere.
+// Grounds for the figures: the store keeps its full speed up to eight adapters on their way, an engine takes four; a copy is asked about
+// again when a warm load (a tenth of a cold one) and when a cold one (a quarter second) can be done. Popularity halves in twenty seconds,
+// some three hundred requests of an engine's: long against the pause between two requests of an adapter worth keeping, short against a
+// shift of demand. A fresh copy is not evicted before the requests that it was loaded for have had the time to arrive.
+
+struct AdapterPlanLimits
+{
+    /** Adapters on their way from the store, over all engines. */
+    int loadsAtOnce = 8;
+    /** Adapters on their way to one engine. */
+    int loadsAtOnceOfEngine = 4;
+    /** After the order: when a warm load is done, when a cold one is, and between later questions. */
+    Duration warmLoad { 30 };
+    Duration coldLoad { 255 };
+    Duration askAgain { 50 };
+    /** A load that is not done after this has failed. */
+    Duration loadTimeout { 4000 };
+    Duration popularityHalfLife = Duration::seconds(20);
+    /** A copy stays at least so long. */
+    Duration minimumStay { 500 };
+    /** An engine is asked for its report this often. */
+    Duration reportInterval { 1000 };
+    /** A report says nothing of orders younger than this: engines report late. */
+    Duration reportLag { 600 };
+    /** Base models on their way at once: each gets the full speed of the store. */
+    int modelLoadsAtOnce = 2;
+    /** Tokens of prompts that an engine reads in a millisecond, to compare work that waits with work that runs. */
+    double promptTokensPerMs = 38;
+    /** What one running request adds to another's wait, ms: its part of a batch step. */
+    double runningCostMs = 4;
+    /** What a unit of evicted popularity costs, ms: the load that follows, by the chance that one follows. */
+    double evictionCostMs = 25;
+    /** What a second copy of an adapter must save of a first token's wait. */
+    double crowdedGainMs = 150;
+};
+
+/** Give this order; the answer goes to onOrderAnswer(). */
+struct GiveOrder
+{
+    EngineOrder order;
+};
+/** Ask this engine for a report; it goes to onReport(). */
+struct AskEngineReport
+{
+    UpstreamId engine;
+};
+/** Tell all nodes. */
+struct AnnounceRow
+{
+    EngineRow row;
+};
+using PlanAction = std::variant<GiveOrder, AskEngineReport, AnnounceRow>;
+
+/** An engine as the plan sees it. */
+struct PlannedEngine
+{
+    const UpstreamRecord *record = nullptr;
+    const EngineSpec *spec = nullptr;
+    double running = 0;
+    double pendingTokens = 0;
+    /** 0 when the engine fails, 1 when it is well. */
+    double share = 1;
+};
+
+/** Decides which engine holds which adapters. Runs only at the node that may give orders. Not thread-safe. */
+class AdapterPlan
+{
+public:
+    /** @p fence: the token under which rows are announced. @p rows: what former holders left, to go on from. */
+    AdapterPlan(AdapterPlanLimits limits, FencingToken fence);
+    ~AdapterPlan();
+
+    /** The engines that there are now. @p rows tells what stands at those that are new to this plan. */
+    void setEngines(const std::vector<PlannedEngine> &engines, const EngineRows &rows, Time now);
+    /** @p version of @p adapter is the newest. */
+    void setVersion(const AdapterRef &adapter, const AdapterVersion &version);
+    /** What @p node runs and waits for; replaces what it said before. */
+    void onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now);
+    void onOrderAnswer(const EngineOrder &order, OrderAnswer answer, Time now);
+    void onReport(const UpstreamId &engine, const EngineReport &report, Time now);
+    /** What to do now; call it after each event and every few ten milliseconds. */
+    std::vector<PlanAction> decide(Time now);
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/enginerows.cpp
@@ -0,0 +1,59 @@
+#include "coordination/enginerows.h"
+
+#include <utility>
+
+namespace ApricotStep
+{
+
+bool EngineRows::put(const EngineRow &row)
+{
+    const auto at = m_rows.find(row.engine);
+    if (at != m_rows.end() && std::pair(at->second.fence, at->second.sequence) >= std::pair(row.fence, row.sequence)) {
+        return false;
+    }
+    m_rows[row.engine] = row;
+    absl::erase_if(m_missing, [&row](const auto &entry) { return entry.first.first == row.engine; });
+    return true;
+}
+
+void EngineRows::markMissing(const UpstreamId &engine, const AdapterRef &adapter)
+{
+    m_missing[std::pair(engine, adapter)] = true;
+}
+
+void EngineRows::forget(const UpstreamId &engine)
+{
+    m_rows.erase(engine);
+    absl::erase_if(m_missing, [&engine](const auto &entry) { return entry.first.first == engine; });
+}
+
+const EngineRow *EngineRows::row(const UpstreamRecord &record) const
+{
+    const auto at = m_rows.find(record.id);
+    return at != m_rows.end() && at->second.startedAt == record.startedAt ? &at->second : nullptr;
+}
+
+std::optional<AdapterCopy> EngineRows::copy(const UpstreamRecord &record, const AdapterRef &adapter) const
+{
+    if (m_missing.contains(std::pair(record.id, adapter))) {
+        return std::nullopt;
+    }
+    if (const EngineRow *known = row(record)) {
+        for (const AdapterCopy &copy : known->copies) {
+            if (copy.model == adapter.model && copy.adapter == adapter.adapter) {
+                return copy;
+            }
+        }
+        return std::nullopt;
+    }
+    for (const HeldModel &held : record.models) {
+        for (const AdapterKey &key : held.adapters) {
+            if (held.id == adapter.model && key.id == adapter.adapter) {
+                return AdapterCopy { adapter.model, adapter.adapter, key.version, true };
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/fleetmessage.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/strongid.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ApricotStep
+{
+
+/** What one node has running at one upstream. */
+struct UpstreamLoad
+{
+    UpstreamId upstream;
+    /** Requests sent and not ended. */
+    std::uint32_t running = 0;
+    /** Prompt tokens of those that have not answered yet. */
+    std::uint32_t pendingTokens = 0;
+
+    bool operator==(const UpstreamLoad &) const = default;
+};
+
+/** An adapter that requests run on or wait for, at one engine or at none yet. */
+struct AdapterUse
+{
+    BaseModelId model;
+    AdapterId adapter;
+    /** Where; empty for a request that has no place yet. */
+    UpstreamId engine;
+    /** Requests that started or arrived since the last message. */
+    std::uint32_t count = 0;
+    /** The copies that there are would make requests wait too long. */
+    bool isCrowded = false;
+
+    bool operator==(const AdapterUse &) const = default;
+};
+
+/** Where one copy of an adapter stands. */
+struct AdapterCopy
+{
+    BaseModelId model;
+    AdapterId adapter;
+    /** Empty when not known. */
+    AdapterVersion version;
+    /** In place; else on its way. */
+    bool isReady = false;
+
+    bool operator==(const AdapterCopy &) const = default;
+};
+
+/** The adapters of one engine, as its holder knows them. A later row replaces an earlier one. */
+struct EngineRow
+{
+    UpstreamId engine;
+    /** The start of the engine that this speaks of. */
+    std::int64_t startedAt = 0;
+    /** The holder's fencing token, then its count of rows: the greater pair is the later. */
+    FencingToken fence;
+    std::uint64_t sequence = 0;
+    std::vector<AdapterCopy> copies;
+
+    bool operator==(const EngineRow &) const = default;
+};
+
+/** A node asks all others to let it alone give orders to engines for a while. */
+struct LeaseClaim
+{
+    FencingToken fence;
+    /** The claimant's clock when it sent this; comes back in the grant. */
+    Time sentAt;
+};
+
+/** A node's promise to let no other node give orders for the lease's time. */
+struct LeaseGrant
+{
+    NodeId holder;
+    Incarnation incarnation;
+    Time sentAt;
+};
+
+/** What nodes tell each other, several times a second. */
+struct FleetMessage
+{
+    NodeId sender;
+    Incarnation incarnation;
+    ZoneId zone;
+    /** IP number and port for callers and for other nodes. */
+    std::string callerAddress;
+    std::string peerAddress;
+    bool isReady = false;
+    bool isLeaving = false;
+    ConfigVersion configVersion;
+    /** The greatest fencing token that the sender has heard of. */
+    FencingToken greatestFence;
+    std::optional<LeaseClaim> claim;
+    std::optional<LeaseGrant> grant;
+    /** The sender gives its lease up. */
+    bool isRelease = false;
+    /** Unset in messages that do not speak of load. */
+    std::optional<std::vector<UpstreamLoad>> loads;
+    std::vector<AdapterUse> uses;
+    std::vector<EngineRow> rows;
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/orderlease.cpp
@@ -0,0 +1,248 @@
+#include "coordination/orderlease.h"
+
+#include "core/hash.h"
+
+#include <absl/container/btree_map.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// Low bits of a fencing token, from the holder's id: two nodes that count up to the same number still differ.
+constexpr std::uint64_t NodeBits = 16;
+
+struct Other
+{
+    std::string peerAddress;
+    Time heardAt;
+    bool isLeaving = false;
+    /** It is only an address that we were told of. */
+    bool isSeed = false;
+    /** What it has promised to this node: the claim's time of sending. */
+    std::optional<Time> grantedClaim;
+};
+
+} // namespace
+
+struct OrderLease::Private
+{
+    OrderLeaseLimits limits;
+    NodeId self;
+    Incarnation incarnation;
+    Time startedAt;
+    absl::btree_map<NodeId, Other> others;
+    std::string selfAddress;
+    /** Another node's claim was heard last at. */
+    Time claimHeardAt;
+    NodeId promisedTo;
+    Incarnation promisedIncarnation;
+    Time promisedUntil;
+    FencingToken greatestFence;
+    /** Set while this node claims or holds. */
+    std::optional<FencingToken> fence;
+    /** When the majority first agreed to the present fence; Time::never() before. */
+    Time heldSince = Time::never();
+    bool isReleased = false;
+
+    bool counts(const Other &other, Time now) const
+    {
+        return !other.isLeaving && now - other.heardAt <= limits.memory;
+    }
+    std::vector<std::pair<NodeId, const Other *>> counted(Time now) const
+    {
+        std::vector<std::pair<NodeId, const Other *>> result;
+        for (const auto &[id, other] : others) {
+            if (counts(other, now)) {
+                result.emplace_back(id, &other);
+            }
+        }
+        return result;
+    }
+    NodeId lowestCounted(Time now) const
+    {
+        NodeId lowest = self;
+        for (const auto &[id, other] : counted(now)) {
+            if (!other->isSeed) {
+                lowest = std::min(lowest, id);
+            }
+        }
+        return lowest;
+    }
+    bool isFirstOfLive(Time now) const
+    {
+        return std::none_of(others.begin(), others.end(), [this, now](const auto &entry) {
+            return entry.first < self && !entry.second.isSeed && !entry.second.isLeaving && now - entry.second.heardAt <= limits.liveness;
+        });
+    }
+    bool hasPromisedOther(Time now) const
+    {
+        return now < promisedUntil && promisedTo != self;
+    }
+    /** Until when a majority's promises bind; Time() when there is no majority. */
+    Time heldUntil(Time now) const
+    {
+        if (!fence) {
+            return Time();
+        }
+        const auto members = counted(now);
+        const std::size_t all = members.size() + 1;
+        std::vector<Time> granted { now }; // This node's own voice.
+        bool hasLowest = lowestCounted(now) == self;
+        for (const auto &[id, other] : members) {
+            if (other->grantedClaim && now < *other->grantedClaim + limits.lease - limits.margin) {
+                granted.push_back(*other->grantedClaim);
+                hasLowest = hasLowest || id == lowestCounted(now);
+            }
+        }
+        // An exact half leads when the lowest id is in it: of two halves only one has it.
+        const std::size_t needed = all % 2 == 0 && hasLowest ? all / 2 : all / 2 + 1;
+        if (granted.size() < needed) {
+            return Time();
+        }
+        std::sort(granted.begin(), granted.end(), std::greater<>());
+        return granted[needed - 1] + limits.lease - limits.margin;
+    }
+    bool isStarting(Time now) const
+    {
+        return now - startedAt < limits.lease + limits.margin;
+    }
+    void forgetOld(Time now)
+    {
+        absl::erase_if(others, [this, now](const auto &entry) { return now - entry.second.heardAt > limits.memory; });
+    }
+    void stopClaiming()
+    {
+        fence.reset();
+        heldSince = Time::never();
+        for (auto &[id, other] : others) {
+            other.grantedClaim.reset();
+        }
+    }
+};
+
+OrderLease::OrderLease(OrderLeaseLimits limits, NodeId self, Incarnation incarnation, Time now)
+    : d(std::make_unique<Private>())
+{
+    d->limits = limits;
+    d->self = std::move(self);
+    d->incarnation = incarnation;
+    d->startedAt = now;
+}
+
+OrderLease::~OrderLease() = default;
+
+void OrderLease::addSeed(const std::string &peerAddress, Time now)
+{
+    d->others.emplace(NodeId("seed " + peerAddress), Other { peerAddress, now, false, true, {} });
+}
+
+std::optional<LeaseGrant> OrderLease::onMessage(const FleetMessage &message, Time now)
+{
+    if (message.sender == d->self) {
+        return std::nullopt;
+    }
+    d->others.erase(NodeId("seed " + message.peerAddress));
+    Other &other = d->others[message.sender];
+    other.peerAddress = message.peerAddress;
+    other.heardAt = now;
+    other.isLeaving = message.isLeaving;
+    d->greatestFence = std::max(d->greatestFence, message.greatestFence);
+    if (message.grant && message.grant->holder == d->self && message.grant->incarnation == d->incarnation) {
+        other.grantedClaim = std::max(other.grantedClaim.value_or(Time()), message.grant->sentAt);
+    }
+    if (message.isRelease && d->promisedTo == message.sender) {
+        d->promisedUntil = Time();
+        d->claimHeardAt = Time();
+    }
+    if (!message.claim) {
+        return std::nullopt;
+    }
+    d->claimHeardAt = now;
+    d->greatestFence = std::max(d->greatestFence, message.claim->fence);
+    const bool isRenewal = d->promisedTo == message.sender && d->promisedIncarnation == message.incarnation && now < d->promisedUntil;
+    const bool isFree = now >= d->promisedUntil && !isHolder(now);
+    if (d->isStarting(now) || (!isRenewal && !isFree)) {
+        return std::nullopt;
+    }
+    d->promisedTo = message.sender;
+    d->promisedIncarnation = message.incarnation;
+    d->promisedUntil = now + d->limits.lease;
+    return LeaseGrant { message.sender, message.incarnation, message.claim->sentAt };
+}
+
+std::optional<LeaseClaim> OrderLease::claim(bool isWilling, Time now, Time wall)
+{
+    d->forgetOld(now);
+    const bool isHeld = isHolder(now);
+    if (isHeld && d->heldSince == Time::never()) {
+        d->heldSince = now;
+    }
+    // A lease that was lost for a moment may have been another's meanwhile: what follows is a new one, with its silence.
+    if (!isHeld && d->heldSince != Time::never()) {
+        d->stopClaiming();
+    }
+    const bool isOtherClaiming = now - d->claimHeardAt < d->limits.lease + d->limits.liveness && d->claimHeardAt != Time();
+    const bool mayClaim = isWilling && !d->isReleased && !d->isStarting(now) && !d->hasPromisedOther(now);
+    if (!mayClaim || (!isHeld && (isOtherClaiming || !d->isFirstOfLive(now)))) {
+        if (!isHeld) {
+            d->stopClaiming();
+        }
+        if (!isWilling || !isHeld) {
+            return std::nullopt;
+        }
+    }
+    if (!d->fence) {
+        const std::uint64_t count = std::max<std::uint64_t>(
+            (d->greatestFence.value() >> NodeBits) + 1, static_cast<std::uint64_t>(std::max<std::int64_t>(wall.milliseconds(), 0)));
+        const std::uint64_t low = stableHash(d->self.value()) & ((1ULL << NodeBits) - 1);
+        d->fence = FencingToken((count << NodeBits) | low);
+        d->greatestFence = std::max(d->greatestFence, *d->fence);
+    }
+    // A claimant has promised itself: it must not help another to a majority beside its own.
+    d->promisedTo = d->self;
+    d->promisedIncarnation = d->incarnation;
+    d->promisedUntil = now + d->limits.lease;
+    return LeaseClaim { *d->fence, now };
+}
+
+void OrderLease::release()
+{
+    d->isReleased = true;
+    d->stopClaiming();
+    d->promisedUntil = Time();
+}
+
+std::optional<FencingToken> OrderLease::mayOrder(Time now) const
+{
+    if (!isHolder(now) || d->heldSince == Time::never() || now - d->heldSince <= d->limits.turn + d->limits.margin) {
+        return std::nullopt;
+    }
+    return d->fence;
+}
+
+bool OrderLease::isHolder(Time now) const
+{
+    return d->fence.has_value() && now < d->heldUntil(now);
+}
+
+NodeId OrderLease::holder(Time now) const
+{
+    return now < d->promisedUntil ? d->promisedTo : NodeId();
+}
+
+FencingToken OrderLease::greatestFence() const
+{
+    return d->greatestFence;
+}
+
+int OrderLease::knownCount(Time now) const
+{
+    return static_cast<int>(d->counted(now).size()) + 1;
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/orderlease.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "coordination/fleetmessage.h"
+#include "core/clock.h"
+#include "core/strongid.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace ApricotStep
+{
+
+// Load pattern: any number of nodes is killed, frozen, cut off or restarted at any moment, and nothing of theirs can be written down.
+// Without the lease: two nodes order the same engine. One evicts what the other has just loaded, or both together fill more places than the
+// engine has, and the engine crashes. One would notice orders under two holders' names within seconds.
+// A node gives orders only while more than half of the nodes that it knows of have promised, within the lease's time, to let no other node
+// do so. Two majorities share a node, and that node does not promise twice. Grounds for the figures: six renewals fit into one lease, so
+// that lost datagrams alone (three in a hundred) end none in a day. A node that has just started has forgotten its promises, so it makes
+// none for a lease's time. A new holder is silent for the time that two holders' orders must be apart: the former one stopped before its
+// lease ran out, which is before the new one began.
+
+struct OrderLeaseLimits
+{
+    /** How long a promise binds. */
+    Duration lease { 1500 };
+    /** Taken off the holder's own view of its lease: what two steady clocks drift apart in that time, and a scheduling delay. */
+    Duration margin { 150 };
+    /** Time between renewals. */
+    Duration renewal { 250 };
+    /** Orders of two holders must be further apart than this. */
+    Duration turn { 3000 };
+    /** A node not heard of for so long no longer counts in the majority: longer than a restart, so that those who come back find their seat. */
+    Duration memory = Duration::seconds(15);
+    /** A node heard of within this may claim: three messages lost in a row. */
+    Duration liveness { 900 };
+};
+
+/** Decides which node alone gives orders to the engines. Not thread-safe. */
+class OrderLease
+{
+public:
+    /** @p wall: the time of day, from which the fencing tokens of one holder rise above those of all before. */
+    OrderLease(OrderLeaseLimits limits, NodeId self, Incarnation incarnation, Time now);
+    ~OrderLease();
+
+    /** A node that may exist, by the address where it would answer; counts until it is heard of under its id, or forgotten. */
+    void addSeed(const std::string &peerAddress, Time now);
+    /** Takes in what another node said. Returns the grant to answer with, if any. */
+    std::optional<LeaseGrant> onMessage(const FleetMessage &message, Time now);
+    /**
+     * The claim to send to all now, if this node is to claim or renew. Call it every renewal time.
+     * @p isWilling: this node can do the holder's work.
+     */
+    std::optional<LeaseClaim> claim(bool isWilling, Time now, Time wall);
+    /** Gives the lease up; no claim follows. */
+    void release();
+
+    /** The fencing token to order with; empty when this node may not order now. Ask right before the order leaves. */
+    std::optional<FencingToken> mayOrder(Time now) const;
+    /** Whether this node holds the lease, though it may have to be silent still. */
+    bool isHolder(Time now) const;
+    /** The node that this one has promised to, or itself; empty when none holds the lease as far as this node knows. */
+    NodeId holder(Time now) const;
+    FencingToken greatestFence() const;
+    /** Nodes that count now, this one included. */
+    int knownCount(Time now) const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/upstreamchoice.cpp
@@ -0,0 +1,59 @@
+#include "coordination/upstreamchoice.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// A share below this counts as this one, so that an ejected upstream still has a finite cost when all are ejected.
+constexpr double LeastShare = 0.01;
+
+template<typename CostOf>
+const UpstreamOption *cheapest(const std::vector<UpstreamOption> &options, std::mt19937_64 &random, const CostOf &costOf)
+{
+    const UpstreamOption *best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    int equals = 0;
+    for (const UpstreamOption &option : options) {
+        const double cost = costOf(option) / std::max(option.share, LeastShare);
+        if (cost > bestCost) {
+            continue;
+        }
+        equals = cost < bestCost ? 1 : equals + 1;
+        // Each of the equals is kept with the same chance.
+        if (equals == 1 || std::uniform_int_distribution<int>(1, equals)(random) == 1) {
+            best = &option;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+Duration expectedFirstToken(const UpstreamOption &option, std::uint32_t promptTokens, const ChoiceFigures &figures)
+{
+    const double reading = (option.load.pendingTokens + promptTokens) / figures.promptTokensPerMs;
+    return Duration(static_cast<std::int64_t>(reading + option.load.running * figures.runningCostMs));
+}
+
+const UpstreamOption *chooseEngine(
+    const std::vector<UpstreamOption> &options, std::uint32_t promptTokens, const ChoiceFigures &figures, std::mt19937_64 &random)
+{
+    return cheapest(options, random, [promptTokens, &figures](const UpstreamOption &option) {
+        return static_cast<double>(expectedFirstToken(option, promptTokens, figures).milliseconds()) + 1;
+    });
+}
+
+const UpstreamOption *chooseService(const std::vector<UpstreamOption> &options, const ChoiceFigures &figures, std::mt19937_64 &random)
+{
+    return cheapest(options, random, [&figures](const UpstreamOption &option) {
+        return (option.load.running + 1) / std::max(option.record->slots, 1) + (option.isNear ? 0 : figures.farCost);
+    });
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/entry/entrynode.cpp
@@ -0,0 +1,379 @@
+#include "main/entry/entrynode.h"
+
+#include "main/entry/beliefs.h"
+#include "main/entry/eventlog.h"
+#include "main/entry/fleetlink.h"
+#include "main/entry/forwarder.h"
+#include "main/entry/orderrunner.h"
+#include "main/entry/peerservice.h"
+#include "main/entry/storereader.h"
+#include "platform/directory.h"
+#include "transport/ioloop.h"
+
+#include <absl/strings/numbers.h>
+#include <malloc.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr int OkStatus = 200;
+constexpr int NotFoundStatus = 404;
+constexpr int UnavailableStatus = 503;
+// Callers hold an answer for this long: short, so that they leave a node that is going away before it is gone.
+constexpr Duration AddressLifetime { 2000 };
+// Fewer nodes than this in the caller's zone, and it is told the others as well.
+constexpr std::size_t LeastNearNodes = 2;
+// New callers stop coming when their addresses have lapsed; those that hold them longest are still served meanwhile.
+constexpr Duration LingerAfterDrain { 4500 };
+// Before the platform's SIGKILL there must be time to close.
+constexpr Duration ReserveBeforeKill { 600 };
+// File descriptors for the store, engines and peers.
+constexpr int ReservedDescriptors = 600;
+constexpr std::size_t MaxHeaderBytes = 24U << 10U;
+constexpr Duration ArrivalTimeout = Duration::seconds(30);
+
+struct Endpoint
+{
+    std::string ip;
+    std::uint16_t port = 0;
+};
+
+Endpoint parseEndpoint(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    std::uint32_t port = 0;
+    static_cast<void>(absl::SimpleAtoi(address.substr(colon + 1), &port)); // A bad port shows when it is bound.
+    return Endpoint { address.substr(0, colon), static_cast<std::uint16_t>(port) };
+}
+
+} // namespace
+
+struct EntryNode::Private
+{
+    Platform::ProcessSettings settings;
+    SystemClock clock;
+    IoLoop loop { clock };
+    EventLog log { clock, "" };
+    Beliefs beliefs;
+    std::unique_ptr<StoreReader> store;
+    std::unique_ptr<FleetLink> fleet;
+    std::unique_ptr<OrderRunner> orders;
+    std::unique_ptr<Forwarder> forwarder;
+    std::unique_ptr<PeerService> peers;
+    std::vector<std::unique_ptr<HttpServer>> servers;
+    HttpServer *callerServer = nullptr;
+    std::atomic<bool> isDrainAsked { false };
+    std::atomic<bool> isReloadAsked { false };
+    bool isLeaving = false;
+    Time drainStartedAt;
+
+    explicit Private(const Platform::ProcessSettings &settings)
+        : settings(settings)
+        , log(clock, settings.node.value())
+    {
+    }
+
+    Result<bool> open();
+    Result<HttpServer *> listen(const std::string &address, HttpHandler handler);
+    void makeParts();
+    bool isReady() const;
+    void onChanges(const BeliefChanges &changes);
+    void answerDirectory(const HttpRequest &request, HttpExchange &exchange);
+    void answerReadiness(const HttpRequest &request, HttpExchange &exchange) const;
+    void checkConnections();
+    void checkSignals();
+    void beginDrain();
+    void checkDrained();
+};
+
+bool EntryNode::Private::isReady() const
+{
+    return !isLeaving && beliefs.routes != nullptr && beliefs.upstreams.size() > 0;
+}
+
+void EntryNode::Private::makeParts()
+{
+    store = std::make_unique<StoreReader>(
+        loop, log, beliefs, settings.storeAddress, [this](const BeliefChanges &changes) { onChanges(changes); });
+    peers = std::make_unique<PeerService>(loop, log, *store);
+
+    FleetLink::Callbacks fleetCallbacks;
+    fleetCallbacks.account = [this] { return OwnAccount { beliefs.book.own(), forwarder->uses() }; };
+    fleetCallbacks.isReady = [this] { return isReady(); };
+    fleetCallbacks.onUses = [this](const NodeId &node, const std::vector<AdapterUse> &uses) { orders->onUses(node, uses); };
+    fleetCallbacks.onRows = [this] { forwarder->onBeliefsChanged(); };
+    fleetCallbacks.onLaterConfiguration = [this](const Peer &peer) { peers->fetchFrom(peer); };
+    OrderLeaseLimits limits;
+    limits.turn = settings.orderTurn;
+    const auto started = static_cast<std::uint64_t>(clock.wallTime().milliseconds());
+    FleetIdentity identity { settings.node, Incarnation((started << 16U) | (std::random_device {}() & 0xffffU)), settings.zone,
+        settings.callerAddress, settings.peerAddress, settings.seeds };
+    fleet = std::make_unique<FleetLink>(loop, log, beliefs, std::move(identity), limits, std::move(fleetCallbacks));
+
+    orders = std::make_unique<OrderRunner>(loop, log, beliefs, *fleet, settings.node, [this] { return forwarder->uses(); });
+
+    ForwarderSettings forwarding;
+    forwarding.zone = settings.zone;
+    forwarding.retryShare = settings.retryShare;
+    forwarding.retryExtra = settings.retryExtra;
+    forwarding.retryWindow = settings.retryWindow;
+    forwarding.adapterVersionBound = settings.adapterVersionBound;
+    ForwarderCallbacks callbacks;
+    callbacks.onWants = [this] {
+        fleet->tellWants();
+        orders->decideSoon();
+    };
+    callbacks.nodeCount = [this] { return fleet->lease().knownCount(clock.now()); };
+    callbacks.isLeaving = [this] { return isLeaving; };
+    callbacks.hasOrderHolder = [this] { return !fleet->lease().holder(clock.now()).isEmpty(); };
+    forwarder = std::make_unique<Forwarder>(loop, log, beliefs, std::move(forwarding), std::move(callbacks));
+}
+
+Result<HttpServer *> EntryNode::Private::listen(const std::string &address, HttpHandler handler)
+{
+    const Endpoint endpoint = parseEndpoint(address);
+    HttpServerSettings server;
+    server.address = endpoint.ip;
+    server.port = endpoint.port;
+    server.isDriven = true;
+    server.maxHeaderBytes = MaxHeaderBytes;
+    server.maxConnections = std::max(settings.maxDescriptors - ReservedDescriptors, 64);
+    server.arrivalTimeout = ArrivalTimeout;
+    server.idleTimeout = Duration(0); // The arrival timeout ends idle connections, too.
+    auto started = HttpServer::start(server, std::move(handler));
+    if (!started.isOk()) {
+        return started.error();
+    }
+    servers.push_back(std::move(started.value()));
+    loop.add(servers.back().get());
+    return servers.back().get();
+}
+
+Result<bool> EntryNode::Private::open()
+{
+    makeParts();
+    const auto callers = listen(settings.callerAddress,
+        [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) { forwarder->onRequest(std::move(request), std::move(exchange)); });
+    if (!callers.isOk()) {
+        return callers.error();
+    }
+    callerServer = callers.value();
+    const auto readiness = listen(settings.readinessAddress,
+        [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerReadiness(request, *exchange); });
+    if (!readiness.isOk()) {
+        return readiness.error();
+    }
+    const auto directory = listen(settings.directoryAddress,
+        [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerDirectory(request, *exchange); });
+    if (!directory.isOk()) {
+        return directory.error();
+    }
+    const Endpoint peerEndpoint = parseEndpoint(settings.peerAddress);
+    const auto served = peers->start(peerEndpoint.ip, std::to_string(peerEndpoint.port));
+    if (!served.isOk()) {
+        return served.error();
+    }
+    return fleet->start();
+}
+
+void EntryNode::Private::onChanges(const BeliefChanges &changes)
+{
+    for (const UpstreamChange &change : changes.upstreams) {
+        std::visit(Overloaded {
+                       [this](const UpstreamStarted &started) {
+                           log.write(EventLog::Weight::Important, "upstream", "started",
+                               { { "upstream", started.record.id.value() }, { "service", started.record.service.value() },
+                                   { "address", started.record.address }, { "leaving", started.record.isLeaving },
+                                   { "startedAt", started.record.startedAt } });
+                       },
+                       [](const UpstreamUpdated &) {},
+                       [this](const UpstreamLeft &left) {
+                           beliefs.rows.forget(left.id);
+                           log.write(EventLog::Weight::Important, "upstream", "left",
+                               { { "upstream", left.id.value() }, { "reason", left.reason } });
+                       },
+                   },
+            change);
+    }
+    forwarder->onBeliefsChanged();
+    orders->decideSoon();
+}
+
+void EntryNode::Private::answerDirectory(const HttpRequest &request, HttpExchange &exchange)
+{
+    if (!Platform::isDirectoryRequest(request)) {
+        exchange.respond(NotFoundStatus, {}, "");
+        return;
+    }
+    const ZoneId zone = Platform::decodeDirectoryQuery(request).zone;
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    const auto add = [&](const std::string &address, const ZoneId &nodeZone) {
+        all.push_back(address);
+        if (nodeZone == zone) {
+            near.push_back(address);
+        }
+    };
+    if (isReady()) {
+        add(settings.callerAddress, settings.zone);
+    }
+    for (const Peer *peer : fleet->alive()) {
+        if (peer->isReady && !peer->isLeaving) {
+            add(peer->callerAddress, peer->zone);
+        }
+    }
+    std::vector<std::string> &chosen = near.size() >= LeastNearNodes ? near : all;
+    if (chosen.empty()) {
+        exchange.respond(UnavailableStatus, { { "Retry-After", "0.3" } }, "");
+        return;
+    }
+    // Large fleets: each caller gets other ones.
+    std::shuffle(chosen.begin(), chosen.end(), std::mt19937_64(std::random_device {}()));
+    chosen.resize(std::min(chosen.size(), Platform::MaxDirectoryAddresses));
+    const Duration lifetime = std::min(AddressLifetime, settings.maxAddressLifetime);
+    exchange.respond(OkStatus, { { "Content-Type", "application/json" } }, Platform::directoryBody(chosen, lifetime));
+}
+
+void EntryNode::Private::answerReadiness(const HttpRequest &request, HttpExchange &exchange) const
+{
+    const int status = Platform::isReadinessRequest(request) ? (isReady() ? OkStatus : UnavailableStatus) : NotFoundStatus;
+    exchange.respond(status, {}, "");
+}
+
+void EntryNode::Private::checkConnections()
+{
+    for (const auto &server : servers) {
+        server->checkConnections();
+    }
+    BeliefChanges changes;
+    changes.upstreams = beliefs.upstreams.tick(clock.now());
+    if (!changes.isEmpty()) {
+        onChanges(changes);
+    }
+    checkSignals();
+    loop.after(GoneCheckInterval, [this] { checkConnections(); });
+}
+
+void EntryNode::Private::checkSignals()
+{
+    if (isReloadAsked.exchange(false)) {
+        log.write(EventLog::Weight::Important, "node", "reload", {});
+    }
+    if (isDrainAsked && !isLeaving) {
+        beginDrain();
+    }
+    if (isLeaving) {
+        checkDrained();
+    }
+}
+
+void EntryNode::Private::beginDrain()
+{
+    isLeaving = true;
+    drainStartedAt = clock.now();
+    log.write(EventLog::Weight::Important, "node", "draining", { { "active", std::int64_t(forwarder->activeCount()) } });
+    fleet->leave();
+}
+
+void EntryNode::Private::checkDrained()
+{
+    const Duration passed = clock.now() - drainStartedAt;
+    const Duration longest = settings.grace - ReserveBeforeKill;
+    const bool isIdle = forwarder->activeCount() == 0 && callerServer->activeCount() == 0;
+    if ((isIdle && passed >= LingerAfterDrain) || passed >= longest) {
+        log.write(EventLog::Weight::Important, "node", "stopped",
+            { { "active", std::int64_t(forwarder->activeCount()) }, { "drainedMs", passed.milliseconds() } });
+        loop.stop();
+    }
+}
+
+EntryNode::EntryNode() = default;
+
+EntryNode::~EntryNode() = default;
+
+Result<std::unique_ptr<EntryNode>> EntryNode::start(const Platform::ProcessSettings &settings)
+{
+    std::unique_ptr<EntryNode> node(new EntryNode);
+    node->d = std::make_unique<Private>(settings);
+    const auto opened = node->d->open();
+    if (!opened.isOk()) {
+        return opened.error();
+    }
+    node->d->log.write(EventLog::Weight::Important, "node", "started",
+        { { "callers", settings.callerAddress }, { "zone", settings.zone.value() }, { "store", settings.storeAddress } });
+    return node;
+}
+
+void EntryNode::run()
+{
+    d->store->start();
+    d->orders->start();
+    d->checkConnections();
+    d->loop.run();
+}
+
+void EntryNode::drain()
+{
+    d->isDrainAsked = true;
+}
+
+void EntryNode::reload()
+{
+    d->isReloadAsked = true;
+}
+
+namespace
+{
+
+EntryNode *runningNode = nullptr;
+
+void onSignal(int signal)
+{
+    if (runningNode == nullptr) {
+        return;
+    }
+    if (signal == SIGHUP) {
+        runningNode->reload();
+    } else {
+        runningNode->drain();
+    }
+}
+
+} // namespace
+
+int runEntryNode()
+{
+    constexpr int UsageExit = 2;
+    const auto settings = Platform::loadSettings();
+    if (!settings.isOk()) {
+        std::cerr << "settings: " << settings.error().detail << "\n";
+        return UsageExit;
+    }
+    // One arena: memory freed by one part serves the next.
+    mallopt(M_ARENA_MAX, 1);
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c): a caller that left must not end the node
+    auto node = EntryNode::start(settings.value());
+    if (!node.isOk()) {
+        std::cerr << "settings: " << node.error().detail << "\n";
+        return UsageExit;
+    }
+    runningNode = node.value().get();
+    for (const int signal : { SIGTERM, SIGINT, SIGHUP }) {
+        std::signal(signal, &onSignal); // NOLINT(cert-err33-c): cannot fail for these
+    }
+    node.value()->run();
+    runningNode = nullptr;
+    return 0;
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/entry/fleetlink.cpp
@@ -0,0 +1,301 @@
+#include "main/entry/fleetlink.h"
+
+#include "protocol/fleetcodec.h"
+
+#include <absl/strings/numbers.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr Duration HeartbeatInterval { 250 };
+// All rows are told again this often, for nodes that started or lost a datagram.
+constexpr Duration RowsInterval { 1000 };
+// A peer silent for so long is forgotten.
+constexpr Duration PeerMemory = Duration::seconds(15);
+// Rows in one datagram: eight copies of about 20 bytes each stay below the size that no link cuts.
+constexpr std::size_t RowsInDatagram = 6;
+constexpr EventLog::Weight Important = EventLog::Weight::Important;
+
+std::pair<std::string, std::uint16_t> splitAddress(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    std::uint32_t port = 0;
+    static_cast<void>(absl::SimpleAtoi(address.substr(colon + 1), &port)); // Port 0 fails to be what peers expect, and bind says so.
+    return { address.substr(0, colon), static_cast<std::uint16_t>(port) };
+}
+
+} // namespace
+
+struct FleetLink::Private : std::enable_shared_from_this<FleetLink::Private>
+{
+    IoLoop &loop;
+    EventLog &log;
+    Beliefs &beliefs;
+    FleetIdentity identity;
+    Callbacks callbacks;
+    OrderLease lease;
+    std::unique_ptr<UdpSocket> socket;
+    std::map<NodeId, Peer> peers;
+    /** The rows that this node announced, for repeating. */
+    std::map<UpstreamId, EngineRow> ownRows;
+    Time rowsToldAt;
+    bool isLeaving = false;
+    bool isRelease = false;
+    NodeId lastHolder;
+
+    Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetIdentity identity, OrderLeaseLimits limits, Callbacks callbacks)
+        : loop(loop)
+        , log(log)
+        , beliefs(beliefs)
+        , identity(std::move(identity))
+        , callbacks(std::move(callbacks))
+        , lease(limits, this->identity.id, this->identity.incarnation, loop.clock().now())
+    {
+    }
+
+    Time now() const
+    {
+        return loop.clock().now();
+    }
+    FleetMessage base() const;
+    FleetMessage withLoad() const;
+    std::vector<std::string> targets() const;
+    void sendToAll(const FleetMessage &message);
+    void heartbeat();
+    void tellRows(const std::vector<EngineRow> &rows);
+    void onDatagram(std::string_view bytes);
+    void onMessage(const FleetMessage &message);
+    void notePeer(const FleetMessage &message);
+    void noteHolder();
+    void tick();
+};
+
+FleetMessage FleetLink::Private::base() const
+{
+    FleetMessage message;
+    message.sender = identity.id;
+    message.incarnation = identity.incarnation;
+    message.zone = identity.zone;
+    message.callerAddress = identity.callerAddress;
+    message.peerAddress = identity.peerAddress;
+    message.isReady = callbacks.isReady() && !isLeaving;
+    message.isLeaving = isLeaving;
+    message.isRelease = isRelease;
+    message.configVersion = beliefs.routes != nullptr ? beliefs.routes->version() : ConfigVersion();
+    message.greatestFence = lease.greatestFence();
+    return message;
+}
+
+FleetMessage FleetLink::Private::withLoad() const
+{
+    FleetMessage message = base();
+    OwnAccount account = callbacks.account();
+    message.loads = std::move(account.loads);
+    message.uses = std::move(account.uses);
+    return message;
+}
+
+std::vector<std::string> FleetLink::Private::targets() const
+{
+    std::vector<std::string> result;
+    for (const auto &[id, peer] : peers) {
+        result.push_back(peer.peerAddress);
+    }
+    for (const std::string &seed : identity.seeds) {
+        const bool isKnown = std::find(result.begin(), result.end(), seed) != result.end();
+        if (!isKnown && seed != identity.peerAddress) {
+            result.push_back(seed);
+        }
+    }
+    return result;
+}
+
+void FleetLink::Private::sendToAll(const FleetMessage &message)
+{
+    const std::string bytes = encodeFleetMessage(message);
+    for (const std::string &target : targets()) {
+        socket->send(target, bytes);
+    }
+}
+
+void FleetLink::Private::heartbeat()
+{
+    FleetMessage message = withLoad();
+    message.claim = lease.claim(message.isReady, now(), loop.clock().wallTime());
+    sendToAll(message);
+    if (lease.isHolder(now()) && now() - rowsToldAt >= RowsInterval) {
+        rowsToldAt = now();
+        std::vector<EngineRow> rows;
+        for (const auto &[id, row] : ownRows) {
+            rows.push_back(row);
+        }
+        tellRows(rows);
+    }
+    noteHolder();
+}
+
+void FleetLink::Private::tellRows(const std::vector<EngineRow> &rows)
+{
+    for (std::size_t first = 0; first < rows.size(); first += RowsInDatagram) {
+        FleetMessage message = base();
+        const std::size_t last = std::min(first + RowsInDatagram, rows.size());
+        message.rows.assign(rows.begin() + static_cast<std::ptrdiff_t>(first), rows.begin() + static_cast<std::ptrdiff_t>(last));
+        sendToAll(message);
+    }
+}
+
+void FleetLink::Private::onDatagram(std::string_view bytes)
+{
+    const auto message = decodeFleetMessage(bytes);
+    if (!message.isOk()) {
+        log.write(Important, "fleet", "bad_datagram", { { "reason", message.error().detail } });
+        return;
+    }
+    if (message.value().sender != identity.id) {
+        onMessage(message.value());
+    }
+}
+
+void FleetLink::Private::notePeer(const FleetMessage &message)
+{
+    const bool isNew = !peers.contains(message.sender);
+    Peer &peer = peers[message.sender];
+    const bool isChanged = isNew || peer.isReady != message.isReady || peer.isLeaving != message.isLeaving;
+    peer = Peer { message.sender, message.zone, message.callerAddress, message.peerAddress, message.isReady, message.isLeaving,
+        message.configVersion, now() };
+    if (isChanged) {
+        log.write(Important, "fleet", "peer",
+            { { "peer", peer.id.value() }, { "ready", peer.isReady }, { "leaving", peer.isLeaving } });
+    }
+    const ConfigVersion own = beliefs.routes != nullptr ? beliefs.routes->version() : ConfigVersion();
+    if (peer.configVersion > own) {
+        callbacks.onLaterConfiguration(peer);
+    }
+}
+
+void FleetLink::Private::onMessage(const FleetMessage &message)
+{
+    notePeer(message);
+    const auto grant = lease.onMessage(message, now());
+    if (grant) {
+        FleetMessage answer = base();
+        answer.grant = grant;
+        socket->send(message.peerAddress, encodeFleetMessage(answer));
+    }
+    if (message.loads) {
+        beliefs.book.onPeer(message.sender, *message.loads, now());
+        callbacks.onUses(message.sender, message.uses);
+    }
+    bool isNews = false;
+    for (const EngineRow &row : message.rows) {
+        isNews = beliefs.rows.put(row) || isNews;
+    }
+    if (isNews) {
+        callbacks.onRows();
+    }
+}
+
+void FleetLink::Private::noteHolder()
+{
+    const NodeId holder = lease.holder(now());
+    if (holder != lastHolder) {
+        lastHolder = holder;
+        log.write(Important, "orders", "holder",
+            { { "holder", holder.value() }, { "knownNodes", std::int64_t(lease.knownCount(now())) },
+                { "fence", static_cast<std::int64_t>(lease.greatestFence().value()) } });
+    }
+}
+
+void FleetLink::Private::tick()
+{
+    for (auto at = peers.begin(); at != peers.end();) {
+        const bool isOld = now() - at->second.heardAt > PeerMemory;
+        if (isOld) {
+            log.write(Important, "fleet", "peer_forgotten", { { "peer", at->first.value() } });
+        }
+        at = isOld ? peers.erase(at) : std::next(at);
+    }
+    heartbeat();
+    loop.after(HeartbeatInterval, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->tick();
+        }
+    });
+}
+
+FleetLink::FleetLink(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetIdentity identity, OrderLeaseLimits limits, Callbacks callbacks)
+    : d(std::make_shared<Private>(loop, log, beliefs, std::move(identity), limits, std::move(callbacks)))
+{
+}
+
+FleetLink::~FleetLink() = default;
+
+Result<bool> FleetLink::start()
+{
+    const auto [ip, port] = splitAddress(d->identity.peerAddress);
+    auto socket = UdpSocket::open(ip, port);
+    if (!socket.isOk()) {
+        return socket.error();
+    }
+    d->socket = std::move(socket.value());
+    for (const std::string &seed : d->identity.seeds) {
+        if (seed != d->identity.peerAddress) {
+            d->lease.addSeed(seed, d->now());
+        }
+    }
+    d->loop.add(d->socket.get(), [this](std::string_view bytes, const std::string &) { d->onDatagram(bytes); });
+    d->tick();
+    return true;
+}
+
+void FleetLink::leave()
+{
+    d->isLeaving = true;
+    d->isRelease = d->lease.isHolder(d->now());
+    d->lease.release();
+    d->sendToAll(d->base());
+}
+
+void FleetLink::tellWants()
+{
+    const NodeId holder = d->lease.holder(d->now());
+    const auto at = d->peers.find(holder);
+    if (at != d->peers.end()) {
+        d->socket->send(at->second.peerAddress, encodeFleetMessage(d->withLoad()));
+    }
+}
+
+void FleetLink::announce(const std::vector<EngineRow> &rows)
+{
+    for (const EngineRow &row : rows) {
+        d->ownRows[row.engine] = row;
+        d->beliefs.rows.put(row);
+    }
+    d->tellRows(rows);
+    d->callbacks.onRows();
+}
+
+const OrderLease &FleetLink::lease() const
+{
+    return d->lease;
+}
+
+std::vector<const Peer *> FleetLink::alive() const
+{
+    std::vector<const Peer *> result;
+    for (const auto &[id, peer] : d->peers) {
+        if (d->now() - peer.heardAt <= Liveness) {
+            result.push_back(&peer);
+        }
+    }
+    return result;
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/entry/fleetlink.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "coordination/fleetmessage.h"
+#include "coordination/orderlease.h"
+#include "main/entry/beliefs.h"
+#include "main/entry/eventlog.h"
+#include "transport/ioloop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ApricotStep
+{
+
+/** How a node appears to the others. */
+struct FleetIdentity
+{
+    NodeId id;
+    Incarnation incarnation;
+    ZoneId zone;
+    std::string callerAddress;
+    std::string peerAddress;
+    std::vector<std::string> seeds;
+};
+
+/** Another node, as last heard of. */
+struct Peer
+{
+    NodeId id;
+    ZoneId zone;
+    std::string callerAddress;
+    std::string peerAddress;
+    bool isReady = false;
+    bool isLeaving = false;
+    ConfigVersion configVersion;
+    Time heardAt;
+};
+
+/** What this node says of its load. */
+struct OwnAccount
+{
+    std::vector<UpstreamLoad> loads;
+    std::vector<AdapterUse> uses;
+};
+
+/** Exchanges datagrams with the other nodes: who lives, what runs where, who gives orders. */
+class FleetLink
+{
+public:
+    struct Callbacks
+    {
+        /** Asked before each message that speaks of load; what was counted since is counted anew. */
+        std::function<OwnAccount()> account;
+        /** Whether this node takes requests. */
+        std::function<bool()> isReady;
+        /** A peer said what it runs and waits for. */
+        std::function<void(const NodeId &, const std::vector<AdapterUse> &)> onUses;
+        /** Rows of engines that were news. */
+        std::function<void()> onRows;
+        /** A peer has a later configuration than this node. */
+        std::function<void(const Peer &)> onLaterConfiguration;
+    };
+
+    /** Peers that answered within this count as alive: three messages lost in a row. */
+    static constexpr Duration Liveness { 900 };
+
+    FleetLink(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetIdentity identity, OrderLeaseLimits limits, Callbacks callbacks);
+    ~FleetLink();
+
+    /** Opens the socket and begins. Errors: SettingsInvalid. */
+    Result<bool> start();
+    /** Tells all that this node leaves; it gives no orders from now on. */
+    void leave();
+    /** Tells the node that gives orders at once what this one waits for. */
+    void tellWants();
+    /** Tells all nodes. */
+    void announce(const std::vector<EngineRow> &rows);
+
+    const OrderLease &lease() const;
+    /** Peers that are alive now. */
+    std::vector<const Peer *> alive() const;
+
+private:
+    struct Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/entry/forwarder.cpp
@@ -0,0 +1,201 @@
+#include "main/entry/forwarder.h"
+
+#include "coordination/retrybudget.h"
+#include "main/entry/forwardjob.h"
+#include "platform/requests.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// A node that does not know a configuration yet will know one within a few round trips.
+constexpr const char *RetryAfterStart = "0.3";
+// What this node may take of the fleet's allowance: others may count fewer nodes than there are.
+constexpr double ShareOfAllowance = 0.6;
+
+} // namespace
+
+struct Forwarder::Private final : ForwardContext, std::enable_shared_from_this<Forwarder::Private>
+{
+    IoLoop &m_loop;
+    EventLog &m_log;
+    Beliefs &m_beliefs;
+    ForwarderSettings m_settings;
+    ForwarderCallbacks m_callbacks;
+    std::mt19937_64 m_random { std::random_device {}() };
+    std::map<std::uint64_t, std::shared_ptr<ForwardJob>> jobs;
+    std::uint64_t lastJob = 0;
+    std::map<ServiceName, RetryBudget> budgets;
+
+    Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, ForwarderSettings settings, ForwarderCallbacks callbacks)
+        : m_loop(loop)
+        , m_log(log)
+        , m_beliefs(beliefs)
+        , m_settings(std::move(settings))
+        , m_callbacks(std::move(callbacks))
+    {
+    }
+
+    IoLoop &loop() override
+    {
+        return m_loop;
+    }
+    EventLog &log() override
+    {
+        return m_log;
+    }
+    Beliefs &beliefs() override
+    {
+        return m_beliefs;
+    }
+    const ForwarderSettings &settings() const override
+    {
+        return m_settings;
+    }
+    const ForwarderCallbacks &callbacks() const override
+    {
+        return m_callbacks;
+    }
+    std::mt19937_64 &random() override
+    {
+        return m_random;
+    }
+    RetryBudget &budget(const ServiceName &service);
+    bool takeRetry(const ServiceName &service) override;
+    void noteFirstArrival(const ServiceName &service) override;
+    void onEnded(std::uint64_t job) override;
+
+    void refuse(HttpExchange &exchange, const std::string &id, ErrorKind kind, const std::string &detail);
+};
+
+RetryBudget &Forwarder::Private::budget(const ServiceName &service)
+{
+    const auto at = budgets.find(service);
+    if (at != budgets.end()) {
+        return at->second;
+    }
+    const double nodes = std::max(m_callbacks.nodeCount(), 1);
+    RetryBudgetLimits limits;
+    limits.share = m_settings.retryShare * ShareOfAllowance;
+    limits.reserve = std::max(m_settings.retryExtra * ShareOfAllowance / nodes, 1.0);
+    limits.tricklePerSecond = limits.reserve / m_settings.retryWindow.toSeconds() / 2;
+    return budgets.emplace(service, RetryBudget(limits, m_loop.clock().now())).first->second;
+}
+
+bool Forwarder::Private::takeRetry(const ServiceName &service)
+{
+    return budget(service).take(m_loop.clock().now());
+}
+
+void Forwarder::Private::noteFirstArrival(const ServiceName &service)
+{
+    budget(service).onSuccess(m_loop.clock().now());
+}
+
+void Forwarder::Private::onEnded(std::uint64_t job)
+{
+    // The job's own function is still running.
+    m_loop.after(Duration(0), [weak = weak_from_this(), job] {
+        if (const auto self = weak.lock()) {
+            self->jobs.erase(job);
+        }
+    });
+}
+
+void Forwarder::Private::refuse(HttpExchange &exchange, const std::string &id, ErrorKind kind, const std::string &detail)
+{
+    const ErrorAnswer &answer = errorAnswer(kind);
+    HttpHeaders headers { { "Content-Type", "application/json" } };
+    if (answer.retry != RetryAdvice::Never) {
+        headers.emplace_back("Retry-After", RetryAfterStart);
+    }
+    const nlohmann::json body { { "error",
+        { { "message", answer.sentence }, { "code", answer.word }, { "not_run", true }, { "retry", retryAdviceWord(answer.retry) } } } };
+    exchange.respond(answer.httpStatus, headers, body.dump());
+    m_log.write(EventLog::Weight::Important, "request", "refused",
+        { { "request", id }, { "reason", std::string(answer.word) }, { "detail", detail } });
+}
+
+Forwarder::Forwarder(IoLoop &loop, EventLog &log, Beliefs &beliefs, ForwarderSettings settings, ForwarderCallbacks callbacks)
+    : d(std::make_shared<Private>(loop, log, beliefs, std::move(settings), std::move(callbacks)))
+{
+}
+
+Forwarder::~Forwarder() = default;
+
+void Forwarder::onRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    Platform::CallerRequest decoded = Platform::decodeCallerRequest(request);
+    const auto table = d->m_beliefs.routes;
+    if (table == nullptr) {
+        d->refuse(*exchange, decoded.id, ErrorKind::NotReady, "no configuration is known");
+        return;
+    }
+    if (decoded.id.empty()) {
+        d->refuse(*exchange, decoded.id, ErrorKind::BadRequest, "no request id");
+        return;
+    }
+    const Route *route = table->find(decoded.host, decoded.path);
+    if (route == nullptr) {
+        d->refuse(*exchange, decoded.id, ErrorKind::NotFound,
+            "host " + decoded.host + ", path " + decoded.path + ", version " + std::to_string(table->version().value()));
+        return;
+    }
+    if (request.body.size() > table->limits().bodyBytes) {
+        d->refuse(*exchange, decoded.id, ErrorKind::RequestTooLarge, std::to_string(request.body.size()) + " bytes");
+        return;
+    }
+    const std::uint64_t number = ++d->lastJob;
+    auto job = std::make_shared<ForwardJob>(*d, number, std::move(request), std::move(decoded), table, *route, std::move(exchange));
+    d->jobs.emplace(number, job);
+    job->start();
+}
+
+void Forwarder::onBeliefsChanged()
+{
+    // A job that looks again may end and change the list.
+    std::vector<std::shared_ptr<ForwardJob>> current;
+    current.reserve(d->jobs.size());
+    for (const auto &[number, job] : d->jobs) {
+        current.push_back(job);
+    }
+    for (const auto &job : current) {
+        job->lookAgain();
+    }
+}
+
+std::vector<AdapterUse> Forwarder::uses()
+{
+    std::vector<AdapterUse> result;
+    for (const auto &[number, job] : d->jobs) {
+        const auto use = job->use();
+        if (!use) {
+            continue;
+        }
+        const auto isSame = [&use](const AdapterUse &other) {
+            return other.model == use->model && other.adapter == use->adapter && other.engine == use->engine;
+        };
+        const auto at = std::find_if(result.begin(), result.end(), isSame);
+        if (at == result.end()) {
+            result.push_back(*use);
+        } else {
+            at->count += use->count;
+        }
+    }
+    return result;
+}
+
+int Forwarder::activeCount() const
+{
+    return static_cast<int>(d->jobs.size());
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/entry/forwardjob.cpp
@@ -0,0 +1,608 @@
+#include "main/entry/forwardjob.h"
+
+#include "core/result.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr EventLog::Weight Step = EventLog::Weight::Request;
+constexpr EventLog::Weight Important = EventLog::Weight::Important;
+
+constexpr Duration ConnectTimeout { 400 };
+// An upstream on a connection that went silent is noticed within this.
+constexpr Duration AcknowledgeTimeout { 700 };
+// Upstreams close idle connections after some seconds; those kept shorter are not met by a close on the way.
+constexpr Duration MaxConnectionIdle = Duration::seconds(4);
+// While a request waits for a place, it looks again at least this often.
+constexpr Duration LookAgain { 60 };
+// A resumable stream that is silent for so long goes on at another upstream; callers give up after two seconds or more.
+constexpr Duration LongestSilence { 1200 };
+constexpr Duration SilenceCheck { 300 };
+// Below this a request could not be answered any more.
+constexpr Duration LeastUsefulTime { 5 };
+// When a caller that was refused may come back: a load of an adapter and a place in a queue later.
+constexpr Duration RetryAfterRefusal { 300 };
+constexpr int OkStatus = 200;
+constexpr int FirstErrorStatus = 300;
+// Statuses that promise that a request has not run; only this node's own knowledge may give such a promise.
+constexpr int PromisingStatuses[] = { 408, 421, 429, 503 };
+
+bool isSuccess(int status)
+{
+    return status >= OkStatus && status < FirstErrorStatus;
+}
+
+bool isPromise(int status)
+{
+    return std::find(std::begin(PromisingStatuses), std::end(PromisingStatuses), status) != std::end(PromisingStatuses);
+}
+
+std::string retryAfterText(Duration wait)
+{
+    char text[16] = {};
+    std::snprintf(text, sizeof text, "%.3f", wait.toSeconds());
+    return text;
+}
+
+} // namespace
+
+ForwardJob::ForwardJob(ForwardContext &context, std::uint64_t number, HttpRequest request, Platform::CallerRequest decoded,
+    std::shared_ptr<const RouteTable> table, const Route &route, std::shared_ptr<HttpExchange> exchange)
+    : m_context(context)
+    , m_number(number)
+    , m_request(std::move(request))
+    , m_decoded(std::move(decoded))
+    , m_table(std::move(table))
+    , m_route(route)
+    , m_exchange(std::move(exchange))
+    , m_arrivedAt(context.loop().clock().now())
+{
+    const Duration wanted = m_decoded.deadline.value_or(m_route.timeout);
+    m_deadline = m_arrivedAt + std::min(wanted, m_route.timeout);
+    m_service = drawTarget(m_route, std::uniform_real_distribution<double>(0, 1)(context.random())).service;
+}
+
+Time ForwardJob::now() const
+{
+    return m_context.loop().clock().now();
+}
+
+Duration ForwardJob::timeLeft() const
+{
+    return m_deadline - now();
+}
+
+bool ForwardJob::isRepeatable() const
+{
+    return m_route.kind == RequestKind::Idempotent || (m_route.kind == RequestKind::Stream && m_route.isResumable);
+}
+
+bool ForwardJob::needsAdapter() const
+{
+    return m_decoded.generation && !m_decoded.generation->adapter.isEmpty();
+}
+
+AdapterRef ForwardJob::adapter() const
+{
+    return m_decoded.generation ? AdapterRef { m_decoded.generation->model, m_decoded.generation->adapter } : AdapterRef {};
+}
+
+std::uint32_t ForwardJob::promptTokens() const
+{
+    return m_decoded.generation ? m_decoded.generation->promptTokens : 0;
+}
+
+void ForwardJob::start()
+{
+    m_exchange->onCallerGone([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onCallerGone();
+        }
+    });
+    m_exchange->onDrained([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onDrained();
+        }
+    });
+    m_deadlineTimer = m_context.loop().after(std::max(timeLeft(), Duration(0)), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onDeadline();
+        }
+    });
+    m_context.log().write(Step, "request", "arrived",
+        { { "request", m_decoded.id }, { "route", m_route.name }, { "configVersion", std::int64_t(m_table->version().value()) },
+            { "service", m_service.value() }, { "adapter", adapter().adapter.value() }, { "leftMs", timeLeft().milliseconds() } });
+    tryNext();
+}
+
+std::optional<AdapterUse> ForwardJob::use()
+{
+    if (!needsAdapter() || m_phase == Phase::Ended) {
+        return std::nullopt;
+    }
+    const bool isPlaced = m_phase != Phase::Waiting;
+    const std::uint32_t count = std::exchange(m_isCounted, true) ? 0 : 1;
+    return AdapterUse { adapter().model, adapter().adapter, isPlaced ? m_upstream.id : UpstreamId(), count, false };
+}
+
+bool ForwardJob::mayUse(const UpstreamRecord &record)
+{
+    if (m_tried.contains(record.id)) {
+        return false;
+    }
+    if (!m_decoded.generation) {
+        return true;
+    }
+    if (!needsAdapter()) {
+        return record.models.empty() || record.holds(m_decoded.generation->model);
+    }
+    const auto copy = m_context.beliefs().rows.copy(record, adapter());
+    if (!copy || !copy->isReady) {
+        return false;
+    }
+    const auto known = m_context.beliefs().versions.find(adapter());
+    if (known == m_context.beliefs().versions.end() || copy->version == known->second.version) {
+        return true;
+    }
+    // An old copy serves while the new one is on its way, but never up to the bound: a request must have begun well before it.
+    return now() - known->second.learnedAt < m_context.settings().adapterVersionBound - Duration(2500);
+}
+
+std::vector<UpstreamOption> ForwardJob::options()
+{
+    std::vector<UpstreamOption> result;
+    Beliefs &beliefs = m_context.beliefs();
+    for (const UpstreamRecord *record : beliefs.upstreams.usable(m_service)) {
+        if (mayUse(*record)) {
+            result.push_back(UpstreamOption { record, beliefs.book.load(record->id, now()), beliefs.outliers.share(record->id, now()),
+                record->zone == m_context.settings().zone });
+        }
+    }
+    return result;
+}
+
+// Whether waiting can help: an adapter may come to stand somewhere.
+bool ForwardJob::canStillServe() const
+{
+    return needsAdapter() && !m_context.beliefs().upstreams.usable(m_service).empty()
+        && m_context.beliefs().engineSpec(m_service) != nullptr;
+}
+
+void ForwardJob::tryNext()
+{
+    m_phase = Phase::Waiting;
+    if (timeLeft() < LeastUsefulTime) {
+        onDeadline();
+        return;
+    }
+    const auto found = options();
+    const ChoiceFigures figures;
+    const UpstreamOption *chosen = m_decoded.generation ? chooseEngine(found, promptTokens(), figures, m_context.random())
+                                                        : chooseService(found, figures, m_context.random());
+    if (chosen != nullptr) {
+        send(*chosen->record);
+        return;
+    }
+    if (canStillServe()) {
+        wait();
+        return;
+    }
+    if (m_failure) {
+        deliver();
+        return;
+    }
+    refuse(m_outcome == Outcome::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed, RetryAfterRefusal);
+}
+
+void ForwardJob::wait()
+{
+    // Engines that refused before may take it now.
+    m_tried.clear();
+    m_context.callbacks().onWants();
+    m_context.loop().cancel(m_waitTimer);
+    m_waitTimer = m_context.loop().after(LookAgain, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->lookAgain();
+        }
+    });
+}
+
+void ForwardJob::lookAgain()
+{
+    if (m_phase == Phase::Waiting) {
+        tryNext();
+    }
+}
+
+void ForwardJob::send(const UpstreamRecord &record)
+{
+    m_context.loop().cancel(m_waitTimer);
+    if (m_arrivals > 0 && !m_context.takeRetry(m_service)) {
+        m_context.log().write(Important, "request", "no_retry_budget", { { "request", m_decoded.id }, { "service", m_service.value() } });
+        if (m_failure) {
+            deliver();
+        } else {
+            refuse(m_outcome == Outcome::NotRun ? ErrorKind::Overloaded : ErrorKind::UpstreamFailed, RetryAfterRefusal);
+        }
+        return;
+    }
+    m_phase = Phase::Sent;
+    m_upstream = record;
+    m_version = AdapterVersion();
+    if (needsAdapter()) {
+        const auto copy = m_context.beliefs().rows.copy(record, adapter());
+        m_version = copy ? copy->version : AdapterVersion();
+    }
+    m_answer.reset();
+    m_body.clear();
+    m_sentAt = now();
+    m_isUnread = true;
+    m_context.beliefs().book.onSent(record.id, promptTokens());
+    m_context.log().write(Step, "request", "sent",
+        { { "request", m_decoded.id }, { "upstream", record.id.value() }, { "arrival", std::int64_t(m_arrivals + 1) },
+            { "version", m_version.value() }, { "leftMs", timeLeft().milliseconds() },
+            { "waitedMs", (now() - m_arrivedAt).milliseconds() } });
+    m_call = m_context.loop().client().start(makeCall(record));
+}
+
+HttpCall ForwardJob::makeCall(const UpstreamRecord &record)
+{
+    HttpCall call;
+    call.method = m_request.method;
+    call.url = "http://" + record.address + "/";
+    call.target = m_request.target;
+    call.body = m_request.body;
+    constexpr int MostPriority = 9;
+    Platform::UpstreamBinding binding { record.id, m_version, std::max(timeLeft(), Duration(1)), std::min(m_route.priority, MostPriority),
+        m_isStreaming ? m_events.lastId() : std::string() };
+    call.headers = Platform::upstreamHeaders(m_request, binding);
+    call.connectTimeout = std::min(ConnectTimeout, std::max(timeLeft(), Duration(1)));
+    call.acknowledgeTimeout = AcknowledgeTimeout;
+    call.maxConnectionIdle = MaxConnectionIdle;
+    call.isSentOnce = true;
+    const auto weak = weak_from_this();
+    call.maySend = [weak] {
+        const auto self = weak.lock();
+        return self != nullptr && self->maySend();
+    };
+    call.acceptsHead = [weak](int status, const HttpHeaders &headers) {
+        const auto self = weak.lock();
+        return self != nullptr && self->acceptsHead(status, headers);
+    };
+    call.onHead = [weak](int, const HttpHeaders &) {
+        if (const auto self = weak.lock()) {
+            self->onHead();
+        }
+    };
+    call.onData = [weak](std::string_view data) {
+        const auto self = weak.lock();
+        return self == nullptr || self->onData(data);
+    };
+    call.onDone = [weak](const CallResult &result) {
+        if (const auto self = weak.lock()) {
+            self->onDone(result);
+        }
+    };
+    return call;
+}
+
+// Asked right before the first byte leaves: a process that slept wakes here with facts that are long past.
+bool ForwardJob::maySend() const
+{
+    const UpstreamRecord *record = m_context.beliefs().upstreams.usable(m_upstream.id);
+    return m_phase == Phase::Sent && timeLeft() >= LeastUsefulTime && record != nullptr && record->startedAt == m_upstream.startedAt;
+}
+
+bool ForwardJob::acceptsHead(int status, const HttpHeaders &headers)
+{
+    Platform::UpstreamAnswer answer = Platform::decodeUpstreamAnswer(status, headers);
+    const bool isOwn = answer.requestId == m_decoded.id || (answer.requestId.empty() && answer.isNotRun);
+    if (!isOwn || answer.isEncoded || (isSuccess(status) && !answer.isSealed)) {
+        m_context.log().write(Important, "request", "foreign_answer",
+            { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "answered", answer.requestId },
+                { "status", std::int64_t(status) } });
+        return false;
+    }
+    m_answer = std::move(answer);
+    return true;
+}
+
+void ForwardJob::onHead()
+{
+    if (m_phase != Phase::Sent || !m_answer) {
+        return;
+    }
+    m_phase = Phase::Answering;
+    m_heardAt = now();
+    if (m_route.kind != RequestKind::Stream || !isSuccess(m_answer->status)) {
+        return;
+    }
+    if (std::exchange(m_isUnread, false)) {
+        m_context.beliefs().book.onFirstToken(m_upstream.id, promptTokens());
+    }
+    if (!m_isStreaming) {
+        m_isStreaming = true;
+        HttpHeaders headers = m_answer->callerHeaders;
+        if (m_context.callbacks().isLeaving()) {
+            headers.emplace_back("Connection", "close");
+        }
+        m_exchange->beginStream(m_answer->status, headers);
+        m_context.log().write(Step, "request", "streaming",
+            { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "afterMs", (now() - m_arrivedAt).milliseconds() } });
+    }
+    watchSilence();
+}
+
+bool ForwardJob::onData(std::string_view data)
+{
+    m_heardAt = now();
+    if (m_phase != Phase::Answering) {
+        return true;
+    }
+    if (!m_isStreaming || !isSuccess(m_answer->status)) {
+        m_body.append(data);
+        return true;
+    }
+    const std::string events = m_events.push(data);
+    if (events.empty() || m_exchange->write(events)) {
+        return true;
+    }
+    m_isPaused = true;
+    return false;
+}
+
+void ForwardJob::onDrained()
+{
+    if (std::exchange(m_isPaused, false)) {
+        m_heardAt = now();
+        m_context.loop().client().resume(m_call);
+    }
+}
+
+void ForwardJob::watchSilence()
+{
+    if (!isRepeatable()) {
+        return; // A silent upstream may still come back, and nothing else can take its place.
+    }
+    m_context.loop().cancel(m_silenceTimer);
+    m_silenceTimer = m_context.loop().after(SilenceCheck, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self == nullptr || self->m_phase != Phase::Answering) {
+            return;
+        }
+        if (!self->m_isPaused && self->now() - self->m_heardAt > LongestSilence) {
+            self->m_context.loop().client().cancel(self->m_call);
+            return; // onDone() goes on from here.
+        }
+        self->watchSilence();
+    });
+}
+
+void ForwardJob::endAttempt()
+{
+    m_context.loop().cancel(m_silenceTimer);
+    m_context.beliefs().book.onEnded(m_upstream.id, m_isUnread ? promptTokens() : 0);
+    m_call = 0;
+}
+
+void ForwardJob::onDone(const CallResult &result)
+{
+    if (m_phase == Phase::Ended) {
+        return;
+    }
+    endAttempt();
+    if (result.state != AttemptState::NotSent && m_arrivals++ == 0) {
+        m_context.noteFirstArrival(m_service);
+    }
+    switch (result.state) {
+    case AttemptState::NotSent:
+        m_tried.insert(m_upstream.id);
+        if (result.error != ErrorKind::DeadlinePassed) {
+            m_context.beliefs().outliers.onFailure(m_upstream.id, now());
+        }
+        m_context.log().write(Step, "request", "not_sent",
+            { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "reason", result.detail } });
+        tryNext();
+        break;
+    case AttemptState::Sent:
+        onBroken(result);
+        break;
+    case AttemptState::Answered:
+        onAnswered();
+        break;
+    }
+}
+
+void ForwardJob::onAnswered()
+{
+    if (!m_answer) {
+        onBroken(CallResult { AttemptState::Sent, 0, ErrorKind::UpstreamFailed, "an answer without a head" });
+        return;
+    }
+    if (m_answer->isNotRun) {
+        onNotRun();
+        return;
+    }
+    ++m_runs;
+    m_outcome = Outcome::MayHaveRun;
+    if (!isSuccess(m_answer->status)) {
+        onServerFailure();
+        return;
+    }
+    m_context.beliefs().outliers.onSuccess(m_upstream.id, now());
+    if (!m_isStreaming) {
+        deliver();
+        return;
+    }
+    if (!m_events.rest().empty()) {
+        m_exchange->write(m_events.rest()); // The upstream ended well without a last empty line: its bytes go on as they are.
+    }
+    m_exchange->finish();
+    end("served", "");
+}
+
+void ForwardJob::onNotRun()
+{
+    constexpr int MisdirectedStatus = 421;
+    m_context.log().write(Step, "request", "not_run",
+        { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "status", std::int64_t(m_answer->status) } });
+    if (m_answer->status == MisdirectedStatus && needsAdapter()) {
+        m_context.beliefs().rows.markMissing(m_upstream.id, adapter());
+    }
+    m_tried.insert(m_upstream.id);
+    tryNext();
+}
+
+void ForwardJob::onServerFailure()
+{
+    m_context.beliefs().outliers.onFailure(m_upstream.id, now());
+    m_context.log().write(Important, "request", "upstream_failed",
+        { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "status", std::int64_t(m_answer->status) } });
+    if (m_isStreaming) {
+        onStreamBroken();
+        return;
+    }
+    m_failure = m_answer;
+    m_failureBody = std::move(m_body);
+    retryOrGiveUp(ErrorKind::UpstreamFailed);
+}
+
+void ForwardJob::onBroken(const CallResult &result)
+{
+    ++m_runs;
+    m_outcome = Outcome::MayHaveRun;
+    m_context.beliefs().outliers.onFailure(m_upstream.id, now());
+    m_context.log().write(Important, "request", "broken",
+        { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "reason", result.detail },
+            { "afterMs", (now() - m_sentAt).milliseconds() } });
+    if (m_isStreaming) {
+        onStreamBroken();
+        return;
+    }
+    retryOrGiveUp(result.error == ErrorKind::UpstreamTimeout ? ErrorKind::UpstreamTimeout : ErrorKind::UpstreamFailed);
+}
+
+void ForwardJob::onStreamBroken()
+{
+    m_events.dropRest();
+    if (!m_route.isResumable || m_runs >= m_route.maxAttempts) {
+        breakOff("the upstream broke off");
+        return;
+    }
+    m_tried.insert(m_upstream.id);
+    tryNext();
+}
+
+void ForwardJob::retryOrGiveUp(ErrorKind kind)
+{
+    m_tried.insert(m_upstream.id);
+    if (isRepeatable() && m_runs < m_route.maxAttempts) {
+        tryNext();
+        return;
+    }
+    if (m_failure) {
+        deliver();
+        return;
+    }
+    refuse(kind, RetryAfterRefusal);
+}
+
+void ForwardJob::deliver()
+{
+    const bool isFailure = !m_answer || !isSuccess(m_answer->status) || m_answer->isNotRun;
+    const Platform::UpstreamAnswer &answer = isFailure && m_failure ? *m_failure : *m_answer;
+    const std::string &body = isFailure && m_failure ? m_failureBody : m_body;
+    // An upstream's own refusal without its word that nothing ran must not reach the caller as a promise of ours.
+    if (isPromise(answer.status)) {
+        refuse(ErrorKind::UpstreamFailed, RetryAfterRefusal);
+        return;
+    }
+    HttpHeaders headers = answer.callerHeaders;
+    if (m_context.callbacks().isLeaving()) {
+        headers.emplace_back("Connection", "close");
+    }
+    m_exchange->respond(answer.status, headers, body);
+    end(isSuccess(answer.status) ? "served" : "failed", isSuccess(answer.status) ? "" : "the upstream failed");
+}
+
+void ForwardJob::refuse(ErrorKind kind, Duration retryAfter)
+{
+    if (m_isStreaming) {
+        breakOff(std::string(errorAnswer(kind).word));
+        return;
+    }
+    const ErrorAnswer &answer = errorAnswer(kind);
+    const bool isNotRun = answer.runState == RunState::NotRun;
+    HttpHeaders headers { { "Content-Type", "application/json" } };
+    if (isNotRun) {
+        headers.emplace_back("Retry-After", retryAfterText(retryAfter));
+    }
+    if (m_context.callbacks().isLeaving()) {
+        headers.emplace_back("Connection", "close");
+    }
+    const nlohmann::json body { { "error",
+        { { "message", answer.sentence }, { "code", answer.word }, { "not_run", isNotRun },
+            { "retry", retryAdviceWord(answer.retry) } } } };
+    m_exchange->respond(answer.httpStatus, headers, body.dump());
+    end(isNotRun ? "refused" : "failed", std::string(answer.word));
+}
+
+void ForwardJob::breakOff(const std::string &reason)
+{
+    m_exchange->abort();
+    end("broken_off", reason);
+}
+
+void ForwardJob::onDeadline()
+{
+    if (m_phase == Phase::Ended) {
+        return;
+    }
+    const bool isAtUpstream = m_phase == Phase::Sent || m_phase == Phase::Answering;
+    if (isAtUpstream) {
+        const CallId call = m_call;
+        endAttempt();
+        m_context.loop().client().cancel(call);
+    }
+    if (m_failure && !m_isStreaming) {
+        deliver();
+        return;
+    }
+    refuse(isAtUpstream || m_outcome == Outcome::MayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::NoUpstream, RetryAfterRefusal);
+}
+
+void ForwardJob::onCallerGone()
+{
+    if (m_phase == Phase::Ended) {
+        return;
+    }
+    if (m_phase == Phase::Sent || m_phase == Phase::Answering) {
+        const CallId call = m_call;
+        endAttempt();
+        m_context.loop().client().cancel(call);
+    }
+    end("caller_gone", "");
+}
+
+void ForwardJob::end(const char *event, const std::string &reason)
+{
+    m_phase = Phase::Ended;
+    m_context.loop().cancel(m_deadlineTimer);
+    m_context.loop().cancel(m_waitTimer);
+    m_context.loop().cancel(m_silenceTimer);
+    m_context.log().write(reason.empty() ? Step : Important, "request", event,
+        { { "request", m_decoded.id }, { "reason", reason }, { "arrivals", std::int64_t(m_arrivals) },
+            { "tookMs", (now() - m_arrivedAt).milliseconds() } });
+    m_context.onEnded(m_number);
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/entry/forwardjob.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "coordination/upstreamchoice.h"
+#include "main/entry/forwarder.h"
+#include "platform/requests.h"
+#include "protocol/eventsplitter.h"
+#include "state/routetable.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace ApricotStep
+{
+
+/** What a job needs from its forwarder. */
+class ForwardContext
+{
+public:
+    virtual ~ForwardContext() = default;
+    virtual IoLoop &loop() = 0;
+    virtual EventLog &log() = 0;
+    virtual Beliefs &beliefs() = 0;
+    virtual const ForwarderSettings &settings() const = 0;
+    virtual const ForwarderCallbacks &callbacks() const = 0;
+    virtual std::mt19937_64 &random() = 0;
+    /** Takes one arrival beyond the first out of the service's budget; false when none is left. */
+    virtual bool takeRetry(const ServiceName &service) = 0;
+    /** A request reached its service for the first time. */
+    virtual void noteFirstArrival(const ServiceName &service) = 0;
+    virtual void onEnded(std::uint64_t job) = 0;
+};
+
+/** One attempt of a caller, from its arrival to the end of its answer. */
+class ForwardJob : public std::enable_shared_from_this<ForwardJob>
+{
+public:
+    ForwardJob(ForwardContext &context, std::uint64_t number, HttpRequest request, Platform::CallerRequest decoded,
+        std::shared_ptr<const RouteTable> table, const Route &route, std::shared_ptr<HttpExchange> exchange);
+
+    void start();
+    /** Looks for an upstream again; only does something while the job waits for one. */
+    void lookAgain();
+    /** What this job runs on or waits for; empty when it needs no adapter. */
+    std::optional<AdapterUse> use();
+
+private:
+    enum class Phase {
+        /** For an upstream that can take it. */
+        Waiting,
+        /** At an upstream, which has not answered. */
+        Sent,
+        /** The answer's head has come and the body goes on to the caller or is gathered. */
+        Answering,
+        Ended,
+    };
+    /** How the upstreams that were tried left the request. */
+    enum class Outcome {
+        NotRun,
+        MayHaveRun,
+    };
+
+    Time now() const;
+    Duration timeLeft() const;
+    bool isRepeatable() const;
+    bool needsAdapter() const;
+    AdapterRef adapter() const;
+    std::uint32_t promptTokens() const;
+
+    void tryNext();
+    void wait();
+    std::vector<UpstreamOption> options();
+    bool mayUse(const UpstreamRecord &record);
+    bool canStillServe() const;
+    void send(const UpstreamRecord &record);
+    HttpCall makeCall(const UpstreamRecord &record);
+    bool maySend() const;
+    bool acceptsHead(int status, const HttpHeaders &headers);
+    void onHead();
+    bool onData(std::string_view data);
+    void onDone(const CallResult &result);
+    void onAnswered();
+    void onNotRun();
+    void onBroken(const CallResult &result);
+    void onStreamBroken();
+    void onServerFailure();
+    void endAttempt();
+    void retryOrGiveUp(ErrorKind kind);
+
+    void deliver();
+    void refuse(ErrorKind kind, Duration retryAfter);
+    void breakOff(const std::string &reason);
+    void onDeadline();
+    void onCallerGone();
+    void onDrained();
+    void watchSilence();
+    void end(const char *event, const std::string &reason);
+
+    ForwardContext &m_context;
+    std::uint64_t m_number;
+    HttpRequest m_request;
+    Platform::CallerRequest m_decoded;
+    /** Keeps the route alive: a change of the configuration never moves a request that has begun. */
+    std::shared_ptr<const RouteTable> m_table;
+    const Route &m_route;
+    ServiceName m_service;
+    std::shared_ptr<HttpExchange> m_exchange;
+
+    Time m_arrivedAt;
+    Time m_deadline;
+    Phase m_phase = Phase::Waiting;
+    Outcome m_outcome = Outcome::NotRun;
+    /** Upstreams that may have begun to run it. */
+    int m_runs = 0;
+    int m_arrivals = 0;
+    bool m_isCounted = false;
+    std::set<UpstreamId> m_tried;
+    TimerId m_deadlineTimer = 0;
+    TimerId m_waitTimer = 0;
+    TimerId m_silenceTimer = 0;
+
+    // The attempt in progress.
+    CallId m_call = 0;
+    UpstreamRecord m_upstream;
+    AdapterVersion m_version;
+    std::optional<Platform::UpstreamAnswer> m_answer;
+    std::string m_body;
+    bool m_isUnread = false;
+    Time m_sentAt;
+    Time m_heardAt;
+
+    // Of a stream that goes to the caller.
+    bool m_isStreaming = false;
+    bool m_isPaused = false;
+    EventSplitter m_events;
+    /** A server's own failure, kept to be handed on if nothing better comes. */
+    std::optional<Platform::UpstreamAnswer> m_failure;
+    std::string m_failureBody;
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/entry/orderrunner.cpp
@@ -0,0 +1,267 @@
+#include "main/entry/orderrunner.h"
+
+#include "platform/enginecalls.h"
+
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// The plan's own times are multiples of this or longer.
+constexpr Duration DecideInterval { 25 };
+// Without the lease there is nothing to do but to see whether it has come.
+constexpr Duration IdleInterval { 200 };
+constexpr Duration ConnectTimeout { 300 };
+// An order or report that has no answer by then has none to come; the plan asks again.
+constexpr Duration CallTimeout { 1000 };
+constexpr Duration MaxConnectionIdle = Duration::seconds(10);
+constexpr Duration AcknowledgeTimeout { 700 };
+constexpr int OkStatus = 200;
+
+} // namespace
+
+struct OrderRunner::Private : std::enable_shared_from_this<OrderRunner::Private>
+{
+    IoLoop &loop;
+    EventLog &log;
+    Beliefs &beliefs;
+    FleetLink &fleet;
+    NodeId self;
+    std::function<std::vector<AdapterUse>()> ownUses;
+    std::unique_ptr<AdapterPlan> plan;
+    FencingToken fence;
+    bool isDecisionDue = false;
+
+    Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, NodeId self, std::function<std::vector<AdapterUse>()> ownUses)
+        : loop(loop)
+        , log(log)
+        , beliefs(beliefs)
+        , fleet(fleet)
+        , self(std::move(self))
+        , ownUses(std::move(ownUses))
+    {
+    }
+
+    Time now() const
+    {
+        return loop.clock().now();
+    }
+    void tick();
+    void decide();
+    void decideSoon();
+    bool followLease();
+    std::vector<PlannedEngine> engines() const;
+    void carryOut(const PlanAction &action, std::vector<EngineRow> &rows);
+    void give(const EngineOrder &order);
+    void onAnswer(const EngineOrder &order, FencingToken under, const CallResult &result, Time askedAt);
+    void askReport(const UpstreamId &engine);
+    HttpCall callTo(const UpstreamRecord &record, std::string_view path) const;
+};
+
+void OrderRunner::Private::tick()
+{
+    decide();
+    loop.after(plan != nullptr ? DecideInterval : IdleInterval, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->tick();
+        }
+    });
+}
+
+// Whether this node may order now; a plan belongs to one lease.
+bool OrderRunner::Private::followLease()
+{
+    const auto token = fleet.lease().mayOrder(now());
+    if (!token) {
+        if (plan != nullptr) {
+            log.write(EventLog::Weight::Important, "orders", "stopped", { { "fence", static_cast<std::int64_t>(fence.value()) } });
+        }
+        plan.reset();
+        return false;
+    }
+    if (plan == nullptr || fence != *token) {
+        fence = *token;
+        plan = std::make_unique<AdapterPlan>(AdapterPlanLimits {}, fence);
+        for (const auto &[adapter, known] : beliefs.versions) {
+            plan->setVersion(adapter, known.version);
+        }
+        log.write(EventLog::Weight::Important, "orders", "started", { { "fence", static_cast<std::int64_t>(fence.value()) } });
+    }
+    return true;
+}
+
+std::vector<PlannedEngine> OrderRunner::Private::engines() const
+{
+    std::vector<PlannedEngine> result;
+    if (beliefs.routes == nullptr) {
+        return result;
+    }
+    for (const ServiceSpec &service : beliefs.routes->services()) {
+        if (!service.engine) {
+            continue;
+        }
+        for (const UpstreamRecord *record : beliefs.upstreams.usable(service.name)) {
+            const FleetLoad load = beliefs.book.load(record->id, now());
+            result.push_back(
+                PlannedEngine { record, &*service.engine, load.running, load.pendingTokens, beliefs.outliers.share(record->id, now()) });
+        }
+    }
+    return result;
+}
+
+void OrderRunner::Private::decideSoon()
+{
+    if (plan == nullptr || isDecisionDue) {
+        return;
+    }
+    isDecisionDue = true;
+    loop.after(Duration(0), [weak = weak_from_this()] {
+        if (const auto self = weak.lock(); self != nullptr && self->isDecisionDue) {
+            self->decide();
+        }
+    });
+}
+
+void OrderRunner::Private::decide()
+{
+    isDecisionDue = false;
+    if (!followLease()) {
+        return;
+    }
+    plan->setEngines(engines(), beliefs.rows, now());
+    for (const auto &[adapter, known] : beliefs.versions) {
+        plan->setVersion(adapter, known.version);
+    }
+    plan->onUses(self, ownUses(), now());
+    std::vector<EngineRow> rows;
+    for (const PlanAction &action : plan->decide(now())) {
+        carryOut(action, rows);
+    }
+    if (!rows.empty()) {
+        fleet.announce(rows);
+    }
+}
+
+void OrderRunner::Private::carryOut(const PlanAction &action, std::vector<EngineRow> &rows)
+{
+    std::visit(Overloaded {
+                   [this](const GiveOrder &give) { this->give(give.order); },
+                   [this](const AskEngineReport &ask) { askReport(ask.engine); },
+                   [&rows](const AnnounceRow &announce) { rows.push_back(announce.row); },
+               },
+        action);
+}
+
+HttpCall OrderRunner::Private::callTo(const UpstreamRecord &record, std::string_view path) const
+{
+    HttpCall call;
+    call.url = "http://" + record.address + std::string(path);
+    call.connectTimeout = ConnectTimeout;
+    call.totalTimeout = CallTimeout;
+    call.maxConnectionIdle = MaxConnectionIdle;
+    call.acknowledgeTimeout = AcknowledgeTimeout;
+    call.isSentOnce = true;
+    return call;
+}
+
+void OrderRunner::Private::give(const EngineOrder &order)
+{
+    const UpstreamRecord *record = beliefs.upstreams.usable(order.engine);
+    const FencingToken under = fence;
+    if (record == nullptr) {
+        plan->onOrderAnswer(order, OrderAnswer::WrongEngine, now());
+        return;
+    }
+    HttpCall call = callTo(*record, Platform::orderPath());
+    call.method = "POST";
+    call.headers = Platform::orderHeaders(order);
+    call.body = Platform::orderBody(order, Platform::OrderAuthority { self, under });
+    // A node that slept or was cut off between the decision and this moment may hold the lease no more.
+    call.maySend = [weak = weak_from_this(), under] {
+        const auto self = weak.lock();
+        return self != nullptr && self->fleet.lease().mayOrder(self->now()) == under;
+    };
+    call.onDone = [weak = weak_from_this(), order, under, askedAt = now()](const CallResult &result) {
+        if (const auto self = weak.lock()) {
+            self->onAnswer(order, under, result, askedAt);
+        }
+    };
+    loop.client().start(std::move(call));
+}
+
+void OrderRunner::Private::onAnswer(const EngineOrder &order, FencingToken under, const CallResult &result, Time askedAt)
+{
+    const OrderAnswer answer = result.state == AttemptState::Answered ? Platform::decodeOrderAnswer(result.status) : OrderAnswer::Unknown;
+    log.write(EventLog::Weight::Request, "orders", "answered",
+        { { "engine", order.engine.value() }, { "adapter", order.adapter.value() }, { "version", order.version.value() },
+            { "load", order.kind == EngineOrder::Kind::Load }, { "status", std::int64_t(result.status) }, { "error", result.detail },
+            { "tookMs", (now() - askedAt).milliseconds() } });
+    if (plan != nullptr && under == fence) {
+        plan->onOrderAnswer(order, answer, now());
+        decideSoon();
+    }
+}
+
+void OrderRunner::Private::askReport(const UpstreamId &engine)
+{
+    const UpstreamRecord *record = beliefs.upstreams.usable(engine);
+    if (record == nullptr) {
+        return;
+    }
+    HttpCall call = callTo(*record, Platform::reportPath());
+    call.headers = Platform::reportHeaders(engine);
+    auto body = std::make_shared<std::string>();
+    call.onData = [body](std::string_view data) {
+        body->append(data);
+        return true;
+    };
+    call.onDone = [weak = weak_from_this(), body, engine, under = fence](const CallResult &result) {
+        const auto self = weak.lock();
+        if (self == nullptr || self->plan == nullptr || under != self->fence) {
+            return;
+        }
+        if (result.state != AttemptState::Answered || result.status != OkStatus) {
+            return; // The next one is asked for in a second; requests show an engine's failure sooner.
+        }
+        const auto report = Platform::decodeReport(*body);
+        if (!report.isOk()) {
+            self->log.write(EventLog::Weight::Important, "orders", "bad_report",
+                { { "engine", engine.value() }, { "reason", report.error().detail } });
+            return;
+        }
+        self->plan->onReport(engine, report.value(), self->now());
+    };
+    loop.client().start(std::move(call));
+}
+
+OrderRunner::OrderRunner(
+    IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, NodeId self, std::function<std::vector<AdapterUse>()> ownUses)
+    : d(std::make_shared<Private>(loop, log, beliefs, fleet, std::move(self), std::move(ownUses)))
+{
+}
+
+OrderRunner::~OrderRunner() = default;
+
+void OrderRunner::start()
+{
+    d->tick();
+}
+
+void OrderRunner::onUses(const NodeId &node, const std::vector<AdapterUse> &uses)
+{
+    if (d->plan == nullptr) {
+        return;
+    }
+    d->plan->onUses(node, uses, d->now());
+    d->decideSoon();
+}
+
+void OrderRunner::decideSoon()
+{
+    d->decideSoon();
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/entry/orderrunner.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "coordination/adapterplan.h"
+#include "main/entry/beliefs.h"
+#include "main/entry/eventlog.h"
+#include "main/entry/fleetlink.h"
+#include "transport/ioloop.h"
+
+#include <functional>
+#include <memory>
+
+namespace ApricotStep
+{
+
+/** Carries out the plan for adapters while this node may give orders. */
+class OrderRunner
+{
+public:
+    /** @p ownUses: what this node runs and waits for. */
+    OrderRunner(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, NodeId self, std::function<std::vector<AdapterUse>()> ownUses);
+    ~OrderRunner();
+
+    void start();
+    /** A peer said what it runs and waits for. */
+    void onUses(const NodeId &node, const std::vector<AdapterUse> &uses);
+    /** Something changed that the plan depends on. */
+    void decideSoon();
+
+private:
+    struct Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/entry/peerservice.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "main/entry/eventlog.h"
+#include "main/entry/fleetlink.h"
+#include "main/entry/storereader.h"
+#include "transport/ioloop.h"
+
+#include <memory>
+#include <string>
+
+namespace ApricotStep
+{
+
+/**
+ * Hands what this node has read of the store to other nodes, and fetches from them what it lacks.
+ *
+ * A node that the store turns away, or that starts while the store is down, would else refuse all callers though its neighbours know
+ * everything that it needs.
+ */
+class PeerService
+{
+public:
+    PeerService(IoLoop &loop, EventLog &log, StoreReader &store);
+    ~PeerService();
+
+    /** Serves other nodes at @p address (IP number and port). Errors: SettingsInvalid. */
+    Result<bool> start(const std::string &address, const std::string &port);
+    /** Fetches what @p peer has read, unless that is on its way already. */
+    void fetchFrom(const Peer &peer);
+
+private:
+    struct Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace ApricotStep
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,4 +1,5 @@
 #include "main/checkcommand.h"
+#include "main/entry/entrynode.h"
 #include "main/errorspage.h"
 #include "main/log.h"
 #include "main/node.h"
@@ -62,6 +63,7 @@
     auto *node = app.add_subcommand("node", "Run a node.");
     node->add_option("--settings", settingsPath, "INI file with the settings below.")->required();
     node->footer(settingsHelp());
+    auto *entry = app.add_subcommand("entry", "Run an entry node on the users' platform, which names the settings in the environment.");
     auto *errors = app.add_subcommand("errors-page", "Print docs/ERRORS.md.");
     std::string catalogPath;
     auto *check = app.add_subcommand("check-config", "Check a catalog INI; all faults at once.");
@@ -98,6 +100,9 @@
         std::cout << settingsPage();
         return 0;
     }
+    if (*entry) {
+        return runEntryNode();
+    }
     if (*errors) {
         std::cout << errorsPage();
         return 0;
--- /dev/null
+++ b/protocol/eventsplitter.cpp
@@ -0,0 +1,42 @@
+#include "protocol/eventsplitter.h"
+
+namespace ApricotStep
+{
+
+std::string EventSplitter::push(std::string_view bytes)
+{
+    m_rest.append(bytes);
+    // An event ends with an empty line; lines end with LF or CRLF.
+    std::size_t end = std::string::npos;
+    for (const std::string_view mark : { "\n\n", "\n\r\n" }) {
+        const std::size_t at = m_rest.rfind(mark);
+        if (at != std::string::npos && (end == std::string::npos || at + mark.size() > end)) {
+            end = at + mark.size();
+        }
+    }
+    if (end == std::string::npos) {
+        return {};
+    }
+    std::string whole = m_rest.substr(0, end);
+    m_rest.erase(0, end);
+    noteId(whole);
+    return whole;
+}
+
+void EventSplitter::noteId(std::string_view events)
+{
+    constexpr std::string_view Field = "id:";
+    std::size_t begin = 0;
+    while (begin < events.size()) {
+        const std::size_t end = events.find('\n', begin);
+        std::string_view line = events.substr(begin, end - begin);
+        if (line.starts_with(Field)) {
+            line.remove_prefix(Field.size());
+            line.remove_prefix(line.starts_with(' ') ? 1 : 0);
+            m_lastId = std::string(line.substr(0, line.find('\r')));
+        }
+        begin = end == std::string_view::npos ? events.size() : end + 1;
+    }
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/protocol/fleetcodec.cpp
@@ -0,0 +1,169 @@
+#include "protocol/fleetcodec.h"
+
+#include "protocol/fleet.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// A datagram cannot hold more than this unpacked; the bound keeps forged ones from costing memory or time.
+constexpr std::uint64_t MostWords = 64U << 10U;
+
+std::string textOf(capnp::Text::Reader text)
+{
+    return std::string(text.cStr(), text.size());
+}
+
+void encodeRow(const EngineRow &row, Wire::EngineRowWire::Builder wire)
+{
+    wire.setEngine(row.engine.value());
+    wire.setStartedAt(row.startedAt);
+    wire.setFence(row.fence.value());
+    wire.setSequence(row.sequence);
+    auto copies = wire.initCopies(static_cast<unsigned int>(row.copies.size()));
+    for (unsigned int i = 0; i < copies.size(); ++i) {
+        copies[i].setModel(row.copies[i].model.value());
+        copies[i].setAdapter(row.copies[i].adapter.value());
+        copies[i].setVersion(row.copies[i].version.value());
+        copies[i].setIsReady(row.copies[i].isReady);
+    }
+}
+
+EngineRow decodeRow(Wire::EngineRowWire::Reader wire)
+{
+    EngineRow row;
+    row.engine = UpstreamId(textOf(wire.getEngine()));
+    row.startedAt = wire.getStartedAt();
+    row.fence = FencingToken(wire.getFence());
+    row.sequence = wire.getSequence();
+    for (const auto copy : wire.getCopies()) {
+        row.copies.push_back(AdapterCopy { BaseModelId(textOf(copy.getModel())), AdapterId(textOf(copy.getAdapter())),
+            AdapterVersion(textOf(copy.getVersion())), copy.getIsReady() });
+    }
+    return row;
+}
+
+void encodeLists(const FleetMessage &message, Wire::FleetMessageWire::Builder wire)
+{
+    if (message.loads) {
+        wire.setHasLoads(true);
+        auto loads = wire.initLoads(static_cast<unsigned int>(message.loads->size()));
+        for (unsigned int i = 0; i < loads.size(); ++i) {
+            loads[i].setUpstream((*message.loads)[i].upstream.value());
+            loads[i].setRunning((*message.loads)[i].running);
+            loads[i].setPendingTokens((*message.loads)[i].pendingTokens);
+        }
+    }
+    auto uses = wire.initUses(static_cast<unsigned int>(message.uses.size()));
+    for (unsigned int i = 0; i < uses.size(); ++i) {
+        uses[i].setModel(message.uses[i].model.value());
+        uses[i].setAdapter(message.uses[i].adapter.value());
+        uses[i].setEngine(message.uses[i].engine.value());
+        uses[i].setCount(message.uses[i].count);
+        uses[i].setIsCrowded(message.uses[i].isCrowded);
+    }
+    auto rows = wire.initRows(static_cast<unsigned int>(message.rows.size()));
+    for (unsigned int i = 0; i < rows.size(); ++i) {
+        encodeRow(message.rows[i], rows[i]);
+    }
+}
+
+void decodeLists(Wire::FleetMessageWire::Reader wire, FleetMessage &message)
+{
+    if (wire.getHasLoads()) {
+        message.loads.emplace();
+        for (const auto load : wire.getLoads()) {
+            message.loads->push_back(UpstreamLoad { UpstreamId(textOf(load.getUpstream())), load.getRunning(), load.getPendingTokens() });
+        }
+    }
+    for (const auto use : wire.getUses()) {
+        message.uses.push_back(AdapterUse { BaseModelId(textOf(use.getModel())), AdapterId(textOf(use.getAdapter())),
+            UpstreamId(textOf(use.getEngine())), use.getCount(), use.getIsCrowded() });
+    }
+    for (const auto row : wire.getRows()) {
+        message.rows.push_back(decodeRow(row));
+    }
+}
+
+FleetMessage decode(Wire::FleetMessageWire::Reader wire)
+{
+    FleetMessage message;
+    message.sender = NodeId(textOf(wire.getSender()));
+    message.incarnation = Incarnation(wire.getIncarnation());
+    message.zone = ZoneId(textOf(wire.getZone()));
+    message.callerAddress = textOf(wire.getCallerAddress());
+    message.peerAddress = textOf(wire.getPeerAddress());
+    message.isReady = wire.getIsReady();
+    message.isLeaving = wire.getIsLeaving();
+    message.configVersion = ConfigVersion(wire.getConfigVersion());
+    message.greatestFence = FencingToken(wire.getGreatestFence());
+    if (wire.getHasClaim()) {
+        message.claim = LeaseClaim { FencingToken(wire.getClaimFence()), Time(wire.getClaimSentAt()) };
+    }
+    if (wire.getHasGrant()) {
+        message.grant = LeaseGrant { NodeId(textOf(wire.getGrantHolder())), Incarnation(wire.getGrantIncarnation()),
+            Time(wire.getGrantSentAt()) };
+    }
+    message.isRelease = wire.getIsRelease();
+    decodeLists(wire, message);
+    return message;
+}
+
+} // namespace
+
+std::string encodeFleetMessage(const FleetMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto wire = builder.initRoot<Wire::FleetMessageWire>();
+    wire.setSender(message.sender.value());
+    wire.setIncarnation(message.incarnation.value());
+    wire.setZone(message.zone.value());
+    wire.setCallerAddress(message.callerAddress);
+    wire.setPeerAddress(message.peerAddress);
+    wire.setIsReady(message.isReady);
+    wire.setIsLeaving(message.isLeaving);
+    wire.setConfigVersion(message.configVersion.value());
+    wire.setGreatestFence(message.greatestFence.value());
+    if (message.claim) {
+        wire.setHasClaim(true);
+        wire.setClaimFence(message.claim->fence.value());
+        wire.setClaimSentAt(message.claim->sentAt.milliseconds());
+    }
+    if (message.grant) {
+        wire.setHasGrant(true);
+        wire.setGrantHolder(message.grant->holder.value());
+        wire.setGrantIncarnation(message.grant->incarnation.value());
+        wire.setGrantSentAt(message.grant->sentAt.milliseconds());
+    }
+    wire.setIsRelease(message.isRelease);
+    encodeLists(message, wire);
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, builder);
+    const auto bytes = out.getArray();
+    return std::string(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
+}
+
+Result<FleetMessage> decodeFleetMessage(std::string_view bytes)
+{
+    try {
+        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = MostWords;
+        capnp::PackedMessageReader reader(in, options);
+        FleetMessage message = decode(reader.getRoot<Wire::FleetMessageWire>());
+        if (message.sender.isEmpty()) {
+            return Error { ErrorKind::BadRequest, "a fleet message without a sender" };
+        }
+        return message;
+    } catch (const kj::Exception &error) {
+        return Error { ErrorKind::BadRequest, std::string("a fleet message that cannot be read: ") + error.getDescription().cStr() };
+    }
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/state/routetable.cpp
@@ -0,0 +1,112 @@
+#include "state/routetable.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+bool precedes(const Route &a, const Route &b)
+{
+    if (a.host != b.host) {
+        return a.host < b.host;
+    }
+    // Longest prefix first: the first that matches is the one to take.
+    if (a.pathPrefix.size() != b.pathPrefix.size()) {
+        return a.pathPrefix.size() > b.pathPrefix.size();
+    }
+    return a.pathPrefix < b.pathPrefix;
+}
+
+std::string faultOf(const Route &route)
+{
+    if (route.pathPrefix.empty() || route.pathPrefix.front() != '/' || route.pathPrefix.back() != '/') {
+        return "its path prefix '" + route.pathPrefix + "' does not begin and end with a slash";
+    }
+    if (route.targets.empty()) {
+        return "it has no service";
+    }
+    if (route.timeout <= Duration(0) || route.maxAttempts < 1) {
+        return "its timeout or its number of attempts is not above zero";
+    }
+    const auto isBad = [](const RouteTarget &target) { return !(target.weight > 0); };
+    if (std::any_of(route.targets.begin(), route.targets.end(), isBad)) {
+        return "a weight is not above zero";
+    }
+    return {};
+}
+
+} // namespace
+
+RouteTable::RouteTable(RouteTableSource source)
+    : m_source(std::move(source))
+{
+    std::sort(m_source.routes.begin(), m_source.routes.end(), precedes);
+}
+
+Result<std::shared_ptr<const RouteTable>> RouteTable::make(RouteTableSource source)
+{
+    for (Route &route : source.routes) {
+        route.host = absl::AsciiStrToLower(route.host);
+    }
+    std::shared_ptr<const RouteTable> table(new RouteTable(std::move(source)));
+    const Route *previous = nullptr;
+    for (const Route &route : table->m_source.routes) {
+        const std::string fault = faultOf(route);
+        if (!fault.empty()) {
+            return Error { ErrorKind::ConfigInvalid, "route '" + route.name + "': " + fault };
+        }
+        for (const RouteTarget &target : route.targets) {
+            if (table->service(target.service) == nullptr) {
+                return Error { ErrorKind::ConfigInvalid, "route '" + route.name + "': no service '" + target.service.value() + "'" };
+            }
+        }
+        if (previous != nullptr && previous->host == route.host && previous->pathPrefix == route.pathPrefix) {
+            return Error { ErrorKind::ConfigInvalid, "routes '" + previous->name + "' and '" + route.name + "' share host and prefix" };
+        }
+        previous = &route;
+    }
+    return table;
+}
+
+const Route *RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const std::string name = absl::AsciiStrToLower(std::string(host.substr(0, host.find(':'))));
+    const auto isBefore = [](const Route &route, const std::string &wanted) { return route.host < wanted; };
+    auto at = std::lower_bound(m_source.routes.begin(), m_source.routes.end(), name, isBefore);
+    for (; at != m_source.routes.end() && at->host == name; ++at) {
+        if (path.starts_with(at->pathPrefix)) {
+            return &*at;
+        }
+    }
+    return nullptr;
+}
+
+const ServiceSpec *RouteTable::service(const ServiceName &name) const
+{
+    const auto at = std::find_if(
+        m_source.services.begin(), m_source.services.end(), [&name](const ServiceSpec &service) { return service.name == name; });
+    return at == m_source.services.end() ? nullptr : &*at;
+}
+
+const RouteTarget &drawTarget(const Route &route, double draw)
+{
+    const auto add = [](double sum, const RouteTarget &target) { return sum + target.weight; };
+    double left = draw * std::accumulate(route.targets.begin(), route.targets.end(), 0.0, add);
+    for (const RouteTarget &target : route.targets) {
+        left -= target.weight;
+        if (left < 0) {
+            return target;
+        }
+    }
+    return route.targets.back();
+}
+
+} // namespace ApricotStep
--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -5,6 +5,9 @@
 #include <absl/strings/ascii.h>
 #include <absl/synchronization/mutex.h>
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <atomic>
 #include <deque>
@@ -17,6 +20,13 @@
 {
 
 constexpr int PollMilliseconds = 1000;
+// Buffers of a call. Answers come in parts of a few kilobytes; libcurl's own 16 and 64 KB would be most of a small node's memory.
+constexpr long ReceiveBufferBytes = 8L << 10;
+constexpr long SendBufferBytes = 16L << 10;
+// Connections kept for reuse, over all upstreams: a few for each of the largest fleet's.
+constexpr long MaxKeptConnections = 256;
+// A silent peer is noticed after one second of idling and two probes a second apart.
+constexpr long KeepAliveSeconds = 1;
 
 struct Transfer
 {
@@ -26,6 +36,7 @@
     curl_slist *headerList = nullptr;
     bool isSent = false;
     bool isHeadDone = false;
+    bool isHeadChecked = false;
     bool isPausePending = false;
     std::vector<std::pair<std::string, std::string>> answerHeaders;
 
@@ -52,10 +63,25 @@
     }
 }
 
+// The end of the headers; interim answers (1xx) are followed by another head.
+bool acceptsHead(Transfer &transfer)
+{
+    constexpr int FirstFinalStatus = 200;
+    const int status = statusOf(transfer.easy);
+    if (status < FirstFinalStatus || transfer.isHeadChecked || !transfer.call.acceptsHead) {
+        return true;
+    }
+    transfer.isHeadChecked = true;
+    return transfer.call.acceptsHead(status, transfer.answerHeaders);
+}
+
 std::size_t onHeaderLine(char *data, std::size_t, std::size_t count, void *context)
 {
     auto &transfer = *static_cast<Transfer *>(context);
     const std::string_view line(data, count);
+    if (line == "\r\n" || line == "\n") {
+        return acceptsHead(transfer) ? count : 0;
+    }
     if (line.starts_with("HTTP/")) {
         transfer.answerHeaders.clear();
         return count;
@@ -86,6 +112,10 @@
 int beforeRequest(void *context, char *, char *, int, int)
 {
     auto &transfer = *static_cast<Transfer *>(context);
+    // libcurl asks again before it sends a second time on a new connection after a kept one died. The first bytes may have run by then.
+    if (transfer.isSent && transfer.call.isSentOnce) {
+        return CURL_PREREQFUNC_ABORT;
+    }
     // A process that was paused wakes here with its deadline long past: asked at this moment, the call is stopped as not sent.
     if (transfer.call.maySend && !transfer.call.maySend()) {
         return CURL_PREREQFUNC_ABORT;
@@ -94,6 +124,16 @@
     return CURL_PREREQFUNC_OK;
 }
 
+int onSocket(void *context, curl_socket_t socket, curlsocktype)
+{
+    const auto &call = static_cast<Transfer *>(context)->call;
+    const auto milliseconds = static_cast<unsigned int>(call.acknowledgeTimeout.milliseconds());
+    if (milliseconds > 0) {
+        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+    }
+    return CURL_SOCKOPT_OK;
+}
+
 ErrorKind errorOf(CURLcode code, bool isSent)
 {
     if (!isSent) {
@@ -128,7 +168,11 @@
     absl::flat_hash_map<CallId, std::unique_ptr<Transfer>> transfers;
     std::vector<CURL *> idleHandles;
 
+    bool isDriven = false;
+
     void post(Command command);
+    void work();
+    bool hasCommands();
     void run();
     void carryOut(Command command);
     void begin(std::unique_ptr<Transfer> transfer);
@@ -143,12 +187,20 @@
         const absl::MutexLock lock(&mutex);
         commands.push_back(std::move(command));
     }
-    curl_multi_wakeup(multi);
+    if (!isDriven) {
+        curl_multi_wakeup(multi);
+    }
 }
 
-void HttpClient::Private::run()
+bool HttpClient::Private::hasCommands()
 {
-    while (!isStopping) {
+    const absl::MutexLock lock(&mutex);
+    return !commands.empty();
+}
+
+void HttpClient::Private::work()
+{
+    do {
         std::deque<Command> batch;
         {
             const absl::MutexLock lock(&mutex);
@@ -160,6 +212,13 @@
         int running = 0;
         curl_multi_perform(multi, &running);
         collectDone();
+    } while (hasCommands());
+}
+
+void HttpClient::Private::run()
+{
+    while (!isStopping) {
+        work();
         curl_multi_poll(multi, nullptr, 0, PollMilliseconds, nullptr);
     }
     {
@@ -231,8 +290,9 @@
         transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
     }
     for (const auto &[name, value] : call.headers) {
+        // libcurl drops a header whose value is empty, unless it ends with a semicolon.
         std::string line = name;
-        line.append(": ").append(value);
+        line.append(value.empty() ? ";" : ": ").append(value);
         transfer.headerList = curl_slist_append(transfer.headerList, line.c_str());
     }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headerList);
@@ -251,6 +311,22 @@
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
+    if (!call.target.empty()) {
+        curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, call.target.c_str());
+        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    }
+    if (call.maxConnectionIdle > Duration(0)) {
+        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(call.maxConnectionIdle.milliseconds() / 1000));
+    }
+    if (call.acknowledgeTimeout > Duration(0)) {
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onSocket);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KeepAliveSeconds);
+        curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KeepAliveSeconds);
+    }
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, ReceiveBufferBytes);
+    curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, SendBufferBytes);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &beforeRequest);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeaderLine);
@@ -296,20 +372,28 @@
     }
 }
 
-HttpClient::HttpClient()
+HttpClient::HttpClient(Mode mode)
     : d(std::make_unique<Private>())
 {
+    d->isDriven = mode == Mode::Driven;
     static const CURLcode initialised = curl_global_init(CURL_GLOBAL_ALL);
     static_cast<void>(initialised);
     d->multi = curl_multi_init();
-    d->thread = std::thread([this] { d->run(); });
+    curl_multi_setopt(d->multi, CURLMOPT_MAXCONNECTS, MaxKeptConnections);
+    if (!d->isDriven) {
+        d->thread = std::thread([this] { d->run(); });
+    }
 }
 
 HttpClient::~HttpClient()
 {
     d->isStopping = true;
-    curl_multi_wakeup(d->multi);
-    d->thread.join();
+    if (d->isDriven) {
+        d->run(); // Ends the calls in progress.
+    } else {
+        curl_multi_wakeup(d->multi);
+        d->thread.join();
+    }
     for (CURL *easy : d->idleHandles) {
         curl_easy_cleanup(easy);
     }
@@ -336,4 +420,15 @@
     d->post({ Private::Command::Kind::Resume, id, nullptr });
 }
 
+void HttpClient::step(const std::vector<int> &descriptors, Duration wait)
+{
+    d->work();
+    std::vector<curl_waitfd> waits;
+    waits.reserve(descriptors.size());
+    for (const int descriptor : descriptors) {
+        waits.push_back(curl_waitfd { descriptor, CURL_WAIT_POLLIN, 0 });
+    }
+    curl_multi_poll(d->multi, waits.data(), static_cast<unsigned int>(waits.size()), static_cast<int>(wait.milliseconds()), nullptr);
+}
+
 } // namespace ApricotStep
--- a/transport/httpclient.h
+++ b/transport/httpclient.h
@@ -50,8 +50,21 @@
     std::string authorityFile;
     /** False for a call that must not run twice: it gets a connection of its own, since libcurl by itself sends again on a reused one. */
     bool isRepeatable = true;
+    /** Reuses connections like a repeatable call, but its bytes leave at most once: where libcurl would send again, the call fails. */
+    bool isSentOnce = false;
+    /** Path and query to send byte for byte in place of those of the URL. May be empty. */
+    std::string target;
+    /** A kept connection that was idle for longer is not reused; whole seconds; zero means libcurl's 118 s. */
+    Duration maxConnectionIdle = Duration(0);
+    /** Bytes that the other side leaves unacknowledged for this long break the connection; zero means the system's minutes. */
+    Duration acknowledgeTimeout = Duration(0);
     /** Asked on the open connection right before the first byte leaves; false stops the call as not sent. May be empty. */
     std::function<bool()> maySend;
+    /**
+     * Whether the answer with this status and these headers is one to this call; false ends the call and its connection, so that an answer
+     * to an earlier request never counts as this one's. May be empty.
+     */
+    std::function<bool(int, const std::vector<std::pair<std::string, std::string>> &)> acceptsHead;
     /** Status and headers (names in lower case) of the answer. May be empty. */
     std::function<void(int, const std::vector<std::pair<std::string, std::string>> &)> onHead;
     /** Part of the answer's body. False pauses the answer until resume(); that part counts as taken. May be empty. */
@@ -62,11 +75,15 @@
 
 using CallId = std::uint64_t;
 
-/** Makes many HTTP calls at once, each client on one thread of its own. */
+/** Makes many HTTP calls at once, each client on one thread of its own, or driven by an IoLoop without any. */
 class HttpClient
 {
 public:
-    HttpClient();
+    enum class Mode {
+        OwnThread,
+        Driven,
+    };
+    explicit HttpClient(Mode mode = Mode::OwnThread);
     /** Ends the calls in progress; each gets its onDone. */
     ~HttpClient();
 
@@ -77,6 +94,9 @@
     /** Goes on with an answer that onData paused. */
     void resume(CallId id);
 
+    /** For a driven client: does the work at hand, then waits up to @p wait for more or until one of @p descriptors is readable. */
+    void step(const std::vector<int> &descriptors, Duration wait);
+
 private:
     struct Private;
     std::unique_ptr<Private> d;
--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/container/flat_hash_set.h>
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <unistd.h>
@@ -24,8 +25,9 @@
     R"({"error":{"message":"The request is larger than this node accepts.","type":"invalid_request_error","code":"request_too_large","not_run":true,"retry":"never"}})";
 constexpr int TooLargeStatus = 413;
 constexpr const char *TlsPriorities = "SECURE256:SECURE128:-VERS-ALL:+VERS-TLS1.3:+VERS-TLS1.2";
-// A caller that leaves while its request waits is noticed within this time.
-constexpr auto GoneCheckInterval = std::chrono::milliseconds(200);
+constexpr std::string_view MalformedBody =
+    R"({"error":{"message":"The request is malformed.","type":"invalid_request_error","code":"bad_request","not_run":true,"retry":"never"}})";
+constexpr int MalformedStatus = 400;
 
 std::string peerText(MHD_Connection *connection)
 {
@@ -52,7 +54,8 @@
     absl::Mutex mutex;
     absl::flat_hash_set<std::shared_ptr<MhdExchange>> exchanges ABSL_GUARDED_BY(mutex);
 
-    void checkGone();
+    void checkConnections();
+    void checkRegularly();
     MHD_Result onAccess(MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **state);
     void onCompleted(MHD_Connection *connection, void **state, MHD_RequestTerminationCode code);
     void onConnection(MHD_Connection *connection, void **socketContext, MHD_ConnectionNotificationCode code);
@@ -65,7 +68,9 @@
 
 MHD_Result addHeader(void *context, MHD_ValueKind, const char *name, const char *value)
 {
-    static_cast<HttpRequest *>(context)->headers[absl::AsciiStrToLower(name)] = value != nullptr ? value : "";
+    auto &request = *static_cast<HttpRequest *>(context);
+    request.headers[absl::AsciiStrToLower(name)] = value != nullptr ? value : "";
+    request.headerList.emplace_back(name, value != nullptr ? value : "");
     return MHD_YES;
 }
 
@@ -81,10 +86,30 @@
     return info != nullptr ? info->connect_fd : -1;
 }
 
-// Keeps the raw query beside MHD's parsed one, so that it can be passed on unchanged.
+// Two ends of one body: a sender and a receiver that each believe another one see different requests in the same bytes, and the second of
+// them runs unasked. Such a request is refused and its connection closed, so that nothing after it is read.
+bool hasAmbiguousLength(const HttpRequest &request)
+{
+    int lengths = 0;
+    int encodings = 0;
+    bool isOnlyChunked = true;
+    for (const auto &[name, value] : request.headerList) {
+        if (absl::EqualsIgnoreCase(name, "Content-Length")) {
+            ++lengths;
+            isOnlyChunked = isOnlyChunked && value.find_first_not_of("0123456789") == std::string::npos && !value.empty();
+        } else if (absl::EqualsIgnoreCase(name, "Transfer-Encoding")) {
+            ++encodings;
+            isOnlyChunked = isOnlyChunked && absl::EqualsIgnoreCase(value, "chunked");
+        }
+    }
+    return lengths + encodings > 1 || !isOnlyChunked;
+}
+
+// Keeps the raw target beside MHD's parsed one, so that it can be passed on unchanged.
 void *onUri(void *, const char *uri, MHD_Connection *connection)
 {
     auto exchange = std::make_shared<MhdExchange>(connection);
+    exchange->request.target = uri;
     const char *mark = std::char_traits<char>::find(uri, std::char_traits<char>::length(uri), '?');
     if (mark != nullptr) {
         exchange->request.query = mark + 1;
@@ -120,8 +145,16 @@
         MHD_get_connection_values(connection, MHD_HEADER_KIND, addHeader, &request);
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, addParameter, &request);
         active.fetch_add(1);
-        const absl::MutexLock lock(&mutex);
-        exchanges.insert(*static_cast<std::shared_ptr<MhdExchange> *>(*state));
+        {
+            const absl::MutexLock lock(&mutex);
+            exchanges.insert(*static_cast<std::shared_ptr<MhdExchange> *>(*state));
+        }
+        if (hasAmbiguousLength(request)) {
+            exchange->isHandled = true;
+            exchange->respond(
+                MalformedStatus, { { "Content-Type", "application/json" }, { "Connection", "close" } }, std::string(MalformedBody));
+            return exchange->answerOrSuspend();
+        }
         return MHD_YES;
     }
     if (*size > 0) {
@@ -164,19 +197,24 @@
     *state = nullptr;
 }
 
-void HttpServer::Private::checkGone()
+void HttpServer::Private::checkConnections()
+{
+    std::vector<std::shared_ptr<MhdExchange>> current;
+    {
+        const absl::MutexLock lock(&mutex);
+        current.assign(exchanges.begin(), exchanges.end());
+    }
+    for (const auto &exchange : current) {
+        exchange->checkGone();
+    }
+    watch->closeOverdue();
+}
+
+void HttpServer::Private::checkRegularly()
 {
     while (!isStopping) {
-        std::this_thread::sleep_for(GoneCheckInterval);
-        std::vector<std::shared_ptr<MhdExchange>> current;
-        {
-            const absl::MutexLock lock(&mutex);
-            current.assign(exchanges.begin(), exchanges.end());
-        }
-        for (const auto &exchange : current) {
-            exchange->checkGone();
-        }
-        watch->closeOverdue();
+        std::this_thread::sleep_for(std::chrono::milliseconds(GoneCheckInterval.milliseconds()));
+        checkConnections();
     }
 }
 
@@ -242,7 +280,7 @@
         { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(static_cast<MHD_RequestCompletedCallback>(+completed)), d },
         { MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<std::intptr_t>(static_cast<MHD_NotifyConnectionCallback>(+notify)), d },
         { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&onUri), d },
-        { MHD_OPTION_THREAD_POOL_SIZE, settings.threads > 1 ? settings.threads : 0, nullptr },
+        { MHD_OPTION_THREAD_POOL_SIZE, settings.threads > 1 && !settings.isDriven ? settings.threads : 0, nullptr },
         { MHD_OPTION_CONNECTION_LIMIT, settings.maxConnections, nullptr },
         { MHD_OPTION_CONNECTION_TIMEOUT, settings.idleTimeout.milliseconds() / 1000, nullptr },
         { MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(settings.maxHeaderBytes), nullptr },
@@ -252,13 +290,16 @@
         options.push_back({ MHD_OPTION_HTTPS_PRIORITIES, 0, const_cast<char *>(TlsPriorities) });
     }
     options.push_back({ MHD_OPTION_END, 0, nullptr });
-    const unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC
+    const unsigned int polling = settings.isDriven ? MHD_USE_EPOLL : MHD_USE_EPOLL_INTERNAL_THREAD;
+    const unsigned int flags = polling | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC
         | (settings.tls != nullptr ? static_cast<unsigned int>(MHD_USE_TLS) : 0U);
     d->daemon = MHD_start_daemon(flags, settings.port, nullptr, nullptr, +access, d, MHD_OPTION_ARRAY, options.data(), MHD_OPTION_END);
     if (d->daemon == nullptr) {
         return Error { ErrorKind::SettingsInvalid, "cannot listen on " + settings.address + ":" + std::to_string(settings.port) };
     }
-    d->goneChecker = std::thread([d] { d->checkGone(); });
+    if (!settings.isDriven) {
+        d->goneChecker = std::thread([d] { d->checkRegularly(); });
+    }
     return server;
 }
 
@@ -301,4 +342,22 @@
     }
 }
 
+int HttpServer::pollDescriptor() const
+{
+    const auto *info = MHD_get_daemon_info(d->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    return info != nullptr ? info->epoll_fd : -1;
+}
+
+bool HttpServer::step()
+{
+    MHD_run(d->daemon);
+    MHD_UNSIGNED_LONG_LONG milliseconds = 0;
+    return MHD_get_timeout(d->daemon, &milliseconds) == MHD_YES && milliseconds == 0;
+}
+
+void HttpServer::checkConnections()
+{
+    d->checkConnections();
+}
+
 } // namespace ApricotStep
--- a/transport/httpserver.h
+++ b/transport/httpserver.h
@@ -26,8 +26,12 @@
     /** The query as it came, without '?'. */
     std::string query;
     std::map<std::string, std::string> parameters;
+    /** Path and query byte for byte as they came. */
+    std::string target;
     /** Names in lower case; the last of repeated ones. */
     std::map<std::string, std::string> headers;
+    /** All headers as they came, in order. */
+    HttpHeaders headerList;
     std::string body;
     /** The caller's IP number. */
     std::string peer;
@@ -84,8 +88,16 @@
     Duration arrivalTimeout = Duration::seconds(75);
     /** Serves TLS only when set. */
     std::shared_ptr<TlsCredentials> tls;
+    /**
+     * Has no threads of its own: an IoLoop drives it, and all callbacks come from there. Answers the VM with a sixth of a core, where each
+     * thread costs memory and a lock saves nothing.
+     */
+    bool isDriven = false;
 };
 
+/** A caller that leaves while its request waits is noticed within this time; what it asked for can then be stopped. */
+inline constexpr Duration GoneCheckInterval { 200 };
+
 /** An HTTP/1.1 server. */
 class HttpServer
 {
@@ -101,6 +113,15 @@
     /** Takes no new connections from now on; those that exist go on. */
     void stopAccepting();
 
+    // For a driven server.
+
+    /** Readable when there is work for step(). */
+    int pollDescriptor() const;
+    /** Does the work at hand; true when more is left that needs no waiting. */
+    bool step();
+    /** Notices callers that left and connections that are overdue. Call it every GoneCheckInterval. */
+    void checkConnections();
+
     struct Private;
 
 private:
--- /dev/null
+++ b/transport/ioloop.cpp
@@ -0,0 +1,139 @@
+#include "transport/ioloop.h"
+
+#include <absl/container/btree_map.h>
+
+#include <algorithm>
+#include <atomic>
+#include <utility>
+#include <vector>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// A signal that arrives between two waits is seen within this time.
+constexpr Duration LongestWait { 100 };
+
+struct Socket
+{
+    UdpSocket *socket = nullptr;
+    UdpSocket::Handler handler;
+};
+
+} // namespace
+
+struct IoLoop::Private
+{
+    const Clock &clock;
+    HttpClient client { HttpClient::Mode::Driven };
+    std::vector<HttpServer *> servers;
+    std::vector<Socket> sockets;
+    // By the moment, then in the order in which they were set.
+    absl::btree_map<std::pair<Time, TimerId>, std::function<void()>> timers;
+    absl::btree_map<TimerId, Time> moments;
+    TimerId lastTimer = 0;
+    std::atomic<bool> isStopping { false };
+
+    Duration untilNextTimer() const
+    {
+        if (timers.empty()) {
+            return LongestWait;
+        }
+        return std::clamp(timers.begin()->first.first - clock.now(), Duration(0), LongestWait);
+    }
+
+    void callDueTimers()
+    {
+        const Time now = clock.now();
+        while (!timers.empty() && timers.begin()->first.first <= now) {
+            const auto function = std::move(timers.begin()->second);
+            moments.erase(timers.begin()->first.second);
+            timers.erase(timers.begin());
+            function();
+        }
+    }
+
+    bool stepServers()
+    {
+        bool isMore = false;
+        for (HttpServer *server : servers) {
+            isMore = server->step() || isMore;
+        }
+        return isMore;
+    }
+};
+
+IoLoop::IoLoop(const Clock &clock)
+    : d(new Private { clock })
+{
+}
+
+IoLoop::~IoLoop() = default;
+
+HttpClient &IoLoop::client()
+{
+    return d->client;
+}
+
+const Clock &IoLoop::clock() const
+{
+    return d->clock;
+}
+
+void IoLoop::add(HttpServer *server)
+{
+    d->servers.push_back(server);
+}
+
+void IoLoop::add(UdpSocket *socket, UdpSocket::Handler handler)
+{
+    d->sockets.push_back(Socket { socket, std::move(handler) });
+}
+
+TimerId IoLoop::after(Duration wait, std::function<void()> function)
+{
+    const TimerId id = ++d->lastTimer;
+    const Time at = d->clock.now() + wait;
+    d->timers.emplace(std::pair(at, id), std::move(function));
+    d->moments.emplace(id, at);
+    return id;
+}
+
+void IoLoop::cancel(TimerId id)
+{
+    const auto at = d->moments.find(id);
+    if (at != d->moments.end()) {
+        d->timers.erase(std::pair(at->second, id));
+        d->moments.erase(at);
+    }
+}
+
+void IoLoop::run()
+{
+    std::vector<int> descriptors;
+    bool isMore = false;
+    while (!d->isStopping) {
+        descriptors.clear();
+        for (const HttpServer *server : d->servers) {
+            descriptors.push_back(server->pollDescriptor());
+        }
+        for (const Socket &entry : d->sockets) {
+            descriptors.push_back(entry.socket->descriptor());
+        }
+        d->client.step(descriptors, isMore ? Duration(0) : d->untilNextTimer());
+        isMore = d->stepServers();
+        for (const Socket &entry : d->sockets) {
+            entry.socket->receive(entry.handler);
+        }
+        d->callDueTimers();
+    }
+}
+
+void IoLoop::stop()
+{
+    d->isStopping = true;
+}
+
+} // namespace ApricotStep
--- a/transport/udpsocket.cpp
+++ b/transport/udpsocket.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-constexpr std::size_t MaxDatagramBytes = 2048;
+constexpr std::size_t MaxDatagramBytes = 16U << 10U;
 // A thread that reads on without end under a flood would never see that it is to stop.
 constexpr int MaxReadsInARow = 256;
 
@@ -52,10 +52,10 @@
     std::thread thread;
 
     void run();
-    void readAll();
+    void readAll(const Handler &to) const;
 };
 
-void UdpSocket::Private::readAll()
+void UdpSocket::Private::readAll(const Handler &to) const
 {
     std::array<char, MaxDatagramBytes> buffer {};
     for (int i = 0; i < MaxReadsInARow; ++i) {
@@ -65,7 +65,7 @@
         if (count < 0) {
             return;
         }
-        handler(std::string_view(buffer.data(), static_cast<std::size_t>(count)), addressText(from));
+        to(std::string_view(buffer.data(), static_cast<std::size_t>(count)), addressText(from));
     }
 }
 
@@ -77,7 +77,7 @@
         if ((waits[1].revents & POLLIN) != 0) {
             return;
         }
-        readAll();
+        readAll(handler);
     }
 }
 
@@ -128,6 +128,16 @@
     d->thread = std::thread([this] { d->run(); });
 }
 
+int UdpSocket::descriptor() const
+{
+    return d->socket;
+}
+
+void UdpSocket::receive(const Handler &handler)
+{
+    d->readAll(handler);
+}
+
 bool UdpSocket::send(const std::string &to, std::string_view bytes)
 {
     sockaddr_in address {};
--- a/transport/udpsocket.h
+++ b/transport/udpsocket.h
@@ -11,7 +11,7 @@
 namespace ApricotStep
 {
 
-/** A non-blocking UDP socket and the one thread that reads it. */
+/** A non-blocking UDP socket, read by one thread of its own or by whoever calls receive(). */
 class UdpSocket
 {
 public:
@@ -26,6 +26,10 @@
     std::uint16_t port() const;
     /** Begins to read; once. */
     void start(Handler handler);
+    /** Readable when there is a datagram; for receive(). */
+    int descriptor() const;
+    /** Hands the datagrams at hand to @p handler, for a socket without a thread. */
+    void receive(const Handler &handler);
     /** Sends to host:port from any thread; false when the address is no IPv4 number or the datagram could not leave. */
     bool send(const std::string &to, std::string_view bytes);
 
