Keep the plan's count of places at or above what stands at an engine

Reports no longer bring back what was dropped later, and no order to load leaves while the count does not fit.

--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -47,6 +47,10 @@
     std::map<BaseModelId, Time> loadingModels;
     std::vector<BaseModelId> models;
     Time reportAskedAt;
+    /** A report has come since this plan knows of the engine; before, its places are a guess. */
+    bool isReported = false;
+    /** When copies were dropped: reports from before still list them. */
+    std::map<AdapterRef, Time> droppedAt;
     std::uint64_t sequence = 0;
     bool isChanged = true;
 };
@@ -82,6 +86,7 @@
     bool isUsed(const UpstreamId &engine, const AdapterRef &adapter, Time now) const;
     int loadsUnderWay() const;
     static int loadsUnderWay(const Engine &engine);
+    static bool hasOverfullPlaces(const Engine &engine);
     static bool holdsModel(const Engine &engine, const BaseModelId &model);
     AdapterVersion newestVersion(const AdapterRef &adapter) const;
 
@@ -98,6 +103,8 @@
     void askReports(Time now, std::vector<PlanAction> &actions);
     void announce(std::vector<PlanAction> &actions);
     EngineOrder loadOrder(const UpstreamId &id, const AdapterRef &adapter) const;
+    void takeModels(Engine &engine, const EngineReport &report, Time askedAt) const;
+    void takeCopies(Engine &engine, const EngineReport &report, Time askedAt) const;
 };
 
 double AdapterPlan::Private::popularityOf(const AdapterRef &adapter, Time now) const
@@ -135,6 +142,13 @@
         [](const auto &entry) { return entry.second.state == CopyState::Ordered || entry.second.state == CopyState::Loading; }));
 }
 
+// An engine that is ordered beyond its places crashes. What the plan counts is never less than what stands there, so an order to load, also
+// one that only asks whether a copy is still there, is safe as long as the count fits.
+bool AdapterPlan::Private::hasOverfullPlaces(const Engine &engine)
+{
+    return !engine.isReported || static_cast<int>(engine.copies.size()) > engine.planned.spec->adapterSlots;
+}
+
 int AdapterPlan::Private::loadsUnderWay() const
 {
     int sum = 0;
@@ -181,7 +195,7 @@
 std::optional<double> AdapterPlan::Private::costOfPlace(
     const UpstreamId &id, const Engine &engine, const AdapterRef &adapter, Time now) const
 {
-    const bool isBarred = engine.planned.spec == nullptr || engine.planned.share <= 0 || engine.copies.contains(adapter);
+    const bool isBarred = !engine.isReported || engine.planned.spec == nullptr || engine.planned.share <= 0 || engine.copies.contains(adapter);
     if (isBarred || !holdsModel(engine, adapter.model) || loadsUnderWay(engine) >= limits.loadsAtOnceOfEngine) {
         return std::nullopt;
     }
@@ -300,18 +314,14 @@
 void AdapterPlan::Private::askAgain(Time now, std::vector<PlanAction> &actions)
 {
     for (auto &[id, engine] : engines) {
-        for (auto at = engine.copies.begin(); at != engine.copies.end();) {
-            Copy &copy = at->second;
-            if (copy.state == CopyState::Loading && now - copy.since > limits.loadTimeout) {
-                engine.isChanged = true;
-                at = engine.copies.erase(at);
-                continue;
-            }
+        if (engine.planned.spec == nullptr || hasOverfullPlaces(engine)) {
+            continue;
+        }
+        for (auto &[adapter, copy] : engine.copies) {
             if (copy.state == CopyState::Loading && !copy.isAsked && now >= copy.askAt) {
                 copy.isAsked = true;
-                actions.emplace_back(GiveOrder { loadOrder(id, at->first) });
+                actions.emplace_back(GiveOrder { loadOrder(id, adapter) });
             }
-            ++at;
         }
     }
 }
@@ -465,6 +475,7 @@
     engine.isChanged = true;
     if (order.kind == EngineOrder::Kind::Unload) {
         if (answer == OrderAnswer::Done || answer == OrderAnswer::Accepted) {
+            engine.droppedAt[adapter] = now;
             engine.copies.erase(found);
         } else {
             // In use after all, or nobody knows: it counts as there, and as just used.
@@ -504,44 +515,60 @@
     }
 }
 
-void AdapterPlan::onReport(const UpstreamId &id, const EngineReport &report, Time now)
+void AdapterPlan::onReport(const UpstreamId &id, const EngineReport &report, Time askedAt)
 {
     const auto at = d->engines.find(id);
     if (at == d->engines.end()) {
         return;
     }
     Engine &engine = at->second;
+    engine.isReported = true;
+    d->takeModels(engine, report, askedAt);
+    d->takeCopies(engine, report, askedAt);
+}
+
+void AdapterPlan::Private::takeModels(Engine &engine, const EngineReport &report, Time askedAt) const
+{
     engine.models.clear();
-    std::map<AdapterRef, AdapterVersion> held;
     for (const HeldModel &model : report.models) {
         engine.models.push_back(model.id);
         engine.loadingModels.erase(model.id);
+    }
+    std::erase_if(engine.loadingModels,
+        [this, askedAt, &report](const auto &entry) { return !report.isBusy && askedAt - entry.second > limits.loadTimeout; });
+}
+
+void AdapterPlan::Private::takeCopies(Engine &engine, const EngineReport &report, Time askedAt) const
+{
+    std::map<AdapterRef, AdapterCopy> reported;
+    for (const HeldModel &model : report.models) {
         for (const AdapterKey &key : model.adapters) {
-            held[AdapterRef { model.id, key.id }] = key.version;
+            reported[AdapterRef { model.id, key.id }] = AdapterCopy { model.id, key.id, key.version, true };
+        }
+        for (const AdapterKey &key : report.coming) {
+            reported.emplace(AdapterRef { model.id, key.id }, AdapterCopy { model.id, key.id, key.version, false });
         }
     }
-    std::erase_if(engine.loadingModels,
-        [this, now, &report](const auto &entry) { return !report.isBusy && now - entry.second > d->limits.loadTimeout; });
-    for (const auto &[adapter, version] : held) {
+    const Time lagged = askedAt - limits.reportLag;
+    std::erase_if(engine.droppedAt, [lagged](const auto &entry) { return entry.second < lagged; });
+    for (const auto &[adapter, copy] : reported) {
         const auto known = engine.copies.find(adapter);
         if (known == engine.copies.end()) {
-            // Not ours to know: a former holder's order. It takes a place all the same.
-            engine.copies[adapter] = Copy { version, CopyState::Ready, now, Time::never(), now, false };
-            engine.isChanged = true;
-        } else if (known->second.version.isEmpty()) {
-            known->second.version = version;
-            engine.isChanged = true;
-        }
-    }
-    for (auto copy = engine.copies.begin(); copy != engine.copies.end();) {
-        const bool isOld = now - copy->second.since > d->limits.reportLag;
-        if (copy->second.state == CopyState::Ready && isOld && !held.contains(copy->first)) {
+            if (!engine.droppedAt.contains(adapter)) {
+                // Of a former holder's order. It takes a place all the same.
+                const CopyState state = copy.isReady ? CopyState::Ready : CopyState::Loading;
+                engine.copies[adapter] = Copy { copy.version, state, askedAt, askedAt, askedAt, false };
+                engine.isChanged = true;
+            }
+        } else if (copy.isReady && known->second.version.isEmpty()) {
+            known->second.version = copy.version;
             engine.isChanged = true;
-            copy = engine.copies.erase(copy);
-        } else {
-            ++copy;
         }
     }
+    const auto isGone = [&reported, lagged](const auto &entry) {
+        return !entry.second.isAsked && entry.second.since < lagged && !reported.contains(entry.first);
+    };
+    engine.isChanged = std::erase_if(engine.copies, isGone) > 0 || engine.isChanged;
 }
 
 std::vector<PlanAction> AdapterPlan::decide(Time now)
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -34,7 +34,7 @@
     Duration warmLoad { 30 };
     Duration coldLoad { 255 };
     Duration askAgain { 50 };
-    /** A load that is not done after this has failed. */
+    /** A base model that is not in place after this, on an engine that works on no order, has failed to load. */
     Duration loadTimeout { 4000 };
     Duration popularityHalfLife = Duration::seconds(20);
     /** A copy stays at least so long. */
@@ -98,7 +98,8 @@
     /** What @p node runs and waits for; replaces what it said before. */
     void onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now);
     void onOrderAnswer(const EngineOrder &order, OrderAnswer answer, Time now);
-    void onReport(const UpstreamId &engine, const EngineReport &report, Time now);
+    /** @p askedAt: when the report was asked for. */
+    void onReport(const UpstreamId &engine, const EngineReport &report, Time askedAt);
     /** What to do now; call it after each event and every few ten milliseconds. */
     std::vector<PlanAction> decide(Time now);
 
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -218,7 +218,7 @@
         body->append(data);
         return true;
     };
-    call.onDone = [weak = weak_from_this(), body, engine, under = fence](const CallResult &result) {
+    call.onDone = [weak = weak_from_this(), body, engine, under = fence, askedAt = now()](const CallResult &result) {
         const auto self = weak.lock();
         if (self == nullptr || self->plan == nullptr || under != self->fence) {
             return;
@@ -232,7 +232,7 @@
                 { { "engine", engine.value() }, { "reason", report.error().detail } });
             return;
         }
-        self->plan->onReport(engine, report.value(), self->now());
+        self->plan->onReport(engine, report.value(), askedAt);
     };
     loop.client().start(std::move(call));
 }
