Give hot adapters further copies and let dropped ones return where they are warm

Cause: the most asked adapter has a fifth of all requests and stood at one engine, whose streams ran three times slower (186 events in 13 s). Nodes now say when all copies are crowded, and the plan adds one.

--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -51,6 +51,8 @@
     bool isReported = false;
     /** When copies were dropped: reports from before still list them. */
     std::map<AdapterRef, Time> droppedAt;
+    /** Copies that it held lately: it loads them again ten times as fast, and not from the store. */
+    std::map<AdapterRef, Time> warm;
     std::uint64_t sequence = 0;
     bool isChanged = true;
 };
@@ -67,6 +69,18 @@
     Time heardAt;
 };
 
+// An engine keeps some dozens of dropped adapters at hand; beyond that the oldest are forgotten.
+constexpr std::size_t MostWarm = 40;
+
+void rememberWarm(Engine &engine, const AdapterRef &adapter, Time now)
+{
+    engine.warm[adapter] = now;
+    if (engine.warm.size() > MostWarm) {
+        const auto isOlder = [](const auto &a, const auto &b) { return a.second < b.second; };
+        engine.warm.erase(std::min_element(engine.warm.begin(), engine.warm.end(), isOlder));
+    }
+}
+
 // What a node said counts for this long: six messages missed.
 constexpr Duration UseMemory { 1500 };
 
@@ -199,7 +213,7 @@
     if (isBarred || !holdsModel(engine, adapter.model) || loadsUnderWay(engine) >= limits.loadsAtOnceOfEngine) {
         return std::nullopt;
     }
-    double cost = waitAt(engine) / std::max(engine.planned.share, 0.1);
+    double cost = waitAt(engine) / std::max(engine.planned.share, 0.1) - (engine.warm.contains(adapter) ? limits.warmGainMs : 0);
     if (static_cast<int>(engine.copies.size()) < engine.planned.spec->adapterSlots) {
         // Free places are filled evenly: an engine with few copies gets few requests.
         return cost + limits.evictionCostMs * static_cast<double>(engine.copies.size()) / std::max(engine.planned.spec->adapterSlots, 1);
@@ -476,6 +490,7 @@
     if (order.kind == EngineOrder::Kind::Unload) {
         if (answer == OrderAnswer::Done || answer == OrderAnswer::Accepted) {
             engine.droppedAt[adapter] = now;
+            rememberWarm(engine, adapter, now);
             engine.copies.erase(found);
         } else {
             // In use after all, or nobody knows: it counts as there, and as just used.
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -36,7 +36,7 @@
 // New callers stop coming when their addresses have lapsed; those that hold them longest are still served meanwhile.
 constexpr Duration LingerAfterDrain { 4500 };
 // Before the platform's SIGKILL there must be time to close.
-constexpr Duration ReserveBeforeKill { 600 };
+constexpr Duration ReserveBeforeKill { 250 };
 // File descriptors for the store, engines and peers.
 constexpr int ReservedDescriptors = 600;
 constexpr std::size_t MaxHeaderBytes = 24U << 10U;
--- a/main/entry/forwarder.cpp
+++ b/main/entry/forwarder.cpp
@@ -18,6 +18,8 @@
 
 // A node that does not know a configuration yet will know one within a few round trips.
 constexpr const char *RetryAfterStart = "0.3";
+// How long a sight of crowded copies counts: two messages to the others.
+constexpr Duration CrowdedMemory { 500 };
 // What this node may take of the fleet's allowance: others may count fewer nodes than there are.
 constexpr double ShareOfAllowance = 0.6;
 
@@ -34,6 +36,8 @@
     std::map<std::uint64_t, std::shared_ptr<ForwardJob>> jobs;
     std::uint64_t lastJob = 0;
     std::map<ServiceName, RetryBudget> budgets;
+    /** Adapters whose copies are crowded, and since when that was last seen. */
+    std::map<AdapterRef, Time> crowded;
 
     Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, ForwarderSettings settings, ForwarderCallbacks callbacks)
         : m_loop(loop)
@@ -71,6 +75,7 @@
     RetryBudget &budget(const ServiceName &service);
     bool takeRetry(const ServiceName &service) override;
     void noteFirstArrival(const ServiceName &service) override;
+    void noteCrowded(const AdapterRef &adapter) override;
     void onEnded(std::uint64_t job) override;
 
     void refuse(HttpExchange &exchange, const std::string &id, ErrorKind kind, const std::string &detail);
@@ -100,6 +105,11 @@
     budget(service).onSuccess(m_loop.clock().now());
 }
 
+void Forwarder::Private::noteCrowded(const AdapterRef &adapter)
+{
+    crowded[adapter] = m_loop.clock().now();
+}
+
 void Forwarder::Private::onEnded(std::uint64_t job)
 {
     // The job's own function is still running.
@@ -190,6 +200,11 @@
             at->count += use->count;
         }
     }
+    const Time now = d->m_loop.clock().now();
+    std::erase_if(d->crowded, [now](const auto &entry) { return now - entry.second > CrowdedMemory; });
+    for (const auto &[adapter, since] : d->crowded) {
+        result.push_back(AdapterUse { adapter.model, adapter.adapter, UpstreamId(), 0, true });
+    }
     return result;
 }
 
--- a/main/entry/forwardjob.cpp
+++ b/main/entry/forwardjob.cpp
@@ -31,6 +31,8 @@
 constexpr Duration LeastUsefulTime { 5 };
 // When a caller that was refused may come back: a load of an adapter and a place in a queue later.
 constexpr Duration RetryAfterRefusal { 300 };
+// A prompt that waits longer than this before it is read misses its objective with the next one that comes: time for another copy.
+constexpr Duration CrowdedWait { 200 };
 constexpr int OkStatus = 200;
 constexpr int FirstErrorStatus = 300;
 // Statuses that promise that a request has not run; only this node's own knowledge may give such a promise.
@@ -189,6 +191,9 @@
     const UpstreamOption *chosen = m_decoded.generation ? chooseEngine(found, promptTokens(), figures, m_context.random())
                                                         : chooseService(found, figures, m_context.random());
     if (chosen != nullptr) {
+        if (needsAdapter() && expectedFirstToken(*chosen, 0, figures) > CrowdedWait) {
+            m_context.noteCrowded(adapter());
+        }
         send(*chosen->record);
         return;
     }
@@ -558,6 +563,9 @@
 
 void ForwardJob::breakOff(const std::string &reason)
 {
+    m_context.log().write(Important, "request", "stream_cut",
+        { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "lastEvent", m_events.lastId() },
+            { "silentMs", (now() - m_heardAt).milliseconds() }, { "paused", m_isPaused } });
     m_exchange->abort();
     end("broken_off", reason);
 }
--- a/main/entry/forwardjob.h
+++ b/main/entry/forwardjob.h
@@ -27,6 +27,8 @@
     virtual std::mt19937_64 &random() = 0;
     /** Takes one arrival beyond the first out of the service's budget; false when none is left. */
     virtual bool takeRetry(const ServiceName &service) = 0;
+    /** Requests for this adapter wait long at all its copies. */
+    virtual void noteCrowded(const AdapterRef &adapter) = 0;
     /** A request reached its service for the first time. */
     virtual void noteFirstArrival(const ServiceName &service) = 0;
     virtual void onEnded(std::uint64_t job) = 0;
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -23,8 +23,8 @@
 constexpr Duration ReadTimeout { 3000 };
 constexpr Duration ConnectTimeout { 700 };
 constexpr Duration AcknowledgeTimeout { 1000 };
-// Engines write several times a second; calls are paid for, and a fact that is a third of a second old still serves all bounds.
-constexpr Duration PauseBetweenCalls { 350 };
+// Engines write several times a second; calls are paid for, and a fact that is a second old still serves all bounds (two seconds).
+constexpr Duration PauseBetweenCalls { 1000 };
 constexpr Duration FirstRetry { 100 };
 constexpr Duration LongestRetry { 800 };
 // Shorter interruptions end no leases at the store.
