Let only one node at a time give orders to engines

Messages now name contacts; a node's own voice counts only while it promised itself; those who were heard of within a minute count, and the minority side of a partition never forgets. tests/coordination/ testorderlease.cpp replays it with kills, cuts, freezes and clock steps.

--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -99,6 +99,8 @@
     std::optional<LeaseGrant> grant;
     /** The sender gives its lease up. */
     bool isRelease = false;
+    /** Peer addresses of nodes that the sender heard of lately, so that those who know few find the others. */
+    std::vector<std::string> contacts;
     /** Unset in messages that do not speak of load. */
     std::optional<std::vector<UpstreamLoad>> loads;
     std::vector<AdapterUse> uses;
--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -49,9 +49,24 @@
     Time heldSince = Time::never();
     bool isReleased = false;
 
+    /** Whether this node hears more than half of all that it has not forgotten, itself included. */
+    bool hearsMajority(Time now) const
+    {
+        std::size_t all = 1;
+        std::size_t heard = 1;
+        for (const auto &[id, other] : others) {
+            ++all;
+            heard += !other.isSeed && now - other.heardAt <= limits.liveness ? 1 : 0;
+        }
+        return 2 * heard > all;
+    }
     bool counts(const Other &other, Time now) const
     {
-        return !other.isLeaving && now - other.heardAt <= limits.memory;
+        return isRemembered(other, now) || !hearsMajority(now);
+    }
+    bool isRemembered(const Other &other, Time now) const
+    {
+        return now - other.heardAt <= (other.isLeaving ? limits.leaverMemory : limits.memory);
     }
     std::vector<std::pair<NodeId, const Other *>> counted(Time now) const
     {
@@ -91,8 +106,12 @@
         }
         const auto members = counted(now);
         const std::size_t all = members.size() + 1;
-        std::vector<Time> granted { now }; // This node's own voice.
-        bool hasLowest = lowestCounted(now) == self;
+        // Its own voice counts as any other: only while it has promised itself.
+        std::vector<Time> granted;
+        if (promisedTo == self && now < promisedUntil) {
+            granted.push_back(promisedUntil - limits.lease);
+        }
+        bool hasLowest = !granted.empty() && lowestCounted(now) == self;
         for (const auto &[id, other] : members) {
             if (other->grantedClaim && now < *other->grantedClaim + limits.lease - limits.margin) {
                 granted.push_back(*other->grantedClaim);
@@ -113,7 +132,10 @@
     }
     void forgetOld(Time now)
     {
-        absl::erase_if(others, [this, now](const auto &entry) { return now - entry.second.heardAt > limits.memory; });
+        if (!hearsMajority(now)) {
+            return;
+        }
+        absl::erase_if(others, [this, now](const auto &entry) { return !isRemembered(entry.second, now); });
     }
     void stopClaiming()
     {
@@ -166,7 +188,7 @@
     d->greatestFence = std::max(d->greatestFence, message.claim->fence);
     const bool isRenewal = d->promisedTo == message.sender && d->promisedIncarnation == message.incarnation && now < d->promisedUntil;
     const bool isFree = now >= d->promisedUntil && !isHolder(now);
-    if (d->isStarting(now) || (!isRenewal && !isFree)) {
+    if (d->isReleased || d->isStarting(now) || (!isRenewal && !isFree)) {
         return std::nullopt;
     }
     d->promisedTo = message.sender;
@@ -178,6 +200,11 @@
 std::optional<LeaseClaim> OrderLease::claim(bool isWilling, Time now, Time wall)
 {
     d->forgetOld(now);
+    // A token that was made for an attempt long ago may lie below that of a holder in between. Voters tell theirs with each grant, and every
+    // holder's majority has one of them; so what is known at this moment is above all that ordered before.
+    if (d->fence && d->heldSince == Time::never() && d->greatestFence > *d->fence) {
+        d->stopClaiming();
+    }
     const bool isHeld = isHolder(now);
     if (isHeld && d->heldSince == Time::never()) {
         d->heldSince = now;
--- a/coordination/orderlease.h
+++ b/coordination/orderlease.h
@@ -30,8 +30,13 @@
     Duration renewal { 250 };
     /** Orders of two holders must be further apart than this. */
     Duration turn { 3000 };
-    /** A node not heard of for so long no longer counts in the majority: longer than a restart, so that those who come back find their seat. */
-    Duration memory = Duration::seconds(15);
+    /**
+     * A node not heard of for so long no longer counts in the majority, as far as those see it who hear more than half of all. The other
+     * side of a partition never forgets: else both sides would lead. A minute outlasts the restarts of a whole fleet.
+     */
+    Duration memory = Duration::seconds(60);
+    /** A node that left counts for so long: it may be back behind a partition, where it gives its voice to the other side. */
+    Duration leaverMemory = Duration::seconds(15);
     /** A node heard of within this may claim: three messages lost in a row. */
     Duration liveness { 900 };
 };
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
 #include <utility>
 
 namespace ApricotStep
@@ -17,8 +18,10 @@
 constexpr Duration HeartbeatInterval { 250 };
 // All rows are told again this often, for nodes that started or lost a datagram.
 constexpr Duration RowsInterval { 1000 };
+// Contacts in one message: with four messages a second, all nodes of a small fleet are named to a new one within a second.
+constexpr std::size_t ContactsInMessage = 6;
 // A peer silent for so long is forgotten.
-constexpr Duration PeerMemory = Duration::seconds(15);
+constexpr Duration PeerMemory = Duration::seconds(60);
 // Rows in one datagram: eight copies of about 20 bytes each stay below the size that no link cuts.
 constexpr std::size_t RowsInDatagram = 6;
 constexpr EventLog::Weight Important = EventLog::Weight::Important;
@@ -43,6 +46,9 @@
     OrderLease lease;
     std::unique_ptr<UdpSocket> socket;
     std::map<NodeId, Peer> peers;
+    /** Addresses where a node is said to be that has not been heard of yet, and until when it is tried. */
+    std::map<std::string, Time> contacts;
+    std::mt19937_64 random { std::random_device {}() };
     /** The rows that this node announced, for repeating. */
     std::map<UpstreamId, EngineRow> ownRows;
     Time rowsToldAt;
@@ -73,6 +79,8 @@
     void onDatagram(std::string_view bytes);
     void onMessage(const FleetMessage &message);
     void notePeer(const FleetMessage &message);
+    void noteContacts(const FleetMessage &message);
+    std::vector<std::string> someContacts();
     void noteHolder();
     void tick();
 };
@@ -108,11 +116,15 @@
     for (const auto &[id, peer] : peers) {
         result.push_back(peer.peerAddress);
     }
-    for (const std::string &seed : identity.seeds) {
-        const bool isKnown = std::find(result.begin(), result.end(), seed) != result.end();
-        if (!isKnown && seed != identity.peerAddress) {
-            result.push_back(seed);
+    const auto add = [&result, this](const std::string &address) {
+        const bool isKnown = std::find(result.begin(), result.end(), address) != result.end();
+        if (!isKnown && address != identity.peerAddress) {
+            result.push_back(address);
         }
+    };
+    std::for_each(identity.seeds.begin(), identity.seeds.end(), add);
+    for (const auto &[address, until] : contacts) {
+        add(address);
     }
     return result;
 }
@@ -125,9 +137,37 @@
     }
 }
 
+std::vector<std::string> FleetLink::Private::someContacts()
+{
+    std::vector<std::string> known;
+    for (const auto &[id, peer] : peers) {
+        if (now() - peer.heardAt <= Liveness && !peer.isLeaving) {
+            known.push_back(peer.peerAddress);
+        }
+    }
+    std::shuffle(known.begin(), known.end(), random);
+    known.resize(std::min(known.size(), ContactsInMessage));
+    return known;
+}
+
+// A node that knows only the seeds would count a fleet of four, and so would each of the others: several majorities at once.
+void FleetLink::Private::noteContacts(const FleetMessage &message)
+{
+    contacts.erase(message.peerAddress);
+    for (const std::string &address : message.contacts) {
+        const bool isPeer = std::any_of(
+            peers.begin(), peers.end(), [&address](const auto &entry) { return entry.second.peerAddress == address; });
+        if (!isPeer && address != identity.peerAddress && contacts.emplace(address, now() + PeerMemory).second) {
+            lease.addSeed(address, now());
+        }
+    }
+    std::erase_if(contacts, [this](const auto &entry) { return now() > entry.second; });
+}
+
 void FleetLink::Private::heartbeat()
 {
     FleetMessage message = withLoad();
+    message.contacts = someContacts();
     message.claim = lease.claim(message.isReady, now(), loop.clock().wallTime());
     sendToAll(message);
     if (lease.isHolder(now()) && now() - rowsToldAt >= RowsInterval) {
@@ -183,6 +223,7 @@
 void FleetLink::Private::onMessage(const FleetMessage &message)
 {
     notePeer(message);
+    noteContacts(message);
     const auto grant = lease.onMessage(message, now());
     if (grant) {
         FleetMessage answer = base();
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -54,4 +54,5 @@
     loads @18 :List(UpstreamLoadWire);
     uses @19 :List(AdapterUseWire);
     rows @20 :List(EngineRowWire);
+    contacts @21 :List(Text);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -96,7 +96,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -586,6 +586,9 @@
   inline bool hasRows() const;
   inline  ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
+  inline bool hasContacts() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getContacts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -709,6 +712,14 @@
   inline void adoptRows(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>> disownRows();
 
+  inline bool hasContacts();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getContacts();
+  inline void setContacts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setContacts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initContacts(unsigned int size);
+  inline void adoptContacts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownContacts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1609,6 +1620,44 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessageWire::Reader::hasContacts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasContacts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FleetMessageWire::Reader::getContacts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FleetMessageWire::Builder::getContacts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setContacts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline void FleetMessageWire::Builder::setContacts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FleetMessageWire::Builder::initContacts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptContacts(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FleetMessageWire::Builder::disownContacts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -60,6 +60,10 @@
             loads[i].setPendingTokens((*message.loads)[i].pendingTokens);
         }
     }
+    auto contacts = wire.initContacts(static_cast<unsigned int>(message.contacts.size()));
+    for (unsigned int i = 0; i < contacts.size(); ++i) {
+        contacts.set(i, message.contacts[i]);
+    }
     auto uses = wire.initUses(static_cast<unsigned int>(message.uses.size()));
     for (unsigned int i = 0; i < uses.size(); ++i) {
         uses[i].setModel(message.uses[i].model.value());
@@ -82,6 +86,9 @@
             message.loads->push_back(UpstreamLoad { UpstreamId(textOf(load.getUpstream())), load.getRunning(), load.getPendingTokens() });
         }
     }
+    for (const auto contact : wire.getContacts()) {
+        message.contacts.push_back(textOf(contact));
+    }
     for (const auto use : wire.getUses()) {
         message.uses.push_back(AdapterUse { BaseModelId(textOf(use.getModel())), AdapterId(textOf(use.getAdapter())),
             UpstreamId(textOf(use.getEngine())), use.getCount(), use.getIsCrowded() });
--- /dev/null
+++ b/tests/coordination/testorderlease.cpp
@@ -0,0 +1,333 @@
+#include "coordination/orderlease.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+constexpr Duration Tick { 50 };
+constexpr Duration Turn { 3000 };
+
+struct Datagram
+{
+    Time arrives;
+    std::string to;
+    FleetMessage message;
+};
+
+struct FleetNode
+{
+    std::unique_ptr<OrderLease> lease;
+    Incarnation incarnation;
+    Time nextHeartbeat;
+    bool isUp = true;
+    bool isLeaving = false;
+    bool isFrozen = false;
+};
+
+/** Nodes that talk over a network which tests can cut, in virtual time; every order that a node may give is recorded. */
+class LeaseFleet
+{
+public:
+    LeaseFleet(int count, std::uint64_t seed)
+        : m_random(seed)
+    {
+        for (int i = 1; i <= count; ++i) {
+            start("node-" + std::string(i < 10 ? "0" : "") + std::to_string(i));
+        }
+    }
+
+    void start(const std::string &id)
+    {
+        FleetNode &node = m_nodes[id];
+        node = FleetNode {};
+        node.incarnation = Incarnation(++m_incarnations);
+        node.lease = std::make_unique<OrderLease>(OrderLeaseLimits {}, NodeId(id), node.incarnation, m_now);
+        for (const char *seed : { "node-01", "node-02", "node-03" }) {
+            if (id != seed) {
+                node.lease->addSeed(seed, m_now);
+            }
+        }
+        node.nextHeartbeat = m_now + Duration(std::uniform_int_distribution<int>(0, 250)(m_random));
+    }
+    void kill(const std::string &id)
+    {
+        m_nodes[id].isUp = false;
+    }
+    void freeze(const std::string &id, bool isFrozen)
+    {
+        m_nodes[id].isFrozen = isFrozen;
+    }
+    void leave(const std::string &id)
+    {
+        FleetNode &node = m_nodes[id];
+        FleetMessage message = base(id);
+        message.isRelease = node.lease->isHolder(m_now);
+        node.isLeaving = true;
+        message.isLeaving = true;
+        node.lease->release();
+        sendToAll(id, message);
+    }
+    /** Nodes of different groups do not hear each other; all start in group 0. */
+    void setGroup(const std::string &id, int group)
+    {
+        m_groups[id] = group;
+    }
+    void setLoss(double share)
+    {
+        m_loss = share;
+    }
+    void setWall(const std::string &id, Duration offset)
+    {
+        m_wallOffsets[id] = offset;
+    }
+
+    void run(Duration span)
+    {
+        const Time end = m_now + span;
+        while (m_now < end) {
+            m_now = m_now + Tick;
+            deliver();
+            for (auto &[id, node] : m_nodes) {
+                if (node.isUp && !node.isFrozen) {
+                    step(id, node);
+                }
+            }
+        }
+    }
+
+    std::string holder() const
+    {
+        for (const auto &[id, node] : m_nodes) {
+            if (node.isUp && !node.isFrozen && node.lease->mayOrder(m_now)) {
+                return id;
+            }
+        }
+        return {};
+    }
+    /** The first breach: orders of two holders within the turn, or a token that falls. Empty when there is none. */
+    const std::string &breach() const
+    {
+        return m_breach;
+    }
+    std::string first() const
+    {
+        return m_nodes.begin()->first;
+    }
+
+private:
+    FleetMessage base(const std::string &id)
+    {
+        FleetMessage message;
+        message.sender = NodeId(id);
+        message.incarnation = m_nodes[id].incarnation;
+        message.peerAddress = id;
+        message.isLeaving = m_nodes[id].isLeaving;
+        message.greatestFence = m_nodes[id].lease->greatestFence();
+        return message;
+    }
+    void sendToAll(const std::string &from, const FleetMessage &message)
+    {
+        for (const auto &[id, node] : m_nodes) {
+            if (id != from) {
+                send(from, id, message);
+            }
+        }
+    }
+    void send(const std::string &from, const std::string &to, const FleetMessage &message)
+    {
+        if (m_groups[from] != m_groups[to] || std::uniform_real_distribution<double>(0, 1)(m_random) < m_loss) {
+            return;
+        }
+        m_network.push_back(Datagram { m_now + Duration(std::uniform_int_distribution<int>(1, 60)(m_random)), to, message });
+    }
+    void deliver()
+    {
+        std::deque<Datagram> due;
+        std::deque<Datagram> later;
+        for (Datagram &datagram : m_network) {
+            (datagram.arrives <= m_now ? due : later).push_back(std::move(datagram));
+        }
+        m_network = std::move(later);
+        for (const Datagram &datagram : due) {
+            FleetNode &node = m_nodes[datagram.to];
+            if (!node.isUp) {
+                continue;
+            }
+            if (node.isFrozen) {
+                m_network.push_back(datagram);
+                continue;
+            }
+            const auto grant = node.lease->onMessage(datagram.message, m_now);
+            if (grant) {
+                FleetMessage answer = base(datagram.to);
+                answer.grant = grant;
+                send(datagram.to, datagram.message.sender.value(), answer);
+            }
+        }
+    }
+    void step(const std::string &id, FleetNode &node)
+    {
+        if (m_now >= node.nextHeartbeat) {
+            node.nextHeartbeat = m_now + OrderLeaseLimits {}.renewal;
+            FleetMessage message = base(id);
+            message.claim = node.lease->claim(!node.isLeaving, m_now, m_now + Duration(1'700'000'000'000) + m_wallOffsets[id]);
+            sendToAll(id, message);
+        }
+        if (const auto fence = node.lease->mayOrder(m_now)) {
+            note(id, *fence);
+        }
+    }
+    void note(const std::string &id, FencingToken fence)
+    {
+        if (m_breach.empty() && !m_lastHolder.empty() && m_lastHolder != id && m_now - m_lastOrderAt < Turn) {
+            m_breach = id + " orders " + std::to_string((m_now - m_lastOrderAt).milliseconds()) + " ms after " + m_lastHolder;
+        }
+        if (m_breach.empty() && (fence < m_lastFence || (fence == m_lastFence && m_lastHolder != id))) {
+            m_breach = id + " orders under a token that is not above that of " + m_lastHolder;
+        }
+        m_lastHolder = id;
+        m_lastFence = fence;
+        m_lastOrderAt = m_now;
+    }
+
+    std::mt19937_64 m_random;
+    Time m_now { 1'000'000 };
+    std::map<std::string, FleetNode> m_nodes;
+    std::map<std::string, int> m_groups;
+    std::map<std::string, Duration> m_wallOffsets;
+    std::deque<Datagram> m_network;
+    double m_loss = 0;
+    std::uint64_t m_incarnations = 0;
+    std::string m_lastHolder;
+    FencingToken m_lastFence;
+    Time m_lastOrderAt;
+    std::string m_breach;
+};
+
+} // namespace
+
+// A node that gives orders is told to stop, and the others take over. Each of them hears that it leaves at a different moment. A user would
+// notice two holders at once as an engine that crashes, ordered beyond its places.
+Test(orderlease, aHolderThatLeavesIsFollowedByOneOnly)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        LeaseFleet fleet(12, seed);
+        fleet.run(Duration::seconds(10));
+        const std::string former = fleet.holder();
+        cr_assert_not(former.empty(), "seed %lu: nobody gives orders", seed);
+        fleet.leave(former);
+        fleet.run(Duration::seconds(6));
+        cr_assert(fleet.breach().empty(), "seed %lu: %s", seed, fleet.breach().c_str());
+        cr_assert_not(fleet.holder().empty(), "seed %lu: nobody follows", seed);
+        cr_assert_neq(fleet.holder(), former);
+    }
+}
+
+// All nodes are stopped and started again, one after the other, each while others are still on their way.
+Test(orderlease, rollingRestartsNeverLetTwoOrder)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        LeaseFleet fleet(12, seed);
+        fleet.run(Duration::seconds(8));
+        for (int i = 1; i <= 12; ++i) {
+            const std::string id = "node-" + std::string(i < 10 ? "0" : "") + std::to_string(i);
+            fleet.leave(id);
+            fleet.run(Duration(1300));
+            fleet.kill(id);
+            fleet.run(Duration(200));
+            fleet.start(id);
+        }
+        fleet.run(Duration::seconds(8));
+        cr_assert(fleet.breach().empty(), "seed %lu: %s", seed, fleet.breach().c_str());
+        cr_assert_not(fleet.holder().empty(), "seed %lu", seed);
+    }
+}
+
+// The fleet is cut into two halves of the same size, and both reach the engines. Then the cut moves, so that each node has once been on
+// either side.
+Test(orderlease, onlyOneHalfOrdersBehindACut)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        LeaseFleet fleet(12, seed);
+        fleet.run(Duration::seconds(8));
+        std::mt19937_64 random(seed);
+        for (int round = 0; round < 6; ++round) {
+            for (int i = 1; i <= 12; ++i) {
+                fleet.setGroup("node-" + std::string(i < 10 ? "0" : "") + std::to_string(i), static_cast<int>(random() % 2));
+            }
+            fleet.run(Duration(500 + static_cast<std::int64_t>(random() % 6000)));
+        }
+        cr_assert(fleet.breach().empty(), "seed %lu: %s", seed, fleet.breach().c_str());
+    }
+}
+
+// A holder stands still for some seconds, as when its VM is suspended, and wakes with the belief that it may order.
+Test(orderlease, aHolderThatWakesOrdersNoMore)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        LeaseFleet fleet(7, seed);
+        fleet.run(Duration::seconds(8));
+        const std::string former = fleet.holder();
+        fleet.freeze(former, true);
+        fleet.run(Duration(4000 + static_cast<std::int64_t>(seed) * 300));
+        fleet.freeze(former, false);
+        fleet.run(Duration::seconds(8));
+        cr_assert(fleet.breach().empty(), "seed %lu: %s", seed, fleet.breach().c_str());
+        cr_assert_not(fleet.holder().empty(), "seed %lu", seed);
+    }
+}
+
+// Kills, restarts, freezes, cuts, lost datagrams and clocks that jump come one over the other.
+Test(orderlease, anythingAtOnceNeverLetsTwoOrder)
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        std::mt19937_64 random(seed);
+        LeaseFleet fleet(5 + static_cast<int>(seed % 8), seed);
+        const int count = 5 + static_cast<int>(seed % 8);
+        fleet.setLoss(0.03);
+        fleet.run(Duration::seconds(8));
+        std::set<std::string> down;
+        for (int event = 0; event < 40; ++event) {
+            const int i = 1 + static_cast<int>(random() % static_cast<std::uint64_t>(count));
+            const std::string id = "node-" + std::string(i < 10 ? "0" : "") + std::to_string(i);
+            switch (random() % 6) {
+            case 0:
+                fleet.kill(id);
+                down.insert(id);
+                break;
+            case 1:
+                if (down.erase(id) > 0) {
+                    fleet.start(id);
+                }
+                break;
+            case 2:
+                fleet.freeze(id, random() % 2 == 0);
+                break;
+            case 3:
+                fleet.setGroup(id, static_cast<int>(random() % 2));
+                break;
+            case 4:
+                fleet.setWall(id, Duration(static_cast<std::int64_t>(random() % 4800) - 2400));
+                break;
+            default:
+                if (!down.contains(id)) {
+                    fleet.leave(id);
+                }
+                break;
+            }
+            fleet.run(Duration(static_cast<std::int64_t>(random() % 1500)));
+        }
+        cr_assert(fleet.breach().empty(), "seed %lu: %s", seed, fleet.breach().c_str());
+    }
+}
