Count a place until the engine says that it is free

Cause: an unload that was accepted (it waits for its runs) freed its place in the plan at once, and a report from before a late acceptance took a load under way out of it; the next load was the ninth.

--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -33,7 +33,8 @@
     Time since;
     /** When the engine is asked (again) whether the load is done. */
     Time askAt = Time::never();
-    Time usedAt;
+    /** When the engine's last answer about it came: reports from before say nothing of it. */
+    Time answeredAt;
     /** An order about it is on its way. */
     bool isAsked = false;
 };
@@ -117,6 +118,7 @@
     void askReports(Time now, std::vector<PlanAction> &actions);
     void announce(std::vector<PlanAction> &actions);
     EngineOrder loadOrder(const UpstreamId &id, const AdapterRef &adapter) const;
+    static EngineOrder dropOrder(const UpstreamId &id, const AdapterRef &adapter);
     void takeModels(Engine &engine, const EngineReport &report, Time askedAt) const;
     void takeCopies(Engine &engine, const EngineReport &report, Time askedAt) const;
 };
@@ -230,6 +232,11 @@
     return EngineOrder { EngineOrder::Kind::Load, adapter.model, adapter.adapter, newestVersion(adapter), id };
 }
 
+EngineOrder AdapterPlan::Private::dropOrder(const UpstreamId &id, const AdapterRef &adapter)
+{
+    return EngineOrder { EngineOrder::Kind::Unload, adapter.model, adapter.adapter, {}, id };
+}
+
 void AdapterPlan::Private::beginLoad(
     const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions)
 {
@@ -270,9 +277,10 @@
     Copy &copy = best->copies[least];
     copy.state = CopyState::Dropping;
     copy.since = now;
+    copy.askAt = Time::never();
     copy.isAsked = true;
     best->isChanged = true;
-    actions.emplace_back(GiveOrder { EngineOrder { EngineOrder::Kind::Unload, least.model, least.adapter, {}, bestId } });
+    actions.emplace_back(GiveOrder { dropOrder(bestId, least) });
 }
 
 // Some node wants an adapter that should be in place: it does not know yet, or the engine lost it. The engine is asked.
@@ -332,9 +340,15 @@
             continue;
         }
         for (auto &[adapter, copy] : engine.copies) {
-            if (copy.state == CopyState::Loading && !copy.isAsked && now >= copy.askAt) {
+            if (copy.isAsked || now < copy.askAt) {
+                continue;
+            }
+            if (copy.state == CopyState::Loading) {
                 copy.isAsked = true;
                 actions.emplace_back(GiveOrder { loadOrder(id, adapter) });
+            } else if (copy.state == CopyState::Dropping) {
+                copy.isAsked = true;
+                actions.emplace_back(GiveOrder { dropOrder(id, adapter) });
             }
         }
     }
@@ -487,8 +501,12 @@
     Copy &copy = found->second;
     copy.isAsked = false;
     engine.isChanged = true;
+    copy.answeredAt = now;
     if (order.kind == EngineOrder::Kind::Unload) {
-        if (answer == OrderAnswer::Done || answer == OrderAnswer::Accepted) {
+        if (answer == OrderAnswer::Accepted) {
+            // It waits for its runs and takes its place until they have ended.
+            copy.askAt = now + d->limits.askAgain;
+        } else if (answer == OrderAnswer::Done) {
             engine.droppedAt[adapter] = now;
             rememberWarm(engine, adapter, now);
             engine.copies.erase(found);
@@ -520,7 +538,7 @@
             copy.state = CopyState::Loading;
             copy.since = now;
         }
-        copy.askAt = std::max(now + d->limits.askAgain, copy.since + d->limits.coldLoad);
+        copy.askAt = answer == OrderAnswer::Busy ? now + d->limits.askAgain : now + d->limits.askAfterSilence;
         break;
     case OrderAnswer::Fenced:
     case OrderAnswer::WrongEngine:
@@ -581,7 +599,7 @@
         }
     }
     const auto isGone = [&reported, lagged](const auto &entry) {
-        return !entry.second.isAsked && entry.second.since < lagged && !reported.contains(entry.first);
+        return !entry.second.isAsked && entry.second.answeredAt < lagged && !reported.contains(entry.first);
     };
     engine.isChanged = std::erase_if(engine.copies, isGone) > 0 || engine.isChanged;
 }
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -34,6 +34,8 @@
     Duration warmLoad { 30 };
     Duration coldLoad { 255 };
     Duration askAgain { 50 };
+    /** After an order that had no answer: the engine may be down. */
+    Duration askAfterSilence { 400 };
     /** A base model that is not in place after this, on an engine that works on no order, has failed to load. */
     Duration loadTimeout { 4000 };
     Duration popularityHalfLife = Duration::seconds(20);
