--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -33,8 +33,10 @@
 constexpr Duration AddressLifetime { 2000 };
 // Fewer nodes than this in the caller's zone, and it is told the others as well.
 constexpr std::size_t LeastNearNodes = 2;
-// New callers stop coming when their addresses have lapsed; those that hold them longest are still served meanwhile.
-constexpr Duration LingerAfterDrain { 4500 };
+// Callers learn within an address's lifetime that this node leaves; until then what they send is still taken. Later it is refused, unless
+// it surely ends before the platform kills the process: an answer that the kill cuts off may be a payment that nobody knows the end of.
+constexpr Duration TakeAllAfterDrain { 2500 };
+constexpr Duration LingerAfterDrain { 3200 };
 // Before the platform's SIGKILL there must be time to close.
 constexpr Duration ReserveBeforeKill { 250 };
 // File descriptors for the store, engines and peers.
@@ -75,6 +77,7 @@
     std::atomic<bool> isDrainAsked { false };
     std::atomic<bool> isReloadAsked { false };
     bool isLeaving = false;
+    bool isListenerClosed = false;
     Time drainStartedAt;
 
     explicit Private(const Platform::ProcessSettings &settings)
@@ -135,6 +138,10 @@
     };
     callbacks.nodeCount = [this] { return fleet->lease().knownCount(clock.now()); };
     callbacks.isLeaving = [this] { return isLeaving; };
+    callbacks.mayTake = [this](Duration longest) {
+        const Duration passed = clock.now() - drainStartedAt;
+        return !isLeaving || passed < TakeAllAfterDrain || longest < settings.grace - ReserveBeforeKill - passed;
+    };
     callbacks.hasOrderHolder = [this] { return !fleet->lease().holder(clock.now()).isEmpty(); };
     forwarder = std::make_unique<Forwarder>(loop, log, beliefs, std::move(forwarding), std::move(callbacks));
 }
@@ -289,6 +296,10 @@
 {
     const Duration passed = clock.now() - drainStartedAt;
     const Duration longest = settings.grace - ReserveBeforeKill;
+    if (!isListenerClosed && passed >= TakeAllAfterDrain) {
+        isListenerClosed = true;
+        callerServer->stopAccepting();
+    }
     const bool isIdle = forwarder->activeCount() == 0 && callerServer->activeCount() == 0;
     if ((isIdle && passed >= LingerAfterDrain) || passed >= longest) {
         log.write(EventLog::Weight::Important, "node", "stopped",
--- a/main/entry/forwarder.cpp
+++ b/main/entry/forwarder.cpp
@@ -127,6 +127,9 @@
     if (answer.retry != RetryAdvice::Never) {
         headers.emplace_back("Retry-After", RetryAfterStart);
     }
+    if (m_callbacks.isLeaving()) {
+        headers.emplace_back("Connection", "close");
+    }
     const nlohmann::json body { { "error",
         { { "message", answer.sentence }, { "code", answer.word }, { "not_run", true }, { "retry", retryAdviceWord(answer.retry) } } } };
     exchange.respond(answer.httpStatus, headers, body.dump());
@@ -163,6 +166,10 @@
         d->refuse(*exchange, decoded.id, ErrorKind::RequestTooLarge, std::to_string(request.body.size()) + " bytes");
         return;
     }
+    if (!d->m_callbacks.mayTake(std::min(route->timeout, decoded.deadline.value_or(route->timeout)))) {
+        d->refuse(*exchange, decoded.id, ErrorKind::Draining, "it might not end before this process does");
+        return;
+    }
     const std::uint64_t number = ++d->lastJob;
     auto job = std::make_shared<ForwardJob>(*d, number, std::move(request), std::move(decoded), table, *route, std::move(exchange));
     d->jobs.emplace(number, job);
--- a/main/entry/forwarder.h
+++ b/main/entry/forwarder.h
@@ -34,6 +34,8 @@
     std::function<int()> nodeCount;
     /** The node leaves: answers end their connections. */
     std::function<bool()> isLeaving;
+    /** Whether a request that may last for @p longest can be taken. */
+    std::function<bool(Duration longest)> mayTake;
     /** Whether any node gives orders to engines now. */
     std::function<bool()> hasOrderHolder;
 };
