--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -1,6 +1,7 @@
 #include "coordination/adapterplan.h"
 
-#include <absl/container/btree_map.h>
+#include "core/hash.h"
+
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
@@ -82,6 +83,12 @@
     }
 }
 
+struct Foreign
+{
+    double wait = 0;
+    std::map<AdapterRef, bool> copies;
+};
+
 // What a node said counts for this long: six messages missed.
 constexpr Duration UseMemory { 1500 };
 
@@ -95,7 +102,14 @@
     std::map<AdapterRef, AdapterVersion> versions;
     std::map<AdapterRef, Popularity> popularity;
     absl::flat_hash_map<NodeId, NodeUses> nodes;
-
+    PlanTurn turn;
+    /** Engines of other plans: what stands there, and how long a prompt waits. */
+    std::vector<Foreign> foreign;
+    /** Adapters that are wanted, since when. */
+    std::map<AdapterRef, Time> wantedSince;
+
+    const Foreign *foreignWith(const AdapterRef &adapter) const;
+    bool isOurs(const AdapterRef &adapter, Time now) const;
     double popularityOf(const AdapterRef &adapter, Time now) const;
     void addPopularity(const AdapterRef &adapter, double count, Time now);
     bool isUsed(const UpstreamId &engine, const AdapterRef &adapter, Time now) const;
@@ -107,6 +121,7 @@
 
     std::optional<AdapterRef> victim(const UpstreamId &id, const Engine &engine, Time now) const;
     std::optional<double> costOfPlace(const UpstreamId &id, const Engine &engine, const AdapterRef &adapter, Time now) const;
+    double waitOf(const PlannedEngine &engine) const;
     double waitAt(const Engine &engine) const;
     void place(const AdapterRef &adapter, bool isCrowded, Time now, std::vector<PlanAction> &actions);
     void beginLoad(const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions);
@@ -185,9 +200,14 @@
     return at == versions.end() ? AdapterVersion() : at->second;
 }
 
+double AdapterPlan::Private::waitOf(const PlannedEngine &engine) const
+{
+    return engine.pendingTokens / limits.promptTokensPerMs + engine.running * limits.runningCostMs;
+}
+
 double AdapterPlan::Private::waitAt(const Engine &engine) const
 {
-    return engine.planned.pendingTokens / limits.promptTokensPerMs + engine.planned.running * limits.runningCostMs;
+    return waitOf(engine.planned);
 }
 
 std::optional<AdapterRef> AdapterPlan::Private::victim(const UpstreamId &id, const Engine &engine, Time now) const
@@ -247,13 +267,18 @@
 
 void AdapterPlan::Private::place(const AdapterRef &adapter, bool isCrowded, Time now, std::vector<PlanAction> &actions)
 {
-    if (loadsUnderWay() >= limits.loadsAtOnce) {
+    if (loadsUnderWay() * static_cast<int>(std::max<std::size_t>(turn.count, 1)) >= limits.loadsAtOnce) {
         return;
     }
     Engine *best = nullptr;
     UpstreamId bestId;
     double bestCost = std::numeric_limits<double>::max();
     double presentWait = std::numeric_limits<double>::max();
+    for (const Foreign &other : foreign) {
+        if (other.copies.contains(adapter)) {
+            presentWait = std::min(presentWait, other.wait);
+        }
+    }
     for (auto &[id, engine] : engines) {
         if (engine.copies.contains(adapter)) {
             presentWait = std::min(presentWait, waitAt(engine));
@@ -313,6 +338,7 @@
         }
     }
     for (const auto &[adapter, isCrowded] : wants) {
+        wantedSince.emplace(adapter, now);
         bool isUnderWay = false;
         bool isReady = false;
         for (const auto &[id, engine] : engines) {
@@ -322,15 +348,17 @@
                 isReady = isReady || at->second.state == CopyState::Ready;
             }
         }
-        if (isUnderWay) {
+        const Foreign *other = foreignWith(adapter);
+        if (isUnderWay || (other != nullptr && !other->copies.at(adapter))) {
             continue;
         }
         if (isReady && !isCrowded) {
             verify(adapter, now);
-        } else {
-            place(adapter, isReady, now, actions);
+        } else if (isOurs(adapter, now)) {
+            place(adapter, isReady || other != nullptr, now, actions);
         }
     }
+    std::erase_if(wantedSince, [&wants](const auto &entry) { return !wants.contains(entry.first); });
 }
 
 void AdapterPlan::Private::askAgain(Time now, std::vector<PlanAction> &actions)
@@ -354,6 +382,28 @@
     }
 }
 
+const Foreign *AdapterPlan::Private::foreignWith(const AdapterRef &adapter) const
+{
+    const Foreign *found = nullptr;
+    for (const Foreign &other : foreign) {
+        const auto at = other.copies.find(adapter);
+        if (at != other.copies.end() && (found == nullptr || at->second)) {
+            found = &other;
+        }
+    }
+    return found;
+}
+
+// One plan alone meets a want, else several load the same adapter. Each adapter has its plan; what that one cannot place goes round.
+bool AdapterPlan::Private::isOurs(const AdapterRef &adapter, Time now) const
+{
+    const std::uint64_t home = stableHash(adapter.model.value(), adapter.adapter.value());
+    const auto since = wantedSince.find(adapter);
+    const Duration waited = since == wantedSince.end() ? Duration(0) : now - since->second;
+    const auto rounds = static_cast<std::uint64_t>(waited.milliseconds() / limits.turnTime.milliseconds());
+    return turn.count <= 1 || (home + rounds) % turn.count == turn.index;
+}
+
 // Copies of an older version are loaded anew in place; the engine waits for their runs.
 void AdapterPlan::Private::replaceOld(Time now)
 {
@@ -430,8 +480,20 @@
 void AdapterPlan::setEngines(const std::vector<PlannedEngine> &engines, const EngineRows &rows, Time now)
 {
     std::map<UpstreamId, const PlannedEngine *> present;
+    d->foreign.clear();
     for (const PlannedEngine &planned : engines) {
-        present[planned.record->id] = &planned;
+        if (planned.isOwn) {
+            present[planned.record->id] = &planned;
+            continue;
+        }
+        Foreign other;
+        other.wait = d->waitOf(planned);
+        if (const EngineRow *row = rows.row(*planned.record)) {
+            for (const AdapterCopy &copy : row->copies) {
+                other.copies[AdapterRef { copy.model, copy.adapter }] = copy.isReady;
+            }
+        }
+        d->foreign.push_back(std::move(other));
     }
     std::erase_if(d->engines, [&present](const auto &entry) { return !present.contains(entry.first); });
     for (const auto &[id, planned] : present) {
@@ -462,6 +524,11 @@
     }
 }
 
+void AdapterPlan::setTurn(PlanTurn turn)
+{
+    d->turn = turn;
+}
+
 void AdapterPlan::setVersion(const AdapterRef &adapter, const AdapterVersion &version)
 {
     d->versions[adapter] = version;
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -28,6 +28,8 @@
 {
     /** Adapters on their way from the store, over all engines. */
     int loadsAtOnce = 8;
+    /** A want that no plan has met for so long is any plan's to meet; also how long one plan's turn at crowded adapters lasts. */
+    Duration turnTime { 400 };
     /** Adapters on their way to one engine. */
     int loadsAtOnceOfEngine = 4;
     /** After the order: when a warm load is done, when a cold one is, and between later questions. */
@@ -53,8 +55,8 @@
     double runningCostMs = 4;
     /** What a unit of evicted popularity costs, ms: the load that follows, by the chance that one follows. */
     double evictionCostMs = 25;
-    /** What a load of an adapter that the engine held lately saves against one from the store, ms: 225 of time, and the store's price. */
-    double warmGainMs = 300;
+    /** What a load of an adapter that the engine held lately saves against one from the store, ms: 225 of time, and what the load costs the store. */
+    double warmGainMs = 700;
     /** What a second copy of an adapter must save of a first token's wait. */
     double crowdedGainMs = 150;
 };
@@ -76,6 +78,14 @@
 };
 using PlanAction = std::variant<GiveOrder, AskEngineReport, AnnounceRow>;
 
+/** Which adapters this plan places where nothing else decides. */
+struct PlanTurn
+{
+    /** This plan's place among the plans that are active now, and their number. */
+    std::size_t index = 0;
+    std::size_t count = 1;
+};
+
 /** An engine as the plan sees it. */
 struct PlannedEngine
 {
@@ -85,6 +95,8 @@
     double pendingTokens = 0;
     /** 0 when the engine fails, 1 when it is well. */
     double share = 1;
+    /** This plan orders it; others are known for what stands there. */
+    bool isOwn = true;
 };
 
 /** Decides which engine holds which adapters. Runs only at the node that may give orders. Not thread-safe. */
@@ -97,6 +109,8 @@
 
     /** The engines that there are now. @p rows tells what stands at those that are new to this plan. */
     void setEngines(const std::vector<PlannedEngine> &engines, const EngineRows &rows, Time now);
+    /** How the adapters are dealt out among the plans of all shards. */
+    void setTurn(PlanTurn turn);
     /** @p version of @p adapter is the newest. */
     void setVersion(const AdapterRef &adapter, const AdapterVersion &version);
     /** What @p node runs and waits for; replaces what it said before. */
--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -65,10 +65,16 @@
     bool operator==(const EngineRow &) const = default;
 };
 
-/** A node asks all others to let it alone give orders to engines for a while. */
+/** A part of the engines; the orders to it have one holder at a time. */
+using EngineShard = StrongNumber<struct EngineShardTag>;
+
+/** A node asks all others to let it alone give orders to the engines of a shard for a while. */
 struct LeaseClaim
 {
+    EngineShard shard;
     FencingToken fence;
+    /** How long until the claimant gives orders: 0 when it does already. */
+    Duration ordersIn;
     /** The claimant's clock when it sent this; comes back in the grant. */
     Time sentAt;
 };
@@ -76,9 +82,13 @@
 /** A node's promise to let no other node give orders for the lease's time. */
 struct LeaseGrant
 {
+    EngineShard shard;
     NodeId holder;
     Incarnation incarnation;
+    /** The claim's. */
     Time sentAt;
+    /** The greatest fencing token of this shard that the sender has heard of. */
+    FencingToken greatestFence;
 };
 
 /** What nodes tell each other, several times a second. */
@@ -93,12 +103,10 @@
     bool isReady = false;
     bool isLeaving = false;
     ConfigVersion configVersion;
-    /** The greatest fencing token that the sender has heard of. */
-    FencingToken greatestFence;
-    std::optional<LeaseClaim> claim;
-    std::optional<LeaseGrant> grant;
-    /** The sender gives its lease up. */
-    bool isRelease = false;
+    std::vector<LeaseClaim> claims;
+    std::vector<LeaseGrant> grants;
+    /** The sender gives up these leases. */
+    std::vector<EngineShard> releases;
     /** Peer addresses of nodes that the sender heard of lately, so that those who know few find the others. */
     std::vector<std::string> contacts;
     /** Unset in messages that do not speak of load. */
--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -32,13 +32,15 @@
 struct OrderLease::Private
 {
     OrderLeaseLimits limits;
+    EngineShard shard;
     NodeId self;
     Incarnation incarnation;
     Time startedAt;
     absl::btree_map<NodeId, Other> others;
     std::string selfAddress;
-    /** Another node's claim was heard last at. */
+    /** Another node's claim was heard last at, and when it said that it gives orders. */
     Time claimHeardAt;
+    Time otherOrdersFrom = Time::never();
     NodeId promisedTo;
     Incarnation promisedIncarnation;
     Time promisedUntil;
@@ -88,10 +90,15 @@
         }
         return lowest;
     }
+    // The nodes' order for this shard: each shard has another first one, so that the loss of one node silences one shard.
+    std::uint64_t preference(const NodeId &id) const
+    {
+        return mixHashes(stableHash(id.value()), stableHash(std::to_string(shard.value())));
+    }
     bool isFirstOfLive(Time now) const
     {
         return std::none_of(others.begin(), others.end(), [this, now](const auto &entry) {
-            return entry.first < self && !entry.second.isSeed && !entry.second.isLeaving && now - entry.second.heardAt <= limits.liveness;
+            return preference(entry.first) > preference(self) && !entry.second.isSeed && !entry.second.isLeaving && now - entry.second.heardAt <= limits.liveness;
         });
     }
     bool hasPromisedOther(Time now) const
@@ -130,6 +137,11 @@
     {
         return now - startedAt < limits.lease + limits.margin;
     }
+    Duration ownOrdersIn(Time now) const
+    {
+        const Duration silence = limits.turn + limits.margin;
+        return heldSince == Time::never() ? silence : std::max(heldSince + silence - now, Duration(0));
+    }
     void forgetOld(Time now)
     {
         if (!hearsMajority(now)) {
@@ -147,16 +159,18 @@
     }
 };
 
-OrderLease::OrderLease(OrderLeaseLimits limits, NodeId self, Incarnation incarnation, Time now)
+OrderLease::OrderLease(OrderLeaseLimits limits, EngineShard shard, NodeId self, Incarnation incarnation, Time now)
     : d(std::make_unique<Private>())
 {
     d->limits = limits;
+    d->shard = shard;
     d->self = std::move(self);
     d->incarnation = incarnation;
     d->startedAt = now;
 }
 
 OrderLease::~OrderLease() = default;
+OrderLease::OrderLease(OrderLease &&) noexcept = default;
 
 void OrderLease::addSeed(const std::string &peerAddress, Time now)
 {
@@ -173,19 +187,29 @@
     other.peerAddress = message.peerAddress;
     other.heardAt = now;
     other.isLeaving = message.isLeaving;
-    d->greatestFence = std::max(d->greatestFence, message.greatestFence);
-    if (message.grant && message.grant->holder == d->self && message.grant->incarnation == d->incarnation) {
-        other.grantedClaim = std::max(other.grantedClaim.value_or(Time()), message.grant->sentAt);
+    for (const LeaseGrant &grant : message.grants) {
+        if (grant.shard != d->shard) {
+            continue;
+        }
+        d->greatestFence = std::max(d->greatestFence, grant.greatestFence);
+        if (grant.holder == d->self && grant.incarnation == d->incarnation) {
+            other.grantedClaim = std::max(other.grantedClaim.value_or(Time()), grant.sentAt);
+        }
     }
-    if (message.isRelease && d->promisedTo == message.sender) {
+    const bool isRelease = std::find(message.releases.begin(), message.releases.end(), d->shard) != message.releases.end();
+    if (isRelease && d->promisedTo == message.sender) {
         d->promisedUntil = Time();
         d->claimHeardAt = Time();
+        d->otherOrdersFrom = Time::never();
     }
-    if (!message.claim) {
+    const auto claim = std::find_if(
+        message.claims.begin(), message.claims.end(), [this](const LeaseClaim &entry) { return entry.shard == d->shard; });
+    if (claim == message.claims.end()) {
         return std::nullopt;
     }
     d->claimHeardAt = now;
-    d->greatestFence = std::max(d->greatestFence, message.claim->fence);
+    d->otherOrdersFrom = now + claim->ordersIn;
+    d->greatestFence = std::max(d->greatestFence, claim->fence);
     const bool isRenewal = d->promisedTo == message.sender && d->promisedIncarnation == message.incarnation && now < d->promisedUntil;
     const bool isFree = now >= d->promisedUntil && !isHolder(now);
     if (d->isReleased || d->isStarting(now) || (!isRenewal && !isFree)) {
@@ -194,7 +218,7 @@
     d->promisedTo = message.sender;
     d->promisedIncarnation = message.incarnation;
     d->promisedUntil = now + d->limits.lease;
-    return LeaseGrant { message.sender, message.incarnation, message.claim->sentAt };
+    return LeaseGrant { d->shard, message.sender, message.incarnation, claim->sentAt, d->greatestFence };
 }
 
 std::optional<LeaseClaim> OrderLease::claim(bool isWilling, Time now, Time wall)
@@ -234,7 +258,7 @@
     d->promisedTo = d->self;
     d->promisedIncarnation = d->incarnation;
     d->promisedUntil = now + d->limits.lease;
-    return LeaseClaim { *d->fence, now };
+    return LeaseClaim { d->shard, *d->fence, d->ownOrdersIn(now), now };
 }
 
 void OrderLease::release()
@@ -262,6 +286,23 @@
     return now < d->promisedUntil ? d->promisedTo : NodeId();
 }
 
+Duration OrderLease::ordersIn(Time now) const
+{
+    if (isHolder(now)) {
+        return d->ownOrdersIn(now);
+    }
+    // Without a holder: a claim, and the silence that follows.
+    if (now >= d->promisedUntil) {
+        return d->limits.liveness + d->limits.turn + d->limits.margin;
+    }
+    return std::max(d->otherOrdersFrom - now, Duration(0));
+}
+
+bool OrderLease::hearsMajority(Time now) const
+{
+    return d->hearsMajority(now);
+}
+
 FencingToken OrderLease::greatestFence() const
 {
     return d->greatestFence;
--- a/coordination/orderlease.h
+++ b/coordination/orderlease.h
@@ -23,11 +23,11 @@
 struct OrderLeaseLimits
 {
     /** How long a promise binds. */
-    Duration lease { 1500 };
+    Duration lease { 1200 };
     /** Taken off the holder's own view of its lease: what two steady clocks drift apart in that time, and a scheduling delay. */
     Duration margin { 150 };
     /** Time between renewals. */
-    Duration renewal { 250 };
+    Duration renewal { 200 };
     /** Orders of two holders must be further apart than this. */
     Duration turn { 3000 };
     /**
@@ -41,12 +41,12 @@
     Duration liveness { 900 };
 };
 
-/** Decides which node alone gives orders to the engines. Not thread-safe. */
+/** Decides which node alone gives orders to the engines of one shard. Not thread-safe. */
 class OrderLease
 {
 public:
-    /** @p wall: the time of day, from which the fencing tokens of one holder rise above those of all before. */
-    OrderLease(OrderLeaseLimits limits, NodeId self, Incarnation incarnation, Time now);
+    OrderLease(OrderLeaseLimits limits, EngineShard shard, NodeId self, Incarnation incarnation, Time now);
+    OrderLease(OrderLease &&) noexcept;
     ~OrderLease();
 
     /** A node that may exist, by the address where it would answer; counts until it is heard of under its id, or forgotten. */
@@ -55,7 +55,8 @@
     std::optional<LeaseGrant> onMessage(const FleetMessage &message, Time now);
     /**
      * The claim to send to all now, if this node is to claim or renew. Call it every renewal time.
-     * @p isWilling: this node can do the holder's work.
+     * @p isWilling: this node can do the holder's work. @p wall: the time of day, from which fencing tokens rise above those of all holders
+     * before.
      */
     std::optional<LeaseClaim> claim(bool isWilling, Time now, Time wall);
     /** Gives the lease up; no claim follows. */
@@ -68,6 +69,10 @@
     /** The node that this one has promised to, or itself; empty when none holds the lease as far as this node knows. */
     NodeId holder(Time now) const;
     FencingToken greatestFence() const;
+    /** How long until the holder gives orders, as far as this node knows: 0 when it does, Time::never()'s distance when there is none. */
+    Duration ordersIn(Time now) const;
+    /** Whether this node hears more than half of the nodes that it knows of: else it is cut off, and whom it hears may be so, too. */
+    bool hearsMajority(Time now) const;
     /** Nodes that count now, this one included. */
     int knownCount(Time now) const;
 
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -38,7 +38,7 @@
 constexpr Duration TakeAllAfterDrain { 2500 };
 constexpr Duration LingerAfterDrain { 3200 };
 // Before the platform's SIGKILL there must be time to close.
-constexpr Duration ReserveBeforeKill { 250 };
+constexpr Duration ReserveBeforeKill { 500 };
 // File descriptors for the store, engines and peers.
 constexpr int ReservedDescriptors = 600;
 constexpr std::size_t MaxHeaderBytes = 24U << 10U;
@@ -136,13 +136,13 @@
         fleet->tellWants();
         orders->decideSoon();
     };
-    callbacks.nodeCount = [this] { return fleet->lease().knownCount(clock.now()); };
+    callbacks.nodeCount = [this] { return fleet->lease(EngineShard(0)).knownCount(clock.now()); };
     callbacks.isLeaving = [this] { return isLeaving; };
     callbacks.mayTake = [this](Duration longest) {
         const Duration passed = clock.now() - drainStartedAt;
         return !isLeaving || passed < TakeAllAfterDrain || longest < settings.grace - ReserveBeforeKill - passed;
     };
-    callbacks.hasOrderHolder = [this] { return !fleet->lease().holder(clock.now()).isEmpty(); };
+    callbacks.ordersIn = [this] { return fleet->ordersIn(); };
     forwarder = std::make_unique<Forwarder>(loop, log, beliefs, std::move(forwarding), std::move(callbacks));
 }
 
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -1,5 +1,6 @@
 #include "main/entry/fleetlink.h"
 
+#include "core/hash.h"
 #include "protocol/fleetcodec.h"
 
 #include <absl/strings/numbers.h>
@@ -7,6 +8,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace ApricotStep
@@ -15,7 +17,7 @@
 namespace
 {
 
-constexpr Duration HeartbeatInterval { 250 };
+constexpr Duration HeartbeatInterval { 200 };
 // All rows are told again this often, for nodes that started or lost a datagram.
 constexpr Duration RowsInterval { 1000 };
 // Contacts in one message: with four messages a second, all nodes of a small fleet are named to a new one within a second.
@@ -43,7 +45,7 @@
     Beliefs &beliefs;
     FleetIdentity identity;
     Callbacks callbacks;
-    OrderLease lease;
+    std::vector<OrderLease> leases;
     std::unique_ptr<UdpSocket> socket;
     std::map<NodeId, Peer> peers;
     /** Addresses where a node is said to be that has not been heard of yet, and until when it is tried. */
@@ -53,8 +55,8 @@
     std::map<UpstreamId, EngineRow> ownRows;
     Time rowsToldAt;
     bool isLeaving = false;
-    bool isRelease = false;
-    NodeId lastHolder;
+    std::vector<EngineShard> released;
+    std::vector<NodeId> lastHolders { EngineShards };
 
     Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetIdentity identity, OrderLeaseLimits limits, Callbacks callbacks)
         : loop(loop)
@@ -62,8 +64,14 @@
         , beliefs(beliefs)
         , identity(std::move(identity))
         , callbacks(std::move(callbacks))
-        , lease(limits, this->identity.id, this->identity.incarnation, loop.clock().now())
     {
+        for (std::uint64_t shard = 0; shard < EngineShards; ++shard) {
+            leases.emplace_back(limits, EngineShard(shard), this->identity.id, this->identity.incarnation, loop.clock().now());
+        }
+    }
+    bool isAnyHolder() const
+    {
+        return std::any_of(leases.begin(), leases.end(), [this](const OrderLease &lease) { return lease.isHolder(now()); });
     }
 
     Time now() const
@@ -95,9 +103,8 @@
     message.peerAddress = identity.peerAddress;
     message.isReady = callbacks.isReady() && !isLeaving;
     message.isLeaving = isLeaving;
-    message.isRelease = isRelease;
+    message.releases = released;
     message.configVersion = beliefs.routes != nullptr ? beliefs.routes->version() : ConfigVersion();
-    message.greatestFence = lease.greatestFence();
     return message;
 }
 
@@ -158,7 +165,9 @@
         const bool isPeer = std::any_of(
             peers.begin(), peers.end(), [&address](const auto &entry) { return entry.second.peerAddress == address; });
         if (!isPeer && address != identity.peerAddress && contacts.emplace(address, now() + PeerMemory).second) {
-            lease.addSeed(address, now());
+            for (OrderLease &lease : leases) {
+                lease.addSeed(address, now());
+            }
         }
     }
     std::erase_if(contacts, [this](const auto &entry) { return now() > entry.second; });
@@ -168,9 +177,13 @@
 {
     FleetMessage message = withLoad();
     message.contacts = someContacts();
-    message.claim = lease.claim(message.isReady, now(), loop.clock().wallTime());
+    for (OrderLease &lease : leases) {
+        if (const auto claim = lease.claim(message.isReady, now(), loop.clock().wallTime())) {
+            message.claims.push_back(*claim);
+        }
+    }
     sendToAll(message);
-    if (lease.isHolder(now()) && now() - rowsToldAt >= RowsInterval) {
+    if (isAnyHolder() && now() - rowsToldAt >= RowsInterval) {
         rowsToldAt = now();
         std::vector<EngineRow> rows;
         for (const auto &[id, row] : ownRows) {
@@ -224,10 +237,15 @@
 {
     notePeer(message);
     noteContacts(message);
-    const auto grant = lease.onMessage(message, now());
-    if (grant) {
+    std::vector<LeaseGrant> grants;
+    for (OrderLease &lease : leases) {
+        if (const auto grant = lease.onMessage(message, now())) {
+            grants.push_back(*grant);
+        }
+    }
+    if (!grants.empty()) {
         FleetMessage answer = base();
-        answer.grant = grant;
+        answer.grants = std::move(grants);
         socket->send(message.peerAddress, encodeFleetMessage(answer));
     }
     if (message.loads) {
@@ -245,11 +263,15 @@
 
 void FleetLink::Private::noteHolder()
 {
-    const NodeId holder = lease.holder(now());
-    if (holder != lastHolder) {
-        lastHolder = holder;
+    for (std::size_t shard = 0; shard < leases.size(); ++shard) {
+        const OrderLease &lease = leases[shard];
+        const NodeId holder = lease.holder(now());
+        if (holder == lastHolders[shard]) {
+            continue;
+        }
+        lastHolders[shard] = holder;
         log.write(Important, "orders", "holder",
-            { { "holder", holder.value() }, { "knownNodes", std::int64_t(lease.knownCount(now())) },
+            { { "shard", std::int64_t(shard) }, { "holder", holder.value() }, { "knownNodes", std::int64_t(lease.knownCount(now())) },
                 { "fence", static_cast<std::int64_t>(lease.greatestFence().value()) } });
     }
 }
@@ -271,6 +293,11 @@
     });
 }
 
+EngineShard shardOf(const UpstreamId &engine)
+{
+    return EngineShard(stableHash(engine.value()) % EngineShards);
+}
+
 FleetLink::FleetLink(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetIdentity identity, OrderLeaseLimits limits, Callbacks callbacks)
     : d(std::make_shared<Private>(loop, log, beliefs, std::move(identity), limits, std::move(callbacks)))
 {
@@ -288,7 +315,9 @@
     d->socket = std::move(socket.value());
     for (const std::string &seed : d->identity.seeds) {
         if (seed != d->identity.peerAddress) {
-            d->lease.addSeed(seed, d->now());
+            for (OrderLease &lease : d->leases) {
+                lease.addSeed(seed, d->now());
+            }
         }
     }
     d->loop.add(d->socket.get(), [this](std::string_view bytes, const std::string &) { d->onDatagram(bytes); });
@@ -299,17 +328,31 @@
 void FleetLink::leave()
 {
     d->isLeaving = true;
-    d->isRelease = d->lease.isHolder(d->now());
-    d->lease.release();
+    for (std::size_t shard = 0; shard < d->leases.size(); ++shard) {
+        if (d->leases[shard].isHolder(d->now())) {
+            d->released.emplace_back(shard);
+        }
+        d->leases[shard].release();
+    }
     d->sendToAll(d->base());
 }
 
 void FleetLink::tellWants()
 {
-    const NodeId holder = d->lease.holder(d->now());
-    const auto at = d->peers.find(holder);
-    if (at != d->peers.end()) {
-        d->socket->send(at->second.peerAddress, encodeFleetMessage(d->withLoad()));
+    std::set<NodeId> holders;
+    for (const OrderLease &lease : d->leases) {
+        holders.insert(lease.holder(d->now()));
+    }
+    std::string bytes;
+    for (const NodeId &holder : holders) {
+        const auto at = d->peers.find(holder);
+        if (at == d->peers.end()) {
+            continue;
+        }
+        if (bytes.empty()) {
+            bytes = encodeFleetMessage(d->withLoad());
+        }
+        d->socket->send(at->second.peerAddress, bytes);
     }
 }
 
@@ -323,9 +366,21 @@
     d->callbacks.onRows();
 }
 
-const OrderLease &FleetLink::lease() const
+const OrderLease &FleetLink::lease(EngineShard shard) const
 {
-    return d->lease;
+    return d->leases[shard.value()];
+}
+
+std::optional<Duration> FleetLink::ordersIn() const
+{
+    if (!d->leases.front().hearsMajority(d->now())) {
+        return std::nullopt;
+    }
+    Duration soonest = d->leases.front().ordersIn(d->now());
+    for (const OrderLease &lease : d->leases) {
+        soonest = std::min(soonest, lease.ordersIn(d->now()));
+    }
+    return soonest;
 }
 
 std::vector<const Peer *> FleetLink::alive() const
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -45,6 +45,15 @@
     std::vector<AdapterUse> uses;
 };
 
+/**
+ * Parts of the engines whose orders have a holder each. With one holder for all, no adapter is loaded anywhere for four seconds after each
+ * loss of that node; with four, three quarters of the engines go on.
+ */
+inline constexpr std::uint64_t EngineShards = 4;
+
+/** The shard of @p engine; never changes, since a change of holder would need a silence of its own. */
+EngineShard shardOf(const UpstreamId &engine);
+
 /** Exchanges datagrams with the other nodes: who lives, what runs where, who gives orders. */
 class FleetLink
 {
@@ -73,12 +82,15 @@
     Result<bool> start();
     /** Tells all that this node leaves; it gives no orders from now on. */
     void leave();
-    /** Tells the node that gives orders at once what this one waits for. */
+    /** Tells the nodes that give orders at once what this one waits for. */
     void tellWants();
     /** Tells all nodes. */
     void announce(const std::vector<EngineRow> &rows);
 
-    const OrderLease &lease() const;
+    /** The lease of @p shard, below EngineShards. */
+    const OrderLease &lease(EngineShard shard) const;
+    /** How long until any node gives orders to engines; unset while this node does not hear most of the others. */
+    std::optional<Duration> ordersIn() const;
     /** Peers that are alive now. */
     std::vector<const Peer *> alive() const;
 
--- a/main/entry/forwarder.h
+++ b/main/entry/forwarder.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace ApricotStep
@@ -36,8 +37,8 @@
     std::function<bool()> isLeaving;
     /** Whether a request that may last for @p longest can be taken. */
     std::function<bool(Duration longest)> mayTake;
-    /** Whether any node gives orders to engines now. */
-    std::function<bool()> hasOrderHolder;
+    /** How long until any node gives orders to engines; unset while this node is cut off from most of the others. */
+    std::function<std::optional<Duration>()> ordersIn;
 };
 
 /** Takes callers' requests and forwards each to an upstream of its route, byte for byte, and the answer back. */
--- a/main/entry/forwardjob.cpp
+++ b/main/entry/forwardjob.cpp
@@ -33,6 +33,10 @@
 constexpr Duration RetryAfterRefusal { 300 };
 // A prompt that waits longer than this before it is read misses its objective with the next one that comes: time for another copy.
 constexpr Duration CrowdedWait { 200 };
+// At another node at once: this one is cut off.
+constexpr Duration RetryElsewhere { 50 };
+// From the order for an adapter to the first event: its load, a wait behind others' loads, and the reading of a long prompt.
+constexpr Duration LoadAndAnswer { 700 };
 constexpr int OkStatus = 200;
 constexpr int FirstErrorStatus = 300;
 // Statuses that promise that a request has not run; only this node's own knowledge may give such a promise.
@@ -198,7 +202,11 @@
         return;
     }
     if (canStillServe()) {
-        wait();
+        if (const auto comeBackIn = hopelessFor()) {
+            refuse(ErrorKind::NoUpstream, *comeBackIn);
+        } else {
+            wait();
+        }
         return;
     }
     if (m_failure) {
@@ -208,6 +216,20 @@
     refuse(m_outcome == Outcome::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed, RetryAfterRefusal);
 }
 
+// When waiting for an adapter cannot end in time: how long the caller had better stay away. Without this, requests at a node that is cut off
+// from those who order loads, or right after a restart of the whole fleet, are held until their callers leave, and nobody is told.
+std::optional<Duration> ForwardJob::hopelessFor() const
+{
+    const auto ordersIn = m_context.callbacks().ordersIn();
+    if (!ordersIn) {
+        return RetryElsewhere;
+    }
+    if (*ordersIn + LoadAndAnswer < timeLeft()) {
+        return std::nullopt;
+    }
+    return *ordersIn + RetryAfterRefusal;
+}
+
 void ForwardJob::wait()
 {
     // Engines that refused before may take it now.
--- a/main/entry/forwardjob.h
+++ b/main/entry/forwardjob.h
@@ -75,6 +75,7 @@
     std::vector<UpstreamOption> options();
     bool mayUse(const UpstreamRecord &record);
     bool canStillServe() const;
+    std::optional<Duration> hopelessFor() const;
     void send(const UpstreamRecord &record);
     HttpCall makeCall(const UpstreamRecord &record);
     bool maySend() const;
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -29,17 +29,20 @@
     EventLog &log;
     Beliefs &beliefs;
     FleetLink &fleet;
+    EngineShard shard;
     NodeId self;
     std::function<std::vector<AdapterUse>()> ownUses;
     std::unique_ptr<AdapterPlan> plan;
     FencingToken fence;
     bool isDecisionDue = false;
 
-    Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, NodeId self, std::function<std::vector<AdapterUse>()> ownUses)
+    Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, EngineShard shard, NodeId self,
+        std::function<std::vector<AdapterUse>()> ownUses)
         : loop(loop)
         , log(log)
         , beliefs(beliefs)
         , fleet(fleet)
+        , shard(shard)
         , self(std::move(self))
         , ownUses(std::move(ownUses))
     {
@@ -53,6 +56,7 @@
     void decide();
     void decideSoon();
     bool followLease();
+    PlanTurn turn() const;
     std::vector<PlannedEngine> engines() const;
     void carryOut(const PlanAction &action, std::vector<EngineRow> &rows);
     void give(const EngineOrder &order);
@@ -74,10 +78,10 @@
 // Whether this node may order now; a plan belongs to one lease.
 bool OrderRunner::Private::followLease()
 {
-    const auto token = fleet.lease().mayOrder(now());
+    const auto token = fleet.lease(shard).mayOrder(now());
     if (!token) {
         if (plan != nullptr) {
-            log.write(EventLog::Weight::Important, "orders", "stopped", { { "fence", static_cast<std::int64_t>(fence.value()) } });
+            log.write(EventLog::Weight::Important, "orders", "stopped", { { "shard", std::int64_t(shard.value()) }, { "fence", static_cast<std::int64_t>(fence.value()) } });
         }
         plan.reset();
         return false;
@@ -88,7 +92,7 @@
         for (const auto &[adapter, known] : beliefs.versions) {
             plan->setVersion(adapter, known.version);
         }
-        log.write(EventLog::Weight::Important, "orders", "started", { { "fence", static_cast<std::int64_t>(fence.value()) } });
+        log.write(EventLog::Weight::Important, "orders", "started", { { "shard", std::int64_t(shard.value()) }, { "fence", static_cast<std::int64_t>(fence.value()) } });
     }
     return true;
 }
@@ -105,8 +109,8 @@
         }
         for (const UpstreamRecord *record : beliefs.upstreams.usable(service.name)) {
             const FleetLoad load = beliefs.book.load(record->id, now());
-            result.push_back(
-                PlannedEngine { record, &*service.engine, load.running, load.pendingTokens, beliefs.outliers.share(record->id, now()) });
+            result.push_back(PlannedEngine { record, &*service.engine, load.running, load.pendingTokens,
+                beliefs.outliers.share(record->id, now()), shardOf(record->id) == shard });
         }
     }
     return result;
@@ -125,6 +129,18 @@
     });
 }
 
+PlanTurn OrderRunner::Private::turn() const
+{
+    PlanTurn result { 0, 0 };
+    for (std::uint64_t other = 0; other < EngineShards; ++other) {
+        if (EngineShard(other) == shard) {
+            result.index = result.count;
+        }
+        result.count += EngineShard(other) == shard || fleet.lease(EngineShard(other)).ordersIn(now()) == Duration(0) ? 1 : 0;
+    }
+    return result;
+}
+
 void OrderRunner::Private::decide()
 {
     isDecisionDue = false;
@@ -132,6 +148,7 @@
         return;
     }
     plan->setEngines(engines(), beliefs.rows, now());
+    plan->setTurn(turn());
     for (const auto &[adapter, known] : beliefs.versions) {
         plan->setVersion(adapter, known.version);
     }
@@ -182,7 +199,7 @@
     // A node that slept or was cut off between the decision and this moment may hold the lease no more.
     call.maySend = [weak = weak_from_this(), under] {
         const auto self = weak.lock();
-        return self != nullptr && self->fleet.lease().mayOrder(self->now()) == under;
+        return self != nullptr && self->fleet.lease(self->shard).mayOrder(self->now()) == under;
     };
     call.onDone = [weak = weak_from_this(), order, under, askedAt = now()](const CallResult &result) {
         if (const auto self = weak.lock()) {
@@ -238,30 +255,37 @@
 }
 
 OrderRunner::OrderRunner(
-    IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, NodeId self, std::function<std::vector<AdapterUse>()> ownUses)
-    : d(std::make_shared<Private>(loop, log, beliefs, fleet, std::move(self), std::move(ownUses)))
+    IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, const NodeId &self, const std::function<std::vector<AdapterUse>()> &ownUses)
 {
+    for (std::uint64_t shard = 0; shard < EngineShards; ++shard) {
+        m_shards.push_back(std::make_shared<Private>(loop, log, beliefs, fleet, EngineShard(shard), self, ownUses));
+    }
 }
 
 OrderRunner::~OrderRunner() = default;
 
 void OrderRunner::start()
 {
-    d->tick();
+    for (const auto &shard : m_shards) {
+        shard->tick();
+    }
 }
 
 void OrderRunner::onUses(const NodeId &node, const std::vector<AdapterUse> &uses)
 {
-    if (d->plan == nullptr) {
-        return;
+    for (const auto &shard : m_shards) {
+        if (shard->plan != nullptr) {
+            shard->plan->onUses(node, uses, shard->now());
+            shard->decideSoon();
+        }
     }
-    d->plan->onUses(node, uses, d->now());
-    d->decideSoon();
 }
 
 void OrderRunner::decideSoon()
 {
-    d->decideSoon();
+    for (const auto &shard : m_shards) {
+        shard->decideSoon();
+    }
 }
 
 } // namespace ApricotStep
--- a/main/entry/orderrunner.h
+++ b/main/entry/orderrunner.h
@@ -8,16 +8,18 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace ApricotStep
 {
 
-/** Carries out the plan for adapters while this node may give orders. */
+/** Carries out the plans for adapters of those shards of engines that this node may give orders to. */
 class OrderRunner
 {
 public:
     /** @p ownUses: what this node runs and waits for. */
-    OrderRunner(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, NodeId self, std::function<std::vector<AdapterUse>()> ownUses);
+    OrderRunner(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, const NodeId &self,
+        const std::function<std::vector<AdapterUse>()> &ownUses);
     ~OrderRunner();
 
     void start();
@@ -28,7 +30,7 @@
 
 private:
     struct Private;
-    std::shared_ptr<Private> d;
+    std::vector<std::shared_ptr<Private>> m_shards;
 };
 
 } // namespace ApricotStep
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -32,6 +32,21 @@
     copies @4 :List(AdapterCopyWire);
 }
 
+struct LeaseClaimWire {
+    shard @0 :UInt64;
+    fence @1 :UInt64;
+    ordersInMs @2 :Int64;
+    sentAt @3 :Int64;
+}
+
+struct LeaseGrantWire {
+    shard @0 :UInt64;
+    holder @1 :Text;
+    incarnation @2 :UInt64;
+    sentAt @3 :Int64;
+    greatestFence @4 :UInt64;
+}
+
 struct FleetMessageWire {
     sender @0 :Text;
     incarnation @1 :UInt64;
@@ -41,18 +56,12 @@
     isReady @5 :Bool;
     isLeaving @6 :Bool;
     configVersion @7 :UInt64;
-    greatestFence @8 :UInt64;
-    hasClaim @9 :Bool;
-    claimFence @10 :UInt64;
-    claimSentAt @11 :Int64;
-    hasGrant @12 :Bool;
-    grantHolder @13 :Text;
-    grantIncarnation @14 :UInt64;
-    grantSentAt @15 :Int64;
-    isRelease @16 :Bool;
-    hasLoads @17 :Bool;
-    loads @18 :List(UpstreamLoadWire);
-    uses @19 :List(AdapterUseWire);
-    rows @20 :List(EngineRowWire);
-    contacts @21 :List(Text);
+    claims @8 :List(LeaseClaimWire);
+    grants @9 :List(LeaseGrantWire);
+    releases @10 :List(UInt64);
+    hasLoads @11 :Bool;
+    loads @12 :List(UpstreamLoadWire);
+    uses @13 :List(AdapterUseWire);
+    rows @14 :List(EngineRowWire);
+    contacts @15 :List(Text);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -20,6 +20,8 @@
 CAPNP_DECLARE_SCHEMA(b06d71140d497e05);
 CAPNP_DECLARE_SCHEMA(da9a83320b9cd929);
 CAPNP_DECLARE_SCHEMA(8bd9f9497f51c4cf);
+CAPNP_DECLARE_SCHEMA(b6a926f8f5b8ffdb);
+CAPNP_DECLARE_SCHEMA(9d5a32ab517c1ae3);
 CAPNP_DECLARE_SCHEMA(8b8b5daee920bcb2);
 
 }  // namespace schemas
@@ -88,6 +90,36 @@
   };
 };
 
+struct LeaseClaimWire {
+  LeaseClaimWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b6a926f8f5b8ffdb, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LeaseGrantWire {
+  LeaseGrantWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9d5a32ab517c1ae3, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetMessageWire {
   FleetMessageWire() = delete;
 
@@ -96,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 3, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -519,6 +551,198 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeaseClaimWire::Reader {
+public:
+  typedef LeaseClaimWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getShard() const;
+
+  inline  ::uint64_t getFence() const;
+
+  inline  ::int64_t getOrdersInMs() const;
+
+  inline  ::int64_t getSentAt() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeaseClaimWire::Builder {
+public:
+  typedef LeaseClaimWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getShard();
+  inline void setShard( ::uint64_t value);
+
+  inline  ::uint64_t getFence();
+  inline void setFence( ::uint64_t value);
+
+  inline  ::int64_t getOrdersInMs();
+  inline void setOrdersInMs( ::int64_t value);
+
+  inline  ::int64_t getSentAt();
+  inline void setSentAt( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeaseClaimWire::Pipeline {
+public:
+  typedef LeaseClaimWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LeaseGrantWire::Reader {
+public:
+  typedef LeaseGrantWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getShard() const;
+
+  inline bool hasHolder() const;
+  inline  ::capnp::Text::Reader getHolder() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::int64_t getSentAt() const;
+
+  inline  ::uint64_t getGreatestFence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeaseGrantWire::Builder {
+public:
+  typedef LeaseGrantWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getShard();
+  inline void setShard( ::uint64_t value);
+
+  inline bool hasHolder();
+  inline  ::capnp::Text::Builder getHolder();
+  inline void setHolder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHolder(unsigned int size);
+  inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHolder();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::int64_t getSentAt();
+  inline void setSentAt( ::int64_t value);
+
+  inline  ::uint64_t getGreatestFence();
+  inline void setGreatestFence( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeaseGrantWire::Pipeline {
+public:
+  typedef LeaseGrantWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetMessageWire::Reader {
 public:
   typedef FleetMessageWire Reads;
@@ -556,24 +780,14 @@
 
   inline  ::uint64_t getConfigVersion() const;
 
-  inline  ::uint64_t getGreatestFence() const;
-
-  inline bool getHasClaim() const;
-
-  inline  ::uint64_t getClaimFence() const;
-
-  inline  ::int64_t getClaimSentAt() const;
-
-  inline bool getHasGrant() const;
-
-  inline bool hasGrantHolder() const;
-  inline  ::capnp::Text::Reader getGrantHolder() const;
-
-  inline  ::uint64_t getGrantIncarnation() const;
+  inline bool hasClaims() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>::Reader getClaims() const;
 
-  inline  ::int64_t getGrantSentAt() const;
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
 
-  inline bool getIsRelease() const;
+  inline bool hasReleases() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getReleases() const;
 
   inline bool getHasLoads() const;
 
@@ -657,36 +871,27 @@
   inline  ::uint64_t getConfigVersion();
   inline void setConfigVersion( ::uint64_t value);
 
-  inline  ::uint64_t getGreatestFence();
-  inline void setGreatestFence( ::uint64_t value);
-
-  inline bool getHasClaim();
-  inline void setHasClaim(bool value);
-
-  inline  ::uint64_t getClaimFence();
-  inline void setClaimFence( ::uint64_t value);
-
-  inline  ::int64_t getClaimSentAt();
-  inline void setClaimSentAt( ::int64_t value);
-
-  inline bool getHasGrant();
-  inline void setHasGrant(bool value);
-
-  inline bool hasGrantHolder();
-  inline  ::capnp::Text::Builder getGrantHolder();
-  inline void setGrantHolder( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initGrantHolder(unsigned int size);
-  inline void adoptGrantHolder(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownGrantHolder();
-
-  inline  ::uint64_t getGrantIncarnation();
-  inline void setGrantIncarnation( ::uint64_t value);
-
-  inline  ::int64_t getGrantSentAt();
-  inline void setGrantSentAt( ::int64_t value);
-
-  inline bool getIsRelease();
-  inline void setIsRelease(bool value);
+  inline bool hasClaims();
+  inline  ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>::Builder getClaims();
+  inline void setClaims( ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>::Builder initClaims(unsigned int size);
+  inline void adoptClaims(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>> disownClaims();
+
+  inline bool hasGrants();
+  inline  ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>> disownGrants();
+
+  inline bool hasReleases();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getReleases();
+  inline void setReleases( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setReleases(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initReleases(unsigned int size);
+  inline void adoptReleases(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownReleases();
 
   inline bool getHasLoads();
   inline void setHasLoads(bool value);
@@ -1166,6 +1371,152 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t LeaseClaimWire::Reader::getShard() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseClaimWire::Builder::getShard() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeaseClaimWire::Builder::setShard( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeaseClaimWire::Reader::getFence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseClaimWire::Builder::getFence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeaseClaimWire::Builder::setFence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LeaseClaimWire::Reader::getOrdersInMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LeaseClaimWire::Builder::getOrdersInMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LeaseClaimWire::Builder::setOrdersInMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LeaseClaimWire::Reader::getSentAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LeaseClaimWire::Builder::getSentAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LeaseClaimWire::Builder::setSentAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeaseGrantWire::Reader::getShard() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseGrantWire::Builder::getShard() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeaseGrantWire::Builder::setShard( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LeaseGrantWire::Reader::hasHolder() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeaseGrantWire::Builder::hasHolder() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LeaseGrantWire::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LeaseGrantWire::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeaseGrantWire::Builder::setHolder( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LeaseGrantWire::Builder::initHolder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LeaseGrantWire::Builder::adoptHolder(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LeaseGrantWire::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LeaseGrantWire::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseGrantWire::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeaseGrantWire::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LeaseGrantWire::Reader::getSentAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LeaseGrantWire::Builder::getSentAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LeaseGrantWire::Builder::setSentAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeaseGrantWire::Reader::getGreatestFence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseGrantWire::Builder::getGreatestFence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LeaseGrantWire::Builder::setGreatestFence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetMessageWire::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1358,304 +1709,264 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t FleetMessageWire::Reader::getGreatestFence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetMessageWire::Builder::getGreatestFence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void FleetMessageWire::Builder::setGreatestFence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool FleetMessageWire::Reader::getHasClaim() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
-}
-
-inline bool FleetMessageWire::Builder::getHasClaim() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
-}
-inline void FleetMessageWire::Builder::setHasClaim(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t FleetMessageWire::Reader::getClaimFence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t FleetMessageWire::Builder::getClaimFence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void FleetMessageWire::Builder::setClaimFence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t FleetMessageWire::Reader::getClaimSentAt() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t FleetMessageWire::Builder::getClaimSentAt() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void FleetMessageWire::Builder::setClaimSentAt( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool FleetMessageWire::Reader::getHasGrant() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
-}
-
-inline bool FleetMessageWire::Builder::getHasGrant() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
-}
-inline void FleetMessageWire::Builder::setHasGrant(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<67>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool FleetMessageWire::Reader::hasGrantHolder() const {
+inline bool FleetMessageWire::Reader::hasClaims() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool FleetMessageWire::Builder::hasGrantHolder() {
+inline bool FleetMessageWire::Builder::hasClaims() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FleetMessageWire::Reader::getGrantHolder() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getClaims() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FleetMessageWire::Builder::getGrantHolder() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void FleetMessageWire::Builder::setGrantHolder( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void FleetMessageWire::Builder::setClaims( ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FleetMessageWire::Builder::initGrantHolder(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initClaims(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void FleetMessageWire::Builder::adoptGrantHolder(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void FleetMessageWire::Builder::adoptClaims(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FleetMessageWire::Builder::disownGrantHolder() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownClaims() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseClaimWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t FleetMessageWire::Reader::getGrantIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool FleetMessageWire::Reader::hasGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t FleetMessageWire::Builder::getGrantIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool FleetMessageWire::Builder::hasGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline void FleetMessageWire::Builder::setGrantIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t FleetMessageWire::Reader::getGrantSentAt() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t FleetMessageWire::Builder::getGrantSentAt() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline void FleetMessageWire::Builder::setGrants( ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline void FleetMessageWire::Builder::setGrantSentAt( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-
-inline bool FleetMessageWire::Reader::getIsRelease() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<68>() * ::capnp::ELEMENTS);
+inline void FleetMessageWire::Builder::adoptGrants(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LeaseGrantWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool FleetMessageWire::Builder::getIsRelease() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<68>() * ::capnp::ELEMENTS);
+inline bool FleetMessageWire::Reader::hasReleases() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline void FleetMessageWire::Builder::setIsRelease(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<68>() * ::capnp::ELEMENTS, value);
+inline bool FleetMessageWire::Builder::hasReleases() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FleetMessageWire::Reader::getReleases() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetMessageWire::Builder::getReleases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setReleases( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void FleetMessageWire::Builder::setReleases(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FleetMessageWire::Builder::initReleases(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptReleases(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FleetMessageWire::Builder::disownReleases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline bool FleetMessageWire::Reader::getHasLoads() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<69>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
 
 inline bool FleetMessageWire::Builder::getHasLoads() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<69>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
 inline void FleetMessageWire::Builder::setHasLoads(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<69>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool FleetMessageWire::Reader::hasLoads() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline bool FleetMessageWire::Builder::hasLoads() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getLoads() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 inline void FleetMessageWire::Builder::setLoads( ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initLoads(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
 inline void FleetMessageWire::Builder::adoptLoads(
     ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownLoads() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
 inline bool FleetMessageWire::Reader::hasUses() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
 inline bool FleetMessageWire::Builder::hasUses() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getUses() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getUses() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 inline void FleetMessageWire::Builder::setUses( ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initUses(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
 inline void FleetMessageWire::Builder::adoptUses(
     ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownUses() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterUseWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
 inline bool FleetMessageWire::Reader::hasRows() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
 inline bool FleetMessageWire::Builder::hasRows() {
   return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getRows() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getRows() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 inline void FleetMessageWire::Builder::setRows( ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initRows(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
 inline void FleetMessageWire::Builder::adoptRows(
     ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownRows() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineRowWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
 inline bool FleetMessageWire::Reader::hasContacts() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
 }
 inline bool FleetMessageWire::Builder::hasContacts() {
   return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FleetMessageWire::Reader::getContacts() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FleetMessageWire::Builder::getContacts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 inline void FleetMessageWire::Builder::setContacts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
 }
 inline void FleetMessageWire::Builder::setContacts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FleetMessageWire::Builder::initContacts(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
 }
 inline void FleetMessageWire::Builder::adoptContacts(
     ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FleetMessageWire::Builder::disownContacts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
 }  // namespace
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -49,6 +49,44 @@
     return row;
 }
 
+void encodeLeases(const FleetMessage &message, Wire::FleetMessageWire::Builder wire)
+{
+    auto claims = wire.initClaims(static_cast<unsigned int>(message.claims.size()));
+    for (unsigned int i = 0; i < claims.size(); ++i) {
+        claims[i].setShard(message.claims[i].shard.value());
+        claims[i].setFence(message.claims[i].fence.value());
+        claims[i].setOrdersInMs(message.claims[i].ordersIn.milliseconds());
+        claims[i].setSentAt(message.claims[i].sentAt.milliseconds());
+    }
+    auto grants = wire.initGrants(static_cast<unsigned int>(message.grants.size()));
+    for (unsigned int i = 0; i < grants.size(); ++i) {
+        grants[i].setShard(message.grants[i].shard.value());
+        grants[i].setHolder(message.grants[i].holder.value());
+        grants[i].setIncarnation(message.grants[i].incarnation.value());
+        grants[i].setSentAt(message.grants[i].sentAt.milliseconds());
+        grants[i].setGreatestFence(message.grants[i].greatestFence.value());
+    }
+    auto releases = wire.initReleases(static_cast<unsigned int>(message.releases.size()));
+    for (unsigned int i = 0; i < releases.size(); ++i) {
+        releases.set(i, message.releases[i].value());
+    }
+}
+
+void decodeLeases(Wire::FleetMessageWire::Reader wire, FleetMessage &message)
+{
+    for (const auto claim : wire.getClaims()) {
+        message.claims.push_back(LeaseClaim {
+            EngineShard(claim.getShard()), FencingToken(claim.getFence()), Duration(claim.getOrdersInMs()), Time(claim.getSentAt()) });
+    }
+    for (const auto grant : wire.getGrants()) {
+        message.grants.push_back(LeaseGrant { EngineShard(grant.getShard()), NodeId(textOf(grant.getHolder())),
+            Incarnation(grant.getIncarnation()), Time(grant.getSentAt()), FencingToken(grant.getGreatestFence()) });
+    }
+    for (const auto shard : wire.getReleases()) {
+        message.releases.emplace_back(shard);
+    }
+}
+
 void encodeLists(const FleetMessage &message, Wire::FleetMessageWire::Builder wire)
 {
     if (message.loads) {
@@ -109,15 +147,7 @@
     message.isReady = wire.getIsReady();
     message.isLeaving = wire.getIsLeaving();
     message.configVersion = ConfigVersion(wire.getConfigVersion());
-    message.greatestFence = FencingToken(wire.getGreatestFence());
-    if (wire.getHasClaim()) {
-        message.claim = LeaseClaim { FencingToken(wire.getClaimFence()), Time(wire.getClaimSentAt()) };
-    }
-    if (wire.getHasGrant()) {
-        message.grant = LeaseGrant { NodeId(textOf(wire.getGrantHolder())), Incarnation(wire.getGrantIncarnation()),
-            Time(wire.getGrantSentAt()) };
-    }
-    message.isRelease = wire.getIsRelease();
+    decodeLeases(wire, message);
     decodeLists(wire, message);
     return message;
 }
@@ -136,19 +166,7 @@
     wire.setIsReady(message.isReady);
     wire.setIsLeaving(message.isLeaving);
     wire.setConfigVersion(message.configVersion.value());
-    wire.setGreatestFence(message.greatestFence.value());
-    if (message.claim) {
-        wire.setHasClaim(true);
-        wire.setClaimFence(message.claim->fence.value());
-        wire.setClaimSentAt(message.claim->sentAt.milliseconds());
-    }
-    if (message.grant) {
-        wire.setHasGrant(true);
-        wire.setGrantHolder(message.grant->holder.value());
-        wire.setGrantIncarnation(message.grant->incarnation.value());
-        wire.setGrantSentAt(message.grant->sentAt.milliseconds());
-    }
-    wire.setIsRelease(message.isRelease);
+    encodeLeases(message, wire);
     encodeLists(message, wire);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, builder);
--- a/tests/coordination/testorderlease.cpp
+++ b/tests/coordination/testorderlease.cpp
@@ -52,7 +52,7 @@
         FleetNode &node = m_nodes[id];
         node = FleetNode {};
         node.incarnation = Incarnation(++m_incarnations);
-        node.lease = std::make_unique<OrderLease>(OrderLeaseLimits {}, NodeId(id), node.incarnation, m_now);
+        node.lease = std::make_unique<OrderLease>(OrderLeaseLimits {}, EngineShard(0), NodeId(id), node.incarnation, m_now);
         for (const char *seed : { "node-01", "node-02", "node-03" }) {
             if (id != seed) {
                 node.lease->addSeed(seed, m_now);
@@ -72,7 +72,9 @@
     {
         FleetNode &node = m_nodes[id];
         FleetMessage message = base(id);
-        message.isRelease = node.lease->isHolder(m_now);
+        if (node.lease->isHolder(m_now)) {
+            message.releases.emplace_back(0);
+        }
         node.isLeaving = true;
         message.isLeaving = true;
         node.lease->release();
@@ -133,7 +135,6 @@
         message.incarnation = m_nodes[id].incarnation;
         message.peerAddress = id;
         message.isLeaving = m_nodes[id].isLeaving;
-        message.greatestFence = m_nodes[id].lease->greatestFence();
         return message;
     }
     void sendToAll(const std::string &from, const FleetMessage &message)
@@ -171,7 +172,7 @@
             const auto grant = node.lease->onMessage(datagram.message, m_now);
             if (grant) {
                 FleetMessage answer = base(datagram.to);
-                answer.grant = grant;
+                answer.grants.push_back(*grant);
                 send(datagram.to, datagram.message.sender.value(), answer);
             }
         }
@@ -181,7 +182,10 @@
         if (m_now >= node.nextHeartbeat) {
             node.nextHeartbeat = m_now + OrderLeaseLimits {}.renewal;
             FleetMessage message = base(id);
-            message.claim = node.lease->claim(!node.isLeaving, m_now, m_now + Duration(1'700'000'000'000) + m_wallOffsets[id]);
+            const auto claim = node.lease->claim(!node.isLeaving, m_now, m_now + Duration(1'700'000'000'000) + m_wallOffsets[id]);
+            if (claim) {
+                message.claims.push_back(*claim);
+            }
             sendToAll(id, message);
         }
         if (const auto fence = node.lease->mayOrder(m_now)) {
