--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -83,12 +83,6 @@
     }
 }
 
-struct Foreign
-{
-    double wait = 0;
-    std::map<AdapterRef, bool> copies;
-};
-
 // What a node said counts for this long: six messages missed.
 constexpr Duration UseMemory { 1500 };
 
@@ -103,13 +97,12 @@
     std::map<AdapterRef, Popularity> popularity;
     absl::flat_hash_map<NodeId, NodeUses> nodes;
     PlanTurn turn;
-    /** Engines of other plans: what stands there, and how long a prompt waits. */
-    std::vector<Foreign> foreign;
     /** Adapters that are wanted, since when. */
     std::map<AdapterRef, Time> wantedSince;
 
-    const Foreign *foreignWith(const AdapterRef &adapter) const;
-    bool isOurs(const AdapterRef &adapter, Time now) const;
+    bool isOurTurn(const AdapterRef &adapter, Time now) const;
+    void takeOwn(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now) const;
+    static void takeForeign(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now);
     double popularityOf(const AdapterRef &adapter, Time now) const;
     void addPopularity(const AdapterRef &adapter, double count, Time now);
     bool isUsed(const UpstreamId &engine, const AdapterRef &adapter, Time now) const;
@@ -121,7 +114,6 @@
 
     std::optional<AdapterRef> victim(const UpstreamId &id, const Engine &engine, Time now) const;
     std::optional<double> costOfPlace(const UpstreamId &id, const Engine &engine, const AdapterRef &adapter, Time now) const;
-    double waitOf(const PlannedEngine &engine) const;
     double waitAt(const Engine &engine) const;
     void place(const AdapterRef &adapter, bool isCrowded, Time now, std::vector<PlanAction> &actions);
     void beginLoad(const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions);
@@ -200,14 +192,9 @@
     return at == versions.end() ? AdapterVersion() : at->second;
 }
 
-double AdapterPlan::Private::waitOf(const PlannedEngine &engine) const
-{
-    return engine.pendingTokens / limits.promptTokensPerMs + engine.running * limits.runningCostMs;
-}
-
 double AdapterPlan::Private::waitAt(const Engine &engine) const
 {
-    return waitOf(engine.planned);
+    return engine.planned.pendingTokens / limits.promptTokensPerMs + engine.planned.running * limits.runningCostMs;
 }
 
 std::optional<AdapterRef> AdapterPlan::Private::victim(const UpstreamId &id, const Engine &engine, Time now) const
@@ -231,7 +218,7 @@
 std::optional<double> AdapterPlan::Private::costOfPlace(
     const UpstreamId &id, const Engine &engine, const AdapterRef &adapter, Time now) const
 {
-    const bool isBarred = !engine.isReported || engine.planned.spec == nullptr || engine.planned.share <= 0 || engine.copies.contains(adapter);
+    const bool isBarred = !engine.isReported || !engine.planned.isOrdered || engine.planned.spec == nullptr || engine.planned.share <= 0 || engine.copies.contains(adapter);
     if (isBarred || !holdsModel(engine, adapter.model) || loadsUnderWay(engine) >= limits.loadsAtOnceOfEngine) {
         return std::nullopt;
     }
@@ -267,30 +254,27 @@
 
 void AdapterPlan::Private::place(const AdapterRef &adapter, bool isCrowded, Time now, std::vector<PlanAction> &actions)
 {
-    if (loadsUnderWay() * static_cast<int>(std::max<std::size_t>(turn.count, 1)) >= limits.loadsAtOnce) {
+    if (loadsUnderWay() >= limits.loadsAtOnce) {
         return;
     }
+    // All plans see nearly the same; so the plan whose engine is the best of all acts, and the others leave it to that one.
+    const bool isOnlyOwn = isOurTurn(adapter, now);
     Engine *best = nullptr;
     UpstreamId bestId;
     double bestCost = std::numeric_limits<double>::max();
     double presentWait = std::numeric_limits<double>::max();
-    for (const Foreign &other : foreign) {
-        if (other.copies.contains(adapter)) {
-            presentWait = std::min(presentWait, other.wait);
-        }
-    }
     for (auto &[id, engine] : engines) {
         if (engine.copies.contains(adapter)) {
             presentWait = std::min(presentWait, waitAt(engine));
         }
-        const auto cost = costOfPlace(id, engine, adapter, now);
+        const auto cost = !isOnlyOwn || engine.planned.isOwn ? costOfPlace(id, engine, adapter, now) : std::nullopt;
         if (cost && *cost < bestCost) {
             best = &engine;
             bestId = id;
             bestCost = *cost;
         }
     }
-    if (best == nullptr || (isCrowded && bestCost + limits.crowdedGainMs > presentWait)) {
+    if (best == nullptr || !best->planned.isOwn || (isCrowded && bestCost + limits.crowdedGainMs > presentWait)) {
         return;
     }
     if (static_cast<int>(best->copies.size()) < best->planned.spec->adapterSlots) {
@@ -313,7 +297,8 @@
 {
     for (auto &[id, engine] : engines) {
         const auto at = engine.copies.find(adapter);
-        if (at != engine.copies.end() && at->second.state == CopyState::Ready && now - at->second.since > limits.askAgain) {
+        const bool isReady = at != engine.copies.end() && at->second.state == CopyState::Ready;
+        if (engine.planned.isOwn && isReady && now - at->second.since > limits.askAgain) {
             at->second.state = CopyState::Loading;
             at->second.since = now;
             at->second.askAt = now;
@@ -348,14 +333,13 @@
                 isReady = isReady || at->second.state == CopyState::Ready;
             }
         }
-        const Foreign *other = foreignWith(adapter);
-        if (isUnderWay || (other != nullptr && !other->copies.at(adapter))) {
+        if (isUnderWay) {
             continue;
         }
         if (isReady && !isCrowded) {
             verify(adapter, now);
-        } else if (isOurs(adapter, now)) {
-            place(adapter, isReady || other != nullptr, now, actions);
+        } else {
+            place(adapter, isReady, now, actions);
         }
     }
     std::erase_if(wantedSince, [&wants](const auto &entry) { return !wants.contains(entry.first); });
@@ -364,7 +348,7 @@
 void AdapterPlan::Private::askAgain(Time now, std::vector<PlanAction> &actions)
 {
     for (auto &[id, engine] : engines) {
-        if (engine.planned.spec == nullptr || hasOverfullPlaces(engine)) {
+        if (!engine.planned.isOwn || engine.planned.spec == nullptr || hasOverfullPlaces(engine)) {
             continue;
         }
         for (auto &[adapter, copy] : engine.copies) {
@@ -382,32 +366,23 @@
     }
 }
 
-const Foreign *AdapterPlan::Private::foreignWith(const AdapterRef &adapter) const
-{
-    const Foreign *found = nullptr;
-    for (const Foreign &other : foreign) {
-        const auto at = other.copies.find(adapter);
-        if (at != other.copies.end() && (found == nullptr || at->second)) {
-            found = &other;
-        }
-    }
-    return found;
-}
-
-// One plan alone meets a want, else several load the same adapter. Each adapter has its plan; what that one cannot place goes round.
-bool AdapterPlan::Private::isOurs(const AdapterRef &adapter, Time now) const
+// A want that is still there after a turn was left by the plan whose engine looked best from here.
+bool AdapterPlan::Private::isOurTurn(const AdapterRef &adapter, Time now) const
 {
-    const std::uint64_t home = stableHash(adapter.model.value(), adapter.adapter.value());
     const auto since = wantedSince.find(adapter);
     const Duration waited = since == wantedSince.end() ? Duration(0) : now - since->second;
     const auto rounds = static_cast<std::uint64_t>(waited.milliseconds() / limits.turnTime.milliseconds());
-    return turn.count <= 1 || (home + rounds) % turn.count == turn.index;
+    const std::uint64_t home = stableHash(adapter.model.value(), adapter.adapter.value());
+    return rounds > 0 && (home + rounds) % std::max<std::size_t>(turn.count, 1) == turn.index;
 }
 
 // Copies of an older version are loaded anew in place; the engine waits for their runs.
 void AdapterPlan::Private::replaceOld(Time now)
 {
     for (auto &[id, engine] : engines) {
+        if (!engine.planned.isOwn) {
+            continue;
+        }
         for (auto &[adapter, copy] : engine.copies) {
             const AdapterVersion newest = newestVersion(adapter);
             if (copy.state == CopyState::Ready && !newest.isEmpty() && copy.version != newest) {
@@ -427,7 +402,7 @@
         underWay += static_cast<int>(engine.loadingModels.size());
     }
     for (auto &[id, engine] : engines) {
-        if (engine.planned.spec == nullptr || !engine.models.empty() || !engine.loadingModels.empty()) {
+        if (!engine.planned.isOwn || engine.planned.spec == nullptr || !engine.models.empty() || !engine.loadingModels.empty()) {
             continue;
         }
         if (underWay >= limits.modelLoadsAtOnce || engine.planned.spec->models.empty()) {
@@ -444,7 +419,7 @@
 {
     for (auto &[id, engine] : engines) {
         const Duration interval = engine.loadingModels.empty() ? limits.reportInterval : limits.reportInterval - limits.reportLag;
-        if (engine.planned.spec != nullptr && now - engine.reportAskedAt >= interval) {
+        if (engine.planned.isOwn && engine.planned.spec != nullptr && now - engine.reportAskedAt >= interval) {
             engine.reportAskedAt = now;
             actions.emplace_back(AskEngineReport { id });
         }
@@ -454,7 +429,7 @@
 void AdapterPlan::Private::announce(std::vector<PlanAction> &actions)
 {
     for (auto &[id, engine] : engines) {
-        if (!engine.isChanged || engine.planned.spec == nullptr) {
+        if (!engine.planned.isOwn || !engine.isChanged || engine.planned.spec == nullptr) {
             continue;
         }
         engine.isChanged = false;
@@ -480,50 +455,68 @@
 void AdapterPlan::setEngines(const std::vector<PlannedEngine> &engines, const EngineRows &rows, Time now)
 {
     std::map<UpstreamId, const PlannedEngine *> present;
-    d->foreign.clear();
     for (const PlannedEngine &planned : engines) {
-        if (planned.isOwn) {
-            present[planned.record->id] = &planned;
-            continue;
-        }
-        Foreign other;
-        other.wait = d->waitOf(planned);
-        if (const EngineRow *row = rows.row(*planned.record)) {
-            for (const AdapterCopy &copy : row->copies) {
-                other.copies[AdapterRef { copy.model, copy.adapter }] = copy.isReady;
-            }
-        }
-        d->foreign.push_back(std::move(other));
+        present[planned.record->id] = &planned;
     }
     std::erase_if(d->engines, [&present](const auto &entry) { return !present.contains(entry.first); });
     for (const auto &[id, planned] : present) {
         Engine &engine = d->engines[id];
-        const bool isNew = engine.record.id.isEmpty() || engine.record.startedAt != planned->record->startedAt;
-        if (isNew) {
-            engine = Engine {};
-            engine.reportAskedAt = now - d->limits.reportInterval;
-        }
-        engine.planned = *planned;
-        if (isNew) {
-            for (const HeldModel &held : planned->record->models) {
-                engine.models.push_back(held.id);
-                for (const AdapterKey &key : held.adapters) {
-                    engine.copies[AdapterRef { held.id, key.id }] = Copy { key.version, CopyState::Ready, now, Time::never(), now, false };
-                }
-            }
-            if (const EngineRow *row = rows.row(*planned->record)) {
-                for (const AdapterCopy &copy : row->copies) {
-                    // A load under way is asked about at once; the engine knows.
-                    const CopyState state = copy.isReady ? CopyState::Ready : CopyState::Loading;
-                    engine.copies[AdapterRef { copy.model, copy.adapter }] = Copy { copy.version, state, now, now, now, false };
-                }
-            }
+        if (planned->isOwn) {
+            d->takeOwn(engine, *planned, rows, now);
+        } else {
+            Private::takeForeign(engine, *planned, rows, now);
         }
         engine.record = *planned->record;
+        engine.planned = *planned;
         engine.planned.record = &engine.record;
     }
 }
 
+void AdapterPlan::Private::takeOwn(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now) const
+{
+    if (!engine.record.id.isEmpty() && engine.record.startedAt == planned.record->startedAt) {
+        return;
+    }
+    engine = Engine {};
+    engine.reportAskedAt = now - limits.reportInterval;
+    for (const HeldModel &held : planned.record->models) {
+        engine.models.push_back(held.id);
+        for (const AdapterKey &key : held.adapters) {
+            engine.copies[AdapterRef { held.id, key.id }] = Copy { key.version, CopyState::Ready, now, Time::never(), now, false };
+        }
+    }
+    if (const EngineRow *row = rows.row(*planned.record)) {
+        for (const AdapterCopy &copy : row->copies) {
+            // A load under way is asked about at once; the engine knows.
+            const CopyState state = copy.isReady ? CopyState::Ready : CopyState::Loading;
+            engine.copies[AdapterRef { copy.model, copy.adapter }] = Copy { copy.version, state, now, now, now, false };
+        }
+    }
+}
+
+void AdapterPlan::Private::takeForeign(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now)
+{
+    engine.isReported = true;
+    engine.models.clear();
+    for (const HeldModel &held : planned.record->models) {
+        engine.models.push_back(held.id);
+    }
+    std::map<AdapterRef, Copy> former = std::move(engine.copies);
+    engine.copies.clear();
+    if (const EngineRow *row = rows.row(*planned.record)) {
+        for (const AdapterCopy &copy : row->copies) {
+            const AdapterRef adapter { copy.model, copy.adapter };
+            const auto known = former.find(adapter);
+            const Time since = known != former.end() ? known->second.since : now;
+            engine.copies[adapter] = Copy { copy.version, copy.isReady ? CopyState::Ready : CopyState::Loading, since, now, now, false };
+            former.erase(adapter);
+        }
+    }
+    for (const auto &[adapter, copy] : former) {
+        rememberWarm(engine, adapter, now);
+    }
+}
+
 void AdapterPlan::setTurn(PlanTurn turn)
 {
     d->turn = turn;
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -28,7 +28,7 @@
 {
     /** Adapters on their way from the store, over all engines. */
     int loadsAtOnce = 8;
-    /** A want that no plan has met for so long is any plan's to meet; also how long one plan's turn at crowded adapters lasts. */
+    /** A want that no plan has met for so long goes round among the plans, each having it for this time. */
     Duration turnTime { 400 };
     /** Adapters on their way to one engine. */
     int loadsAtOnceOfEngine = 4;
@@ -78,7 +78,7 @@
 };
 using PlanAction = std::variant<GiveOrder, AskEngineReport, AnnounceRow>;
 
-/** Which adapters this plan places where nothing else decides. */
+/** Which wants this plan meets when no plan has met them. */
 struct PlanTurn
 {
     /** This plan's place among the plans that are active now, and their number. */
@@ -95,8 +95,10 @@
     double pendingTokens = 0;
     /** 0 when the engine fails, 1 when it is well. */
     double share = 1;
-    /** This plan orders it; others are known for what stands there. */
+    /** This plan orders it; the others are known by their rows. */
     bool isOwn = true;
+    /** Somebody gives it orders now. */
+    bool isOrdered = true;
 };
 
 /** Decides which engine holds which adapters. Runs only at the node that may give orders. Not thread-safe. */
@@ -109,7 +111,7 @@
 
     /** The engines that there are now. @p rows tells what stands at those that are new to this plan. */
     void setEngines(const std::vector<PlannedEngine> &engines, const EngineRows &rows, Time now);
-    /** How the adapters are dealt out among the plans of all shards. */
+    /** How wants that nobody has met are dealt out among the plans of all shards. */
     void setTurn(PlanTurn turn);
     /** @p version of @p adapter is the newest. */
     void setVersion(const AdapterRef &adapter, const AdapterVersion &version);
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -109,8 +109,10 @@
         }
         for (const UpstreamRecord *record : beliefs.upstreams.usable(service.name)) {
             const FleetLoad load = beliefs.book.load(record->id, now());
+            const EngineShard owner = shardOf(record->id);
+            const bool isOrdered = owner == shard || fleet.lease(owner).ordersIn(now()) == Duration(0);
             result.push_back(PlannedEngine { record, &*service.engine, load.running, load.pendingTokens,
-                beliefs.outliers.share(record->id, now()), shardOf(record->id) == shard });
+                beliefs.outliers.share(record->id, now()), owner == shard, isOrdered });
         }
     }
     return result;
