--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -58,7 +58,7 @@
     /** What a load of an adapter that the engine held lately saves against one from the store, ms: 225 of time, and what the load costs the store. */
     double warmGainMs = 700;
     /** What a second copy of an adapter must save of a first token's wait. */
-    double crowdedGainMs = 150;
+    double crowdedGainMs = 300;
 };
 
 /** Give this order; the answer goes to onOrderAnswer(). */
--- a/main/entry/forwardjob.cpp
+++ b/main/entry/forwardjob.cpp
@@ -31,8 +31,8 @@
 constexpr Duration LeastUsefulTime { 5 };
 // When a caller that was refused may come back: a load of an adapter and a place in a queue later.
 constexpr Duration RetryAfterRefusal { 300 };
-// A prompt that waits longer than this before it is read misses its objective with the next one that comes: time for another copy.
-constexpr Duration CrowdedWait { 200 };
+// A prompt that waits longer than this before it is read misses its objective with the next one that comes. A load takes a quarter second, so shorter waits have ended before a copy helps.
+constexpr Duration CrowdedWait { 450 };
 // At another node at once: this one is cut off.
 constexpr Duration RetryElsewhere { 50 };
 // From the order for an adapter to the first event: its load, a wait behind others' loads, and the reading of a long prompt.
