--- a/main/entry/forwardjob.cpp
+++ b/main/entry/forwardjob.cpp
@@ -209,11 +209,7 @@
         }
         return;
     }
-    if (m_failure) {
-        deliver();
-        return;
-    }
-    refuse(m_outcome == Outcome::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed, RetryAfterRefusal);
+    giveUp(m_outcome == Outcome::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed);
 }
 
 // When waiting for an adapter cannot end in time: how long the caller had better stay away. Without this, requests at a node that is cut off
@@ -255,11 +251,7 @@
     m_context.loop().cancel(m_waitTimer);
     if (m_arrivals > 0 && !m_context.takeRetry(m_service)) {
         m_context.log().write(Important, "request", "no_retry_budget", { { "request", m_decoded.id }, { "service", m_service.value() } });
-        if (m_failure) {
-            deliver();
-        } else {
-            refuse(m_outcome == Outcome::NotRun ? ErrorKind::Overloaded : ErrorKind::UpstreamFailed, RetryAfterRefusal);
-        }
+        giveUp(m_outcome == Outcome::NotRun ? ErrorKind::Overloaded : ErrorKind::UpstreamFailed);
         return;
     }
     m_phase = Phase::Sent;
@@ -467,7 +459,8 @@
     }
     m_context.beliefs().outliers.onSuccess(m_upstream.id, now());
     if (!m_isStreaming) {
-        deliver();
+        const Platform::UpstreamAnswer answer = *m_answer;
+        deliver(answer, std::move(m_body));
         return;
     }
     if (!m_events.rest().empty()) {
@@ -536,18 +529,11 @@
         tryNext();
         return;
     }
-    if (m_failure) {
-        deliver();
-        return;
-    }
-    refuse(kind, RetryAfterRefusal);
+    giveUp(kind);
 }
 
-void ForwardJob::deliver()
+void ForwardJob::deliver(const Platform::UpstreamAnswer &answer, std::string body)
 {
-    const bool isFailure = !m_answer || !isSuccess(m_answer->status) || m_answer->isNotRun;
-    const Platform::UpstreamAnswer &answer = isFailure && m_failure ? *m_failure : *m_answer;
-    const std::string &body = isFailure && m_failure ? m_failureBody : m_body;
     // An upstream's own refusal without its word that nothing ran must not reach the caller as a promise of ours.
     if (isPromise(answer.status)) {
         refuse(ErrorKind::UpstreamFailed, RetryAfterRefusal);
@@ -557,10 +543,21 @@
     if (m_context.callbacks().isLeaving()) {
         headers.emplace_back("Connection", "close");
     }
-    m_exchange->respond(answer.status, headers, body);
+    m_exchange->respond(answer.status, headers, std::move(body));
     end(isSuccess(answer.status) ? "served" : "failed", isSuccess(answer.status) ? "" : "the upstream failed");
 }
 
+// Nothing better came: the whole failure that an upstream gave, or one of ours.
+void ForwardJob::giveUp(ErrorKind kind)
+{
+    if (m_failure && !m_isStreaming) {
+        const Platform::UpstreamAnswer answer = *m_failure;
+        deliver(answer, std::move(m_failureBody));
+    } else {
+        refuse(kind, RetryAfterRefusal);
+    }
+}
+
 void ForwardJob::refuse(ErrorKind kind, Duration retryAfter)
 {
     if (m_isStreaming) {
@@ -603,11 +600,7 @@
         endAttempt();
         m_context.loop().client().cancel(call);
     }
-    if (m_failure && !m_isStreaming) {
-        deliver();
-        return;
-    }
-    refuse(isAtUpstream || m_outcome == Outcome::MayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::NoUpstream, RetryAfterRefusal);
+    giveUp(isAtUpstream || m_outcome == Outcome::MayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::NoUpstream);
 }
 
 void ForwardJob::onCallerGone()
--- a/main/entry/forwardjob.h
+++ b/main/entry/forwardjob.h
@@ -91,7 +91,8 @@
     void endAttempt();
     void retryOrGiveUp(ErrorKind kind);
 
-    void deliver();
+    void deliver(const Platform::UpstreamAnswer &answer, std::string body);
+    void giveUp(ErrorKind kind);
     void refuse(ErrorKind kind, Duration retryAfter);
     void breakOff(const std::string &reason);
     void onDeadline();
