--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -79,6 +79,13 @@
     Time sentAt;
 };
 
+/** How long ago the sender gave its last order to a shard's engines, while it was the holder. */
+struct LastOrder
+{
+    EngineShard shard;
+    Duration ago;
+};
+
 /** A node's promise to let no other node give orders for the lease's time. */
 struct LeaseGrant
 {
@@ -105,6 +112,9 @@
     ConfigVersion configVersion;
     std::vector<LeaseClaim> claims;
     std::vector<LeaseGrant> grants;
+    /** How long the sender has run: its predecessor under the same id gave no orders since. */
+    Duration uptime;
+    std::vector<LastOrder> lastOrders;
     /** The sender gives up these leases. */
     std::vector<EngineShard> releases;
     /** Peer addresses of nodes that the sender heard of lately, so that those who know few find the others. */
--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -21,6 +21,10 @@
     std::string peerAddress;
     Time heardAt;
     bool isLeaving = false;
+    /** It holds another shard. */
+    bool holdsOther = false;
+    /** It gave no orders to this shard after this. */
+    Time quietSince = Time::never();
     /** It is only an address that we were told of. */
     bool isSeed = false;
     /** What it has promised to this node: the claim's time of sending. */
@@ -50,6 +54,9 @@
     /** When the majority first agreed to the present fence; Time::never() before. */
     Time heldSince = Time::never();
     bool isReleased = false;
+    bool holdsOther = false;
+    /** When this node could give orders last. */
+    Time orderedAt;
 
     /** Whether this node hears more than half of all that it has not forgotten, itself included. */
     bool hearsMajority(Time now) const
@@ -91,14 +98,14 @@
         return lowest;
     }
     // The nodes' order for this shard: each shard has another first one, so that the loss of one node silences one shard.
-    std::uint64_t preference(const NodeId &id) const
+    std::pair<bool, std::uint64_t> preference(const NodeId &id, bool holdsAnother) const
     {
-        return mixHashes(stableHash(id.value()), stableHash(std::to_string(shard.value())));
+        return { !holdsAnother, mixHashes(stableHash(id.value()), stableHash(std::to_string(shard.value()))) };
     }
     bool isFirstOfLive(Time now) const
     {
         return std::none_of(others.begin(), others.end(), [this, now](const auto &entry) {
-            return preference(entry.first) > preference(self) && !entry.second.isSeed && !entry.second.isLeaving && now - entry.second.heardAt <= limits.liveness;
+            return preference(entry.first, entry.second.holdsOther) > preference(self, holdsOther) && !entry.second.isSeed && !entry.second.isLeaving && now - entry.second.heardAt <= limits.liveness;
         });
     }
     bool hasPromisedOther(Time now) const
@@ -137,10 +144,37 @@
     {
         return now - startedAt < limits.lease + limits.margin;
     }
+    /** The latest moment at which another node may have given an order. */
+    Time othersQuietSince() const
+    {
+        Time latest;
+        for (const auto &[id, other] : others) {
+            // What it said before this lease began may be older than its last order.
+            const bool isCurrent = other.heardAt >= heldSince + limits.messageDelay;
+            latest = std::max(latest, isCurrent ? std::min(other.quietSince, heldSince) : heldSince);
+        }
+        return latest;
+    }
     Duration ownOrdersIn(Time now) const
     {
         const Duration silence = limits.turn + limits.margin;
-        return heldSince == Time::never() ? silence : std::max(heldSince + silence - now, Duration(0));
+        return heldSince == Time::never() ? silence : std::max(othersQuietSince() + silence - now, Duration(0));
+    }
+    void noteHeld(Time now)
+    {
+        if (heldSince == Time::never() && fence && greatestFence <= *fence && now < heldUntil(now)) {
+            heldSince = now;
+        }
+    }
+    void noteQuiet(Other &other, const FleetMessage &message, Time now) const
+    {
+        Time quiet = now - message.uptime;
+        for (const LastOrder &order : message.lastOrders) {
+            if (order.shard == shard) {
+                quiet = std::max(quiet, now - order.ago);
+            }
+        }
+        other.quietSince = quiet;
     }
     void forgetOld(Time now)
     {
@@ -187,6 +221,9 @@
     other.peerAddress = message.peerAddress;
     other.heardAt = now;
     other.isLeaving = message.isLeaving;
+    d->noteQuiet(other, message, now);
+    other.holdsOther
+        = std::any_of(message.claims.begin(), message.claims.end(), [this](const LeaseClaim &entry) { return entry.shard != d->shard; });
     for (const LeaseGrant &grant : message.grants) {
         if (grant.shard != d->shard) {
             continue;
@@ -196,6 +233,7 @@
             other.grantedClaim = std::max(other.grantedClaim.value_or(Time()), grant.sentAt);
         }
     }
+    d->noteHeld(now);
     const bool isRelease = std::find(message.releases.begin(), message.releases.end(), d->shard) != message.releases.end();
     if (isRelease && d->promisedTo == message.sender) {
         d->promisedUntil = Time();
@@ -221,8 +259,9 @@
     return LeaseGrant { d->shard, message.sender, message.incarnation, claim->sentAt, d->greatestFence };
 }
 
-std::optional<LeaseClaim> OrderLease::claim(bool isWilling, Time now, Time wall)
+std::optional<LeaseClaim> OrderLease::claim(bool isWilling, bool holdsOther, Time now, Time wall)
 {
+    d->holdsOther = holdsOther;
     d->forgetOld(now);
     // A token that was made for an attempt long ago may lie below that of a holder in between. Voters tell theirs with each grant, and every
     // holder's majority has one of them; so what is known at this moment is above all that ordered before.
@@ -230,8 +269,9 @@
         d->stopClaiming();
     }
     const bool isHeld = isHolder(now);
-    if (isHeld && d->heldSince == Time::never()) {
-        d->heldSince = now;
+    d->noteHeld(now);
+    if (mayOrder(now)) {
+        d->orderedAt = now;
     }
     // A lease that was lost for a moment may have been another's meanwhile: what follows is a new one, with its silence.
     if (!isHeld && d->heldSince != Time::never()) {
@@ -261,6 +301,18 @@
     return LeaseClaim { d->shard, *d->fence, d->ownOrdersIn(now), now };
 }
 
+std::optional<LastOrder> OrderLease::lastOrder(Time now) const
+{
+    if (mayOrder(now)) {
+        return LastOrder { d->shard, Duration(0) };
+    }
+    if (d->orderedAt == Time()) {
+        return std::nullopt;
+    }
+    // It could order until the next claim after the one that noted it, at most.
+    return LastOrder { d->shard, std::max(now - d->orderedAt - d->limits.renewal, Duration(0)) };
+}
+
 void OrderLease::release()
 {
     d->isReleased = true;
@@ -270,7 +322,7 @@
 
 std::optional<FencingToken> OrderLease::mayOrder(Time now) const
 {
-    if (!isHolder(now) || d->heldSince == Time::never() || now - d->heldSince <= d->limits.turn + d->limits.margin) {
+    if (!isHolder(now) || d->heldSince == Time::never() || d->ownOrdersIn(now) > Duration(0)) {
         return std::nullopt;
     }
     return d->fence;
--- a/coordination/orderlease.h
+++ b/coordination/orderlease.h
@@ -17,8 +17,8 @@
 // A node gives orders only while more than half of the nodes that it knows of have promised, within the lease's time, to let no other node
 // do so. Two majorities share a node, and that node does not promise twice. Grounds for the figures: six renewals fit into one lease, so
 // that lost datagrams alone (three in a hundred) end none in a day. A node that has just started has forgotten its promises, so it makes
-// none for a lease's time. A new holder is silent for the time that two holders' orders must be apart: the former one stopped before its
-// lease ran out, which is before the new one began.
+// none for a lease's time. A new holder is silent for the time that two holders' orders must be apart. Nodes that it hears tell how long ago
+// they ordered last, and since when they run; one that it does not hear stopped before its lease ran out, which is before the new one began.
 
 struct OrderLeaseLimits
 {
@@ -35,6 +35,8 @@
      * side of a partition never forgets: else both sides would lead. A minute outlasts the restarts of a whole fleet.
      */
     Duration memory = Duration::seconds(60);
+    /** A message that arrives later than this after the begin of a lease was sent after it: datagrams take a few milliseconds. */
+    Duration messageDelay { 300 };
     /** A node that left counts for so long: it may be back behind a partition, where it gives its voice to the other side. */
     Duration leaverMemory = Duration::seconds(15);
     /** A node heard of within this may claim: three messages lost in a row. */
@@ -55,10 +57,10 @@
     std::optional<LeaseGrant> onMessage(const FleetMessage &message, Time now);
     /**
      * The claim to send to all now, if this node is to claim or renew. Call it every renewal time.
-     * @p isWilling: this node can do the holder's work. @p wall: the time of day, from which fencing tokens rise above those of all holders
+     * @p isWilling: this node can do the holder's work. @p holdsOther: it holds another shard, so that others are preferred. @p wall: the time of day, from which fencing tokens rise above those of all holders
      * before.
      */
-    std::optional<LeaseClaim> claim(bool isWilling, Time now, Time wall);
+    std::optional<LeaseClaim> claim(bool isWilling, bool holdsOther, Time now, Time wall);
     /** Gives the lease up; no claim follows. */
     void release();
 
@@ -66,6 +68,8 @@
     std::optional<FencingToken> mayOrder(Time now) const;
     /** Whether this node holds the lease, though it may have to be silent still. */
     bool isHolder(Time now) const;
+    /** How long ago this node could give orders last; empty when it never could, or when that does not matter any more. */
+    std::optional<LastOrder> lastOrder(Time now) const;
     /** The node that this one has promised to, or itself; empty when none holds the lease as far as this node knows. */
     NodeId holder(Time now) const;
     FencingToken greatestFence() const;
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -53,6 +53,7 @@
     std::mt19937_64 random { std::random_device {}() };
     /** The rows that this node announced, for repeating. */
     std::map<UpstreamId, EngineRow> ownRows;
+    Time startedAt;
     Time rowsToldAt;
     bool isLeaving = false;
     std::vector<EngineShard> released;
@@ -64,11 +65,17 @@
         , beliefs(beliefs)
         , identity(std::move(identity))
         , callbacks(std::move(callbacks))
+        , startedAt(loop.clock().now())
     {
         for (std::uint64_t shard = 0; shard < EngineShards; ++shard) {
             leases.emplace_back(limits, EngineShard(shard), this->identity.id, this->identity.incarnation, loop.clock().now());
         }
     }
+    bool holdsAfter(std::size_t shard) const
+    {
+        return std::any_of(leases.begin() + static_cast<std::ptrdiff_t>(shard) + 1, leases.end(),
+            [this](const OrderLease &lease) { return lease.isHolder(now()); });
+    }
     bool isAnyHolder() const
     {
         return std::any_of(leases.begin(), leases.end(), [this](const OrderLease &lease) { return lease.isHolder(now()); });
@@ -104,6 +111,12 @@
     message.isReady = callbacks.isReady() && !isLeaving;
     message.isLeaving = isLeaving;
     message.releases = released;
+    message.uptime = now() - startedAt;
+    for (const OrderLease &lease : leases) {
+        if (const auto order = lease.lastOrder(now())) {
+            message.lastOrders.push_back(*order);
+        }
+    }
     message.configVersion = beliefs.routes != nullptr ? beliefs.routes->version() : ConfigVersion();
     return message;
 }
@@ -177,8 +190,9 @@
 {
     FleetMessage message = withLoad();
     message.contacts = someContacts();
-    for (OrderLease &lease : leases) {
-        if (const auto claim = lease.claim(message.isReady, now(), loop.clock().wallTime())) {
+    for (std::size_t shard = 0; shard < leases.size(); ++shard) {
+        const bool holdsOther = !message.claims.empty() || holdsAfter(shard);
+        if (const auto claim = leases[shard].claim(message.isReady, holdsOther, now(), loop.clock().wallTime())) {
             message.claims.push_back(*claim);
         }
     }
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -47,9 +47,9 @@
 
 /**
  * Parts of the engines whose orders have a holder each. With one holder for all, no adapter is loaded anywhere for four seconds after each
- * loss of that node; with four, three quarters of the engines go on.
+ * loss of that node; with eight, most of the engines go on.
  */
-inline constexpr std::uint64_t EngineShards = 4;
+inline constexpr std::uint64_t EngineShards = 8;
 
 /** The shard of @p engine; never changes, since a change of holder would need a silence of its own. */
 EngineShard shardOf(const UpstreamId &engine);
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -20,8 +20,10 @@
 constexpr Duration ConnectTimeout { 400 };
 // An upstream on a connection that went silent is noticed within this.
 constexpr Duration AcknowledgeTimeout { 700 };
-// Upstreams close idle connections after some seconds; those kept shorter are not met by a close on the way.
-constexpr Duration MaxConnectionIdle = Duration::seconds(4);
+// Upstreams close idle connections after some seconds. A request that meets such a close on its way fails; where it may not run twice it
+// cannot be sent again, so it only takes connections that were in use lately.
+constexpr Duration MaxConnectionIdle = Duration::seconds(15);
+constexpr Duration MaxConnectionIdleOnce = Duration::seconds(4);
 // While a request waits for a place, it looks again at least this often.
 constexpr Duration LookAgain { 60 };
 // A resumable stream that is silent for so long goes on at another upstream; callers give up after two seconds or more.
@@ -286,7 +288,7 @@
     call.headers = Platform::upstreamHeaders(m_request, binding);
     call.connectTimeout = std::min(ConnectTimeout, std::max(timeLeft(), Duration(1)));
     call.acknowledgeTimeout = AcknowledgeTimeout;
-    call.maxConnectionIdle = MaxConnectionIdle;
+    call.maxConnectionIdle = m_route.kind == RequestKind::NonIdempotent ? MaxConnectionIdleOnce : MaxConnectionIdle;
     call.isSentOnce = true;
     const auto weak = weak_from_this();
     call.maySend = [weak] {
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -39,6 +39,11 @@
     sentAt @3 :Int64;
 }
 
+struct LastOrderWire {
+    shard @0 :UInt64;
+    agoMs @1 :Int64;
+}
+
 struct LeaseGrantWire {
     shard @0 :UInt64;
     holder @1 :Text;
@@ -64,4 +69,6 @@
     uses @13 :List(AdapterUseWire);
     rows @14 :List(EngineRowWire);
     contacts @15 :List(Text);
+    uptimeMs @16 :Int64;
+    lastOrders @17 :List(LastOrderWire);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(da9a83320b9cd929);
 CAPNP_DECLARE_SCHEMA(8bd9f9497f51c4cf);
 CAPNP_DECLARE_SCHEMA(b6a926f8f5b8ffdb);
+CAPNP_DECLARE_SCHEMA(a8b9f4dba4f44306);
 CAPNP_DECLARE_SCHEMA(9d5a32ab517c1ae3);
 CAPNP_DECLARE_SCHEMA(8b8b5daee920bcb2);
 
@@ -105,6 +106,21 @@
   };
 };
 
+struct LastOrderWire {
+  LastOrderWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a8b9f4dba4f44306, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LeaseGrantWire {
   LeaseGrantWire() = delete;
 
@@ -128,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 3, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 4, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -642,6 +658,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class LastOrderWire::Reader {
+public:
+  typedef LastOrderWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getShard() const;
+
+  inline  ::int64_t getAgoMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LastOrderWire::Builder {
+public:
+  typedef LastOrderWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getShard();
+  inline void setShard( ::uint64_t value);
+
+  inline  ::int64_t getAgoMs();
+  inline void setAgoMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LastOrderWire::Pipeline {
+public:
+  typedef LastOrderWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LeaseGrantWire::Reader {
 public:
   typedef LeaseGrantWire Reads;
@@ -803,6 +900,11 @@
   inline bool hasContacts() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getContacts() const;
 
+  inline  ::int64_t getUptimeMs() const;
+
+  inline bool hasLastOrders() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>::Reader getLastOrders() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -925,6 +1027,16 @@
   inline void adoptContacts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownContacts();
 
+  inline  ::int64_t getUptimeMs();
+  inline void setUptimeMs( ::int64_t value);
+
+  inline bool hasLastOrders();
+  inline  ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>::Builder getLastOrders();
+  inline void setLastOrders( ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>::Builder initLastOrders(unsigned int size);
+  inline void adoptLastOrders(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>> disownLastOrders();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1427,6 +1539,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t LastOrderWire::Reader::getShard() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LastOrderWire::Builder::getShard() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LastOrderWire::Builder::setShard( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LastOrderWire::Reader::getAgoMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LastOrderWire::Builder::getAgoMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LastOrderWire::Builder::setAgoMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LeaseGrantWire::Reader::getShard() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1969,6 +2109,54 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t FleetMessageWire::Reader::getUptimeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FleetMessageWire::Builder::getUptimeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FleetMessageWire::Builder::setUptimeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetMessageWire::Reader::hasLastOrders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasLastOrders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getLastOrders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getLastOrders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setLastOrders( ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initLastOrders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptLastOrders(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownLastOrders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -66,6 +66,12 @@
         grants[i].setSentAt(message.grants[i].sentAt.milliseconds());
         grants[i].setGreatestFence(message.grants[i].greatestFence.value());
     }
+    wire.setUptimeMs(message.uptime.milliseconds());
+    auto lastOrders = wire.initLastOrders(static_cast<unsigned int>(message.lastOrders.size()));
+    for (unsigned int i = 0; i < lastOrders.size(); ++i) {
+        lastOrders[i].setShard(message.lastOrders[i].shard.value());
+        lastOrders[i].setAgoMs(message.lastOrders[i].ago.milliseconds());
+    }
     auto releases = wire.initReleases(static_cast<unsigned int>(message.releases.size()));
     for (unsigned int i = 0; i < releases.size(); ++i) {
         releases.set(i, message.releases[i].value());
@@ -82,6 +88,10 @@
         message.grants.push_back(LeaseGrant { EngineShard(grant.getShard()), NodeId(textOf(grant.getHolder())),
             Incarnation(grant.getIncarnation()), Time(grant.getSentAt()), FencingToken(grant.getGreatestFence()) });
     }
+    message.uptime = Duration(wire.getUptimeMs());
+    for (const auto order : wire.getLastOrders()) {
+        message.lastOrders.push_back(LastOrder { EngineShard(order.getShard()), Duration(order.getAgoMs()) });
+    }
     for (const auto shard : wire.getReleases()) {
         message.releases.emplace_back(shard);
     }
--- a/tests/coordination/testorderlease.cpp
+++ b/tests/coordination/testorderlease.cpp
@@ -30,6 +30,7 @@
     std::unique_ptr<OrderLease> lease;
     Incarnation incarnation;
     Time nextHeartbeat;
+    Time startedAt;
     bool isUp = true;
     bool isLeaving = false;
     bool isFrozen = false;
@@ -52,6 +53,7 @@
         FleetNode &node = m_nodes[id];
         node = FleetNode {};
         node.incarnation = Incarnation(++m_incarnations);
+        node.startedAt = m_now;
         node.lease = std::make_unique<OrderLease>(OrderLeaseLimits {}, EngineShard(0), NodeId(id), node.incarnation, m_now);
         for (const char *seed : { "node-01", "node-02", "node-03" }) {
             if (id != seed) {
@@ -135,6 +137,10 @@
         message.incarnation = m_nodes[id].incarnation;
         message.peerAddress = id;
         message.isLeaving = m_nodes[id].isLeaving;
+        message.uptime = m_now - m_nodes[id].startedAt;
+        if (const auto order = m_nodes[id].lease->lastOrder(m_now)) {
+            message.lastOrders.push_back(*order);
+        }
         return message;
     }
     void sendToAll(const std::string &from, const FleetMessage &message)
@@ -182,7 +188,7 @@
         if (m_now >= node.nextHeartbeat) {
             node.nextHeartbeat = m_now + OrderLeaseLimits {}.renewal;
             FleetMessage message = base(id);
-            const auto claim = node.lease->claim(!node.isLeaving, m_now, m_now + Duration(1'700'000'000'000) + m_wallOffsets[id]);
+            const auto claim = node.lease->claim(!node.isLeaving, false, m_now, m_now + Duration(1'700'000'000'000) + m_wallOffsets[id]);
             if (claim) {
                 message.claims.push_back(*claim);
             }
