--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -537,6 +537,14 @@
     }
 }
 
+void AdapterPlan::onWants(const NodeId &node, const std::vector<AdapterUse> &wants, Time now)
+{
+    NodeUses &known = d->nodes[node];
+    std::erase_if(known.uses, [](const AdapterUse &use) { return use.engine.isEmpty() && !use.isCrowded; });
+    known.uses.insert(known.uses.end(), wants.begin(), wants.end());
+    known.heardAt = now;
+}
+
 void AdapterPlan::onOrderAnswer(const EngineOrder &order, OrderAnswer answer, Time now)
 {
     const auto at = d->engines.find(order.engine);
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -29,7 +29,7 @@
     /** Adapters on their way from the store, over all engines. */
     int loadsAtOnce = 8;
     /** A want that no plan has met for so long goes round among the plans, each having it for this time. */
-    Duration turnTime { 400 };
+    Duration turnTime { 60 };
     /** Adapters on their way to one engine. */
     int loadsAtOnceOfEngine = 4;
     /** After the order: when a warm load is done, when a cold one is, and between later questions. */
@@ -117,6 +117,8 @@
     void setVersion(const AdapterRef &adapter, const AdapterVersion &version);
     /** What @p node runs and waits for; replaces what it said before. */
     void onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now);
+    /** What @p node waits for now; what it runs stays as it said before. */
+    void onWants(const NodeId &node, const std::vector<AdapterUse> &wants, Time now);
     void onOrderAnswer(const EngineOrder &order, OrderAnswer answer, Time now);
     /** @p askedAt: when the report was asked for. */
     void onReport(const UpstreamId &engine, const EngineReport &report, Time askedAt);
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -112,6 +112,8 @@
 
     FleetLink::Callbacks fleetCallbacks;
     fleetCallbacks.account = [this] { return OwnAccount { beliefs.book.own(), forwarder->uses() }; };
+    fleetCallbacks.wants = [this] { return forwarder->wants(); };
+    fleetCallbacks.onWants = [this](const NodeId &node, const std::vector<AdapterUse> &wants) { orders->onWants(node, wants); };
     fleetCallbacks.isReady = [this] { return isReady(); };
     fleetCallbacks.onUses = [this](const NodeId &node, const std::vector<AdapterUse> &uses) { orders->onUses(node, uses); };
     fleetCallbacks.onRows = [this] { forwarder->onBeliefsChanged(); };
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -19,9 +19,14 @@
 
 constexpr Duration HeartbeatInterval { 200 };
 // All rows are told again this often, for nodes that started or lost a datagram.
-constexpr Duration RowsInterval { 1000 };
-// Contacts in one message: with four messages a second, all nodes of a small fleet are named to a new one within a second.
-constexpr std::size_t ContactsInMessage = 6;
+constexpr Duration RowsInterval { 2000 };
+// Contacts in one message: with five messages a second, all nodes of a small fleet are named to a new one within a second; later a few
+// keep the picture whole, and save a fifth of the bytes.
+constexpr std::size_t ContactsAtStart = 6;
+constexpr std::size_t ContactsLater = 1;
+constexpr Duration StartTime = Duration::seconds(5);
+// Wants of requests that arrive together go out together.
+constexpr Duration WantsDelay { 3 };
 // A peer silent for so long is forgotten.
 constexpr Duration PeerMemory = Duration::seconds(60);
 // Rows in one datagram: eight copies of about 20 bytes each stay below the size that no link cuts.
@@ -56,6 +61,7 @@
     Time startedAt;
     Time rowsToldAt;
     bool isLeaving = false;
+    bool areWantsDue = false;
     std::vector<EngineShard> released;
     std::vector<NodeId> lastHolders { EngineShards };
 
@@ -87,8 +93,11 @@
     }
     FleetMessage base() const;
     FleetMessage withLoad() const;
+    std::set<NodeId> holders() const;
+    void tellWants();
     std::vector<std::string> targets() const;
     void sendToAll(const FleetMessage &message);
+    void sendLoad(const FleetMessage &message);
     void heartbeat();
     void tellRows(const std::vector<EngineRow> &rows);
     void onDatagram(std::string_view bytes);
@@ -157,6 +166,51 @@
     }
 }
 
+// Only those who order adapters need to know which of them are in use; the rest of the message goes to all.
+void FleetLink::Private::sendLoad(const FleetMessage &message)
+{
+    FleetMessage reduced = message;
+    reduced.uses.clear();
+    const std::string whole = encodeFleetMessage(message);
+    const std::string most = encodeFleetMessage(reduced);
+    std::set<std::string> holderAddresses;
+    for (const NodeId &holder : holders()) {
+        const auto at = peers.find(holder);
+        if (at != peers.end()) {
+            holderAddresses.insert(at->second.peerAddress);
+        }
+    }
+    for (const std::string &target : targets()) {
+        socket->send(target, holderAddresses.contains(target) ? whole : most);
+    }
+}
+
+std::set<NodeId> FleetLink::Private::holders() const
+{
+    std::set<NodeId> result;
+    for (const OrderLease &lease : leases) {
+        result.insert(lease.holder(now()));
+    }
+    return result;
+}
+
+void FleetLink::Private::tellWants()
+{
+    areWantsDue = false;
+    FleetMessage message = base();
+    message.uses = callbacks.wants();
+    if (message.uses.empty()) {
+        return;
+    }
+    const std::string bytes = encodeFleetMessage(message);
+    for (const NodeId &holder : holders()) {
+        const auto at = peers.find(holder);
+        if (at != peers.end()) {
+            socket->send(at->second.peerAddress, bytes);
+        }
+    }
+}
+
 std::vector<std::string> FleetLink::Private::someContacts()
 {
     std::vector<std::string> known;
@@ -166,7 +220,7 @@
         }
     }
     std::shuffle(known.begin(), known.end(), random);
-    known.resize(std::min(known.size(), ContactsInMessage));
+    known.resize(std::min(known.size(), now() - startedAt < StartTime ? ContactsAtStart : ContactsLater));
     return known;
 }
 
@@ -196,7 +250,7 @@
             message.claims.push_back(*claim);
         }
     }
-    sendToAll(message);
+    sendLoad(message);
     if (isAnyHolder() && now() - rowsToldAt >= RowsInterval) {
         rowsToldAt = now();
         std::vector<EngineRow> rows;
@@ -265,6 +319,8 @@
     if (message.loads) {
         beliefs.book.onPeer(message.sender, *message.loads, now());
         callbacks.onUses(message.sender, message.uses);
+    } else if (!message.uses.empty()) {
+        callbacks.onWants(message.sender, message.uses);
     }
     bool isNews = false;
     for (const EngineRow &row : message.rows) {
@@ -353,21 +409,15 @@
 
 void FleetLink::tellWants()
 {
-    std::set<NodeId> holders;
-    for (const OrderLease &lease : d->leases) {
-        holders.insert(lease.holder(d->now()));
+    if (d->areWantsDue) {
+        return;
     }
-    std::string bytes;
-    for (const NodeId &holder : holders) {
-        const auto at = d->peers.find(holder);
-        if (at == d->peers.end()) {
-            continue;
-        }
-        if (bytes.empty()) {
-            bytes = encodeFleetMessage(d->withLoad());
+    d->areWantsDue = true;
+    d->loop.after(WantsDelay, [weak = std::weak_ptr(d)] {
+        if (const auto self = weak.lock()) {
+            self->tellWants();
         }
-        d->socket->send(at->second.peerAddress, bytes);
-    }
+    });
 }
 
 void FleetLink::announce(const std::vector<EngineRow> &rows)
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -62,10 +62,14 @@
     {
         /** Asked before each message that speaks of load; what was counted since is counted anew. */
         std::function<OwnAccount()> account;
+        /** Adapters that requests of this node wait for. */
+        std::function<std::vector<AdapterUse>()> wants;
         /** Whether this node takes requests. */
         std::function<bool()> isReady;
         /** A peer said what it runs and waits for. */
         std::function<void(const NodeId &, const std::vector<AdapterUse> &)> onUses;
+        /** A peer said only what it waits for. */
+        std::function<void(const NodeId &, const std::vector<AdapterUse> &)> onWants;
         /** Rows of engines that were news. */
         std::function<void()> onRows;
         /** A peer has a later configuration than this node. */
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -278,6 +278,15 @@
     for (const auto &shard : m_shards) {
         if (shard->plan != nullptr) {
             shard->plan->onUses(node, uses, shard->now());
+        }
+    }
+}
+
+void OrderRunner::onWants(const NodeId &node, const std::vector<AdapterUse> &wants)
+{
+    for (const auto &shard : m_shards) {
+        if (shard->plan != nullptr) {
+            shard->plan->onWants(node, wants, shard->now());
             shard->decideSoon();
         }
     }
--- a/main/entry/orderrunner.h
+++ b/main/entry/orderrunner.h
@@ -25,6 +25,8 @@
     void start();
     /** A peer said what it runs and waits for. */
     void onUses(const NodeId &node, const std::vector<AdapterUse> &uses);
+    /** A peer said only what it waits for. */
+    void onWants(const NodeId &node, const std::vector<AdapterUse> &wants);
     /** Something changed that the plan depends on. */
     void decideSoon();
 
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -215,6 +215,18 @@
     return result;
 }
 
+std::vector<AdapterUse> RequestForwarder::wants() const
+{
+    std::vector<AdapterUse> result;
+    for (const auto &[number, job] : d->jobs) {
+        const auto want = job->want();
+        if (want && std::find(result.begin(), result.end(), *want) == result.end()) {
+            result.push_back(*want);
+        }
+    }
+    return result;
+}
+
 int RequestForwarder::activeCount() const
 {
     return static_cast<int>(d->jobs.size());
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -53,6 +53,8 @@
     void onBeliefsChanged();
     /** Adapters that requests run on and wait for; arrivals are counted since the last call. */
     std::vector<AdapterUse> uses();
+    /** Only what they wait for; counts nothing. */
+    std::vector<AdapterUse> wants() const;
     /** Requests in progress. */
     int activeCount() const;
 
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -142,6 +142,14 @@
     return AdapterUse { adapter().model, adapter().adapter, isPlaced ? m_upstream.id : UpstreamId(), count, false };
 }
 
+std::optional<AdapterUse> RequestJob::want() const
+{
+    if (!needsAdapter() || m_phase != Phase::Waiting) {
+        return std::nullopt;
+    }
+    return AdapterUse { adapter().model, adapter().adapter, UpstreamId(), 0, false };
+}
+
 bool RequestJob::mayUse(const UpstreamRecord &record)
 {
     if (m_tried.contains(record.id)) {
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -46,6 +46,8 @@
     void lookAgain();
     /** What this job runs on or waits for; empty when it needs no adapter. */
     std::optional<AdapterUse> use();
+    /** The adapter that this job waits for, if it does. */
+    std::optional<AdapterUse> want() const;
 
 private:
     enum class Phase {
