--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -218,7 +218,8 @@
 std::optional<double> AdapterPlan::Private::costOfPlace(
     const UpstreamId &id, const Engine &engine, const AdapterRef &adapter, Time now) const
 {
-    const bool isBarred = !engine.isReported || !engine.planned.isOrdered || engine.planned.spec == nullptr || engine.planned.share <= 0 || engine.copies.contains(adapter);
+    const bool isBarred = !engine.isReported || !engine.planned.isOrdered || engine.planned.spec == nullptr || engine.planned.share <= 0
+        || engine.copies.contains(adapter);
     if (isBarred || !holdsModel(engine, adapter.model) || loadsUnderWay(engine) >= limits.loadsAtOnceOfEngine) {
         return std::nullopt;
     }
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -55,7 +55,8 @@
     double runningCostMs = 4;
     /** What a unit of evicted popularity costs, ms: the load that follows, by the chance that one follows. */
     double evictionCostMs = 25;
-    /** What a load of an adapter that the engine held lately saves against one from the store, ms: 225 of time, and what the load costs the store. */
+    /** What a load of an adapter that the engine held lately saves against one from the store, ms: 225 of time, and what the load costs the
+     * store. */
     double warmGainMs = 700;
     /** What a second copy of an adapter must save of a first token's wait. */
     double crowdedGainMs = 300;
--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -105,7 +105,8 @@
     bool isFirstOfLive(Time now) const
     {
         return std::none_of(others.begin(), others.end(), [this, now](const auto &entry) {
-            return preference(entry.first, entry.second.holdsOther) > preference(self, holdsOther) && !entry.second.isSeed && !entry.second.isLeaving && now - entry.second.heardAt <= limits.liveness;
+            return preference(entry.first, entry.second.holdsOther) > preference(self, holdsOther) && !entry.second.isSeed
+                && !entry.second.isLeaving && now - entry.second.heardAt <= limits.liveness;
         });
     }
     bool hasPromisedOther(Time now) const
@@ -222,8 +223,8 @@
     other.heardAt = now;
     other.isLeaving = message.isLeaving;
     d->noteQuiet(other, message, now);
-    other.holdsOther
-        = std::any_of(message.claims.begin(), message.claims.end(), [this](const LeaseClaim &entry) { return entry.shard != d->shard; });
+    other.holdsOther =
+        std::any_of(message.claims.begin(), message.claims.end(), [this](const LeaseClaim &entry) { return entry.shard != d->shard; });
     for (const LeaseGrant &grant : message.grants) {
         if (grant.shard != d->shard) {
             continue;
@@ -240,8 +241,8 @@
         d->claimHeardAt = Time();
         d->otherOrdersFrom = Time::never();
     }
-    const auto claim = std::find_if(
-        message.claims.begin(), message.claims.end(), [this](const LeaseClaim &entry) { return entry.shard == d->shard; });
+    const auto claim =
+        std::find_if(message.claims.begin(), message.claims.end(), [this](const LeaseClaim &entry) { return entry.shard == d->shard; });
     if (claim == message.claims.end()) {
         return std::nullopt;
     }
@@ -263,8 +264,8 @@
 {
     d->holdsOther = holdsOther;
     d->forgetOld(now);
-    // A token that was made for an attempt long ago may lie below that of a holder in between. Voters tell theirs with each grant, and every
-    // holder's majority has one of them; so what is known at this moment is above all that ordered before.
+    // A token that was made for an attempt long ago may lie below that of a holder in between. Voters tell theirs with each grant, and
+    // every holder's majority has one of them; so what is known at this moment is above all that ordered before.
     if (d->fence && d->heldSince == Time::never() && d->greatestFence > *d->fence) {
         d->stopClaiming();
     }
--- a/coordination/orderlease.h
+++ b/coordination/orderlease.h
@@ -17,8 +17,9 @@
 // A node gives orders only while more than half of the nodes that it knows of have promised, within the lease's time, to let no other node
 // do so. Two majorities share a node, and that node does not promise twice. Grounds for the figures: six renewals fit into one lease, so
 // that lost datagrams alone (three in a hundred) end none in a day. A node that has just started has forgotten its promises, so it makes
-// none for a lease's time. A new holder is silent for the time that two holders' orders must be apart. Nodes that it hears tell how long ago
-// they ordered last, and since when they run; one that it does not hear stopped before its lease ran out, which is before the new one began.
+// none for a lease's time. A new holder is silent for the time that two holders' orders must be apart. Nodes that it hears tell how long
+// ago they ordered last, and since when they run; one that it does not hear stopped before its lease ran out, which is before the new one
+// began.
 
 struct OrderLeaseLimits
 {
@@ -57,8 +58,8 @@
     std::optional<LeaseGrant> onMessage(const FleetMessage &message, Time now);
     /**
      * The claim to send to all now, if this node is to claim or renew. Call it every renewal time.
-     * @p isWilling: this node can do the holder's work. @p holdsOther: it holds another shard, so that others are preferred. @p wall: the time of day, from which fencing tokens rise above those of all holders
-     * before.
+     * @p isWilling: this node can do the holder's work. @p holdsOther: it holds another shard, so that others are preferred. @p wall: the
+     * time of day, from which fencing tokens rise above those of all holders before.
      */
     std::optional<LeaseClaim> claim(bool isWilling, bool holdsOther, Time now, Time wall);
     /** Gives the lease up; no claim follows. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -3,9 +3,9 @@
 #include "main/entry/beliefs.h"
 #include "main/entry/eventlog.h"
 #include "main/entry/fleetlink.h"
-#include "main/entry/requestforwarder.h"
 #include "main/entry/orderrunner.h"
 #include "main/entry/peerservice.h"
+#include "main/entry/requestforwarder.h"
 #include "main/entry/storereader.h"
 #include "platform/directory.h"
 #include "transport/ioloop.h"
@@ -171,8 +171,9 @@
 Result<bool> EntryNode::Private::open()
 {
     makeParts();
-    const auto callers = listen(settings.callerAddress,
-        [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) { forwarder->onRequest(std::move(request), std::move(exchange)); });
+    const auto callers = listen(settings.callerAddress, [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+        forwarder->onRequest(std::move(request), std::move(exchange));
+    });
     if (!callers.isOk()) {
         return callers.error();
     }
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -229,8 +229,8 @@
 {
     contacts.erase(message.peerAddress);
     for (const std::string &address : message.contacts) {
-        const bool isPeer = std::any_of(
-            peers.begin(), peers.end(), [&address](const auto &entry) { return entry.second.peerAddress == address; });
+        const bool isPeer =
+            std::any_of(peers.begin(), peers.end(), [&address](const auto &entry) { return entry.second.peerAddress == address; });
         if (!isPeer && address != identity.peerAddress && contacts.emplace(address, now() + PeerMemory).second) {
             for (OrderLease &lease : leases) {
                 lease.addSeed(address, now());
@@ -292,8 +292,7 @@
     peer = Peer { message.sender, message.zone, message.callerAddress, message.peerAddress, message.isReady, message.isLeaving,
         message.configVersion, now() };
     if (isChanged) {
-        log.write(Important, "fleet", "peer",
-            { { "peer", peer.id.value() }, { "ready", peer.isReady }, { "leaving", peer.isLeaving } });
+        log.write(Important, "fleet", "peer", { { "peer", peer.id.value() }, { "ready", peer.isReady }, { "leaving", peer.isLeaving } });
     }
     const ConfigVersion own = beliefs.routes != nullptr ? beliefs.routes->version() : ConfigVersion();
     if (peer.configVersion > own) {
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -81,7 +81,8 @@
     const auto token = fleet.lease(shard).mayOrder(now());
     if (!token) {
         if (plan != nullptr) {
-            log.write(EventLog::Weight::Important, "orders", "stopped", { { "shard", std::int64_t(shard.value()) }, { "fence", static_cast<std::int64_t>(fence.value()) } });
+            log.write(EventLog::Weight::Important, "orders", "stopped",
+                { { "shard", std::int64_t(shard.value()) }, { "fence", static_cast<std::int64_t>(fence.value()) } });
         }
         plan.reset();
         return false;
@@ -92,7 +93,8 @@
         for (const auto &[adapter, known] : beliefs.versions) {
             plan->setVersion(adapter, known.version);
         }
-        log.write(EventLog::Weight::Important, "orders", "started", { { "shard", std::int64_t(shard.value()) }, { "fence", static_cast<std::int64_t>(fence.value()) } });
+        log.write(EventLog::Weight::Important, "orders", "started",
+            { { "shard", std::int64_t(shard.value()) }, { "fence", static_cast<std::int64_t>(fence.value()) } });
     }
     return true;
 }
@@ -247,8 +249,8 @@
         }
         const auto report = Platform::decodeReport(*body);
         if (!report.isOk()) {
-            self->log.write(EventLog::Weight::Important, "orders", "bad_report",
-                { { "engine", engine.value() }, { "reason", report.error().detail } });
+            self->log.write(
+                EventLog::Weight::Important, "orders", "bad_report", { { "engine", engine.value() }, { "reason", report.error().detail } });
             return;
         }
         self->plan->onReport(engine, report.value(), askedAt);
@@ -256,8 +258,8 @@
     loop.client().start(std::move(call));
 }
 
-OrderRunner::OrderRunner(
-    IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, const NodeId &self, const std::function<std::vector<AdapterUse>()> &ownUses)
+OrderRunner::OrderRunner(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, const NodeId &self,
+    const std::function<std::vector<AdapterUse>()> &ownUses)
 {
     for (std::uint64_t shard = 0; shard < EngineShards; ++shard) {
         m_shards.push_back(std::make_shared<Private>(loop, log, beliefs, fleet, EngineShard(shard), self, ownUses));
--- a/main/entry/peerservice.cpp
+++ b/main/entry/peerservice.cpp
@@ -93,9 +93,8 @@
     }
     settings.port = static_cast<std::uint16_t>(number);
     settings.isDriven = true;
-    auto server = HttpServer::start(settings, [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
-        d->answer(request, *exchange);
-    });
+    auto server = HttpServer::start(
+        settings, [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { d->answer(request, *exchange); });
     if (!server.isOk()) {
         return server.error();
     }
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -33,7 +33,8 @@
 constexpr Duration LeastUsefulTime { 5 };
 // When a caller that was refused may come back: a load of an adapter and a place in a queue later.
 constexpr Duration RetryAfterRefusal { 300 };
-// A prompt that waits longer than this before it is read misses its objective with the next one that comes. A load takes a quarter second, so shorter waits have ended before a copy helps.
+// A prompt that waits longer than this before it is read misses its objective with the next one that comes. A load takes a quarter second,
+// so shorter waits have ended before a copy helps.
 constexpr Duration CrowdedWait { 450 };
 // At another node at once: this one is cut off.
 constexpr Duration RetryElsewhere { 50 };
@@ -222,8 +223,8 @@
     giveUp(m_outcome == Outcome::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed);
 }
 
-// When waiting for an adapter cannot end in time: how long the caller had better stay away. Without this, requests at a node that is cut off
-// from those who order loads, or right after a restart of the whole fleet, are held until their callers leave, and nobody is told.
+// When waiting for an adapter cannot end in time: how long the caller had better stay away. Without this, requests at a node that is cut
+// off from those who order loads, or right after a restart of the whole fleet, are held until their callers leave, and nobody is told.
 std::optional<Duration> RequestJob::hopelessFor() const
 {
     const auto ordersIn = m_context.callbacks().ordersIn();
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -158,7 +158,8 @@
 
 void StoreReader::Private::onPage(int status, const std::string &body)
 {
-    const auto page = status == OkStatus ? Platform::decodeRange(body) : Error { ErrorKind::ConfigInvalid, "status " + std::to_string(status) };
+    const auto page =
+        status == OkStatus ? Platform::decodeRange(body) : Error { ErrorKind::ConfigInvalid, "status " + std::to_string(status) };
     if (!page.isOk()) {
         fail(page.error().detail);
         return;
@@ -185,8 +186,9 @@
     }
     if (!hasReadAll) {
         hasReadAll = true;
-        log.write(Important, "store", "read", { { "revision", static_cast<std::int64_t>(*watchFrom) },
-            { "upstreams", static_cast<std::int64_t>(beliefs.upstreams.size()) } });
+        log.write(Important, "store", "read",
+            { { "revision", static_cast<std::int64_t>(*watchFrom) },
+                { "upstreams", static_cast<std::int64_t>(beliefs.upstreams.size()) } });
     }
     publish(changes);
     watch();
@@ -206,7 +208,8 @@
         readPage();
         return;
     }
-    const auto page = status == OkStatus ? Platform::decodeWatch(body) : Error { ErrorKind::ConfigInvalid, "status " + std::to_string(status) };
+    const auto page =
+        status == OkStatus ? Platform::decodeWatch(body) : Error { ErrorKind::ConfigInvalid, "status " + std::to_string(status) };
     if (!page.isOk()) {
         fail(page.error().detail);
         return;
--- /dev/null
+++ b/tests/coordination/testadapterplan.cpp
@@ -0,0 +1,320 @@
+#include "coordination/adapterplan.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+constexpr int Slots = 3;
+
+/** One plan over a few engines that carry its orders out after a load time and crash when they are overfull, as the users' do. */
+class PlanBench
+{
+public:
+    explicit PlanBench(int engines)
+    {
+        m_spec.adapterSlots = Slots;
+        m_spec.models.push_back(BaseModelSpec { BaseModelId("m"), 1, 1, Duration(1900) });
+        for (int i = 0; i < engines; ++i) {
+            UpstreamRecord record;
+            record.id = UpstreamId("e" + std::to_string(i));
+            record.startedAt = 1;
+            record.models = { HeldModel { BaseModelId("m"), {} } };
+            m_records.push_back(record);
+        }
+        m_engines.resize(static_cast<std::size_t>(engines));
+    }
+
+    void use(const std::string &adapter, const std::string &engine, std::uint32_t count = 1)
+    {
+        m_uses.push_back(AdapterUse { BaseModelId("m"), AdapterId(adapter), UpstreamId(engine), count, false });
+    }
+    void want(const std::string &adapter, bool isCrowded = false)
+    {
+        m_uses.push_back(AdapterUse { BaseModelId("m"), AdapterId(adapter), UpstreamId(), 1, isCrowded });
+    }
+    void clearUses()
+    {
+        m_uses.clear();
+    }
+    void setLoad(int engine, double pendingTokens)
+    {
+        m_engines[static_cast<std::size_t>(engine)].pendingTokens = pendingTokens;
+    }
+    void setUnloadWaits(bool isWaiting)
+    {
+        m_isUnloadWaiting = isWaiting;
+    }
+    void setVersion(const std::string &adapter, const std::string &version)
+    {
+        m_plan.setVersion(AdapterRef { BaseModelId("m"), AdapterId(adapter) }, AdapterVersion(version));
+    }
+    void run(Duration span)
+    {
+        const Time end = m_now + span;
+        while (m_now < end) {
+            m_now = m_now + Duration(10);
+            step();
+        }
+    }
+
+    bool holds(int engine, const std::string &adapter) const
+    {
+        const auto &held = m_engines[static_cast<std::size_t>(engine)].held;
+        return std::find(held.begin(), held.end(), adapter) != held.end();
+    }
+    int copies(const std::string &adapter) const
+    {
+        int sum = 0;
+        for (int i = 0; i < static_cast<int>(m_engines.size()); ++i) {
+            sum += holds(i, adapter) ? 1 : 0;
+        }
+        return sum;
+    }
+    int crashes() const
+    {
+        return m_crashes;
+    }
+    int loads() const
+    {
+        return m_loads;
+    }
+
+private:
+    struct Load
+    {
+        std::string adapter;
+        Time doneAt;
+    };
+    struct EngineState
+    {
+        std::vector<std::string> held;
+        std::vector<Load> coming;
+        double pendingTokens = 0;
+    };
+    struct Snapshot
+    {
+        Time at;
+        std::size_t engine = 0;
+        EngineReport report;
+    };
+
+    void step()
+    {
+        std::vector<PlannedEngine> planned;
+        for (std::size_t i = 0; i < m_records.size(); ++i) {
+            finishLoads(m_engines[i]);
+            planned.push_back(PlannedEngine { &m_records[i], &m_spec, 0, m_engines[i].pendingTokens, 1, true, true });
+            m_history.push_back(Snapshot { m_now, i, reportOf(m_engines[i]) });
+        }
+        m_plan.setEngines(planned, m_rows, m_now);
+        m_plan.onUses(NodeId("n"), m_uses, m_now);
+        for (AdapterUse &use : m_uses) {
+            use.count = 0;
+        }
+        for (const PlanAction &action : m_plan.decide(m_now)) {
+            if (const auto *give = std::get_if<GiveOrder>(&action)) {
+                m_plan.onOrderAnswer(give->order, carryOut(give->order), m_now);
+            } else if (const auto *ask = std::get_if<AskEngineReport>(&action)) {
+                answerReport(ask->engine);
+            }
+        }
+    }
+    std::size_t indexOf(const UpstreamId &id) const
+    {
+        return std::stoul(id.value().substr(1));
+    }
+    void finishLoads(EngineState &engine) const
+    {
+        for (auto at = engine.coming.begin(); at != engine.coming.end();) {
+            if (m_now < at->doneAt) {
+                ++at;
+                continue;
+            }
+            engine.held.push_back(at->adapter);
+            at = engine.coming.erase(at);
+        }
+    }
+    static EngineReport reportOf(const EngineState &engine)
+    {
+        EngineReport report;
+        HeldModel held { BaseModelId("m"), {} };
+        for (const std::string &name : engine.held) {
+            held.adapters.push_back(AdapterKey { AdapterId(name), AdapterVersion("1") });
+        }
+        for (const Load &load : engine.coming) {
+            report.coming.push_back(AdapterKey { AdapterId(load.adapter), AdapterVersion("1") });
+        }
+        report.models.push_back(held);
+        return report;
+    }
+    // Reports are 200 ms old.
+    void answerReport(const UpstreamId &id)
+    {
+        const std::size_t index = indexOf(id);
+        const Snapshot *found = nullptr;
+        for (const Snapshot &snapshot : m_history) {
+            if (snapshot.engine == index && (found == nullptr || snapshot.at + Duration(200) <= m_now)) {
+                found = &snapshot;
+            }
+        }
+        m_plan.onReport(id, found->report, m_now);
+    }
+    OrderAnswer carryOut(const EngineOrder &order)
+    {
+        EngineState &engine = m_engines[indexOf(order.engine)];
+        const std::string &name = order.adapter.value();
+        const auto held = std::find(engine.held.begin(), engine.held.end(), name);
+        if (order.kind == EngineOrder::Kind::Unload) {
+            if (held == engine.held.end()) {
+                return OrderAnswer::Done;
+            }
+            if (m_isUnloadWaiting) {
+                return OrderAnswer::Accepted;
+            }
+            engine.held.erase(held);
+            return OrderAnswer::Done;
+        }
+        const auto coming =
+            std::find_if(engine.coming.begin(), engine.coming.end(), [&name](const Load &load) { return load.adapter == name; });
+        if (held != engine.held.end()) {
+            return OrderAnswer::Done;
+        }
+        if (coming != engine.coming.end()) {
+            return OrderAnswer::Accepted;
+        }
+        ++m_loads;
+        engine.coming.push_back(Load { name, m_now + Duration(250) });
+        m_crashes += engine.held.size() + engine.coming.size() > Slots ? 1 : 0;
+        return OrderAnswer::Accepted;
+    }
+
+    Time m_now { 100'000 };
+    EngineSpec m_spec;
+    std::vector<UpstreamRecord> m_records;
+    std::vector<EngineState> m_engines;
+    std::vector<Snapshot> m_history;
+    std::vector<AdapterUse> m_uses;
+    EngineRows m_rows;
+    AdapterPlan m_plan { AdapterPlanLimits {}, FencingToken(7) };
+    bool m_isUnloadWaiting = false;
+    int m_crashes = 0;
+    int m_loads = 0;
+};
+
+} // namespace
+
+// A request waits for an adapter that stands nowhere. It is loaded once, though the want is told again and again.
+Test(adapterplan, aWantedAdapterIsLoadedOnce)
+{
+    PlanBench bench(3);
+    bench.want("a");
+    bench.run(Duration(400));
+    cr_assert_eq(bench.copies("a"), 1);
+    cr_assert_eq(bench.loads(), 1);
+}
+
+// Every second other adapters are asked for than the engines hold, while reports come late and still list what was dropped. An engine that
+// is ordered beyond its places crashes, and all its requests with it.
+Test(adapterplan, changingDemandNeverOverfillsAnEngine)
+{
+    PlanBench bench(2);
+    for (int round = 0; round < 60; ++round) {
+        bench.clearUses();
+        for (int i = 0; i < 4; ++i) {
+            bench.want("a" + std::to_string((round * 3 + i) % 23));
+        }
+        bench.run(Duration(330));
+    }
+    cr_assert_eq(bench.crashes(), 0);
+    cr_assert_gt(bench.loads(), 60);
+}
+
+// An engine accepts an order to drop an adapter but waits for a run on it. Its place is not free before that run has ended.
+Test(adapterplan, aPlaceIsNotFreeWhileTheAdapterStillRuns)
+{
+    PlanBench bench(1);
+    for (const char *name : { "a", "b", "c" }) {
+        bench.want(name);
+    }
+    bench.run(Duration(2000));
+    bench.setUnloadWaits(true);
+    bench.clearUses();
+    bench.want("d");
+    bench.run(Duration(2000));
+    cr_assert_eq(bench.crashes(), 0);
+    cr_assert_not(bench.holds(0, "d"));
+    bench.setUnloadWaits(false);
+    bench.run(Duration(1000));
+    cr_assert(bench.holds(0, "d"));
+    cr_assert_eq(bench.crashes(), 0);
+}
+
+// An adapter that requests run on is never dropped, however little it is asked for: its callers would lose their answers in the middle.
+Test(adapterplan, anAdapterInUseIsNeverDropped)
+{
+    PlanBench bench(1);
+    for (const char *name : { "a", "b", "c" }) {
+        bench.want(name);
+    }
+    bench.run(Duration(2000));
+    for (int round = 0; round < 20; ++round) {
+        bench.clearUses();
+        bench.use("a", "e0", 0);
+        bench.want("x" + std::to_string(round));
+        bench.run(Duration(700));
+        cr_assert(bench.holds(0, "a"), "round %d", round);
+    }
+    cr_assert_eq(bench.crashes(), 0);
+}
+
+// A burst on one adapter makes all requests wait at its one engine while the others idle. It gets a second copy where there is room.
+Test(adapterplan, aCrowdedAdapterGetsAnotherCopy)
+{
+    PlanBench bench(2);
+    bench.want("hot");
+    bench.run(Duration(1000));
+    cr_assert_eq(bench.copies("hot"), 1);
+    bench.setLoad(bench.holds(0, "hot") ? 0 : 1, 40'000);
+    bench.clearUses();
+    bench.want("hot", true);
+    bench.run(Duration(1000));
+    cr_assert_eq(bench.copies("hot"), 2);
+}
+
+// The copies of a busy adapter are crowded, but so is every other engine. Another copy would cost a load and help nobody.
+Test(adapterplan, aCrowdedAdapterGetsNoCopyThatDoesNotHelp)
+{
+    PlanBench bench(2);
+    bench.want("hot");
+    bench.run(Duration(1000));
+    bench.setLoad(0, 40'000);
+    bench.setLoad(1, 40'000);
+    bench.clearUses();
+    bench.want("hot", true);
+    bench.run(Duration(1000));
+    cr_assert_eq(bench.copies("hot"), 1);
+}
+
+// Adapters that are asked for often stay, and those asked for once go, when there are more of them than places.
+Test(adapterplan, popularAdaptersStay)
+{
+    PlanBench bench(1);
+    for (int round = 0; round < 20; ++round) {
+        bench.clearUses();
+        bench.want("hot");
+        bench.want("warm");
+        bench.run(Duration(400));
+        bench.clearUses();
+        bench.want("rare" + std::to_string(round));
+        bench.run(Duration(700));
+    }
+    cr_assert(bench.holds(0, "hot"));
+    cr_assert(bench.holds(0, "warm"));
+}
--- /dev/null
+++ b/tests/coordination/testupstreamdirectory.cpp
@@ -0,0 +1,138 @@
+#include "coordination/enginerows.h"
+#include "coordination/upstreamchoice.h"
+#include "coordination/upstreamdirectory.h"
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+constexpr Time Start { 10'000 };
+
+UpstreamRecord record(const std::string &id, std::int64_t startedAt = 1)
+{
+    UpstreamRecord result;
+    result.id = UpstreamId(id);
+    result.service = ServiceName("svc");
+    result.address = "10.0.0.1:1";
+    result.slots = 4;
+    result.startedAt = startedAt;
+    return result;
+}
+
+std::size_t usableCount(const UpstreamDirectory &directory)
+{
+    return directory.usable(ServiceName("svc")).size();
+}
+
+} // namespace
+
+// An upstream announces that it leaves; an older account of the same start arrives afterwards, as from a slow read. It stays left.
+Test(upstreamdirectory, leavingIsForGoodWithinOneStart)
+{
+    UpstreamDirectory directory({});
+    directory.put(record("u"), Start);
+    UpstreamRecord leaving = record("u");
+    leaving.isLeaving = true;
+    directory.put(leaving, Start);
+    directory.put(record("u"), Start);
+    cr_assert_eq(usableCount(directory), 0);
+    directory.put(record("u", 2), Start);
+    cr_assert_eq(usableCount(directory), 1);
+}
+
+// The store was away, and the entries of upstreams that could not renew them lapsed meanwhile. All of a service's upstreams live; without
+// the grace its callers would be refused until the entries are back.
+Test(upstreamdirectory, entriesLostInAnOutageCountForAWhile)
+{
+    UpstreamDirectory directory({});
+    directory.put(record("u"), Start);
+    directory.put(record("v"), Start);
+    directory.onStoreRegained(Start);
+    directory.remove(UpstreamId("u"), "lapsed", Start + Duration(10));
+    directory.retainOnly({}, Start + Duration(20));
+    cr_assert_eq(usableCount(directory), 2);
+    directory.put(record("u"), Start + Duration(1500));
+    directory.tick(Start + Duration(2100));
+    cr_assert_eq(usableCount(directory), 1);
+    cr_assert_not_null(directory.usable(UpstreamId("u")));
+}
+
+// While the store is well, an entry that goes means that the upstream gets no more work from that moment.
+Test(upstreamdirectory, aRemovedUpstreamGetsNoWork)
+{
+    UpstreamDirectory directory({});
+    directory.put(record("u"), Start);
+    const auto changes = directory.remove(UpstreamId("u"), "removed", Start);
+    cr_assert_eq(changes.size(), 1);
+    cr_assert_eq(usableCount(directory), 0);
+}
+
+// Rows of two holders overtake each other. The one with the greater token counts, and an adapter that an engine has just refused counts as
+// missing there until a later row.
+Test(enginerows, onlyALaterRowReplacesARow)
+{
+    const AdapterRef adapter { BaseModelId("m"), AdapterId("a") };
+    const AdapterCopy copy { adapter.model, adapter.adapter, AdapterVersion("1"), true };
+    EngineRows rows;
+    cr_assert(rows.put(EngineRow { UpstreamId("u"), 1, FencingToken(5), 9, { copy } }));
+    cr_assert_not(rows.put(EngineRow { UpstreamId("u"), 1, FencingToken(4), 20, {} }));
+    cr_assert_not(rows.put(EngineRow { UpstreamId("u"), 1, FencingToken(5), 8, {} }));
+    cr_assert(rows.copy(record("u"), adapter).has_value());
+    rows.markMissing(UpstreamId("u"), adapter);
+    cr_assert_not(rows.copy(record("u"), adapter).has_value());
+    rows.put(EngineRow { UpstreamId("u"), 1, FencingToken(5), 10, { copy } });
+    cr_assert(rows.copy(record("u"), adapter).has_value());
+    cr_assert_not(rows.copy(record("u", 2), adapter).has_value(), "a new start holds nothing of before");
+}
+
+// Twelve nodes choose at once on the same figures. With what each has just sent counted, no engine gets more than its share twice over.
+Test(upstreamchoice, requestsSpreadOverEqualEngines)
+{
+    std::mt19937_64 random(1);
+    std::vector<UpstreamRecord> records { record("a"), record("b"), record("c") };
+    UpstreamBook book;
+    for (int i = 0; i < 30; ++i) {
+        std::vector<UpstreamOption> options;
+        for (const UpstreamRecord &entry : records) {
+            options.push_back(UpstreamOption { &entry, book.load(entry.id, Start), 1, false });
+        }
+        book.onSent(chooseEngine(options, 1000, {}, random)->record->id, 1000);
+    }
+    for (const UpstreamLoad &load : book.own()) {
+        cr_assert_eq(load.running, 10);
+    }
+}
+
+// One engine has a long prompt to read, and another is ejected. Work goes to neither while a third is well, but it goes somewhere when all
+// are ejected.
+Test(upstreamchoice, busyAndEjectedEnginesComeLast)
+{
+    std::mt19937_64 random(1);
+    const UpstreamRecord busy = record("busy");
+    const UpstreamRecord ejected = record("ejected");
+    const UpstreamRecord well = record("well");
+    const std::vector<UpstreamOption> options {
+        { &busy, { 1, 39'000 }, 1, true },
+        { &ejected, { 0, 0 }, 0, true },
+        { &well, { 3, 0 }, 1, false },
+    };
+    cr_assert_eq(chooseEngine(options, 800, {}, random)->record, &well);
+    const std::vector<UpstreamOption> onlyEjected { { &ejected, { 0, 0 }, 0, true } };
+    cr_assert_eq(chooseEngine(onlyEjected, 800, {}, random)->record, &ejected);
+    cr_assert_null(chooseEngine({}, 800, {}, random));
+}
+
+// Peers that fell silent have nothing running that anybody knows of: their last figures must not weigh for ever.
+Test(upstreambook, silentPeersStopCounting)
+{
+    UpstreamBook book;
+    book.onPeer(NodeId("n"), { UpstreamLoad { UpstreamId("u"), 5, 100 } }, Start);
+    cr_assert_eq(book.load(UpstreamId("u"), Start).running, 5);
+    cr_assert_eq(book.load(UpstreamId("u"), Start + Duration(1600)).running, 0);
+    book.onSent(UpstreamId("u"), 100);
+    book.onEnded(UpstreamId("u"), 100);
+    cr_assert(book.own().empty());
+}
--- a/tests/main/scriptedupstream.cpp
+++ b/tests/main/scriptedupstream.cpp
@@ -95,9 +95,8 @@
         }
         constexpr std::size_t FieldSize = 24;
         const std::size_t field = request.find("Apricotstep-Request-Id: ");
-        const std::string id = field == std::string::npos
-            ? ""
-            : request.substr(field + FieldSize, request.find('\r', field) - field - FieldSize);
+        const std::string id =
+            field == std::string::npos ? "" : request.substr(field + FieldSize, request.find('\r', field) - field - FieldSize);
         const ScriptedAnswer answer = m_script(request);
         const std::string bytes = absl::StrReplaceAll(answer.bytes, { { "{id}", id } });
         static_cast<void>(!send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL));
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -15,12 +15,15 @@
 namespace
 {
 
-constexpr const char *Whole = "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole";
-constexpr const char *Half = "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 500\r\n\r\nhalf";
-constexpr const char *Failure = "HTTP/1.1 500 No\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 4\r\n\r\nfail";
+constexpr const char *Whole =
+    "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole";
+constexpr const char *Half =
+    "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 500\r\n\r\nhalf";
+constexpr const char *Failure =
+    "HTTP/1.1 500 No\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 4\r\n\r\nfail";
 constexpr const char *NotRun = "HTTP/1.1 503 Full\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
-constexpr const char *StreamHead
-    = "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr const char *StreamHead =
+    "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 std::string chunk(const std::string &text)
 {
@@ -82,9 +85,8 @@
         request.method = method;
         request.target = "/in/a%20b?x=1&y=%2F";
         request.path = "/in/a b";
-        request.headerList = { { "Host", "host.example" }, { "Apricotstep-Request-Id", "r-1" }, { "X-Own", "v" },
-            { "Connection", "X-Hop" }, { "X-Hop", "h" }, { "Apricotstep-Hold", "h1" }, { "Kv-From", "1.2.3.4:1/2" },
-            { "Apricotstep-Deadline-Ms", "1200" } };
+        request.headerList = { { "Host", "host.example" }, { "Apricotstep-Request-Id", "r-1" }, { "X-Own", "v" }, { "Connection", "X-Hop" },
+            { "X-Hop", "h" }, { "Apricotstep-Hold", "h1" }, { "Kv-From", "1.2.3.4:1/2" }, { "Apricotstep-Deadline-Ms", "1200" } };
         for (const auto &[name, value] : request.headerList) {
             request.headers[absl::AsciiStrToLower(name)] = value;
         }
@@ -120,8 +122,12 @@
 Test(requestforwarder, halfAnAnswerIsNeverDeliveredAsWhole)
 {
     int calls = 0;
-    const ScriptedUpstream first([&](const std::string &) { return ScriptedAnswer { ++calls == 1 ? Failure : Half, ScriptedAnswer::Then::Close }; });
-    const ScriptedUpstream second([&](const std::string &) { return ScriptedAnswer { ++calls == 1 ? Failure : Half, ScriptedAnswer::Then::Close }; });
+    const ScriptedUpstream first([&](const std::string &) {
+        return ScriptedAnswer { ++calls == 1 ? Failure : Half, ScriptedAnswer::Then::Close };
+    });
+    const ScriptedUpstream second([&](const std::string &) {
+        return ScriptedAnswer { ++calls == 1 ? Failure : Half, ScriptedAnswer::Then::Close };
+    });
     Bench bench;
     bench.configure(RequestKind::Idempotent, 2);
     bench.addUpstream("u1", first);
@@ -133,13 +139,14 @@
     cr_assert_eq(calls, 2);
 }
 
-// A payment goes out on a connection that the upstream closes after it has read it. A client library that sends it again on a new connection
-// charges the family twice.
+// A payment goes out on a connection that the upstream closes after it has read it. A client library that sends it again on a new
+// connection charges the family twice.
 Test(requestforwarder, aNonIdempotentRequestLeavesOnceOnAKeptConnection)
 {
     int calls = 0;
-    const ScriptedUpstream upstream(
-        [&](const std::string &) { return ++calls == 1 ? ScriptedAnswer { Whole } : ScriptedAnswer { "", ScriptedAnswer::Then::Close }; });
+    const ScriptedUpstream upstream([&](const std::string &) {
+        return ++calls == 1 ? ScriptedAnswer { Whole } : ScriptedAnswer { "", ScriptedAnswer::Then::Close };
+    });
     Bench bench;
     bench.configure(RequestKind::NonIdempotent, 1);
     bench.addUpstream("u1", upstream);
@@ -168,11 +175,14 @@
     }
 }
 
-// An upstream answers 503 without its word that it did not run the payment. Passed on, it would be a promise, and the caller would pay again.
+// An upstream answers 503 without its word that it did not run the payment. Passed on, it would be a promise, and the caller would pay
+// again.
 Test(requestforwarder, aRefusalThatPromisesNothingIsNoPromiseOfOurs)
 {
     const ScriptedUpstream upstream([](const std::string &) {
-        return ScriptedAnswer { "HTTP/1.1 503 No\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 0\r\n\r\n" };
+        return ScriptedAnswer {
+            "HTTP/1.1 503 No\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 0\r\n\r\n"
+        };
     });
     Bench bench;
     bench.configure(RequestKind::NonIdempotent, 1);
@@ -229,7 +239,8 @@
     int calls = 0;
     const auto script = [&](const std::string &request) {
         if (++calls == 1) {
-            return ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 1\ndata: a\n\n"), chunk("id: 2\nda")), ScriptedAnswer::Then::Reset };
+            return ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 1\ndata: a\n\n"), chunk("id: 2\nda")),
+                ScriptedAnswer::Then::Reset };
         }
         cr_assert(absl::StrContains(request, "Last-Event-Id: 1\r\n"), "%s", request.c_str());
         return ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 2\ndata: b\n\n"), "0\r\n\r\n") };
--- /dev/null
+++ b/tests/platform/testrecords.cpp
@@ -0,0 +1,186 @@
+#include "platform/enginecalls.h"
+#include "platform/records.h"
+#include "platform/settings.h"
+#include "platform/store.h"
+
+#include <random>
+#include <string>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+using namespace ApricotStep::Platform;
+
+namespace
+{
+
+const std::string Configuration = R"({"version":8,"routes":[
+ {"name":"r1","host":"h.example","pathPrefix":"/p/","kind":"stream","timeoutMs":5000,"targetLatencyMs":600,"priority":1,"service":"llm",
+  "maxAttempts":2,"sticky":true,"resumable":true,"gapAimMs":250},
+ {"name":"r2","host":"h.example","pathPrefix":"/q/","kind":"idempotent","timeoutMs":1000,
+  "trafficSplit":[{"service":"api","weight":3},{"service":"llm","weight":1}]}],
+ "services":[{"name":"api","healthPath":"/health","maxConns":192},
+ {"name":"llm","maxConns":720,"engine":{"kvCapacity":232000,"weightsMb":67100.0,"adapterSlots":8,"loadsPerS":2.1,
+  "models":[{"name":"m","weightsMb":65500.0,"loadS":1.9,"adapterMb":40.0}]}}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+const std::string Entry = R"({"service":"llm","address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","seq":1,"coldLeftMs":0,
+ "born":1769525387965,"models":[{"name":"m","version":1,"adapters":["a7@2","a9@1"]}]})";
+
+const std::string Settings = R"(
+node = "n1"
+zone = "z"
+region = "r"
+ip = "10.0.0.1"
+seeds = ["10.0.0.2:8144"]
+unknown = true
+[zones]
+z = "r"
+[listen]
+front = "10.0.0.1:1"
+ready = "10.0.0.1:2"
+control = "10.0.0.1:3"
+directory = "10.0.0.1:4"
+[limits]
+maxFds = 2870
+[bounds]
+graceS = 8
+drainMs = 2000
+leaseMs = 3000
+version_ms = 5000
+budgetRatio = 0.2
+budgetExtra = 104
+budgetWindowS = 10
+ttl_max_s = 5
+[platform]
+address = "10.0.0.9:1"
+)";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const std::size_t at = text.find(from);
+    cr_assert(at != std::string::npos, "no '%s'", from.c_str());
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+Test(records, aConfigurationIsDecodedOnce)
+{
+    const auto source = decodeConfiguration(Configuration);
+    cr_assert(source.isOk(), "%s", source.isOk() ? "" : source.error().detail.c_str());
+    const Route &stream = source.value().routes[0];
+    cr_assert(stream.kind == RequestKind::Stream && stream.isResumable && stream.maxAttempts == 2);
+    cr_assert(stream.pauseLimit == Duration(250) && stream.latencyObjective == Duration(600));
+    const Route &split = source.value().routes[1];
+    cr_assert_eq(split.targets.size(), 2);
+    cr_assert_eq(split.targets[0].weight, 3);
+    cr_assert_eq(source.value().services[1].engine->adapterSlots, 8);
+    cr_assert(source.value().services[1].engine->models[0].loadTime == Duration(1900));
+    cr_assert_eq(source.value().limits.bodyBytes, 1000);
+}
+
+// An operator's slip must name its place and leave the last good configuration in force, never become a zero that is taken for a figure.
+Test(records, aConfigurationWithAFaultNamesIt)
+{
+    const auto faultOf = [](const std::string &from, const std::string &to) {
+        const auto decoded = decodeConfiguration(replaced(Configuration, from, to));
+        return decoded.isOk() ? std::string() : decoded.error().detail;
+    };
+    cr_assert(faultOf("\"timeoutMs\":5000", "\"timeoutMs\":\"soon\"").find("timeoutMs") != std::string::npos);
+    cr_assert(faultOf("\"timeoutMs\":5000", "\"timeoutMs\":-1").find("r1") != std::string::npos);
+    cr_assert(faultOf("\"timeoutMs\":5000", "\"timeoutMs\":1e300").find("timeoutMs") != std::string::npos);
+    cr_assert(faultOf("\"kind\":\"stream\"", "\"kind\":\"poem\"").find("poem") != std::string::npos);
+    cr_assert_not(faultOf("\"version\":8", "\"version\":0").empty());
+    cr_assert_not(faultOf("\"routes\":[", "\"routes\":3,\"x\":[").empty());
+    cr_assert_not(decodeConfiguration("not json").isOk());
+    cr_assert_not(decodeConfiguration("[]").isOk());
+}
+
+Test(records, anUpstreamsEntryIsDecodedOnce)
+{
+    const auto record = decodeUpstream(UpstreamId("u"), Entry);
+    cr_assert(record.isOk(), "%s", record.isOk() ? "" : record.error().detail.c_str());
+    cr_assert(record.value().holds(BaseModelId("m")));
+    cr_assert(record.value().models[0].adapters[0].name() == "a7@2");
+    cr_assert_eq(record.value().startedAt, 1769525387965);
+    cr_assert(decodeUpstream(UpstreamId("u"), replaced(Entry, "ready", "draining")).value().isLeaving);
+}
+
+// Entries come from other writers, too: fields missing or of another type, states that nobody knows, bytes that are no JSON. Such an entry
+// names no upstream; one that was taken for a whole one would get requests that run nowhere.
+Test(records, anEntryThatIsNotWholeNamesNoUpstream)
+{
+    const auto isRefused = [](const std::string &from, const std::string &to) {
+        return !decodeUpstream(UpstreamId("u"), replaced(Entry, from, to)).isOk();
+    };
+    cr_assert(isRefused("\"address\":\"10.0.0.1:80\",", ""));
+    cr_assert(isRefused("\"slots\":64", "\"slots\":\"many\""));
+    cr_assert(isRefused("\"slots\":64", "\"slots\":0"));
+    cr_assert(isRefused("\"ready\"", "\"dreaming\""));
+    cr_assert(isRefused("1769525387965", "\"today\""));
+    cr_assert(isRefused("\"models\":[", "\"models\":5,\"x\":["));
+    std::mt19937_64 random(5);
+    for (int round = 0; round < 2000; ++round) {
+        std::string bytes = Entry;
+        for (int change = 0; change < 3; ++change) {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        static_cast<void>(decodeUpstream(UpstreamId("u"), bytes).isOk()); // Either way, without a crash.
+    }
+}
+
+Test(records, keysTellWhatTheyAreAbout)
+{
+    cr_assert(std::holds_alternative<ConfigurationKey>(decodeKey("op/config")));
+    cr_assert(std::holds_alternative<AdapterVersionKey>(decodeKey("op/version/m.a1")));
+    cr_assert(std::get<UpstreamKey>(decodeKey("servers/i-1")).id == UpstreamId("i-1"));
+    cr_assert(std::holds_alternative<OtherKey>(decodeKey("servers/")));
+    cr_assert(std::holds_alternative<OtherKey>(decodeKey("op/other")));
+    const auto version = decodeAdapterVersion(R"({"model":"m","adapter":"a1","version":3})");
+    cr_assert(version.value().adapter.version == AdapterVersion("3"));
+    cr_assert_not(decodeAdapterVersion(R"({"model":"m","adapter":"a1"})").isOk());
+}
+
+Test(store, whatIsEncodedForPeersIsDecoded)
+{
+    const auto page = decodeRange(encodeRange({ StoreItem { "op/config", "\x01\xff", 7, false } }, 9));
+    cr_assert(page.isOk());
+    cr_assert_eq(page.value().revision, 9);
+    cr_assert(page.value().items[0].value == "\x01\xff" && page.value().items[0].revision == 7);
+    cr_assert(rangeTarget("a b", "k/1").find("pathPrefix=a%20b&after=k/1") != std::string::npos);
+}
+
+// A watch brings deletions, and an answer of the store may be broken on its way. What cannot be read is an error, never an empty store.
+Test(store, deletionsAreToldAndBrokenAnswersAreErrors)
+{
+    const auto page = decodeWatch(R"({"events":[{"key":"servers/u","revision":4,"tombstone":true}],"storeRevision":4})");
+    cr_assert(page.value().items[0].isDeleted);
+    cr_assert_not(decodeWatch(R"({"events":[]})").isOk());
+    cr_assert_not(decodeWatch(R"({"storeRevision":4})").isOk());
+    cr_assert_not(decodeRange("").isOk());
+}
+
+Test(enginecalls, anOrderNamesItsHolderAndReportsAreRead)
+{
+    const EngineOrder order { EngineOrder::Kind::Load, BaseModelId("m"), AdapterId("a1"), AdapterVersion("3"), UpstreamId("u") };
+    const std::string body = orderBody(order, OrderAuthority { NodeId("n"), FencingToken(41) });
+    cr_assert(body.find("\"fence\":41") != std::string::npos && body.find("\"holder\":\"n\"") != std::string::npos);
+    cr_assert(body.find("\"version\":3") != std::string::npos);
+    const auto report = decodeReport(R"({"models":[{"name":"m","adapters":["a1@1"]}],"coming":["m/a2@1"],"running":2})");
+    cr_assert(report.value().coming[0].id == AdapterId("a2"));
+    cr_assert_not(decodeReport(R"({"models":3})").isOk());
+    cr_assert(decodeOrderAnswer(202) == OrderAnswer::Accepted && decodeOrderAnswer(500) == OrderAnswer::Refused);
+}
+
+// A settings file that lacks a field stops the process with the field's name; unknown fields are left aside.
+Test(settings, faultsNameTheField)
+{
+    const auto settings = decodeSettings(Settings);
+    cr_assert(settings.isOk(), "%s", settings.isOk() ? "" : settings.error().detail.c_str());
+    cr_assert(settings.value().grace == Duration::seconds(8));
+    cr_assert(settings.value().peerAddress == "10.0.0.1:3");
+    cr_assert(decodeSettings(replaced(Settings, "graceS = 8", "")).error().detail.find("graceS") != std::string::npos);
+    cr_assert(decodeSettings(replaced(Settings, "maxFds = 2870", "maxFds = 0")).error().detail.find("maxFds") != std::string::npos);
+    cr_assert(decodeSettings("node = ").error().detail.find("line 1") != std::string::npos);
+}
--- /dev/null
+++ b/tests/platform/testrequests.cpp
@@ -0,0 +1,88 @@
+#include "platform/requests.h"
+
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+using namespace ApricotStep::Platform;
+
+namespace
+{
+
+HttpRequest requestWith(HttpHeaders headers)
+{
+    HttpRequest request;
+    request.target = "/p/x?y=1";
+    request.headerList = std::move(headers);
+    for (const auto &[name, value] : request.headerList) {
+        request.headers[absl::AsciiStrToLower(name)] = value;
+    }
+    return request;
+}
+
+int count(const HttpHeaders &headers, const std::string &name)
+{
+    return static_cast<int>(
+        std::count_if(headers.begin(), headers.end(), [&name](const auto &header) { return absl::AsciiStrToLower(header.first) == name; }));
+}
+
+} // namespace
+
+Test(requests, aCallersHeadersAreDecodedOnce)
+{
+    const auto decoded =
+        decodeCallerRequest(requestWith({ { "Host", "h" }, { "Apricotstep-Request-Id", "r" }, { "Apricotstep-Deadline-Ms", "500" },
+            { "Apricotstep-Model", "m/a7" }, { "Apricotstep-Token-Count", "1460,80" }, { "Last-Event-Id", "12" } }));
+    cr_assert(decoded.id == "r" && decoded.path == "/p/x" && decoded.lastEventId == "12");
+    cr_assert(*decoded.deadline == Duration(500));
+    cr_assert(decoded.generation->model == BaseModelId("m") && decoded.generation->adapter == AdapterId("a7"));
+    cr_assert_eq(decoded.generation->promptTokens, 1460);
+}
+
+// Numbers of a caller may be absurd. They count as not said, and no sum of times overflows.
+Test(requests, absurdNumbersCountAsNotSaid)
+{
+    cr_assert_not(decodeCallerRequest(requestWith({ { "Apricotstep-Deadline-Ms", "-5" } })).deadline.has_value());
+    cr_assert_not(decodeCallerRequest(requestWith({ { "Apricotstep-Deadline-Ms", "soon" } })).deadline.has_value());
+    cr_assert_leq(
+        decodeCallerRequest(requestWith({ { "Apricotstep-Deadline-Ms", "9223372036854775807" } })).deadline->milliseconds(), 86'400'000);
+    const auto decoded = decodeCallerRequest(requestWith({ { "Apricotstep-Model", "m" }, { "Apricotstep-Token-Count", "many,few" } }));
+    cr_assert_eq(decoded.generation->promptTokens, 0);
+}
+
+// What only the system may set never comes from a caller, however it is spelled; and what binds the request stands there once.
+Test(requests, systemHeadersAreTheSystemsOwn)
+{
+    const HttpRequest request = requestWith({ { "Host", "h" }, { "APRICOTSTEP-HOLD", "x" }, { "Apricotstep-Pin-Ms", "1" },
+        { "Apricotstep-Kv-Backup", "1.2.3.4:1" }, { "kv-from", "1" }, { "Apricotstep-Expect-Instance", "other" },
+        { "Apricotstep-Request-Priority", "0" }, { "Apricotstep-Deadline-Ms", "99999" }, { "Apricotstep-Expect-Version", "9" },
+        { "Apricotstep-Model", "m/a" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" }, { "Transfer-Encoding", "chunked" } });
+    const HttpHeaders sent = upstreamHeaders(request, UpstreamBinding { UpstreamId("u"), AdapterVersion("2"), Duration(800), 3, "" });
+    for (const char *gone :
+        { "apricotstep-hold", "apricotstep-pin-ms", "apricotstep-kv-backup", "kv-from", "x-hop", "connection", "transfer-encoding" }) {
+        cr_assert_eq(count(sent, gone), 0, "%s", gone);
+    }
+    for (const auto &[name, value] : HttpHeaders { { "apricotstep-expect-instance", "u" }, { "apricotstep-expect-version", "2" },
+             { "apricotstep-deadline-ms", "800" }, { "apricotstep-request-priority", "3" } }) {
+        cr_assert_eq(count(sent, name), 1, "%s", name.c_str());
+        const auto at =
+            std::find_if(sent.begin(), sent.end(), [&name = name](const auto &h) { return absl::AsciiStrToLower(h.first) == name; });
+        cr_assert(at->second == value);
+    }
+}
+
+Test(requests, anUpstreamsAnswerTellsWhetherItRan)
+{
+    const auto refused = decodeUpstreamAnswer(503, { { "apricotstep-not-run", "1" }, { "apricotstep-request-id", "r" } });
+    cr_assert(refused.isNotRun && refused.requestId == "r");
+    cr_assert(decodeUpstreamAnswer(421, {}).isNotRun);
+    cr_assert_not(decodeUpstreamAnswer(503, {}).isNotRun);
+    const auto answer = decodeUpstreamAnswer(
+        200, { { "apricotstep-server-seal", "s" }, { "connection", "close" }, { "content-length", "3" }, { "x-own", "1" } });
+    cr_assert(answer.isSealed);
+    cr_assert_eq(answer.callerHeaders.size(), 2, "the seal and the upstream's own header go on, those of the connection do not");
+    cr_assert(decodeUpstreamAnswer(200, { { "content-encoding", "gzip" } }).isEncoded);
+}
--- /dev/null
+++ b/tests/protocol/testfleetcodec.cpp
@@ -0,0 +1,79 @@
+#include "protocol/eventsplitter.h"
+#include "protocol/fleetcodec.h"
+
+#include <random>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+FleetMessage fullMessage()
+{
+    FleetMessage message;
+    message.sender = NodeId("n1");
+    message.incarnation = Incarnation(77);
+    message.zone = ZoneId("z");
+    message.callerAddress = "10.0.0.1:80";
+    message.peerAddress = "10.0.0.1:81";
+    message.isReady = true;
+    message.configVersion = ConfigVersion(9);
+    message.claims = { LeaseClaim { EngineShard(2), FencingToken(5), Duration(30), Time(4) } };
+    message.grants = { LeaseGrant { EngineShard(1), NodeId("n2"), Incarnation(3), Time(8), FencingToken(6) } };
+    message.uptime = Duration(1234);
+    message.lastOrders = { LastOrder { EngineShard(2), Duration(7) } };
+    message.releases = { EngineShard(3) };
+    message.contacts = { "10.0.0.2:81" };
+    message.loads = { UpstreamLoad { UpstreamId("u"), 2, 300 } };
+    message.uses = { AdapterUse { BaseModelId("m"), AdapterId("a"), UpstreamId("u"), 4, true } };
+    message.rows = { EngineRow {
+        UpstreamId("u"), 12, FencingToken(5), 6, { AdapterCopy { BaseModelId("m"), AdapterId("a"), AdapterVersion("1"), true } } } };
+    return message;
+}
+
+} // namespace
+
+Test(fleetcodec, whatIsSentArrives)
+{
+    const FleetMessage sent = fullMessage();
+    const auto got = decodeFleetMessage(encodeFleetMessage(sent));
+    cr_assert(got.isOk());
+    const FleetMessage &message = got.value();
+    cr_assert(message.sender == sent.sender && message.incarnation == sent.incarnation && message.peerAddress == sent.peerAddress);
+    cr_assert(message.claims.front().ordersIn == Duration(30) && message.claims.front().shard == EngineShard(2));
+    cr_assert(message.grants.front().holder == NodeId("n2") && message.grants.front().greatestFence == FencingToken(6));
+    cr_assert(message.lastOrders.front().ago == Duration(7) && message.uptime == Duration(1234));
+    cr_assert(message.releases == sent.releases && message.contacts == sent.contacts);
+    cr_assert(message.loads == sent.loads && message.uses == sent.uses && message.rows == sent.rows);
+}
+
+// Datagrams arrive cut, changed or from elsewhere. None may crash a node, and one without a sender changes nothing.
+Test(fleetcodec, brokenBytesAreRefused)
+{
+    const std::string whole = encodeFleetMessage(fullMessage());
+    std::mt19937_64 random(3);
+    for (int round = 0; round < 2000; ++round) {
+        std::string bytes = whole.substr(0, random() % (whole.size() + 1));
+        for (int change = 0; change < 3 && !bytes.empty(); ++change) {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        static_cast<void>(decodeFleetMessage(bytes).isOk()); // Either way, without a crash.
+    }
+    cr_assert_not(decodeFleetMessage("").isOk());
+    cr_assert_not(decodeFleetMessage(encodeFleetMessage(FleetMessage {})).isOk());
+}
+
+// Parts of a stream end anywhere; only whole events come out, byte for byte, and the id of the last one is known.
+Test(eventsplitter, onlyWholeEventsComeOut)
+{
+    EventSplitter splitter;
+    cr_assert(splitter.push("id: 1\nda").empty());
+    cr_assert(splitter.push("ta: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    cr_assert(splitter.lastId() == "1");
+    cr_assert(splitter.rest() == "id: 2\nda");
+    splitter.dropRest();
+    cr_assert(splitter.push("id:3\r\ndata: c\r\n\r\n") == "id:3\r\ndata: c\r\n\r\n");
+    cr_assert(splitter.lastId() == "3");
+}
--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -291,8 +291,8 @@
     }
     options.push_back({ MHD_OPTION_END, 0, nullptr });
     const unsigned int polling = settings.isDriven ? MHD_USE_EPOLL : MHD_USE_EPOLL_INTERNAL_THREAD;
-    const unsigned int flags = polling | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC
-        | (settings.tls != nullptr ? static_cast<unsigned int>(MHD_USE_TLS) : 0U);
+    const unsigned int flags =
+        polling | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | (settings.tls != nullptr ? static_cast<unsigned int>(MHD_USE_TLS) : 0U);
     d->daemon = MHD_start_daemon(flags, settings.port, nullptr, nullptr, +access, d, MHD_OPTION_ARRAY, options.data(), MHD_OPTION_END);
     if (d->daemon == nullptr) {
         return Error { ErrorKind::SettingsInvalid, "cannot listen on " + settings.address + ":" + std::to_string(settings.port) };
