--- /dev/null
+++ b/main/entry/entrymetrics.cpp
@@ -0,0 +1,140 @@
+#include "main/entry/entrymetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// From one round trip to the longest deadline of a stream; each bound about doubles, so that the objectives of 0.1, 0.3, 0.6 and 1 s show.
+const prometheus::Histogram::BucketBoundaries Seconds { 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1, 2, 5, 15 };
+
+const char *wordOf(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Idempotent:
+        return "idempotent";
+    case RequestKind::NonIdempotent:
+        return "non_idempotent";
+    case RequestKind::Stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
+const char *wordOf(RequestOutcome outcome)
+{
+    switch (outcome) {
+    case RequestOutcome::Served:
+        return "served";
+    case RequestOutcome::Refused:
+        return "refused";
+    case RequestOutcome::Failed:
+        return "failed";
+    case RequestOutcome::BrokenOff:
+        return "broken_off";
+    case RequestOutcome::CallerGone:
+        return "caller_gone";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+struct EntryMetrics::Private
+{
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &requests =
+        prometheus::BuildCounter().Name("apricotstep_entry_requests_total").Help("Requests by kind and outcome.").Register(registry);
+    prometheus::Family<prometheus::Counter> &arrivals = prometheus::BuildCounter()
+                                                            .Name("apricotstep_entry_sent_total")
+                                                            .Help("Requests sent to upstreams; repeats are those after the first.")
+                                                            .Register(registry);
+    prometheus::Family<prometheus::Counter> &troubles = prometheus::BuildCounter()
+                                                            .Name("apricotstep_entry_upstream_troubles_total")
+                                                            .Help("Refusals before execution, failures and broken answers of upstreams.")
+                                                            .Register(registry);
+    prometheus::Family<prometheus::Counter> &orders =
+        prometheus::BuildCounter().Name("apricotstep_entry_orders_total").Help("Orders to engines by answer.").Register(registry);
+    prometheus::Family<prometheus::Histogram> &durations = prometheus::BuildHistogram()
+                                                               .Name("apricotstep_entry_request_seconds")
+                                                               .Help("Arrival to the end of the answer, served requests.")
+                                                               .Register(registry);
+    prometheus::Family<prometheus::Histogram> &firsts = prometheus::BuildHistogram()
+                                                            .Name("apricotstep_entry_first_answer_seconds")
+                                                            .Help("Arrival to the first byte of a stream.")
+                                                            .Register(registry);
+    prometheus::Family<prometheus::Histogram> &waits = prometheus::BuildHistogram()
+                                                           .Name("apricotstep_entry_wait_seconds")
+                                                           .Help("Arrival to the first sending: the wait for an adapter or an upstream.")
+                                                           .Register(registry);
+    prometheus::Family<prometheus::Gauge> &gauges =
+        prometheus::BuildGauge().Name("apricotstep_entry_state").Help("What the node believes, by name.").Register(registry);
+
+    void setGauge(const char *name, double value)
+    {
+        gauges.Add({ { "name", name } }).Set(value);
+    }
+};
+
+EntryMetrics::EntryMetrics()
+    : d(std::make_unique<Private>())
+{
+}
+
+EntryMetrics::~EntryMetrics() = default;
+
+void EntryMetrics::requestEnded(RequestKind kind, RequestOutcome outcome, Duration took)
+{
+    d->requests.Add({ { "kind", wordOf(kind) }, { "outcome", wordOf(outcome) } }).Increment();
+    if (outcome == RequestOutcome::Served) {
+        d->durations.Add({ { "kind", wordOf(kind) } }, Seconds).Observe(took.toSeconds());
+    }
+}
+
+void EntryMetrics::firstAnswer(RequestKind kind, Duration after)
+{
+    d->firsts.Add({ { "kind", wordOf(kind) } }, Seconds).Observe(after.toSeconds());
+}
+
+void EntryMetrics::sent(RequestKind kind, Duration waited, bool isRepeat)
+{
+    d->arrivals.Add({ { "kind", wordOf(kind) }, { "repeat", isRepeat ? "yes" : "no" } }).Increment();
+    if (!isRepeat) {
+        d->waits.Add({ { "kind", wordOf(kind) } }, Seconds).Observe(waited.toSeconds());
+    }
+}
+
+void EntryMetrics::upstreamTrouble(std::string_view what)
+{
+    d->troubles.Add({ { "what", std::string(what) } }).Increment();
+}
+
+void EntryMetrics::order(std::string_view answer)
+{
+    d->orders.Add({ { "answer", std::string(answer) } }).Increment();
+}
+
+std::string EntryMetrics::text(const EntryGauges &gauges) const
+{
+    d->setGauge("config_version", static_cast<double>(gauges.configVersion));
+    d->setGauge("store_silence_seconds", gauges.storeSilence.toSeconds());
+    d->setGauge("peers_alive", gauges.peersAlive);
+    d->setGauge("upstreams", gauges.upstreams);
+    d->setGauge("requests_in_progress", gauges.requestsInProgress);
+    d->setGauge("log_lines_dropped", static_cast<double>(gauges.logLinesDropped));
+    d->setGauge("ready", gauges.isReady ? 1 : 0);
+    std::ostringstream out;
+    prometheus::TextSerializer().Serialize(out, d->registry.Collect());
+    return out.str();
+}
+
+} // namespace ApricotStep
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -1,6 +1,7 @@
 #include "main/entry/entrynode.h"
 
 #include "main/entry/beliefs.h"
+#include "main/entry/entrymetrics.h"
 #include "main/entry/eventlog.h"
 #include "main/entry/fleetlink.h"
 #include "main/entry/orderrunner.h"
@@ -41,6 +42,9 @@
 constexpr Duration ReserveBeforeKill { 500 };
 // File descriptors for the store, engines and peers.
 constexpr int ReservedDescriptors = 600;
+// Where metrics are served; deploy/system.toml names it as well.
+constexpr std::uint16_t MetricsPort = 9464;
+constexpr const char *MetricsPath = "/metrics";
 constexpr std::size_t MaxHeaderBytes = 24U << 10U;
 constexpr Duration ArrivalTimeout = Duration::seconds(30);
 
@@ -66,6 +70,7 @@
     SystemClock clock;
     IoLoop loop { clock };
     EventLog log { clock, "" };
+    EntryMetrics metrics;
     Beliefs beliefs;
     std::unique_ptr<StoreReader> store;
     std::unique_ptr<FleetLink> fleet;
@@ -93,6 +98,7 @@
     void onChanges(const BeliefChanges &changes);
     void answerDirectory(const HttpRequest &request, HttpExchange &exchange);
     void answerReadiness(const HttpRequest &request, HttpExchange &exchange) const;
+    void answerMetrics(const HttpRequest &request, HttpExchange &exchange) const;
     void checkConnections();
     void checkSignals();
     void beginDrain();
@@ -125,7 +131,7 @@
         settings.callerAddress, settings.peerAddress, settings.seeds };
     fleet = std::make_unique<FleetLink>(loop, log, beliefs, std::move(identity), limits, std::move(fleetCallbacks));
 
-    orders = std::make_unique<OrderRunner>(loop, log, beliefs, *fleet, settings.node, [this] { return forwarder->uses(); });
+    orders = std::make_unique<OrderRunner>(loop, log, metrics, beliefs, *fleet, settings.node, [this] { return forwarder->uses(); });
 
     ForwarderSettings forwarding;
     forwarding.zone = settings.zone;
@@ -145,7 +151,7 @@
         return !isLeaving || passed < TakeAllAfterDrain || longest < settings.grace - ReserveBeforeKill - passed;
     };
     callbacks.ordersIn = [this] { return fleet->ordersIn(); };
-    forwarder = std::make_unique<RequestForwarder>(loop, log, beliefs, std::move(forwarding), std::move(callbacks));
+    forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, beliefs, std::move(forwarding), std::move(callbacks));
 }
 
 Result<HttpServer *> EntryNode::Private::listen(const std::string &address, HttpHandler handler)
@@ -188,6 +194,12 @@
     if (!directory.isOk()) {
         return directory.error();
     }
+    // A node that cannot show its metrics still serves its callers.
+    const auto shown = listen(parseEndpoint(settings.callerAddress).ip + ':' + std::to_string(MetricsPort),
+        [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerMetrics(request, *exchange); });
+    if (!shown.isOk()) {
+        log.write(EventLog::Weight::Important, "node", "no_metrics", { { "reason", shown.error().detail } });
+    }
     const Endpoint peerEndpoint = parseEndpoint(settings.peerAddress);
     const auto served = peers->start(peerEndpoint.ip, std::to_string(peerEndpoint.port));
     if (!served.isOk()) {
@@ -260,6 +272,23 @@
     exchange.respond(status, {}, "");
 }
 
+void EntryNode::Private::answerMetrics(const HttpRequest &request, HttpExchange &exchange) const
+{
+    if (request.path != MetricsPath) {
+        exchange.respond(NotFoundStatus, {}, "");
+        return;
+    }
+    EntryGauges gauges;
+    gauges.configVersion = beliefs.routes != nullptr ? beliefs.routes->version().value() : 0;
+    gauges.storeSilence = store->silence();
+    gauges.peersAlive = static_cast<int>(fleet->alive().size());
+    gauges.upstreams = static_cast<int>(beliefs.upstreams.size());
+    gauges.requestsInProgress = forwarder->activeCount();
+    gauges.logLinesDropped = log.dropped();
+    gauges.isReady = isReady();
+    exchange.respond(OkStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text(gauges));
+}
+
 void EntryNode::Private::checkConnections()
 {
     for (const auto &server : servers) {
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -21,12 +21,34 @@
 constexpr Duration AcknowledgeTimeout { 700 };
 constexpr int OkStatus = 200;
 
+const char *wordOf(OrderAnswer answer)
+{
+    switch (answer) {
+    case OrderAnswer::Accepted:
+        return "accepted";
+    case OrderAnswer::Done:
+        return "done";
+    case OrderAnswer::Busy:
+        return "busy";
+    case OrderAnswer::Fenced:
+        return "fenced";
+    case OrderAnswer::WrongEngine:
+        return "wrong_engine";
+    case OrderAnswer::Refused:
+        return "refused";
+    case OrderAnswer::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 struct OrderRunner::Private : std::enable_shared_from_this<OrderRunner::Private>
 {
     IoLoop &loop;
     EventLog &log;
+    EntryMetrics &metrics;
     Beliefs &beliefs;
     FleetLink &fleet;
     EngineShard shard;
@@ -36,10 +58,11 @@
     FencingToken fence;
     bool isDecisionDue = false;
 
-    Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, EngineShard shard, NodeId self,
+    Private(IoLoop &loop, EventLog &log, EntryMetrics &metrics, Beliefs &beliefs, FleetLink &fleet, EngineShard shard, NodeId self,
         std::function<std::vector<AdapterUse>()> ownUses)
         : loop(loop)
         , log(log)
+        , metrics(metrics)
         , beliefs(beliefs)
         , fleet(fleet)
         , shard(shard)
@@ -220,6 +243,7 @@
         { { "engine", order.engine.value() }, { "adapter", order.adapter.value() }, { "version", order.version.value() },
             { "load", order.kind == EngineOrder::Kind::Load }, { "status", std::int64_t(result.status) }, { "error", result.detail },
             { "tookMs", (now() - askedAt).milliseconds() } });
+    metrics.order(wordOf(answer));
     if (plan != nullptr && under == fence) {
         plan->onOrderAnswer(order, answer, now());
         decideSoon();
@@ -258,11 +282,11 @@
     loop.client().start(std::move(call));
 }
 
-OrderRunner::OrderRunner(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, const NodeId &self,
+OrderRunner::OrderRunner(IoLoop &loop, EventLog &log, EntryMetrics &metrics, Beliefs &beliefs, FleetLink &fleet, const NodeId &self,
     const std::function<std::vector<AdapterUse>()> &ownUses)
 {
     for (std::uint64_t shard = 0; shard < EngineShards; ++shard) {
-        m_shards.push_back(std::make_shared<Private>(loop, log, beliefs, fleet, EngineShard(shard), self, ownUses));
+        m_shards.push_back(std::make_shared<Private>(loop, log, metrics, beliefs, fleet, EngineShard(shard), self, ownUses));
     }
 }
 
--- a/main/entry/orderrunner.h
+++ b/main/entry/orderrunner.h
@@ -2,6 +2,7 @@
 
 #include "coordination/adapterplan.h"
 #include "main/entry/beliefs.h"
+#include "main/entry/entrymetrics.h"
 #include "main/entry/eventlog.h"
 #include "main/entry/fleetlink.h"
 #include "transport/ioloop.h"
@@ -18,7 +19,7 @@
 {
 public:
     /** @p ownUses: what this node runs and waits for. */
-    OrderRunner(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetLink &fleet, const NodeId &self,
+    OrderRunner(IoLoop &loop, EventLog &log, EntryMetrics &metrics, Beliefs &beliefs, FleetLink &fleet, const NodeId &self,
         const std::function<std::vector<AdapterUse>()> &ownUses);
     ~OrderRunner();
 
--- a/main/entry/peerservice.cpp
+++ b/main/entry/peerservice.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr const char *CopyPath = "/peer/store";
-constexpr const char *MetricsPath = "/metrics";
 constexpr Duration ConnectTimeout { 300 };
 constexpr Duration FetchTimeout { 1500 };
 // The store itself usually brings the same news within this; then nothing need be fetched.
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -29,6 +29,7 @@
 {
     IoLoop &m_loop;
     EventLog &m_log;
+    EntryMetrics &m_metrics;
     Beliefs &m_beliefs;
     ForwarderSettings m_settings;
     ForwarderCallbacks m_callbacks;
@@ -39,9 +40,10 @@
     /** Adapters whose copies are crowded, and since when that was last seen. */
     std::map<AdapterRef, Time> crowded;
 
-    Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, ForwarderSettings settings, ForwarderCallbacks callbacks)
+    Private(IoLoop &loop, EventLog &log, EntryMetrics &metrics, Beliefs &beliefs, ForwarderSettings settings, ForwarderCallbacks callbacks)
         : m_loop(loop)
         , m_log(log)
+        , m_metrics(metrics)
         , m_beliefs(beliefs)
         , m_settings(std::move(settings))
         , m_callbacks(std::move(callbacks))
@@ -56,6 +58,10 @@
     {
         return m_log;
     }
+    EntryMetrics &metrics() override
+    {
+        return m_metrics;
+    }
     Beliefs &beliefs() override
     {
         return m_beliefs;
@@ -137,8 +143,9 @@
         { { "request", id }, { "reason", std::string(answer.word) }, { "detail", detail } });
 }
 
-RequestForwarder::RequestForwarder(IoLoop &loop, EventLog &log, Beliefs &beliefs, ForwarderSettings settings, ForwarderCallbacks callbacks)
-    : d(std::make_shared<Private>(loop, log, beliefs, std::move(settings), std::move(callbacks)))
+RequestForwarder::RequestForwarder(
+    IoLoop &loop, EventLog &log, EntryMetrics &metrics, Beliefs &beliefs, ForwarderSettings settings, ForwarderCallbacks callbacks)
+    : d(std::make_shared<Private>(loop, log, metrics, beliefs, std::move(settings), std::move(callbacks)))
 {
 }
 
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -3,6 +3,7 @@
 #include "coordination/fleetmessage.h"
 #include "core/errors.h"
 #include "main/entry/beliefs.h"
+#include "main/entry/entrymetrics.h"
 #include "main/entry/eventlog.h"
 #include "transport/ioloop.h"
 
@@ -45,7 +46,8 @@
 class RequestForwarder
 {
 public:
-    RequestForwarder(IoLoop &loop, EventLog &log, Beliefs &beliefs, ForwarderSettings settings, ForwarderCallbacks callbacks);
+    RequestForwarder(
+        IoLoop &loop, EventLog &log, EntryMetrics &metrics, Beliefs &beliefs, ForwarderSettings settings, ForwarderCallbacks callbacks);
     ~RequestForwarder();
 
     void onRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -55,6 +55,23 @@
     return std::find(std::begin(PromisingStatuses), std::end(PromisingStatuses), status) != std::end(PromisingStatuses);
 }
 
+const char *eventOf(RequestOutcome outcome)
+{
+    switch (outcome) {
+    case RequestOutcome::Served:
+        return "served";
+    case RequestOutcome::Refused:
+        return "refused";
+    case RequestOutcome::Failed:
+        return "failed";
+    case RequestOutcome::BrokenOff:
+        return "broken_off";
+    case RequestOutcome::CallerGone:
+        return "caller_gone";
+    }
+    return "ended";
+}
+
 std::string retryAfterText(Duration wait)
 {
     char text[16] = {};
@@ -281,6 +298,7 @@
         { { "request", m_decoded.id }, { "upstream", record.id.value() }, { "arrival", std::int64_t(m_arrivals + 1) },
             { "version", m_version.value() }, { "leftMs", timeLeft().milliseconds() },
             { "waitedMs", (now() - m_arrivedAt).milliseconds() } });
+    m_context.metrics().sent(m_route.kind, now() - m_arrivedAt, m_arrivals > 0);
     m_call = m_context.loop().client().start(makeCall(record));
 }
 
@@ -365,6 +383,7 @@
         if (m_context.callbacks().isLeaving()) {
             headers.emplace_back("Connection", "close");
         }
+        m_context.metrics().firstAnswer(m_route.kind, now() - m_arrivedAt);
         m_exchange->beginStream(m_answer->status, headers);
         m_context.log().write(Step, "request", "streaming",
             { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "afterMs", (now() - m_arrivedAt).milliseconds() } });
@@ -478,12 +497,13 @@
         m_exchange->write(m_events.rest()); // The upstream ended well without a last empty line: its bytes go on as they are.
     }
     m_exchange->finish();
-    end("served", "");
+    end(RequestOutcome::Served, "");
 }
 
 void RequestJob::onNotRun()
 {
     constexpr int MisdirectedStatus = 421;
+    m_context.metrics().upstreamTrouble("not_run");
     m_context.log().write(Step, "request", "not_run",
         { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "status", std::int64_t(m_answer->status) } });
     if (m_answer->status == MisdirectedStatus && needsAdapter()) {
@@ -495,6 +515,7 @@
 
 void RequestJob::onServerFailure()
 {
+    m_context.metrics().upstreamTrouble("failed");
     m_context.beliefs().outliers.onFailure(m_upstream.id, now());
     m_context.log().write(Important, "request", "upstream_failed",
         { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "status", std::int64_t(m_answer->status) } });
@@ -509,6 +530,7 @@
 
 void RequestJob::onBroken(const CallResult &result)
 {
+    m_context.metrics().upstreamTrouble("broken");
     ++m_runs;
     m_outcome = Outcome::MayHaveRun;
     m_context.beliefs().outliers.onFailure(m_upstream.id, now());
@@ -555,7 +577,8 @@
         headers.emplace_back("Connection", "close");
     }
     m_exchange->respond(answer.status, headers, std::move(body));
-    end(isSuccess(answer.status) ? "served" : "failed", isSuccess(answer.status) ? "" : "the upstream failed");
+    const bool isServed = isSuccess(answer.status);
+    end(isServed ? RequestOutcome::Served : RequestOutcome::Failed, isServed ? "" : "the upstream failed");
 }
 
 // Nothing better came: the whole failure that an upstream gave, or one of ours.
@@ -588,7 +611,7 @@
         { { "message", answer.sentence }, { "code", answer.word }, { "not_run", isNotRun },
             { "retry", retryAdviceWord(answer.retry) } } } };
     m_exchange->respond(answer.httpStatus, headers, body.dump());
-    end(isNotRun ? "refused" : "failed", std::string(answer.word));
+    end(isNotRun ? RequestOutcome::Refused : RequestOutcome::Failed, std::string(answer.word));
 }
 
 void RequestJob::breakOff(const std::string &reason)
@@ -597,7 +620,7 @@
         { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "lastEvent", m_events.lastId() },
             { "silentMs", (now() - m_heardAt).milliseconds() }, { "paused", m_isPaused } });
     m_exchange->abort();
-    end("broken_off", reason);
+    end(RequestOutcome::BrokenOff, reason);
 }
 
 void RequestJob::onDeadline()
@@ -624,16 +647,17 @@
         endAttempt();
         m_context.loop().client().cancel(call);
     }
-    end("caller_gone", "");
+    end(RequestOutcome::CallerGone, "");
 }
 
-void RequestJob::end(const char *event, const std::string &reason)
+void RequestJob::end(RequestOutcome outcome, const std::string &reason)
 {
+    m_context.metrics().requestEnded(m_route.kind, outcome, now() - m_arrivedAt);
     m_phase = Phase::Ended;
     m_context.loop().cancel(m_deadlineTimer);
     m_context.loop().cancel(m_waitTimer);
     m_context.loop().cancel(m_silenceTimer);
-    m_context.log().write(reason.empty() ? Step : Important, "request", event,
+    m_context.log().write(reason.empty() ? Step : Important, "request", eventOf(outcome),
         { { "request", m_decoded.id }, { "reason", reason }, { "arrivals", std::int64_t(m_arrivals) },
             { "tookMs", (now() - m_arrivedAt).milliseconds() } });
     m_context.onEnded(m_number);
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -22,6 +22,7 @@
     virtual IoLoop &loop() = 0;
     virtual EventLog &log() = 0;
     virtual Beliefs &beliefs() = 0;
+    virtual EntryMetrics &metrics() = 0;
     virtual const ForwarderSettings &settings() const = 0;
     virtual const ForwarderCallbacks &callbacks() const = 0;
     virtual std::mt19937_64 &random() = 0;
@@ -101,7 +102,7 @@
     void onCallerGone();
     void onDrained();
     void watchSilence();
-    void end(const char *event, const std::string &reason);
+    void end(RequestOutcome outcome, const std::string &reason);
 
     RequestContext &m_context;
     std::uint64_t m_number;
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,5 +1,6 @@
 #include "main/checkcommand.h"
 #include "main/entry/entrynode.h"
+#include "main/entry/tracecommand.h"
 #include "main/errorspage.h"
 #include "main/log.h"
 #include "main/node.h"
@@ -64,6 +65,11 @@
     node->add_option("--settings", settingsPath, "INI file with the settings below.")->required();
     node->footer(settingsHelp());
     auto *entry = app.add_subcommand("entry", "Run an entry node on the users' platform, which names the settings in the environment.");
+    TraceOptions tracing;
+    auto *trace = app.add_subcommand("trace", "Print the story of one request from the logs of entry nodes.");
+    trace->add_option("request", tracing.request, "The caller's request id.")->required();
+    trace->add_option("files", tracing.files, "Log files of any number of nodes.")->required();
+    trace->add_flag("--json", tracing.isJson, "Print the lines as they were written.");
     auto *errors = app.add_subcommand("errors-page", "Print docs/ERRORS.md.");
     std::string catalogPath;
     auto *check = app.add_subcommand("check-config", "Check a catalog INI; all faults at once.");
@@ -103,6 +109,9 @@
     if (*entry) {
         return runEntryNode();
     }
+    if (*trace) {
+        return traceRequest(tracing, std::cout, std::cerr);
+    }
     if (*errors) {
         std::cout << errorsPage();
         return 0;
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -36,6 +36,7 @@
     SystemClock clock;
     IoLoop loop { clock };
     EventLog log { clock, "test" };
+    EntryMetrics metrics;
     Beliefs beliefs;
     std::unique_ptr<RequestForwarder> forwarder;
     bool isLeaving = false;
@@ -48,7 +49,7 @@
         callbacks.isLeaving = [this] { return isLeaving; };
         callbacks.mayTake = [](Duration) { return true; };
         callbacks.ordersIn = [] { return std::optional(Duration(0)); };
-        forwarder = std::make_unique<RequestForwarder>(loop, log, beliefs, ForwarderSettings {}, std::move(callbacks));
+        forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, beliefs, ForwarderSettings {}, std::move(callbacks));
     }
 
     void configure(RequestKind kind, int maxAttempts, bool isResumable = false)
