--- a/tests/coordination/testorderlease.cpp
+++ b/tests/coordination/testorderlease.cpp
@@ -225,6 +225,48 @@
     std::string m_breach;
 };
 
+/** The first breach in forty events drawn by @p seed; empty when there is none. */
+std::string breachOfHistory(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    LeaseFleet fleet(5 + static_cast<int>(seed % 8), seed);
+    const int count = 5 + static_cast<int>(seed % 8);
+    fleet.setLoss(0.03);
+    fleet.run(Duration::seconds(8));
+    std::set<std::string> down;
+    for (int event = 0; event < 40; ++event) {
+        const int i = 1 + static_cast<int>(random() % static_cast<std::uint64_t>(count));
+        const std::string id = "node-" + std::string(i < 10 ? "0" : "") + std::to_string(i);
+        switch (random() % 6) {
+        case 0:
+            fleet.kill(id);
+            down.insert(id);
+            break;
+        case 1:
+            if (down.erase(id) > 0) {
+                fleet.start(id);
+            }
+            break;
+        case 2:
+            fleet.freeze(id, random() % 2 == 0);
+            break;
+        case 3:
+            fleet.setGroup(id, static_cast<int>(random() % 2));
+            break;
+        case 4:
+            fleet.setWall(id, Duration(static_cast<std::int64_t>(random() % 4800) - 2400));
+            break;
+        default:
+            if (!down.contains(id)) {
+                fleet.leave(id);
+            }
+            break;
+        }
+        fleet.run(Duration(static_cast<std::int64_t>(random() % 1500)));
+    }
+    return fleet.breach();
+}
+
 } // namespace
 
 // A node that gives orders is told to stop, and the others take over. Each of them hears that it leaves at a different moment. A user would
@@ -302,42 +344,16 @@
 Test(orderlease, anythingAtOnceNeverLetsTwoOrder)
 {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-        std::mt19937_64 random(seed);
-        LeaseFleet fleet(5 + static_cast<int>(seed % 8), seed);
-        const int count = 5 + static_cast<int>(seed % 8);
-        fleet.setLoss(0.03);
-        fleet.run(Duration::seconds(8));
-        std::set<std::string> down;
-        for (int event = 0; event < 40; ++event) {
-            const int i = 1 + static_cast<int>(random() % static_cast<std::uint64_t>(count));
-            const std::string id = "node-" + std::string(i < 10 ? "0" : "") + std::to_string(i);
-            switch (random() % 6) {
-            case 0:
-                fleet.kill(id);
-                down.insert(id);
-                break;
-            case 1:
-                if (down.erase(id) > 0) {
-                    fleet.start(id);
-                }
-                break;
-            case 2:
-                fleet.freeze(id, random() % 2 == 0);
-                break;
-            case 3:
-                fleet.setGroup(id, static_cast<int>(random() % 2));
-                break;
-            case 4:
-                fleet.setWall(id, Duration(static_cast<std::int64_t>(random() % 4800) - 2400));
-                break;
-            default:
-                if (!down.contains(id)) {
-                    fleet.leave(id);
-                }
-                break;
-            }
-            fleet.run(Duration(static_cast<std::int64_t>(random() % 1500)));
-        }
-        cr_assert(fleet.breach().empty(), "seed %lu: %s", seed, fleet.breach().c_str());
+        const std::string breach = breachOfHistory(seed);
+        cr_assert(breach.empty(), "seed %lu: %s", seed, breach.c_str());
     }
 }
+
+// Several nodes are restarted while a partition keeps the others from them. They know only each other and a few seeds, count that as the
+// whole fleet and lead there, beside the holder on the other side. A user notices orders of two holders within seconds. This seed came up
+// among 4,000; see KNOWN-RED.txt.
+Test(knownred, nodesRestartedBehindAPartitionDoNotLead)
+{
+    const std::string breach = breachOfHistory(589);
+    cr_assert(breach.empty(), "seed 589: %s", breach.c_str());
+}
