--- /dev/null
+++ b/tests/main/testentrynode.cpp
@@ -0,0 +1,223 @@
+#include "main/entry/entrynode.h"
+#include "scriptedupstream.h"
+#include "transport/httpclient.h"
+#include "transport/httpserver.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/notification.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+using Rig::ScriptedAnswer;
+using Rig::ScriptedUpstream;
+
+namespace
+{
+
+std::string json(const std::string &body)
+{
+    return absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+std::string item(const std::string &key, const std::string &value)
+{
+    return absl::StrCat(R"({"key":")", key, R"(","value":")", absl::Base64Escape(value), R"(","revision":2,"createRevision":2,"lease":0})");
+}
+
+/** The store with one configuration and one upstream, which never change. */
+ScriptedAnswer storeAnswer(const std::string &request, const std::string &upstreamAddress)
+{
+    if (absl::StrContains(request, "kv-watch")) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        return ScriptedAnswer { json(R"({"events":[],"storeRevision":2})") };
+    }
+    const std::string config = R"({"version":4,"routes":[{"name":"r","host":"h.example","pathPrefix":"/p/","kind":"idempotent",)"
+                               R"("timeoutMs":1000,"service":"svc","maxAttempts":2}],"services":[{"name":"svc","maxConns":10}]})";
+    const std::string entry =
+        absl::StrCat(R"({"service":"svc","address":")", upstreamAddress, R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":5})");
+    return ScriptedAnswer { json(absl::StrCat(R"({"hasMore":false,"items":[)", item("op/config", config), ",", item("servers/u1", entry),
+        ",", item("servers/forged", R"({"service":"svc","slots":"many"})"), R"(],"storeRevision":2})")) };
+}
+
+int freePort()
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    cr_assert_eq(bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address), 0);
+    getsockname(socket, reinterpret_cast<sockaddr *>(&address), &length);
+    close(socket);
+    return ntohs(address.sin_port);
+}
+
+Platform::ProcessSettings settingsFor(const ScriptedUpstream &store)
+{
+    Platform::ProcessSettings settings;
+    settings.node = NodeId("n1");
+    settings.zone = ZoneId("z");
+    settings.ip = "127.0.0.1";
+    const auto address = [] { return "127.0.0.1:" + std::to_string(freePort()); };
+    settings.callerAddress = address();
+    settings.readinessAddress = address();
+    settings.directoryAddress = address();
+    settings.peerAddress = address();
+    settings.storeAddress = store.address();
+    settings.grace = Duration::seconds(4);
+    settings.orderTurn = Duration::seconds(3);
+    settings.adapterVersionBound = Duration::seconds(5);
+    settings.retryShare = 0.2;
+    settings.retryExtra = 100;
+    settings.retryWindow = Duration::seconds(10);
+    settings.maxAddressLifetime = Duration::seconds(5);
+    settings.maxDescriptors = 1000;
+    return settings;
+}
+
+struct Got
+{
+    int status = 0;
+    std::string body;
+};
+
+Got get(HttpClient &client, const std::string &address, const std::string &path, HttpHeaders headers = {})
+{
+    auto got = std::make_shared<Got>();
+    auto done = std::make_shared<absl::Notification>();
+    HttpCall call;
+    call.url = "http://" + address + path;
+    call.headers = std::move(headers);
+    call.totalTimeout = Duration(2000);
+    call.onData = [got](std::string_view data) {
+        got->body.append(data);
+        return true;
+    };
+    call.onDone = [got, done](const CallResult &result) {
+        got->status = result.status;
+        done->Notify();
+    };
+    client.start(std::move(call));
+    done->WaitForNotification();
+    return *got;
+}
+
+/** A node on a thread of its own; drained at the end. */
+struct Running
+{
+    explicit Running(const Platform::ProcessSettings &settings)
+        : node(std::move(EntryNode::start(settings).value()))
+        , thread([this] { node->run(); })
+    {
+    }
+    ~Running()
+    {
+        node->drain();
+        thread.join();
+    }
+
+    std::unique_ptr<EntryNode> node;
+    std::thread thread;
+};
+
+bool becomesReady(HttpClient &client, const Platform::ProcessSettings &settings)
+{
+    for (int i = 0; i < 100; ++i) {
+        if (get(client, settings.readinessAddress, "/apricotstep/ready").status == 200) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+}
+
+} // namespace
+
+// The whole path: a node reads the store, in which a forged entry stands as well, says that it is ready, names itself to callers and takes
+// a request to the one upstream and its answer back.
+Test(entrynode, aRequestGoesThroughToItsUpstream)
+{
+    const ScriptedUpstream upstream([](const std::string &) {
+        return ScriptedAnswer {
+            "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole"
+        };
+    });
+    const ScriptedUpstream store([&](const std::string &request) { return storeAnswer(request, upstream.address()); });
+    const auto settings = settingsFor(store);
+    HttpClient client;
+    const Running running(settings);
+    cr_assert(becomesReady(client, settings));
+    const Got directory = get(client, settings.directoryAddress, "/apricotstep/resolve?name=h.example&zone=z");
+    cr_assert_eq(directory.status, 200);
+    cr_assert(absl::StrContains(directory.body, settings.callerAddress), "%s", directory.body.c_str());
+    const HttpHeaders headers { { "Host", "h.example" }, { "Apricotstep-Request-Id", "r-1" } };
+    const Got answer = get(client, settings.callerAddress, "/p/x?y=1", headers);
+    cr_assert_eq(answer.status, 200);
+    cr_assert(answer.body == "whole");
+    cr_assert(absl::StartsWith(upstream.requests().front(), "GET /p/x?y=1 HTTP/1.1\r\n"));
+    cr_assert_eq(get(client, settings.callerAddress, "/nowhere/", headers).status, 404);
+}
+
+// The store is down when a node starts, and no other node knows anything. It refuses for now, with 503, is not ready, and names nobody.
+Test(entrynode, withoutTheStoreNothingIsPromised)
+{
+    const ScriptedUpstream store([](const std::string &) { return ScriptedAnswer { "", ScriptedAnswer::Then::Reset }; });
+    const auto settings = settingsFor(store);
+    HttpClient client;
+    const Running running(settings);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    cr_assert_eq(get(client, settings.readinessAddress, "/apricotstep/ready").status, 503);
+    cr_assert_eq(get(client, settings.directoryAddress, "/apricotstep/resolve?name=h.example&zone=z").status, 503);
+    cr_assert_eq(get(client, settings.callerAddress, "/p/x", { { "Host", "h.example" }, { "Apricotstep-Request-Id", "r-1" } }).status, 503);
+}
+
+// A second node starts while the store is down for it alone. It learns the configuration and the upstreams from the first, and serves.
+Test(entrynode, aNodeWithoutTheStoreLearnsFromItsNeighbour)
+{
+    const ScriptedUpstream upstream([](const std::string &) {
+        return ScriptedAnswer {
+            "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole"
+        };
+    });
+    const ScriptedUpstream store([&](const std::string &request) { return storeAnswer(request, upstream.address()); });
+    const ScriptedUpstream down([](const std::string &) { return ScriptedAnswer { "", ScriptedAnswer::Then::Reset }; });
+    const auto first = settingsFor(store);
+    auto second = settingsFor(down);
+    second.node = NodeId("n2");
+    second.seeds = { first.peerAddress };
+    HttpClient client;
+    const Running runningFirst(first);
+    cr_assert(becomesReady(client, first));
+    const Running runningSecond(second);
+    cr_assert(becomesReady(client, second));
+    const HttpHeaders headers { { "Host", "h.example" }, { "Apricotstep-Request-Id", "r-2" } };
+    cr_assert_eq(get(client, second.callerAddress, "/p/x", headers).status, 200);
+}
+
+// A node gets SIGTERM. It says at once that it takes nothing more, still answers who came late, and ends when all answers are out.
+Test(entrynode, aLeavingNodeIsNotReadyButStillAnswers)
+{
+    const ScriptedUpstream upstream([](const std::string &) {
+        return ScriptedAnswer {
+            "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole"
+        };
+    });
+    const ScriptedUpstream store([&](const std::string &request) { return storeAnswer(request, upstream.address()); });
+    const auto settings = settingsFor(store);
+    HttpClient client;
+    const Running running(settings);
+    cr_assert(becomesReady(client, settings));
+    running.node->drain();
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    cr_assert_eq(get(client, settings.readinessAddress, "/apricotstep/ready").status, 503);
+    const HttpHeaders headers { { "Host", "h.example" }, { "Apricotstep-Request-Id", "r-3" } };
+    cr_assert_eq(get(client, settings.callerAddress, "/p/x", headers).status, 200);
+}
