--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -256,6 +256,12 @@
 
 void RequestJob::wait()
 {
+    if (!std::exchange(m_hasWaited, true)) {
+        const auto ordersIn = m_context.callbacks().ordersIn();
+        m_context.log().write(Step, "request", "waiting",
+            { { "request", m_decoded.id }, { "adapter", adapter().adapter.value() },
+                { "ordersInMs", ordersIn ? ordersIn->milliseconds() : -1 }, { "leftMs", timeLeft().milliseconds() } });
+    }
     // Engines that refused before may take it now.
     m_tried.clear();
     m_context.callbacks().onWants();
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -122,6 +122,7 @@
     int m_runs = 0;
     int m_arrivals = 0;
     bool m_isCounted = false;
+    bool m_hasWaited = false;
     std::set<UpstreamId> m_tried;
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
