Let leaving and new nodes know who orders, and replace copies at crashed engines

Cause, both found by tracing refused and late requests: a node that leaves or has just started promises nothing, so it took nobody for the holder, told its wants to nobody and refused; and the copies at a crashed engine counted until the store noticed, 0.6 to 3 s later.

--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -49,6 +49,8 @@
     std::map<BaseModelId, Time> loadingModels;
     std::vector<BaseModelId> models;
     Time reportAskedAt;
+    /** It gave no answer to an order; until then it counts as down. */
+    Time downUntil;
     /** A report has come since this plan knows of the engine; before, its places are a guess. */
     bool isReported = false;
     /** When copies were dropped: reports from before still list them. */
@@ -218,8 +220,8 @@
 std::optional<double> AdapterPlan::Private::costOfPlace(
     const UpstreamId &id, const Engine &engine, const AdapterRef &adapter, Time now) const
 {
-    const bool isBarred = !engine.isReported || !engine.planned.isOrdered || engine.planned.spec == nullptr || engine.planned.share <= 0
-        || engine.copies.contains(adapter);
+    const bool isBarred = now < engine.downUntil || !engine.isReported || !engine.planned.isOrdered || engine.planned.spec == nullptr
+        || engine.planned.share <= 0 || engine.copies.contains(adapter);
     if (isBarred || !holdsModel(engine, adapter.model) || loadsUnderWay(engine) >= limits.loadsAtOnceOfEngine) {
         return std::nullopt;
     }
@@ -265,7 +267,7 @@
     double bestCost = std::numeric_limits<double>::max();
     double presentWait = std::numeric_limits<double>::max();
     for (auto &[id, engine] : engines) {
-        if (engine.copies.contains(adapter)) {
+        if (engine.copies.contains(adapter) && now >= engine.downUntil) {
             presentWait = std::min(presentWait, waitAt(engine));
         }
         const auto cost = !isOnlyOwn || engine.planned.isOwn ? costOfPlace(id, engine, adapter, now) : std::nullopt;
@@ -329,7 +331,8 @@
         bool isReady = false;
         for (const auto &[id, engine] : engines) {
             const auto at = engine.copies.find(adapter);
-            if (at != engine.copies.end()) {
+            // A crashed engine's copies are listed until the store notices; requests that wait for them wait for nothing.
+            if (at != engine.copies.end() && now >= engine.downUntil) {
                 isUnderWay = isUnderWay || at->second.state == CopyState::Ordered || at->second.state == CopyState::Loading;
                 isReady = isReady || at->second.state == CopyState::Ready;
             }
@@ -553,6 +556,7 @@
         return;
     }
     Engine &engine = at->second;
+    engine.downUntil = answer == OrderAnswer::Unknown ? now + d->limits.downTime : Time();
     if (order.adapter.isEmpty()) {
         if (answer != OrderAnswer::Accepted && answer != OrderAnswer::Busy) {
             engine.loadingModels.erase(order.model);
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -38,6 +38,8 @@
     Duration askAgain { 50 };
     /** After an order that had no answer: the engine may be down. */
     Duration askAfterSilence { 400 };
+    /** An engine that could not be reached gets no new copies for this long, and those that it has count for nothing. */
+    Duration downTime { 1000 };
     /** A base model that is not in place after this, on an engine that works on no order, has failed to load. */
     Duration loadTimeout { 4000 };
     Duration popularityHalfLife = Duration::seconds(20);
--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -44,6 +44,7 @@
     std::string selfAddress;
     /** Another node's claim was heard last at, and when it said that it gives orders. */
     Time claimHeardAt;
+    NodeId claimant;
     Time otherOrdersFrom = Time::never();
     NodeId promisedTo;
     Incarnation promisedIncarnation;
@@ -236,9 +237,10 @@
     }
     d->noteHeld(now);
     const bool isRelease = std::find(message.releases.begin(), message.releases.end(), d->shard) != message.releases.end();
-    if (isRelease && d->promisedTo == message.sender) {
-        d->promisedUntil = Time();
+    if (isRelease && (d->promisedTo == message.sender || d->claimant == message.sender)) {
+        d->promisedUntil = d->promisedTo == message.sender ? Time() : d->promisedUntil;
         d->claimHeardAt = Time();
+        d->claimant = NodeId();
         d->otherOrdersFrom = Time::never();
     }
     const auto claim =
@@ -247,6 +249,7 @@
         return std::nullopt;
     }
     d->claimHeardAt = now;
+    d->claimant = message.sender;
     d->otherOrdersFrom = now + claim->ordersIn;
     d->greatestFence = std::max(d->greatestFence, claim->fence);
     const bool isRenewal = d->promisedTo == message.sender && d->promisedIncarnation == message.incarnation && now < d->promisedUntil;
@@ -336,7 +339,11 @@
 
 NodeId OrderLease::holder(Time now) const
 {
-    return now < d->promisedUntil ? d->promisedTo : NodeId();
+    if (now < d->promisedUntil) {
+        return d->promisedTo;
+    }
+    // A node that leaves or has just started promises nothing, but it hears who claims.
+    return d->claimHeardAt != Time() && now - d->claimHeardAt < d->limits.lease ? d->claimant : NodeId();
 }
 
 Duration OrderLease::ordersIn(Time now) const
@@ -345,7 +352,7 @@
         return d->ownOrdersIn(now);
     }
     // Without a holder: a claim, and the silence that follows.
-    if (now >= d->promisedUntil) {
+    if (holder(now).isEmpty()) {
         return d->limits.liveness + d->limits.turn + d->limits.margin;
     }
     return std::max(d->otherOrdersFrom - now, Duration(0));
--- a/tests/coordination/testadapterplan.cpp
+++ b/tests/coordination/testadapterplan.cpp
@@ -51,6 +51,10 @@
     {
         m_isUnloadWaiting = isWaiting;
     }
+    void setDown(int engine, bool isDown)
+    {
+        m_engines[static_cast<std::size_t>(engine)].isDown = isDown;
+    }
     void setVersion(const std::string &adapter, const std::string &version)
     {
         m_plan.setVersion(AdapterRef { BaseModelId("m"), AdapterId(adapter) }, AdapterVersion(version));
@@ -97,6 +101,7 @@
         std::vector<std::string> held;
         std::vector<Load> coming;
         double pendingTokens = 0;
+        bool isDown = false;
     };
     struct Snapshot
     {
@@ -158,6 +163,9 @@
     void answerReport(const UpstreamId &id)
     {
         const std::size_t index = indexOf(id);
+        if (m_engines[index].isDown) {
+            return;
+        }
         const Snapshot *found = nullptr;
         for (const Snapshot &snapshot : m_history) {
             if (snapshot.engine == index && (found == nullptr || snapshot.at + Duration(200) <= m_now)) {
@@ -169,6 +177,9 @@
     OrderAnswer carryOut(const EngineOrder &order)
     {
         EngineState &engine = m_engines[indexOf(order.engine)];
+        if (engine.isDown) {
+            return OrderAnswer::Unknown;
+        }
         const std::string &name = order.adapter.value();
         const auto held = std::find(engine.held.begin(), engine.held.end(), name);
         if (order.kind == EngineOrder::Kind::Unload) {
@@ -318,3 +329,16 @@
     cr_assert(bench.holds(0, "hot"));
     cr_assert(bench.holds(0, "warm"));
 }
+
+// An engine crashes, and the store still lists it with all its adapters for seconds. Requests for them are told to wait for copies that
+// nobody can reach; instead they get another copy at once.
+Test(adapterplan, copiesAtACrashedEngineAreReplaced)
+{
+    PlanBench bench(2);
+    bench.want("a");
+    bench.run(Duration(1000));
+    const int first = bench.holds(0, "a") ? 0 : 1;
+    bench.setDown(first, true);
+    bench.run(Duration(500));
+    cr_assert(bench.holds(1 - first, "a"));
+}
--- a/tests/coordination/testorderlease.cpp
+++ b/tests/coordination/testorderlease.cpp
@@ -124,9 +124,13 @@
     {
         return m_breach;
     }
-    std::string first() const
+    const OrderLease &lease(const std::string &id) const
     {
-        return m_nodes.begin()->first;
+        return *m_nodes.at(id).lease;
+    }
+    Time now() const
+    {
+        return m_now;
     }
 
 private:
@@ -340,6 +344,24 @@
     }
 }
 
+// A node that leaves or has just started makes no promises. It must know all the same whom to ask for adapters: its callers' requests would
+// be refused for as long as it serves them.
+Test(orderlease, aNodeThatPromisesNothingKnowsWhoOrders)
+{
+    LeaseFleet fleet(5, 1);
+    fleet.run(Duration::seconds(8));
+    const std::string holder = fleet.holder();
+    const std::string other = holder == "node-01" ? "node-02" : "node-01";
+    fleet.leave(other);
+    fleet.run(Duration::seconds(3));
+    cr_assert(fleet.lease(other).holder(fleet.now()) == NodeId(holder));
+    cr_assert(fleet.lease(other).ordersIn(fleet.now()) == Duration(0));
+    fleet.kill(other);
+    fleet.start(other);
+    fleet.run(Duration(600));
+    cr_assert(fleet.lease(other).holder(fleet.now()) == NodeId(holder));
+}
+
 // Kills, restarts, freezes, cuts, lost datagrams and clocks that jump come one over the other.
 Test(orderlease, anythingAtOnceNeverLetsTwoOrder)
 {
