--- a/tests/main/testmetrics.cpp
+++ b/tests/main/testmetrics.cpp
@@ -1,3 +1,4 @@
+#include "main/entry/entrymetrics.h"
 #include "main/metrics.h"
 
 #include <cstdlib>
@@ -80,6 +81,12 @@
     metrics.configRefused("conflict");
     metrics.retry("engines");
     metrics.ejection("e1");
+    EntryMetrics entry;
+    entry.requestEnded(RequestKind::Stream, RequestOutcome::Served, Duration(1));
+    entry.firstAnswer(RequestKind::Stream, Duration(1));
+    entry.sent(RequestKind::Stream, Duration(1), false);
+    entry.upstreamTrouble("broken");
+    entry.order("done");
     const std::string page = sourceFile("docs/METRICS.md");
     std::set<std::string> written;
     std::istringstream lines(page);
@@ -88,7 +95,7 @@
             written.insert(line);
         }
     }
-    for (const std::string &row : rowsOf(metrics.text())) {
+    for (const std::string &row : rowsOf(metrics.text() + entry.text(EntryGauges {}))) {
         cr_expect(written.contains(row), "docs/METRICS.md lacks: %s", row.c_str());
         written.erase(row);
     }
@@ -96,7 +103,7 @@
         cr_expect(false, "no such metric, or not used above: %s", row.c_str());
     }
     // A metric with labels shows only once it has counted, so those that the lines above leave out are found in the source.
-    const std::string source = sourceFile("main/metrics.cpp") + sourceFile("main/metrics.h");
+    const std::string source = sourceFile("main/metrics.cpp") + sourceFile("main/metrics.h") + sourceFile("main/entry/entrymetrics.cpp");
     const std::regex name("\"(apricotstep_[a-z_]+)\"");
     for (std::sregex_iterator at(source.begin(), source.end(), name), end; at != end; ++at) {
         cr_expect(page.find('`' + at->str(1) + '`') != std::string::npos, "docs/METRICS.md lacks %s", at->str(1).c_str());
