--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -30,23 +30,6 @@
     return "unknown";
 }
 
-const char *wordOf(RequestOutcome outcome)
-{
-    switch (outcome) {
-    case RequestOutcome::Served:
-        return "served";
-    case RequestOutcome::Refused:
-        return "refused";
-    case RequestOutcome::Failed:
-        return "failed";
-    case RequestOutcome::BrokenOff:
-        return "broken_off";
-    case RequestOutcome::CallerGone:
-        return "caller_gone";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 struct EntryMetrics::Private
@@ -85,6 +68,23 @@
     }
 };
 
+const char *outcomeWord(RequestOutcome outcome)
+{
+    switch (outcome) {
+    case RequestOutcome::Served:
+        return "served";
+    case RequestOutcome::Refused:
+        return "refused";
+    case RequestOutcome::Failed:
+        return "failed";
+    case RequestOutcome::BrokenOff:
+        return "broken_off";
+    case RequestOutcome::CallerGone:
+        return "caller_gone";
+    }
+    return "unknown";
+}
+
 EntryMetrics::EntryMetrics()
     : d(std::make_unique<Private>())
 {
@@ -94,7 +94,7 @@
 
 void EntryMetrics::requestEnded(RequestKind kind, RequestOutcome outcome, Duration took)
 {
-    d->requests.Add({ { "kind", wordOf(kind) }, { "outcome", wordOf(outcome) } }).Increment();
+    d->requests.Add({ { "kind", wordOf(kind) }, { "outcome", outcomeWord(outcome) } }).Increment();
     if (outcome == RequestOutcome::Served) {
         d->durations.Add({ { "kind", wordOf(kind) } }, Seconds).Observe(took.toSeconds());
     }
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -23,6 +23,9 @@
     CallerGone,
 };
 
+/** The word for @p outcome in logs and metrics. */
+const char *outcomeWord(RequestOutcome outcome);
+
 /** Facts that are read when metrics are asked for. */
 struct EntryGauges
 {
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -55,23 +55,6 @@
     return std::find(std::begin(PromisingStatuses), std::end(PromisingStatuses), status) != std::end(PromisingStatuses);
 }
 
-const char *eventOf(RequestOutcome outcome)
-{
-    switch (outcome) {
-    case RequestOutcome::Served:
-        return "served";
-    case RequestOutcome::Refused:
-        return "refused";
-    case RequestOutcome::Failed:
-        return "failed";
-    case RequestOutcome::BrokenOff:
-        return "broken_off";
-    case RequestOutcome::CallerGone:
-        return "caller_gone";
-    }
-    return "ended";
-}
-
 std::string retryAfterText(Duration wait)
 {
     char text[16] = {};
@@ -663,7 +646,7 @@
     m_context.loop().cancel(m_deadlineTimer);
     m_context.loop().cancel(m_waitTimer);
     m_context.loop().cancel(m_silenceTimer);
-    m_context.log().write(reason.empty() ? Step : Important, "request", eventOf(outcome),
+    m_context.log().write(reason.empty() ? Step : Important, "request", outcomeWord(outcome),
         { { "request", m_decoded.id }, { "reason", reason }, { "arrivals", std::int64_t(m_arrivals) },
             { "tookMs", (now() - m_arrivedAt).milliseconds() } });
     m_context.onEnded(m_number);
