Refuse streams at once that cannot begin within their callers' patience

Cause: callers leave a stream after two and a half seconds without a first event, long before its deadline of fifteen; requests that waited for an adapter while nobody ordered loads were held until they left.

--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -29,6 +29,11 @@
 // A resumable stream that is silent for so long goes on at another upstream; callers give up after two seconds or more.
 constexpr Duration LongestSilence { 1200 };
 constexpr Duration SilenceCheck { 300 };
+// Callers leave a stream after a gap, also before its first event, of two seconds, four times the latency objective or eight times the
+// longest pause, whichever is longest; so the users' pages say.
+constexpr Duration LeastPatience { 2000 };
+constexpr int PatienceOfObjective = 4;
+constexpr int PatienceOfPause = 8;
 // Below this a request could not be answered any more.
 constexpr Duration LeastUsefulTime { 5 };
 // When a caller that was refused may come back: a load of an adapter and a place in a queue later.
@@ -90,6 +95,18 @@
     return m_deadline - now();
 }
 
+// How long the caller still waits for the first byte. Callers leave a stream that has not begun long before its deadline: one held beyond
+// that is lost, while one refused in time comes back and is served.
+Duration RequestJob::patienceLeft() const
+{
+    if (m_route.kind != RequestKind::Stream || m_isStreaming) {
+        return timeLeft();
+    }
+    const Duration patience =
+        std::max({ LeastPatience, m_route.latencyObjective * PatienceOfObjective, m_route.pauseLimit * PatienceOfPause });
+    return std::min(timeLeft(), m_arrivedAt + patience - now());
+}
+
 bool RequestJob::isRepeatable() const
 {
     return m_route.kind == RequestKind::Idempotent || (m_route.kind == RequestKind::Stream && m_route.isResumable);
@@ -231,7 +248,7 @@
     if (!ordersIn) {
         return RetryElsewhere;
     }
-    if (*ordersIn + LoadAndAnswer < timeLeft()) {
+    if (*ordersIn + LoadAndAnswer < patienceLeft()) {
         return std::nullopt;
     }
     return *ordersIn + RetryAfterRefusal;
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -68,6 +68,7 @@
 
     Time now() const;
     Duration timeLeft() const;
+    Duration patienceLeft() const;
     bool isRepeatable() const;
     bool needsAdapter() const;
     AdapterRef adapter() const;
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -40,6 +40,7 @@
     Beliefs beliefs;
     std::unique_ptr<RequestForwarder> forwarder;
     bool isLeaving = false;
+    std::optional<Duration> ordersIn = Duration(0);
 
     Bench()
     {
@@ -48,21 +49,24 @@
         callbacks.nodeCount = [] { return 1; };
         callbacks.isLeaving = [this] { return isLeaving; };
         callbacks.mayTake = [](Duration) { return true; };
-        callbacks.ordersIn = [] { return std::optional(Duration(0)); };
+        callbacks.ordersIn = [this] { return ordersIn; };
         forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, beliefs, ForwarderSettings {}, std::move(callbacks));
     }
 
-    void configure(RequestKind kind, int maxAttempts, bool isResumable = false)
+    void configure(RequestKind kind, int maxAttempts, bool isResumable = false, Duration timeout = Duration(1500))
     {
         RouteTableSource source;
         source.version = ConfigVersion(1);
-        source.services.push_back(RoutedService { ServiceName("svc"), "/health", 10, {} });
+        EngineSpec engine;
+        engine.adapterSlots = 2;
+        source.services.push_back(RoutedService { ServiceName("svc"), "/health", 10, engine });
         Route route;
         route.name = "r";
         route.host = "host.example";
         route.pathPrefix = "/in/";
         route.kind = kind;
-        route.timeout = Duration(1500);
+        route.timeout = timeout;
+        route.latencyObjective = Duration(600);
         route.maxAttempts = maxAttempts;
         route.isResumable = isResumable;
         route.targets = { RouteTarget { ServiceName("svc"), 1 } };
@@ -327,3 +331,26 @@
     cr_assert_eq(caller->status(), 503);
     cr_assert(caller->hasHeader("Retry-After"));
 }
+
+// No engine holds the adapter, and nobody can order its load for three seconds. The caller waits fifteen seconds for the whole answer, but
+// only two and a half for its first word: held, it would leave without a word. It is told at once when to come back.
+Test(requestforwarder, aStreamThatCannotBeginInTimeIsRefusedAtOnce)
+{
+    const ScriptedUpstream upstream([](const std::string &) { return ScriptedAnswer { Whole }; });
+    Bench bench;
+    bench.configure(RequestKind::Stream, 1, false, Duration::seconds(15));
+    bench.addUpstream("u1", upstream);
+    HttpRequest request = Bench::request();
+    request.headers["apricotstep-model"] = "m/a7";
+    request.headers["apricotstep-deadline-ms"] = "15000";
+    bench.ordersIn = Duration(3000);
+    const auto refused = bench.send(request);
+    cr_assert_eq(refused->status(), 503);
+    cr_assert(refused->hasHeader("Retry-After"));
+    bench.ordersIn = std::nullopt;
+    cr_assert_eq(bench.send(request)->status(), 503, "cut off from those who order: another node may serve it");
+    bench.ordersIn = Duration(500);
+    const auto waiting = bench.send(request);
+    cr_assert_not(waiting->isDone());
+    cr_assert(upstream.requests().empty());
+}
