Mark addresses that nobody has answered from as such again

Cause: addSeed filled its entry by position; two fields that came in between made each seed a node that lives, holds another shard and had ordered nothing ever. A node counted seeds that it never heard as heard, and a new holder took their silence for known. Found by reading the change; the test failed before.

--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -18,7 +18,6 @@
 
 struct Other
 {
-    std::string peerAddress;
     Time heardAt;
     bool isLeaving = false;
     /** It holds another shard. */
@@ -41,7 +40,6 @@
     Incarnation incarnation;
     Time startedAt;
     absl::btree_map<NodeId, Other> others;
-    std::string selfAddress;
     /** Another node's claim was heard last at, and when it said that it gives orders. */
     Time claimHeardAt;
     NodeId claimant;
@@ -210,7 +208,10 @@
 
 void OrderLease::addSeed(const std::string &peerAddress, Time now)
 {
-    d->others.emplace(NodeId("seed " + peerAddress), Other { peerAddress, now, false, true, {} });
+    Other seed;
+    seed.heardAt = now;
+    seed.isSeed = true;
+    d->others.emplace(NodeId("seed " + peerAddress), seed);
 }
 
 std::optional<LeaseGrant> OrderLease::onMessage(const FleetMessage &message, Time now)
@@ -220,7 +221,6 @@
     }
     d->others.erase(NodeId("seed " + message.peerAddress));
     Other &other = d->others[message.sender];
-    other.peerAddress = message.peerAddress;
     other.heardAt = now;
     other.isLeaving = message.isLeaving;
     d->noteQuiet(other, message, now);
--- a/tests/coordination/testorderlease.cpp
+++ b/tests/coordination/testorderlease.cpp
@@ -362,6 +362,19 @@
     cr_assert(fleet.lease(other).holder(fleet.now()) == NodeId(holder));
 }
 
+// A node is told of addresses where others may be, and none of them answers. It has heard nobody: taken for nodes that live, the addresses
+// would make it believe that it is in touch with most of the fleet, and hold its callers' requests instead of sending them elsewhere.
+Test(orderlease, anAddressThatNobodyAnsweredFromIsNotHeard)
+{
+    const Time start { 1'000'000 };
+    OrderLease lease(OrderLeaseLimits {}, EngineShard(0), NodeId("node-09"), Incarnation(1), start);
+    for (const char *seed : { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" }) {
+        lease.addSeed(seed, start);
+    }
+    cr_assert_not(lease.hearsMajority(start + Duration(10)));
+    cr_assert_eq(lease.knownCount(start + Duration(10)), 4, "they count in the majority all the same");
+}
+
 // Kills, restarts, freezes, cuts, lost datagrams and clocks that jump come one over the other.
 Test(orderlease, anythingAtOnceNeverLetsTwoOrder)
 {
