Never promise as not run what an upstream may have begun

Cause: a resumable stream that broke off before its first event and then waited for an adapter that nobody could load was refused with 503, not run. The guard stands where every refusal of a job is made. Found by reading the change; the test failed before.

--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -604,7 +604,9 @@
         breakOff(std::string(errorAnswer(kind).word));
         return;
     }
-    const ErrorAnswer &answer = errorAnswer(kind);
+    // Wherever a job gives up: what an upstream may have begun is never promised as not run, or the caller runs it a second time.
+    const bool isFalsePromise = m_outcome == Outcome::MayHaveRun && errorAnswer(kind).runState == RunState::NotRun;
+    const ErrorAnswer &answer = errorAnswer(isFalsePromise ? ErrorKind::UpstreamFailed : kind);
     const bool isNotRun = answer.runState == RunState::NotRun;
     HttpHeaders headers { { "Content-Type", "application/json" } };
     if (isNotRun) {
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -354,3 +354,23 @@
     cr_assert_not(waiting->isDone());
     cr_assert(upstream.requests().empty());
 }
+
+// An upstream breaks off before the first event of a stream that may be resumed, so it may have run there. No other engine holds the
+// adapter, and nobody orders loads. The answer must not promise that nothing ran.
+Test(requestforwarder, whatMayHaveRunIsNeverRefusedAsNotRun)
+{
+    const ScriptedUpstream upstream([](const std::string &) { return ScriptedAnswer { "", ScriptedAnswer::Then::Close }; });
+    Bench bench;
+    bench.configure(RequestKind::Stream, 2, true);
+    bench.addUpstream("u1", upstream);
+    bench.beliefs.rows.put(EngineRow {
+        UpstreamId("u1"), 1, FencingToken(1), 1, { AdapterCopy { BaseModelId("m"), AdapterId("a7"), AdapterVersion("1"), true } } });
+    HttpRequest request = Bench::request();
+    request.headers["apricotstep-model"] = "m/a7";
+    bench.ordersIn = std::nullopt;
+    const auto caller = bench.send(request);
+    bench.runUntil([&] { return caller->isDone(); });
+    cr_assert_eq(upstream.requests().size(), 1);
+    cr_assert_eq(caller->status(), 502);
+    cr_assert_not(caller->hasHeader("Retry-After"));
+}
