Refuse, listen, split addresses and abandon an attempt in one place each

Refusals use the error body that the caller API has, in the shape that docs/ERRORS.md tells; the peers' port is served like the other ports, so that gone and overdue connections are noticed there as well; the plan learns its versions once a decision, and the lowest node is worked out once a count.

--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -86,10 +86,10 @@
         }
         return result;
     }
-    NodeId lowestCounted(Time now) const
+    NodeId lowestOf(const std::vector<std::pair<NodeId, const Other *>> &members) const
     {
         NodeId lowest = self;
-        for (const auto &[id, other] : counted(now)) {
+        for (const auto &[id, other] : members) {
             if (!other->isSeed) {
                 lowest = std::min(lowest, id);
             }
@@ -125,11 +125,12 @@
         if (promisedTo == self && now < promisedUntil) {
             granted.push_back(promisedUntil - limits.lease);
         }
-        bool hasLowest = !granted.empty() && lowestCounted(now) == self;
+        const NodeId lowest = lowestOf(members);
+        bool hasLowest = !granted.empty() && lowest == self;
         for (const auto &[id, other] : members) {
             if (other->grantedClaim && now < *other->grantedClaim + limits.lease - limits.margin) {
                 granted.push_back(*other->grantedClaim);
-                hasLowest = hasLowest || id == lowestCounted(now);
+                hasLowest = hasLowest || id == lowest;
             }
         }
         // An exact half leads when the lowest id is in it: of two halves only one has it.
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -11,7 +11,6 @@
 #include "platform/directory.h"
 #include "transport/ioloop.h"
 
-#include <absl/strings/numbers.h>
 #include <malloc.h>
 
 #include <algorithm>
@@ -48,20 +47,6 @@
 constexpr std::size_t MaxHeaderBytes = 24U << 10U;
 constexpr Duration ArrivalTimeout = Duration::seconds(30);
 
-struct Endpoint
-{
-    std::string ip;
-    std::uint16_t port = 0;
-};
-
-Endpoint parseEndpoint(const std::string &address)
-{
-    const std::size_t colon = address.rfind(':');
-    std::uint32_t port = 0;
-    static_cast<void>(absl::SimpleAtoi(address.substr(colon + 1), &port)); // A bad port shows when it is bound.
-    return Endpoint { address.substr(0, colon), static_cast<std::uint16_t>(port) };
-}
-
 } // namespace
 
 struct EntryNode::Private
@@ -200,8 +185,8 @@
     if (!shown.isOk()) {
         log.write(EventLog::Weight::Important, "node", "no_metrics", { { "reason", shown.error().detail } });
     }
-    const Endpoint peerEndpoint = parseEndpoint(settings.peerAddress);
-    const auto served = peers->start(peerEndpoint.ip, std::to_string(peerEndpoint.port));
+    const auto served = listen(settings.peerAddress,
+        [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { peers->answer(request, *exchange); });
     if (!served.isOk()) {
         return served.error();
     }
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -3,8 +3,6 @@
 #include "core/hash.h"
 #include "protocol/fleetcodec.h"
 
-#include <absl/strings/numbers.h>
-
 #include <algorithm>
 #include <map>
 #include <random>
@@ -33,14 +31,6 @@
 constexpr std::size_t RowsInDatagram = 6;
 constexpr EventLog::Weight Important = EventLog::Weight::Important;
 
-std::pair<std::string, std::uint16_t> splitAddress(const std::string &address)
-{
-    const std::size_t colon = address.rfind(':');
-    std::uint32_t port = 0;
-    static_cast<void>(absl::SimpleAtoi(address.substr(colon + 1), &port)); // Port 0 fails to be what peers expect, and bind says so.
-    return { address.substr(0, colon), static_cast<std::uint16_t>(port) };
-}
-
 } // namespace
 
 struct FleetLink::Private : std::enable_shared_from_this<FleetLink::Private>
@@ -376,8 +366,8 @@
 
 Result<bool> FleetLink::start()
 {
-    const auto [ip, port] = splitAddress(d->identity.peerAddress);
-    auto socket = UdpSocket::open(ip, port);
+    const Endpoint endpoint = parseEndpoint(d->identity.peerAddress);
+    auto socket = UdpSocket::open(endpoint.ip, endpoint.port);
     if (!socket.isOk()) {
         return socket.error();
     }
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -113,9 +113,6 @@
     if (plan == nullptr || fence != *token) {
         fence = *token;
         plan = std::make_unique<AdapterPlan>(AdapterPlanLimits {}, fence);
-        for (const auto &[adapter, known] : beliefs.versions) {
-            plan->setVersion(adapter, known.version);
-        }
         log.write(EventLog::Weight::Important, "orders", "started",
             { { "shard", std::int64_t(shard.value()) }, { "fence", static_cast<std::int64_t>(fence.value()) } });
     }
--- a/main/entry/peerservice.cpp
+++ b/main/entry/peerservice.cpp
@@ -1,7 +1,5 @@
 #include "main/entry/peerservice.h"
 
-#include <absl/strings/numbers.h>
-
 #include <utility>
 
 namespace ApricotStep
@@ -25,7 +23,6 @@
     IoLoop &loop;
     EventLog &log;
     StoreReader &store;
-    std::unique_ptr<HttpServer> server;
     bool isFetching = false;
 
     Private(IoLoop &loop, EventLog &log, StoreReader &store)
@@ -35,19 +32,9 @@
     {
     }
 
-    void answer(const HttpRequest &request, HttpExchange &exchange) const;
     void fetch(const Peer &peer);
 };
 
-void PeerService::Private::answer(const HttpRequest &request, HttpExchange &exchange) const
-{
-    if (request.path == CopyPath) {
-        exchange.respond(OkStatus, { { "Content-Type", "application/json" } }, store.copyForPeers());
-    } else {
-        exchange.respond(NotFoundStatus, {}, "");
-    }
-}
-
 void PeerService::Private::fetch(const Peer &peer)
 {
     HttpCall call;
@@ -82,24 +69,13 @@
 
 PeerService::~PeerService() = default;
 
-Result<bool> PeerService::start(const std::string &address, const std::string &port)
+void PeerService::answer(const HttpRequest &request, HttpExchange &exchange) const
 {
-    HttpServerSettings settings;
-    settings.address = address;
-    std::uint32_t number = 0;
-    if (!absl::SimpleAtoi(port, &number) || number > UINT16_MAX) {
-        return Error { ErrorKind::SettingsInvalid, "'" + port + "' is no port" };
-    }
-    settings.port = static_cast<std::uint16_t>(number);
-    settings.isDriven = true;
-    auto server = HttpServer::start(
-        settings, [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { d->answer(request, *exchange); });
-    if (!server.isOk()) {
-        return server.error();
+    if (request.path == CopyPath) {
+        exchange.respond(OkStatus, { { "Content-Type", "application/json" } }, d->store.copyForPeers());
+    } else {
+        exchange.respond(NotFoundStatus, {}, "");
     }
-    d->server = std::move(server.value());
-    d->loop.add(d->server.get());
-    return true;
 }
 
 void PeerService::fetchFrom(const Peer &peer)
--- a/main/entry/peerservice.h
+++ b/main/entry/peerservice.h
@@ -23,8 +23,8 @@
     PeerService(IoLoop &loop, EventLog &log, StoreReader &store);
     ~PeerService();
 
-    /** Serves other nodes at @p address (IP number and port). Errors: SettingsInvalid. */
-    Result<bool> start(const std::string &address, const std::string &port);
+    /** Answers another node. */
+    void answer(const HttpRequest &request, HttpExchange &exchange) const;
     /** Fetches what @p peer has read, unless that is on its way already. */
     void fetchFrom(const Peer &peer);
 
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -1,11 +1,10 @@
 #include "main/entry/requestforwarder.h"
 
 #include "coordination/retrybudget.h"
+#include "main/entry/refusal.h"
 #include "main/entry/requestjob.h"
 #include "platform/requests.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -17,7 +16,7 @@
 {
 
 // A node that does not know a configuration yet will know one within a few round trips.
-constexpr const char *RetryAfterStart = "0.3";
+constexpr Duration RetryAfterStart { 300 };
 // How long a sight of crowded copies counts: two messages to the others.
 constexpr Duration CrowdedMemory { 500 };
 // What this node may take of the fleet's allowance: others may count fewer nodes than there are.
@@ -129,16 +128,8 @@
 void RequestForwarder::Private::refuse(HttpExchange &exchange, const std::string &id, ErrorKind kind, const std::string &detail)
 {
     const ErrorAnswer &answer = errorAnswer(kind);
-    HttpHeaders headers { { "Content-Type", "application/json" } };
-    if (answer.retry != RetryAdvice::Never) {
-        headers.emplace_back("Retry-After", RetryAfterStart);
-    }
-    if (m_callbacks.isLeaving()) {
-        headers.emplace_back("Connection", "close");
-    }
-    const nlohmann::json body { { "error",
-        { { "message", answer.sentence }, { "code", answer.word }, { "not_run", true }, { "retry", retryAdviceWord(answer.retry) } } } };
-    exchange.respond(answer.httpStatus, headers, body.dump());
+    const Duration retryAfter = answer.retry != RetryAdvice::Never ? RetryAfterStart : Duration(0);
+    ApricotStep::refuse(exchange, kind, { retryAfter, m_callbacks.isLeaving() });
     m_log.write(EventLog::Weight::Important, "request", "refused",
         { { "request", id }, { "reason", std::string(answer.word) }, { "detail", detail } });
 }
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -1,11 +1,9 @@
 #include "main/entry/requestjob.h"
 
 #include "core/result.h"
-
-#include <nlohmann/json.hpp>
+#include "main/entry/refusal.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 namespace ApricotStep
@@ -60,13 +58,6 @@
     return std::find(std::begin(PromisingStatuses), std::end(PromisingStatuses), status) != std::end(PromisingStatuses);
 }
 
-std::string retryAfterText(Duration wait)
-{
-    char text[16] = {};
-    std::snprintf(text, sizeof text, "%.3f", wait.toSeconds());
-    return text;
-}
-
 } // namespace
 
 RequestJob::RequestJob(RequestContext &context, std::uint64_t number, HttpRequest request, Platform::CallerRequest decoded,
@@ -385,12 +376,8 @@
     }
     if (!m_isStreaming) {
         m_isStreaming = true;
-        HttpHeaders headers = m_answer->callerHeaders;
-        if (m_context.callbacks().isLeaving()) {
-            headers.emplace_back("Connection", "close");
-        }
         m_context.metrics().firstAnswer(m_route.kind, now() - m_arrivedAt);
-        m_exchange->beginStream(m_answer->status, headers);
+        m_exchange->beginStream(m_answer->status, withConnection(m_answer->callerHeaders, m_context.callbacks().isLeaving()));
         m_context.log().write(Step, "request", "streaming",
             { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "afterMs", (now() - m_arrivedAt).milliseconds() } });
     }
@@ -449,6 +436,17 @@
     m_call = 0;
 }
 
+bool RequestJob::abandonAttempt()
+{
+    if (m_phase != Phase::Sent && m_phase != Phase::Answering) {
+        return false;
+    }
+    const CallId call = m_call;
+    endAttempt();
+    m_context.loop().client().cancel(call);
+    return true;
+}
+
 void RequestJob::onDone(const CallResult &result)
 {
     if (m_phase == Phase::Ended) {
@@ -578,11 +576,7 @@
         refuse(ErrorKind::UpstreamFailed, RetryAfterRefusal);
         return;
     }
-    HttpHeaders headers = answer.callerHeaders;
-    if (m_context.callbacks().isLeaving()) {
-        headers.emplace_back("Connection", "close");
-    }
-    m_exchange->respond(answer.status, headers, std::move(body));
+    m_exchange->respond(answer.status, withConnection(answer.callerHeaders, m_context.callbacks().isLeaving()), std::move(body));
     const bool isServed = isSuccess(answer.status);
     end(isServed ? RequestOutcome::Served : RequestOutcome::Failed, isServed ? "" : "the upstream failed");
 }
@@ -606,20 +600,10 @@
     }
     // Wherever a job gives up: what an upstream may have begun is never promised as not run, or the caller runs it a second time.
     const bool isFalsePromise = m_outcome == Outcome::MayHaveRun && errorAnswer(kind).runState == RunState::NotRun;
-    const ErrorAnswer &answer = errorAnswer(isFalsePromise ? ErrorKind::UpstreamFailed : kind);
-    const bool isNotRun = answer.runState == RunState::NotRun;
-    HttpHeaders headers { { "Content-Type", "application/json" } };
-    if (isNotRun) {
-        headers.emplace_back("Retry-After", retryAfterText(retryAfter));
-    }
-    if (m_context.callbacks().isLeaving()) {
-        headers.emplace_back("Connection", "close");
-    }
-    const nlohmann::json body { { "error",
-        { { "message", answer.sentence }, { "code", answer.word }, { "not_run", isNotRun },
-            { "retry", retryAdviceWord(answer.retry) } } } };
-    m_exchange->respond(answer.httpStatus, headers, body.dump());
-    end(isNotRun ? RequestOutcome::Refused : RequestOutcome::Failed, std::string(answer.word));
+    const ErrorKind told = isFalsePromise ? ErrorKind::UpstreamFailed : kind;
+    const bool isNotRun = errorAnswer(told).runState == RunState::NotRun;
+    ApricotStep::refuse(*m_exchange, told, { isNotRun ? retryAfter : Duration(0), m_context.callbacks().isLeaving() });
+    end(isNotRun ? RequestOutcome::Refused : RequestOutcome::Failed, std::string(errorAnswer(told).word));
 }
 
 void RequestJob::breakOff(const std::string &reason)
@@ -636,12 +620,7 @@
     if (m_phase == Phase::Ended) {
         return;
     }
-    const bool isAtUpstream = m_phase == Phase::Sent || m_phase == Phase::Answering;
-    if (isAtUpstream) {
-        const CallId call = m_call;
-        endAttempt();
-        m_context.loop().client().cancel(call);
-    }
+    const bool isAtUpstream = abandonAttempt();
     giveUp(isAtUpstream || m_outcome == Outcome::MayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::NoUpstream);
 }
 
@@ -650,11 +629,7 @@
     if (m_phase == Phase::Ended) {
         return;
     }
-    if (m_phase == Phase::Sent || m_phase == Phase::Answering) {
-        const CallId call = m_call;
-        endAttempt();
-        m_context.loop().client().cancel(call);
-    }
+    abandonAttempt();
     end(RequestOutcome::CallerGone, "");
 }
 
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -93,6 +93,8 @@
     void onStreamBroken();
     void onServerFailure();
     void endAttempt();
+    /** Ends the attempt in progress, which tells its upstream to stop; false when there is none. */
+    bool abandonAttempt();
     void retryOrGiveUp(ErrorKind kind);
 
     void deliver(const Platform::UpstreamAnswer &answer, std::string body);
--- a/tests/main/testentrynode.cpp
+++ b/tests/main/testentrynode.cpp
@@ -32,6 +32,14 @@
     return absl::StrCat(R"({"key":")", key, R"(","value":")", absl::Base64Escape(value), R"(","revision":2,"createRevision":2,"lease":0})");
 }
 
+/** An upstream that serves every request. */
+ScriptedAnswer answerWhole(const std::string &)
+{
+    return ScriptedAnswer {
+        "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole"
+    };
+}
+
 /** The store with one configuration and one upstream, which never change. */
 ScriptedAnswer storeAnswer(const std::string &request, const std::string &upstreamAddress)
 {
@@ -145,11 +153,7 @@
 // a request to the one upstream and its answer back.
 Test(entrynode, aRequestGoesThroughToItsUpstream)
 {
-    const ScriptedUpstream upstream([](const std::string &) {
-        return ScriptedAnswer {
-            "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole"
-        };
-    });
+    const ScriptedUpstream upstream(&answerWhole);
     const ScriptedUpstream store([&](const std::string &request) { return storeAnswer(request, upstream.address()); });
     const auto settings = settingsFor(store);
     HttpClient client;
@@ -182,11 +186,7 @@
 // A second node starts while the store is down for it alone. It learns the configuration and the upstreams from the first, and serves.
 Test(entrynode, aNodeWithoutTheStoreLearnsFromItsNeighbour)
 {
-    const ScriptedUpstream upstream([](const std::string &) {
-        return ScriptedAnswer {
-            "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole"
-        };
-    });
+    const ScriptedUpstream upstream(&answerWhole);
     const ScriptedUpstream store([&](const std::string &request) { return storeAnswer(request, upstream.address()); });
     const ScriptedUpstream down([](const std::string &) { return ScriptedAnswer { "", ScriptedAnswer::Then::Reset }; });
     const auto first = settingsFor(store);
@@ -205,11 +205,7 @@
 // A node gets SIGTERM. It says at once that it takes nothing more, still answers who came late, and ends when all answers are out.
 Test(entrynode, aLeavingNodeIsNotReadyButStillAnswers)
 {
-    const ScriptedUpstream upstream([](const std::string &) {
-        return ScriptedAnswer {
-            "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole"
-        };
-    });
+    const ScriptedUpstream upstream(&answerWhole);
     const ScriptedUpstream store([&](const std::string &request) { return storeAnswer(request, upstream.address()); });
     const auto settings = settingsFor(store);
     HttpClient client;
--- a/transport/udpsocket.cpp
+++ b/transport/udpsocket.cpp
@@ -43,6 +43,16 @@
 
 } // namespace
 
+Endpoint parseEndpoint(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    std::uint32_t port = 0;
+    if (colon == std::string::npos || !absl::SimpleAtoi(address.substr(colon + 1), &port) || port > UINT16_MAX) {
+        port = 0;
+    }
+    return Endpoint { address.substr(0, colon), static_cast<std::uint16_t>(port) };
+}
+
 struct UdpSocket::Private
 {
     int socket = -1;
--- a/transport/udpsocket.h
+++ b/transport/udpsocket.h
@@ -11,6 +11,16 @@
 namespace ApricotStep
 {
 
+/** An IP number and a port. */
+struct Endpoint
+{
+    std::string ip;
+    std::uint16_t port = 0;
+};
+
+/** Splits host:port. What is no port becomes 0, which no peer expects; binding it shows. */
+Endpoint parseEndpoint(const std::string &address);
+
 /** A non-blocking UDP socket, read by one thread of its own or by whoever calls receive(). */
 class UdpSocket
 {
