Weigh wants and loads of upstreams from sums that are kept

A holder of orders added up what 134 nodes said for each of 140 engines and each copy at every decision, which is more than its share of a core. Sums now follow each message. Wants are met in the order of their waiting and not of their names, and rows are counted for the whole plan: those of an engine that started again under its id were taken for old ones. Both have a test that failed before.

--- /dev/null
+++ b/coordination/adapterdemand.cpp
@@ -0,0 +1,119 @@
+#include "coordination/adapterdemand.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// How often silent nodes and forgotten adapters are looked for: a small part of the time for which what a node said counts.
+constexpr Duration SweepInterval { 250 };
+// An adapter below this has had no request for five half lives; ten thousand of them would take a megabyte.
+constexpr double LeastPopularity = 0.03;
+
+} // namespace
+
+AdapterDemand::AdapterDemand(Duration popularityHalfLife)
+    : m_popularityHalfLife(popularityHalfLife)
+{
+}
+
+void AdapterDemand::onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now)
+{
+    m_nodes[node] = NodeUses { uses, now };
+    m_isChanged = true;
+    for (const AdapterUse &use : uses) {
+        if (use.count > 0) {
+            const AdapterRef adapter { use.model, use.adapter };
+            m_popularity[adapter] = Popularity { popularity(adapter, now) + use.count, now };
+        }
+    }
+}
+
+void AdapterDemand::onWants(const NodeId &node, const std::vector<AdapterUse> &wants, Time now)
+{
+    NodeUses &known = m_nodes[node];
+    std::erase_if(known.uses, [](const AdapterUse &use) { return use.engine.isEmpty() && !use.isCrowded; });
+    known.uses.insert(known.uses.end(), wants.begin(), wants.end());
+    known.heardAt = now;
+    m_isChanged = true;
+}
+
+void AdapterDemand::refresh(Time now)
+{
+    if (now - m_sweptAt >= SweepInterval) {
+        m_sweptAt = now;
+        forgetSilent(now);
+        forgetUnpopular(now);
+    }
+    if (m_isChanged) {
+        m_isChanged = false;
+        collect(now);
+    }
+}
+
+void AdapterDemand::forgetSilent(Time now)
+{
+    const auto isSilent = [now](const auto &entry) { return now - entry.second.heardAt > UseMemory; };
+    m_isChanged = absl::erase_if(m_nodes, isSilent) > 0 || m_isChanged;
+}
+
+void AdapterDemand::forgetUnpopular(Time now)
+{
+    absl::erase_if(m_popularity, [this, now](const auto &entry) { return popularity(entry.first, now) < LeastPopularity; });
+}
+
+void AdapterDemand::collect(Time now)
+{
+    absl::flat_hash_map<AdapterRef, Time> wantedSince;
+    for (const AdapterWant &want : m_wants) {
+        wantedSince.emplace(want.adapter, want.since);
+    }
+    m_used.clear();
+    absl::flat_hash_map<AdapterRef, bool> wanted;
+    for (const auto &[node, known] : m_nodes) {
+        for (const AdapterUse &use : known.uses) {
+            AdapterRef adapter { use.model, use.adapter };
+            if (!use.engine.isEmpty()) {
+                m_used.emplace(use.engine, std::move(adapter));
+                continue;
+            }
+            // One node that finds no copy at all outweighs others that find the copies crowded.
+            const auto [at, isNew] = wanted.emplace(std::move(adapter), use.isCrowded);
+            at->second = at->second && use.isCrowded;
+        }
+    }
+    m_wants.clear();
+    for (const auto &[adapter, isCrowded] : wanted) {
+        const auto since = wantedSince.find(adapter);
+        m_wants.push_back(AdapterWant { adapter, isCrowded, since != wantedSince.end() ? since->second : now });
+    }
+    std::sort(m_wants.begin(), m_wants.end(), [](const AdapterWant &a, const AdapterWant &b) {
+        return std::tie(a.isCrowded, a.since, a.adapter) < std::tie(b.isCrowded, b.since, b.adapter);
+    });
+}
+
+bool AdapterDemand::isUsed(const UpstreamId &engine, const AdapterRef &adapter) const
+{
+    return m_used.contains(std::pair(engine, adapter));
+}
+
+const std::vector<AdapterWant> &AdapterDemand::wants() const
+{
+    return m_wants;
+}
+
+double AdapterDemand::popularity(const AdapterRef &adapter, Time now) const
+{
+    const auto at = m_popularity.find(adapter);
+    if (at == m_popularity.end()) {
+        return 0;
+    }
+    return at->second.value * std::exp2(-(now - at->second.at).toSeconds() / m_popularityHalfLife.toSeconds());
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/adapterdemand.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "coordination/enginerows.h"
+#include "coordination/fleetmessage.h"
+#include "core/clock.h"
+#include "core/strongid.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <utility>
+#include <vector>
+
+namespace ApricotStep
+{
+
+/** An adapter that requests wait for. */
+struct AdapterWant
+{
+    AdapterRef adapter;
+    /** Copies stand somewhere, but requests would wait too long there. */
+    bool isCrowded = false;
+    /** Since when it is wanted without a break. */
+    Time since;
+};
+
+/**
+ * What the nodes together run and wait for, adapter by adapter. Not thread-safe.
+ *
+ * The sums are made once after each message and not at each question: a plan asks for each copy of each engine whether a request runs on it.
+ */
+class AdapterDemand
+{
+public:
+    /** What a node said counts for this long: six messages missed. */
+    static constexpr Duration UseMemory { 1500 };
+
+    explicit AdapterDemand(Duration popularityHalfLife);
+
+    /** What @p node runs and waits for; replaces what it said before. */
+    void onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now);
+    /** What @p node waits for now; what it runs stays as it said before. */
+    void onWants(const NodeId &node, const std::vector<AdapterUse> &wants, Time now);
+    /** Brings the sums up to @p now; the questions below are about that moment. */
+    void refresh(Time now);
+
+    bool isUsed(const UpstreamId &engine, const AdapterRef &adapter) const;
+    /** Those that stand nowhere first, then by how long they have waited: under a limit on loads no name comes before another for good. */
+    const std::vector<AdapterWant> &wants() const;
+    /** Requests for it, each counting half after the half life. */
+    double popularity(const AdapterRef &adapter, Time now) const;
+
+private:
+    struct Popularity
+    {
+        double value = 0;
+        Time at;
+    };
+    struct NodeUses
+    {
+        std::vector<AdapterUse> uses;
+        Time heardAt;
+    };
+
+    void forgetSilent(Time now);
+    void forgetUnpopular(Time now);
+    void collect(Time now);
+
+    Duration m_popularityHalfLife;
+    absl::flat_hash_map<NodeId, NodeUses> m_nodes;
+    absl::flat_hash_map<AdapterRef, Popularity> m_popularity;
+    absl::flat_hash_set<std::pair<UpstreamId, AdapterRef>> m_used;
+    std::vector<AdapterWant> m_wants;
+    bool m_isChanged = false;
+    Time m_sweptAt;
+};
+
+} // namespace ApricotStep
--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -1,11 +1,9 @@
 #include "coordination/adapterplan.h"
 
+#include "coordination/adapterdemand.h"
 #include "core/hash.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <map>
 #include <optional>
@@ -43,7 +41,11 @@
 struct Engine
 {
     PlannedEngine planned;
-    UpstreamRecord record;
+    UpstreamId id;
+    /** The start of the engine that this speaks of. */
+    std::int64_t startedAt = 0;
+    /** The row that this was last taken from, of an engine that another plan orders. */
+    std::pair<FencingToken, std::uint64_t> rowTaken;
     std::map<AdapterRef, Copy> copies;
     /** Base models on their way, since when. */
     std::map<BaseModelId, Time> loadingModels;
@@ -57,20 +59,9 @@
     std::map<AdapterRef, Time> droppedAt;
     /** Copies that it held lately: it loads them again ten times as fast, and not from the store. */
     std::map<AdapterRef, Time> warm;
-    std::uint64_t sequence = 0;
     bool isChanged = true;
-};
-
-struct Popularity
-{
-    double value = 0;
-    Time at;
-};
-
-struct NodeUses
-{
-    std::vector<AdapterUse> uses;
-    Time heardAt;
+    /** The copy that would yield first, once it has been asked for in this round. */
+    std::optional<std::optional<AdapterRef>> firstToYield;
 };
 
 // An engine keeps some dozens of dropped adapters at hand; beyond that the oldest are forgotten.
@@ -85,9 +76,6 @@
     }
 }
 
-// What a node said counts for this long: six messages missed.
-constexpr Duration UseMemory { 1500 };
-
 } // namespace
 
 struct AdapterPlan::Private
@@ -96,28 +84,38 @@
     FencingToken fence;
     std::map<UpstreamId, Engine> engines;
     std::map<AdapterRef, AdapterVersion> versions;
-    std::map<AdapterRef, Popularity> popularity;
-    absl::flat_hash_map<NodeId, NodeUses> nodes;
+    AdapterDemand demand;
     PlanTurn turn;
-    /** Adapters that are wanted, since when. */
-    std::map<AdapterRef, Time> wantedSince;
+    /** Adapters on their way to all engines, in this round. */
+    int underWay = 0;
+    /**
+     * Rows told, of all engines together. Counted for each engine, an engine that starts again under its id would begin at one, and all nodes
+     * would take its rows for older ones than those of its former start: they send to copies that are gone until the count has caught up.
+     */
+    std::uint64_t rowsTold = 0;
+
+    Private(AdapterPlanLimits limits, FencingToken fence)
+        : limits(limits)
+        , fence(fence)
+        , demand(limits.popularityHalfLife)
+    {
+    }
 
-    bool isOurTurn(const AdapterRef &adapter, Time now) const;
+    bool isOurTurn(const AdapterWant &want, Time now) const;
     void takeOwn(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now) const;
     static void takeForeign(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now);
-    double popularityOf(const AdapterRef &adapter, Time now) const;
-    void addPopularity(const AdapterRef &adapter, double count, Time now);
-    bool isUsed(const UpstreamId &engine, const AdapterRef &adapter, Time now) const;
-    int loadsUnderWay() const;
+    int loadsAtOnce() const;
+    void beginRound(Time now);
     static int loadsUnderWay(const Engine &engine);
     static bool hasOverfullPlaces(const Engine &engine);
     static bool holdsModel(const Engine &engine, const BaseModelId &model);
     AdapterVersion newestVersion(const AdapterRef &adapter) const;
 
-    std::optional<AdapterRef> victim(const UpstreamId &id, const Engine &engine, Time now) const;
-    std::optional<double> costOfPlace(const UpstreamId &id, const Engine &engine, const AdapterRef &adapter, Time now) const;
+    std::optional<AdapterRef> victim(const Engine &engine, Time now) const;
+    const std::optional<AdapterRef> &firstToYield(Engine &engine, Time now) const;
+    std::optional<double> costOfPlace(Engine &engine, const AdapterRef &adapter, Time now) const;
     double waitAt(const Engine &engine) const;
-    void place(const AdapterRef &adapter, bool isCrowded, Time now, std::vector<PlanAction> &actions);
+    void place(const AdapterWant &want, bool isReady, Time now, std::vector<PlanAction> &actions);
     void beginLoad(const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions);
     void verify(const AdapterRef &adapter, Time now);
     void serveWants(Time now, std::vector<PlanAction> &actions);
@@ -132,35 +130,6 @@
     void takeCopies(Engine &engine, const EngineReport &report, Time askedAt) const;
 };
 
-double AdapterPlan::Private::popularityOf(const AdapterRef &adapter, Time now) const
-{
-    const auto at = popularity.find(adapter);
-    if (at == popularity.end()) {
-        return 0;
-    }
-    return at->second.value * std::exp2(-(now - at->second.at).toSeconds() / limits.popularityHalfLife.toSeconds());
-}
-
-void AdapterPlan::Private::addPopularity(const AdapterRef &adapter, double count, Time now)
-{
-    popularity[adapter] = Popularity { popularityOf(adapter, now) + count, now };
-}
-
-bool AdapterPlan::Private::isUsed(const UpstreamId &engine, const AdapterRef &adapter, Time now) const
-{
-    for (const auto &[node, known] : nodes) {
-        if (now - known.heardAt > UseMemory) {
-            continue;
-        }
-        for (const AdapterUse &use : known.uses) {
-            if (use.engine == engine && use.adapter == adapter.adapter && use.model == adapter.model) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
 int AdapterPlan::Private::loadsUnderWay(const Engine &engine)
 {
     return static_cast<int>(std::count_if(engine.copies.begin(), engine.copies.end(),
@@ -174,13 +143,20 @@
     return !engine.isReported || static_cast<int>(engine.copies.size()) > engine.planned.spec->adapterSlots;
 }
 
-int AdapterPlan::Private::loadsUnderWay() const
+// A large fleet's store bears more at once; nothing tells how many, but it grows with the engines that it was made for.
+int AdapterPlan::Private::loadsAtOnce() const
 {
-    int sum = 0;
-    for (const auto &[id, engine] : engines) {
-        sum += loadsUnderWay(engine);
+    return std::max(limits.loadsAtOnce, static_cast<int>(engines.size()) / limits.enginesForOneLoad);
+}
+
+void AdapterPlan::Private::beginRound(Time now)
+{
+    demand.refresh(now);
+    underWay = 0;
+    for (auto &[id, engine] : engines) {
+        underWay += loadsUnderWay(engine);
+        engine.firstToYield.reset();
     }
-    return sum;
 }
 
 bool AdapterPlan::Private::holdsModel(const Engine &engine, const BaseModelId &model)
@@ -199,15 +175,15 @@
     return engine.planned.pendingTokens / limits.promptTokensPerMs + engine.planned.running * limits.runningCostMs;
 }
 
-std::optional<AdapterRef> AdapterPlan::Private::victim(const UpstreamId &id, const Engine &engine, Time now) const
+std::optional<AdapterRef> AdapterPlan::Private::victim(const Engine &engine, Time now) const
 {
     std::optional<AdapterRef> least;
     double leastValue = std::numeric_limits<double>::max();
     for (const auto &[adapter, copy] : engine.copies) {
-        if (copy.state != CopyState::Ready || now - copy.since < limits.minimumStay || isUsed(id, adapter, now)) {
+        if (copy.state != CopyState::Ready || now - copy.since < limits.minimumStay || demand.isUsed(engine.id, adapter)) {
             continue;
         }
-        const double value = popularityOf(adapter, now);
+        const double value = demand.popularity(adapter, now);
         if (value < leastValue) {
             least = adapter;
             leastValue = value;
@@ -216,9 +192,17 @@
     return least;
 }
 
+// Each want is weighed against each engine; without this, each engine's copies would be gone through once for each want.
+const std::optional<AdapterRef> &AdapterPlan::Private::firstToYield(Engine &engine, Time now) const
+{
+    if (!engine.firstToYield) {
+        engine.firstToYield = victim(engine, now);
+    }
+    return *engine.firstToYield;
+}
+
 // Empty when the engine cannot take it now.
-std::optional<double> AdapterPlan::Private::costOfPlace(
-    const UpstreamId &id, const Engine &engine, const AdapterRef &adapter, Time now) const
+std::optional<double> AdapterPlan::Private::costOfPlace(Engine &engine, const AdapterRef &adapter, Time now) const
 {
     const bool isBarred = now < engine.downUntil || !engine.isReported || !engine.planned.isOrdered || engine.planned.spec == nullptr
         || engine.planned.share <= 0 || engine.copies.contains(adapter);
@@ -230,11 +214,11 @@
         // Free places are filled evenly: an engine with few copies gets few requests.
         return cost + limits.evictionCostMs * static_cast<double>(engine.copies.size()) / std::max(engine.planned.spec->adapterSlots, 1);
     }
-    const auto least = victim(id, engine, now);
+    const auto &least = firstToYield(engine, now);
     if (!least) {
         return std::nullopt;
     }
-    return cost + limits.evictionCostMs * (1 + popularityOf(*least, now));
+    return cost + limits.evictionCostMs * (1 + demand.popularity(*least, now));
 }
 
 EngineOrder AdapterPlan::Private::loadOrder(const UpstreamId &id, const AdapterRef &adapter) const
@@ -252,16 +236,19 @@
 {
     engine.copies[adapter] = Copy { newestVersion(adapter), CopyState::Ordered, now, Time::never(), now, true };
     engine.isChanged = true;
+    ++underWay;
     actions.emplace_back(GiveOrder { loadOrder(id, adapter) });
 }
 
-void AdapterPlan::Private::place(const AdapterRef &adapter, bool isCrowded, Time now, std::vector<PlanAction> &actions)
+// @p isReady: copies stand somewhere, so that this would be a further one.
+void AdapterPlan::Private::place(const AdapterWant &want, bool isReady, Time now, std::vector<PlanAction> &actions)
 {
-    if (loadsUnderWay() >= limits.loadsAtOnce) {
+    if (underWay >= loadsAtOnce()) {
         return;
     }
+    const AdapterRef &adapter = want.adapter;
     // All plans see nearly the same; so the plan whose engine is the best of all acts, and the others leave it to that one.
-    const bool isOnlyOwn = isOurTurn(adapter, now);
+    const bool isOnlyOwn = isOurTurn(want, now);
     Engine *best = nullptr;
     UpstreamId bestId;
     double bestCost = std::numeric_limits<double>::max();
@@ -270,14 +257,14 @@
         if (engine.copies.contains(adapter) && now >= engine.downUntil) {
             presentWait = std::min(presentWait, waitAt(engine));
         }
-        const auto cost = !isOnlyOwn || engine.planned.isOwn ? costOfPlace(id, engine, adapter, now) : std::nullopt;
+        const auto cost = !isOnlyOwn || engine.planned.isOwn ? costOfPlace(engine, adapter, now) : std::nullopt;
         if (cost && *cost < bestCost) {
             best = &engine;
             bestId = id;
             bestCost = *cost;
         }
     }
-    if (best == nullptr || !best->planned.isOwn || (isCrowded && bestCost + limits.crowdedGainMs > presentWait)) {
+    if (best == nullptr || !best->planned.isOwn || (isReady && bestCost + limits.crowdedGainMs > presentWait)) {
         return;
     }
     if (static_cast<int>(best->copies.size()) < best->planned.spec->adapterSlots) {
@@ -285,7 +272,8 @@
         return;
     }
     // The place is free once the engine says so; the want is still there then.
-    const AdapterRef least = *victim(bestId, *best, now);
+    const AdapterRef least = *firstToYield(*best, now);
+    best->firstToYield.reset();
     Copy &copy = best->copies[least];
     copy.state = CopyState::Dropping;
     copy.since = now;
@@ -312,25 +300,11 @@
 
 void AdapterPlan::Private::serveWants(Time now, std::vector<PlanAction> &actions)
 {
-    std::map<AdapterRef, bool> wants;
-    for (const auto &[node, known] : nodes) {
-        if (now - known.heardAt > UseMemory) {
-            continue;
-        }
-        for (const AdapterUse &use : known.uses) {
-            if (use.engine.isEmpty()) {
-                const AdapterRef adapter { use.model, use.adapter };
-                const auto [at, isNew] = wants.emplace(adapter, use.isCrowded);
-                at->second = at->second && use.isCrowded;
-            }
-        }
-    }
-    for (const auto &[adapter, isCrowded] : wants) {
-        wantedSince.emplace(adapter, now);
+    for (const AdapterWant &want : demand.wants()) {
         bool isUnderWay = false;
         bool isReady = false;
         for (const auto &[id, engine] : engines) {
-            const auto at = engine.copies.find(adapter);
+            const auto at = engine.copies.find(want.adapter);
             // A crashed engine's copies are listed until the store notices; requests that wait for them wait for nothing.
             if (at != engine.copies.end() && now >= engine.downUntil) {
                 isUnderWay = isUnderWay || at->second.state == CopyState::Ordered || at->second.state == CopyState::Loading;
@@ -340,13 +314,12 @@
         if (isUnderWay) {
             continue;
         }
-        if (isReady && !isCrowded) {
-            verify(adapter, now);
+        if (isReady && !want.isCrowded) {
+            verify(want.adapter, now);
         } else {
-            place(adapter, isReady, now, actions);
+            place(want, isReady, now, actions);
         }
     }
-    std::erase_if(wantedSince, [&wants](const auto &entry) { return !wants.contains(entry.first); });
 }
 
 void AdapterPlan::Private::askAgain(Time now, std::vector<PlanAction> &actions)
@@ -371,12 +344,10 @@
 }
 
 // A want that is still there after a turn was left by the plan whose engine looked best from here.
-bool AdapterPlan::Private::isOurTurn(const AdapterRef &adapter, Time now) const
+bool AdapterPlan::Private::isOurTurn(const AdapterWant &want, Time now) const
 {
-    const auto since = wantedSince.find(adapter);
-    const Duration waited = since == wantedSince.end() ? Duration(0) : now - since->second;
-    const auto rounds = static_cast<std::uint64_t>(waited.milliseconds() / limits.turnTime.milliseconds());
-    const std::uint64_t home = stableHash(adapter.model.value(), adapter.adapter.value());
+    const auto rounds = static_cast<std::uint64_t>((now - want.since).milliseconds() / limits.turnTime.milliseconds());
+    const std::uint64_t home = stableHash(want.adapter.model.value(), want.adapter.adapter.value());
     return rounds > 0 && (home + rounds) % std::max<std::size_t>(turn.count, 1) == turn.index;
 }
 
@@ -437,7 +408,7 @@
             continue;
         }
         engine.isChanged = false;
-        EngineRow row { id, engine.record.startedAt, fence, ++engine.sequence, {} };
+        EngineRow row { id, engine.startedAt, fence, ++rowsTold, {} };
         for (const auto &[adapter, copy] : engine.copies) {
             if (copy.state != CopyState::Dropping) {
                 row.copies.push_back(AdapterCopy { adapter.model, adapter.adapter, copy.version, copy.state == CopyState::Ready });
@@ -448,10 +419,8 @@
 }
 
 AdapterPlan::AdapterPlan(AdapterPlanLimits limits, FencingToken fence)
-    : d(std::make_unique<Private>())
+    : d(std::make_unique<Private>(limits, fence))
 {
-    d->limits = limits;
-    d->fence = fence;
 }
 
 AdapterPlan::~AdapterPlan() = default;
@@ -470,15 +439,17 @@
         } else {
             Private::takeForeign(engine, *planned, rows, now);
         }
-        engine.record = *planned->record;
+        engine.id = id;
+        engine.startedAt = planned->record->startedAt;
         engine.planned = *planned;
-        engine.planned.record = &engine.record;
+        // The caller's record is gone after this call.
+        engine.planned.record = nullptr;
     }
 }
 
 void AdapterPlan::Private::takeOwn(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now) const
 {
-    if (!engine.record.id.isEmpty() && engine.record.startedAt == planned.record->startedAt) {
+    if (!engine.id.isEmpty() && engine.planned.isOwn && engine.startedAt == planned.record->startedAt) {
         return;
     }
     engine = Engine {};
@@ -505,9 +476,15 @@
     for (const HeldModel &held : planned.record->models) {
         engine.models.push_back(held.id);
     }
+    const EngineRow *row = rows.row(*planned.record);
+    const auto version = row != nullptr ? std::pair(row->fence, row->sequence) : std::pair(FencingToken(), std::uint64_t(0));
+    if (version == engine.rowTaken && engine.startedAt == planned.record->startedAt) {
+        return;
+    }
+    engine.rowTaken = version;
     std::map<AdapterRef, Copy> former = std::move(engine.copies);
     engine.copies.clear();
-    if (const EngineRow *row = rows.row(*planned.record)) {
+    if (row != nullptr) {
         for (const AdapterCopy &copy : row->copies) {
             const AdapterRef adapter { copy.model, copy.adapter };
             const auto known = former.find(adapter);
@@ -533,20 +510,12 @@
 
 void AdapterPlan::onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now)
 {
-    d->nodes[node] = NodeUses { uses, now };
-    for (const AdapterUse &use : uses) {
-        if (use.count > 0) {
-            d->addPopularity(AdapterRef { use.model, use.adapter }, use.count, now);
-        }
-    }
+    d->demand.onUses(node, uses, now);
 }
 
 void AdapterPlan::onWants(const NodeId &node, const std::vector<AdapterUse> &wants, Time now)
 {
-    NodeUses &known = d->nodes[node];
-    std::erase_if(known.uses, [](const AdapterUse &use) { return use.engine.isEmpty() && !use.isCrowded; });
-    known.uses.insert(known.uses.end(), wants.begin(), wants.end());
-    known.heardAt = now;
+    d->demand.onWants(node, wants, now);
 }
 
 void AdapterPlan::onOrderAnswer(const EngineOrder &order, OrderAnswer answer, Time now)
@@ -680,6 +649,7 @@
 std::vector<PlanAction> AdapterPlan::decide(Time now)
 {
     std::vector<PlanAction> actions;
+    d->beginRound(now);
     d->replaceOld(now);
     d->loadModels(now, actions);
     d->serveWants(now, actions);
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -28,6 +28,8 @@
 {
     /** Adapters on their way from the store, over all engines. */
     int loadsAtOnce = 8;
+    /** Where there are more engines, one load under way for each so many of them: 48 for 140, 8 for 9. */
+    int enginesForOneLoad = 3;
     /** A want that no plan has met for so long goes round among the plans, each having it for this time. */
     Duration turnTime { 60 };
     /** Adapters on their way to one engine. */
@@ -92,6 +94,7 @@
 /** An engine as the plan sees it. */
 struct PlannedEngine
 {
+    /** Read in setEngines() only. */
     const UpstreamRecord *record = nullptr;
     const EngineSpec *spec = nullptr;
     double running = 0;
--- a/coordination/enginerows.h
+++ b/coordination/enginerows.h
@@ -20,6 +20,12 @@
     AdapterId adapter;
 
     auto operator<=>(const AdapterRef &) const = default;
+
+    template<typename H>
+    friend H AbslHashValue(H state, const AdapterRef &ref)
+    {
+        return H::combine(std::move(state), ref.model, ref.adapter);
+    }
 };
 
 /**
--- a/coordination/upstreambook.cpp
+++ b/coordination/upstreambook.cpp
@@ -5,6 +5,14 @@
 namespace ApricotStep
 {
 
+namespace
+{
+
+// How often silent peers are looked for: a small part of the time for which they count.
+constexpr Duration SweepInterval { 100 };
+
+} // namespace
+
 void UpstreamBook::onSent(const UpstreamId &upstream, std::uint32_t promptTokens)
 {
     UpstreamLoad &load = m_own[upstream];
@@ -32,30 +40,65 @@
 
 void UpstreamBook::onPeer(const NodeId &peer, const std::vector<UpstreamLoad> &loads, Time now)
 {
-    m_peers[peer] = Peer { now, loads };
+    Peer &known = m_peers[peer];
+    subtract(known.loads);
+    known = Peer { now, loads };
+    add(known.loads);
 }
 
-FleetLoad UpstreamBook::load(const UpstreamId &upstream, Time now) const
+void UpstreamBook::add(const std::vector<UpstreamLoad> &loads)
 {
-    FleetLoad sum;
-    const auto add = [&sum](const UpstreamLoad &load) {
+    for (const UpstreamLoad &load : loads) {
+        FleetLoad &sum = m_ofPeers[load.upstream];
         sum.running += load.running;
         sum.pendingTokens += load.pendingTokens;
-    };
-    const auto own = m_own.find(upstream);
-    if (own != m_own.end()) {
-        add(own->second);
     }
-    for (const auto &[id, peer] : m_peers) {
-        if (now - peer.heardAt > PeerMemory) {
-            continue;
+}
+
+void UpstreamBook::subtract(const std::vector<UpstreamLoad> &loads)
+{
+    for (const UpstreamLoad &load : loads) {
+        const auto at = m_ofPeers.find(load.upstream);
+        if (at == m_ofPeers.end()) {
+            continue; // Named twice with nothing running.
+        }
+        at->second.running -= load.running;
+        at->second.pendingTokens -= load.pendingTokens;
+        // Whole numbers below 2^53 add and subtract exactly, so an empty sum is an exact zero.
+        if (at->second.running == 0 && at->second.pendingTokens == 0) {
+            m_ofPeers.erase(at);
         }
-        for (const UpstreamLoad &load : peer.loads) {
-            if (load.upstream == upstream) {
-                add(load);
-            }
+    }
+}
+
+void UpstreamBook::forgetSilent(Time now)
+{
+    if (now - m_sweptAt < SweepInterval) {
+        return;
+    }
+    m_sweptAt = now;
+    for (auto at = m_peers.begin(); at != m_peers.end();) {
+        const auto current = at++;
+        if (now - current->second.heardAt > PeerMemory) {
+            subtract(current->second.loads);
+            m_peers.erase(current);
         }
     }
+}
+
+FleetLoad UpstreamBook::load(const UpstreamId &upstream, Time now)
+{
+    forgetSilent(now);
+    FleetLoad sum;
+    const auto ofPeers = m_ofPeers.find(upstream);
+    if (ofPeers != m_ofPeers.end()) {
+        sum = ofPeers->second;
+    }
+    const auto own = m_own.find(upstream);
+    if (own != m_own.end()) {
+        sum.running += own->second.running;
+        sum.pendingTokens += own->second.pendingTokens;
+    }
     return sum;
 }
 
--- a/coordination/upstreambook.h
+++ b/coordination/upstreambook.h
@@ -23,6 +23,7 @@
  * Counts what this node and the others have sent to each upstream. Not thread-safe.
  *
  * A node that counts only its own requests sees a twelfth of an engine's load and sends more to the one that all others chose as well.
+ * Sums are kept as messages come: adding up all nodes at each look took a holder of orders more time than it had, with 134 nodes.
  */
 class UpstreamBook
 {
@@ -37,7 +38,7 @@
     void onEnded(const UpstreamId &upstream, std::uint32_t unreadTokens);
     void onPeer(const NodeId &peer, const std::vector<UpstreamLoad> &loads, Time now);
 
-    FleetLoad load(const UpstreamId &upstream, Time now) const;
+    FleetLoad load(const UpstreamId &upstream, Time now);
     /** This node's own part, for the others. */
     std::vector<UpstreamLoad> own() const;
 
@@ -48,8 +49,16 @@
         std::vector<UpstreamLoad> loads;
     };
 
+    void add(const std::vector<UpstreamLoad> &loads);
+    void subtract(const std::vector<UpstreamLoad> &loads);
+    /** Takes out peers that fell silent. */
+    void forgetSilent(Time now);
+
     absl::btree_map<UpstreamId, UpstreamLoad> m_own;
     absl::flat_hash_map<NodeId, Peer> m_peers;
+    /** What all peers together have at each upstream. */
+    absl::flat_hash_map<UpstreamId, FleetLoad> m_ofPeers;
+    Time m_sweptAt;
 };
 
 } // namespace ApricotStep
--- a/tests/coordination/testadapterplan.cpp
+++ b/tests/coordination/testadapterplan.cpp
@@ -85,6 +85,20 @@
     {
         return m_crashes;
     }
+    /** The engine starts again, empty but for its base model, under the id that it had. */
+    void restart(int engine)
+    {
+        m_engines[static_cast<std::size_t>(engine)] = EngineState {};
+        ++m_records[static_cast<std::size_t>(engine)].startedAt;
+        std::erase_if(m_history, [engine](const Snapshot &snapshot) { return snapshot.engine == static_cast<std::size_t>(engine); });
+    }
+    /** What a node that hears all rows sends to. */
+    bool isKnownToHold(int engine, const std::string &adapter) const
+    {
+        const auto copy =
+            m_announced.copy(m_records[static_cast<std::size_t>(engine)], AdapterRef { BaseModelId("m"), AdapterId(adapter) });
+        return copy && copy->isReady;
+    }
     int loads() const
     {
         return m_loads;
@@ -128,6 +142,8 @@
                 m_plan.onOrderAnswer(give->order, carryOut(give->order), m_now);
             } else if (const auto *ask = std::get_if<AskEngineReport>(&action)) {
                 answerReport(ask->engine);
+            } else if (const auto *announce = std::get_if<AnnounceRow>(&action)) {
+                m_announced.put(announce->row);
             }
         }
     }
@@ -213,6 +229,7 @@
     std::vector<Snapshot> m_history;
     std::vector<AdapterUse> m_uses;
     EngineRows m_rows;
+    EngineRows m_announced;
     AdapterPlan m_plan { AdapterPlanLimits {}, FencingToken(7) };
     bool m_isUnloadWaiting = false;
     int m_crashes = 0;
@@ -342,3 +359,41 @@
     bench.run(Duration(500));
     cr_assert(bench.holds(1 - first, "a"));
 }
+
+// An engine crashes and starts again under the id that it had, without its holder losing the lease. If the rows of the new start count from
+// one again, all nodes take them for old ones: requests go to copies that are gone, or wait for copies that nobody tells of.
+Test(adapterplan, rowsOfAnEngineThatStartsAgainAreNews)
+{
+    PlanBench bench(1);
+    for (const char *name : { "a", "b", "c" }) {
+        bench.want(name);
+        bench.run(Duration(1000));
+        bench.clearUses();
+    }
+    cr_assert(bench.isKnownToHold(0, "c"));
+    bench.restart(0);
+    bench.run(Duration(200));
+    cr_assert_not(bench.isKnownToHold(0, "c"));
+    bench.want("d");
+    bench.run(Duration(2000));
+    cr_assert(bench.isKnownToHold(0, "d"));
+}
+
+// More adapters are asked for than the store bears loads at once, again and again. Were wants met in the order of their names, callers of
+// the last names would be refused for as long as the rush lasts.
+Test(adapterplan, noNameWaitsForAllOthers)
+{
+    PlanBench bench(60);
+    for (int i = 0; i < 60; ++i) {
+        bench.want("first" + std::to_string(i));
+    }
+    bench.run(Duration(100));
+    bench.want("zlast");
+    for (int round = 0; round < 8; ++round) {
+        for (int i = 0; i < 10; ++i) {
+            bench.want("early" + std::to_string(round * 10 + i));
+        }
+        bench.run(Duration(250));
+    }
+    cr_assert_gt(bench.copies("zlast"), 0);
+}
--- a/tests/coordination/testupstreamdirectory.cpp
+++ b/tests/coordination/testupstreamdirectory.cpp
@@ -136,3 +136,29 @@
     book.onEnded(UpstreamId("u"), 100);
     cr_assert(book.own().empty());
 }
+
+// Messages replace each other several times a second, some name an upstream twice, and nodes fall silent in between. Sums that drift make an
+// idle engine look full for good, so that it gets no requests while others are crowded.
+Test(upstreambook, sumsFollowEachMessageAndReturnToZero)
+{
+    const UpstreamId one("one");
+    const UpstreamId two("two");
+    UpstreamBook book;
+    std::mt19937_64 random(11);
+    Time now = Start;
+    for (int round = 0; round < 2000; ++round) {
+        now = now + Duration(7);
+        const NodeId peer("node-" + std::to_string(random() % 20));
+        const auto figure = [&random] { return static_cast<std::uint32_t>(random() % 4); };
+        book.onPeer(peer, { UpstreamLoad { one, figure(), 1000 * figure() }, UpstreamLoad { one, figure(), 0 }, UpstreamLoad { two, 0, 0 } },
+            now);
+        cr_assert_geq(book.load(one, now).running, 0);
+    }
+    for (int peer = 0; peer < 20; ++peer) {
+        book.onPeer(NodeId("node-" + std::to_string(peer)), { UpstreamLoad { one, 2, 50 } }, now);
+    }
+    cr_assert_eq(book.load(one, now).running, 40);
+    cr_assert_eq(book.load(one, now).pendingTokens, 1000);
+    cr_assert_eq(book.load(one, now + UpstreamBook::PeerMemory + Duration(200)).running, 0);
+    cr_assert_eq(book.load(two, now).running, 0);
+}
