Divide a large fleet by the zones whose engines it uses

Cause: each of 134 nodes told each other one its load five times a second, 670 messages a second to read with a twelfth of a core, and 1.1 GB between zones. Nodes of a large fleet now use one zone's engines each and tell only each other of them; shards keep to a zone, and larger nodes give the orders.

--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -104,6 +104,12 @@
     NodeId sender;
     Incarnation incarnation;
     ZoneId zone;
+    /** The availability zone whose engines the sender uses; empty when it uses all. */
+    ZoneId scope;
+    /** Share of a core that the sender has, against those of the others. */
+    double capacity = 0;
+    /** The sender speaks to this receiver at least this often; zero when it does not say. */
+    Duration interval;
     /** IP number and port for callers and for other nodes. */
     std::string callerAddress;
     std::string peerAddress;
--- /dev/null
+++ b/coordination/fleetscope.cpp
@@ -0,0 +1,45 @@
+#include "coordination/fleetscope.h"
+
+#include <utility>
+
+namespace ApricotStep
+{
+
+FleetScope::FleetScope(FleetScopeLimits limits, ZoneId own)
+    : m_limits(limits)
+    , m_own(std::move(own))
+{
+}
+
+void FleetScope::update(int nodesAlive, const std::set<ZoneId> &engineZones)
+{
+    const bool isDivided = !m_zone.isEmpty();
+    if (nodesAlive <= (isDivided ? m_limits.smallestDivided - 1 : m_limits.largestWhole)) {
+        m_zone = ZoneId();
+        return;
+    }
+    if (engineZones.contains(m_own) || engineZones.empty()) {
+        m_zone = m_own;
+        return;
+    }
+    // A zone without engines of its own: its nodes all join the next one that has some.
+    const auto next = engineZones.upper_bound(m_own);
+    m_zone = next != engineZones.end() ? *next : *engineZones.begin();
+}
+
+const ZoneId &FleetScope::zone() const
+{
+    return m_zone;
+}
+
+bool FleetScope::covers(const ZoneId &engineZone) const
+{
+    return m_zone.isEmpty() || m_zone == engineZone;
+}
+
+bool FleetScope::isNear(const ZoneId &peerZone, const ZoneId &peerScope) const
+{
+    return m_zone.isEmpty() || m_zone == (peerScope.isEmpty() ? peerZone : peerScope);
+}
+
+} // namespace ApricotStep
--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -5,6 +5,7 @@
 #include <absl/container/btree_map.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace ApricotStep
@@ -16,9 +17,17 @@
 // Low bits of a fencing token, from the holder's id: two nodes that count up to the same number still differ.
 constexpr std::uint64_t NodeBits = 16;
 
+// A node that speaks at a pace of its own is heard while no three of its messages in a row are lost, and a late one has come.
+constexpr int MessagesMissed = 3;
+constexpr Duration LateMessage { 300 };
+
 struct Other
 {
     Time heardAt;
+    /** It is alive while it was heard of within this. */
+    Duration silenceAllowed;
+    ZoneId zone;
+    double capacity = 0;
     bool isLeaving = false;
     /** It holds another shard. */
     bool holdsOther = false;
@@ -38,6 +47,7 @@
     EngineShard shard;
     NodeId self;
     Incarnation incarnation;
+    LeaseStanding standing;
     Time startedAt;
     absl::btree_map<NodeId, Other> others;
     /** Another node's claim was heard last at, and when it said that it gives orders. */
@@ -64,10 +74,14 @@
         std::size_t heard = 1;
         for (const auto &[id, other] : others) {
             ++all;
-            heard += !other.isSeed && now - other.heardAt <= limits.liveness ? 1 : 0;
+            heard += isAlive(other, now) ? 1 : 0;
         }
         return 2 * heard > all;
     }
+    static bool isAlive(const Other &other, Time now)
+    {
+        return !other.isSeed && now - other.heardAt <= other.silenceAllowed;
+    }
     bool counts(const Other &other, Time now) const
     {
         return isRemembered(other, now) || !hearsMajority(now);
@@ -96,16 +110,21 @@
         }
         return lowest;
     }
-    // The nodes' order for this shard: each shard has another first one, so that the loss of one node silences one shard.
-    std::pair<bool, std::uint64_t> preference(const NodeId &id, bool holdsAnother) const
+    // The nodes' order for this shard. One in the engines' own zone sees their load soonest and is cut off together with them; a large one
+    // has the time to weigh all wants, which a node with a twelfth of a core has not. Among equals each shard has another first one, so that
+    // the loss of one node silences one shard.
+    std::tuple<bool, double, bool, std::uint64_t> preference(
+        const NodeId &id, const ZoneId &zone, double capacity, bool holdsAnother) const
     {
-        return { !holdsAnother, mixHashes(stableHash(id.value()), stableHash(std::to_string(shard.value()))) };
+        return { zone == standing.shardZone, capacity, !holdsAnother,
+            mixHashes(stableHash(id.value()), stableHash(std::to_string(shard.value()))) };
     }
     bool isFirstOfLive(Time now) const
     {
-        return std::none_of(others.begin(), others.end(), [this, now](const auto &entry) {
-            return preference(entry.first, entry.second.holdsOther) > preference(self, holdsOther) && !entry.second.isSeed
-                && !entry.second.isLeaving && now - entry.second.heardAt <= limits.liveness;
+        const auto own = preference(self, standing.zone, standing.capacity, holdsOther);
+        return std::none_of(others.begin(), others.end(), [this, now, &own](const auto &entry) {
+            const Other &other = entry.second;
+            return isAlive(other, now) && !other.isLeaving && preference(entry.first, other.zone, other.capacity, other.holdsOther) > own;
         });
     }
     bool hasPromisedOther(Time now) const
@@ -194,13 +213,15 @@
     }
 };
 
-OrderLease::OrderLease(OrderLeaseLimits limits, EngineShard shard, NodeId self, Incarnation incarnation, Time now)
+OrderLease::OrderLease(
+    OrderLeaseLimits limits, EngineShard shard, NodeId self, Incarnation incarnation, Time now, LeaseStanding standing)
     : d(std::make_unique<Private>())
 {
     d->limits = limits;
     d->shard = shard;
     d->self = std::move(self);
     d->incarnation = incarnation;
+    d->standing = std::move(standing);
     d->startedAt = now;
 }
 
@@ -223,6 +244,9 @@
     d->others.erase(NodeId("seed " + message.peerAddress));
     Other &other = d->others[message.sender];
     other.heardAt = now;
+    other.silenceAllowed = std::max(d->limits.liveness, message.interval * MessagesMissed + LateMessage);
+    other.zone = message.zone;
+    other.capacity = message.capacity;
     other.isLeaving = message.isLeaving;
     d->noteQuiet(other, message, now);
     other.holdsOther =
--- a/coordination/orderlease.h
+++ b/coordination/orderlease.h
@@ -40,15 +40,25 @@
     Duration messageDelay { 300 };
     /** A node that left counts for so long: it may be back behind a partition, where it gives its voice to the other side. */
     Duration leaverMemory = Duration::seconds(15);
-    /** A node heard of within this may claim: three messages lost in a row. */
+    /** A node heard of within this may claim: three messages lost in a row, of one that does not say how often it speaks. */
     Duration liveness { 900 };
 };
 
+/** Where a node stands towards the engines of a shard, by which nodes agree on the one that claims first. */
+struct LeaseStanding
+{
+    /** The availability zone of the shard's engines; empty when they are spread. */
+    ZoneId shardZone;
+    /** This node's own zone, and its share of a core. */
+    ZoneId zone;
+    double capacity = 0;
+};
+
 /** Decides which node alone gives orders to the engines of one shard. Not thread-safe. */
 class OrderLease
 {
 public:
-    OrderLease(OrderLeaseLimits limits, EngineShard shard, NodeId self, Incarnation incarnation, Time now);
+    OrderLease(OrderLeaseLimits limits, EngineShard shard, NodeId self, Incarnation incarnation, Time now, LeaseStanding standing = {});
     OrderLease(OrderLease &&) noexcept;
     ~OrderLease();
 
--- a/main/entry/beliefs.h
+++ b/main/entry/beliefs.h
@@ -7,8 +7,10 @@
 #include "core/clock.h"
 #include "state/routetable.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace ApricotStep
 {
@@ -29,6 +31,8 @@
     EngineRows rows;
     std::map<AdapterRef, KnownVersion> versions;
     UpstreamBook book;
+    /** Which engines this node uses; empty: all. */
+    ZoneId engineScope;
     Outliers outliers { OutlierLimits {} };
 
     const EngineSpec *engineSpec(const ServiceName &service) const
@@ -36,6 +40,16 @@
         const RoutedService *spec = routes != nullptr ? routes->service(service) : nullptr;
         return spec != nullptr && spec->engine ? &*spec->engine : nullptr;
     }
+    /** Engines of @p service that this node uses; those of all zones while its scope has none. */
+    std::vector<const UpstreamRecord *> engines(const ServiceName &service) const
+    {
+        std::vector<const UpstreamRecord *> result = upstreams.usable(service);
+        const auto isOutside = [this](const UpstreamRecord *record) { return record->zone != engineScope; };
+        if (!engineScope.isEmpty() && !std::all_of(result.begin(), result.end(), isOutside)) {
+            std::erase_if(result, isOutside);
+        }
+        return result;
+    }
 };
 
 } // namespace ApricotStep
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -113,7 +113,7 @@
     limits.turn = settings.orderTurn;
     const auto started = static_cast<std::uint64_t>(clock.wallTime().milliseconds());
     FleetIdentity identity { settings.node, Incarnation((started << 16U) | (std::random_device {}() & 0xffffU)), settings.zone,
-        settings.callerAddress, settings.peerAddress, settings.seeds };
+        settings.zoneNames(), settings.coreShare, settings.callerAddress, settings.peerAddress, settings.seeds };
     fleet = std::make_unique<FleetLink>(loop, log, beliefs, std::move(identity), limits, std::move(fleetCallbacks));
 
     orders = std::make_unique<OrderRunner>(loop, log, metrics, beliefs, *fleet, settings.node, [this] { return forwarder->uses(); });
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -1,6 +1,5 @@
 #include "main/entry/fleetlink.h"
 
-#include "core/hash.h"
 #include "protocol/fleetcodec.h"
 
 #include <algorithm>
@@ -15,7 +14,9 @@
 namespace
 {
 
-constexpr Duration HeartbeatInterval { 200 };
+// A peer counts as alive while no three of its messages in a row are lost, and a late one has come.
+constexpr int MessagesMissed = 3;
+constexpr Duration LateMessage { 300 };
 // All rows are told again this often, for nodes that started or lost a datagram.
 constexpr Duration RowsInterval { 2000 };
 // Contacts in one message: with five messages a second, all nodes of a small fleet are named to a new one within a second; later a few
@@ -40,6 +41,9 @@
     Beliefs &beliefs;
     FleetIdentity identity;
     Callbacks callbacks;
+    FleetScopeLimits scopeLimits;
+    FleetScope scope;
+    ShardMap shards;
     std::vector<OrderLease> leases;
     std::unique_ptr<UdpSocket> socket;
     std::map<NodeId, Peer> peers;
@@ -48,12 +52,14 @@
     std::mt19937_64 random { std::random_device {}() };
     /** The rows that this node announced, for repeating. */
     std::map<UpstreamId, EngineRow> ownRows;
-    Time startedAt;
+    const Time startedAt;
     Time rowsToldAt;
     bool isLeaving = false;
     bool areWantsDue = false;
     std::vector<EngineShard> released;
-    std::vector<NodeId> lastHolders { EngineShards };
+    std::vector<NodeId> lastHolders;
+    /** When the nodes that share no engines with this one were told last. */
+    Time farToldAt;
 
     Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetIdentity identity, OrderLeaseLimits limits, Callbacks callbacks)
         : loop(loop)
@@ -61,12 +67,26 @@
         , beliefs(beliefs)
         , identity(std::move(identity))
         , callbacks(std::move(callbacks))
+        , scope(scopeLimits, this->identity.zone)
+        , shards(this->identity.zones)
         , startedAt(loop.clock().now())
+        , lastHolders(shards.count())
     {
-        for (std::uint64_t shard = 0; shard < EngineShards; ++shard) {
-            leases.emplace_back(limits, EngineShard(shard), this->identity.id, this->identity.incarnation, loop.clock().now());
+        for (std::uint64_t index = 0; index < shards.count(); ++index) {
+            const EngineShard shard(index);
+            leases.emplace_back(limits, shard, this->identity.id, this->identity.incarnation, loop.clock().now(),
+                LeaseStanding { shards.zoneOf(shard), this->identity.zone, this->identity.capacity });
         }
     }
+    bool isAlive(const Peer &peer) const
+    {
+        return now() - peer.heardAt <= peer.silenceAllowed;
+    }
+    /** Shards of the engines that this node uses. */
+    bool isInScope(EngineShard shard) const
+    {
+        return shards.zoneOf(shard).isEmpty() || scope.covers(shards.zoneOf(shard));
+    }
     bool holdsAfter(std::size_t shard) const
     {
         return std::any_of(leases.begin() + static_cast<std::ptrdiff_t>(shard) + 1, leases.end(),
@@ -85,9 +105,12 @@
     FleetMessage withLoad() const;
     std::set<NodeId> holders() const;
     void tellWants();
-    std::vector<std::string> targets() const;
+    std::set<std::string> unheardAddresses() const;
     void sendToAll(const FleetMessage &message);
     void sendLoad(const FleetMessage &message);
+    bool isNews(const FleetMessage &message) const;
+    bool usesEnginesOf(const Peer &peer, const ZoneId &zone) const;
+    void updateScope();
     void heartbeat();
     void tellRows(const std::vector<EngineRow> &rows);
     void onDatagram(std::string_view bytes);
@@ -105,6 +128,10 @@
     message.sender = identity.id;
     message.incarnation = identity.incarnation;
     message.zone = identity.zone;
+    message.scope = scope.zone();
+    message.capacity = identity.capacity;
+    // Where it goes to all: a receiver that hears of this node seldom must not take it for dead in between.
+    message.interval = scope.zone().isEmpty() ? scopeLimits.nearInterval : scopeLimits.farInterval;
     message.callerAddress = identity.callerAddress;
     message.peerAddress = identity.peerAddress;
     message.isReady = callbacks.isReady() && !isLeaving;
@@ -129,21 +156,16 @@
     return message;
 }
 
-std::vector<std::string> FleetLink::Private::targets() const
+// Where a node may be that has not spoken yet.
+std::set<std::string> FleetLink::Private::unheardAddresses() const
 {
-    std::vector<std::string> result;
-    for (const auto &[id, peer] : peers) {
-        result.push_back(peer.peerAddress);
-    }
-    const auto add = [&result, this](const std::string &address) {
-        const bool isKnown = std::find(result.begin(), result.end(), address) != result.end();
-        if (!isKnown && address != identity.peerAddress) {
-            result.push_back(address);
-        }
-    };
-    std::for_each(identity.seeds.begin(), identity.seeds.end(), add);
+    std::set<std::string> result(identity.seeds.begin(), identity.seeds.end());
     for (const auto &[address, until] : contacts) {
-        add(address);
+        result.insert(address);
+    }
+    result.erase(identity.peerAddress);
+    for (const auto &[id, peer] : peers) {
+        result.erase(peer.peerAddress);
     }
     return result;
 }
@@ -151,35 +173,60 @@
 void FleetLink::Private::sendToAll(const FleetMessage &message)
 {
     const std::string bytes = encodeFleetMessage(message);
-    for (const std::string &target : targets()) {
-        socket->send(target, bytes);
+    for (const auto &[id, peer] : peers) {
+        socket->send(peer.peerAddress, bytes);
+    }
+    for (const std::string &address : unheardAddresses()) {
+        socket->send(address, bytes);
     }
 }
 
-// Only those who order adapters need to know which of them are in use; the rest of the message goes to all.
+// Only those who order adapters need to know which of them are in use, and only those who use the same engines what runs there. The others
+// count this node's voice; they hear it when it claims, and else now and then.
 void FleetLink::Private::sendLoad(const FleetMessage &message)
 {
-    FleetMessage reduced = message;
-    reduced.uses.clear();
-    const std::string whole = encodeFleetMessage(message);
-    const std::string most = encodeFleetMessage(reduced);
-    std::set<std::string> holderAddresses;
-    for (const NodeId &holder : holders()) {
-        const auto at = peers.find(holder);
-        if (at != peers.end()) {
-            holderAddresses.insert(at->second.peerAddress);
+    FleetMessage near = message;
+    near.interval = scopeLimits.nearInterval;
+    FleetMessage full = near;
+    near.uses.clear();
+    FleetMessage far = message;
+    far.uses.clear();
+    far.loads.reset();
+    const std::string whole = encodeFleetMessage(full);
+    const std::string most = encodeFleetMessage(near);
+    const std::string least = encodeFleetMessage(far);
+    const bool isFarDue = now() - farToldAt >= scopeLimits.farInterval || isNews(message);
+    if (isFarDue) {
+        farToldAt = now();
+    }
+    const std::set<NodeId> orderers = holders();
+    for (const auto &[id, peer] : peers) {
+        if (orderers.contains(id)) {
+            socket->send(peer.peerAddress, whole);
+        } else if (scope.isNear(peer.zone, peer.scope)) {
+            socket->send(peer.peerAddress, most);
+        } else if (isFarDue) {
+            socket->send(peer.peerAddress, least);
         }
     }
-    for (const std::string &target : targets()) {
-        socket->send(target, holderAddresses.contains(target) ? whole : most);
+    for (const std::string &address : unheardAddresses()) {
+        socket->send(address, most);
     }
 }
 
+// What nodes must hear at once, wherever they are: who claims, who gives up.
+bool FleetLink::Private::isNews(const FleetMessage &message) const
+{
+    return !message.claims.empty() || !message.releases.empty() || message.isLeaving || now() - startedAt < StartTime;
+}
+
 std::set<NodeId> FleetLink::Private::holders() const
 {
     std::set<NodeId> result;
-    for (const OrderLease &lease : leases) {
-        result.insert(lease.holder(now()));
+    for (std::size_t shard = 0; shard < leases.size(); ++shard) {
+        if (isInScope(EngineShard(shard))) {
+            result.insert(leases[shard].holder(now()));
+        }
     }
     return result;
 }
@@ -189,6 +236,7 @@
     areWantsDue = false;
     FleetMessage message = base();
     message.uses = callbacks.wants();
+    message.interval = scopeLimits.nearInterval; // Holders are told of loads as often, wherever they are.
     if (message.uses.empty()) {
         return;
     }
@@ -205,7 +253,7 @@
 {
     std::vector<std::string> known;
     for (const auto &[id, peer] : peers) {
-        if (now() - peer.heardAt <= Liveness && !peer.isLeaving) {
+        if (isAlive(peer) && !peer.isLeaving) {
             known.push_back(peer.peerAddress);
         }
     }
@@ -232,6 +280,7 @@
 
 void FleetLink::Private::heartbeat()
 {
+    updateScope();
     FleetMessage message = withLoad();
     message.contacts = someContacts();
     for (std::size_t shard = 0; shard < leases.size(); ++shard) {
@@ -252,13 +301,56 @@
     noteHolder();
 }
 
+// Rows of engines of one zone go to the nodes that use them.
 void FleetLink::Private::tellRows(const std::vector<EngineRow> &rows)
 {
-    for (std::size_t first = 0; first < rows.size(); first += RowsInDatagram) {
-        FleetMessage message = base();
-        const std::size_t last = std::min(first + RowsInDatagram, rows.size());
-        message.rows.assign(rows.begin() + static_cast<std::ptrdiff_t>(first), rows.begin() + static_cast<std::ptrdiff_t>(last));
-        sendToAll(message);
+    std::map<ZoneId, std::vector<EngineRow>> byZone;
+    for (const EngineRow &row : rows) {
+        const UpstreamRecord *record = beliefs.upstreams.usable(row.engine);
+        if (record != nullptr) {
+            byZone[shards.zoneOf(shards.shardOf(*record))].push_back(row);
+        }
+    }
+    for (const auto &[zone, ofZone] : byZone) {
+        for (std::size_t first = 0; first < ofZone.size(); first += RowsInDatagram) {
+            FleetMessage message = base();
+            const std::size_t last = std::min(first + RowsInDatagram, ofZone.size());
+            message.rows.assign(ofZone.begin() + static_cast<std::ptrdiff_t>(first), ofZone.begin() + static_cast<std::ptrdiff_t>(last));
+            const std::string bytes = encodeFleetMessage(message);
+            for (const auto &[id, peer] : peers) {
+                if (usesEnginesOf(peer, zone)) {
+                    socket->send(peer.peerAddress, bytes);
+                }
+            }
+        }
+    }
+}
+
+bool FleetLink::Private::usesEnginesOf(const Peer &peer, const ZoneId &zone) const
+{
+    return zone.isEmpty() || peer.scope.isEmpty() || peer.scope == zone;
+}
+
+void FleetLink::Private::updateScope()
+{
+    int alive = 1;
+    for (const auto &[id, peer] : peers) {
+        alive += isAlive(peer) ? 1 : 0;
+    }
+    std::set<ZoneId> engineZones;
+    if (beliefs.routes != nullptr) {
+        for (const RoutedService &service : beliefs.routes->services()) {
+            if (service.engine) {
+                for (const UpstreamRecord *record : beliefs.upstreams.usable(service.name)) {
+                    engineZones.insert(record->zone);
+                }
+            }
+        }
+    }
+    scope.update(alive, engineZones);
+    if (beliefs.engineScope != scope.zone()) {
+        beliefs.engineScope = scope.zone();
+        log.write(Important, "fleet", "scope", { { "zone", scope.zone().value() }, { "alive", std::int64_t(alive) } });
     }
 }
 
@@ -279,8 +371,9 @@
     const bool isNew = !peers.contains(message.sender);
     Peer &peer = peers[message.sender];
     const bool isChanged = isNew || peer.isReady != message.isReady || peer.isLeaving != message.isLeaving;
-    peer = Peer { message.sender, message.zone, message.callerAddress, message.peerAddress, message.isReady, message.isLeaving,
-        message.configVersion, now() };
+    const Duration silenceAllowed = std::max(scopeLimits.nearInterval, message.interval) * MessagesMissed + LateMessage;
+    peer = Peer { message.sender, message.zone, message.scope, message.callerAddress, message.peerAddress, message.isReady,
+        message.isLeaving, message.configVersion, now(), silenceAllowed };
     if (isChanged) {
         log.write(Important, "fleet", "peer", { { "peer", peer.id.value() }, { "ready", peer.isReady }, { "leaving", peer.isLeaving } });
     }
@@ -303,6 +396,9 @@
     if (!grants.empty()) {
         FleetMessage answer = base();
         answer.grants = std::move(grants);
+        if (scope.isNear(message.zone, message.scope)) {
+            answer.interval = scopeLimits.nearInterval;
+        }
         socket->send(message.peerAddress, encodeFleetMessage(answer));
     }
     if (message.loads) {
@@ -345,18 +441,13 @@
         at = isOld ? peers.erase(at) : std::next(at);
     }
     heartbeat();
-    loop.after(HeartbeatInterval, [weak = weak_from_this()] {
+    loop.after(scopeLimits.nearInterval, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->tick();
         }
     });
 }
 
-EngineShard shardOf(const UpstreamId &engine)
-{
-    return EngineShard(stableHash(engine.value()) % EngineShards);
-}
-
 FleetLink::FleetLink(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetIdentity identity, OrderLeaseLimits limits, Callbacks callbacks)
     : d(std::make_shared<Private>(loop, log, beliefs, std::move(identity), limits, std::move(callbacks)))
 {
@@ -424,14 +515,26 @@
     return d->leases[shard.value()];
 }
 
+const ShardMap &FleetLink::shards() const
+{
+    return d->shards;
+}
+
+bool FleetLink::areWeighedTogether(EngineShard one, EngineShard other) const
+{
+    return d->scope.zone().isEmpty() || d->shards.zoneOf(one) == d->shards.zoneOf(other);
+}
+
 std::optional<Duration> FleetLink::ordersIn() const
 {
     if (!d->leases.front().hearsMajority(d->now())) {
         return std::nullopt;
     }
-    Duration soonest = d->leases.front().ordersIn(d->now());
-    for (const OrderLease &lease : d->leases) {
-        soonest = std::min(soonest, lease.ordersIn(d->now()));
+    Duration soonest = Duration::seconds(3600);
+    for (std::size_t shard = 0; shard < d->leases.size(); ++shard) {
+        if (d->isInScope(EngineShard(shard))) {
+            soonest = std::min(soonest, d->leases[shard].ordersIn(d->now()));
+        }
     }
     return soonest;
 }
@@ -440,7 +543,7 @@
 {
     std::vector<const Peer *> result;
     for (const auto &[id, peer] : d->peers) {
-        if (d->now() - peer.heardAt <= Liveness) {
+        if (d->isAlive(peer)) {
             result.push_back(&peer);
         }
     }
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "coordination/fleetmessage.h"
+#include "coordination/fleetscope.h"
 #include "coordination/orderlease.h"
+#include "coordination/shardmap.h"
 #include "main/entry/beliefs.h"
 #include "main/entry/eventlog.h"
 #include "transport/ioloop.h"
@@ -20,6 +22,10 @@
     NodeId id;
     Incarnation incarnation;
     ZoneId zone;
+    /** All availability zones of the fleet. */
+    std::vector<ZoneId> zones;
+    /** Share of a core that this node has. */
+    double capacity = 0;
     std::string callerAddress;
     std::string peerAddress;
     std::vector<std::string> seeds;
@@ -30,12 +36,16 @@
 {
     NodeId id;
     ZoneId zone;
+    /** Whose engines it uses; empty: all. */
+    ZoneId scope;
     std::string callerAddress;
     std::string peerAddress;
     bool isReady = false;
     bool isLeaving = false;
     ConfigVersion configVersion;
     Time heardAt;
+    /** It counts as alive while it was heard of within this. */
+    Duration silenceAllowed;
 };
 
 /** What this node says of its load. */
@@ -45,15 +55,6 @@
     std::vector<AdapterUse> uses;
 };
 
-/**
- * Parts of the engines whose orders have a holder each. With one holder for all, no adapter is loaded anywhere for four seconds after each
- * loss of that node; with eight, most of the engines go on.
- */
-inline constexpr std::uint64_t EngineShards = 8;
-
-/** The shard of @p engine; never changes, since a change of holder would need a silence of its own. */
-EngineShard shardOf(const UpstreamId &engine);
-
 /** Exchanges datagrams with the other nodes: who lives, what runs where, who gives orders. */
 class FleetLink
 {
@@ -76,9 +77,6 @@
         std::function<void(const Peer &)> onLaterConfiguration;
     };
 
-    /** Peers that answered within this count as alive: three messages lost in a row. */
-    static constexpr Duration Liveness { 900 };
-
     FleetLink(IoLoop &loop, EventLog &log, Beliefs &beliefs, FleetIdentity identity, OrderLeaseLimits limits, Callbacks callbacks);
     ~FleetLink();
 
@@ -88,11 +86,14 @@
     void leave();
     /** Tells the nodes that give orders at once what this one waits for. */
     void tellWants();
-    /** Tells all nodes. */
+    /** Tells all nodes that use these engines. */
     void announce(const std::vector<EngineRow> &rows);
 
-    /** The lease of @p shard, below EngineShards. */
+    const ShardMap &shards() const;
+    /** The lease of one of shards(). */
     const OrderLease &lease(EngineShard shard) const;
+    /** Whether what stands at the engines of both shards is told to the same nodes, and weighed together. */
+    bool areWeighedTogether(EngineShard one, EngineShard other) const;
     /** How long until any node gives orders to engines; unset while this node does not hear most of the others. */
     std::optional<Duration> ordersIn() const;
     /** Peers that are alive now. */
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -80,6 +80,7 @@
     void decideSoon();
     bool followLease();
     PlanTurn turn() const;
+    std::vector<bool> ordered() const;
     std::vector<PlannedEngine> engines() const;
     void carryOut(const PlanAction &action, std::vector<EngineRow> &rows);
     void give(const EngineOrder &order);
@@ -119,8 +120,19 @@
     return true;
 }
 
+// Which shards have somebody who gives orders now; asked once a round, since the answer counts all nodes' votes.
+std::vector<bool> OrderRunner::Private::ordered() const
+{
+    std::vector<bool> result;
+    for (std::uint64_t other = 0; other < fleet.shards().count(); ++other) {
+        result.push_back(EngineShard(other) == shard || fleet.lease(EngineShard(other)).ordersIn(now()) == Duration(0));
+    }
+    return result;
+}
+
 std::vector<PlannedEngine> OrderRunner::Private::engines() const
 {
+    const std::vector<bool> orderedShards = ordered();
     std::vector<PlannedEngine> result;
     if (beliefs.routes == nullptr) {
         return result;
@@ -130,9 +142,12 @@
             continue;
         }
         for (const UpstreamRecord *record : beliefs.upstreams.usable(service.name)) {
+            const EngineShard owner = fleet.shards().shardOf(*record);
+            if (!fleet.areWeighedTogether(owner, shard)) {
+                continue;
+            }
             const FleetLoad load = beliefs.book.load(record->id, now());
-            const EngineShard owner = shardOf(record->id);
-            const bool isOrdered = owner == shard || fleet.lease(owner).ordersIn(now()) == Duration(0);
+            const bool isOrdered = orderedShards[owner.value()];
             result.push_back(PlannedEngine { record, &*service.engine, load.running, load.pendingTokens,
                 beliefs.outliers.share(record->id, now()), owner == shard, isOrdered });
         }
@@ -156,11 +171,15 @@
 PlanTurn OrderRunner::Private::turn() const
 {
     PlanTurn result { 0, 0 };
-    for (std::uint64_t other = 0; other < EngineShards; ++other) {
+    const std::vector<bool> orderedShards = ordered();
+    for (std::uint64_t other = 0; other < orderedShards.size(); ++other) {
+        if (!fleet.areWeighedTogether(EngineShard(other), shard)) {
+            continue;
+        }
         if (EngineShard(other) == shard) {
             result.index = result.count;
         }
-        result.count += EngineShard(other) == shard || fleet.lease(EngineShard(other)).ordersIn(now()) == Duration(0) ? 1 : 0;
+        result.count += orderedShards[other] ? 1 : 0;
     }
     return result;
 }
@@ -282,7 +301,7 @@
 OrderRunner::OrderRunner(IoLoop &loop, EventLog &log, EntryMetrics &metrics, Beliefs &beliefs, FleetLink &fleet, const NodeId &self,
     const std::function<std::vector<AdapterUse>()> &ownUses)
 {
-    for (std::uint64_t shard = 0; shard < EngineShards; ++shard) {
+    for (std::uint64_t shard = 0; shard < fleet.shards().count(); ++shard) {
         m_shards.push_back(std::make_shared<Private>(loop, log, metrics, beliefs, fleet, EngineShard(shard), self, ownUses));
     }
 }
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -186,7 +186,7 @@
 {
     std::vector<UpstreamOption> result;
     Beliefs &beliefs = m_context.beliefs();
-    for (const UpstreamRecord *record : beliefs.upstreams.usable(m_service)) {
+    for (const UpstreamRecord *record : m_decoded.generation ? beliefs.engines(m_service) : beliefs.upstreams.usable(m_service)) {
         if (mayUse(*record)) {
             result.push_back(UpstreamOption { record, beliefs.book.load(record->id, now()), beliefs.outliers.share(record->id, now()),
                 record->zone == m_context.settings().zone });
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -71,4 +71,7 @@
     contacts @15 :List(Text);
     uptimeMs @16 :Int64;
     lastOrders @17 :List(LastOrderWire);
+    scope @18 :Text;
+    capacity @19 :Float64;
+    intervalMs @20 :Int64;
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -144,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 4, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 6, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -905,6 +905,13 @@
   inline bool hasLastOrders() const;
   inline  ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>::Reader getLastOrders() const;
 
+  inline bool hasScope() const;
+  inline  ::capnp::Text::Reader getScope() const;
+
+  inline double getCapacity() const;
+
+  inline  ::int64_t getIntervalMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1037,6 +1044,19 @@
   inline void adoptLastOrders(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::LastOrderWire,  ::capnp::Kind::STRUCT>> disownLastOrders();
 
+  inline bool hasScope();
+  inline  ::capnp::Text::Builder getScope();
+  inline void setScope( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initScope(unsigned int size);
+  inline void adoptScope(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownScope();
+
+  inline double getCapacity();
+  inline void setCapacity(double value);
+
+  inline  ::int64_t getIntervalMs();
+  inline void setIntervalMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2157,6 +2177,68 @@
       ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessageWire::Reader::hasScope() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasScope() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FleetMessageWire::Reader::getScope() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FleetMessageWire::Builder::getScope() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setScope( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FleetMessageWire::Builder::initScope(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptScope(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FleetMessageWire::Builder::disownScope() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
+inline double FleetMessageWire::Reader::getCapacity() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline double FleetMessageWire::Builder::getCapacity() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FleetMessageWire::Builder::setCapacity(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FleetMessageWire::Reader::getIntervalMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FleetMessageWire::Builder::getIntervalMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FleetMessageWire::Builder::setIntervalMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -6,6 +6,8 @@
 #include <capnp/serialize-packed.h>
 #include <kj/io.h>
 
+#include <algorithm>
+
 namespace ApricotStep
 {
 
@@ -14,6 +16,8 @@
 
 // A datagram cannot hold more than this unpacked; the bound keeps forged ones from costing memory or time.
 constexpr std::uint64_t MostWords = 64U << 10U;
+// A forged message must not make its sender count as alive for longer than a few of these.
+constexpr Duration LongestInterval = Duration::seconds(5);
 
 std::string textOf(capnp::Text::Reader text)
 {
@@ -152,6 +156,9 @@
     message.sender = NodeId(textOf(wire.getSender()));
     message.incarnation = Incarnation(wire.getIncarnation());
     message.zone = ZoneId(textOf(wire.getZone()));
+    message.scope = ZoneId(textOf(wire.getScope()));
+    message.capacity = wire.getCapacity();
+    message.interval = Duration(std::clamp<std::int64_t>(wire.getIntervalMs(), 0, LongestInterval.milliseconds()));
     message.callerAddress = textOf(wire.getCallerAddress());
     message.peerAddress = textOf(wire.getPeerAddress());
     message.isReady = wire.getIsReady();
@@ -171,6 +178,9 @@
     wire.setSender(message.sender.value());
     wire.setIncarnation(message.incarnation.value());
     wire.setZone(message.zone.value());
+    wire.setScope(message.scope.value());
+    wire.setCapacity(message.capacity);
+    wire.setIntervalMs(message.interval.milliseconds());
     wire.setCallerAddress(message.callerAddress);
     wire.setPeerAddress(message.peerAddress);
     wire.setIsReady(message.isReady);
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -43,6 +43,7 @@
 directory = "10.0.0.1:4"
 [limits]
 maxFds = 2870
+cpuShare = 0.17
 [bounds]
 graceS = 8
 drainMs = 2000
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -16,6 +16,9 @@
     message.sender = NodeId("n1");
     message.incarnation = Incarnation(77);
     message.zone = ZoneId("z");
+    message.scope = ZoneId("s");
+    message.capacity = 0.25;
+    message.interval = Duration(200);
     message.callerAddress = "10.0.0.1:80";
     message.peerAddress = "10.0.0.1:81";
     message.isReady = true;
@@ -42,6 +45,7 @@
     cr_assert(got.isOk());
     const FleetMessage &message = got.value();
     cr_assert(message.sender == sent.sender && message.incarnation == sent.incarnation && message.peerAddress == sent.peerAddress);
+    cr_assert(message.scope == sent.scope && message.capacity == sent.capacity && message.interval == sent.interval);
     cr_assert(message.claims.front().ordersIn == Duration(30) && message.claims.front().shard == EngineShard(2));
     cr_assert(message.grants.front().holder == NodeId("n2") && message.grants.front().greatestFence == FencingToken(6));
     cr_assert(message.lastOrders.front().ago == Duration(7) && message.uptime == Duration(1234));
