--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -1,5 +1,6 @@
 #include "main/entry/entrynode.h"
 
+#include "coordination/storeturns.h"
 #include "main/entry/beliefs.h"
 #include "main/entry/entrymetrics.h"
 #include "main/entry/eventlog.h"
@@ -62,6 +63,7 @@
     std::unique_ptr<OrderRunner> orders;
     std::unique_ptr<RequestForwarder> forwarder;
     std::unique_ptr<PeerService> peers;
+    StoreTurns storeTurns;
     std::vector<std::unique_ptr<HttpServer>> servers;
     HttpServer *callerServer = nullptr;
     std::atomic<bool> isDrainAsked { false };
@@ -73,6 +75,7 @@
     explicit Private(const Platform::ProcessSettings &settings)
         : settings(settings)
         , log(clock, settings.node.value())
+        , storeTurns(StoreTurnLimits {}, settings.node, settings.coreShare)
     {
     }
 
@@ -85,6 +88,7 @@
     void answerReadiness(const HttpRequest &request, HttpExchange &exchange) const;
     void answerMetrics(const HttpRequest &request, HttpExchange &exchange) const;
     void checkConnections();
+    void followStore();
     void checkSignals();
     void beginDrain();
     void checkDrained();
@@ -107,6 +111,8 @@
     fleetCallbacks.onWants = [this](const NodeId &node, const std::vector<AdapterUse> &wants) { orders->onWants(node, wants); };
     fleetCallbacks.isReady = [this] { return isReady(); };
     fleetCallbacks.onUses = [this](const NodeId &node, const std::vector<AdapterUse> &uses) { orders->onUses(node, uses); };
+    fleetCallbacks.storeSight = [this] { return StoreSight { store->revision(), store->isReading() }; };
+    fleetCallbacks.onStoreNews = [this] { followStore(); };
     fleetCallbacks.onRows = [this] { forwarder->onBeliefsChanged(); };
     fleetCallbacks.onLaterConfiguration = [this](const Peer &peer) { peers->fetchFrom(peer); };
     OrderLeaseLimits limits;
@@ -274,8 +280,33 @@
     exchange.respond(OkStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text(gauges));
 }
 
+void EntryNode::Private::followStore()
+{
+    const auto near = fleet->near();
+    std::vector<StoreNeighbour> neighbours;
+    for (const Peer *peer : near) {
+        neighbours.push_back(StoreNeighbour { peer->id, peer->capacity, peer->isLeaving, peer->isReadingStore, peer->storeRevision });
+    }
+    const bool isCurrent = store->hasReadAll() && store->silence() == Duration(0);
+    const StoreTurn turn = storeTurns.decide(fleet->isDivided(), isCurrent, store->revision(), neighbours, clock.now());
+    store->setFollowing(!turn.readsItself);
+    for (const Peer *peer : near) {
+        if (peer->id == turn.fetchFrom) {
+            storeTurns.onFetched(clock.now());
+            peers->followFrom(*peer, [this](bool hasCome) {
+                if (!hasCome) {
+                    storeTurns.onFetchFailed(clock.now());
+                    followStore();
+                }
+            });
+            return;
+        }
+    }
+}
+
 void EntryNode::Private::checkConnections()
 {
+    followStore();
     for (const auto &server : servers) {
         server->checkConnections();
     }
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -134,6 +134,9 @@
     message.interval = scope.zone().isEmpty() ? scopeLimits.nearInterval : scopeLimits.farInterval;
     message.callerAddress = identity.callerAddress;
     message.peerAddress = identity.peerAddress;
+    const StoreSight sight = callbacks.storeSight();
+    message.storeRevision = sight.revision;
+    message.isReadingStore = sight.isReading;
     message.isReady = callbacks.isReady() && !isLeaving;
     message.isLeaving = isLeaving;
     message.releases = released;
@@ -370,10 +373,12 @@
 {
     const bool isNew = !peers.contains(message.sender);
     Peer &peer = peers[message.sender];
+    const bool hasReadFurther = message.storeRevision > peer.storeRevision;
     const bool isChanged = isNew || peer.isReady != message.isReady || peer.isLeaving != message.isLeaving;
     const Duration silenceAllowed = std::max(scopeLimits.nearInterval, message.interval) * MessagesMissed + LateMessage;
     peer = Peer { message.sender, message.zone, message.scope, message.callerAddress, message.peerAddress, message.isReady,
-        message.isLeaving, message.configVersion, now(), silenceAllowed };
+        message.isLeaving, message.configVersion, now(), message.capacity, message.storeRevision,
+        message.isReadingStore, silenceAllowed };
     if (isChanged) {
         log.write(Important, "fleet", "peer", { { "peer", peer.id.value() }, { "ready", peer.isReady }, { "leaving", peer.isLeaving } });
     }
@@ -381,6 +386,9 @@
     if (peer.configVersion > own) {
         callbacks.onLaterConfiguration(peer);
     }
+    if (hasReadFurther) {
+        callbacks.onStoreNews();
+    }
 }
 
 void FleetLink::Private::onMessage(const FleetMessage &message)
@@ -539,6 +547,18 @@
     return soonest;
 }
 
+bool FleetLink::isDivided() const
+{
+    return !d->scope.zone().isEmpty();
+}
+
+std::vector<const Peer *> FleetLink::near() const
+{
+    std::vector<const Peer *> result = alive();
+    std::erase_if(result, [this](const Peer *peer) { return !d->scope.isNear(peer->zone, peer->scope); });
+    return result;
+}
+
 std::vector<const Peer *> FleetLink::alive() const
 {
     std::vector<const Peer *> result;
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -44,10 +44,20 @@
     bool isLeaving = false;
     ConfigVersion configVersion;
     Time heardAt;
+    double capacity = 0;
+    std::uint64_t storeRevision = 0;
+    bool isReadingStore = false;
     /** It counts as alive while it was heard of within this. */
     Duration silenceAllowed;
 };
 
+/** What this node says of its reading of the store. */
+struct StoreSight
+{
+    std::uint64_t revision = 0;
+    bool isReading = false;
+};
+
 /** What this node says of its load. */
 struct OwnAccount
 {
@@ -71,6 +81,10 @@
         std::function<void(const NodeId &, const std::vector<AdapterUse> &)> onUses;
         /** A peer said only what it waits for. */
         std::function<void(const NodeId &, const std::vector<AdapterUse> &)> onWants;
+        /** How far this node has read the store, and whether it reads it itself. */
+        std::function<StoreSight()> storeSight;
+        /** A peer has read further than it had. */
+        std::function<void()> onStoreNews;
         /** Rows of engines that were news. */
         std::function<void()> onRows;
         /** A peer has a later configuration than this node. */
@@ -96,6 +110,10 @@
     bool areWeighedTogether(EngineShard one, EngineShard other) const;
     /** How long until any node gives orders to engines; unset while this node does not hear most of the others. */
     std::optional<Duration> ordersIn() const;
+    /** Whether the fleet is so large that nodes tell each other only of the engines that they share. */
+    bool isDivided() const;
+    /** Those of the alive peers that use the same engines as this node. */
+    std::vector<const Peer *> near() const;
     /** Peers that are alive now. */
     std::vector<const Peer *> alive() const;
 
--- a/main/entry/peerservice.cpp
+++ b/main/entry/peerservice.cpp
@@ -1,5 +1,8 @@
 #include "main/entry/peerservice.h"
 
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+
 #include <utility>
 
 namespace ApricotStep
@@ -15,6 +18,10 @@
 constexpr Duration PatienceWithStore { 250 };
 constexpr int OkStatus = 200;
 constexpr int NotFoundStatus = 404;
+constexpr int GoneStatus = 410;
+constexpr const char *AfterParameter = "after";
+// How long ago the answering node saw the store come back, in ms.
+constexpr const char *RegainedHeader = "Store-Regained-Ms-Ago";
 
 } // namespace
 
@@ -32,32 +39,41 @@
     {
     }
 
-    void fetch(const Peer &peer);
+    void fetch(const Peer &peer, std::function<void(bool)> onDone);
 };
 
-void PeerService::Private::fetch(const Peer &peer)
+void PeerService::Private::fetch(const Peer &peer, std::function<void(bool)> onDone)
 {
     HttpCall call;
-    call.url = "http://" + peer.peerAddress + CopyPath;
+    call.url = "http://" + peer.peerAddress + CopyPath + "?" + AfterParameter + "=" + std::to_string(store.revision());
     call.connectTimeout = ConnectTimeout;
     call.totalTimeout = FetchTimeout;
     call.acknowledgeTimeout = ConnectTimeout;
-    auto body = std::make_shared<std::string>();
-    call.onData = [body](std::string_view data) {
-        body->append(data);
+    auto changes = std::make_shared<PeerChanges>();
+    call.onHead = [changes](int, const HttpHeaders &headers) {
+        for (const auto &[name, value] : headers) {
+            std::int64_t ago = 0;
+            if (absl::EqualsIgnoreCase(name, RegainedHeader) && absl::SimpleAtoi(value, &ago) && ago >= 0) {
+                changes->regainedAgo = Duration(ago);
+            }
+        }
+    };
+    call.onData = [changes](std::string_view data) {
+        changes->body.append(data);
         return true;
     };
-    call.onDone = [weak = weak_from_this(), body, id = peer.id](const CallResult &result) {
+    call.onDone = [weak = weak_from_this(), changes, id = peer.id, onDone = std::move(onDone)](const CallResult &result) {
         const auto self = weak.lock();
         if (self == nullptr) {
             return;
         }
         self->isFetching = false;
-        if (result.state == AttemptState::Answered && result.status == OkStatus) {
-            self->store.takeFromPeer(id, *body);
-        } else {
-            self->log.write(EventLog::Weight::Important, "peers", "no_copy", { { "peer", id.value() }, { "reason", result.detail } });
+        const bool hasCome = result.state == AttemptState::Answered && result.status == OkStatus && self->store.takeFromPeer(id, *changes);
+        if (!hasCome) {
+            self->log.write(EventLog::Weight::Important, "peers", "no_copy",
+                { { "peer", id.value() }, { "status", std::int64_t(result.status) }, { "reason", result.detail } });
         }
+        onDone(hasCome);
     };
     loop.client().start(std::move(call));
 }
@@ -71,11 +87,25 @@
 
 void PeerService::answer(const HttpRequest &request, HttpExchange &exchange) const
 {
-    if (request.path == CopyPath) {
-        exchange.respond(OkStatus, { { "Content-Type", "application/json" } }, d->store.copyForPeers());
-    } else {
+    if (request.path != CopyPath) {
         exchange.respond(NotFoundStatus, {}, "");
+        return;
+    }
+    Platform::StoreRevision after = 0;
+    if (!absl::SimpleAtoi(request.parameter(AfterParameter), &after)) {
+        exchange.respond(NotFoundStatus, {}, "");
+        return;
+    }
+    auto changes = d->store.changesSince(after);
+    if (!changes) {
+        exchange.respond(GoneStatus, {}, "");
+        return;
     }
+    HttpHeaders headers { { "Content-Type", "application/json" } };
+    if (const auto ago = d->store.regainedAgo()) {
+        headers.push_back({ RegainedHeader, std::to_string(ago->milliseconds()) });
+    }
+    exchange.respond(OkStatus, std::move(headers), std::move(*changes));
 }
 
 void PeerService::fetchFrom(const Peer &peer)
@@ -87,9 +117,18 @@
     const Duration patience = d->store.hasReadAll() && d->store.silence() == Duration(0) ? PatienceWithStore : Duration(0);
     d->loop.after(patience, [weak = std::weak_ptr(d), peer] {
         if (const auto self = weak.lock()) {
-            self->fetch(peer);
+            self->fetch(peer, [](bool) {});
         }
     });
 }
 
+void PeerService::followFrom(const Peer &peer, std::function<void(bool)> onDone)
+{
+    if (d->isFetching) {
+        return;
+    }
+    d->isFetching = true;
+    d->fetch(peer, std::move(onDone));
+}
+
 } // namespace ApricotStep
--- a/main/entry/peerservice.h
+++ b/main/entry/peerservice.h
@@ -5,6 +5,7 @@
 #include "main/entry/storereader.h"
 #include "transport/ioloop.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -25,8 +26,10 @@
 
     /** Answers another node. */
     void answer(const HttpRequest &request, HttpExchange &exchange) const;
-    /** Fetches what @p peer has read, unless that is on its way already. */
+    /** Fetches what @p peer has read beyond this node, unless that is on its way already; the store may bring it first. */
     void fetchFrom(const Peer &peer);
+    /** The same at once. @p onDone: whether it came. */
+    void followFrom(const Peer &peer, std::function<void(bool)> onDone);
 
 private:
     struct Private;
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -1,11 +1,11 @@
 #include "main/entry/storereader.h"
 
 #include "core/result.h"
+#include "main/entry/storecopy.h"
 #include "platform/records.h"
 #include "platform/store.h"
 
 #include <algorithm>
-#include <map>
 #include <random>
 #include <utility>
 
@@ -44,16 +44,20 @@
     OnChanges onChanges;
     std::mt19937_64 random { std::random_device {}() };
 
-    // What has been read, by key, for peers.
-    std::map<std::string, Platform::StoreItem> items;
+    StoreCopy copy;
     // While all is read: what the pages have brought so far, and the revision to watch from.
     std::vector<UpstreamId> listed;
+    std::vector<std::string> listedKeys;
     std::optional<Platform::StoreRevision> watchFrom;
     std::string pageAfter;
     bool hasReadAll = false;
     Time lastAnswer;
     Time lastCallAt;
     bool isLost = false;
+    bool isFollowing = false;
+    /** Following, with no call to the store on its way. */
+    bool isPaused = false;
+    Time regainedAt = Time::never();
     Duration retryPause = FirstRetry;
 
     Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, std::string address, OnChanges onChanges)
@@ -74,6 +78,7 @@
     void fail(const std::string &why);
     void succeed();
     void continueAfter(Duration pause, void (Private::*next)());
+    void take(const std::vector<Platform::StoreItem> &read, const std::string &source, BeliefChanges &changes);
 
     void apply(const Platform::StoreItem &item, const std::string &source, BeliefChanges &changes);
     void applyConfiguration(const Platform::StoreItem &item, const std::string &source, BeliefChanges &changes);
@@ -113,9 +118,15 @@
 void StoreReader::Private::continueAfter(Duration pause, void (Private::*next)())
 {
     loop.after(pause, [weak = weak_from_this(), next] {
-        if (const auto self = weak.lock()) {
-            (self.get()->*next)();
+        const auto self = weak.lock();
+        if (self == nullptr) {
+            return;
+        }
+        if (self->isFollowing && self->hasReadAll) {
+            self->isPaused = true;
+            return;
         }
+        (self.get()->*next)();
     });
 }
 
@@ -142,6 +153,7 @@
         isLost = false;
         if (hasReadAll && silence >= OutageThatLosesEntries) {
             beliefs.upstreams.onStoreRegained(now);
+            regainedAt = now;
         }
         log.write(Important, "store", "regained", { { "silenceMs", silence.milliseconds() } });
     }
@@ -151,6 +163,7 @@
 {
     if (pageAfter.empty()) {
         listed.clear();
+        listedKeys.clear();
         watchFrom.reset();
     }
     call(Platform::rangeTarget("", pageAfter), ReadTimeout, &Private::onPage);
@@ -168,8 +181,9 @@
     // Pages are no snapshot: changes since the first one are watched for, else those between two pages would be missed.
     watchFrom = watchFrom.value_or(page.value().revision);
     BeliefChanges changes;
+    take(page.value().items, "store", changes);
     for (const Platform::StoreItem &item : page.value().items) {
-        apply(item, "store", changes);
+        listedKeys.push_back(item.key);
         if (const auto key = Platform::decodeKey(item.key); std::holds_alternative<Platform::UpstreamKey>(key)) {
             listed.push_back(std::get<Platform::UpstreamKey>(key).id);
         }
@@ -181,6 +195,7 @@
         return;
     }
     pageAfter.clear();
+    copy.retainOnly(listedKeys, *watchFrom, loop.clock().now());
     for (UpstreamChange &change : beliefs.upstreams.retainOnly(listed, loop.clock().now())) {
         changes.upstreams.push_back(std::move(change));
     }
@@ -217,8 +232,8 @@
     succeed();
     BeliefChanges changes;
     bool isForRequests = false;
+    take(page.value().items, "store", changes);
     for (const Platform::StoreItem &item : page.value().items) {
-        apply(item, "store", changes);
         isForRequests = isForRequests || !std::holds_alternative<Platform::UpstreamKey>(Platform::decodeKey(item.key));
     }
     watchFrom = std::max(*watchFrom, page.value().revision);
@@ -228,13 +243,17 @@
     continueAfter(isForRequests ? Duration(0) : pause, &Private::watch);
 }
 
-void StoreReader::Private::apply(const Platform::StoreItem &item, const std::string &source, BeliefChanges &changes)
+void StoreReader::Private::take(const std::vector<Platform::StoreItem> &read, const std::string &source, BeliefChanges &changes)
 {
-    if (item.isDeleted) {
-        items.erase(item.key);
-    } else {
-        items[item.key] = item;
+    for (const Platform::StoreItem &item : read) {
+        if (copy.put(item, loop.clock().now())) {
+            apply(item, source, changes);
+        }
     }
+}
+
+void StoreReader::Private::apply(const Platform::StoreItem &item, const std::string &source, BeliefChanges &changes)
+{
     std::visit(Overloaded {
                    [&](const Platform::ConfigurationKey &) { applyConfiguration(item, source, changes); },
                    [&](const Platform::UpstreamKey &key) { applyUpstream(key.id, item, changes); },
@@ -321,31 +340,43 @@
     d->readPage();
 }
 
-std::string StoreReader::copyForPeers() const
+void StoreReader::setFollowing(bool isFollowing)
 {
-    std::vector<Platform::StoreItem> list;
-    for (const auto &[key, item] : d->items) {
-        list.push_back(item);
+    d->isFollowing = isFollowing;
+    if (!isFollowing && std::exchange(d->isPaused, false)) {
+        d->watch();
     }
-    return Platform::encodeRange(list, d->watchFrom.value_or(0));
 }
 
-void StoreReader::takeFromPeer(const NodeId &peer, const std::string &copy)
+std::optional<std::string> StoreReader::changesSince(Platform::StoreRevision revision) const
 {
-    const auto page = Platform::decodeRange(copy);
+    if (!d->copy.reachesBackTo(revision)) {
+        return std::nullopt;
+    }
+    return Platform::encodeWatch(d->copy.since(revision), this->revision());
+}
+
+bool StoreReader::takeFromPeer(const NodeId &peer, const PeerChanges &offered)
+{
+    const auto page = Platform::decodeWatch(offered.body);
     if (!page.isOk()) {
         d->log.write(Important, "peers", "bad_copy", { { "peer", peer.value() }, { "reason", page.error().detail } });
-        return;
+        return false;
+    }
+    const Time now = d->loop.clock().now();
+    if (offered.regainedAgo) {
+        // The peer saw the store away; what it then lists no longer may come back as if this node had seen it itself.
+        d->beliefs.upstreams.onStoreRegained(now - *offered.regainedAgo);
+        d->regainedAt = now - *offered.regainedAgo;
     }
     BeliefChanges changes;
-    for (const Platform::StoreItem &item : page.value().items) {
-        // The store's own word on upstreams stands above a peer's, whose copy may be older.
-        const auto at = d->items.find(item.key);
-        if (at == d->items.end() ? !d->hasReadAll : at->second.revision < item.revision) {
-            d->apply(item, "peer " + peer.value(), changes);
-        }
+    d->take(page.value().items, "peer " + peer.value(), changes);
+    if (d->isFollowing && d->watchFrom) {
+        d->watchFrom = std::max(*d->watchFrom, page.value().revision);
+        d->lastAnswer = now;
     }
     d->publish(changes);
+    return true;
 }
 
 bool StoreReader::hasReadAll() const
@@ -353,6 +384,25 @@
     return d->hasReadAll;
 }
 
+Platform::StoreRevision StoreReader::revision() const
+{
+    return d->hasReadAll ? d->watchFrom.value_or(0) : 0;
+}
+
+bool StoreReader::isReading() const
+{
+    return d->hasReadAll && !d->isLost && !d->isPaused;
+}
+
+std::optional<Duration> StoreReader::regainedAgo() const
+{
+    if (d->regainedAt == Time::never()) {
+        return std::nullopt;
+    }
+    const Duration ago = d->loop.clock().now() - d->regainedAt;
+    return ago < UpstreamDirectoryLimits {}.graceAfterOutage ? std::optional(ago) : std::nullopt;
+}
+
 Duration StoreReader::silence() const
 {
     return d->isLost ? d->loop.clock().now() - d->lastAnswer : Duration(0);
--- a/main/entry/storereader.h
+++ b/main/entry/storereader.h
@@ -2,10 +2,12 @@
 
 #include "main/entry/beliefs.h"
 #include "main/entry/eventlog.h"
+#include "platform/store.h"
 #include "transport/ioloop.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace ApricotStep
@@ -24,6 +26,15 @@
     }
 };
 
+/** What another node read of the store. */
+struct PeerChanges
+{
+    /** As StoreReader::changesSince() gives it. */
+    std::string body;
+    /** Its regainedAgo(). */
+    std::optional<Duration> regainedAgo;
+};
+
 /**
  * Keeps the beliefs at what the platform's store holds: reads all of it once, then waits for changes.
  *
@@ -38,12 +49,20 @@
     ~StoreReader();
 
     void start();
-    /** Everything read so far, in the store's own form, for nodes that cannot reach it. */
-    std::string copyForPeers() const;
-    /** Takes in what another node has read; only what is news. */
-    void takeFromPeer(const NodeId &peer, const std::string &copy);
+    /** While following, the store is not asked for changes; takeFromPeer() brings them. */
+    void setFollowing(bool isFollowing);
+    /** What changed after @p revision, for other nodes; empty when deletions since then have been forgotten. */
+    std::optional<std::string> changesSince(Platform::StoreRevision revision) const;
+    /** Takes in what another node has read; only what is news. Whether it could be read. */
+    bool takeFromPeer(const NodeId &peer, const PeerChanges &changes);
     /** Whether all of the store has been read once. */
     bool hasReadAll() const;
+    /** Up to which revision this node knows all changes; 0 before all has been read once. */
+    Platform::StoreRevision revision() const;
+    /** Whether this node asks the store itself, and it answers. */
+    bool isReading() const;
+    /** How long ago the store answered again after it was away; unset where that is over for all entries. */
+    std::optional<Duration> regainedAgo() const;
     /** How long the store has not answered; zero when it does. */
     Duration silence() const;
 
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -144,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 6, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 7, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -912,6 +912,10 @@
 
   inline  ::int64_t getIntervalMs() const;
 
+  inline  ::uint64_t getStoreRevision() const;
+
+  inline bool getIsReadingStore() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1057,6 +1061,12 @@
   inline  ::int64_t getIntervalMs();
   inline void setIntervalMs( ::int64_t value);
 
+  inline  ::uint64_t getStoreRevision();
+  inline void setStoreRevision( ::uint64_t value);
+
+  inline bool getIsReadingStore();
+  inline void setIsReadingStore(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2239,6 +2249,34 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FleetMessageWire::Reader::getStoreRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FleetMessageWire::Builder::getStoreRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FleetMessageWire::Builder::setStoreRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetMessageWire::Reader::getIsReadingStore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetMessageWire::Builder::getIsReadingStore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+}
+inline void FleetMessageWire::Builder::setIsReadingStore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -145,10 +145,12 @@
 
 Test(store, whatIsEncodedForPeersIsDecoded)
 {
-    const auto page = decodeRange(encodeRange({ StoreItem { "op/config", "\x01\xff", 7, false } }, 9));
+    const auto page =
+        decodeWatch(encodeWatch({ StoreItem { "op/config", "\x01\xff", 7, false }, StoreItem { "servers/u", "", 8, true } }, 9));
     cr_assert(page.isOk());
     cr_assert_eq(page.value().revision, 9);
     cr_assert(page.value().items[0].value == "\x01\xff" && page.value().items[0].revision == 7);
+    cr_assert(page.value().items[1].isDeleted && page.value().items[1].key == "servers/u" && page.value().items[1].revision == 8);
     cr_assert(rangeTarget("a b", "k/1").find("pathPrefix=a%20b&after=k/1") != std::string::npos);
 }
 
