--- a/coordination/adapterdemand.h
+++ b/coordination/adapterdemand.h
@@ -27,7 +27,8 @@
 /**
  * What the nodes together run and wait for, adapter by adapter. Not thread-safe.
  *
- * The sums are made once after each message and not at each question: a plan asks for each copy of each engine whether a request runs on it.
+ * The sums are made once after each message and not at each question: a plan asks for each copy of each engine whether a request runs on
+ * it.
  */
 class AdapterDemand
 {
--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -89,8 +89,9 @@
     /** Adapters on their way to all engines, in this round. */
     int underWay = 0;
     /**
-     * Rows told, of all engines together. Counted for each engine, an engine that starts again under its id would begin at one, and all nodes
-     * would take its rows for older ones than those of its former start: they send to copies that are gone until the count has caught up.
+     * Rows told, of all engines together. Counted for each engine, an engine that starts again under its id would begin at one, and all
+     * nodes would take its rows for older ones than those of its former start: they send to copies that are gone until the count has caught
+     * up.
      */
     std::uint64_t rowsTold = 0;
 
--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -111,7 +111,7 @@
     /** The sender speaks to this receiver at least this often; zero when it does not say. */
     Duration interval;
     /** How far the sender has read the store, and whether it reads it by itself and is answered. */
-    std::uint64_t storeRevision = 0;
+    std::uint64_t readRevision = 0;
     bool isReadingStore = false;
     /** IP number and port for callers and for other nodes. */
     std::string callerAddress;
--- a/coordination/fleetscope.h
+++ b/coordination/fleetscope.h
@@ -10,11 +10,10 @@
 
 // Load pattern: a fleet of a hundred nodes and more, most with a twelfth of a core, that choose among as many engines.
 // Without a scope: each node tells each other one of its load five times a second. With 134 nodes that is 670 messages a second to read at
-// each, two fifths of a small node's core and 1.1 GB between zones in 48 s; the holders of orders fall behind, and a third of all requests is
-// refused while engines are idle.
-// So the nodes of a large fleet use the engines of one availability zone each and tell only each other of them; of the rest they hear now and
-// then that they live. Grounds for the figures: up to 32 nodes the whole picture costs a small node less than a tenth of its core, and one
-// zone's engines are too few to hold the adapters that are asked for there.
+// each, two fifths of a small node's core and 1.1 GB between zones in 48 s; the holders of orders fall behind, and a third of all requests
+// is refused while engines are idle. So the nodes of a large fleet use the engines of one availability zone each and tell only each other
+// of them; of the rest they hear now and then that they live. Grounds for the figures: up to 32 nodes the whole picture costs a small node
+// less than a tenth of its core, and one zone's engines are too few to hold the adapters that are asked for there.
 
 struct FleetScopeLimits
 {
--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -111,10 +111,9 @@
         return lowest;
     }
     // The nodes' order for this shard. One in the engines' own zone sees their load soonest and is cut off together with them; a large one
-    // has the time to weigh all wants, which a node with a twelfth of a core has not. Among equals each shard has another first one, so that
-    // the loss of one node silences one shard.
-    std::tuple<bool, double, bool, std::uint64_t> preference(
-        const NodeId &id, const ZoneId &zone, double capacity, bool holdsAnother) const
+    // has the time to weigh all wants, which a node with a twelfth of a core has not. Among equals each shard has another first one, so
+    // that the loss of one node silences one shard.
+    std::tuple<bool, double, bool, std::uint64_t> preference(const NodeId &id, const ZoneId &zone, double capacity, bool holdsAnother) const
     {
         return { zone == standing.shardZone, capacity, !holdsAnother,
             mixHashes(stableHash(id.value()), stableHash(std::to_string(shard.value()))) };
@@ -213,8 +212,7 @@
     }
 };
 
-OrderLease::OrderLease(
-    OrderLeaseLimits limits, EngineShard shard, NodeId self, Incarnation incarnation, Time now, LeaseStanding standing)
+OrderLease::OrderLease(OrderLeaseLimits limits, EngineShard shard, NodeId self, Incarnation incarnation, Time now, LeaseStanding standing)
     : d(std::make_unique<Private>())
 {
     d->limits = limits;
--- a/coordination/shardmap.h
+++ b/coordination/shardmap.h
@@ -13,8 +13,8 @@
 /**
  * Parts of the engines whose orders have a holder each: some for each availability zone.
  *
- * With one holder for all, no adapter is loaded anywhere for four seconds after each loss of that node; with eight, most of the engines go on.
- * Within a zone, since in a large fleet only the nodes of a zone tell each other what they run.
+ * With one holder for all, no adapter is loaded anywhere for four seconds after each loss of that node; with eight, most of the engines go
+ * on. Within a zone, since in a large fleet only the nodes of a zone tell each other what they run.
  */
 class ShardMap
 {
--- a/coordination/storeturns.h
+++ b/coordination/storeturns.h
@@ -12,9 +12,9 @@
 
 // Load pattern: each change of an engine wakes every node that waits at the store, and each wait is a call that is paid for.
 // Without turns: 134 nodes make 7,200 calls in 48 s, an eighth of what a calm day earns, and the calls grow with the square of the fleet.
-// So in a large fleet two nodes of each scope read the store and the others fetch from them what changed. Grounds for the figures: with two,
-// the loss of one costs nobody anything; a node that hears of no reader whose store answers reads by itself at once, so that a store that
-// turns some machines away, or dead readers, delay a change by one lost message at most.
+// So in a large fleet two nodes of each scope read the store and the others fetch from them what changed. Grounds for the figures: with
+// two, the loss of one costs nobody anything; a node that hears of no reader whose store answers reads by itself at once, so that a store
+// that turns some machines away, or dead readers, delay a change by one lost message at most.
 
 struct StoreTurnLimits
 {
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -64,6 +64,8 @@
     std::unique_ptr<RequestForwarder> forwarder;
     std::unique_ptr<PeerService> peers;
     StoreTurns storeTurns;
+    /** What the last turn said. */
+    bool readsStore = true;
     std::vector<std::unique_ptr<HttpServer>> servers;
     HttpServer *callerServer = nullptr;
     std::atomic<bool> isDrainAsked { false };
@@ -285,10 +287,14 @@
     const auto near = fleet->near();
     std::vector<StoreNeighbour> neighbours;
     for (const Peer *peer : near) {
-        neighbours.push_back(StoreNeighbour { peer->id, peer->capacity, peer->isLeaving, peer->isReadingStore, peer->storeRevision });
+        neighbours.push_back(StoreNeighbour { peer->id, peer->capacity, peer->isLeaving, peer->isReadingStore, peer->readRevision });
     }
     const bool isCurrent = store->hasReadAll() && store->silence() == Duration(0);
     const StoreTurn turn = storeTurns.decide(fleet->isDivided(), isCurrent, store->revision(), neighbours, clock.now());
+    if (std::exchange(readsStore, turn.readsItself) != turn.readsItself) {
+        log.write(EventLog::Weight::Important, "store", "turn",
+            { { "reads", turn.readsItself }, { "neighbours", static_cast<std::int64_t>(neighbours.size()) } });
+    }
     store->setFollowing(!turn.readsItself);
     for (const Peer *peer : near) {
         if (peer->id == turn.fetchFrom) {
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -135,7 +135,7 @@
     message.callerAddress = identity.callerAddress;
     message.peerAddress = identity.peerAddress;
     const StoreSight sight = callbacks.storeSight();
-    message.storeRevision = sight.revision;
+    message.readRevision = sight.revision;
     message.isReadingStore = sight.isReading;
     message.isReady = callbacks.isReady() && !isLeaving;
     message.isLeaving = isLeaving;
@@ -373,12 +373,11 @@
 {
     const bool isNew = !peers.contains(message.sender);
     Peer &peer = peers[message.sender];
-    const bool hasReadFurther = message.storeRevision > peer.storeRevision;
+    const bool hasReadFurther = message.readRevision > peer.readRevision;
     const bool isChanged = isNew || peer.isReady != message.isReady || peer.isLeaving != message.isLeaving;
     const Duration silenceAllowed = std::max(scopeLimits.nearInterval, message.interval) * MessagesMissed + LateMessage;
     peer = Peer { message.sender, message.zone, message.scope, message.callerAddress, message.peerAddress, message.isReady,
-        message.isLeaving, message.configVersion, now(), message.capacity, message.storeRevision,
-        message.isReadingStore, silenceAllowed };
+        message.isLeaving, message.configVersion, now(), message.capacity, message.readRevision, message.isReadingStore, silenceAllowed };
     if (isChanged) {
         log.write(Important, "fleet", "peer", { { "peer", peer.id.value() }, { "ready", peer.isReady }, { "leaving", peer.isLeaving } });
     }
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -45,7 +45,7 @@
     ConfigVersion configVersion;
     Time heardAt;
     double capacity = 0;
-    std::uint64_t storeRevision = 0;
+    std::uint64_t readRevision = 0;
     bool isReadingStore = false;
     /** It counts as alive while it was heard of within this. */
     Duration silenceAllowed;
--- a/main/entry/storecopy.cpp
+++ b/main/entry/storecopy.cpp
@@ -33,8 +33,7 @@
     return true;
 }
 
-std::vector<Platform::StoreItem> StoreCopy::retainOnly(
-    const std::vector<std::string> &keys, Platform::StoreRevision revision, Time now)
+std::vector<Platform::StoreItem> StoreCopy::retainOnly(const std::vector<std::string> &keys, Platform::StoreRevision revision, Time now)
 {
     std::vector<Platform::StoreItem> gone;
     for (const auto &[key, item] : m_items) {
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -74,6 +74,6 @@
     scope @18 :Text;
     capacity @19 :Float64;
     intervalMs @20 :Int64;
-    storeRevision @21 :UInt64;
+    readRevision @21 :UInt64;
     isReadingStore @22 :Bool;
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -912,7 +912,7 @@
 
   inline  ::int64_t getIntervalMs() const;
 
-  inline  ::uint64_t getStoreRevision() const;
+  inline  ::uint64_t getReadRevision() const;
 
   inline bool getIsReadingStore() const;
 
@@ -1061,8 +1061,8 @@
   inline  ::int64_t getIntervalMs();
   inline void setIntervalMs( ::int64_t value);
 
-  inline  ::uint64_t getStoreRevision();
-  inline void setStoreRevision( ::uint64_t value);
+  inline  ::uint64_t getReadRevision();
+  inline void setReadRevision( ::uint64_t value);
 
   inline bool getIsReadingStore();
   inline void setIsReadingStore(bool value);
@@ -2249,16 +2249,16 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t FleetMessageWire::Reader::getStoreRevision() const {
+inline  ::uint64_t FleetMessageWire::Reader::getReadRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t FleetMessageWire::Builder::getStoreRevision() {
+inline  ::uint64_t FleetMessageWire::Builder::getReadRevision() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void FleetMessageWire::Builder::setStoreRevision( ::uint64_t value) {
+inline void FleetMessageWire::Builder::setReadRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -161,7 +161,7 @@
     message.interval = Duration(std::clamp<std::int64_t>(wire.getIntervalMs(), 0, LongestInterval.milliseconds()));
     message.callerAddress = textOf(wire.getCallerAddress());
     message.peerAddress = textOf(wire.getPeerAddress());
-    message.storeRevision = wire.getStoreRevision();
+    message.readRevision = wire.getReadRevision();
     message.isReadingStore = wire.getIsReadingStore();
     message.isReady = wire.getIsReady();
     message.isLeaving = wire.getIsLeaving();
@@ -185,7 +185,7 @@
     wire.setIntervalMs(message.interval.milliseconds());
     wire.setCallerAddress(message.callerAddress);
     wire.setPeerAddress(message.peerAddress);
-    wire.setStoreRevision(message.storeRevision);
+    wire.setReadRevision(message.readRevision);
     wire.setIsReadingStore(message.isReadingStore);
     wire.setIsReady(message.isReady);
     wire.setIsLeaving(message.isLeaving);
--- a/tests/coordination/testfleetscope.cpp
+++ b/tests/coordination/testfleetscope.cpp
@@ -38,8 +38,8 @@
     cr_assert(!scope.isNear(B, B) && !scope.isNear(A, B));
 }
 
-// All engines of a zone are lost. Requests that come to its nodes would be refused for as long as that lasts, while other zones' engines are
-// free; so its nodes join the next zone, all the same one.
+// All engines of a zone are lost. Requests that come to its nodes would be refused for as long as that lasts, while other zones' engines
+// are free; so its nodes join the next zone, all the same one.
 Test(fleetscope, aZoneWithoutEnginesJoinsAnother)
 {
     FleetScope scope(FleetScopeLimits {}, C);
--- a/tests/coordination/testupstreamdirectory.cpp
+++ b/tests/coordination/testupstreamdirectory.cpp
@@ -137,8 +137,8 @@
     cr_assert(book.own().empty());
 }
 
-// Messages replace each other several times a second, some name an upstream twice, and nodes fall silent in between. Sums that drift make an
-// idle engine look full for good, so that it gets no requests while others are crowded.
+// Messages replace each other several times a second, some name an upstream twice, and nodes fall silent in between. Sums that drift make
+// an idle engine look full for good, so that it gets no requests while others are crowded.
 Test(upstreambook, sumsFollowEachMessageAndReturnToZero)
 {
     const UpstreamId one("one");
@@ -150,8 +150,8 @@
         now = now + Duration(7);
         const NodeId peer("node-" + std::to_string(random() % 20));
         const auto figure = [&random] { return static_cast<std::uint32_t>(random() % 4); };
-        book.onPeer(peer, { UpstreamLoad { one, figure(), 1000 * figure() }, UpstreamLoad { one, figure(), 0 }, UpstreamLoad { two, 0, 0 } },
-            now);
+        book.onPeer(
+            peer, { UpstreamLoad { one, figure(), 1000 * figure() }, UpstreamLoad { one, figure(), 0 }, UpstreamLoad { two, 0, 0 } }, now);
         cr_assert_geq(book.load(one, now).running, 0);
     }
     for (int peer = 0; peer < 20; ++peer) {
