--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -124,6 +124,8 @@
     /** How long the sender has run: its predecessor under the same id gave no orders since. */
     Duration uptime;
     std::vector<LastOrder> lastOrders;
+    /** Nodes that the sender has heard of lately and remembers, itself included; 0 when it does not say. */
+    std::uint32_t rememberedNodes = 0;
     /** The sender gives up these leases. */
     std::vector<EngineShard> releases;
     /** Peer addresses of nodes that the sender heard of lately, so that those who know few find the others. */
--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -20,6 +20,8 @@
 // A node that speaks at a pace of its own is heard while no three of its messages in a row are lost, and a late one has come.
 constexpr int MessagesMissed = 3;
 constexpr Duration LateMessage { 300 };
+// A forged count must not keep all orders from being given: no fleet is larger.
+constexpr std::size_t MostNodes = 4096;
 
 struct Other
 {
@@ -31,6 +33,8 @@
     bool isLeaving = false;
     /** It holds another shard. */
     bool holdsOther = false;
+    /** Nodes that it remembers itself. */
+    std::size_t rememberedNodes = 0;
     /** It gave no orders to this shard after this. */
     Time quietSince = Time::never();
     /** It is only an address that we were told of. */
@@ -90,6 +94,20 @@
     {
         return now - other.heardAt <= (other.isLeaving ? limits.leaverMemory : limits.memory);
     }
+    /**
+     * The size of the fleet, as far as any node that lives remembers it. A node that has just started counts only those that it hears; behind
+     * a partition that is a part of the fleet, and a majority of that part would lead beside the other side.
+     */
+    std::size_t fleetSize(std::size_t ownCount, Time now) const
+    {
+        std::size_t size = ownCount;
+        for (const auto &[id, other] : others) {
+            if (isAlive(other, now)) {
+                size = std::max(size, other.rememberedNodes);
+            }
+        }
+        return size;
+    }
     std::vector<std::pair<NodeId, const Other *>> counted(Time now) const
     {
         std::vector<std::pair<NodeId, const Other *>> result;
@@ -137,7 +155,7 @@
             return Time();
         }
         const auto members = counted(now);
-        const std::size_t all = members.size() + 1;
+        const std::size_t all = fleetSize(members.size() + 1, now);
         // Its own voice counts as any other: only while it has promised itself.
         std::vector<Time> granted;
         if (promisedTo == self && now < promisedUntil) {
@@ -152,7 +170,9 @@
             }
         }
         // An exact half leads when the lowest id is in it: of two halves only one has it.
-        const std::size_t needed = all % 2 == 0 && hasLowest ? all / 2 : all / 2 + 1;
+        // A node that knows only a part of the fleet does not know the lowest one either.
+        const bool isTieBroken = hasLowest && all == members.size() + 1;
+        const std::size_t needed = all % 2 == 0 && isTieBroken ? all / 2 : all / 2 + 1;
         if (granted.size() < needed) {
             return Time();
         }
@@ -246,6 +266,7 @@
     other.zone = message.zone;
     other.capacity = message.capacity;
     other.isLeaving = message.isLeaving;
+    other.rememberedNodes = std::min<std::size_t>(message.rememberedNodes, MostNodes);
     d->noteQuiet(other, message, now);
     other.holdsOther =
         std::any_of(message.claims.begin(), message.claims.end(), [this](const LeaseClaim &entry) { return entry.shard != d->shard; });
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -141,6 +141,7 @@
     message.isLeaving = isLeaving;
     message.releases = released;
     message.uptime = now() - startedAt;
+    message.rememberedNodes = static_cast<std::uint32_t>(leases.front().knownCount(now()));
     for (const OrderLease &lease : leases) {
         if (const auto order = lease.lastOrder(now())) {
             message.lastOrders.push_back(*order);
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -76,4 +76,5 @@
     intervalMs @20 :Int64;
     readRevision @21 :UInt64;
     isReadingStore @22 :Bool;
+    rememberedNodes @23 :UInt32;
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -916,6 +916,8 @@
 
   inline bool getIsReadingStore() const;
 
+  inline  ::uint32_t getRememberedNodes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1067,6 +1069,9 @@
   inline bool getIsReadingStore();
   inline void setIsReadingStore(bool value);
 
+  inline  ::uint32_t getRememberedNodes();
+  inline void setRememberedNodes( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2277,6 +2282,20 @@
       ::capnp::bounded<67>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t FleetMessageWire::Reader::getRememberedNodes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetMessageWire::Builder::getRememberedNodes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FleetMessageWire::Builder::setRememberedNodes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -71,6 +71,7 @@
         grants[i].setGreatestFence(message.grants[i].greatestFence.value());
     }
     wire.setUptimeMs(message.uptime.milliseconds());
+    wire.setRememberedNodes(message.rememberedNodes);
     auto lastOrders = wire.initLastOrders(static_cast<unsigned int>(message.lastOrders.size()));
     for (unsigned int i = 0; i < lastOrders.size(); ++i) {
         lastOrders[i].setShard(message.lastOrders[i].shard.value());
@@ -93,6 +94,7 @@
             Incarnation(grant.getIncarnation()), Time(grant.getSentAt()), FencingToken(grant.getGreatestFence()) });
     }
     message.uptime = Duration(wire.getUptimeMs());
+    message.rememberedNodes = wire.getRememberedNodes();
     for (const auto order : wire.getLastOrders()) {
         message.lastOrders.push_back(LastOrder { EngineShard(order.getShard()), Duration(order.getAgoMs()) });
     }
--- a/tests/coordination/testorderlease.cpp
+++ b/tests/coordination/testorderlease.cpp
@@ -142,6 +142,7 @@
         message.peerAddress = id;
         message.isLeaving = m_nodes[id].isLeaving;
         message.uptime = m_now - m_nodes[id].startedAt;
+        message.rememberedNodes = static_cast<std::uint32_t>(m_nodes[id].lease->knownCount(m_now));
         if (const auto order = m_nodes[id].lease->lastOrder(m_now)) {
             message.lastOrders.push_back(*order);
         }
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -21,6 +21,7 @@
     message.interval = Duration(200);
     message.readRevision = 41;
     message.isReadingStore = true;
+    message.rememberedNodes = 17;
     message.callerAddress = "10.0.0.1:80";
     message.peerAddress = "10.0.0.1:81";
     message.isReady = true;
@@ -48,6 +49,7 @@
     const FleetMessage &message = got.value();
     cr_assert(message.sender == sent.sender && message.incarnation == sent.incarnation && message.peerAddress == sent.peerAddress);
     cr_assert(message.scope == sent.scope && message.capacity == sent.capacity && message.interval == sent.interval);
+    cr_assert_eq(message.rememberedNodes, 17);
     cr_assert(message.readRevision == 41 && message.isReadingStore);
     cr_assert(message.claims.front().ordersIn == Duration(30) && message.claims.front().shard == EngineShard(2));
     cr_assert(message.grants.front().holder == NodeId("n2") && message.grants.front().greatestFence == FencingToken(6));
