--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -68,7 +68,7 @@
     Time heldSince = Time::never();
     bool isReleased = false;
     bool holdsOther = false;
-    /** When this node could give orders last. */
+    /** When this node was last told that it may give orders. */
     Time orderedAt;
 
     /** Whether this node hears more than half of all that it has not forgotten, itself included. */
@@ -95,8 +95,8 @@
         return now - other.heardAt <= (other.isLeaving ? limits.leaverMemory : limits.memory);
     }
     /**
-     * The size of the fleet, as far as any node that lives remembers it. A node that has just started counts only those that it hears; behind
-     * a partition that is a part of the fleet, and a majority of that part would lead beside the other side.
+     * The size of the fleet, as far as any node that lives remembers it. A node that has just started counts only those that it hears;
+     * behind a partition that is a part of the fleet, and a majority of that part would lead beside the other side.
      */
     std::size_t fleetSize(std::size_t ownCount, Time now) const
     {
@@ -184,8 +184,12 @@
         return now - startedAt < limits.lease + limits.margin;
     }
     /** The latest moment at which another node may have given an order. */
-    Time othersQuietSince() const
+    Time othersQuietSince(Time now) const
     {
+        // A node that this one never heard of may have held the lease until this one began: others remember more nodes than this one knows.
+        if (fleetSize(others.size() + 1, now) > others.size() + 1) {
+            return heldSince;
+        }
         Time latest;
         for (const auto &[id, other] : others) {
             // What it said before this lease began may be older than its last order.
@@ -197,7 +201,7 @@
     Duration ownOrdersIn(Time now) const
     {
         const Duration silence = limits.turn + limits.margin;
-        return heldSince == Time::never() ? silence : std::max(othersQuietSince() + silence - now, Duration(0));
+        return heldSince == Time::never() ? silence : std::max(othersQuietSince(now) + silence - now, Duration(0));
     }
     void noteHeld(Time now)
     {
@@ -318,9 +322,6 @@
     }
     const bool isHeld = isHolder(now);
     d->noteHeld(now);
-    if (mayOrder(now)) {
-        d->orderedAt = now;
-    }
     // A lease that was lost for a moment may have been another's meanwhile: what follows is a new one, with its silence.
     if (!isHeld && d->heldSince != Time::never()) {
         d->stopClaiming();
@@ -357,8 +358,7 @@
     if (d->orderedAt == Time()) {
         return std::nullopt;
     }
-    // It could order until the next claim after the one that noted it, at most.
-    return LastOrder { d->shard, std::max(now - d->orderedAt - d->limits.renewal, Duration(0)) };
+    return LastOrder { d->shard, now - d->orderedAt };
 }
 
 void OrderLease::release()
@@ -373,6 +373,9 @@
     if (!isHolder(now) || d->heldSince == Time::never() || d->ownOrdersIn(now) > Duration(0)) {
         return std::nullopt;
     }
+    // Noted here, since each order asks. Noted with the claims only, a node that began to order and left between two of them would tell its
+    // follower that it never ordered.
+    d->orderedAt = now;
     return d->fence;
 }
 
--- a/tests/coordination/testorderlease.cpp
+++ b/tests/coordination/testorderlease.cpp
@@ -386,10 +386,25 @@
 }
 
 // Several nodes are restarted while a partition keeps the others from them. They know only each other and a few seeds, count that as the
-// whole fleet and lead there, beside the holder on the other side. A user notices orders of two holders within seconds. This seed came up
-// among 4,000; see KNOWN-RED.txt.
-Test(knownred, nodesRestartedBehindAPartitionDoNotLead)
+// whole fleet and lead there, beside the holder on the other side. A user notices orders of two holders within seconds.
+Test(orderlease, nodesRestartedBehindAPartitionDoNotLead)
 {
     const std::string breach = breachOfHistory(589);
     cr_assert(breach.empty(), "seed 589: %s", breach.c_str());
 }
+
+// The holder is cut off, and a node that has just started wins the lease. It never heard of the former holder, so it takes the others' word
+// that they gave no orders for everybody's, and orders at once. A user notices orders of two holders within a second and a half.
+Test(orderlease, aNewcomerWaitsForAHolderThatItNeverHeardOf)
+{
+    const std::string breach = breachOfHistory(637);
+    cr_assert(breach.empty(), "seed 637: %s", breach.c_str());
+}
+
+// A node may order, does so, and is told to stop before it claims again. If it counts its orders by its claims, it tells its follower that
+// it gave none. A user notices orders of two holders within a second.
+Test(orderlease, aHolderThatLeavesAtOnceTellsOfItsOrder)
+{
+    const std::string breach = breachOfHistory(1263);
+    cr_assert(breach.empty(), "seed 1263: %s", breach.c_str());
+}
