--- /dev/null
+++ b/tests/soak/http1.py
@@ -0,0 +1,120 @@
+"""A small HTTP/1.1 server and client on asyncio, with what the soak needs to see: every connection, every byte, every early end."""
+
+import asyncio
+
+
+class Request:
+    """One request as it came; header names in lower case."""
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.target = target
+        self.path, _, self.query = target.partition("?")
+        self.headers = headers
+        self.body = body
+
+    def header(self, name, default=""):
+        return self.headers.get(name, default)
+
+
+class Answer:
+    """What a client got: status 0 where no head came; complete only where all bytes came that the head promised."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.body = b""
+        self.is_complete = False
+        self.error = ""
+        # The whole request had been handed to the connection.
+        self.is_sent = False
+
+
+async def read_head(reader):
+    """First line and headers, or None where the connection ends before."""
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = raw.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, separator, value = line.partition(":")
+        if separator:
+            headers[name.strip().lower()] = value.strip()
+    return lines[0], headers
+
+
+async def read_body(reader, headers, is_answer=False):
+    """The body by its length or in chunks; raises IncompleteReadError where it ends early."""
+    if "chunked" in headers.get("transfer-encoding", ""):
+        parts = []
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip() or b"0", 16)
+            chunk = await reader.readexactly(size + 2)
+            if size == 0:
+                return b"".join(parts)
+            parts.append(chunk[:-2])
+    if "content-length" in headers:
+        return await reader.readexactly(int(headers["content-length"]))
+    return await reader.read() if is_answer else b""
+
+
+async def serve(host, port, handle):
+    """Starts a server; handle(request, writer) answers one request and returns whether the connection stays open."""
+
+    async def on_connection(reader, writer):
+        try:
+            while True:
+                head = await read_head(reader)
+                if head is None:
+                    break
+                method, target, _ = head[0].split(" ", 2)
+                body = await read_body(reader, head[1])
+                if not await handle(Request(method, target, head[1], body), writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+            pass  # The other side went away; who sent what is checked elsewhere.
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(on_connection, host, port, limit=1 << 20)
+
+
+def respond(writer, status, body=b"", headers=None):
+    """Writes a whole answer."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
+
+
+async def call(address, method, target, headers, body=b"", timeout=10.0, connect_timeout=1.0):
+    """One request on a connection of its own."""
+    answer = Answer()
+    host, port = address.rsplit(":", 1)
+    writer = None
+    try:
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port), limit=1 << 20), connect_timeout)
+        lines = [f"{method} {target} HTTP/1.1", f"Content-Length: {len(body)}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
+        await writer.drain()
+        answer.is_sent = True
+        await asyncio.wait_for(receive(reader, answer), timeout)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
+        answer.error = type(error).__name__
+    finally:
+        if writer is not None:
+            writer.close()
+    return answer
+
+
+async def receive(reader, answer):
+    head = await read_head(reader)
+    if head is None:
+        answer.error = "closed"
+        return
+    answer.status = int(head[0].split(" ")[1])
+    answer.headers = head[1]
+    answer.body = await read_body(reader, head[1], is_answer=True)
+    answer.is_complete = "content-length" in head[1] or "chunked" in head[1].get("transfer-encoding", "")
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,501 @@
+#!/usr/bin/env python3
+"""A randomized soak: real entry nodes as processes of their own, faults from outside them, promises checked by what callers and upstreams see.
+
+    tests/soak/soak.py build --seed 7 --seconds 30 --nodes 6
+
+Faults come in series and overlap: nodes are stopped, paused, killed and restarted; links to the store, to upstreams and from callers are
+delayed, reset, cut one way or silenced; upstreams leave, crash and come back; the configuration changes. A line FAILED names each broken
+promise; logs of the nodes stay in the folder that is printed. Exit status 0 only where no promise was broken.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import http1
+import proxy
+import standins
+
+ZONES = ("a", "b")
+HOST = "h.example"
+# What the nodes are told, and what the checks allow on top for a busy machine.
+GRACE_S = 6
+CONFIG_BOUND_S = 2.0
+DRAIN_BOUND_S = 2.0
+SLACK_S = 2.0
+RECOVERY_S = 12.0
+ADAPTERS = 24
+STREAM_TIMEOUT_MS = 4000
+PLAIN_TIMEOUT_MS = 1500
+PROMISES = (408, 421, 429, 503)
+
+
+class Node:
+    """One entry node: its process, its settings file, its own link to the store and from the callers."""
+
+    def __init__(self, world, index):
+        self.world = world
+        self.name = f"n{index:02d}"
+        self.zone = ZONES[index % len(ZONES)]
+        self.ip = f"127.0.{world.network}.{index + 1}"
+        self.process = None
+        self.store_link = None
+        self.caller_link = None
+        self.is_paused = False
+        self.is_wanted = True
+        self.started_at = 0.0
+        # Since when nothing has been done to it or to its links.
+        self.calm_since = 0.0
+
+    def address(self, port):
+        return f"{self.ip}:{port}"
+
+    async def prepare(self):
+        self.store_link = proxy.Proxy(self.world.store_address)
+        await self.store_link.start("127.0.0.1")
+        self.caller_link = proxy.Proxy(self.address(8149))
+        await self.caller_link.start("127.0.0.1")
+
+    def settings(self):
+        seeds = ", ".join(f'"127.0.{self.world.network}.{i + 1}:8144"' for i in range(3))
+        return f"""node = "{self.name}"
+zone = "{self.zone}"
+region = "r"
+ip = "{self.ip}"
+seeds = [{seeds}]
+bootstrap = {"true" if self.started_at == 0 else "false"}
+[zones]
+{chr(10).join(f'{zone} = "r"' for zone in ZONES)}
+[listen]
+front = "{self.address(8149)}"
+ready = "{self.address(8141)}"
+control = "{self.address(8144)}"
+directory = "{self.address(8143)}"
+[limits]
+maxFds = 1000
+cpuShare = 0.2
+[bounds]
+graceS = {GRACE_S}
+drainMs = {int(DRAIN_BOUND_S * 1000)}
+leaseMs = {int(standins.LEASE_S * 1000)}
+version_ms = 5000
+budgetRatio = 0.2
+budgetExtra = 100
+budgetWindowS = 10
+ttl_max_s = 5
+[platform]
+address = "{self.store_link.address}"
+"""
+
+    def start(self):
+        path = os.path.join(self.world.folder, self.name + ".toml")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(self.settings())
+        log = open(os.path.join(self.world.folder, self.name + ".log"), "ab")
+        self.process = subprocess.Popen([self.world.binary, "entry"], stdout=log, stderr=log, env={"APRICOTSTEP_BOOT": path})
+        log.close()
+        self.started_at = time.monotonic()
+        self.is_wanted = True
+        self.disturb()
+
+    def disturb(self):
+        self.calm_since = time.monotonic()
+
+    def signal(self, number):
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def is_calm(self, for_s):
+        links = self.store_link.mode == proxy.PASS and self.caller_link.mode == proxy.PASS
+        return self.is_running() and self.is_wanted and not self.is_paused and links and time.monotonic() - self.calm_since >= for_s
+
+
+class World:
+    """Everything of one soak, with what was seen."""
+
+    def __init__(self, arguments):
+        self.arguments = arguments
+        self.random = random.Random(arguments.seed)
+        self.folder = tempfile.mkdtemp(prefix=f"soak-{arguments.seed}-")
+        self.binary = os.path.join(arguments.build, "main", "apricotstep")
+        # Soaks that run at the same time use loopback addresses of their own.
+        self.network = 10 + os.getpid() % 200
+        self.store = standins.Store()
+        self.store_address = ""
+        self.nodes = []
+        self.upstreams = []
+        self.links = {}
+        self.version = 1
+        self.has_extra_route = False
+        self.config_at = 0.0
+        self.failures = []
+        self.runs = {}
+        self.kinds = {}
+        self.told_not_run = set()
+        self.orders = {}
+        self.calm_store_since = 0.0
+        self.counts = {"served": 0, "refused": 0, "failed": 0}
+        self.late_counts = {"served": 0, "other": 0}
+        self.is_over = False
+        self.faults_end = time.monotonic() + arguments.seconds
+        self.next_request = 0
+
+    # What the stand-ins ask and tell.
+
+    def fail(self, promise, text):
+        line = f"FAILED {promise} at {time.monotonic() - self.began_at:.2f} s: {text}"
+        self.failures.append(line)
+        print(line, flush=True)
+
+    def body_of(self, request_id):
+        return (f"answer to {request_id} " * 20).encode()
+
+    def event_of(self, request_id, number):
+        return f"id: {number}\ndata: {request_id} part {number}\n\n".encode()
+
+    def version_of(self, _adapter):
+        return 1
+
+    def note_run(self, request_id, upstream):
+        self.runs.setdefault(request_id, []).append(upstream.name)
+        kind = self.kinds.get(request_id)
+        if kind is None:
+            self.fail("UNASKED", f"{upstream.name} runs {request_id!r}, which no caller sent")
+        elif kind == "pay" and len(self.runs[request_id]) > 1:
+            self.fail("TWICE", f"{request_id} ran at {self.runs[request_id]}")
+        if request_id in self.told_not_run:
+            self.fail("REFUSED", f"{request_id} runs at {upstream.name} after its caller was told that it would not")
+        if upstream.is_leaving and self.is_everything_calm(DRAIN_BOUND_S + SLACK_S):
+            if time.monotonic() - upstream.left_at > DRAIN_BOUND_S + SLACK_S:
+                self.fail("DRAIN", f"{request_id} reaches {upstream.name} long after it said that it leaves")
+
+    def note_order(self, engine, order):
+        now = time.monotonic()
+        last = self.orders.get(engine.name)
+        holder, fence = order["holder"], order["fence"]
+        if last is not None and last[3] == engine.born:
+            if holder != last[0] and now - last[2] < standins.LEASE_S and not self.was_disturbed_by_thaw(holder):
+                self.fail("ONE", f"{engine.name}: {holder} orders {now - last[2]:.2f} s after {last[0]}")
+            if fence < last[1] or (fence == last[1] and holder != last[0]):
+                self.fail("ONE", f"{engine.name}: token {fence} of {holder} after {last[1]} of {last[0]}")
+        self.orders[engine.name] = (holder, fence, now, engine.born)
+
+    def was_disturbed_by_thaw(self, holder):
+        """What a node had sent before it was paused may arrive right after it woke."""
+        return any(node.name == holder and time.monotonic() - node.calm_since < 0.3 for node in self.nodes)
+
+    def is_everything_calm(self, for_s):
+        store_calm = not self.store.is_down and time.monotonic() - self.calm_store_since >= for_s
+        return store_calm and all(node.is_calm(for_s) or not node.is_running() for node in self.nodes)
+
+    # Start and end.
+
+    async def start(self):
+        self.began_at = time.monotonic()
+        server = await http1.serve("127.0.0.1", 0, self.store.handle)
+        self.store_address = "%s:%d" % server.sockets[0].getsockname()[:2]
+        self.publish()
+        for index in range(4):
+            await self.add_upstream(standins.Engine, f"e{index}", "llm", 16)
+        for index in range(3):
+            await self.add_upstream(standins.Plain, f"p{index}", "api", 6)
+        for index in range(self.arguments.nodes):
+            node = Node(self, index)
+            await node.prepare()
+            self.nodes.append(node)
+            node.start()
+
+    async def add_upstream(self, kind, name, service, slots):
+        upstream = kind(self, name, service, ZONES[len(self.upstreams) % len(ZONES)], slots)
+        await upstream.start()
+        link = self.links.get(name)
+        if link is None:
+            link = self.links[name] = proxy.Proxy(upstream.proxy_target)
+            await link.start("127.0.0.1")
+        link.target = upstream.proxy_target
+        upstream.address = link.address
+        upstream.register()
+        self.upstreams.append(upstream)
+
+    def publish(self):
+        engine = {"slots": 16, "kvCapacity": 100000, "weightsMb": 1000, "adapterSlots": standins.ADAPTER_SLOTS, "loadsPerS": 10,
+                  "models": [{"name": "m", "weightsMb": 900, "loadS": 1, "adapters": ADAPTERS, "adapterMb": 10}]}
+        stream = {"name": "chat", "host": HOST, "pathPrefix": "/chat/", "kind": "stream", "timeoutMs": STREAM_TIMEOUT_MS, "priority": 0,
+                  "targetLatencyMs": 1000, "service": "llm", "maxAttempts": 2, "resumable": True, "gapAimMs": 250}
+        plain = {"host": HOST, "timeoutMs": PLAIN_TIMEOUT_MS, "targetLatencyMs": 200, "priority": 1, "service": "api"}
+        routes = [stream, dict(plain, name="pay", pathPrefix="/pay/", kind="non_idempotent", maxAttempts=1),
+                  dict(plain, name="look", pathPrefix="/look/", kind="idempotent", maxAttempts=2)]
+        if self.has_extra_route:
+            routes.append(dict(plain, name="extra", pathPrefix="/extra/", kind="idempotent", maxAttempts=2))
+        services = [{"name": "llm", "healthPath": "/health", "maxConns": 500, "engine": engine},
+                    {"name": "api", "healthPath": "/health", "maxConns": 200}]
+        self.store.put("op/config", {"version": self.version, "routes": routes, "services": services, "limits": {}})
+        self.config_at = time.monotonic()
+
+    def stop_all(self):
+        for node in self.nodes:
+            if node.is_running():
+                node.signal(signal.SIGCONT)
+                node.process.kill()
+                node.process.wait()
+
+    # Callers.
+
+    async def caller(self):
+        while not self.is_over:
+            await asyncio.sleep(self.random.expovariate(6.0))
+            await self.one_request()
+
+    async def one_request(self):
+        kind = self.random.choices(("chat", "pay", "look", "extra"), (5, 3, 3, 1))[0]
+        node = self.random.choice(self.nodes)
+        self.next_request += 1
+        request_id = f"{self.arguments.seed:x}-{self.next_request:06x}"
+        self.kinds[request_id] = kind
+        headers = {"Host": HOST, "Apricotstep-Request-Id": request_id, "Connection": "close"}
+        timeout_ms = STREAM_TIMEOUT_MS if kind == "chat" else PLAIN_TIMEOUT_MS
+        headers["Apricotstep-Deadline-Ms"] = str(timeout_ms)
+        if kind == "chat":
+            adapter = min(int(self.random.paretovariate(0.8)), ADAPTERS)
+            headers.update({"Apricotstep-Model": f"m/a{adapter}", "Apricotstep-Token-Count": "200,30"})
+        was_extra, was_calm, sent_at = self.has_extra_route, node.is_calm(3.0), time.monotonic()
+        answer = await http1.call(node.caller_link.address, "GET" if kind in ("look", "extra") else "POST", f"/{kind}/x", headers,
+                                  b"" if kind in ("look", "extra") else b"{}", timeout_ms / 1000 + 1.5)
+        self.judge(request_id, kind, node, answer, was_extra, was_calm, sent_at)
+
+    def judge(self, request_id, kind, node, answer, was_extra, was_calm, sent_at):
+        expected = b"".join(self.event_of(request_id, n) for n in range(1, standins.EVENTS + 1)) if kind == "chat" else self.body_of(request_id)
+        if 200 <= answer.status < 300 and answer.is_complete and answer.body != expected:
+            self.fail("MIXED", f"{request_id} ({kind}) at {node.name} got another body: {answer.body[:80]!r}")
+        if answer.status in PROMISES:
+            self.told_not_run.add(request_id)
+            if self.runs.get(request_id):
+                self.fail("REFUSED", f"{request_id} ({kind}) was told {answer.status} by {node.name}, but ran at {self.runs[request_id]}")
+        is_calm = was_calm and node.is_calm(3.0 + time.monotonic() - sent_at)
+        is_config_old = sent_at - self.config_at > CONFIG_BOUND_S + SLACK_S and was_extra == self.has_extra_route
+        if kind == "extra" and is_calm and is_config_old and not self.store.is_down and sent_at - self.calm_store_since > 4.0:
+            if (answer.status == 404) == self.has_extra_route and answer.status in (200, 404):
+                self.fail("CONFIG", f"{request_id}: {answer.status} at {node.name}, though the route {'is' if was_extra else 'is not'} there")
+        if kind != "extra" and answer.status == 404:
+            self.fail("DENIED", f"{request_id} ({kind}) got 404 at {node.name}")
+        is_served = 200 <= answer.status < 300 and answer.is_complete
+        word = "served" if is_served else "refused" if answer.status in PROMISES else "failed"
+        self.counts[word] += 1
+        if sent_at > self.faults_end + RECOVERY_S and kind != "extra":
+            self.late_counts["served" if is_served or answer.status == 500 else "other"] += 1
+
+    # Faults.
+
+    async def faults(self):
+        actions = (self.stop_gracefully, self.kill, self.kill_many, self.pause, self.harm_store_link, self.harm_caller_link,
+                   self.harm_upstream, self.upstream_leaves, self.upstream_crashes, self.store_away, self.change_config, self.hup)
+        running = set()
+        while time.monotonic() < self.faults_end:
+            action = self.random.choice(actions)
+            task = asyncio.create_task(self.repeat(action))
+            running.add(task)
+            task.add_done_callback(running.discard)
+            await asyncio.sleep(self.random.uniform(0.1, 2.0))
+        await asyncio.gather(*running)
+
+    async def repeat(self, action):
+        """A series: the same fault again after a pause, on whom it then meets."""
+        for _ in range(self.random.choice((1, 1, 2, 3))):
+            if time.monotonic() >= self.faults_end:
+                return
+            print(f"{time.monotonic() - self.began_at:7.2f} {action.__name__}", flush=True)
+            await action()
+            await asyncio.sleep(self.random.uniform(0.0, 1.5))
+
+    def some_node(self):
+        return self.random.choice([node for node in self.nodes if node.is_wanted and node.is_running()] or self.nodes)
+
+    async def stop_gracefully(self):
+        node = self.some_node()
+        if not node.is_wanted or not node.is_running() or node.is_paused:
+            return
+        node.is_wanted = False
+        node.signal(signal.SIGTERM)
+        for _ in range(GRACE_S * 20):
+            if not node.is_running():
+                break
+            await asyncio.sleep(0.05)
+        if node.is_running() and not node.is_paused:
+            self.fail("SHUTDOWN", f"{node.name} still runs {GRACE_S} s after SIGTERM")
+        node.signal(signal.SIGKILL)
+        await self.restart(node)
+
+    async def restart(self, node):
+        node.is_wanted = False
+        if node.process is not None:
+            await asyncio.get_running_loop().run_in_executor(None, node.process.wait)
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        node.is_paused = False
+        node.start()
+
+    async def kill(self):
+        node = self.some_node()
+        if node.is_wanted and node.is_running():
+            node.is_wanted = False
+            node.signal(signal.SIGKILL)
+            await self.restart(node)
+
+    async def kill_many(self):
+        victims = [node for node in self.nodes if node.is_wanted and node.is_running() and self.random.random() < 0.6]
+        for node in victims:
+            node.is_wanted = False
+            node.signal(signal.SIGKILL)
+        await asyncio.gather(*(self.restart(node) for node in victims))
+
+    async def pause(self):
+        node = self.some_node()
+        if node.is_paused or not node.is_wanted:
+            return
+        node.is_paused = True
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.3, 5.0))
+        node.signal(signal.SIGCONT)
+        node.is_paused = False
+        node.disturb()
+
+    async def harm(self, link, nodes):
+        if link.mode != proxy.PASS:
+            return
+        if self.random.random() < 0.3:
+            link.reset_all()
+        else:
+            link.delay_s = self.random.uniform(0.02, 0.5)
+            link.mode = self.random.choice(proxy.MODES)
+            await asyncio.sleep(self.random.uniform(0.3, 4.0))
+            link.mode = proxy.PASS
+        for node in nodes:
+            node.disturb()
+
+    async def harm_store_link(self):
+        node = self.some_node()
+        await self.harm(node.store_link, [node])
+
+    async def harm_caller_link(self):
+        node = self.some_node()
+        await self.harm(node.caller_link, [node])
+
+    async def harm_upstream(self):
+        await self.harm(self.links[self.random.choice(list(self.links))], self.nodes)
+
+    async def upstream_leaves(self):
+        upstream = self.random.choice(self.upstreams)
+        if upstream.is_leaving or self.count_usable(upstream.service) < 2:
+            return
+        upstream.leave()
+        await asyncio.sleep(DRAIN_BOUND_S + SLACK_S + 1.0)
+        await self.replace(upstream, upstream.name)
+
+    async def upstream_crashes(self):
+        upstream = self.random.choice(self.upstreams)
+        if upstream.is_leaving or self.count_usable(upstream.service) < 2:
+            return
+        upstream.is_leaving = True
+        upstream.left_at = time.monotonic() + 60.0  # It says nothing of its leaving, so nobody is bound by it.
+        upstream._server.close()
+        self.links[upstream.name].reset_all()
+        if self.random.random() < 0.5:
+            await asyncio.sleep(3.6)
+            self.store.delete("servers/" + upstream.name)
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        await self.replace(upstream, upstream.name)
+
+    async def replace(self, upstream, name):
+        upstream._server.close()
+        self.upstreams.remove(upstream)
+        self.links[name].reset_all()
+        await self.add_upstream(type(upstream), name, upstream.service, upstream.slots)
+
+    def count_usable(self, service):
+        return sum(1 for upstream in self.upstreams if upstream.service == service and not upstream.is_leaving)
+
+    async def store_away(self):
+        self.store.is_down = True
+        self.calm_store_since = time.monotonic()
+        await asyncio.sleep(self.random.uniform(0.3, 5.0))
+        self.store.is_down = False
+        self.calm_store_since = time.monotonic()
+
+    async def change_config(self):
+        self.version += self.random.randint(1, 5)
+        self.has_extra_route = not self.has_extra_route
+        self.publish()
+
+    async def hup(self):
+        self.some_node().signal(signal.SIGHUP)
+
+    # The whole.
+
+    def check_processes(self):
+        for node in self.nodes:
+            if node.is_wanted and node.process is not None and node.process.poll() is not None:
+                self.fail("EXIT", f"{node.name} ended by itself with status {node.process.returncode}")
+                node.is_wanted = False
+
+    async def run(self):
+        await self.start()
+        await asyncio.sleep(3.0)
+        callers = [asyncio.create_task(self.caller()) for _ in range(self.arguments.callers)]
+        faults = asyncio.create_task(self.faults())
+        end = self.faults_end + RECOVERY_S + 6.0
+        while time.monotonic() < end or not faults.done():
+            self.check_processes()
+            await asyncio.sleep(0.1)
+        await faults
+        self.is_over = True
+        await asyncio.gather(*callers)
+        total = sum(self.late_counts.values())
+        if total == 0 or self.late_counts["served"] < 0.9 * total:
+            self.fail("RECOVER", f"{self.late_counts['served']} of {total} requests are served {RECOVERY_S:.0f} s after the last fault")
+        self.stop_all()
+        await self.end_connections()
+
+    async def end_connections(self):
+        """Ends what still waits on open connections, while the loop that they need is there."""
+        # A cancelled connection is no error here; asyncio would print each.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        waiting = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
+
+def main():
+    parser = argparse.ArgumentParser(description="Soak of real entry nodes under faults from outside")
+    parser.add_argument("build", help="build folder with main/apricotstep")
+    parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 30))
+    parser.add_argument("--seconds", type=float, default=20.0, help="how long faults come")
+    parser.add_argument("--nodes", type=int, default=6, help="entry nodes, at most 200")
+    parser.add_argument("--callers", type=int, default=8, help="callers, each with one request at a time")
+    arguments = parser.parse_args()
+    print(f"seed {arguments.seed}, {arguments.seconds:.0f} s of faults, {arguments.nodes} nodes", flush=True)
+    world = World(arguments)
+    try:
+        asyncio.run(world.run())
+    finally:
+        world.stop_all()
+    print(json.dumps({"seed": arguments.seed, "requests": world.next_request, **world.counts, "failures": len(world.failures)}))
+    if world.failures:
+        print(f"logs: {world.folder}")
+        return 1
+    shutil.rmtree(world.folder)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/standins.py
@@ -0,0 +1,222 @@
+"""Stand-ins of the platform: its store, model engines and plain upstreams. They keep what the checks need: who ran what, who ordered what."""
+
+import asyncio
+import base64
+import json
+import time
+import urllib.parse
+
+import http1
+
+LEASE_S = 3.0
+ADAPTER_SLOTS = 4
+EVENTS = 6
+JSON = {"Content-Type": "application/json"}
+
+
+class Store:
+    """Keys with revisions; range and watch as the nodes call them."""
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.changes = []
+        self.is_down = False
+        self._changed = asyncio.Event()
+
+    def put(self, key, value):
+        self.revision += 1
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        self.items[key] = {"key": key, "value": text, "revision": self.revision, "createRevision": self.revision, "lease": 0}
+        self._note(self.items[key])
+
+    def delete(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def _note(self, change):
+        self.changes.append(change)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def handle(self, request, writer):
+        if self.is_down:
+            http1.respond(writer, 503)
+            return True
+        query = dict(urllib.parse.parse_qsl(request.query))
+        if request.path == "/apricotstep/kv-range":
+            body = {"items": [self.items[key] for key in sorted(self.items)], "hasMore": False, "storeRevision": self.revision}
+            http1.respond(writer, 200, json.dumps(body).encode(), JSON)
+            return True
+        after = int(query.get("after", "0"))
+        deadline = time.monotonic() + int(query.get("waitMs", "0")) / 1000
+        while self.revision <= after and time.monotonic() < deadline and not self.is_down:
+            try:
+                await asyncio.wait_for(self._changed.wait(), max(deadline - time.monotonic(), 0.001))
+            except asyncio.TimeoutError:
+                pass
+        events = [change for change in self.changes if change["revision"] > after]
+        http1.respond(writer, 200, json.dumps({"events": events, "storeRevision": self.revision}).encode(), JSON)
+        await writer.drain()
+        return True
+
+
+class Upstream:
+    """What engines and plain upstreams share: an entry in the store, a count of runs by request, an end."""
+
+    def __init__(self, world, name, service, zone, slots):
+        self.world = world
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.born = int(time.time() * 1000)
+        self.address = ""
+        self.running = 0
+        self.is_leaving = False
+        self._server = None
+
+    async def start(self):
+        self._server = await http1.serve("127.0.0.1", 0, self.handle)
+        self.proxy_target = "%s:%d" % self._server.sockets[0].getsockname()[:2]
+
+    def entry(self):
+        return {"service": self.service, "address": self.address, "zone": self.zone, "slots": self.slots, "seq": 1, "born": self.born,
+                "state": "draining" if self.is_leaving else "ready", "coldLeftMs": 0}
+
+    def register(self):
+        self.world.store.put("servers/" + self.name, self.entry())
+
+    def leave(self):
+        self.is_leaving = True
+        self.left_at = time.monotonic()
+        self.register()
+
+    def refuse(self, writer, request, status):
+        http1.respond(writer, status, b"", {"Apricotstep-Not-Run": "1", "Apricotstep-Request-Id": request.header("apricotstep-request-id")})
+        return True
+
+    def misdirected(self, request):
+        expected = request.header("apricotstep-expect-instance")
+        return bool(expected) and expected != self.name
+
+    def begin(self, request):
+        """Notes a run; the checks look at it when the soak ends."""
+        self.world.note_run(request.header("apricotstep-request-id"), self)
+        self.running += 1
+
+    def head(self, request):
+        return {"Apricotstep-Request-Id": request.header("apricotstep-request-id"), "Apricotstep-Server-Seal": "seal-" + self.name}
+
+
+class Plain(Upstream):
+    """Answers after some milliseconds; now and then with a failure of its own."""
+
+    async def handle(self, request, writer):
+        if self.misdirected(request):
+            return self.refuse(writer, request, 421)
+        if self.running >= self.slots * 2:
+            return self.refuse(writer, request, 503)
+        self.begin(request)
+        try:
+            await asyncio.sleep(self.world.random.uniform(0.005, 0.04))
+        finally:
+            self.running -= 1
+        status = 500 if self.world.random.random() < 0.01 else 200
+        http1.respond(writer, status, self.world.body_of(request.header("apricotstep-request-id")), self.head(request))
+        await writer.drain()
+        return True
+
+
+class Engine(Upstream):
+    """Streams events; holds a few adapters; takes orders and notes who gave them."""
+
+    def __init__(self, world, name, service, zone, slots):
+        super().__init__(world, name, service, zone, slots)
+        self.adapters = {}
+        self.coming = {}
+        self.uses = {}
+        self.orders = 0
+
+    def entry(self):
+        return dict(super().entry(), models=[{"name": "m", "version": 1, "adapters": []}])
+
+    async def handle(self, request, writer):
+        if self.misdirected(request):
+            return self.refuse(writer, request, 421)
+        self.finish_loads()
+        if request.path == "/apricotstep/report":
+            http1.respond(writer, 200, json.dumps(self.report()).encode(), JSON)
+            return True
+        if request.path == "/apricotstep/order":
+            http1.respond(writer, self.order(json.loads(request.body)))
+            return True
+        return await self.generate(request, writer)
+
+    def finish_loads(self):
+        now = time.monotonic()
+        for name, (version, done_at) in list(self.coming.items()):
+            if now >= done_at:
+                del self.coming[name]
+                self.adapters[name] = version
+
+    def report(self):
+        held = [f"{name}@{version}" for name, version in self.adapters.items()]
+        coming = [f"m/{name}@{version}" for name, (version, _) in self.coming.items()]
+        return {"stage": "colocated", "models": [{"name": "m", "version": 1, "adapters": held}], "coming": coming, "busy": False,
+                "seq": self.orders, "waiting": 0, "running": self.running, "kvUsed": 0, "kvTotal": 1000, "handles": 0}
+
+    def order(self, order):
+        self.world.note_order(self, order)
+        name = order.get("adapter")
+        if name is None:
+            return 200
+        self.orders += 1
+        if order["opKind"] == "unload":
+            if self.uses.get(name, 0) > 0:
+                return 202
+            self.adapters.pop(name, None)
+            return 200
+        version = order.get("version", self.world.version_of(name))
+        if self.adapters.get(name) == version:
+            return 200
+        if name in self.coming:
+            return 202
+        places = set(self.adapters) | set(self.coming) | {name}
+        if len(places) > ADAPTER_SLOTS:
+            self.world.fail("LIMIT", f"{self.name} is ordered to hold {len(places)} adapters")
+        self.coming[name] = (version, time.monotonic() + self.world.random.uniform(0.02, 0.3))
+        return 202
+
+    async def generate(self, request, writer):
+        model, _, adapter = request.header("apricotstep-model").partition("/")
+        if model != "m" or adapter not in self.adapters:
+            return self.refuse(writer, request, 421)
+        expected = request.header("apricotstep-expect-version")
+        if expected and int(expected) != self.adapters[adapter]:
+            return self.refuse(writer, request, 421)
+        if self.running >= self.slots:
+            return self.refuse(writer, request, 503)
+        self.begin(request)
+        self.uses[adapter] = self.uses.get(adapter, 0) + 1
+        try:
+            return await self.stream(request, writer)
+        finally:
+            self.uses[adapter] -= 1
+            self.running -= 1
+
+    async def stream(self, request, writer):
+        request_id = request.header("apricotstep-request-id")
+        lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        lines += [f"{name}: {value}" for name, value in self.head(request).items()]
+        first = int(request.header("last-event-id") or 0) + 1
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(self.world.random.uniform(0.01, 0.06))
+            event = self.world.event_of(request_id, number)
+            prefix = "\r\n".join(lines).encode() + b"\r\n\r\n" if number == first else b""
+            writer.write(prefix + b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return first <= EVENTS
