--- a/coordination/adapterdemand.cpp
+++ b/coordination/fleetdemand.cpp
@@ -1,8 +1,9 @@
-#include "coordination/adapterdemand.h"
+#include "coordination/fleetdemand.h"
 
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace ApricotStep
 {
@@ -17,12 +18,21 @@
 
 } // namespace
 
-AdapterDemand::AdapterDemand(Duration popularityHalfLife)
+FleetDemand::FleetDemand(Duration popularityHalfLife, double promotion)
     : m_popularityHalfLife(popularityHalfLife)
+    , m_promotion(promotion)
 {
 }
 
-void AdapterDemand::onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now)
+void FleetDemand::setEngines(absl::flat_hash_set<UpstreamId> engines)
+{
+    if (engines != m_engines) {
+        m_engines = std::move(engines);
+        m_isChanged = true;
+    }
+}
+
+void FleetDemand::onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now)
 {
     m_nodes[node] = NodeUses { uses, now };
     m_isChanged = true;
@@ -34,7 +44,7 @@
     }
 }
 
-void AdapterDemand::onWants(const NodeId &node, const std::vector<AdapterUse> &wants, Time now)
+void FleetDemand::onWants(const NodeId &node, const std::vector<AdapterUse> &wants, Time now)
 {
     NodeUses &known = m_nodes[node];
     std::erase_if(known.uses, [](const AdapterUse &use) { return use.engine.isEmpty() && !use.isCrowded; });
@@ -43,7 +53,7 @@
     m_isChanged = true;
 }
 
-void AdapterDemand::refresh(Time now)
+void FleetDemand::refresh(Time now)
 {
     if (now - m_sweptAt >= SweepInterval) {
         m_sweptAt = now;
@@ -56,58 +66,62 @@
     }
 }
 
-void AdapterDemand::forgetSilent(Time now)
+void FleetDemand::forgetSilent(Time now)
 {
     const auto isSilent = [now](const auto &entry) { return now - entry.second.heardAt > UseMemory; };
     m_isChanged = absl::erase_if(m_nodes, isSilent) > 0 || m_isChanged;
 }
 
-void AdapterDemand::forgetUnpopular(Time now)
+void FleetDemand::forgetUnpopular(Time now)
 {
     absl::erase_if(m_popularity, [this, now](const auto &entry) { return popularity(entry.first, now) < LeastPopularity; });
 }
 
-void AdapterDemand::collect(Time now)
+void FleetDemand::collect(Time now)
 {
     absl::flat_hash_map<AdapterRef, Time> wantedSince;
     for (const AdapterWant &want : m_wants) {
         wantedSince.emplace(want.adapter, want.since);
     }
     m_used.clear();
-    absl::flat_hash_map<AdapterRef, bool> wanted;
+    absl::flat_hash_map<AdapterRef, AdapterWant> wanted;
     for (const auto &[node, known] : m_nodes) {
         for (const AdapterUse &use : known.uses) {
-            AdapterRef adapter { use.model, use.adapter };
+            const AdapterRef adapter { use.model, use.adapter };
+            const bool isPromoted = !use.engine.isEmpty() && !m_engines.contains(use.engine) && popularity(adapter, now) >= m_promotion;
             if (!use.engine.isEmpty()) {
-                m_used.emplace(use.engine, std::move(adapter));
-                continue;
+                m_used.emplace(use.engine, adapter);
+            }
+            if (use.engine.isEmpty() || isPromoted) {
+                const auto since = wantedSince.find(adapter);
+                const Time start = since != wantedSince.end() ? since->second : now;
+                AdapterWant &want = wanted.emplace(adapter, AdapterWant { adapter, use.isCrowded, isPromoted, start }).first->second;
+                // One node that finds no copy at all outweighs others that find the copies crowded.
+                want.isCrowded = want.isCrowded && use.isCrowded;
+                want.isPromoted = want.isPromoted || isPromoted;
             }
-            // One node that finds no copy at all outweighs others that find the copies crowded.
-            const auto [at, isNew] = wanted.emplace(std::move(adapter), use.isCrowded);
-            at->second = at->second && use.isCrowded;
         }
     }
     m_wants.clear();
-    for (const auto &[adapter, isCrowded] : wanted) {
-        const auto since = wantedSince.find(adapter);
-        m_wants.push_back(AdapterWant { adapter, isCrowded, since != wantedSince.end() ? since->second : now });
+    for (const auto &[adapter, want] : wanted) {
+        m_wants.push_back(want);
     }
     std::sort(m_wants.begin(), m_wants.end(), [](const AdapterWant &a, const AdapterWant &b) {
         return std::tie(a.isCrowded, a.since, a.adapter) < std::tie(b.isCrowded, b.since, b.adapter);
     });
 }
 
-bool AdapterDemand::isUsed(const UpstreamId &engine, const AdapterRef &adapter) const
+bool FleetDemand::isUsed(const UpstreamId &engine, const AdapterRef &adapter) const
 {
     return m_used.contains(std::pair(engine, adapter));
 }
 
-const std::vector<AdapterWant> &AdapterDemand::wants() const
+const std::vector<AdapterWant> &FleetDemand::wants() const
 {
     return m_wants;
 }
 
-double AdapterDemand::popularity(const AdapterRef &adapter, Time now) const
+double FleetDemand::popularity(const AdapterRef &adapter, Time now) const
 {
     const auto at = m_popularity.find(adapter);
     if (at == m_popularity.end()) {
