--- a/coordination/fleetdemand.cpp
+++ b/coordination/adapterdemand.cpp
@@ -1,9 +1,8 @@
-#include "coordination/fleetdemand.h"
+#include "coordination/adapterdemand.h"
 
 #include <algorithm>
 #include <cmath>
 #include <tuple>
-#include <utility>
 
 namespace ApricotStep
 {
@@ -18,21 +17,12 @@
 
 } // namespace
 
-FleetDemand::FleetDemand(Duration popularityHalfLife, double promotion)
+AdapterDemand::AdapterDemand(Duration popularityHalfLife)
     : m_popularityHalfLife(popularityHalfLife)
-    , m_promotion(promotion)
 {
 }
 
-void FleetDemand::setEngines(absl::flat_hash_set<UpstreamId> engines)
-{
-    if (engines != m_engines) {
-        m_engines = std::move(engines);
-        m_isChanged = true;
-    }
-}
-
-void FleetDemand::onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now)
+void AdapterDemand::onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now)
 {
     m_nodes[node] = NodeUses { uses, now };
     m_isChanged = true;
@@ -44,7 +34,7 @@
     }
 }
 
-void FleetDemand::onWants(const NodeId &node, const std::vector<AdapterUse> &wants, Time now)
+void AdapterDemand::onWants(const NodeId &node, const std::vector<AdapterUse> &wants, Time now)
 {
     NodeUses &known = m_nodes[node];
     std::erase_if(known.uses, [](const AdapterUse &use) { return use.engine.isEmpty() && !use.isCrowded; });
@@ -53,7 +43,7 @@
     m_isChanged = true;
 }
 
-void FleetDemand::refresh(Time now)
+void AdapterDemand::refresh(Time now)
 {
     if (now - m_sweptAt >= SweepInterval) {
         m_sweptAt = now;
@@ -66,62 +56,58 @@
     }
 }
 
-void FleetDemand::forgetSilent(Time now)
+void AdapterDemand::forgetSilent(Time now)
 {
     const auto isSilent = [now](const auto &entry) { return now - entry.second.heardAt > UseMemory; };
     m_isChanged = absl::erase_if(m_nodes, isSilent) > 0 || m_isChanged;
 }
 
-void FleetDemand::forgetUnpopular(Time now)
+void AdapterDemand::forgetUnpopular(Time now)
 {
     absl::erase_if(m_popularity, [this, now](const auto &entry) { return popularity(entry.first, now) < LeastPopularity; });
 }
 
-void FleetDemand::collect(Time now)
+void AdapterDemand::collect(Time now)
 {
     absl::flat_hash_map<AdapterRef, Time> wantedSince;
     for (const AdapterWant &want : m_wants) {
         wantedSince.emplace(want.adapter, want.since);
     }
     m_used.clear();
-    absl::flat_hash_map<AdapterRef, AdapterWant> wanted;
+    absl::flat_hash_map<AdapterRef, bool> wanted;
     for (const auto &[node, known] : m_nodes) {
         for (const AdapterUse &use : known.uses) {
-            const AdapterRef adapter { use.model, use.adapter };
-            const bool isPromoted = !use.engine.isEmpty() && !m_engines.contains(use.engine) && popularity(adapter, now) >= m_promotion;
+            AdapterRef adapter { use.model, use.adapter };
             if (!use.engine.isEmpty()) {
-                m_used.emplace(use.engine, adapter);
-            }
-            if (use.engine.isEmpty() || isPromoted) {
-                const auto since = wantedSince.find(adapter);
-                const Time start = since != wantedSince.end() ? since->second : now;
-                AdapterWant &want = wanted.emplace(adapter, AdapterWant { adapter, use.isCrowded, isPromoted, start }).first->second;
-                // One node that finds no copy at all outweighs others that find the copies crowded.
-                want.isCrowded = want.isCrowded && use.isCrowded;
-                want.isPromoted = want.isPromoted || isPromoted;
+                m_used.emplace(use.engine, std::move(adapter));
+                continue;
             }
+            // One node that finds no copy at all outweighs others that find the copies crowded.
+            const auto [at, isNew] = wanted.emplace(std::move(adapter), use.isCrowded);
+            at->second = at->second && use.isCrowded;
         }
     }
     m_wants.clear();
-    for (const auto &[adapter, want] : wanted) {
-        m_wants.push_back(want);
+    for (const auto &[adapter, isCrowded] : wanted) {
+        const auto since = wantedSince.find(adapter);
+        m_wants.push_back(AdapterWant { adapter, isCrowded, since != wantedSince.end() ? since->second : now });
     }
     std::sort(m_wants.begin(), m_wants.end(), [](const AdapterWant &a, const AdapterWant &b) {
         return std::tie(a.isCrowded, a.since, a.adapter) < std::tie(b.isCrowded, b.since, b.adapter);
     });
 }
 
-bool FleetDemand::isUsed(const UpstreamId &engine, const AdapterRef &adapter) const
+bool AdapterDemand::isUsed(const UpstreamId &engine, const AdapterRef &adapter) const
 {
     return m_used.contains(std::pair(engine, adapter));
 }
 
-const std::vector<AdapterWant> &FleetDemand::wants() const
+const std::vector<AdapterWant> &AdapterDemand::wants() const
 {
     return m_wants;
 }
 
-double FleetDemand::popularity(const AdapterRef &adapter, Time now) const
+double AdapterDemand::popularity(const AdapterRef &adapter, Time now) const
 {
     const auto at = m_popularity.find(adapter);
     if (at == m_popularity.end()) {
--- a/coordination/fleetdemand.h
+++ b/coordination/adapterdemand.h
@@ -20,8 +20,6 @@
     AdapterRef adapter;
     /** Copies stand somewhere, but requests would wait too long there. */
     bool isCrowded = false;
-    /** It runs at engines of other plans, and is popular enough for a copy here. */
-    bool isPromoted = false;
     /** Since when it is wanted without a break. */
     Time since;
 };
@@ -32,17 +30,13 @@
  * The sums are made once after each message and not at each question: a plan asks for each copy of each engine whether a request runs on
  * it.
  */
-class FleetDemand
+class AdapterDemand
 {
 public:
     /** What a node said counts for this long: six messages missed. */
     static constexpr Duration UseMemory { 1500 };
 
-    /** @p promotion: an adapter of this popularity that is used at engines elsewhere is wanted here as well. */
-    FleetDemand(Duration popularityHalfLife, double promotion);
-
-    /** The engines that this demand is about; uses at others are of copies elsewhere. */
-    void setEngines(absl::flat_hash_set<UpstreamId> engines);
+    explicit AdapterDemand(Duration popularityHalfLife);
 
     /** What @p node runs and waits for; replaces what it said before. */
     void onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now);
@@ -74,8 +68,6 @@
     void collect(Time now);
 
     Duration m_popularityHalfLife;
-    double m_promotion;
-    absl::flat_hash_set<UpstreamId> m_engines;
     absl::flat_hash_map<NodeId, NodeUses> m_nodes;
     absl::flat_hash_map<AdapterRef, Popularity> m_popularity;
     absl::flat_hash_set<std::pair<UpstreamId, AdapterRef>> m_used;
--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -1,6 +1,6 @@
 #include "coordination/adapterplan.h"
 
-#include "coordination/fleetdemand.h"
+#include "coordination/adapterdemand.h"
 #include "core/hash.h"
 
 #include <algorithm>
@@ -84,9 +84,8 @@
     FencingToken fence;
     std::map<UpstreamId, Engine> engines;
     std::map<AdapterRef, AdapterVersion> versions;
-    FleetDemand demand;
+    AdapterDemand demand;
     PlanTurn turn;
-    std::function<bool(const AdapterRef &)> isHomeElsewhere = [](const AdapterRef &) { return false; };
     /** Adapters on their way to all engines, in this round. */
     int underWay = 0;
     /**
@@ -99,7 +98,7 @@
     Private(AdapterPlanLimits limits, FencingToken fence)
         : limits(limits)
         , fence(fence)
-        , demand(limits.popularityHalfLife, limits.promotion)
+        , demand(limits.popularityHalfLife)
     {
     }
 
@@ -303,10 +302,6 @@
 void AdapterPlan::Private::serveWants(Time now, std::vector<PlanAction> &actions)
 {
     for (const AdapterWant &want : demand.wants()) {
-        const bool isForOthers = !want.isCrowded && !want.isPromoted && now - want.since < limits.homePatience;
-        if (isForOthers && isHomeElsewhere(want.adapter)) {
-            continue;
-        }
         bool isUnderWay = false;
         bool isReady = false;
         for (const auto &[id, engine] : engines) {
@@ -321,10 +316,7 @@
             continue;
         }
         if (isReady && !want.isCrowded) {
-            // Where requests still run at a copy elsewhere, nobody lacks the one here.
-            if (!want.isPromoted) {
-                verify(want.adapter, now);
-            }
+            verify(want.adapter, now);
         } else {
             place(want, isReady, now, actions);
         }
@@ -440,11 +432,6 @@
     for (const PlannedEngine &planned : engines) {
         present[planned.record->id] = &planned;
     }
-    absl::flat_hash_set<UpstreamId> ids;
-    for (const auto &[id, planned] : present) {
-        ids.insert(id);
-    }
-    d->demand.setEngines(std::move(ids));
     std::erase_if(d->engines, [&present](const auto &entry) { return !present.contains(entry.first); });
     for (const auto &[id, planned] : present) {
         Engine &engine = d->engines[id];
@@ -512,11 +499,6 @@
     }
 }
 
-void AdapterPlan::setHomes(std::function<bool(const AdapterRef &)> isHomeElsewhere)
-{
-    d->isHomeElsewhere = std::move(isHomeElsewhere);
-}
-
 void AdapterPlan::setTurn(PlanTurn turn)
 {
     d->turn = turn;
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -8,7 +8,6 @@
 #include "state/routetable.h"
 #include "state/upstreamrecord.h"
 
-#include <functional>
 #include <memory>
 #include <vector>
 
@@ -46,10 +45,6 @@
     /** A base model that is not in place after this, on an engine that works on no order, has failed to load. */
     Duration loadTimeout { 4000 };
     Duration popularityHalfLife = Duration::seconds(20);
-    /** From this popularity on, about a request in three seconds, an adapter that other zones' engines hold is loaded here as well. */
-    double promotion = 10;
-    /** A want whose home is elsewhere is met here after a load and a half: nobody there seems to act. */
-    Duration homePatience { 400 };
     /** A copy stays at least so long. */
     Duration minimumStay { 500 };
     /** An engine is asked for its report this often. */
@@ -124,8 +119,6 @@
     void setEngines(const std::vector<PlannedEngine> &engines, const EngineRows &rows, Time now);
     /** How wants that nobody has met are dealt out among the plans of all shards. */
     void setTurn(PlanTurn turn);
-    /** Which adapters other plans hold while they are asked for seldom; without this call, none. */
-    void setHomes(std::function<bool(const AdapterRef &)> isHomeElsewhere);
     /** @p version of @p adapter is the newest. */
     void setVersion(const AdapterRef &adapter, const AdapterVersion &version);
     /** What @p node runs and waits for; replaces what it said before. */
--- a/coordination/fleetscope.cpp
+++ b/coordination/fleetscope.cpp
@@ -13,7 +13,6 @@
 
 void FleetScope::update(int nodesAlive, const std::set<ZoneId> &engineZones)
 {
-    m_engineZones.assign(engineZones.begin(), engineZones.end());
     const bool isDivided = !m_zone.isEmpty();
     if (nodesAlive <= (isDivided ? m_limits.smallestDivided - 1 : m_limits.largestWhole)) {
         m_zone = ZoneId();
@@ -28,14 +27,6 @@
     m_zone = next != engineZones.end() ? *next : *engineZones.begin();
 }
 
-ZoneId FleetScope::homeOf(std::uint64_t adapter) const
-{
-    if (m_zone.isEmpty() || m_engineZones.empty()) {
-        return ZoneId();
-    }
-    return m_engineZones[adapter % m_engineZones.size()];
-}
-
 const ZoneId &FleetScope::zone() const
 {
     return m_zone;
--- a/coordination/fleetscope.h
+++ b/coordination/fleetscope.h
@@ -3,9 +3,7 @@
 #include "core/clock.h"
 #include "core/strongid.h"
 
-#include <cstdint>
 #include <set>
-#include <vector>
 
 namespace ApricotStep
 {
@@ -41,14 +39,6 @@
 
     /** The zone whose engines this node uses; empty when it uses all. */
     const ZoneId &zone() const;
-    /**
-     * The zone whose engines hold an adapter of hash @p adapter while it is asked for seldom; empty in a fleet that is whole.
-     *
-     * Were each zone to hold all that its callers ask for, most places would hold what other zones hold as well: of 1,938 loads in 17 s on
-     * a calm day of 140 engines, 412 were of adapters that stood in another zone already, and more than a third of all requests waited for
-     * one.
-     */
-    ZoneId homeOf(std::uint64_t adapter) const;
     /** Whether the engines of @p engineZone are in use here. */
     bool covers(const ZoneId &engineZone) const;
     /** Whether a node of @p peerZone that uses the engines of @p peerScope (empty: all) shares engines with this one. */
@@ -58,7 +48,6 @@
     FleetScopeLimits m_limits;
     ZoneId m_own;
     ZoneId m_zone;
-    std::vector<ZoneId> m_engineZones;
 };
 
 } // namespace ApricotStep
--- a/main/entry/beliefs.h
+++ b/main/entry/beliefs.h
@@ -7,8 +7,10 @@
 #include "core/clock.h"
 #include "state/routetable.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace ApricotStep
 {
@@ -38,10 +40,15 @@
         const RoutedService *spec = routes != nullptr ? routes->service(service) : nullptr;
         return spec != nullptr && spec->engine ? &*spec->engine : nullptr;
     }
-    /** Whether this node uses the engines of @p zone; of others it knows only what it asked for. */
-    bool isInScope(const ZoneId &zone) const
+    /** Engines of @p service that this node uses; those of all zones while its scope has none. */
+    std::vector<const UpstreamRecord *> engines(const ServiceName &service) const
     {
-        return engineScope.isEmpty() || engineScope == zone;
+        std::vector<const UpstreamRecord *> result = upstreams.usable(service);
+        const auto isOutside = [this](const UpstreamRecord *record) { return record->zone != engineScope; };
+        if (!engineScope.isEmpty() && !std::all_of(result.begin(), result.end(), isOutside)) {
+            std::erase_if(result, isOutside);
+        }
+        return result;
     }
 };
 
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -1,7 +1,5 @@
 #include "main/entry/fleetlink.h"
 
-#include "coordination/fleetdemand.h"
-#include "core/hash.h"
 #include "protocol/fleetcodec.h"
 
 #include <algorithm>
@@ -30,8 +28,6 @@
 constexpr Duration StartTime = Duration::seconds(5);
 // A node that starts shows itself to all within this. Were it heard of only now and then, its voice would be missing.
 constexpr Duration FarIntervalAtStart { 600 };
-// A node elsewhere that asked for an adapter, or runs on one, is told of these engines for so long: as long as what it said counts.
-constexpr Duration AskedMemory = FleetDemand::UseMemory;
 // Wants of requests that arrive together go out together.
 constexpr Duration WantsDelay { 3 };
 // A peer silent for so long is forgotten.
@@ -111,11 +107,8 @@
     }
     FleetMessage base() const;
     FleetMessage withLoad() const;
-    std::set<NodeId> holders(const std::set<ZoneId> &zones) const;
-    ZoneId homeOf(const AdapterUse &use) const;
-    std::set<ZoneId> zonesOf(const std::vector<AdapterUse> &uses) const;
+    std::set<NodeId> holders() const;
     void tellWants();
-    void tellWantsTo(const NodeId &holder, std::vector<AdapterUse> wants);
     std::set<std::string> unheardAddresses() const;
     void sendToAll(const FleetMessage &message);
     void sendLoad(const FleetMessage &message);
@@ -129,7 +122,6 @@
     void notePeer(const FleetMessage &message);
     void noteContacts(const FleetMessage &message);
     std::vector<std::string> someContacts(std::size_t count);
-    std::vector<AdapterUse> usesForOrders(const FleetMessage &message) const;
     void greet(const FleetMessage &from);
     void noteHolder();
     void tick();
@@ -217,7 +209,7 @@
     if (isFarDue) {
         farToldAt = now();
     }
-    const std::set<NodeId> orderers = holders(zonesOf(message.uses));
+    const std::set<NodeId> orderers = holders();
     for (const auto &[id, peer] : peers) {
         if (orderers.contains(id)) {
             socket->send(peer.peerAddress, whole);
@@ -238,77 +230,33 @@
     return !message.claims.empty() || !message.releases.empty() || message.isLeaving;
 }
 
-// Those who order engines of the scope, and of @p zones.
-std::set<NodeId> FleetLink::Private::holders(const std::set<ZoneId> &zones) const
+std::set<NodeId> FleetLink::Private::holders() const
 {
     std::set<NodeId> result;
-    for (std::size_t index = 0; index < leases.size(); ++index) {
-        const EngineShard shard(index);
-        if (isInScope(shard) || zones.contains(shards.zoneOf(shard))) {
-            result.insert(leases[index].holder(now()));
-        }
-    }
-    return result;
-}
-
-ZoneId FleetLink::Private::homeOf(const AdapterUse &use) const
-{
-    return scope.homeOf(stableHash(use.model.value(), use.adapter.value()));
-}
-
-// Where the engines are that this node's requests run at or wait for.
-std::set<ZoneId> FleetLink::Private::zonesOf(const std::vector<AdapterUse> &uses) const
-{
-    std::set<ZoneId> result;
-    for (const AdapterUse &use : uses) {
-        const UpstreamRecord *record = beliefs.upstreams.usable(use.engine);
-        if (record != nullptr) {
-            result.insert(record->zone);
-        } else if (use.engine.isEmpty()) {
-            result.insert(homeOf(use));
+    for (std::size_t shard = 0; shard < leases.size(); ++shard) {
+        if (isInScope(EngineShard(shard))) {
+            result.insert(leases[shard].holder(now()));
         }
     }
     return result;
 }
 
-// A want goes at once to those who order at the adapter's home zone. Those of this scope hear of it with the load, and act when it gets
-// old.
 void FleetLink::Private::tellWants()
 {
     areWantsDue = false;
-    std::map<NodeId, std::vector<AdapterUse>> byHolder;
-    for (const AdapterUse &want : callbacks.wants()) {
-        const ZoneId home = homeOf(want);
-        for (std::size_t index = 0; index < leases.size(); ++index) {
-            const EngineShard shard(index);
-            const ZoneId &zone = shards.zoneOf(shard);
-            if (home.isEmpty() || zone.isEmpty() || zone == home) {
-                std::vector<AdapterUse> &wants = byHolder[leases[index].holder(now())];
-                if (wants.empty() || wants.back() != want) {
-                    wants.push_back(want);
-                }
-            }
-        }
-    }
-    for (auto &[holder, wants] : byHolder) {
-        tellWantsTo(holder, std::move(wants));
-    }
-}
-
-void FleetLink::Private::tellWantsTo(const NodeId &holder, std::vector<AdapterUse> wants)
-{
-    if (holder == identity.id) {
-        callbacks.onWants(holder, wants);
+    FleetMessage message = base();
+    message.uses = callbacks.wants();
+    message.interval = scopeLimits.nearInterval; // Holders are told of loads as often, wherever they are.
+    if (message.uses.empty()) {
         return;
     }
-    const auto at = peers.find(holder);
-    if (at == peers.end()) {
-        return;
+    const std::string bytes = encodeFleetMessage(message);
+    for (const NodeId &holder : holders()) {
+        const auto at = peers.find(holder);
+        if (at != peers.end()) {
+            socket->send(at->second.peerAddress, bytes);
+        }
     }
-    FleetMessage message = base();
-    message.uses = std::move(wants);
-    message.interval = scopeLimits.nearInterval; // Holders are told of loads as often, wherever they are.
-    socket->send(at->second.peerAddress, encodeFleetMessage(message));
 }
 
 std::vector<std::string> FleetLink::Private::someContacts(std::size_t count)
@@ -390,7 +338,7 @@
 
 bool FleetLink::Private::usesEnginesOf(const Peer &peer, const ZoneId &zone) const
 {
-    return zone.isEmpty() || peer.scope.isEmpty() || peer.scope == zone || now() - peer.askedAt <= AskedMemory;
+    return zone.isEmpty() || peer.scope.isEmpty() || peer.scope == zone;
 }
 
 void FleetLink::Private::updateScope()
@@ -434,11 +382,9 @@
     Peer &peer = peers[message.sender];
     const bool hasReadFurther = message.readRevision > peer.readRevision;
     const bool isChanged = isNew || peer.isReady != message.isReady || peer.isLeaving != message.isLeaving;
-    const Time askedAt = peer.askedAt;
     const Duration silenceAllowed = std::max(scopeLimits.nearInterval, message.interval) * MessagesMissed + LateMessage;
-    peer =
-        Peer { message.sender, message.zone, message.scope, message.callerAddress, message.peerAddress, message.isReady, message.isLeaving,
-            message.configVersion, now(), message.capacity, message.readRevision, message.isReadingStore, silenceAllowed, askedAt };
+    peer = Peer { message.sender, message.zone, message.scope, message.callerAddress, message.peerAddress, message.isReady,
+        message.isLeaving, message.configVersion, now(), message.capacity, message.readRevision, message.isReadingStore, silenceAllowed };
     if (isChanged) {
         log.write(Important, "fleet", "peer", { { "peer", peer.id.value() }, { "ready", peer.isReady }, { "leaving", peer.isLeaving } });
     }
@@ -460,16 +406,6 @@
     socket->send(from.peerAddress, encodeFleetMessage(answer));
 }
 
-// Where copies are crowded, those who order in the sender's scope add one there; here it would be a second answer to the same want.
-std::vector<AdapterUse> FleetLink::Private::usesForOrders(const FleetMessage &message) const
-{
-    std::vector<AdapterUse> uses = message.uses;
-    if (!scope.isNear(message.zone, message.scope)) {
-        std::erase_if(uses, [](const AdapterUse &use) { return use.isCrowded; });
-    }
-    return uses;
-}
-
 void FleetLink::Private::onMessage(const FleetMessage &message)
 {
     const bool isNew = !peers.contains(message.sender);
@@ -492,12 +428,9 @@
         }
         socket->send(message.peerAddress, encodeFleetMessage(answer));
     }
-    if (!message.uses.empty()) {
-        peers[message.sender].askedAt = now();
-    }
     if (message.loads) {
         beliefs.book.onPeer(message.sender, *message.loads, now());
-        callbacks.onUses(message.sender, usesForOrders(message));
+        callbacks.onUses(message.sender, message.uses);
     } else if (!message.uses.empty()) {
         callbacks.onWants(message.sender, message.uses);
     }
@@ -614,12 +547,6 @@
     return d->shards;
 }
 
-bool FleetLink::isHomeElsewhere(EngineShard shard, const AdapterRef &adapter) const
-{
-    const ZoneId home = d->scope.homeOf(stableHash(adapter.model.value(), adapter.adapter.value()));
-    return !home.isEmpty() && home != d->shards.zoneOf(shard);
-}
-
 bool FleetLink::areWeighedTogether(EngineShard one, EngineShard other) const
 {
     return d->scope.zone().isEmpty() || d->shards.zoneOf(one) == d->shards.zoneOf(other);
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -49,8 +49,6 @@
     bool isReadingStore = false;
     /** It counts as alive while it was heard of within this. */
     Duration silenceAllowed;
-    /** When it last said what it runs or waits for, of this node's engines. */
-    Time askedAt;
 };
 
 /** What this node says of its reading of the store. */
@@ -110,8 +108,6 @@
     const OrderLease &lease(EngineShard shard) const;
     /** Whether what stands at the engines of both shards is told to the same nodes, and weighed together. */
     bool areWeighedTogether(EngineShard one, EngineShard other) const;
-    /** Whether an adapter that is asked for seldom belongs to engines of another zone than the shard's. */
-    bool isHomeElsewhere(EngineShard shard, const AdapterRef &adapter) const;
     /** How long until any node gives orders to engines; unset while this node does not hear most of the others. */
     std::optional<Duration> ordersIn() const;
     /** Whether the fleet is so large that nodes tell each other only of the engines that they share. */
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -114,7 +114,6 @@
     if (plan == nullptr || fence != *token) {
         fence = *token;
         plan = std::make_unique<AdapterPlan>(AdapterPlanLimits {}, fence);
-        plan->setHomes([this](const AdapterRef &adapter) { return fleet.isHomeElsewhere(shard, adapter); });
         log.write(EventLog::Weight::Important, "orders", "started",
             { { "shard", std::int64_t(shard.value()) }, { "fence", static_cast<std::int64_t>(fence.value()) } });
     }
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -170,10 +170,7 @@
     if (!needsAdapter()) {
         return record.models.empty() || record.holds(m_decoded.generation->model);
     }
-    const EngineRows &rows = m_context.beliefs().rows;
-    // Of an engine elsewhere only a row that this node was told says what stands there now; its entry is too old.
-    const auto copy =
-        m_context.beliefs().isInScope(record.zone) || rows.row(record) != nullptr ? rows.copy(record, adapter()) : std::nullopt;
+    const auto copy = m_context.beliefs().rows.copy(record, adapter());
     if (!copy || !copy->isReady) {
         return false;
     }
@@ -189,17 +186,12 @@
 {
     std::vector<UpstreamOption> result;
     Beliefs &beliefs = m_context.beliefs();
-    for (const UpstreamRecord *record : beliefs.upstreams.usable(m_service)) {
+    for (const UpstreamRecord *record : m_decoded.generation ? beliefs.engines(m_service) : beliefs.upstreams.usable(m_service)) {
         if (mayUse(*record)) {
             result.push_back(UpstreamOption { record, beliefs.book.load(record->id, now()), beliefs.outliers.share(record->id, now()),
                 record->zone == m_context.settings().zone });
         }
     }
-    // A copy in this node's own scope, where it knows all load, goes before one elsewhere.
-    const auto isOutside = [&beliefs](const UpstreamOption &option) { return !beliefs.isInScope(option.record->zone); };
-    if (m_decoded.generation && !std::all_of(result.begin(), result.end(), isOutside)) {
-        std::erase_if(result, isOutside);
-    }
     return result;
 }
 
--- a/tests/coordination/testadapterplan.cpp
+++ b/tests/coordination/testadapterplan.cpp
@@ -39,10 +39,6 @@
     {
         m_uses.push_back(AdapterUse { BaseModelId("m"), AdapterId(adapter), UpstreamId(), 1, isCrowded });
     }
-    void setHomeElsewhere()
-    {
-        m_plan.setHomes([](const AdapterRef &) { return true; });
-    }
     void clearUses()
     {
         m_uses.clear();
@@ -401,30 +397,3 @@
     }
     cr_assert_gt(bench.copies("zlast"), 0);
 }
-
-// Callers of all zones ask for the same rare adapters. Loaded in each zone, they fill the places four times over; so a want whose home is
-// in another zone is left to that one. If nobody there acts, because its holder is gone, the callers must not wait until they leave.
-Test(adapterplan, aWantWhoseHomeIsElsewhereIsMetHereOnlyLate)
-{
-    PlanBench bench(3);
-    bench.setHomeElsewhere();
-    bench.want("a");
-    bench.run(Duration(350));
-    cr_assert_eq(bench.loads(), 0);
-    bench.run(Duration(500));
-    cr_assert_eq(bench.copies("a"), 1);
-}
-
-// An adapter gets popular while its only copy stands in another zone. All zones' requests would crowd that engine; from some popularity on
-// it is loaded here as well, once, and what still runs elsewhere does not disturb the copy.
-Test(adapterplan, aPopularAdapterGetsACopyOfItsOwn)
-{
-    PlanBench bench(3);
-    bench.setHomeElsewhere();
-    bench.use("seldom", "elsewhere", 2);
-    bench.use("often", "elsewhere", 20);
-    bench.run(Duration(2000));
-    cr_assert_eq(bench.copies("seldom"), 0);
-    cr_assert_eq(bench.copies("often"), 1);
-    cr_assert_eq(bench.loads(), 1);
-}
--- a/tests/coordination/testfleetscope.cpp
+++ b/tests/coordination/testfleetscope.cpp
@@ -51,25 +51,6 @@
     cr_assert(scope.zone() == C);
 }
 
-// All nodes must look for a rare adapter in the same zone, or it is loaded once for each of them. A zone that lost its engines is no home.
-Test(fleetscope, allNodesAgreeOnAnAdaptersHome)
-{
-    FleetScope inA(FleetScopeLimits {}, A);
-    FleetScope inB(FleetScopeLimits {}, B);
-    inA.update(134, { A, B, C });
-    inB.update(134, { A, B, C });
-    std::set<ZoneId> homes;
-    for (std::uint64_t adapter = 0; adapter < 30; ++adapter) {
-        cr_assert(inA.homeOf(adapter) == inB.homeOf(adapter));
-        homes.insert(inA.homeOf(adapter));
-    }
-    cr_assert_eq(homes.size(), 3);
-    inA.update(134, { A, C });
-    cr_assert(inA.homeOf(1) != B);
-    inA.update(10, { A, C });
-    cr_assert(inA.homeOf(1).isEmpty());
-}
-
 // Nodes restart in turn around the size at which the fleet divides. Were each restart to change who uses which engines, adapters would be
 // loaded here and there by turns.
 Test(fleetscope, oneRestartDoesNotChangeIt)
