--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -1,6 +1,6 @@
 #include "coordination/adapterplan.h"
 
-#include "coordination/adapterdemand.h"
+#include "coordination/fleetdemand.h"
 #include "core/hash.h"
 
 #include <algorithm>
@@ -84,7 +84,7 @@
     FencingToken fence;
     std::map<UpstreamId, Engine> engines;
     std::map<AdapterRef, AdapterVersion> versions;
-    AdapterDemand demand;
+    FleetDemand demand;
     PlanTurn turn;
     /** Adapters on their way to all engines, in this round. */
     int underWay = 0;
--- a/coordination/adapterdemand.cpp
+++ b/coordination/fleetdemand.cpp
@@ -1,4 +1,4 @@
-#include "coordination/adapterdemand.h"
+#include "coordination/fleetdemand.h"
 
 #include <algorithm>
 #include <cmath>
@@ -17,12 +17,12 @@
 
 } // namespace
 
-AdapterDemand::AdapterDemand(Duration popularityHalfLife)
+FleetDemand::FleetDemand(Duration popularityHalfLife)
     : m_popularityHalfLife(popularityHalfLife)
 {
 }
 
-void AdapterDemand::onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now)
+void FleetDemand::onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now)
 {
     m_nodes[node] = NodeUses { uses, now };
     m_isChanged = true;
@@ -34,7 +34,7 @@
     }
 }
 
-void AdapterDemand::onWants(const NodeId &node, const std::vector<AdapterUse> &wants, Time now)
+void FleetDemand::onWants(const NodeId &node, const std::vector<AdapterUse> &wants, Time now)
 {
     NodeUses &known = m_nodes[node];
     std::erase_if(known.uses, [](const AdapterUse &use) { return use.engine.isEmpty() && !use.isCrowded; });
@@ -43,7 +43,7 @@
     m_isChanged = true;
 }
 
-void AdapterDemand::refresh(Time now)
+void FleetDemand::refresh(Time now)
 {
     if (now - m_sweptAt >= SweepInterval) {
         m_sweptAt = now;
@@ -56,18 +56,18 @@
     }
 }
 
-void AdapterDemand::forgetSilent(Time now)
+void FleetDemand::forgetSilent(Time now)
 {
     const auto isSilent = [now](const auto &entry) { return now - entry.second.heardAt > UseMemory; };
     m_isChanged = absl::erase_if(m_nodes, isSilent) > 0 || m_isChanged;
 }
 
-void AdapterDemand::forgetUnpopular(Time now)
+void FleetDemand::forgetUnpopular(Time now)
 {
     absl::erase_if(m_popularity, [this, now](const auto &entry) { return popularity(entry.first, now) < LeastPopularity; });
 }
 
-void AdapterDemand::collect(Time now)
+void FleetDemand::collect(Time now)
 {
     absl::flat_hash_map<AdapterRef, Time> wantedSince;
     for (const AdapterWant &want : m_wants) {
@@ -97,17 +97,17 @@
     });
 }
 
-bool AdapterDemand::isUsed(const UpstreamId &engine, const AdapterRef &adapter) const
+bool FleetDemand::isUsed(const UpstreamId &engine, const AdapterRef &adapter) const
 {
     return m_used.contains(std::pair(engine, adapter));
 }
 
-const std::vector<AdapterWant> &AdapterDemand::wants() const
+const std::vector<AdapterWant> &FleetDemand::wants() const
 {
     return m_wants;
 }
 
-double AdapterDemand::popularity(const AdapterRef &adapter, Time now) const
+double FleetDemand::popularity(const AdapterRef &adapter, Time now) const
 {
     const auto at = m_popularity.find(adapter);
     if (at == m_popularity.end()) {
--- a/coordination/adapterdemand.h
+++ b/coordination/fleetdemand.h
@@ -30,13 +30,13 @@
  * The sums are made once after each message and not at each question: a plan asks for each copy of each engine whether a request runs on
  * it.
  */
-class AdapterDemand
+class FleetDemand
 {
 public:
     /** What a node said counts for this long: six messages missed. */
     static constexpr Duration UseMemory { 1500 };
 
-    explicit AdapterDemand(Duration popularityHalfLife);
+    explicit FleetDemand(Duration popularityHalfLife);
 
     /** What @p node runs and waits for; replaces what it said before. */
     void onUses(const NodeId &node, const std::vector<AdapterUse> &uses, Time now);
