Send requests that share a beginning to one copy of their adapter

All nodes now take the same copy for a beginning, by rendezvous, unless its queue costs more than the reading. The test's requests find 90 in 100 beginnings kept.

--- a/coordination/upstreamchoice.cpp
+++ b/coordination/upstreamchoice.cpp
@@ -1,5 +1,7 @@
 #include "coordination/upstreamchoice.h"
 
+#include "coordination/rendezvous.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -35,9 +37,20 @@
 
 } // namespace
 
+void creditSharedPrefix(std::vector<UpstreamOption> &options, std::string_view sharedPrefix, std::uint32_t sharedTokens)
+{
+    if (sharedPrefix.empty() || options.empty()) {
+        return;
+    }
+    const auto score = [sharedPrefix](const UpstreamOption &option) { return rendezvousScore(sharedPrefix, option.record->id.value(), 1); };
+    const auto isLess = [&score](const UpstreamOption &a, const UpstreamOption &b) { return score(a) < score(b); };
+    std::max_element(options.begin(), options.end(), isLess)->keptTokens = sharedTokens;
+}
+
 Duration expectedFirstToken(const UpstreamOption &option, std::uint32_t promptTokens, const ChoiceFigures &figures)
 {
-    const double reading = (option.load.pendingTokens + promptTokens) / figures.promptTokensPerMs;
+    const double unread = std::max(promptTokens - option.keptTokens, 0.0);
+    const double reading = (option.load.pendingTokens + unread) / figures.promptTokensPerMs;
     return Duration(static_cast<std::int64_t>(reading + option.load.running * figures.runningCostMs));
 }
 
--- a/coordination/upstreamchoice.h
+++ b/coordination/upstreamchoice.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <random>
+#include <string_view>
 #include <vector>
 
 namespace ApricotStep
@@ -27,6 +28,8 @@
     double share = 1;
     /** In this node's availability zone. */
     bool isNear = false;
+    /** Tokens of the prompt that it has probably read before and keeps. */
+    double keptTokens = 0;
 };
 
 struct ChoiceFigures
@@ -39,6 +42,15 @@
     double farCost = 0.3;
 };
 
+/**
+ * Takes @p sharedTokens of a prompt that begins with @p sharedPrefix as kept by one of @p options, the same one at all nodes.
+ *
+ * Load pattern: an adapter has copies at several engines, and its requests share long beginnings. Sent to the least loaded copy each time,
+ * every engine reads every beginning: with 140 engines 23.7 of 96.8 million tokens were read though another copy kept them. The nodes agree
+ * on an engine for each beginning without a message; it is left where its queue costs more than the reading.
+ */
+void creditSharedPrefix(std::vector<UpstreamOption> &options, std::string_view sharedPrefix, std::uint32_t sharedTokens);
+
 /** How long a prompt of @p promptTokens would wait for its first token at @p option. */
 Duration expectedFirstToken(const UpstreamOption &option, std::uint32_t promptTokens, const ChoiceFigures &figures);
 
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -209,7 +209,10 @@
         onDeadline();
         return;
     }
-    const auto found = options();
+    auto found = options();
+    if (m_decoded.generation) {
+        creditSharedPrefix(found, m_decoded.generation->sharedPrefix, m_decoded.generation->sharedTokens);
+    }
     const ChoiceFigures figures;
     const UpstreamOption *chosen = m_decoded.generation ? chooseEngine(found, promptTokens(), figures, m_context.random())
                                                         : chooseService(found, figures, m_context.random());
@@ -217,6 +220,7 @@
         if (needsAdapter() && expectedFirstToken(*chosen, 0, figures) > CrowdedWait) {
             m_context.noteCrowded(adapter());
         }
+        m_unreadTokens = promptTokens() - std::min(promptTokens(), static_cast<std::uint32_t>(chosen->keptTokens));
         send(*chosen->record);
         return;
     }
@@ -290,7 +294,7 @@
     m_body.clear();
     m_sentAt = now();
     m_isUnread = true;
-    m_context.beliefs().book.onSent(record.id, promptTokens());
+    m_context.beliefs().book.onSent(record.id, m_unreadTokens);
     m_context.log().write(Step, "request", "sent",
         { { "request", m_decoded.id }, { "upstream", record.id.value() }, { "arrival", std::int64_t(m_arrivals + 1) },
             { "version", m_version.value() }, { "leftMs", timeLeft().milliseconds() },
@@ -372,7 +376,7 @@
         return;
     }
     if (std::exchange(m_isUnread, false)) {
-        m_context.beliefs().book.onFirstToken(m_upstream.id, promptTokens());
+        m_context.beliefs().book.onFirstToken(m_upstream.id, m_unreadTokens);
     }
     if (!m_isStreaming) {
         m_isStreaming = true;
@@ -432,7 +436,7 @@
 void RequestJob::endAttempt()
 {
     m_context.loop().cancel(m_silenceTimer);
-    m_context.beliefs().book.onEnded(m_upstream.id, m_isUnread ? promptTokens() : 0);
+    m_context.beliefs().book.onEnded(m_upstream.id, m_isUnread ? m_unreadTokens : 0);
     m_call = 0;
 }
 
--- a/tests/coordination/testupstreamdirectory.cpp
+++ b/tests/coordination/testupstreamdirectory.cpp
@@ -2,6 +2,9 @@
 #include "coordination/upstreamchoice.h"
 #include "coordination/upstreamdirectory.h"
 
+#include <map>
+#include <string>
+
 #include <criterion/criterion.h>
 
 using namespace ApricotStep;
@@ -125,6 +128,42 @@
     cr_assert_null(chooseEngine({}, 800, {}, random));
 }
 
+// Twenty nodes send requests of a popular adapter with twelve long beginnings to its four copies, each node by itself. Sent to the least
+// loaded copy each time, every engine reads every beginning anew, and callers wait for prompts to be read that are kept next door. No
+// engine may get much more than its share for it.
+Test(upstreamchoice, requestsThatShareABeginningMeetAtOneCopy)
+{
+    const std::vector<UpstreamRecord> records { record("a"), record("b"), record("c"), record("d") };
+    std::mt19937_64 random(5);
+    std::map<std::pair<std::string, std::string>, bool> read;
+    std::map<std::string, double> queued;
+    int kept = 0;
+    constexpr int Requests = 1200;
+    for (int i = 0; i < Requests; ++i) {
+        const std::string prefix = "aa:2500," + std::to_string(random() % 12) + ":3800";
+        std::vector<UpstreamOption> options;
+        for (const UpstreamRecord &entry : records) {
+            options.push_back(UpstreamOption { &entry, { 0, queued[entry.id.value()] }, 1, true });
+        }
+        creditSharedPrefix(options, prefix, 6300);
+        const std::string chosen = chooseEngine(options, 9200, {}, random)->record->id.value();
+        bool &isRead = read[{ chosen, prefix }];
+        kept += isRead ? 1 : 0;
+        queued[chosen] += isRead ? 2900 : 9200;
+        isRead = true;
+        // 38 tokens a millisecond at each engine, a request every 30 ms: half of what they can read without any reuse is asked for.
+        for (auto &[id, tokens] : queued) {
+            tokens = std::max(tokens - 30 * 38, 0.0);
+        }
+    }
+    cr_assert_gt(kept, Requests * 9 / 10);
+    std::vector<UpstreamOption> crowded { { &records[0], { 0, 0 }, 1, true }, { &records[1], { 0, 0 }, 1, true } };
+    creditSharedPrefix(crowded, "p", 6300);
+    UpstreamOption &home = crowded[0].keptTokens > 0 ? crowded[0] : crowded[1];
+    home.load.pendingTokens = 20'000;
+    cr_assert_neq(chooseEngine(crowded, 9200, {}, random)->record, home.record, "a queue longer than the reading sends it elsewhere");
+}
+
 // Peers that fell silent have nothing running that anybody knows of: their last figures must not weigh for ever.
 Test(upstreambook, silentPeersStopCounting)
 {
--- a/tests/platform/testrequests.cpp
+++ b/tests/platform/testrequests.cpp
@@ -49,7 +49,12 @@
     cr_assert_not(decodeCallerRequest(requestWith({ { "Apricotstep-Deadline-Ms", "soon" } })).deadline.has_value());
     cr_assert_leq(
         decodeCallerRequest(requestWith({ { "Apricotstep-Deadline-Ms", "9223372036854775807" } })).deadline->milliseconds(), 86'400'000);
-    const auto decoded = decodeCallerRequest(requestWith({ { "Apricotstep-Model", "m" }, { "Apricotstep-Token-Count", "many,few" } }));
+    const auto decoded = decodeCallerRequest(requestWith(
+        { { "Apricotstep-Model", "m" }, { "Apricotstep-Token-Count", "many,few" }, { "Apricotstep-Prompt-Prefix", "a:x,b:3,c:9" } }));
+    cr_assert(decoded.generation->sharedPrefix.empty() && decoded.generation->sharedTokens == 0);
+    const auto named =
+        decodeCallerRequest(requestWith({ { "Apricotstep-Model", "m" }, { "Apricotstep-Prompt-Prefix", "a:800,b:410,c:250" } }));
+    cr_assert(named.generation->sharedPrefix == "a:800,b:410" && named.generation->sharedTokens == 1210);
     cr_assert_eq(decoded.generation->promptTokens, 0);
 }
 
