--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -220,7 +220,6 @@
         if (needsAdapter() && expectedFirstToken(*chosen, 0, figures) > CrowdedWait) {
             m_context.noteCrowded(adapter());
         }
-        m_unreadTokens = promptTokens() - std::min(promptTokens(), static_cast<std::uint32_t>(chosen->keptTokens));
         send(*chosen->record);
         return;
     }
@@ -294,7 +293,7 @@
     m_body.clear();
     m_sentAt = now();
     m_isUnread = true;
-    m_context.beliefs().book.onSent(record.id, m_unreadTokens);
+    m_context.beliefs().book.onSent(record.id, promptTokens());
     m_context.log().write(Step, "request", "sent",
         { { "request", m_decoded.id }, { "upstream", record.id.value() }, { "arrival", std::int64_t(m_arrivals + 1) },
             { "version", m_version.value() }, { "leftMs", timeLeft().milliseconds() },
@@ -376,7 +375,7 @@
         return;
     }
     if (std::exchange(m_isUnread, false)) {
-        m_context.beliefs().book.onFirstToken(m_upstream.id, m_unreadTokens);
+        m_context.beliefs().book.onFirstToken(m_upstream.id, promptTokens());
     }
     if (!m_isStreaming) {
         m_isStreaming = true;
@@ -436,7 +435,7 @@
 void RequestJob::endAttempt()
 {
     m_context.loop().cancel(m_silenceTimer);
-    m_context.beliefs().book.onEnded(m_upstream.id, m_isUnread ? m_unreadTokens : 0);
+    m_context.beliefs().book.onEnded(m_upstream.id, m_isUnread ? promptTokens() : 0);
     m_call = 0;
 }
 
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -137,8 +137,6 @@
     AdapterVersion m_version;
     std::optional<Platform::UpstreamAnswer> m_answer;
     std::string m_body;
-    /** Tokens of the prompt that the upstream probably has to read. */
-    std::uint32_t m_unreadTokens = 0;
     bool m_isUnread = false;
     Time m_sentAt;
     Time m_heardAt;
