Give each node the retry share of the fleet that it knows now

Cause: a budget kept the node count of its first use; a hundred nodes restarted together would each have taken a fourth of the fleet's allowance. Found by reading; the test failed to build before, as there was nothing to set. How long silence is allowed stands in one place now.

--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -98,6 +98,17 @@
     FencingToken greatestFence;
 };
 
+/**
+ * How long a node that speaks every @p interval counts as alive after its last message: while no three of its messages in a row are lost,
+ * and a late one has come.
+ */
+inline Duration silenceAllowed(Duration interval)
+{
+    constexpr int MessagesMissed = 3;
+    constexpr Duration LateMessage { 300 };
+    return interval * MessagesMissed + LateMessage;
+}
+
 /** What nodes tell each other, several times a second. */
 struct FleetMessage
 {
--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -17,9 +17,6 @@
 // Low bits of a fencing token, from the holder's id: two nodes that count up to the same number still differ.
 constexpr std::uint64_t NodeBits = 16;
 
-// A node that speaks at a pace of its own is heard while no three of its messages in a row are lost, and a late one has come.
-constexpr int MessagesMissed = 3;
-constexpr Duration LateMessage { 300 };
 // A forged count must not keep all orders from being given: no fleet is larger.
 constexpr std::size_t MostNodes = 4096;
 
@@ -266,7 +263,7 @@
     d->others.erase(NodeId("seed " + message.peerAddress));
     Other &other = d->others[message.sender];
     other.heardAt = now;
-    other.silenceAllowed = std::max(d->limits.liveness, message.interval * MessagesMissed + LateMessage);
+    other.silenceAllowed = std::max(d->limits.liveness, silenceAllowed(message.interval));
     other.zone = message.zone;
     other.capacity = message.capacity;
     other.isLeaving = message.isLeaving;
--- a/coordination/retrybudget.cpp
+++ b/coordination/retrybudget.cpp
@@ -21,6 +21,13 @@
     m_refilledAt = now;
 }
 
+void RetryBudget::setLimits(RetryBudgetLimits limits, Time now)
+{
+    refill(now);
+    m_limits = limits;
+    m_tokens = std::min(m_tokens, m_limits.reserve);
+}
+
 void RetryBudget::onSuccess(Time now)
 {
     refill(now);
--- a/coordination/retrybudget.h
+++ b/coordination/retrybudget.h
@@ -28,6 +28,8 @@
 public:
     RetryBudget(RetryBudgetLimits limits, Time now);
 
+    /** From now on; what was saved up beyond the new reserve is gone. */
+    void setLimits(RetryBudgetLimits limits, Time now);
     /** A request ended well. */
     void onSuccess(Time now);
     /** Takes one retry out; false when there is none to take. */
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -14,9 +14,6 @@
 namespace
 {
 
-// A peer counts as alive while no three of its messages in a row are lost, and a late one has come.
-constexpr int MessagesMissed = 3;
-constexpr Duration LateMessage { 300 };
 // All rows are told again this often, for nodes that started or lost a datagram.
 constexpr Duration RowsInterval { 2000 };
 // Contacts in one message: with five messages a second, all nodes of a small fleet are named to a new one within a second; later a few
@@ -382,9 +379,9 @@
     Peer &peer = peers[message.sender];
     const bool hasReadFurther = message.readRevision > peer.readRevision;
     const bool isChanged = isNew || peer.isReady != message.isReady || peer.isLeaving != message.isLeaving;
-    const Duration silenceAllowed = std::max(scopeLimits.nearInterval, message.interval) * MessagesMissed + LateMessage;
     peer = Peer { message.sender, message.zone, message.scope, message.callerAddress, message.peerAddress, message.isReady,
-        message.isLeaving, message.configVersion, now(), message.capacity, message.readRevision, message.isReadingStore, silenceAllowed };
+        message.isLeaving, message.configVersion, now(), message.capacity, message.readRevision, message.isReadingStore,
+        silenceAllowed(std::max(scopeLimits.nearInterval, message.interval)) };
     if (isChanged) {
         log.write(Important, "fleet", "peer", { { "peer", peer.id.value() }, { "ready", peer.isReady }, { "leaving", peer.isLeaving } });
     }
@@ -557,7 +554,7 @@
     if (!d->leases.front().hearsMajority(d->now())) {
         return std::nullopt;
     }
-    Duration soonest = Duration::seconds(3600);
+    Duration soonest = Duration::seconds(3600); // Longer than any caller waits.
     for (std::size_t shard = 0; shard < d->leases.size(); ++shard) {
         if (d->isInScope(EngineShard(shard))) {
             soonest = std::min(soonest, d->leases[shard].ordersIn(d->now()));
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -77,6 +77,7 @@
     {
         return m_random;
     }
+    RetryBudgetLimits budgetLimits() const;
     RetryBudget &budget(const ServiceName &service);
     bool takeRetry(const ServiceName &service) override;
     void noteFirstArrival(const ServiceName &service) override;
@@ -86,18 +87,27 @@
     void refuse(HttpExchange &exchange, const std::string &id, ErrorKind kind, const std::string &detail);
 };
 
-RetryBudget &RequestForwarder::Private::budget(const ServiceName &service)
+// The fleet's allowance, by the nodes known now. A node that has just started knows few of a large fleet; did it keep that share, a hundred
+// nodes restarted together would each take a fourth of the whole.
+RetryBudgetLimits RequestForwarder::Private::budgetLimits() const
 {
-    const auto at = budgets.find(service);
-    if (at != budgets.end()) {
-        return at->second;
-    }
     const double nodes = std::max(m_callbacks.nodeCount(), 1);
     RetryBudgetLimits limits;
     limits.share = m_settings.retryShare * ShareOfAllowance;
     limits.reserve = std::max(m_settings.retryExtra * ShareOfAllowance / nodes, 1.0);
     limits.tricklePerSecond = limits.reserve / m_settings.retryWindow.toSeconds() / 2;
-    return budgets.emplace(service, RetryBudget(limits, m_loop.clock().now())).first->second;
+    return limits;
+}
+
+RetryBudget &RequestForwarder::Private::budget(const ServiceName &service)
+{
+    const Time now = m_loop.clock().now();
+    const RetryBudgetLimits limits = budgetLimits();
+    const auto [at, isNew] = budgets.emplace(service, RetryBudget(limits, now));
+    if (!isNew) {
+        at->second.setLimits(limits, now);
+    }
+    return at->second;
 }
 
 bool RequestForwarder::Private::takeRetry(const ServiceName &service)
--- a/tests/coordination/testupstreamtrouble.cpp
+++ b/tests/coordination/testupstreamtrouble.cpp
@@ -213,3 +213,17 @@
     }
     cr_assert_eq(limit.limit(), 8);
 }
+
+// A hundred nodes restart together and hear of a few others first, so each takes a fourth of the fleet's allowance for its own. Once it
+// hears of all, what it saved up beyond its part is gone; else upstreams that fail get many times the repeats that the operators allow.
+Test(retrybudget, aSmallerPartTakesBackWhatWasSavedUp)
+{
+    RetryBudget budget({ 0.1, 50, 0 }, Time(0));
+    cr_assert_eq(budget.available(Time(0)), 50);
+    budget.setLimits({ 0.1, 2, 0 }, Time(0));
+    cr_assert_eq(budget.available(Time(0)), 2);
+    for (int i = 0; i < 100; ++i) {
+        budget.onSuccess(Time(0));
+    }
+    cr_assert_eq(budget.available(Time(0)), 2);
+}
