--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -286,6 +286,7 @@
 {
     const auto near = fleet->near();
     std::vector<StoreNeighbour> neighbours;
+    neighbours.reserve(near.size());
     for (const Peer *peer : near) {
         neighbours.push_back(StoreNeighbour { peer->id, peer->capacity, peer->isLeaving, peer->isReadingStore, peer->readRevision });
     }
--- a/main/entry/peerservice.cpp
+++ b/main/entry/peerservice.cpp
@@ -105,7 +105,7 @@
     if (const auto ago = d->store.regainedAgo()) {
         headers.push_back({ RegainedHeader, std::to_string(ago->milliseconds()) });
     }
-    exchange.respond(OkStatus, std::move(headers), std::move(*changes));
+    exchange.respond(OkStatus, headers, std::move(*changes));
 }
 
 void PeerService::fetchFrom(const Peer &peer)
