--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -306,9 +306,15 @@
             task = asyncio.create_task(self.repeat(action))
             running.add(task)
             task.add_done_callback(running.discard)
+            task.add_done_callback(self.note_end)
             await asyncio.sleep(self.random.uniform(0.1, 2.0))
         await asyncio.gather(*running)
 
+    def note_end(self, task):
+        """A fault that could not be played, say because the binary was being built anew, makes all that follows worth nothing."""
+        if not task.cancelled() and task.exception() is not None:
+            self.fail("SOAK", f"a fault ended with {task.exception()!r}")
+
     async def repeat(self, action):
         """A series: the same fault again after a pause, on whom it then meets."""
         for _ in range(self.random.choice((1, 1, 2, 3))):
