Let one whole reading of the store delete in one place

Found by reading the change: what a neighbour told of while a node read the store page by page stayed in the copy but was dropped from the beliefs, and the watch that brought it again was no news any more; the upstream stayed unknown until its entry changed. The list of keys was kept twice for it. The directory's own retainOnly() is now used by its test only. No test of the race yet.

--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -46,7 +46,6 @@
 
     StoreCopy copy;
     // While all is read: what the pages have brought so far, and the revision to watch from.
-    std::vector<UpstreamId> listed;
     std::vector<std::string> listedKeys;
     std::optional<Platform::StoreRevision> watchFrom;
     std::string pageAfter;
@@ -162,7 +161,6 @@
 void StoreReader::Private::readPage()
 {
     if (pageAfter.empty()) {
-        listed.clear();
         listedKeys.clear();
         watchFrom.reset();
     }
@@ -184,9 +182,6 @@
     take(page.value().items, "store", changes);
     for (const Platform::StoreItem &item : page.value().items) {
         listedKeys.push_back(item.key);
-        if (const auto key = Platform::decodeKey(item.key); std::holds_alternative<Platform::UpstreamKey>(key)) {
-            listed.push_back(std::get<Platform::UpstreamKey>(key).id);
-        }
     }
     if (page.value().hasMore && !page.value().items.empty()) {
         pageAfter = page.value().items.back().key;
@@ -195,9 +190,9 @@
         return;
     }
     pageAfter.clear();
-    copy.retainOnly(listedKeys, *watchFrom, loop.clock().now());
-    for (UpstreamChange &change : beliefs.upstreams.retainOnly(listed, loop.clock().now())) {
-        changes.upstreams.push_back(std::move(change));
+    // What a neighbour told of while the pages came stays: the watch brings it again, and it would not be news a second time.
+    for (const Platform::StoreItem &gone : copy.retainOnly(listedKeys, *watchFrom, loop.clock().now())) {
+        apply(gone, "store", changes);
     }
     if (!hasReadAll) {
         hasReadAll = true;
