--- /dev/null
+++ b/coordination/adapterloads.cpp
@@ -0,0 +1,260 @@
+#include "coordination/adapterloads.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+// Drops remembered of each engine; adapters dropped longer ago are not expected at hand, whatever it could keep.
+constexpr std::uint32_t DropsRemembered = 512;
+// Before a load's time is known, it is asked about at this moment and then each time a fifth later: what is found is a fifth off at most.
+constexpr Duration FirstGuess { 30 };
+constexpr double GuessGrowth = 1.2;
+// A load at hand is ten times as fast as a fetch; taken while none has been seen.
+constexpr double AtHandPart = 0.1;
+// The moment of the question follows the loads: down a little with each that was done at the first question, up towards the time of each
+// that was not. So about one load in eight is asked about twice, and none waits long after it is done.
+constexpr double EarlierAtStart = 0.95;
+constexpr double Earlier = 0.995;
+constexpr double LaterStep = 0.25;
+constexpr int LoadsAtStart = 32;
+// A later question comes after this part of the usual time, but not sooner than the answer to the last one can be acted upon.
+constexpr double AgainPart = 0.125;
+constexpr Duration LeastAgain { 6 };
+// Part by which one load moves the chance of its age.
+constexpr double ChanceStep = 0.15;
+// What is thought not to be at hand is asked about too late to tell; so the chance of its age rises by this much with each, until one is
+// asked about early again.
+constexpr double ChanceRecovery = 0.01;
+// A load at hand that is not done at the first question is asked about once more after as long again; then it counts as a fetch.
+constexpr int EarlyQuestions = 2;
+
+std::uint64_t keyOf(const AdapterCopy &copy)
+{
+    return stableHash(copy.model.value(), copy.adapter.value());
+}
+
+std::size_t ageClass(std::uint32_t age, std::size_t classes)
+{
+    return std::min(static_cast<std::size_t>(std::bit_width(age)), classes - 1);
+}
+
+void follow(double &usualMs, double tookMs, bool isFirstQuestion, bool isStart)
+{
+    if (usualMs == 0) {
+        usualMs = tookMs;
+    } else if (isFirstQuestion) {
+        usualMs = std::min(usualMs, tookMs) * (isStart ? EarlierAtStart : Earlier);
+    } else {
+        usualMs += std::max(tookMs - usualMs, 0.0) * LaterStep;
+    }
+}
+
+} // namespace
+
+AdapterLoads::AdapterLoads(AdapterLoadsLimits limits)
+    : m_limits(limits)
+    , m_window(limits.firstWindow)
+{
+    m_chances.fill(1);
+}
+
+void AdapterLoads::onRow(const EngineRow &row, Time now)
+{
+    Engine &engine = m_engines[row.engine];
+    if (engine.startedAt != row.startedAt) {
+        for (const Load &load : engine.loads) {
+            m_fetches -= load.isThoughtAtHand ? 0 : 1;
+        }
+        engine = Engine {};
+        engine.startedAt = row.startedAt;
+    }
+    std::vector<std::uint64_t> ready;
+    for (const AdapterCopy &copy : row.copies) {
+        const std::uint64_t key = keyOf(copy);
+        const auto load = std::find_if(engine.loads.begin(), engine.loads.end(), [key](const Load &at) { return at.adapter == key; });
+        const bool wasReady = std::find(engine.ready.begin(), engine.ready.end(), key) != engine.ready.end();
+        if (copy.isReady && load != engine.loads.end()) {
+            end(*load, row.fence, now);
+            engine.loads.erase(load);
+        } else if (!copy.isReady && load == engine.loads.end() && !wasReady) {
+            begin(engine, key, row.fence, now);
+        }
+        // A copy that was in place and is asked about again has not left.
+        if (copy.isReady || wasReady) {
+            ready.push_back(key);
+            engine.droppedAs.erase(key);
+        }
+    }
+    const auto isListed = [&row](std::uint64_t key) {
+        return std::any_of(row.copies.begin(), row.copies.end(), [key](const AdapterCopy &copy) { return keyOf(copy) == key; });
+    };
+    for (const std::uint64_t key : engine.ready) {
+        if (std::find(ready.begin(), ready.end(), key) == ready.end()) {
+            drop(engine, key);
+        }
+    }
+    // Loads that failed, or that the next holder found no trace of.
+    std::erase_if(engine.loads, [this, &isListed](const Load &load) {
+        const bool isOver = !isListed(load.adapter);
+        m_fetches -= isOver && !load.isThoughtAtHand ? 1 : 0;
+        return isOver;
+    });
+    engine.ready = std::move(ready);
+}
+
+void AdapterLoads::forget(const UpstreamId &id)
+{
+    const auto at = m_engines.find(id);
+    if (at == m_engines.end()) {
+        return;
+    }
+    for (const Load &load : at->second.loads) {
+        m_fetches -= load.isThoughtAtHand ? 0 : 1;
+    }
+    m_engines.erase(at);
+}
+
+void AdapterLoads::begin(Engine &engine, std::uint64_t adapter, FencingToken fence, Time now)
+{
+    Load load { adapter, now, fence, 0, ageOf(engine, adapter), false };
+    load.isThoughtAtHand = load.age > 0 && chance(load.age) > 0.5;
+    m_fetches += load.isThoughtAtHand ? 0 : 1;
+    load.fetchesAtBegin = m_fetches;
+    engine.loads.push_back(load);
+}
+
+void AdapterLoads::end(const Load &load, FencingToken fence, Time now)
+{
+    const double fetches = (load.fetchesAtBegin + m_fetches) / 2;
+    m_fetches -= load.isThoughtAtHand ? 0 : 1;
+    const double stretch = m_shortestMs > 0 ? static_cast<double>((now - load.begunAt).milliseconds()) / m_shortestMs : 0;
+    // The next holder asks anew about what it finds under way; the time is then that of the change.
+    if (fence != load.fence || stretch == 0 || stretch > m_limits.longestCredible) {
+        return;
+    }
+    const bool isShort = stretch < m_limits.atHandBelow;
+    if (load.age > 0) {
+        double &known = m_chances[ageClass(load.age, Ages)];
+        known += load.isThoughtAtHand ? ((isShort ? 1.0 : 0.0) - known) * ChanceStep : (1 - known) * ChanceRecovery;
+    }
+    if (!isShort) {
+        moveWindow(fetches, stretch);
+    }
+}
+
+void AdapterLoads::onOwnLoad(Duration took, int unfinished, bool wasThoughtAtHand, Time now)
+{
+    const auto tookMs = std::max(static_cast<double>(took.milliseconds()), 1.0);
+    const bool isStart = m_ownFetches < LoadsAtStart;
+    // As many as share the store slow a fetch down so many times at most; beyond that, the shortest one was at hand.
+    const bool isOtherSort = tookMs > m_shortestMs * std::max<double>(m_fetches, m_limits.longestCredible);
+    if (m_shortestMs == 0 || isOtherSort) {
+        m_shortestMs = tookMs;
+        m_usualFetchMs = tookMs;
+    } else if (wasThoughtAtHand) {
+        // Slow nodes see loads at hand late; they must not pass for fast fetches.
+        if (tookMs < m_shortestMs * m_limits.atHandBelow) {
+            follow(m_usualAtHandMs, tookMs, unfinished == 0, isStart);
+        }
+        return;
+    }
+    ++m_ownFetches;
+    m_shortestMs *= 1 + m_limits.shortestForgotten * std::max((now - m_shortestAt).toSeconds(), 0.0);
+    m_shortestMs = std::min(m_shortestMs, tookMs);
+    m_shortestAt = now;
+    follow(m_usualFetchMs, tookMs, unfinished == 0, isStart);
+}
+
+void AdapterLoads::drop(Engine &engine, std::uint64_t adapter)
+{
+    engine.droppedAs[adapter] = ++engine.drops;
+    if (engine.droppedAs.size() > DropsRemembered) {
+        const std::uint32_t oldest = engine.drops - DropsRemembered / 2;
+        absl::erase_if(engine.droppedAs, [oldest](const auto &entry) { return entry.second < oldest; });
+    }
+}
+
+void AdapterLoads::moveWindow(double fetches, double stretch)
+{
+    if (stretch < m_limits.slowedDown) {
+        // Fewer under way than are allowed show nothing of what the store bears.
+        if (fetches * 2 >= m_window) {
+            m_window += m_hasSlowedDown ? m_limits.windowGrowth : 1;
+        }
+        return;
+    }
+    const double borne = fetches / stretch * m_limits.slowedDown;
+    if (borne < m_window) {
+        m_hasSlowedDown = true;
+        m_window = std::max(m_limits.leastWindow, m_window + (borne - m_window) * m_limits.windowStep);
+    }
+}
+
+int AdapterLoads::fetchesAtOnce() const
+{
+    return static_cast<int>(m_window);
+}
+
+int AdapterLoads::fetchesUnderWay() const
+{
+    return m_fetches;
+}
+
+Duration AdapterLoads::shortestFetch() const
+{
+    return m_shortestMs == 0 ? m_limits.timeBeforeFirst : Duration(static_cast<std::int64_t>(m_shortestMs));
+}
+
+Duration AdapterLoads::firstQuestion(bool isAtHand) const
+{
+    if (m_usualFetchMs == 0) {
+        return FirstGuess;
+    }
+    const double atHandMs = m_usualAtHandMs > 0 ? m_usualAtHandMs : m_usualFetchMs * AtHandPart;
+    return Duration(static_cast<std::int64_t>(isAtHand ? std::min(atHandMs, m_usualFetchMs * m_limits.atHandBelow / EarlyQuestions) : m_usualFetchMs));
+}
+
+Duration AdapterLoads::nextQuestion(Duration elapsed, int unfinished, bool isAtHand) const
+{
+    const auto elapsedMs = static_cast<double>(elapsed.milliseconds());
+    double again = m_usualFetchMs * AgainPart;
+    if (m_usualFetchMs == 0) {
+        again = elapsedMs * (GuessGrowth - 1);
+    } else if (isAtHand && unfinished < EarlyQuestions) {
+        again = elapsedMs;
+    } else if (elapsedMs < m_usualFetchMs) {
+        again = m_usualFetchMs - elapsedMs;
+    }
+    return std::max(LeastAgain, Duration(static_cast<std::int64_t>(again)));
+}
+
+double AdapterLoads::chanceAtHand(const UpstreamId &id, const AdapterRef &adapter) const
+{
+    const auto at = m_engines.find(id);
+    if (at == m_engines.end()) {
+        return 0;
+    }
+    const std::uint32_t age = ageOf(at->second, stableHash(adapter.model.value(), adapter.adapter.value()));
+    return age == 0 ? 0 : chance(age);
+}
+
+double AdapterLoads::chance(std::uint32_t age) const
+{
+    return m_chances[ageClass(age, Ages)];
+}
+
+std::uint32_t AdapterLoads::ageOf(const Engine &engine, std::uint64_t adapter)
+{
+    const auto at = engine.droppedAs.find(adapter);
+    return at == engine.droppedAs.end() ? 0 : engine.drops - at->second + 1;
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/coordination/adapterloads.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "coordination/enginerows.h"
+#include "coordination/fleetmessage.h"
+#include "core/clock.h"
+#include "core/strongid.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace ApricotStep
+{
+
+// Load pattern: half of the requests ask for an adapter that stands nowhere, and all engines fetch from one weight store. It keeps its full
+// speed up to some number of fetches and slows all of them down beyond; an engine loads what it held lately ten times as fast. Nothing
+// publishes how many fetches the store bears, how long one takes or how much an engine keeps at hand.
+// With a fixed figure that is too low, requests wait in line for a store that is idle, and callers get late answers; with one that is too
+// high, an urgent load shares the store with dozens of others. So the figures are read off the loads themselves: each is seen to begin and
+// to end in the rows that holders of orders tell. A fetch that takes longer than the shortest one shows that the store is shared.
+
+struct AdapterLoadsLimits
+{
+    /**
+     * Fetches at once before any has been seen to end; doubles with each load time while they are not slowed down. Were the first ones to
+     * slow each other down, nobody would know the time of a fetch that is not.
+     */
+    double firstWindow = 4;
+    /** Never fewer than this, or a store that turned slow for a moment would not be found fast again. */
+    double leastWindow = 2;
+    /** A fetch that takes this many times the shortest one was slowed down by others; below it the questions' own grid blurs the time. */
+    double slowedDown = 1.4;
+    /** How far the window moves towards what the store seems to bear, with each slowed fetch. */
+    double windowStep = 0.125;
+    /** By how many fetches the window grows with each that was not slowed down, once one was. */
+    double windowGrowth = 0.25;
+    /** Loads at hand are ten times as fast as fetches; below this part of the shortest fetch, one was at hand. */
+    double atHandBelow = 0.6;
+    /** The shortest time is forgotten by this part a second: a store may become slower for good. */
+    double shortestForgotten = 0.001;
+    /** Times beyond this many of the shortest one are of lost datagrams or dead holders, and say nothing of the store. */
+    double longestCredible = 8;
+    /** Taken for a fetch's time before any has been seen; only weighs where the first loads go. */
+    Duration timeBeforeFirst { 250 };
+};
+
+/** Observes how long loads of adapters take, how many the weight store bears, and what engines keep at hand. Not thread-safe. */
+class AdapterLoads
+{
+public:
+    explicit AdapterLoads(AdapterLoadsLimits limits = {});
+
+    /** @p row is news; rows of one engine come in their order. */
+    void onRow(const EngineRow &row, Time now);
+    /**
+     * A load that this node ordered is done, @p took after the order; its engine had said @p unfinished times that it was not. Rows of other
+     * holders may be lost and then tell a time that is far off, so only these set the times.
+     */
+    void onOwnLoad(Duration took, int unfinished, bool wasThoughtAtHand, Time now);
+    /** The engine is gone. */
+    void forget(const UpstreamId &engine);
+
+    /** How many fetches may be under way from the store, over all engines. */
+    int fetchesAtOnce() const;
+    /** Loads under way that are thought to come from the store. */
+    int fetchesUnderWay() const;
+    /** What a fetch takes that is not slowed down by others. */
+    Duration shortestFetch() const;
+    /** When to ask, that long after the order, whether a load is done. @p isAtHand: the engine is thought to have it at hand. */
+    Duration firstQuestion(bool isAtHand) const;
+    /** When to ask again after the @p unfinished -th answer that it is not, @p elapsed after the order. */
+    Duration nextQuestion(Duration elapsed, int unfinished, bool isAtHand) const;
+    /** How likely @p engine still has @p adapter, which it does not hold now, at hand: 0 to 1. */
+    double chanceAtHand(const UpstreamId &engine, const AdapterRef &adapter) const;
+
+private:
+    struct Load
+    {
+        std::uint64_t adapter = 0;
+        Time begunAt;
+        FencingToken fence;
+        double fetchesAtBegin = 0;
+        /** Adapters dropped by the engine since it last held this one; 0 when it is not known to have held it. */
+        std::uint32_t age = 0;
+        bool isThoughtAtHand = false;
+    };
+    struct Engine
+    {
+        std::int64_t startedAt = 0;
+        std::vector<std::uint64_t> ready;
+        std::vector<Load> loads;
+        /** The number of the drop after which each adapter was no longer held. */
+        absl::flat_hash_map<std::uint64_t, std::uint32_t> droppedAs;
+        std::uint32_t drops = 0;
+    };
+
+    void begin(Engine &engine, std::uint64_t adapter, FencingToken fence, Time now);
+    void end(const Load &load, FencingToken fence, Time now);
+    static void drop(Engine &engine, std::uint64_t adapter);
+    void moveWindow(double fetches, double stretch);
+    double chance(std::uint32_t age) const;
+    static std::uint32_t ageOf(const Engine &engine, std::uint64_t adapter);
+
+    /** One for each doubling of the age. */
+    static constexpr std::size_t Ages = 12;
+
+    AdapterLoadsLimits m_limits;
+    absl::flat_hash_map<UpstreamId, Engine> m_engines;
+    /** Loads under way that are thought to come from the store. */
+    int m_fetches = 0;
+    /** 0 before any fetch was seen. */
+    double m_shortestMs = 0;
+    int m_ownFetches = 0;
+    Time m_shortestAt;
+    /** After this time most fetches and most loads at hand are done, ms; 0 while none has been seen. */
+    double m_usualFetchMs = 0;
+    double m_usualAtHandMs = 0;
+    double m_window;
+    bool m_hasSlowedDown = false;
+    std::array<double, Ages> m_chances;
+};
+
+} // namespace ApricotStep
--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -20,6 +20,8 @@
     Ordered,
     Loading,
     Ready,
+    /** In place as far as anybody knows; the engine is asked whether it is. Requests go there meanwhile. */
+    Checking,
     /** An order to drop it is on its way. */
     Dropping,
 };
@@ -36,6 +38,11 @@
     Time answeredAt;
     /** An order about it is on its way. */
     bool isAsked = false;
+    /** Its load, if it is one, is thought not to burden the store. */
+    bool isAtHand = false;
+    /** Of a load that this plan ordered: when, and how often the engine has said that it is not done. */
+    std::optional<Time> orderedAt;
+    int unfinished = 0;
 };
 
 struct Engine
@@ -57,37 +64,24 @@
     bool isReported = false;
     /** When copies were dropped: reports from before still list them. */
     std::map<AdapterRef, Time> droppedAt;
-    /** Copies that it held lately: it loads them again ten times as fast, and not from the store. */
-    std::map<AdapterRef, Time> warm;
     bool isChanged = true;
     /** The copy that would yield first, once it has been asked for in this round. */
     std::optional<std::optional<AdapterRef>> firstToYield;
 };
 
-// An engine keeps some dozens of dropped adapters at hand; beyond that the oldest are forgotten.
-constexpr std::size_t MostWarm = 40;
-
-void rememberWarm(Engine &engine, const AdapterRef &adapter, Time now)
-{
-    engine.warm[adapter] = now;
-    if (engine.warm.size() > MostWarm) {
-        const auto isOlder = [](const auto &a, const auto &b) { return a.second < b.second; };
-        engine.warm.erase(std::min_element(engine.warm.begin(), engine.warm.end(), isOlder));
-    }
-}
-
 } // namespace
 
 struct AdapterPlan::Private
 {
     AdapterPlanLimits limits;
     FencingToken fence;
+    AdapterLoads &loads;
     std::map<UpstreamId, Engine> engines;
     std::map<AdapterRef, AdapterVersion> versions;
     FleetDemand demand;
     PlanTurn turn;
-    /** Adapters on their way to all engines, in this round. */
-    int underWay = 0;
+    /** Adapters on their way from the store to all engines, in this round. */
+    int fetches = 0;
     /**
      * Rows told, of all engines together. Counted for each engine, an engine that starts again under its id would begin at one, and all
      * nodes would take its rows for older ones than those of its former start: they send to copies that are gone until the count has caught
@@ -95,18 +89,22 @@
      */
     std::uint64_t rowsTold = 0;
 
-    Private(AdapterPlanLimits limits, FencingToken fence)
+    Private(AdapterPlanLimits limits, FencingToken fence, AdapterLoads &loads)
         : limits(limits)
         , fence(fence)
+        , loads(loads)
         , demand(limits.popularityHalfLife)
     {
     }
 
     bool isOurTurn(const AdapterWant &want, Time now) const;
     void takeOwn(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now) const;
-    static void takeForeign(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now);
-    int loadsAtOnce() const;
+    void takeForeign(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now) const;
+    double inFetches(double count) const;
     void beginRound(Time now);
+    static bool isUnderWay(const Copy &copy);
+    static bool isInPlace(const Copy &copy);
+    static bool isDropped(OrderAnswer answer);
     static int loadsUnderWay(const Engine &engine);
     static bool hasOverfullPlaces(const Engine &engine);
     static bool holdsModel(const Engine &engine, const BaseModelId &model);
@@ -114,6 +112,7 @@
 
     std::optional<AdapterRef> victim(const Engine &engine, Time now) const;
     const std::optional<AdapterRef> &firstToYield(Engine &engine, Time now) const;
+    bool isAtHand(const Engine &engine, const AdapterRef &adapter) const;
     std::optional<double> costOfPlace(Engine &engine, const AdapterRef &adapter, Time now) const;
     double waitAt(const Engine &engine) const;
     void place(const AdapterWant &want, bool isReady, Time now, std::vector<PlanAction> &actions);
@@ -131,10 +130,20 @@
     void takeCopies(Engine &engine, const EngineReport &report, Time askedAt) const;
 };
 
+bool AdapterPlan::Private::isUnderWay(const Copy &copy)
+{
+    return copy.state == CopyState::Ordered || copy.state == CopyState::Loading;
+}
+
+bool AdapterPlan::Private::isInPlace(const Copy &copy)
+{
+    return copy.state == CopyState::Ready || copy.state == CopyState::Checking;
+}
+
 int AdapterPlan::Private::loadsUnderWay(const Engine &engine)
 {
-    return static_cast<int>(std::count_if(engine.copies.begin(), engine.copies.end(),
-        [](const auto &entry) { return entry.second.state == CopyState::Ordered || entry.second.state == CopyState::Loading; }));
+    return static_cast<int>(
+        std::count_if(engine.copies.begin(), engine.copies.end(), [](const auto &entry) { return isUnderWay(entry.second); }));
 }
 
 // An engine that is ordered beyond its places crashes. What the plan counts is never less than what stands there, so an order to load, also
@@ -144,18 +153,19 @@
     return !engine.isReported || static_cast<int>(engine.copies.size()) > engine.planned.spec->adapterSlots;
 }
 
-// A large fleet's store bears more at once; nothing tells how many, but it grows with the engines that it was made for.
-int AdapterPlan::Private::loadsAtOnce() const
+// What so many fetches take, ms.
+double AdapterPlan::Private::inFetches(double count) const
 {
-    return std::max(limits.loadsAtOnce, static_cast<int>(engines.size()) / limits.enginesForOneLoad);
+    return count * static_cast<double>(loads.shortestFetch().milliseconds());
 }
 
 void AdapterPlan::Private::beginRound(Time now)
 {
     demand.refresh(now);
-    underWay = 0;
+    fetches = 0;
     for (auto &[id, engine] : engines) {
-        underWay += loadsUnderWay(engine);
+        fetches += static_cast<int>(std::count_if(engine.copies.begin(), engine.copies.end(),
+            [](const auto &entry) { return isUnderWay(entry.second) && !entry.second.isAtHand; }));
         engine.firstToYield.reset();
     }
 }
@@ -210,16 +220,16 @@
     if (isBarred || !holdsModel(engine, adapter.model) || loadsUnderWay(engine) >= limits.loadsAtOnceOfEngine) {
         return std::nullopt;
     }
-    double cost = waitAt(engine) / std::max(engine.planned.share, 0.1) - (engine.warm.contains(adapter) ? limits.warmGainMs : 0);
+    double cost = waitAt(engine) / std::max(engine.planned.share, 0.1) - loads.chanceAtHand(engine.id, adapter) * inFetches(limits.atHandGain);
     if (static_cast<int>(engine.copies.size()) < engine.planned.spec->adapterSlots) {
         // Free places are filled evenly: an engine with few copies gets few requests.
-        return cost + limits.evictionCostMs * static_cast<double>(engine.copies.size()) / std::max(engine.planned.spec->adapterSlots, 1);
+        return cost + inFetches(limits.evictionCost) * static_cast<double>(engine.copies.size()) / std::max(engine.planned.spec->adapterSlots, 1);
     }
     const auto &least = firstToYield(engine, now);
     if (!least) {
         return std::nullopt;
     }
-    return cost + limits.evictionCostMs * (1 + demand.popularity(*least, now));
+    return cost + inFetches(limits.evictionCost) * (1 + demand.popularity(*least, now));
 }
 
 EngineOrder AdapterPlan::Private::loadOrder(const UpstreamId &id, const AdapterRef &adapter) const
@@ -235,18 +245,24 @@
 void AdapterPlan::Private::beginLoad(
     const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions)
 {
-    engine.copies[adapter] = Copy { newestVersion(adapter), CopyState::Ordered, now, Time::never(), now, true };
+    Copy &copy = engine.copies[adapter];
+    copy = Copy { newestVersion(adapter), CopyState::Ordered, now, Time::never(), now, true };
+    copy.isAtHand = isAtHand(engine, adapter);
+    copy.orderedAt = now;
     engine.isChanged = true;
-    ++underWay;
+    fetches += copy.isAtHand ? 0 : 1;
     actions.emplace_back(GiveOrder { loadOrder(id, adapter) });
 }
 
+bool AdapterPlan::Private::isAtHand(const Engine &engine, const AdapterRef &adapter) const
+{
+    return loads.chanceAtHand(engine.id, adapter) > 0.5;
+}
+
 // @p isReady: copies stand somewhere, so that this would be a further one.
 void AdapterPlan::Private::place(const AdapterWant &want, bool isReady, Time now, std::vector<PlanAction> &actions)
 {
-    if (underWay >= loadsAtOnce()) {
-        return;
-    }
+    const bool isStoreBusy = fetches >= loads.fetchesAtOnce();
     const AdapterRef &adapter = want.adapter;
     // All plans see nearly the same; so the plan whose engine is the best of all acts, and the others leave it to that one.
     const bool isOnlyOwn = isOurTurn(want, now);
@@ -258,14 +274,15 @@
         if (engine.copies.contains(adapter) && now >= engine.downUntil) {
             presentWait = std::min(presentWait, waitAt(engine));
         }
-        const auto cost = !isOnlyOwn || engine.planned.isOwn ? costOfPlace(engine, adapter, now) : std::nullopt;
+        const bool isBarred = (isOnlyOwn && !engine.planned.isOwn) || (isStoreBusy && !isAtHand(engine, adapter));
+        const auto cost = isBarred ? std::nullopt : costOfPlace(engine, adapter, now);
         if (cost && *cost < bestCost) {
             best = &engine;
             bestId = id;
             bestCost = *cost;
         }
     }
-    if (best == nullptr || !best->planned.isOwn || (isReady && bestCost + limits.crowdedGainMs > presentWait)) {
+    if (best == nullptr || !best->planned.isOwn || (isReady && bestCost + inFetches(limits.crowdedGain) > presentWait)) {
         return;
     }
     if (static_cast<int>(best->copies.size()) < best->planned.spec->adapterSlots) {
@@ -291,10 +308,8 @@
         const auto at = engine.copies.find(adapter);
         const bool isReady = at != engine.copies.end() && at->second.state == CopyState::Ready;
         if (engine.planned.isOwn && isReady && now - at->second.since > limits.askAgain) {
-            at->second.state = CopyState::Loading;
-            at->second.since = now;
+            at->second.state = CopyState::Checking;
             at->second.askAt = now;
-            engine.isChanged = true;
         }
     }
 }
@@ -302,17 +317,17 @@
 void AdapterPlan::Private::serveWants(Time now, std::vector<PlanAction> &actions)
 {
     for (const AdapterWant &want : demand.wants()) {
-        bool isUnderWay = false;
+        bool isBeingSeenTo = false;
         bool isReady = false;
         for (const auto &[id, engine] : engines) {
             const auto at = engine.copies.find(want.adapter);
             // A crashed engine's copies are listed until the store notices; requests that wait for them wait for nothing.
             if (at != engine.copies.end() && now >= engine.downUntil) {
-                isUnderWay = isUnderWay || at->second.state == CopyState::Ordered || at->second.state == CopyState::Loading;
+                isBeingSeenTo = isBeingSeenTo || isUnderWay(at->second) || at->second.state == CopyState::Checking;
                 isReady = isReady || at->second.state == CopyState::Ready;
             }
         }
-        if (isUnderWay) {
+        if (isBeingSeenTo) {
             continue;
         }
         if (isReady && !want.isCrowded) {
@@ -333,7 +348,7 @@
             if (copy.isAsked || now < copy.askAt) {
                 continue;
             }
-            if (copy.state == CopyState::Loading) {
+            if (copy.state == CopyState::Loading || copy.state == CopyState::Checking) {
                 copy.isAsked = true;
                 actions.emplace_back(GiveOrder { loadOrder(id, adapter) });
             } else if (copy.state == CopyState::Dropping) {
@@ -412,15 +427,15 @@
         EngineRow row { id, engine.startedAt, fence, ++rowsTold, {} };
         for (const auto &[adapter, copy] : engine.copies) {
             if (copy.state != CopyState::Dropping) {
-                row.copies.push_back(AdapterCopy { adapter.model, adapter.adapter, copy.version, copy.state == CopyState::Ready });
+                row.copies.push_back(AdapterCopy { adapter.model, adapter.adapter, copy.version, isInPlace(copy) });
             }
         }
         actions.emplace_back(AnnounceRow { std::move(row) });
     }
 }
 
-AdapterPlan::AdapterPlan(AdapterPlanLimits limits, FencingToken fence)
-    : d(std::make_unique<Private>(limits, fence))
+AdapterPlan::AdapterPlan(AdapterPlanLimits limits, FencingToken fence, AdapterLoads &loads)
+    : d(std::make_unique<Private>(limits, fence, loads))
 {
 }
 
@@ -438,7 +453,7 @@
         if (planned->isOwn) {
             d->takeOwn(engine, *planned, rows, now);
         } else {
-            Private::takeForeign(engine, *planned, rows, now);
+            d->takeForeign(engine, *planned, rows, now);
         }
         engine.id = id;
         engine.startedAt = planned->record->startedAt;
@@ -470,7 +485,7 @@
     }
 }
 
-void AdapterPlan::Private::takeForeign(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now)
+void AdapterPlan::Private::takeForeign(Engine &engine, const PlannedEngine &planned, const EngineRows &rows, Time now) const
 {
     engine.isReported = true;
     engine.models.clear();
@@ -483,20 +498,18 @@
         return;
     }
     engine.rowTaken = version;
-    std::map<AdapterRef, Copy> former = std::move(engine.copies);
+    const std::map<AdapterRef, Copy> former = std::move(engine.copies);
     engine.copies.clear();
     if (row != nullptr) {
         for (const AdapterCopy &copy : row->copies) {
             const AdapterRef adapter { copy.model, copy.adapter };
             const auto known = former.find(adapter);
             const Time since = known != former.end() ? known->second.since : now;
-            engine.copies[adapter] = Copy { copy.version, copy.isReady ? CopyState::Ready : CopyState::Loading, since, now, now, false };
-            former.erase(adapter);
+            const bool isThoughtAtHand = known != former.end() ? known->second.isAtHand : isAtHand(engine, adapter);
+            engine.copies[adapter]
+                = Copy { copy.version, copy.isReady ? CopyState::Ready : CopyState::Loading, since, now, now, false, isThoughtAtHand };
         }
     }
-    for (const auto &[adapter, copy] : former) {
-        rememberWarm(engine, adapter, now);
-    }
 }
 
 void AdapterPlan::setTurn(PlanTurn turn)
@@ -519,6 +532,12 @@
     d->demand.onWants(node, wants, now);
 }
 
+// The engine has nothing of what it was ordered to load.
+bool AdapterPlan::Private::isDropped(OrderAnswer answer)
+{
+    return answer == OrderAnswer::Fenced || answer == OrderAnswer::WrongEngine || answer == OrderAnswer::Refused;
+}
+
 void AdapterPlan::onOrderAnswer(const EngineOrder &order, OrderAnswer answer, Time now)
 {
     const auto at = d->engines.find(order.engine);
@@ -543,7 +562,8 @@
     }
     Copy &copy = found->second;
     copy.isAsked = false;
-    engine.isChanged = true;
+    // A load that is still under way is no news.
+    engine.isChanged = engine.isChanged || copy.state != CopyState::Loading || answer == OrderAnswer::Done || Private::isDropped(answer);
     copy.answeredAt = now;
     if (order.kind == EngineOrder::Kind::Unload) {
         if (answer == OrderAnswer::Accepted) {
@@ -551,7 +571,6 @@
             copy.askAt = now + d->limits.askAgain;
         } else if (answer == OrderAnswer::Done) {
             engine.droppedAt[adapter] = now;
-            rememberWarm(engine, adapter, now);
             engine.copies.erase(found);
         } else {
             // In use after all, or nobody knows: it counts as there, and as just used.
@@ -562,21 +581,32 @@
     }
     switch (answer) {
     case OrderAnswer::Done:
+        if (copy.orderedAt && copy.state == CopyState::Loading) {
+            d->loads.onOwnLoad(now - *copy.orderedAt, copy.unfinished, copy.isAtHand, now);
+        }
+        copy.orderedAt.reset();
         copy.state = CopyState::Ready;
         copy.since = now;
         copy.version = order.version.isEmpty() ? copy.version : order.version;
         break;
     case OrderAnswer::Accepted:
-        if (copy.state == CopyState::Ordered) {
+        if (copy.state == CopyState::Checking) {
+            // It was gone; the question has become the order for it.
+            copy.orderedAt = now;
+            copy.unfinished = 0;
+        }
+        if (copy.state != CopyState::Loading) {
             copy.state = CopyState::Loading;
             copy.since = now;
-            copy.askAt = now + d->limits.warmLoad;
+            copy.askAt = copy.orderedAt.value_or(now) + d->loads.firstQuestion(copy.isAtHand);
         } else {
-            copy.askAt = std::max(now + d->limits.askAgain, copy.since + d->limits.coldLoad);
+            const Duration elapsed = now - copy.orderedAt.value_or(copy.since);
+            copy.askAt = now + d->loads.nextQuestion(elapsed, ++copy.unfinished, copy.isAtHand);
         }
         break;
     case OrderAnswer::Busy:
     case OrderAnswer::Unknown:
+        copy.orderedAt.reset();
         if (copy.state == CopyState::Ordered) {
             copy.state = CopyState::Loading;
             copy.since = now;
@@ -647,6 +677,19 @@
     engine.isChanged = std::erase_if(engine.copies, isGone) > 0 || engine.isChanged;
 }
 
+Time AdapterPlan::nextLook(Time now) const
+{
+    Time next = now + (d->demand.wants().empty() ? d->limits.lookUnasked : d->limits.lookWanted);
+    for (const auto &[id, engine] : d->engines) {
+        for (const auto &[adapter, copy] : engine.copies) {
+            if (engine.planned.isOwn && !copy.isAsked) {
+                next = std::min(next, copy.askAt);
+            }
+        }
+    }
+    return std::max(next, now + Duration(1));
+}
+
 std::vector<PlanAction> AdapterPlan::decide(Time now)
 {
     std::vector<PlanAction> actions;
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/adapterloads.h"
 #include "coordination/engineorder.h"
 #include "coordination/enginerows.h"
 #include "coordination/fleetmessage.h"
@@ -14,29 +15,26 @@
 namespace ApricotStep
 {
 
-// Load pattern: thousands of adapters with skewed popularity, eight places an engine, and at every second a third of the requests ask for
+// Load pattern: thousands of adapters with skewed popularity, a few places an engine, and at every second a third of the requests ask for
 // one that stands nowhere.
 // Without one plan for all engines: two nodes load the same adapter at two engines and evict two others for it; an engine that is ordered
-// beyond its places crashes; and more than the few loads at once that the weight store bears makes all of them slow. One would notice more
+// beyond its places crashes; and more fetches at once than the weight store bears make all of them slow. One would notice more
 // loads than requests for adapters that stand nowhere.
-// Grounds for the figures: the store keeps its full speed up to eight adapters on their way, an engine takes four; a copy is asked about
-// again when a warm load (a tenth of a cold one) and when a cold one (a quarter second) can be done. Popularity halves in twenty seconds,
-// some three hundred requests of an engine's: long against the pause between two requests of an adapter worth keeping, short against a
-// shift of demand. A fresh copy is not evicted before the requests that it was loaded for have had the time to arrive.
+// Grounds for the figures: what a load costs is measured in the time of a fetch, which is observed (AdapterLoads), as is the number of
+// fetches at once. Popularity halves in twenty seconds, some hundred requests of an engine's: long against the pause between two requests of
+// an adapter worth keeping, short against a shift of demand. A fresh copy is not evicted before the requests that it was loaded for have had
+// the time to arrive.
 
 struct AdapterPlanLimits
 {
-    /** Adapters on their way from the store, over all engines. */
-    int loadsAtOnce = 8;
-    /** Where there are more engines, one load under way for each so many of them: 48 for 140, 8 for 9. */
-    int enginesForOneLoad = 3;
     /** A want that no plan has met for so long goes round among the plans, each having it for this time. */
     Duration turnTime { 60 };
-    /** Adapters on their way to one engine. */
+    /** Between two looks while something is wanted that cannot be loaded yet, and while nothing is. */
+    Duration lookWanted { 25 };
+    Duration lookUnasked { 100 };
+    /** Adapters on their way to one engine; the users' engines take no more. */
     int loadsAtOnceOfEngine = 4;
-    /** After the order: when a warm load is done, when a cold one is, and between later questions. */
-    Duration warmLoad { 30 };
-    Duration coldLoad { 255 };
+    /** Before an engine that is busy, or still runs what is to be dropped, is asked again. */
     Duration askAgain { 50 };
     /** After an order that had no answer: the engine may be down. */
     Duration askAfterSilence { 400 };
@@ -57,13 +55,12 @@
     double promptTokensPerMs = 38;
     /** What one running request adds to another's wait, ms: its part of a batch step. */
     double runningCostMs = 4;
-    /** What a unit of evicted popularity costs, ms: the load that follows, by the chance that one follows. */
-    double evictionCostMs = 25;
-    /** What a load of an adapter that the engine held lately saves against one from the store, ms: 225 of time, and what the load costs the
-     * store. */
-    double warmGainMs = 700;
-    /** What a second copy of an adapter must save of a first token's wait. */
-    double crowdedGainMs = 300;
+    /** What a unit of evicted popularity costs, in fetches: the load that follows, by the chance that one follows. */
+    double evictionCost = 0.1;
+    /** What a load of an adapter that the engine has at hand saves, in fetches: its own time, and a place in the line of all others. */
+    double atHandGain = 2.8;
+    /** What a second copy of an adapter must save of a first token's wait, in fetches. */
+    double crowdedGain = 1.2;
 };
 
 /** Give this order; the answer goes to onOrderAnswer(). */
@@ -111,8 +108,8 @@
 class AdapterPlan
 {
 public:
-    /** @p fence: the token under which rows are announced. @p rows: what former holders left, to go on from. */
-    AdapterPlan(AdapterPlanLimits limits, FencingToken fence);
+    /** @p fence: the token under which rows are announced. @p loads outlives the plan; it hears of the rows of all engines, this plan's too. */
+    AdapterPlan(AdapterPlanLimits limits, FencingToken fence, AdapterLoads &loads);
     ~AdapterPlan();
 
     /** The engines that there are now. @p rows tells what stands at those that are new to this plan. */
@@ -128,8 +125,10 @@
     void onOrderAnswer(const EngineOrder &order, OrderAnswer answer, Time now);
     /** @p askedAt: when the report was asked for. */
     void onReport(const UpstreamId &engine, const EngineReport &report, Time askedAt);
-    /** What to do now; call it after each event and every few ten milliseconds. */
+    /** What to do now; call it after each event and at nextLook(). */
     std::vector<PlanAction> decide(Time now);
+    /** When to call decide() again if nothing happens before. */
+    Time nextLook(Time now) const;
 
 private:
     struct Private;
--- a/main/entry/beliefs.h
+++ b/main/entry/beliefs.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/adapterloads.h"
 #include "coordination/enginerows.h"
 #include "coordination/outliers.h"
 #include "coordination/upstreambook.h"
@@ -29,12 +30,27 @@
     std::shared_ptr<const RouteTable> routes;
     UpstreamDirectory upstreams { UpstreamDirectoryLimits {} };
     EngineRows rows;
+    AdapterLoads adapterLoads;
     std::map<AdapterRef, KnownVersion> versions;
     UpstreamBook book;
     /** Which engines this node uses; empty: all. */
     ZoneId engineScope;
     Outliers outliers { OutlierLimits {} };
 
+    /** Whether @p row was news. */
+    bool putRow(const EngineRow &row, Time now)
+    {
+        const bool isNews = rows.put(row);
+        if (isNews) {
+            adapterLoads.onRow(row, now);
+        }
+        return isNews;
+    }
+    void forgetRow(const UpstreamId &engine)
+    {
+        rows.forget(engine);
+        adapterLoads.forget(engine);
+    }
     const EngineSpec *engineSpec(const ServiceName &service) const
     {
         const RoutedService *spec = routes != nullptr ? routes->service(service) : nullptr;
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -213,7 +213,7 @@
                        },
                        [](const UpstreamUpdated &) {},
                        [this](const UpstreamLeft &left) {
-                           beliefs.rows.forget(left.id);
+                           beliefs.forgetRow(left.id);
                            log.write(EventLog::Weight::Important, "upstream", "left",
                                { { "upstream", left.id.value() }, { "reason", left.reason } });
                        },
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -433,7 +433,7 @@
     }
     bool isNews = false;
     for (const EngineRow &row : message.rows) {
-        isNews = beliefs.rows.put(row) || isNews;
+        isNews = beliefs.putRow(row, now()) || isNews;
     }
     if (isNews) {
         callbacks.onRows();
@@ -528,7 +528,7 @@
 {
     for (const EngineRow &row : rows) {
         d->ownRows[row.engine] = row;
-        d->beliefs.rows.put(row);
+        d->beliefs.putRow(row, d->now());
     }
     d->tellRows(rows);
     d->callbacks.onRows();
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-// The plan's own times are multiples of this or longer.
-constexpr Duration DecideInterval { 25 };
 // Without the lease there is nothing to do but to see whether it has come.
 constexpr Duration IdleInterval { 200 };
 constexpr Duration ConnectTimeout { 300 };
@@ -19,6 +17,8 @@
 constexpr Duration CallTimeout { 1000 };
 constexpr Duration MaxConnectionIdle = Duration::seconds(10);
 constexpr Duration AcknowledgeTimeout { 700 };
+// What is believed of the weight store is logged this often by those who order, so that a wait for an adapter can be explained afterwards.
+constexpr Duration StoreLogInterval = Duration::seconds(5);
 constexpr int OkStatus = 200;
 
 const char *wordOf(OrderAnswer answer)
@@ -57,6 +57,8 @@
     std::unique_ptr<AdapterPlan> plan;
     FencingToken fence;
     bool isDecisionDue = false;
+    Time storeLoggedAt;
+    TimerId timer = 0;
 
     Private(IoLoop &loop, EventLog &log, EntryMetrics &metrics, Beliefs &beliefs, FleetLink &fleet, EngineShard shard, NodeId self,
         std::function<std::vector<AdapterUse>()> ownUses)
@@ -79,6 +81,7 @@
     void decide();
     void decideSoon();
     bool followLease();
+    void logStore();
     PlanTurn turn() const;
     std::vector<bool> ordered() const;
     std::vector<PlannedEngine> engines() const;
@@ -92,7 +95,9 @@
 void OrderRunner::Private::tick()
 {
     decide();
-    loop.after(plan != nullptr ? DecideInterval : IdleInterval, [weak = weak_from_this()] {
+    const Duration pause = plan != nullptr ? plan->nextLook(now()) - now() : IdleInterval;
+    loop.cancel(timer);
+    timer = loop.after(pause, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->tick();
         }
@@ -113,7 +118,7 @@
     }
     if (plan == nullptr || fence != *token) {
         fence = *token;
-        plan = std::make_unique<AdapterPlan>(AdapterPlanLimits {}, fence);
+        plan = std::make_unique<AdapterPlan>(AdapterPlanLimits {}, fence, beliefs.adapterLoads);
         log.write(EventLog::Weight::Important, "orders", "started",
             { { "shard", std::int64_t(shard.value()) }, { "fence", static_cast<std::int64_t>(fence.value()) } });
     }
@@ -163,11 +168,24 @@
     isDecisionDue = true;
     loop.after(Duration(0), [weak = weak_from_this()] {
         if (const auto self = weak.lock(); self != nullptr && self->isDecisionDue) {
-            self->decide();
+            self->tick();
         }
     });
 }
 
+void OrderRunner::Private::logStore()
+{
+    if (now() - storeLoggedAt < StoreLogInterval) {
+        return;
+    }
+    storeLoggedAt = now();
+    const AdapterLoads &loads = beliefs.adapterLoads;
+    log.write(EventLog::Weight::Important, "orders", "store",
+        { { "shard", std::int64_t(shard.value()) }, { "fetches", std::int64_t(loads.fetchesUnderWay()) },
+            { "fetchesAtOnce", std::int64_t(loads.fetchesAtOnce()) }, { "shortestMs", loads.shortestFetch().milliseconds() },
+            { "usualMs", loads.firstQuestion(false).milliseconds() }, { "atHandMs", loads.firstQuestion(true).milliseconds() } });
+}
+
 PlanTurn OrderRunner::Private::turn() const
 {
     PlanTurn result { 0, 0 };
@@ -196,6 +214,7 @@
         plan->setVersion(adapter, known.version);
     }
     plan->onUses(self, ownUses(), now());
+    logStore();
     std::vector<EngineRow> rows;
     for (const PlanAction &action : plan->decide(now())) {
         carryOut(action, rows);
--- /dev/null
+++ b/tests/coordination/testadapterloads.cpp
@@ -0,0 +1,102 @@
+#include "tests/coordination/weightstorebench.h"
+
+#include <cmath>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+// Deployments that differ in everything that no page tells.
+const StoreFigures SmallStore { 4, Duration(250), 24, 6, 4, 2 };
+const StoreFigures WideStore { 24, Duration(250), 108, 12, 18, 4 };
+const StoreFigures FastStore { 10, Duration(80), 60, 10, 10, 4 };
+const StoreFigures SlowStore { 30, Duration(1200), 90, 16, 12, 5 };
+
+} // namespace
+
+// A whole fleet starts with nothing loaded and two hundred callers a second ask for thousands of adapters. The store could bear three times
+// as many fetches as the nodes dare to order, so callers wait in line for a store that is idle and get their answers late.
+Test(adapterloads, aWideStoreIsUsedWhole)
+{
+    WeightStoreBench bench(WideStore);
+    bench.runLoad(Duration::seconds(4), 200, 3000, 1.2);
+    const Time warm = bench.now();
+    bench.runLoad(Duration::seconds(6), 200, 3000, 1.2);
+    cr_assert_geq(bench.mostFetchesAtOnce(), 20);
+    cr_assert_leq(bench.waitAt(0.9, warm), 450, "nine of ten begin within %lld ms", static_cast<long long>(bench.waitAt(0.9, warm)));
+    cr_assert_eq(bench.crashes(), 0);
+}
+
+// A store that bears few fetches gets hundreds of wants at once. Were all ordered together, each would take as long as all of them.
+Test(adapterloads, aNarrowStoreIsNotCrowded)
+{
+    WeightStoreBench bench(SmallStore);
+    for (int round = 0; round < 6; ++round) {
+        bench.runLoad(Duration::seconds(5), 60, 2000, 0.8);
+        if (round > 0) {
+            cr_assert_leq(bench.loads().fetchesAtOnce(), 2 * SmallStore.bearsAtOnce);
+        }
+    }
+}
+
+// Stores differ in how long a fetch takes. A node that asks too early spends orders and its engine's time, one that asks too late leaves
+// callers waiting for an adapter that stands there.
+Test(adapterloads, theTimeOfAFetchIsFound)
+{
+    for (const StoreFigures &figures : { SmallStore, WideStore, FastStore, SlowStore }) {
+        WeightStoreBench bench(figures);
+        bench.runLoad(Duration::seconds(15), 20, 2000, 1.0);
+        const auto fetch = static_cast<double>(figures.fetch.milliseconds());
+        const auto seen = static_cast<double>(bench.loads().shortestFetch().milliseconds());
+        cr_assert_geq(seen, fetch * 0.95);
+        cr_assert_leq(seen, fetch * 1.3, "a fetch of %.0f ms is taken for one of %.0f", fetch, seen);
+    }
+}
+
+// Engines keep many adapters at hand that they had to drop. If the nodes think of fewer, adapters are fetched from the store again that an
+// engine could have had in a tenth of the time.
+Test(adapterloads, whatIsAtHandIsLoadedFromThere)
+{
+    WeightStoreBench bench(WideStore);
+    bench.runLoad(Duration::seconds(20), 200, 1000, 1.0);
+    const int fetches = bench.fetches();
+    const int atHand = bench.loadsAtHand();
+    bench.runLoad(Duration::seconds(10), 200, 1000, 1.0);
+    const double share = static_cast<double>(bench.loadsAtHand() - atHand) / (bench.loadsAtHand() - atHand + bench.fetches() - fetches);
+    cr_assert_geq(share, 0.7, "%.2f of the loads were at hand", share);
+}
+
+// Engines that keep nothing at hand: a node that believes otherwise sends loads where they are not quick, and asks too early each time.
+Test(adapterloads, nothingAtHandIsLearnt)
+{
+    StoreFigures figures = SmallStore;
+    figures.atHand = 0;
+    WeightStoreBench bench(figures);
+    bench.runLoad(Duration::seconds(20), 40, 200, 1.0);
+    // The engine dropped a3 and others long ago; whichever it is asked about is not thought to be at hand.
+    int believed = 0;
+    for (int engine = 0; engine < figures.engines; ++engine) {
+        for (int adapter = 0; adapter < 200; ++adapter) {
+            const AdapterRef ref { BaseModelId("m"), AdapterId("a" + std::to_string(adapter)) };
+            believed += bench.loads().chanceAtHand(UpstreamId("e" + std::to_string(engine)), ref) > 0.5 ? 1 : 0;
+        }
+    }
+    cr_assert_leq(believed, 60);
+}
+
+// All nodes are restarted while the engines go on. The first loads that the new nodes see are of adapters at hand, ten times as fast as a
+// fetch; taken for fetches, they would make each real one look slowed down, and the nodes would order two at once from then on.
+Test(adapterloads, restartedNodesAreNotMisledByLoadsAtHand)
+{
+    WeightStoreBench bench(WideStore);
+    bench.runLoad(Duration::seconds(15), 150, 600, 1.0);
+    bench.restartNodes();
+    bench.runLoad(Duration::seconds(3), 150, 600, 1.0);
+    const Time settled = bench.now();
+    bench.runLoad(Duration::seconds(8), 150, 3000, 1.0);
+    cr_assert_geq(bench.loads().fetchesAtOnce(), WideStore.bearsAtOnce / 2);
+    cr_assert_leq(bench.waitAt(0.9, settled), 600);
+}
--- a/tests/coordination/testadapterplan.cpp
+++ b/tests/coordination/testadapterplan.cpp
@@ -143,7 +143,9 @@
             } else if (const auto *ask = std::get_if<AskEngineReport>(&action)) {
                 answerReport(ask->engine);
             } else if (const auto *announce = std::get_if<AnnounceRow>(&action)) {
-                m_announced.put(announce->row);
+                if (m_announced.put(announce->row)) {
+                    m_loadTimes.onRow(announce->row, m_now);
+                }
             }
         }
     }
@@ -230,7 +232,8 @@
     std::vector<AdapterUse> m_uses;
     EngineRows m_rows;
     EngineRows m_announced;
-    AdapterPlan m_plan { AdapterPlanLimits {}, FencingToken(7) };
+    AdapterLoads m_loadTimes;
+    AdapterPlan m_plan { AdapterPlanLimits {}, FencingToken(7), m_loadTimes };
     bool m_isUnloadWaiting = false;
     int m_crashes = 0;
     int m_loads = 0;
@@ -360,6 +363,19 @@
     cr_assert(bench.holds(1 - first, "a"));
 }
 
+// A node that lost a row still wants an adapter that stands in its place, and the plan asks the engine whether it does. Were the copy told as
+// missing meanwhile, all other nodes would hold their requests for it back, again and again while the one node asks.
+Test(adapterplan, aCopyThatIsAskedAboutStaysInUse)
+{
+    PlanBench bench(1);
+    bench.want("a");
+    bench.run(Duration(1000));
+    for (int step = 0; step < 50; ++step) {
+        cr_assert(bench.isKnownToHold(0, "a"));
+        bench.run(Duration(10));
+    }
+}
+
 // An engine crashes and starts again under the id that it had, without its holder losing the lease. If the rows of the new start count from
 // one again, all nodes take them for old ones: requests go to copies that are gone, or wait for copies that nobody tells of.
 Test(adapterplan, rowsOfAnEngineThatStartsAgainAreNews)
--- /dev/null
+++ b/tests/coordination/weightstorebench.h
@@ -0,0 +1,330 @@
+#pragma once
+
+#include "coordination/adapterplan.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace ApricotStep
+{
+
+/** The weight store and the engines of a deployment. */
+struct StoreFigures
+{
+    /** So many fetches share the store without slowing each other down. */
+    int bearsAtOnce = 8;
+    Duration fetch { 250 };
+    /** Adapters that an engine keeps at hand, those in its places included. */
+    std::size_t atHand = 48;
+    int engines = 9;
+    int slots = 8;
+    /** Nodes that order a part of the engines each. */
+    int plans = 3;
+};
+
+/**
+ * Engines that fetch adapters from one store, a few nodes that plan their loads, and requests that wait for adapters. All runs on one made-up
+ * clock; rows and answers arrive at once.
+ */
+class WeightStoreBench
+{
+public:
+    explicit WeightStoreBench(const StoreFigures &figures, std::uint64_t seed = 1)
+        : m_figures(figures)
+        , m_random(seed)
+    {
+        m_spec.adapterSlots = figures.slots;
+        m_spec.models.push_back(BaseModelSpec { BaseModelId("m"), 1, 1, Duration(1900) });
+        m_records.resize(static_cast<std::size_t>(figures.engines));
+        m_engines.resize(m_records.size());
+        for (std::size_t i = 0; i < m_records.size(); ++i) {
+            m_records[i].id = UpstreamId("e" + std::to_string(i));
+            m_records[i].startedAt = 1;
+            m_records[i].models = { HeldModel { BaseModelId("m"), {} } };
+        }
+        for (int i = 0; i < figures.plans; ++i) {
+            m_nodes.push_back(std::make_unique<Node>());
+            m_nodes.back()->plan
+                = std::make_unique<AdapterPlan>(AdapterPlanLimits {}, FencingToken(static_cast<std::uint64_t>(i) + 1), m_nodes.back()->loads);
+        }
+    }
+
+    /** A request for @p adapter arrives now and runs for @p work once a copy stands. */
+    void ask(const std::string &adapter, Duration work = Duration(200))
+    {
+        m_requests.push_back(Request { adapter, m_now, Time(), work, -1, false });
+    }
+    /** @p perSecond requests for adapters of Zipf popularity, with exponent @p skew over @p adapters of them. */
+    void runLoad(Duration span, double perSecond, int adapters, double skew)
+    {
+        std::vector<double> weights;
+        for (int i = 1; i <= adapters; ++i) {
+            weights.push_back(std::pow(i, -skew));
+        }
+        std::discrete_distribution<int> popularity(weights.begin(), weights.end());
+        std::exponential_distribution<double> pause(perSecond / 1000);
+        double next = pause(m_random);
+        for (std::int64_t ms = 0; ms < span.milliseconds(); ms += Step.milliseconds()) {
+            for (; next < static_cast<double>(ms); next += pause(m_random)) {
+                ask("a" + std::to_string(popularity(m_random)));
+            }
+            step();
+        }
+    }
+    void run(Duration span)
+    {
+        for (std::int64_t ms = 0; ms < span.milliseconds(); ms += Step.milliseconds()) {
+            step();
+        }
+    }
+    /** All nodes start anew and know nothing; engines keep what they have. */
+    void restartNodes()
+    {
+        std::uint64_t fence = 1000;
+        for (auto &node : m_nodes) {
+            node = std::make_unique<Node>();
+            node->plan = std::make_unique<AdapterPlan>(AdapterPlanLimits {}, FencingToken(++fence), node->loads);
+        }
+    }
+
+    /** Waits of the requests that arrived since @p since, in order; one that still waits counts until now. */
+    std::vector<std::int64_t> waits(Time since = Time()) const
+    {
+        std::vector<std::int64_t> result;
+        for (const Request &request : m_requests) {
+            if (request.arrivedAt >= since) {
+                result.push_back(((request.isPlaced ? request.placedAt : m_now) - request.arrivedAt).milliseconds());
+            }
+        }
+        std::sort(result.begin(), result.end());
+        return result;
+    }
+    std::int64_t waitAt(double share, Time since = Time()) const
+    {
+        const auto sorted = waits(since);
+        return sorted.empty() ? 0 : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+    }
+    /** Requests per fetch of the store, since the start. */
+    int fetches() const
+    {
+        return m_fetches;
+    }
+    int loadsAtHand() const
+    {
+        return m_loadsAtHand;
+    }
+    int mostFetchesAtOnce() const
+    {
+        return m_mostFetchesAtOnce;
+    }
+    int crashes() const
+    {
+        return m_crashes;
+    }
+    const AdapterLoads &loads(std::size_t node = 0) const
+    {
+        return m_nodes[node]->loads;
+    }
+    Time now() const
+    {
+        return m_now;
+    }
+
+private:
+    static constexpr Duration Step { 5 };
+
+    struct Request
+    {
+        std::string adapter;
+        Time arrivedAt;
+        Time placedAt;
+        Duration work;
+        int engine;
+        bool isPlaced;
+        bool isCounted = false;
+    };
+    struct Load
+    {
+        std::string adapter;
+        double leftMs = 0;
+        bool isFetch = false;
+    };
+    struct Engine
+    {
+        std::vector<std::string> held;
+        std::vector<Load> coming;
+        /** The latest held last. */
+        std::deque<std::string> atHand;
+    };
+    struct Node
+    {
+        AdapterLoads loads;
+        EngineRows rows;
+        std::unique_ptr<AdapterPlan> plan;
+    };
+
+    void step()
+    {
+        m_now = m_now + Step;
+        advanceLoads();
+        advanceRequests();
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            decide(i);
+        }
+    }
+    void advanceLoads()
+    {
+        int fetching = 0;
+        for (const Engine &engine : m_engines) {
+            fetching += static_cast<int>(std::count_if(engine.coming.begin(), engine.coming.end(), [](const Load &load) { return load.isFetch; }));
+        }
+        m_mostFetchesAtOnce = std::max(m_mostFetchesAtOnce, fetching);
+        const double speed = std::min(1.0, static_cast<double>(m_figures.bearsAtOnce) / std::max(fetching, 1));
+        for (Engine &engine : m_engines) {
+            for (Load &load : engine.coming) {
+                load.leftMs -= static_cast<double>(Step.milliseconds()) * (load.isFetch ? speed : 1);
+            }
+            for (auto at = engine.coming.begin(); at != engine.coming.end();) {
+                if (at->leftMs > 0) {
+                    ++at;
+                    continue;
+                }
+                engine.held.push_back(at->adapter);
+                keepAtHand(engine, at->adapter);
+                at = engine.coming.erase(at);
+            }
+        }
+    }
+    void keepAtHand(Engine &engine, const std::string &adapter) const
+    {
+        std::erase(engine.atHand, adapter);
+        engine.atHand.push_back(adapter);
+        if (engine.atHand.size() > m_figures.atHand) {
+            engine.atHand.pop_front();
+        }
+    }
+    void advanceRequests()
+    {
+        for (Request &request : m_requests) {
+            if (request.isPlaced) {
+                continue;
+            }
+            for (std::size_t i = 0; i < m_engines.size() && !request.isPlaced; ++i) {
+                const auto copy = m_nodes[0]->rows.copy(m_records[i], AdapterRef { BaseModelId("m"), AdapterId(request.adapter) });
+                if (copy && copy->isReady) {
+                    request.isPlaced = true;
+                    request.engine = static_cast<int>(i);
+                    request.placedAt = m_now;
+                }
+            }
+        }
+    }
+    std::vector<AdapterUse> uses()
+    {
+        std::vector<AdapterUse> result;
+        for (Request &request : m_requests) {
+            const bool isRunning = request.isPlaced && m_now < request.placedAt + request.work;
+            if (!request.isPlaced || isRunning || !request.isCounted) {
+                const UpstreamId engine = isRunning ? m_records[static_cast<std::size_t>(request.engine)].id : UpstreamId();
+                if (isRunning || !request.isPlaced) {
+                    result.push_back(
+                        AdapterUse { BaseModelId("m"), AdapterId(request.adapter), engine, request.isCounted ? 0U : 1U, false });
+                }
+                request.isCounted = true;
+            }
+        }
+        return result;
+    }
+    void decide(std::size_t index)
+    {
+        if (index == 0) {
+            m_uses = uses();
+        }
+        Node &node = *m_nodes[index];
+        std::vector<PlannedEngine> planned;
+        for (std::size_t i = 0; i < m_records.size(); ++i) {
+            planned.push_back(PlannedEngine { &m_records[i], &m_spec, 0, 0, 1, i % m_nodes.size() == index, true });
+        }
+        node.plan->setEngines(planned, node.rows, m_now);
+        node.plan->setTurn(PlanTurn { index, m_nodes.size() });
+        node.plan->onUses(NodeId("n"), m_uses, m_now);
+        for (const PlanAction &action : node.plan->decide(m_now)) {
+            if (const auto *give = std::get_if<GiveOrder>(&action)) {
+                node.plan->onOrderAnswer(give->order, carryOut(give->order), m_now);
+            } else if (const auto *ask = std::get_if<AskEngineReport>(&action)) {
+                node.plan->onReport(ask->engine, reportOf(m_engines[indexOf(ask->engine)]), m_now);
+            } else if (const auto *announce = std::get_if<AnnounceRow>(&action)) {
+                for (auto &each : m_nodes) {
+                    if (each->rows.put(announce->row)) {
+                        each->loads.onRow(announce->row, m_now);
+                    }
+                }
+            }
+        }
+    }
+    static std::size_t indexOf(const UpstreamId &id)
+    {
+        return std::stoul(id.value().substr(1));
+    }
+    static EngineReport reportOf(const Engine &engine)
+    {
+        EngineReport report;
+        HeldModel held { BaseModelId("m"), {} };
+        for (const std::string &name : engine.held) {
+            held.adapters.push_back(AdapterKey { AdapterId(name), AdapterVersion("1") });
+        }
+        for (const Load &load : engine.coming) {
+            report.coming.push_back(AdapterKey { AdapterId(load.adapter), AdapterVersion("1") });
+        }
+        report.models.push_back(held);
+        return report;
+    }
+    OrderAnswer carryOut(const EngineOrder &order)
+    {
+        Engine &engine = m_engines[indexOf(order.engine)];
+        const std::string &name = order.adapter.value();
+        const auto held = std::find(engine.held.begin(), engine.held.end(), name);
+        if (order.kind == EngineOrder::Kind::Unload) {
+            if (held != engine.held.end()) {
+                engine.held.erase(held);
+            }
+            return OrderAnswer::Done;
+        }
+        if (held != engine.held.end()) {
+            return OrderAnswer::Done;
+        }
+        const bool isComing = std::any_of(engine.coming.begin(), engine.coming.end(), [&name](const Load &load) { return load.adapter == name; });
+        if (isComing) {
+            return OrderAnswer::Accepted;
+        }
+        const bool isAtHand = std::find(engine.atHand.begin(), engine.atHand.end(), name) != engine.atHand.end();
+        const auto fetchMs = static_cast<double>(m_figures.fetch.milliseconds());
+        engine.coming.push_back(Load { name, isAtHand ? fetchMs / 10 : fetchMs, !isAtHand });
+        m_fetches += isAtHand ? 0 : 1;
+        m_loadsAtHand += isAtHand ? 1 : 0;
+        m_crashes += static_cast<int>(engine.held.size() + engine.coming.size()) > m_figures.slots ? 1 : 0;
+        return OrderAnswer::Accepted;
+    }
+
+    StoreFigures m_figures;
+    std::mt19937_64 m_random;
+    Time m_now { 100'000 };
+    EngineSpec m_spec;
+    std::vector<UpstreamRecord> m_records;
+    std::vector<Engine> m_engines;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<Request> m_requests;
+    std::vector<AdapterUse> m_uses;
+    int m_fetches = 0;
+    int m_loadsAtHand = 0;
+    int m_mostFetchesAtOnce = 0;
+    int m_crashes = 0;
+};
+
+} // namespace ApricotStep
