Leave engines alone that cannot be reached, and load their adapters elsewhere

Change: an engine that a connection could not be made to is left alone for 0.3 s; all plans count its copies, and those of ejected engines, for nothing.

--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -114,6 +114,7 @@
     const std::optional<AdapterRef> &firstToYield(Engine &engine, Time now) const;
     bool isAtHand(const Engine &engine, const AdapterRef &adapter) const;
     std::optional<double> costOfPlace(Engine &engine, const AdapterRef &adapter, Time now) const;
+    static bool isOut(const Engine &engine, Time now);
     double waitAt(const Engine &engine) const;
     void place(const AdapterWant &want, bool isReady, Time now, std::vector<PlanAction> &actions);
     void beginLoad(const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions);
@@ -181,6 +182,12 @@
     return at == versions.end() ? AdapterVersion() : at->second;
 }
 
+// A crashed engine stays listed for some seconds, with its copies; requests that wait for them wait for nothing.
+bool AdapterPlan::Private::isOut(const Engine &engine, Time now)
+{
+    return now < engine.downUntil || !engine.planned.isReachable || engine.planned.share <= 0;
+}
+
 double AdapterPlan::Private::waitAt(const Engine &engine) const
 {
     return engine.planned.pendingTokens / limits.promptTokensPerMs + engine.planned.running * limits.runningCostMs;
@@ -215,8 +222,7 @@
 // Empty when the engine cannot take it now.
 std::optional<double> AdapterPlan::Private::costOfPlace(Engine &engine, const AdapterRef &adapter, Time now) const
 {
-    const bool isBarred = now < engine.downUntil || !engine.isReported || !engine.planned.isOrdered || engine.planned.spec == nullptr
-        || engine.planned.share <= 0 || engine.copies.contains(adapter);
+    const bool isBarred = isOut(engine, now) || !engine.isReported || !engine.planned.isOrdered || engine.planned.spec == nullptr || engine.copies.contains(adapter);
     if (isBarred || !holdsModel(engine, adapter.model) || loadsUnderWay(engine) >= limits.loadsAtOnceOfEngine) {
         return std::nullopt;
     }
@@ -271,7 +277,7 @@
     double bestCost = std::numeric_limits<double>::max();
     double presentWait = std::numeric_limits<double>::max();
     for (auto &[id, engine] : engines) {
-        if (engine.copies.contains(adapter) && now >= engine.downUntil) {
+        if (engine.copies.contains(adapter) && !isOut(engine, now)) {
             presentWait = std::min(presentWait, waitAt(engine));
         }
         const bool isBarred = (isOnlyOwn && !engine.planned.isOwn) || (isStoreBusy && !isAtHand(engine, adapter));
@@ -321,8 +327,7 @@
         bool isReady = false;
         for (const auto &[id, engine] : engines) {
             const auto at = engine.copies.find(want.adapter);
-            // A crashed engine's copies are listed until the store notices; requests that wait for them wait for nothing.
-            if (at != engine.copies.end() && now >= engine.downUntil) {
+            if (at != engine.copies.end() && !isOut(engine, now)) {
                 isBeingSeenTo = isBeingSeenTo || isUnderWay(at->second) || at->second.state == CopyState::Checking;
                 isReady = isReady || at->second.state == CopyState::Ready;
             }
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -38,7 +38,7 @@
     Duration askAgain { 50 };
     /** After an order that had no answer: the engine may be down. */
     Duration askAfterSilence { 400 };
-    /** An engine that could not be reached gets no new copies for this long, and those that it has count for nothing. */
+    /** An engine that left an order unanswered gets no new copies for this long, and those that it has count for nothing. */
     Duration downTime { 1000 };
     /** A base model that is not in place after this, on an engine that works on no order, has failed to load. */
     Duration loadTimeout { 4000 };
@@ -102,6 +102,8 @@
     bool isOwn = true;
     /** Somebody gives it orders now. */
     bool isOrdered = true;
+    /** Connections to it could be made lately. */
+    bool isReachable = true;
 };
 
 /** Decides which engine holds which adapters. Runs only at the node that may give orders. Not thread-safe. */
--- a/coordination/outliers.cpp
+++ b/coordination/outliers.cpp
@@ -25,6 +25,7 @@
     Time returnedAt;
     /** Since when it has been free of ejection; a long good time forgives. */
     Time lastEjectionEnd;
+    Time unreachableUntil;
 };
 
 } // namespace
@@ -91,6 +92,23 @@
     d->watched = std::move(kept);
 }
 
+void Outliers::forget(const UpstreamId &upstream)
+{
+    d->watched.erase(upstream);
+}
+
+void Outliers::onUnreachable(const UpstreamId &upstream, Time now)
+{
+    onFailure(upstream, now);
+    d->watched[upstream].unreachableUntil = now + d->limits.unreachableTime;
+}
+
+bool Outliers::isReachable(const UpstreamId &upstream, Time now) const
+{
+    const auto at = d->watched.find(upstream);
+    return at == d->watched.end() || now >= at->second.unreachableUntil;
+}
+
 void Outliers::onSuccess(const UpstreamId &upstream, Time now)
 {
     Watched &entry = d->watched[upstream];
--- a/coordination/outliers.h
+++ b/coordination/outliers.h
@@ -30,6 +30,11 @@
     double startShare = 0.1;
     /** Share of all upstreams that may be ejected at once, 0 to 1; one of two or more always may. */
     double maxEjectedShare = 0.34;
+    /**
+     * After a connection that could not be made, an upstream is left alone for this long. Requests that could only go there wait for another
+     * place meanwhile; without it they try again at each look, and a crashed engine gets thousands of connections while its callers wait.
+     */
+    Duration unreachableTime { 300 };
     /** Only an upstream whose recent share of failures exceeds the mean of the others by this is ejected. */
     double worseBy = 0.3;
 };
@@ -45,12 +50,18 @@
 
     /** The upstreams that exist now; others are forgotten. Without this call an upstream is known from its first outcome. */
     void setUpstreams(const std::vector<UpstreamId> &upstreams);
+    /** It is gone. Kept, it would count among those ejected, and a sick one could not be ejected any more. */
+    void forget(const UpstreamId &upstream);
     void onSuccess(const UpstreamId &upstream, Time now);
     /** A failure that the upstream caused: unreachable, cut, timed out, 5xx. Never a refusal that is the caller's fault. */
     void onFailure(const UpstreamId &upstream, Time now);
+    /** No connection could be made. */
+    void onUnreachable(const UpstreamId &upstream, Time now);
     /** It came back cold: from here on its share grows slowly. */
     void onRestart(const UpstreamId &upstream, Time now);
 
+    /** False right after a connection failed. */
+    bool isReachable(const UpstreamId &upstream, Time now) const;
     bool isEjected(const UpstreamId &upstream, Time now) const;
     /** 0 when ejected, else from the start share of its ramp to 1. */
     double share(const UpstreamId &upstream, Time now) const;
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -154,7 +154,7 @@
             const FleetLoad load = beliefs.book.load(record->id, now());
             const bool isOrdered = orderedShards[owner.value()];
             result.push_back(PlannedEngine { record, &*service.engine, load.running, load.pendingTokens,
-                beliefs.outliers.share(record->id, now()), owner == shard, isOrdered });
+                beliefs.outliers.share(record->id, now()), owner == shard, isOrdered, beliefs.outliers.isReachable(record->id, now()) });
         }
     }
     return result;
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -171,7 +171,7 @@
         return record.models.empty() || record.holds(m_decoded.generation->model);
     }
     const auto copy = m_context.beliefs().rows.copy(record, adapter());
-    if (!copy || !copy->isReady) {
+    if (!copy || !copy->isReady || !m_context.beliefs().outliers.isReachable(record.id, now())) {
         return false;
     }
     const auto known = m_context.beliefs().versions.find(adapter());
@@ -463,7 +463,7 @@
     case AttemptState::NotSent:
         m_tried.insert(m_upstream.id);
         if (result.error != ErrorKind::DeadlinePassed) {
-            m_context.beliefs().outliers.onFailure(m_upstream.id, now());
+            m_context.beliefs().outliers.onUnreachable(m_upstream.id, now());
         }
         m_context.log().write(Step, "request", "not_sent",
             { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "reason", result.detail } });
--- a/tests/coordination/testadapterplan.cpp
+++ b/tests/coordination/testadapterplan.cpp
@@ -1,5 +1,7 @@
 #include "coordination/adapterplan.h"
 
+#include "tests/coordination/weightstorebench.h"
+
 #include <algorithm>
 #include <string>
 #include <vector>
@@ -376,6 +378,25 @@
     }
 }
 
+// A zone is lost: an engine crashes together with the node that orders it, and the store lists the engine for some seconds more. If its copies
+// passed for usable, callers would wait for them until their patience ends although eight engines could load the adapters.
+Test(adapterplan, copiesAtAnUnreachableEngineAreReplacedByOtherPlans)
+{
+    WeightStoreBench bench(StoreFigures { 8, Duration(250), 48, 9, 8, 3 });
+    bench.runLoad(Duration::seconds(10), 100, 60, 1.0);
+    const std::vector<std::string> lost = bench.held(2);
+    cr_assert_geq(lost.size(), 4);
+    bench.crash(2);
+    bench.stopPlan(2);
+    bench.run(Duration(20));
+    const Time crashedAt = bench.now();
+    for (const std::string &adapter : lost) {
+        bench.ask(adapter);
+    }
+    bench.run(Duration(1500));
+    cr_assert_leq(bench.waitAt(1.0, crashedAt), 800, "the last waited %lld ms", static_cast<long long>(bench.waitAt(1.0, crashedAt)));
+}
+
 // An engine crashes and starts again under the id that it had, without its holder losing the lease. If the rows of the new start count from
 // one again, all nodes take them for old ones: requests go to copies that are gone, or wait for copies that nobody tells of.
 Test(adapterplan, rowsOfAnEngineThatStartsAgainAreNews)
--- a/tests/coordination/testupstreamtrouble.cpp
+++ b/tests/coordination/testupstreamtrouble.cpp
@@ -104,6 +104,34 @@
     cr_assert_not(retrying.triesAgain({ AttemptPhase::Queued, ErrorKind::UpstreamUnreachable }, facts(Repeatability::Idempotent)));
 }
 
+// An engine crashed a moment ago and is still listed. Its adapters stand nowhere else, so each waiting request tries it again at each look:
+// thousands of connections that cannot be made, and no node has time left for the callers that could be served.
+Test(outliers, anUnreachableUpstreamIsLeftAloneForAWhile)
+{
+    Outliers outliers({});
+    outliers.setUpstreams(upstreams(9));
+    cr_assert(outliers.isReachable(Sick, Time(1000)));
+    outliers.onUnreachable(Sick, Time(1000));
+    cr_assert_not(outliers.isReachable(Sick, Time(1100)));
+    cr_assert(outliers.isReachable(Sick, Time(1400)));
+}
+
+// Engines come and go all day under new ids. If those that are gone stayed among the ejected, a third of all would soon be, and the next one
+// that fails would go on getting requests.
+Test(outliers, thoseThatAreGoneDoNotCountAsEjected)
+{
+    Outliers outliers({});
+    for (int old = 0; old < 4; ++old) {
+        const UpstreamId gone("gone" + std::to_string(old));
+        outliers.onSuccess(UpstreamId("well"), Time(1));
+        for (int i = 0; i < 9; ++i) {
+            outliers.onFailure(gone, Time(i));
+        }
+        outliers.forget(gone);
+    }
+    cr_assert_eq(outliers.ejectedCount(Time(10)), 0);
+}
+
 Test(outliers, aFailingUpstreamIsEjectedAndReturnsSlowly)
 {
     // One engine of nine hangs. Its callers would each lose an attempt; after its return a full share at once would fail it again.
--- a/tests/coordination/weightstorebench.h
+++ b/tests/coordination/weightstorebench.h
@@ -83,6 +83,21 @@
             step();
         }
     }
+    /** Nothing listens at the engine any more; its entry and its copies stay listed. */
+    void crash(int engine)
+    {
+        m_engines[static_cast<std::size_t>(engine)].isDown = true;
+    }
+    /** The node of this plan is gone, and nobody orders its engines yet. */
+    void stopPlan(std::size_t plan)
+    {
+        m_nodes[plan]->isStopped = true;
+    }
+    /** What stands at an engine. */
+    const std::vector<std::string> &held(int engine) const
+    {
+        return m_engines[static_cast<std::size_t>(engine)].held;
+    }
     /** All nodes start anew and know nothing; engines keep what they have. */
     void restartNodes()
     {
@@ -161,12 +176,14 @@
         std::vector<Load> coming;
         /** The latest held last. */
         std::deque<std::string> atHand;
+        bool isDown = false;
     };
     struct Node
     {
         AdapterLoads loads;
         EngineRows rows;
         std::unique_ptr<AdapterPlan> plan;
+        bool isStopped = false;
     };
 
     void step()
@@ -217,7 +234,7 @@
             }
             for (std::size_t i = 0; i < m_engines.size() && !request.isPlaced; ++i) {
                 const auto copy = m_nodes[0]->rows.copy(m_records[i], AdapterRef { BaseModelId("m"), AdapterId(request.adapter) });
-                if (copy && copy->isReady) {
+                if (copy && copy->isReady && !m_engines[i].isDown) {
                     request.isPlaced = true;
                     request.engine = static_cast<int>(i);
                     request.placedAt = m_now;
@@ -247,9 +264,14 @@
             m_uses = uses();
         }
         Node &node = *m_nodes[index];
+        if (node.isStopped) {
+            return;
+        }
         std::vector<PlannedEngine> planned;
         for (std::size_t i = 0; i < m_records.size(); ++i) {
-            planned.push_back(PlannedEngine { &m_records[i], &m_spec, 0, 0, 1, i % m_nodes.size() == index, true });
+            const std::size_t owner = i % m_nodes.size();
+            planned.push_back(
+                PlannedEngine { &m_records[i], &m_spec, 0, 0, 1, owner == index, !m_nodes[owner]->isStopped, !m_engines[i].isDown });
         }
         node.plan->setEngines(planned, node.rows, m_now);
         node.plan->setTurn(PlanTurn { index, m_nodes.size() });
@@ -258,7 +280,9 @@
             if (const auto *give = std::get_if<GiveOrder>(&action)) {
                 node.plan->onOrderAnswer(give->order, carryOut(give->order), m_now);
             } else if (const auto *ask = std::get_if<AskEngineReport>(&action)) {
-                node.plan->onReport(ask->engine, reportOf(m_engines[indexOf(ask->engine)]), m_now);
+                if (!m_engines[indexOf(ask->engine)].isDown) {
+                    node.plan->onReport(ask->engine, reportOf(m_engines[indexOf(ask->engine)]), m_now);
+                }
             } else if (const auto *announce = std::get_if<AnnounceRow>(&action)) {
                 for (auto &each : m_nodes) {
                     if (each->rows.put(announce->row)) {
@@ -288,6 +312,9 @@
     OrderAnswer carryOut(const EngineOrder &order)
     {
         Engine &engine = m_engines[indexOf(order.engine)];
+        if (engine.isDown) {
+            return OrderAnswer::Unknown;
+        }
         const std::string &name = order.adapter.value();
         const auto held = std::find(engine.held.begin(), engine.held.end(), name);
         if (order.kind == EngineOrder::Kind::Unload) {
