Tell new nodes what has been seen of the weight store

Cause: a node that had just begun to order knew nothing of the store, allowed itself four fetches, and found twenty of others under way; so its engines got nothing for as long as the store was busy. Nodes that saw loads at hand first took their time (38 to 66 ms) for that of a fetch. Change: heartbeats and greetings carry what the sender has seen; a node that has seen nothing adopts it. Two fetches in a row that take longer than the others under way explain correct a shortest time that was none.

--- a/coordination/adapterloads.cpp
+++ b/coordination/adapterloads.cpp
@@ -28,6 +28,8 @@
 // A later question comes after this part of the usual time, but not sooner than the answer to the last one can be acted upon.
 constexpr double AgainPart = 0.125;
 constexpr Duration LeastAgain { 6 };
+// More than any store is asked for at once; a forged message must not lift the window beyond it.
+constexpr double MostFetches = 10'000;
 // Part by which one load moves the chance of its age.
 constexpr double ChanceStep = 0.15;
 // What is thought not to be at hand is asked about too late to tell; so the chance of its age rises by this much with each, until one is
@@ -150,21 +152,33 @@
     }
 }
 
+// A node that has just started may see loads at hand first, and take their time for that of a fetch. Every real one then seems slowed down,
+// and the window shrinks to nothing; but so few under way cannot have slowed it down so much.
+bool AdapterLoads::isOfOtherSort(double tookMs)
+{
+    const double explained = std::max(1.0, m_fetches / std::max(m_borneUnslowed, 1.0)) * m_limits.slowedDown * m_limits.unexplained;
+    // One alone may be of a node that slept.
+    m_unexplained = tookMs > m_shortestMs * explained ? m_unexplained + 1 : 0;
+    return m_unexplained > 1;
+}
+
 void AdapterLoads::onOwnLoad(Duration took, int unfinished, bool wasThoughtAtHand, Time now)
 {
     const auto tookMs = std::max(static_cast<double>(took.milliseconds()), 1.0);
     const bool isStart = m_ownFetches < LoadsAtStart;
-    // As many as share the store slow a fetch down so many times at most; beyond that, the shortest one was at hand.
-    const bool isOtherSort = tookMs > m_shortestMs * std::max<double>(m_fetches, m_limits.longestCredible);
-    if (m_shortestMs == 0 || isOtherSort) {
+    const double atHandBelow = wasThoughtAtHand ? m_limits.atHandBelow : m_limits.surelyAtHandBelow;
+    if (m_shortestMs > 0 && tookMs < m_shortestMs * atHandBelow) {
+        follow(m_usualAtHandMs, tookMs, unfinished == 0, isStart);
+        return;
+    }
+    if (m_shortestMs == 0 || isOfOtherSort(tookMs)) {
         m_shortestMs = tookMs;
         m_usualFetchMs = tookMs;
-    } else if (wasThoughtAtHand) {
-        // Slow nodes see loads at hand late; they must not pass for fast fetches.
-        if (tookMs < m_shortestMs * m_limits.atHandBelow) {
-            follow(m_usualAtHandMs, tookMs, unfinished == 0, isStart);
-        }
-        return;
+        m_usualAtHandMs = 0;
+        m_borneUnslowed = 0;
+    }
+    if (wasThoughtAtHand) {
+        return; // Slow nodes see loads at hand late; they must not pass for fast fetches.
     }
     ++m_ownFetches;
     m_shortestMs *= 1 + m_limits.shortestForgotten * std::max((now - m_shortestAt).toSeconds(), 0.0);
@@ -173,6 +187,28 @@
     follow(m_usualFetchMs, tookMs, unfinished == 0, isStart);
 }
 
+void AdapterLoads::adopt(const StoreView &view, Time now)
+{
+    if (m_shortestMs > 0 || view.shortestFetch <= Duration(0) || !std::isfinite(view.fetchesAtOnce)) {
+        return;
+    }
+    m_shortestMs = static_cast<double>(view.shortestFetch.milliseconds());
+    m_shortestAt = now;
+    m_usualFetchMs = std::max(static_cast<double>(view.usualFetch.milliseconds()), m_shortestMs);
+    m_usualAtHandMs = static_cast<double>(std::max(view.usualAtHand, Duration(0)).milliseconds());
+    m_window = std::clamp(view.fetchesAtOnce, m_limits.leastWindow, MostFetches);
+    m_hasSlowedDown = view.hasSlowedDown;
+}
+
+std::optional<StoreView> AdapterLoads::view() const
+{
+    if (m_shortestMs == 0) {
+        return std::nullopt;
+    }
+    return StoreView { m_window, shortestFetch(), firstQuestion(false), Duration(static_cast<std::int64_t>(m_usualAtHandMs)),
+        m_hasSlowedDown };
+}
+
 void AdapterLoads::drop(Engine &engine, std::uint64_t adapter)
 {
     engine.droppedAs[adapter] = ++engine.drops;
@@ -185,6 +221,7 @@
 void AdapterLoads::moveWindow(double fetches, double stretch)
 {
     if (stretch < m_limits.slowedDown) {
+        m_borneUnslowed = std::max(m_borneUnslowed, fetches);
         // Fewer under way than are allowed show nothing of what the store bears.
         if (fetches * 2 >= m_window) {
             m_window += m_hasSlowedDown ? m_limits.windowGrowth : 1;
--- a/coordination/adapterloads.h
+++ b/coordination/adapterloads.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace ApricotStep
@@ -36,8 +37,12 @@
     double windowStep = 0.125;
     /** By how many fetches the window grows with each that was not slowed down, once one was. */
     double windowGrowth = 0.25;
-    /** Loads at hand are ten times as fast as fetches; below this part of the shortest fetch, one was at hand. */
+    /** Loads at hand are ten times as fast as fetches; one thought to be at hand was, if it took less than this part of the shortest fetch. */
     double atHandBelow = 0.6;
+    /** The same for loads that nobody thought to be at hand, as those of engines that have run for longer than this node. */
+    double surelyAtHandBelow = 0.35;
+    /** A fetch that takes so many times what the others under way explain shows that the shortest one was none. */
+    double unexplained = 2;
     /** The shortest time is forgotten by this part a second: a store may become slower for good. */
     double shortestForgotten = 0.001;
     /** Times beyond this many of the shortest one are of lost datagrams or dead holders, and say nothing of the store. */
@@ -59,6 +64,10 @@
      * holders may be lost and then tell a time that is far off, so only these set the times.
      */
     void onOwnLoad(Duration took, int unfinished, bool wasThoughtAtHand, Time now);
+    /** What another node has seen; taken only while this one has seen nothing itself. */
+    void adopt(const StoreView &view, Time now);
+    /** For the others; empty while no fetch has been seen. */
+    std::optional<StoreView> view() const;
     /** The engine is gone. */
     void forget(const UpstreamId &engine);
 
@@ -99,6 +108,7 @@
     void begin(Engine &engine, std::uint64_t adapter, FencingToken fence, Time now);
     void end(const Load &load, FencingToken fence, Time now);
     static void drop(Engine &engine, std::uint64_t adapter);
+    bool isOfOtherSort(double tookMs);
     void moveWindow(double fetches, double stretch);
     double chance(std::uint32_t age) const;
     static std::uint32_t ageOf(const Engine &engine, std::uint64_t adapter);
@@ -113,6 +123,10 @@
     /** 0 before any fetch was seen. */
     double m_shortestMs = 0;
     int m_ownFetches = 0;
+    /** The most fetches under way beside which one was not slowed down. */
+    double m_borneUnslowed = 0;
+    /** Fetches in a row that took longer than the others under way explain. */
+    int m_unexplained = 0;
     Time m_shortestAt;
     /** After this time most fetches and most loads at hand are done, ms; 0 while none has been seen. */
     double m_usualFetchMs = 0;
--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -65,6 +65,20 @@
     bool operator==(const EngineRow &) const = default;
 };
 
+/** What a node has seen of the weight store; for nodes that have just started. */
+struct StoreView
+{
+    double fetchesAtOnce = 0;
+    Duration shortestFetch;
+    Duration usualFetch;
+    /** Zero when no load at hand has been seen. */
+    Duration usualAtHand;
+    /** Fetches have been seen to slow each other down. */
+    bool hasSlowedDown = false;
+
+    bool operator==(const StoreView &) const = default;
+};
+
 /** A part of the engines; the orders to it have one holder at a time. */
 using EngineShard = StrongNumber<struct EngineShardTag>;
 
@@ -145,6 +159,8 @@
     std::optional<std::vector<UpstreamLoad>> loads;
     std::vector<AdapterUse> uses;
     std::vector<EngineRow> rows;
+    /** Unset where the sender has seen no fetch, or does not say. */
+    std::optional<StoreView> store;
 };
 
 } // namespace ApricotStep
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -159,6 +159,7 @@
     OwnAccount account = callbacks.account();
     message.loads = std::move(account.loads);
     message.uses = std::move(account.uses);
+    message.store = beliefs.adapterLoads.view();
     return message;
 }
 
@@ -400,6 +401,7 @@
 {
     FleetMessage answer = base();
     answer.contacts = someContacts(ContactsInGreeting);
+    answer.store = beliefs.adapterLoads.view();
     socket->send(from.peerAddress, encodeFleetMessage(answer));
 }
 
@@ -431,6 +433,9 @@
     } else if (!message.uses.empty()) {
         callbacks.onWants(message.sender, message.uses);
     }
+    if (message.store) {
+        beliefs.adapterLoads.adopt(*message.store, now());
+    }
     bool isNews = false;
     for (const EngineRow &row : message.rows) {
         isNews = beliefs.putRow(row, now()) || isNews;
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -52,6 +52,14 @@
     greatestFence @4 :UInt64;
 }
 
+struct StoreViewWire {
+    fetchesAtOnce @0 :Float64;
+    shortestFetchMs @1 :Int64;
+    usualFetchMs @2 :Int64;
+    usualAtHandMs @3 :Int64;
+    hasSlowedDown @4 :Bool;
+}
+
 struct FleetMessageWire {
     sender @0 :Text;
     incarnation @1 :UInt64;
@@ -77,4 +85,5 @@
     readRevision @21 :UInt64;
     isReadingStore @22 :Bool;
     rememberedNodes @23 :UInt32;
+    store @24 :StoreViewWire;
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(b6a926f8f5b8ffdb);
 CAPNP_DECLARE_SCHEMA(a8b9f4dba4f44306);
 CAPNP_DECLARE_SCHEMA(9d5a32ab517c1ae3);
+CAPNP_DECLARE_SCHEMA(ba03b9cd0cf349d7);
 CAPNP_DECLARE_SCHEMA(8b8b5daee920bcb2);
 
 }  // namespace schemas
@@ -136,6 +137,21 @@
   };
 };
 
+struct StoreViewWire {
+  StoreViewWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba03b9cd0cf349d7, 5, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetMessageWire {
   FleetMessageWire() = delete;
 
@@ -144,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 7, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 7, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -840,6 +856,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class StoreViewWire::Reader {
+public:
+  typedef StoreViewWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline double getFetchesAtOnce() const;
+
+  inline  ::int64_t getShortestFetchMs() const;
+
+  inline  ::int64_t getUsualFetchMs() const;
+
+  inline  ::int64_t getUsualAtHandMs() const;
+
+  inline bool getHasSlowedDown() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoreViewWire::Builder {
+public:
+  typedef StoreViewWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline double getFetchesAtOnce();
+  inline void setFetchesAtOnce(double value);
+
+  inline  ::int64_t getShortestFetchMs();
+  inline void setShortestFetchMs( ::int64_t value);
+
+  inline  ::int64_t getUsualFetchMs();
+  inline void setUsualFetchMs( ::int64_t value);
+
+  inline  ::int64_t getUsualAtHandMs();
+  inline void setUsualAtHandMs( ::int64_t value);
+
+  inline bool getHasSlowedDown();
+  inline void setHasSlowedDown(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoreViewWire::Pipeline {
+public:
+  typedef StoreViewWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetMessageWire::Reader {
 public:
   typedef FleetMessageWire Reads;
@@ -918,6 +1030,9 @@
 
   inline  ::uint32_t getRememberedNodes() const;
 
+  inline bool hasStore() const;
+  inline  ::ApricotStep::Wire::StoreViewWire::Reader getStore() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1072,6 +1187,13 @@
   inline  ::uint32_t getRememberedNodes();
   inline void setRememberedNodes( ::uint32_t value);
 
+  inline bool hasStore();
+  inline  ::ApricotStep::Wire::StoreViewWire::Builder getStore();
+  inline void setStore( ::ApricotStep::Wire::StoreViewWire::Reader value);
+  inline  ::ApricotStep::Wire::StoreViewWire::Builder initStore();
+  inline void adoptStore(::capnp::Orphan< ::ApricotStep::Wire::StoreViewWire>&& value);
+  inline ::capnp::Orphan< ::ApricotStep::Wire::StoreViewWire> disownStore();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1090,6 +1212,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ApricotStep::Wire::StoreViewWire::Pipeline getStore();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1692,6 +1815,76 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline double StoreViewWire::Reader::getFetchesAtOnce() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double StoreViewWire::Builder::getFetchesAtOnce() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoreViewWire::Builder::setFetchesAtOnce(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StoreViewWire::Reader::getShortestFetchMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StoreViewWire::Builder::getShortestFetchMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StoreViewWire::Builder::setShortestFetchMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StoreViewWire::Reader::getUsualFetchMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StoreViewWire::Builder::getUsualFetchMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StoreViewWire::Builder::setUsualFetchMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StoreViewWire::Reader::getUsualAtHandMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StoreViewWire::Builder::getUsualAtHandMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StoreViewWire::Builder::setUsualAtHandMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoreViewWire::Reader::getHasSlowedDown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+
+inline bool StoreViewWire::Builder::getHasSlowedDown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+inline void StoreViewWire::Builder::setHasSlowedDown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetMessageWire::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2296,6 +2489,45 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetMessageWire::Reader::hasStore() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasStore() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ApricotStep::Wire::StoreViewWire::Reader FleetMessageWire::Reader::getStore() const {
+  return ::capnp::_::PointerHelpers< ::ApricotStep::Wire::StoreViewWire>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::ApricotStep::Wire::StoreViewWire::Builder FleetMessageWire::Builder::getStore() {
+  return ::capnp::_::PointerHelpers< ::ApricotStep::Wire::StoreViewWire>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ApricotStep::Wire::StoreViewWire::Pipeline FleetMessageWire::Pipeline::getStore() {
+  return  ::ApricotStep::Wire::StoreViewWire::Pipeline(_typeless.getPointerField(13));
+}
+#endif  // !CAPNP_LITE
+inline void FleetMessageWire::Builder::setStore( ::ApricotStep::Wire::StoreViewWire::Reader value) {
+  ::capnp::_::PointerHelpers< ::ApricotStep::Wire::StoreViewWire>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::ApricotStep::Wire::StoreViewWire::Builder FleetMessageWire::Builder::initStore() {
+  return ::capnp::_::PointerHelpers< ::ApricotStep::Wire::StoreViewWire>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::adoptStore(
+    ::capnp::Orphan< ::ApricotStep::Wire::StoreViewWire>&& value) {
+  ::capnp::_::PointerHelpers< ::ApricotStep::Wire::StoreViewWire>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ApricotStep::Wire::StoreViewWire> FleetMessageWire::Builder::disownStore() {
+  return ::capnp::_::PointerHelpers< ::ApricotStep::Wire::StoreViewWire>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -152,6 +152,21 @@
     }
 }
 
+void encodeStore(const StoreView &store, Wire::StoreViewWire::Builder wire)
+{
+    wire.setFetchesAtOnce(store.fetchesAtOnce);
+    wire.setShortestFetchMs(store.shortestFetch.milliseconds());
+    wire.setUsualFetchMs(store.usualFetch.milliseconds());
+    wire.setUsualAtHandMs(store.usualAtHand.milliseconds());
+    wire.setHasSlowedDown(store.hasSlowedDown);
+}
+
+StoreView decodeStore(Wire::StoreViewWire::Reader wire)
+{
+    return StoreView { wire.getFetchesAtOnce(), Duration(wire.getShortestFetchMs()), Duration(wire.getUsualFetchMs()),
+        Duration(wire.getUsualAtHandMs()), wire.getHasSlowedDown() };
+}
+
 FleetMessage decode(Wire::FleetMessageWire::Reader wire)
 {
     FleetMessage message;
@@ -170,6 +185,9 @@
     message.configVersion = ConfigVersion(wire.getConfigVersion());
     decodeLeases(wire, message);
     decodeLists(wire, message);
+    if (wire.hasStore()) {
+        message.store = decodeStore(wire.getStore());
+    }
     return message;
 }
 
@@ -194,6 +212,9 @@
     wire.setConfigVersion(message.configVersion.value());
     encodeLeases(message, wire);
     encodeLists(message, wire);
+    if (message.store) {
+        encodeStore(*message.store, wire.initStore());
+    }
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, builder);
     const auto bytes = out.getArray();
--- a/tests/coordination/testadapterloads.cpp
+++ b/tests/coordination/testadapterloads.cpp
@@ -91,7 +91,9 @@
 // fetch; taken for fetches, they would make each real one look slowed down, and the nodes would order two at once from then on.
 Test(adapterloads, restartedNodesAreNotMisledByLoadsAtHand)
 {
-    WeightStoreBench bench(WideStore);
+    StoreFigures figures = WideStore;
+    figures.lateness = Duration(35);
+    WeightStoreBench bench(figures);
     bench.runLoad(Duration::seconds(15), 150, 600, 1.0);
     bench.restartNodes();
     bench.runLoad(Duration::seconds(3), 150, 600, 1.0);
@@ -100,3 +102,15 @@
     cr_assert_geq(bench.loads().fetchesAtOnce(), WideStore.bearsAtOnce / 2);
     cr_assert_leq(bench.waitAt(0.9, settled), 600);
 }
+
+// Nodes are restarted in turn while the others fetch as much as the store bears. A new one that knows nothing of the store finds more under
+// way than it would dare to order, and its engines get nothing for as long as the others are busy.
+Test(adapterloads, aNodeThatJoinsABusyFleetOrdersAtOnce)
+{
+    WeightStoreBench bench(WideStore);
+    bench.runLoad(Duration::seconds(6), 250, 3000, 0.8);
+    const int before = bench.loads(1).fetchesAtOnce();
+    bench.replaceNode(1);
+    bench.runLoad(Duration(100), 250, 3000, 0.8);
+    cr_assert_geq(bench.loads(1).fetchesAtOnce() * 2, before);
+}
--- a/tests/coordination/weightstorebench.h
+++ b/tests/coordination/weightstorebench.h
@@ -26,6 +26,8 @@
     int slots = 8;
     /** Nodes that order a part of the engines each. */
     int plans = 3;
+    /** What a slow node and its link add to each load before it is seen to be done. */
+    Duration lateness { 0 };
 };
 
 /**
@@ -98,6 +100,14 @@
     {
         return m_engines[static_cast<std::size_t>(engine)].held;
     }
+    /** The node of this plan is replaced by one that knows nothing but what the others tell it, and the rows. */
+    void replaceNode(std::size_t index)
+    {
+        auto node = std::make_unique<Node>();
+        node->rows = m_nodes[index]->rows;
+        node->plan = std::make_unique<AdapterPlan>(AdapterPlanLimits {}, FencingToken(500 + index), node->loads);
+        m_nodes[index] = std::move(node);
+    }
     /** All nodes start anew and know nothing; engines keep what they have. */
     void restartNodes()
     {
@@ -267,6 +277,11 @@
         if (node.isStopped) {
             return;
         }
+        for (const auto &other : m_nodes) {
+            if (const auto view = other->loads.view()) {
+                node.loads.adopt(*view, m_now);
+            }
+        }
         std::vector<PlannedEngine> planned;
         for (std::size_t i = 0; i < m_records.size(); ++i) {
             const std::size_t owner = i % m_nodes.size();
@@ -331,8 +346,9 @@
             return OrderAnswer::Accepted;
         }
         const bool isAtHand = std::find(engine.atHand.begin(), engine.atHand.end(), name) != engine.atHand.end();
+        const auto lateMs = static_cast<double>(m_figures.lateness.milliseconds());
         const auto fetchMs = static_cast<double>(m_figures.fetch.milliseconds());
-        engine.coming.push_back(Load { name, isAtHand ? fetchMs / 10 : fetchMs, !isAtHand });
+        engine.coming.push_back(Load { name, (isAtHand ? fetchMs / 10 : fetchMs) + lateMs, !isAtHand });
         m_fetches += isAtHand ? 0 : 1;
         m_loadsAtHand += isAtHand ? 1 : 0;
         m_crashes += static_cast<int>(engine.held.size() + engine.coming.size()) > m_figures.slots ? 1 : 0;
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -36,6 +36,7 @@
     message.uses = { AdapterUse { BaseModelId("m"), AdapterId("a"), UpstreamId("u"), 4, true } };
     message.rows = { EngineRow {
         UpstreamId("u"), 12, FencingToken(5), 6, { AdapterCopy { BaseModelId("m"), AdapterId("a"), AdapterVersion("1"), true } } } };
+    message.store = StoreView { 24.5, Duration(250), Duration(260), Duration(26), true };
     return message;
 }
 
@@ -56,6 +57,7 @@
     cr_assert(message.lastOrders.front().ago == Duration(7) && message.uptime == Duration(1234));
     cr_assert(message.releases == sent.releases && message.contacts == sent.contacts);
     cr_assert(message.loads == sent.loads && message.uses == sent.uses && message.rows == sent.rows);
+    cr_assert(message.store == sent.store);
 }
 
 // Datagrams arrive cut, changed or from elsewhere. None may crash a node, and one without a sender changes nothing.
