Decide upon what comes together, and read the clock once a round

Change: wants, answers and rows within 8 ms are decided upon together; nextLook() says when a load can be done; the loop keeps the time of its round, and what must not happen after a sleep reads the clock by itself.

--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -687,7 +687,7 @@
     Time next = now + (d->demand.wants().empty() ? d->limits.lookUnasked : d->limits.lookWanted);
     for (const auto &[id, engine] : d->engines) {
         for (const auto &[adapter, copy] : engine.copies) {
-            if (engine.planned.isOwn && !copy.isAsked) {
+            if (engine.planned.isOwn && !copy.isAsked && copy.state != CopyState::Ready) {
                 next = std::min(next, copy.askAt);
             }
         }
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -54,6 +54,7 @@
     /** The rows that this node announced, for repeating. */
     std::map<UpstreamId, EngineRow> ownRows;
     const Time startedAt;
+    Time moment;
     Time rowsToldAt;
     bool isLeaving = false;
     bool areWantsDue = false;
@@ -98,9 +99,15 @@
         return std::any_of(leases.begin(), leases.end(), [this](const OrderLease &lease) { return lease.isHolder(now()); });
     }
 
+    /** As of the message or the timer at hand. */
     Time now() const
     {
-        return loop.clock().now();
+        return std::max(moment, loop.now());
+    }
+    // A promise that was dated before a sleep would end sooner than its holder believes, so each datagram and timer reads the clock.
+    void readClock()
+    {
+        moment = loop.clock().now();
     }
     FleetMessage base() const;
     FleetMessage withLoad() const;
@@ -241,6 +248,7 @@
 
 void FleetLink::Private::tellWants()
 {
+    readClock();
     areWantsDue = false;
     FleetMessage message = base();
     message.uses = callbacks.wants();
@@ -364,6 +372,7 @@
 
 void FleetLink::Private::onDatagram(std::string_view bytes)
 {
+    readClock();
     const auto message = decodeFleetMessage(bytes);
     if (!message.isOk()) {
         log.write(Important, "fleet", "bad_datagram", { { "reason", message.error().detail } });
@@ -462,6 +471,7 @@
 
 void FleetLink::Private::tick()
 {
+    readClock();
     for (auto at = peers.begin(); at != peers.end();) {
         const bool isOld = now() - at->second.heardAt > PeerMemory;
         if (isOld) {
@@ -506,6 +516,7 @@
 
 void FleetLink::leave()
 {
+    d->readClock();
     d->isLeaving = true;
     for (std::size_t shard = 0; shard < d->leases.size(); ++shard) {
         if (d->leases[shard].isHolder(d->now())) {
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/enginecalls.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ApricotStep
@@ -17,6 +18,11 @@
 constexpr Duration CallTimeout { 1000 };
 constexpr Duration MaxConnectionIdle = Duration::seconds(10);
 constexpr Duration AcknowledgeTimeout { 700 };
+// Wants, answers and rows that come within this are decided upon together. Each round weighs all wants against all engines; a round for
+// each datagram takes a holder half of its processor time, and its callers' answers wait meanwhile.
+constexpr Duration DecidePause { 8 };
+// Who gives orders is asked again this often; the answer counts all nodes' votes, and a lease lasts much longer.
+constexpr Duration OrderedInterval { 50 };
 // What is believed of the weight store is logged this often by those who order, so that a wait for an adapter can be explained afterwards.
 constexpr Duration StoreLogInterval = Duration::seconds(5);
 constexpr int OkStatus = 200;
@@ -57,8 +63,12 @@
     std::unique_ptr<AdapterPlan> plan;
     FencingToken fence;
     bool isDecisionDue = false;
+    Time decidedAt;
     Time storeLoggedAt;
     TimerId timer = 0;
+    /** Which shards have somebody who gives orders, as of @a orderedAt. */
+    std::vector<bool> orderedShards;
+    Time orderedAt;
 
     Private(IoLoop &loop, EventLog &log, EntryMetrics &metrics, Beliefs &beliefs, FleetLink &fleet, EngineShard shard, NodeId self,
         std::function<std::vector<AdapterUse>()> ownUses)
@@ -75,7 +85,7 @@
 
     Time now() const
     {
-        return loop.clock().now();
+        return loop.now();
     }
     void tick();
     void decide();
@@ -83,7 +93,7 @@
     bool followLease();
     void logStore();
     PlanTurn turn() const;
-    std::vector<bool> ordered() const;
+    void updateOrdered();
     std::vector<PlannedEngine> engines() const;
     void carryOut(const PlanAction &action, std::vector<EngineRow> &rows);
     void give(const EngineOrder &order);
@@ -125,19 +135,20 @@
     return true;
 }
 
-// Which shards have somebody who gives orders now; asked once a round, since the answer counts all nodes' votes.
-std::vector<bool> OrderRunner::Private::ordered() const
+void OrderRunner::Private::updateOrdered()
 {
-    std::vector<bool> result;
+    if (!orderedShards.empty() && now() - orderedAt < OrderedInterval) {
+        return;
+    }
+    orderedAt = now();
+    orderedShards.clear();
     for (std::uint64_t other = 0; other < fleet.shards().count(); ++other) {
-        result.push_back(EngineShard(other) == shard || fleet.lease(EngineShard(other)).ordersIn(now()) == Duration(0));
+        orderedShards.push_back(EngineShard(other) == shard || fleet.lease(EngineShard(other)).ordersIn(now()) == Duration(0));
     }
-    return result;
 }
 
 std::vector<PlannedEngine> OrderRunner::Private::engines() const
 {
-    const std::vector<bool> orderedShards = ordered();
     std::vector<PlannedEngine> result;
     if (beliefs.routes == nullptr) {
         return result;
@@ -166,7 +177,7 @@
         return;
     }
     isDecisionDue = true;
-    loop.after(Duration(0), [weak = weak_from_this()] {
+    loop.after(std::max(decidedAt + DecidePause - now(), Duration(0)), [weak = weak_from_this()] {
         if (const auto self = weak.lock(); self != nullptr && self->isDecisionDue) {
             self->tick();
         }
@@ -189,7 +200,6 @@
 PlanTurn OrderRunner::Private::turn() const
 {
     PlanTurn result { 0, 0 };
-    const std::vector<bool> orderedShards = ordered();
     for (std::uint64_t other = 0; other < orderedShards.size(); ++other) {
         if (!fleet.areWeighedTogether(EngineShard(other), shard)) {
             continue;
@@ -208,6 +218,8 @@
     if (!followLease()) {
         return;
     }
+    decidedAt = now();
+    updateOrdered();
     plan->setEngines(engines(), beliefs.rows, now());
     plan->setTurn(turn());
     for (const auto &[adapter, known] : beliefs.versions) {
@@ -258,10 +270,10 @@
     call.method = "POST";
     call.headers = Platform::orderHeaders(order);
     call.body = Platform::orderBody(order, Platform::OrderAuthority { self, under });
-    // A node that slept or was cut off between the decision and this moment may hold the lease no more.
+    // A node that slept or was cut off between the decision and this moment may hold the lease no more; the loop's own time is from before.
     call.maySend = [weak = weak_from_this(), under] {
         const auto self = weak.lock();
-        return self != nullptr && self->fleet.lease(self->shard).mayOrder(self->now()) == under;
+        return self != nullptr && self->fleet.lease(self->shard).mayOrder(self->loop.clock().now()) == under;
     };
     call.onDone = [weak = weak_from_this(), order, under, askedAt = now()](const CallResult &result) {
         if (const auto self = weak.lock()) {
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -101,7 +101,7 @@
 
 RetryBudget &RequestForwarder::Private::budget(const ServiceName &service)
 {
-    const Time now = m_loop.clock().now();
+    const Time now = m_loop.now();
     const RetryBudgetLimits limits = budgetLimits();
     const auto [at, isNew] = budgets.emplace(service, RetryBudget(limits, now));
     if (!isNew) {
@@ -112,17 +112,17 @@
 
 bool RequestForwarder::Private::takeRetry(const ServiceName &service)
 {
-    return budget(service).take(m_loop.clock().now());
+    return budget(service).take(m_loop.now());
 }
 
 void RequestForwarder::Private::noteFirstArrival(const ServiceName &service)
 {
-    budget(service).onSuccess(m_loop.clock().now());
+    budget(service).onSuccess(m_loop.now());
 }
 
 void RequestForwarder::Private::noteCrowded(const AdapterRef &adapter)
 {
-    crowded[adapter] = m_loop.clock().now();
+    crowded[adapter] = m_loop.now();
 }
 
 void RequestForwarder::Private::onEnded(std::uint64_t job)
@@ -215,7 +215,7 @@
             at->count += use->count;
         }
     }
-    const Time now = d->m_loop.clock().now();
+    const Time now = d->m_loop.now();
     std::erase_if(d->crowded, [now](const auto &entry) { return now - entry.second > CrowdedMemory; });
     for (const auto &[adapter, since] : d->crowded) {
         result.push_back(AdapterUse { adapter.model, adapter.adapter, UpstreamId(), 0, true });
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -69,7 +69,7 @@
     , m_table(std::move(table))
     , m_route(route)
     , m_exchange(std::move(exchange))
-    , m_arrivedAt(context.loop().clock().now())
+    , m_arrivedAt(context.loop().now())
 {
     const Duration wanted = m_decoded.deadline.value_or(m_route.timeout);
     m_deadline = m_arrivedAt + std::min(wanted, m_route.timeout);
@@ -78,7 +78,7 @@
 
 Time RequestJob::now() const
 {
-    return m_context.loop().clock().now();
+    return m_context.loop().now();
 }
 
 Duration RequestJob::timeLeft() const
@@ -347,7 +347,8 @@
 bool RequestJob::maySend() const
 {
     const UpstreamRecord *record = m_context.beliefs().upstreams.usable(m_upstream.id);
-    return m_phase == Phase::Sent && timeLeft() >= LeastUsefulTime && record != nullptr && record->startedAt == m_upstream.startedAt;
+    const Duration left = m_deadline - m_context.loop().clock().now();
+    return m_phase == Phase::Sent && left >= LeastUsefulTime && record != nullptr && record->startedAt == m_upstream.startedAt;
 }
 
 bool RequestJob::acceptsHead(int status, const HttpHeaders &headers)
--- a/transport/ioloop.cpp
+++ b/transport/ioloop.cpp
@@ -30,6 +30,7 @@
 struct IoLoop::Private
 {
     const Clock &clock;
+    Time now = clock.now();
     HttpClient client { HttpClient::Mode::Driven };
     std::vector<HttpServer *> servers;
     std::vector<Socket> sockets;
@@ -40,17 +41,21 @@
     TimerId lastTimer = 0;
     std::atomic<bool> isStopping { false };
 
+    explicit Private(const Clock &clock)
+        : clock(clock)
+    {
+    }
+
     Duration untilNextTimer() const
     {
         if (timers.empty()) {
             return LongestWait;
         }
-        return std::clamp(timers.begin()->first.first - clock.now(), Duration(0), LongestWait);
+        return std::clamp(timers.begin()->first.first - now, Duration(0), LongestWait);
     }
 
     void callDueTimers()
     {
-        const Time now = clock.now();
         while (!timers.empty() && timers.begin()->first.first <= now) {
             const auto function = std::move(timers.begin()->second);
             moments.erase(timers.begin()->first.second);
@@ -76,7 +81,7 @@
 
     void receiveDatagrams()
     {
-        datagramsReadAt = clock.now();
+        datagramsReadAt = now;
         for (const Socket &entry : sockets) {
             entry.socket->receive(entry.handler);
         }
@@ -84,7 +89,7 @@
 };
 
 IoLoop::IoLoop(const Clock &clock)
-    : d(new Private { clock })
+    : d(std::make_unique<Private>(clock))
 {
 }
 
@@ -110,10 +115,15 @@
     d->sockets.push_back(Socket { socket, std::move(handler) });
 }
 
+Time IoLoop::now() const
+{
+    return d->now;
+}
+
 TimerId IoLoop::after(Duration wait, std::function<void()> function)
 {
     const TimerId id = ++d->lastTimer;
-    const Time at = d->clock.now() + wait;
+    const Time at = d->now + wait;
     d->timers.emplace(std::pair(at, id), std::move(function));
     d->moments.emplace(id, at);
     return id;
@@ -136,7 +146,7 @@
         for (const HttpServer *server : d->servers) {
             descriptors.push_back(server->pollDescriptor());
         }
-        const Duration pause = d->datagramsReadAt + DatagramPause - d->clock.now();
+        const Duration pause = d->datagramsReadAt + DatagramPause - d->now;
         const bool areDatagramsDue = pause <= Duration(0);
         if (areDatagramsDue) {
             for (const Socket &entry : d->sockets) {
@@ -146,6 +156,7 @@
         Duration wait = d->haveServersWork() ? Duration(0) : d->untilNextTimer();
         wait = areDatagramsDue || d->sockets.empty() ? wait : std::min(wait, pause);
         const std::vector<bool> areReady = d->client.step(descriptors, wait);
+        d->now = d->clock.now();
         d->stepServers(areReady);
         if (std::find(areReady.begin() + static_cast<std::ptrdiff_t>(d->servers.size()), areReady.end(), true) != areReady.end()) {
             d->receiveDatagrams();
--- a/transport/ioloop.h
+++ b/transport/ioloop.h
@@ -29,11 +29,16 @@
 
     HttpClient &client();
     const Clock &clock() const;
+    /**
+     * When the present round of work began: at most some milliseconds ago, unless the process slept since. Reading the clock anew for each
+     * decision costs more than many of them. What must not be done after a sleep asks clock() right before.
+     */
+    Time now() const;
     /** Serves @p server, which must be driven and must outlive run(). */
     void add(HttpServer *server);
     /** Reads @p socket, which must outlive run(). */
     void add(UdpSocket *socket, UdpSocket::Handler handler);
-    /** Calls @p function once, no sooner than @p wait from now. */
+    /** Calls @p function once, no sooner than @p wait from now(). */
     TimerId after(Duration wait, std::function<void()> function);
     /** Nothing happens when it was called or cancelled already. */
     void cancel(TimerId id);
