Tell loads at hand from fetches after a restart of the nodes

Cause: after all nodes were killed the first loads that a new one saw were at hand at their engines. Plans also told rows before their first report, so that all nodes took engines for empty that were not. Change: an engine that was not empty when it was first seen may have anything at hand, so a load there is asked about early; times that fall into two sorts correct a shortest time that was of the wrong one; rows are told once the engine has reported.

--- a/coordination/adapterloads.cpp
+++ b/coordination/adapterloads.cpp
@@ -25,6 +25,8 @@
 constexpr double Earlier = 0.995;
 constexpr double LaterStep = 0.25;
 constexpr int LoadsAtStart = 32;
+// Questions come no sooner than this part of the shortest time, however often loads were done at the first one: some were at hand.
+constexpr double EarliestPart = 0.9;
 // A later question comes after this part of the usual time, but not sooner than the answer to the last one can be acted upon.
 constexpr double AgainPart = 0.125;
 constexpr Duration LeastAgain { 6 };
@@ -77,6 +79,7 @@
         }
         engine = Engine {};
         engine.startedAt = row.startedAt;
+        engine.isKnownFromStart = std::none_of(row.copies.begin(), row.copies.end(), [](const AdapterCopy &copy) { return copy.isReady; });
     }
     std::vector<std::uint64_t> ready;
     for (const AdapterCopy &copy : row.copies) {
@@ -152,39 +155,66 @@
     }
 }
 
-// A node that has just started may see loads at hand first, and take their time for that of a fetch. Every real one then seems slowed down,
-// and the window shrinks to nothing; but so few under way cannot have slowed it down so much.
-bool AdapterLoads::isOfOtherSort(double tookMs)
+void AdapterLoads::noteSeen(double tookMs)
 {
-    const double explained = std::max(1.0, m_fetches / std::max(m_borneUnslowed, 1.0)) * m_limits.slowedDown * m_limits.unexplained;
-    // One alone may be of a node that slept.
-    m_unexplained = tookMs > m_shortestMs * explained ? m_unexplained + 1 : 0;
-    return m_unexplained > 1;
+    if (m_seen.size() < SeenKept) {
+        m_seen.push_back(tookMs);
+        return;
+    }
+    m_seen[m_nextSeen] = tookMs;
+    m_nextSeen = (m_nextSeen + 1) % SeenKept;
 }
 
-void AdapterLoads::onOwnLoad(Duration took, int unfinished, bool wasThoughtAtHand, Time now)
+// Engines that have run for longer than this node hold adapters at hand that it does not know of. It may see those first and take their
+// time for that of a fetch; every real fetch then seems slowed down, and the window shrinks to nothing. So where the times fall into two
+// sorts, the longer one is that of the fetches. A time that is too long does less harm: it only lets more fetches share the store.
+void AdapterLoads::correctShortest()
 {
-    const auto tookMs = std::max(static_cast<double>(took.milliseconds()), 1.0);
-    const bool isStart = m_ownFetches < LoadsAtStart;
-    const double atHandBelow = wasThoughtAtHand ? m_limits.atHandBelow : m_limits.surelyAtHandBelow;
-    if (m_shortestMs > 0 && tookMs < m_shortestMs * atHandBelow) {
-        follow(m_usualAtHandMs, tookMs, unfinished == 0, isStart);
-        return;
+    std::vector<double> sorted = m_seen;
+    std::sort(sorted.begin(), sorted.end());
+    // One long time alone may be of a node that slept.
+    for (std::size_t i = 1; i + 1 < sorted.size(); ++i) {
+        if (sorted[i] >= sorted[i - 1] * m_limits.gapBetweenSorts && m_shortestMs < sorted[i] / m_limits.gapBetweenSorts) {
+            m_shortestMs = sorted[i];
+            m_usualFetchMs = sorted[i];
+            m_usualAtHandMs = 0;
+            m_window = std::max(m_window, m_limits.firstWindow);
+            m_hasSlowedDown = false;
+            return;
+        }
     }
-    if (m_shortestMs == 0 || isOfOtherSort(tookMs)) {
-        m_shortestMs = tookMs;
-        m_usualFetchMs = tookMs;
-        m_usualAtHandMs = 0;
-        m_borneUnslowed = 0;
+    if (sorted.size() == SeenKept && sorted.back() < m_shortestMs * m_limits.atHandBelow) {
+        m_shortestMs = sorted.front();
+        m_usualFetchMs = sorted.back();
     }
-    if (wasThoughtAtHand) {
-        return; // Slow nodes see loads at hand late; they must not pass for fast fetches.
+}
+
+void AdapterLoads::onOwnLoad(const OwnLoad &load, Time now)
+{
+    const auto tookMs = std::max(static_cast<double>(load.took.milliseconds()), 1.0);
+    const auto at = m_engines.find(load.engine);
+    const bool isStart = m_ownFetches < LoadsAtStart;
+    // Done at the first question, it may have been done for long: at hand, if the engine can have it there.
+    const bool isBracketed = load.unfinished > 0 || (at != m_engines.end() && at->second.isKnownFromStart && !load.wasThoughtAtHand);
+    if (isBracketed) {
+        noteSeen(tookMs);
+        correctShortest();
+    }
+    const int earlyQuestions = load.wasThoughtAtHand ? EarlyQuestions : 0;
+    const double atHandBelow = load.wasThoughtAtHand ? m_limits.atHandBelow : m_limits.surelyAtHandBelow;
+    const bool wasAtHand = m_shortestMs > 0 ? tookMs < m_shortestMs * atHandBelow : load.unfinished < earlyQuestions;
+    if (wasAtHand) {
+        follow(m_usualAtHandMs, tookMs, load.unfinished == 0, isStart);
+        return;
     }
     ++m_ownFetches;
-    m_shortestMs *= 1 + m_limits.shortestForgotten * std::max((now - m_shortestAt).toSeconds(), 0.0);
-    m_shortestMs = std::min(m_shortestMs, tookMs);
-    m_shortestAt = now;
-    follow(m_usualFetchMs, tookMs, unfinished == 0, isStart);
+    if (isBracketed) {
+        m_shortestMs *= 1 + m_limits.shortestForgotten * std::max((now - m_shortestAt).toSeconds(), 0.0);
+        m_shortestMs = m_shortestMs == 0 ? tookMs : std::min(m_shortestMs, tookMs);
+        m_shortestAt = now;
+    }
+    follow(m_usualFetchMs, tookMs, load.unfinished <= earlyQuestions, isStart);
+    m_usualFetchMs = std::max(m_usualFetchMs, m_shortestMs * EarliestPart);
 }
 
 void AdapterLoads::adopt(const StoreView &view, Time now)
@@ -198,6 +228,8 @@
     m_usualAtHandMs = static_cast<double>(std::max(view.usualAtHand, Duration(0)).milliseconds());
     m_window = std::clamp(view.fetchesAtOnce, m_limits.leastWindow, MostFetches);
     m_hasSlowedDown = view.hasSlowedDown;
+    // The other may have been misled; its time stands beside the ones that this node sees.
+    noteSeen(m_shortestMs);
 }
 
 std::optional<StoreView> AdapterLoads::view() const
@@ -221,7 +253,6 @@
 void AdapterLoads::moveWindow(double fetches, double stretch)
 {
     if (stretch < m_limits.slowedDown) {
-        m_borneUnslowed = std::max(m_borneUnslowed, fetches);
         // Fewer under way than are allowed show nothing of what the store bears.
         if (fetches * 2 >= m_window) {
             m_window += m_hasSlowedDown ? m_limits.windowGrowth : 1;
@@ -256,17 +287,18 @@
         return FirstGuess;
     }
     const double atHandMs = m_usualAtHandMs > 0 ? m_usualAtHandMs : m_usualFetchMs * AtHandPart;
-    return Duration(static_cast<std::int64_t>(isAtHand ? std::min(atHandMs, m_usualFetchMs * m_limits.atHandBelow / EarlyQuestions) : m_usualFetchMs));
+    return Duration(
+        static_cast<std::int64_t>(isAtHand ? std::min(atHandMs, m_usualFetchMs * m_limits.atHandBelow / EarlyQuestions) : m_usualFetchMs));
 }
 
 Duration AdapterLoads::nextQuestion(Duration elapsed, int unfinished, bool isAtHand) const
 {
     const auto elapsedMs = static_cast<double>(elapsed.milliseconds());
     double again = m_usualFetchMs * AgainPart;
-    if (m_usualFetchMs == 0) {
-        again = elapsedMs * (GuessGrowth - 1);
-    } else if (isAtHand && unfinished < EarlyQuestions) {
+    if (isAtHand && unfinished < EarlyQuestions) {
         again = elapsedMs;
+    } else if (m_usualFetchMs == 0) {
+        again = elapsedMs * (GuessGrowth - 1);
     } else if (elapsedMs < m_usualFetchMs) {
         again = m_usualFetchMs - elapsedMs;
     }
@@ -277,7 +309,7 @@
 {
     const auto at = m_engines.find(id);
     if (at == m_engines.end()) {
-        return 0;
+        return 0; // Nobody has told of it yet.
     }
     const std::uint32_t age = ageOf(at->second, stableHash(adapter.model.value(), adapter.adapter.value()));
     return age == 0 ? 0 : chance(age);
@@ -291,7 +323,10 @@
 std::uint32_t AdapterLoads::ageOf(const Engine &engine, std::uint64_t adapter)
 {
     const auto at = engine.droppedAs.find(adapter);
-    return at == engine.droppedAs.end() ? 0 : engine.drops - at->second + 1;
+    if (at != engine.droppedAs.end()) {
+        return std::min(engine.drops - at->second + 1, UnknownAge - 1);
+    }
+    return engine.isKnownFromStart ? 0 : UnknownAge;
 }
 
 } // namespace ApricotStep
--- a/coordination/adapterloads.h
+++ b/coordination/adapterloads.h
@@ -37,12 +37,13 @@
     double windowStep = 0.125;
     /** By how many fetches the window grows with each that was not slowed down, once one was. */
     double windowGrowth = 0.25;
-    /** Loads at hand are ten times as fast as fetches; one thought to be at hand was, if it took less than this part of the shortest fetch. */
+    /** Loads at hand are ten times as fast as fetches; one thought to be at hand was, if it took less than this part of the shortest fetch.
+     */
     double atHandBelow = 0.6;
     /** The same for loads that nobody thought to be at hand, as those of engines that have run for longer than this node. */
     double surelyAtHandBelow = 0.35;
-    /** A fetch that takes so many times what the others under way explain shows that the shortest one was none. */
-    double unexplained = 2;
+    /** Between the times of loads at hand and of fetches lies a gap of this factor at least, and more than two fetches differ by. */
+    double gapBetweenSorts = 2.5;
     /** The shortest time is forgotten by this part a second: a store may become slower for good. */
     double shortestForgotten = 0.001;
     /** Times beyond this many of the shortest one are of lost datagrams or dead holders, and say nothing of the store. */
@@ -51,6 +52,17 @@
     Duration timeBeforeFirst { 250 };
 };
 
+/** A load that is done at an engine which this node orders. */
+struct OwnLoad
+{
+    UpstreamId engine;
+    /** From the order to the answer that it is done. */
+    Duration took;
+    /** How often the engine had said that it is not. */
+    int unfinished = 0;
+    bool wasThoughtAtHand = false;
+};
+
 /** Observes how long loads of adapters take, how many the weight store bears, and what engines keep at hand. Not thread-safe. */
 class AdapterLoads
 {
@@ -59,11 +71,8 @@
 
     /** @p row is news; rows of one engine come in their order. */
     void onRow(const EngineRow &row, Time now);
-    /**
-     * A load that this node ordered is done, @p took after the order; its engine had said @p unfinished times that it was not. Rows of other
-     * holders may be lost and then tell a time that is far off, so only these set the times.
-     */
-    void onOwnLoad(Duration took, int unfinished, bool wasThoughtAtHand, Time now);
+    /** Rows of other holders may be lost and then tell a time that is far off, so only loads that this node ordered set the times. */
+    void onOwnLoad(const OwnLoad &load, Time now);
     /** What another node has seen; taken only while this one has seen nothing itself. */
     void adopt(const StoreView &view, Time now);
     /** For the others; empty while no fetch has been seen. */
@@ -91,13 +100,15 @@
         Time begunAt;
         FencingToken fence;
         double fetchesAtBegin = 0;
-        /** Adapters dropped by the engine since it last held this one; 0 when it is not known to have held it. */
+        /** Adapters dropped by the engine since it last held this one; 0 when it never did. */
         std::uint32_t age = 0;
         bool isThoughtAtHand = false;
     };
     struct Engine
     {
         std::int64_t startedAt = 0;
+        /** It was empty when it was first seen; else it may have at hand what this node never saw there. */
+        bool isKnownFromStart = false;
         std::vector<std::uint64_t> ready;
         std::vector<Load> loads;
         /** The number of the drop after which each adapter was no longer held. */
@@ -108,13 +119,17 @@
     void begin(Engine &engine, std::uint64_t adapter, FencingToken fence, Time now);
     void end(const Load &load, FencingToken fence, Time now);
     static void drop(Engine &engine, std::uint64_t adapter);
-    bool isOfOtherSort(double tookMs);
+    void noteSeen(double tookMs);
+    void correctShortest();
     void moveWindow(double fetches, double stretch);
     double chance(std::uint32_t age) const;
     static std::uint32_t ageOf(const Engine &engine, std::uint64_t adapter);
 
+    static constexpr std::size_t SeenKept = 32;
     /** One for each doubling of the age. */
     static constexpr std::size_t Ages = 12;
+    /** The age of adapters that an engine may have held before this node saw it; in a class of its own. */
+    static constexpr std::uint32_t UnknownAge = 1U << (Ages - 2);
 
     AdapterLoadsLimits m_limits;
     absl::flat_hash_map<UpstreamId, Engine> m_engines;
@@ -123,10 +138,9 @@
     /** 0 before any fetch was seen. */
     double m_shortestMs = 0;
     int m_ownFetches = 0;
-    /** The most fetches under way beside which one was not slowed down. */
-    double m_borneUnslowed = 0;
-    /** Fetches in a row that took longer than the others under way explain. */
-    int m_unexplained = 0;
+    /** Times of the last loads that this node ordered, ms; those whose time is known to be no shorter. */
+    std::vector<double> m_seen;
+    std::size_t m_nextSeen = 0;
     Time m_shortestAt;
     /** After this time most fetches and most loads at hand are done, ms; 0 while none has been seen. */
     double m_usualFetchMs = 0;
--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -222,14 +222,17 @@
 // Empty when the engine cannot take it now.
 std::optional<double> AdapterPlan::Private::costOfPlace(Engine &engine, const AdapterRef &adapter, Time now) const
 {
-    const bool isBarred = isOut(engine, now) || !engine.isReported || !engine.planned.isOrdered || engine.planned.spec == nullptr || engine.copies.contains(adapter);
+    const bool isBarred = isOut(engine, now) || !engine.isReported || !engine.planned.isOrdered || engine.planned.spec == nullptr
+        || engine.copies.contains(adapter);
     if (isBarred || !holdsModel(engine, adapter.model) || loadsUnderWay(engine) >= limits.loadsAtOnceOfEngine) {
         return std::nullopt;
     }
-    double cost = waitAt(engine) / std::max(engine.planned.share, 0.1) - loads.chanceAtHand(engine.id, adapter) * inFetches(limits.atHandGain);
+    double cost =
+        waitAt(engine) / std::max(engine.planned.share, 0.1) - loads.chanceAtHand(engine.id, adapter) * inFetches(limits.atHandGain);
     if (static_cast<int>(engine.copies.size()) < engine.planned.spec->adapterSlots) {
         // Free places are filled evenly: an engine with few copies gets few requests.
-        return cost + inFetches(limits.evictionCost) * static_cast<double>(engine.copies.size()) / std::max(engine.planned.spec->adapterSlots, 1);
+        return cost
+            + inFetches(limits.evictionCost) * static_cast<double>(engine.copies.size()) / std::max(engine.planned.spec->adapterSlots, 1);
     }
     const auto &least = firstToYield(engine, now);
     if (!least) {
@@ -425,7 +428,9 @@
 void AdapterPlan::Private::announce(std::vector<PlanAction> &actions)
 {
     for (auto &[id, engine] : engines) {
-        if (!engine.planned.isOwn || !engine.isChanged || engine.planned.spec == nullptr) {
+        // Before its report the plan knows of a part at most. Told as the whole, it would make all nodes forget the other copies, and after
+        // a restart of the whole fleet callers would wait for adapters that stand where the engines' own entries say.
+        if (!engine.planned.isOwn || !engine.isChanged || engine.planned.spec == nullptr || !engine.isReported) {
             continue;
         }
         engine.isChanged = false;
@@ -511,8 +516,8 @@
             const auto known = former.find(adapter);
             const Time since = known != former.end() ? known->second.since : now;
             const bool isThoughtAtHand = known != former.end() ? known->second.isAtHand : isAtHand(engine, adapter);
-            engine.copies[adapter]
-                = Copy { copy.version, copy.isReady ? CopyState::Ready : CopyState::Loading, since, now, now, false, isThoughtAtHand };
+            engine.copies[adapter] =
+                Copy { copy.version, copy.isReady ? CopyState::Ready : CopyState::Loading, since, now, now, false, isThoughtAtHand };
         }
     }
 }
@@ -587,7 +592,7 @@
     switch (answer) {
     case OrderAnswer::Done:
         if (copy.orderedAt && copy.state == CopyState::Loading) {
-            d->loads.onOwnLoad(now - *copy.orderedAt, copy.unfinished, copy.isAtHand, now);
+            d->loads.onOwnLoad(OwnLoad { order.engine, now - *copy.orderedAt, copy.unfinished, copy.isAtHand }, now);
         }
         copy.orderedAt.reset();
         copy.state = CopyState::Ready;
--- a/tests/coordination/testadapterloads.cpp
+++ b/tests/coordination/testadapterloads.cpp
@@ -91,9 +91,7 @@
 // fetch; taken for fetches, they would make each real one look slowed down, and the nodes would order two at once from then on.
 Test(adapterloads, restartedNodesAreNotMisledByLoadsAtHand)
 {
-    StoreFigures figures = WideStore;
-    figures.lateness = Duration(35);
-    WeightStoreBench bench(figures);
+    WeightStoreBench bench(WideStore);
     bench.runLoad(Duration::seconds(15), 150, 600, 1.0);
     bench.restartNodes();
     bench.runLoad(Duration::seconds(3), 150, 600, 1.0);
@@ -103,6 +101,27 @@
     cr_assert_leq(bench.waitAt(0.9, settled), 600);
 }
 
+// The same again and again, on nodes that are slow to see that a load is done: none may go on with the time of a load at hand for a
+// fetch's.
+Test(adapterloads, noRestartLeavesAWrongTimeBehind)
+{
+    StoreFigures figures = WideStore;
+    figures.lateness = Duration(35);
+    WeightStoreBench bench(figures);
+    bench.runLoad(Duration::seconds(15), 150, 600, 1.0);
+    for (int restart = 0; restart < 5; ++restart) {
+        bench.restartNodes();
+        bench.runLoad(Duration::seconds(2), 150, 600, 1.0);
+        const Time settled = bench.now();
+        bench.runLoad(Duration::seconds(4), 150, 3000, 1.0);
+        for (std::size_t node = 0; node < static_cast<std::size_t>(figures.plans); ++node) {
+            const auto shortest = static_cast<long long>(bench.loads(node).shortestFetch().milliseconds());
+            cr_assert_geq(shortest, 200, "node %zu takes %lld ms for a fetch", node, shortest);
+        }
+        cr_assert_leq(bench.waitAt(0.9, settled), 600);
+    }
+}
+
 // Nodes are restarted in turn while the others fetch as much as the store bears. A new one that knows nothing of the store finds more under
 // way than it would dare to order, and its engines get nothing for as long as the others are busy.
 Test(adapterloads, aNodeThatJoinsABusyFleetOrdersAtOnce)
--- a/tests/coordination/testadapterplan.cpp
+++ b/tests/coordination/testadapterplan.cpp
@@ -365,8 +365,8 @@
     cr_assert(bench.holds(1 - first, "a"));
 }
 
-// A node that lost a row still wants an adapter that stands in its place, and the plan asks the engine whether it does. Were the copy told as
-// missing meanwhile, all other nodes would hold their requests for it back, again and again while the one node asks.
+// A node that lost a row still wants an adapter that stands in its place, and the plan asks the engine whether it does. Were the copy told
+// as missing meanwhile, all other nodes would hold their requests for it back, again and again while the one node asks.
 Test(adapterplan, aCopyThatIsAskedAboutStaysInUse)
 {
     PlanBench bench(1);
@@ -378,8 +378,8 @@
     }
 }
 
-// A zone is lost: an engine crashes together with the node that orders it, and the store lists the engine for some seconds more. If its copies
-// passed for usable, callers would wait for them until their patience ends although eight engines could load the adapters.
+// A zone is lost: an engine crashes together with the node that orders it, and the store lists the engine for some seconds more. If its
+// copies passed for usable, callers would wait for them until their patience ends although eight engines could load the adapters.
 Test(adapterplan, copiesAtAnUnreachableEngineAreReplacedByOtherPlans)
 {
     WeightStoreBench bench(StoreFigures { 8, Duration(250), 48, 9, 8, 3 });
