Load first what brings callers in time

Change: wants tell how many requests wait and how long the freshest can still be in time; what brings a request in time goes first, then what more wait for (WantOrder).

--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -1,6 +1,7 @@
 #include "coordination/adapterplan.h"
 
 #include "coordination/fleetdemand.h"
+#include "coordination/wantorder.h"
 #include "core/hash.h"
 
 #include <algorithm>
@@ -270,8 +271,8 @@
     return loads.chanceAtHand(engine.id, adapter) > 0.5;
 }
 
-// The engine where all plans would rather have the adapter, now and after a restart of every node. Without it nobody knows then which engine has
-// what at hand, and each adapter is fetched again to another place.
+// The engine where all plans would rather have the adapter, now and after a restart of every node. Without it nobody knows then which
+// engine has what at hand, and each adapter is fetched again to another place.
 const UpstreamId *AdapterPlan::Private::homeOf(const AdapterRef &adapter, Time now) const
 {
     const std::uint64_t adapterHash = stableHash(adapter.model.value(), adapter.adapter.value());
@@ -348,7 +349,9 @@
 
 void AdapterPlan::Private::serveWants(Time now, std::vector<PlanAction> &actions)
 {
-    for (const AdapterWant &want : demand.wants()) {
+    std::vector<AdapterWant> wants = demand.wants();
+    orderWants(wants, {}, loads.firstQuestion(false), now);
+    for (const AdapterWant &want : wants) {
         bool isBeingSeenTo = false;
         bool isReady = false;
         for (const auto &[id, engine] : engines) {
--- a/coordination/fleetdemand.cpp
+++ b/coordination/fleetdemand.cpp
@@ -74,7 +74,7 @@
         wantedSince.emplace(want.adapter, want.since);
     }
     m_used.clear();
-    absl::flat_hash_map<AdapterRef, bool> wanted;
+    absl::flat_hash_map<AdapterRef, AdapterWant> wanted;
     for (const auto &[node, known] : m_nodes) {
         for (const AdapterUse &use : known.uses) {
             AdapterRef adapter { use.model, use.adapter };
@@ -83,14 +83,20 @@
                 continue;
             }
             // One node that finds no copy at all outweighs others that find the copies crowded.
-            const auto [at, isNew] = wanted.emplace(std::move(adapter), use.isCrowded);
-            at->second = at->second && use.isCrowded;
+            const auto [at, isNew] = wanted.try_emplace(adapter, AdapterWant { adapter, use.isCrowded, now, 0, Time() });
+            AdapterWant &want = at->second;
+            want.isCrowded = want.isCrowded && use.isCrowded;
+            want.waiting += use.waiting;
+            if (use.waiting > 0) {
+                want.inTimeUntil = std::max(want.inTimeUntil, known.heardAt + use.inTimeFor);
+            }
         }
     }
     m_wants.clear();
-    for (const auto &[adapter, isCrowded] : wanted) {
+    for (auto &[adapter, want] : wanted) {
         const auto since = wantedSince.find(adapter);
-        m_wants.push_back(AdapterWant { adapter, isCrowded, since != wantedSince.end() ? since->second : now });
+        want.since = since != wantedSince.end() ? since->second : now;
+        m_wants.push_back(std::move(want));
     }
     std::sort(m_wants.begin(), m_wants.end(), [](const AdapterWant &a, const AdapterWant &b) {
         return std::tie(a.isCrowded, a.since, a.adapter) < std::tie(b.isCrowded, b.since, b.adapter);
--- a/coordination/fleetdemand.h
+++ b/coordination/fleetdemand.h
@@ -22,6 +22,9 @@
     bool isCrowded = false;
     /** Since when it is wanted without a break. */
     Time since;
+    /** Requests that wait for it, and until when the freshest can begin within its latency objective. */
+    std::uint32_t waiting = 0;
+    Time inTimeUntil;
 };
 
 /**
--- /dev/null
+++ b/coordination/fleetmessage.cpp
@@ -0,0 +1,22 @@
+#include "coordination/fleetmessage.h"
+
+#include <algorithm>
+
+namespace ApricotStep
+{
+
+void addUse(std::vector<AdapterUse> &uses, const AdapterUse &use)
+{
+    const auto at = std::find_if(uses.begin(), uses.end(), [&use](const AdapterUse &other) {
+        return other.adapter == use.adapter && other.engine == use.engine && other.model == use.model && other.isCrowded == use.isCrowded;
+    });
+    if (at == uses.end()) {
+        uses.push_back(use);
+        return;
+    }
+    at->count += use.count;
+    at->inTimeFor = at->waiting == 0 ? use.inTimeFor : std::max(at->inTimeFor, use.inTimeFor);
+    at->waiting += use.waiting;
+}
+
+} // namespace ApricotStep
--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -34,10 +34,16 @@
     std::uint32_t count = 0;
     /** The copies that there are would make requests wait too long. */
     bool isCrowded = false;
+    /** Requests that wait for it, and how long the freshest of them can still wait and begin within its latency objective. */
+    std::uint32_t waiting = 0;
+    Duration inTimeFor;
 
     bool operator==(const AdapterUse &) const = default;
 };
 
+/** Adds @p use to @p uses, or to what they hold of the same adapter at the same engine. */
+void addUse(std::vector<AdapterUse> &uses, const AdapterUse &use);
+
 /** Where one copy of an adapter stands. */
 struct AdapterCopy
 {
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -201,18 +201,8 @@
 {
     std::vector<AdapterUse> result;
     for (const auto &[number, job] : d->jobs) {
-        const auto use = job->use();
-        if (!use) {
-            continue;
-        }
-        const auto isSame = [&use](const AdapterUse &other) {
-            return other.model == use->model && other.adapter == use->adapter && other.engine == use->engine;
-        };
-        const auto at = std::find_if(result.begin(), result.end(), isSame);
-        if (at == result.end()) {
-            result.push_back(*use);
-        } else {
-            at->count += use->count;
+        if (const auto use = job->use()) {
+            addUse(result, *use);
         }
     }
     const Time now = d->m_loop.now();
@@ -227,9 +217,8 @@
 {
     std::vector<AdapterUse> result;
     for (const auto &[number, job] : d->jobs) {
-        const auto want = job->want();
-        if (want && std::find(result.begin(), result.end(), *want) == result.end()) {
-            result.push_back(*want);
+        if (const auto want = job->want()) {
+            addUse(result, *want);
         }
     }
     return result;
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -146,9 +146,9 @@
     if (!needsAdapter() || m_phase == Phase::Ended) {
         return std::nullopt;
     }
-    const bool isPlaced = m_phase != Phase::Waiting;
-    const std::uint32_t count = std::exchange(m_isCounted, true) ? 0 : 1;
-    return AdapterUse { adapter().model, adapter().adapter, isPlaced ? m_upstream.id : UpstreamId(), count, false };
+    AdapterUse use = m_phase == Phase::Waiting ? waitingUse() : AdapterUse { adapter().model, adapter().adapter, m_upstream.id };
+    use.count = std::exchange(m_isCounted, true) ? 0 : 1;
+    return use;
 }
 
 std::optional<AdapterUse> RequestJob::want() const
@@ -156,7 +156,15 @@
     if (!needsAdapter() || m_phase != Phase::Waiting) {
         return std::nullopt;
     }
-    return AdapterUse { adapter().model, adapter().adapter, UpstreamId(), 0, false };
+    return waitingUse();
+}
+
+AdapterUse RequestJob::waitingUse() const
+{
+    AdapterUse use { adapter().model, adapter().adapter };
+    use.waiting = 1;
+    use.inTimeFor = m_arrivedAt + m_route.latencyObjective - now();
+    return use;
 }
 
 bool RequestJob::mayUse(const UpstreamRecord &record)
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -77,6 +77,7 @@
     void tryNext();
     void wait();
     std::vector<UpstreamOption> options();
+    AdapterUse waitingUse() const;
     bool mayUse(const UpstreamRecord &record);
     bool canStillServe() const;
     std::optional<Duration> hopelessFor() const;
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -15,6 +15,8 @@
     engine @2 :Text;
     count @3 :UInt32;
     isCrowded @4 :Bool;
+    waiting @5 :UInt32;
+    inTimeForMs @6 :Int32;
 }
 
 struct AdapterCopyWire {
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -55,7 +55,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b06d71140d497e05, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b06d71140d497e05, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -290,6 +290,10 @@
 
   inline bool getIsCrowded() const;
 
+  inline  ::uint32_t getWaiting() const;
+
+  inline  ::int32_t getInTimeForMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -345,6 +349,12 @@
   inline bool getIsCrowded();
   inline void setIsCrowded(bool value);
 
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
+
+  inline  ::int32_t getInTimeForMs();
+  inline void setInTimeForMs( ::int32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1415,6 +1425,34 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t AdapterUseWire::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AdapterUseWire::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AdapterUseWire::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t AdapterUseWire::Reader::getInTimeForMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t AdapterUseWire::Builder::getInTimeForMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AdapterUseWire::Builder::setInTimeForMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool AdapterCopyWire::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -125,6 +125,8 @@
         uses[i].setEngine(message.uses[i].engine.value());
         uses[i].setCount(message.uses[i].count);
         uses[i].setIsCrowded(message.uses[i].isCrowded);
+        uses[i].setWaiting(message.uses[i].waiting);
+        uses[i].setInTimeForMs(static_cast<std::int32_t>(message.uses[i].inTimeFor.milliseconds()));
     }
     auto rows = wire.initRows(static_cast<unsigned int>(message.rows.size()));
     for (unsigned int i = 0; i < rows.size(); ++i) {
@@ -145,7 +147,7 @@
     }
     for (const auto use : wire.getUses()) {
         message.uses.push_back(AdapterUse { BaseModelId(textOf(use.getModel())), AdapterId(textOf(use.getAdapter())),
-            UpstreamId(textOf(use.getEngine())), use.getCount(), use.getIsCrowded() });
+            UpstreamId(textOf(use.getEngine())), use.getCount(), use.getIsCrowded(), use.getWaiting(), Duration(use.getInTimeForMs()) });
     }
     for (const auto row : wire.getRows()) {
         message.rows.push_back(decodeRow(row));
--- a/tests/coordination/testadapterloads.cpp
+++ b/tests/coordination/testadapterloads.cpp
@@ -101,8 +101,8 @@
     cr_assert_leq(bench.waitAt(0.9, settled), 600);
 }
 
-// All nodes are restarted while the engines go on with a thousand adapters at hand. No new node knows which engine has which; if each adapter
-// were sent to any engine, nearly all would be fetched from the store again, and callers would wait in line for it for ten seconds.
+// All nodes are restarted while the engines go on with a thousand adapters at hand. No new node knows which engine has which; if each
+// adapter were sent to any engine, nearly all would be fetched from the store again, and callers would wait in line for it for ten seconds.
 Test(adapterloads, restartedNodesFindWhatIsAtHand)
 {
     WeightStoreBench bench(WideStore);
--- a/tests/coordination/testupstreamtrouble.cpp
+++ b/tests/coordination/testupstreamtrouble.cpp
@@ -116,8 +116,8 @@
     cr_assert(outliers.isReachable(Sick, Time(1400)));
 }
 
-// Engines come and go all day under new ids. If those that are gone stayed among the ejected, a third of all would soon be, and the next one
-// that fails would go on getting requests.
+// Engines come and go all day under new ids. If those that are gone stayed among the ejected, a third of all would soon be, and the next
+// one that fails would go on getting requests.
 Test(outliers, thoseThatAreGoneDoNotCountAsEjected)
 {
     Outliers outliers({});
--- /dev/null
+++ b/tests/coordination/testwantorder.cpp
@@ -0,0 +1,59 @@
+#include "coordination/wantorder.h"
+#include "tests/coordination/weightstorebench.h"
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+constexpr Time Now { 10'000 };
+constexpr Duration Load { 250 };
+
+AdapterWant want(const std::string &name, Duration age, std::uint32_t waiting, Duration inTimeFor)
+{
+    return AdapterWant { AdapterRef { BaseModelId("m"), AdapterId(name) }, false, Now - age, waiting, Now + inTimeFor };
+}
+
+std::string order(std::vector<AdapterWant> wants)
+{
+    orderWants(wants, {}, Load, Now);
+    std::string names;
+    for (const AdapterWant &sorted : wants) {
+        names += sorted.adapter.adapter.value();
+    }
+    return names;
+}
+
+} // namespace
+
+// Two callers ask for rare adapters; one of them has waited so long that his answer is late whatever happens. Loaded in the order of their
+// asking, both are late.
+Test(wantorder, whoCanStillBeInTimeGoesFirst)
+{
+    cr_assert_str_eq(order({ want("a", Duration(600), 1, Duration(-100)), want("b", Duration(20), 1, Duration(480)) }).c_str(), "ba");
+}
+
+// Twenty callers wait for one adapter and one for another. Were the one's loaded first, twenty would wait longer for his sake.
+Test(wantorder, whatMoreWaitForGoesFirst)
+{
+    cr_assert_str_eq(order({ want("a", Duration(90), 1, Duration(410)), want("b", Duration(20), 20, Duration(480)) }).c_str(), "ba");
+    cr_assert_str_eq(order({ want("a", Duration(90), 1, Duration(410)), want("b", Duration(2000), 20, Duration(-100)) }).c_str(), "ba");
+}
+
+Test(wantorder, amongEqualsTheOldestGoesFirst)
+{
+    cr_assert_str_eq(order({ want("a", Duration(10), 1, Duration(490)), want("b", Duration(90), 1, Duration(410)) }).c_str(), "ba");
+    cr_assert_str_eq(order({ want("a", Duration(700), 1, Duration(-200)), want("b", Duration(900), 1, Duration(-400)) }).c_str(), "ba");
+}
+
+// A fleet starts with nothing loaded under twice the load that its store bears. First come, first served makes nearly every caller who has
+// to wait late by a little; the store could serve half of all in time and the rest late.
+Test(wantorder, aColdStartServesHalfOfTheCallersInTime)
+{
+    WeightStoreBench bench(StoreFigures { 24, Duration(250), 108, 12, 18, 4 });
+    bench.runLoad(Duration::seconds(6), 320, 3000, 0.9);
+    cr_assert_geq(bench.shareInTime(), 0.5, "%.2f of the callers are served in time", bench.shareInTime());
+    cr_assert_eq(bench.crashes(), 0);
+}
--- a/tests/coordination/weightstorebench.h
+++ b/tests/coordination/weightstorebench.h
@@ -3,12 +3,14 @@
 #include "coordination/adapterplan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ApricotStep
@@ -135,7 +137,14 @@
         const auto sorted = waits(since);
         return sorted.empty() ? 0 : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
     }
-    /** Requests per fetch of the store, since the start. */
+    /** The part of the requests that arrived since @p since and began within their objective. */
+    double shareInTime(Time since = Time()) const
+    {
+        const auto sorted = waits(since);
+        const auto late = std::upper_bound(sorted.begin(), sorted.end(), Objective.milliseconds());
+        return static_cast<double>(late - sorted.begin()) / static_cast<double>(std::max<std::size_t>(sorted.size(), 1));
+    }
+    /** Fetches ordered from the store, since the start. */
     int fetches() const
     {
         return m_fetches;
@@ -163,6 +172,8 @@
 
 private:
     static constexpr Duration Step { 5 };
+    /** The latency objective of all requests. */
+    static constexpr Duration Objective { 500 };
 
     struct Request
     {
@@ -258,14 +269,18 @@
         std::vector<AdapterUse> result;
         for (Request &request : m_requests) {
             const bool isRunning = request.isPlaced && m_now < request.placedAt + request.work;
-            if (!request.isPlaced || isRunning || !request.isCounted) {
-                const UpstreamId engine = isRunning ? m_records[static_cast<std::size_t>(request.engine)].id : UpstreamId();
-                if (isRunning || !request.isPlaced) {
-                    result.push_back(
-                        AdapterUse { BaseModelId("m"), AdapterId(request.adapter), engine, request.isCounted ? 0U : 1U, false });
-                }
-                request.isCounted = true;
+            if (request.isPlaced && !isRunning) {
+                continue;
+            }
+            AdapterUse use { BaseModelId("m"), AdapterId(request.adapter) };
+            use.count = std::exchange(request.isCounted, true) ? 0 : 1;
+            if (isRunning) {
+                use.engine = m_records[static_cast<std::size_t>(request.engine)].id;
+            } else {
+                use.waiting = 1;
+                use.inTimeFor = request.arrivedAt + Objective - m_now;
             }
+            addUse(result, use);
         }
         return result;
     }
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -33,7 +33,7 @@
     message.releases = { EngineShard(3) };
     message.contacts = { "10.0.0.2:81" };
     message.loads = { UpstreamLoad { UpstreamId("u"), 2, 300 } };
-    message.uses = { AdapterUse { BaseModelId("m"), AdapterId("a"), UpstreamId("u"), 4, true } };
+    message.uses = { AdapterUse { BaseModelId("m"), AdapterId("a"), UpstreamId("u"), 4, true, 3, Duration(-70) } };
     message.rows = { EngineRow {
         UpstreamId("u"), 12, FencingToken(5), 6, { AdapterCopy { BaseModelId("m"), AdapterId("a"), AdapterVersion("1"), true } } } };
     message.store = StoreView { 24.5, Duration(250), Duration(260), Duration(26), true };
