Group the copies of a row by what they share

Cause: a row named its one model and version once for each of some twenty copies; rows were a third of the bytes between zones and most of what a node decodes. Three times of entry nodes assumed a fetch of 250 ms. Change: rows carry lists of names; datagrams are cut by copies, not by rows; those times are told in fetches, whose time is observed.

--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -29,8 +29,8 @@
 constexpr Duration WantsDelay { 3 };
 // A peer silent for so long is forgotten.
 constexpr Duration PeerMemory = Duration::seconds(60);
-// Rows in one datagram: eight copies of about 20 bytes each stay below the size that no link cuts.
-constexpr std::size_t RowsInDatagram = 6;
+// Rows in one datagram, by their copies of about a dozen bytes each: they stay below the size that no link cuts.
+constexpr std::size_t CopiesInDatagram = 60;
 constexpr EventLog::Weight Important = EventLog::Weight::Important;
 
 } // namespace
@@ -328,10 +328,12 @@
         }
     }
     for (const auto &[zone, ofZone] : byZone) {
-        for (std::size_t first = 0; first < ofZone.size(); first += RowsInDatagram) {
+        for (std::size_t next = 0; next < ofZone.size();) {
             FleetMessage message = base();
-            const std::size_t last = std::min(first + RowsInDatagram, ofZone.size());
-            message.rows.assign(ofZone.begin() + static_cast<std::ptrdiff_t>(first), ofZone.begin() + static_cast<std::ptrdiff_t>(last));
+            for (std::size_t copies = 0; next < ofZone.size() && copies < CopiesInDatagram; ++next) {
+                copies += ofZone[next].copies.size();
+                message.rows.push_back(ofZone[next]);
+            }
             const std::string bytes = encodeFleetMessage(message);
             for (const auto &[id, peer] : peers) {
                 if (usesEnginesOf(peer, zone)) {
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -34,15 +34,14 @@
 constexpr int PatienceOfPause = 8;
 // Below this a request could not be answered any more.
 constexpr Duration LeastUsefulTime { 5 };
-// When a caller that was refused may come back: a load of an adapter and a place in a queue later.
+// When a caller that was refused may come back: a place in a queue later.
 constexpr Duration RetryAfterRefusal { 300 };
-// A prompt that waits longer than this before it is read misses its objective with the next one that comes. A load takes a quarter second,
-// so shorter waits have ended before a copy helps.
-constexpr Duration CrowdedWait { 450 };
+// A prompt that waits for longer than so many fetches before it is read asks for a further copy; shorter waits have ended before one helps.
+constexpr double CrowdedWait = 1.8;
 // At another node at once: this one is cut off.
 constexpr Duration RetryElsewhere { 50 };
-// From the order for an adapter to the first event: its load, a wait behind others' loads, and the reading of a long prompt.
-constexpr Duration LoadAndAnswer { 700 };
+// From the order for an adapter to the first event, in fetches: its load, a wait behind others' loads, and the reading of a long prompt.
+constexpr double LoadAndAnswer = 2.8;
 constexpr int OkStatus = 200;
 constexpr int FirstErrorStatus = 300;
 // Statuses that promise that a request has not run; only this node's own knowledge may give such a promise.
@@ -225,7 +224,7 @@
     const UpstreamOption *chosen = m_decoded.generation ? chooseEngine(found, promptTokens(), figures, m_context.random())
                                                         : chooseService(found, figures, m_context.random());
     if (chosen != nullptr) {
-        if (needsAdapter() && expectedFirstToken(*chosen, 0, figures) > CrowdedWait) {
+        if (needsAdapter() && expectedFirstToken(*chosen, 0, figures) > fetches(CrowdedWait)) {
             m_context.noteCrowded(adapter());
         }
         send(*chosen->record);
@@ -242,6 +241,12 @@
     giveUp(m_outcome == Outcome::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed);
 }
 
+Duration RequestJob::fetches(double count) const
+{
+    const auto one = static_cast<double>(m_context.beliefs().adapterLoads.shortestFetch().milliseconds());
+    return Duration(static_cast<std::int64_t>(count * one));
+}
+
 // When waiting for an adapter cannot end in time: how long the caller had better stay away. Without this, requests at a node that is cut
 // off from those who order loads, or right after a restart of the whole fleet, are held until their callers leave, and nobody is told.
 std::optional<Duration> RequestJob::hopelessFor() const
@@ -250,7 +255,7 @@
     if (!ordersIn) {
         return RetryElsewhere;
     }
-    if (*ordersIn + LoadAndAnswer < patienceLeft()) {
+    if (*ordersIn + fetches(LoadAndAnswer) < patienceLeft()) {
         return std::nullopt;
     }
     return *ordersIn + RetryAfterRefusal;
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -78,6 +78,8 @@
     void wait();
     std::vector<UpstreamOption> options();
     AdapterUse waitingUse() const;
+    /** The time that so many fetches of an adapter take, as observed. */
+    Duration fetches(double count) const;
     bool mayUse(const UpstreamRecord &record);
     bool canStillServe() const;
     std::optional<Duration> hopelessFor() const;
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -19,11 +19,12 @@
     inTimeForMs @6 :Int32;
 }
 
-struct AdapterCopyWire {
+# Copies that share all but their names: a row of twenty would otherwise name its one model twenty times.
+struct AdapterCopiesWire {
     model @0 :Text;
-    adapter @1 :Text;
-    version @2 :Text;
-    isReady @3 :Bool;
+    version @1 :Text;
+    isReady @2 :Bool;
+    adapters @3 :List(Text);
 }
 
 struct EngineRowWire {
@@ -31,7 +32,7 @@
     startedAt @1 :Int64;
     fence @2 :UInt64;
     sequence @3 :UInt64;
-    copies @4 :List(AdapterCopyWire);
+    copies @4 :List(AdapterCopiesWire);
 }
 
 struct LeaseClaimWire {
--- a/protocol/fleet.capnp.c++
+++ b/protocol/fleet.capnp.c++
@@ -217,14 +217,14 @@
   0, 7, i_b06d71140d497e05, nullptr, nullptr, { &s_b06d71140d497e05, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<78> b_da9a83320b9cd929 = {
+static const ::capnp::_::AlignedData<83> b_bc2f7d86ae51f061 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-     41, 217, 156,  11,  50, 131, 154, 218,
+     97, 240,  81, 174, 134, 125,  47, 188,
      12,   0,   0,   0,   1,   0,   1,   0,
       8, 245,  99, 126, 178, 201, 164, 209,
       3,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 226,   0,   0,   0,
+     21,   0,   0,   0, 242,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      29,   0,   0,   0, 231,   0,   0,   0,
@@ -232,8 +232,8 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     102, 108, 101, 101, 116,  46,  99,  97,
     112, 110, 112,  58,  65, 100,  97, 112,
-    116, 101, 114,  67, 111, 112, 121,  87,
-    105, 114, 101,   0,   0,   0,   0,   0,
+    116, 101, 114,  67, 111, 112, 105, 101,
+    115,  87, 105, 114, 101,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
      16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -250,20 +250,20 @@
       0,   0,   0,   0,   0,   0,   0,   0,
      96,   0,   0,   0,   3,   0,   1,   0,
     108,   0,   0,   0,   2,   0,   1,   0,
-      2,   0,   0,   0,   2,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     105,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     100,   0,   0,   0,   3,   0,   1,   0,
     112,   0,   0,   0,   2,   0,   1,   0,
-      3,   0,   0,   0,   0,   0,   0,   0,
+      3,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,  66,   0,   0,   0,
+    109,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    104,   0,   0,   0,   3,   0,   1,   0,
-    116,   0,   0,   0,   2,   0,   1,   0,
+    108,   0,   0,   0,   3,   0,   1,   0,
+    136,   0,   0,   0,   2,   0,   1,   0,
     109, 111, 100, 101, 108,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -272,7 +272,7 @@
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97, 100,  97, 112, 116, 101, 114,   0,
+    118, 101, 114, 115, 105, 111, 110,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -280,30 +280,35 @@
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    118, 101, 114, 115, 105, 111, 110,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
+    105, 115,  82, 101,  97, 100, 121,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105, 115,  82, 101,  97, 100, 121,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
+     97, 100,  97, 112, 116, 101, 114, 115,
       0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_da9a83320b9cd929 = b_da9a83320b9cd929.words;
+::capnp::word const* const bp_bc2f7d86ae51f061 = b_bc2f7d86ae51f061.words;
 #if !CAPNP_LITE
-static const uint16_t m_da9a83320b9cd929[] = {1, 3, 0, 2};
-static const uint16_t i_da9a83320b9cd929[] = {0, 1, 2, 3};
-const ::capnp::_::RawSchema s_da9a83320b9cd929 = {
-  0xda9a83320b9cd929, b_da9a83320b9cd929.words, 78, nullptr, m_da9a83320b9cd929,
-  0, 4, i_da9a83320b9cd929, nullptr, nullptr, { &s_da9a83320b9cd929, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_bc2f7d86ae51f061[] = {3, 2, 0, 1};
+static const uint16_t i_bc2f7d86ae51f061[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_bc2f7d86ae51f061 = {
+  0xbc2f7d86ae51f061, b_bc2f7d86ae51f061.words, 83, nullptr, m_bc2f7d86ae51f061,
+  0, 4, i_bc2f7d86ae51f061, nullptr, nullptr, { &s_bc2f7d86ae51f061, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<99> b_8bd9f9497f51c4cf = {
@@ -400,7 +405,7 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-     41, 217, 156,  11,  50, 131, 154, 218,
+     97, 240,  81, 174, 134, 125,  47, 188,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
@@ -410,7 +415,7 @@
 ::capnp::word const* const bp_8bd9f9497f51c4cf = b_8bd9f9497f51c4cf.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_8bd9f9497f51c4cf[] = {
-  &s_da9a83320b9cd929,
+  &s_bc2f7d86ae51f061,
 };
 static const uint16_t m_8bd9f9497f51c4cf[] = {4, 0, 2, 3, 1};
 static const uint16_t i_8bd9f9497f51c4cf[] = {0, 1, 2, 3, 4};
@@ -1267,12 +1272,12 @@
 constexpr ::capnp::_::RawSchema const* AdapterUseWire::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// AdapterCopyWire
-constexpr uint16_t AdapterCopyWire::_capnpPrivate::dataWordSize;
-constexpr uint16_t AdapterCopyWire::_capnpPrivate::pointerCount;
+// AdapterCopiesWire
+constexpr uint16_t AdapterCopiesWire::_capnpPrivate::dataWordSize;
+constexpr uint16_t AdapterCopiesWire::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind AdapterCopyWire::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* AdapterCopyWire::_capnpPrivate::schema;
+constexpr ::capnp::Kind AdapterCopiesWire::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* AdapterCopiesWire::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // EngineRowWire
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -18,7 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(8b8acfa856a7ea07);
 CAPNP_DECLARE_SCHEMA(b06d71140d497e05);
-CAPNP_DECLARE_SCHEMA(da9a83320b9cd929);
+CAPNP_DECLARE_SCHEMA(bc2f7d86ae51f061);
 CAPNP_DECLARE_SCHEMA(8bd9f9497f51c4cf);
 CAPNP_DECLARE_SCHEMA(b6a926f8f5b8ffdb);
 CAPNP_DECLARE_SCHEMA(a8b9f4dba4f44306);
@@ -62,15 +62,15 @@
   };
 };
 
-struct AdapterCopyWire {
-  AdapterCopyWire() = delete;
+struct AdapterCopiesWire {
+  AdapterCopiesWire() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da9a83320b9cd929, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(bc2f7d86ae51f061, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -381,9 +381,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AdapterCopyWire::Reader {
+class AdapterCopiesWire::Reader {
 public:
-  typedef AdapterCopyWire Reads;
+  typedef AdapterCopiesWire Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -401,14 +401,14 @@
   inline bool hasModel() const;
   inline  ::capnp::Text::Reader getModel() const;
 
-  inline bool hasAdapter() const;
-  inline  ::capnp::Text::Reader getAdapter() const;
-
   inline bool hasVersion() const;
   inline  ::capnp::Text::Reader getVersion() const;
 
   inline bool getIsReady() const;
 
+  inline bool hasAdapters() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAdapters() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -421,9 +421,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AdapterCopyWire::Builder {
+class AdapterCopiesWire::Builder {
 public:
-  typedef AdapterCopyWire Builds;
+  typedef AdapterCopiesWire Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -444,13 +444,6 @@
   inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownModel();
 
-  inline bool hasAdapter();
-  inline  ::capnp::Text::Builder getAdapter();
-  inline void setAdapter( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAdapter(unsigned int size);
-  inline void adoptAdapter(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAdapter();
-
   inline bool hasVersion();
   inline  ::capnp::Text::Builder getVersion();
   inline void setVersion( ::capnp::Text::Reader value);
@@ -461,6 +454,14 @@
   inline bool getIsReady();
   inline void setIsReady(bool value);
 
+  inline bool hasAdapters();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAdapters();
+  inline void setAdapters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setAdapters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAdapters(unsigned int size);
+  inline void adoptAdapters(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAdapters();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -471,9 +472,9 @@
 };
 
 #if !CAPNP_LITE
-class AdapterCopyWire::Pipeline {
+class AdapterCopiesWire::Pipeline {
 public:
-  typedef AdapterCopyWire Pipelines;
+  typedef AdapterCopiesWire Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -514,7 +515,7 @@
   inline  ::uint64_t getSequence() const;
 
   inline bool hasCopies() const;
-  inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>::Reader getCopies() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>::Reader getCopies() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -561,11 +562,11 @@
   inline void setSequence( ::uint64_t value);
 
   inline bool hasCopies();
-  inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>::Builder getCopies();
-  inline void setCopies( ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>::Builder initCopies(unsigned int size);
-  inline void adoptCopies(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>> disownCopies();
+  inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>::Builder getCopies();
+  inline void setCopies( ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>::Builder initCopies(unsigned int size);
+  inline void adoptCopies(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>> disownCopies();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1453,122 +1454,126 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AdapterCopyWire::Reader::hasModel() const {
+inline bool AdapterCopiesWire::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AdapterCopyWire::Builder::hasModel() {
+inline bool AdapterCopiesWire::Builder::hasModel() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AdapterCopyWire::Reader::getModel() const {
+inline  ::capnp::Text::Reader AdapterCopiesWire::Reader::getModel() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AdapterCopyWire::Builder::getModel() {
+inline  ::capnp::Text::Builder AdapterCopiesWire::Builder::getModel() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AdapterCopyWire::Builder::setModel( ::capnp::Text::Reader value) {
+inline void AdapterCopiesWire::Builder::setModel( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AdapterCopyWire::Builder::initModel(unsigned int size) {
+inline  ::capnp::Text::Builder AdapterCopiesWire::Builder::initModel(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AdapterCopyWire::Builder::adoptModel(
+inline void AdapterCopiesWire::Builder::adoptModel(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AdapterCopyWire::Builder::disownModel() {
+inline ::capnp::Orphan< ::capnp::Text> AdapterCopiesWire::Builder::disownModel() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AdapterCopyWire::Reader::hasAdapter() const {
+inline bool AdapterCopiesWire::Reader::hasVersion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AdapterCopyWire::Builder::hasAdapter() {
+inline bool AdapterCopiesWire::Builder::hasVersion() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AdapterCopyWire::Reader::getAdapter() const {
+inline  ::capnp::Text::Reader AdapterCopiesWire::Reader::getVersion() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AdapterCopyWire::Builder::getAdapter() {
+inline  ::capnp::Text::Builder AdapterCopiesWire::Builder::getVersion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AdapterCopyWire::Builder::setAdapter( ::capnp::Text::Reader value) {
+inline void AdapterCopiesWire::Builder::setVersion( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AdapterCopyWire::Builder::initAdapter(unsigned int size) {
+inline  ::capnp::Text::Builder AdapterCopiesWire::Builder::initVersion(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AdapterCopyWire::Builder::adoptAdapter(
+inline void AdapterCopiesWire::Builder::adoptVersion(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AdapterCopyWire::Builder::disownAdapter() {
+inline ::capnp::Orphan< ::capnp::Text> AdapterCopiesWire::Builder::disownVersion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AdapterCopyWire::Reader::hasVersion() const {
+inline bool AdapterCopiesWire::Reader::getIsReady() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool AdapterCopiesWire::Builder::getIsReady() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AdapterCopiesWire::Builder::setIsReady(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AdapterCopiesWire::Reader::hasAdapters() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool AdapterCopyWire::Builder::hasVersion() {
+inline bool AdapterCopiesWire::Builder::hasAdapters() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AdapterCopyWire::Reader::getVersion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader AdapterCopiesWire::Reader::getAdapters() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AdapterCopyWire::Builder::getVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AdapterCopiesWire::Builder::getAdapters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void AdapterCopyWire::Builder::setVersion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void AdapterCopiesWire::Builder::setAdapters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AdapterCopyWire::Builder::initVersion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void AdapterCopiesWire::Builder::setAdapters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AdapterCopiesWire::Builder::initAdapters(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void AdapterCopyWire::Builder::adoptVersion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void AdapterCopiesWire::Builder::adoptAdapters(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AdapterCopyWire::Builder::disownVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> AdapterCopiesWire::Builder::disownAdapters() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool AdapterCopyWire::Reader::getIsReady() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool AdapterCopyWire::Builder::getIsReady() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AdapterCopyWire::Builder::setIsReady(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool EngineRowWire::Reader::hasEngine() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1653,29 +1658,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>::Reader EngineRowWire::Reader::getCopies() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>::Reader EngineRowWire::Reader::getCopies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>::Builder EngineRowWire::Builder::getCopies() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>::Builder EngineRowWire::Builder::getCopies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EngineRowWire::Builder::setCopies( ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void EngineRowWire::Builder::setCopies( ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>::Builder EngineRowWire::Builder::initCopies(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>::Builder EngineRowWire::Builder::initCopies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void EngineRowWire::Builder::adoptCopies(
-    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>> EngineRowWire::Builder::disownCopies() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopyWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>> EngineRowWire::Builder::disownCopies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AdapterCopiesWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -7,6 +7,9 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <map>
+#include <tuple>
+#include <vector>
 
 namespace ApricotStep
 {
@@ -24,18 +27,29 @@
     return std::string(text.cStr(), text.size());
 }
 
+using CopyGroup = std::tuple<BaseModelId, AdapterVersion, bool>;
+
 void encodeRow(const EngineRow &row, Wire::EngineRowWire::Builder wire)
 {
     wire.setEngine(row.engine.value());
     wire.setStartedAt(row.startedAt);
     wire.setFence(row.fence.value());
     wire.setSequence(row.sequence);
-    auto copies = wire.initCopies(static_cast<unsigned int>(row.copies.size()));
-    for (unsigned int i = 0; i < copies.size(); ++i) {
-        copies[i].setModel(row.copies[i].model.value());
-        copies[i].setAdapter(row.copies[i].adapter.value());
-        copies[i].setVersion(row.copies[i].version.value());
-        copies[i].setIsReady(row.copies[i].isReady);
+    std::map<CopyGroup, std::vector<const AdapterCopy *>> groups;
+    for (const AdapterCopy &copy : row.copies) {
+        groups[CopyGroup { copy.model, copy.version, copy.isReady }].push_back(&copy);
+    }
+    auto copies = wire.initCopies(static_cast<unsigned int>(groups.size()));
+    unsigned int index = 0;
+    for (const auto &[group, members] : groups) {
+        auto groupWire = copies[index++];
+        groupWire.setModel(std::get<BaseModelId>(group).value());
+        groupWire.setVersion(std::get<AdapterVersion>(group).value());
+        groupWire.setIsReady(std::get<bool>(group));
+        auto adapters = groupWire.initAdapters(static_cast<unsigned int>(members.size()));
+        for (unsigned int i = 0; i < adapters.size(); ++i) {
+            adapters.set(i, members[i]->adapter.value());
+        }
     }
 }
 
@@ -46,9 +60,12 @@
     row.startedAt = wire.getStartedAt();
     row.fence = FencingToken(wire.getFence());
     row.sequence = wire.getSequence();
-    for (const auto copy : wire.getCopies()) {
-        row.copies.push_back(AdapterCopy { BaseModelId(textOf(copy.getModel())), AdapterId(textOf(copy.getAdapter())),
-            AdapterVersion(textOf(copy.getVersion())), copy.getIsReady() });
+    for (const auto group : wire.getCopies()) {
+        const BaseModelId model(textOf(group.getModel()));
+        const AdapterVersion version(textOf(group.getVersion()));
+        for (const auto adapter : group.getAdapters()) {
+            row.copies.push_back(AdapterCopy { model, AdapterId(textOf(adapter)), version, group.getIsReady() });
+        }
     }
     return row;
 }
--- a/transport/udpsocket.cpp
+++ b/transport/udpsocket.cpp
@@ -67,7 +67,7 @@
 
 void UdpSocket::Private::readAll(const Handler &to) const
 {
-    std::array<char, MaxDatagramBytes> buffer {};
+    std::array<char, MaxDatagramBytes> buffer; // Not zeroed: it is larger than most datagrams by far.
     for (int i = 0; i < MaxReadsInARow; ++i) {
         sockaddr_in from {};
         socklen_t length = sizeof from;
