--- a/coordination/adapterloads.cpp
+++ b/coordination/adapterloads.cpp
@@ -32,6 +32,8 @@
 constexpr Duration LeastAgain { 6 };
 // More than any store is asked for at once; a forged message must not lift the window beyond it.
 constexpr double MostFetches = 10'000;
+// A load that is at hand with a greater chance is treated as one.
+constexpr double LikelyAtHand = 0.5;
 // Part by which one load moves the chance of its age.
 constexpr double ChanceStep = 0.15;
 // What is thought not to be at hand is asked about too late to tell; so the chance of its age rises by this much with each, until one is
@@ -40,9 +42,9 @@
 // A load at hand that is not done at the first question is asked about once more after as long again; then it counts as a fetch.
 constexpr int EarlyQuestions = 2;
 
-std::uint64_t keyOf(const AdapterCopy &copy)
+bool contains(const std::vector<std::uint64_t> &keys, std::uint64_t key)
 {
-    return stableHash(copy.model.value(), copy.adapter.value());
+    return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
 
 std::size_t ageClass(std::uint32_t age, std::size_t classes)
@@ -74,63 +76,71 @@
 {
     Engine &engine = m_engines[row.engine];
     if (engine.startedAt != row.startedAt) {
-        for (const Load &load : engine.loads) {
-            m_fetches -= load.isThoughtAtHand ? 0 : 1;
-        }
+        abandonLoads(engine);
         engine = Engine {};
         engine.startedAt = row.startedAt;
         engine.isKnownFromStart = std::none_of(row.copies.begin(), row.copies.end(), [](const AdapterCopy &copy) { return copy.isReady; });
     }
+    std::vector<std::uint64_t> listed;
     std::vector<std::uint64_t> ready;
     for (const AdapterCopy &copy : row.copies) {
-        const std::uint64_t key = keyOf(copy);
-        const auto load = std::find_if(engine.loads.begin(), engine.loads.end(), [key](const Load &at) { return at.adapter == key; });
-        const bool wasReady = std::find(engine.ready.begin(), engine.ready.end(), key) != engine.ready.end();
-        if (copy.isReady && load != engine.loads.end()) {
-            end(*load, row.fence, now);
-            engine.loads.erase(load);
-        } else if (!copy.isReady && load == engine.loads.end() && !wasReady) {
-            begin(engine, key, row.fence, now);
-        }
+        const std::uint64_t key = stableHash(copy.model.value(), copy.adapter.value());
+        listed.push_back(key);
+        const bool wasReady = contains(engine.ready, key);
+        noteCopy(engine, key, copy.isReady, wasReady, row.fence, now);
         // A copy that was in place and is asked about again has not left.
         if (copy.isReady || wasReady) {
             ready.push_back(key);
-            engine.droppedAs.erase(key);
         }
     }
-    const auto isListed = [&row](std::uint64_t key) {
-        return std::any_of(row.copies.begin(), row.copies.end(), [key](const AdapterCopy &copy) { return keyOf(copy) == key; });
-    };
     for (const std::uint64_t key : engine.ready) {
-        if (std::find(ready.begin(), ready.end(), key) == ready.end()) {
+        if (!contains(listed, key)) {
             drop(engine, key);
         }
     }
     // Loads that failed, or that the next holder found no trace of.
-    std::erase_if(engine.loads, [this, &isListed](const Load &load) {
-        const bool isOver = !isListed(load.adapter);
+    std::erase_if(engine.loads, [this, &listed](const Load &load) {
+        const bool isOver = !contains(listed, load.adapter);
         m_fetches -= isOver && !load.isThoughtAtHand ? 1 : 0;
         return isOver;
     });
     engine.ready = std::move(ready);
 }
 
-void AdapterLoads::forget(const UpstreamId &id)
+void AdapterLoads::noteCopy(Engine &engine, std::uint64_t adapter, bool isReady, bool wasReady, FencingToken fence, Time now)
 {
-    const auto at = m_engines.find(id);
-    if (at == m_engines.end()) {
-        return;
+    const auto load = std::find_if(engine.loads.begin(), engine.loads.end(), [adapter](const Load &at) { return at.adapter == adapter; });
+    if (isReady && load != engine.loads.end()) {
+        end(*load, fence, now);
+        engine.loads.erase(load);
+    } else if (!isReady && !wasReady && load == engine.loads.end()) {
+        begin(engine, adapter, fence, now);
+    }
+    if (isReady) {
+        engine.droppedAs.erase(adapter);
     }
-    for (const Load &load : at->second.loads) {
+}
+
+void AdapterLoads::abandonLoads(const Engine &engine)
+{
+    for (const Load &load : engine.loads) {
         m_fetches -= load.isThoughtAtHand ? 0 : 1;
     }
-    m_engines.erase(at);
+}
+
+void AdapterLoads::forget(const UpstreamId &id)
+{
+    const auto at = m_engines.find(id);
+    if (at != m_engines.end()) {
+        abandonLoads(at->second);
+        m_engines.erase(at);
+    }
 }
 
 void AdapterLoads::begin(Engine &engine, std::uint64_t adapter, FencingToken fence, Time now)
 {
     Load load { adapter, now, fence, 0, ageOf(engine, adapter), false };
-    load.isThoughtAtHand = load.age > 0 && chance(load.age) > 0.5;
+    load.isThoughtAtHand = load.age > 0 && chance(load.age) > LikelyAtHand;
     m_fetches += load.isThoughtAtHand ? 0 : 1;
     load.fetchesAtBegin = m_fetches;
     engine.loads.push_back(load);
@@ -286,9 +296,13 @@
     if (m_usualFetchMs == 0) {
         return FirstGuess;
     }
-    const double atHandMs = m_usualAtHandMs > 0 ? m_usualAtHandMs : m_usualFetchMs * AtHandPart;
-    return Duration(
-        static_cast<std::int64_t>(isAtHand ? std::min(atHandMs, m_usualFetchMs * m_limits.atHandBelow / EarlyQuestions) : m_usualFetchMs));
+    if (!isAtHand) {
+        return Duration(static_cast<std::int64_t>(m_usualFetchMs));
+    }
+    const double usualMs = m_usualAtHandMs > 0 ? m_usualAtHandMs : m_usualFetchMs * AtHandPart;
+    // The last early question must come before a load counts as a fetch.
+    const double latestMs = m_usualFetchMs * m_limits.atHandBelow / EarlyQuestions;
+    return Duration(static_cast<std::int64_t>(std::min(usualMs, latestMs)));
 }
 
 Duration AdapterLoads::nextQuestion(Duration elapsed, int unfinished, bool isAtHand) const
@@ -315,6 +329,11 @@
     return age == 0 ? 0 : chance(age);
 }
 
+bool AdapterLoads::isThoughtAtHand(const UpstreamId &engine, const AdapterRef &adapter) const
+{
+    return chanceAtHand(engine, adapter) > LikelyAtHand;
+}
+
 double AdapterLoads::chance(std::uint32_t age) const
 {
     return m_chances[ageClass(age, Ages)];
--- a/coordination/adapterloads.h
+++ b/coordination/adapterloads.h
@@ -86,12 +86,14 @@
     int fetchesUnderWay() const;
     /** What a fetch takes that is not slowed down by others. */
     Duration shortestFetch() const;
-    /** When to ask, that long after the order, whether a load is done. @p isAtHand: the engine is thought to have it at hand. */
+    /** How long after its order to ask whether a load is done. @p isAtHand: the engine is thought to have it at hand. */
     Duration firstQuestion(bool isAtHand) const;
-    /** When to ask again after the @p unfinished -th answer that it is not, @p elapsed after the order. */
+    /** How long after an answer that it is not to ask again: the @p unfinished -th, @p elapsed after the order. */
     Duration nextQuestion(Duration elapsed, int unfinished, bool isAtHand) const;
     /** How likely @p engine still has @p adapter, which it does not hold now, at hand: 0 to 1. */
     double chanceAtHand(const UpstreamId &engine, const AdapterRef &adapter) const;
+    /** Whether a load of @p adapter at @p engine is expected not to burden the store. */
+    bool isThoughtAtHand(const UpstreamId &engine, const AdapterRef &adapter) const;
 
 private:
     struct Load
@@ -116,6 +118,8 @@
         std::uint32_t drops = 0;
     };
 
+    void noteCopy(Engine &engine, std::uint64_t adapter, bool isReady, bool wasReady, FencingToken fence, Time now);
+    void abandonLoads(const Engine &engine);
     void begin(Engine &engine, std::uint64_t adapter, FencingToken fence, Time now);
     void end(const Load &load, FencingToken fence, Time now);
     static void drop(Engine &engine, std::uint64_t adapter);
@@ -137,11 +141,12 @@
     int m_fetches = 0;
     /** 0 before any fetch was seen. */
     double m_shortestMs = 0;
+    /** When it was last seen or forgotten a little. */
+    Time m_shortestAt;
     int m_ownFetches = 0;
     /** Times of the last loads that this node ordered, ms; those whose time is known to be no shorter. */
     std::vector<double> m_seen;
     std::size_t m_nextSeen = 0;
-    Time m_shortestAt;
     /** After this time most fetches and most loads at hand are done, ms; 0 while none has been seen. */
     double m_usualFetchMs = 0;
     double m_usualAtHandMs = 0;
--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -114,7 +114,6 @@
 
     std::optional<AdapterRef> victim(const Engine &engine, Time now) const;
     const std::optional<AdapterRef> &firstToYield(Engine &engine, Time now) const;
-    bool isAtHand(const Engine &engine, const AdapterRef &adapter) const;
     const UpstreamId *homeOf(const AdapterRef &adapter, Time now) const;
     std::optional<double> costOfPlace(Engine &engine, const AdapterRef &adapter, Time now) const;
     static bool isOut(const Engine &engine, Time now);
@@ -259,18 +258,13 @@
 {
     Copy &copy = engine.copies[adapter];
     copy = Copy { newestVersion(adapter), CopyState::Ordered, now, Time::never(), now, true };
-    copy.isAtHand = isAtHand(engine, adapter);
+    copy.isAtHand = loads.isThoughtAtHand(engine.id, adapter);
     copy.orderedAt = now;
     engine.isChanged = true;
     fetches += copy.isAtHand ? 0 : 1;
     actions.emplace_back(GiveOrder { loadOrder(id, adapter) });
 }
 
-bool AdapterPlan::Private::isAtHand(const Engine &engine, const AdapterRef &adapter) const
-{
-    return loads.chanceAtHand(engine.id, adapter) > 0.5;
-}
-
 // The engine where all plans would rather have the adapter, now and after a restart of every node. Without it nobody knows then which
 // engine has what at hand, and each adapter is fetched again to another place.
 const UpstreamId *AdapterPlan::Private::homeOf(const AdapterRef &adapter, Time now) const
@@ -304,7 +298,7 @@
         if (engine.copies.contains(adapter) && !isOut(engine, now)) {
             presentWait = std::min(presentWait, waitAt(engine));
         }
-        const bool isBarred = (isOnlyOwn && !engine.planned.isOwn) || (isStoreBusy && !isAtHand(engine, adapter));
+        const bool isBarred = (isOnlyOwn && !engine.planned.isOwn) || (isStoreBusy && !loads.isThoughtAtHand(engine.id, adapter));
         auto cost = isBarred ? std::nullopt : costOfPlace(engine, adapter, now);
         if (cost && home != nullptr && id == *home) {
             *cost -= inFetches(limits.homeGain);
@@ -544,7 +538,7 @@
             const AdapterRef adapter { copy.model, copy.adapter };
             const auto known = former.find(adapter);
             const Time since = known != former.end() ? known->second.since : now;
-            const bool isThoughtAtHand = known != former.end() ? known->second.isAtHand : isAtHand(engine, adapter);
+            const bool isThoughtAtHand = known != former.end() ? known->second.isAtHand : loads.isThoughtAtHand(engine.id, adapter);
             engine.copies[adapter] =
                 Copy { copy.version, copy.isReady ? CopyState::Ready : CopyState::Loading, since, now, now, false, isThoughtAtHand };
         }
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -60,8 +60,8 @@
     /** What a load of an adapter that the engine has at hand saves, in fetches: its own time, and a place in the line of all others. */
     double atHandGain = 2.8;
     /**
-     * What a load at the adapter's home is worth, in fetches: it may be at hand there without anybody knowing. Less than what is known to be
-     * at hand is worth, and enough to outweigh some requests ahead.
+     * What a load at the adapter's home is worth, in fetches: it may be at hand there without anybody knowing. Less than what is known to
+     * be at hand is worth, and enough to outweigh some requests ahead.
      */
     double homeGain = 0.6;
     /** What a second copy of an adapter must save of a first token's wait, in fetches. */
--- a/coordination/outliers.h
+++ b/coordination/outliers.h
@@ -31,8 +31,9 @@
     /** Share of all upstreams that may be ejected at once, 0 to 1; one of two or more always may. */
     double maxEjectedShare = 0.34;
     /**
-     * After a connection that could not be made, an upstream is left alone for this long. Requests that could only go there wait for another
-     * place meanwhile; without it they try again at each look, and a crashed engine gets thousands of connections while its callers wait.
+     * After a connection that could not be made, an upstream is left alone for this long. Requests that could only go there wait for
+     * another place meanwhile; without it they try again at each look, and a crashed engine gets thousands of connections while its callers
+     * wait.
      */
     Duration unreachableTime { 300 };
     /** Only an upstream whose recent share of failures exceeds the mean of the others by this is ejected. */
