Keep a test's text alive while it is compared

Cause: the order's text was compared through a pointer that outlived it; the run under sanitizers failed three tests of wantorder. Change: the text itself is compared. The checks are the same.

--- a/tests/coordination/testwantorder.cpp
+++ b/tests/coordination/testwantorder.cpp
@@ -32,20 +32,20 @@
 // asking, both are late.
 Test(wantorder, whoCanStillBeInTimeGoesFirst)
 {
-    cr_assert_str_eq(order({ want("a", Duration(600), 1, Duration(-100)), want("b", Duration(20), 1, Duration(480)) }).c_str(), "ba");
+    cr_assert(order({ want("a", Duration(600), 1, Duration(-100)), want("b", Duration(20), 1, Duration(480)) }) == "ba");
 }
 
 // Twenty callers wait for one adapter and one for another. Were the one's loaded first, twenty would wait longer for his sake.
 Test(wantorder, whatMoreWaitForGoesFirst)
 {
-    cr_assert_str_eq(order({ want("a", Duration(90), 1, Duration(410)), want("b", Duration(20), 20, Duration(480)) }).c_str(), "ba");
-    cr_assert_str_eq(order({ want("a", Duration(90), 1, Duration(410)), want("b", Duration(2000), 20, Duration(-100)) }).c_str(), "ba");
+    cr_assert(order({ want("a", Duration(90), 1, Duration(410)), want("b", Duration(20), 20, Duration(480)) }) == "ba");
+    cr_assert(order({ want("a", Duration(90), 1, Duration(410)), want("b", Duration(2000), 20, Duration(-100)) }) == "ba");
 }
 
 Test(wantorder, amongEqualsTheOldestGoesFirst)
 {
-    cr_assert_str_eq(order({ want("a", Duration(10), 1, Duration(490)), want("b", Duration(90), 1, Duration(410)) }).c_str(), "ba");
-    cr_assert_str_eq(order({ want("a", Duration(700), 1, Duration(-200)), want("b", Duration(900), 1, Duration(-400)) }).c_str(), "ba");
+    cr_assert(order({ want("a", Duration(10), 1, Duration(490)), want("b", Duration(90), 1, Duration(410)) }) == "ba");
+    cr_assert(order({ want("a", Duration(700), 1, Duration(-200)), want("b", Duration(900), 1, Duration(-400)) }) == "ba");
 }
 
 // A fleet starts with nothing loaded under twice the load that its store bears. First come, first served makes nearly every caller who has
