--- a/coordination/fleetdemand.cpp
+++ b/coordination/fleetdemand.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 namespace ApricotStep
 {
@@ -98,9 +97,6 @@
         want.since = since != wantedSince.end() ? since->second : now;
         m_wants.push_back(std::move(want));
     }
-    std::sort(m_wants.begin(), m_wants.end(), [](const AdapterWant &a, const AdapterWant &b) {
-        return std::tie(a.isCrowded, a.since, a.adapter) < std::tie(b.isCrowded, b.since, b.adapter);
-    });
 }
 
 bool FleetDemand::isUsed(const UpstreamId &engine, const AdapterRef &adapter) const
--- a/coordination/fleetdemand.h
+++ b/coordination/fleetdemand.h
@@ -49,7 +49,7 @@
     void refresh(Time now);
 
     bool isUsed(const UpstreamId &engine, const AdapterRef &adapter) const;
-    /** Those that stand nowhere first, then by how long they have waited: under a limit on loads no name comes before another for good. */
+    /** In no order: which is to be loaded first changes with time, and orderWants() says so each round. */
     const std::vector<AdapterWant> &wants() const;
     /** Requests for it, each counting half after the half life. */
     double popularity(const AdapterRef &adapter, Time now) const;
