--- a/tests/coordination/testadapterplan.cpp
+++ b/tests/coordination/testadapterplan.cpp
@@ -132,7 +132,7 @@
         for (std::size_t i = 0; i < m_records.size(); ++i) {
             finishLoads(m_engines[i]);
             planned.push_back(PlannedEngine { &m_records[i], &m_spec, 0, m_engines[i].pendingTokens, 1, true, true });
-            m_history.push_back(Snapshot { m_now, i, reportOf(m_engines[i]) });
+            m_history.push_back(Snapshot { m_now, i, reportOfEngine(m_engines[i]) });
         }
         m_plan.setEngines(planned, m_rows, m_now);
         m_plan.onUses(NodeId("n"), m_uses, m_now);
@@ -166,19 +166,6 @@
             at = engine.coming.erase(at);
         }
     }
-    static EngineReport reportOf(const EngineState &engine)
-    {
-        EngineReport report;
-        HeldModel held { BaseModelId("m"), {} };
-        for (const std::string &name : engine.held) {
-            held.adapters.push_back(AdapterKey { AdapterId(name), AdapterVersion("1") });
-        }
-        for (const Load &load : engine.coming) {
-            report.coming.push_back(AdapterKey { AdapterId(load.adapter), AdapterVersion("1") });
-        }
-        report.models.push_back(held);
-        return report;
-    }
     // Reports are 200 ms old.
     void answerReport(const UpstreamId &id)
     {
--- a/tests/coordination/weightstorebench.h
+++ b/tests/coordination/weightstorebench.h
@@ -16,6 +16,22 @@
 namespace ApricotStep
 {
 
+/** What an engine with @a held adapters and @a coming ones reports of itself. */
+template<typename Engine>
+EngineReport reportOfEngine(const Engine &engine)
+{
+    EngineReport report;
+    HeldModel held { BaseModelId("m"), {} };
+    for (const std::string &name : engine.held) {
+        held.adapters.push_back(AdapterKey { AdapterId(name), AdapterVersion("1") });
+    }
+    for (const auto &load : engine.coming) {
+        report.coming.push_back(AdapterKey { AdapterId(load.adapter), AdapterVersion("1") });
+    }
+    report.models.push_back(held);
+    return report;
+}
+
 /** The weight store and the engines of a deployment. */
 struct StoreFigures
 {
@@ -312,7 +328,7 @@
                 node.plan->onOrderAnswer(give->order, carryOut(give->order), m_now);
             } else if (const auto *ask = std::get_if<AskEngineReport>(&action)) {
                 if (!m_engines[indexOf(ask->engine)].isDown) {
-                    node.plan->onReport(ask->engine, reportOf(m_engines[indexOf(ask->engine)]), m_now);
+                    node.plan->onReport(ask->engine, reportOfEngine(m_engines[indexOf(ask->engine)]), m_now);
                 }
             } else if (const auto *announce = std::get_if<AnnounceRow>(&action)) {
                 for (auto &each : m_nodes) {
@@ -327,19 +343,6 @@
     {
         return std::stoul(id.value().substr(1));
     }
-    static EngineReport reportOf(const Engine &engine)
-    {
-        EngineReport report;
-        HeldModel held { BaseModelId("m"), {} };
-        for (const std::string &name : engine.held) {
-            held.adapters.push_back(AdapterKey { AdapterId(name), AdapterVersion("1") });
-        }
-        for (const Load &load : engine.coming) {
-            report.coming.push_back(AdapterKey { AdapterId(load.adapter), AdapterVersion("1") });
-        }
-        report.models.push_back(held);
-        return report;
-    }
     OrderAnswer carryOut(const EngineOrder &order)
     {
         Engine &engine = m_engines[indexOf(order.engine)];
