Log each call to the store that gets no answer

After an incident in which a configuration came late, the logs could not tell whether a node had asked the store in vain or had not asked at all: only the first failure of an outage was written. Now each call that ends without an answer is, with the time that it waited.

--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -131,6 +131,7 @@
 
 void StoreReader::Private::fail(const std::string &why)
 {
+    log.write(Important, "store", "no_answer", { { "reason", why }, { "waitedMs", (loop.clock().now() - lastCallAt).milliseconds() } });
     if (!isLost) {
         isLost = true;
         log.write(Important, "store", "lost", { { "reason", why } });
