Ask the store again beside a call that is overdue

Callers saw requests handled by an old configuration, or a new route answered 404, three seconds and more after the change was confirmed.

Cause: one call to the store was open at a time and was given four seconds. When the store falls silent, all nodes lose it in the same moment, and their calls run out and are begun anew in step. Those begun just before its return are never answered, so the whole fleet is deaf for up to four more seconds, and no neighbour can tell of the change.

The test of the node failed on every run before and passes now.

Why it works: a call that stays unanswered gets another one beside it, at intervals that are shares of the time within which a change has to be in force; the first answer counts. The return is noticed within half of that time, and a store that is only slow is still heard.

--- /dev/null
+++ b/coordination/storecalls.cpp
@@ -0,0 +1,96 @@
+#include "coordination/storecalls.h"
+
+#include <algorithm>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr std::int64_t SpreadDivisor = 4;
+
+Duration share(Duration span, std::int64_t divisor)
+{
+    return Duration(span.milliseconds() / divisor);
+}
+
+} // namespace
+
+StoreCallLimits StoreCallLimits::within(Duration bound)
+{
+    StoreCallLimits limits;
+    limits.wait = share(bound, 4);
+    limits.patience = share(bound, 8);
+    limits.repeatInterval = share(bound, 4);
+    limits.lostAfter = share(bound * 5, 8);
+    limits.longestRetry = share(bound, 4);
+    return limits;
+}
+
+StoreCalls::StoreCalls(StoreCallLimits limits, std::uint64_t seed)
+    : m_limits(limits)
+    , m_random(seed)
+    , m_retryPause(limits.firstRetry)
+{
+}
+
+Duration StoreCalls::spread(Duration span)
+{
+    const std::int64_t most = share(span, SpreadDivisor).milliseconds();
+    return span + Duration(std::uniform_int_distribution<std::int64_t>(-most, most)(m_random));
+}
+
+void StoreCalls::ask(Duration held, Time now)
+{
+    m_isAsking = true;
+    m_open = 0;
+    m_isFirst = true;
+    m_held = held;
+    m_nextCallAt = now;
+    m_lastSignAt = now;
+}
+
+StoreCallStep StoreCalls::step(Time now)
+{
+    if (!m_isAsking) {
+        return StoreCallStep {};
+    }
+    if (now < m_nextCallAt) {
+        return StoreCallStep { false, m_nextCallAt };
+    }
+    ++m_open;
+    m_nextCallAt = now + (m_isFirst ? m_held + m_limits.patience : spread(m_limits.repeatInterval));
+    m_isFirst = false;
+    return StoreCallStep { true, m_nextCallAt };
+}
+
+void StoreCalls::onProgress(Time now)
+{
+    m_lastSignAt = now;
+    m_nextCallAt = std::max(m_nextCallAt, now + m_limits.repeatInterval);
+}
+
+void StoreCalls::onFailed(Time now)
+{
+    m_open -= m_open > 0 ? 1 : 0;
+    if (m_open > 0) {
+        return;
+    }
+    m_nextCallAt = std::min(m_nextCallAt, now + spread(m_retryPause));
+    m_retryPause = std::min(m_retryPause * 2, m_limits.longestRetry);
+}
+
+void StoreCalls::onAnswered()
+{
+    m_isAsking = false;
+    m_open = 0;
+    m_retryPause = m_limits.firstRetry;
+}
+
+bool StoreCalls::isOverdue(Time now) const
+{
+    return m_isAsking && now - m_lastSignAt >= m_held + m_limits.lostAfter;
+}
+
+} // namespace ApricotStep
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -103,8 +103,8 @@
 
 void EntryNode::Private::makeParts()
 {
-    store = std::make_unique<StoreReader>(
-        loop, log, beliefs, settings.storeAddress, [this](const BeliefChanges &changes) { onChanges(changes); });
+    store = std::make_unique<StoreReader>(loop, log, beliefs, settings.storeAddress, settings.configurationBound,
+        [this](const BeliefChanges &changes) { onChanges(changes); });
     peers = std::make_unique<PeerService>(loop, log, *store);
 
     FleetLink::Callbacks fleetCallbacks;
--- /dev/null
+++ b/main/entry/storecaller.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "coordination/storecalls.h"
+#include "core/result.h"
+#include "transport/ioloop.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace ApricotStep
+{
+
+/** What is asked of the store. */
+struct StoreQuestion
+{
+    /** Path and query of a call that begins now. */
+    std::function<std::string()> target;
+    /** How long the store may hold a call. */
+    Duration held;
+    /** For one call. */
+    Duration timeout;
+    /** Takes an answer by its status and body; an error where it is none to use, and the store is asked again. */
+    std::function<std::optional<Error>(int, const std::string &)> onAnswer;
+};
+
+/** Puts one question at a time to the platform's store, in as many calls as StoreCalls decides, and takes the first answer. */
+class StoreCaller
+{
+public:
+    struct Callbacks
+    {
+        /** A call ended without an answer to use, @p waited after it began. */
+        std::function<void(const std::string &reason, Duration waited)> onFailed;
+        /** No call has been answered for so long that the store counts as lost. */
+        std::function<void()> onOverdue;
+    };
+
+    StoreCaller(IoLoop &loop, std::string address, StoreCallLimits limits, Callbacks callbacks);
+    ~StoreCaller();
+
+    /** Asks at once. Calls of an earlier question end. */
+    void ask(StoreQuestion question);
+
+private:
+    struct Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace ApricotStep
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -1,12 +1,12 @@
 #include "main/entry/storereader.h"
 
 #include "core/result.h"
+#include "main/entry/storecaller.h"
 #include "main/entry/storecopy.h"
 #include "platform/records.h"
 #include "platform/store.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace ApricotStep
@@ -15,18 +15,11 @@
 namespace
 {
 
-// A change is known within a round trip; a connection that went silent is noticed within this and the acknowledgement time below, which
-// together stay within the two seconds in which a configuration must be in force.
-constexpr Duration WatchWait { 2500 };
 // On top of the wait, for an answer on its way from a slow store.
 constexpr Duration WatchSlack { 1500 };
 constexpr Duration ReadTimeout { 3000 };
-constexpr Duration ConnectTimeout { 700 };
-constexpr Duration AcknowledgeTimeout { 1000 };
 // Engines write several times a second; calls are paid for, and a fact that is a second old still serves all bounds (two seconds).
 constexpr Duration PauseBetweenCalls { 1000 };
-constexpr Duration FirstRetry { 100 };
-constexpr Duration LongestRetry { 800 };
 // Shorter interruptions end no leases at the store.
 constexpr Duration OutageThatLosesEntries { 700 };
 
@@ -40,9 +33,9 @@
     IoLoop &loop;
     EventLog &log;
     Beliefs &beliefs;
-    std::string address;
     OnChanges onChanges;
-    std::mt19937_64 random { std::random_device {}() };
+    const StoreCallLimits limits;
+    std::unique_ptr<StoreCaller> caller;
 
     StoreCopy copy;
     // While all is read: what the pages have brought so far, and the revision to watch from.
@@ -51,32 +44,31 @@
     std::string pageAfter;
     bool hasReadAll = false;
     Time lastAnswer;
-    Time lastCallAt;
+    Time askedAt;
     bool isLost = false;
     bool isFollowing = false;
     /** Following, with no call to the store on its way. */
     bool isPaused = false;
     Time regainedAt = Time::never();
-    Duration retryPause = FirstRetry;
 
-    Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, std::string address, OnChanges onChanges)
+    Private(IoLoop &loop, EventLog &log, Beliefs &beliefs, Duration bound, OnChanges onChanges)
         : loop(loop)
         , log(log)
         , beliefs(beliefs)
-        , address(std::move(address))
         , onChanges(std::move(onChanges))
+        , limits(StoreCallLimits::within(bound))
         , lastAnswer(loop.clock().now())
     {
     }
 
-    void call(const std::string &target, Duration timeout, void (Private::*onBody)(int, const std::string &));
+    void makeCaller(std::string address);
     void readPage();
-    void onPage(int status, const std::string &body);
+    std::optional<Error> onPage(int status, const std::string &body);
     void watch();
-    void onWatch(int status, const std::string &body);
-    void fail(const std::string &why);
+    std::optional<Error> onWatch(int status, const std::string &body);
+    void lose(const std::string &reason);
     void succeed();
-    void continueAfter(Duration pause, void (Private::*next)());
+    void watchAfter(Duration pause);
     void take(const std::vector<Platform::StoreItem> &read, const std::string &source, BeliefChanges &changes);
 
     void apply(const Platform::StoreItem &item, const std::string &source, BeliefChanges &changes);
@@ -86,68 +78,44 @@
     void publish(const BeliefChanges &changes);
 };
 
-void StoreReader::Private::call(const std::string &target, Duration timeout, void (Private::*onBody)(int, const std::string &))
+void StoreReader::Private::makeCaller(std::string address)
 {
-    lastCallAt = loop.clock().now();
-    auto body = std::make_shared<std::string>();
-    HttpCall httpCall;
-    httpCall.url = "http://" + address + "/";
-    httpCall.target = target;
-    httpCall.connectTimeout = ConnectTimeout;
-    httpCall.totalTimeout = timeout;
-    httpCall.acknowledgeTimeout = AcknowledgeTimeout;
-    httpCall.onData = [body](std::string_view data) {
-        body->append(data);
-        return true;
+    StoreCaller::Callbacks callbacks;
+    callbacks.onFailed = [this](const std::string &reason, Duration waited) {
+        log.write(Important, "store", "no_answer", { { "reason", reason }, { "waitedMs", waited.milliseconds() } });
+        lose(reason);
     };
-    httpCall.onDone = [weak = weak_from_this(), body, onBody](const CallResult &result) {
-        const auto self = weak.lock();
-        if (self == nullptr) {
-            return;
-        }
-        if (result.state == AttemptState::Answered) {
-            (self.get()->*onBody)(result.status, *body);
-        } else {
-            self->fail(result.detail);
-        }
-    };
-    loop.client().start(std::move(httpCall));
+    callbacks.onOverdue = [this] { lose("no answer in time"); };
+    caller = std::make_unique<StoreCaller>(loop, std::move(address), limits, std::move(callbacks));
 }
 
-void StoreReader::Private::continueAfter(Duration pause, void (Private::*next)())
+void StoreReader::Private::watchAfter(Duration pause)
 {
-    loop.after(pause, [weak = weak_from_this(), next] {
+    loop.after(pause, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self == nullptr) {
             return;
         }
-        if (self->isFollowing && self->hasReadAll) {
+        if (self->isFollowing) {
             self->isPaused = true;
             return;
         }
-        (self.get()->*next)();
+        self->watch();
     });
 }
 
-void StoreReader::Private::fail(const std::string &why)
+void StoreReader::Private::lose(const std::string &reason)
 {
-    log.write(Important, "store", "no_answer", { { "reason", why }, { "waitedMs", (loop.clock().now() - lastCallAt).milliseconds() } });
     if (!isLost) {
         isLost = true;
-        log.write(Important, "store", "lost", { { "reason", why } });
+        log.write(Important, "store", "lost", { { "reason", reason } });
     }
-    const Duration jitter(std::uniform_int_distribution<std::int64_t>(0, retryPause.milliseconds() / 2)(random));
-    const Duration pause = retryPause + jitter;
-    retryPause = std::min(retryPause * 2, LongestRetry);
-    // What pages brought before the failure stays; a watch goes on from where it was.
-    continueAfter(pause, watchFrom && pageAfter.empty() && hasReadAll ? &Private::watch : &Private::readPage);
 }
 
 void StoreReader::Private::succeed()
 {
     const Time now = loop.clock().now();
     const Duration silence = now - lastAnswer;
-    retryPause = FirstRetry;
     lastAnswer = now;
     if (isLost) {
         isLost = false;
@@ -165,16 +133,19 @@
         listedKeys.clear();
         watchFrom.reset();
     }
-    call(Platform::rangeTarget("", pageAfter), ReadTimeout, &Private::onPage);
+    StoreQuestion question;
+    question.target = [this] { return Platform::rangeTarget("", pageAfter); };
+    question.timeout = ReadTimeout;
+    question.onAnswer = [this](int status, const std::string &body) { return onPage(status, body); };
+    caller->ask(std::move(question));
 }
 
-void StoreReader::Private::onPage(int status, const std::string &body)
+std::optional<Error> StoreReader::Private::onPage(int status, const std::string &body)
 {
     const auto page =
         status == OkStatus ? Platform::decodeRange(body) : Error { ErrorKind::ConfigInvalid, "status " + std::to_string(status) };
     if (!page.isOk()) {
-        fail(page.error().detail);
-        return;
+        return page.error();
     }
     succeed();
     // Pages are no snapshot: changes since the first one are watched for, else those between two pages would be missed.
@@ -188,7 +159,7 @@
         pageAfter = page.value().items.back().key;
         publish(changes);
         readPage();
-        return;
+        return std::nullopt;
     }
     pageAfter.clear();
     // What a neighbour told of while the pages came stays: the watch brings it again, and it would not be news a second time.
@@ -203,27 +174,33 @@
     }
     publish(changes);
     watch();
+    return std::nullopt;
 }
 
 void StoreReader::Private::watch()
 {
-    call(Platform::watchTarget("", *watchFrom, WatchWait), WatchWait + WatchSlack, &Private::onWatch);
+    askedAt = loop.clock().now();
+    StoreQuestion question;
+    question.target = [this] { return Platform::watchTarget("", *watchFrom, limits.wait); };
+    question.held = limits.wait;
+    question.timeout = limits.wait + WatchSlack;
+    question.onAnswer = [this](int status, const std::string &body) { return onWatch(status, body); };
+    caller->ask(std::move(question));
 }
 
-void StoreReader::Private::onWatch(int status, const std::string &body)
+std::optional<Error> StoreReader::Private::onWatch(int status, const std::string &body)
 {
     if (status == Platform::HistoryGoneStatus) {
         log.write(Important, "store", "history_gone", { { "revision", static_cast<std::int64_t>(*watchFrom) } });
         succeed();
         hasReadAll = false;
         readPage();
-        return;
+        return std::nullopt;
     }
     const auto page =
         status == OkStatus ? Platform::decodeWatch(body) : Error { ErrorKind::ConfigInvalid, "status " + std::to_string(status) };
     if (!page.isOk()) {
-        fail(page.error().detail);
-        return;
+        return page.error();
     }
     succeed();
     BeliefChanges changes;
@@ -234,9 +211,10 @@
     }
     watchFrom = std::max(*watchFrom, page.value().revision);
     publish(changes);
-    const Duration passed = loop.clock().now() - lastCallAt;
+    const Duration passed = loop.clock().now() - askedAt;
     const Duration pause = passed < PauseBetweenCalls ? PauseBetweenCalls - passed : Duration(0);
-    continueAfter(isForRequests ? Duration(0) : pause, &Private::watch);
+    watchAfter(isForRequests ? Duration(0) : pause);
+    return std::nullopt;
 }
 
 void StoreReader::Private::take(const std::vector<Platform::StoreItem> &read, const std::string &source, BeliefChanges &changes)
@@ -324,9 +302,10 @@
     }
 }
 
-StoreReader::StoreReader(IoLoop &loop, EventLog &log, Beliefs &beliefs, std::string storeAddress, OnChanges onChanges)
-    : d(std::make_shared<Private>(loop, log, beliefs, std::move(storeAddress), std::move(onChanges)))
+StoreReader::StoreReader(IoLoop &loop, EventLog &log, Beliefs &beliefs, std::string storeAddress, Duration changeBound, OnChanges onChanges)
+    : d(std::make_shared<Private>(loop, log, beliefs, changeBound, std::move(onChanges)))
 {
+    d->makeCaller(std::move(storeAddress));
 }
 
 StoreReader::~StoreReader() = default;
--- a/main/entry/storereader.h
+++ b/main/entry/storereader.h
@@ -45,7 +45,8 @@
 public:
     using OnChanges = std::function<void(const BeliefChanges &)>;
 
-    StoreReader(IoLoop &loop, EventLog &log, Beliefs &beliefs, std::string storeAddress, OnChanges onChanges);
+    /** @p changeBound: a change has to be in force within this. */
+    StoreReader(IoLoop &loop, EventLog &log, Beliefs &beliefs, std::string storeAddress, Duration changeBound, OnChanges onChanges);
     ~StoreReader();
 
     void start();
--- /dev/null
+++ b/tests/coordination/teststorecalls.cpp
@@ -0,0 +1,122 @@
+#include "coordination/storecalls.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+
+namespace
+{
+
+constexpr Duration Bound { 2000 };
+constexpr Time Start { 10'000 };
+
+/** A store that answers after @p latency, and never what is asked while it is silent. */
+struct Store
+{
+    Time silentFrom;
+    Time silentUntil;
+    Duration latency;
+
+    /** When a call that is begun at @p now is answered. */
+    Time answersAt(Time now) const
+    {
+        return now >= silentFrom && now < silentUntil ? Time::never() : now + latency;
+    }
+};
+
+/** One node at @p store, by steps of a millisecond: when it is answered for the first time from @p since on; never within @p limit. */
+Time firstAnswer(const Store &store, std::uint64_t seed, Time asksAt, Time since, Time limit)
+{
+    const StoreCallLimits limits = StoreCallLimits::within(Bound);
+    StoreCalls node(limits, seed);
+    std::vector<Time> open;
+    node.ask(limits.wait, asksAt);
+    for (Time now = asksAt; now < limit; now = now + Duration(1)) {
+        const bool isAnswered = std::any_of(open.begin(), open.end(), [now](Time at) { return at <= now; });
+        if (isAnswered && now >= since) {
+            return now;
+        }
+        if (isAnswered) {
+            open.clear();
+            node.onAnswered();
+            node.ask(limits.wait, now);
+        }
+        if (node.step(now).isCallDue) {
+            open.push_back(store.answersAt(now));
+        }
+    }
+    return Time::never();
+}
+
+} // namespace
+
+// Guards against a fleet that stays deaf after the store's return because all of its calls were begun just before.
+Test(storecalls, theReturnOfASilentStoreIsNoticedWithinHalfTheBound)
+{
+    const Time silentFrom = Start + Duration(100);
+    for (int silence = 200; silence < 9'000; silence += 37) {
+        const Store store { silentFrom, silentFrom + Duration(silence), Duration(4) };
+        for (std::uint64_t node = 0; node < 12; ++node) {
+            const Time heard = firstAnswer(store, node, silentFrom, store.silentUntil, store.silentUntil + Bound);
+            cr_assert(heard - store.silentUntil <= Duration(Bound.milliseconds() / 2), "silent for %d ms", silence);
+        }
+    }
+}
+
+// Guards against a slow store that is never heard because each call is given up for the next one.
+Test(storecalls, aSlowStoreIsStillHeard)
+{
+    const Store store { Time::never(), Time::never(), Duration(1400) };
+    const Time heard = firstAnswer(store, 1, Start, Start, Start + Duration(5000));
+    cr_assert_eq((heard - Start).milliseconds(), 1400);
+}
+
+// Guards against a large answer over a narrow link that is fetched several times at once, so that none of them comes through.
+Test(storecalls, nothingIsRepeatedWhileAnAnswerComes)
+{
+    StoreCalls node(StoreCallLimits::within(Bound), 1);
+    node.ask(Duration(0), Start);
+    cr_assert(node.step(Start).isCallDue);
+    for (Time now = Start; now < Start + Duration(3000); now = now + Duration(50)) {
+        node.onProgress(now);
+        cr_assert_not(node.step(now).isCallDue);
+        cr_assert_not(node.isOverdue(now));
+    }
+}
+
+// Guards against a store that turns calls away being asked without a pause, or so seldom that its return is missed.
+Test(storecalls, callsThatFailAtOnceAreRepeatedWithPauses)
+{
+    const StoreCallLimits limits = StoreCallLimits::within(Bound);
+    StoreCalls node(limits, 1);
+    node.ask(limits.wait, Start);
+    int calls = 0;
+    Time last = Start;
+    Duration longest;
+    for (Time now = Start; now < Start + Duration(10'000); now = now + Duration(1)) {
+        if (node.step(now).isCallDue) {
+            longest = std::max(longest, now - std::exchange(last, now));
+            ++calls;
+            node.onFailed(now);
+        }
+    }
+    cr_assert(calls <= 30, "%d calls", calls);
+    cr_assert(longest <= Duration(Bound.milliseconds() / 2), "%d ms", static_cast<int>(longest.milliseconds()));
+}
+
+// Guards against neighbours that follow a node which hears nothing: it has to know that it is deaf before a call fails.
+Test(storecalls, aSilentStoreCountsAsLostBeforeACallFails)
+{
+    const StoreCallLimits limits = StoreCallLimits::within(Bound);
+    StoreCalls node(limits, 1);
+    node.ask(limits.wait, Start);
+    cr_assert(node.step(Start).isCallDue);
+    cr_assert_not(node.isOverdue(Start + limits.wait + limits.patience));
+    cr_assert(node.isOverdue(Start + Bound));
+    node.onAnswered();
+    cr_assert_not(node.isOverdue(Start + Bound));
+}
--- a/tests/main/testentrynode.cpp
+++ b/tests/main/testentrynode.cpp
@@ -146,6 +146,7 @@
     settings.peerAddress = address();
     settings.storeAddress = storeAddress;
     settings.grace = Duration::seconds(4);
+    settings.configurationBound = Duration::seconds(2);
     settings.orderTurn = Duration::seconds(3);
     settings.adapterVersionBound = Duration::seconds(5);
     settings.retryShare = 0.2;
@@ -293,9 +294,8 @@
 }
 
 // Guards against a configuration that comes late because a call to the store, begun just before its return, is never answered.
-Test(knownred, aConfigurationIsInForceInTimeAfterTheStoreWasSilent)
+Test(entrynode, aConfigurationIsInForceInTimeAfterTheStoreWasSilent)
 {
-    constexpr std::chrono::milliseconds Bound { 2000 };
     const ScriptedUpstream upstream(&answerWhole);
     SilentStore store(upstream.address());
     const auto settings = settingsFor(store.address());
@@ -307,6 +307,6 @@
     store.fallSilent();
     store.waitForUnanswered(1);
     store.returnWith("/added/");
-    std::this_thread::sleep_for(Bound);
+    std::this_thread::sleep_for(std::chrono::milliseconds(settings.configurationBound.milliseconds()));
     cr_assert_eq(get(client, settings.callerAddress, "/added/x", headers).status, 200);
 }
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -46,6 +46,7 @@
 cpuShare = 0.17
 [bounds]
 graceS = 8
+configBoundMs = 2000
 drainMs = 2000
 leaseMs = 3000
 version_ms = 5000
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -84,6 +84,7 @@
 cpuShare = 0.2
 [bounds]
 graceS = {GRACE_S}
+configBoundMs = 2000
 drainMs = {int(DRAIN_BOUND_S * 1000)}
 leaseMs = {int(standins.LEASE_S * 1000)}
 version_ms = 5000
