End a grace with a reading of the store, not with the clock

Callers who came in between found fewer upstreams, or none for their adapter.

Cause: what is missing after an outage counted as gone once two seconds had passed, whatever the node had read since. A node reads once a second, or hears of the store from a neighbour, and an entry that came back after its last reading was dropped all the same.

Now an entry goes when the store was asked two seconds after its return or later and does not list it. A node asks right after the grace, and tells others how old its knowledge is. The node's new test fails on the commit before (the upstream is dropped, 503 for 200) and passes now.

--- a/coordination/upstreamdirectory.cpp
+++ b/coordination/upstreamdirectory.cpp
@@ -78,11 +78,11 @@
     m_graceUntil = now + m_limits.graceAfterOutage;
 }
 
-std::vector<UpstreamChange> UpstreamDirectory::tick(Time now)
+std::vector<UpstreamChange> UpstreamDirectory::endGraces(Time knownUntil)
 {
     std::vector<UpstreamChange> changes;
     for (auto at = m_entries.begin(); at != m_entries.end();) {
-        if (now < at->second.goneAt) {
+        if (knownUntil < at->second.goneAt) {
             ++at;
             continue;
         }
--- a/coordination/upstreamdirectory.h
+++ b/coordination/upstreamdirectory.h
@@ -16,8 +16,9 @@
 // Load pattern: upstreams start, leave, crash and come back under the same name, while the store that lists them is away now and then.
 // Without the grace after an outage: the store forgets entries of upstreams that could not renew them; a node that takes this for their
 // leaving refuses all requests of a service whose upstreams all live. Without it the other way round: an upstream that is truly gone gets
-// work for as long as nobody looks. Grounds for the figure: the store's operators say that entries are back within two seconds of its
-// return; what is missing after that is gone.
+// work for as long as nobody looks. And the grace ends with a reading, not with the clock: a node that last read the store before an entry
+// came back would drop a living upstream. Grounds for the figure: the store's operators say that entries are back within two seconds of
+// its return; what is missing after that is gone.
 
 struct UpstreamDirectoryLimits
 {
@@ -58,8 +59,13 @@
     std::vector<UpstreamChange> retainOnly(const std::vector<UpstreamId> &ids, Time now);
     /** The store answers again after it did not; entries missing from now until the grace ends may come back. */
     void onStoreRegained(Time now);
-    /** Ends graces that have run out. */
-    std::vector<UpstreamChange> tick(Time now);
+    /** All that the store listed at @p knownUntil is known: what was missing then, and had its grace before, is gone. */
+    std::vector<UpstreamChange> endGraces(Time knownUntil);
+    /** When the grace of the last outage ends. */
+    Time graceUntil() const
+    {
+        return m_graceUntil;
+    }
 
     /** Those of @p service that may get work, in the order of their ids. */
     std::vector<const UpstreamRecord *> usable(const ServiceName &service) const;
@@ -74,7 +80,7 @@
     struct Entry
     {
         UpstreamRecord record;
-        /** Missing from the store; gone at this moment unless it comes back. */
+        /** Missing from the store; gone if the store does not list it at this moment either. */
         Time goneAt = Time::never();
     };
 
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -318,11 +318,6 @@
     for (const auto &server : servers) {
         server->checkConnections();
     }
-    BeliefChanges changes;
-    changes.upstreams = beliefs.upstreams.tick(clock.now());
-    if (!changes.isEmpty()) {
-        onChanges(changes);
-    }
     checkSignals();
     loop.after(GoneCheckInterval, [this] { checkConnections(); });
 }
--- a/main/entry/peerservice.cpp
+++ b/main/entry/peerservice.cpp
@@ -22,6 +22,19 @@
 constexpr const char *AfterParameter = "after";
 // How long ago the answering node saw the store come back, in ms.
 constexpr const char *RegainedHeader = "Store-Regained-Ms-Ago";
+// How long ago the store held what the answering node knows of it, in ms.
+constexpr const char *KnownHeader = "Store-Known-Ms-Ago";
+
+std::optional<Duration> millisecondsOf(const HttpHeaders &headers, const char *wanted)
+{
+    for (const auto &[name, value] : headers) {
+        std::int64_t count = 0;
+        if (absl::EqualsIgnoreCase(name, wanted) && absl::SimpleAtoi(value, &count) && count >= 0) {
+            return Duration(count);
+        }
+    }
+    return std::nullopt;
+}
 
 } // namespace
 
@@ -51,12 +64,8 @@
     call.acknowledgeTimeout = ConnectTimeout;
     auto changes = std::make_shared<PeerChanges>();
     call.onHead = [changes](int, const HttpHeaders &headers) {
-        for (const auto &[name, value] : headers) {
-            std::int64_t ago = 0;
-            if (absl::EqualsIgnoreCase(name, RegainedHeader) && absl::SimpleAtoi(value, &ago) && ago >= 0) {
-                changes->regainedAgo = Duration(ago);
-            }
-        }
+        changes->regainedAgo = millisecondsOf(headers, RegainedHeader);
+        changes->knownAgo = millisecondsOf(headers, KnownHeader);
     };
     call.onData = [changes](std::string_view data) {
         changes->body.append(data);
@@ -105,6 +114,9 @@
     if (const auto ago = d->store.regainedAgo()) {
         headers.push_back({ RegainedHeader, std::to_string(ago->milliseconds()) });
     }
+    if (const auto ago = d->store.knownAgo()) {
+        headers.push_back({ KnownHeader, std::to_string(ago->milliseconds()) });
+    }
     exchange.respond(OkStatus, headers, std::move(*changes));
 }
 
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -20,6 +20,8 @@
 constexpr Duration ReadTimeout { 3000 };
 // Engines write several times a second; calls are paid for, and a fact that is a second old still serves all bounds (two seconds).
 constexpr Duration PauseBetweenCalls { 1000 };
+// Neighbours reckon the end of a grace some milliseconds apart; what is asked after this counts for all of them.
+constexpr Duration GraceMargin { 100 };
 // Shorter interruptions end no leases at the store.
 constexpr Duration OutageThatLosesEntries { 700 };
 
@@ -42,9 +44,12 @@
     std::vector<std::string> listedKeys;
     std::optional<Platform::StoreRevision> watchFrom;
     std::string pageAfter;
+    Time readBegunAt;
     bool hasReadAll = false;
     Time lastAnswer;
     Time askedAt;
+    /** All that the store held then is known here. */
+    Time knownUntil;
     bool isLost = false;
     bool isFollowing = false;
     /** Following, with no call to the store on its way. */
@@ -70,6 +75,8 @@
     void succeed();
     void watchAfter(Duration pause);
     void take(const std::vector<Platform::StoreItem> &read, const std::string &source, BeliefChanges &changes);
+    void knowUntil(Time moment, BeliefChanges &changes);
+    Duration pauseAfterAnswer() const;
 
     void apply(const Platform::StoreItem &item, const std::string &source, BeliefChanges &changes);
     void applyConfiguration(const Platform::StoreItem &item, const std::string &source, BeliefChanges &changes);
@@ -132,6 +139,7 @@
     if (pageAfter.empty()) {
         listedKeys.clear();
         watchFrom.reset();
+        readBegunAt = loop.clock().now();
     }
     StoreQuestion question;
     question.target = [this] { return Platform::rangeTarget("", pageAfter); };
@@ -166,6 +174,7 @@
     for (const Platform::StoreItem &gone : copy.retainOnly(listedKeys, *watchFrom, loop.clock().now())) {
         apply(gone, "store", changes);
     }
+    knowUntil(readBegunAt, changes);
     if (!hasReadAll) {
         hasReadAll = true;
         log.write(Important, "store", "read",
@@ -210,13 +219,29 @@
         isForRequests = isForRequests || !std::holds_alternative<Platform::UpstreamKey>(Platform::decodeKey(item.key));
     }
     watchFrom = std::max(*watchFrom, page.value().revision);
+    knowUntil(askedAt, changes);
     publish(changes);
-    const Duration passed = loop.clock().now() - askedAt;
-    const Duration pause = passed < PauseBetweenCalls ? PauseBetweenCalls - passed : Duration(0);
-    watchAfter(isForRequests ? Duration(0) : pause);
+    watchAfter(isForRequests ? Duration(0) : pauseAfterAnswer());
     return std::nullopt;
 }
 
+// Whether an upstream is gone shows in what is asked after its grace, so a pause does not outlast that.
+Duration StoreReader::Private::pauseAfterAnswer() const
+{
+    const Time now = loop.clock().now();
+    const Time graceOver = beliefs.upstreams.graceUntil() + GraceMargin;
+    const Time next = askedAt + PauseBetweenCalls;
+    return std::max((now < graceOver ? std::min(next, graceOver) : next) - now, Duration(0));
+}
+
+void StoreReader::Private::knowUntil(Time moment, BeliefChanges &changes)
+{
+    knownUntil = std::max(knownUntil, moment);
+    for (UpstreamChange &change : beliefs.upstreams.endGraces(knownUntil)) {
+        changes.upstreams.push_back(std::move(change));
+    }
+}
+
 void StoreReader::Private::take(const std::vector<Platform::StoreItem> &read, const std::string &source, BeliefChanges &changes)
 {
     for (const Platform::StoreItem &item : read) {
@@ -350,6 +375,9 @@
         d->watchFrom = std::max(*d->watchFrom, page.value().revision);
         d->lastAnswer = now;
     }
+    if (offered.knownAgo) {
+        d->knowUntil(now - *offered.knownAgo, changes);
+    }
     d->publish(changes);
     return true;
 }
@@ -378,6 +406,11 @@
     return ago < UpstreamDirectoryLimits {}.graceAfterOutage ? std::optional(ago) : std::nullopt;
 }
 
+std::optional<Duration> StoreReader::knownAgo() const
+{
+    return d->hasReadAll ? std::optional(d->loop.clock().now() - d->knownUntil) : std::nullopt;
+}
+
 Duration StoreReader::silence() const
 {
     return d->isLost ? d->loop.clock().now() - d->lastAnswer : Duration(0);
--- a/main/entry/storereader.h
+++ b/main/entry/storereader.h
@@ -33,6 +33,8 @@
     std::string body;
     /** Its regainedAgo(). */
     std::optional<Duration> regainedAgo;
+    /** Its knownAgo(); unset where it did not say. */
+    std::optional<Duration> knownAgo;
 };
 
 /**
@@ -64,6 +66,8 @@
     bool isReading() const;
     /** How long ago the store answered again after it was away; unset where that is over for all entries. */
     std::optional<Duration> regainedAgo() const;
+    /** How long ago the store held what this node knows of it; unset before all has been read once. */
+    std::optional<Duration> knownAgo() const;
     /** How long the store has not answered; zero when it does. */
     Duration silence() const;
 
--- a/tests/coordination/testupstreamdirectory.cpp
+++ b/tests/coordination/testupstreamdirectory.cpp
@@ -58,11 +58,29 @@
     directory.retainOnly({}, Start + Duration(20));
     cr_assert_eq(usableCount(directory), 2);
     directory.put(record("u"), Start + Duration(1500));
-    directory.tick(Start + Duration(2100));
+    directory.endGraces(Start + Duration(2100));
     cr_assert_eq(usableCount(directory), 1);
     cr_assert_not_null(directory.usable(UpstreamId("u")));
 }
 
+// Guards against dropping a living upstream because its entry came back after the node's last reading of the store.
+Test(upstreamdirectory, aGraceEndsWithAReadingAndNotWithTheClock)
+{
+    UpstreamDirectory directory({});
+    directory.put(record("back"), Start);
+    directory.put(record("gone"), Start);
+    directory.onStoreRegained(Start);
+    directory.remove(UpstreamId("back"), "lapsed", Start + Duration(10));
+    directory.remove(UpstreamId("gone"), "lapsed", Start + Duration(10));
+    // The node's readings: one before the entry is back, one after it.
+    directory.endGraces(Start + Duration(1000));
+    cr_assert_eq(usableCount(directory), 2);
+    directory.put(record("back"), Start + Duration(2500));
+    cr_assert_eq(directory.endGraces(Start + Duration(2500)).size(), 1);
+    cr_assert_not_null(directory.usable(UpstreamId("back")));
+    cr_assert_null(directory.usable(UpstreamId("gone")));
+}
+
 // While the store is well, an entry that goes means that the upstream gets no more work from that moment.
 Test(upstreamdirectory, aRemovedUpstreamGetsNoWork)
 {
--- a/tests/main/testentrynode.cpp
+++ b/tests/main/testentrynode.cpp
@@ -90,15 +90,25 @@
     }
     /** Confirms a configuration whose one route is @p pathPrefix, and answers from now on. */
     void returnWith(const std::string &pathPrefix)
+    {
+        returnWithChange(item("op/config", configuration(7, pathPrefix), 3));
+    }
+    /** Answers one call: the upstream's entry has lapsed meanwhile. */
+    void returnOnceWithoutTheUpstream()
+    {
+        m_fallsSilentAgain = true;
+        returnWithChange(R"({"key":"servers/u1","revision":3,"tombstone":true})");
+    }
+
+private:
+    void returnWithChange(const std::string &change)
     {
         {
             const absl::MutexLock lock(&m_mutex);
-            m_change = item("op/config", configuration(7, pathPrefix), 3);
+            m_change = change;
         }
         m_isSilent = false;
     }
-
-private:
     ScriptedAnswer answer(const std::string &request)
     {
         if (m_isSilent) {
@@ -107,6 +117,7 @@
         }
         const absl::MutexLock lock(&m_mutex);
         if (!m_change.empty() && absl::StrContains(request, "after=2&")) {
+            m_isSilent = m_fallsSilentAgain.load();
             return ScriptedAnswer { json(absl::StrCat(R"({"events":[)", m_change, R"(],"storeRevision":3})")) };
         }
         return storeAnswer(request, m_upstreamAddress);
@@ -114,6 +125,7 @@
 
     std::string m_upstreamAddress;
     std::atomic<bool> m_isSilent { false };
+    std::atomic<bool> m_fallsSilentAgain { false };
     std::atomic<int> m_unanswered { 0 };
     absl::Mutex m_mutex;
     std::string m_change ABSL_GUARDED_BY(m_mutex);
@@ -310,3 +322,21 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(settings.configurationBound.milliseconds()));
     cr_assert_eq(get(client, settings.callerAddress, "/added/x", headers).status, 200);
 }
+
+// Guards against dropping a living upstream whose entry lapsed while the store was silent, at a node that has heard nothing since.
+Test(entrynode, aLapsedUpstreamIsKeptUntilTheStoreWasReadAgain)
+{
+    const ScriptedUpstream upstream(&answerWhole);
+    SilentStore store(upstream.address());
+    const auto settings = settingsFor(store.address());
+    HttpClient client;
+    const Running running(settings);
+    cr_assert(becomesReady(client, settings));
+    store.fallSilent();
+    // Long enough for the node to take the store for lost.
+    std::this_thread::sleep_for(std::chrono::milliseconds(5000));
+    store.returnOnceWithoutTheUpstream();
+    std::this_thread::sleep_for(std::chrono::milliseconds(5000));
+    const HttpHeaders headers { { "Host", "h.example" }, { "Apricotstep-Request-Id", "r-5" } };
+    cr_assert_eq(get(client, settings.callerAddress, "/p/x", headers).status, 200);
+}
