Let a watch of the configuration service wait for no longer than a change may take

Operators would see a change come into force half a minute late on the product's own nodes: a watch that the service never answers, as when it falls silent, kept its node deaf for 33 s. Where all nodes of a fleet watch (two in each zone), nobody polls beside them.

Found by looking for the cause of the late configurations of the entry nodes elsewhere. The test, eight nodes in four zones in virtual time, failed before (a change published at the return was not in force five seconds later, after 1 s of silence) and passes for silences of 1 to 40 s now.

A watch waits 1.5 s and is given one second more; failing reads are repeated after 1.5 s at most.

--- a/coordination/configsync.cpp
+++ b/coordination/configsync.cpp
@@ -18,7 +18,7 @@
 // The source that named a version, another peer, the service, and once more around before a value counts as nowhere to be had.
 constexpr int MaxAttempts = 6;
 constexpr Duration ReadTimeout { 2000 };
-constexpr Duration WatchSlack { 3000 };
+constexpr Duration WatchSlack { 1000 };
 // A watch that ends without news this much before its time was not waited for.
 constexpr Duration EarlyAnswer { 500 };
 constexpr int MaxDoublings = 16;
--- a/coordination/configsync.h
+++ b/coordination/configsync.h
@@ -27,8 +27,8 @@
     ZoneId zone;
     /** Nodes of a zone that watch the service: two, so that the loss of one delays nothing. */
     int watchersPerZone = 2;
-    /** How long one watch waits. */
-    Duration watch = Duration::seconds(30);
+    /** How long one watch waits. A watch whose answer is lost keeps its node deaf for this and the slack, so both leave room in the 5 s. */
+    Duration watch { 1500 };
     /** Longest wait of a starting node for its peers' versions: more than a lost message and its repeat, less than a start may take. */
     Duration startWait = Duration::seconds(5);
     /** A node that does not watch reads the head this often times the number of nodes, so that all together read 50 times a second. */
@@ -41,7 +41,7 @@
     Duration volunteerTerm = Duration::seconds(300);
     /** Waits after failures: doubled from the first to the last, and scattered by half so that nodes do not come back together. */
     Duration firstBackoff = Duration(100);
-    Duration lastBackoff = Duration::seconds(10);
+    Duration lastBackoff { 1000 };
     std::uint64_t seed = 1;
 };
 
--- a/tests/coordination/configworld.h
+++ b/tests/coordination/configworld.h
@@ -125,6 +125,20 @@
         }
     }
 
+    /** What is asked of the service from now on, and what waits there, is never answered: it ends when the node gives it up. */
+    void fallSilent()
+    {
+        m_isSilent = true;
+        for (const auto &watch : std::exchange(m_watches, {})) {
+            const Time givenUp = watch.begunAt + watch.fetch.timeout;
+            reply(*watch.node, watch.life, givenUp - now, watch.fetch.id, Error { ErrorKind::UpstreamTimeout, {} });
+        }
+    }
+    void answerAgain()
+    {
+        m_isSilent = false;
+    }
+
     void kill(Node &node)
     {
         node.isAlive = false;
@@ -229,6 +243,7 @@
         Node *node;
         std::uint64_t life;
         FetchValue fetch;
+        Time begunAt;
     };
 
     void reply(Node &node, std::uint64_t life, Duration span, FetchId id, const Result<ConfigValue> &value)
@@ -262,13 +277,17 @@
             return;
         }
         ++node.serviceCalls;
+        if (m_isSilent) {
+            reply(node, life, fetch.timeout, fetch.id, Error { ErrorKind::UpstreamTimeout, {} });
+            return;
+        }
         if (fetch.kind != ConfigValueKind::Head) {
             reply(node, life, ServiceTime, fetch.id, valueFor(node, fetch.hash));
             return;
         }
         const auto current = headFor(node);
         if (fetch.wait > Duration(0) && current.isOk() && current.value().version <= fetch.after) {
-            m_watches.push_back({ &node, life, fetch });
+            m_watches.push_back({ &node, life, fetch, now });
             after(fetch.wait, [this, id = fetch.id, &node, life] { endWatch(node, life, id); });
             return;
         }
@@ -410,6 +429,7 @@
     std::priority_queue<Event> m_events;
     std::uint64_t m_order = 0;
     std::vector<Watch> m_watches;
+    bool m_isSilent = false;
     absl::flat_hash_map<NodeId, std::uint64_t> m_life;
     std::size_t m_toldCount = 0;
     std::uint64_t m_toldLife = 0;
--- a/tests/coordination/testconfigsync.cpp
+++ b/tests/coordination/testconfigsync.cpp
@@ -145,6 +145,21 @@
     cr_assert(world.allAt(version));
 }
 
+// Guards against nodes that stay deaf after a silent service has returned, until calls that they began before it run out.
+Test(configsync, aChangeIsInForceInTimeAfterTheServiceWasSilent)
+{
+    for (int silence = 1; silence <= 40; silence += 3) {
+        ConfigWorld world(8, 4);
+        world.run(Settled);
+        world.fallSilent();
+        world.run(Duration::seconds(silence));
+        world.answerAgain();
+        const ConfigVersion version = world.publish();
+        world.run(Duration::seconds(5));
+        cr_assert(world.allAt(version), "after %d s of silence", silence);
+    }
+}
+
 // The service lost a change in the middle of the chain. Nodes that have it go on; one that starts gets as far as the base, says so, and
 // comes up with the rest at the next base.
 Test(configsync, aGapInTheChangesFallsBackToTheBase)
