--- a/coordination/upstreamdirectory.cpp
+++ b/coordination/upstreamdirectory.cpp
@@ -56,23 +56,6 @@
     return { UpstreamLeft { id, reason } };
 }
 
-std::vector<UpstreamChange> UpstreamDirectory::retainOnly(const std::vector<UpstreamId> &ids, Time now)
-{
-    std::vector<UpstreamId> missing;
-    for (const auto &[id, entry] : m_entries) {
-        if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
-            missing.push_back(id);
-        }
-    }
-    std::vector<UpstreamChange> changes;
-    for (const UpstreamId &id : missing) {
-        for (UpstreamChange &change : remove(id, "the store lists it no longer", now)) {
-            changes.push_back(std::move(change));
-        }
-    }
-    return changes;
-}
-
 void UpstreamDirectory::onStoreRegained(Time now)
 {
     m_graceUntil = now + m_limits.graceAfterOutage;
--- a/coordination/upstreamdirectory.h
+++ b/coordination/upstreamdirectory.h
@@ -55,8 +55,6 @@
     std::vector<UpstreamChange> put(const UpstreamRecord &record, Time now);
     /** The store lists it no longer, or lists something unreadable in its place. @p reason for the log. */
     std::vector<UpstreamChange> remove(const UpstreamId &id, const std::string &reason, Time now);
-    /** A whole reading of the store: what is not in @p ids is no longer listed. */
-    std::vector<UpstreamChange> retainOnly(const std::vector<UpstreamId> &ids, Time now);
     /** The store answers again after it did not; entries missing from now until the grace ends may come back. */
     void onStoreRegained(Time now);
     /** All that the store listed at @p knownUntil is known: what was missing then, and had its grace before, is gone. */
--- a/tests/coordination/testupstreamdirectory.cpp
+++ b/tests/coordination/testupstreamdirectory.cpp
@@ -55,7 +55,7 @@
     directory.put(record("v"), Start);
     directory.onStoreRegained(Start);
     directory.remove(UpstreamId("u"), "lapsed", Start + Duration(10));
-    directory.retainOnly({}, Start + Duration(20));
+    directory.remove(UpstreamId("v"), "not listed", Start + Duration(20));
     cr_assert_eq(usableCount(directory), 2);
     directory.put(record("u"), Start + Duration(1500));
     directory.endGraces(Start + Duration(2100));
