Let the soak's store fall silent and return at the worst moment

The soak could not see a configuration that comes late after a silent store: its store refused and never fell silent, one link at a time was silenced, and the bound was twice the stated one. Now the store takes calls and never answers them, returns with a change once most nodes have just asked, and each node is asked for the changed route three seconds later. '--faults' plays only some kinds.

An upstream that comes back under its name keeps its zone: the soak gave it one by the count of those left, so that engines changed zones when two were replaced at once.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,6 +29,13 @@
 # What the nodes are told, and what the checks allow on top for a busy machine.
 GRACE_S = 6
 CONFIG_BOUND_S = 2.0
+# A change counts as due at nodes that the store and the links have left alone for so long.
+CONTACT_S = 3.0
+CONFIG_SLACK_S = 1.0
+FAULTS = ("stop_gracefully,kill,kill_many,pause,harm_store_link,harm_caller_link,harm_upstream,upstream_leaves,upstream_crashes,"
+          "store_away,store_silent,change_config,hup")
+# Nodes that wait for the store ask again within this.
+CALL_CYCLE_S = 5.0
 DRAIN_BOUND_S = 2.0
 SLACK_S = 2.0
 RECOVERY_S = 12.0
@@ -137,6 +144,9 @@
         self.nodes = []
         self.upstreams = []
         self.links = {}
+        self.zones = {}
+        # While the store's return is played and judged, no other fault of the store begins.
+        self.is_store_watched = False
         self.version = 1
         self.has_extra_route = False
         self.config_at = 0.0
@@ -218,7 +228,9 @@
             node.start()
 
     async def add_upstream(self, kind, name, service, slots):
-        upstream = kind(self, name, service, ZONES[len(self.upstreams) % len(ZONES)], slots)
+        # A server that starts again under its name stands where it stood.
+        zone = self.zones.setdefault(name, ZONES[len(self.zones) % len(ZONES)])
+        upstream = kind(self, name, service, zone, slots)
         await upstream.start()
         link = self.links.get(name)
         if link is None:
@@ -259,8 +271,9 @@
             await self.one_request()
 
     async def one_request(self):
-        kind = self.random.choices(("chat", "pay", "look", "extra"), (5, 3, 3, 1))[0]
-        node = self.random.choice(self.nodes)
+        await self.ask(self.random.choices(("chat", "pay", "look", "extra"), (5, 3, 3, 1))[0], self.random.choice(self.nodes))
+
+    async def ask(self, kind, node):
         self.next_request += 1
         request_id = f"{self.arguments.seed:x}-{self.next_request:06x}"
         self.kinds[request_id] = kind
@@ -284,8 +297,8 @@
             if self.runs.get(request_id):
                 self.fail("REFUSED", f"{request_id} ({kind}) was told {answer.status} by {node.name}, but ran at {self.runs[request_id]}")
         is_calm = was_calm and node.is_calm(3.0 + time.monotonic() - sent_at)
-        is_config_old = sent_at - self.config_at > CONFIG_BOUND_S + SLACK_S and was_extra == self.has_extra_route
-        if kind == "extra" and is_calm and is_config_old and not self.store.is_down and sent_at - self.calm_store_since > 4.0:
+        is_config_old = sent_at - self.config_at > CONFIG_BOUND_S + CONFIG_SLACK_S and was_extra == self.has_extra_route
+        if kind == "extra" and is_calm and is_config_old and not self.is_store_away() and sent_at - self.calm_store_since > CONTACT_S:
             if (answer.status == 404) == self.has_extra_route and answer.status in (200, 404):
                 self.fail("CONFIG", f"{request_id}: {answer.status} at {node.name}, though the route {'is' if was_extra else 'is not'} there")
         if kind != "extra" and answer.status == 404:
@@ -299,8 +312,7 @@
     # Faults.
 
     async def faults(self):
-        actions = (self.stop_gracefully, self.kill, self.kill_many, self.pause, self.harm_store_link, self.harm_caller_link,
-                   self.harm_upstream, self.upstream_leaves, self.upstream_crashes, self.store_away, self.change_config, self.hup)
+        actions = [getattr(self, name) for name in self.arguments.faults.split(",")]
         running = set()
         while time.monotonic() < self.faults_end:
             action = self.random.choice(actions)
@@ -432,12 +444,41 @@
         return sum(1 for upstream in self.upstreams if upstream.service == service and not upstream.is_leaving)
 
     async def store_away(self):
+        if self.is_store_watched:
+            return
         self.store.is_down = True
         self.calm_store_since = time.monotonic()
         await asyncio.sleep(self.random.uniform(0.3, 5.0))
         self.store.is_down = False
         self.calm_store_since = time.monotonic()
 
+    async def store_silent(self):
+        if self.is_store_watched:
+            return
+        self.is_store_watched = True
+        self.store.fall_silent()
+        self.calm_store_since = time.monotonic()
+        await asyncio.sleep(self.random.uniform(0.3, 6.0))
+        await self.moment_after_many_calls()
+        self.store.is_silent = False
+        self.calm_store_since = time.monotonic()
+        await self.change_config()
+        await asyncio.sleep(CONTACT_S + 0.1)
+        await asyncio.gather(*(self.ask("extra", node) for node in self.nodes))
+        self.is_store_watched = False
+
+    async def moment_after_many_calls(self):
+        """The worst moment for a return: what the nodes have just asked stays unanswered for as long as they wait for it."""
+        latest = time.monotonic() + CALL_CYCLE_S
+        while time.monotonic() < latest:
+            calls = sum(1 for at in self.store.unanswered_at if time.monotonic() - at < 0.3)
+            if calls * 2 >= len(self.nodes):
+                return
+            await asyncio.sleep(0.02)
+
+    def is_store_away(self):
+        return self.store.is_down or self.store.is_silent
+
     async def change_config(self):
         self.version += self.random.randint(1, 5)
         self.has_extra_route = not self.has_extra_route
@@ -484,6 +525,7 @@
 
 def main():
     parser = argparse.ArgumentParser(description="Soak of real entry nodes under faults from outside")
+    parser.add_argument("--faults", default=FAULTS, help="the kinds of fault to play, separated by commas (all)")
     parser.add_argument("build", help="build folder with main/apricotstep")
     parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 30))
     parser.add_argument("--seconds", type=float, default=20.0, help="how long faults come")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -11,6 +11,8 @@
 LEASE_S = 3.0
 ADAPTER_SLOTS = 4
 EVENTS = 6
+# Longer than anybody waits for an answer.
+NEVER_S = 30.0
 JSON = {"Content-Type": "application/json"}
 
 
@@ -22,8 +24,21 @@
         self.items = {}
         self.changes = []
         self.is_down = False
+        self.is_silent = False
+        self.unanswered_at = []
+        self._silences = 0
         self._changed = asyncio.Event()
 
+    def fall_silent(self):
+        """What waits here, and what is asked from now on, is never answered."""
+        self.is_silent = True
+        self._silences += 1
+
+    async def _never_answer(self):
+        self.unanswered_at.append(time.monotonic())
+        await asyncio.sleep(NEVER_S)
+        return False
+
     def put(self, key, value):
         self.revision += 1
         text = base64.b64encode(json.dumps(value).encode()).decode()
@@ -41,9 +56,12 @@
         self._changed = asyncio.Event()
 
     async def handle(self, request, writer):
+        if self.is_silent:
+            return await self._never_answer()
         if self.is_down:
             http1.respond(writer, 503)
             return True
+        silences = self._silences
         query = dict(urllib.parse.parse_qsl(request.query))
         if request.path == "/apricotstep/kv-range":
             body = {"items": [self.items[key] for key in sorted(self.items)], "hasMore": False, "storeRevision": self.revision}
@@ -56,6 +74,8 @@
                 await asyncio.wait_for(self._changed.wait(), max(deadline - time.monotonic(), 0.001))
             except asyncio.TimeoutError:
                 pass
+        if self._silences != silences:
+            return await self._never_answer()
         events = [change for change in self.changes if change["revision"] > after]
         http1.respond(writer, 200, json.dumps({"events": events, "storeRevision": self.revision}).encode(), JSON)
         await writer.drain()
