--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -186,5 +186,7 @@
     cr_assert(settings.value().peerAddress == "10.0.0.1:3");
     cr_assert(decodeSettings(replaced(Settings, "graceS = 8", "")).error().detail.find("graceS") != std::string::npos);
     cr_assert(decodeSettings(replaced(Settings, "maxFds = 2870", "maxFds = 0")).error().detail.find("maxFds") != std::string::npos);
+    const auto unbounded = decodeSettings(replaced(Settings, "configBoundMs = 2000", "configBoundMs = 0"));
+    cr_assert(!unbounded.isOk() && unbounded.error().detail.find("configBoundMs") != std::string::npos);
     cr_assert(decodeSettings("node = ").error().detail.find("line 1") != std::string::npos);
 }
