Ask for a prefetch's permit only where something may be evicted for it

After a takeover nothing may be evicted for a while. A wanted adapter still counted as having room, since an idle one was worth less; the permit for its prefetch was asked for, granted at once by the giver of the same node, could not be used, was returned and asked for again, without an end, until the stack was full. With the giver on another node the same circle runs over the network.

Now the wish asks the same question as the eviction itself: whether something may go at this moment. The new test (a permit that finds no room is returned and not asked for again; it is asked for once evictions are allowed) failed before and passes now. The scenario's runner tells each try of a failed request, which is how the crash was found.

--- a/coordination/residency.cpp
+++ b/coordination/residency.cpp
@@ -294,7 +294,7 @@
     d->setState(adapter, SlotState::Loaded, now);
 }
 
-std::optional<AdapterKey> Residency::beginEviction(bool isUrgent, Time now, double belowScore)
+std::optional<AdapterKey> Residency::evictionVictim(bool isUrgent, Time now, double belowScore) const
 {
     if (!d->mayEvict) {
         return std::nullopt;
@@ -304,14 +304,21 @@
             return std::nullopt;
         }
         if (d->isEvictable(adapter, d->slots.at(adapter), isUrgent, now)) {
-            const AdapterKey victim = adapter;
-            d->setState(victim, SlotState::Evicting, now);
-            return victim;
+            return adapter;
         }
     }
     return std::nullopt;
 }
 
+std::optional<AdapterKey> Residency::beginEviction(bool isUrgent, Time now, double belowScore)
+{
+    auto victim = evictionVictim(isUrgent, now, belowScore);
+    if (victim.has_value()) {
+        d->setState(*victim, SlotState::Evicting, now);
+    }
+    return victim;
+}
+
 void Residency::endEviction(const AdapterKey &adapter, OrderOutcome outcome, Time now)
 {
     const auto at = d->slots.find(adapter);
@@ -389,11 +396,6 @@
     return static_cast<double>(now.milliseconds()) / static_cast<double>(d->limits.halfLife.milliseconds());
 }
 
-double Residency::leastIdleScore() const
-{
-    return d->idle.empty() ? -NoScore : d->idle.begin()->first;
-}
-
 std::optional<AdapterKey> Residency::mostWantedAbsent() const
 {
     return d->absent.empty() ? std::nullopt : std::optional(d->absent.rbegin()->second);
--- a/coordination/residency.h
+++ b/coordination/residency.h
@@ -83,10 +83,11 @@
     void beginLoad(const AdapterKey &adapter, Time now);
     void endLoad(const AdapterKey &adapter, OrderOutcome outcome, Time now);
     /**
-     * Chooses the adapter that is worth least, marks it as Evicting and returns it; empty when none may go. Never one that a request
-     * runs on or waits for, here or elsewhere as far as it is known. @p isUrgent overrides the minimum residence. Only adapters with a
-     * score below @p belowScore are taken.
+     * The adapter that is worth least; empty when none may go. Never one that a request runs on or waits for, here or elsewhere as far as
+     * it is known. @p isUrgent overrides the minimum residence. Only adapters with a score below @p belowScore are taken.
      */
+    std::optional<AdapterKey> evictionVictim(bool isUrgent, Time now, double belowScore) const;
+    /** Marks the evictionVictim() as Evicting and returns it. */
     std::optional<AdapterKey> beginEviction(bool isUrgent, Time now, double belowScore = -NoScore);
     void endEviction(const AdapterKey &adapter, OrderOutcome outcome, Time now);
 
@@ -101,8 +102,6 @@
     double score(const AdapterKey &adapter) const;
     /** The score of an adapter that was asked for once, at @p now. */
     double scoreOfOneUse(Time now) const;
-    /** The score of the adapter that would go first; infinite when all are needed. */
-    double leastIdleScore() const;
     /** The most popular adapter that takes no slot. */
     std::optional<AdapterKey> mostWantedAbsent() const;
     /** Adapters that take a slot, sorted. */
--- a/coordination/upstreamscheduler.cpp
+++ b/coordination/upstreamscheduler.cpp
@@ -546,7 +546,9 @@
     }
     const double score = residency.score(*target);
     const double uses = std::exp2(score - residency.scoreOfOneUse(now));
-    const bool hasRoom = residency.freeSlots() > 0 || residency.leastIdleScore() < score - PrefetchAdvantage;
+    // The same question as prefetch() asks: a permit that cannot be used would be returned and asked for again without an end.
+    const bool hasRoom = residency.freeSlots() > 0 || residency.evictingCount() > 0
+        || residency.evictionVictim(false, now, score - PrefetchAdvantage).has_value();
     const bool isTried = order.backoffLeft(*target, now) > Duration();
     return uses >= PrefetchUses && hasRoom && !isTried ? target : std::nullopt;
 }
--- a/tests/coordination/testupstreamscheduler.cpp
+++ b/tests/coordination/testupstreamscheduler.cpp
@@ -258,3 +258,26 @@
     cr_assert_eq(scheduler.residentAdapters().size(), 3);
     cr_assert_eq(count<StartLoad>(scheduler.handle(WorkArrived { work(9, "urgent", Priority::Urgent) }, Time(5000))), 1);
 }
+
+// Guards against a permit for a prefetch that is returned and asked for again at once, without an end, while nothing may be evicted.
+Test(upstreamscheduler, aPrefetchThatFindsNoRoomIsNotAskedForAgain)
+{
+    SchedulerLimits limits { 1, 8, Duration(250) };
+    limits.needsPermits = true;
+    UpstreamScheduler scheduler(limits);
+    scheduler.handle(EvictionRule { false, {} }, Time(0));
+    scheduler.handle(WorkArrived { work(1, "b") }, Time(1));
+    scheduler.handle(PermitGranted { adapter("b"), Time(9000) }, Time(2));
+    scheduler.handle(LoadFinished { adapter("b"), true }, Time(300));
+    scheduler.handle(WorkFinished { RequestId(1) }, Time(400));
+    for (std::uint64_t id = 10; id < 20; ++id) {
+        scheduler.handle(WorkArrived { work(id, "a") }, Time(500));
+        scheduler.handle(WorkCancelled { RequestId(id) }, Time(500));
+    }
+    const auto actions = scheduler.handle(PermitGranted { adapter("a"), Time(9000) }, Time(3000));
+    cr_assert_eq(count<ReturnPermit>(actions), 1);
+    cr_assert_eq(count<AskPermit>(actions), 0);
+    // Once something may go, the prefetch finds its room.
+    cr_assert_eq(count<AskPermit>(scheduler.handle(EvictionRule { true, {} }, Time(4000))), 1);
+    cr_assert_eq(count<StartEvict>(scheduler.handle(PermitGranted { adapter("a"), Time(9000) }, Time(4001))), 1);
+}
--- a/tests/scenarios/runner/callers.cpp
+++ b/tests/scenarios/runner/callers.cpp
@@ -172,6 +172,7 @@
     }
     const HttpReply reply = callHttp("http://" + address + "/v1/chat/completions", body.dump(), headers, CallTimeoutMs);
     Answer answer = answerOf(reply, isStream);
+    answer.address = address;
     if (answer.outcome == Outcome::Ok) {
         answer.body = contentOf(reply.body, isStream);
     }
@@ -230,6 +231,7 @@
 void Callers::Private::chatWithRetries(Record &record, const Options &options) const
 {
     const auto turn = static_cast<std::size_t>(counter.load());
+    const auto startedAt = Clock::now();
     for (int i = 0; i < MaxTries; ++i) {
         Answer refusal;
         const auto addresses = lookUp(options.at("model"), turn + static_cast<std::size_t>(i), refusal);
@@ -238,6 +240,7 @@
         } else {
             record.answers.push_back(sendChat(addresses[static_cast<std::size_t>(i) % addresses.size()], record, options));
         }
+        record.answers.back().endedAfter = std::chrono::duration<double>(Clock::now() - startedAt).count();
         if (record.last().outcome == Outcome::Ok || record.last().status == 404 || record.last().status == 409) {
             return;
         }
--- a/tests/scenarios/runner/callers.h
+++ b/tests/scenarios/runner/callers.h
@@ -37,6 +37,10 @@
     std::string body;
     /** The connection ended well although the answer is not whole: the caller would take half for all. */
     bool isSilentlyCut = false;
+    /** Where the chat was sent; empty when no address could be had. */
+    std::string address;
+    /** From the start of the request to the end of this try. */
+    double endedAfter = 0;
 };
 
 /** One request of a caller with all its tries. */
--- a/tests/scenarios/runner/main.cpp
+++ b/tests/scenarios/runner/main.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -337,6 +338,16 @@
             }
         }
     }
+    // What a caller met on the way to its last answer.
+    static std::string triesOf(const Record &record)
+    {
+        std::ostringstream tries;
+        for (const Answer &answer : record.answers) {
+            tries << "\n    after " << answer.endedAfter << " s: " << (answer.address.empty() ? "no address" : answer.address) << " "
+                  << outcomeWord(answer.outcome) << " " << answer.code;
+        }
+        return tries.str();
+    }
     static void expectRecord(const Record &record, const Options &options)
     {
         const Answer &last = record.last();
@@ -347,7 +358,7 @@
         const bool isAsWanted = wanted.find("," + outcomeWord(last.outcome) + ",") != std::string::npos
             && codes.find("," + last.code + ",") != std::string::npos && optionOr(options, "adapter", last.adapter) == last.adapter;
         if (!isAsWanted) {
-            throw std::runtime_error(record.mark + ": got " + seen);
+            throw std::runtime_error(record.mark + ": got " + seen + triesOf(record));
         }
     }
     // expect-runs GROUP min= max=: how often each one-time request of the group ran.
