Give each soak a network that no other soak uses

A soak took its network by its process id, and two that ran side by side could have the same one. That the other soak held the address is inferred: its folder was gone. A soak now keeps a socket on its network while it lives.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -45,6 +46,18 @@
 PROMISES = (408, 421, 429, 503)
 
 
+def take_network():
+    """A number n whose addresses 127.0.n.x no other soak uses, and the socket that keeps it while this process lives."""
+    for number in random.SystemRandom().sample(range(10, 210), 200):
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.0.{number}.250", 8149))
+            return number, lock
+        except OSError:
+            lock.close()
+    raise RuntimeError("all networks are in use")
+
+
 class Node:
     """One entry node: its process, its settings file, its own link to the store and from the callers."""
 
@@ -138,7 +151,7 @@
         self.folder = tempfile.mkdtemp(prefix=f"soak-{arguments.seed}-")
         self.binary = os.path.join(arguments.build, "main", "apricotstep")
         # Soaks that run at the same time use loopback addresses of their own.
-        self.network = 10 + os.getpid() % 200
+        self.network, self.network_lock = take_network()
         self.store = standins.Store()
         self.store_address = ""
         self.nodes = []
