Keep the test of two pages where the platform's names may stand

The test stands beside those of the entry node now, whose stand-ins of the store it uses; it checks the same.

--- a/tests/main/testentrynode.cpp
+++ b/tests/main/testentrynode.cpp
@@ -1,4 +1,5 @@
 #include "main/entry/entrynode.h"
+#include "main/entry/storereader.h"
 #include "scriptedupstream.h"
 #include "transport/httpclient.h"
 #include "transport/httpserver.h"
@@ -25,6 +26,8 @@
 namespace
 {
 
+constexpr Duration SecondPageTime { 300 };
+
 std::string json(const std::string &body)
 {
     return absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
@@ -42,6 +45,11 @@
         R"(","kind":"idempotent","timeoutMs":1000,"service":"svc","maxAttempts":2}],"services":[{"name":"svc","maxConns":10}]})");
 }
 
+std::string upstreamEntry(const std::string &upstreamAddress)
+{
+    return absl::StrCat(R"({"service":"svc","address":")", upstreamAddress, R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":5})");
+}
+
 /** An upstream that serves every request. */
 ScriptedAnswer answerWhole(const std::string &)
 {
@@ -58,8 +66,7 @@
         return ScriptedAnswer { json(R"({"events":[],"storeRevision":2})") };
     }
     const std::string config = configuration(4, "/p/");
-    const std::string entry =
-        absl::StrCat(R"({"service":"svc","address":")", upstreamAddress, R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":5})");
+    const std::string entry = upstreamEntry(upstreamAddress);
     return ScriptedAnswer { json(absl::StrCat(R"({"hasMore":false,"items":[)", item("op/config", config), ",", item("servers/u1", entry),
         ",", item("servers/forged", R"({"service":"svc","slots":"many"})"), R"(],"storeRevision":2})")) };
 }
@@ -132,6 +139,21 @@
     ScriptedUpstream m_server;
 };
 
+/** A store of two pages with an upstream each, the second of which takes a while; nothing changes after them. */
+ScriptedAnswer answerInTwoPages(const std::string &request)
+{
+    if (absl::StrContains(request, "kv-watch")) {
+        return ScriptedAnswer { "", ScriptedAnswer::Then::Keep, true };
+    }
+    const bool isFirst = !absl::StrContains(request, "after=");
+    if (!isFirst) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(SecondPageTime.milliseconds()));
+    }
+    const std::string entry = item(isFirst ? "servers/first" : "servers/second", upstreamEntry("10.0.0.1:1"));
+    return ScriptedAnswer { json(
+        absl::StrCat(R"({"hasMore":)", isFirst ? "true" : "false", R"(,"items":[)", entry, R"(],"storeRevision":30})")) };
+}
+
 int freePort()
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -340,3 +362,25 @@
     const HttpHeaders headers { { "Host", "h.example" }, { "Apricotstep-Request-Id", "r-5" } };
     cr_assert_eq(get(client, settings.callerAddress, "/p/x", headers).status, 200);
 }
+
+// Guards against losing an upstream that a neighbour tells of while the node reads the store page by page.
+Test(storereader, whatANeighbourTellsBetweenTwoPagesStays)
+{
+    const SystemClock clock;
+    const ScriptedUpstream store(&answerInTwoPages);
+    EventLog log(clock, "n1");
+    Beliefs beliefs;
+    IoLoop loop(clock);
+    StoreReader reader(loop, log, beliefs, store.address(), Duration::seconds(2), [](const BeliefChanges &) {});
+    const Platform::StoreItem told { "servers/told", upstreamEntry("10.0.0.2:1"), 40, false };
+    loop.after(Duration(SecondPageTime.milliseconds() / 2), [&] {
+        cr_assert_not(reader.hasReadAll());
+        cr_assert(reader.takeFromPeer(NodeId("n2"), PeerChanges { Platform::encodeWatch({ told }, 40), {}, {} }));
+    });
+    loop.after(SecondPageTime + Duration(500), [&] { loop.stop(); });
+    reader.start();
+    loop.run();
+    cr_assert(reader.hasReadAll());
+    cr_assert_eq(beliefs.upstreams.size(), 3);
+    cr_assert_not_null(beliefs.upstreams.usable(UpstreamId("told")));
+}
