Let the pause between questions to the store follow the bound on changes

The pause was a second whatever the deployment: with a bound of a second or less a change would have waited longer for the next question than it may take.

--- a/coordination/storecalls.cpp
+++ b/coordination/storecalls.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr std::int64_t SpreadDivisor = 4;
+// Upstreams write several times a second, and each call is paid for; what is a second old still serves the choice among them.
+constexpr Duration LongestPause { 1000 };
 
 Duration share(Duration span, std::int64_t divisor)
 {
@@ -23,6 +25,7 @@
     limits.wait = share(bound, 4);
     limits.patience = share(bound, 8);
     limits.repeatInterval = share(bound, 4);
+    limits.pause = std::min(LongestPause, share(bound, 2));
     limits.lostAfter = share(bound * 5, 8);
     limits.longestRetry = share(bound, 4);
     return limits;
--- a/coordination/storecalls.h
+++ b/coordination/storecalls.h
@@ -24,6 +24,8 @@
     Duration patience;
     /** Between further calls. */
     Duration repeatInterval;
+    /** From one question to the next while the store answers: a change waits for so long at most. */
+    Duration pause;
     /** Without a sign of life for so long, the store counts as lost. */
     Duration lostAfter;
     /** After a call that failed at once; doubles up to longestRetry. */
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -18,8 +18,6 @@
 // On top of the wait, for an answer on its way from a slow store.
 constexpr Duration WatchSlack { 1500 };
 constexpr Duration ReadTimeout { 3000 };
-// Engines write several times a second; calls are paid for, and a fact that is a second old still serves all bounds (two seconds).
-constexpr Duration PauseBetweenCalls { 1000 };
 // Neighbours reckon the end of a grace some milliseconds apart; what is asked after this counts for all of them.
 constexpr Duration GraceMargin { 100 };
 // Shorter interruptions end no leases at the store.
@@ -230,7 +228,7 @@
 {
     const Time now = loop.clock().now();
     const Time graceOver = beliefs.upstreams.graceUntil() + GraceMargin;
-    const Time next = askedAt + PauseBetweenCalls;
+    const Time next = askedAt + limits.pause;
     return std::max((now < graceOver ? std::min(next, graceOver) : next) - now, Duration(0));
 }
 
--- a/tests/coordination/teststorecalls.cpp
+++ b/tests/coordination/teststorecalls.cpp
@@ -120,3 +120,11 @@
     node.onAnswered();
     cr_assert_not(node.isOverdue(Start + Bound));
 }
+
+// Guards against a deployment with a tighter bound whose changes wait longer for the next question than they may take.
+Test(storecalls, aTighterBoundShortensThePauses)
+{
+    const StoreCallLimits limits = StoreCallLimits::within(Duration(600));
+    cr_assert(limits.pause + limits.wait + limits.patience <= Duration(600));
+    cr_assert(StoreCallLimits::within(Bound).pause <= Duration(Bound.milliseconds() / 2));
+}
