Count the orders under way of an engine that is listed again or restarts

Cause, by reading: when an engine's entry lapses for a moment, the plan forgets the engine and its residency is removed. When the entry is back, the copies are counted from the engine's record and its first report, both of which are up to 600 ms old, so that orders of the last moment are not in them; the answer to such an order is dropped, since its copy is unknown. The same holds for an engine that restarts under its id while an order is on its way to it.

The plan now keeps what it knows of an engine that is no longer listed for the time in which an order may be on its way or missing from a report, and counts the orders on their way of an engine that has restarted. Both tests fail before: anEngineListedAgainIsNotOverfilled (one crash), anOrderOnItsWayCountsAfterARestart.

--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -71,6 +71,13 @@
     std::optional<std::optional<AdapterRef>> evictionCandidate;
 };
 
+/** An engine that is not listed, and since when. */
+struct UnlistedEngine
+{
+    Engine engine;
+    Time since;
+};
+
 } // namespace
 
 struct AdapterPlan::Private
@@ -79,6 +86,12 @@
     FencingToken fence;
     AdapterLoadEstimator &loads;
     std::map<UpstreamId, Engine> engines;
+    /**
+     * Engines that this plan has given orders to and that were listed a moment ago. An engine's entry may be missing just for an instant,
+     * and its report afterwards is older than the last orders. Without this memory the adapters under way would not be counted, and the
+     * engine would be ordered beyond its slots.
+     */
+    std::map<UpstreamId, UnlistedEngine> unlistedEngines;
     std::map<AdapterRef, AdapterVersion> versions;
     FleetDemand demand;
     PlanRotation rotation;
@@ -100,6 +113,8 @@
     }
 
     bool isInRotation(const PendingAdapter &pending, Time now) const;
+    void removeUnlisted(const std::map<UpstreamId, const PlannedEngine *> &listed, Time now);
+    Engine *findEngine(const UpstreamId &id);
     void updateOwnEngine(Engine &engine, const PlannedEngine &planned, const ResidencyTable &residencies, Time now) const;
     void updateForeignEngine(Engine &engine, const PlannedEngine &planned, const ResidencyTable &residencies, Time now) const;
     double fetchTimeMs(double count) const;
@@ -479,9 +494,13 @@
     for (const PlannedEngine &planned : engines) {
         present[planned.record->id] = &planned;
     }
-    std::erase_if(d->engines, [&present](const auto &entry) { return !present.contains(entry.first); });
+    d->removeUnlisted(present, now);
     for (const auto &[id, planned] : present) {
         Engine &engine = d->engines[id];
+        if (const auto unlisted = d->unlistedEngines.extract(id); !unlisted.empty()) {
+            engine = std::move(unlisted.mapped().engine);
+            engine.isChanged = true;
+        }
         if (planned->isOwn) {
             d->updateOwnEngine(engine, *planned, residencies, now);
         } else {
@@ -498,13 +517,46 @@
     }
 }
 
+// Keeps what is known of the engines that are not listed any more until reports cover all orders that were sent to them.
+void AdapterPlan::Private::removeUnlisted(const std::map<UpstreamId, const PlannedEngine *> &listed, Time now)
+{
+    for (auto at = engines.begin(); at != engines.end();) {
+        const auto current = at++;
+        if (listed.contains(current->first)) {
+            continue;
+        }
+        if (current->second.planned.isOwn) {
+            unlistedEngines[current->first] = UnlistedEngine { std::move(current->second), now };
+        }
+        engines.erase(current);
+    }
+    const Duration retention = limits.orderTimeout + limits.reportLag;
+    std::erase_if(unlistedEngines, [now, retention](const auto &entry) { return now - entry.second.since > retention; });
+}
+
+Engine *AdapterPlan::Private::findEngine(const UpstreamId &id)
+{
+    if (const auto at = engines.find(id); at != engines.end()) {
+        return &at->second;
+    }
+    const auto at = unlistedEngines.find(id);
+    return at != unlistedEngines.end() ? &at->second.engine : nullptr;
+}
+
 void AdapterPlan::Private::updateOwnEngine(Engine &engine, const PlannedEngine &planned, const ResidencyTable &residencies, Time now) const
 {
     if (!engine.id.isEmpty() && engine.planned.isOwn && engine.startedAt == planned.record->startedAt) {
         return;
     }
+    const std::map<AdapterRef, Copy> previous = std::move(engine.copies);
     engine = Engine {};
     engine.reportPolledAt = now - limits.reportInterval;
+    for (const auto &[adapter, copy] : previous) {
+        // The order may reach the engine after its restart.
+        if (copy.hasOrderInFlight && copy.state != CopyState::Unloading) {
+            engine.copies[adapter] = Copy { copy.version, CopyState::Loading, now, Time::never(), now, true };
+        }
+    }
     for (const LoadedModel &held : planned.record->models) {
         engine.models.push_back(held.id);
         for (const AdapterKey &key : held.adapters) {
@@ -577,11 +629,11 @@
 
 void AdapterPlan::onOrderAnswer(const EngineOrder &order, OrderAnswer answer, Time now)
 {
-    const auto at = d->engines.find(order.engine);
-    if (at == d->engines.end()) {
+    Engine *found = d->findEngine(order.engine);
+    if (found == nullptr) {
         return;
     }
-    Engine &engine = at->second;
+    Engine &engine = *found;
     engine.unresponsiveUntil = answer == OrderAnswer::Unknown ? now + d->limits.unresponsiveTime : Time();
     if (order.adapter.isEmpty()) {
         if (answer != OrderAnswer::Accepted && answer != OrderAnswer::Busy) {
@@ -593,11 +645,11 @@
         return;
     }
     const AdapterRef adapter { order.model, order.adapter };
-    const auto found = engine.copies.find(adapter);
-    if (found == engine.copies.end()) {
+    const auto copyAt = engine.copies.find(adapter);
+    if (copyAt == engine.copies.end()) {
         return;
     }
-    Copy &copy = found->second;
+    Copy &copy = copyAt->second;
     copy.hasOrderInFlight = false;
     // A poll that finds a load still unfinished changes nothing.
     engine.isChanged =
@@ -609,7 +661,7 @@
             copy.nextPollAt = now + d->limits.retryDelay;
         } else if (answer == OrderAnswer::Done) {
             engine.droppedAt[adapter] = now;
-            engine.copies.erase(found);
+            engine.copies.erase(copyAt);
         } else {
             // The copy is still in use, or the outcome is unknown: it counts as loaded and just used.
             copy.state = CopyState::Ready;
@@ -654,18 +706,18 @@
     case OrderAnswer::Fenced:
     case OrderAnswer::WrongEngine:
     case OrderAnswer::Refused:
-        engine.copies.erase(found);
+        engine.copies.erase(copyAt);
         break;
     }
 }
 
 void AdapterPlan::onReport(const UpstreamId &id, const EngineReport &report, Time polledAt)
 {
-    const auto at = d->engines.find(id);
-    if (at == d->engines.end()) {
+    Engine *found = d->findEngine(id);
+    if (found == nullptr) {
         return;
     }
-    Engine &engine = at->second;
+    Engine &engine = *found;
     engine.hasReport = true;
     d->updateModels(engine, report, polledAt);
     d->updateCopies(engine, report, polledAt);
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -51,6 +51,8 @@
     Duration reportInterval { 1000 };
     /** Orders younger than this may be missing from a report, since engines report late. */
     Duration reportLag { 600 };
+    /** An order that has no answer after this time gets none. */
+    Duration orderTimeout { 1000 };
     /** Concurrent loads of base models, each of which gets the full speed of the store. */
     int maxModelLoads = 2;
     /** Prompt tokens that an engine processes per millisecond; converts waiting prompts to time. */
--- a/tests/coordination/testadapterplan.cpp
+++ b/tests/coordination/testadapterplan.cpp
@@ -57,6 +57,16 @@
     {
         m_engines[static_cast<std::size_t>(engine)].isDown = isDown;
     }
+    /** The engine keeps running, but the plan is not told about it. */
+    void setListed(int engine, bool isListed)
+    {
+        m_engines[static_cast<std::size_t>(engine)].isListed = isListed;
+    }
+    /** The answers to orders arrive this much later; the engine carries them out at once. */
+    void setAnswerDelay(Duration delay)
+    {
+        m_answerDelay = delay;
+    }
     void setVersion(const std::string &adapter, const std::string &version)
     {
         m_plan.setVersion(AdapterRef { BaseModelId("m"), AdapterId(adapter) }, AdapterVersion(version));
@@ -118,6 +128,13 @@
         std::vector<Load> loading;
         double pendingTokens = 0;
         bool isDown = false;
+        bool isListed = true;
+    };
+    struct LateAnswer
+    {
+        Time arrivesAt;
+        EngineOrder order;
+        OrderAnswer answer;
     };
     struct Snapshot
     {
@@ -131,17 +148,21 @@
         std::vector<PlannedEngine> planned;
         for (std::size_t i = 0; i < m_records.size(); ++i) {
             finishLoads(m_engines[i]);
-            planned.push_back(PlannedEngine { &m_records[i], &m_spec, 0, m_engines[i].pendingTokens, 1, true, true });
+            if (m_engines[i].isListed) {
+                planned.push_back(PlannedEngine { &m_records[i], &m_spec, 0, m_engines[i].pendingTokens, 1, true, true });
+            }
             m_history.push_back(Snapshot { m_now, i, reportOfEngine(m_engines[i]) });
         }
         m_plan.setEngines(planned, m_rows, m_now);
+        deliverLateAnswers();
         m_plan.onUses(NodeId("n"), m_uses, m_now);
         for (AdapterUse &use : m_uses) {
             use.count = 0;
         }
         for (const PlanAction &action : m_plan.decide(m_now)) {
             if (const auto *give = std::get_if<SendOrder>(&action)) {
-                m_plan.onOrderAnswer(give->order, carryOut(give->order), m_now);
+                m_lateAnswers.push_back(LateAnswer { m_now + m_answerDelay, give->order, carryOut(give->order) });
+                deliverLateAnswers();
             } else if (const auto *ask = std::get_if<RequestEngineReport>(&action)) {
                 answerReport(ask->engine);
             } else if (const auto *announce = std::get_if<AnnounceResidency>(&action)) {
@@ -151,6 +172,14 @@
             }
         }
     }
+    void deliverLateAnswers()
+    {
+        while (!m_lateAnswers.empty() && m_lateAnswers.front().arrivesAt <= m_now) {
+            const LateAnswer late = m_lateAnswers.front();
+            m_lateAnswers.erase(m_lateAnswers.begin());
+            m_plan.onOrderAnswer(late.order, late.answer, m_now);
+        }
+    }
     std::size_t indexOf(const UpstreamId &id) const
     {
         return std::stoul(id.value().substr(1));
@@ -223,6 +252,8 @@
     ResidencyTable m_announced;
     AdapterLoadEstimator m_loadTimes;
     AdapterPlan m_plan { AdapterPlanLimits {}, FencingToken(7), m_loadTimes };
+    std::vector<LateAnswer> m_lateAnswers;
+    Duration m_answerDelay;
     bool m_isUnloadWaiting = false;
     int m_crashes = 0;
     int m_loads = 0;
@@ -256,6 +287,68 @@
     cr_assert_gt(simulation.loads(), 60);
 }
 
+// After an outage of the store an engine's entry is missing for a moment. When it is listed again, its report is older than the last
+// orders, and an engine whose room is counted from that report alone is ordered beyond its slots and crashes.
+Test(adapterplan, anEngineListedAgainIsNotOverfilled)
+{
+    for (const int answerDelay : { 0, 50 }) {
+        PlanSimulation simulation(1);
+        simulation.setAnswerDelay(Duration(answerDelay));
+        simulation.addPending("a");
+        simulation.addPending("b");
+        simulation.run(Duration(2000));
+        cr_assert(simulation.holds(0, "a") && simulation.holds(0, "b"));
+        simulation.clearUses();
+        simulation.addPending("c");
+        simulation.run(Duration(30));
+        simulation.setListed(0, false);
+        simulation.run(Duration(30));
+        simulation.setListed(0, true);
+        simulation.clearUses();
+        simulation.addPending("d");
+        simulation.run(Duration(2000));
+        cr_assert_eq(simulation.crashes(), 0, "answers after %d ms", answerDelay);
+        cr_assert(simulation.holds(0, "d"), "answers after %d ms", answerDelay);
+    }
+}
+
+// An engine restarts while an order is on its way, and carries it out after the restart. Its first report does not list that adapter yet,
+// and an engine whose room is counted without it is ordered beyond its slots and crashes.
+Test(adapterplan, anOrderOnItsWayCountsAfterARestart)
+{
+    EngineSpec spec;
+    spec.adapterSlots = Slots;
+    spec.models.push_back(BaseModelSpec { BaseModelId("m"), 1, 1, Duration(1900) });
+    UpstreamRecord record;
+    record.id = UpstreamId("e0");
+    record.startedAt = 1;
+    record.models = { LoadedModel { BaseModelId("m"), {} } };
+    EngineReport report;
+    report.models = record.models;
+    const ResidencyTable residencies;
+    AdapterLoadEstimator loads;
+    AdapterPlan plan(AdapterPlanLimits {}, FencingToken(7), loads);
+    Time now { 100'000 };
+    const auto ordersFor = [&](const std::vector<std::string> &pending) {
+        now = now + Duration(10);
+        std::vector<AdapterUse> uses;
+        for (const std::string &adapter : pending) {
+            uses.push_back(AdapterUse { BaseModelId("m"), AdapterId(adapter), UpstreamId(), 1, false });
+        }
+        plan.setEngines({ PlannedEngine { &record, &spec } }, residencies, now);
+        plan.onReport(record.id, report, now);
+        plan.onUses(NodeId("n"), uses, now);
+        int orders = 0;
+        for (const PlanAction &action : plan.decide(now)) {
+            orders += std::holds_alternative<SendOrder>(action) ? 1 : 0;
+        }
+        return orders;
+    };
+    cr_assert_eq(ordersFor({ "a" }), 1);
+    record.startedAt = 2;
+    cr_assert_eq(ordersFor({ "b", "c", "d" }), Slots - 1, "the order for a is still on its way");
+}
+
 // An engine accepts an order to unload an adapter but waits for a request that runs on it. The slot is not free before that request has
 // ended.
 Test(adapterplan, aSlotIsNotFreeWhileRequestsRunOnTheAdapter)
