Use engines of other zones that have the adapter loaded

Engines list their adapters in the store, so every node knows them; what was missing is their load. Lease holders now add the load of their engines to the renewals that they send to all nodes anyway, so that no datagram is added. A request that finds no copy in scope, or only overloaded ones, goes to an engine out of scope that is expected to begin it soon, by a wide margin (coordination/outofscopeengines). The holder there gets the uses of its engines, so that it does not evict them.

--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -165,6 +165,8 @@
     std::optional<std::vector<UpstreamLoad>> loads;
     std::vector<AdapterUse> uses;
     std::vector<EngineResidency> residencies;
+    /** The load of all nodes together at the engines that the sender gives orders to, for nodes that do not use these engines. */
+    std::vector<UpstreamLoad> engineLoads;
     /** Unset if the sender has observed no fetch or does not include it. */
     std::optional<StoreView> store;
 };
--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -2,6 +2,7 @@
 
 #include "coordination/adapterloadestimator.h"
 #include "coordination/outlierdetector.h"
+#include "coordination/outofscopeengines.h"
 #include "coordination/residencytable.h"
 #include "coordination/upstreamdirectory.h"
 #include "coordination/upstreamloadtracker.h"
@@ -36,6 +37,7 @@
     /** The availability zone whose engines this node uses; empty when it uses all. */
     ZoneId engineScope;
     OutlierDetector outliers { OutlierLimits {} };
+    OutOfScopeEngines outOfScope { OutOfScopeLimits {} };
 
     /** Updates what is known of the adapters at an engine. Returns whether @p residency was newer than the stored one. */
     bool updateResidency(const EngineResidency &residency, Time now)
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -42,6 +42,11 @@
                                                                 .Name("apricotstep_entry_sent_total")
                                                                 .Help("Requests sent to upstreams; repeats are those after the first.")
                                                                 .Register(registry);
+    prometheus::Counter &requestsOutOfScope = prometheus::BuildCounter()
+                                                  .Name("apricotstep_entry_sent_out_of_scope_total")
+                                                  .Help("Requests sent to engines of another availability zone's scope.")
+                                                  .Register(registry)
+                                                  .Add({});
     prometheus::Family<prometheus::Counter> &upstreamFailures =
         prometheus::BuildCounter()
             .Name("apricotstep_entry_upstream_troubles_total")
@@ -115,6 +120,11 @@
     }
 }
 
+void EntryMetrics::sentOutOfScope()
+{
+    d->requestsOutOfScope.Increment();
+}
+
 void EntryMetrics::upstreamFailed(std::string_view what)
 {
     d->upstreamFailures.Add({ { "what", std::string(what) } }).Increment();
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -56,6 +56,8 @@
     void answerBegan(RequestKind kind, Duration after);
     /** Records that a request was sent to an upstream @p waited after its arrival. @p isRepeat is set if it had been sent before. */
     void sent(RequestKind kind, Duration waited, bool isRepeat);
+    /** Counts a request that is sent to an engine outside of this node's scope. */
+    void sentOutOfScope();
     /** Counts an attempt that an upstream refused before execution ("not_run"), failed ("failed") or left incomplete ("broken"). */
     void upstreamFailed(std::string_view what);
     /** Counts an engine's answer to an order. @p answer comes from a fixed list, since each value creates a time series. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -209,15 +209,17 @@
     for (const UpstreamChange &change : changes.upstreams) {
         std::visit(Overloaded {
                        [this](const UpstreamStarted &started) {
+                           clusterState.outOfScope.put(started.record);
                            log.write(EventLog::Severity::Important, "upstream", "started",
                                { { "upstream", started.record.id.value() }, { "service", started.record.service.value() },
                                    { "address", started.record.address }, { "leaving", started.record.isLeaving },
                                    { "startedAt", started.record.startedAt } });
                        },
-                       [](const UpstreamUpdated &) {},
+                       [this](const UpstreamUpdated &updated) { clusterState.outOfScope.put(updated.record); },
                        [this](const UpstreamLeft &left) {
                            clusterState.removeResidency(left.id);
                            clusterState.outliers.remove(left.id);
+                           clusterState.outOfScope.remove(left.id);
                            log.write(EventLog::Severity::Important, "upstream", "left",
                                { { "upstream", left.id.value() }, { "reason", left.reason } });
                        },
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -122,6 +122,8 @@
     FleetMessage baseMessage() const;
     FleetMessage loadMessage() const;
     std::set<NodeId> holders() const;
+    std::vector<UpstreamLoad> engineLoads();
+    void sendUsesOutOfScope(const FleetMessage &message);
     void sendPendingAdapters();
     std::set<std::string> unconfirmedAddresses() const;
     void sendToAll(const FleetMessage &message);
@@ -223,6 +225,7 @@
         FleetMessage outOfScopeMessage = message;
         outOfScopeMessage.uses.clear();
         outOfScopeMessage.loads.reset();
+        outOfScopeMessage.engineLoads = engineLoads();
         outOfScopeBytes = encodeFleetMessage(outOfScopeMessage);
     }
     const std::set<NodeId> orderHolders = holders();
@@ -240,6 +243,53 @@
     }
 }
 
+// The load at the engines that this node gives orders to, for the nodes that do not use them otherwise.
+std::vector<UpstreamLoad> FleetLink::Private::engineLoads()
+{
+    std::vector<UpstreamLoad> result;
+    for (const auto &[id, residency] : ownResidencies) {
+        const UpstreamRecord *record = clusterState.upstreams.usable(id);
+        const bool isOwn = record != nullptr && leases[shards.shardOf(*record).value()].isHolder(now());
+        if (isOwn && clusterState.outliers.isReachable(id, now()) && clusterState.outliers.share(id, now()) >= 1) {
+            const FleetLoad load = clusterState.loadTracker.load(id, now());
+            result.push_back(UpstreamLoad { id, static_cast<std::uint32_t>(load.running), static_cast<std::uint32_t>(load.pendingTokens) });
+        }
+    }
+    return result;
+}
+
+// Requests may run at engines of other scopes. The holders there must know the adapters in use, or they would evict them.
+void FleetLink::Private::sendUsesOutOfScope(const FleetMessage &message)
+{
+    std::map<NodeId, FleetMessage> byHolder;
+    for (const AdapterUse &use : message.uses) {
+        const UpstreamRecord *record = clusterState.upstreams.usable(use.engine);
+        if (record == nullptr || isInScope(shards.shardOf(*record))) {
+            continue;
+        }
+        FleetMessage &toHolder = byHolder[leases[shards.shardOf(*record).value()].holder(now())];
+        toHolder.uses.push_back(use);
+        const auto load = std::find_if(
+            message.loads->begin(), message.loads->end(), [&use](const UpstreamLoad &entry) { return entry.upstream == use.engine; });
+        if (!toHolder.loads) {
+            toHolder.loads.emplace();
+        }
+        if (load != message.loads->end() && std::find(toHolder.loads->begin(), toHolder.loads->end(), *load) == toHolder.loads->end()) {
+            toHolder.loads->push_back(*load);
+        }
+    }
+    for (const auto &[holder, part] : byHolder) {
+        const auto at = peers.find(holder);
+        if (at == peers.end()) {
+            continue;
+        }
+        FleetMessage toHolder = baseMessage();
+        toHolder.uses = part.uses;
+        toHolder.loads = part.loads;
+        socket->send(at->second.peerAddress, encodeFleetMessage(toHolder));
+    }
+}
+
 std::set<NodeId> FleetLink::Private::holders() const
 {
     std::set<NodeId> result;
@@ -311,6 +361,9 @@
         }
     }
     sendLoad(message, urgency);
+    if (isDivided()) {
+        sendUsesOutOfScope(message);
+    }
     if (holdsAnyShard() && now() - residenciesSentAt >= ResidencyInterval) {
         residenciesSentAt = now();
         std::vector<EngineResidency> residencies;
@@ -476,6 +529,7 @@
     } else if (!message.uses.empty()) {
         callbacks.onPendingAdapters(message.sender, message.uses);
     }
+    clusterState.outOfScope.onLoads(message.engineLoads, now());
     if (message.store) {
         clusterState.loadEstimator.adopt(*message.store, now());
     }
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -184,8 +184,13 @@
     if (!copy || !copy->isReady || !m_context.clusterState().outliers.isReachable(record.id, now())) {
         return false;
     }
+    return isVersionUsable(copy->version);
+}
+
+bool RequestJob::isVersionUsable(const AdapterVersion &version) const
+{
     const auto known = m_context.clusterState().versions.find(adapter());
-    if (known == m_context.clusterState().versions.end() || copy->version == known->second.version) {
+    if (known == m_context.clusterState().versions.end() || version == known->second.version) {
         return true;
     }
     // The previous version serves requests while the new one is being loaded, but only until 2.5 s before the bound, so that requests begin
@@ -206,6 +211,51 @@
     return result;
 }
 
+std::vector<UpstreamOption> RequestJob::outOfScopeOptions()
+{
+    std::vector<UpstreamOption> result;
+    ClusterState &clusterState = m_context.clusterState();
+    if (clusterState.engineScope.isEmpty() || !needsAdapter()) {
+        return result;
+    }
+    for (const UpstreamId &engine : clusterState.outOfScope.enginesWith(adapter())) {
+        const UpstreamRecord *record = clusterState.upstreams.usable(engine);
+        const auto reported = clusterState.outOfScope.load(engine, now());
+        const bool isKnown = record != nullptr && record->zone != clusterState.engineScope && record->service == m_service && reported;
+        if (!isKnown || m_excluded.contains(engine) || !clusterState.outliers.isReachable(engine, now())) {
+            continue;
+        }
+        const auto version = clusterState.outOfScope.version(engine, adapter());
+        if (!version || !isVersionUsable(*version)) {
+            continue;
+        }
+        // The holder's report does not contain yet what this node and its scope peers have just sent there.
+        FleetLoad load = clusterState.loadTracker.load(engine, now());
+        load.running += reported->running;
+        load.pendingTokens += reported->pendingTokens;
+        result.push_back(UpstreamOption { record, load, clusterState.outliers.share(engine, now()), false });
+    }
+    return result;
+}
+
+bool RequestJob::sendOutOfScope(const UpstreamOption *inScope)
+{
+    const auto candidates = outOfScopeOptions();
+    const ChoiceParameters parameters;
+    const UpstreamOption *chosen = chooseEngine(candidates, promptTokens(), parameters, m_context.random());
+    if (chosen == nullptr) {
+        return false;
+    }
+    const auto inScopeTime = inScope != nullptr ? std::optional(expectedTimeToFirstToken(*inScope, 0, parameters)) : std::nullopt;
+    if (!shouldLeaveScope(
+            inScopeTime, expectedTimeToFirstToken(*chosen, 0, parameters), fetchTime(CrowdedWaitInFetches), OutOfScopeLimits {})) {
+        return false;
+    }
+    m_context.metrics().sentOutOfScope();
+    send(*chosen->record, m_context.clusterState().outOfScope.version(chosen->record->id, adapter()).value_or(AdapterVersion()));
+    return true;
+}
+
 // Returns whether waiting can help, since the adapter may be loaded on some engine meanwhile.
 bool RequestJob::canWaitForAdapter() const
 {
@@ -227,11 +277,16 @@
     const ChoiceParameters parameters;
     const UpstreamOption *chosen = m_decoded.generation ? chooseEngine(candidates, promptTokens(), parameters, m_context.random())
                                                         : chooseService(candidates, parameters, m_context.random());
+    if (sendOutOfScope(chosen)) {
+        return;
+    }
     if (chosen != nullptr) {
         if (needsAdapter() && expectedTimeToFirstToken(*chosen, 0, parameters) > fetchTime(CrowdedWaitInFetches)) {
             m_context.reportCrowded(adapter());
         }
-        send(*chosen->record);
+        const auto copy =
+            needsAdapter() ? m_context.clusterState().residencies.copy(*chosen->record, adapter()) : std::optional<AdapterCopy>();
+        send(*chosen->record, copy ? copy->version : AdapterVersion());
         return;
     }
     if (canWaitForAdapter()) {
@@ -292,7 +347,7 @@
     }
 }
 
-void RequestJob::send(const UpstreamRecord &record)
+void RequestJob::send(const UpstreamRecord &record, const AdapterVersion &version)
 {
     m_context.loop().cancel(m_waitTimer);
     if (m_attemptsSent > 0 && !m_context.takeRetry(m_service)) {
@@ -302,11 +357,7 @@
     }
     m_phase = Phase::Sent;
     m_upstream = record;
-    m_version = AdapterVersion();
-    if (needsAdapter()) {
-        const auto copy = m_context.clusterState().residencies.copy(record, adapter());
-        m_version = copy ? copy->version : AdapterVersion();
-    }
+    m_version = version;
     m_answer.reset();
     m_body.clear();
     m_sentAt = now();
@@ -536,6 +587,7 @@
         { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "status", std::int64_t(m_answer->status) } });
     if (m_answer->status == MisdirectedStatus && needsAdapter()) {
         m_context.clusterState().residencies.markMissing(m_upstream.id, adapter());
+        m_context.clusterState().outOfScope.markMissing(m_upstream.id, adapter());
     }
     m_excluded.insert(m_upstream.id);
     tryNext();
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -81,9 +81,15 @@
     /** Returns the time that @p count fetches of an adapter take, from the shortest fetch observed. */
     Duration fetchTime(double count) const;
     bool isUsable(const UpstreamRecord &record);
+    /** Whether requests may still run on @p version of the adapter. */
+    bool isVersionUsable(const AdapterVersion &version) const;
+    /** The engines outside of this node's scope that have the adapter loaded and whose load is known. */
+    std::vector<UpstreamOption> outOfScopeOptions();
+    /** Sends the request out of scope if that is better than @p inScope, which may be null. Returns whether it did. */
+    bool sendOutOfScope(const UpstreamOption *inScope);
     bool canWaitForAdapter() const;
     std::optional<Duration> retryDelayIfTooLate() const;
-    void send(const UpstreamRecord &record);
+    void send(const UpstreamRecord &record, const AdapterVersion &version);
     HttpCall makeCall(const UpstreamRecord &record);
     bool maySend() const;
     bool acceptsHead(int status, const HttpHeaders &headers);
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -90,4 +90,5 @@
     isReadingStore @22 :Bool;
     rememberedNodes @23 :UInt32;
     store @24 :StoreViewWire;
+    engineLoads @25 :List(UpstreamLoadWire);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -160,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 7, 14)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 7, 15)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1044,6 +1044,9 @@
   inline bool hasStore() const;
   inline  ::ApricotStep::Wire::StoreViewWire::Reader getStore() const;
 
+  inline bool hasEngineLoads() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Reader getEngineLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1205,6 +1208,13 @@
   inline void adoptStore(::capnp::Orphan< ::ApricotStep::Wire::StoreViewWire>&& value);
   inline ::capnp::Orphan< ::ApricotStep::Wire::StoreViewWire> disownStore();
 
+  inline bool hasEngineLoads();
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Builder getEngineLoads();
+  inline void setEngineLoads( ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Builder initEngineLoads(unsigned int size);
+  inline void adoptEngineLoads(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>> disownEngineLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2571,6 +2581,40 @@
       ::capnp::bounded<13>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessageWire::Reader::hasEngineLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasEngineLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getEngineLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getEngineLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setEngineLoads( ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initEngineLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptEngineLoads(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownEngineLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -120,17 +120,31 @@
     }
 }
 
+void encodeLoads(const std::vector<UpstreamLoad> &loads, capnp::List<Wire::UpstreamLoadWire>::Builder wire)
+{
+    for (unsigned int i = 0; i < wire.size(); ++i) {
+        wire[i].setUpstream(loads[i].upstream.value());
+        wire[i].setRunning(loads[i].running);
+        wire[i].setPendingTokens(loads[i].pendingTokens);
+    }
+}
+
+std::vector<UpstreamLoad> decodeLoads(capnp::List<Wire::UpstreamLoadWire>::Reader wire)
+{
+    std::vector<UpstreamLoad> loads;
+    for (const auto load : wire) {
+        loads.push_back(UpstreamLoad { UpstreamId(textOf(load.getUpstream())), load.getRunning(), load.getPendingTokens() });
+    }
+    return loads;
+}
+
 void encodeLists(const FleetMessage &message, Wire::FleetMessageWire::Builder wire)
 {
     if (message.loads) {
         wire.setHasLoads(true);
-        auto loads = wire.initLoads(static_cast<unsigned int>(message.loads->size()));
-        for (unsigned int i = 0; i < loads.size(); ++i) {
-            loads[i].setUpstream((*message.loads)[i].upstream.value());
-            loads[i].setRunning((*message.loads)[i].running);
-            loads[i].setPendingTokens((*message.loads)[i].pendingTokens);
-        }
+        encodeLoads(*message.loads, wire.initLoads(static_cast<unsigned int>(message.loads->size())));
     }
+    encodeLoads(message.engineLoads, wire.initEngineLoads(static_cast<unsigned int>(message.engineLoads.size())));
     auto contacts = wire.initContacts(static_cast<unsigned int>(message.contacts.size()));
     for (unsigned int i = 0; i < contacts.size(); ++i) {
         contacts.set(i, message.contacts[i]);
@@ -154,11 +168,9 @@
 void decodeLists(Wire::FleetMessageWire::Reader wire, FleetMessage &message)
 {
     if (wire.getHasLoads()) {
-        message.loads.emplace();
-        for (const auto load : wire.getLoads()) {
-            message.loads->push_back(UpstreamLoad { UpstreamId(textOf(load.getUpstream())), load.getRunning(), load.getPendingTokens() });
-        }
+        message.loads = decodeLoads(wire.getLoads());
     }
+    message.engineLoads = decodeLoads(wire.getEngineLoads());
     for (const auto contact : wire.getContacts()) {
         message.contacts.push_back(textOf(contact));
     }
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -34,6 +34,7 @@
     message.contacts = { "10.0.0.2:81" };
     message.loads = { UpstreamLoad { UpstreamId("u"), 2, 300 } };
     message.uses = { AdapterUse { BaseModelId("m"), AdapterId("a"), UpstreamId("u"), 4, true, 3, Duration(-70) } };
+    message.engineLoads = { UpstreamLoad { UpstreamId("e7"), 4, 900 } };
     message.residencies = { EngineResidency {
         UpstreamId("u"), 12, FencingToken(5), 6, { AdapterCopy { BaseModelId("m"), AdapterId("a"), AdapterVersion("1"), true } } } };
     message.store = StoreView { 24.5, Duration(250), Duration(260), Duration(26), true };
@@ -57,6 +58,7 @@
     cr_assert(message.lastOrders.front().ago == Duration(7) && message.uptime == Duration(1234));
     cr_assert(message.releases == sent.releases && message.contacts == sent.contacts);
     cr_assert(message.loads == sent.loads && message.uses == sent.uses && message.residencies == sent.residencies);
+    cr_assert(message.engineLoads == sent.engineLoads);
     cr_assert(message.store == sent.store);
 }
 
