Let all scopes share one estimate of the weight store

From the holders' "store" lines: two zones took 950 and 1,340 ms for the time of a fetch (250 ms) and let 25 to 50 fetches run, the others knew 296 ms, saw all fetches slowed down and gave way to a window of two. Each zone estimated the one store from its own fetches alone.

- Holders tell the other scopes their fetch time, their fetches and their demand with the renewals.
The window counts the fetches of all scopes, and a scope takes the share of it that its demand is of the whole.
- A scope that has only seen a busy store takes over the shorter time of one that can tell cached loads from fetches; while such a time is confirmed, fetches with and without contention are not taken for cached loads and fetches.
- A confirmed fetch time bounds the delay of the first poll.

Tests that fail before: scopesShareTheStoreAfterARestart (6 scopes, 60 engines, restart under load: a node estimates 1,131 ms), aLatePollDoesNotLookLikeContention.

--- a/coordination/adapterloadestimator.cpp
+++ b/coordination/adapterloadestimator.cpp
@@ -146,13 +146,13 @@
     Load load { adapter, now, fence, 0, ageOf(engine, adapter), false };
     load.isExpectedCached = load.age > 0 && hitRate(load.age) > ExpectedCachedThreshold;
     m_fetchesInFlight += load.isExpectedCached ? 0 : 1;
-    load.fetchesAtBegin = m_fetchesInFlight;
+    load.fetchesAtBegin = allFetches();
     engine.loads.push_back(load);
 }
 
 void AdapterLoadEstimator::end(const Load &load, FencingToken fence, Time now)
 {
-    const double fetches = (load.fetchesAtBegin + m_fetchesInFlight) / 2;
+    const double fetches = (load.fetchesAtBegin + allFetches()) / 2;
     m_fetchesInFlight -= load.isExpectedCached ? 0 : 1;
     const double slowdown = m_minFetchMs > 0 ? static_cast<double>((now - load.beganAt).milliseconds()) / m_minFetchMs : 0;
     // The next lease holder polls the loads in flight again, so the time until now would include the handover.
@@ -183,8 +183,13 @@
 // ones, their time is taken for that of a fetch; every real fetch then seems slowed down, and the window shrinks to its minimum. Where the
 // observed times fall into two groups, the longer ones are therefore taken for the fetches. A fetch time that is too long does less harm:
 // it only lets more fetches share the store.
-void AdapterLoadEstimator::correctMinFetchTime()
+void AdapterLoadEstimator::correctMinFetchTime(Time now)
 {
+    // Fetches under contention and without fall into two groups as well. Another scope that can tell cached loads from fetches knows
+    // better.
+    if (m_confirmedAt != Time() && now - m_confirmedAt <= m_limits.scopeTimeout) {
+        return;
+    }
     std::vector<double> sorted = m_loadTimesMs;
     std::sort(sorted.begin(), sorted.end());
     // A single long time may come from a node that was suspended.
@@ -213,7 +218,7 @@
     const bool hasLowerBound = load.unfinishedPolls > 0 || (at != m_engines.end() && at->second.wasSeenEmpty && !load.wasExpectedCached);
     if (hasLowerBound) {
         recordLoadTime(loadMs);
-        correctMinFetchTime();
+        correctMinFetchTime(now);
     }
     const int earlyPolls = load.wasExpectedCached ? EarlyPolls : 0;
     const double cachedMaxRatio = load.wasExpectedCached ? m_limits.cachedMaxRatio : m_limits.unexpectedCachedMaxRatio;
@@ -252,8 +257,13 @@
     if (m_minFetchMs == 0) {
         return std::nullopt;
     }
-    return StoreView { m_window, minFetchTime(), firstPollDelay(false), Duration(static_cast<std::int64_t>(m_typicalCachedMs)),
+    StoreView view { m_window, minFetchTime(), firstPollDelay(false), Duration(static_cast<std::int64_t>(m_typicalCachedMs)),
         m_hasSeenContention };
+    if (m_pendingFetchesAt != Time()) {
+        view.scopeFetches = static_cast<std::uint32_t>(std::max(m_fetchesInFlight, 0));
+        view.scopeDemand = static_cast<std::uint32_t>(std::max(m_fetchesInFlight + m_pendingFetches, 1));
+    }
+    return view;
 }
 
 void AdapterLoadEstimator::drop(Engine &engine, std::uint64_t adapter)
@@ -269,12 +279,12 @@
 {
     if (slowdown < m_limits.contentionRatio) {
         // With fewer fetches in flight than half of the window, nothing is learnt about what the store sustains.
-        if (fetches * 2 >= m_window) {
+        if (fetches * 2 >= m_window * scopeCount()) {
             m_window += m_hasSeenContention ? m_limits.windowIncrease : 1;
         }
         return;
     }
-    const double sustainable = fetches / slowdown * m_limits.contentionRatio;
+    const double sustainable = fetches / slowdown * m_limits.contentionRatio / scopeCount();
     if (sustainable < m_window) {
         m_hasSeenContention = true;
         m_window = std::max(m_limits.minWindow, m_window + (sustainable - m_window) * m_limits.windowDecrease);
@@ -283,7 +293,74 @@
 
 int AdapterLoadEstimator::maxConcurrentFetches() const
 {
-    return static_cast<int>(m_window);
+    double otherDemand = 0;
+    for (const auto &[scope, other] : m_otherScopes) {
+        otherDemand += other.demand;
+    }
+    if (otherDemand == 0) {
+        return static_cast<int>(m_window * scopeCount());
+    }
+    const double demand = m_fetchesInFlight + m_pendingFetches;
+    const double share = demand / (demand + otherDemand);
+    return static_cast<int>(std::max(m_limits.minWindow, m_window * scopeCount() * share));
+}
+
+double AdapterLoadEstimator::scopeCount() const
+{
+    return static_cast<double>(m_otherScopes.size() + 1);
+}
+
+double AdapterLoadEstimator::allFetches() const
+{
+    double sum = m_fetchesInFlight;
+    for (const auto &[scope, other] : m_otherScopes) {
+        sum += other.fetches;
+    }
+    return sum;
+}
+
+void AdapterLoadEstimator::removeSilentScopes(Time now)
+{
+    absl::erase_if(m_otherScopes, [this, now](const auto &entry) { return now - entry.second.at > m_limits.scopeTimeout; });
+}
+
+void AdapterLoadEstimator::onOtherScope(const ZoneId &scope, const StoreView &view, Time now)
+{
+    if (view.scopeDemand > 0) {
+        m_otherScopes[scope] = OtherScope { static_cast<double>(view.scopeFetches), static_cast<double>(view.scopeDemand), now };
+    }
+    adoptMinFetchTime(view, now);
+}
+
+// A scope that has only seen a busy store takes over the shorter time of another one, if that one can tell cached loads from fetches.
+void AdapterLoadEstimator::adoptMinFetchTime(const StoreView &view, Time now)
+{
+    const auto fetchMs = static_cast<double>(view.minFetchTime.milliseconds());
+    const auto cachedMs = static_cast<double>(view.typicalCachedLoadTime.milliseconds());
+    if (m_minFetchMs == 0 || cachedMs <= 0 || fetchMs < cachedMs * m_limits.minGapRatio
+        || fetchMs > m_minFetchMs * m_limits.contentionRatio) {
+        return;
+    }
+    m_confirmedAt = now;
+    if (fetchMs < m_minFetchMs) {
+        m_minFetchMs = fetchMs;
+        m_minFetchAt = now;
+        m_loadTimesMs.clear();
+        m_nextLoadTime = 0;
+    }
+}
+
+void AdapterLoadEstimator::clearPendingFetches()
+{
+    m_pendingFetches = 0;
+    m_pendingFetchesAt = Time();
+}
+
+void AdapterLoadEstimator::setPendingFetches(int count, Time now)
+{
+    m_pendingFetches = count;
+    m_pendingFetchesAt = now;
+    removeSilentScopes(now);
 }
 
 int AdapterLoadEstimator::fetchesInFlight() const
@@ -302,7 +379,10 @@
         return InitialPollDelay;
     }
     if (!isCached) {
-        return Duration(static_cast<std::int64_t>(m_typicalFetchMs));
+        // A load that is done when it is first polled may have been done long before. If the first poll came later than the time of a fetch
+        // without contention, such loads would look slowed down.
+        const double latestMs = m_confirmedAt != Time() ? m_minFetchMs * (1 + m_limits.contentionRatio) / 2 : m_typicalFetchMs;
+        return Duration(static_cast<std::int64_t>(std::min(m_typicalFetchMs, latestMs)));
     }
     const double typicalMs = m_typicalCachedMs > 0 ? m_typicalCachedMs : m_typicalFetchMs * CachedTimeRatio;
     // The last early poll must come before a load counts as a fetch.
--- a/coordination/adapterloadestimator.h
+++ b/coordination/adapterloadestimator.h
@@ -22,6 +22,13 @@
 // ten times as fast, from its host memory. Neither the store nor the engines publish how many fetches the store sustains, how long one
 // takes or how many adapters an engine caches.
 //
+// In a large fleet several scopes order loads from the one store, and each sees only the residencies of its own engines. If each estimated
+// the store by itself, a scope that starts while others fetch would take the time under contention for that of an idle store and never
+// stop growing, while a scope that knows better would give way to it down to its minimum: after a restart of 195 nodes, four of six zones
+// were left with two fetches at a time, and a fetch took 1.3 s instead of 0.25 s for as long as the fleet ran. Therefore lease holders tell
+// the other scopes their fetch time, their fetches in flight and their demand; each scope takes the share of the store that its demand is
+// of the whole.
+//
 // With a fixed concurrency limit that is too low, requests queue for an idle store and callers get late answers; with one that is too high,
 // an urgent load shares the store with dozens of others. The parameters are therefore derived from observed loads, whose begin and end
 // appear in the residencies that lease holders send. A fetch that takes longer than the shortest one shows contention at the store.
@@ -57,6 +64,8 @@
     double minFetchTimeDecay = 0.001;
     /** Times of more than this many shortest fetches come from lost datagrams or crashed lease holders and say nothing about the store. */
     double maxCredibleRatio = 8;
+    /** What another scope reported is forgotten after this time: several messages of its lease holders were lost, or they are gone. */
+    Duration scopeTimeout { 2500 };
     /** Assumed fetch time before any fetch has been observed; only affects where the first loads are placed. */
     Duration initialFetchTime { 250 };
 };
@@ -90,11 +99,17 @@
     void onLoadCompleted(const CompletedLoad &load, Time now);
     /** Takes over the observations of another node, unless this node has observed a fetch itself. */
     void adopt(const StoreView &view, Time now);
+    /** Handles the observations of a lease holder of another scope. */
+    void onOtherScope(const ZoneId &scope, const StoreView &view, Time now);
+    /** Sets how many adapters wait for a fetch that this node's plan has not ordered. */
+    void setPendingFetches(int count, Time now);
+    /** This node orders no fetches any more. */
+    void clearPendingFetches();
     /** The observations to send to other nodes; empty before any fetch has been observed. */
     std::optional<StoreView> view() const;
     void remove(const UpstreamId &engine);
 
-    /** Limit of concurrent fetches from the store, over all engines. */
+    /** Limit of concurrent fetches from the store, over all engines in scope. */
     int maxConcurrentFetches() const;
     /** Loads in flight that are expected to come from the store. */
     int fetchesInFlight() const;
@@ -144,8 +159,13 @@
     void end(const Load &load, FencingToken fence, Time now);
     static void drop(Engine &engine, std::uint64_t adapter);
     void recordLoadTime(double loadMs);
-    void correctMinFetchTime();
+    void correctMinFetchTime(Time now);
     void adjustWindow(double fetches, double slowdown);
+    void adoptMinFetchTime(const StoreView &view, Time now);
+    /** Fetches in flight in all scopes. */
+    double allFetches() const;
+    double scopeCount() const;
+    void removeSilentScopes(Time now);
     double hitRate(std::uint32_t age) const;
     static std::uint32_t ageOf(const Engine &engine, std::uint64_t adapter);
 
@@ -163,6 +183,8 @@
     double m_minFetchMs = 0;
     /** When m_minFetchMs was last observed or decayed. */
     Time m_minFetchAt;
+    /** When another scope last reported about the same time, or a shorter one that was adopted. */
+    Time m_confirmedAt;
     int m_completedFetches = 0;
     /** Ring buffer of the latest times of loads that this node ordered, in ms; only times with a known lower bound. */
     std::vector<double> m_loadTimesMs;
@@ -170,9 +192,19 @@
     /** Most fetches and most cached loads are done after these times, in ms; 0 before any has been observed. */
     double m_typicalFetchMs = 0;
     double m_typicalCachedMs = 0;
+    /** The window of all scopes together, divided by their number. */
     double m_window;
     bool m_hasSeenContention = false;
     std::array<double, AgeClassCount> m_hitRates;
+    struct OtherScope
+    {
+        double fetches = 0;
+        double demand = 0;
+        Time at;
+    };
+    absl::flat_hash_map<ZoneId, OtherScope> m_otherScopes;
+    int m_pendingFetches = 0;
+    Time m_pendingFetchesAt;
 };
 
 } // namespace ApricotStep
--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -137,6 +137,13 @@
     void beginLoad(const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions);
     void verify(const AdapterRef &adapter, Time now);
     void servePendingAdapters(Time now, std::vector<PlanAction> &actions);
+    struct CopySummary
+    {
+        /** A copy is being loaded or verified. */
+        bool isBeingHandled = false;
+        bool isReady = false;
+    };
+    CopySummary copiesOf(const AdapterRef &adapter, Time now) const;
     void repeatOrders(Time now, std::vector<PlanAction> &actions);
     void reloadOutdated(Time now);
     void loadModels(Time now, std::vector<PlanAction> &actions);
@@ -361,25 +368,38 @@
 {
     std::vector<PendingAdapter> pendingAdapters = demand.pendingAdapters();
     sortPendingAdapters(pendingAdapters, {}, loads.firstPollDelay(false), now);
+    std::vector<CopySummary> summaries;
+    summaries.reserve(pendingAdapters.size());
     for (const PendingAdapter &pending : pendingAdapters) {
-        bool isBeingHandled = false;
-        bool isReady = false;
-        for (const auto &[id, engine] : engines) {
-            const auto at = engine.copies.find(pending.adapter);
-            if (at != engine.copies.end() && !isUnavailable(engine, now)) {
-                isBeingHandled = isBeingHandled || isInFlight(at->second) || at->second.state == CopyState::Verifying;
-                isReady = isReady || at->second.state == CopyState::Ready;
-            }
-        }
-        if (isBeingHandled) {
+        summaries.push_back(copiesOf(pending.adapter, now));
+    }
+    const auto waitsForFetch = [](const CopySummary &copies) { return !copies.isBeingHandled && !copies.isReady; };
+    loads.setPendingFetches(static_cast<int>(std::count_if(summaries.begin(), summaries.end(), waitsForFetch)), now);
+    for (std::size_t i = 0; i < pendingAdapters.size(); ++i) {
+        const PendingAdapter &pending = pendingAdapters[i];
+        const CopySummary &copies = summaries[i];
+        if (copies.isBeingHandled) {
             continue;
         }
-        if (isReady && !pending.hasOverloadedCopies) {
+        if (copies.isReady && !pending.hasOverloadedCopies) {
             verify(pending.adapter, now);
         } else {
-            place(pending, isReady, now, actions);
+            place(pending, copies.isReady, now, actions);
+        }
+    }
+}
+
+AdapterPlan::Private::CopySummary AdapterPlan::Private::copiesOf(const AdapterRef &adapter, Time now) const
+{
+    CopySummary result;
+    for (const auto &[id, engine] : engines) {
+        const auto at = engine.copies.find(adapter);
+        if (at != engine.copies.end() && !isUnavailable(engine, now)) {
+            result.isBeingHandled = result.isBeingHandled || isInFlight(at->second) || at->second.state == CopyState::Verifying;
+            result.isReady = result.isReady || at->second.state == CopyState::Ready;
         }
     }
+    return result;
 }
 
 void AdapterPlan::Private::repeatOrders(Time now, std::vector<PlanAction> &actions)
--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -81,6 +81,9 @@
     Duration typicalCachedLoadTime;
     /** Fetches have been observed to slow each other down. */
     bool hasSeenContention = false;
+    /** Fetches in flight in the sender's scope, and those together with the adapters that wait for a fetch; 0 if the sender orders none. */
+    std::uint32_t scopeFetches = 0;
+    std::uint32_t scopeDemand = 0;
 
     bool operator==(const StoreView &) const = default;
 };
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -532,6 +532,9 @@
     clusterState.outOfScope.onLoads(message.engineLoads, now());
     if (message.store) {
         clusterState.loadEstimator.adopt(*message.store, now());
+        if (!scope.isScopePeer(message.zone, message.scope)) {
+            clusterState.loadEstimator.onOtherScope(message.scope, *message.store, now());
+        }
     }
     bool isNewer = false;
     for (const EngineResidency &residency : message.residencies) {
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -122,6 +122,7 @@
         if (plan != nullptr) {
             log.write(EventLog::Severity::Important, "orders", "stopped",
                 { { "shard", std::int64_t(shard.value()) }, { "fence", static_cast<std::int64_t>(fence.value()) } });
+            clusterState.loadEstimator.clearPendingFetches();
         }
         plan.reset();
         return false;
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -62,6 +62,8 @@
     usualFetchMs @2 :Int64;
     usualAtHandMs @3 :Int64;
     hasSlowedDown @4 :Bool;
+    scopeFetches @5 :UInt32;
+    scopeDemand @6 :UInt32;
 }
 
 struct FleetMessageWire {
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -145,7 +145,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba03b9cd0cf349d7, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ba03b9cd0cf349d7, 6, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -894,6 +894,10 @@
 
   inline bool getHasSlowedDown() const;
 
+  inline  ::uint32_t getScopeFetches() const;
+
+  inline  ::uint32_t getScopeDemand() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -937,6 +941,12 @@
   inline bool getHasSlowedDown();
   inline void setHasSlowedDown(bool value);
 
+  inline  ::uint32_t getScopeFetches();
+  inline void setScopeFetches( ::uint32_t value);
+
+  inline  ::uint32_t getScopeDemand();
+  inline void setScopeDemand( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1938,6 +1948,34 @@
       ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t StoreViewWire::Reader::getScopeFetches() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StoreViewWire::Builder::getScopeFetches() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void StoreViewWire::Builder::setScopeFetches( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StoreViewWire::Reader::getScopeDemand() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StoreViewWire::Builder::getScopeDemand() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void StoreViewWire::Builder::setScopeDemand( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetMessageWire::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -190,12 +190,14 @@
     wire.setUsualFetchMs(store.typicalFetchTime.milliseconds());
     wire.setUsualAtHandMs(store.typicalCachedLoadTime.milliseconds());
     wire.setHasSlowedDown(store.hasSeenContention);
+    wire.setScopeFetches(store.scopeFetches);
+    wire.setScopeDemand(store.scopeDemand);
 }
 
 StoreView decodeStore(Wire::StoreViewWire::Reader wire)
 {
     return StoreView { wire.getFetchesAtOnce(), Duration(wire.getShortestFetchMs()), Duration(wire.getUsualFetchMs()),
-        Duration(wire.getUsualAtHandMs()), wire.getHasSlowedDown() };
+        Duration(wire.getUsualAtHandMs()), wire.getHasSlowedDown(), wire.getScopeFetches(), wire.getScopeDemand() };
 }
 
 FleetMessage decode(Wire::FleetMessageWire::Reader wire)
--- a/tests/coordination/testadapterloadestimator.cpp
+++ b/tests/coordination/testadapterloadestimator.cpp
@@ -152,3 +152,64 @@
     simulation.runLoad(Duration(100), 250, 3000, 0.8);
     cr_assert_geq(simulation.loads(1).maxConcurrentFetches() * 2, before);
 }
+
+// Six scopes order loads from one store, and all nodes restart while more adapters are pending than it can fetch. A scope that takes the
+// time of a crowded fetch for that of an idle store never stops growing, and the others give way to it until they fetch two at a time.
+Test(adapterloadestimator, scopesShareTheStoreAfterARestart)
+{
+    StoreParameters parameters { 48, Duration(250), 40, 60, 6, 12 };
+    parameters.scopes = 6;
+    WeightStoreSimulation simulation(parameters);
+    simulation.runLoad(Duration::seconds(6), 300, 6000, 1.0);
+    simulation.restartNodes();
+    simulation.runLoad(Duration::seconds(5), 400, 6000, 0.9);
+    int limits = 0;
+    for (std::size_t node = 0; node < static_cast<std::size_t>(parameters.plans); ++node) {
+        const auto shortest = static_cast<long long>(simulation.loads(node).minFetchTime().milliseconds());
+        cr_assert_leq(shortest, 400, "node %zu estimates %lld ms for a fetch", node, shortest);
+        const int limit = simulation.loads(node).maxConcurrentFetches();
+        cr_assert_geq(limit, 3, "node %zu may order %d fetches", node, limit);
+        cr_assert_leq(limit, 24, "node %zu may order %d fetches", node, limit);
+        limits += node < 6 ? limit : 0;
+    }
+    cr_assert_leq(limits, 2 * parameters.fullSpeedFetches, "the scopes may order %d fetches", limits);
+}
+
+// A node has only seen a congested store and learns from another scope how long a fetch really takes. If it went on polling each load as
+// late as under contention, the time until that poll would count as the time of the fetch: the store would look busy for good, and the node
+// would fetch two adapters at a time from an idle one.
+Test(adapterloadestimator, aLatePollDoesNotLookLikeContention)
+{
+    AdapterLoadEstimator loads;
+    Time now { 100'000 };
+    std::uint64_t sequence = 0;
+    EngineResidency residency { UpstreamId("e"), 1, FencingToken(1), ++sequence, {} };
+    loads.onResidency(residency, now);
+    const auto fetch = [&](Duration fetchTime) {
+        residency.copies = { AdapterCopy { BaseModelId("m"), AdapterId("a" + std::to_string(sequence)), AdapterVersion("1"), false } };
+        residency.sequence = ++sequence;
+        loads.onResidency(residency, now);
+        const Time orderedAt = now;
+        now = now + loads.firstPollDelay(false);
+        int unfinishedPolls = 0;
+        while (now - orderedAt < fetchTime) {
+            now = now + loads.nextPollDelay(now - orderedAt, ++unfinishedPolls, false);
+        }
+        residency.copies.front().isReady = true;
+        residency.sequence = ++sequence;
+        loads.onResidency(residency, now);
+        loads.onLoadCompleted(CompletedLoad { residency.engine, now - orderedAt, unfinishedPolls, false }, now);
+    };
+    for (int i = 0; i < 40; ++i) {
+        fetch(Duration(1200));
+    }
+    cr_assert_geq(loads.minFetchTime().milliseconds(), 1100);
+    StoreView view { 8, Duration(255), Duration(280), Duration(30), true };
+    loads.onOtherScope(ZoneId("z"), view, now);
+    cr_assert_eq(loads.minFetchTime().milliseconds(), 255);
+    for (int i = 0; i < 20; ++i) {
+        fetch(Duration(250));
+    }
+    cr_assert_leq(loads.firstPollDelay(false).milliseconds(), 400);
+    cr_assert_geq(loads.maxConcurrentFetches(), 4, "%d fetches at a time", loads.maxConcurrentFetches());
+}
--- a/tests/coordination/weightstoresimulation.h
+++ b/tests/coordination/weightstoresimulation.h
@@ -46,6 +46,8 @@
     int plans = 3;
     /** Delay that a slow node and its link add before a load is observed to be done. */
     Duration observationDelay { 0 };
+    /** The engines and plans are divided evenly into scopes; each request is for the engines of one of them. */
+    int scopes = 1;
 };
 
 /**
@@ -78,7 +80,8 @@
     /** A request for @p adapter arrives now and runs for @p work once a copy is loaded. */
     void ask(const std::string &adapter, Duration work = Duration(200))
     {
-        m_requests.push_back(Request { adapter, m_now, Time(), work, -1, false });
+        const int scope = m_parameters.scopes > 1 ? std::uniform_int_distribution<int>(0, m_parameters.scopes - 1)(m_random) : 0;
+        m_requests.push_back(Request { adapter, m_now, Time(), work, -1, false, false, scope });
     }
     /** Simulates @p perSecond requests for @p adapters adapters of Zipf popularity with exponent @p skew. */
     void runLoad(Duration span, double perSecond, int adapters, double skew)
@@ -200,6 +203,7 @@
         int engine;
         bool isPlaced;
         bool isCounted = false;
+        int scope = 0;
     };
     struct Load
     {
@@ -270,8 +274,10 @@
             if (request.isPlaced) {
                 continue;
             }
-            for (std::size_t i = 0; i < m_engines.size() && !request.isPlaced; ++i) {
-                const auto copy = m_nodes[0]->residencies.copy(m_records[i], AdapterRef { BaseModelId("m"), AdapterId(request.adapter) });
+            const auto scope = static_cast<std::size_t>(request.scope);
+            for (std::size_t i = scope; i < m_engines.size() && !request.isPlaced; i += scopeCount()) {
+                const auto copy =
+                    m_nodes[scope]->residencies.copy(m_records[i], AdapterRef { BaseModelId("m"), AdapterId(request.adapter) });
                 if (copy && copy->isReady && !m_engines[i].isDown) {
                     request.isPlaced = true;
                     request.engine = static_cast<int>(i);
@@ -280,10 +286,17 @@
             }
         }
     }
-    std::vector<AdapterUse> uses()
+    std::size_t scopeCount() const
+    {
+        return static_cast<std::size_t>(m_parameters.scopes);
+    }
+    std::vector<AdapterUse> uses(std::size_t scope)
     {
         std::vector<AdapterUse> result;
         for (Request &request : m_requests) {
+            if (static_cast<std::size_t>(request.scope) != scope) {
+                continue;
+            }
             const bool isRunning = request.isPlaced && m_now < request.placedAt + request.work;
             if (request.isPlaced && !isRunning) {
                 continue;
@@ -302,27 +315,24 @@
     }
     void decide(std::size_t index)
     {
-        if (index == 0) {
-            m_uses = uses();
+        const std::size_t scope = index % scopeCount();
+        if (index == scope) {
+            m_uses[scope] = uses(scope);
         }
         Node &node = *m_nodes[index];
         if (node.isStopped) {
             return;
         }
-        for (const auto &other : m_nodes) {
-            if (const auto view = other->loads.view()) {
-                node.loads.adopt(*view, m_now);
-            }
-        }
+        exchangeViews(index);
         std::vector<PlannedEngine> planned;
-        for (std::size_t i = 0; i < m_records.size(); ++i) {
+        for (std::size_t i = scope; i < m_records.size(); i += scopeCount()) {
             const std::size_t owner = i % m_nodes.size();
             planned.push_back(
                 PlannedEngine { &m_records[i], &m_spec, 0, 0, 1, owner == index, !m_nodes[owner]->isStopped, !m_engines[i].isDown });
         }
         node.plan->setEngines(planned, node.residencies, m_now);
-        node.plan->setRotation(PlanRotation { index, m_nodes.size() });
-        node.plan->onUses(NodeId("n"), m_uses, m_now);
+        node.plan->setRotation(PlanRotation { index / scopeCount(), m_nodes.size() / scopeCount() });
+        node.plan->onUses(NodeId("n"), m_uses[scope], m_now);
         for (const PlanAction &action : node.plan->decide(m_now)) {
             if (const auto *give = std::get_if<SendOrder>(&action)) {
                 node.plan->onOrderAnswer(give->order, carryOut(give->order), m_now);
@@ -331,7 +341,8 @@
                     node.plan->onReport(ask->engine, reportOfEngine(m_engines[indexOf(ask->engine)]), m_now);
                 }
             } else if (const auto *announce = std::get_if<AnnounceResidency>(&action)) {
-                for (auto &each : m_nodes) {
+                for (std::size_t other = scope; other < m_nodes.size(); other += scopeCount()) {
+                    const auto &each = m_nodes[other];
                     if (each->residencies.put(announce->residency)) {
                         each->loads.onResidency(announce->residency, m_now);
                     }
@@ -339,6 +350,24 @@
             }
         }
     }
+    // Nodes of one scope hear each other at once, those of other scopes with the renewals of leases.
+    void exchangeViews(std::size_t index)
+    {
+        constexpr Duration RenewalInterval { 600 };
+        Node &node = *m_nodes[index];
+        const bool isRenewalDue = m_now.milliseconds() % RenewalInterval.milliseconds() < Step.milliseconds();
+        for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+            const auto view = m_nodes[other]->loads.view();
+            const bool isSameScope = other % scopeCount() == index % scopeCount();
+            if (!view || other == index || (!isSameScope && !isRenewalDue)) {
+                continue;
+            }
+            node.loads.adopt(*view, m_now);
+            if (!isSameScope) {
+                node.loads.onOtherScope(ZoneId("z" + std::to_string(other % scopeCount())), *view, m_now);
+            }
+        }
+    }
     static std::size_t indexOf(const UpstreamId &id)
     {
         return std::stoul(id.value().substr(1));
@@ -383,7 +412,7 @@
     std::vector<Engine> m_engines;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::vector<Request> m_requests;
-    std::vector<AdapterUse> m_uses;
+    std::map<std::size_t, std::vector<AdapterUse>> m_uses;
     int m_fetches = 0;
     int m_cachedLoads = 0;
     int m_maxFetchesInFlight = 0;
