Compress large values that nodes send each other

A value of 4 KiB and more is compressed once in each node (zlib) and sent so to peers that ask for it; a node of an earlier version gets it as before.

--- a/main/entry/peerservice.cpp
+++ b/main/entry/peerservice.cpp
@@ -20,6 +20,8 @@
 constexpr int NotFoundStatus = 404;
 constexpr int GoneStatus = 410;
 constexpr const char *AfterParameter = "after";
+// Set by nodes that can read compressed values; nodes of earlier versions cannot.
+constexpr const char *CompressedParameter = "compressed";
 // Time since the answering node saw the store recover from an outage, in ms.
 constexpr const char *RegainedHeader = "Store-Regained-Ms-Ago";
 // Age of the latest state of the store that the answering node knows completely, in ms.
@@ -58,7 +60,8 @@
 void PeerService::Private::fetch(const Peer &peer, std::function<void(bool)> onDone)
 {
     HttpCall call;
-    call.url = "http://" + peer.peerAddress + StorePath + "?" + AfterParameter + "=" + std::to_string(store.revision());
+    call.url = "http://" + peer.peerAddress + StorePath + "?" + AfterParameter + "=" + std::to_string(store.revision()) + "&"
+        + CompressedParameter + "=1";
     call.connectTimeout = ConnectTimeout;
     call.totalTimeout = FetchTimeout;
     call.acknowledgeTimeout = ConnectTimeout;
@@ -106,7 +109,7 @@
         exchange.respond(NotFoundStatus, {}, "");
         return;
     }
-    auto changes = d->store.changesSince(after);
+    auto changes = d->store.changesSince(after, request.parameter(CompressedParameter) == "1");
     if (!changes) {
         exchange.respond(GoneStatus, {}, "");
         return;
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -347,12 +347,12 @@
     }
 }
 
-std::optional<std::string> StoreReader::changesSince(Platform::StoreRevision revision) const
+std::optional<std::string> StoreReader::changesSince(Platform::StoreRevision revision, bool isCompressed) const
 {
     if (!d->replica.isCompleteSince(revision)) {
         return std::nullopt;
     }
-    return Platform::encodeWatch(d->replica.since(revision), this->revision());
+    return Platform::encodeWatch(isCompressed ? d->replica.compressedSince(revision) : d->replica.since(revision), this->revision());
 }
 
 bool StoreReader::mergeFromPeer(const NodeId &peer, const PeerChanges &offered)
--- a/main/entry/storereader.h
+++ b/main/entry/storereader.h
@@ -56,8 +56,11 @@
     void start();
     /** A follower does not watch the store; it gets the changes through mergeFromPeer(). */
     void setFollowing(bool isFollowing);
-    /** The changes after @p revision, for other nodes; empty if tombstones of later revisions have expired. */
-    std::optional<std::string> changesSince(Platform::StoreRevision revision) const;
+    /**
+     * The changes after @p revision, for other nodes; empty if tombstones of later revisions have expired. @p isCompressed: the other node
+     * can read compressed values.
+     */
+    std::optional<std::string> changesSince(Platform::StoreRevision revision, bool isCompressed) const;
     /** Merges what another node has read, as far as it is newer. Returns whether the body of @p changes could be decoded. */
     bool mergeFromPeer(const NodeId &peer, const PeerChanges &changes);
     /** Whether the whole store has been read; false again while it is read anew because the store has dropped its history. */
--- a/main/entry/storereplica.cpp
+++ b/main/entry/storereplica.cpp
@@ -1,5 +1,7 @@
 #include "main/entry/storereplica.h"
 
+#include "core/compression.h"
+
 #include <algorithm>
 
 namespace ApricotStep
@@ -10,6 +12,8 @@
 
 // A node that has not followed for longer than this reads the whole store again.
 constexpr Duration TombstoneLifetime = Duration::seconds(60);
+// Compression saves nothing on smaller values.
+constexpr std::size_t MinCompressedBytes = 4096;
 
 } // namespace
 
@@ -63,14 +67,38 @@
     return revision >= m_lastExpiredRevision;
 }
 
+std::vector<Platform::StoreItem> StoreReplica::compressedSince(Platform::StoreRevision revision)
+{
+    std::vector<Platform::StoreItem> result;
+    for (auto &[key, item] : m_items) {
+        if (item.revision <= revision) {
+            continue;
+        }
+        if (item.compressedValue.empty() && item.value.size() >= MinCompressedBytes) {
+            item.compressedValue = compress(item.value);
+        }
+        const bool isCompressed = !item.compressedValue.empty();
+        result.push_back(
+            Platform::StoreItem { item.key, isCompressed ? std::string() : item.value, item.revision, false, item.compressedValue });
+    }
+    addTombstones(revision, result);
+    return result;
+}
+
 std::vector<Platform::StoreItem> StoreReplica::since(Platform::StoreRevision revision) const
 {
     std::vector<Platform::StoreItem> result;
     for (const auto &[key, item] : m_items) {
         if (item.revision > revision) {
-            result.push_back(item);
+            result.push_back(Platform::StoreItem { item.key, item.value, item.revision, false });
         }
     }
+    addTombstones(revision, result);
+    return result;
+}
+
+void StoreReplica::addTombstones(Platform::StoreRevision revision, std::vector<Platform::StoreItem> &result) const
+{
     for (const auto &[key, tombstone] : m_tombstones) {
         if (tombstone.revision > revision) {
             result.push_back(Platform::StoreItem { key, "", tombstone.revision, true });
@@ -78,7 +106,6 @@
     }
     const auto isEarlier = [](const Platform::StoreItem &a, const Platform::StoreItem &b) { return a.revision < b.revision; };
     std::sort(result.begin(), result.end(), isEarlier);
-    return result;
 }
 
 } // namespace ApricotStep
--- a/main/entry/storereplica.h
+++ b/main/entry/storereplica.h
@@ -28,6 +28,11 @@
     bool isCompleteSince(Platform::StoreRevision revision) const;
     /** All changes after @p revision, deletions included, in the order of their revisions. */
     std::vector<Platform::StoreItem> since(Platform::StoreRevision revision) const;
+    /**
+     * The same with large values compressed, each only once. A configuration of a thousand routes has hundreds of kilobytes, and a reader
+     * sends it to all nodes of its scope at the same moment.
+     */
+    std::vector<Platform::StoreItem> compressedSince(Platform::StoreRevision revision);
 
 private:
     struct Tombstone
@@ -37,6 +42,8 @@
     };
 
     void removeExpiredTombstones(Time now);
+    /** Adds the deletions after @p revision to @p result and sorts it. */
+    void addTombstones(Platform::StoreRevision revision, std::vector<Platform::StoreItem> &result) const;
 
     std::map<std::string, Platform::StoreItem> m_items;
     std::map<std::string, Tombstone> m_tombstones;
--- a/tests/main/teststorereplica.cpp
+++ b/tests/main/teststorereplica.cpp
@@ -49,6 +49,23 @@
     cr_assert(replica.since(9).empty());
 }
 
+// A reader sends a configuration of many routes to all nodes of its scope at once. Uncompressed, that takes its link for seconds, and its
+// own messages wait behind it.
+Test(storereplica, largeValuesAreCompressedForPeers)
+{
+    StoreReplica replica;
+    const std::string routes(300'000, 'r');
+    replica.put(StoreItem { "op/config", routes, 2, false }, Start);
+    replica.put(StoreItem { "servers/a", "small", 3, false }, Start);
+    replica.put(deletion("servers/b", 4), Start);
+    const auto changes = replica.compressedSince(1);
+    cr_assert_eq(changes.size(), 3);
+    cr_assert(changes[0].value.empty() && changes[0].compressedValue.size() < 10'000);
+    cr_assert(changes[1].value == "small" && changes[1].compressedValue.empty());
+    cr_assert(changes[2].isDeleted);
+    cr_assert(replica.since(1)[0].value == routes && replica.since(1)[0].compressedValue.empty(), "for nodes of an earlier version");
+}
+
 // The store dropped its history, so this node read all of it again and got no deletions for the keys that are missing now. Followers that
 // got only the remaining items would keep the missing ones for good.
 Test(storereplica, keysMissingFromFullReadAreDeleted)
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -1,3 +1,4 @@
+#include "core/compression.h"
 #include "platform/enginecalls.h"
 #include "platform/records.h"
 #include "platform/settings.h"
@@ -156,6 +157,21 @@
     cr_assert(rangeTarget("a b", "k/1").find("pathPrefix=a%20b&after=k/1") != std::string::npos);
 }
 
+// Nodes send each other large values compressed. One that cannot be restored must be skipped like any unreadable item.
+Test(store, compressedValuesAreRestored)
+{
+    const std::string value(100'000, 'r');
+    StoreItem item { "op/config", value, 7, false };
+    item.compressedValue = compress(value);
+    const std::string body = encodeWatch({ item, StoreItem { "servers/u", "small", 8, false } }, 9);
+    cr_assert_lt(body.size(), 5000);
+    const auto page = decodeWatch(body);
+    cr_assert_eq(page.value().items.size(), 2);
+    cr_assert(page.value().items[0].value == value && page.value().items[1].value == "small");
+    item.compressedValue = "damaged";
+    cr_assert(decodeWatch(encodeWatch({ item }, 9)).value().items.empty());
+}
+
 // A watch must report deletions. An invalid or truncated answer of the store must be an error and never be read as an empty store.
 Test(store, deletionsAreDecodedAndInvalidAnswersAreErrors)
 {
