--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -152,6 +152,8 @@
     std::string peerAddress;
     bool isReady = false;
     bool isLeaving = false;
+    /** The sender may soon be unable to tell which keys have been withdrawn; callers with keys should use other nodes. */
+    bool hasOutdatedKeys = false;
     ConfigVersion configVersion;
     std::vector<LeaseClaim> claims;
     std::vector<LeaseGrant> grants;
--- a/coordination/storereaderelection.cpp
+++ b/coordination/storereaderelection.cpp
@@ -22,12 +22,12 @@
 }
 
 StoreReaderDecision StoreReaderElection::decide(
-    bool isDivided, bool isCurrent, std::uint64_t revision, const std::vector<StorePeer> &peers, Time now)
+    bool isDivided, bool isCurrent, std::uint64_t revision, const std::vector<StorePeer> &peers, Time now, Time snapshotTime)
 {
-    // A node whose own last call failed keeps reading until the store responds: only its own read shows it that there was an outage.
-    if (!isDivided || !isCurrent || now < m_directReadUntil || isElectedReader(peers)) {
-        return StoreReaderDecision { true, NodeId() };
-    }
+    // A node whose own last call failed keeps reading until the store responds: only its own read shows it that there was an outage. What a
+    // reader knows still tells it meanwhile that its configuration is the newest.
+    const bool readsItself = !isDivided || !isCurrent || now < m_directReadUntil || isElectedReader(peers);
+    const bool isOutdated = m_limits.maxSnapshotAge && now - snapshotTime >= *m_limits.maxSnapshotAge;
     const StorePeer *mostRecent = nullptr;
     for (const StorePeer &peer : peers) {
         if (peer.isReading && (mostRecent == nullptr || peer.revision > mostRecent->revision)) {
@@ -37,8 +37,9 @@
     if (mostRecent == nullptr) {
         return StoreReaderDecision { true, NodeId() };
     }
-    const bool isDue = mostRecent->revision > revision && now - m_fetchedAt >= m_limits.fetchInterval;
-    return StoreReaderDecision { false, isDue ? mostRecent->id : NodeId() };
+    const bool hasChanges = !readsItself && mostRecent->revision > revision;
+    const bool isDue = (hasChanges || isOutdated) && now - m_fetchedAt >= m_limits.fetchInterval;
+    return StoreReaderDecision { readsItself, isDue ? mostRecent->id : NodeId() };
 }
 
 void StoreReaderElection::onFetchFailed(Time now)
--- a/coordination/storereaderelection.h
+++ b/coordination/storereaderelection.h
@@ -23,6 +23,8 @@
     Duration directReadPeriod = Duration::seconds(3);
     /** Between two fetches; changes in between are fetched together. */
     Duration fetchInterval { 400 };
+    /** A node whose state of the store is older than this fetches from a reader even without a known change; unset: it does not. */
+    std::optional<Duration> maxSnapshotAge;
 };
 
 /** A scope peer and what it reports about its reading of the store. */
@@ -55,8 +57,10 @@
     /**
      * @p isDivided: the fleet is large enough to be divided into scopes. @p isCurrent: this node has read the whole store once, and its
      * last call was answered. @p peers: the live scope peers. @p revision: the revision up to which this node has read or fetched.
+     * @p snapshotTime: it knows everything that the store held at this time.
      */
-    StoreReaderDecision decide(bool isDivided, bool isCurrent, std::uint64_t revision, const std::vector<StorePeer> &peers, Time now);
+    StoreReaderDecision decide(bool isDivided, bool isCurrent, std::uint64_t revision, const std::vector<StorePeer> &peers, Time now,
+        Time snapshotTime = Time::never());
     void onFetchFailed(Time now);
     void onFetched(Time now);
 
--- a/core/errors.cpp
+++ b/core/errors.cpp
@@ -17,6 +17,12 @@
 // have reached an upstream, or if the upstream's declared contract states that it refused the request before execution.
 constexpr std::array Answers {
     ErrorAnswer { BadRequest, 400, "bad_request", NotRun, RetryAdvice::Never, "The request is malformed." },
+    ErrorAnswer { Unauthenticated, 401, "unauthenticated", NotRun, RetryAdvice::Never, "The request has no key that is in use." },
+    ErrorAnswer { KeysOutdated, 503, "keys_outdated", NotRun, RetryAdvice::OtherNode,
+        "This node has been unable for too long to learn which keys were withdrawn." },
+    ErrorAnswer { LimitExceeded, 429, "limit_exceeded", NotRun, RetryAdvice::AfterDelay, "The request is beyond its team's limit." },
+    ErrorAnswer { LimitUnknown, 503, "limit_unknown", NotRun, RetryAdvice::OtherNode,
+        "This node cannot learn now how much of its team's limit is left." },
     ErrorAnswer { NotFound, 404, "not_found", NotRun, RetryAdvice::Never, "There is nothing at this path." },
     ErrorAnswer { MethodNotAllowed, 405, "method_not_allowed", NotRun, RetryAdvice::Never, "This path does not take this method." },
     ErrorAnswer { RequestTooLarge, 413, "request_too_large", NotRun, RetryAdvice::Never, "The request is larger than this node accepts." },
--- a/core/errors.h
+++ b/core/errors.h
@@ -9,6 +9,10 @@
 /** All errors that a caller, an operator or another node can receive. The list is closed; errorAnswer() has a row for each. */
 enum class ErrorKind {
     BadRequest = 1,
+    Unauthenticated,
+    KeysOutdated,
+    LimitExceeded,
+    LimitUnknown,
     NotFound,
     MethodNotAllowed,
     RequestTooLarge,
--- a/core/strongid.h
+++ b/core/strongid.h
@@ -82,6 +82,7 @@
 using AdapterId = StrongId<struct AdapterIdTag>;
 using AdapterVersion = StrongId<struct AdapterVersionTag>;
 using BaseModelId = StrongId<struct BaseModelIdTag>;
+using TeamName = StrongId<struct TeamNameTag>;
 
 /** Identifies one request received by one node; unique within the node's incarnation. */
 using RequestId = StrongNumber<struct RequestIdTag>;
--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -29,6 +29,8 @@
 {
     /** Null until a configuration is known. */
     std::shared_ptr<const RouteTable> routes;
+    /** The active configuration was the newest at this time. Stands still while the newest one cannot be read: it may withdraw keys. */
+    Time routesKnownAt;
     UpstreamDirectory upstreams { UpstreamDirectoryLimits {} };
     ResidencyTable residencies;
     AdapterLoadEstimator loadEstimator;
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -54,6 +54,10 @@
             .Register(registry);
     prometheus::Family<prometheus::Counter> &orders =
         prometheus::BuildCounter().Name("apricotstep_entry_orders_total").Help("Orders to engines by answer.").Register(registry);
+    prometheus::Family<prometheus::Counter> &keyRefusals = prometheus::BuildCounter()
+                                                               .Name("apricotstep_entry_key_refusals_total")
+                                                               .Help("Requests refused because of their key, by reason.")
+                                                               .Register(registry);
     prometheus::Family<prometheus::Histogram> &durations = prometheus::BuildHistogram()
                                                                .Name("apricotstep_entry_request_seconds")
                                                                .Help("Arrival to the end of the answer, served requests.")
@@ -130,6 +134,11 @@
     d->upstreamFailures.Add({ { "what", std::string(what) } }).Increment();
 }
 
+void EntryMetrics::keyRefused(std::string_view reason)
+{
+    d->keyRefusals.Add({ { "reason", std::string(reason) } }).Increment();
+}
+
 void EntryMetrics::order(std::string_view answer)
 {
     d->orders.Add({ { "answer", std::string(answer) } }).Increment();
@@ -143,6 +152,7 @@
     d->setGauge("upstreams", gauges.upstreams);
     d->setGauge("requests_in_progress", gauges.requestsInProgress);
     d->setGauge("log_lines_dropped", static_cast<double>(gauges.logLinesDropped));
+    d->setGauge("config_age_seconds", gauges.configurationAge.toSeconds());
     d->setGauge("ready", gauges.isReady ? 1 : 0);
     std::ostringstream out;
     prometheus::TextSerializer().Serialize(out, d->registry.Collect());
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -37,6 +37,8 @@
     int requestsInProgress = 0;
     std::uint64_t logLinesDropped = 0;
     bool isReady = false;
+    /** Time since the active configuration was known to be the newest. */
+    Duration configurationAge;
 };
 
 /**
@@ -60,6 +62,8 @@
     void sentOutOfScope();
     /** Counts an attempt that an upstream refused before execution ("not_run"), failed ("failed") or left incomplete ("broken"). */
     void upstreamFailed(std::string_view what);
+    /** Counts a request that is refused because of its key. @p reason comes from a fixed list, since each value creates a time series. */
+    void keyRefused(std::string_view reason);
     /** Counts an engine's answer to an order. @p answer comes from a fixed list, since each value creates a time series. */
     void order(std::string_view answer);
 
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -1,5 +1,7 @@
 #include "main/entry/entrynode.h"
 
+#include "coordination/callerdirectory.h"
+#include "coordination/revocationbound.h"
 #include "coordination/storereaderelection.h"
 #include "main/entry/clusterstate.h"
 #include "main/entry/entrymetrics.h"
@@ -32,8 +34,6 @@
 constexpr int UnavailableStatus = 503;
 // How long callers may cache a directory answer: short, so that they stop using a leaving node before it exits.
 constexpr Duration AddressLifetime { 2000 };
-// With fewer ready nodes than this in the caller's zone, the directory lists the nodes of all zones.
-constexpr std::size_t MinSameZoneNodes = 2;
 // Callers may use this node's address for AddressLifetime after the node has left the directory, so all requests are accepted until
 // AcceptAllAfterDrain. Later ones are accepted only if they are certain to end before the platform kills the process: the kill may cut off
 // the answer to a payment, whose outcome would then be unknown.
@@ -49,6 +49,13 @@
 constexpr std::size_t MaxHeaderBytes = 24U << 10U;
 constexpr Duration ArrivalTimeout = Duration::seconds(30);
 
+StoreReaderLimits storeReaderLimits(const RevocationBound &revocationBound)
+{
+    StoreReaderLimits limits;
+    limits.maxSnapshotAge = revocationBound.refreshAge();
+    return limits;
+}
+
 } // namespace
 
 struct EntryNode::Private
@@ -64,6 +71,7 @@
     std::unique_ptr<OrderRunner> orders;
     std::unique_ptr<RequestForwarder> forwarder;
     std::unique_ptr<PeerService> peers;
+    RevocationBound revocationBound;
     StoreReaderElection storeReaderElection;
     /** Whether this node reads the store itself, as of the last decision. */
     bool isStoreReader = true;
@@ -71,6 +79,7 @@
     HttpServer *callerServer = nullptr;
     std::atomic<bool> isDrainRequested { false };
     std::atomic<bool> isReloadRequested { false };
+    std::mt19937_64 random { std::random_device {}() };
     bool isLeaving = false;
     bool isListenerClosed = false;
     Time drainStartedAt;
@@ -78,7 +87,8 @@
     explicit Private(const Platform::ProcessSettings &settings)
         : settings(settings)
         , log(clock, settings.node.value())
-        , storeReaderElection(StoreReaderLimits {}, settings.node, settings.cpuShare)
+        , revocationBound(settings.revocationBound)
+        , storeReaderElection(storeReaderLimits(revocationBound), settings.node, settings.cpuShare)
     {
     }
 
@@ -86,6 +96,8 @@
     Result<HttpServer *> listen(const std::string &address, HttpHandler handler);
     void makeComponents();
     bool isReady() const;
+    bool hasOutdatedKeys() const;
+    bool canOthersAcceptKeys() const;
     void onChanges(const ClusterStateChanges &changes);
     void answerDirectory(const HttpRequest &request, HttpExchange &exchange);
     void answerReadiness(const HttpRequest &request, HttpExchange &exchange) const;
@@ -102,10 +114,24 @@
     return !isLeaving && clusterState.routes != nullptr && clusterState.upstreams.size() > 0;
 }
 
+// A node without teams has no keys that could be outdated.
+bool EntryNode::Private::hasOutdatedKeys() const
+{
+    return clusterState.routes != nullptr && clusterState.routes->requiresKeys()
+        && !revocationBound.allowsListing(clusterState.routesKnownAt, clock.now());
+}
+
+bool EntryNode::Private::canOthersAcceptKeys() const
+{
+    const auto peersAlive = fleet->alive();
+    return std::any_of(
+        peersAlive.begin(), peersAlive.end(), [](const Peer *peer) { return peer->isReady && !peer->isLeaving && !peer->hasOutdatedKeys; });
+}
+
 void EntryNode::Private::makeComponents()
 {
-    store = std::make_unique<StoreReader>(loop, log, clusterState, settings.storeAddress, settings.configurationBound,
-        [this](const ClusterStateChanges &changes) { onChanges(changes); });
+    store = std::make_unique<StoreReader>(loop, log, clusterState, settings.storeAddress,
+        revocationBound.readBound(settings.configurationBound), [this](const ClusterStateChanges &changes) { onChanges(changes); });
     peers = std::make_unique<PeerService>(loop, log, *store);
 
     FleetLink::Callbacks fleetCallbacks;
@@ -115,6 +141,7 @@
         orders->onPendingAdapters(node, pendingAdapters);
     };
     fleetCallbacks.isReady = [this] { return isReady(); };
+    fleetCallbacks.hasOutdatedKeys = [this] { return hasOutdatedKeys(); };
     fleetCallbacks.onUses = [this](const NodeId &node, const std::vector<AdapterUse> &uses) { orders->onUses(node, uses); };
     fleetCallbacks.storeReadState = [this] { return StoreReadState { store->revision(), store->isReading() }; };
     fleetCallbacks.onPeerReadFurther = [this] { updateStoreReading(); };
@@ -135,6 +162,7 @@
     forwarderSettings.retryReserve = settings.retryReserve;
     forwarderSettings.retryWindow = settings.retryWindow;
     forwarderSettings.adapterVersionBound = settings.adapterVersionBound;
+    forwarderSettings.revocationBound = revocationBound;
     ForwarderCallbacks callbacks;
     callbacks.onPendingAdapters = [this] {
         fleet->sendPendingAdapters();
@@ -147,6 +175,7 @@
         return !isLeaving || elapsed < AcceptAllAfterDrain || longest < settings.grace - ReserveBeforeKill - elapsed;
     };
     callbacks.ordersIn = [this] { return fleet->ordersIn(); };
+    callbacks.canOthersAcceptKeys = [this] { return canOthersAcceptKeys(); };
     forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, std::move(forwarderSettings), std::move(callbacks));
 }
 
@@ -236,33 +265,24 @@
         exchange.respond(NotFoundStatus, {}, "");
         return;
     }
-    const ZoneId zone = Platform::decodeDirectoryQuery(request).zone;
-    std::vector<std::string> sameZone;
-    std::vector<std::string> all;
-    const auto add = [&](const std::string &address, const ZoneId &nodeZone) {
-        all.push_back(address);
-        if (nodeZone == zone) {
-            sameZone.push_back(address);
-        }
-    };
+    std::vector<DirectoryNode> nodes;
     if (isReady()) {
-        add(settings.callerAddress, settings.zone);
+        nodes.push_back(DirectoryNode { settings.callerAddress, settings.zone, hasOutdatedKeys() });
     }
     for (const Peer *peer : fleet->alive()) {
         if (peer->isReady && !peer->isLeaving) {
-            add(peer->callerAddress, peer->zone);
+            nodes.push_back(DirectoryNode { peer->callerAddress, peer->zone, peer->hasOutdatedKeys });
         }
     }
-    std::vector<std::string> &chosen = sameZone.size() >= MinSameZoneNodes ? sameZone : all;
-    if (chosen.empty()) {
+    CallerDirectoryLimits limits;
+    limits.maxAddresses = Platform::MaxDirectoryAddresses;
+    const auto addresses = chooseAddresses(nodes, Platform::decodeDirectoryQuery(request).zone, limits, random);
+    if (addresses.empty()) {
         exchange.respond(UnavailableStatus, { { "Retry-After", "0.3" } }, "");
         return;
     }
-    // In a large fleet each caller gets a random subset.
-    std::shuffle(chosen.begin(), chosen.end(), std::mt19937_64(std::random_device {}()));
-    chosen.resize(std::min(chosen.size(), Platform::MaxDirectoryAddresses));
     const Duration lifetime = std::min(AddressLifetime, settings.maxAddressLifetime);
-    exchange.respond(OkStatus, { { "Content-Type", "application/json" } }, Platform::directoryBody(chosen, lifetime));
+    exchange.respond(OkStatus, { { "Content-Type", "application/json" } }, Platform::directoryBody(addresses, lifetime));
 }
 
 void EntryNode::Private::answerReadiness(const HttpRequest &request, HttpExchange &exchange) const
@@ -285,6 +305,7 @@
     gauges.requestsInProgress = forwarder->activeCount();
     gauges.logLinesDropped = log.dropped();
     gauges.isReady = isReady();
+    gauges.configurationAge = clock.now() - clusterState.routesKnownAt;
     exchange.respond(OkStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text(gauges));
 }
 
@@ -298,7 +319,7 @@
     }
     const bool isCurrent = store->hasReadAll() && store->timeSinceLastAnswer() == Duration(0);
     const StoreReaderDecision readerDecision =
-        storeReaderElection.decide(fleet->isDivided(), isCurrent, store->revision(), storePeers, clock.now());
+        storeReaderElection.decide(fleet->isDivided(), isCurrent, store->revision(), storePeers, clock.now(), clusterState.routesKnownAt);
     if (std::exchange(isStoreReader, readerDecision.readsItself) != readerDecision.readsItself) {
         log.write(EventLog::Severity::Important, "store", "turn",
             { { "reads", readerDecision.readsItself }, { "neighbours", static_cast<std::int64_t>(storePeers.size()) } });
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -162,6 +162,7 @@
     message.isReadingStore = readState.isReading;
     message.isReady = callbacks.isReady() && !isLeaving;
     message.isLeaving = isLeaving;
+    message.hasOutdatedKeys = callbacks.hasOutdatedKeys();
     message.releases = releasedShards;
     message.uptime = now() - startedAt;
     message.rememberedNodes = static_cast<std::uint32_t>(voters.count(now()));
@@ -476,8 +477,8 @@
     const bool hasReadFurther = message.readRevision > peer.readRevision;
     const bool isChanged = isNew || peer.isReady != message.isReady || peer.isLeaving != message.isLeaving;
     peer = Peer { message.sender, message.zone, message.scope, message.callerAddress, message.peerAddress, message.isReady,
-        message.isLeaving, message.configVersion, now(), message.capacity, message.readRevision, message.isReadingStore,
-        heartbeatTimeout(std::max(scopeLimits.inScopeInterval, message.interval)) };
+        message.isLeaving, message.hasOutdatedKeys, message.configVersion, now(), message.capacity, message.readRevision,
+        message.isReadingStore, heartbeatTimeout(std::max(scopeLimits.inScopeInterval, message.interval)) };
     if (isChanged) {
         log.write(Important, "fleet", "peer", { { "peer", peer.id.value() }, { "ready", peer.isReady }, { "leaving", peer.isLeaving } });
     }
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -42,6 +42,8 @@
     std::string peerAddress;
     bool isReady = false;
     bool isLeaving = false;
+    /** It may soon refuse callers with keys. */
+    bool hasOutdatedKeys = false;
     ConfigVersion configVersion;
     Time lastReceivedAt;
     double capacity = 0;
@@ -77,6 +79,8 @@
         std::function<std::vector<AdapterUse>()> pendingAdapters;
         /** Whether this node accepts requests. */
         std::function<bool()> isReady;
+        /** Whether this node may soon be unable to accept keys. */
+        std::function<bool()> hasOutdatedKeys;
         /** A peer reported the adapters that its requests run on and wait for. */
         std::function<void(const NodeId &, const std::vector<AdapterUse> &)> onUses;
         /** A peer reported only its pending adapters. */
--- a/main/entry/peerservice.cpp
+++ b/main/entry/peerservice.cpp
@@ -66,6 +66,7 @@
     call.totalTimeout = FetchTimeout;
     call.acknowledgeTimeout = ConnectTimeout;
     auto changes = std::make_shared<PeerChanges>();
+    changes->requestedAt = loop.clock().now();
     call.onHead = [changes](int, const HttpHeaders &headers) {
         changes->timeSinceRecovery = durationHeader(headers, RegainedHeader);
         changes->snapshotAge = durationHeader(headers, KnownHeader);
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -17,6 +17,9 @@
 
 // A node that has no configuration yet receives one within a few round trips.
 constexpr Duration RetryAfterNotReady { 300 };
+// Retry-After of a node that cannot accept keys: another node serves the request at once, if one can accept them.
+constexpr Duration RetryAfterOutdatedKeys { 50 };
+constexpr Duration RetryAfterKeysUnavailable { 500 };
 // How long an adapter is reported as crowded after the last observation: two message intervals between nodes.
 constexpr Duration CrowdedLifetime { 500 };
 // Fraction of its share of the fleet-wide retry budget that a node uses. Other nodes may count fewer nodes than there are and use more than
@@ -87,6 +90,8 @@
     void onEnded(std::uint64_t job) override;
 
     void refuse(HttpExchange &exchange, const std::string &id, ErrorKind kind, const std::string &detail);
+    Result<const Team *> authenticate(const Platform::CallerRequest &decoded, const RouteTable &table, const Route &route) const;
+    void refuseKey(HttpExchange &exchange, const Platform::CallerRequest &decoded, const Route &route, const Error &error);
 };
 
 // Divides the fleet-wide budget by the number of nodes known now. A node that has just started knows few nodes of a large fleet. With a
@@ -146,6 +151,42 @@
         { { "request", id }, { "reason", std::string(answer.code) }, { "detail", detail } });
 }
 
+// Returns the team of the caller, null if it needs none. On a public route a known key still names its team.
+Result<const Team *> RequestForwarder::Private::authenticate(
+    const Platform::CallerRequest &decoded, const RouteTable &table, const Route &route) const
+{
+    const KeyDigest *key = std::get_if<KeyDigest>(&decoded.key);
+    const Team *team = table.requiresKeys() && key != nullptr ? table.teamOf(*key) : nullptr;
+    if (!table.requiresKeys() || route.isPublic) {
+        return team;
+    }
+    if (!m_settings.revocationBound.allowsKeys(m_clusterState.routesKnownAt, m_loop.clock().now())) {
+        return Error { ErrorKind::KeysOutdated, "" };
+    }
+    if (team == nullptr) {
+        return Error { ErrorKind::Unauthenticated,
+            std::holds_alternative<Platform::NoKey>(decoded.key) ? "no key"
+                : key == nullptr                                 ? "the credentials are not one key"
+                                                                 : "unknown key" };
+    }
+    return team;
+}
+
+void RequestForwarder::Private::refuseKey(
+    HttpExchange &exchange, const Platform::CallerRequest &decoded, const Route &route, const Error &error)
+{
+    Duration retryAfter;
+    if (error.kind == ErrorKind::KeysOutdated) {
+        retryAfter = m_callbacks.canOthersAcceptKeys() ? RetryAfterOutdatedKeys : RetryAfterKeysUnavailable;
+    }
+    ApricotStep::refuse(exchange, error.kind, { retryAfter, m_callbacks.isLeaving() });
+    m_metrics.keyRefused(errorAnswer(error.kind).code);
+    m_log.write(EventLog::Severity::Important, "request", "refused",
+        { { "request", decoded.id }, { "reason", std::string(errorAnswer(error.kind).code) }, { "detail", error.detail },
+            { "route", route.name }, { "configVersion", std::int64_t(m_clusterState.routes->version().value()) },
+            { "configAgeMs", (m_loop.clock().now() - m_clusterState.routesKnownAt).milliseconds() } });
+}
+
 RequestForwarder::RequestForwarder(IoLoop &loop, EventLog &log, EntryMetrics &metrics, ClusterState &clusterState,
     ForwarderSettings settings, ForwarderCallbacks callbacks)
     : d(std::make_shared<Private>(loop, log, metrics, clusterState, std::move(settings), std::move(callbacks)))
@@ -180,8 +221,14 @@
         d->refuse(*exchange, decoded.id, ErrorKind::Draining, "the request might not end before this process exits");
         return;
     }
+    const auto team = d->authenticate(decoded, *table, *route);
+    if (!team.isOk()) {
+        d->refuseKey(*exchange, decoded, *route, team.error());
+        return;
+    }
     const std::uint64_t number = ++d->lastJob;
-    auto job = std::make_shared<RequestJob>(*d, number, std::move(request), std::move(decoded), table, *route, std::move(exchange));
+    auto job =
+        std::make_shared<RequestJob>(*d, number, std::move(request), std::move(decoded), table, *route, team.value(), std::move(exchange));
     d->jobs.emplace(number, job);
     job->start();
 }
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/fleetmessage.h"
+#include "coordination/revocationbound.h"
 #include "core/errors.h"
 #include "main/entry/clusterstate.h"
 #include "main/entry/entrymetrics.h"
@@ -28,6 +29,7 @@
     Duration retryWindow = Duration::seconds(10);
     /** Time within which every node must use a new adapter version. */
     Duration adapterVersionBound = Duration::seconds(5);
+    RevocationBound revocationBound { std::nullopt };
 };
 
 /** Callbacks from the forwarder into the rest of the node. */
@@ -43,6 +45,8 @@
     std::function<bool(Duration longest)> canAccept;
     /** Returns the time until some node may order adapter loads; unset while this node is cut off from most of the others. */
     std::function<std::optional<Duration>()> ordersIn;
+    /** Returns whether callers with keys can use another node. */
+    std::function<bool()> canOthersAcceptKeys;
 };
 
 /** Forwards each caller's request unchanged to an upstream of its route, and the answer back to the caller. */
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -62,13 +62,14 @@
 } // namespace
 
 RequestJob::RequestJob(RequestContext &context, std::uint64_t number, HttpRequest request, Platform::CallerRequest decoded,
-    std::shared_ptr<const RouteTable> table, const Route &route, std::shared_ptr<HttpExchange> exchange)
+    std::shared_ptr<const RouteTable> table, const Route &route, const Team *team, std::shared_ptr<HttpExchange> exchange)
     : m_context(context)
     , m_number(number)
     , m_request(std::move(request))
     , m_decoded(std::move(decoded))
     , m_table(std::move(table))
     , m_route(route)
+    , m_team(team)
     , m_exchange(std::move(exchange))
     , m_arrivedAt(context.loop().now())
 {
@@ -119,6 +120,12 @@
     return m_decoded.generation ? m_decoded.generation->promptTokens : 0;
 }
 
+int RequestJob::priority() const
+{
+    constexpr int MaxPriority = 9;
+    return std::min(m_team != nullptr && m_team->priority ? *m_team->priority : m_route.priority, MaxPriority);
+}
+
 void RequestJob::start()
 {
     m_exchange->onCallerGone([weak = weak_from_this()] {
@@ -137,8 +144,9 @@
         }
     });
     m_context.log().write(RequestStep, "request", "arrived",
-        { { "request", m_decoded.id }, { "route", m_route.name }, { "configVersion", std::int64_t(m_table->version().value()) },
-            { "service", m_service.value() }, { "adapter", adapter().adapter.value() }, { "leftMs", timeLeft().milliseconds() } });
+        { { "request", m_decoded.id }, { "team", m_team != nullptr ? m_team->name.value() : std::string() }, { "route", m_route.name },
+            { "configVersion", std::int64_t(m_table->version().value()) }, { "service", m_service.value() },
+            { "adapter", adapter().adapter.value() }, { "leftMs", timeLeft().milliseconds() } });
     tryNext();
 }
 
@@ -378,9 +386,14 @@
     call.url = "http://" + record.address + "/";
     call.target = m_request.target;
     call.body = m_request.body;
-    constexpr int MaxPriority = 9;
-    Platform::UpstreamBinding binding { record.id, m_version, std::max(timeLeft(), Duration(1)), std::min(m_route.priority, MaxPriority),
-        m_isStreaming ? m_events.lastId() : std::string() };
+    Platform::UpstreamBinding binding;
+    binding.upstream = record.id;
+    binding.adapterVersion = m_version;
+    binding.deadline = std::max(timeLeft(), Duration(1));
+    binding.priority = priority();
+    binding.team = m_team != nullptr ? m_team->name : TeamName();
+    binding.hidesCredentials = m_table->requiresKeys();
+    binding.lastEventId = m_isStreaming ? m_events.lastId() : std::string();
     call.headers = Platform::upstreamHeaders(m_request, binding);
     call.connectTimeout = std::min(ConnectTimeout, std::max(timeLeft(), Duration(1)));
     call.acknowledgeTimeout = AcknowledgeTimeout;
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -40,7 +40,7 @@
 {
 public:
     RequestJob(RequestContext &context, std::uint64_t number, HttpRequest request, Platform::CallerRequest decoded,
-        std::shared_ptr<const RouteTable> table, const Route &route, std::shared_ptr<HttpExchange> exchange);
+        std::shared_ptr<const RouteTable> table, const Route &route, const Team *team, std::shared_ptr<HttpExchange> exchange);
 
     void start();
     /** Tries again to choose an upstream; does nothing unless the job is waiting for one. */
@@ -73,6 +73,8 @@
     bool needsAdapter() const;
     AdapterRef adapter() const;
     std::uint32_t promptTokens() const;
+    /** The priority of the caller's team, if it has one, otherwise that of the route; 0 is the highest. */
+    int priority() const;
 
     void tryNext();
     void wait();
@@ -123,6 +125,8 @@
     /** Keeps m_route alive; a request keeps the configuration that was active when it arrived. */
     std::shared_ptr<const RouteTable> m_table;
     const Route &m_route;
+    /** The caller's team; null if there are no teams, or if a request on a public route has no known key. */
+    const Team *m_team;
     ServiceName m_service;
     std::shared_ptr<HttpExchange> m_exchange;
 
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -48,6 +48,8 @@
     Time watchStartedAt;
     /** This node knows everything that the store held at this time. */
     Time snapshotTime;
+    /** The newest configuration cannot be read, and an older one is active. */
+    bool isConfigurationRefused = false;
     bool isLost = false;
     bool isFollowing = false;
     /** This node follows, and has no call to the store in flight. */
@@ -235,6 +237,9 @@
 void StoreReader::Private::advanceSnapshotTime(Time time, ClusterStateChanges &changes)
 {
     snapshotTime = std::max(snapshotTime, time);
+    if (!isConfigurationRefused) {
+        clusterState.routesKnownAt = std::max(clusterState.routesKnownAt, time);
+    }
     for (UpstreamChange &change : clusterState.upstreams.endGracePeriods(snapshotTime)) {
         changes.upstreams.push_back(std::move(change));
     }
@@ -243,8 +248,16 @@
 void StoreReader::Private::merge(const std::vector<Platform::StoreItem> &read, const std::string &source, ClusterStateChanges &changes)
 {
     for (const Platform::StoreItem &item : read) {
-        if (replica.put(item, loop.clock().now())) {
-            apply(item, source, changes);
+        if (!std::holds_alternative<Platform::ConfigurationKey>(Platform::decodeKey(item.key))) {
+            if (replica.put(item, loop.clock().now())) {
+                apply(item, source, changes);
+            }
+            continue;
+        }
+        // Callers' keys go no further: peers get their digests.
+        const Platform::StoreItem configuration { item.key, Platform::withKeyDigests(item.value), item.revision, item.isDeleted };
+        if (replica.put(configuration, loop.clock().now())) {
+            apply(configuration, source, changes);
         }
     }
 }
@@ -271,9 +284,11 @@
     }
     const auto table = decoded.isOk() ? RouteTable::make(std::move(decoded.value())) : decoded.error();
     if (!table.isOk()) {
+        isConfigurationRefused = true;
         log.write(Important, "config", "refused", { { "reason", table.error().detail }, { "source", source } });
         return;
     }
+    isConfigurationRefused = false;
     clusterState.routes = table.value();
     changes.isRoutesChanged = true;
     log.write(Important, "config", "in_force",
@@ -375,7 +390,7 @@
         d->lastAnswerAt = now;
     }
     if (offered.snapshotAge) {
-        d->advanceSnapshotTime(now - *offered.snapshotAge, changes);
+        d->advanceSnapshotTime(offered.requestedAt - *offered.snapshotAge, changes);
     }
     d->publish(changes);
     return true;
--- a/main/entry/storereader.h
+++ b/main/entry/storereader.h
@@ -35,6 +35,8 @@
     std::optional<Duration> timeSinceRecovery;
     /** Its snapshotAge(); unset if it did not report it. */
     std::optional<Duration> snapshotAge;
+    /** When this node sent its request. The ages refer to a later time, since the other node answered after that. */
+    Time requestedAt;
 };
 
 /**
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -93,4 +93,5 @@
     rememberedNodes @23 :UInt32;
     store @24 :StoreViewWire;
     engineLoads @25 :List(UpstreamLoadWire);
+    hasOutdatedKeys @26 :Bool;
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -1057,6 +1057,8 @@
   inline bool hasEngineLoads() const;
   inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>::Reader getEngineLoads() const;
 
+  inline bool getHasOutdatedKeys() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1225,6 +1227,9 @@
   inline void adoptEngineLoads(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLoadWire,  ::capnp::Kind::STRUCT>> disownEngineLoads();
 
+  inline bool getHasOutdatedKeys();
+  inline void setHasOutdatedKeys(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2653,6 +2658,20 @@
       ::capnp::bounded<14>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessageWire::Reader::getHasOutdatedKeys() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<68>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetMessageWire::Builder::getHasOutdatedKeys() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<68>() * ::capnp::ELEMENTS);
+}
+inline void FleetMessageWire::Builder::setHasOutdatedKeys(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<68>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -215,6 +215,7 @@
     message.isReadingStore = wire.getIsReadingStore();
     message.isReady = wire.getIsReady();
     message.isLeaving = wire.getIsLeaving();
+    message.hasOutdatedKeys = wire.getHasOutdatedKeys();
     message.configVersion = ConfigVersion(wire.getConfigVersion());
     decodeLeases(wire, message);
     decodeLists(wire, message);
@@ -242,6 +243,7 @@
     wire.setIsReadingStore(message.isReadingStore);
     wire.setIsReady(message.isReady);
     wire.setIsLeaving(message.isLeaving);
+    wire.setHasOutdatedKeys(message.hasOutdatedKeys);
     wire.setConfigVersion(message.configVersion.value());
     encodeLeases(message, wire);
     encodeLists(message, wire);
--- a/state/routetable.cpp
+++ b/state/routetable.cpp
@@ -43,6 +43,17 @@
     return {};
 }
 
+std::string teamError(const Team &team)
+{
+    if (team.name.isEmpty()) {
+        return "a team has no name";
+    }
+    if (team.limit && (!(team.limit->ratePerSecond > 0) || team.limit->burst < 0 || team.limit->plainRequestTokens < 0)) {
+        return "team '" + team.name.value() + "': its rate must be above zero, its burst and the cost of a plain request not below";
+    }
+    return {};
+}
+
 } // namespace
 
 RouteTable::RouteTable(RouteTableSource source)
@@ -56,7 +67,10 @@
     for (Route &route : source.routes) {
         route.host = absl::AsciiStrToLower(route.host);
     }
-    std::shared_ptr<const RouteTable> table(new RouteTable(std::move(source)));
+    const std::shared_ptr<RouteTable> table(new RouteTable(std::move(source)));
+    if (std::string error = table->indexTeams(); !error.empty()) {
+        return Error { ErrorKind::ConfigInvalid, std::move(error) };
+    }
     const Route *previous = nullptr;
     for (const Route &route : table->m_source.routes) {
         const std::string error = routeError(route);
@@ -74,7 +88,7 @@
         }
         previous = &route;
     }
-    return table;
+    return std::shared_ptr<const RouteTable>(table);
 }
 
 const Route *RouteTable::find(std::string_view host, std::string_view path) const
@@ -97,6 +111,38 @@
     return at == m_source.services.end() ? nullptr : &*at;
 }
 
+std::string RouteTable::indexTeams()
+{
+    for (std::size_t index = 0; index < m_source.teams.size(); ++index) {
+        const Team &team = m_source.teams[index];
+        if (std::string error = teamError(team); !error.empty()) {
+            return error;
+        }
+        if (!m_teamsByName.emplace(team.name, index).second) {
+            return "two teams have the name '" + team.name.value() + "'";
+        }
+        for (const KeyDigest &key : team.keys) {
+            const auto [at, isNew] = m_teamsByKey.emplace(key, index);
+            if (!isNew && at->second != index) {
+                return "teams '" + m_source.teams[at->second].name.value() + "' and '" + team.name.value() + "' have the same key";
+            }
+        }
+    }
+    return {};
+}
+
+const Team *RouteTable::teamOf(const KeyDigest &key) const
+{
+    const auto at = m_teamsByKey.find(key);
+    return at == m_teamsByKey.end() ? nullptr : &m_source.teams[at->second];
+}
+
+const Team *RouteTable::team(const TeamName &name) const
+{
+    const auto at = m_teamsByName.find(name);
+    return at == m_teamsByName.end() ? nullptr : &m_source.teams[at->second];
+}
+
 const RouteTarget &selectTarget(const Route &route, double sample)
 {
     const auto add = [](double sum, const RouteTarget &target) { return sum + target.weight; };
--- a/state/routetable.h
+++ b/state/routetable.h
@@ -3,6 +3,9 @@
 #include "core/clock.h"
 #include "core/result.h"
 #include "core/strongid.h"
+#include "state/team.h"
+
+#include <absl/container/flat_hash_map.h>
 
 #include <memory>
 #include <optional>
@@ -51,6 +54,8 @@
     bool isResumable = false;
     /** Longest gap between two events of a stream that counts as on time; zero if none is set. */
     Duration eventGapObjective;
+    /** Requests need no key. */
+    bool isPublic = false;
     /** At least one. */
     std::vector<RouteTarget> targets;
 };
@@ -105,13 +110,18 @@
     std::vector<Route> routes;
     std::vector<RoutedService> services;
     CallerLimits limits;
+    /** If there are any, requests on routes that are not public need a key. */
+    std::vector<Team> teams;
 };
 
 /** Routes and services of one configuration version. Immutable. */
 class RouteTable
 {
 public:
-    /** Errors: ConfigInvalid if a route is invalid or names an unknown service, or if two routes have the same host and prefix. */
+    /**
+     * Errors: ConfigInvalid if a route is invalid or names an unknown service, if two routes have the same host and prefix, if a team is
+     * invalid, or if two teams have the same name or key.
+     */
     static Result<std::shared_ptr<const RouteTable>> make(RouteTableSource source);
 
     ConfigVersion version() const
@@ -131,10 +141,30 @@
     /** Null if there is no service of this name. */
     const RoutedService *service(const ServiceName &name) const;
 
+    /** Whether requests on routes that are not public need a key. */
+    bool requiresKeys() const
+    {
+        return !m_source.teams.empty();
+    }
+    const std::vector<Team> &teams() const
+    {
+        return m_source.teams;
+    }
+    /** The team that holds the key; null if none does. */
+    const Team *teamOf(const KeyDigest &key) const;
+    /** Null if there is no team of this name. */
+    const Team *team(const TeamName &name) const;
+
 private:
     explicit RouteTable(RouteTableSource source);
 
+    /** Builds the indexes of the teams. Returns what is wrong with them, empty if nothing is. */
+    std::string indexTeams();
+
     RouteTableSource m_source;
+    /** Positions in the list of teams. */
+    absl::flat_hash_map<KeyDigest, std::size_t> m_teamsByKey;
+    absl::flat_hash_map<TeamName, std::size_t> m_teamsByName;
 };
 
 /** Selects a target according to the weights. @p sample is a number from 0 to 1; equal samples select the same target. */
--- a/tests/coordination/teststorereaderelection.cpp
+++ b/tests/coordination/teststorereaderelection.cpp
@@ -68,3 +68,22 @@
     StoreReaderElection election(StoreReaderLimits {}, NodeId("z"), 0.1);
     cr_assert(election.decide(true, false, 40, peers(5, 0.1, 50, true), Start).readsItself);
 }
+
+// Guards against a node that refuses callers' keys, since the store rejects it or nothing changes there, while a reader beside it knows
+// that the configuration is still the newest.
+Test(storereaderelection, nodeWithAnOldSnapshotFetchesFromAReader)
+{
+    StoreReaderLimits limits;
+    limits.maxSnapshotAge = Duration(2000);
+    const auto others = peers(5, 0.1, 50, true);
+    StoreReaderElection follower(limits, NodeId("z"), 0.1);
+    cr_assert(follower.decide(true, true, 50, others, Start, Start - Duration(1900)).fetchFrom.isEmpty());
+    cr_assert_not(follower.decide(true, true, 50, others, Start, Start - Duration(2000)).fetchFrom.isEmpty());
+    const StoreReaderDecision rejected = follower.decide(true, false, 50, others, Start, Start - Duration(2000));
+    cr_assert(rejected.readsItself && !rejected.fetchFrom.isEmpty());
+    follower.onFetched(Start);
+    cr_assert(follower.decide(true, true, 50, others, Start + Duration(300), Start - Duration(2000)).fetchFrom.isEmpty());
+    // Without a bound for withdrawn keys the age does not matter.
+    StoreReaderElection unbounded(StoreReaderLimits {}, NodeId("z"), 0.1);
+    cr_assert(unbounded.decide(true, false, 50, others, Start, Time()).fetchFrom.isEmpty());
+}
--- a/tests/main/testfleetlink.cpp
+++ b/tests/main/testfleetlink.cpp
@@ -40,6 +40,7 @@
         callbacks.loadReport = [this] { return m_report; };
         callbacks.pendingAdapters = [] { return std::vector<AdapterUse>(); };
         callbacks.isReady = [] { return true; };
+        callbacks.hasOutdatedKeys = [] { return false; };
         callbacks.onUses = [](const NodeId &, const std::vector<AdapterUse> &) {};
         callbacks.onPendingAdapters = callbacks.onUses;
         callbacks.storeReadState = [] { return StoreReadState {}; };
--- a/tests/main/testmetrics.cpp
+++ b/tests/main/testmetrics.cpp
@@ -87,6 +87,7 @@
     entry.sent(RequestKind::Stream, Duration(1), false);
     entry.upstreamFailed("broken");
     entry.order("done");
+    entry.keyRefused("unauthenticated");
     const std::string page = sourceFile("docs/METRICS.md");
     std::set<std::string> documented;
     std::istringstream lines(page);
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -380,3 +380,95 @@
     cr_assert_eq(caller->status(), 502);
     cr_assert_not(caller->hasHeader("Retry-After"));
 }
+
+namespace
+{
+
+/** A forwarder whose configuration has one team with the key "good". */
+struct KeyFixture : ForwarderFixture
+{
+    KeyFixture()
+    {
+        ForwarderSettings settings;
+        settings.revocationBound = RevocationBound(Duration(5000));
+        ForwarderCallbacks callbacks;
+        callbacks.onPendingAdapters = [] {};
+        callbacks.nodeCount = [] { return 1; };
+        callbacks.isLeaving = [] { return false; };
+        callbacks.canAccept = [](Duration) { return true; };
+        callbacks.ordersIn = [] { return std::optional(Duration(0)); };
+        callbacks.canOthersAcceptKeys = [] { return true; };
+        forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, settings, std::move(callbacks));
+        clusterState.routesKnownAt = clock.now();
+        RouteTableSource source;
+        source.version = ConfigVersion(1);
+        source.services.push_back(RoutedService { ServiceName("svc"), "/health", 10, {} });
+        for (const bool isPublic : { false, true }) {
+            Route route;
+            route.name = isPublic ? "open" : "closed";
+            route.host = "host.example";
+            route.pathPrefix = isPublic ? "/open/" : "/in/";
+            route.timeout = Duration(1500);
+            route.isPublic = isPublic;
+            route.targets = { RouteTarget { ServiceName("svc"), 1 } };
+            source.routes.push_back(route);
+        }
+        source.limits.bodyBytes = 1000;
+        Team team;
+        team.name = TeamName("mine");
+        team.keys = { KeyDigest::of("good") };
+        source.teams.push_back(team);
+        clusterState.routes = RouteTable::make(source).value();
+    }
+    /** Sends a request and returns its status. */
+    int statusOf(const std::string &path, const std::string &credentials)
+    {
+        HttpRequest request = ForwarderFixture::request();
+        request.target = path;
+        if (!credentials.empty()) {
+            request.headerList.emplace_back("Authorization", credentials);
+            request.headers["authorization"] = credentials;
+        }
+        const auto caller = send(request);
+        runUntil([&] { return caller->isDone(); });
+        return caller->status();
+    }
+};
+
+} // namespace
+
+// Guards against requests that run without a key, on an unknown one, or with the key shown to the upstream.
+Test(requestforwarder, onlyRequestsWithAKnownKeyRun)
+{
+    const ScriptedUpstream upstream([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    KeyFixture fixture;
+    fixture.addUpstream("u1", upstream);
+    cr_assert_eq(fixture.statusOf("/in/x", ""), 401);
+    cr_assert_eq(fixture.statusOf("/in/x", "Token bad"), 401);
+    cr_assert_eq(fixture.statusOf("/in/x", "Bearer good"), 401);
+    cr_assert(upstream.requests().empty());
+    cr_assert_eq(fixture.statusOf("/in/x", "Token good"), 200);
+    cr_assert_eq(fixture.statusOf("/open/x", ""), 200);
+    cr_assert_eq(fixture.statusOf("/open/x", "Token bad"), 200);
+    const auto requests = upstream.requests();
+    cr_assert_eq(requests.size(), 3);
+    cr_assert(absl::StrContains(requests[0], "Apricotstep-Tenant: mine"));
+    cr_assert_not(absl::StrContains(requests[1], "Apricotstep-Tenant"));
+    for (const std::string &request : requests) {
+        cr_assert(!absl::StrContains(request, "good") && !absl::StrContains(request, "bad"));
+    }
+}
+
+// Guards against withdrawn keys that still work at a node that cannot learn of the withdrawal. It must also refuse unknown keys with 503:
+// 401 would end a caller whose new key it does not know yet.
+Test(requestforwarder, keysAreRefusedOnceTheyMayBeWithdrawn)
+{
+    const ScriptedUpstream upstream([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    KeyFixture fixture;
+    fixture.addUpstream("u1", upstream);
+    fixture.clusterState.routesKnownAt = fixture.clock.now() - Duration(4100);
+    cr_assert_eq(fixture.statusOf("/in/x", "Token good"), 503);
+    cr_assert_eq(fixture.statusOf("/in/x", "Token bad"), 503);
+    cr_assert_eq(fixture.statusOf("/open/x", ""), 200);
+    cr_assert_eq(upstream.requests().size(), 1);
+}
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -207,3 +207,73 @@
     cr_assert(!withoutBound.isOk() && withoutBound.error().detail.find("configBoundMs") != std::string::npos);
     cr_assert(decodeSettings("node = ").error().detail.find("line 1") != std::string::npos);
 }
+
+namespace
+{
+
+std::string configurationWithTeams(const std::string &teams)
+{
+    std::string text = Configuration;
+    text.insert(text.rfind('}'), ",\"tenants\":" + teams);
+    return text;
+}
+
+} // namespace
+
+Test(records, teamsAreDecoded)
+{
+    const auto decoded = decodeConfiguration(configurationWithTeams(
+        R"([{"name":"t1","apiKeys":["k1","k2"],"priority":0,"unit":"token_stream","plainTokens":200,"ratePerS":1000,"burst":500},
+            {"name":"t2","apiKeys":["k3"],"ratePerS":0}])"));
+    cr_assert(decoded.isOk());
+    const Team &first = decoded.value().teams.at(0);
+    cr_assert(first.name == TeamName("t1") && first.keys.at(1) == KeyDigest::of("k2") && first.priority == 0);
+    const TeamLimit limit { LimitUnit::Tokens, 1000, 500, 200 };
+    cr_assert(*first.limit == limit);
+    cr_assert(!decoded.value().teams.at(1).limit && !decoded.value().teams.at(1).priority);
+    cr_assert(decodeConfiguration(Configuration).value().teams.empty());
+}
+
+// Guards against a configuration that is taken with teams that cannot be told apart, and against an error that shows a key.
+Test(records, invalidTeamsAreRefusedWithoutShowingKeys)
+{
+    for (const char *teams : { R"([{"name":"t1","apiKeys":["secret1",""]}])", R"([{"name":"t1","apiKeys":["secret1",7]}])",
+             R"([{"name":"t1","apiKeys":"secret1"}])", R"([{"apiKeys":["secret1"]}])",
+             R"([{"name":"t1","apiKeys":["secret1"],"unit":"furlong"}])", R"([{"name":"t1","apiKeys":["secret1"],"ratePerS":-1}])" }) {
+        const auto decoded = decodeConfiguration(configurationWithTeams(teams));
+        cr_assert(!decoded.isOk() && decoded.error().detail.find("secret1") == std::string::npos, "%s", teams);
+        // It stays invalid where nodes pass it on.
+        cr_assert_not(decodeConfiguration(withKeyDigests(configurationWithTeams(teams))).isOk(), "%s", teams);
+    }
+}
+
+// Guards against callers' keys in what nodes send each other.
+Test(records, keysAreReplacedByDigests)
+{
+    const std::string text = configurationWithTeams(R"([{"name":"t1","apiKeys":["secret1","secret2"],"ratePerS":5}])");
+    const std::string replaced = withKeyDigests(text);
+    cr_assert(replaced.find("secret1") == std::string::npos && replaced.find("secret2") == std::string::npos);
+    const auto before = decodeConfiguration(text);
+    const auto after = decodeConfiguration(replaced);
+    cr_assert(after.isOk() && after.value().version == before.value().version && after.value().routes.size() == 2);
+    cr_assert(after.value().teams.at(0).keys == before.value().teams.at(0).keys);
+    cr_assert(withKeyDigests(replaced) == replaced);
+    cr_assert(withKeyDigests(R"({"apiKeys":["secret1")").find("secret1") == std::string::npos);
+}
+
+// Guards against a node that starts without the bound after which it must refuse keys.
+Test(settings, boundOfWithdrawnKeysIsDecoded)
+{
+    std::string text = Settings;
+    cr_assert_not(decodeSettings(text).value().revocationBound.has_value());
+    text.insert(text.find("graceS"), "strictRevoke = true\nrevokeMs = 5000\nquotaWindowS = 8\nquotaOverage = 0.25\nquotaSlack = 110000\n");
+    const auto settings = decodeSettings(text);
+    cr_assert(settings.isOk() && settings.value().revocationBound == Duration(5000));
+    cr_assert(settings.value().limitWindow == Duration(8000) && settings.value().limitReserve == 110'000);
+    text = Settings;
+    text.insert(text.find("graceS"), "strictRevoke = true\n");
+    cr_assert_not(decodeSettings(text).isOk());
+    text = Settings;
+    text.insert(text.find("graceS"), "strictRevoke = \"yes\"\n");
+    cr_assert_not(decodeSettings(text).isOk());
+}
--- a/tests/platform/testrequests.cpp
+++ b/tests/platform/testrequests.cpp
@@ -23,6 +23,17 @@
     return request;
 }
 
+UpstreamBinding bindingWith(const std::string &version, int priority, const std::string &lastEventId)
+{
+    UpstreamBinding binding;
+    binding.upstream = UpstreamId("u");
+    binding.adapterVersion = AdapterVersion(version);
+    binding.deadline = Duration(800);
+    binding.priority = priority;
+    binding.lastEventId = lastEventId;
+    return binding;
+}
+
 int count(const HttpHeaders &headers, const std::string &name)
 {
     return static_cast<int>(
@@ -66,7 +77,7 @@
         { "Apricotstep-Kv-Backup", "1.2.3.4:1" }, { "kv-from", "1" }, { "Apricotstep-Expect-Instance", "other" },
         { "Apricotstep-Request-Priority", "0" }, { "Apricotstep-Deadline-Ms", "99999" }, { "Apricotstep-Expect-Version", "9" },
         { "Apricotstep-Model", "m/a" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" }, { "Transfer-Encoding", "chunked" } });
-    const HttpHeaders sent = upstreamHeaders(request, UpstreamBinding { UpstreamId("u"), AdapterVersion("2"), Duration(800), 3, "" });
+    const HttpHeaders sent = upstreamHeaders(request, bindingWith("2", 3, ""));
     for (const char *removed :
         { "apricotstep-hold", "apricotstep-pin-ms", "apricotstep-kv-backup", "kv-from", "x-hop", "connection", "transfer-encoding" }) {
         cr_assert_eq(count(sent, removed), 0, "%s", removed);
@@ -92,3 +103,59 @@
     cr_assert_eq(answer.callerHeaders.size(), 2, "the seal and the upstream's own header are forwarded, connection headers are not");
     cr_assert(decodeUpstreamAnswer(200, { { "content-encoding", "gzip" } }).isEncoded);
 }
+
+Test(requests, callersKeyIsDecoded)
+{
+    const auto keyOf = [](HttpHeaders headers) { return decodeCallerRequest(requestWith(std::move(headers))).key; };
+    cr_assert(std::holds_alternative<NoKey>(keyOf({})));
+    cr_assert(std::get<KeyDigest>(keyOf({ { "Authorization", "Token abc" } })) == KeyDigest::of("abc"));
+    cr_assert(std::get<KeyDigest>(keyOf({ { "AUTHORIZATION", "tOKEN  abc" } })) == KeyDigest::of("abc"));
+}
+
+// Guards against credentials that one part of the system reads as one key and another part as a different one.
+Test(requests, ambiguousCredentialsAreNoKey)
+{
+    const auto isInvalid = [](HttpHeaders headers) {
+        return std::holds_alternative<InvalidKey>(decodeCallerRequest(requestWith(std::move(headers))).key);
+    };
+    cr_assert(isInvalid({ { "Authorization", "" } }));
+    cr_assert(isInvalid({ { "Authorization", "abc" } }));
+    cr_assert(isInvalid({ { "Authorization", "Token " } }));
+    cr_assert(isInvalid({ { "Authorization", "Bearer abc" } }));
+    cr_assert(isInvalid({ { "Authorization", "Token abc def" } }));
+    cr_assert(isInvalid({ { "Authorization", "Token abc\x01" } }));
+    cr_assert(isInvalid({ { "Authorization", "Token " + std::string(600, 'a') } }));
+    cr_assert(isInvalid({ { "Authorization", "Token abc" }, { "authorization", "Token abc" } }));
+}
+
+// Guards against an upstream that sees a caller's key, or a team that the caller chose itself.
+Test(requests, upstreamGetsTheTeamAndNeverTheKey)
+{
+    const HttpRequest request = requestWith({ { "Authorization", "Token abc" }, { "AUTHORIZATION", "Token abc" },
+        { "Apricotstep-Tenant", "other" }, { "APRICOTSTEP-TENANT", "another" }, { "X-Own", "v" } });
+    UpstreamBinding binding;
+    binding.upstream = UpstreamId("u");
+    binding.team = TeamName("mine");
+    binding.hidesCredentials = true;
+    const HttpHeaders sent = upstreamHeaders(request, binding);
+    cr_assert(count(sent, "authorization") == 0 && count(sent, "apricotstep-tenant") == 1 && count(sent, "x-own") == 1);
+    for (const auto &[name, value] : sent) {
+        cr_assert(value.find("abc") == std::string::npos);
+        cr_assert(absl::AsciiStrToLower(name) != "apricotstep-tenant" || value == "mine");
+    }
+    // Where nodes know no teams, the credentials are meant for the upstream.
+    cr_assert_eq(count(upstreamHeaders(request, UpstreamBinding()), "authorization"), 2);
+    cr_assert_eq(count(upstreamHeaders(request, UpstreamBinding()), "apricotstep-tenant"), 0);
+}
+
+// Guards against a request whose stated size cannot be counted towards its team's limit.
+Test(requests, invalidTokenCountsAreDetected)
+{
+    const auto decoded = [](HttpHeaders headers) { return decodeCallerRequest(requestWith(std::move(headers))); };
+    cr_assert_eq(*decoded({ { "Apricotstep-Token-Count", "1460,80" } }).tokens, 1540);
+    cr_assert(!decoded({}).tokens && !decoded({}).hasInvalidTokens);
+    for (const char *text : { "", "5", "1,2,3", "-1,5", "1,x", "99999999999,1" }) {
+        cr_assert(decoded({ { "Apricotstep-Token-Count", text } }).hasInvalidTokens);
+    }
+    cr_assert(decoded({ { "Apricotstep-Token-Count", "1,1" }, { "apricotstep-token-count", "9,9" } }).hasInvalidTokens);
+}
--- a/tests/state/testroutetable.cpp
+++ b/tests/state/testroutetable.cpp
@@ -65,3 +65,47 @@
     cr_assert(selectTarget(split, 0.26).service == ServiceName("b"));
     cr_assert(selectTarget(split, 1.0).service == ServiceName("b"));
 }
+
+namespace
+{
+
+RouteTableSource sourceWithTeams(std::vector<Team> teams)
+{
+    RouteTableSource source;
+    source.version = ConfigVersion(1);
+    source.teams = std::move(teams);
+    return source;
+}
+
+Team team(const std::string &name, const std::vector<std::string> &keys)
+{
+    Team result;
+    result.name = TeamName(name);
+    for (const std::string &key : keys) {
+        result.keys.push_back(KeyDigest::of(key));
+    }
+    return result;
+}
+
+} // namespace
+
+Test(routetable, teamsAreFoundByKeyAndName)
+{
+    const auto table = RouteTable::make(sourceWithTeams({ team("a", { "k1", "k2" }), team("b", { "k3" }) }));
+    cr_assert(table.isOk() && table.value()->requiresKeys());
+    cr_assert(table.value()->teamOf(KeyDigest::of("k2"))->name == TeamName("a"));
+    cr_assert(table.value()->teamOf(KeyDigest::of("k3")) == table.value()->team(TeamName("b")));
+    cr_assert_null(table.value()->teamOf(KeyDigest::of("k4")));
+    cr_assert_not(RouteTable::make(sourceWithTeams({})).value()->requiresKeys());
+}
+
+// Guards against a key that identifies one team at some nodes and another team at others.
+Test(routetable, teamsThatCannotBeToldApartAreRefused)
+{
+    cr_assert_not(RouteTable::make(sourceWithTeams({ team("a", { "k1" }), team("b", { "k1" }) })).isOk());
+    cr_assert_not(RouteTable::make(sourceWithTeams({ team("a", { "k1" }), team("a", { "k2" }) })).isOk());
+    cr_assert_not(RouteTable::make(sourceWithTeams({ team("", { "k1" }) })).isOk());
+    Team limited = team("a", { "k1" });
+    limited.limit = TeamLimit { LimitUnit::Tokens, 0, 5, 0 };
+    cr_assert_not(RouteTable::make(sourceWithTeams({ limited })).isOk());
+}
