--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/teamcredit.h"
 #include "core/clock.h"
 #include "core/strongid.h"
 
@@ -174,6 +175,9 @@
     std::vector<UpstreamLoad> engineLoads;
     /** Unset if the sender has observed no fetch or does not include it. */
     std::optional<StoreView> store;
+    /** Questions to the issuer of teams' credit, and its answers. */
+    std::vector<CreditQuery> creditQueries;
+    std::vector<CreditGrant> creditGrants;
 };
 
 } // namespace ApricotStep
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <set>
 #include <sstream>
 
 namespace ApricotStep
@@ -18,6 +19,9 @@
 // objectives of 0.1, 0.3, 0.6 and 1 s are among them.
 const prometheus::Histogram::BucketBoundaries BucketBounds { 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1, 2, 5, 15 };
 
+// Further teams share the label "other".
+constexpr std::size_t MaxLabelledTeams = 64;
+
 const char *kindName(RequestKind kind)
 {
     switch (kind) {
@@ -58,6 +62,15 @@
                                                                .Name("apricotstep_entry_key_refusals_total")
                                                                .Help("Requests refused because of their key, by reason.")
                                                                .Register(registry);
+    prometheus::Family<prometheus::Counter> &teamRequests = prometheus::BuildCounter()
+                                                                .Name("apricotstep_entry_team_requests_total")
+                                                                .Help("Requests of limited teams by decision.")
+                                                                .Register(registry);
+    prometheus::Family<prometheus::Counter> &teamCredits = prometheus::BuildCounter()
+                                                               .Name("apricotstep_entry_team_credit_total")
+                                                               .Help("Units of teams' limits: issued, spent, returned.")
+                                                               .Register(registry);
+    std::set<TeamName> labelledTeams;
     prometheus::Family<prometheus::Histogram> &durations = prometheus::BuildHistogram()
                                                                .Name("apricotstep_entry_request_seconds")
                                                                .Help("Arrival to the end of the answer, served requests.")
@@ -73,6 +86,13 @@
     prometheus::Family<prometheus::Gauge> &gauges =
         prometheus::BuildGauge().Name("apricotstep_entry_state").Help("What the node believes, by name.").Register(registry);
 
+    std::string teamLabel(const TeamName &team)
+    {
+        if (labelledTeams.size() < MaxLabelledTeams) {
+            labelledTeams.insert(team);
+        }
+        return labelledTeams.contains(team) ? team.value() : "other";
+    }
     void setGauge(const char *name, double value)
     {
         gauges.Add({ { "name", name } }).Set(value);
@@ -139,6 +159,16 @@
     d->keyRefusals.Add({ { "reason", std::string(reason) } }).Increment();
 }
 
+void EntryMetrics::teamRequest(const TeamName &team, std::string_view decision)
+{
+    d->teamRequests.Add({ { "team", d->teamLabel(team) }, { "decision", std::string(decision) } }).Increment();
+}
+
+void EntryMetrics::teamCredit(const TeamName &team, std::string_view what, double amount)
+{
+    d->teamCredits.Add({ { "team", d->teamLabel(team) }, { "what", std::string(what) } }).Increment(amount);
+}
+
 void EntryMetrics::order(std::string_view answer)
 {
     d->orders.Add({ { "answer", std::string(answer) } }).Increment();
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/strongid.h"
 #include "state/routetable.h"
 
 #include <cstdint>
@@ -44,7 +45,7 @@
 /**
  * Counters and histograms of an entry node in the Prometheus text format.
  *
- * No label names a route or an upstream, so the number of time series stays bounded.
+ * No label names a route or an upstream, and only the first teams have labels of their own, so the number of time series stays bounded.
  */
 class EntryMetrics
 {
@@ -64,6 +65,10 @@
     void upstreamFailed(std::string_view what);
     /** Counts a request that is refused because of its key. @p reason comes from a fixed list, since each value creates a time series. */
     void keyRefused(std::string_view reason);
+    /** Counts a decision on a request of a limited team. @p decision comes from a fixed list. */
+    void teamRequest(const TeamName &team, std::string_view decision);
+    /** Counts units of a team's limit. @p what comes from a fixed list. */
+    void teamCredit(const TeamName &team, std::string_view what, double amount);
     /** Counts an engine's answer to an order. @p answer comes from a fixed list, since each value creates a time series. */
     void order(std::string_view answer);
 
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -146,6 +146,11 @@
     fleetCallbacks.storeReadState = [this] { return StoreReadState { store->revision(), store->isReading() }; };
     fleetCallbacks.onPeerReadFurther = [this] { updateStoreReading(); };
     fleetCallbacks.onResidencyChanged = [this] { forwarder->onClusterStateChanged(); };
+    fleetCallbacks.onShardHeld = [this](std::uint64_t shard, FencingToken term) { forwarder->teamLimiter().hold(shard, term); };
+    fleetCallbacks.onCreditQuery = [this](std::uint64_t shard, const NodeId &from, Incarnation incarnation, const CreditQuery &query) {
+        return forwarder->teamLimiter().answer(shard, from, incarnation, query);
+    };
+    fleetCallbacks.onCreditGrants = [this](const std::vector<CreditGrant> &grants) { forwarder->teamLimiter().onGrants(grants); };
     fleetCallbacks.onNewerConfiguration = [this](const Peer &peer) { peers->fetchFrom(peer); };
     OrderLeaseLimits limits;
     limits.handoverDelay = settings.orderHandoverDelay;
@@ -163,6 +168,9 @@
     forwarderSettings.retryWindow = settings.retryWindow;
     forwarderSettings.adapterVersionBound = settings.adapterVersionBound;
     forwarderSettings.revocationBound = revocationBound;
+    forwarderSettings.teamCredit.window = settings.limitWindow;
+    forwarderSettings.teamCredit.overrun = settings.limitOverrun;
+    forwarderSettings.teamCredit.reserve = settings.limitReserve;
     ForwarderCallbacks callbacks;
     callbacks.onPendingAdapters = [this] {
         fleet->sendPendingAdapters();
@@ -175,6 +183,7 @@
         return !isLeaving || elapsed < AcceptAllAfterDrain || longest < settings.grace - ReserveBeforeKill - elapsed;
     };
     callbacks.ordersIn = [this] { return fleet->ordersIn(); };
+    callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { fleet->sendCreditQueries(queries); };
     callbacks.canOthersAcceptKeys = [this] { return canOthersAcceptKeys(); };
     forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, std::move(forwarderSettings), std::move(callbacks));
 }
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -1,5 +1,6 @@
 #include "main/entry/fleetlink.h"
 
+#include "core/hash.h"
 #include "protocol/fleetcodec.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -125,6 +126,12 @@
     std::vector<UpstreamLoad> engineLoads();
     void sendUsesOutOfScope(const FleetMessage &message);
     void sendPendingAdapters();
+    EngineShard creditShard(const TeamName &team) const
+    {
+        return EngineShard(stableHash(team.value()) % shards.count());
+    }
+    std::vector<CreditGrant> answerCreditQueries(const NodeId &from, Incarnation incarnation, const std::vector<CreditQuery> &queries);
+    void sendCreditQueries(const std::vector<CreditQuery> &queries);
     std::set<std::string> unconfirmedAddresses() const;
     void sendToAll(const FleetMessage &message);
     void sendLoad(const FleetMessage &message, MessageUrgency urgency);
@@ -321,6 +328,45 @@
     }
 }
 
+std::vector<CreditGrant> FleetLink::Private::answerCreditQueries(
+    const NodeId &from, Incarnation incarnation, const std::vector<CreditQuery> &queries)
+{
+    std::vector<CreditGrant> grants;
+    for (const CreditQuery &query : queries) {
+        const EngineShard shard = creditShard(query.team);
+        const OrderLease &lease = leases[shard.value()];
+        if (!lease.isHolder(now())) {
+            continue;
+        }
+        callbacks.onShardHeld(shard.value(), lease.greatestFence());
+        if (const auto grant = callbacks.onCreditQuery(shard.value(), from, incarnation, query)) {
+            grants.push_back(*grant);
+        }
+    }
+    return grants;
+}
+
+void FleetLink::Private::sendCreditQueries(const std::vector<CreditQuery> &queries)
+{
+    readClock();
+    std::map<NodeId, std::vector<CreditQuery>> byHolder;
+    for (const CreditQuery &query : queries) {
+        byHolder[leases[creditShard(query.team).value()].holder(now())].push_back(query);
+    }
+    for (const auto &[holder, asked] : byHolder) {
+        if (holder == identity.id) {
+            callbacks.onCreditGrants(answerCreditQueries(identity.id, identity.incarnation, asked));
+            continue;
+        }
+        const auto at = peers.find(holder);
+        if (at != peers.end()) {
+            FleetMessage message = baseMessage();
+            message.creditQueries = asked;
+            socket->send(at->second.peerAddress, encodeFleetMessage(message));
+        }
+    }
+}
+
 std::vector<std::string> FleetLink::Private::randomContacts(std::size_t count)
 {
     std::vector<std::string> known;
@@ -356,6 +402,9 @@
     for (std::size_t shard = 0; shard < leases.size(); ++shard) {
         const bool holdsOther = !message.claims.empty() || holdsLaterShard(shard);
         const bool isHeld = leases[shard].isHolder(now());
+        if (isHeld) {
+            callbacks.onShardHeld(shard, leases[shard].greatestFence());
+        }
         if (const auto claim = leases[shard].claim(message.isReady, holdsOther, now(), loop.clock().wallTime())) {
             message.claims.push_back(*claim);
             urgency = std::max(urgency, isHeld ? MessageUrgency::Renewal : MessageUrgency::Immediate);
@@ -524,6 +573,16 @@
         }
         socket->send(message.peerAddress, encodeFleetMessage(answer));
     }
+    if (!message.creditQueries.empty()) {
+        FleetMessage answer = baseMessage();
+        answer.creditGrants = answerCreditQueries(message.sender, message.incarnation, message.creditQueries);
+        if (!answer.creditGrants.empty()) {
+            socket->send(message.peerAddress, encodeFleetMessage(answer));
+        }
+    }
+    if (!message.creditGrants.empty()) {
+        callbacks.onCreditGrants(message.creditGrants);
+    }
     if (message.loads) {
         clusterState.loadTracker.onPeerLoads(message.sender, *message.loads, now());
         callbacks.onUses(message.sender, message.uses);
@@ -633,6 +692,11 @@
     });
 }
 
+void FleetLink::sendCreditQueries(const std::vector<CreditQuery> &queries)
+{
+    d->sendCreditQueries(queries);
+}
+
 void FleetLink::announce(const std::vector<EngineResidency> &residencies)
 {
     for (const EngineResidency &residency : residencies) {
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -20,6 +20,8 @@
 // Retry-After of a node that cannot accept keys: another node serves the request at once, if one can accept them.
 constexpr Duration RetryAfterOutdatedKeys { 50 };
 constexpr Duration RetryAfterKeysUnavailable { 500 };
+// Retry-After of a node that reaches no issuer of a team's credit: about half of the time in which another node takes a lost lease.
+constexpr Duration RetryAfterNoIssuer { 600 };
 // How long an adapter is reported as crowded after the last observation: two message intervals between nodes.
 constexpr Duration CrowdedLifetime { 500 };
 // Fraction of its share of the fleet-wide retry budget that a node uses. Other nodes may count fewer nodes than there are and use more than
@@ -28,6 +30,25 @@
 
 } // namespace
 
+namespace
+{
+
+/** A request that this node may serve, before it is known whether it is within its team's limit. */
+struct PendingRequest
+{
+    HttpRequest request;
+    Platform::CallerRequest decoded;
+    std::shared_ptr<const RouteTable> table;
+    const Route *route = nullptr;
+    const Team *team = nullptr;
+    /** In units of the team's limit. */
+    double cost = 0;
+    std::shared_ptr<HttpExchange> exchange;
+    Time arrivedAt;
+};
+
+} // namespace
+
 struct RequestForwarder::Private final : RequestContext, std::enable_shared_from_this<RequestForwarder::Private>
 {
     IoLoop &m_loop;
@@ -43,6 +64,11 @@
     /** Adapters whose copies all have long queues, with the time of the last such observation. */
     std::map<AdapterRef, Time> crowdedAdapters;
 
+    /** Requests that wait for the decision whether they are within their team's limit. */
+    std::map<AdmissionId, std::shared_ptr<PendingRequest>> pendingRequests;
+    std::uint64_t lastAdmission = 0;
+    TeamLimiter limiter;
+
     Private(IoLoop &loop, EventLog &log, EntryMetrics &metrics, ClusterState &clusterState, ForwarderSettings settings,
         ForwarderCallbacks callbacks)
         : m_loop(loop)
@@ -51,6 +77,7 @@
         , m_clusterState(clusterState)
         , m_settings(std::move(settings))
         , m_callbacks(std::move(callbacks))
+        , limiter(loop, metrics, clusterState, m_settings.teamCredit, limiterCallbacks())
     {
     }
 
@@ -89,6 +116,12 @@
     void reportCrowded(const AdapterRef &adapter) override;
     void onEnded(std::uint64_t job) override;
 
+    TeamLimiter::Callbacks limiterCallbacks();
+    void admit(const std::shared_ptr<PendingRequest> &pending);
+    void onDecided(const std::shared_ptr<PendingRequest> &pending, const Admission &admission);
+    void startJob(PendingRequest &pending, Time admittedAt);
+    void giveBackCredit(const Team &team, double cost, Time admittedAt) override;
+    void refuseBeyondLimit(const PendingRequest &pending, ErrorKind kind, Duration retryAfter);
     void refuse(HttpExchange &exchange, const std::string &id, ErrorKind kind, const std::string &detail);
     Result<const Team *> authenticate(const Platform::CallerRequest &decoded, const RouteTable &table, const Route &route) const;
     void refuseKey(HttpExchange &exchange, const Platform::CallerRequest &decoded, const Route &route, const Error &error);
@@ -187,6 +220,88 @@
             { "configAgeMs", (m_loop.clock().now() - m_clusterState.routesKnownAt).milliseconds() } });
 }
 
+TeamLimiter::Callbacks RequestForwarder::Private::limiterCallbacks()
+{
+    TeamLimiter::Callbacks result;
+    result.sendQueries = [this](const std::vector<CreditQuery> &queries) { m_callbacks.sendCreditQueries(queries); };
+    result.nodeCount = [this] { return m_callbacks.nodeCount(); };
+    result.onDecided = [this](AdmissionId id, const Admission &admission) {
+        const auto at = pendingRequests.find(id);
+        if (at != pendingRequests.end()) {
+            const auto pending = at->second;
+            pendingRequests.erase(at);
+            onDecided(pending, admission);
+        }
+    };
+    return result;
+}
+
+// Decides first whether the request is within its team's limit, so that none that is not takes a place in a queue, a load or a connection.
+void RequestForwarder::Private::admit(const std::shared_ptr<PendingRequest> &pending)
+{
+    if (pending->team == nullptr || !pending->team->limit) {
+        startJob(*pending, pending->arrivedAt);
+        return;
+    }
+    pending->cost = requestCost(*pending->team->limit, pending->decoded.tokens);
+    const AdmissionId id(++lastAdmission);
+    if (const auto admission = limiter.admit(id, *pending->team, pending->cost)) {
+        onDecided(pending, *admission);
+        return;
+    }
+    pendingRequests.emplace(id, pending);
+    pending->exchange->onCallerGone([weak = weak_from_this(), id, team = pending->team->name] {
+        if (const auto self = weak.lock()) {
+            self->limiter.cancel(team, id);
+            self->pendingRequests.erase(id);
+        }
+    });
+}
+
+void RequestForwarder::Private::onDecided(const std::shared_ptr<PendingRequest> &pending, const Admission &admission)
+{
+    std::visit(Overloaded {
+                   [&](const Admitted &) {
+                       m_metrics.teamRequest(pending->team->name, "admitted");
+                       m_metrics.teamCredit(pending->team->name, "spent", pending->cost);
+                       startJob(*pending, m_loop.clock().now());
+                   },
+                   [&](const BeyondLimit &refusal) {
+                       m_metrics.teamRequest(pending->team->name, "beyond_limit");
+                       refuseBeyondLimit(*pending, ErrorKind::LimitExceeded, refusal.retryAfter);
+                   },
+                   [&](const IssuerUnreachable &) {
+                       m_metrics.teamRequest(pending->team->name, "issuer_unreachable");
+                       refuseBeyondLimit(*pending, ErrorKind::LimitUnknown, RetryAfterNoIssuer);
+                   },
+               },
+        admission);
+}
+
+void RequestForwarder::Private::refuseBeyondLimit(const PendingRequest &pending, ErrorKind kind, Duration retryAfter)
+{
+    ApricotStep::refuse(*pending.exchange, kind, { retryAfter, m_callbacks.isLeaving() });
+    m_log.write(EventLog::Severity::Important, "request", "refused",
+        { { "request", pending.decoded.id }, { "reason", std::string(errorAnswer(kind).code) }, { "team", pending.team->name.value() },
+            { "route", pending.route->name }, { "configVersion", std::int64_t(pending.table->version().value()) }, { "cost", pending.cost },
+            { "retryAfterMs", retryAfter.milliseconds() } });
+}
+
+void RequestForwarder::Private::startJob(PendingRequest &pending, Time admittedAt)
+{
+    const std::uint64_t number = ++lastJob;
+    const RequestTeam team { pending.team, pending.cost, admittedAt };
+    auto job = std::make_shared<RequestJob>(*this, number, std::move(pending.request), std::move(pending.decoded), pending.table,
+        *pending.route, team, std::move(pending.exchange), pending.arrivedAt);
+    jobs.emplace(number, job);
+    job->start();
+}
+
+void RequestForwarder::Private::giveBackCredit(const Team &team, double cost, Time admittedAt)
+{
+    limiter.giveBack(team.name, cost, admittedAt);
+}
+
 RequestForwarder::RequestForwarder(IoLoop &loop, EventLog &log, EntryMetrics &metrics, ClusterState &clusterState,
     ForwarderSettings settings, ForwarderCallbacks callbacks)
     : d(std::make_shared<Private>(loop, log, metrics, clusterState, std::move(settings), std::move(callbacks)))
@@ -226,11 +341,13 @@
         d->refuseKey(*exchange, decoded, *route, team.error());
         return;
     }
-    const std::uint64_t number = ++d->lastJob;
-    auto job =
-        std::make_shared<RequestJob>(*d, number, std::move(request), std::move(decoded), table, *route, team.value(), std::move(exchange));
-    d->jobs.emplace(number, job);
-    job->start();
+    const bool isLimited = team.value() != nullptr && team.value()->limit;
+    if (isLimited && decoded.hasInvalidTokens && team.value()->limit->unit == LimitUnit::Tokens) {
+        d->refuse(*exchange, decoded.id, ErrorKind::BadRequest, "the number of tokens cannot be decoded");
+        return;
+    }
+    d->admit(std::make_shared<PendingRequest>(
+        PendingRequest { std::move(request), std::move(decoded), table, route, team.value(), 0, std::move(exchange), d->m_loop.now() }));
 }
 
 void RequestForwarder::onClusterStateChanged()
@@ -275,7 +392,12 @@
 
 int RequestForwarder::activeCount() const
 {
-    return static_cast<int>(d->jobs.size());
+    return static_cast<int>(d->jobs.size() + d->pendingRequests.size());
+}
+
+TeamLimiter &RequestForwarder::teamLimiter()
+{
+    return d->limiter;
 }
 
 } // namespace ApricotStep
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -6,6 +6,7 @@
 #include "main/entry/clusterstate.h"
 #include "main/entry/entrymetrics.h"
 #include "main/entry/eventlog.h"
+#include "main/entry/teamlimiter.h"
 #include "transport/ioloop.h"
 
 #include <functional>
@@ -30,6 +31,7 @@
     /** Time within which every node must use a new adapter version. */
     Duration adapterVersionBound = Duration::seconds(5);
     RevocationBound revocationBound { std::nullopt };
+    TeamCreditLimits teamCredit;
 };
 
 /** Callbacks from the forwarder into the rest of the node. */
@@ -47,6 +49,8 @@
     std::function<std::optional<Duration>()> ordersIn;
     /** Returns whether callers with keys can use another node. */
     std::function<bool()> canOthersAcceptKeys;
+    /** Sends queries to the nodes that issue the credit of their teams. */
+    std::function<void(const std::vector<CreditQuery> &)> sendCreditQueries;
 };
 
 /** Forwards each caller's request unchanged to an upstream of its route, and the answer back to the caller. */
@@ -66,6 +70,7 @@
     std::vector<AdapterUse> pendingAdapters() const;
     /** Returns the number of requests in progress. */
     int activeCount() const;
+    TeamLimiter &teamLimiter();
 
     struct Private;
 
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -62,7 +62,8 @@
 } // namespace
 
 RequestJob::RequestJob(RequestContext &context, std::uint64_t number, HttpRequest request, Platform::CallerRequest decoded,
-    std::shared_ptr<const RouteTable> table, const Route &route, const Team *team, std::shared_ptr<HttpExchange> exchange)
+    std::shared_ptr<const RouteTable> table, const Route &route, const RequestTeam &team, std::shared_ptr<HttpExchange> exchange,
+    Time arrivedAt)
     : m_context(context)
     , m_number(number)
     , m_request(std::move(request))
@@ -71,7 +72,7 @@
     , m_route(route)
     , m_team(team)
     , m_exchange(std::move(exchange))
-    , m_arrivedAt(context.loop().now())
+    , m_arrivedAt(arrivedAt)
 {
     const Duration requested = m_decoded.deadline.value_or(m_route.timeout);
     m_deadline = m_arrivedAt + std::min(requested, m_route.timeout);
@@ -123,7 +124,7 @@
 int RequestJob::priority() const
 {
     constexpr int MaxPriority = 9;
-    return std::min(m_team != nullptr && m_team->priority ? *m_team->priority : m_route.priority, MaxPriority);
+    return std::min(m_team.team != nullptr && m_team.team->priority ? *m_team.team->priority : m_route.priority, MaxPriority);
 }
 
 void RequestJob::start()
@@ -144,8 +145,8 @@
         }
     });
     m_context.log().write(RequestStep, "request", "arrived",
-        { { "request", m_decoded.id }, { "team", m_team != nullptr ? m_team->name.value() : std::string() }, { "route", m_route.name },
-            { "configVersion", std::int64_t(m_table->version().value()) }, { "service", m_service.value() },
+        { { "request", m_decoded.id }, { "team", m_team.team != nullptr ? m_team.team->name.value() : std::string() },
+            { "route", m_route.name }, { "configVersion", std::int64_t(m_table->version().value()) }, { "service", m_service.value() },
             { "adapter", adapter().adapter.value() }, { "leftMs", timeLeft().milliseconds() } });
     tryNext();
 }
@@ -360,7 +361,7 @@
     m_context.loop().cancel(m_waitTimer);
     if (m_attemptsSent > 0 && !m_context.takeRetry(m_service)) {
         m_context.log().write(Important, "request", "no_retry_budget", { { "request", m_decoded.id }, { "service", m_service.value() } });
-        giveUp(m_executionState == ExecutionState::NotRun ? ErrorKind::Overloaded : ErrorKind::UpstreamFailed);
+        giveUp(m_executionState == ExecutionState::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed);
         return;
     }
     m_phase = Phase::Sent;
@@ -391,7 +392,7 @@
     binding.adapterVersion = m_version;
     binding.deadline = std::max(timeLeft(), Duration(1));
     binding.priority = priority();
-    binding.team = m_team != nullptr ? m_team->name : TeamName();
+    binding.team = m_team.team != nullptr ? m_team.team->name : TeamName();
     binding.hidesCredentials = m_table->requiresKeys();
     binding.lastEventId = m_isStreaming ? m_events.lastId() : std::string();
     call.headers = Platform::upstreamHeaders(m_request, binding);
@@ -726,6 +727,11 @@
 void RequestJob::end(RequestOutcome outcome, const std::string &reason)
 {
     m_context.metrics().requestEnded(m_route.kind, outcome, now() - m_arrivedAt);
+    const bool wasNeverSent =
+        outcome == RequestOutcome::CallerGone && m_phase == Phase::Waiting && m_executionState == ExecutionState::NotRun;
+    if (m_team.cost > 0 && (outcome == RequestOutcome::Refused || wasNeverSent)) {
+        m_context.giveBackCredit(*m_team.team, m_team.cost, m_team.admittedAt);
+    }
     m_phase = Phase::Ended;
     m_context.loop().cancel(m_deadlineTimer);
     m_context.loop().cancel(m_waitTimer);
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -33,6 +33,18 @@
     /** Called once per request, when it first reaches its service; adds to the retry budget. */
     virtual void reportFirstArrival(const ServiceName &service) = 0;
     virtual void onEnded(std::uint64_t job) = 0;
+    /** A request of @p team that was admitted at @p admittedAt did not run. */
+    virtual void giveBackCredit(const Team &team, double cost, Time admittedAt) = 0;
+};
+
+/** The team of a request's caller. */
+struct RequestTeam
+{
+    /** Null if there are no teams, or if a request on a public route has no known key. */
+    const Team *team = nullptr;
+    /** In units of the team's limit; 0 if it has none. */
+    double cost = 0;
+    Time admittedAt;
 };
 
 /** Handles one request of a caller, from its arrival to the end of its answer. */
@@ -40,7 +52,8 @@
 {
 public:
     RequestJob(RequestContext &context, std::uint64_t number, HttpRequest request, Platform::CallerRequest decoded,
-        std::shared_ptr<const RouteTable> table, const Route &route, const Team *team, std::shared_ptr<HttpExchange> exchange);
+        std::shared_ptr<const RouteTable> table, const Route &route, const RequestTeam &team, std::shared_ptr<HttpExchange> exchange,
+        Time arrivedAt);
 
     void start();
     /** Tries again to choose an upstream; does nothing unless the job is waiting for one. */
@@ -125,8 +138,7 @@
     /** Keeps m_route alive; a request keeps the configuration that was active when it arrived. */
     std::shared_ptr<const RouteTable> m_table;
     const Route &m_route;
-    /** The caller's team; null if there are no teams, or if a request on a public route has no known key. */
-    const Team *m_team;
+    RequestTeam m_team;
     ServiceName m_service;
     std::shared_ptr<HttpExchange> m_exchange;
 
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -66,6 +66,21 @@
     scopeDemand @6 :UInt32;
 }
 
+struct CreditQueryWire {
+    team @0 :Text;
+    sequence @1 :UInt64;
+    needed @2 :Float64;
+    cheapest @3 :Float64;
+    ahead @4 :Float64;
+}
+
+struct CreditGrantWire {
+    team @0 :Text;
+    sequence @1 :UInt64;
+    amount @2 :Float64;
+    retryAfterMs @3 :Int64;
+}
+
 struct FleetMessageWire {
     sender @0 :Text;
     incarnation @1 :UInt64;
@@ -94,4 +109,6 @@
     store @24 :StoreViewWire;
     engineLoads @25 :List(UpstreamLoadWire);
     hasOutdatedKeys @26 :Bool;
+    creditQueries @27 :List(CreditQueryWire);
+    creditGrants @28 :List(CreditGrantWire);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -24,6 +24,8 @@
 CAPNP_DECLARE_SCHEMA(a8b9f4dba4f44306);
 CAPNP_DECLARE_SCHEMA(9d5a32ab517c1ae3);
 CAPNP_DECLARE_SCHEMA(ba03b9cd0cf349d7);
+CAPNP_DECLARE_SCHEMA(ee81ea0e1c05bc2f);
+CAPNP_DECLARE_SCHEMA(b10fdd4c43c3373a);
 CAPNP_DECLARE_SCHEMA(8b8b5daee920bcb2);
 
 }  // namespace schemas
@@ -152,6 +154,36 @@
   };
 };
 
+struct CreditQueryWire {
+  CreditQueryWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ee81ea0e1c05bc2f, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CreditGrantWire {
+  CreditGrantWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b10fdd4c43c3373a, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetMessageWire {
   FleetMessageWire() = delete;
 
@@ -160,7 +192,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 7, 15)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 7, 17)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -973,6 +1005,203 @@
 };
 #endif  // !CAPNP_LITE
 
+class CreditQueryWire::Reader {
+public:
+  typedef CreditQueryWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline double getNeeded() const;
+
+  inline double getCheapest() const;
+
+  inline double getAhead() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CreditQueryWire::Builder {
+public:
+  typedef CreditQueryWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline double getNeeded();
+  inline void setNeeded(double value);
+
+  inline double getCheapest();
+  inline void setCheapest(double value);
+
+  inline double getAhead();
+  inline void setAhead(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CreditQueryWire::Pipeline {
+public:
+  typedef CreditQueryWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CreditGrantWire::Reader {
+public:
+  typedef CreditGrantWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline double getAmount() const;
+
+  inline  ::int64_t getRetryAfterMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CreditGrantWire::Builder {
+public:
+  typedef CreditGrantWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline double getAmount();
+  inline void setAmount(double value);
+
+  inline  ::int64_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CreditGrantWire::Pipeline {
+public:
+  typedef CreditGrantWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetMessageWire::Reader {
 public:
   typedef FleetMessageWire Reads;
@@ -1059,6 +1288,12 @@
 
   inline bool getHasOutdatedKeys() const;
 
+  inline bool hasCreditQueries() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>::Reader getCreditQueries() const;
+
+  inline bool hasCreditGrants() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>::Reader getCreditGrants() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1230,6 +1465,20 @@
   inline bool getHasOutdatedKeys();
   inline void setHasOutdatedKeys(bool value);
 
+  inline bool hasCreditQueries();
+  inline  ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>::Builder getCreditQueries();
+  inline void setCreditQueries( ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>::Builder initCreditQueries(unsigned int size);
+  inline void adoptCreditQueries(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>> disownCreditQueries();
+
+  inline bool hasCreditGrants();
+  inline  ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>::Builder getCreditGrants();
+  inline void setCreditGrants( ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>::Builder initCreditGrants(unsigned int size);
+  inline void adoptCreditGrants(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>> disownCreditGrants();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1981,6 +2230,172 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CreditQueryWire::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CreditQueryWire::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CreditQueryWire::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CreditQueryWire::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CreditQueryWire::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CreditQueryWire::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CreditQueryWire::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CreditQueryWire::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CreditQueryWire::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CreditQueryWire::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CreditQueryWire::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double CreditQueryWire::Reader::getNeeded() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double CreditQueryWire::Builder::getNeeded() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CreditQueryWire::Builder::setNeeded(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double CreditQueryWire::Reader::getCheapest() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double CreditQueryWire::Builder::getCheapest() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CreditQueryWire::Builder::setCheapest(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline double CreditQueryWire::Reader::getAhead() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double CreditQueryWire::Builder::getAhead() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CreditQueryWire::Builder::setAhead(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CreditGrantWire::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CreditGrantWire::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CreditGrantWire::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CreditGrantWire::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CreditGrantWire::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CreditGrantWire::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CreditGrantWire::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CreditGrantWire::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CreditGrantWire::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CreditGrantWire::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrantWire::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double CreditGrantWire::Reader::getAmount() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double CreditGrantWire::Builder::getAmount() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrantWire::Builder::setAmount(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CreditGrantWire::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CreditGrantWire::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrantWire::Builder::setRetryAfterMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetMessageWire::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2672,6 +3087,74 @@
       ::capnp::bounded<68>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetMessageWire::Reader::hasCreditQueries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasCreditQueries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getCreditQueries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getCreditQueries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setCreditQueries( ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initCreditQueries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptCreditQueries(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownCreditQueries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditQueryWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<15>() * ::capnp::POINTERS));
+}
+
+inline bool FleetMessageWire::Reader::hasCreditGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasCreditGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getCreditGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getCreditGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setCreditGrants( ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initCreditGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptCreditGrants(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownCreditGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint64_t MaxTraversalWords = 64U << 10U;
 // A node counts as alive for a few message intervals. The limit bounds that time for senders of forged messages.
 constexpr Duration MaxInterval = Duration::seconds(5);
+// Far more than any team's limit, while sums of amounts stay far from overflow.
+constexpr double MaxCreditAmount = 1e12;
 
 std::string textOf(capnp::Text::Reader text)
 {
@@ -183,6 +185,45 @@
     }
 }
 
+void encodeCredit(const FleetMessage &message, Wire::FleetMessageWire::Builder wire)
+{
+    auto queries = wire.initCreditQueries(static_cast<unsigned int>(message.creditQueries.size()));
+    for (unsigned int i = 0; i < queries.size(); ++i) {
+        const CreditQuery &query = message.creditQueries[i];
+        queries[i].setTeam(query.team.value());
+        queries[i].setSequence(query.sequence);
+        queries[i].setNeeded(query.needed);
+        queries[i].setCheapest(query.cheapest);
+        queries[i].setAhead(query.ahead);
+    }
+    auto grants = wire.initCreditGrants(static_cast<unsigned int>(message.creditGrants.size()));
+    for (unsigned int i = 0; i < grants.size(); ++i) {
+        const CreditGrant &grant = message.creditGrants[i];
+        grants[i].setTeam(grant.team.value());
+        grants[i].setSequence(grant.sequence);
+        grants[i].setAmount(grant.amount);
+        grants[i].setRetryAfterMs(grant.retryAfter.milliseconds());
+    }
+}
+
+// An infinite or undefined amount would empty an issuer's bucket for good.
+double decodeAmount(double amount)
+{
+    return amount >= 0 ? std::min(amount, MaxCreditAmount) : 0;
+}
+
+void decodeCredit(Wire::FleetMessageWire::Reader wire, FleetMessage &message)
+{
+    for (const auto query : wire.getCreditQueries()) {
+        message.creditQueries.push_back(CreditQuery { TeamName(textOf(query.getTeam())), query.getSequence(),
+            decodeAmount(query.getNeeded()), decodeAmount(query.getCheapest()), decodeAmount(query.getAhead()) });
+    }
+    for (const auto grant : wire.getCreditGrants()) {
+        message.creditGrants.push_back(CreditGrant { TeamName(textOf(grant.getTeam())), grant.getSequence(),
+            decodeAmount(grant.getAmount()), Duration(std::clamp<std::int64_t>(grant.getRetryAfterMs(), 0, MaxInterval.milliseconds())) });
+    }
+}
+
 void encodeStore(const StoreView &store, Wire::StoreViewWire::Builder wire)
 {
     wire.setFetchesAtOnce(store.maxConcurrentFetches);
@@ -219,6 +260,7 @@
     message.configVersion = ConfigVersion(wire.getConfigVersion());
     decodeLeases(wire, message);
     decodeLists(wire, message);
+    decodeCredit(wire, message);
     if (wire.hasStore()) {
         message.store = decodeStore(wire.getStore());
     }
@@ -247,6 +289,7 @@
     wire.setConfigVersion(message.configVersion.value());
     encodeLeases(message, wire);
     encodeLists(message, wire);
+    encodeCredit(message, wire);
     if (message.store) {
         encodeStore(*message.store, wire.initStore());
     }
--- a/tests/main/testfleetlink.cpp
+++ b/tests/main/testfleetlink.cpp
@@ -41,6 +41,11 @@
         callbacks.pendingAdapters = [] { return std::vector<AdapterUse>(); };
         callbacks.isReady = [] { return true; };
         callbacks.hasOutdatedKeys = [] { return false; };
+        callbacks.onShardHeld = [](std::uint64_t, FencingToken) {};
+        callbacks.onCreditQuery = [](std::uint64_t, const NodeId &, Incarnation, const CreditQuery &query) {
+            return std::optional(CreditGrant { query.team, query.sequence, query.needed, Duration(0) });
+        };
+        callbacks.onCreditGrants = [](const std::vector<CreditGrant> &) {};
         callbacks.onUses = [](const NodeId &, const std::vector<AdapterUse> &) {};
         callbacks.onPendingAdapters = callbacks.onUses;
         callbacks.storeReadState = [] { return StoreReadState {}; };
@@ -81,6 +86,15 @@
     {
         m_isOtherZoneClaimed = true;
     }
+    /** A peer asks for the credit of many teams, which belong to all shards. */
+    void askForCredit()
+    {
+        FleetMessage message = messageOf(0);
+        for (std::uint64_t i = 0; i < 100; ++i) {
+            message.creditQueries.push_back(CreditQuery { TeamName("t" + std::to_string(i)), i + 1, 10, 10, 0 });
+        }
+        m_socket->send(m_address, encodeFleetMessage(message));
+    }
     /** What the link has sent since the last call. */
     std::vector<FleetMessage> takeSent()
     {
@@ -212,3 +226,28 @@
     cr_assert_gt(reports, 0);
     cr_assert_lt(reports, heartbeats, "renewals to other zones are less frequent than heartbeats in the zone");
 }
+
+// Guards against credit that is issued by a node without the lease of the team's shard: several nodes could issue for one team.
+Test(fleetlink, creditIsIssuedOnlyWithTheLease)
+{
+    LargeFleet fleet;
+    const auto answered = [&fleet] {
+        fleet.takeSent();
+        fleet.askForCredit();
+        fleet.run(Duration(100));
+        std::size_t grants = 0;
+        for (const FleetMessage &message : fleet.takeSent()) {
+            grants += message.creditGrants.size();
+        }
+        return grants;
+    };
+    cr_assert_eq(answered(), 0);
+    const EngineShard shard = fleet.link().shards().shardOf(fleet.ownEngine());
+    for (int i = 0; i < 20 && !fleet.link().lease(shard).isHolder(SystemClock().now()); ++i) {
+        fleet.run(Duration(200));
+    }
+    const std::size_t issued = answered();
+    cr_assert(issued > 0 && issued <= 100);
+    fleet.link().leave();
+    cr_assert_eq(answered(), 0);
+}
--- a/tests/main/testmetrics.cpp
+++ b/tests/main/testmetrics.cpp
@@ -88,6 +88,8 @@
     entry.upstreamFailed("broken");
     entry.order("done");
     entry.keyRefused("unauthenticated");
+    entry.teamRequest(TeamName("t"), "admitted");
+    entry.teamCredit(TeamName("t"), "spent", 1);
     const std::string page = sourceFile("docs/METRICS.md");
     std::set<std::string> documented;
     std::istringstream lines(page);
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -398,6 +398,8 @@
         callbacks.canAccept = [](Duration) { return true; };
         callbacks.ordersIn = [] { return std::optional(Duration(0)); };
         callbacks.canOthersAcceptKeys = [] { return true; };
+        callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { answerQueries(queries); };
+        settings.teamCredit.overrun = 0.25;
         forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, settings, std::move(callbacks));
         clusterState.routesKnownAt = clock.now();
         RouteTableSource source;
@@ -418,13 +420,35 @@
         team.name = TeamName("mine");
         team.keys = { KeyDigest::of("good") };
         source.teams.push_back(team);
+        team.name = TeamName("limited");
+        team.keys = { KeyDigest::of("limited") };
+        team.limit = TeamLimit { LimitUnit::Tokens, 1000, 1000, 200 };
+        source.teams.push_back(team);
         clusterState.routes = RouteTable::make(source).value();
     }
+    /** What an issuer has left; unset if none answers. */
+    std::optional<double> issuerCredit;
+
+    void answerQueries(const std::vector<CreditQuery> &queries)
+    {
+        std::vector<CreditGrant> grants;
+        for (const CreditQuery &query : queries) {
+            if (issuerCredit) {
+                const bool suffices = *issuerCredit >= query.needed;
+                *issuerCredit -= suffices ? query.needed : 0;
+                grants.push_back(CreditGrant { query.team, query.sequence, suffices ? query.needed : 0, Duration(suffices ? 0 : 400) });
+            }
+        }
+        forwarder->teamLimiter().onGrants(grants);
+    }
     /** Sends a request and returns its status. */
-    int statusOf(const std::string &path, const std::string &credentials)
+    int statusOf(const std::string &path, const std::string &credentials, const std::string &tokens = "")
     {
         HttpRequest request = ForwarderFixture::request();
         request.target = path;
+        if (!tokens.empty()) {
+            request.headerList.emplace_back("Apricotstep-Token-Count", tokens);
+        }
         if (!credentials.empty()) {
             request.headerList.emplace_back("Authorization", credentials);
             request.headers["authorization"] = credentials;
@@ -472,3 +496,60 @@
     cr_assert_eq(fixture.statusOf("/open/x", ""), 200);
     cr_assert_eq(upstream.requests().size(), 1);
 }
+
+// Guards against requests beyond their team's limit that reach an upstream, and against refusals of other teams' requests.
+Test(requestforwarder, requestsBeyondTheirTeamsLimitAreRefusedBeforeAnyWork)
+{
+    const ScriptedUpstream upstream([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    KeyFixture fixture;
+    fixture.addUpstream("u1", upstream);
+    fixture.issuerCredit = 1500;
+    cr_assert_eq(fixture.statusOf("/in/x", "Token limited", "900,100"), 200);
+    cr_assert_eq(fixture.statusOf("/in/x", "Token limited", "900,100"), 429);
+    // A request that states no tokens costs 200 of the 500 that are left.
+    cr_assert_eq(fixture.statusOf("/in/x", "Token limited"), 200);
+    cr_assert_eq(fixture.statusOf("/in/x", "Token limited", "many,few"), 400);
+    cr_assert_eq(fixture.statusOf("/in/x", "Token good", "900,100"), 200);
+    cr_assert_eq(upstream.requests().size(), 3);
+}
+
+// Guards against requests that wait in vain for an issuer: they are refused within a quarter of a second, as not run.
+Test(requestforwarder, requestsOfALimitedTeamAreRefusedSoonWithoutAnIssuer)
+{
+    const ScriptedUpstream upstream([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    KeyFixture fixture;
+    fixture.addUpstream("u1", upstream);
+    const Time start = fixture.clock.now();
+    cr_assert_eq(fixture.statusOf("/in/x", "Token limited", "900,100"), 503);
+    cr_assert(fixture.clock.now() - start < Duration(1000) && upstream.requests().empty());
+}
+
+// Guards against a request that did not run and still uses up its team's credit.
+Test(requestforwarder, creditOfARequestThatDidNotRunIsSpentAgain)
+{
+    int calls = 0;
+    const ScriptedUpstream upstream([&](const std::string &) { return ScriptedAnswer { ++calls == 1 ? NotRunAnswer : CompleteAnswer }; });
+    KeyFixture fixture;
+    fixture.addUpstream("u1", upstream);
+    fixture.issuerCredit = 1000;
+    cr_assert_eq(fixture.statusOf("/in/x", "Token limited", "900,100"), 503);
+    cr_assert_eq(fixture.statusOf("/in/x", "Token limited", "900,100"), 200);
+}
+
+// Guards against an answer to a caller that left while its request waited for credit, and against work for it.
+Test(requestforwarder, callerThatLeavesBeforeItsAdmissionCostsNothing)
+{
+    const ScriptedUpstream upstream([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    KeyFixture fixture;
+    fixture.addUpstream("u1", upstream);
+    HttpRequest request = ForwarderFixture::request();
+    request.headerList.emplace_back("Authorization", "Token limited");
+    const auto caller = fixture.send(request);
+    cr_assert_eq(fixture.forwarder->activeCount(), 1);
+    caller->disconnect();
+    cr_assert_eq(fixture.forwarder->activeCount(), 0);
+    fixture.issuerCredit = 1000;
+    const Time end = fixture.clock.now() + Duration(100);
+    fixture.runUntil([&] { return fixture.clock.now() >= end; });
+    cr_assert(upstream.requests().empty() && *fixture.issuerCredit == 1000);
+}
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -3,6 +3,8 @@
 
 #include <random>
 
+#include <limits>
+
 #include <criterion/criterion.h>
 
 using namespace ApricotStep;
@@ -25,6 +27,9 @@
     message.callerAddress = "10.0.0.1:80";
     message.peerAddress = "10.0.0.1:81";
     message.isReady = true;
+    message.hasOutdatedKeys = true;
+    message.creditQueries = { CreditQuery { TeamName("t"), 8, 1200, 200, 300 } };
+    message.creditGrants = { CreditGrant { TeamName("t"), 7, 900, Duration(150) } };
     message.configVersion = ConfigVersion(9);
     message.claims = { LeaseClaim { EngineShard(2), FencingToken(5), Duration(30), Time(4) } };
     message.grants = { LeaseGrant { EngineShard(1), NodeId("n2"), Incarnation(3), Time(8), FencingToken(6) } };
@@ -52,6 +57,7 @@
     cr_assert(message.sender == sent.sender && message.incarnation == sent.incarnation && message.peerAddress == sent.peerAddress);
     cr_assert(message.scope == sent.scope && message.capacity == sent.capacity && message.interval == sent.interval);
     cr_assert_eq(message.rememberedNodes, 17);
+    cr_assert(message.hasOutdatedKeys && message.creditQueries == sent.creditQueries && message.creditGrants == sent.creditGrants);
     cr_assert(message.readRevision == 41 && message.isReadingStore);
     cr_assert(message.claims.front().ordersIn == Duration(30) && message.claims.front().shard == EngineShard(2));
     cr_assert(message.grants.front().holder == NodeId("n2") && message.grants.front().greatestFence == FencingToken(6));
@@ -90,3 +96,16 @@
     cr_assert(splitter.push("id:3\r\ndata: c\r\n\r\n") == "id:3\r\ndata: c\r\n\r\n");
     cr_assert(splitter.lastId() == "3");
 }
+
+// Guards against a damaged amount that empties an issuer's bucket for good, or that a node could spend without end.
+Test(fleetcodec, invalidCreditAmountsAreLimited)
+{
+    FleetMessage message = fullMessage();
+    const double infinite = std::numeric_limits<double>::infinity();
+    message.creditQueries = { CreditQuery { TeamName("t"), 8, infinite, std::numeric_limits<double>::quiet_NaN(), -5 } };
+    message.creditGrants = { CreditGrant { TeamName("t"), 7, -infinite, Duration::seconds(100'000) } };
+    const auto decoded = decodeFleetMessage(encodeFleetMessage(message));
+    const CreditQuery &query = decoded.value().creditQueries.at(0);
+    cr_assert(query.needed <= 1e12 && query.cheapest == 0 && query.ahead == 0);
+    cr_assert(decoded.value().creditGrants.at(0).amount == 0 && decoded.value().creditGrants.at(0).retryAfter == Duration::seconds(5));
+}
