Let nodes without an issuer share what a limit allows by chance

Change: a node admits with the probability that its part is of the cost, and knows the size of the fleet from when it last reached a majority.

--- a/coordination/teamcredit.cpp
+++ b/coordination/teamcredit.cpp
@@ -24,10 +24,10 @@
 
 } // namespace
 
-// Half of what the window allows beyond the rate; the other half covers what nodes spend without an issuer.
+// A quarter of what the window allows beyond the rate; the rest covers what nodes spend without an issuer.
 Duration TeamCreditLimits::creditLifetime() const
 {
-    return std::max(MinCreditLifetime, fromSeconds(window.toSeconds() * overrun / 2));
+    return std::max(MinCreditLifetime, fromSeconds(window.toSeconds() * overrun / 4));
 }
 
 double TeamCreditLimits::bucketCapacity(const TeamLimit &limit) const
@@ -46,7 +46,8 @@
 {
     const double allowed = window.toSeconds() * (1 + overrun) * limit.ratePerSecond;
     const double issued = (window + creditLifetime()).toSeconds() * bucketRate(limit);
-    return (reserve + std::max(allowed - issued, 0.0)) / std::max(nodes, minFleetSize);
+    // How much the nodes admit together varies, since each decides by chance; half of what is allowed leaves room for that.
+    return (reserve + std::max(allowed - issued, 0.0)) / 2 / std::max(nodes, 1);
 }
 
 CreditIssuer::CreditIssuer(TeamCreditLimits limits)
@@ -134,15 +135,25 @@
     ++account.recentCount;
 }
 
-void CreditClient::refillOwnCredit(Account &account, const TeamLimit &limit, int nodes, Time now) const
+void CreditClient::refillOwnCredit(Account &account, const TeamLimit &limit, std::optional<int> nodes, Time now) const
 {
     // All at once, a window after the last use: otherwise one window could contain what was left and what was added.
     if (account.ownSpentAt == Time() || now - account.ownSpentAt >= m_limits.window) {
-        account.ownCredit = m_limits.ownAllowance(limit, nodes);
+        account.ownCredit = m_limits.ownAllowance(limit, nodes.value_or(m_limits.maxFleetSize));
     }
 }
 
-std::optional<Admission> CreditClient::request(AdmissionId id, const Team &team, double cost, int nodes, Time now)
+bool CreditClient::takeOwnCredit(Account &account, double cost, Time now)
+{
+    const double taken = std::min(account.ownCredit, cost);
+    account.ownCredit -= taken;
+    if (taken > 0) {
+        account.ownSpentAt = now;
+    }
+    return taken > 0 && std::uniform_real_distribution<double>(0, cost)(m_random) < taken;
+}
+
+std::optional<Admission> CreditClient::request(AdmissionId id, const Team &team, double cost, std::optional<int> nodes, Time now)
 {
     if (!team.limit) {
         return Admitted {};
@@ -247,9 +258,7 @@
 void CreditClient::giveUp(Account &account, Time now)
 {
     for (const Waiting &waiting : account.waiting) {
-        if (account.ownCredit >= waiting.cost) {
-            account.ownCredit -= waiting.cost;
-            account.ownSpentAt = now;
+        if (takeOwnCredit(account, waiting.cost, now)) {
             m_decisions.push_back(AdmissionDecision { waiting.id, Admitted {} });
         } else {
             m_decisions.push_back(AdmissionDecision { waiting.id, IssuerUnreachable {} });
--- a/coordination/teamcredit.h
+++ b/coordination/teamcredit.h
@@ -24,8 +24,9 @@
 // ask it for the cost of a request when that arrives, and for some more in advance while the team is far below its limit, so that busy
 // nodes do not ask for every request. Credit expires soon after it was asked for, so what runs within a window was issued within little
 // more than the window. A new issuer starts with an empty bucket, as if the former one had just issued everything. A node that reaches no
-// issuer spends a small amount of its own, of which all nodes together have no more than a limit may be exceeded by.
-
+// issuer spends an amount of its own, of which all nodes together have half of what else a limit may be exceeded by. That is less than one
+// request costs in a large fleet, so a node admits a request with the probability that its amount is of the cost: together the nodes admit
+// as much as if they shared one amount.
 struct TeamCreditLimits
 {
     /** The window in which the fleet must keep a limit, and by which share and how many units it may exceed it. */
@@ -37,16 +38,15 @@
     int maxTries = 3;
     /** A node asks for this much of its recent demand in advance. */
     Duration lead { 500 };
-    /** The fleet has at least this many nodes for the amounts that nodes spend without an issuer. */
-    int minFleetSize = 400;
-
+    /** The assumed size of the fleet at a node that does not know it yet. */
+    int maxFleetSize = 400;
     /** How long issued credit may be spent. */
     Duration creditLifetime() const;
     /** The capacity of an issuer's bucket. */
     double bucketCapacity(const TeamLimit &limit) const;
     /** The rate at which an issuer's bucket fills, in units per second. */
     double bucketRate(const TeamLimit &limit) const;
-    /** What one of @p nodes may spend in a window without an issuer. */
+    /** What one of @p nodes may spend on average in a window without an issuer. */
     double ownAllowance(const TeamLimit &limit, int nodes) const;
 };
 
@@ -166,9 +166,8 @@
 
     /**
      * Admits a request of @p cost at once if this node has the credit. Otherwise the request waits, and step() returns the decision.
-     * @p nodes: the number of nodes that this one knows of.
-     */
-    std::optional<Admission> request(AdmissionId id, const Team &team, double cost, int nodes, Time now);
+     * @p nodes: the size of the fleet; empty if this node does not know it.     */
+    std::optional<Admission> request(AdmissionId id, const Team &team, double cost, std::optional<int> nodes, Time now);
     /** A request that was admitted at @p admittedAt did not run; its credit may be spent again while it is valid. */
     void giveBack(const TeamName &team, double cost, Time admittedAt, Time now);
     /** The caller of a waiting request has left. */
@@ -208,7 +207,8 @@
     };
 
     void countDemand(Account &account, double cost, Time now) const;
-    void refillOwnCredit(Account &account, const TeamLimit &limit, int nodes, Time now) const;
+    void refillOwnCredit(Account &account, const TeamLimit &limit, std::optional<int> nodes, Time now) const;
+    bool takeOwnCredit(Account &account, double cost, Time now);
     void ask(const TeamName &team, Account &account, Time now);
     void giveUp(Account &account, Time now);
 
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -183,6 +183,7 @@
         return !isLeaving || elapsed < AcceptAllAfterDrain || longest < settings.grace - ReserveBeforeKill - elapsed;
     };
     callbacks.ordersIn = [this] { return fleet->ordersIn(); };
+    callbacks.fleetSize = [this] { return fleet->fleetSize(); };
     callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { fleet->sendCreditQueries(queries); };
     callbacks.canOthersAcceptKeys = [this] { return canOthersAcceptKeys(); };
     forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, std::move(forwarderSettings), std::move(callbacks));
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -26,6 +26,8 @@
 // Addresses take some 20 bytes each: the message to a new peer stays below the size that every link carries without fragmentation.
 constexpr std::size_t ContactsForNewPeer = 24;
 constexpr Duration StartupTime = Duration::seconds(5);
+// Within this time a node that starts learns of nearly all others.
+constexpr Duration DiscoveryTime = Duration::seconds(2);
 // Pending adapters of requests that arrive together are sent in one message.
 constexpr Duration PendingAdaptersDelay { 3 };
 // A peer that has sent nothing for this long is removed.
@@ -65,6 +67,7 @@
     bool isPendingSendScheduled = false;
     std::vector<EngineShard> releasedShards;
     std::vector<NodeId> lastHolders;
+    std::optional<int> fleetSize;
     /** When a message was last sent to the nodes that share no engines with this one. */
     Time outOfScopeSentAt;
 
@@ -632,6 +635,10 @@
         }
         at = isExpired ? peers.erase(at) : std::next(at);
     }
+    // A node that has just started is told of the others one after the other.
+    if (now() - startedAt >= DiscoveryTime && voters.reachesMajority(now())) {
+        fleetSize = static_cast<int>(voters.count(now()));
+    }
     heartbeat();
     loop.after(scopeLimits.inScopeInterval, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
@@ -717,6 +724,11 @@
     return d->shards;
 }
 
+std::optional<int> FleetLink::fleetSize() const
+{
+    return d->fleetSize;
+}
+
 bool FleetLink::arePlannedTogether(EngineShard one, EngineShard other) const
 {
     return d->scope.zone().isEmpty() || d->shards.zoneOf(one) == d->shards.zoneOf(other);
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -120,6 +120,11 @@
     const OrderLease &lease(EngineShard shard) const;
     /** Number of nodes that count towards majorities, this one included. */
     int knownNodes() const;
+    /**
+     * The number of nodes as of the last time that this node received messages from a majority of them; empty for a node that has just
+     * started, or has never reached a majority.
+     */
+    std::optional<int> fleetSize() const;
     /** Whether the adapters at the engines of both shards are announced to the same nodes and planned together. */
     bool arePlannedTogether(EngineShard one, EngineShard other) const;
     /** Time until a lease holder gives orders to any engines in scope; unset if this node gets no messages from a majority of nodes. */
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -224,7 +224,7 @@
 {
     TeamLimiter::Callbacks result;
     result.sendQueries = [this](const std::vector<CreditQuery> &queries) { m_callbacks.sendCreditQueries(queries); };
-    result.nodeCount = [this] { return m_callbacks.nodeCount(); };
+    result.fleetSize = [this] { return m_callbacks.fleetSize(); };
     result.onDecided = [this](AdmissionId id, const Admission &admission) {
         const auto at = pendingRequests.find(id);
         if (at != pendingRequests.end()) {
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -49,6 +49,8 @@
     std::function<std::optional<Duration>()> ordersIn;
     /** Returns whether callers with keys can use another node. */
     std::function<bool()> canOthersAcceptKeys;
+    /** Returns the size of the fleet; empty if this node does not know it. */
+    std::function<std::optional<int>()> fleetSize;
     /** Sends queries to the nodes that issue the credit of their teams. */
     std::function<void(const std::vector<CreditQuery> &)> sendCreditQueries;
 };
--- a/main/entry/teamlimiter.cpp
+++ b/main/entry/teamlimiter.cpp
@@ -74,7 +74,7 @@
 
 std::optional<Admission> TeamLimiter::admit(AdmissionId id, const Team &team, double cost)
 {
-    auto admission = d->client.request(id, team, cost, d->callbacks.nodeCount(), d->now());
+    auto admission = d->client.request(id, team, cost, d->callbacks.fleetSize(), d->now());
     if (!admission) {
         // The caller registers the request only after this function has returned.
         d->loop.after(Duration(0), [weak = std::weak_ptr(d)] {
--- a/main/entry/teamlimiter.h
+++ b/main/entry/teamlimiter.h
@@ -22,8 +22,8 @@
     {
         /** Sends queries to the nodes that issue the credit of their teams. */
         std::function<void(const std::vector<CreditQuery> &)> sendQueries;
-        /** Returns the number of nodes that this one knows of, itself included. */
-        std::function<int()> nodeCount;
+        /** Returns the size of the fleet; empty if this node does not know it. */
+        std::function<std::optional<int>()> fleetSize;
         /** A request for which admit() returned nothing has been decided. */
         std::function<void(AdmissionId, const Admission &)> onDecided;
     };
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -398,6 +398,7 @@
         callbacks.canAccept = [](Duration) { return true; };
         callbacks.ordersIn = [] { return std::optional(Duration(0)); };
         callbacks.canOthersAcceptKeys = [] { return true; };
+        callbacks.fleetSize = [] { return std::optional(100); };
         callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { answerQueries(queries); };
         settings.teamCredit.overrun = 0.25;
         forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, settings, std::move(callbacks));
