Let the nodes of a starting fleet spend their part of the rate

Change: a node that has met no issuer since it started 2.5 s ago at most adds its part of the rate to what it may spend; a query for a team without a known issuer is decided at once instead of after 180 ms; the size of the fleet is taken from the greatest count that a live node reports, 0.8 s after the start.

--- a/coordination/teamcredit.cpp
+++ b/coordination/teamcredit.cpp
@@ -114,8 +114,9 @@
     absl::erase_if(m_lastAnswers, [now](const auto &entry) { return now - entry.second.at > AnswerLifetime; });
 }
 
-CreditClient::CreditClient(TeamCreditLimits limits, std::uint64_t seed)
+CreditClient::CreditClient(TeamCreditLimits limits, std::uint64_t seed, Time startedAt)
     : m_limits(limits)
+    , m_startedAt(startedAt)
     , m_random(seed)
 {
 }
@@ -141,6 +142,12 @@
     if (account.ownSpentAt == Time() || now - account.ownSpentAt >= m_limits.window) {
         account.ownCredit = m_limits.ownAllowance(limit, nodes.value_or(m_limits.maxFleetSize));
     }
+    const Time from = std::max(account.rateAddedAt, m_startedAt);
+    const Time until = std::min(now, m_startedAt + m_limits.startupTime);
+    if (!m_hasMetIssuer && from < until) {
+        account.ownCredit += m_limits.bucketRate(limit) * (until - from).toSeconds() / std::max(nodes.value_or(m_limits.maxFleetSize), 1);
+        account.rateAddedAt = until;
+    }
 }
 
 bool CreditClient::takeOwnCredit(Account &account, double cost, Time now)
@@ -230,6 +237,7 @@
     if (at == m_accounts.end() || grant.sequence == 0 || at->second.query.sequence != grant.sequence || !(grant.amount >= 0)) {
         return;
     }
+    m_hasMetIssuer = true;
     Account &account = at->second;
     const Time expiresAt = account.askedAt + m_limits.creditLifetime();
     account.query = CreditQuery {};
@@ -255,6 +263,14 @@
     ask(grant.team, account, now);
 }
 
+void CreditClient::onIssuerUnknown(const TeamName &team, Time now)
+{
+    const auto at = m_accounts.find(team);
+    if (at != m_accounts.end() && at->second.query.sequence != 0) {
+        giveUp(at->second, now);
+    }
+}
+
 void CreditClient::giveUp(Account &account, Time now)
 {
     for (const Waiting &waiting : account.waiting) {
--- a/coordination/teamcredit.h
+++ b/coordination/teamcredit.h
@@ -26,7 +26,8 @@
 // more than the window. A new issuer starts with an empty bucket, as if the former one had just issued everything. A node that reaches no
 // issuer spends an amount of its own, of which all nodes together have half of what else a limit may be exceeded by. That is less than one
 // request costs in a large fleet, so a node admits a request with the probability that its amount is of the cost: together the nodes admit
-// as much as if they shared one amount.
+// as much as if they shared one amount. While the whole fleet starts there is no issuer at all, so nodes that have just started also spend
+// their part of the rate.
 struct TeamCreditLimits
 {
     /** The window in which the fleet must keep a limit, and by which share and how many units it may exceed it. */
@@ -36,6 +37,8 @@
     /** Between two sendings of a query; datagrams between zones take a few milliseconds. */
     Duration retryInterval { 60 };
     int maxTries = 3;
+    /** For this long after its start a node that has met no issuer spends its part of the rate. */
+    Duration startupTime { 2500 };
     /** A node asks for this much of its recent demand in advance. */
     Duration lead { 500 };
     /** The assumed size of the fleet at a node that does not know it yet. */
@@ -162,7 +165,7 @@
 {
 public:
     /** @p seed: nodes with different seeds spread the callers that they refuse. */
-    CreditClient(TeamCreditLimits limits, std::uint64_t seed);
+    CreditClient(TeamCreditLimits limits, std::uint64_t seed, Time startedAt);
 
     /**
      * Admits a request of @p cost at once if this node has the credit. Otherwise the request waits, and step() returns the decision.
@@ -173,6 +176,8 @@
     /** The caller of a waiting request has left. */
     void cancel(const TeamName &team, AdmissionId id);
     void onGrant(const CreditGrant &grant, Time now);
+    /** No node is known to issue the team's credit. */
+    void onIssuerUnknown(const TeamName &team, Time now);
     /** Returns the queries that are due and the decisions since the last call. */
     CreditSteps step(Time now);
 
@@ -197,6 +202,8 @@
         /** What may be spent without an issuer. */
         double ownCredit = 0;
         Time ownSpentAt;
+        /** Until when the part of the rate has been added to ownCredit. */
+        Time rateAddedAt;
         /** The requests of the current and the previous second. */
         double recentCost = 0;
         int recentCount = 0;
@@ -216,6 +223,8 @@
     absl::flat_hash_map<TeamName, Account> m_accounts;
     std::vector<AdmissionDecision> m_decisions;
     std::uint64_t m_lastSequence = 0;
+    Time m_startedAt;
+    bool m_hasMetIssuer = false;
     std::mt19937_64 m_random;
 };
 
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -184,7 +184,7 @@
     };
     callbacks.ordersIn = [this] { return fleet->ordersIn(); };
     callbacks.fleetSize = [this] { return fleet->fleetSize(); };
-    callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { fleet->sendCreditQueries(queries); };
+    callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { return fleet->sendCreditQueries(queries); };
     callbacks.canOthersAcceptKeys = [this] { return canOthersAcceptKeys(); };
     forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, std::move(forwarderSettings), std::move(callbacks));
 }
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -27,7 +27,7 @@
 constexpr std::size_t ContactsForNewPeer = 24;
 constexpr Duration StartupTime = Duration::seconds(5);
 // Within this time a node that starts learns of nearly all others.
-constexpr Duration DiscoveryTime = Duration::seconds(2);
+constexpr Duration DiscoveryTime { 800 };
 // Pending adapters of requests that arrive together are sent in one message.
 constexpr Duration PendingAdaptersDelay { 3 };
 // A peer that has sent nothing for this long is removed.
@@ -134,7 +134,7 @@
         return EngineShard(stableHash(team.value()) % shards.count());
     }
     std::vector<CreditGrant> answerCreditQueries(const NodeId &from, Incarnation incarnation, const std::vector<CreditQuery> &queries);
-    void sendCreditQueries(const std::vector<CreditQuery> &queries);
+    std::vector<TeamName> sendCreditQueries(const std::vector<CreditQuery> &queries);
     std::set<std::string> unconfirmedAddresses() const;
     void sendToAll(const FleetMessage &message);
     void sendLoad(const FleetMessage &message, MessageUrgency urgency);
@@ -349,25 +349,31 @@
     return grants;
 }
 
-void FleetLink::Private::sendCreditQueries(const std::vector<CreditQuery> &queries)
+std::vector<TeamName> FleetLink::Private::sendCreditQueries(const std::vector<CreditQuery> &queries)
 {
     readClock();
     std::map<NodeId, std::vector<CreditQuery>> byHolder;
     for (const CreditQuery &query : queries) {
         byHolder[leases[creditShard(query.team).value()].holder(now())].push_back(query);
     }
+    std::vector<TeamName> withoutHolder;
     for (const auto &[holder, asked] : byHolder) {
         if (holder == identity.id) {
             callbacks.onCreditGrants(answerCreditQueries(identity.id, identity.incarnation, asked));
             continue;
         }
         const auto at = peers.find(holder);
-        if (at != peers.end()) {
-            FleetMessage message = baseMessage();
-            message.creditQueries = asked;
-            socket->send(at->second.peerAddress, encodeFleetMessage(message));
+        if (at == peers.end()) {
+            for (const CreditQuery &query : asked) {
+                withoutHolder.push_back(query.team);
+            }
+            continue;
         }
+        FleetMessage message = baseMessage();
+        message.creditQueries = asked;
+        socket->send(at->second.peerAddress, encodeFleetMessage(message));
     }
+    return withoutHolder;
 }
 
 std::vector<std::string> FleetLink::Private::randomContacts(std::size_t count)
@@ -637,7 +643,7 @@
     }
     // A node that has just started is told of the others one after the other.
     if (now() - startedAt >= DiscoveryTime && voters.reachesMajority(now())) {
-        fleetSize = static_cast<int>(voters.count(now()));
+        fleetSize = static_cast<int>(voters.fleetSize(voters.count(now()), now()));
     }
     heartbeat();
     loop.after(scopeLimits.inScopeInterval, [weak = weak_from_this()] {
@@ -699,9 +705,9 @@
     });
 }
 
-void FleetLink::sendCreditQueries(const std::vector<CreditQuery> &queries)
+std::vector<TeamName> FleetLink::sendCreditQueries(const std::vector<CreditQuery> &queries)
 {
-    d->sendCreditQueries(queries);
+    return d->sendCreditQueries(queries);
 }
 
 void FleetLink::announce(const std::vector<EngineResidency> &residencies)
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -110,8 +110,8 @@
     void leave();
     /** Sends this node's pending adapters to the lease holders without waiting for the next heartbeat. */
     void sendPendingAdapters();
-    /** Sends queries to the lease holders of their teams' shards; those without a known holder are dropped. */
-    void sendCreditQueries(const std::vector<CreditQuery> &queries);
+    /** Sends queries to the lease holders of their teams' shards. Returns the teams without a known holder. */
+    std::vector<TeamName> sendCreditQueries(const std::vector<CreditQuery> &queries);
     /** Stores the residencies of engines that this node gives orders to, and sends them to all nodes that use these engines. */
     void announce(const std::vector<EngineResidency> &residencies);
 
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -223,7 +223,7 @@
 TeamLimiter::Callbacks RequestForwarder::Private::limiterCallbacks()
 {
     TeamLimiter::Callbacks result;
-    result.sendQueries = [this](const std::vector<CreditQuery> &queries) { m_callbacks.sendCreditQueries(queries); };
+    result.sendQueries = [this](const std::vector<CreditQuery> &queries) { return m_callbacks.sendCreditQueries(queries); };
     result.fleetSize = [this] { return m_callbacks.fleetSize(); };
     result.onDecided = [this](AdmissionId id, const Admission &admission) {
         const auto at = pendingRequests.find(id);
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -51,8 +51,8 @@
     std::function<bool()> canOthersAcceptKeys;
     /** Returns the size of the fleet; empty if this node does not know it. */
     std::function<std::optional<int>()> fleetSize;
-    /** Sends queries to the nodes that issue the credit of their teams. */
-    std::function<void(const std::vector<CreditQuery> &)> sendCreditQueries;
+    /** Sends queries to the nodes that issue the credit of their teams. Returns the teams for which no such node is known. */
+    std::function<std::vector<TeamName>(const std::vector<CreditQuery> &)> sendCreditQueries;
 };
 
 /** Forwards each caller's request unchanged to an upstream of its route, and the answer back to the caller. */
--- a/main/entry/teamlimiter.cpp
+++ b/main/entry/teamlimiter.cpp
@@ -22,7 +22,7 @@
         , metrics(metrics)
         , clusterState(clusterState)
         , callbacks(std::move(callbacks))
-        , client(limits, std::random_device {}())
+        , client(limits, std::random_device {}(), loop.clock().now())
         , issuer(limits)
     {
     }
@@ -48,7 +48,9 @@
             callbacks.onDecided(decision.request, decision.admission);
         }
         if (!steps.queries.empty()) {
-            callbacks.sendQueries(steps.queries);
+            for (const TeamName &team : callbacks.sendQueries(steps.queries)) {
+                client.onIssuerUnknown(team, now());
+            }
             continue;
         }
         if (steps.decisions.empty()) {
--- a/main/entry/teamlimiter.h
+++ b/main/entry/teamlimiter.h
@@ -20,8 +20,8 @@
 public:
     struct Callbacks
     {
-        /** Sends queries to the nodes that issue the credit of their teams. */
-        std::function<void(const std::vector<CreditQuery> &)> sendQueries;
+        /** Sends queries to the nodes that issue the credit of their teams. Returns the teams for which no such node is known. */
+        std::function<std::vector<TeamName>(const std::vector<CreditQuery> &)> sendQueries;
         /** Returns the size of the fleet; empty if this node does not know it. */
         std::function<std::optional<int>()> fleetSize;
         /** A request for which admit() returned nothing has been decided. */
--- a/tests/coordination/testteamcredit.cpp
+++ b/tests/coordination/testteamcredit.cpp
@@ -93,7 +93,8 @@
             m_clientLimits.reserve *= Nodes * 4;
         }
         for (int i = 0; i < Nodes; ++i) {
-            m_nodes.push_back(Node { CreditClient(m_clientLimits, seed + static_cast<std::uint64_t>(i)), Incarnation(1), {}, {}, {}, {} });
+            m_nodes.push_back(Node { CreditClient(m_clientLimits, seed + static_cast<std::uint64_t>(i), Start - Duration::seconds(60)),
+                Incarnation(1), {}, {}, {}, {} });
             disturb(m_nodes.back());
         }
     }
@@ -182,7 +183,7 @@
     void restart(int index)
     {
         Node &node = m_nodes[static_cast<std::size_t>(index)];
-        node.client = CreditClient(m_clientLimits, m_random());
+        node.client = CreditClient(m_clientLimits, m_random(), m_now);
         node.incarnation = node.incarnation + Incarnation(1);
         m_costs.erase(index);
     }
@@ -377,7 +378,7 @@
 // Guards against requests that wait for an issuer which does not answer until their callers give up.
 Test(teamcredit, nodeWithoutIssuerDecidesSoon)
 {
-    CreditClient client(limits(), 1);
+    CreditClient client(limits(), 1, Start - Duration::seconds(60));
     const Team team = limitedTeam(1000, 1000);
     cr_assert_not(client.request(AdmissionId(1), team, 900, 10, Start).has_value());
     cr_assert_not(client.request(AdmissionId(2), team, 100'000, 10, Start).has_value());
@@ -400,7 +401,7 @@
 // Guards against an answer that arrives after a pause, when its credit has expired.
 Test(teamcredit, lateGrantIsNotSpent)
 {
-    CreditClient client(limits(), 1);
+    CreditClient client(limits(), 1, Start - Duration::seconds(60));
     cr_assert_not(client.request(AdmissionId(1), limitedTeam(1000, 1000), 500, 10, Start).has_value());
     const CreditQuery asked = client.step(Start).queries.at(0);
     const Time late = Start + limits().creditLifetime();
@@ -410,7 +411,7 @@
 
 Test(teamcredit, creditOfRequestsThatDidNotRunIsSpentAgainWhileValid)
 {
-    CreditClient client(limits(), 1);
+    CreditClient client(limits(), 1, Start - Duration::seconds(60));
     const Team team = limitedTeam(1000, 1000);
     cr_assert_not(client.request(AdmissionId(1), team, 500, 10, Start).has_value());
     const CreditQuery asked = client.step(Start).queries.at(0);
@@ -431,7 +432,7 @@
     std::mt19937_64 random(7);
     double spent = 0;
     for (int node = 0; node < Nodes; ++node) {
-        CreditClient client(limits(), random());
+        CreditClient client(limits(), random(), Start - Duration::seconds(60));
         for (std::uint64_t id = 1; id <= 5; ++id) {
             cr_assert_not(client.request(AdmissionId(id), team, Cost, Nodes, Start).has_value());
         }
@@ -444,3 +445,27 @@
     const double allowed = limits().reserve + 1.5 * team.limit->ratePerSecond;
     cr_assert(spent >= allowed / 4 && spent <= allowed, "%f of %f", spent, allowed);
 }
+
+// Guards against a fleet that was restarted as a whole and refuses its teams until a lease has a holder.
+Test(teamcredit, nodesOfAStartingFleetSpendTheRateTogether)
+{
+    constexpr int Nodes = 100;
+    constexpr double Cost = 9000;
+    const Team team = limitedTeam(200'000, 200'000);
+    TeamCreditLimits withoutOverrun;
+    std::mt19937_64 random(7);
+    double spent = 0;
+    for (int node = 0; node < Nodes; ++node) {
+        CreditClient client(withoutOverrun, random(), Start);
+        for (std::uint64_t id = 1; id <= 40; ++id) {
+            const Time now = Start + Duration(static_cast<std::int64_t>(id) * 100);
+            cr_assert_not(client.request(AdmissionId(id), team, Cost, Nodes, now).has_value());
+            client.onIssuerUnknown(team.name, now);
+            for (const AdmissionDecision &decision : client.step(now).decisions) {
+                spent += std::holds_alternative<Admitted>(decision.admission) ? Cost : 0;
+            }
+        }
+    }
+    const double rate = withoutOverrun.bucketRate(*team.limit);
+    cr_assert(spent >= 2 * rate && spent <= 3 * rate, "%f at %f a second", spent, rate);
+}
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -399,7 +399,7 @@
         callbacks.ordersIn = [] { return std::optional(Duration(0)); };
         callbacks.canOthersAcceptKeys = [] { return true; };
         callbacks.fleetSize = [] { return std::optional(100); };
-        callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { answerQueries(queries); };
+        callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { return answerQueries(queries); };
         settings.teamCredit.overrun = 0.25;
         forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, settings, std::move(callbacks));
         clusterState.routesKnownAt = clock.now();
@@ -430,7 +430,7 @@
     /** What an issuer has left; unset if none answers. */
     std::optional<double> issuerCredit;
 
-    void answerQueries(const std::vector<CreditQuery> &queries)
+    std::vector<TeamName> answerQueries(const std::vector<CreditQuery> &queries)
     {
         std::vector<CreditGrant> grants;
         for (const CreditQuery &query : queries) {
@@ -441,6 +441,7 @@
             }
         }
         forwarder->teamLimiter().onGrants(grants);
+        return {};
     }
     /** Sends a request and returns its status. */
     int statusOf(const std::string &path, const std::string &credentials, const std::string &tokens = "")
