List the largest nodes that carry the load to callers

Cause: callers were spread over all 118 nodes, most with a twelfth of a core.

Change: coordination/callerdirectory lists the nodes of the caller's zone in a fixed order, by share of a core, as many as the zone's recent request rate needs at a quarter of their processors, four at least. Nodes report their request rate with their heartbeats.

--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -143,6 +143,8 @@
     ZoneId scope;
     /** Share of a CPU core that the sender has, relative to that of the others. */
     double capacity = 0;
+    /** Requests per second that the sender receives from callers. */
+    double requestRate = 0;
     /** Maximum interval between the sender's messages to this receiver; zero if not given. */
     Duration interval;
     /** The revision up to which the sender has read the store, and whether it reads the store itself and gets answers. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -79,7 +79,6 @@
     HttpServer *callerServer = nullptr;
     std::atomic<bool> isDrainRequested { false };
     std::atomic<bool> isReloadRequested { false };
-    std::mt19937_64 random { std::random_device {}() };
     bool isLeaving = false;
     bool isListenerClosed = false;
     Time drainStartedAt;
@@ -140,6 +139,7 @@
     fleetCallbacks.onPendingAdapters = [this](const NodeId &node, const std::vector<AdapterUse> &pendingAdapters) {
         orders->onPendingAdapters(node, pendingAdapters);
     };
+    fleetCallbacks.requestRate = [this] { return forwarder->requestRate(); };
     fleetCallbacks.isReady = [this] { return isReady(); };
     fleetCallbacks.hasOutdatedKeys = [this] { return hasOutdatedKeys(); };
     fleetCallbacks.onUses = [this](const NodeId &node, const std::vector<AdapterUse> &uses) { orders->onUses(node, uses); };
@@ -277,16 +277,18 @@
     }
     std::vector<DirectoryNode> nodes;
     if (isReady()) {
-        nodes.push_back(DirectoryNode { settings.callerAddress, settings.zone, hasOutdatedKeys() });
+        nodes.push_back(DirectoryNode {
+            settings.node, settings.callerAddress, settings.zone, settings.cpuShare, forwarder->requestRate(), hasOutdatedKeys() });
     }
     for (const Peer *peer : fleet->alive()) {
         if (peer->isReady && !peer->isLeaving) {
-            nodes.push_back(DirectoryNode { peer->callerAddress, peer->zone, peer->hasOutdatedKeys });
+            nodes.push_back(
+                DirectoryNode { peer->id, peer->callerAddress, peer->zone, peer->capacity, peer->requestRate, peer->hasOutdatedKeys });
         }
     }
     CallerDirectoryLimits limits;
     limits.maxAddresses = Platform::MaxDirectoryAddresses;
-    const auto addresses = chooseAddresses(nodes, Platform::decodeDirectoryQuery(request).zone, limits, random);
+    const auto addresses = chooseAddresses(nodes, Platform::decodeDirectoryQuery(request).zone, limits);
     if (addresses.empty()) {
         exchange.respond(UnavailableStatus, { { "Retry-After", "0.3" } }, "");
         return;
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -163,6 +163,7 @@
     message.zone = identity.zone;
     message.scope = scope.zone();
     message.capacity = identity.capacity;
+    message.requestRate = callbacks.requestRate();
     // For a message to all nodes: a receiver that rarely gets messages of this node must not consider it dead in between.
     message.interval = scope.zone().isEmpty() ? scopeLimits.inScopeInterval : scopeLimits.outOfScopeInterval;
     message.callerAddress = identity.callerAddress;
@@ -535,8 +536,8 @@
     const bool hasReadFurther = message.readRevision > peer.readRevision;
     const bool isChanged = isNew || peer.isReady != message.isReady || peer.isLeaving != message.isLeaving;
     peer = Peer { message.sender, message.zone, message.scope, message.callerAddress, message.peerAddress, message.isReady,
-        message.isLeaving, message.hasOutdatedKeys, message.configVersion, now(), message.capacity, message.readRevision,
-        message.isReadingStore, heartbeatTimeout(std::max(scopeLimits.inScopeInterval, message.interval)) };
+        message.isLeaving, message.hasOutdatedKeys, message.configVersion, now(), message.capacity, message.requestRate,
+        message.readRevision, message.isReadingStore, heartbeatTimeout(std::max(scopeLimits.inScopeInterval, message.interval)) };
     if (isChanged) {
         log.write(Important, "fleet", "peer", { { "peer", peer.id.value() }, { "ready", peer.isReady }, { "leaving", peer.isLeaving } });
     }
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -47,6 +47,7 @@
     ConfigVersion configVersion;
     Time lastReceivedAt;
     double capacity = 0;
+    double requestRate = 0;
     std::uint64_t readRevision = 0;
     bool isReadingStore = false;
     /** It counts as alive for this long after its last message. */
@@ -77,6 +78,8 @@
         std::function<NodeLoadReport()> loadReport;
         /** The pending adapters: those that requests of this node wait for. */
         std::function<std::vector<AdapterUse>()> pendingAdapters;
+        /** Requests per second that this node receives from callers. */
+        std::function<double()> requestRate;
         /** Whether this node accepts requests. */
         std::function<bool()> isReady;
         /** Whether this node may soon be unable to accept keys. */
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -1,5 +1,6 @@
 #include "main/entry/requestforwarder.h"
 
+#include "coordination/ratemeter.h"
 #include "coordination/retrybudget.h"
 #include "main/entry/refusal.h"
 #include "main/entry/requestjob.h"
@@ -24,6 +25,8 @@
 constexpr Duration RetryAfterNoIssuer { 600 };
 // How long an adapter is reported as crowded after the last observation: two message intervals between nodes.
 constexpr Duration CrowdedLifetime { 500 };
+// Callers keep the addresses of nodes for two seconds, so a shorter memory would follow what they cannot.
+constexpr Duration ArrivalRateMemory = Duration::seconds(2);
 // Fraction of its share of the fleet-wide retry budget that a node uses. Other nodes may count fewer nodes than there are and use more than
 // their share.
 constexpr double BudgetSafetyFactor = 0.6;
@@ -67,6 +70,7 @@
     /** Requests that wait for the decision whether they are within their team's limit. */
     std::map<AdmissionId, std::shared_ptr<PendingRequest>> pendingRequests;
     std::uint64_t lastAdmission = 0;
+    RateMeter arrivals { ArrivalRateMemory };
     TeamLimiter limiter;
 
     Private(IoLoop &loop, EventLog &log, EntryMetrics &metrics, ClusterState &clusterState, ForwarderSettings settings,
@@ -312,6 +316,7 @@
 
 void RequestForwarder::onRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
 {
+    d->arrivals.onEvent(d->m_loop.now());
     Platform::CallerRequest decoded = Platform::decodeCallerRequest(request);
     const auto table = d->m_clusterState.routes;
     if (table == nullptr) {
@@ -395,6 +400,11 @@
     return static_cast<int>(d->jobs.size() + d->pendingRequests.size());
 }
 
+double RequestForwarder::requestRate() const
+{
+    return d->arrivals.rate(d->m_loop.now());
+}
+
 TeamLimiter &RequestForwarder::teamLimiter()
 {
     return d->limiter;
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -72,6 +72,8 @@
     std::vector<AdapterUse> pendingAdapters() const;
     /** Returns the number of requests in progress. */
     int activeCount() const;
+    /** Requests per second that this node receives. */
+    double requestRate() const;
     TeamLimiter &teamLimiter();
 
     struct Private;
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -111,4 +111,5 @@
     hasOutdatedKeys @26 :Bool;
     creditQueries @27 :List(CreditQueryWire);
     creditGrants @28 :List(CreditGrantWire);
+    requestRate @29 :Float32;
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -192,7 +192,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 7, 17)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 17)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1294,6 +1294,8 @@
   inline bool hasCreditGrants() const;
   inline  ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>::Reader getCreditGrants() const;
 
+  inline float getRequestRate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1479,6 +1481,9 @@
   inline void adoptCreditGrants(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CreditGrantWire,  ::capnp::Kind::STRUCT>> disownCreditGrants();
 
+  inline float getRequestRate();
+  inline void setRequestRate(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3155,6 +3160,20 @@
       ::capnp::bounded<16>() * ::capnp::POINTERS));
 }
 
+inline float FleetMessageWire::Reader::getRequestRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline float FleetMessageWire::Builder::getRequestRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void FleetMessageWire::Builder::setRequestRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -249,6 +249,7 @@
     message.zone = ZoneId(textOf(wire.getZone()));
     message.scope = ZoneId(textOf(wire.getScope()));
     message.capacity = wire.getCapacity();
+    message.requestRate = decodeAmount(wire.getRequestRate());
     message.interval = Duration(std::clamp<std::int64_t>(wire.getIntervalMs(), 0, MaxInterval.milliseconds()));
     message.callerAddress = textOf(wire.getCallerAddress());
     message.peerAddress = textOf(wire.getPeerAddress());
@@ -278,6 +279,7 @@
     wire.setZone(message.zone.value());
     wire.setScope(message.scope.value());
     wire.setCapacity(message.capacity);
+    wire.setRequestRate(static_cast<float>(message.requestRate));
     wire.setIntervalMs(message.interval.milliseconds());
     wire.setCallerAddress(message.callerAddress);
     wire.setPeerAddress(message.peerAddress);
--- a/tests/main/testfleetlink.cpp
+++ b/tests/main/testfleetlink.cpp
@@ -40,6 +40,7 @@
         callbacks.loadReport = [this] { return m_report; };
         callbacks.pendingAdapters = [] { return std::vector<AdapterUse>(); };
         callbacks.isReady = [] { return true; };
+        callbacks.requestRate = [] { return 0.0; };
         callbacks.hasOutdatedKeys = [] { return false; };
         callbacks.onShardHeld = [](std::uint64_t, FencingToken) {};
         callbacks.onCreditQuery = [](std::uint64_t, const NodeId &, Incarnation, const CreditQuery &query) {
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -20,6 +20,7 @@
     message.zone = ZoneId("z");
     message.scope = ZoneId("s");
     message.capacity = 0.25;
+    message.requestRate = 12.5;
     message.interval = Duration(200);
     message.readRevision = 41;
     message.isReadingStore = true;
@@ -57,6 +58,7 @@
     cr_assert(message.sender == sent.sender && message.incarnation == sent.incarnation && message.peerAddress == sent.peerAddress);
     cr_assert(message.scope == sent.scope && message.capacity == sent.capacity && message.interval == sent.interval);
     cr_assert_eq(message.rememberedNodes, 17);
+    cr_assert_eq(message.requestRate, 12.5);
     cr_assert(message.hasOutdatedKeys && message.creditQueries == sent.creditQueries && message.creditGrants == sent.creditGrants);
     cr_assert(message.readRevision == 41 && message.isReadingStore);
     cr_assert(message.claims.front().ordersIn == Duration(30) && message.claims.front().shard == EngineShard(2));
