--- a/coordination/callerdirectory.cpp
+++ b/coordination/callerdirectory.cpp
@@ -52,6 +52,7 @@
     });
     usable.resize(std::min(neededNodes(usable, limits), limits.maxAddresses));
     std::vector<std::string> addresses;
+    addresses.reserve(usable.size());
     for (const DirectoryNode *node : usable) {
         addresses.push_back(node->address);
     }
--- a/main/entry/teamlimiter.cpp
+++ b/main/entry/teamlimiter.cpp
@@ -121,7 +121,7 @@
     if (!team->limit) {
         return CreditGrant { query.team, query.sequence, query.needed, Duration(0) };
     }
-    const auto grant = d->issuer.answer(shard, from, incarnation, query, *team->limit, d->now());
+    auto grant = d->issuer.answer(shard, from, incarnation, query, *team->limit, d->now());
     if (grant) {
         d->metrics.teamCredit(query.team, "issued", grant->amount);
     }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,7 +34,7 @@
 RECONNECT_S = 3.0
 CONFIG_SLACK_S = 1.0
 FAULTS = ("stop_gracefully,kill,kill_many,pause,harm_store_link,harm_caller_link,harm_upstream,upstream_leaves,upstream_crashes,"
-          "store_away,store_silent,change_config,hup")
+          "store_away,store_silent,change_config,withdraw_key,hup")
 # Nodes poll an unresponsive store again within this time.
 POLL_RETRY_S = 5.0
 DRAIN_BOUND_S = 2.0
@@ -43,6 +43,17 @@
 ADAPTERS = 24
 STREAM_TIMEOUT_MS = 4000
 PLAIN_TIMEOUT_MS = 1500
+# No node may accept a key this long after it was withdrawn, whatever happens to the node.
+REVOCATION_BOUND_S = 5.0
+# Runs of the limited team, in tokens; callers ask for several times as much.
+LIMIT_PER_S = 400
+LIMIT_BURST = 400
+LIMIT_WINDOW_S = 8.0
+LIMIT_OVERRUN = 0.25
+LIMIT_RESERVE = 2000
+PLAIN_TOKENS = 200
+CHAT_TOKENS = (200, 30)
+KEYS_PER_TEAM = 3
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -112,6 +123,11 @@
 budgetExtra = 100
 budgetWindowS = 10
 ttl_max_s = 5
+strictRevoke = true
+revokeMs = {int(REVOCATION_BOUND_S * 1000)}
+quotaWindowS = {LIMIT_WINDOW_S}
+quotaOverage = {LIMIT_OVERRUN}
+quotaSlack = {LIMIT_RESERVE}
 [platform]
 address = "{self.store_link.address}"
 """
@@ -167,6 +183,12 @@
         self.failures = []
         self.runs = {}
         self.request_kinds = {}
+        # The key and the time of each request, the keys of the teams, and the withdrawn keys with their team and time.
+        self.request_keys = {}
+        self.keys = {"free": [], "limited": []}
+        self.withdrawn_keys = {}
+        self.last_key = 0
+        self.limited_runs = []
         self.reported_not_run = set()
         self.last_orders = {}
         self.store_undisturbed_since = 0.0
@@ -192,7 +214,9 @@
     def adapter_version(self, _adapter):
         return 1
 
-    def record_run(self, request_id, upstream):
+    def record_run(self, request, upstream):
+        request_id = request.header("apricotstep-request-id")
+        self.check_team(request_id, request, upstream)
         self.runs.setdefault(request_id, []).append(upstream.name)
         kind = self.request_kinds.get(request_id)
         if kind is None:
@@ -205,6 +229,31 @@
             if time.monotonic() - upstream.draining_since > DRAIN_BOUND_S + DRAIN_SLACK_S:
                 self.fail("DRAIN", f"{request_id} reached {upstream.name} too long after it announced that it is draining")
 
+    def check_team(self, request_id, request, upstream):
+        if request_id not in self.request_keys:
+            return
+        key, sent_at = self.request_keys[request_id]
+        withdrawn = self.withdrawn_keys.get(key)
+        team = withdrawn[0] if withdrawn else next(name for name, keys in self.keys.items() if key in keys)
+        if request.header("apricotstep-tenant") != team or request.header("authorization"):
+            self.fail("TEAM", f"{request_id} of team {team} ran at {upstream.name} as {request.header('apricotstep-tenant')!r}, "
+                              f"{'with' if request.header('authorization') else 'without'} its key")
+        if withdrawn and sent_at > withdrawn[1] + REVOCATION_BOUND_S:
+            self.fail("REVOKED", f"{request_id} ran at {upstream.name}, sent {sent_at - withdrawn[1]:.2f} s after its key was withdrawn")
+        if team == "limited":
+            self.check_limit(request, upstream, sent_at)
+
+    def check_limit(self, request, upstream, sent_at):
+        now = time.monotonic()
+        counts = request.header("apricotstep-token-count")
+        cost = sum(int(count) for count in counts.split(",")) if counts else PLAIN_TOKENS
+        self.limited_runs = [run for run in self.limited_runs if now - run[0] <= LIMIT_WINDOW_S] + [(now, sent_at, cost)]
+        # Only what was both sent and run within the window counts.
+        tokens = sum(cost for _, sent, cost in self.limited_runs if now - sent <= LIMIT_WINDOW_S)
+        allowed = (LIMIT_PER_S * LIMIT_WINDOW_S + LIMIT_BURST) * (1 + LIMIT_OVERRUN) + LIMIT_RESERVE
+        if tokens > allowed:
+            self.fail("LIMIT", f"the limited team ran {tokens} tokens in {LIMIT_WINDOW_S:.0f} s, allowed are {allowed:.0f}; last at {upstream.name}")
+
     def record_order(self, engine, order):
         now = time.monotonic()
         last = self.last_orders.get(engine.name)
@@ -230,6 +279,8 @@
         self.began_at = time.monotonic()
         server = await http1.serve("127.0.0.1", 0, self.store.handle)
         self.store_address = "%s:%d" % server.sockets[0].getsockname()[:2]
+        for team in self.keys:
+            self.keys[team] = [self.new_key(team) for _ in range(KEYS_PER_TEAM)]
         self.publish()
         for index in range(4):
             await self.add_upstream(standins.Engine, f"e{index}", "llm", 16)
@@ -255,6 +306,10 @@
         upstream.register()
         self.upstreams.append(upstream)
 
+    def new_key(self, team):
+        self.last_key += 1
+        return f"secret-{team}-{self.arguments.seed:x}-{self.last_key}"
+
     def publish(self):
         engine = {"slots": 16, "kvCapacity": 100000, "weightsMb": 1000, "adapterSlots": standins.ADAPTER_SLOTS, "loadsPerS": 10,
                   "models": [{"name": "m", "weightsMb": 900, "loadS": 1, "adapters": ADAPTERS, "adapterMb": 10}]}
@@ -267,7 +322,10 @@
             routes.append(dict(plain, name="extra", pathPrefix="/extra/", kind="idempotent", maxAttempts=2))
         services = [{"name": "llm", "healthPath": "/health", "maxConns": 500, "engine": engine},
                     {"name": "api", "healthPath": "/health", "maxConns": 200}]
-        self.store.put("op/config", {"version": self.version, "routes": routes, "services": services, "limits": {}})
+        teams = [{"name": "free", "apiKeys": self.keys["free"]},
+                 {"name": "limited", "apiKeys": self.keys["limited"], "unit": "token_stream", "plainTokens": PLAIN_TOKENS,
+                  "ratePerS": LIMIT_PER_S, "burst": LIMIT_BURST}]
+        self.store.put("op/config", {"version": self.version, "routes": routes, "services": services, "limits": {}, "tenants": teams})
         self.config_published_at = time.monotonic()
 
     def stop_all(self):
@@ -291,17 +349,26 @@
         self.next_request += 1
         request_id = f"{self.arguments.seed:x}-{self.next_request:06x}"
         self.request_kinds[request_id] = kind
-        headers = {"Host": HOST, "Apricotstep-Request-Id": request_id, "Connection": "close"}
+        key = self.choose_key()
+        headers = {"Host": HOST, "Apricotstep-Request-Id": request_id, "Connection": "close", "Authorization": f"Token {key}",
+                   "Apricotstep-Tenant": "forged"}
         timeout_ms = STREAM_TIMEOUT_MS if kind == "chat" else PLAIN_TIMEOUT_MS
         headers["Apricotstep-Deadline-Ms"] = str(timeout_ms)
         if kind == "chat":
             adapter = min(int(self.random.paretovariate(0.8)), ADAPTERS)
-            headers.update({"Apricotstep-Model": f"m/a{adapter}", "Apricotstep-Token-Count": "200,30"})
+            headers.update({"Apricotstep-Model": f"m/a{adapter}", "Apricotstep-Token-Count": "%d,%d" % CHAT_TOKENS})
         was_extra, was_undisturbed, sent_at = self.has_extra_route, node.is_undisturbed(3.0), time.monotonic()
+        self.request_keys[request_id] = (key, sent_at)
         response = await http1.call(node.caller_link.address, "GET" if kind in ("look", "extra") else "POST", f"/{kind}/x", headers,
                                   b"" if kind in ("look", "extra") else b"{}", timeout_ms / 1000 + 1.5)
         self.check_response(request_id, kind, node, response, was_extra, was_undisturbed, sent_at)
 
+    def choose_key(self):
+        """Returns a key of a random team, now and then a withdrawn one."""
+        if self.withdrawn_keys and self.random.random() < 0.15:
+            return self.random.choice(list(self.withdrawn_keys))
+        return self.random.choice(self.keys[self.random.choice(("free", "free", "limited"))])
+
     def check_response(self, request_id, kind, node, response, was_extra, was_undisturbed, sent_at):
         expected = b"".join(self.expected_event(request_id, n) for n in range(1, standins.EVENTS_PER_STREAM + 1)) \
             if kind == "chat" else self.expected_body(request_id)
@@ -319,10 +386,15 @@
                 self.fail("CONFIG", f"{request_id}: {response.status} at {node.name}, route {'is' if was_extra else 'is not'} in force")
         if kind != "extra" and response.status == 404:
             self.fail("DENIED", f"{request_id} ({kind}) got 404 at {node.name}")
+        key = self.request_keys[request_id][0]
+        is_original = key.rsplit("-", 1)[1] in [str(number + 1) for number in range(2 * KEYS_PER_TEAM)]
+        if response.status == 401 and is_original and key not in self.withdrawn_keys:
+            self.fail("DENIED", f"{request_id} ({kind}) got 401 at {node.name} with a key that was never withdrawn")
         is_served = 200 <= response.status < 300 and response.is_complete
         result = "served" if is_served else "refused" if response.status in NOT_RUN_STATUSES else "failed"
         self.counts[result] += 1
-        if sent_at > self.faults_end + RECOVERY_S and kind != "extra":
+        is_owed = key in self.keys["free"]
+        if sent_at > self.faults_end + RECOVERY_S and kind != "extra" and is_owed:
             self.late_counts["served" if is_served or response.status == 500 else "other"] += 1
 
     # Faults.
@@ -500,6 +572,14 @@
         self.has_extra_route = not self.has_extra_route
         self.publish()
 
+    async def withdraw_key(self):
+        team = self.random.choice(list(self.keys))
+        key = self.keys[team].pop(self.random.randrange(len(self.keys[team])))
+        self.keys[team].append(self.new_key(team))
+        self.version += self.random.randint(1, 5)
+        self.publish()
+        self.withdrawn_keys[key] = (team, time.monotonic())
+
     async def hup(self):
         self.pick_node().signal(signal.SIGHUP)
 
@@ -527,8 +607,15 @@
         if total == 0 or self.late_counts["served"] < 0.9 * total:
             self.fail("RECOVER", f"{self.late_counts['served']} of {total} requests succeeded {RECOVERY_S:.0f} s after the last fault")
         self.stop_all()
+        self.check_logs()
         await self.end_connections()
 
+    def check_logs(self):
+        for node in self.nodes:
+            with open(os.path.join(self.folder, node.name + ".log"), "rb") as log:
+                if b"secret-" in log.read():
+                    self.fail("KEY", f"the log of {node.name} has a caller's key")
+
     async def end_connections(self):
         """Cancels the tasks that still wait on open connections before the event loop closes."""
         # Cancelled connections are expected here, and asyncio would print an error for each.
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -123,7 +123,7 @@
 
     def start_run(self, request):
         """Reports a run to the checks."""
-        self.cluster.record_run(request.header("apricotstep-request-id"), self)
+        self.cluster.record_run(request, self)
         self.running += 1
 
     def head(self, request):
