Give callers beyond a limit turns one after the other

Cause: each refused caller was told when the bucket bears its own request, so all that were refused within that time returned at its end, and all but one were refused again.

Change: an issuer remembers until when it has promised turns, ten seconds ahead at most.

--- a/coordination/teamcredit.cpp
+++ b/coordination/teamcredit.cpp
@@ -16,6 +16,9 @@
 // A node asks again within a fraction of a second; answers of this age are never asked for again.
 constexpr Duration AnswerLifetime = Duration::seconds(10);
 constexpr Duration AccountLifetime = Duration::seconds(30);
+// Callers wait less than this for a turn.
+constexpr Duration MaxPromise = Duration::seconds(10);
+constexpr double MinRate = 1e-6;
 
 Duration fromSeconds(double seconds)
 {
@@ -98,13 +101,24 @@
     }
     bucket.level -= grant.amount;
     if (grant.amount < query.needed) {
-        const double missing = threshold - bucket.level;
-        grant.retryAfter = std::max(Duration(1), fromSeconds(missing / std::max(m_limits.bucketRate(limit), 1e-6)));
+        grant.retryAfter = retryAfter(bucket, query.needed - grant.amount, limit, now);
     }
     last = LastAnswer { incarnation, grant, now };
     return grant;
 }
 
+// Refused callers get turns one after the other. If each were told when the bucket bears its own request, all that were refused within that
+// time would return at its end, and all but one would be refused again.
+Duration CreditIssuer::retryAfter(Bucket &bucket, double cost, const TeamLimit &limit, Time now) const
+{
+    const double rate = std::max(m_limits.bucketRate(limit), MinRate);
+    const double missing = std::min(cost, m_limits.bucketCapacity(limit)) - std::max(bucket.level, 0.0);
+    const Time soonest = now + std::max(fromSeconds(missing / rate), Duration(1));
+    const Time turn = std::min(std::max(soonest, bucket.promisedUntil), now + MaxPromise);
+    bucket.promisedUntil = turn + fromSeconds(cost / rate);
+    return turn - now;
+}
+
 void CreditIssuer::removeOldAnswers(Time now)
 {
     if (now - m_cleanedAt < AnswerLifetime) {
@@ -254,8 +268,8 @@
             account.credit -= waiting.cost;
             m_decisions.push_back(AdmissionDecision { waiting.id, Admitted {} });
         } else {
-            // Callers that are refused together must not return together.
-            const std::int64_t spread = std::uniform_int_distribution<std::int64_t>(0, grant.retryAfter.milliseconds() / 2 + 1)(m_random);
+            // The requests of one query must not return together.
+            const std::int64_t spread = std::uniform_int_distribution<std::int64_t>(0, grant.retryAfter.milliseconds() / 4 + 1)(m_random);
             m_decisions.push_back(AdmissionDecision { waiting.id, BeyondLimit { grant.retryAfter + Duration(spread) } });
         }
     }
--- a/coordination/teamcredit.h
+++ b/coordination/teamcredit.h
@@ -74,7 +74,7 @@
     TeamName team;
     std::uint64_t sequence = 0;
     double amount = 0;
-    /** Until the team's credit suffices for the cheapest request that was not granted; zero if all were. */
+    /** Until the team's credit suffices for the requests that were not granted, after those refused before; zero if all were granted. */
     Duration retryAfter;
 
     bool operator==(const CreditGrant &) const = default;
@@ -101,6 +101,8 @@
         double level = 0;
         Time updatedAt;
         FencingToken term;
+        /** Callers that were refused have been told to return before this time, one after the other. */
+        Time promisedUntil;
     };
     struct Term
     {
@@ -115,6 +117,7 @@
     };
 
     void fill(Bucket &bucket, const Term &term, const TeamLimit &limit, Time now) const;
+    Duration retryAfter(Bucket &bucket, double cost, const TeamLimit &limit, Time now) const;
     void removeOldAnswers(Time now);
 
     TeamCreditLimits m_limits;
--- a/tests/coordination/testteamcredit.cpp
+++ b/tests/coordination/testteamcredit.cpp
@@ -469,3 +469,18 @@
     const double rate = withoutOverrun.bucketRate(*team.limit);
     cr_assert(spent >= 2 * rate && spent <= 3 * rate, "%f at %f a second", spent, rate);
 }
+
+// Guards against refused callers that are told to return at the same time, when the credit suffices for one of them.
+Test(teamcredit, refusedRequestsGetTurnsOneAfterTheOther)
+{
+    IssuerFixture fixture;
+    fixture.ask("a", query(1, 1250));
+    const Duration first = fixture.ask("a", query(2, 500)).retryAfter;
+    const Duration second = fixture.ask("b", query(1, 500)).retryAfter;
+    const Duration third = fixture.ask("c", query(1, 500)).retryAfter;
+    cr_assert(first == Duration(500) && second == Duration(1000) && third == Duration(1500));
+    // Turns that nobody can wait for are not promised.
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+        cr_assert_leq(fixture.ask("d", query(i, 500)).retryAfter.milliseconds(), 10'000);
+    }
+}
