--- a/coordination/teamcredit.h
+++ b/coordination/teamcredit.h
@@ -28,6 +28,7 @@
 // request costs in a large fleet, so a node admits a request with the probability that its amount is of the cost: together the nodes admit
 // as much as if they shared one amount. While the whole fleet starts there is no issuer at all, so nodes that have just started also spend
 // their part of the rate.
+
 struct TeamCreditLimits
 {
     /** The window in which the fleet must keep a limit, and by which share and how many units it may exceed it. */
@@ -43,6 +44,7 @@
     Duration lead { 500 };
     /** The assumed size of the fleet at a node that does not know it yet. */
     int maxFleetSize = 400;
+
     /** How long issued credit may be spent. */
     Duration creditLifetime() const;
     /** The capacity of an issuer's bucket. */
