--- a/bench/keylookup.cpp
+++ b/bench/keylookup.cpp
@@ -38,7 +38,7 @@
 {
     const auto table = tableWithKeys(state.range(0));
     const std::string key = isKnown ? keyText(state.range(0) / 2) : "unknown-key-of-a-caller";
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(table->teamOf(KeyDigest::of(key)));
     }
 }
