--- a/tests/coordination/testrevocationbound.cpp
+++ b/tests/coordination/testrevocationbound.cpp
@@ -189,10 +189,10 @@
     int m_violations = 0;
 };
 
-int violations(Safeguard disabled, std::uint64_t histories)
+int violations(Safeguard disabled, std::uint64_t histories, std::uint64_t firstSeed = 1)
 {
     int result = 0;
-    for (std::uint64_t seed = 1; seed <= histories; ++seed) {
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + histories; ++seed) {
         result += History(seed, disabled).run();
     }
     return result;
@@ -201,9 +201,14 @@
 } // namespace
 
 // Guards against a withdrawn key that still works past the bound at a node that is cut off, paused, or told of the withdrawal late.
-Test(revocationbound, withdrawnKeysStopInTimeInAllHistories)
+Test(revocationbound, withdrawnKeysStopInTimeInTheFirstHistories)
 {
-    cr_assert_eq(violations(Safeguard::None, 10'000), 0);
+    cr_assert_eq(violations(Safeguard::None, 5000), 0);
+}
+
+Test(revocationbound, withdrawnKeysStopInTimeInTheSecondHistories)
+{
+    cr_assert_eq(violations(Safeguard::None, 5000, 5001), 0);
 }
 
 // Guards against histories that could not show the absence of a safeguard.
@@ -212,6 +217,10 @@
     cr_assert_gt(violations(Safeguard::ReadCountsFromSending, 3000), 0);
     cr_assert_gt(violations(Safeguard::AgeCountsFromRequest, 3000), 0);
     cr_assert_gt(violations(Safeguard::KeysAreRefused, 300), 0);
+}
+
+Test(revocationbound, historiesShowAMissingMargin)
+{
     cr_assert_gt(violations(Safeguard::WatchGapIsAllowedFor, 10'000), 0);
 }
 
