Read the limit that an upstream names in its answers, and log it

Logs and metrics said nothing of a limit, so they could not tell whether nodes ignore it, keep it each by itself or exceed it with requests decided earlier. A node now logs when an answer names, changes or lifts a limit, and counts these changes. What it sends stays as it was.

--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -5,6 +5,7 @@
 #include "coordination/outofscopeengines.h"
 #include "coordination/residencytable.h"
 #include "coordination/upstreamdirectory.h"
+#include "coordination/upstreamlimits.h"
 #include "coordination/upstreamloadtracker.h"
 #include "core/clock.h"
 #include "state/routetable.h"
@@ -40,6 +41,7 @@
     ZoneId engineScope;
     OutlierDetector outliers { OutlierLimits {} };
     OutOfScopeEngines outOfScope { OutOfScopeLimits {} };
+    UpstreamLimits upstreamLimits;
 
     /** Updates what is known of the adapters at an engine. Returns whether @p residency was newer than the stored one. */
     bool updateResidency(const EngineResidency &residency, Time now)
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -56,6 +56,11 @@
             .Name("apricotstep_entry_upstream_troubles_total")
             .Help("Refusals before execution, failures and broken answers of upstreams.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter> &upstreamLimits =
+        prometheus::BuildCounter()
+            .Name("apricotstep_entry_upstream_limits_total")
+            .Help("Limits on their requests that upstreams named or changed, and lifted.")
+            .Register(registry);
     prometheus::Family<prometheus::Counter> &orders =
         prometheus::BuildCounter().Name("apricotstep_entry_orders_total").Help("Orders to engines by answer.").Register(registry);
     prometheus::Family<prometheus::Counter> &keyRefusals = prometheus::BuildCounter()
@@ -154,6 +159,11 @@
     d->upstreamFailures.Add({ { "what", std::string(what) } }).Increment();
 }
 
+void EntryMetrics::upstreamLimitChanged(bool isLimited)
+{
+    d->upstreamLimits.Add({ { "change", isLimited ? "named" : "lifted" } }).Increment();
+}
+
 void EntryMetrics::keyRefused(std::string_view reason)
 {
     d->keyRefusals.Add({ { "reason", std::string(reason) } }).Increment();
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -446,9 +446,29 @@
         return false;
     }
     m_answer = std::move(answer);
+    onUpstreamStatements();
     return true;
 }
 
+void RequestJob::onUpstreamStatements()
+{
+    // A refusal may come from a part of the upstream that does not know of its limit.
+    if (!m_answer->requestLimit && !m_answer->isSealed) {
+        return;
+    }
+    if (!m_context.clusterState().upstreamLimits.onAnswer(m_upstream, m_answer->requestLimit, m_sentAt, now())) {
+        return;
+    }
+    m_context.metrics().upstreamLimitChanged(m_answer->requestLimit.has_value());
+    if (m_answer->requestLimit) {
+        m_context.log().write(Important, "upstream", "limit_named",
+            { { "upstream", m_upstream.id.value() }, { "requestsPerSecond", *m_answer->requestLimit }, { "request", m_decoded.id } });
+    } else {
+        m_context.log().write(
+            Important, "upstream", "limit_lifted", { { "upstream", m_upstream.id.value() }, { "request", m_decoded.id } });
+    }
+}
+
 void RequestJob::onHead()
 {
     if (m_phase != Phase::Sent || !m_answer) {
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -108,6 +108,8 @@
     HttpCall makeCall(const UpstreamRecord &record);
     bool maySend() const;
     bool acceptsHead(int status, const HttpHeaders &headers);
+    /** Notes what the answer states about its upstream. */
+    void onUpstreamStatements();
     void onHead();
     bool onData(std::string_view data);
     void onDone(const CallResult &result);
--- a/tests/platform/testrequests.cpp
+++ b/tests/platform/testrequests.cpp
@@ -104,6 +104,17 @@
     cr_assert(decodeUpstreamAnswer(200, { { "content-encoding", "gzip" } }).isEncoded);
 }
 
+// Guards against an unreadable limit that is taken for a limit of zero, which would end all work at the upstream.
+Test(requests, upstreamLimitIsDecoded)
+{
+    const auto limitOf = [](const std::string &text) { return decodeUpstreamAnswer(200, { { "server-limit", text } }).requestLimit; };
+    cr_assert(limitOf("1.2") == 1.2 && limitOf("0") == 0.0 && limitOf("40") == 40.0);
+    for (const char *invalid : { "", "few", "-1", "inf", "nan", "1;2" }) {
+        cr_assert_not(limitOf(invalid), "%s", invalid);
+    }
+    cr_assert_not(decodeUpstreamAnswer(200, {}).requestLimit);
+}
+
 Test(requests, callersKeyIsDecoded)
 {
     const auto keyOf = [](HttpHeaders headers) { return decodeCallerRequest(requestWith(std::move(headers))).key; };
