--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 #include <criterion/criterion.h>
 
 using namespace ApricotStep;
@@ -384,6 +386,46 @@
 namespace
 {
 
+constexpr const char *LimitedAnswer =
+    "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nServer-Limit: 1\r\nContent-Length: 5\r\n\r\nwhole";
+
+/** Sends @p count requests, one each @p interval, and returns the callers once all have their answers. */
+std::vector<std::shared_ptr<Fixtures::Caller>> sendSteadily(ForwarderFixture &fixture, int count, Duration interval)
+{
+    std::vector<std::shared_ptr<Fixtures::Caller>> callers;
+    for (int i = 0; i < count; ++i) {
+        callers.push_back(fixture.send(ForwarderFixture::request()));
+        const Time next = fixture.clock.now() + interval;
+        fixture.runUntil([&] { return fixture.clock.now() >= next; });
+    }
+    for (const auto &caller : callers) {
+        fixture.runUntil([&] { return caller->isDone(); });
+    }
+    return callers;
+}
+
+} // namespace
+
+// Guards against an upstream that names a limit in its answers and gets as many requests as before.
+Test(knownred, upstreamGetsNoMoreRequestsThanItsLimit)
+{
+    const ScriptedUpstream limited([](const std::string &) { return ScriptedAnswer { LimitedAnswer }; });
+    const ScriptedUpstream other([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Idempotent, 1);
+    fixture.addUpstream("limited", limited);
+    fixture.addUpstream("other", other);
+    const Time start = fixture.clock.now();
+    const auto callers = sendSteadily(fixture, 80, Duration(25));
+    const double seconds = (fixture.clock.now() - start).toSeconds();
+    // One request a second, half of that beyond it, and five more.
+    cr_assert_leq(limited.requests().size(), static_cast<std::size_t>(1.5 * seconds) + 5);
+    cr_assert(std::all_of(callers.begin(), callers.end(), [](const auto &caller) { return caller->status() == 200; }));
+}
+
+namespace
+{
+
 /** A forwarder whose configuration has one team with the key "good". */
 struct KeyFixture : ForwarderFixture
 {
