Share the limit of an upstream among a few nodes

Callers saw nothing: the upstream answered all requests. But an upstream that named a limit of 1 request a second in its answers got 15 in 4 s from nodes that had passed such answers on; 11 are allowed.

Cause: a node read of an answer only what concerns the request itself. What it says of the upstream was passed on to the caller and dropped, so no part of the node could heed it.

Now all ways to an upstream ask one table of limits: the choice of an upstream, in scope and out of it, retries, resumed streams, and the moment before the first byte leaves. Nodes repeat to each other what upstreams state. Rendezvous hashing picks as many nodes as the limit allows to send a request at once, and each keeps an even share, so that the sum holds without a message for each request.

--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/teamcredit.h"
+#include "coordination/upstreamlimits.h"
 #include "core/clock.h"
 #include "core/strongid.h"
 
@@ -180,6 +181,8 @@
     /** Questions to the issuer of teams' credit, and its answers. */
     std::vector<CreditQuery> creditQueries;
     std::vector<CreditGrant> creditGrants;
+    /** What upstreams lately stated in answers to the sender. */
+    std::vector<UpstreamLimitStatement> upstreamLimits;
 };
 
 } // namespace ApricotStep
--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <random>
 #include <vector>
 
 namespace ApricotStep
@@ -41,7 +42,7 @@
     ZoneId engineScope;
     OutlierDetector outliers { OutlierLimits {} };
     OutOfScopeEngines outOfScope { OutOfScopeLimits {} };
-    UpstreamLimits upstreamLimits;
+    UpstreamLimits upstreamLimits { std::random_device {}() };
 
     /** Updates what is known of the adapters at an engine. Returns whether @p residency was newer than the stored one. */
     bool updateResidency(const EngineResidency &residency, Time now)
@@ -62,6 +63,11 @@
         const RoutedService *spec = routes != nullptr ? routes->service(service) : nullptr;
         return spec != nullptr && spec->engine ? &*spec->engine : nullptr;
     }
+    /** When this node may send a request to @p upstream, by what the upstream stated in its answers; Time::never() if it may not. */
+    Time nextSendAt(const UpstreamRecord &upstream, Time now)
+    {
+        return upstreamLimits.nextSendAt(upstream, now);
+    }
     /** The usable engines of @p service in this node's scope; those of all zones if there are none in its scope. */
     std::vector<const UpstreamRecord *> engines(const ServiceName &service) const
     {
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -61,6 +61,11 @@
             .Name("apricotstep_entry_upstream_limits_total")
             .Help("Limits on their requests that upstreams named or changed, and lifted.")
             .Register(registry);
+    prometheus::Counter &withheldRequests = prometheus::BuildCounter()
+                                                .Name("apricotstep_entry_withheld_total")
+                                                .Help("Requests that an upstream did not get because of what it stated in its answers.")
+                                                .Register(registry)
+                                                .Add({});
     prometheus::Family<prometheus::Counter> &orders =
         prometheus::BuildCounter().Name("apricotstep_entry_orders_total").Help("Orders to engines by answer.").Register(registry);
     prometheus::Family<prometheus::Counter> &keyRefusals = prometheus::BuildCounter()
@@ -164,6 +169,11 @@
     d->upstreamLimits.Add({ { "change", isLimited ? "named" : "lifted" } }).Increment();
 }
 
+void EntryMetrics::withheld()
+{
+    d->withheldRequests.Increment();
+}
+
 void EntryMetrics::keyRefused(std::string_view reason)
 {
     d->keyRefusals.Add({ { "reason", std::string(reason) } }).Increment();
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -65,6 +65,8 @@
     void upstreamFailed(std::string_view what);
     /** Counts a limit on its requests that an upstream names, changes or lifts. */
     void upstreamLimitChanged(bool isLimited);
+    /** Counts a request that an upstream does not get, or gets later, because of what the upstream stated. */
+    void withheld();
     /** Counts a request that is refused because of its key. @p reason comes from a fixed list, since each value creates a time series. */
     void keyRefused(std::string_view reason);
     /** Counts a decision on a request of a limited team. @p decision comes from a fixed list. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -103,6 +103,7 @@
     void answerMetrics(const HttpRequest &request, HttpExchange &exchange) const;
     void checkConnections();
     void updateStoreReading();
+    void updateLimitSharing();
     void checkSignals();
     void beginDrain();
     void checkDrained();
@@ -151,6 +152,9 @@
         return forwarder->teamLimiter().answer(shard, from, incarnation, query);
     };
     fleetCallbacks.onCreditGrants = [this](const std::vector<CreditGrant> &grants) { forwarder->teamLimiter().onGrants(grants); };
+    fleetCallbacks.onUpstreamLimits = [this](const NodeId &peer, const std::vector<UpstreamLimitStatement> &statements) {
+        UpstreamStatements(log, metrics, clusterState).onPeerLimits(peer, statements, clock.now());
+    };
     fleetCallbacks.onNewerConfiguration = [this](const Peer &peer) { peers->fetchFrom(peer); };
     OrderLeaseLimits limits;
     limits.handoverDelay = settings.orderHandoverDelay;
@@ -351,9 +355,29 @@
     }
 }
 
+// A node that does not know the fleet, or is cut off from most of it, could take more than its share of the upstreams' limits.
+void EntryNode::Private::updateLimitSharing()
+{
+    if (!fleet->fleetSize()) {
+        clusterState.upstreamLimits.setNodes(settings.node, {}, clock.now());
+        return;
+    }
+    if (!fleet->ordersIn()) {
+        return;
+    }
+    std::vector<UpstreamLimits::Node> nodes { { settings.node, clusterState.engineScope, forwarder->requestRate() } };
+    for (const Peer *peer : fleet->alive()) {
+        if (peer->isReady && !peer->isLeaving) {
+            nodes.push_back(UpstreamLimits::Node { peer->id, peer->scope, peer->requestRate });
+        }
+    }
+    clusterState.upstreamLimits.setNodes(settings.node, nodes, clock.now());
+}
+
 void EntryNode::Private::checkConnections()
 {
     updateStoreReading();
+    updateLimitSharing();
     for (const auto &server : servers) {
         server->checkConnections();
     }
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -193,6 +193,7 @@
     message.loads = std::move(loadReport.loads);
     message.uses = std::move(loadReport.uses);
     message.store = clusterState.loadEstimator.view();
+    message.upstreamLimits = clusterState.upstreamLimits.statements(now());
     return message;
 }
 
@@ -606,6 +607,9 @@
             clusterState.loadEstimator.onOtherScope(message.scope, *message.store, now());
         }
     }
+    if (!message.upstreamLimits.empty()) {
+        callbacks.onUpstreamLimits(message.sender, message.upstreamLimits);
+    }
     bool isNewer = false;
     for (const EngineResidency &residency : message.residencies) {
         isNewer = clusterState.updateResidency(residency, now()) || isNewer;
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -99,6 +99,8 @@
         /** Returns the answer to a query for a team of a shard whose lease this node holds. */
         std::function<std::optional<CreditGrant>(std::uint64_t shard, const NodeId &, Incarnation, const CreditQuery &)> onCreditQuery;
         std::function<void(const std::vector<CreditGrant> &)> onCreditGrants;
+        /** A peer repeats what upstreams stated in answers to it. */
+        std::function<void(const NodeId &, const std::vector<UpstreamLimitStatement> &)> onUpstreamLimits;
         /** A peer has a newer configuration than this node. */
         std::function<void(const Peer &)> onNewerConfiguration;
     };
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -60,6 +60,7 @@
     EngineShard shard;
     NodeId self;
     std::function<std::vector<AdapterUse>()> ownUses;
+    UpstreamStatements statements;
     std::unique_ptr<AdapterPlan> plan;
     FencingToken fence;
     bool isDecisionDue = false;
@@ -80,6 +81,7 @@
         , shard(shard)
         , self(std::move(self))
         , ownUses(std::move(ownUses))
+        , statements(log, metrics, clusterState)
     {
     }
 
@@ -99,7 +101,7 @@
     void sendOrder(const EngineOrder &order);
     void onAnswer(const EngineOrder &order, FencingToken callFence, const CallResult &result, Time requestedAt);
     void requestReport(const UpstreamId &engine);
-    HttpCall makeCall(const UpstreamRecord &record, std::string_view path) const;
+    HttpCall makeCall(const UpstreamRecord &record, std::string_view path);
 };
 
 void OrderRunner::Private::tick()
@@ -158,16 +160,20 @@
         if (!service.engine) {
             continue;
         }
-        for (const UpstreamRecord *record : clusterState.upstreams.usable(service.name)) {
+        const auto usable = clusterState.upstreams.usable(service.name);
+        const auto isLimited = [this](const UpstreamRecord *record) { return clusterState.upstreamLimits.limit(*record).has_value(); };
+        // Callers find no copy at an engine that most nodes must not send to. If most engines have limits, their copies are the only ones.
+        const bool areLimitedAvoided = std::count_if(usable.begin(), usable.end(), isLimited) * 2 <= std::ssize(usable);
+        for (const UpstreamRecord *record : usable) {
             const EngineShard owner = fleet.shards().shardOf(*record);
             if (!fleet.arePlannedTogether(owner, shard)) {
                 continue;
             }
             const FleetLoad load = clusterState.loadTracker.load(record->id, now());
             const bool hasHolder = hasActiveHolder[owner.value()];
-            result.push_back(
-                PlannedEngine { record, &*service.engine, load.running, load.pendingTokens, clusterState.outliers.share(record->id, now()),
-                    owner == shard, hasHolder, clusterState.outliers.isReachable(record->id, now()) });
+            const double share = areLimitedAvoided && isLimited(record) ? 0 : clusterState.outliers.share(record->id, now());
+            result.push_back(PlannedEngine { record, &*service.engine, load.running, load.pendingTokens, share, owner == shard, hasHolder,
+                clusterState.outliers.isReachable(record->id, now()) });
         }
     }
     return result;
@@ -248,7 +254,7 @@
         action);
 }
 
-HttpCall OrderRunner::Private::makeCall(const UpstreamRecord &record, std::string_view path) const
+HttpCall OrderRunner::Private::makeCall(const UpstreamRecord &record, std::string_view path)
 {
     HttpCall call;
     call.url = "http://" + record.address + std::string(path);
@@ -257,6 +263,11 @@
     call.maxConnectionIdle = MaxConnectionIdle;
     call.acknowledgeTimeout = AcknowledgeTimeout;
     call.isSentOnce = true;
+    call.onHead = [weak = weak_from_this(), record, sentAt = now()](int status, const HttpHeaders &headers) {
+        if (const auto self = weak.lock()) {
+            self->statements.onAnswer(record, Platform::decodeUpstreamAnswer(status, headers), sentAt, self->now());
+        }
+    };
     return call;
 }
 
--- a/main/entry/orderrunner.h
+++ b/main/entry/orderrunner.h
@@ -5,6 +5,7 @@
 #include "main/entry/entrymetrics.h"
 #include "main/entry/eventlog.h"
 #include "main/entry/fleetlink.h"
+#include "main/entry/upstreamstatements.h"
 #include "transport/ioloop.h"
 
 #include <functional>
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -58,6 +58,7 @@
     EventLog &m_log;
     EntryMetrics &m_metrics;
     ClusterState &m_clusterState;
+    UpstreamStatements m_statements;
     ForwarderSettings m_settings;
     ForwarderCallbacks m_callbacks;
     std::mt19937_64 m_random { std::random_device {}() };
@@ -79,6 +80,7 @@
         , m_log(log)
         , m_metrics(metrics)
         , m_clusterState(clusterState)
+        , m_statements(log, metrics, clusterState)
         , m_settings(std::move(settings))
         , m_callbacks(std::move(callbacks))
         , limiter(loop, metrics, clusterState, m_settings.teamCredit, limiterCallbacks())
@@ -97,6 +99,10 @@
     {
         return m_metrics;
     }
+    UpstreamStatements &upstreamStatements() override
+    {
+        return m_statements;
+    }
     ClusterState &clusterState() override
     {
         return m_clusterState;
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -7,6 +7,7 @@
 #include "main/entry/entrymetrics.h"
 #include "main/entry/eventlog.h"
 #include "main/entry/teamlimiter.h"
+#include "main/entry/upstreamstatements.h"
 #include "transport/ioloop.h"
 
 #include <functional>
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -184,16 +184,38 @@
         return false;
     }
     if (!m_decoded.generation) {
-        return true;
+        return isPermitted(record);
     }
     if (!needsAdapter()) {
-        return record.models.empty() || record.hasModel(m_decoded.generation->model);
+        return (record.models.empty() || record.hasModel(m_decoded.generation->model)) && isPermitted(record);
     }
     const auto copy = m_context.clusterState().residencies.copy(record, adapter());
     if (!copy || !copy->isReady || !m_context.clusterState().outliers.isReachable(record.id, now())) {
         return false;
     }
-    return isVersionUsable(copy->version);
+    return isVersionUsable(copy->version) && isPermitted(record);
+}
+
+bool RequestJob::isPermitted(const UpstreamRecord &record)
+{
+    const Time nextSendAt = m_context.clusterState().nextSendAt(record, now());
+    if (nextSendAt <= now()) {
+        return true;
+    }
+    m_withheldUntil = std::min(m_withheldUntil.value_or(Time::never()), nextSendAt);
+    if (!std::exchange(m_hasBeenWithheld, true)) {
+        m_context.metrics().withheld();
+        m_context.log().write(RequestStep, "request", "withheld", { { "request", m_decoded.id }, { "upstream", record.id.value() } });
+    }
+    return false;
+}
+
+Duration RequestJob::retryAfterRefusal() const
+{
+    if (!m_withheldUntil) {
+        return RetryAfterRefusal;
+    }
+    return *m_withheldUntil == Time::never() ? RetryAfterIsolated : std::max(*m_withheldUntil - now(), RetryAfterIsolated);
 }
 
 bool RequestJob::isVersionUsable(const AdapterVersion &version) const
@@ -235,7 +257,7 @@
             continue;
         }
         const auto version = clusterState.outOfScope.version(engine, adapter());
-        if (!version || !isVersionUsable(*version)) {
+        if (!version || !isVersionUsable(*version) || !isPermitted(*record)) {
             continue;
         }
         // The holder's report does not contain yet what this node and its scope peers have just sent there.
@@ -266,10 +288,16 @@
 }
 
 // Returns whether waiting can help, since the adapter may be loaded on some engine meanwhile.
-bool RequestJob::canWaitForAdapter() const
+bool RequestJob::canWaitForAdapter()
 {
-    return needsAdapter() && !m_context.clusterState().upstreams.usable(m_service).empty()
-        && m_context.clusterState().engineSpec(m_service) != nullptr;
+    ClusterState &clusterState = m_context.clusterState();
+    if (!needsAdapter() || clusterState.engineSpec(m_service) == nullptr) {
+        return false;
+    }
+    const auto engines = clusterState.upstreams.usable(m_service);
+    return std::any_of(engines.begin(), engines.end(), [this, &clusterState](const UpstreamRecord *engine) {
+        return clusterState.nextSendAt(*engine, now()) <= now() + RetryAfterRefusal;
+    });
 }
 
 void RequestJob::tryNext()
@@ -279,6 +307,7 @@
         onDeadline();
         return;
     }
+    m_withheldUntil.reset();
     auto candidates = options();
     if (m_decoded.generation) {
         creditSharedPrefix(candidates, m_decoded.generation->sharedPrefix, m_decoded.generation->sharedTokens);
@@ -366,6 +395,8 @@
     }
     m_phase = Phase::Sent;
     m_upstream = record;
+    UpstreamLimits &limits = m_context.clusterState().upstreamLimits;
+    m_hasTakenShare = limits.limit(record) && limits.take(record, now());
     m_version = version;
     m_answer.reset();
     m_body.clear();
@@ -428,11 +459,18 @@
 
 // Called right before the first byte is sent. If the process was suspended, its knowledge of the upstream and the deadline may be stale by
 // now.
-bool RequestJob::maySend() const
+bool RequestJob::maySend()
 {
     const UpstreamRecord *record = m_context.clusterState().upstreams.usable(m_upstream.id);
-    const Duration left = m_deadline - m_context.loop().clock().now();
-    return m_phase == Phase::Sent && left >= MinUsefulTime && record != nullptr && record->startedAt == m_upstream.startedAt;
+    const Time current = m_context.loop().clock().now();
+    const bool isCurrent = record != nullptr && record->startedAt == m_upstream.startedAt;
+    if (m_phase != Phase::Sent || m_deadline - current < MinUsefulTime || !isCurrent) {
+        return false;
+    }
+    // The upstream may have stated its limit since it was chosen.
+    UpstreamLimits &limits = m_context.clusterState().upstreamLimits;
+    m_hasTakenShare = m_hasTakenShare || (limits.limit(*record) && limits.take(*record, current));
+    return m_hasTakenShare || !limits.limit(*record);
 }
 
 bool RequestJob::acceptsHead(int status, const HttpHeaders &headers)
@@ -446,29 +484,10 @@
         return false;
     }
     m_answer = std::move(answer);
-    onUpstreamStatements();
+    m_context.upstreamStatements().onAnswer(m_upstream, *m_answer, m_sentAt, now());
     return true;
 }
 
-void RequestJob::onUpstreamStatements()
-{
-    // A refusal may come from a part of the upstream that does not know of its limit.
-    if (!m_answer->requestLimit && !m_answer->isSealed) {
-        return;
-    }
-    if (!m_context.clusterState().upstreamLimits.onAnswer(m_upstream, m_answer->requestLimit, m_sentAt, now())) {
-        return;
-    }
-    m_context.metrics().upstreamLimitChanged(m_answer->requestLimit.has_value());
-    if (m_answer->requestLimit) {
-        m_context.log().write(Important, "upstream", "limit_named",
-            { { "upstream", m_upstream.id.value() }, { "requestsPerSecond", *m_answer->requestLimit }, { "request", m_decoded.id } });
-    } else {
-        m_context.log().write(
-            Important, "upstream", "limit_lifted", { { "upstream", m_upstream.id.value() }, { "request", m_decoded.id } });
-    }
-}
-
 void RequestJob::onHead()
 {
     if (m_phase != Phase::Sent || !m_answer) {
@@ -699,7 +718,7 @@
         const Platform::UpstreamAnswer answer = *m_failure;
         deliver(answer, std::move(m_failureBody));
     } else {
-        refuse(kind, RetryAfterRefusal);
+        refuse(kind, retryAfterRefusal());
     }
 }
 
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -23,6 +23,7 @@
     virtual EventLog &log() = 0;
     virtual ClusterState &clusterState() = 0;
     virtual EntryMetrics &metrics() = 0;
+    virtual UpstreamStatements &upstreamStatements() = 0;
     virtual const ForwarderSettings &settings() const = 0;
     virtual const ForwarderCallbacks &callbacks() const = 0;
     virtual std::mt19937_64 &random() = 0;
@@ -96,20 +97,22 @@
     /** Returns the time that @p count fetches of an adapter take, from the shortest fetch observed. */
     Duration fetchTime(double count) const;
     bool isUsable(const UpstreamRecord &record);
+    /** Whether this node may send to the upstream now, by what the upstream stated in its answers. */
+    bool isPermitted(const UpstreamRecord &record);
+    /** Retry-After of a refusal for lack of an upstream. */
+    Duration retryAfterRefusal() const;
     /** Whether requests may still run on @p version of the adapter. */
     bool isVersionUsable(const AdapterVersion &version) const;
     /** The engines outside of this node's scope that have the adapter loaded and whose load is known. */
     std::vector<UpstreamOption> outOfScopeOptions();
     /** Sends the request out of scope if that is better than @p inScope, which may be null. Returns whether it did. */
     bool sendOutOfScope(const UpstreamOption *inScope);
-    bool canWaitForAdapter() const;
+    bool canWaitForAdapter();
     std::optional<Duration> retryDelayIfTooLate() const;
     void send(const UpstreamRecord &record, const AdapterVersion &version);
     HttpCall makeCall(const UpstreamRecord &record);
-    bool maySend() const;
+    bool maySend();
     bool acceptsHead(int status, const HttpHeaders &headers);
-    /** Notes what the answer states about its upstream. */
-    void onUpstreamStatements();
     void onHead();
     bool onData(std::string_view data);
     void onDone(const CallResult &result);
@@ -157,6 +160,9 @@
     bool m_hasWaited = false;
     /** Upstreams that refused or failed the request or could not be reached; not chosen again until the job waits. */
     std::set<UpstreamId> m_excluded;
+    /** When the first of the upstreams that do not accept the request now may get it; unset if there are none. */
+    std::optional<Time> m_withheldUntil;
+    bool m_hasBeenWithheld = false;
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
     TimerId m_stallTimer = 0;
@@ -169,6 +175,8 @@
     std::string m_body;
     /** The engine has not read the prompt yet, so the load tracker still counts its tokens as pending. */
     bool m_isPromptPending = false;
+    /** The attempt has used up a part of this node's share of the upstream's limit. */
+    bool m_hasTakenShare = false;
     Time m_sentAt;
     Time m_lastReceivedAt;
 
--- /dev/null
+++ b/main/entry/upstreamstatements.cpp
@@ -0,0 +1,49 @@
+#include "main/entry/upstreamstatements.h"
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr EventLog::Severity Important = EventLog::Severity::Important;
+
+} // namespace
+
+UpstreamStatements::UpstreamStatements(EventLog &log, EntryMetrics &metrics, ClusterState &clusterState)
+    : m_log(log)
+    , m_metrics(metrics)
+    , m_clusterState(clusterState)
+{
+}
+
+void UpstreamStatements::onAnswer(const UpstreamRecord &upstream, const Platform::UpstreamAnswer &answer, Time sentAt, Time now)
+{
+    // Only an answer with the upstream's seal lifts a limit: a refusal may come from a part of it that does not know the limit.
+    const bool statesLimit = answer.requestLimit || answer.isSealed;
+    if (statesLimit && m_clusterState.upstreamLimits.onAnswer(upstream, answer.requestLimit, sentAt, now)) {
+        reportLimit(upstream.id, answer.requestLimit, "answer");
+    }
+}
+
+void UpstreamStatements::onPeerLimits(const NodeId &peer, const std::vector<UpstreamLimitStatement> &statements, Time now)
+{
+    for (const UpstreamLimitStatement &statement : statements) {
+        if (m_clusterState.upstreamLimits.onPeerStatement(statement, now)) {
+            reportLimit(statement.upstream, statement.requestsPerSecond, peer.value());
+        }
+    }
+}
+
+void UpstreamStatements::reportLimit(const UpstreamId &upstream, std::optional<double> requestsPerSecond, const std::string &source)
+{
+    m_metrics.upstreamLimitChanged(requestsPerSecond.has_value());
+    if (requestsPerSecond) {
+        m_log.write(Important, "upstream", "limit_named",
+            { { "upstream", upstream.value() }, { "requestsPerSecond", *requestsPerSecond }, { "source", source } });
+    } else {
+        m_log.write(Important, "upstream", "limit_lifted", { { "upstream", upstream.value() }, { "source", source } });
+    }
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/entry/upstreamstatements.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "main/entry/clusterstate.h"
+#include "main/entry/entrymetrics.h"
+#include "main/entry/eventlog.h"
+#include "platform/requests.h"
+
+#include <vector>
+
+namespace ApricotStep
+{
+
+/** Takes in what upstreams state about themselves in their answers, and what peers repeat of it; logs and counts the changes. */
+class UpstreamStatements
+{
+public:
+    UpstreamStatements(EventLog &log, EntryMetrics &metrics, ClusterState &clusterState);
+
+    /** @p sentAt: when the request was sent to @p upstream. */
+    void onAnswer(const UpstreamRecord &upstream, const Platform::UpstreamAnswer &answer, Time sentAt, Time now);
+    void onPeerLimits(const NodeId &peer, const std::vector<UpstreamLimitStatement> &statements, Time now);
+
+private:
+    void reportLimit(const UpstreamId &upstream, std::optional<double> requestsPerSecond, const std::string &source);
+
+    EventLog &m_log;
+    EntryMetrics &m_metrics;
+    ClusterState &m_clusterState;
+};
+
+} // namespace ApricotStep
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -81,6 +81,14 @@
     retryAfterMs @3 :Int64;
 }
 
+struct UpstreamLimitWire {
+    upstream @0 :Text;
+    startedAt @1 :Int64;
+    isLimited @2 :Bool;
+    requestsPerSecond @3 :Float64;
+    ageMs @4 :Int64;
+}
+
 struct FleetMessageWire {
     sender @0 :Text;
     incarnation @1 :UInt64;
@@ -112,4 +120,5 @@
     creditQueries @27 :List(CreditQueryWire);
     creditGrants @28 :List(CreditGrantWire);
     requestRate @29 :Float32;
+    upstreamLimits @30 :List(UpstreamLimitWire);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(ba03b9cd0cf349d7);
 CAPNP_DECLARE_SCHEMA(ee81ea0e1c05bc2f);
 CAPNP_DECLARE_SCHEMA(b10fdd4c43c3373a);
+CAPNP_DECLARE_SCHEMA(f0c067d4930af60c);
 CAPNP_DECLARE_SCHEMA(8b8b5daee920bcb2);
 
 }  // namespace schemas
@@ -184,6 +185,21 @@
   };
 };
 
+struct UpstreamLimitWire {
+  UpstreamLimitWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f0c067d4930af60c, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetMessageWire {
   FleetMessageWire() = delete;
 
@@ -192,7 +208,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 17)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 18)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1202,6 +1218,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamLimitWire::Reader {
+public:
+  typedef UpstreamLimitWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+  inline bool getIsLimited() const;
+
+  inline double getRequestsPerSecond() const;
+
+  inline  ::int64_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamLimitWire::Builder {
+public:
+  typedef UpstreamLimitWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+  inline bool getIsLimited();
+  inline void setIsLimited(bool value);
+
+  inline double getRequestsPerSecond();
+  inline void setRequestsPerSecond(double value);
+
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamLimitWire::Pipeline {
+public:
+  typedef UpstreamLimitWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetMessageWire::Reader {
 public:
   typedef FleetMessageWire Reads;
@@ -1296,6 +1413,9 @@
 
   inline float getRequestRate() const;
 
+  inline bool hasUpstreamLimits() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>::Reader getUpstreamLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1484,6 +1604,13 @@
   inline float getRequestRate();
   inline void setRequestRate(float value);
 
+  inline bool hasUpstreamLimits();
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>::Builder getUpstreamLimits();
+  inline void setUpstreamLimits( ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>::Builder initUpstreamLimits(unsigned int size);
+  inline void adoptUpstreamLimits(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>> disownUpstreamLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2401,6 +2528,96 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool UpstreamLimitWire::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamLimitWire::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamLimitWire::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamLimitWire::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamLimitWire::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamLimitWire::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamLimitWire::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamLimitWire::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t UpstreamLimitWire::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UpstreamLimitWire::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimitWire::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamLimitWire::Reader::getIsLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamLimitWire::Builder::getIsLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimitWire::Builder::setIsLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline double UpstreamLimitWire::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double UpstreamLimitWire::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimitWire::Builder::setRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UpstreamLimitWire::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UpstreamLimitWire::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimitWire::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetMessageWire::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3174,6 +3391,40 @@
       ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetMessageWire::Reader::hasUpstreamLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasUpstreamLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getUpstreamLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getUpstreamLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setUpstreamLimits( ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initUpstreamLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptUpstreamLimits(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownUpstreamLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<17>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -24,6 +24,9 @@
 // Far more than any team's limit, while sums of amounts stay far from overflow.
 constexpr double MaxCreditAmount = 1e12;
 
+// Statements of upstreams are repeated for a few seconds. A forged age must not move a statement far into the past.
+constexpr Duration MaxStatementAge = Duration::seconds(60);
+
 std::string textOf(capnp::Text::Reader text)
 {
     return std::string(text.cStr(), text.size());
@@ -224,6 +227,28 @@
     }
 }
 
+void encodeLimits(const std::vector<UpstreamLimitStatement> &limits, capnp::List<Wire::UpstreamLimitWire>::Builder wire)
+{
+    for (unsigned int i = 0; i < wire.size(); ++i) {
+        wire[i].setUpstream(limits[i].upstream.value());
+        wire[i].setStartedAt(limits[i].startedAt);
+        wire[i].setIsLimited(limits[i].requestsPerSecond.has_value());
+        wire[i].setRequestsPerSecond(limits[i].requestsPerSecond.value_or(0));
+        wire[i].setAgeMs(limits[i].age.milliseconds());
+    }
+}
+
+std::vector<UpstreamLimitStatement> decodeLimits(capnp::List<Wire::UpstreamLimitWire>::Reader wire)
+{
+    std::vector<UpstreamLimitStatement> limits;
+    for (const auto limit : wire) {
+        limits.push_back(UpstreamLimitStatement { UpstreamId(textOf(limit.getUpstream())), limit.getStartedAt(),
+            limit.getIsLimited() ? std::optional(decodeAmount(limit.getRequestsPerSecond())) : std::nullopt,
+            Duration(std::clamp<std::int64_t>(limit.getAgeMs(), 0, MaxStatementAge.milliseconds())) });
+    }
+    return limits;
+}
+
 void encodeStore(const StoreView &store, Wire::StoreViewWire::Builder wire)
 {
     wire.setFetchesAtOnce(store.maxConcurrentFetches);
@@ -262,6 +287,7 @@
     decodeLeases(wire, message);
     decodeLists(wire, message);
     decodeCredit(wire, message);
+    message.upstreamLimits = decodeLimits(wire.getUpstreamLimits());
     if (wire.hasStore()) {
         message.store = decodeStore(wire.getStore());
     }
@@ -292,6 +318,7 @@
     encodeLeases(message, wire);
     encodeLists(message, wire);
     encodeCredit(message, wire);
+    encodeLimits(message.upstreamLimits, wire.initUpstreamLimits(static_cast<unsigned int>(message.upstreamLimits.size())));
     if (message.store) {
         encodeStore(*message.store, wire.initStore());
     }
--- a/tests/main/testmetrics.cpp
+++ b/tests/main/testmetrics.cpp
@@ -86,6 +86,8 @@
     entry.answerBegan(RequestKind::Stream, Duration(1));
     entry.sent(RequestKind::Stream, Duration(1), false);
     entry.upstreamFailed("broken");
+    entry.upstreamLimitChanged(true);
+    entry.withheld();
     entry.order("done");
     entry.keyRefused("unauthenticated");
     entry.teamRequest(TeamName("t"), "admitted");
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -54,6 +54,7 @@
         callbacks.canAccept = [](Duration) { return true; };
         callbacks.ordersIn = [this] { return ordersIn; };
         forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, ForwarderSettings {}, std::move(callbacks));
+        clusterState.upstreamLimits.setNodes(NodeId("n"), { { NodeId("n"), ZoneId(), 1 } }, clock.now());
     }
 
     void configure(RequestKind kind, int maxAttempts, bool isResumable = false, Duration timeout = Duration(1500))
@@ -407,7 +408,7 @@
 } // namespace
 
 // Guards against an upstream that names a limit in its answers and gets as many requests as before.
-Test(knownred, upstreamGetsNoMoreRequestsThanItsLimit)
+Test(requestforwarder, upstreamGetsNoMoreRequestsThanItsLimit)
 {
     const ScriptedUpstream limited([](const std::string &) { return ScriptedAnswer { LimitedAnswer }; });
     const ScriptedUpstream other([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -31,6 +31,8 @@
     message.hasOutdatedKeys = true;
     message.creditQueries = { CreditQuery { TeamName("t"), 8, 1200, 200, 300 } };
     message.creditGrants = { CreditGrant { TeamName("t"), 7, 900, Duration(150) } };
+    message.upstreamLimits = { UpstreamLimitStatement { UpstreamId("u"), 12, 1.5, Duration(40) },
+        UpstreamLimitStatement { UpstreamId("v"), 13, std::nullopt, Duration(90) } };
     message.configVersion = ConfigVersion(9);
     message.claims = { LeaseClaim { EngineShard(2), FencingToken(5), Duration(30), Time(4) } };
     message.grants = { LeaseGrant { EngineShard(1), NodeId("n2"), Incarnation(3), Time(8), FencingToken(6) } };
@@ -67,7 +69,7 @@
     cr_assert(message.releases == sent.releases && message.contacts == sent.contacts);
     cr_assert(message.loads == sent.loads && message.uses == sent.uses && message.residencies == sent.residencies);
     cr_assert(message.engineLoads == sent.engineLoads);
-    cr_assert(message.store == sent.store);
+    cr_assert(message.store == sent.store && message.upstreamLimits == sent.upstreamLimits);
 }
 
 // Datagrams may be truncated, modified or sent by other programs. None may crash a node, and one without a sender is rejected.
