--- a/bench/teamlimits.cpp
+++ b/bench/teamlimits.cpp
@@ -296,7 +296,8 @@
     {
         const Arrival &arrival = m_world.arrivals[index];
         CreditClient &client = m_clients[static_cast<std::size_t>(arrival.node)];
-        const auto admission = client.request(AdmissionId(index), m_world.team(arrival.team, m_now), arrival.cost, m_world.nodes, m_now);
+        const Team &team = m_world.team(arrival.team, m_now);
+        const auto admission = client.request(AdmissionId(index), accountOf(team.name), *team.limit, arrival.cost, m_world.nodes, m_now);
         if (admission) {
             m_outcome.isAdmitted[index] = std::holds_alternative<Admitted>(*admission);
             m_outcome.admittedAt[index] = m_now;
@@ -325,7 +326,7 @@
             return;
         }
         m_events.emplace(m_now + Delay, [this, node, query, incarnation = m_incarnation] {
-            const int team = std::stoi(query.team.value().substr(1));
+            const int team = std::stoi(query.account.name.substr(1));
             const auto grant = m_issuer != nullptr
                 ? m_issuer->answer(0, NodeId(std::to_string(node)), incarnation, query, *m_world.team(team, m_now).limit, m_now)
                 : std::nullopt;
--- a/coordination/teamcredit.cpp
+++ b/coordination/teamcredit.cpp
@@ -27,6 +27,16 @@
 
 } // namespace
 
+CreditAccount accountOf(const TeamName &team)
+{
+    return CreditAccount { CreditAccount::Kind::Team, team.value(), 0 };
+}
+
+CreditAccount accountOf(const UpstreamId &upstream, std::int64_t startedAt)
+{
+    return CreditAccount { CreditAccount::Kind::Upstream, upstream.value(), startedAt };
+}
+
 // A quarter of what the window allows beyond the rate; the rest covers what nodes spend without an issuer.
 Duration TeamCreditLimits::creditLifetime() const
 {
@@ -84,14 +94,14 @@
         return std::nullopt;
     }
     removeOldAnswers(now);
-    LastAnswer &last = m_lastAnswers[std::pair(from, query.team)];
+    LastAnswer &last = m_lastAnswers[std::pair(from, query.account)];
     if (last.incarnation == incarnation && last.grant.sequence >= query.sequence) {
         return last.grant.sequence == query.sequence ? std::optional(last.grant) : std::nullopt;
     }
-    Bucket &bucket = m_buckets[query.team];
+    Bucket &bucket = m_buckets[query.account];
     fill(bucket, term->second, limit, now);
     const double capacity = m_limits.bucketCapacity(limit);
-    CreditGrant grant { query.team, query.sequence, 0, Duration(0) };
+    CreditGrant grant { query.account, query.sequence, 0, Duration(0) };
     // A request that costs more than the bucket holds runs when the bucket is full, and is paid off afterwards.
     const double threshold = std::min(query.cheapest, capacity);
     if (bucket.level >= threshold) {
@@ -174,30 +184,28 @@
     return taken > 0 && std::uniform_real_distribution<double>(0, cost)(m_random) < taken;
 }
 
-std::optional<Admission> CreditClient::request(AdmissionId id, const Team &team, double cost, std::optional<int> nodes, Time now)
+std::optional<Admission> CreditClient::request(
+    AdmissionId id, const CreditAccount &accountId, const TeamLimit &limit, double cost, std::optional<int> nodes, Time now)
 {
-    if (!team.limit) {
-        return Admitted {};
-    }
-    Account &account = m_accounts[team.name];
+    Account &account = m_accounts[accountId];
     account.usedAt = now;
     countDemand(account, cost, now);
-    refillOwnCredit(account, *team.limit, nodes, now);
+    refillOwnCredit(account, limit, nodes, now);
     if (account.waiting.empty() && now < account.creditExpiresAt && account.credit >= cost) {
         account.credit -= cost;
         return Admitted {};
     }
     account.waiting.push_back(Waiting { id, cost, 0 });
-    ask(team.name, account, now);
+    ask(accountId, account, now);
     return std::nullopt;
 }
 
-void CreditClient::ask(const TeamName &team, Account &account, Time now)
+void CreditClient::ask(const CreditAccount &id, Account &account, Time now)
 {
     if (account.query.sequence != 0 || account.waiting.empty()) {
         return;
     }
-    CreditQuery query { team, ++m_lastSequence, 0, account.waiting.front().cost, 0 };
+    CreditQuery query { id, ++m_lastSequence, 0, account.waiting.front().cost, 0 };
     for (Waiting &waiting : account.waiting) {
         waiting.sequence = query.sequence;
         query.needed += waiting.cost;
@@ -213,9 +221,9 @@
     account.tries = 0;
 }
 
-void CreditClient::giveBack(const TeamName &team, double cost, Time admittedAt, Time now)
+void CreditClient::giveBack(const CreditAccount &accountId, double cost, Time admittedAt, Time now)
 {
-    const auto at = m_accounts.find(team);
+    const auto at = m_accounts.find(accountId);
     const Time expiresAt = admittedAt + m_limits.creditLifetime();
     // Only while credit of that time could still be unspent; otherwise more could run in one window than was issued in it.
     if (at == m_accounts.end() || now >= expiresAt) {
@@ -227,9 +235,9 @@
     account.creditExpiresAt = hasCredit ? std::min(account.creditExpiresAt, expiresAt) : expiresAt;
 }
 
-void CreditClient::cancel(const TeamName &team, AdmissionId id)
+void CreditClient::cancel(const CreditAccount &accountId, AdmissionId id)
 {
-    const auto at = m_accounts.find(team);
+    const auto at = m_accounts.find(accountId);
     if (at == m_accounts.end()) {
         return;
     }
@@ -241,13 +249,13 @@
         for (Waiting &waiting : account.waiting) {
             waiting.sequence = 0;
         }
-        ask(team, account, account.usedAt);
+        ask(accountId, account, account.usedAt);
     }
 }
 
 void CreditClient::onGrant(const CreditGrant &grant, Time now)
 {
-    const auto at = m_accounts.find(grant.team);
+    const auto at = m_accounts.find(grant.account);
     if (at == m_accounts.end() || grant.sequence == 0 || at->second.query.sequence != grant.sequence || !(grant.amount >= 0)) {
         return;
     }
@@ -274,12 +282,12 @@
         }
     }
     account.waiting = std::move(later);
-    ask(grant.team, account, now);
+    ask(grant.account, account, now);
 }
 
-void CreditClient::onIssuerUnknown(const TeamName &team, Time now)
+void CreditClient::onIssuerUnknown(const CreditAccount &accountId, Time now)
 {
-    const auto at = m_accounts.find(team);
+    const auto at = m_accounts.find(accountId);
     if (at != m_accounts.end() && at->second.query.sequence != 0) {
         giveUp(at->second, now);
     }
@@ -302,7 +310,7 @@
 CreditSteps CreditClient::step(Time now)
 {
     CreditSteps steps;
-    for (auto &[team, account] : m_accounts) {
+    for (auto &[id, account] : m_accounts) {
         if (account.query.sequence == 0) {
             continue;
         }
--- a/coordination/teamcredit.h
+++ b/coordination/teamcredit.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <optional>
 #include <random>
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -28,6 +29,8 @@
 // request costs in a large fleet, so a node admits a request with the probability that its amount is of the cost: together the nodes admit
 // as much as if they shared one amount. While the whole fleet starts there is no issuer at all, so nodes that have just started also spend
 // their part of the rate.
+//
+// The limit that an upstream states for its requests is kept in the same way: shares of the nodes would be far less than one request each.
 
 struct TeamCreditLimits
 {
@@ -55,10 +58,35 @@
     double ownAllowance(const TeamLimit &limit, int nodes) const;
 };
 
-/** A question of a node to the issuer of a team's credit. */
+/** Whose limit is shared out as credit: a team, or one start of an upstream. */
+struct CreditAccount
+{
+    enum class Kind {
+        Team,
+        Upstream,
+    };
+    Kind kind = Kind::Team;
+    /** The team's name or the upstream's id. */
+    std::string name;
+    /** The start of the upstream; 0 for a team. */
+    std::int64_t startedAt = 0;
+
+    auto operator<=>(const CreditAccount &) const = default;
+
+    template<typename H>
+    friend H AbslHashValue(H state, const CreditAccount &account)
+    {
+        return H::combine(std::move(state), account.kind, account.name, account.startedAt);
+    }
+};
+
+CreditAccount accountOf(const TeamName &team);
+CreditAccount accountOf(const UpstreamId &upstream, std::int64_t startedAt);
+
+/** A question of a node to the issuer of an account's credit. */
 struct CreditQuery
 {
-    TeamName team;
+    CreditAccount account;
     /** Increases with each query of a node's process; a repeated query has the same number. */
     std::uint64_t sequence = 0;
     /** The cost of all requests that wait for credit, and that of the cheapest of them. */
@@ -73,16 +101,16 @@
 /** The issuer's answer. */
 struct CreditGrant
 {
-    TeamName team;
+    CreditAccount account;
     std::uint64_t sequence = 0;
     double amount = 0;
-    /** Until the team's credit suffices for the requests that were not granted, after those refused before; zero if all were granted. */
+    /** Until the account's credit suffices for the requests that were not granted, after those refused before; zero if all were granted. */
     Duration retryAfter;
 
     bool operator==(const CreditGrant &) const = default;
 };
 
-/** Issues the credit of the teams whose lease this node holds. Not thread-safe. */
+/** Issues the credit of the accounts whose lease this node holds. Not thread-safe. */
 class CreditIssuer
 {
 public:
@@ -124,8 +152,8 @@
 
     TeamCreditLimits m_limits;
     absl::flat_hash_map<std::uint64_t, Term> m_terms;
-    absl::flat_hash_map<TeamName, Bucket> m_buckets;
-    absl::flat_hash_map<std::pair<NodeId, TeamName>, LastAnswer> m_lastAnswers;
+    absl::flat_hash_map<CreditAccount, Bucket> m_buckets;
+    absl::flat_hash_map<std::pair<NodeId, CreditAccount>, LastAnswer> m_lastAnswers;
     Time m_cleanedAt;
 };
 
@@ -136,10 +164,10 @@
 struct Admitted
 {
 };
-/** The request exceeds its team's limit. */
+/** The request exceeds the limit. */
 struct BeyondLimit
 {
-    /** Until the team's credit suffices for the request. */
+    /** Until the credit suffices for the request. */
     Duration retryAfter;
 };
 /** No issuer answers, and this node may admit nothing more on its own. */
@@ -158,14 +186,14 @@
 /** What a node should do next about credit. */
 struct CreditSteps
 {
-    /** To be sent to the issuers of their teams. */
+    /** To be sent to the issuers of their accounts. */
     std::vector<CreditQuery> queries;
     std::vector<AdmissionDecision> decisions;
     /** When to call step() again, unless something happens before. */
     Time nextAt = Time::never();
 };
 
-/** Admits the requests of limited teams at one node. Not thread-safe. */
+/** Admits requests that have a limit at one node. Not thread-safe. */
 class CreditClient
 {
 public:
@@ -175,14 +203,15 @@
     /**
      * Admits a request of @p cost at once if this node has the credit. Otherwise the request waits, and step() returns the decision.
      * @p nodes: the size of the fleet; empty if this node does not know it.     */
-    std::optional<Admission> request(AdmissionId id, const Team &team, double cost, std::optional<int> nodes, Time now);
+    std::optional<Admission> request(
+        AdmissionId id, const CreditAccount &account, const TeamLimit &limit, double cost, std::optional<int> nodes, Time now);
     /** A request that was admitted at @p admittedAt did not run; its credit may be spent again while it is valid. */
-    void giveBack(const TeamName &team, double cost, Time admittedAt, Time now);
+    void giveBack(const CreditAccount &account, double cost, Time admittedAt, Time now);
     /** The caller of a waiting request has left. */
-    void cancel(const TeamName &team, AdmissionId id);
+    void cancel(const CreditAccount &account, AdmissionId id);
     void onGrant(const CreditGrant &grant, Time now);
-    /** No node is known to issue the team's credit. */
-    void onIssuerUnknown(const TeamName &team, Time now);
+    /** No node is known to issue the account's credit. */
+    void onIssuerUnknown(const CreditAccount &account, Time now);
     /** Returns the queries that are due and the decisions since the last call. */
     CreditSteps step(Time now);
 
@@ -221,11 +250,11 @@
     void countDemand(Account &account, double cost, Time now) const;
     void refillOwnCredit(Account &account, const TeamLimit &limit, std::optional<int> nodes, Time now) const;
     bool takeOwnCredit(Account &account, double cost, Time now);
-    void ask(const TeamName &team, Account &account, Time now);
+    void ask(const CreditAccount &id, Account &account, Time now);
     void giveUp(Account &account, Time now);
 
     TeamCreditLimits m_limits;
-    absl::flat_hash_map<TeamName, Account> m_accounts;
+    absl::flat_hash_map<CreditAccount, Account> m_accounts;
     std::vector<AdmissionDecision> m_decisions;
     std::uint64_t m_lastSequence = 0;
     Time m_startedAt;
--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -13,7 +13,6 @@
 #include <algorithm>
 #include <map>
 #include <memory>
-#include <random>
 #include <vector>
 
 namespace ApricotStep
@@ -42,7 +41,7 @@
     ZoneId engineScope;
     OutlierDetector outliers { OutlierLimits {} };
     OutOfScopeEngines outOfScope { OutOfScopeLimits {} };
-    UpstreamLimits upstreamLimits { std::random_device {}() };
+    UpstreamLimits upstreamLimits;
 
     /** Updates what is known of the adapters at an engine. Returns whether @p residency was newer than the stored one. */
     bool updateResidency(const EngineResidency &residency, Time now)
@@ -63,11 +62,22 @@
         const RoutedService *spec = routes != nullptr ? routes->service(service) : nullptr;
         return spec != nullptr && spec->engine ? &*spec->engine : nullptr;
     }
-    /** When this node may send a request to @p upstream, by what the upstream stated in its answers; Time::never() if it may not. */
-    Time nextSendAt(const UpstreamRecord &upstream, Time now)
+    /** When a request may be sent to @p upstream at the earliest, by what the upstream stated in its answers. */
+    Time nextSendAt(const UpstreamRecord &upstream, Time now) const
     {
         return upstreamLimits.nextSendAt(upstream, now);
     }
+    /**
+     * Whether adapters are loaded on engines without a limit, and the copies on engines with a limit do not count. If most engines have
+     * limits, theirs are the only copies.
+     */
+    bool areLimitedEnginesAvoided(const ServiceName &service) const
+    {
+        const auto records = upstreams.usable(service);
+        const auto limited = std::count_if(
+            records.begin(), records.end(), [this](const UpstreamRecord *record) { return upstreamLimits.limit(*record).has_value(); });
+        return limited * 2 <= std::ssize(records);
+    }
     /** The usable engines of @p service in this node's scope; those of all zones if there are none in its scope. */
     std::vector<const UpstreamRecord *> engines(const ServiceName &service) const
     {
--- a/main/entry/teamlimiter.cpp
+++ b/main/entry/creditlimiter.cpp
@@ -1,4 +1,4 @@
-#include "main/entry/teamlimiter.h"
+#include "main/entry/creditlimiter.h"
 
 #include <random>
 #include <utility>
@@ -6,21 +6,17 @@
 namespace ApricotStep
 {
 
-struct TeamLimiter::Private : std::enable_shared_from_this<TeamLimiter::Private>
+struct CreditLimiter::Private : std::enable_shared_from_this<CreditLimiter::Private>
 {
     IoLoop &loop;
-    EntryMetrics &metrics;
-    ClusterState &clusterState;
     Callbacks callbacks;
     CreditClient client;
     CreditIssuer issuer;
     TimerId timer = 0;
     bool isStepping = false;
 
-    Private(IoLoop &loop, EntryMetrics &metrics, ClusterState &clusterState, TeamCreditLimits limits, Callbacks callbacks)
+    Private(IoLoop &loop, TeamCreditLimits limits, Callbacks callbacks)
         : loop(loop)
-        , metrics(metrics)
-        , clusterState(clusterState)
         , callbacks(std::move(callbacks))
         , client(limits, std::random_device {}(), loop.clock().now())
         , issuer(limits)
@@ -36,7 +32,7 @@
 };
 
 // An answer may come while the queries are being sent, if this node is the issuer; the loop handles it.
-void TeamLimiter::Private::step()
+void CreditLimiter::Private::step()
 {
     if (std::exchange(isStepping, true)) {
         return;
@@ -48,8 +44,8 @@
             callbacks.onDecided(decision.request, decision.admission);
         }
         if (!steps.queries.empty()) {
-            for (const TeamName &team : callbacks.sendQueries(steps.queries)) {
-                client.onIssuerUnknown(team, now());
+            for (const CreditAccount &account : callbacks.sendQueries(steps.queries)) {
+                client.onIssuerUnknown(account, now());
             }
             continue;
         }
@@ -67,16 +63,16 @@
     isStepping = false;
 }
 
-TeamLimiter::TeamLimiter(IoLoop &loop, EntryMetrics &metrics, ClusterState &clusterState, TeamCreditLimits limits, Callbacks callbacks)
-    : d(std::make_shared<Private>(loop, metrics, clusterState, limits, std::move(callbacks)))
+CreditLimiter::CreditLimiter(IoLoop &loop, TeamCreditLimits limits, Callbacks callbacks)
+    : d(std::make_shared<Private>(loop, limits, std::move(callbacks)))
 {
 }
 
-TeamLimiter::~TeamLimiter() = default;
+CreditLimiter::~CreditLimiter() = default;
 
-std::optional<Admission> TeamLimiter::admit(AdmissionId id, const Team &team, double cost)
+std::optional<Admission> CreditLimiter::admit(AdmissionId id, const CreditAccount &account, const TeamLimit &limit, double cost)
 {
-    auto admission = d->client.request(id, team, cost, d->callbacks.fleetSize(), d->now());
+    auto admission = d->client.request(id, account, limit, cost, d->callbacks.fleetSize(), d->now());
     if (!admission) {
         // The caller registers the request only after this function has returned.
         d->loop.after(Duration(0), [weak = std::weak_ptr(d)] {
@@ -88,18 +84,18 @@
     return admission;
 }
 
-void TeamLimiter::cancel(const TeamName &team, AdmissionId id)
+void CreditLimiter::cancel(const CreditAccount &account, AdmissionId id)
 {
-    d->client.cancel(team, id);
+    d->client.cancel(account, id);
 }
 
-void TeamLimiter::giveBack(const TeamName &team, double cost, Time admittedAt)
+void CreditLimiter::giveBack(const CreditAccount &account, double cost, Time admittedAt)
 {
-    d->metrics.teamCredit(team, "returned", cost);
-    d->client.giveBack(team, cost, admittedAt, d->now());
+    d->callbacks.onCredit(account, "returned", cost);
+    d->client.giveBack(account, cost, admittedAt, d->now());
 }
 
-void TeamLimiter::onGrants(const std::vector<CreditGrant> &grants)
+void CreditLimiter::onGrants(const std::vector<CreditGrant> &grants)
 {
     for (const CreditGrant &grant : grants) {
         d->client.onGrant(grant, d->now());
@@ -107,23 +103,23 @@
     d->step();
 }
 
-void TeamLimiter::hold(std::uint64_t shard, FencingToken term)
+void CreditLimiter::hold(std::uint64_t shard, FencingToken term)
 {
     d->issuer.hold(shard, term, d->now());
 }
 
-std::optional<CreditGrant> TeamLimiter::answer(std::uint64_t shard, const NodeId &from, Incarnation incarnation, const CreditQuery &query)
+std::optional<CreditGrant> CreditLimiter::answer(std::uint64_t shard, const NodeId &from, Incarnation incarnation, const CreditQuery &query)
 {
-    const Team *team = d->clusterState.routes != nullptr ? d->clusterState.routes->team(query.team) : nullptr;
-    if (team == nullptr) {
+    const auto known = d->callbacks.limitOf(query.account);
+    if (!known) {
         return std::nullopt;
     }
-    if (!team->limit) {
-        return CreditGrant { query.team, query.sequence, query.needed, Duration(0) };
+    if (!known->limit) {
+        return CreditGrant { query.account, query.sequence, query.needed, Duration(0) };
     }
-    auto grant = d->issuer.answer(shard, from, incarnation, query, *team->limit, d->now());
+    auto grant = d->issuer.answer(shard, from, incarnation, query, *known->limit, d->now());
     if (grant) {
-        d->metrics.teamCredit(query.team, "issued", grant->amount);
+        d->callbacks.onCredit(query.account, "issued", grant->amount);
     }
     return grant;
 }
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -103,7 +103,6 @@
     void answerMetrics(const HttpRequest &request, HttpExchange &exchange) const;
     void checkConnections();
     void updateStoreReading();
-    void updateLimitSharing();
     void checkSignals();
     void beginDrain();
     void checkDrained();
@@ -147,11 +146,11 @@
     fleetCallbacks.storeReadState = [this] { return StoreReadState { store->revision(), store->isReading() }; };
     fleetCallbacks.onPeerReadFurther = [this] { updateStoreReading(); };
     fleetCallbacks.onResidencyChanged = [this] { forwarder->onClusterStateChanged(); };
-    fleetCallbacks.onShardHeld = [this](std::uint64_t shard, FencingToken term) { forwarder->teamLimiter().hold(shard, term); };
+    fleetCallbacks.onShardHeld = [this](std::uint64_t shard, FencingToken term) { forwarder->holdCreditShard(shard, term); };
     fleetCallbacks.onCreditQuery = [this](std::uint64_t shard, const NodeId &from, Incarnation incarnation, const CreditQuery &query) {
-        return forwarder->teamLimiter().answer(shard, from, incarnation, query);
+        return forwarder->answerCreditQuery(shard, from, incarnation, query);
     };
-    fleetCallbacks.onCreditGrants = [this](const std::vector<CreditGrant> &grants) { forwarder->teamLimiter().onGrants(grants); };
+    fleetCallbacks.onCreditGrants = [this](const std::vector<CreditGrant> &grants) { forwarder->onCreditGrants(grants); };
     fleetCallbacks.onUpstreamLimits = [this](const NodeId &peer, const std::vector<UpstreamLimitStatement> &statements) {
         UpstreamStatements(log, metrics, clusterState).onPeerLimits(peer, statements, clock.now());
     };
@@ -355,29 +354,9 @@
     }
 }
 
-// A node that does not know the fleet, or is cut off from most of it, could take more than its share of the upstreams' limits.
-void EntryNode::Private::updateLimitSharing()
-{
-    if (!fleet->fleetSize()) {
-        clusterState.upstreamLimits.setNodes(settings.node, {}, clock.now());
-        return;
-    }
-    if (!fleet->ordersIn()) {
-        return;
-    }
-    std::vector<UpstreamLimits::Node> nodes { { settings.node, clusterState.engineScope, forwarder->requestRate() } };
-    for (const Peer *peer : fleet->alive()) {
-        if (peer->isReady && !peer->isLeaving) {
-            nodes.push_back(UpstreamLimits::Node { peer->id, peer->scope, peer->requestRate });
-        }
-    }
-    clusterState.upstreamLimits.setNodes(settings.node, nodes, clock.now());
-}
-
 void EntryNode::Private::checkConnections()
 {
     updateStoreReading();
-    updateLimitSharing();
     for (const auto &server : servers) {
         server->checkConnections();
     }
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -129,12 +129,12 @@
     std::vector<UpstreamLoad> engineLoads();
     void sendUsesOutOfScope(const FleetMessage &message);
     void sendPendingAdapters();
-    EngineShard creditShard(const TeamName &team) const
+    EngineShard creditShard(const CreditAccount &account) const
     {
-        return EngineShard(stableHash(team.value()) % shards.count());
+        return EngineShard(stableHash(account.name) % shards.count());
     }
     std::vector<CreditGrant> answerCreditQueries(const NodeId &from, Incarnation incarnation, const std::vector<CreditQuery> &queries);
-    std::vector<TeamName> sendCreditQueries(const std::vector<CreditQuery> &queries);
+    std::vector<CreditAccount> sendCreditQueries(const std::vector<CreditQuery> &queries);
     std::set<std::string> unconfirmedAddresses() const;
     void sendToAll(const FleetMessage &message);
     void sendLoad(const FleetMessage &message, MessageUrgency urgency);
@@ -338,7 +338,7 @@
 {
     std::vector<CreditGrant> grants;
     for (const CreditQuery &query : queries) {
-        const EngineShard shard = creditShard(query.team);
+        const EngineShard shard = creditShard(query.account);
         const OrderLease &lease = leases[shard.value()];
         if (!lease.isHolder(now())) {
             continue;
@@ -351,14 +351,14 @@
     return grants;
 }
 
-std::vector<TeamName> FleetLink::Private::sendCreditQueries(const std::vector<CreditQuery> &queries)
+std::vector<CreditAccount> FleetLink::Private::sendCreditQueries(const std::vector<CreditQuery> &queries)
 {
     readClock();
     std::map<NodeId, std::vector<CreditQuery>> byHolder;
     for (const CreditQuery &query : queries) {
-        byHolder[leases[creditShard(query.team).value()].holder(now())].push_back(query);
+        byHolder[leases[creditShard(query.account).value()].holder(now())].push_back(query);
     }
-    std::vector<TeamName> withoutHolder;
+    std::vector<CreditAccount> withoutHolder;
     for (const auto &[holder, asked] : byHolder) {
         if (holder == identity.id) {
             callbacks.onCreditGrants(answerCreditQueries(identity.id, identity.incarnation, asked));
@@ -367,12 +367,14 @@
         const auto at = peers.find(holder);
         if (at == peers.end()) {
             for (const CreditQuery &query : asked) {
-                withoutHolder.push_back(query.team);
+                withoutHolder.push_back(query.account);
             }
             continue;
         }
         FleetMessage message = baseMessage();
         message.creditQueries = asked;
+        // The holder may not know a limit yet that an upstream has just stated.
+        message.upstreamLimits = clusterState.upstreamLimits.statements(now());
         socket->send(at->second.peerAddress, encodeFleetMessage(message));
     }
     return withoutHolder;
@@ -584,6 +586,9 @@
         }
         socket->send(message.peerAddress, encodeFleetMessage(answer));
     }
+    if (!message.upstreamLimits.empty()) {
+        callbacks.onUpstreamLimits(message.sender, message.upstreamLimits);
+    }
     if (!message.creditQueries.empty()) {
         FleetMessage answer = baseMessage();
         answer.creditGrants = answerCreditQueries(message.sender, message.incarnation, message.creditQueries);
@@ -607,9 +612,6 @@
             clusterState.loadEstimator.onOtherScope(message.scope, *message.store, now());
         }
     }
-    if (!message.upstreamLimits.empty()) {
-        callbacks.onUpstreamLimits(message.sender, message.upstreamLimits);
-    }
     bool isNewer = false;
     for (const EngineResidency &residency : message.residencies) {
         isNewer = clusterState.updateResidency(residency, now()) || isNewer;
@@ -710,7 +712,7 @@
     });
 }
 
-std::vector<TeamName> FleetLink::sendCreditQueries(const std::vector<CreditQuery> &queries)
+std::vector<CreditAccount> FleetLink::sendCreditQueries(const std::vector<CreditQuery> &queries)
 {
     return d->sendCreditQueries(queries);
 }
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -96,7 +96,7 @@
         std::function<void()> onResidencyChanged;
         /** This node holds the lease of a shard; called repeatedly. */
         std::function<void(std::uint64_t shard, FencingToken term)> onShardHeld;
-        /** Returns the answer to a query for a team of a shard whose lease this node holds. */
+        /** Returns the answer to a query for an account of a shard whose lease this node holds. */
         std::function<std::optional<CreditGrant>(std::uint64_t shard, const NodeId &, Incarnation, const CreditQuery &)> onCreditQuery;
         std::function<void(const std::vector<CreditGrant> &)> onCreditGrants;
         /** A peer repeats what upstreams stated in answers to it. */
@@ -115,8 +115,8 @@
     void leave();
     /** Sends this node's pending adapters to the lease holders without waiting for the next heartbeat. */
     void sendPendingAdapters();
-    /** Sends queries to the lease holders of their teams' shards. Returns the teams without a known holder. */
-    std::vector<TeamName> sendCreditQueries(const std::vector<CreditQuery> &queries);
+    /** Sends queries to the lease holders of their accounts' shards. Returns the accounts without a known holder. */
+    std::vector<CreditAccount> sendCreditQueries(const std::vector<CreditQuery> &queries);
     /** Stores the residencies of engines that this node gives orders to, and sends them to all nodes that use these engines. */
     void announce(const std::vector<EngineResidency> &residencies);
 
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -160,18 +160,16 @@
         if (!service.engine) {
             continue;
         }
-        const auto usable = clusterState.upstreams.usable(service.name);
-        const auto isLimited = [this](const UpstreamRecord *record) { return clusterState.upstreamLimits.limit(*record).has_value(); };
-        // Callers find no copy at an engine that most nodes must not send to. If most engines have limits, their copies are the only ones.
-        const bool areLimitedAvoided = std::count_if(usable.begin(), usable.end(), isLimited) * 2 <= std::ssize(usable);
-        for (const UpstreamRecord *record : usable) {
+        const bool areLimitedAvoided = clusterState.areLimitedEnginesAvoided(service.name);
+        for (const UpstreamRecord *record : clusterState.upstreams.usable(service.name)) {
             const EngineShard owner = fleet.shards().shardOf(*record);
             if (!fleet.arePlannedTogether(owner, shard)) {
                 continue;
             }
             const FleetLoad load = clusterState.loadTracker.load(record->id, now());
             const bool hasHolder = hasActiveHolder[owner.value()];
-            const double share = areLimitedAvoided && isLimited(record) ? 0 : clusterState.outliers.share(record->id, now());
+            const bool isAvoided = areLimitedAvoided && clusterState.upstreamLimits.limit(*record);
+            const double share = isAvoided ? 0 : clusterState.outliers.share(record->id, now());
             result.push_back(PlannedEngine { record, &*service.engine, load.running, load.pendingTokens, share, owner == shard, hasHolder,
                 clusterState.outliers.isReachable(record->id, now()) });
         }
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -72,7 +72,10 @@
     std::map<AdmissionId, std::shared_ptr<PendingRequest>> pendingRequests;
     std::uint64_t lastAdmission = 0;
     RateMeter arrivals { ArrivalRateMemory };
-    TeamLimiter limiter;
+    CreditLimiter limiter;
+    CreditLimiter upstreamLimiter;
+    /** Jobs that wait for a part of an upstream's limit. */
+    std::map<AdmissionId, std::weak_ptr<RequestJob>> reservingJobs;
 
     Private(IoLoop &loop, EventLog &log, EntryMetrics &metrics, ClusterState &clusterState, ForwarderSettings settings,
         ForwarderCallbacks callbacks)
@@ -83,7 +86,8 @@
         , m_statements(log, metrics, clusterState)
         , m_settings(std::move(settings))
         , m_callbacks(std::move(callbacks))
-        , limiter(loop, metrics, clusterState, m_settings.teamCredit, limiterCallbacks())
+        , limiter(loop, m_settings.teamCredit, teamLimiterCallbacks())
+        , upstreamLimiter(loop, m_settings.upstreamCredit, upstreamLimiterCallbacks())
     {
     }
 
@@ -126,7 +130,12 @@
     void reportCrowded(const AdapterRef &adapter) override;
     void onEnded(std::uint64_t job) override;
 
-    TeamLimiter::Callbacks limiterCallbacks();
+    CreditLimiter::Callbacks limiterCallbacks() const;
+    CreditLimiter::Callbacks teamLimiterCallbacks();
+    CreditLimiter::Callbacks upstreamLimiterCallbacks();
+    std::optional<Admission> reserve(const UpstreamRecord &upstream, const std::shared_ptr<RequestJob> &job, AdmissionId &id) override;
+    void cancelReservation(const UpstreamRecord &upstream, AdmissionId id) override;
+    void returnReservation(const UpstreamRecord &upstream, Time reservedAt) override;
     void admit(const std::shared_ptr<PendingRequest> &pending);
     void onDecided(const std::shared_ptr<PendingRequest> &pending, const Admission &admission);
     void startJob(PendingRequest &pending, Time admittedAt);
@@ -230,11 +239,25 @@
             { "configAgeMs", (m_loop.clock().now() - m_clusterState.routesKnownAt).milliseconds() } });
 }
 
-TeamLimiter::Callbacks RequestForwarder::Private::limiterCallbacks()
+CreditLimiter::Callbacks RequestForwarder::Private::limiterCallbacks() const
 {
-    TeamLimiter::Callbacks result;
+    CreditLimiter::Callbacks result;
     result.sendQueries = [this](const std::vector<CreditQuery> &queries) { return m_callbacks.sendCreditQueries(queries); };
     result.fleetSize = [this] { return m_callbacks.fleetSize(); };
+    result.onCredit = [](const CreditAccount &, std::string_view, double) {};
+    return result;
+}
+
+CreditLimiter::Callbacks RequestForwarder::Private::teamLimiterCallbacks()
+{
+    CreditLimiter::Callbacks result = limiterCallbacks();
+    result.limitOf = [this](const CreditAccount &account) {
+        const Team *team = m_clusterState.routes != nullptr ? m_clusterState.routes->team(TeamName(account.name)) : nullptr;
+        return team != nullptr ? std::optional(AccountLimit { team->limit }) : std::nullopt;
+    };
+    result.onCredit = [this](const CreditAccount &account, std::string_view what, double amount) {
+        m_metrics.teamCredit(TeamName(account.name), what, amount);
+    };
     result.onDecided = [this](AdmissionId id, const Admission &admission) {
         const auto at = pendingRequests.find(id);
         if (at != pendingRequests.end()) {
@@ -246,6 +269,52 @@
     return result;
 }
 
+CreditLimiter::Callbacks RequestForwarder::Private::upstreamLimiterCallbacks()
+{
+    CreditLimiter::Callbacks result = limiterCallbacks();
+    result.limitOf = [this](const CreditAccount &account) {
+        const auto limit = m_clusterState.upstreamLimits.limit(UpstreamId(account.name), account.startedAt);
+        return std::optional(AccountLimit { limit ? std::optional(upstreamCreditLimit(*limit)) : std::nullopt });
+    };
+    result.onDecided = [this](AdmissionId id, const Admission &admission) {
+        const auto at = reservingJobs.find(id);
+        if (at != reservingJobs.end()) {
+            const auto job = at->second.lock();
+            reservingJobs.erase(at);
+            if (job != nullptr) {
+                job->onReserved(admission);
+            }
+        }
+    };
+    return result;
+}
+
+std::optional<Admission> RequestForwarder::Private::reserve(
+    const UpstreamRecord &upstream, const std::shared_ptr<RequestJob> &job, AdmissionId &id)
+{
+    const auto limit = m_clusterState.upstreamLimits.limit(upstream);
+    if (!limit) {
+        return Admitted {};
+    }
+    id = AdmissionId(++lastAdmission);
+    const auto admission = upstreamLimiter.admit(id, accountOf(upstream.id, upstream.startedAt), upstreamCreditLimit(*limit), 1);
+    if (!admission) {
+        reservingJobs.emplace(id, job);
+    }
+    return admission;
+}
+
+void RequestForwarder::Private::cancelReservation(const UpstreamRecord &upstream, AdmissionId id)
+{
+    reservingJobs.erase(id);
+    upstreamLimiter.cancel(accountOf(upstream.id, upstream.startedAt), id);
+}
+
+void RequestForwarder::Private::returnReservation(const UpstreamRecord &upstream, Time reservedAt)
+{
+    upstreamLimiter.giveBack(accountOf(upstream.id, upstream.startedAt), 1, reservedAt);
+}
+
 // Decides first whether the request is within its team's limit, so that none that is not takes a place in a queue, a load or a connection.
 void RequestForwarder::Private::admit(const std::shared_ptr<PendingRequest> &pending)
 {
@@ -255,14 +324,14 @@
     }
     pending->cost = requestCost(*pending->team->limit, pending->decoded.tokens);
     const AdmissionId id(++lastAdmission);
-    if (const auto admission = limiter.admit(id, *pending->team, pending->cost)) {
+    if (const auto admission = limiter.admit(id, accountOf(pending->team->name), *pending->team->limit, pending->cost)) {
         onDecided(pending, *admission);
         return;
     }
     pendingRequests.emplace(id, pending);
     pending->exchange->onCallerGone([weak = weak_from_this(), id, team = pending->team->name] {
         if (const auto self = weak.lock()) {
-            self->limiter.cancel(team, id);
+            self->limiter.cancel(accountOf(team), id);
             self->pendingRequests.erase(id);
         }
     });
@@ -309,7 +378,7 @@
 
 void RequestForwarder::Private::giveBackCredit(const Team &team, double cost, Time admittedAt)
 {
-    limiter.giveBack(team.name, cost, admittedAt);
+    limiter.giveBack(accountOf(team.name), cost, admittedAt);
 }
 
 RequestForwarder::RequestForwarder(IoLoop &loop, EventLog &log, EntryMetrics &metrics, ClusterState &clusterState,
@@ -411,9 +480,26 @@
     return d->arrivals.rate(d->m_loop.now());
 }
 
-TeamLimiter &RequestForwarder::teamLimiter()
+void RequestForwarder::holdCreditShard(std::uint64_t shard, FencingToken term)
+{
+    d->limiter.hold(shard, term);
+    d->upstreamLimiter.hold(shard, term);
+}
+
+std::optional<CreditGrant> RequestForwarder::answerCreditQuery(
+    std::uint64_t shard, const NodeId &from, Incarnation incarnation, const CreditQuery &query)
+{
+    CreditLimiter &limiter = query.account.kind == CreditAccount::Kind::Upstream ? d->upstreamLimiter : d->limiter;
+    return limiter.answer(shard, from, incarnation, query);
+}
+
+void RequestForwarder::onCreditGrants(const std::vector<CreditGrant> &grants)
 {
-    return d->limiter;
+    const auto isOfTeam = [](const CreditGrant &grant) { return grant.account.kind == CreditAccount::Kind::Team; };
+    std::vector<CreditGrant> sorted = grants;
+    const auto firstOfUpstream = std::stable_partition(sorted.begin(), sorted.end(), isOfTeam);
+    d->limiter.onGrants({ sorted.begin(), firstOfUpstream });
+    d->upstreamLimiter.onGrants({ firstOfUpstream, sorted.end() });
 }
 
 } // namespace ApricotStep
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -4,9 +4,9 @@
 #include "coordination/revocationbound.h"
 #include "core/errors.h"
 #include "main/entry/clusterstate.h"
+#include "main/entry/creditlimiter.h"
 #include "main/entry/entrymetrics.h"
 #include "main/entry/eventlog.h"
-#include "main/entry/teamlimiter.h"
 #include "main/entry/upstreamstatements.h"
 #include "transport/ioloop.h"
 
@@ -33,6 +33,8 @@
     Duration adapterVersionBound = Duration::seconds(5);
     RevocationBound revocationBound { std::nullopt };
     TeamCreditLimits teamCredit;
+    /** How the fleet keeps the limits that upstreams state for their requests. */
+    TeamCreditLimits upstreamCredit = upstreamCreditLimits();
 };
 
 /** Callbacks from the forwarder into the rest of the node. */
@@ -52,8 +54,8 @@
     std::function<bool()> canOthersAcceptKeys;
     /** Returns the size of the fleet; empty if this node does not know it. */
     std::function<std::optional<int>()> fleetSize;
-    /** Sends queries to the nodes that issue the credit of their teams. Returns the teams for which no such node is known. */
-    std::function<std::vector<TeamName>(const std::vector<CreditQuery> &)> sendCreditQueries;
+    /** Sends queries to the nodes that issue the credit of their accounts. Returns the accounts for which no such node is known. */
+    std::function<std::vector<CreditAccount>(const std::vector<CreditQuery> &)> sendCreditQueries;
 };
 
 /** Forwards each caller's request unchanged to an upstream of its route, and the answer back to the caller. */
@@ -75,7 +77,12 @@
     int activeCount() const;
     /** Requests per second that this node receives. */
     double requestRate() const;
-    TeamLimiter &teamLimiter();
+    /** This node holds the lease of the shard; to be called when it gets the lease, and repeatedly while it holds it. */
+    void holdCreditShard(std::uint64_t shard, FencingToken term);
+    /** Answers a query for an account of @p shard, whose lease this node holds now. Returns nothing if there is no answer. */
+    std::optional<CreditGrant> answerCreditQuery(
+        std::uint64_t shard, const NodeId &from, Incarnation incarnation, const CreditQuery &query);
+    void onCreditGrants(const std::vector<CreditGrant> &grants);
 
     struct Private;
 
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -44,6 +44,10 @@
 // Time from the order to load an adapter until the first event, in fetch times: the load itself, the wait behind other loads, and the
 // reading of a long prompt.
 constexpr double LoadAndAnswerInFetches = 2.8;
+// Shorter waits end before a caller can be back.
+constexpr Duration MinRetryAfter { 50 };
+// A node that was refused a part of an upstream's limit asks again after this time at most: others may leave their parts unused.
+constexpr Duration MaxRefusalTime { 500 };
 constexpr int OkStatus = 200;
 constexpr int FirstErrorStatus = 300;
 // Statuses that tell the caller that its request was not run. Only this node may decide that, so they are not forwarded from an upstream.
@@ -212,10 +216,7 @@
 
 Duration RequestJob::retryAfterRefusal() const
 {
-    if (!m_withheldUntil) {
-        return RetryAfterRefusal;
-    }
-    return *m_withheldUntil == Time::never() ? RetryAfterIsolated : std::max(*m_withheldUntil - now(), RetryAfterIsolated);
+    return m_withheldUntil ? std::max(*m_withheldUntil - now(), MinRetryAfter) : RetryAfterRefusal;
 }
 
 bool RequestJob::isVersionUsable(const AdapterVersion &version) const
@@ -288,16 +289,13 @@
 }
 
 // Returns whether waiting can help, since the adapter may be loaded on some engine meanwhile.
-bool RequestJob::canWaitForAdapter()
+bool RequestJob::canWaitForAdapter() const
 {
-    ClusterState &clusterState = m_context.clusterState();
-    if (!needsAdapter() || clusterState.engineSpec(m_service) == nullptr) {
-        return false;
-    }
-    const auto engines = clusterState.upstreams.usable(m_service);
-    return std::any_of(engines.begin(), engines.end(), [this, &clusterState](const UpstreamRecord *engine) {
-        return clusterState.nextSendAt(*engine, now()) <= now() + RetryAfterRefusal;
-    });
+    const ClusterState &clusterState = m_context.clusterState();
+    // Nobody loads the adapter elsewhere if the copies on engines with limits count.
+    const bool isLoadedElsewhere = !m_withheldUntil || clusterState.areLimitedEnginesAvoided(m_service);
+    return needsAdapter() && isLoadedElsewhere && !clusterState.upstreams.usable(m_service).empty()
+        && clusterState.engineSpec(m_service) != nullptr;
 }
 
 void RequestJob::tryNext()
@@ -388,27 +386,64 @@
 void RequestJob::send(const UpstreamRecord &record, const AdapterVersion &version)
 {
     m_context.loop().cancel(m_waitTimer);
+    m_upstream = record;
+    m_version = version;
+    m_reservedAt.reset();
+    if (!m_context.clusterState().upstreamLimits.limit(record)) {
+        dispatch();
+        return;
+    }
+    m_phase = Phase::Reserving;
+    if (const auto admission = m_context.reserve(record, shared_from_this(), m_reservation)) {
+        onReserved(*admission);
+    }
+}
+
+void RequestJob::onReserved(const Admission &admission)
+{
+    if (m_phase != Phase::Reserving) {
+        return;
+    }
+    const Time current = m_context.loop().clock().now();
+    if (std::holds_alternative<Admitted>(admission)) {
+        m_reservedAt = current;
+        dispatch();
+        return;
+    }
+    const auto *beyondLimit = std::get_if<BeyondLimit>(&admission);
+    const Duration refusalTime = beyondLimit != nullptr ? std::min(beyondLimit->retryAfter, MaxRefusalTime) : MaxRefusalTime;
+    m_context.clusterState().upstreamLimits.onRefused(m_upstream, current + refusalTime);
+    tryNext();
+}
+
+void RequestJob::returnReservation()
+{
+    if (m_reservedAt) {
+        m_context.returnReservation(m_upstream, *m_reservedAt);
+        m_reservedAt.reset();
+    }
+}
+
+void RequestJob::dispatch()
+{
     if (m_attemptsSent > 0 && !m_context.takeRetry(m_service)) {
         m_context.log().write(Important, "request", "no_retry_budget", { { "request", m_decoded.id }, { "service", m_service.value() } });
+        returnReservation();
         giveUp(m_executionState == ExecutionState::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed);
         return;
     }
     m_phase = Phase::Sent;
-    m_upstream = record;
-    UpstreamLimits &limits = m_context.clusterState().upstreamLimits;
-    m_hasTakenShare = limits.limit(record) && limits.take(record, now());
-    m_version = version;
     m_answer.reset();
     m_body.clear();
     m_sentAt = now();
     m_isPromptPending = true;
-    m_context.clusterState().loadTracker.onSent(record.id, promptTokens());
+    m_context.clusterState().loadTracker.onSent(m_upstream.id, promptTokens());
     m_context.log().write(RequestStep, "request", "sent",
-        { { "request", m_decoded.id }, { "upstream", record.id.value() }, { "arrival", std::int64_t(m_attemptsSent + 1) },
+        { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "arrival", std::int64_t(m_attemptsSent + 1) },
             { "version", m_version.value() }, { "leftMs", timeLeft().milliseconds() },
             { "waitedMs", (now() - m_arrivedAt).milliseconds() } });
     m_context.metrics().sent(m_route.kind, now() - m_arrivedAt, m_attemptsSent > 0);
-    m_call = m_context.loop().client().start(makeCall(record));
+    m_call = m_context.loop().client().start(makeCall(m_upstream));
 }
 
 HttpCall RequestJob::makeCall(const UpstreamRecord &record)
@@ -459,7 +494,7 @@
 
 // Called right before the first byte is sent. If the process was suspended, its knowledge of the upstream and the deadline may be stale by
 // now.
-bool RequestJob::maySend()
+bool RequestJob::maySend() const
 {
     const UpstreamRecord *record = m_context.clusterState().upstreams.usable(m_upstream.id);
     const Time current = m_context.loop().clock().now();
@@ -468,9 +503,7 @@
         return false;
     }
     // The upstream may have stated its limit since it was chosen.
-    UpstreamLimits &limits = m_context.clusterState().upstreamLimits;
-    m_hasTakenShare = m_hasTakenShare || (limits.limit(*record) && limits.take(*record, current));
-    return m_hasTakenShare || !limits.limit(*record);
+    return m_reservedAt || !m_context.clusterState().upstreamLimits.limit(*record);
 }
 
 bool RequestJob::acceptsHead(int status, const HttpHeaders &headers)
@@ -585,6 +618,7 @@
     }
     switch (result.state) {
     case AttemptState::NotSent:
+        returnReservation();
         m_excluded.insert(m_upstream.id);
         if (result.error != ErrorKind::DeadlinePassed) {
             m_context.clusterState().outliers.onUnreachable(m_upstream.id, now());
@@ -766,8 +800,11 @@
 void RequestJob::end(RequestOutcome outcome, const std::string &reason)
 {
     m_context.metrics().requestEnded(m_route.kind, outcome, now() - m_arrivedAt);
-    const bool wasNeverSent =
-        outcome == RequestOutcome::CallerGone && m_phase == Phase::Waiting && m_executionState == ExecutionState::NotRun;
+    const bool wasNeverSent = outcome == RequestOutcome::CallerGone && m_executionState == ExecutionState::NotRun
+        && (m_phase == Phase::Waiting || m_phase == Phase::Reserving);
+    if (m_phase == Phase::Reserving) {
+        m_context.cancelReservation(m_upstream, m_reservation);
+    }
     if (m_team.cost > 0 && (outcome == RequestOutcome::Refused || wasNeverSent)) {
         m_context.giveBackCredit(*m_team.team, m_team.cost, m_team.admittedAt);
     }
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -14,6 +14,8 @@
 namespace ApricotStep
 {
 
+class RequestJob;
+
 /** Services that the forwarder provides to its jobs. */
 class RequestContext
 {
@@ -34,6 +36,14 @@
     /** Called once per request, when it first reaches its service; adds to the retry budget. */
     virtual void reportFirstArrival(const ServiceName &service) = 0;
     virtual void onEnded(std::uint64_t job) = 0;
+    /**
+     * Reserves a part of the upstream's limit for a request. If the decision takes time, @p id identifies the reservation, and onReserved()
+     * of @p job follows.
+     */
+    virtual std::optional<Admission> reserve(const UpstreamRecord &upstream, const std::shared_ptr<RequestJob> &job, AdmissionId &id) = 0;
+    virtual void cancelReservation(const UpstreamRecord &upstream, AdmissionId id) = 0;
+    /** The request for which a part was reserved at @p reservedAt was not sent. */
+    virtual void returnReservation(const UpstreamRecord &upstream, Time reservedAt) = 0;
     /** A request of @p team that was admitted at @p admittedAt did not run. */
     virtual void giveBackCredit(const Team &team, double cost, Time admittedAt) = 0;
 };
@@ -59,6 +69,8 @@
     void start();
     /** Tries again to choose an upstream; does nothing unless the job is waiting for one. */
     void retryPlacement();
+    /** The reservation of a part of the upstream's limit has been decided. */
+    void onReserved(const Admission &admission);
     /** Returns the adapter that this job runs on or waits for; empty if it needs none. The first call counts the job as new. */
     std::optional<AdapterUse> adapterUse();
     /** Returns the adapter that this job waits for, if any. */
@@ -68,6 +80,8 @@
     enum class Phase {
         /** No upstream can take the request yet. */
         Waiting,
+        /** Waits for a part of the limit of the chosen upstream. */
+        Reserving,
         /** Sent to an upstream that has not answered yet. */
         Sent,
         /** The answer's head was received; its body is being streamed to the caller or buffered. */
@@ -107,11 +121,14 @@
     std::vector<UpstreamOption> outOfScopeOptions();
     /** Sends the request out of scope if that is better than @p inScope, which may be null. Returns whether it did. */
     bool sendOutOfScope(const UpstreamOption *inScope);
-    bool canWaitForAdapter();
+    bool canWaitForAdapter() const;
     std::optional<Duration> retryDelayIfTooLate() const;
+    /** Sends the request to the upstream, once a part of the upstream's limit is reserved if it has one. */
     void send(const UpstreamRecord &record, const AdapterVersion &version);
+    void dispatch();
+    void returnReservation();
     HttpCall makeCall(const UpstreamRecord &record);
-    bool maySend();
+    bool maySend() const;
     bool acceptsHead(int status, const HttpHeaders &headers);
     void onHead();
     bool onData(std::string_view data);
@@ -160,7 +177,7 @@
     bool m_hasWaited = false;
     /** Upstreams that refused or failed the request or could not be reached; not chosen again until the job waits. */
     std::set<UpstreamId> m_excluded;
-    /** When the first of the upstreams that do not accept the request now may get it; unset if there are none. */
+    /** When the first of the upstreams that do not accept the request now may do so; unset if there are none. */
     std::optional<Time> m_withheldUntil;
     bool m_hasBeenWithheld = false;
     TimerId m_deadlineTimer = 0;
@@ -175,8 +192,9 @@
     std::string m_body;
     /** The engine has not read the prompt yet, so the load tracker still counts its tokens as pending. */
     bool m_isPromptPending = false;
-    /** The attempt has used up a part of this node's share of the upstream's limit. */
-    bool m_hasTakenShare = false;
+    AdmissionId m_reservation;
+    /** When a part of the upstream's limit was reserved for the attempt. */
+    std::optional<Time> m_reservedAt;
     Time m_sentAt;
     Time m_lastReceivedAt;
 
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -67,18 +67,22 @@
 }
 
 struct CreditQueryWire {
-    team @0 :Text;
+    account @0 :Text;
     sequence @1 :UInt64;
     needed @2 :Float64;
     cheapest @3 :Float64;
     ahead @4 :Float64;
+    isUpstream @5 :Bool;
+    startedAt @6 :Int64;
 }
 
 struct CreditGrantWire {
-    team @0 :Text;
+    account @0 :Text;
     sequence @1 :UInt64;
     amount @2 :Float64;
     retryAfterMs @3 :Int64;
+    isUpstream @4 :Bool;
+    startedAt @5 :Int64;
 }
 
 struct UpstreamLimitWire {
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -163,7 +163,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ee81ea0e1c05bc2f, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ee81ea0e1c05bc2f, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -178,7 +178,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b10fdd4c43c3373a, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b10fdd4c43c3373a, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1038,8 +1038,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
   inline  ::uint64_t getSequence() const;
 
@@ -1049,6 +1049,10 @@
 
   inline double getAhead() const;
 
+  inline bool getIsUpstream() const;
+
+  inline  ::int64_t getStartedAt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1077,12 +1081,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
@@ -1096,6 +1100,12 @@
   inline double getAhead();
   inline void setAhead(double value);
 
+  inline bool getIsUpstream();
+  inline void setIsUpstream(bool value);
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1139,8 +1149,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
+  inline bool hasAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
   inline  ::uint64_t getSequence() const;
 
@@ -1148,6 +1158,10 @@
 
   inline  ::int64_t getRetryAfterMs() const;
 
+  inline bool getIsUpstream() const;
+
+  inline  ::int64_t getStartedAt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1176,12 +1190,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+  inline bool hasAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
@@ -1192,6 +1206,12 @@
   inline  ::int64_t getRetryAfterMs();
   inline void setRetryAfterMs( ::int64_t value);
 
+  inline bool getIsUpstream();
+  inline void setIsUpstream(bool value);
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2362,36 +2382,36 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CreditQueryWire::Reader::hasTeam() const {
+inline bool CreditQueryWire::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CreditQueryWire::Builder::hasTeam() {
+inline bool CreditQueryWire::Builder::hasAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CreditQueryWire::Reader::getTeam() const {
+inline  ::capnp::Text::Reader CreditQueryWire::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CreditQueryWire::Builder::getTeam() {
+inline  ::capnp::Text::Builder CreditQueryWire::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CreditQueryWire::Builder::setTeam( ::capnp::Text::Reader value) {
+inline void CreditQueryWire::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CreditQueryWire::Builder::initTeam(unsigned int size) {
+inline  ::capnp::Text::Builder CreditQueryWire::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CreditQueryWire::Builder::adoptTeam(
+inline void CreditQueryWire::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CreditQueryWire::Builder::disownTeam() {
+inline ::capnp::Orphan< ::capnp::Text> CreditQueryWire::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
@@ -2452,36 +2472,64 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CreditGrantWire::Reader::hasTeam() const {
+inline bool CreditQueryWire::Reader::getIsUpstream() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+
+inline bool CreditQueryWire::Builder::getIsUpstream() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+}
+inline void CreditQueryWire::Builder::setIsUpstream(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CreditQueryWire::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CreditQueryWire::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void CreditQueryWire::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CreditGrantWire::Reader::hasAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CreditGrantWire::Builder::hasTeam() {
+inline bool CreditGrantWire::Builder::hasAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CreditGrantWire::Reader::getTeam() const {
+inline  ::capnp::Text::Reader CreditGrantWire::Reader::getAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CreditGrantWire::Builder::getTeam() {
+inline  ::capnp::Text::Builder CreditGrantWire::Builder::getAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CreditGrantWire::Builder::setTeam( ::capnp::Text::Reader value) {
+inline void CreditGrantWire::Builder::setAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CreditGrantWire::Builder::initTeam(unsigned int size) {
+inline  ::capnp::Text::Builder CreditGrantWire::Builder::initAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CreditGrantWire::Builder::adoptTeam(
+inline void CreditGrantWire::Builder::adoptAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CreditGrantWire::Builder::disownTeam() {
+inline ::capnp::Orphan< ::capnp::Text> CreditGrantWire::Builder::disownAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
@@ -2528,6 +2576,34 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CreditGrantWire::Reader::getIsUpstream() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool CreditGrantWire::Builder::getIsUpstream() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrantWire::Builder::setIsUpstream(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CreditGrantWire::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CreditGrantWire::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CreditGrantWire::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool UpstreamLimitWire::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -188,12 +188,27 @@
     }
 }
 
+template<typename Builder>
+void encodeAccount(const CreditAccount &account, Builder wire)
+{
+    wire.setAccount(account.name);
+    wire.setIsUpstream(account.kind == CreditAccount::Kind::Upstream);
+    wire.setStartedAt(account.startedAt);
+}
+
+template<typename Reader>
+CreditAccount decodeAccount(Reader wire)
+{
+    const auto kind = wire.getIsUpstream() ? CreditAccount::Kind::Upstream : CreditAccount::Kind::Team;
+    return CreditAccount { kind, textOf(wire.getAccount()), wire.getStartedAt() };
+}
+
 void encodeCredit(const FleetMessage &message, Wire::FleetMessageWire::Builder wire)
 {
     auto queries = wire.initCreditQueries(static_cast<unsigned int>(message.creditQueries.size()));
     for (unsigned int i = 0; i < queries.size(); ++i) {
         const CreditQuery &query = message.creditQueries[i];
-        queries[i].setTeam(query.team.value());
+        encodeAccount(query.account, queries[i]);
         queries[i].setSequence(query.sequence);
         queries[i].setNeeded(query.needed);
         queries[i].setCheapest(query.cheapest);
@@ -202,7 +217,7 @@
     auto grants = wire.initCreditGrants(static_cast<unsigned int>(message.creditGrants.size()));
     for (unsigned int i = 0; i < grants.size(); ++i) {
         const CreditGrant &grant = message.creditGrants[i];
-        grants[i].setTeam(grant.team.value());
+        encodeAccount(grant.account, grants[i]);
         grants[i].setSequence(grant.sequence);
         grants[i].setAmount(grant.amount);
         grants[i].setRetryAfterMs(grant.retryAfter.milliseconds());
@@ -218,12 +233,12 @@
 void decodeCredit(Wire::FleetMessageWire::Reader wire, FleetMessage &message)
 {
     for (const auto query : wire.getCreditQueries()) {
-        message.creditQueries.push_back(CreditQuery { TeamName(textOf(query.getTeam())), query.getSequence(),
-            decodeAmount(query.getNeeded()), decodeAmount(query.getCheapest()), decodeAmount(query.getAhead()) });
+        message.creditQueries.push_back(CreditQuery { decodeAccount(query), query.getSequence(), decodeAmount(query.getNeeded()),
+            decodeAmount(query.getCheapest()), decodeAmount(query.getAhead()) });
     }
     for (const auto grant : wire.getCreditGrants()) {
-        message.creditGrants.push_back(CreditGrant { TeamName(textOf(grant.getTeam())), grant.getSequence(),
-            decodeAmount(grant.getAmount()), Duration(std::clamp<std::int64_t>(grant.getRetryAfterMs(), 0, MaxInterval.milliseconds())) });
+        message.creditGrants.push_back(CreditGrant { decodeAccount(grant), grant.getSequence(), decodeAmount(grant.getAmount()),
+            Duration(std::clamp<std::int64_t>(grant.getRetryAfterMs(), 0, MaxInterval.milliseconds())) });
     }
 }
 
