Read the rest that an upstream asks for in a refusal, and log it

Of the hypotheses on the upstream that asks for rest and gets more requests, logs could not tell whether nodes read the Retry-After of its 503. A node now logs and counts such refusals; what it sends stays as it was.

--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -7,6 +7,7 @@
 #include "coordination/upstreamdirectory.h"
 #include "coordination/upstreamlimits.h"
 #include "coordination/upstreamloadtracker.h"
+#include "coordination/upstreamrests.h"
 #include "core/clock.h"
 #include "state/routetable.h"
 
@@ -42,6 +43,7 @@
     OutlierDetector outliers { OutlierLimits {} };
     OutOfScopeEngines outOfScope { OutOfScopeLimits {} };
     UpstreamLimits upstreamLimits;
+    UpstreamRests upstreamRests;
 
     /** Updates what is known of the adapters at an engine. Returns whether @p residency was newer than the stored one. */
     bool updateResidency(const EngineResidency &residency, Time now)
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -61,6 +61,11 @@
             .Name("apricotstep_entry_upstream_limits_total")
             .Help("Limits on their requests that upstreams named or changed, and lifted.")
             .Register(registry);
+    prometheus::Counter &upstreamRests = prometheus::BuildCounter()
+                                             .Name("apricotstep_entry_upstream_rests_total")
+                                             .Help("Refusals with which upstreams asked this node for a time without requests.")
+                                             .Register(registry)
+                                             .Add({});
     prometheus::Counter &withheldRequests = prometheus::BuildCounter()
                                                 .Name("apricotstep_entry_withheld_total")
                                                 .Help("Requests that an upstream did not get because of what it stated in its answers.")
@@ -169,6 +174,11 @@
     d->upstreamLimits.Add({ { "change", isLimited ? "named" : "lifted" } }).Increment();
 }
 
+void EntryMetrics::upstreamRests()
+{
+    d->upstreamRests.Increment();
+}
+
 void EntryMetrics::withheld()
 {
     d->withheldRequests.Increment();
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -65,6 +65,8 @@
     void upstreamFailed(std::string_view what);
     /** Counts a limit on its requests that an upstream names, changes or lifts. */
     void upstreamLimitChanged(bool isLimited);
+    /** Counts an upstream that wants no requests from this node for some time. */
+    void upstreamRests();
     /** Counts a request that an upstream does not get, or gets later, because of what the upstream stated. */
     void withheld();
     /** Counts a request that is refused because of its key. @p reason comes from a fixed list, since each value creates a time series. */
--- a/main/entry/upstreamstatements.cpp
+++ b/main/entry/upstreamstatements.cpp
@@ -24,6 +24,10 @@
     if (statesLimit && m_clusterState.upstreamLimits.onAnswer(upstream, answer.requestLimit, sentAt, now)) {
         reportLimit(upstream.id, answer.requestLimit, "answer");
     }
+    if (answer.retryAfter > Duration(0) && m_clusterState.upstreamRests.onRefusal(upstream, now + answer.retryAfter, now)) {
+        m_metrics.upstreamRests();
+        m_log.write(Important, "upstream", "rests", { { "upstream", upstream.id.value() }, { "forMs", answer.retryAfter.milliseconds() } });
+    }
 }
 
 void UpstreamStatements::onPeerLimits(const NodeId &peer, const std::vector<UpstreamLimitStatement> &statements, Time now)
--- a/tests/main/testmetrics.cpp
+++ b/tests/main/testmetrics.cpp
@@ -88,6 +88,7 @@
     entry.upstreamFailed("broken");
     entry.upstreamLimitChanged(true);
     entry.withheld();
+    entry.upstreamRests();
     entry.order("done");
     entry.keyRefused("unauthenticated");
     entry.teamRequest(TeamName("t"), "admitted");
--- a/tests/platform/testrequests.cpp
+++ b/tests/platform/testrequests.cpp
@@ -115,6 +115,20 @@
     cr_assert_not(decodeUpstreamAnswer(200, {}).requestLimit);
 }
 
+// Guards against an unreadable time of rest, which must neither fail the answer nor keep the upstream without work for good.
+Test(requests, restThatAnUpstreamAsksForIsDecoded)
+{
+    const auto restOf = [](int status, const std::string &text) {
+        return decodeUpstreamAnswer(status, { { "retry-after", text } }).retryAfter;
+    };
+    cr_assert(restOf(503, "3") == Duration(3000) && restOf(503, "0.25") == Duration(250));
+    for (const char *none : { "", "soon", "-1", "0", "nan" }) {
+        cr_assert(restOf(503, none) == Duration(0), "%s", none);
+    }
+    cr_assert(restOf(503, "1e300") <= Duration::seconds(86'400));
+    cr_assert(restOf(200, "3") == Duration(0));
+}
+
 Test(requests, callersKeyIsDecoded)
 {
     const auto keyOf = [](HttpHeaders headers) { return decodeCallerRequest(requestWith(std::move(headers))).key; };
