--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -438,6 +438,27 @@
     cr_assert(std::all_of(callers.begin(), callers.end(), [](const auto &caller) { return caller->status() == 200; }));
 }
 
+// Guards against an upstream that asks this node for rest and gets the next requests, or the same one again.
+Test(knownred, upstreamAtRestGetsNoRequests)
+{
+    const ScriptedUpstream tired([](const std::string &) {
+        return ScriptedAnswer {
+            "HTTP/1.1 503 No\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Not-Run: 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n"
+        };
+    });
+    const ScriptedUpstream other([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Idempotent, 1);
+    fixture.addUpstream("tired", tired);
+    const auto refused = sendSteadily(fixture, 10, Duration(25));
+    cr_assert_eq(tired.requests().size(), 1);
+    cr_assert(std::all_of(refused.begin(), refused.end(), [](const auto &caller) { return caller->status() == 503; }));
+    fixture.addUpstream("other", other);
+    const auto served = sendSteadily(fixture, 20, Duration(25));
+    cr_assert_eq(tired.requests().size(), 1);
+    cr_assert(std::all_of(served.begin(), served.end(), [](const auto &caller) { return caller->status() == 200; }));
+}
+
 namespace
 {
 
