Keep the rest that an upstream asks for

An upstream that had asked a node for three seconds without requests got three and more from it in that time.

Cause: a node remembered a refusal for the refused request only, and dropped even that when the request waited for a copy of its adapter; Retry-After in the answer was read nowhere.

Now the node keeps the end of the rest by upstream and start. Every way there asks for it: the choice of an upstream in and out of scope, retries, resumed and waiting requests, the moment before the first byte leaves, orders and reports of a lease holder. Peers are told of the rest, so that the holder loads the adapter elsewhere. Requests that no upstream may get are refused at once.

Test upstreamAtRestGetsNoRequests: ten of ten requests reached the upstream before, none now.

--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -2,6 +2,7 @@
 
 #include "coordination/teamcredit.h"
 #include "coordination/upstreamlimits.h"
+#include "coordination/upstreamrests.h"
 #include "core/clock.h"
 #include "core/strongid.h"
 
@@ -183,6 +184,8 @@
     std::vector<CreditGrant> creditGrants;
     /** What upstreams lately stated in answers to the sender. */
     std::vector<UpstreamLimitStatement> upstreamLimits;
+    /** The rests that upstreams asked the sender for. */
+    std::vector<UpstreamRest> upstreamRests;
 };
 
 } // namespace ApricotStep
--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -67,18 +67,23 @@
     /** When a request may be sent to @p upstream at the earliest, by what the upstream stated in its answers. */
     Time nextSendAt(const UpstreamRecord &upstream, Time now) const
     {
-        return upstreamLimits.nextSendAt(upstream, now);
+        return std::max(upstreamLimits.nextSendAt(upstream, now), upstreamRests.restsUntil(upstream));
+    }
+    /** Whether the upstream has stated that it is in need: it limits its requests or has asked a node for rest. */
+    bool isInNeed(const UpstreamRecord &upstream, Time now) const
+    {
+        return upstreamLimits.limit(upstream) || upstreamRests.isStrained(upstream, now);
     }
     /**
-     * Whether adapters are loaded on engines without a limit, and the copies on engines with a limit do not count. If most engines have
-     * limits, theirs are the only copies.
+     * Whether adapters are loaded on engines that are not in need, and the copies on those in need do not count. If most engines are in
+     * need, theirs are the only copies.
      */
-    bool areLimitedEnginesAvoided(const ServiceName &service) const
+    bool areEnginesInNeedAvoided(const ServiceName &service, Time now) const
     {
         const auto records = upstreams.usable(service);
-        const auto limited = std::count_if(
-            records.begin(), records.end(), [this](const UpstreamRecord *record) { return upstreamLimits.limit(*record).has_value(); });
-        return limited * 2 <= std::ssize(records);
+        const auto inNeed =
+            std::count_if(records.begin(), records.end(), [this, now](const UpstreamRecord *record) { return isInNeed(*record, now); });
+        return inNeed * 2 <= std::ssize(records);
     }
     /** The usable engines of @p service in this node's scope; those of all zones if there are none in its scope. */
     std::vector<const UpstreamRecord *> engines(const ServiceName &service) const
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -194,6 +194,7 @@
     message.uses = std::move(loadReport.uses);
     message.store = clusterState.loadEstimator.view();
     message.upstreamLimits = clusterState.upstreamLimits.statements(now());
+    message.upstreamRests = clusterState.upstreamRests.own(now());
     return message;
 }
 
@@ -586,6 +587,7 @@
         }
         socket->send(message.peerAddress, encodeFleetMessage(answer));
     }
+    clusterState.upstreamRests.onPeerRests(message.upstreamRests, now());
     if (!message.upstreamLimits.empty()) {
         callbacks.onUpstreamLimits(message.sender, message.upstreamLimits);
     }
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -89,6 +89,11 @@
     {
         return loop.now();
     }
+    /** Whether the engine wants nothing from this node now. */
+    bool isAtRest(const UpstreamRecord &record) const
+    {
+        return now() < clusterState.upstreamRests.restsUntil(record);
+    }
     void tick();
     void decide();
     void decideSoon();
@@ -160,7 +165,7 @@
         if (!service.engine) {
             continue;
         }
-        const bool areLimitedAvoided = clusterState.areLimitedEnginesAvoided(service.name);
+        const bool areInNeedAvoided = clusterState.areEnginesInNeedAvoided(service.name, now());
         for (const UpstreamRecord *record : clusterState.upstreams.usable(service.name)) {
             const EngineShard owner = fleet.shards().shardOf(*record);
             if (!fleet.arePlannedTogether(owner, shard)) {
@@ -168,7 +173,7 @@
             }
             const FleetLoad load = clusterState.loadTracker.load(record->id, now());
             const bool hasHolder = hasActiveHolder[owner.value()];
-            const bool isAvoided = areLimitedAvoided && clusterState.upstreamLimits.limit(*record);
+            const bool isAvoided = areInNeedAvoided && clusterState.isInNeed(*record, now());
             const double share = isAvoided ? 0 : clusterState.outliers.share(record->id, now());
             result.push_back(PlannedEngine { record, &*service.engine, load.running, load.pendingTokens, share, owner == shard, hasHolder,
                 clusterState.outliers.isReachable(record->id, now()) });
@@ -277,6 +282,10 @@
         plan->onOrderAnswer(order, OrderAnswer::WrongEngine, now());
         return;
     }
+    if (isAtRest(*record)) {
+        plan->onOrderAnswer(order, OrderAnswer::Busy, now());
+        return;
+    }
     HttpCall call = makeCall(*record, Platform::orderPath());
     call.method = "POST";
     call.headers = Platform::orderHeaders(order);
@@ -312,8 +321,8 @@
 void OrderRunner::Private::requestReport(const UpstreamId &engine)
 {
     const UpstreamRecord *record = clusterState.upstreams.usable(engine);
-    if (record == nullptr) {
-        return;
+    if (record == nullptr || isAtRest(*record)) {
+        return; // The next report is requested in a second.
     }
     HttpCall call = makeCall(*record, Platform::reportPath());
     call.headers = Platform::reportHeaders(engine);
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -216,7 +216,8 @@
 
 Duration RequestJob::retryAfterRefusal() const
 {
-    return m_withheldUntil ? std::max(*m_withheldUntil - now(), MinRetryAfter) : RetryAfterRefusal;
+    // What binds this node need not bind the one to which the caller returns, so a long rest is no reason for a long wait.
+    return m_withheldUntil ? std::clamp(*m_withheldUntil - now(), MinRetryAfter, RetryAfterRefusal) : RetryAfterRefusal;
 }
 
 bool RequestJob::isVersionUsable(const AdapterVersion &version) const
@@ -292,8 +293,8 @@
 bool RequestJob::canWaitForAdapter() const
 {
     const ClusterState &clusterState = m_context.clusterState();
-    // Nobody loads the adapter elsewhere if the copies on engines with limits count.
-    const bool isLoadedElsewhere = !m_withheldUntil || clusterState.areLimitedEnginesAvoided(m_service);
+    // Nobody loads the adapter elsewhere if the copies on engines in need count.
+    const bool isLoadedElsewhere = !m_withheldUntil || clusterState.areEnginesInNeedAvoided(m_service, now());
     return needsAdapter() && isLoadedElsewhere && !clusterState.upstreams.usable(m_service).empty()
         && clusterState.engineSpec(m_service) != nullptr;
 }
@@ -502,8 +503,9 @@
     if (m_phase != Phase::Sent || m_deadline - current < MinUsefulTime || !isCurrent) {
         return false;
     }
-    // The upstream may have stated its limit since it was chosen.
-    return m_reservedAt || !m_context.clusterState().upstreamLimits.limit(*record);
+    // The upstream may have stated since it was chosen that it is in need.
+    const ClusterState &clusterState = m_context.clusterState();
+    return current >= clusterState.upstreamRests.restsUntil(*record) && (m_reservedAt || !clusterState.upstreamLimits.limit(*record));
 }
 
 bool RequestJob::acceptsHead(int status, const HttpHeaders &headers)
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -93,6 +93,12 @@
     ageMs @4 :Int64;
 }
 
+struct UpstreamRestWire {
+    upstream @0 :Text;
+    startedAt @1 :Int64;
+    remainingMs @2 :Int64;
+}
+
 struct FleetMessageWire {
     sender @0 :Text;
     incarnation @1 :UInt64;
@@ -125,4 +131,5 @@
     creditGrants @28 :List(CreditGrantWire);
     requestRate @29 :Float32;
     upstreamLimits @30 :List(UpstreamLimitWire);
+    upstreamRests @31 :List(UpstreamRestWire);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -27,6 +27,7 @@
 CAPNP_DECLARE_SCHEMA(ee81ea0e1c05bc2f);
 CAPNP_DECLARE_SCHEMA(b10fdd4c43c3373a);
 CAPNP_DECLARE_SCHEMA(f0c067d4930af60c);
+CAPNP_DECLARE_SCHEMA(d60e85c696b2ce10);
 CAPNP_DECLARE_SCHEMA(8b8b5daee920bcb2);
 
 }  // namespace schemas
@@ -200,6 +201,21 @@
   };
 };
 
+struct UpstreamRestWire {
+  UpstreamRestWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d60e85c696b2ce10, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetMessageWire {
   FleetMessageWire() = delete;
 
@@ -208,7 +224,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 18)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 19)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1339,6 +1355,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamRestWire::Reader {
+public:
+  typedef UpstreamRestWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+  inline  ::int64_t getRemainingMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamRestWire::Builder {
+public:
+  typedef UpstreamRestWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+  inline  ::int64_t getRemainingMs();
+  inline void setRemainingMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamRestWire::Pipeline {
+public:
+  typedef UpstreamRestWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetMessageWire::Reader {
 public:
   typedef FleetMessageWire Reads;
@@ -1436,6 +1543,9 @@
   inline bool hasUpstreamLimits() const;
   inline  ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>::Reader getUpstreamLimits() const;
 
+  inline bool hasUpstreamRests() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>::Reader getUpstreamRests() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1631,6 +1741,13 @@
   inline void adoptUpstreamLimits(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamLimitWire,  ::capnp::Kind::STRUCT>> disownUpstreamLimits();
 
+  inline bool hasUpstreamRests();
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>::Builder getUpstreamRests();
+  inline void setUpstreamRests( ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>::Builder initUpstreamRests(unsigned int size);
+  inline void adoptUpstreamRests(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>> disownUpstreamRests();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2694,6 +2811,68 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool UpstreamRestWire::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamRestWire::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamRestWire::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamRestWire::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamRestWire::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamRestWire::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamRestWire::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamRestWire::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t UpstreamRestWire::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UpstreamRestWire::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamRestWire::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UpstreamRestWire::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UpstreamRestWire::Builder::getRemainingMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamRestWire::Builder::setRemainingMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetMessageWire::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3501,6 +3680,40 @@
       ::capnp::bounded<17>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessageWire::Reader::hasUpstreamRests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasUpstreamRests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getUpstreamRests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getUpstreamRests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setUpstreamRests( ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initUpstreamRests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptUpstreamRests(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownUpstreamRests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<18>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -24,7 +24,7 @@
 // Far more than any team's limit, while sums of amounts stay far from overflow.
 constexpr double MaxCreditAmount = 1e12;
 
-// Statements of upstreams are repeated for a few seconds. A forged age must not move a statement far into the past.
+// Statements of upstreams are repeated for a few seconds, and so are rests. Forged ones must not hold for long.
 constexpr Duration MaxStatementAge = Duration::seconds(60);
 
 std::string textOf(capnp::Text::Reader text)
@@ -264,6 +264,25 @@
     return limits;
 }
 
+void encodeRests(const std::vector<UpstreamRest> &rests, capnp::List<Wire::UpstreamRestWire>::Builder wire)
+{
+    for (unsigned int i = 0; i < wire.size(); ++i) {
+        wire[i].setUpstream(rests[i].upstream.value());
+        wire[i].setStartedAt(rests[i].startedAt);
+        wire[i].setRemainingMs(rests[i].remaining.milliseconds());
+    }
+}
+
+std::vector<UpstreamRest> decodeRests(capnp::List<Wire::UpstreamRestWire>::Reader wire)
+{
+    std::vector<UpstreamRest> rests;
+    for (const auto rest : wire) {
+        rests.push_back(UpstreamRest { UpstreamId(textOf(rest.getUpstream())), rest.getStartedAt(),
+            Duration(std::clamp<std::int64_t>(rest.getRemainingMs(), 0, MaxStatementAge.milliseconds())) });
+    }
+    return rests;
+}
+
 void encodeStore(const StoreView &store, Wire::StoreViewWire::Builder wire)
 {
     wire.setFetchesAtOnce(store.maxConcurrentFetches);
@@ -303,6 +322,7 @@
     decodeLists(wire, message);
     decodeCredit(wire, message);
     message.upstreamLimits = decodeLimits(wire.getUpstreamLimits());
+    message.upstreamRests = decodeRests(wire.getUpstreamRests());
     if (wire.hasStore()) {
         message.store = decodeStore(wire.getStore());
     }
@@ -334,6 +354,7 @@
     encodeLists(message, wire);
     encodeCredit(message, wire);
     encodeLimits(message.upstreamLimits, wire.initUpstreamLimits(static_cast<unsigned int>(message.upstreamLimits.size())));
+    encodeRests(message.upstreamRests, wire.initUpstreamRests(static_cast<unsigned int>(message.upstreamRests.size())));
     if (message.store) {
         encodeStore(*message.store, wire.initStore());
     }
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -439,7 +439,7 @@
 }
 
 // Guards against an upstream that asks this node for rest and gets the next requests, or the same one again.
-Test(knownred, upstreamAtRestGetsNoRequests)
+Test(requestforwarder, upstreamAtRestGetsNoRequests)
 {
     const ScriptedUpstream tired([](const std::string &) {
         return ScriptedAnswer {
@@ -459,6 +459,38 @@
     cr_assert(std::all_of(served.begin(), served.end(), [](const auto &caller) { return caller->status() == 200; }));
 }
 
+// Guards against a request that waits for a copy of its adapter and meanwhile returns to the engine that asked for rest.
+Test(requestforwarder, waitingRequestDoesNotReturnToAnEngineAtRest)
+{
+    const ScriptedUpstream tired([](const std::string &) {
+        return ScriptedAnswer {
+            "HTTP/1.1 503 No\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Not-Run: 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n"
+        };
+    });
+    const ScriptedUpstream other(
+        [](const std::string &) { return ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 1\ndata: a\n\n"), "0\r\n\r\n") }; });
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Stream, 1);
+    fixture.addUpstream("tired", tired);
+    fixture.addUpstream("other", other);
+    const auto load = [&fixture](const std::string &engine) {
+        fixture.clusterState.residencies.put(EngineResidency {
+            UpstreamId(engine), 1, FencingToken(1), 1, { AdapterCopy { BaseModelId("m"), AdapterId("a7"), AdapterVersion("1"), true } } });
+    };
+    load("tired");
+    HttpRequest request = ForwarderFixture::request();
+    request.headers["apricotstep-model"] = "m/a7";
+    const auto caller = fixture.send(request);
+    const Time later = fixture.clock.now() + Duration(500);
+    fixture.runUntil([&] { return fixture.clock.now() >= later; });
+    cr_assert_not(caller->isDone());
+    load("other");
+    fixture.forwarder->onClusterStateChanged();
+    fixture.runUntil([&] { return caller->isDone(); });
+    cr_assert_eq(caller->status(), 200);
+    cr_assert_eq(tired.requests().size(), 1);
+}
+
 namespace
 {
 
