Keep the failure of an upstream that says it leaves as a known red test

An upstream whose answers say that it leaves gets about half of the next 20 requests; nodes heed the store only. It follows from the same gap as the rest: what an answer says of its upstream is not read.

--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -491,6 +491,24 @@
     cr_assert_eq(tired.requests().size(), 1);
 }
 
+// Guards against an upstream that says in its answers that it leaves and gets work until the store says so too.
+Test(knownred, upstreamThatSaysItLeavesGetsNoNewRequests)
+{
+    const ScriptedUpstream leaving([](const std::string &) {
+        return ScriptedAnswer { "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nServer-Leaving: 1\r\n"
+                                "Content-Length: 5\r\n\r\nwhole" };
+    });
+    const ScriptedUpstream other([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Idempotent, 1);
+    fixture.addUpstream("leaving", leaving);
+    const auto first = sendSteadily(fixture, 1, Duration(25));
+    fixture.addUpstream("other", other);
+    const auto callers = sendSteadily(fixture, 20, Duration(10));
+    cr_assert_eq(leaving.requests().size(), 1);
+    cr_assert(std::all_of(callers.begin(), callers.end(), [](const auto &caller) { return caller->status() == 200; }));
+}
+
 namespace
 {
 
