Give no work to an upstream that says in its answers that it leaves

Callers may have seen requests refused or cut by an upstream on its way out: nodes learned of it from the store only, up to a heartbeat later, and not at all while the store was away or cut off.

Cause: as with limits and rests, what an answer says of its upstream was dropped. Besides, the directory forgot that an upstream leaves once its entry was gone, so an entry that expired and came back, or an older record of a peer, made it usable again.

Now an answer that says so takes this start of the upstream out of the directory at once and for good, as the store's word does, and peers repeat it.

--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/teamcredit.h"
+#include "coordination/upstreamdirectory.h"
 #include "coordination/upstreamlimits.h"
 #include "coordination/upstreamrests.h"
 #include "core/clock.h"
@@ -186,6 +187,8 @@
     std::vector<UpstreamLimitStatement> upstreamLimits;
     /** The rests that upstreams asked the sender for. */
     std::vector<UpstreamRest> upstreamRests;
+    /** Upstreams that lately stated in answers to the sender that they are leaving. */
+    std::vector<UpstreamStart> leavingUpstreams;
 };
 
 } // namespace ApricotStep
--- a/coordination/upstreamdirectory.cpp
+++ b/coordination/upstreamdirectory.cpp
@@ -5,6 +5,16 @@
 namespace ApricotStep
 {
 
+namespace
+{
+
+// Leaving upstreams end within minutes.
+constexpr Duration LeavingMemory = Duration::seconds(1200);
+// How long a node repeats to its peers that an upstream leaves.
+constexpr Duration RepeatTime = Duration::seconds(5);
+
+} // namespace
+
 UpstreamDirectory::UpstreamDirectory(UpstreamDirectoryLimits limits)
     : m_limits(limits)
 {
@@ -15,8 +25,45 @@
     return !entry.record.isLeaving;
 }
 
-std::vector<UpstreamChange> UpstreamDirectory::put(const UpstreamRecord &record, Time)
+void UpstreamDirectory::rememberLeaving(const UpstreamStart &start, Time now)
+{
+    absl::erase_if(m_leaving, [now](const auto &entry) { return now - entry.second.since > LeavingMemory; });
+    m_leaving.try_emplace(start, Leaving { now });
+}
+
+std::vector<UpstreamChange> UpstreamDirectory::markLeaving(const UpstreamStart &start, bool isHeard, Time now)
+{
+    rememberLeaving(start, now);
+    if (isHeard) {
+        m_leaving[start].heardAt = now;
+    }
+    const auto at = m_entries.find(start.upstream);
+    if (at == m_entries.end() || at->second.record.startedAt != start.startedAt || at->second.record.isLeaving) {
+        return {};
+    }
+    at->second.record.isLeaving = true;
+    return { UpstreamLeft { start.upstream, "it stated in an answer that it is leaving" } };
+}
+
+std::vector<UpstreamStart> UpstreamDirectory::heardLeaving(Time now) const
+{
+    std::vector<UpstreamStart> result;
+    for (const auto &[start, leaving] : m_leaving) {
+        if (leaving.heardAt && now - *leaving.heardAt <= RepeatTime) {
+            result.push_back(start);
+        }
+    }
+    return result;
+}
+
+std::vector<UpstreamChange> UpstreamDirectory::put(const UpstreamRecord &listed, Time now)
 {
+    UpstreamRecord record = listed;
+    const UpstreamStart start { record.id, record.startedAt };
+    if (record.isLeaving) {
+        rememberLeaving(start, now);
+    }
+    record.isLeaving = m_leaving.contains(start);
     const auto at = m_entries.find(record.id);
     if (at == m_entries.end()) {
         m_entries.emplace(record.id, Entry { record });
@@ -29,10 +76,7 @@
     }
     const bool isNewStart = entry.record.startedAt != record.startedAt;
     const bool hasLeft = !entry.record.isLeaving && record.isLeaving;
-    // Leaving is final until the upstream restarts: an older record of the same start must not undo it.
-    const bool wasLeaving = entry.record.isLeaving && !isNewStart;
     entry.record = record;
-    entry.record.isLeaving = record.isLeaving || wasLeaving;
     if (isNewStart) {
         return { UpstreamStarted { entry.record } };
     }
--- a/coordination/upstreamdirectory.h
+++ b/coordination/upstreamdirectory.h
@@ -6,6 +6,9 @@
 
 #include <absl/container/btree_map.h>
 
+#include <compare>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,6 +29,15 @@
     Duration graceAfterOutage { 2000 };
 };
 
+/** One start of an upstream. */
+struct UpstreamStart
+{
+    UpstreamId upstream;
+    std::int64_t startedAt = 0;
+
+    auto operator<=>(const UpstreamStart &) const = default;
+};
+
 /** An upstream is new, or a known one has restarted. */
 struct UpstreamStarted
 {
@@ -55,6 +67,13 @@
     std::vector<UpstreamChange> put(const UpstreamRecord &record, Time now);
     /** The store no longer lists the upstream, or its entry is unreadable. @p reason is for the log. */
     std::vector<UpstreamChange> remove(const UpstreamId &id, const std::string &reason, Time now);
+    /**
+     * The upstream stated in an answer that this start of it is leaving. @p isHeard: in an answer to this node, which tells its peers.
+     * Returns a change if the upstream gets no new work from now on.
+     */
+    std::vector<UpstreamChange> markLeaving(const UpstreamStart &start, bool isHeard, Time now);
+    /** The starts that lately stated in answers to this node that they are leaving. */
+    std::vector<UpstreamStart> heardLeaving(Time now) const;
     /** The store responds again after an outage; entries that go missing until the grace period ends may come back. */
     void onStoreRegained(Time now);
     /** All entries of the store are known as of @p knownUntil: removes missing upstreams whose grace period was over by then. */
@@ -82,11 +101,21 @@
         Time removeAt = Time::never();
     };
 
+    struct Leaving
+    {
+        Time since;
+        /** Set if this node learned it from the upstream's answer. */
+        std::optional<Time> heardAt;
+    };
+
     bool isUsable(const Entry &entry) const;
+    void rememberLeaving(const UpstreamStart &start, Time now);
 
     UpstreamDirectoryLimits m_limits;
     Time m_graceUntil;
     absl::btree_map<UpstreamId, Entry> m_entries;
+    /** Outlives the entries: an entry that expired, or an older record, may list a leaving upstream again. */
+    absl::btree_map<UpstreamStart, Leaving> m_leaving;
 };
 
 } // namespace ApricotStep
--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -59,6 +59,13 @@
         residencies.remove(engine);
         loadEstimator.remove(engine);
     }
+    /** The upstream gets no new work from now on. */
+    void onUpstreamLeft(const UpstreamId &upstream)
+    {
+        removeResidency(upstream);
+        outliers.remove(upstream);
+        outOfScope.remove(upstream);
+    }
     const EngineSpec *engineSpec(const ServiceName &service) const
     {
         const RoutedService *spec = routes != nullptr ? routes->service(service) : nullptr;
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -154,6 +154,9 @@
     fleetCallbacks.onUpstreamLimits = [this](const NodeId &peer, const std::vector<UpstreamLimitStatement> &statements) {
         UpstreamStatements(log, metrics, clusterState).onPeerLimits(peer, statements, clock.now());
     };
+    fleetCallbacks.onLeavingUpstreams = [this](const std::vector<UpstreamStart> &starts) {
+        UpstreamStatements(log, metrics, clusterState).onPeerLeaving(starts, clock.now());
+    };
     fleetCallbacks.onNewerConfiguration = [this](const Peer &peer) { peers->fetchFrom(peer); };
     OrderLeaseLimits limits;
     limits.handoverDelay = settings.orderHandoverDelay;
@@ -259,9 +262,7 @@
                        },
                        [this](const UpstreamUpdated &updated) { clusterState.outOfScope.put(updated.record); },
                        [this](const UpstreamLeft &left) {
-                           clusterState.removeResidency(left.id);
-                           clusterState.outliers.remove(left.id);
-                           clusterState.outOfScope.remove(left.id);
+                           clusterState.onUpstreamLeft(left.id);
                            log.write(EventLog::Severity::Important, "upstream", "left",
                                { { "upstream", left.id.value() }, { "reason", left.reason } });
                        },
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -195,6 +195,7 @@
     message.store = clusterState.loadEstimator.view();
     message.upstreamLimits = clusterState.upstreamLimits.statements(now());
     message.upstreamRests = clusterState.upstreamRests.own(now());
+    message.leavingUpstreams = clusterState.upstreams.heardLeaving(now());
     return message;
 }
 
@@ -588,6 +589,9 @@
         socket->send(message.peerAddress, encodeFleetMessage(answer));
     }
     clusterState.upstreamRests.onPeerRests(message.upstreamRests, now());
+    if (!message.leavingUpstreams.empty()) {
+        callbacks.onLeavingUpstreams(message.leavingUpstreams);
+    }
     if (!message.upstreamLimits.empty()) {
         callbacks.onUpstreamLimits(message.sender, message.upstreamLimits);
     }
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -101,6 +101,8 @@
         std::function<void(const std::vector<CreditGrant> &)> onCreditGrants;
         /** A peer repeats what upstreams stated in answers to it. */
         std::function<void(const NodeId &, const std::vector<UpstreamLimitStatement> &)> onUpstreamLimits;
+        /** Upstreams stated in answers to a peer that they are leaving. */
+        std::function<void(const std::vector<UpstreamStart> &)> onLeavingUpstreams;
         /** A peer has a newer configuration than this node. */
         std::function<void(const Peer &)> onNewerConfiguration;
     };
--- a/main/entry/upstreamstatements.cpp
+++ b/main/entry/upstreamstatements.cpp
@@ -24,12 +24,32 @@
     if (statesLimit && m_clusterState.upstreamLimits.onAnswer(upstream, answer.requestLimit, sentAt, now)) {
         reportLimit(upstream.id, answer.requestLimit, "answer");
     }
+    if (answer.isLeaving) {
+        markLeaving(UpstreamStart { upstream.id, upstream.startedAt }, true, now);
+    }
     if (answer.retryAfter > Duration(0) && m_clusterState.upstreamRests.onRefusal(upstream, now + answer.retryAfter, now)) {
         m_metrics.upstreamRests();
         m_log.write(Important, "upstream", "rests", { { "upstream", upstream.id.value() }, { "forMs", answer.retryAfter.milliseconds() } });
     }
 }
 
+void UpstreamStatements::onPeerLeaving(const std::vector<UpstreamStart> &starts, Time now)
+{
+    for (const UpstreamStart &start : starts) {
+        markLeaving(start, false, now);
+    }
+}
+
+void UpstreamStatements::markLeaving(const UpstreamStart &start, bool isHeard, Time now)
+{
+    for (const UpstreamChange &change : m_clusterState.upstreams.markLeaving(start, isHeard, now)) {
+        if (const auto *left = std::get_if<UpstreamLeft>(&change)) {
+            m_clusterState.onUpstreamLeft(left->id);
+            m_log.write(Important, "upstream", "left", { { "upstream", left->id.value() }, { "reason", left->reason } });
+        }
+    }
+}
+
 void UpstreamStatements::onPeerLimits(const NodeId &peer, const std::vector<UpstreamLimitStatement> &statements, Time now)
 {
     for (const UpstreamLimitStatement &statement : statements) {
--- a/main/entry/upstreamstatements.h
+++ b/main/entry/upstreamstatements.h
@@ -18,9 +18,12 @@
 
     /** @p sentAt: when the request was sent to @p upstream. */
     void onAnswer(const UpstreamRecord &upstream, const Platform::UpstreamAnswer &answer, Time sentAt, Time now);
+    /** Peers repeat that upstreams are leaving. */
+    void onPeerLeaving(const std::vector<UpstreamStart> &starts, Time now);
     void onPeerLimits(const NodeId &peer, const std::vector<UpstreamLimitStatement> &statements, Time now);
 
 private:
+    void markLeaving(const UpstreamStart &start, bool isHeard, Time now);
     void reportLimit(const UpstreamId &upstream, std::optional<double> requestsPerSecond, const std::string &source);
 
     EventLog &m_log;
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -99,6 +99,11 @@
     remainingMs @2 :Int64;
 }
 
+struct UpstreamStartWire {
+    upstream @0 :Text;
+    startedAt @1 :Int64;
+}
+
 struct FleetMessageWire {
     sender @0 :Text;
     incarnation @1 :UInt64;
@@ -132,4 +137,5 @@
     requestRate @29 :Float32;
     upstreamLimits @30 :List(UpstreamLimitWire);
     upstreamRests @31 :List(UpstreamRestWire);
+    leavingUpstreams @32 :List(UpstreamStartWire);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -28,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(b10fdd4c43c3373a);
 CAPNP_DECLARE_SCHEMA(f0c067d4930af60c);
 CAPNP_DECLARE_SCHEMA(d60e85c696b2ce10);
+CAPNP_DECLARE_SCHEMA(fbdc6f2719669716);
 CAPNP_DECLARE_SCHEMA(8b8b5daee920bcb2);
 
 }  // namespace schemas
@@ -216,6 +217,21 @@
   };
 };
 
+struct UpstreamStartWire {
+  UpstreamStartWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fbdc6f2719669716, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetMessageWire {
   FleetMessageWire() = delete;
 
@@ -224,7 +240,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 19)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 20)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1446,6 +1462,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamStartWire::Reader {
+public:
+  typedef UpstreamStartWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamStartWire::Builder {
+public:
+  typedef UpstreamStartWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamStartWire::Pipeline {
+public:
+  typedef UpstreamStartWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetMessageWire::Reader {
 public:
   typedef FleetMessageWire Reads;
@@ -1546,6 +1648,9 @@
   inline bool hasUpstreamRests() const;
   inline  ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>::Reader getUpstreamRests() const;
 
+  inline bool hasLeavingUpstreams() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>::Reader getLeavingUpstreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1748,6 +1853,13 @@
   inline void adoptUpstreamRests(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamRestWire,  ::capnp::Kind::STRUCT>> disownUpstreamRests();
 
+  inline bool hasLeavingUpstreams();
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>::Builder getLeavingUpstreams();
+  inline void setLeavingUpstreams( ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>::Builder initLeavingUpstreams(unsigned int size);
+  inline void adoptLeavingUpstreams(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>> disownLeavingUpstreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2873,6 +2985,54 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool UpstreamStartWire::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamStartWire::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamStartWire::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamStartWire::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamStartWire::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamStartWire::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamStartWire::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamStartWire::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t UpstreamStartWire::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UpstreamStartWire::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamStartWire::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetMessageWire::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3714,6 +3874,40 @@
       ::capnp::bounded<18>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessageWire::Reader::hasLeavingUpstreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasLeavingUpstreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getLeavingUpstreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getLeavingUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setLeavingUpstreams( ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initLeavingUpstreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptLeavingUpstreams(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownLeavingUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<19>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -283,6 +283,23 @@
     return rests;
 }
 
+void encodeStarts(const std::vector<UpstreamStart> &starts, capnp::List<Wire::UpstreamStartWire>::Builder wire)
+{
+    for (unsigned int i = 0; i < wire.size(); ++i) {
+        wire[i].setUpstream(starts[i].upstream.value());
+        wire[i].setStartedAt(starts[i].startedAt);
+    }
+}
+
+std::vector<UpstreamStart> decodeStarts(capnp::List<Wire::UpstreamStartWire>::Reader wire)
+{
+    std::vector<UpstreamStart> starts;
+    for (const auto start : wire) {
+        starts.push_back(UpstreamStart { UpstreamId(textOf(start.getUpstream())), start.getStartedAt() });
+    }
+    return starts;
+}
+
 void encodeStore(const StoreView &store, Wire::StoreViewWire::Builder wire)
 {
     wire.setFetchesAtOnce(store.maxConcurrentFetches);
@@ -323,6 +340,7 @@
     decodeCredit(wire, message);
     message.upstreamLimits = decodeLimits(wire.getUpstreamLimits());
     message.upstreamRests = decodeRests(wire.getUpstreamRests());
+    message.leavingUpstreams = decodeStarts(wire.getLeavingUpstreams());
     if (wire.hasStore()) {
         message.store = decodeStore(wire.getStore());
     }
@@ -355,6 +373,7 @@
     encodeCredit(message, wire);
     encodeLimits(message.upstreamLimits, wire.initUpstreamLimits(static_cast<unsigned int>(message.upstreamLimits.size())));
     encodeRests(message.upstreamRests, wire.initUpstreamRests(static_cast<unsigned int>(message.upstreamRests.size())));
+    encodeStarts(message.leavingUpstreams, wire.initLeavingUpstreams(static_cast<unsigned int>(message.leavingUpstreams.size())));
     if (message.store) {
         encodeStore(*message.store, wire.initStore());
     }
--- a/tests/coordination/testupstreamdirectory.cpp
+++ b/tests/coordination/testupstreamdirectory.cpp
@@ -235,3 +235,28 @@
     cr_assert_eq(tracker.load(one, now + UpstreamLoadTracker::PeerTimeout + Duration(200)).running, 0);
     cr_assert_eq(tracker.load(two, now).running, 0);
 }
+
+// Guards against a leaving upstream that gets work again because its entry expired and came back, or an older record of it arrives late.
+Test(upstreamdirectory, leavingUpstreamIsNotListedAgain)
+{
+    UpstreamDirectory directory { UpstreamDirectoryLimits {} };
+    UpstreamRecord record;
+    record.id = UpstreamId("u");
+    record.service = ServiceName("svc");
+    record.startedAt = 7;
+    directory.put(record, Time(0));
+    const auto changes = directory.markLeaving(UpstreamStart { record.id, 7 }, true, Time(10));
+    cr_assert(changes.size() == 1 && std::holds_alternative<UpstreamLeft>(changes.front()));
+    cr_assert_null(directory.usable(record.id));
+    cr_assert(directory.markLeaving(UpstreamStart { record.id, 7 }, true, Time(20)).empty());
+    cr_assert_eq(directory.heardLeaving(Time(20)).size(), 1);
+    directory.remove(record.id, "expired", Time(30));
+    directory.put(record, Time(40));
+    cr_assert_null(directory.usable(record.id));
+    record.startedAt = 8;
+    directory.put(record, Time(50));
+    cr_assert_not_null(directory.usable(record.id));
+    // A peer repeats late what it heard of the former start.
+    cr_assert(directory.markLeaving(UpstreamStart { record.id, 7 }, false, Time(60)).empty());
+    cr_assert_not_null(directory.usable(record.id));
+}
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -492,7 +492,7 @@
 }
 
 // Guards against an upstream that says in its answers that it leaves and gets work until the store says so too.
-Test(knownred, upstreamThatSaysItLeavesGetsNoNewRequests)
+Test(requestforwarder, upstreamThatSaysItLeavesGetsNoNewRequests)
 {
     const ScriptedUpstream leaving([](const std::string &) {
         return ScriptedAnswer { "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nServer-Leaving: 1\r\n"
--- a/tests/platform/testrequests.cpp
+++ b/tests/platform/testrequests.cpp
@@ -115,6 +115,13 @@
     cr_assert_not(decodeUpstreamAnswer(200, {}).requestLimit);
 }
 
+Test(requests, leavingUpstreamIsDecoded)
+{
+    cr_assert(decodeUpstreamAnswer(200, { { "server-leaving", "1" } }).isLeaving);
+    cr_assert_not(decodeUpstreamAnswer(200, { { "server-leaving", "0" } }).isLeaving);
+    cr_assert_not(decodeUpstreamAnswer(503, {}).isLeaving);
+}
+
 // Guards against an unreadable time of rest, which must neither fail the answer nor keep the upstream without work for good.
 Test(requests, restThatAnUpstreamAsksForIsDecoded)
 {
