State limits, rests and leaving in the soak

Upstreams of the soak now limit requests, ask nodes for rest and say that they leave, in series that overlap with kills, pauses, restarts and cut links, and check what reaches them from the nodes that they told. A node that was disturbed since it was told is excused until it is told again.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,7 +4,8 @@
     tests/soak/soak.py build --seed 7 --seconds 30 --nodes 6
 
 Faults repeat and overlap: nodes are stopped, paused, killed and restarted; links to the store, to upstreams and from callers are delayed,
-reset, stalled or blocked in one direction; upstreams drain, crash and return; the configuration changes. Each violated invariant is printed
+reset, stalled or blocked in one direction; upstreams drain, crash and return, and state in their answers that they limit requests, want
+rest or leave; the configuration changes. Each violated invariant is printed
 on a line that begins with FAILED, and the logs of the nodes are kept in the printed folder. The exit status is 0 only without a violation.
 """
 
@@ -34,7 +35,7 @@
 RECONNECT_S = 3.0
 CONFIG_SLACK_S = 1.0
 FAULTS = ("stop_gracefully,kill,kill_many,pause,harm_store_link,harm_caller_link,harm_upstream,upstream_leaves,upstream_crashes,"
-          "store_away,store_silent,change_config,withdraw_key,hup")
+          "upstream_limits_requests,upstream_rests,upstream_says_it_leaves,store_away,store_silent,change_config,withdraw_key,hup")
 # Nodes poll an unresponsive store again within this time.
 POLL_RETRY_S = 5.0
 DRAIN_BOUND_S = 2.0
@@ -185,6 +186,8 @@
         self.request_kinds = {}
         # The key and the time of each request, the keys of the teams, and the withdrawn keys with their team and time.
         self.request_keys = {}
+        # The node that each request was sent to.
+        self.request_nodes = {}
         self.keys = {"free": [], "limited": []}
         self.withdrawn_keys = {}
         self.last_key = 0
@@ -214,6 +217,14 @@
     def adapter_version(self, _adapter):
         return 1
 
+    def sender(self, request_id):
+        """Returns the node that a request was sent to and when; no node if it is not a caller's request."""
+        _, sent_at = self.request_keys.get(request_id, (None, 0.0))
+        return self.request_nodes.get(request_id), sent_at
+
+    def passes_answers(self, upstream):
+        return self.links[upstream.name].mode == proxy.PASS
+
     def record_run(self, request, upstream):
         request_id = request.header("apricotstep-request-id")
         self.check_team(request_id, request, upstream)
@@ -359,6 +370,7 @@
             headers.update({"Apricotstep-Model": f"m/a{adapter}", "Apricotstep-Token-Count": "%d,%d" % CHAT_TOKENS})
         was_extra, was_undisturbed, sent_at = self.has_extra_route, node.is_undisturbed(3.0), time.monotonic()
         self.request_keys[request_id] = (key, sent_at)
+        self.request_nodes[request_id] = node
         response = await http1.call(node.caller_link.address, "GET" if kind in ("look", "extra") else "POST", f"/{kind}/x", headers,
                                   b"" if kind in ("look", "extra") else b"{}", timeout_ms / 1000 + 1.5)
         self.check_response(request_id, kind, node, response, was_extra, was_undisturbed, sent_at)
@@ -508,6 +520,32 @@
         await asyncio.sleep(DRAIN_BOUND_S + DRAIN_SLACK_S + 1.0)
         await self.replace(upstream, upstream.name)
 
+    async def upstream_limits_requests(self):
+        statements = self.random.choice(self.upstreams).statements
+        if statements.limit is not None:
+            return
+        statements.set_limit(self.random.uniform(0.3, 4.0))
+        await asyncio.sleep(self.random.uniform(4.0, 10.0))
+        statements.set_limit(None)
+
+    async def upstream_rests(self):
+        statements = self.random.choice(self.upstreams).statements
+        if statements.rest_s > 0:
+            return
+        statements.rest_s = self.random.uniform(1.0, 3.0)
+        await asyncio.sleep(self.random.uniform(1.0, 5.0))
+        statements.rest_s = 0.0
+
+    async def upstream_says_it_leaves(self):
+        upstream = self.random.choice(self.upstreams)
+        if upstream.is_draining or self.count_usable(upstream.service) < 2:
+            return
+        upstream.is_draining = True
+        upstream.draining_since = time.monotonic() + 60.0  # The store does not say so; the check of its statements applies.
+        upstream.statements.is_leaving = True
+        await asyncio.sleep(self.random.uniform(3.0, 6.0))
+        await self.replace(upstream, upstream.name)
+
     async def upstream_crashes(self):
         upstream = self.random.choice(self.upstreams)
         if upstream.is_draining or self.count_usable(upstream.service) < 2:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -7,6 +7,7 @@
 import urllib.parse
 
 import http1
+from statements import Statements
 
 LEASE_S = 3.0
 ADAPTER_SLOTS = 4
@@ -95,6 +96,7 @@
         self.address = ""
         self.running = 0
         self.is_draining = False
+        self.statements = Statements(cluster, self)
         self._server = None
 
     async def start(self):
@@ -114,7 +116,9 @@
         self.register()
 
     def reject(self, writer, request, status):
-        http1.respond(writer, status, b"", {"Apricotstep-Not-Run": "1", "Apricotstep-Request-Id": request.header("apricotstep-request-id")})
+        request_id = request.header("apricotstep-request-id")
+        headers = {"Apricotstep-Not-Run": "1", "Apricotstep-Request-Id": request_id}
+        http1.respond(writer, status, b"", dict(headers, **self.statements.headers(request_id)))
         return True
 
     def is_misdirected(self, request):
@@ -127,7 +131,9 @@
         self.running += 1
 
     def head(self, request):
-        return {"Apricotstep-Request-Id": request.header("apricotstep-request-id"), "Apricotstep-Server-Seal": "seal-" + self.name}
+        request_id = request.header("apricotstep-request-id")
+        headers = {"Apricotstep-Request-Id": request_id, "Apricotstep-Server-Seal": "seal-" + self.name}
+        return dict(headers, **self.statements.headers(request_id))
 
 
 class PlainUpstream(Upstream):
@@ -136,7 +142,8 @@
     async def handle(self, request, writer):
         if self.is_misdirected(request):
             return self.reject(writer, request, 421)
-        if self.running >= self.slots * 2:
+        self.statements.check_arrival(request.header("apricotstep-request-id"))
+        if self.statements.refuses() or self.running >= self.slots * 2:
             return self.reject(writer, request, 503)
         self.start_run(request)
         try:
@@ -210,6 +217,9 @@
         return 202
 
     async def generate(self, request, writer):
+        self.statements.check_arrival(request.header("apricotstep-request-id"))
+        if self.statements.refuses():
+            return self.reject(writer, request, 503)
         model, _, adapter = request.header("apricotstep-model").partition("/")
         if model != "m" or adapter not in self.adapters:
             return self.reject(writer, request, 421)
