Drop reservations that a suspended process kept, and keep upstreams leaving that are listed for long

A process that was suspended between the reservation of a part of a limit and the first byte could send long after its credit had lapsed. An upstream that only its answers called leaving could have been usable again after twenty minutes in the directory.

--- a/coordination/upstreamdirectory.cpp
+++ b/coordination/upstreamdirectory.cpp
@@ -75,6 +75,8 @@
         return {};
     }
     const bool isNewStart = entry.record.startedAt != record.startedAt;
+    // Leaving is final until the upstream restarts.
+    record.isLeaving = record.isLeaving || (entry.record.isLeaving && !isNewStart);
     const bool hasLeft = !entry.record.isLeaving && record.isLeaving;
     entry.record = record;
     if (isNewStart) {
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -11,6 +11,7 @@
 #include "main/entry/peerservice.h"
 #include "main/entry/requestforwarder.h"
 #include "main/entry/storereader.h"
+#include "main/entry/upstreamstatements.h"
 #include "platform/directory.h"
 #include "transport/ioloop.h"
 
@@ -66,6 +67,7 @@
     EventLog log { clock, "" };
     EntryMetrics metrics;
     ClusterState clusterState;
+    UpstreamStatements statements { log, metrics, clusterState };
     std::unique_ptr<StoreReader> store;
     std::unique_ptr<FleetLink> fleet;
     std::unique_ptr<OrderRunner> orders;
@@ -151,12 +153,10 @@
         return forwarder->answerCreditQuery(shard, from, incarnation, query);
     };
     fleetCallbacks.onCreditGrants = [this](const std::vector<CreditGrant> &grants) { forwarder->onCreditGrants(grants); };
-    fleetCallbacks.onUpstreamLimits = [this](const NodeId &peer, const std::vector<UpstreamLimitStatement> &statements) {
-        UpstreamStatements(log, metrics, clusterState).onPeerLimits(peer, statements, clock.now());
-    };
-    fleetCallbacks.onLeavingUpstreams = [this](const std::vector<UpstreamStart> &starts) {
-        UpstreamStatements(log, metrics, clusterState).onPeerLeaving(starts, clock.now());
+    fleetCallbacks.onUpstreamLimits = [this](const NodeId &peer, const std::vector<UpstreamLimitStatement> &limits) {
+        statements.onPeerLimits(peer, limits, clock.now());
     };
+    fleetCallbacks.onLeavingUpstreams = [this](const std::vector<UpstreamStart> &starts) { statements.onPeerLeaving(starts, clock.now()); };
     fleetCallbacks.onNewerConfiguration = [this](const Peer &peer) { peers->fetchFrom(peer); };
     OrderLeaseLimits limits;
     limits.handoverDelay = settings.orderHandoverDelay;
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -48,6 +48,8 @@
 constexpr Duration MinRetryAfter { 50 };
 // A node that was refused a part of an upstream's limit asks again after this time at most: others may leave their parts unused.
 constexpr Duration MaxRefusalTime { 500 };
+// Longer than a connection takes. A process that was suspended after the reservation must not use it.
+constexpr Duration ReservationLifetime { 500 };
 constexpr int OkStatus = 200;
 constexpr int FirstErrorStatus = 300;
 // Statuses that tell the caller that its request was not run. Only this node may decide that, so they are not forwarded from an upstream.
@@ -505,7 +507,8 @@
     }
     // The upstream may have stated since it was chosen that it is in need.
     const ClusterState &clusterState = m_context.clusterState();
-    return current >= clusterState.upstreamRests.restsUntil(*record) && (m_reservedAt || !clusterState.upstreamLimits.limit(*record));
+    const bool isReserved = m_reservedAt && current - *m_reservedAt <= ReservationLifetime;
+    return current >= clusterState.upstreamRests.restsUntil(*record) && (isReserved || !clusterState.upstreamLimits.limit(*record));
 }
 
 bool RequestJob::acceptsHead(int status, const HttpHeaders &headers)
