Leave empty lists out of the messages between nodes

Even an empty Cap'n Proto list takes bytes of each message, and the statements of upstreams added three.

--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -32,6 +32,14 @@
     return std::string(text.cStr(), text.size());
 }
 
+// Creates no list if there are no entries: even an empty list takes bytes of each message.
+template<typename Entries, typename Init>
+auto initList(const Entries &entries, Init init)
+{
+    using Builder = decltype(init(0U));
+    return entries.empty() ? Builder() : init(static_cast<unsigned int>(entries.size()));
+}
+
 using CopyGroup = std::tuple<BaseModelId, AdapterVersion, bool>;
 
 void encodeResidency(const EngineResidency &residency, Wire::EngineRowWire::Builder wire)
@@ -77,14 +85,14 @@
 
 void encodeLeases(const FleetMessage &message, Wire::FleetMessageWire::Builder wire)
 {
-    auto claims = wire.initClaims(static_cast<unsigned int>(message.claims.size()));
+    auto claims = initList(message.claims, [&wire](unsigned int size) { return wire.initClaims(size); });
     for (unsigned int i = 0; i < claims.size(); ++i) {
         claims[i].setShard(message.claims[i].shard.value());
         claims[i].setFence(message.claims[i].fence.value());
         claims[i].setOrdersInMs(message.claims[i].ordersIn.milliseconds());
         claims[i].setSentAt(message.claims[i].sentAt.milliseconds());
     }
-    auto grants = wire.initGrants(static_cast<unsigned int>(message.grants.size()));
+    auto grants = initList(message.grants, [&wire](unsigned int size) { return wire.initGrants(size); });
     for (unsigned int i = 0; i < grants.size(); ++i) {
         grants[i].setShard(message.grants[i].shard.value());
         grants[i].setHolder(message.grants[i].holder.value());
@@ -94,12 +102,12 @@
     }
     wire.setUptimeMs(message.uptime.milliseconds());
     wire.setRememberedNodes(message.rememberedNodes);
-    auto lastOrders = wire.initLastOrders(static_cast<unsigned int>(message.lastOrders.size()));
+    auto lastOrders = initList(message.lastOrders, [&wire](unsigned int size) { return wire.initLastOrders(size); });
     for (unsigned int i = 0; i < lastOrders.size(); ++i) {
         lastOrders[i].setShard(message.lastOrders[i].shard.value());
         lastOrders[i].setAgoMs(message.lastOrders[i].ago.milliseconds());
     }
-    auto releases = wire.initReleases(static_cast<unsigned int>(message.releases.size()));
+    auto releases = initList(message.releases, [&wire](unsigned int size) { return wire.initReleases(size); });
     for (unsigned int i = 0; i < releases.size(); ++i) {
         releases.set(i, message.releases[i].value());
     }
@@ -147,14 +155,14 @@
 {
     if (message.loads) {
         wire.setHasLoads(true);
-        encodeLoads(*message.loads, wire.initLoads(static_cast<unsigned int>(message.loads->size())));
+        encodeLoads(*message.loads, initList(*message.loads, [&wire](unsigned int size) { return wire.initLoads(size); }));
     }
-    encodeLoads(message.engineLoads, wire.initEngineLoads(static_cast<unsigned int>(message.engineLoads.size())));
-    auto contacts = wire.initContacts(static_cast<unsigned int>(message.contacts.size()));
+    encodeLoads(message.engineLoads, initList(message.engineLoads, [&wire](unsigned int size) { return wire.initEngineLoads(size); }));
+    auto contacts = initList(message.contacts, [&wire](unsigned int size) { return wire.initContacts(size); });
     for (unsigned int i = 0; i < contacts.size(); ++i) {
         contacts.set(i, message.contacts[i]);
     }
-    auto uses = wire.initUses(static_cast<unsigned int>(message.uses.size()));
+    auto uses = initList(message.uses, [&wire](unsigned int size) { return wire.initUses(size); });
     for (unsigned int i = 0; i < uses.size(); ++i) {
         uses[i].setModel(message.uses[i].model.value());
         uses[i].setAdapter(message.uses[i].adapter.value());
@@ -164,7 +172,7 @@
         uses[i].setWaiting(message.uses[i].waiting);
         uses[i].setInTimeForMs(static_cast<std::int32_t>(message.uses[i].latencySlack.milliseconds()));
     }
-    auto residencies = wire.initRows(static_cast<unsigned int>(message.residencies.size()));
+    auto residencies = initList(message.residencies, [&wire](unsigned int size) { return wire.initRows(size); });
     for (unsigned int i = 0; i < residencies.size(); ++i) {
         encodeResidency(message.residencies[i], residencies[i]);
     }
@@ -205,7 +213,7 @@
 
 void encodeCredit(const FleetMessage &message, Wire::FleetMessageWire::Builder wire)
 {
-    auto queries = wire.initCreditQueries(static_cast<unsigned int>(message.creditQueries.size()));
+    auto queries = initList(message.creditQueries, [&wire](unsigned int size) { return wire.initCreditQueries(size); });
     for (unsigned int i = 0; i < queries.size(); ++i) {
         const CreditQuery &query = message.creditQueries[i];
         encodeAccount(query.account, queries[i]);
@@ -214,7 +222,7 @@
         queries[i].setCheapest(query.cheapest);
         queries[i].setAhead(query.ahead);
     }
-    auto grants = wire.initCreditGrants(static_cast<unsigned int>(message.creditGrants.size()));
+    auto grants = initList(message.creditGrants, [&wire](unsigned int size) { return wire.initCreditGrants(size); });
     for (unsigned int i = 0; i < grants.size(); ++i) {
         const CreditGrant &grant = message.creditGrants[i];
         encodeAccount(grant.account, grants[i]);
@@ -371,9 +379,12 @@
     encodeLeases(message, wire);
     encodeLists(message, wire);
     encodeCredit(message, wire);
-    encodeLimits(message.upstreamLimits, wire.initUpstreamLimits(static_cast<unsigned int>(message.upstreamLimits.size())));
-    encodeRests(message.upstreamRests, wire.initUpstreamRests(static_cast<unsigned int>(message.upstreamRests.size())));
-    encodeStarts(message.leavingUpstreams, wire.initLeavingUpstreams(static_cast<unsigned int>(message.leavingUpstreams.size())));
+    encodeLimits(
+        message.upstreamLimits, initList(message.upstreamLimits, [&wire](unsigned int size) { return wire.initUpstreamLimits(size); }));
+    encodeRests(
+        message.upstreamRests, initList(message.upstreamRests, [&wire](unsigned int size) { return wire.initUpstreamRests(size); }));
+    encodeStarts(message.leavingUpstreams,
+        initList(message.leavingUpstreams, [&wire](unsigned int size) { return wire.initLeavingUpstreams(size); }));
     if (message.store) {
         encodeStore(*message.store, wire.initStore());
     }
