Have other nodes send the requests of a node that reaches no upstream

What callers saw: nodes that had lost their links to all upstreams refused their requests after one to two seconds, or held them until the callers gave up, though the other nodes reached every upstream.

Cause: a node had no way to an upstream but its own links, and took each failed connection for the fault of that upstream. Each request tried one upstream after the other for 400 ms each.

Why this works: after one failed connection the node probes others by connecting only. If none accepts, peers send the requests whole; each decides for itself and heeds what upstreams state. The key stays on the first node, which sends the team's name. A request that may not repeat leaves the first node once.

--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -189,6 +189,8 @@
     std::vector<UpstreamRest> upstreamRests;
     /** Upstreams that lately stated in answers to the sender that they are leaving. */
     std::vector<UpstreamStart> leavingUpstreams;
+    /** The services whose upstreams the sender cannot connect to. */
+    std::vector<ServiceName> unreachableServices;
 };
 
 } // namespace ApricotStep
--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -4,6 +4,7 @@
 #include "coordination/outlierdetector.h"
 #include "coordination/outofscopeengines.h"
 #include "coordination/residencytable.h"
+#include "coordination/servicereachability.h"
 #include "coordination/upstreamdirectory.h"
 #include "coordination/upstreamlimits.h"
 #include "coordination/upstreamloadtracker.h"
@@ -44,6 +45,7 @@
     OutOfScopeEngines outOfScope { OutOfScopeLimits {} };
     UpstreamLimits upstreamLimits;
     UpstreamRests upstreamRests;
+    ServiceReachability reachability { ReachabilityLimits {} };
 
     /** Updates what is known of the adapters at an engine. Returns whether @p residency was newer than the stored one. */
     bool updateResidency(const EngineResidency &residency, Time now)
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -71,6 +71,16 @@
                                                 .Help("Requests that an upstream did not get because of what it stated in its answers.")
                                                 .Register(registry)
                                                 .Add({});
+    prometheus::Family<prometheus::Counter> &reachabilityChanges =
+        prometheus::BuildCounter()
+            .Name("apricotstep_entry_service_reachability_total")
+            .Help("Services whose upstreams this node no longer reached, and reached again.")
+            .Register(registry);
+    prometheus::Family<prometheus::Counter> &relayedRequests =
+        prometheus::BuildCounter()
+            .Name("apricotstep_entry_relayed_total")
+            .Help("Requests sent to upstreams through another node, and received from another node for that purpose.")
+            .Register(registry);
     prometheus::Family<prometheus::Counter> &orders =
         prometheus::BuildCounter().Name("apricotstep_entry_orders_total").Help("Orders to engines by answer.").Register(registry);
     prometheus::Family<prometheus::Counter> &keyRefusals = prometheus::BuildCounter()
@@ -179,6 +189,16 @@
     d->upstreamRests.Increment();
 }
 
+void EntryMetrics::serviceReachability(bool isReachable)
+{
+    d->reachabilityChanges.Add({ { "state", isReachable ? "reachable" : "unreachable" } }).Increment();
+}
+
+void EntryMetrics::relayed(std::string_view direction)
+{
+    d->relayedRequests.Add({ { "direction", std::string(direction) } }).Increment();
+}
+
 void EntryMetrics::withheld()
 {
     d->withheldRequests.Increment();
@@ -213,6 +233,7 @@
     d->setGauge("requests_in_progress", gauges.requestsInProgress);
     d->setGauge("log_lines_dropped", static_cast<double>(gauges.logLinesDropped));
     d->setGauge("config_age_seconds", gauges.configurationAge.toSeconds());
+    d->setGauge("unreachable_services", gauges.unreachableServices);
     d->setGauge("ready", gauges.isReady ? 1 : 0);
     std::ostringstream out;
     prometheus::TextSerializer().Serialize(out, d->registry.Collect());
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -38,6 +38,8 @@
     int requestsInProgress = 0;
     std::uint64_t logLinesDropped = 0;
     bool isReady = false;
+    /** Services whose upstreams this node does not reach. */
+    int unreachableServices = 0;
     /** Time since the active configuration was known to be the newest. */
     Duration configurationAge;
 };
@@ -69,6 +71,10 @@
     void upstreamRests();
     /** Counts a request that an upstream does not get, or gets later, because of what the upstream stated. */
     void withheld();
+    /** Counts a service whose upstreams this node no longer reaches, or reaches again. */
+    void serviceReachability(bool isReachable);
+    /** Counts a request that another node sends to the upstream for this one ("sent"), or this one for another node ("received"). */
+    void relayed(std::string_view direction);
     /** Counts a request that is refused because of its key. @p reason comes from a fixed list, since each value creates a time series. */
     void keyRefused(std::string_view reason);
     /** Counts a decision on a request of a limited team. @p decision comes from a fixed list. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -79,6 +79,7 @@
     bool isStoreReader = true;
     std::vector<std::unique_ptr<HttpServer>> servers;
     HttpServer *callerServer = nullptr;
+    HttpServer *peerServer = nullptr;
     std::atomic<bool> isDrainRequested { false };
     std::atomic<bool> isReloadRequested { false };
     bool isLeaving = false;
@@ -99,6 +100,8 @@
     bool isReady() const;
     bool hasOutdatedKeys() const;
     bool canOthersAcceptKeys() const;
+    std::vector<RelayNode> relays(const ServiceName &service, ConfigVersion atLeast) const;
+    void answerPeer(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
     void onChanges(const ClusterStateChanges &changes);
     void answerDirectory(const HttpRequest &request, HttpExchange &exchange);
     void answerReadiness(const HttpRequest &request, HttpExchange &exchange) const;
@@ -129,6 +132,33 @@
         peersAlive.begin(), peersAlive.end(), [](const Peer *peer) { return peer->isReady && !peer->isLeaving && !peer->hasOutdatedKeys; });
 }
 
+// The nodes that use the same engines know their load and adapters; others help only if none of these does.
+std::vector<RelayNode> EntryNode::Private::relays(const ServiceName &service, ConfigVersion atLeast) const
+{
+    const auto relaysAmong = [&](const std::vector<const Peer *> &nodes) {
+        std::vector<RelayNode> result;
+        for (const Peer *peer : nodes) {
+            const auto &unreachable = peer->unreachableServices;
+            const bool isReaching = std::find(unreachable.begin(), unreachable.end(), service) == unreachable.end();
+            if (peer->isReady && !peer->isLeaving && isReaching && peer->configVersion >= atLeast) {
+                result.push_back(RelayNode { peer->id, peer->peerAddress, peer->capacity, peer->requestRate });
+            }
+        }
+        return result;
+    };
+    auto result = relaysAmong(fleet->scopePeers());
+    return result.empty() ? relaysAmong(fleet->alive()) : result;
+}
+
+void EntryNode::Private::answerPeer(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    if (const auto relayed = takeRelayHeaders(request)) {
+        forwarder->onRelayedRequest(std::move(request), *relayed, std::move(exchange));
+    } else {
+        peers->answer(request, *exchange);
+    }
+}
+
 void EntryNode::Private::makeComponents()
 {
     store = std::make_unique<StoreReader>(loop, log, clusterState, settings.storeAddress,
@@ -192,6 +222,7 @@
     callbacks.fleetSize = [this] { return fleet->fleetSize(); };
     callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { return fleet->sendCreditQueries(queries); };
     callbacks.canOthersAcceptKeys = [this] { return canOthersAcceptKeys(); };
+    callbacks.relays = [this](const ServiceName &service, ConfigVersion atLeast) { return relays(service, atLeast); };
     forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, std::move(forwarderSettings), std::move(callbacks));
 }
 
@@ -241,11 +272,12 @@
     if (!metricsServer.isOk()) {
         log.write(EventLog::Severity::Important, "node", "no_metrics", { { "reason", metricsServer.error().detail } });
     }
-    const auto peerServer = listen(settings.peerAddress,
-        [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { peers->answer(request, *exchange); });
-    if (!peerServer.isOk()) {
-        return peerServer.error();
+    const auto openedPeerServer = listen(settings.peerAddress,
+        [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) { answerPeer(std::move(request), std::move(exchange)); });
+    if (!openedPeerServer.isOk()) {
+        return openedPeerServer.error();
     }
+    peerServer = openedPeerServer.value();
     return fleet->start();
 }
 
@@ -321,6 +353,7 @@
     gauges.requestsInProgress = forwarder->activeCount();
     gauges.logLinesDropped = log.dropped();
     gauges.isReady = isReady();
+    gauges.unreachableServices = static_cast<int>(clusterState.reachability.unreachable().size());
     gauges.configurationAge = clock.now() - clusterState.routesKnownAt;
     exchange.respond(OkStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text(gauges));
 }
@@ -394,7 +427,7 @@
         isListenerClosed = true;
         callerServer->stopAccepting();
     }
-    const bool isIdle = forwarder->activeCount() == 0 && callerServer->activeCount() == 0;
+    const bool isIdle = forwarder->activeCount() == 0 && callerServer->activeCount() == 0 && peerServer->activeCount() == 0;
     if ((isIdle && elapsed >= LingerAfterDrain) || elapsed >= longest) {
         log.write(EventLog::Severity::Important, "node", "stopped",
             { { "active", std::int64_t(forwarder->activeCount()) }, { "drainedMs", elapsed.milliseconds() } });
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -174,6 +174,7 @@
     message.isReady = callbacks.isReady() && !isLeaving;
     message.isLeaving = isLeaving;
     message.hasOutdatedKeys = callbacks.hasOutdatedKeys();
+    message.unreachableServices = clusterState.reachability.unreachable();
     message.releases = releasedShards;
     message.uptime = now() - startedAt;
     message.rememberedNodes = static_cast<std::uint32_t>(voters.count(now()));
@@ -542,7 +543,8 @@
     const bool isChanged = isNew || peer.isReady != message.isReady || peer.isLeaving != message.isLeaving;
     peer = Peer { message.sender, message.zone, message.scope, message.callerAddress, message.peerAddress, message.isReady,
         message.isLeaving, message.hasOutdatedKeys, message.configVersion, now(), message.capacity, message.requestRate,
-        message.readRevision, message.isReadingStore, heartbeatTimeout(std::max(scopeLimits.inScopeInterval, message.interval)) };
+        message.readRevision, message.isReadingStore, heartbeatTimeout(std::max(scopeLimits.inScopeInterval, message.interval)),
+        message.unreachableServices };
     if (isChanged) {
         log.write(Important, "fleet", "peer", { { "peer", peer.id.value() }, { "ready", peer.isReady }, { "leaving", peer.isLeaving } });
     }
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -52,6 +52,8 @@
     bool isReadingStore = false;
     /** It counts as alive for this long after its last message. */
     Duration heartbeatTimeout;
+    /** The services whose upstreams it cannot connect to. */
+    std::vector<ServiceName> unreachableServices;
 };
 
 /** How far this node has read the store, and whether it reads it itself. */
--- /dev/null
+++ b/main/entry/relayedrequest.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/strongid.h"
+#include "transport/httpserver.h"
+
+#include <optional>
+
+namespace ApricotStep
+{
+
+/**
+ * What a node that does not reach the upstreams tells another one about a request that it has admitted.
+ *
+ * The caller's key stays behind: the first node has checked it, and charges the limit of its team.
+ */
+struct RelayedRequest
+{
+    /** A node with an older configuration must not run the request. */
+    ConfigVersion configVersion;
+    /** The team that holds the caller's key; empty if there is none. */
+    TeamName team;
+    /** Time since the request arrived at the first node. */
+    Duration waited;
+};
+
+/** Adds @p relayed to @p headers, and removes headers of the caller that have the same names. */
+void addRelayHeaders(HttpHeaders &headers, const RelayedRequest &relayed);
+
+/** Removes the headers that addRelayHeaders() added and returns their values; nothing if the request was not sent by another node. */
+std::optional<RelayedRequest> takeRelayHeaders(HttpRequest &request);
+
+} // namespace ApricotStep
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -48,6 +48,7 @@
     double cost = 0;
     std::shared_ptr<HttpExchange> exchange;
     Time arrivedAt;
+    RequestSource source = RequestSource::Caller;
 };
 
 } // namespace
@@ -74,6 +75,7 @@
     RateMeter arrivals { ArrivalRateMemory };
     CreditLimiter limiter;
     CreditLimiter upstreamLimiter;
+    ReachabilityProber prober;
     /** Jobs that wait for a part of an upstream's limit. */
     std::map<AdmissionId, std::weak_ptr<RequestJob>> reservingJobs;
 
@@ -88,6 +90,7 @@
         , m_callbacks(std::move(callbacks))
         , limiter(loop, m_settings.teamCredit, teamLimiterCallbacks())
         , upstreamLimiter(loop, m_settings.upstreamCredit, upstreamLimiterCallbacks())
+        , prober(loop, log, metrics, clusterState, [this] { retryPlacements(); })
     {
     }
 
@@ -107,6 +110,10 @@
     {
         return m_statements;
     }
+    ReachabilityProber &reachabilityProber() override
+    {
+        return prober;
+    }
     ClusterState &clusterState() override
     {
         return m_clusterState;
@@ -142,6 +149,8 @@
     void giveBackCredit(const Team &team, double cost, Time admittedAt) override;
     void refuseBeyondLimit(const PendingRequest &pending, ErrorKind kind, Duration retryAfter);
     void refuse(HttpExchange &exchange, const std::string &id, ErrorKind kind, const std::string &detail);
+    std::shared_ptr<PendingRequest> accept(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
+    void retryPlacements();
     Result<const Team *> authenticate(const Platform::CallerRequest &decoded, const RouteTable &table, const Route &route) const;
     void refuseKey(HttpExchange &exchange, const Platform::CallerRequest &decoded, const Route &route, const Error &error);
 };
@@ -371,7 +380,7 @@
     const std::uint64_t number = ++lastJob;
     const RequestTeam team { pending.team, pending.cost, admittedAt };
     auto job = std::make_shared<RequestJob>(*this, number, std::move(pending.request), std::move(pending.decoded), pending.table,
-        *pending.route, team, std::move(pending.exchange), pending.arrivedAt);
+        *pending.route, team, std::move(pending.exchange), pending.arrivedAt, pending.source);
     jobs.emplace(number, job);
     job->start();
 }
@@ -389,53 +398,86 @@
 
 RequestForwarder::~RequestForwarder() = default;
 
-void RequestForwarder::onRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+// Refuses a request that no route of the active configuration accepts, or that would outlive this process; then the result is null.
+std::shared_ptr<PendingRequest> RequestForwarder::Private::accept(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
 {
-    d->arrivals.onEvent(d->m_loop.now());
+    arrivals.onEvent(m_loop.now());
     Platform::CallerRequest decoded = Platform::decodeCallerRequest(request);
-    const auto table = d->m_clusterState.routes;
+    const auto table = m_clusterState.routes;
     if (table == nullptr) {
-        d->refuse(*exchange, decoded.id, ErrorKind::NotReady, "no configuration received yet");
-        return;
+        refuse(*exchange, decoded.id, ErrorKind::NotReady, "no configuration received yet");
+        return nullptr;
     }
     if (decoded.id.empty()) {
-        d->refuse(*exchange, decoded.id, ErrorKind::BadRequest, "missing request id");
-        return;
+        refuse(*exchange, decoded.id, ErrorKind::BadRequest, "missing request id");
+        return nullptr;
     }
     const Route *route = table->find(decoded.host, decoded.path);
     if (route == nullptr) {
-        d->refuse(*exchange, decoded.id, ErrorKind::NotFound,
+        refuse(*exchange, decoded.id, ErrorKind::NotFound,
             "host " + decoded.host + ", path " + decoded.path + ", version " + std::to_string(table->version().value()));
-        return;
+        return nullptr;
     }
     if (request.body.size() > table->limits().bodyBytes) {
-        d->refuse(*exchange, decoded.id, ErrorKind::RequestTooLarge, std::to_string(request.body.size()) + " bytes");
-        return;
+        refuse(*exchange, decoded.id, ErrorKind::RequestTooLarge, std::to_string(request.body.size()) + " bytes");
+        return nullptr;
     }
-    if (!d->m_callbacks.canAccept(std::min(route->timeout, decoded.deadline.value_or(route->timeout)))) {
-        d->refuse(*exchange, decoded.id, ErrorKind::Draining, "the request might not end before this process exits");
+    if (!m_callbacks.canAccept(std::min(route->timeout, decoded.deadline.value_or(route->timeout)))) {
+        refuse(*exchange, decoded.id, ErrorKind::Draining, "the request might not end before this process exits");
+        return nullptr;
+    }
+    return std::make_shared<PendingRequest>(
+        PendingRequest { std::move(request), std::move(decoded), table, route, nullptr, 0, std::move(exchange), m_loop.now() });
+}
+
+void RequestForwarder::onRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    const auto pending = d->accept(std::move(request), std::move(exchange));
+    if (pending == nullptr) {
         return;
     }
-    const auto team = d->authenticate(decoded, *table, *route);
+    const auto team = d->authenticate(pending->decoded, *pending->table, *pending->route);
     if (!team.isOk()) {
-        d->refuseKey(*exchange, decoded, *route, team.error());
+        d->refuseKey(*pending->exchange, pending->decoded, *pending->route, team.error());
         return;
     }
-    const bool isLimited = team.value() != nullptr && team.value()->limit;
-    if (isLimited && decoded.hasInvalidTokens && team.value()->limit->unit == LimitUnit::Tokens) {
-        d->refuse(*exchange, decoded.id, ErrorKind::BadRequest, "the number of tokens cannot be decoded");
+    pending->team = team.value();
+    const bool isLimited = pending->team != nullptr && pending->team->limit;
+    if (isLimited && pending->decoded.hasInvalidTokens && pending->team->limit->unit == LimitUnit::Tokens) {
+        d->refuse(*pending->exchange, pending->decoded.id, ErrorKind::BadRequest, "the number of tokens cannot be decoded");
         return;
     }
-    d->admit(std::make_shared<PendingRequest>(
-        PendingRequest { std::move(request), std::move(decoded), table, route, team.value(), 0, std::move(exchange), d->m_loop.now() }));
+    d->admit(pending);
 }
 
-void RequestForwarder::onClusterStateChanged()
+void RequestForwarder::onRelayedRequest(HttpRequest request, const RelayedRequest &relayed, std::shared_ptr<HttpExchange> exchange)
+{
+    d->m_metrics.relayed("received");
+    const auto pending = d->accept(std::move(request), std::move(exchange));
+    if (pending == nullptr) {
+        return;
+    }
+    const RouteTable &table = *pending->table;
+    pending->team = relayed.team.isEmpty() ? nullptr : table.team(relayed.team);
+    const bool lacksTeam = pending->team == nullptr && (!relayed.team.isEmpty() || (table.requiresKeys() && !pending->route->isPublic));
+    if (table.version() < relayed.configVersion || lacksTeam) {
+        d->refuse(*pending->exchange, pending->decoded.id, ErrorKind::NotReady, "the configurations of the nodes differ");
+        return;
+    }
+    pending->source = RequestSource::Node;
+    pending->arrivedAt = pending->arrivedAt - relayed.waited;
+    if (pending->decoded.deadline) {
+        *pending->decoded.deadline = *pending->decoded.deadline + relayed.waited;
+    }
+    d->startJob(*pending, pending->arrivedAt);
+}
+
+void RequestForwarder::Private::retryPlacements()
 {
     // A job may end while it retries its placement, which changes the list.
     std::vector<std::shared_ptr<RequestJob>> current;
-    current.reserve(d->jobs.size());
-    for (const auto &[number, job] : d->jobs) {
+    current.reserve(jobs.size());
+    for (const auto &[number, job] : jobs) {
         current.push_back(job);
     }
     for (const auto &job : current) {
@@ -443,6 +485,11 @@
     }
 }
 
+void RequestForwarder::onClusterStateChanged()
+{
+    d->retryPlacements();
+}
+
 std::vector<AdapterUse> RequestForwarder::uses()
 {
     std::vector<AdapterUse> result;
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "coordination/fleetmessage.h"
+#include "coordination/relaychoice.h"
 #include "coordination/revocationbound.h"
 #include "core/errors.h"
 #include "main/entry/clusterstate.h"
 #include "main/entry/creditlimiter.h"
 #include "main/entry/entrymetrics.h"
 #include "main/entry/eventlog.h"
+#include "main/entry/relayedrequest.h"
 #include "main/entry/upstreamstatements.h"
 #include "transport/ioloop.h"
 
@@ -54,6 +56,8 @@
     std::function<bool()> canOthersAcceptKeys;
     /** Returns the size of the fleet; empty if this node does not know it. */
     std::function<std::optional<int>()> fleetSize;
+    /** Returns the nodes that reach the upstreams of @p service and have a configuration as new as @p atLeast. */
+    std::function<std::vector<RelayNode>(const ServiceName &service, ConfigVersion atLeast)> relays;
     /** Sends queries to the nodes that issue the credit of their accounts. Returns the accounts for which no such node is known. */
     std::function<std::vector<CreditAccount>(const std::vector<CreditQuery> &)> sendCreditQueries;
 };
@@ -66,7 +70,10 @@
         ForwarderCallbacks callbacks);
     ~RequestForwarder();
 
+    /** A caller's request. */
     void onRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
+    /** A request of another node's caller, which that node has admitted and cannot send to an upstream itself. */
+    void onRelayedRequest(HttpRequest request, const RelayedRequest &relayed, std::shared_ptr<HttpExchange> exchange);
     /** Retries the placement of requests that wait for an adapter. */
     void onClusterStateChanged();
     /** Returns the adapters that requests run on or wait for. Each request is counted as new only in the first call that includes it. */
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -2,6 +2,7 @@
 
 #include "core/result.h"
 #include "main/entry/refusal.h"
+#include "main/entry/relayedrequest.h"
 
 #include <algorithm>
 #include <utility>
@@ -50,8 +51,10 @@
 constexpr Duration MaxRefusalTime { 500 };
 // Longer than a connection takes. A process that was suspended after the reservation must not use it.
 constexpr Duration ReservationLifetime { 500 };
+constexpr int MaxRelays = 3;
 constexpr int OkStatus = 200;
 constexpr int FirstErrorStatus = 300;
+constexpr int FirstServerErrorStatus = 500;
 // Statuses that tell the caller that its request was not run. Only this node may decide that, so they are not forwarded from an upstream.
 constexpr int NotRunStatuses[] = { 408, 421, 429, 503 };
 
@@ -69,7 +72,7 @@
 
 RequestJob::RequestJob(RequestContext &context, std::uint64_t number, HttpRequest request, Platform::CallerRequest decoded,
     std::shared_ptr<const RouteTable> table, const Route &route, const RequestTeam &team, std::shared_ptr<HttpExchange> exchange,
-    Time arrivedAt)
+    Time arrivedAt, RequestSource source)
     : m_context(context)
     , m_number(number)
     , m_request(std::move(request))
@@ -78,6 +81,8 @@
     , m_route(route)
     , m_team(team)
     , m_exchange(std::move(exchange))
+    , m_source(source)
+    , m_maxAttempts(source == RequestSource::Caller ? m_route.maxAttempts : 1)
     , m_arrivedAt(arrivedAt)
 {
     const Duration requested = m_decoded.deadline.value_or(m_route.timeout);
@@ -159,7 +164,8 @@
 
 std::optional<AdapterUse> RequestJob::adapterUse()
 {
-    if (!needsAdapter() || m_phase == Phase::Ended) {
+    // The node that sends the request to the upstream reports the adapter.
+    if (!needsAdapter() || m_phase == Phase::Ended || m_relay) {
         return std::nullopt;
     }
     AdapterUse adapterUse =
@@ -304,10 +310,20 @@
 void RequestJob::tryNext()
 {
     m_phase = Phase::Waiting;
+    m_relay.reset();
     if (timeLeft() < MinUsefulTime) {
         onDeadline();
         return;
     }
+    if (!m_context.clusterState().reachability.isReachable(m_service)) {
+        if (m_source == RequestSource::Node) {
+            giveUp(m_executionState == ExecutionState::NotRun ? ErrorKind::UpstreamUnreachable : ErrorKind::UpstreamFailed);
+            return;
+        }
+        if (sendThroughRelay()) {
+            return;
+        }
+    }
     m_withheldUntil.reset();
     auto candidates = options();
     if (m_decoded.generation) {
@@ -339,6 +355,33 @@
     giveUp(m_executionState == ExecutionState::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed);
 }
 
+bool RequestJob::sendThroughRelay()
+{
+    if (m_excludedRelays.size() >= MaxRelays) {
+        return false;
+    }
+    const auto relays = m_context.callbacks().relays(m_service, m_table->version());
+    const RelayNode *chosen = chooseRelay(relays, m_excludedRelays, m_context.random());
+    if (chosen == nullptr) {
+        return false;
+    }
+    m_context.loop().cancel(m_waitTimer);
+    m_relay = *chosen;
+    m_upstream = UpstreamRecord();
+    m_version = AdapterVersion();
+    m_reservedAt.reset();
+    if (!beginAttempt()) {
+        return true;
+    }
+    m_isPromptPending = false;
+    m_context.log().write(RequestStep, "request", "relayed",
+        { { "request", m_decoded.id }, { "peer", m_relay->id.value() }, { "arrival", std::int64_t(m_attemptsSent + 1) },
+            { "leftMs", timeLeft().milliseconds() }, { "waitedMs", (now() - m_arrivedAt).milliseconds() } });
+    m_context.metrics().relayed("sent");
+    m_call = m_context.loop().client().start(makeRelayCall());
+    return true;
+}
+
 Duration RequestJob::fetchTime(double count) const
 {
     const auto one = static_cast<double>(m_context.clusterState().loadEstimator.minFetchTime().milliseconds());
@@ -391,6 +434,7 @@
     m_context.loop().cancel(m_waitTimer);
     m_upstream = record;
     m_version = version;
+    m_relay.reset();
     m_reservedAt.reset();
     if (!m_context.clusterState().upstreamLimits.limit(record)) {
         dispatch();
@@ -427,18 +471,26 @@
     }
 }
 
-void RequestJob::dispatch()
+bool RequestJob::beginAttempt()
 {
     if (m_attemptsSent > 0 && !m_context.takeRetry(m_service)) {
         m_context.log().write(Important, "request", "no_retry_budget", { { "request", m_decoded.id }, { "service", m_service.value() } });
         returnReservation();
         giveUp(m_executionState == ExecutionState::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed);
-        return;
+        return false;
     }
     m_phase = Phase::Sent;
     m_answer.reset();
     m_body.clear();
     m_sentAt = now();
+    return true;
+}
+
+void RequestJob::dispatch()
+{
+    if (!beginAttempt()) {
+        return;
+    }
     m_isPromptPending = true;
     m_context.clusterState().loadTracker.onSent(m_upstream.id, promptTokens());
     m_context.log().write(RequestStep, "request", "sent",
@@ -449,22 +501,45 @@
     m_call = m_context.loop().client().start(makeCall(m_upstream));
 }
 
+Platform::UpstreamBinding RequestJob::binding() const
+{
+    Platform::UpstreamBinding binding;
+    binding.deadline = std::max(timeLeft(), Duration(1));
+    binding.hidesCredentials = m_table->requiresKeys();
+    binding.lastEventId = m_isStreaming ? m_events.lastId() : std::string();
+    return binding;
+}
+
 HttpCall RequestJob::makeCall(const UpstreamRecord &record)
 {
     HttpCall call;
-    call.method = m_request.method;
     call.url = "http://" + record.address + "/";
+    Platform::UpstreamBinding upstreamBinding = binding();
+    upstreamBinding.upstream = record.id;
+    upstreamBinding.adapterVersion = m_version;
+    upstreamBinding.priority = priority();
+    upstreamBinding.team = m_team.team != nullptr ? m_team.team->name : TeamName();
+    call.headers = Platform::upstreamHeaders(m_request, upstreamBinding);
+    prepareCall(call);
+    return call;
+}
+
+HttpCall RequestJob::makeRelayCall()
+{
+    HttpCall call;
+    call.url = "http://" + m_relay->peerAddress + "/";
+    call.headers = Platform::relayHeaders(m_request, binding());
+    addRelayHeaders(
+        call.headers, RelayedRequest { m_table->version(), m_team.team != nullptr ? m_team.team->name : TeamName(), now() - m_arrivedAt });
+    prepareCall(call);
+    return call;
+}
+
+void RequestJob::prepareCall(HttpCall &call)
+{
+    call.method = m_request.method;
     call.target = m_request.target;
     call.body = m_request.body;
-    Platform::UpstreamBinding binding;
-    binding.upstream = record.id;
-    binding.adapterVersion = m_version;
-    binding.deadline = std::max(timeLeft(), Duration(1));
-    binding.priority = priority();
-    binding.team = m_team.team != nullptr ? m_team.team->name : TeamName();
-    binding.hidesCredentials = m_table->requiresKeys();
-    binding.lastEventId = m_isStreaming ? m_events.lastId() : std::string();
-    call.headers = Platform::upstreamHeaders(m_request, binding);
     call.connectTimeout = std::min(ConnectTimeout, std::max(timeLeft(), Duration(1)));
     call.acknowledgeTimeout = AcknowledgeTimeout;
     call.maxConnectionIdle = m_route.kind == RequestKind::NonIdempotent ? MaxConnectionIdleNonIdempotent : MaxConnectionIdle;
@@ -492,17 +567,21 @@
             self->onDone(result);
         }
     };
-    return call;
 }
 
 // Called right before the first byte is sent. If the process was suspended, its knowledge of the upstream and the deadline may be stale by
 // now.
 bool RequestJob::maySend() const
 {
-    const UpstreamRecord *record = m_context.clusterState().upstreams.usable(m_upstream.id);
     const Time current = m_context.loop().clock().now();
-    const bool isCurrent = record != nullptr && record->startedAt == m_upstream.startedAt;
-    if (m_phase != Phase::Sent || m_deadline - current < MinUsefulTime || !isCurrent) {
+    if (m_phase != Phase::Sent || m_deadline - current < MinUsefulTime) {
+        return false;
+    }
+    if (m_relay) {
+        return true;
+    }
+    const UpstreamRecord *record = m_context.clusterState().upstreams.usable(m_upstream.id);
+    if (record == nullptr || record->startedAt != m_upstream.startedAt) {
         return false;
     }
     // The upstream may have stated since it was chosen that it is in need.
@@ -514,7 +593,8 @@
 bool RequestJob::acceptsHead(int status, const HttpHeaders &headers)
 {
     Platform::UpstreamAnswer answer = Platform::decodeUpstreamAnswer(status, headers);
-    const bool isForThisRequest = answer.requestId == m_decoded.id || (answer.requestId.empty() && answer.isNotRun);
+    const bool isRelaysOwn = m_relay && !answer.isSealed;
+    const bool isForThisRequest = answer.requestId == m_decoded.id || (answer.requestId.empty() && (answer.isNotRun || isRelaysOwn));
     if (!isForThisRequest || answer.isEncoded || (isSuccess(status) && !answer.isSealed)) {
         m_context.log().write(Important, "request", "foreign_answer",
             { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "answered", answer.requestId },
@@ -522,7 +602,9 @@
         return false;
     }
     m_answer = std::move(answer);
-    m_context.upstreamStatements().onAnswer(m_upstream, *m_answer, m_sentAt, now());
+    if (!m_relay) {
+        m_context.upstreamStatements().onAnswer(m_upstream, *m_answer, m_sentAt, now());
+    }
     return true;
 }
 
@@ -597,7 +679,9 @@
 void RequestJob::endAttempt()
 {
     m_context.loop().cancel(m_stallTimer);
-    m_context.clusterState().loadTracker.onEnded(m_upstream.id, m_isPromptPending ? promptTokens() : 0);
+    if (!m_relay) {
+        m_context.clusterState().loadTracker.onEnded(m_upstream.id, m_isPromptPending ? promptTokens() : 0);
+    }
     m_call = 0;
 }
 
@@ -618,19 +702,13 @@
         return;
     }
     endAttempt();
-    if (result.state != AttemptState::NotSent && m_attemptsSent++ == 0) {
+    // The relay reports the first arrival.
+    if (result.state != AttemptState::NotSent && m_attemptsSent++ == 0 && !m_relay) {
         m_context.reportFirstArrival(m_service);
     }
     switch (result.state) {
     case AttemptState::NotSent:
-        returnReservation();
-        m_excluded.insert(m_upstream.id);
-        if (result.error != ErrorKind::DeadlinePassed) {
-            m_context.clusterState().outliers.onUnreachable(m_upstream.id, now());
-        }
-        m_context.log().write(RequestStep, "request", "not_sent",
-            { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "reason", result.detail } });
-        tryNext();
+        onNotSent(result);
         break;
     case AttemptState::Sent:
         onIncompleteAnswer(result);
@@ -641,12 +719,38 @@
     }
 }
 
+void RequestJob::onNotSent(const CallResult &result)
+{
+    m_context.log().write(RequestStep, "request", "not_sent",
+        { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "peer", m_relay ? m_relay->id.value() : std::string() },
+            { "reason", result.detail } });
+    if (m_relay) {
+        m_excludedRelays.insert(m_relay->id);
+        tryNext();
+        return;
+    }
+    returnReservation();
+    m_excluded.insert(m_upstream.id);
+    if (result.error != ErrorKind::DeadlinePassed) {
+        m_context.clusterState().outliers.onUnreachable(m_upstream.id, now());
+        // An attempt that the deadline cut short says nothing about the upstream.
+        if (timeLeft() >= MinUsefulTime) {
+            m_context.reachabilityProber().onUnreachable(m_upstream);
+        }
+    }
+    tryNext();
+}
+
 void RequestJob::onAnswered()
 {
     if (!m_answer) {
         onIncompleteAnswer(CallResult { AttemptState::Sent, 0, ErrorKind::UpstreamFailed, "the answer has no head" });
         return;
     }
+    if (m_relay && !m_answer->isSealed) {
+        onRelayError();
+        return;
+    }
     if (m_answer->isNotRun) {
         onNotRun();
         return;
@@ -657,7 +761,9 @@
         onServerFailure();
         return;
     }
-    m_context.clusterState().outliers.onSuccess(m_upstream.id, now());
+    if (!m_relay) {
+        m_context.clusterState().outliers.onSuccess(m_upstream.id, now());
+    }
     if (!m_isStreaming) {
         const Platform::UpstreamAnswer answer = *m_answer;
         deliver(answer, std::move(m_body));
@@ -685,10 +791,30 @@
     tryNext();
 }
 
+void RequestJob::onRelayError()
+{
+    m_context.log().write(RequestStep, "request", "relay_error",
+        { { "request", m_decoded.id }, { "peer", m_relay->id.value() }, { "status", std::int64_t(m_answer->status) } });
+    m_excludedRelays.insert(m_relay->id);
+    if (impliesNotRun(m_answer->status) || m_answer->status < FirstServerErrorStatus) {
+        tryNext();
+        return;
+    }
+    ++m_possibleRuns;
+    m_executionState = ExecutionState::MayHaveRun;
+    if (m_isStreaming) {
+        onStreamInterrupted();
+        return;
+    }
+    retryOrGiveUp(ErrorKind::UpstreamFailed);
+}
+
 void RequestJob::onServerFailure()
 {
     m_context.metrics().upstreamFailed("failed");
-    m_context.clusterState().outliers.onFailure(m_upstream.id, now());
+    if (!m_relay) {
+        m_context.clusterState().outliers.onFailure(m_upstream.id, now());
+    }
     m_context.log().write(Important, "request", "upstream_failed",
         { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "status", std::int64_t(m_answer->status) } });
     if (m_isStreaming) {
@@ -705,10 +831,15 @@
     m_context.metrics().upstreamFailed("broken");
     ++m_possibleRuns;
     m_executionState = ExecutionState::MayHaveRun;
-    m_context.clusterState().outliers.onFailure(m_upstream.id, now());
     m_context.log().write(Important, "request", "broken",
-        { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "reason", result.detail },
-            { "afterMs", (now() - m_sentAt).milliseconds() } });
+        { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "peer", m_relay ? m_relay->id.value() : std::string() },
+            { "reason", result.detail }, { "afterMs", (now() - m_sentAt).milliseconds() } });
+    if (m_relay) {
+        m_excludedRelays.insert(m_relay->id);
+    } else {
+        m_context.clusterState().outliers.onFailure(m_upstream.id, now());
+        m_context.reachabilityProber().onBroken(m_service);
+    }
     if (m_isStreaming) {
         onStreamInterrupted();
         return;
@@ -719,7 +850,7 @@
 void RequestJob::onStreamInterrupted()
 {
     m_events.discardPartialEvent();
-    if (!m_route.isResumable || m_possibleRuns >= m_route.maxAttempts) {
+    if (!m_route.isResumable || m_possibleRuns >= m_maxAttempts) {
         abortStream("the upstream did not finish the stream");
         return;
     }
@@ -730,7 +861,7 @@
 void RequestJob::retryOrGiveUp(ErrorKind kind)
 {
     m_excluded.insert(m_upstream.id);
-    if (isRepeatable() && m_possibleRuns < m_route.maxAttempts) {
+    if (isRepeatable() && m_possibleRuns < m_maxAttempts) {
         tryNext();
         return;
     }
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "coordination/relaychoice.h"
 #include "coordination/upstreamchoice.h"
+#include "main/entry/reachabilityprober.h"
 #include "main/entry/requestforwarder.h"
 #include "platform/requests.h"
 #include "protocol/eventsplitter.h"
@@ -26,6 +28,7 @@
     virtual ClusterState &clusterState() = 0;
     virtual EntryMetrics &metrics() = 0;
     virtual UpstreamStatements &upstreamStatements() = 0;
+    virtual ReachabilityProber &reachabilityProber() = 0;
     virtual const ForwarderSettings &settings() const = 0;
     virtual const ForwarderCallbacks &callbacks() const = 0;
     virtual std::mt19937_64 &random() = 0;
@@ -58,13 +61,20 @@
     Time admittedAt;
 };
 
+/** Where a request comes from. */
+enum class RequestSource {
+    Caller,
+    /** Another node that does not reach the upstreams. It tries again itself, and its request is not sent to a third node. */
+    Node,
+};
+
 /** Handles one request of a caller, from its arrival to the end of its answer. */
 class RequestJob : public std::enable_shared_from_this<RequestJob>
 {
 public:
     RequestJob(RequestContext &context, std::uint64_t number, HttpRequest request, Platform::CallerRequest decoded,
         std::shared_ptr<const RouteTable> table, const Route &route, const RequestTeam &team, std::shared_ptr<HttpExchange> exchange,
-        Time arrivedAt);
+        Time arrivedAt, RequestSource source);
 
     void start();
     /** Tries again to choose an upstream; does nothing unless the job is waiting for one. */
@@ -122,19 +132,31 @@
     /** Sends the request out of scope if that is better than @p inScope, which may be null. Returns whether it did. */
     bool sendOutOfScope(const UpstreamOption *inScope);
     bool canWaitForAdapter() const;
+    /** Sends the request through another node that reaches the upstreams. Returns false if there is none. */
+    bool sendThroughRelay();
+    HttpCall makeRelayCall();
     std::optional<Duration> retryDelayIfTooLate() const;
     /** Sends the request to the upstream, once a part of the upstream's limit is reserved if it has one. */
     void send(const UpstreamRecord &record, const AdapterVersion &version);
     void dispatch();
     void returnReservation();
     HttpCall makeCall(const UpstreamRecord &record);
+    /** Sets what calls to upstreams and to relays have in common. */
+    void prepareCall(HttpCall &call);
+    /** The binding of the attempt in progress, without what only upstreams are told. */
+    Platform::UpstreamBinding binding() const;
+    /** Starts the attempt in progress; false if the retry budget does not allow it, which ends the request. */
+    bool beginAttempt();
     bool maySend() const;
     bool acceptsHead(int status, const HttpHeaders &headers);
     void onHead();
     bool onData(std::string_view data);
     void onDone(const CallResult &result);
+    void onNotSent(const CallResult &result);
     void onAnswered();
     void onNotRun();
+    /** The relay answered itself: the upstream's answer is not known. */
+    void onRelayError();
     void onIncompleteAnswer(const CallResult &result);
     void onStreamInterrupted();
     void onServerFailure();
@@ -163,6 +185,8 @@
     RequestTeam m_team;
     ServiceName m_service;
     std::shared_ptr<HttpExchange> m_exchange;
+    RequestSource m_source;
+    int m_maxAttempts = 1;
 
     Time m_arrivedAt;
     Time m_deadline;
@@ -177,6 +201,8 @@
     bool m_hasWaited = false;
     /** Upstreams that refused or failed the request or could not be reached; not chosen again until the job waits. */
     std::set<UpstreamId> m_excluded;
+    /** Nodes through which the request was not served. */
+    std::set<NodeId> m_excludedRelays;
     /** When the first of the upstreams that do not accept the request now may do so; unset if there are none. */
     std::optional<Time> m_withheldUntil;
     bool m_hasBeenWithheld = false;
@@ -188,6 +214,8 @@
     CallId m_call = 0;
     UpstreamRecord m_upstream;
     AdapterVersion m_version;
+    /** Set while the attempt goes through another node, which chooses the upstream. */
+    std::optional<RelayNode> m_relay;
     std::optional<Platform::UpstreamAnswer> m_answer;
     std::string m_body;
     /** The engine has not read the prompt yet, so the load tracker still counts its tokens as pending. */
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -138,4 +138,5 @@
     upstreamLimits @30 :List(UpstreamLimitWire);
     upstreamRests @31 :List(UpstreamRestWire);
     leavingUpstreams @32 :List(UpstreamStartWire);
+    unreachableServices @33 :List(Text);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -240,7 +240,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 20)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 21)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1651,6 +1651,9 @@
   inline bool hasLeavingUpstreams() const;
   inline  ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>::Reader getLeavingUpstreams() const;
 
+  inline bool hasUnreachableServices() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnreachableServices() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1860,6 +1863,14 @@
   inline void adoptLeavingUpstreams(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::UpstreamStartWire,  ::capnp::Kind::STRUCT>> disownLeavingUpstreams();
 
+  inline bool hasUnreachableServices();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUnreachableServices();
+  inline void setUnreachableServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setUnreachableServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUnreachableServices(unsigned int size);
+  inline void adoptUnreachableServices(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnreachableServices();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3908,6 +3919,44 @@
       ::capnp::bounded<19>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessageWire::Reader::hasUnreachableServices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasUnreachableServices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FleetMessageWire::Reader::getUnreachableServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FleetMessageWire::Builder::getUnreachableServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setUnreachableServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS), value);
+}
+inline void FleetMessageWire::Builder::setUnreachableServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FleetMessageWire::Builder::initUnreachableServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptUnreachableServices(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FleetMessageWire::Builder::disownUnreachableServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<20>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -349,6 +349,9 @@
     message.upstreamLimits = decodeLimits(wire.getUpstreamLimits());
     message.upstreamRests = decodeRests(wire.getUpstreamRests());
     message.leavingUpstreams = decodeStarts(wire.getLeavingUpstreams());
+    for (const auto service : wire.getUnreachableServices()) {
+        message.unreachableServices.emplace_back(textOf(service));
+    }
     if (wire.hasStore()) {
         message.store = decodeStore(wire.getStore());
     }
@@ -385,6 +388,10 @@
         message.upstreamRests, initList(message.upstreamRests, [&wire](unsigned int size) { return wire.initUpstreamRests(size); }));
     encodeStarts(message.leavingUpstreams,
         initList(message.leavingUpstreams, [&wire](unsigned int size) { return wire.initLeavingUpstreams(size); }));
+    auto services = initList(message.unreachableServices, [&wire](unsigned int size) { return wire.initUnreachableServices(size); });
+    for (unsigned int i = 0; i < message.unreachableServices.size(); ++i) {
+        services.set(i, message.unreachableServices[i].value());
+    }
     if (message.store) {
         encodeStore(*message.store, wire.initStore());
     }
--- a/tests/main/testentrynodecutoff.cpp
+++ b/tests/main/testentrynodecutoff.cpp
@@ -159,13 +159,13 @@
 } // namespace
 
 // Guards against refusing all callers of a node whose connections to all upstreams are refused, while another node reaches them.
-Test(knownred, callersOfNodeThatUpstreamsRefuseAreServed)
+Test(entrynode, callersOfNodeThatUpstreamsRefuseAreServed)
 {
     expectFirstTriesServed(UnreachableAddress::Kind::Refusing);
 }
 
 // The same for connection attempts that get no response.
-Test(knownred, callersOfNodeThatGetsNoResponseFromUpstreamsAreServed)
+Test(entrynode, callersOfNodeThatGetsNoResponseFromUpstreamsAreServed)
 {
     expectFirstTriesServed(UnreachableAddress::Kind::Silent);
 }
--- a/tests/main/testmetrics.cpp
+++ b/tests/main/testmetrics.cpp
@@ -89,6 +89,8 @@
     entry.upstreamLimitChanged(true);
     entry.withheld();
     entry.upstreamRests();
+    entry.serviceReachability(false);
+    entry.relayed("sent");
     entry.order("done");
     entry.keyRefused("unauthenticated");
     entry.teamRequest(TeamName("t"), "admitted");
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -35,6 +35,7 @@
         UpstreamLimitStatement { UpstreamId("v"), 13, std::nullopt, Duration(90) } };
     message.upstreamRests = { UpstreamRest { UpstreamId("w"), 14, Duration(2900) } };
     message.leavingUpstreams = { UpstreamStart { UpstreamId("x"), 15 } };
+    message.unreachableServices = { ServiceName("s1"), ServiceName("s2") };
     message.configVersion = ConfigVersion(9);
     message.claims = { LeaseClaim { EngineShard(2), FencingToken(5), Duration(30), Time(4) } };
     message.grants = { LeaseGrant { EngineShard(1), NodeId("n2"), Incarnation(3), Time(8), FencingToken(6) } };
@@ -73,6 +74,7 @@
     cr_assert(message.engineLoads == sent.engineLoads);
     cr_assert(message.store == sent.store && message.upstreamLimits == sent.upstreamLimits);
     cr_assert(message.upstreamRests == sent.upstreamRests && message.leavingUpstreams == sent.leavingUpstreams);
+    cr_assert(message.unreachableServices == sent.unreachableServices);
 }
 
 // Datagrams may be truncated, modified or sent by other programs. None may crash a node, and one without a sender is rejected.
