Refuse a request at once that all tried relays have refused

What callers saw: the refusal came only after the node had tried upstreams that it does not reach, at worst with 504 at the deadline. Direct attempts remain where there is no relay at all.

--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -319,11 +319,12 @@
         return;
     }
     if (!m_context.clusterState().reachability.isReachable(m_service)) {
-        if (m_source == RequestSource::Node) {
-            giveUp(m_executionState == ExecutionState::NotRun ? ErrorKind::UpstreamUnreachable : ErrorKind::UpstreamFailed);
+        if (m_source == RequestSource::Caller && sendThroughRelay()) {
             return;
         }
-        if (sendThroughRelay()) {
+        // Direct attempts would only delay the refusal. Without any relay the upstreams may be down for all nodes, and back at any moment.
+        if (m_source == RequestSource::Node || !m_excludedRelays.empty()) {
+            giveUp(m_executionState == ExecutionState::NotRun ? ErrorKind::UpstreamUnreachable : ErrorKind::UpstreamFailed);
             return;
         }
     }
--- a/tests/main/testrequestforwarderfixture.h
+++ b/tests/main/testrequestforwarderfixture.h
@@ -100,16 +100,25 @@
         source.limits.bodyBytes = 1000;
         clusterState.routes = RouteTable::make(source).value();
     }
-    void addUpstream(const std::string &id, const ScriptedUpstream &upstream)
+    void addUpstreamAt(const std::string &id, const std::string &address)
     {
         UpstreamRecord record;
         record.id = UpstreamId(id);
         record.service = ServiceName("svc");
-        record.address = upstream.address();
+        record.address = address;
         record.slots = 4;
         record.startedAt = 1;
         clusterState.upstreams.put(record, clock.now());
     }
+    void addUpstream(const std::string &id, const ScriptedUpstream &upstream)
+    {
+        addUpstreamAt(id, upstream.address());
+    }
+    /** An upstream at which no connection can be established. */
+    void addUnreachableUpstream(const std::string &id)
+    {
+        addUpstreamAt(id, "127.0.0.1:1"); // No program listens there.
+    }
     static HttpRequest request(const std::string &method = "POST")
     {
         HttpRequest request;
@@ -130,17 +139,6 @@
         forwarder->onRequest(std::move(httpRequest), caller);
         return caller;
     }
-    /** An upstream at which no connection can be established. */
-    void addUnreachableUpstream(const std::string &id)
-    {
-        UpstreamRecord record;
-        record.id = UpstreamId(id);
-        record.service = ServiceName("svc");
-        record.address = "127.0.0.1:1"; // No program listens there.
-        record.slots = 4;
-        record.startedAt = 1;
-        clusterState.upstreams.put(record, clock.now());
-    }
     void addRelay(const std::string &id, const ScriptedUpstream &node)
     {
         relays.push_back(RelayNode { NodeId(id), node.address(), 1, 0 });
--- a/tests/main/testrequestforwarderrelay.cpp
+++ b/tests/main/testrequestforwarderrelay.cpp
@@ -1,4 +1,5 @@
 #include "testrequestforwarderfixture.h"
+#include "unreachableaddress.h"
 
 #include <algorithm>
 
@@ -150,6 +151,29 @@
     cr_assert_leq(relay.requests().size(), 3);
 }
 
+// Guards against a request that all other nodes refused being held while the node tries each upstream that it does not reach.
+Test(relays, refusalOfAllRelaysIsDeliveredAtOnce)
+{
+    const ScriptedUpstream relay([](const std::string &) { return ScriptedAnswer { RelayRefusal }; });
+    const UnreachableAddress silent(UnreachableAddress::Kind::Silent);
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::NonIdempotent, 1);
+    for (const char *id : { "u1", "u2", "u3" }) {
+        fixture.addUpstreamAt(id, silent.address());
+        fixture.clusterState.reachability.onUnreachable(ServiceName("svc"), UpstreamId(id), fixture.clock.now());
+    }
+    std::mt19937_64 random;
+    fixture.clusterState.reachability.decide(
+        ServiceName("svc"), { UpstreamId("u1"), UpstreamId("u2"), UpstreamId("u3") }, fixture.clock.now(), random);
+    fixture.addRelay("n2", relay);
+    fixture.addRelay("n3", relay);
+    const Time start = fixture.clock.now();
+    const auto caller = fixture.send(ForwarderFixture::request());
+    fixture.runUntil([&] { return caller->isDone(); });
+    cr_assert_eq(caller->status(), 503);
+    cr_assert_lt((fixture.clock.now() - start).milliseconds(), 300);
+}
+
 // Guards against an answer that another node cut off, or that lacks the upstream's seal, reaching a caller as whole.
 Test(relays, onlyWholeSealedAnswersAreDelivered)
 {
