--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -84,9 +84,12 @@
     /** The requests a second that all nodes together may send to @p upstream; unset if they are not limited. */
     std::optional<double> requestLimit(const UpstreamRecord &upstream, Time now) const
     {
-        const auto stated = upstreamLimits.limit(upstream);
-        const auto cautious = brittleUpstreams.limit(upstream, now);
-        return stated && cautious ? std::optional(std::min(*stated, *cautious)) : stated ? stated : cautious;
+        return lowerLimit(upstreamLimits.limit(upstream), brittleUpstreams.limit(upstream, now));
+    }
+    /** The same for the issuer of the credit for one start of an upstream. */
+    std::optional<double> issuedRequestLimit(const UpstreamId &upstream, std::int64_t startedAt) const
+    {
+        return lowerLimit(upstreamLimits.limit(upstream, startedAt), brittleUpstreams.issuedLimit(upstream, startedAt));
     }
     /** Whether the upstream would have to let a request wait, and fails if it refuses too many. */
     bool isBrittleAndFull(const UpstreamRecord &upstream, Time now)
@@ -109,6 +112,10 @@
             std::count_if(records.begin(), records.end(), [this, now](const UpstreamRecord *record) { return isInNeed(*record, now); });
         return inNeed * 2 <= std::ssize(records);
     }
+    static std::optional<double> lowerLimit(std::optional<double> a, std::optional<double> b)
+    {
+        return a && b ? std::min(a, b) : a ? a : b;
+    }
     /** The usable engines of @p service in this node's scope; those of all zones if there are none in its scope. */
     std::vector<const UpstreamRecord *> engines(const ServiceName &service) const
     {
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -292,10 +292,7 @@
 {
     CreditLimiter::Callbacks result = limiterCallbacks();
     result.limitOf = [this](const CreditAccount &account) {
-        const UpstreamId upstream(account.name);
-        const auto stated = m_clusterState.upstreamLimits.limit(upstream, account.startedAt);
-        const auto cautious = m_clusterState.brittleUpstreams.issuedLimit(upstream, account.startedAt);
-        const auto limit = stated && cautious ? std::optional(std::min(*stated, *cautious)) : stated ? stated : cautious;
+        const auto limit = m_clusterState.issuedRequestLimit(UpstreamId(account.name), account.startedAt);
         return std::optional(AccountLimit { limit ? std::optional(upstreamCreditLimit(*limit)) : std::nullopt });
     };
     result.onDecided = [this](AdmissionId id, const Admission &admission) {
