Keep a stream that breaks off inside an event, with its connection, as known red tests

Callers saw a stream that its upstream had broken off as a complete answer. The answer had neither a length nor chunks, and ended inside an event. Four tests fail on the present code, directly and through another node; whole answers of this kind and answers that are reset are already told apart.

--- /dev/null
+++ b/tests/main/testrequestforwarderstream.cpp
@@ -0,0 +1,112 @@
+#include "testrequestforwarderfixture.h"
+#include "unreachableaddress.h"
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+using namespace Fixtures;
+
+namespace
+{
+
+/** The head of an answer with neither a length nor chunks, whose end is that of its connection. */
+constexpr const char *UnframedHead = "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\n\r\n";
+constexpr auto Close = ScriptedAnswer::ConnectionAction::Close;
+constexpr auto Reset = ScriptedAnswer::ConnectionAction::Reset;
+
+ScriptedAnswer unframed(const std::string &body, ScriptedAnswer::ConnectionAction action = Close)
+{
+    return ScriptedAnswer { UnframedHead + body, action };
+}
+
+/** Sends a request of @p kind to two upstreams with the same script, and returns its caller once the answer has ended. */
+std::shared_ptr<Caller> answerOf(RequestKind kind, bool isResumable, const ScriptedUpstream::Script &script)
+{
+    const ScriptedUpstream first(script);
+    const ScriptedUpstream second(script);
+    ForwarderFixture fixture;
+    fixture.configure(kind, isResumable ? 2 : 1, isResumable);
+    fixture.addUpstream("u1", first);
+    fixture.addUpstream("u2", second);
+    const auto caller = fixture.send(ForwarderFixture::request());
+    fixture.runUntil([&] { return caller->isDone(); });
+    return caller;
+}
+
+} // namespace
+
+// Guards against a stream that an upstream broke off inside an event, by closing its connection, and that ends as complete for the caller.
+Test(knownred, unframed_streamThatEndsInsideAnEventDoesNotLookComplete)
+{
+    for (const char *rest : { "id: 2\nda", "id: 2\ndata: b\n", "i" }) {
+        const auto caller = answerOf(
+            RequestKind::Stream, false, [rest](const std::string &) { return unframed(absl::StrCat("id: 1\ndata: a\n\n", rest)); });
+        cr_assert(caller->isDone());
+        cr_assert_not(caller->isFinished());
+        cr_assert_eq(caller->body(), "id: 1\ndata: a\n\n");
+    }
+}
+
+// Guards against a stream without any event that ends as complete for the caller.
+Test(knownred, unframed_streamWithoutAnEventDoesNotLookComplete)
+{
+    const auto caller = answerOf(RequestKind::Stream, false, [](const std::string &) { return unframed(""); });
+    cr_assert(caller->isDone());
+    cr_assert_not(caller->isFinished());
+}
+
+// Guards against a resumable stream that was broken off inside an event and is not continued.
+Test(knownred, unframed_resumableStreamThatEndsInsideAnEventContinues)
+{
+    int calls = 0;
+    const auto caller = answerOf(RequestKind::Stream, true, [&calls](const std::string &request) {
+        if (++calls == 1) {
+            return unframed("id: 1\ndata: a\n\nid: 2\nda");
+        }
+        cr_assert(absl::StrContains(request, "Last-Event-Id: 1\r\n"), "%s", request.c_str());
+        return unframed("id: 2\ndata: b\n\n");
+    });
+    cr_assert(caller->body() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "%s", caller->body().c_str());
+    cr_assert(caller->isFinished());
+}
+
+// Guards against whole answers that are taken for broken ones because they end with their connection.
+Test(unframedanswers, wholeAnswersAreDelivered)
+{
+    for (const char *stream : { "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 1\r\ndata: a\r\n\r\n", "id: 1\ndata: a\n\n\n" }) {
+        const auto caller = answerOf(RequestKind::Stream, false, [stream](const std::string &) { return unframed(stream); });
+        cr_assert(caller->isFinished());
+        cr_assert(caller->body() == stream, "%s", caller->body().c_str());
+    }
+    const auto caller = answerOf(RequestKind::NonIdempotent, false, [](const std::string &) { return unframed("whole"); });
+    cr_assert_eq(caller->status(), 200);
+    cr_assert_eq(caller->body(), "whole");
+}
+
+// Guards against an answer that an upstream reset on the way and that is delivered as whole.
+Test(unframedanswers, answerThatIsResetIsNotDelivered)
+{
+    const auto payment = answerOf(RequestKind::NonIdempotent, false, [](const std::string &) { return unframed("half", Reset); });
+    cr_assert_eq(payment->status(), 502);
+    const auto stream = answerOf(RequestKind::Stream, false, [](const std::string &) { return unframed("id: 1\ndata: a\n\n", Reset); });
+    cr_assert(stream->isDone());
+    cr_assert_not(stream->isFinished());
+}
+
+// Guards against a stream that breaks off inside an event on its way through another node and ends as complete for the caller.
+Test(knownred, unframed_relayedStreamThatEndsInsideAnEventContinues)
+{
+    const ScriptedUpstream relay([](const std::string &request) {
+        return absl::StrContains(request, "Last-Event-Id: 1\r\n") ? unframed("id: 2\ndata: b\n\n")
+                                                                  : unframed("id: 1\ndata: a\n\nid: 2\nda");
+    });
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Stream, 2, true);
+    fixture.addUnreachableUpstream("u1");
+    fixture.addRelay("n2", relay);
+    fixture.addRelay("n3", relay);
+    const auto caller = fixture.send(ForwarderFixture::request());
+    fixture.runUntil([&] { return caller->isDone(); });
+    cr_assert(caller->body() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "%s", caller->body().c_str());
+    cr_assert(caller->isFinished());
+}
--- a/tests/transport/testhttp.cpp
+++ b/tests/transport/testhttp.cpp
@@ -24,7 +24,8 @@
     return std::move(HttpServer::start({}, std::move(handler)).value());
 }
 
-Answer call(HttpClient &client, const HttpServer &server, const std::string &body = {}, const std::function<bool()> &maySend = {})
+Answer call(HttpClient &client, const HttpServer &server, const std::string &body = {}, const std::function<bool()> &maySend = {},
+    std::vector<std::pair<std::string, std::string>> headers = {})
 {
     auto answer = std::make_shared<Answer>();
     auto done = std::make_shared<absl::Notification>();
@@ -32,6 +33,7 @@
     httpCall.method = body.empty() ? "GET" : "POST";
     httpCall.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/x?y=1";
     httpCall.body = body;
+    httpCall.headers = std::move(headers);
     httpCall.maySend = maySend;
     httpCall.onData = [answer](std::string_view data) {
         answer->body.append(data);
@@ -86,6 +88,22 @@
     cr_assert(answer.result.error == ErrorKind::UpstreamFailed);
 }
 
+// Guards against a broken stream that looks complete to a caller whose connection ends with it: such an answer must still have chunks.
+Test(http, abortedStreamThatEndsItsConnectionIsReportedAsFailed)
+{
+    for (const bool isClosedByServer : { false, true }) {
+        const auto server = serve([isClosedByServer](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+            exchange->beginStream(200, isClosedByServer ? HttpHeaders { { "Connection", "close" } } : HttpHeaders {});
+            exchange->write("half");
+            exchange->abort();
+        });
+        HttpClient client;
+        const Answer answer = call(client, *server, {}, {}, { { "Connection", "close" } });
+        cr_assert(answer.result.state == AttemptState::Sent);
+        cr_assert(answer.result.error == ErrorKind::UpstreamFailed);
+    }
+}
+
 Test(http, streamIsCompleteAfterPauses)
 {
     constexpr std::size_t Parts = 2000;
