--- a/core/strongid.h
+++ b/core/strongid.h
@@ -81,6 +81,8 @@
 using ServiceName = StrongId<struct ServiceNameTag>;
 using AdapterId = StrongId<struct AdapterIdTag>;
 using AdapterVersion = StrongId<struct AdapterVersionTag>;
+/** Version of the software that an upstream runs, not of what it has loaded. */
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 using BaseModelId = StrongId<struct BaseModelIdTag>;
 using TeamName = StrongId<struct TeamNameTag>;
 
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -294,7 +294,7 @@
                            log.write(EventLog::Severity::Important, "upstream", "started",
                                { { "upstream", started.record.id.value() }, { "service", started.record.service.value() },
                                    { "address", started.record.address }, { "leaving", started.record.isLeaving },
-                                   { "startedAt", started.record.startedAt } });
+                                   { "startedAt", started.record.startedAt }, { "software", started.record.softwareVersion.value() } });
                        },
                        [this](const UpstreamUpdated &updated) { clusterState.outOfScope.put(updated.record); },
                        [this](const UpstreamLeft &left) {
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -158,7 +158,8 @@
     m_context.log().write(RequestStep, "request", "arrived",
         { { "request", m_decoded.id }, { "team", m_team.team != nullptr ? m_team.team->name.value() : std::string() },
             { "route", m_route.name }, { "configVersion", std::int64_t(m_table->version().value()) }, { "service", m_service.value() },
-            { "adapter", adapter().adapter.value() }, { "leftMs", timeLeft().milliseconds() } });
+            { "adapter", adapter().adapter.value() }, { "leftMs", timeLeft().milliseconds() }, { "resumes", m_decoded.resumedRequest },
+            { "lastEvent", m_decoded.lastEventId } });
     tryNext();
 }
 
@@ -501,7 +502,7 @@
     m_context.clusterState().loadTracker.onSent(m_upstream.id, promptTokens());
     m_context.log().write(RequestStep, "request", "sent",
         { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "arrival", std::int64_t(m_attemptsSent + 1) },
-            { "version", m_version.value() }, { "leftMs", timeLeft().milliseconds() },
+            { "version", m_version.value() }, { "software", m_upstream.softwareVersion.value() }, { "leftMs", timeLeft().milliseconds() },
             { "waitedMs", (now() - m_arrivedAt).milliseconds() } });
     m_context.metrics().sent(m_route.kind, now() - m_arrivedAt, m_attemptsSent > 0);
     m_call = m_context.loop().client().start(makeCall(m_upstream));
--- a/state/upstreamrecord.h
+++ b/state/upstreamrecord.h
@@ -29,6 +29,8 @@
     /** IP address and port. */
     std::string address;
     ZoneId zone;
+    /** Empty if the upstream does not state it. */
+    SoftwareVersion softwareVersion;
     /** Number of requests that it processes at the same time; at least 1. */
     int slots = 1;
     /** The upstream has announced that it is leaving. */
