Keep streams that go on at another software version as known red tests

Callers got events of two software versions of an upstream in one stream. Four tests fail on the present code: a stream that the node continues itself, one that its caller takes up again, one that no node knows, and one whose version has left.

--- a/tests/main/testrequestforwarderfixture.h
+++ b/tests/main/testrequestforwarderfixture.h
@@ -100,7 +100,7 @@
         source.limits.bodyBytes = 1000;
         clusterState.routes = RouteTable::make(source).value();
     }
-    void addUpstreamAt(const std::string &id, const std::string &address)
+    void addUpstreamAt(const std::string &id, const std::string &address, const std::string &software = "")
     {
         UpstreamRecord record;
         record.id = UpstreamId(id);
@@ -108,11 +108,12 @@
         record.address = address;
         record.slots = 4;
         record.startedAt = 1;
+        record.softwareVersion = SoftwareVersion(software);
         clusterState.upstreams.put(record, clock.now());
     }
-    void addUpstream(const std::string &id, const ScriptedUpstream &upstream)
+    void addUpstream(const std::string &id, const ScriptedUpstream &upstream, const std::string &software = "")
     {
-        addUpstreamAt(id, upstream.address());
+        addUpstreamAt(id, upstream.address(), software);
     }
     /** An upstream at which no connection can be established. */
     void addUnreachableUpstream(const std::string &id)
--- /dev/null
+++ b/tests/main/testrequestforwardersoftware.cpp
@@ -0,0 +1,120 @@
+#include "testrequestforwarderfixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+using namespace Fixtures;
+
+namespace
+{
+
+ScriptedAnswer wholeStream(const std::string &events)
+{
+    return ScriptedAnswer { absl::StrCat(StreamHead, chunk(events), "0\r\n\r\n") };
+}
+
+ScriptedAnswer brokenStream(const std::string &events)
+{
+    return ScriptedAnswer { absl::StrCat(StreamHead, chunk(events)), ScriptedAnswer::ConnectionAction::Reset };
+}
+
+/** A request with the id @p id that takes up the stream which the request @p resumed began, after its first event. */
+HttpRequest resumption(const std::string &id, const std::string &resumed)
+{
+    HttpRequest request = ForwarderFixture::request();
+    for (auto &[name, value] : request.headerList) {
+        value = name == "Apricotstep-Request-Id" ? id : value;
+    }
+    request.headers["apricotstep-request-id"] = id;
+    const HttpHeaders added { { "Last-Event-Id", "1" }, { "Resumes", resumed } };
+    for (const auto &[name, value] : added) {
+        if (!value.empty()) {
+            request.headerList.emplace_back(name, value);
+            request.headers[absl::AsciiStrToLower(name)] = value;
+        }
+    }
+    return request;
+}
+
+/** A forwarder before one upstream of each of two software versions. */
+struct TwoVersionsFixture : ForwarderFixture
+{
+    ScriptedUpstream first;
+    ScriptedUpstream second;
+
+    explicit TwoVersionsFixture(const ScriptedUpstream::Script &firstScript)
+        : first(firstScript)
+        , second([](const std::string &) { return wholeStream("id: 2\ndata: b\n\n"); })
+    {
+        configure(RequestKind::Stream, 2, true);
+        addUpstream("u1", first, "v1");
+    }
+    /** Sends a request that the first upstream begins, and only then adds the second one. */
+    std::shared_ptr<Caller> begin()
+    {
+        const auto caller = send(request());
+        runUntil([&] { return !first.requests().empty(); });
+        addUpstream("u2", second, "v2");
+        runUntil([&] { return caller->isDone(); });
+        return caller;
+    }
+};
+
+} // namespace
+
+// Guards against a stream that a node continues, within one answer, at an upstream of another software version.
+Test(knownred, software_streamIsContinuedOnlyAtItsVersion)
+{
+    TwoVersionsFixture fixture([](const std::string &) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50)); // The second upstream is listed before the stream breaks off.
+        return brokenStream("id: 1\ndata: a\n\n");
+    });
+    const auto caller = fixture.begin();
+    cr_assert(fixture.second.requests().empty());
+    cr_assert_not(caller->isFinished());
+    cr_assert_eq(caller->body(), "id: 1\ndata: a\n\n");
+}
+
+// Guards against a stream that its caller takes up again and that goes on at an upstream of another software version.
+Test(knownred, software_resumedStreamGoesOnOnlyAtItsVersion)
+{
+    TwoVersionsFixture fixture([](const std::string &request) {
+        return absl::StrContains(request, "Last-Event-Id") ? wholeStream("id: 2\ndata: b\n\n") : wholeStream("id: 1\ndata: a\n\n");
+    });
+    cr_assert(fixture.begin()->isFinished());
+    for (int i = 0; i < 12; ++i) {
+        const auto caller = fixture.send(resumption(absl::StrCat("r-2", i), "r-1"));
+        fixture.runUntil([&] { return caller->isDone(); });
+        cr_assert_eq(caller->status(), 200);
+    }
+    cr_assert(fixture.second.requests().empty());
+}
+
+// Guards against a stream whose software version no node knows and that goes on at any upstream. Nothing has run, and it is refused at
+// once.
+Test(knownred, software_unknownStreamIsRefusedWhileVersionsDiffer)
+{
+    for (const char *resumed : { "r-0", "" }) {
+        TwoVersionsFixture fixture([](const std::string &) { return wholeStream("id: 1\ndata: a\n\n"); });
+        fixture.begin();
+        const Time before = fixture.clock.now();
+        const auto caller = fixture.send(resumption("r-2", resumed));
+        fixture.runUntil([&] { return caller->isDone(); });
+        cr_assert_eq(caller->status(), 503);
+        cr_assert(caller->hasHeader("Retry-After"));
+        cr_assert_leq((fixture.clock.now() - before).milliseconds(), 300);
+        cr_assert_eq(fixture.first.requests().size() + fixture.second.requests().size(), 1);
+    }
+}
+
+// Guards against a stream that is taken up again after all upstreams of its version have left, and goes on at another version.
+Test(knownred, software_streamIsRefusedOnceItsVersionHasLeft)
+{
+    TwoVersionsFixture fixture([](const std::string &) { return wholeStream("id: 1\ndata: a\n\n"); });
+    fixture.begin();
+    fixture.clusterState.upstreams.remove(UpstreamId("u1"), "left", fixture.clock.now());
+    const auto caller = fixture.send(resumption("r-2", "r-1"));
+    fixture.runUntil([&] { return caller->isDone(); });
+    cr_assert_eq(caller->status(), 503);
+    cr_assert(fixture.second.requests().empty());
+}
