Let the framing decide where a stream's answer has a length or chunks

The fix before took every stream that ends inside an event for broken off, also where a length or chunks say that the answer is whole. Callers of a node that reaches no upstream got 502 for such streams: entrynode/callersOfNodeThatUpstreamsRefuseAreServed and callersOfNodeThatGetsNoResponseFromUpstreamsAreServed failed. Only an answer that ends with its connection needs the check, since there the transport says nothing about the end of the message.

--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -785,7 +785,7 @@
         return;
     }
     if (!m_events.partialEvent().empty()) {
-        m_exchange->write(m_events.partialEvent()); // Blank lines after the last event.
+        m_exchange->write(m_events.partialEvent()); // What follows the last event of an answer whose framing says that it is whole.
     }
     m_exchange->finish();
     end(RequestOutcome::Served, "");
@@ -794,7 +794,8 @@
 // A body without a length and chunks ends with its connection, also when the upstream fails. A stream without any event is none.
 bool RequestJob::isStreamBrokenOff() const
 {
-    return m_isStreaming && isSuccess(m_answer->status) && (m_events.isInsideEvent() || (m_answer->endsWithConnection && !m_hasEvents));
+    const bool endsAfterEvent = m_hasEvents && !m_events.isInsideEvent();
+    return m_isStreaming && isSuccess(m_answer->status) && m_answer->endsWithConnection && !endsAfterEvent;
 }
 
 void RequestJob::onNotRun()
--- a/tests/main/testrequestforwarderstream.cpp
+++ b/tests/main/testrequestforwarderstream.cpp
@@ -110,3 +110,20 @@
     cr_assert(caller->body() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "%s", caller->body().c_str());
     cr_assert(caller->isFinished());
 }
+
+// Guards against answers with a length or chunks, whose framing tells that they are whole, being taken for broken ones.
+Test(unframedanswers, framedStreamThatEndsInsideAnEventIsDelivered)
+{
+    for (const bool isChunked : { false, true }) {
+        const std::string body = "id: 1\ndata: a\n\nid: 2\ndata: b";
+        const std::string answer = isChunked
+            ? absl::StrCat(StreamHead, chunk(body), "0\r\n\r\n")
+            : absl::StrCat("HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: ", body.size(),
+                "\r\n\r\n", body);
+        const auto caller = answerOf(RequestKind::Stream, false, [&answer](const std::string &) {
+            return ScriptedAnswer { answer, Close };
+        });
+        cr_assert(caller->isFinished());
+        cr_assert(caller->body() == body, "%s", caller->body().c_str());
+    }
+}
