--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -53,6 +53,7 @@
     std::uint64_t idHash = 0;
     /** The start of the engine that these fields refer to. */
     std::int64_t startedAt = 0;
+    SoftwareVersion software;
     /** Fence and sequence of the residency last applied, for an engine of another plan. */
     std::pair<FencingToken, std::uint64_t> residencyVersion;
     std::map<AdapterRef, Copy> copies;
@@ -132,10 +133,12 @@
     const UpstreamId *preferredEngineOf(const AdapterRef &adapter, Time now) const;
     std::optional<double> placementCost(Engine &engine, const AdapterRef &adapter, Time now) const;
     static bool isUnavailable(const Engine &engine, Time now);
+    /** Whether a copy on the engine serves the requests that wait. */
+    static bool canServe(const Engine &engine, const PendingAdapter &pending);
     double expectedWaitMs(const Engine &engine) const;
     void place(const PendingAdapter &pending, bool isReady, Time now, std::vector<PlanAction> &actions);
     void beginLoad(const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions);
-    void verify(const AdapterRef &adapter, Time now);
+    void verify(const PendingAdapter &pending, Time now);
     void servePendingAdapters(Time now, std::vector<PlanAction> &actions);
     struct CopySummary
     {
@@ -143,7 +146,7 @@
         bool isBeingHandled = false;
         bool isReady = false;
     };
-    CopySummary copiesOf(const AdapterRef &adapter, Time now) const;
+    CopySummary copiesOf(const PendingAdapter &pending, Time now) const;
     void repeatOrders(Time now, std::vector<PlanAction> &actions);
     void reloadOutdated(Time now);
     void loadModels(Time now, std::vector<PlanAction> &actions);
@@ -212,6 +215,11 @@
     return now < engine.unresponsiveUntil || !engine.planned.isReachable || engine.planned.share <= 0;
 }
 
+bool AdapterPlan::Private::canServe(const Engine &engine, const PendingAdapter &pending)
+{
+    return pending.software.isEmpty() || engine.software == pending.software;
+}
+
 double AdapterPlan::Private::expectedWaitMs(const Engine &engine) const
 {
     return engine.planned.pendingTokens / limits.promptTokensPerMs + engine.planned.running * limits.runningCostMs;
@@ -317,6 +325,9 @@
     double bestCost = std::numeric_limits<double>::max();
     double currentWait = std::numeric_limits<double>::max();
     for (auto &[id, engine] : engines) {
+        if (!canServe(engine, pending)) {
+            continue;
+        }
         if (engine.copies.contains(adapter) && !isUnavailable(engine, now)) {
             currentWait = std::min(currentWait, expectedWaitMs(engine));
         }
@@ -352,11 +363,11 @@
 
 // Some node waits for an adapter that is believed to be loaded: either the node does not know yet or the engine lost the copy. The engine
 // is polled to find out.
-void AdapterPlan::Private::verify(const AdapterRef &adapter, Time now)
+void AdapterPlan::Private::verify(const PendingAdapter &pending, Time now)
 {
     for (auto &[id, engine] : engines) {
-        const auto at = engine.copies.find(adapter);
-        const bool isReady = at != engine.copies.end() && at->second.state == CopyState::Ready;
+        const auto at = engine.copies.find(pending.adapter);
+        const bool isReady = canServe(engine, pending) && at != engine.copies.end() && at->second.state == CopyState::Ready;
         if (engine.planned.isOwn && isReady && now - at->second.since > limits.retryDelay) {
             at->second.state = CopyState::Verifying;
             at->second.nextPollAt = now;
@@ -371,30 +382,33 @@
     std::vector<CopySummary> summaries;
     summaries.reserve(pendingAdapters.size());
     for (const PendingAdapter &pending : pendingAdapters) {
-        summaries.push_back(copiesOf(pending.adapter, now));
+        summaries.push_back(copiesOf(pending, now));
     }
     const auto waitsForFetch = [](const CopySummary &copies) { return !copies.isBeingHandled && !copies.isReady; };
     loads.setPendingFetches(static_cast<int>(std::count_if(summaries.begin(), summaries.end(), waitsForFetch)), now);
+    // Requests with and without a software version may wait for the same adapter: a load that this round orders can serve both.
+    const bool isAnyBound = std::any_of(
+        pendingAdapters.begin(), pendingAdapters.end(), [](const PendingAdapter &pending) { return !pending.software.isEmpty(); });
     for (std::size_t i = 0; i < pendingAdapters.size(); ++i) {
         const PendingAdapter &pending = pendingAdapters[i];
-        const CopySummary &copies = summaries[i];
+        const CopySummary copies = isAnyBound ? copiesOf(pending, now) : summaries[i];
         if (copies.isBeingHandled) {
             continue;
         }
         if (copies.isReady && !pending.hasOverloadedCopies) {
-            verify(pending.adapter, now);
+            verify(pending, now);
         } else {
             place(pending, copies.isReady, now, actions);
         }
     }
 }
 
-AdapterPlan::Private::CopySummary AdapterPlan::Private::copiesOf(const AdapterRef &adapter, Time now) const
+AdapterPlan::Private::CopySummary AdapterPlan::Private::copiesOf(const PendingAdapter &pending, Time now) const
 {
     CopySummary result;
     for (const auto &[id, engine] : engines) {
-        const auto at = engine.copies.find(adapter);
-        if (at != engine.copies.end() && !isUnavailable(engine, now)) {
+        const auto at = engine.copies.find(pending.adapter);
+        if (at != engine.copies.end() && canServe(engine, pending) && !isUnavailable(engine, now)) {
             result.isBeingHandled = result.isBeingHandled || isInFlight(at->second) || at->second.state == CopyState::Verifying;
             result.isReady = result.isReady || at->second.state == CopyState::Ready;
         }
@@ -531,6 +545,7 @@
         }
         engine.id = id;
         engine.startedAt = planned->record->startedAt;
+        engine.software = planned->record->softwareVersion;
         engine.planned = *planned;
         // The caller's record is only valid during this call.
         engine.planned.record = nullptr;
--- a/coordination/fleetdemand.cpp
+++ b/coordination/fleetdemand.cpp
@@ -68,12 +68,13 @@
 
 void FleetDemand::aggregate(Time now)
 {
-    absl::flat_hash_map<AdapterRef, Time> pendingSince;
+    using PendingKey = std::pair<AdapterRef, SoftwareVersion>;
+    absl::flat_hash_map<PendingKey, Time> pendingSince;
     for (const PendingAdapter &pending : m_pendingAdapters) {
-        pendingSince.emplace(pending.adapter, pending.since);
+        pendingSince.emplace(PendingKey(pending.adapter, pending.software), pending.since);
     }
     m_used.clear();
-    absl::flat_hash_map<AdapterRef, PendingAdapter> pendingByAdapter;
+    absl::flat_hash_map<PendingKey, PendingAdapter> pendingByKey;
     for (const auto &[node, known] : m_nodes) {
         for (const AdapterUse &use : known.uses) {
             AdapterRef adapter { use.model, use.adapter };
@@ -82,8 +83,8 @@
                 continue;
             }
             // A node that finds no copy at all outweighs others that find the copies overloaded.
-            const auto [at, isNew] =
-                pendingByAdapter.try_emplace(adapter, PendingAdapter { adapter, use.hasOverloadedCopies, now, 0, Time() });
+            const auto [at, isNew] = pendingByKey.try_emplace(
+                PendingKey(adapter, use.software), PendingAdapter { adapter, use.software, use.hasOverloadedCopies, now, 0, Time() });
             PendingAdapter &pending = at->second;
             pending.hasOverloadedCopies = pending.hasOverloadedCopies && use.hasOverloadedCopies;
             pending.waiting += use.waiting;
@@ -93,8 +94,8 @@
         }
     }
     m_pendingAdapters.clear();
-    for (auto &[adapter, pending] : pendingByAdapter) {
-        const auto since = pendingSince.find(adapter);
+    for (auto &[key, pending] : pendingByKey) {
+        const auto since = pendingSince.find(key);
         pending.since = since != pendingSince.end() ? since->second : now;
         m_pendingAdapters.push_back(std::move(pending));
     }
--- a/coordination/fleetdemand.h
+++ b/coordination/fleetdemand.h
@@ -18,6 +18,8 @@
 struct PendingAdapter
 {
     AdapterRef adapter;
+    /** Only copies on engines with this software version count; empty if all do. */
+    SoftwareVersion software;
     /** The adapter is loaded somewhere, but requests would wait too long there. */
     bool hasOverloadedCopies = false;
     /** Since when the adapter has been pending without interruption. */
--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/brittleupstreams.h"
+#include "coordination/streamorigins.h"
 #include "coordination/teamcredit.h"
 #include "coordination/upstreamdirectory.h"
 #include "coordination/upstreamlimits.h"
@@ -42,6 +43,8 @@
     /** Number of waiting requests, and how long the most recent one can still wait to begin within its latency objective. */
     std::uint32_t waiting = 0;
     Duration latencySlack;
+    /** The requests wait for a copy on an engine with this software version; empty if any will do. */
+    SoftwareVersion software;
 
     bool operator==(const AdapterUse &) const = default;
 };
@@ -194,6 +197,10 @@
     std::vector<ServiceName> unreachableServices;
     /** What the sender lately heard of upstreams that fail if they turn too many requests away. */
     std::vector<BrittleStatement> brittleUpstreams;
+    /** Streams that the sender has begun, for nodes at which their callers take them up again. */
+    std::vector<BegunStream> begunStreams;
+    std::vector<StreamQuery> streamQueries;
+    std::vector<StreamAnswer> streamAnswers;
 };
 
 } // namespace ApricotStep
--- a/coordination/pendingadapterorder.cpp
+++ b/coordination/pendingadapterorder.cpp
@@ -28,8 +28,8 @@
     }
     // Among equals the oldest comes first, so that no adapter waits behind all others indefinitely.
     std::sort(weighted.begin(), weighted.end(), [](const auto &a, const auto &b) {
-        return std::tie(a.second.hasOverloadedCopies, b.first, a.second.since, a.second.adapter)
-            < std::tie(b.second.hasOverloadedCopies, a.first, b.second.since, b.second.adapter);
+        return std::tie(a.second.hasOverloadedCopies, b.first, a.second.since, a.second.adapter, a.second.software)
+            < std::tie(b.second.hasOverloadedCopies, a.first, b.second.since, b.second.adapter, b.second.software);
     });
     pendingAdapters.clear();
     for (auto &[gain, pending] : weighted) {
--- /dev/null
+++ b/coordination/softwarehistory.cpp
@@ -0,0 +1,65 @@
+#include "coordination/softwarehistory.h"
+
+#include <algorithm>
+
+namespace ApricotStep
+{
+
+SoftwareHistory::SoftwareHistory(SoftwareHistoryLimits limits)
+    : m_limits(limits)
+{
+}
+
+void SoftwareHistory::setMaxViewAge(Duration age)
+{
+    m_limits.maxViewAge = age;
+}
+
+void SoftwareHistory::onListed(const ServiceName &service, const SoftwareVersion &software, Time now)
+{
+    auto &versions = m_lastListedAt[service];
+    versions[software] = now;
+    if (versions.size() > 1) {
+        absl::erase_if(versions, [this, now](const auto &entry) { return now - entry.second > streamLifetime(); });
+    }
+}
+
+void SoftwareHistory::onViewConfirmed(Time time)
+{
+    if (!m_viewedSince || time - m_viewedAt > m_limits.maxViewAge) {
+        m_viewedSince = time;
+    }
+    m_viewedAt = std::max(m_viewedAt, time);
+}
+
+void SoftwareHistory::onStreamTime(Duration longest)
+{
+    m_longestStream = std::max(m_longestStream, longest);
+}
+
+Duration SoftwareHistory::streamLifetime() const
+{
+    return m_longestStream + m_limits.margin;
+}
+
+std::optional<SoftwareVersion> SoftwareHistory::soleVersion(const ServiceName &service, Time now) const
+{
+    const bool isViewComplete = m_viewedSince && now - m_viewedAt <= m_limits.maxViewAge && now - *m_viewedSince >= streamLifetime();
+    const auto versions = m_lastListedAt.find(service);
+    if (!isViewComplete || versions == m_lastListedAt.end()) {
+        return std::nullopt;
+    }
+    std::optional<SoftwareVersion> sole;
+    for (const auto &[software, listedAt] : versions->second) {
+        if (now - listedAt > streamLifetime()) {
+            continue;
+        }
+        if (sole) {
+            return std::nullopt;
+        }
+        sole = software;
+    }
+    return sole;
+}
+
+} // namespace ApricotStep
--- a/core/errors.cpp
+++ b/core/errors.cpp
@@ -59,6 +59,10 @@
         "The upstream could not be reached; nothing was sent." },
     ErrorAnswer {
         UpstreamRefused, 503, "upstream_refused", NotRun, RetryAdvice::AfterDelay, "The upstream refused the request before running it." },
+    ErrorAnswer { StreamUnknown, 503, "stream_unknown", NotRun, RetryAdvice::OtherNode,
+        "This node cannot learn now which software version began the stream, so it does not continue it." },
+    ErrorAnswer { StreamVersionGone, 503, "stream_version_gone", NotRun, RetryAdvice::AfterDelay,
+        "No upstream of the software version that began the stream takes requests now." },
     ErrorAnswer { AdapterLoadFailed, 503, "adapter_load_failed", NotRun, RetryAdvice::AfterDelay, "The adapter could not be loaded." },
     ErrorAnswer {
         UpstreamFailed, 502, "upstream_failed", MayHaveRun, RetryAdvice::Never, "The upstream failed after the request was sent." },
--- a/core/errors.h
+++ b/core/errors.h
@@ -36,6 +36,8 @@
     NoUpstream,
     UpstreamUnreachable,
     UpstreamRefused,
+    StreamUnknown,
+    StreamVersionGone,
     AdapterLoadFailed,
     UpstreamFailed,
     UpstreamTimeout,
--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -6,6 +6,8 @@
 #include "coordination/outofscopeengines.h"
 #include "coordination/residencytable.h"
 #include "coordination/servicereachability.h"
+#include "coordination/softwarehistory.h"
+#include "coordination/streamorigins.h"
 #include "coordination/upstreamdirectory.h"
 #include "coordination/upstreamlimits.h"
 #include "coordination/upstreamloadtracker.h"
@@ -48,6 +50,8 @@
     UpstreamRests upstreamRests;
     BrittleUpstreams brittleUpstreams { BrittleUpstreamLimits {} };
     ServiceReachability reachability { ReachabilityLimits {} };
+    SoftwareHistory softwareHistory { SoftwareHistoryLimits {} };
+    StreamOrigins streamOrigins { StreamOriginLimits {} };
 
     /** Updates what is known of the adapters at an engine. Returns whether @p residency was newer than the stored one. */
     bool updateResidency(const EngineResidency &residency, Time now)
@@ -63,6 +67,15 @@
         residencies.remove(engine);
         loadEstimator.remove(engine);
     }
+    /** Where the stream began: the only software that may continue it. Unset if this node does not know it. */
+    std::optional<StreamOrigin> originOf(const StreamQuery &query, Time now) const
+    {
+        if (auto origin = streamOrigins.find(query.stream, now)) {
+            return origin;
+        }
+        const auto sole = softwareHistory.soleVersion(query.service, now);
+        return sole ? std::optional(StreamOrigin { query.service, *sole }) : std::nullopt;
+    }
     /** The upstream gets no new work from now on. */
     void onUpstreamLeft(const UpstreamId &upstream)
     {
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -87,6 +87,11 @@
             .Name("apricotstep_entry_relayed_total")
             .Help("Requests sent to upstreams through another node, and received from another node for that purpose.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter> &resumedStreams =
+        prometheus::BuildCounter()
+            .Name("apricotstep_entry_resumed_streams_total")
+            .Help("Streams that their callers took up again, by who knew where they began.")
+            .Register(registry);
     prometheus::Family<prometheus::Counter> &orders =
         prometheus::BuildCounter().Name("apricotstep_entry_orders_total").Help("Orders to engines by answer.").Register(registry);
     prometheus::Family<prometheus::Counter> &keyRefusals = prometheus::BuildCounter()
@@ -210,6 +215,11 @@
     d->relayedRequests.Add({ { "direction", std::string(direction) } }).Increment();
 }
 
+void EntryMetrics::resumed(std::string_view knownBy)
+{
+    d->resumedStreams.Add({ { "known_by", std::string(knownBy) } }).Increment();
+}
+
 void EntryMetrics::withheld()
 {
     d->withheldRequests.Increment();
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -77,6 +77,8 @@
     void serviceReachability(bool isReachable);
     /** Counts a request that another node sends to the upstream for this one ("sent"), or this one for another node ("received"). */
     void relayed(std::string_view direction);
+    /** Counts a stream that its caller takes up again. @p knownBy: who knew where it began, from a fixed list. */
+    void resumed(std::string_view knownBy);
     /** Counts a request that is refused because of its key. @p reason comes from a fixed list, since each value creates a time series. */
     void keyRefused(std::string_view reason);
     /** Counts a decision on a request of a limited team. @p decision comes from a fixed list. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -190,6 +190,7 @@
         statements.onPeerBrittleness(peer, upstreams, clock.now());
     };
     fleetCallbacks.onLeavingUpstreams = [this](const std::vector<UpstreamStart> &starts) { statements.onPeerLeaving(starts, clock.now()); };
+    fleetCallbacks.onStreamAnswers = [this](const std::vector<StreamAnswer> &answers) { forwarder->onStreamAnswers(answers); };
     fleetCallbacks.onNewerConfiguration = [this](const Peer &peer) { peers->fetchFrom(peer); };
     OrderLeaseLimits limits;
     limits.handoverDelay = settings.orderHandoverDelay;
@@ -225,6 +226,7 @@
     callbacks.fleetSize = [this] { return fleet->fleetSize(); };
     callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { return fleet->sendCreditQueries(queries); };
     callbacks.canOthersAcceptKeys = [this] { return canOthersAcceptKeys(); };
+    callbacks.sendStreamQuery = [this](const StreamQuery &query) { return fleet->sendStreamQuery(query); };
     callbacks.onBrittleRefusal = [this] { fleet->sendBrittleUpstreams(); };
     callbacks.relays = [this](const ServiceName &service, ConfigVersion atLeast) { return relays(service, atLeast); };
     forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, std::move(forwarderSettings), std::move(callbacks));
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -35,6 +35,10 @@
 // Limits the residencies in one datagram by their copies, of about a dozen bytes each, to the size that every link carries without
 // fragmentation.
 constexpr std::size_t MaxCopiesInDatagram = 60;
+// Nodes that are asked where a stream began: some of them may have started a moment ago and not know it. Nodes of another scope know only
+// the streams of that scope.
+constexpr std::size_t AskedScopePeers = 6;
+constexpr std::size_t AskedPeersOfOtherScope = 2;
 constexpr EventLog::Severity Important = EventLog::Severity::Important;
 
 } // namespace
@@ -135,6 +139,8 @@
     }
     std::vector<CreditGrant> answerCreditQueries(const NodeId &from, Incarnation incarnation, const std::vector<CreditQuery> &queries);
     std::vector<CreditAccount> sendCreditQueries(const std::vector<CreditQuery> &queries);
+    int sendStreamQuery(const StreamQuery &query);
+    void answerStreamQueries(const FleetMessage &message);
     std::set<std::string> unconfirmedAddresses() const;
     void sendToAll(const FleetMessage &message);
     void sendLoad(const FleetMessage &message, MessageUrgency urgency);
@@ -198,6 +204,8 @@
     message.upstreamRests = clusterState.upstreamRests.own(now());
     message.leavingUpstreams = clusterState.upstreams.heardLeaving(now());
     message.brittleUpstreams = clusterState.brittleUpstreams.statements(now());
+    const auto isNeeded = [this](const ServiceName &service) { return !clusterState.softwareHistory.soleVersion(service, now()); };
+    message.begunStreams = clusterState.streamOrigins.takeAnnouncements(isNeeded, now());
     return message;
 }
 
@@ -242,6 +250,7 @@
         FleetMessage outOfScopeMessage = message;
         outOfScopeMessage.uses.clear();
         outOfScopeMessage.loads.reset();
+        outOfScopeMessage.begunStreams.clear();
         outOfScopeMessage.engineLoads = engineLoads();
         outOfScopeBytes = encodeFleetMessage(outOfScopeMessage);
     }
@@ -384,6 +393,42 @@
     return withoutHolder;
 }
 
+int FleetLink::Private::sendStreamQuery(const StreamQuery &query)
+{
+    readClock();
+    std::map<ZoneId, std::vector<const Peer *>> byScope;
+    for (const auto &[id, peer] : peers) {
+        if (isAlive(peer)) {
+            byScope[scope.isScopePeer(peer.zone, peer.scope) ? scope.zone() : peer.scope].push_back(&peer);
+        }
+    }
+    FleetMessage message = baseMessage();
+    message.streamQueries = { query };
+    const std::string bytes = encodeFleetMessage(message);
+    int asked = 0;
+    for (auto &[zone, members] : byScope) {
+        std::shuffle(members.begin(), members.end(), random);
+        members.resize(std::min(members.size(), zone == scope.zone() ? AskedScopePeers : AskedPeersOfOtherScope));
+        for (const Peer *peer : members) {
+            socket->send(peer->peerAddress, bytes);
+            ++asked;
+        }
+    }
+    return asked;
+}
+
+void FleetLink::Private::answerStreamQueries(const FleetMessage &message)
+{
+    if (message.streamQueries.empty()) {
+        return;
+    }
+    FleetMessage answer = baseMessage();
+    for (const StreamQuery &query : message.streamQueries) {
+        answer.streamAnswers.push_back(StreamAnswer { query, clusterState.originOf(query, now()) });
+    }
+    socket->send(message.peerAddress, encodeFleetMessage(answer));
+}
+
 std::vector<std::string> FleetLink::Private::randomContacts(std::size_t count)
 {
     std::vector<std::string> known;
@@ -608,6 +653,13 @@
             socket->send(message.peerAddress, encodeFleetMessage(answer));
         }
     }
+    for (const BegunStream &begun : message.begunStreams) {
+        clusterState.streamOrigins.onAnnounced(begun, now());
+    }
+    answerStreamQueries(message);
+    if (!message.streamAnswers.empty()) {
+        callbacks.onStreamAnswers(message.streamAnswers);
+    }
     if (!message.creditGrants.empty()) {
         callbacks.onCreditGrants(message.creditGrants);
     }
@@ -737,6 +789,11 @@
     return d->sendCreditQueries(queries);
 }
 
+int FleetLink::sendStreamQuery(const StreamQuery &query)
+{
+    return d->sendStreamQuery(query);
+}
+
 void FleetLink::announce(const std::vector<EngineResidency> &residencies)
 {
     for (const EngineResidency &residency : residencies) {
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -107,6 +107,7 @@
         std::function<void(const NodeId &, const std::vector<BrittleStatement> &)> onBrittleUpstreams;
         /** Upstreams stated in answers to a peer that they are leaving. */
         std::function<void(const std::vector<UpstreamStart> &)> onLeavingUpstreams;
+        std::function<void(const std::vector<StreamAnswer> &)> onStreamAnswers;
         /** A peer has a newer configuration than this node. */
         std::function<void(const Peer &)> onNewerConfiguration;
     };
@@ -125,6 +126,8 @@
     void sendBrittleUpstreams();
     /** Sends queries to the lease holders of their accounts' shards. Returns the accounts without a known holder. */
     std::vector<CreditAccount> sendCreditQueries(const std::vector<CreditQuery> &queries);
+    /** Asks other nodes where a stream began. Returns the number of nodes asked; each answers once, unless the datagram is lost. */
+    int sendStreamQuery(const StreamQuery &query);
     /** Stores the residencies of engines that this node gives orders to, and sends them to all nodes that use these engines. */
     void announce(const std::vector<EngineResidency> &residencies);
 
--- a/main/entry/relayedrequest.cpp
+++ b/main/entry/relayedrequest.cpp
@@ -17,7 +17,9 @@
 constexpr const char *ConfigVersionName = "relay-config-version";
 constexpr const char *TeamHeaderName = "relay-team";
 constexpr const char *WaitedName = "relay-waited-ms";
-constexpr const char *Names[] = { ConfigVersionName, TeamHeaderName, WaitedName };
+// The service and, after a space, the software version, which may be empty.
+constexpr const char *OriginName = "relay-stream-origin";
+constexpr const char *Names[] = { ConfigVersionName, TeamHeaderName, WaitedName, OriginName };
 
 bool isRelayHeader(const std::pair<std::string, std::string> &header)
 {
@@ -25,8 +27,41 @@
         std::begin(Names), std::end(Names), [&header](const char *name) { return absl::EqualsIgnoreCase(header.first, name); });
 }
 
+bool isOriginHeader(const std::pair<std::string, std::string> &header)
+{
+    return absl::EqualsIgnoreCase(header.first, OriginName);
+}
+
+std::optional<StreamOrigin> decodeOrigin(const std::string &text)
+{
+    const std::size_t space = text.find(' ');
+    const std::string service = text.substr(0, space);
+    if (service.empty()) {
+        return std::nullopt;
+    }
+    return StreamOrigin { ServiceName(service), SoftwareVersion(space == std::string::npos ? std::string() : text.substr(space + 1)) };
+}
+
 } // namespace
 
+void addOriginHeader(HttpHeaders &headers, const StreamOrigin &origin)
+{
+    std::erase_if(headers, isOriginHeader);
+    const std::string &software = origin.software.value();
+    headers.emplace_back(OriginName, software.empty() ? origin.service.value() : origin.service.value() + ' ' + software);
+}
+
+std::optional<StreamOrigin> takeOriginHeader(HttpHeaders &headers)
+{
+    const auto at = std::find_if(headers.begin(), headers.end(), isOriginHeader);
+    if (at == headers.end()) {
+        return std::nullopt;
+    }
+    auto origin = decodeOrigin(at->second);
+    std::erase_if(headers, isOriginHeader);
+    return origin;
+}
+
 void addRelayHeaders(HttpHeaders &headers, const RelayedRequest &relayed)
 {
     std::erase_if(headers, isRelayHeader);
@@ -35,6 +70,9 @@
     if (!relayed.team.isEmpty()) {
         headers.emplace_back(TeamHeaderName, relayed.team.value());
     }
+    if (relayed.origin) {
+        addOriginHeader(headers, *relayed.origin);
+    }
 }
 
 std::optional<RelayedRequest> takeRelayHeaders(HttpRequest &request)
@@ -46,7 +84,8 @@
     if (!isRelayed) {
         return std::nullopt;
     }
-    const RelayedRequest relayed { ConfigVersion(version), TeamName(request.header(TeamHeaderName)), Duration(waited) };
+    const RelayedRequest relayed { ConfigVersion(version), TeamName(request.header(TeamHeaderName)), Duration(waited),
+        decodeOrigin(request.header(OriginName)) };
     std::erase_if(request.headerList, isRelayHeader);
     for (const char *name : Names) {
         request.headers.erase(name);
--- a/main/entry/relayedrequest.h
+++ b/main/entry/relayedrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/streamorigins.h"
 #include "core/clock.h"
 #include "core/strongid.h"
 #include "transport/httpserver.h"
@@ -22,6 +23,8 @@
     TeamName team;
     /** Time since the request arrived at the first node. */
     Duration waited;
+    /** Where the stream began that the request continues; unset if it begins one. */
+    std::optional<StreamOrigin> origin;
 };
 
 /** Adds @p relayed to @p headers, and removes headers of the caller that have the same names. */
@@ -30,4 +33,10 @@
 /** Removes the headers that addRelayHeaders() added and returns their values; nothing if the request was not sent by another node. */
 std::optional<RelayedRequest> takeRelayHeaders(HttpRequest &request);
 
+/** Tells the first node, in the answer to its request, where the stream began. Replaces a header of the upstream with the same name. */
+void addOriginHeader(HttpHeaders &headers, const StreamOrigin &origin);
+
+/** Removes the header that addOriginHeader() added and returns its value; nothing if there is none. */
+std::optional<StreamOrigin> takeOriginHeader(HttpHeaders &headers);
+
 } // namespace ApricotStep
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -27,6 +27,8 @@
 constexpr Duration CrowdedLifetime { 500 };
 // Callers keep the addresses of nodes for two seconds, so a shorter memory would follow what they cannot.
 constexpr Duration ArrivalRateMemory = Duration::seconds(2);
+// Nodes answer within a round trip. One that does not is gone, frozen or cut off, and the caller can ask another node.
+constexpr Duration StreamLookupTimeout { 150 };
 // Fraction of its share of the fleet-wide retry budget that a node uses. Other nodes may count fewer nodes than there are and use more than
 // their share.
 constexpr double BudgetSafetyFactor = 0.6;
@@ -49,6 +51,17 @@
     std::shared_ptr<HttpExchange> exchange;
     Time arrivedAt;
     RequestSource source = RequestSource::Caller;
+    /** Where the stream began that the request continues, if another node has found out. */
+    std::optional<StreamOrigin> origin;
+};
+
+/** Requests that wait for other nodes to tell where a stream began. */
+struct StreamLookup
+{
+    std::vector<std::weak_ptr<RequestJob>> jobs;
+    /** Nodes that have not answered. */
+    int unanswered = 0;
+    TimerId timer = 0;
 };
 
 } // namespace
@@ -78,6 +91,7 @@
     ReachabilityProber prober;
     /** Jobs that wait for a part of an upstream's limit. */
     std::map<AdmissionId, std::weak_ptr<RequestJob>> reservingJobs;
+    std::map<StreamQuery, StreamLookup> streamLookups;
 
     Private(IoLoop &loop, EventLog &log, EntryMetrics &metrics, ClusterState &clusterState, ForwarderSettings settings,
         ForwarderCallbacks callbacks)
@@ -144,6 +158,8 @@
     std::optional<Admission> reserve(const UpstreamRecord &upstream, const std::shared_ptr<RequestJob> &job, AdmissionId &id) override;
     void cancelReservation(const UpstreamRecord &upstream, AdmissionId id) override;
     void returnReservation(const UpstreamRecord &upstream, Time reservedAt) override;
+    void lookUpOrigin(const StreamQuery &query, const std::shared_ptr<RequestJob> &job) override;
+    void endLookup(const StreamQuery &query, const std::optional<StreamOrigin> &origin);
     void admit(const std::shared_ptr<PendingRequest> &pending);
     void onDecided(const std::shared_ptr<PendingRequest> &pending, const Admission &admission);
     void startJob(PendingRequest &pending, Time admittedAt);
@@ -392,6 +408,9 @@
     auto job = std::make_shared<RequestJob>(*this, number, std::move(pending.request), std::move(pending.decoded), pending.table,
         *pending.route, team, std::move(pending.exchange), pending.arrivedAt, pending.source);
     jobs.emplace(number, job);
+    if (pending.origin) {
+        job->bindTo(*pending.origin);
+    }
     job->start();
 }
 
@@ -475,6 +494,7 @@
         return;
     }
     pending->source = RequestSource::Node;
+    pending->origin = relayed.origin;
     pending->arrivedAt = pending->arrivedAt - relayed.waited;
     if (pending->decoded.deadline) {
         *pending->decoded.deadline = *pending->decoded.deadline + relayed.waited;
@@ -550,6 +570,46 @@
     return limiter.answer(shard, from, incarnation, query);
 }
 
+void RequestForwarder::Private::lookUpOrigin(const StreamQuery &query, const std::shared_ptr<RequestJob> &job)
+{
+    const auto [at, isNew] = streamLookups.try_emplace(query);
+    at->second.jobs.push_back(job);
+    if (!isNew) {
+        return;
+    }
+    at->second.unanswered = m_callbacks.sendStreamQuery(query);
+    const Duration wait = at->second.unanswered > 0 ? StreamLookupTimeout : Duration(0);
+    at->second.timer = m_loop.after(wait, [weak = weak_from_this(), query] {
+        if (const auto self = weak.lock()) {
+            self->endLookup(query, std::nullopt);
+        }
+    });
+}
+
+void RequestForwarder::Private::endLookup(const StreamQuery &query, const std::optional<StreamOrigin> &origin)
+{
+    auto lookup = streamLookups.extract(query);
+    if (lookup.empty()) {
+        return;
+    }
+    m_loop.cancel(lookup.mapped().timer);
+    for (const auto &waiting : lookup.mapped().jobs) {
+        if (const auto job = waiting.lock()) {
+            job->onOrigin(origin, "peer");
+        }
+    }
+}
+
+void RequestForwarder::onStreamAnswers(const std::vector<StreamAnswer> &answers)
+{
+    for (const StreamAnswer &answer : answers) {
+        const auto at = d->streamLookups.find(answer.query);
+        if (at != d->streamLookups.end() && (--at->second.unanswered == 0 || answer.origin)) {
+            d->endLookup(answer.query, answer.origin);
+        }
+    }
+}
+
 void RequestForwarder::onCreditGrants(const std::vector<CreditGrant> &grants)
 {
     const auto isOfTeam = [](const CreditGrant &grant) { return grant.account.kind == CreditAccount::Kind::Team; };
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -60,6 +60,8 @@
     std::function<std::optional<int>()> fleetSize;
     /** Returns the nodes that reach the upstreams of @p service and have a configuration as new as @p atLeast. */
     std::function<std::vector<RelayNode>(const ServiceName &service, ConfigVersion atLeast)> relays;
+    /** Asks other nodes where a stream began; returns how many were asked. */
+    std::function<int(const StreamQuery &)> sendStreamQuery;
     /** Sends queries to the nodes that issue the credit of their accounts. Returns the accounts for which no such node is known. */
     std::function<std::vector<CreditAccount>(const std::vector<CreditQuery> &)> sendCreditQueries;
 };
@@ -92,6 +94,8 @@
     std::optional<CreditGrant> answerCreditQuery(
         std::uint64_t shard, const NodeId &from, Incarnation incarnation, const CreditQuery &query);
     void onCreditGrants(const std::vector<CreditGrant> &grants);
+    /** Other nodes answer where streams began. */
+    void onStreamAnswers(const std::vector<StreamAnswer> &answers);
 
     struct Private;
 
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -160,13 +160,78 @@
             { "route", m_route.name }, { "configVersion", std::int64_t(m_table->version().value()) }, { "service", m_service.value() },
             { "adapter", adapter().adapter.value() }, { "leftMs", timeLeft().milliseconds() }, { "resumes", m_decoded.resumedRequest },
             { "lastEvent", m_decoded.lastEventId } });
+    if (m_route.kind == RequestKind::Stream && !m_decoded.lastEventId.empty() && !m_origin) {
+        findOrigin();
+    } else {
+        tryNext();
+    }
+}
+
+void RequestJob::bindTo(const StreamOrigin &origin)
+{
+    m_origin = origin;
+    m_service = origin.service;
+}
+
+void RequestJob::findOrigin()
+{
+    m_phase = Phase::LookingUp;
+    const StreamQuery query { streamIdOf(m_decoded.resumedRequest), m_service };
+    if (const auto origin = m_context.clusterState().originOf(query, now())) {
+        onOrigin(origin, "own");
+    } else {
+        m_context.lookUpOrigin(query, shared_from_this());
+    }
+}
+
+void RequestJob::onOrigin(const std::optional<StreamOrigin> &origin, std::string_view source)
+{
+    if (m_phase != Phase::LookingUp) {
+        return;
+    }
+    const auto isTarget = [&origin](const RouteTarget &target) { return target.service == origin->service; };
+    const bool isKnown = origin && std::any_of(m_route.targets.begin(), m_route.targets.end(), isTarget);
+    const std::string result = isKnown ? std::string(source) : "unknown";
+    m_context.metrics().resumed(result);
+    m_context.log().write(RequestStep, "request", "resumed",
+        { { "request", m_decoded.id }, { "resumes", m_decoded.resumedRequest }, { "knownBy", result },
+            { "software", origin ? origin->software.value() : std::string() }, { "waitedMs", (now() - m_arrivedAt).milliseconds() } });
+    if (!isKnown) {
+        refuse(ErrorKind::StreamUnknown, RetryAfterRefusal);
+        return;
+    }
+    bindTo(*origin);
     tryNext();
 }
 
+bool RequestJob::isOfOrigin(const UpstreamRecord &record) const
+{
+    return !m_origin || record.softwareVersion == m_origin->software;
+}
+
+bool RequestJob::hasUpstreamOfOrigin() const
+{
+    const auto records = m_context.clusterState().upstreams.usable(m_service);
+    return std::any_of(records.begin(), records.end(), [this](const UpstreamRecord *record) { return isOfOrigin(*record); });
+}
+
+void RequestJob::rememberOrigin()
+{
+    m_origin = m_relay ? m_relayedOrigin : StreamOrigin { m_service, m_upstream.softwareVersion };
+    if (!m_origin) {
+        return;
+    }
+    // A caller that waits for longer than the route allows takes the stream up in a second request at most.
+    SoftwareHistory &history = m_context.clusterState().softwareHistory;
+    history.onStreamTime(std::clamp(m_decoded.deadline.value_or(m_route.timeout), m_route.timeout, m_route.timeout * 2));
+    m_context.clusterState().streamOrigins.onBegun(
+        BegunStream { streamIdOf(m_decoded.id), *m_origin, history.streamLifetime() }, m_context.loop().clock().now());
+}
+
 std::optional<AdapterUse> RequestJob::adapterUse()
 {
     // The node that sends the request to the upstream reports the adapter.
-    if (!needsAdapter() || m_phase == Phase::Ended || m_relay) {
+    if (!needsAdapter() || m_phase == Phase::Ended || m_phase == Phase::LookingUp || m_relay) {
         return std::nullopt;
     }
     AdapterUse adapterUse =
@@ -188,12 +253,13 @@
     AdapterUse adapterUse { adapter().model, adapter().adapter };
     adapterUse.waiting = 1;
     adapterUse.latencySlack = m_arrivedAt + m_route.latencyObjective - now();
+    adapterUse.software = m_origin ? m_origin->software : SoftwareVersion();
     return adapterUse;
 }
 
 bool RequestJob::isUsable(const UpstreamRecord &record)
 {
-    if (m_excluded.contains(record.id)) {
+    if (m_excluded.contains(record.id) || !isOfOrigin(record)) {
         return false;
     }
     if (!m_decoded.generation) {
@@ -267,7 +333,7 @@
         const UpstreamRecord *record = clusterState.upstreams.usable(engine);
         const auto reported = clusterState.outOfScope.load(engine, now());
         const bool isKnown = record != nullptr && record->zone != clusterState.engineScope && record->service == m_service && reported;
-        if (!isKnown || m_excluded.contains(engine) || !clusterState.outliers.isReachable(engine, now())) {
+        if (!isKnown || m_excluded.contains(engine) || !isOfOrigin(*record) || !clusterState.outliers.isReachable(engine, now())) {
             continue;
         }
         const auto version = clusterState.outOfScope.version(engine, adapter());
@@ -307,8 +373,9 @@
     const ClusterState &clusterState = m_context.clusterState();
     // Nobody loads the adapter elsewhere if the copies on engines in need count.
     const bool isLoadedElsewhere = !m_withheldUntil || clusterState.areEnginesInNeedAvoided(m_service, now());
-    return needsAdapter() && isLoadedElsewhere && !clusterState.upstreams.usable(m_service).empty()
-        && clusterState.engineSpec(m_service) != nullptr;
+    const auto engines = clusterState.engines(m_service);
+    const bool isAnyEligible = std::any_of(engines.begin(), engines.end(), [this](const auto *record) { return isOfOrigin(*record); });
+    return needsAdapter() && isLoadedElsewhere && isAnyEligible && clusterState.engineSpec(m_service) != nullptr;
 }
 
 void RequestJob::tryNext()
@@ -319,6 +386,10 @@
         onDeadline();
         return;
     }
+    if (m_origin && !hasUpstreamOfOrigin()) {
+        refuse(ErrorKind::StreamVersionGone, RetryAfterRefusal);
+        return;
+    }
     if (!m_context.clusterState().reachability.isReachable(m_service)) {
         if (m_source == RequestSource::Caller && sendThroughRelay()) {
             return;
@@ -536,8 +607,8 @@
     HttpCall call;
     call.url = "http://" + m_relay->peerAddress + "/";
     call.headers = Platform::relayHeaders(m_request, binding());
-    addRelayHeaders(
-        call.headers, RelayedRequest { m_table->version(), m_team.team != nullptr ? m_team.team->name : TeamName(), now() - m_arrivedAt });
+    addRelayHeaders(call.headers,
+        RelayedRequest { m_table->version(), m_team.team != nullptr ? m_team.team->name : TeamName(), now() - m_arrivedAt, m_origin });
     prepareCall(call);
     return call;
 }
@@ -611,7 +682,9 @@
         return false;
     }
     m_answer = std::move(answer);
-    if (!m_relay) {
+    if (m_relay) {
+        m_relayedOrigin = takeOriginHeader(m_answer->callerHeaders);
+    } else {
         m_context.upstreamStatements().onAnswer(m_upstream, *m_answer, m_sentAt, now());
     }
     return true;
@@ -632,6 +705,12 @@
     }
     if (!m_isStreaming) {
         m_isStreaming = true;
+        if (m_decoded.lastEventId.empty()) {
+            rememberOrigin();
+        }
+        if (m_source == RequestSource::Node && m_origin) {
+            addOriginHeader(m_answer->callerHeaders, *m_origin);
+        }
         m_context.metrics().answerBegan(m_route.kind, now() - m_arrivedAt);
         m_exchange->beginStream(m_answer->status, withConnectionHeader(m_answer->callerHeaders, m_context.callbacks().isLeaving()));
         m_context.log().write(RequestStep, "request", "streaming",
@@ -875,7 +954,7 @@
 void RequestJob::onStreamInterrupted()
 {
     m_events.discardPartialEvent();
-    if (!m_route.isResumable || m_possibleRuns >= m_maxAttempts) {
+    if (!m_route.isResumable || m_possibleRuns >= m_maxAttempts || !m_origin) {
         abortStream("the upstream did not finish the stream");
         return;
     }
@@ -962,7 +1041,7 @@
 {
     m_context.metrics().requestEnded(m_route.kind, outcome, now() - m_arrivedAt);
     const bool wasNeverSent = outcome == RequestOutcome::CallerGone && m_executionState == ExecutionState::NotRun
-        && (m_phase == Phase::Waiting || m_phase == Phase::Reserving);
+        && (m_phase == Phase::LookingUp || m_phase == Phase::Waiting || m_phase == Phase::Reserving);
     if (m_phase == Phase::Reserving) {
         m_context.cancelReservation(m_upstream, m_reservation);
     }
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -47,6 +47,8 @@
      */
     virtual std::optional<Admission> reserve(const UpstreamRecord &upstream, const std::shared_ptr<RequestJob> &job, AdmissionId &id) = 0;
     virtual void cancelReservation(const UpstreamRecord &upstream, AdmissionId id) = 0;
+    /** Asks other nodes where a stream began; onOrigin() of @p job follows. */
+    virtual void lookUpOrigin(const StreamQuery &query, const std::shared_ptr<RequestJob> &job) = 0;
     /** The request for which a part was reserved at @p reservedAt was not sent. */
     virtual void returnReservation(const UpstreamRecord &upstream, Time reservedAt) = 0;
     /** A request of @p team that was admitted at @p admittedAt did not run. */
@@ -78,11 +80,15 @@
         std::shared_ptr<const RouteTable> table, const Route &route, const RequestTeam &team, std::shared_ptr<HttpExchange> exchange,
         Time arrivedAt, RequestSource source);
 
+    /** The request continues a stream that began there. To be called before start(). */
+    void bindTo(const StreamOrigin &origin);
     void start();
     /** Tries again to choose an upstream; does nothing unless the job is waiting for one. */
     void retryPlacement();
     /** The reservation of a part of the upstream's limit has been decided. */
     void onReserved(const Admission &admission);
+    /** It is known where the stream began that the request continues, or that no node in reach knows. @p source is for log and metrics. */
+    void onOrigin(const std::optional<StreamOrigin> &origin, std::string_view source);
     /** Returns the adapter that this job runs on or waits for; empty if it needs none. The first call counts the job as new. */
     std::optional<AdapterUse> adapterUse();
     /** Returns the adapter that this job waits for, if any. */
@@ -90,6 +96,8 @@
 
 private:
     enum class Phase {
+        /** Waits for other nodes to tell where the stream began that the request continues. */
+        LookingUp,
         /** No upstream can take the request yet. */
         Waiting,
         /** Waits for a part of the limit of the chosen upstream. */
@@ -116,6 +124,13 @@
     /** The priority of the caller's team, if it has one, otherwise that of the route; 0 is the highest. */
     int priority() const;
 
+    void findOrigin();
+    /** Whether the upstream may run the request: it runs the software that began the stream, if that has begun. */
+    bool isOfOrigin(const UpstreamRecord &record) const;
+    /** Whether an upstream of the software that began the stream may get work. */
+    bool hasUpstreamOfOrigin() const;
+    /** The stream begins with this attempt: remembers where, for its caller's next request. */
+    void rememberOrigin();
     void tryNext();
     void wait();
     std::vector<UpstreamOption> options();
@@ -209,6 +224,8 @@
     std::set<NodeId> m_excludedRelays;
     /** When the first of the upstreams that do not accept the request now may do so; unset if there are none. */
     std::optional<Time> m_withheldUntil;
+    /** Where the stream began that the request continues; unset if it has not begun, or it is not known where. */
+    std::optional<StreamOrigin> m_origin;
     bool m_hasBeenWithheld = false;
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
@@ -221,6 +238,8 @@
     /** Set while the attempt goes through another node, which chooses the upstream. */
     std::optional<RelayNode> m_relay;
     std::optional<Platform::UpstreamAnswer> m_answer;
+    /** Where the stream began, by the node through which the attempt goes. */
+    std::optional<StreamOrigin> m_relayedOrigin;
     std::string m_body;
     /** The engine has not read the prompt yet, so the load tracker still counts its tokens as pending. */
     bool m_isPromptPending = false;
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -237,6 +237,7 @@
 void StoreReader::Private::advanceSnapshotTime(Time time, ClusterStateChanges &changes)
 {
     snapshotTime = std::max(snapshotTime, time);
+    clusterState.softwareHistory.onViewConfirmed(snapshotTime);
     if (!isConfigurationRefused) {
         clusterState.routesKnownAt = std::max(clusterState.routesKnownAt, time);
     }
@@ -290,6 +291,7 @@
     }
     isConfigurationRefused = false;
     clusterState.routes = table.value();
+    clusterState.softwareHistory.onStreamTime(clusterState.routes->longestStream());
     changes.isRoutesChanged = true;
     log.write(Important, "config", "in_force",
         { { "version", static_cast<std::int64_t>(clusterState.routes->version().value()) },
@@ -304,6 +306,7 @@
         found = clusterState.upstreams.remove(id, "the store removed it", now);
     } else if (auto record = Platform::decodeUpstream(id, item.value); record.isOk()) {
         found = clusterState.upstreams.put(record.value(), now);
+        clusterState.softwareHistory.onListed(record.value().service, record.value().softwareVersion, now);
     } else {
         log.write(Important, "upstream", "unreadable", { { "upstream", id.value() }, { "reason", record.error().detail } });
         found = clusterState.upstreams.remove(id, "its entry cannot be read", now);
@@ -345,6 +348,8 @@
     : d(std::make_shared<Private>(loop, log, clusterState, changeBound, std::move(onChanges)))
 {
     d->makePoller(std::move(storeAddress));
+    // A view of the store may be as old as a poll takes, and as the fetch of a follower takes after that.
+    clusterState.softwareHistory.setMaxViewAge(changeBound + Duration::seconds(1));
 }
 
 StoreReader::~StoreReader() = default;
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -17,6 +17,7 @@
     isCrowded @4 :Bool;
     waiting @5 :UInt32;
     inTimeForMs @6 :Int32;
+    software @7 :Text;
 }
 
 # Copies that differ only in the name of their adapter. Without the grouping, a report of twenty copies would repeat its one model twenty
@@ -114,6 +115,27 @@
     sinceRefusalMs @6 :Int64;
 }
 
+# Streams that began at the same software: names would take most of the bytes of a single one.
+struct BegunStreamsWire {
+    service @0 :Text;
+    software @1 :Text;
+    streams @2 :List(UInt64);
+    lifetimeMs @3 :Int64;
+}
+
+struct StreamQueryWire {
+    stream @0 :UInt64;
+    service @1 :Text;
+}
+
+struct StreamAnswerWire {
+    stream @0 :UInt64;
+    service @1 :Text;
+    isKnown @2 :Bool;
+    originService @3 :Text;
+    originSoftware @4 :Text;
+}
+
 struct FleetMessageWire {
     sender @0 :Text;
     incarnation @1 :UInt64;
@@ -150,4 +172,7 @@
     leavingUpstreams @32 :List(UpstreamStartWire);
     unreachableServices @33 :List(Text);
     brittleUpstreams @34 :List(BrittleUpstreamWire);
+    begunStreams @35 :List(BegunStreamsWire);
+    streamQueries @36 :List(StreamQueryWire);
+    streamAnswers @37 :List(StreamAnswerWire);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -30,6 +30,9 @@
 CAPNP_DECLARE_SCHEMA(d60e85c696b2ce10);
 CAPNP_DECLARE_SCHEMA(fbdc6f2719669716);
 CAPNP_DECLARE_SCHEMA(84ed8d6231f2b983);
+CAPNP_DECLARE_SCHEMA(bfc084cee8ba6c23);
+CAPNP_DECLARE_SCHEMA(f0d1916815c91a8b);
+CAPNP_DECLARE_SCHEMA(89891ca689afdf89);
 CAPNP_DECLARE_SCHEMA(8b8b5daee920bcb2);
 
 }  // namespace schemas
@@ -61,7 +64,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b06d71140d497e05, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b06d71140d497e05, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -248,6 +251,51 @@
   };
 };
 
+struct BegunStreamsWire {
+  BegunStreamsWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bfc084cee8ba6c23, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamQueryWire {
+  StreamQueryWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f0d1916815c91a8b, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamAnswerWire {
+  StreamAnswerWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(89891ca689afdf89, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetMessageWire {
   FleetMessageWire() = delete;
 
@@ -256,7 +304,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 22)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 25)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -390,6 +438,9 @@
 
   inline  ::int32_t getInTimeForMs() const;
 
+  inline bool hasSoftware() const;
+  inline  ::capnp::Text::Reader getSoftware() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -451,6 +502,13 @@
   inline  ::int32_t getInTimeForMs();
   inline void setInTimeForMs( ::int32_t value);
 
+  inline bool hasSoftware();
+  inline  ::capnp::Text::Builder getSoftware();
+  inline void setSoftware( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftware(unsigned int size);
+  inline void adoptSoftware(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftware();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1675,6 +1733,310 @@
 };
 #endif  // !CAPNP_LITE
 
+class BegunStreamsWire::Reader {
+public:
+  typedef BegunStreamsWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasSoftware() const;
+  inline  ::capnp::Text::Reader getSoftware() const;
+
+  inline bool hasStreams() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getStreams() const;
+
+  inline  ::int64_t getLifetimeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BegunStreamsWire::Builder {
+public:
+  typedef BegunStreamsWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasSoftware();
+  inline  ::capnp::Text::Builder getSoftware();
+  inline void setSoftware( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftware(unsigned int size);
+  inline void adoptSoftware(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftware();
+
+  inline bool hasStreams();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getStreams();
+  inline void setStreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStreams(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initStreams(unsigned int size);
+  inline void adoptStreams(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownStreams();
+
+  inline  ::int64_t getLifetimeMs();
+  inline void setLifetimeMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BegunStreamsWire::Pipeline {
+public:
+  typedef BegunStreamsWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamQueryWire::Reader {
+public:
+  typedef StreamQueryWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamQueryWire::Builder {
+public:
+  typedef StreamQueryWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamQueryWire::Pipeline {
+public:
+  typedef StreamQueryWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamAnswerWire::Reader {
+public:
+  typedef StreamAnswerWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool getIsKnown() const;
+
+  inline bool hasOriginService() const;
+  inline  ::capnp::Text::Reader getOriginService() const;
+
+  inline bool hasOriginSoftware() const;
+  inline  ::capnp::Text::Reader getOriginSoftware() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamAnswerWire::Builder {
+public:
+  typedef StreamAnswerWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool getIsKnown();
+  inline void setIsKnown(bool value);
+
+  inline bool hasOriginService();
+  inline  ::capnp::Text::Builder getOriginService();
+  inline void setOriginService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOriginService(unsigned int size);
+  inline void adoptOriginService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOriginService();
+
+  inline bool hasOriginSoftware();
+  inline  ::capnp::Text::Builder getOriginSoftware();
+  inline void setOriginSoftware( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOriginSoftware(unsigned int size);
+  inline void adoptOriginSoftware(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOriginSoftware();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamAnswerWire::Pipeline {
+public:
+  typedef StreamAnswerWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetMessageWire::Reader {
 public:
   typedef FleetMessageWire Reads;
@@ -1784,6 +2146,15 @@
   inline bool hasBrittleUpstreams() const;
   inline  ::capnp::List< ::ApricotStep::Wire::BrittleUpstreamWire,  ::capnp::Kind::STRUCT>::Reader getBrittleUpstreams() const;
 
+  inline bool hasBegunStreams() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>::Reader getBegunStreams() const;
+
+  inline bool hasStreamQueries() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>::Reader getStreamQueries() const;
+
+  inline bool hasStreamAnswers() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>::Reader getStreamAnswers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2008,6 +2379,27 @@
   inline void adoptBrittleUpstreams(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::BrittleUpstreamWire,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::BrittleUpstreamWire,  ::capnp::Kind::STRUCT>> disownBrittleUpstreams();
 
+  inline bool hasBegunStreams();
+  inline  ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>::Builder getBegunStreams();
+  inline void setBegunStreams( ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>::Builder initBegunStreams(unsigned int size);
+  inline void adoptBegunStreams(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>> disownBegunStreams();
+
+  inline bool hasStreamQueries();
+  inline  ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>::Builder getStreamQueries();
+  inline void setStreamQueries( ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>::Builder initStreamQueries(unsigned int size);
+  inline void adoptStreamQueries(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>> disownStreamQueries();
+
+  inline bool hasStreamAnswers();
+  inline  ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>::Builder getStreamAnswers();
+  inline void setStreamAnswers( ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>::Builder initStreamAnswers(unsigned int size);
+  inline void adoptStreamAnswers(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>> disownStreamAnswers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2257,11 +2649,45 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AdapterCopiesWire::Reader::hasModel() const {
+inline bool AdapterUseWire::Reader::hasSoftware() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool AdapterCopiesWire::Builder::hasModel() {
+inline bool AdapterUseWire::Builder::hasSoftware() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AdapterUseWire::Reader::getSoftware() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AdapterUseWire::Builder::getSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void AdapterUseWire::Builder::setSoftware( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AdapterUseWire::Builder::initSoftware(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void AdapterUseWire::Builder::adoptSoftware(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AdapterUseWire::Builder::disownSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool AdapterCopiesWire::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AdapterCopiesWire::Builder::hasModel() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
@@ -3299,6 +3725,304 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool BegunStreamsWire::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BegunStreamsWire::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BegunStreamsWire::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BegunStreamsWire::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BegunStreamsWire::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BegunStreamsWire::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void BegunStreamsWire::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BegunStreamsWire::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool BegunStreamsWire::Reader::hasSoftware() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BegunStreamsWire::Builder::hasSoftware() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BegunStreamsWire::Reader::getSoftware() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BegunStreamsWire::Builder::getSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BegunStreamsWire::Builder::setSoftware( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BegunStreamsWire::Builder::initSoftware(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void BegunStreamsWire::Builder::adoptSoftware(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BegunStreamsWire::Builder::disownSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool BegunStreamsWire::Reader::hasStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool BegunStreamsWire::Builder::hasStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader BegunStreamsWire::Reader::getStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder BegunStreamsWire::Builder::getStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void BegunStreamsWire::Builder::setStreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void BegunStreamsWire::Builder::setStreams(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder BegunStreamsWire::Builder::initStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void BegunStreamsWire::Builder::adoptStreams(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> BegunStreamsWire::Builder::disownStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t BegunStreamsWire::Reader::getLifetimeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t BegunStreamsWire::Builder::getLifetimeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BegunStreamsWire::Builder::setLifetimeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamQueryWire::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamQueryWire::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamQueryWire::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamQueryWire::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamQueryWire::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamQueryWire::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamQueryWire::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamQueryWire::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamQueryWire::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamQueryWire::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamQueryWire::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StreamAnswerWire::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamAnswerWire::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamAnswerWire::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamAnswerWire::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamAnswerWire::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamAnswerWire::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamAnswerWire::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamAnswerWire::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamAnswerWire::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamAnswerWire::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamAnswerWire::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamAnswerWire::Reader::getIsKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool StreamAnswerWire::Builder::getIsKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void StreamAnswerWire::Builder::setIsKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamAnswerWire::Reader::hasOriginService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamAnswerWire::Builder::hasOriginService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamAnswerWire::Reader::getOriginService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamAnswerWire::Builder::getOriginService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamAnswerWire::Builder::setOriginService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamAnswerWire::Builder::initOriginService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamAnswerWire::Builder::adoptOriginService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamAnswerWire::Builder::disownOriginService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StreamAnswerWire::Reader::hasOriginSoftware() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamAnswerWire::Builder::hasOriginSoftware() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamAnswerWire::Reader::getOriginSoftware() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamAnswerWire::Builder::getOriginSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StreamAnswerWire::Builder::setOriginSoftware( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamAnswerWire::Builder::initOriginSoftware(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StreamAnswerWire::Builder::adoptOriginSoftware(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamAnswerWire::Builder::disownOriginSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool FleetMessageWire::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4246,6 +4970,108 @@
       ::capnp::bounded<21>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessageWire::Reader::hasBegunStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasBegunStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getBegunStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getBegunStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setBegunStreams( ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initBegunStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptBegunStreams(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownBegunStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::BegunStreamsWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<22>() * ::capnp::POINTERS));
+}
+
+inline bool FleetMessageWire::Reader::hasStreamQueries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<23>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasStreamQueries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<23>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getStreamQueries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<23>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getStreamQueries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<23>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setStreamQueries( ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<23>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initStreamQueries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<23>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptStreamQueries(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<23>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownStreamQueries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamQueryWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<23>() * ::capnp::POINTERS));
+}
+
+inline bool FleetMessageWire::Reader::hasStreamAnswers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<24>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasStreamAnswers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<24>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getStreamAnswers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<24>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getStreamAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<24>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setStreamAnswers( ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<24>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initStreamAnswers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<24>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptStreamAnswers(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<24>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownStreamAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<24>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -27,6 +27,9 @@
 // Statements of upstreams are repeated for a few seconds, and so are rests. Forged ones must not hold for long.
 constexpr Duration MaxStatementAge = Duration::seconds(60);
 
+// Bounds the memory that forged messages can take.
+constexpr Duration MaxStreamLifetime = Duration::seconds(600);
+
 std::string textOf(capnp::Text::Reader text)
 {
     return std::string(text.cStr(), text.size());
@@ -171,6 +174,9 @@
         uses[i].setIsCrowded(message.uses[i].hasOverloadedCopies);
         uses[i].setWaiting(message.uses[i].waiting);
         uses[i].setInTimeForMs(static_cast<std::int32_t>(message.uses[i].latencySlack.milliseconds()));
+        if (!message.uses[i].software.isEmpty()) {
+            uses[i].setSoftware(message.uses[i].software.value());
+        }
     }
     auto residencies = initList(message.residencies, [&wire](unsigned int size) { return wire.initRows(size); });
     for (unsigned int i = 0; i < residencies.size(); ++i) {
@@ -189,7 +195,8 @@
     }
     for (const auto use : wire.getUses()) {
         message.uses.push_back(AdapterUse { BaseModelId(textOf(use.getModel())), AdapterId(textOf(use.getAdapter())),
-            UpstreamId(textOf(use.getEngine())), use.getCount(), use.getIsCrowded(), use.getWaiting(), Duration(use.getInTimeForMs()) });
+            UpstreamId(textOf(use.getEngine())), use.getCount(), use.getIsCrowded(), use.getWaiting(), Duration(use.getInTimeForMs()),
+            SoftwareVersion(textOf(use.getSoftware())) });
     }
     for (const auto residency : wire.getRows()) {
         message.residencies.push_back(decodeResidency(residency));
@@ -340,6 +347,69 @@
     return starts;
 }
 
+void encodeStreams(const FleetMessage &message, Wire::FleetMessageWire::Builder wire)
+{
+    std::map<StreamOrigin, std::vector<const BegunStream *>> byOrigin;
+    for (const BegunStream &begun : message.begunStreams) {
+        byOrigin[begun.origin].push_back(&begun);
+    }
+    auto groups = initList(byOrigin, [&wire](unsigned int size) { return wire.initBegunStreams(size); });
+    unsigned int index = 0;
+    for (const auto &[origin, streams] : byOrigin) {
+        auto group = groups[index++];
+        group.setService(origin.service.value());
+        group.setSoftware(origin.software.value());
+        auto ids = group.initStreams(static_cast<unsigned int>(streams.size()));
+        Duration lifetime;
+        for (unsigned int i = 0; i < ids.size(); ++i) {
+            ids.set(i, streams[i]->stream.value());
+            lifetime = std::max(lifetime, streams[i]->lifetime);
+        }
+        group.setLifetimeMs(lifetime.milliseconds());
+    }
+    auto queries = initList(message.streamQueries, [&wire](unsigned int size) { return wire.initStreamQueries(size); });
+    for (unsigned int i = 0; i < queries.size(); ++i) {
+        queries[i].setStream(message.streamQueries[i].stream.value());
+        queries[i].setService(message.streamQueries[i].service.value());
+    }
+    auto answers = initList(message.streamAnswers, [&wire](unsigned int size) { return wire.initStreamAnswers(size); });
+    for (unsigned int i = 0; i < answers.size(); ++i) {
+        const StreamAnswer &answer = message.streamAnswers[i];
+        answers[i].setStream(answer.query.stream.value());
+        answers[i].setService(answer.query.service.value());
+        answers[i].setIsKnown(answer.origin.has_value());
+        if (answer.origin) {
+            answers[i].setOriginService(answer.origin->service.value());
+            answers[i].setOriginSoftware(answer.origin->software.value());
+        }
+    }
+}
+
+StreamOrigin decodeOrigin(capnp::Text::Reader service, capnp::Text::Reader software)
+{
+    return StreamOrigin { ServiceName(textOf(service)), SoftwareVersion(textOf(software)) };
+}
+
+void decodeStreams(Wire::FleetMessageWire::Reader wire, FleetMessage &message)
+{
+    for (const auto group : wire.getBegunStreams()) {
+        const StreamOrigin origin = decodeOrigin(group.getService(), group.getSoftware());
+        const Duration lifetime(std::clamp<std::int64_t>(group.getLifetimeMs(), 0, MaxStreamLifetime.milliseconds()));
+        for (const std::uint64_t stream : group.getStreams()) {
+            message.begunStreams.push_back(BegunStream { StreamId(stream), origin, lifetime });
+        }
+    }
+    for (const auto query : wire.getStreamQueries()) {
+        message.streamQueries.push_back(StreamQuery { StreamId(query.getStream()), ServiceName(textOf(query.getService())) });
+    }
+    for (const auto answer : wire.getStreamAnswers()) {
+        const StreamQuery query { StreamId(answer.getStream()), ServiceName(textOf(answer.getService())) };
+        const auto origin =
+            answer.getIsKnown() ? std::optional(decodeOrigin(answer.getOriginService(), answer.getOriginSoftware())) : std::nullopt;
+        message.streamAnswers.push_back(StreamAnswer { query, origin });
+    }
+}
+
 void encodeStore(const StoreView &store, Wire::StoreViewWire::Builder wire)
 {
     wire.setFetchesAtOnce(store.maxConcurrentFetches);
@@ -382,6 +452,7 @@
     message.upstreamRests = decodeRests(wire.getUpstreamRests());
     message.leavingUpstreams = decodeStarts(wire.getLeavingUpstreams());
     message.brittleUpstreams = decodeBrittle(wire.getBrittleUpstreams());
+    decodeStreams(wire, message);
     for (const auto service : wire.getUnreachableServices()) {
         message.unreachableServices.emplace_back(textOf(service));
     }
@@ -423,6 +494,7 @@
         initList(message.leavingUpstreams, [&wire](unsigned int size) { return wire.initLeavingUpstreams(size); }));
     encodeBrittle(message.brittleUpstreams,
         initList(message.brittleUpstreams, [&wire](unsigned int size) { return wire.initBrittleUpstreams(size); }));
+    encodeStreams(message, wire);
     auto services = initList(message.unreachableServices, [&wire](unsigned int size) { return wire.initUnreachableServices(size); });
     for (unsigned int i = 0; i < message.unreachableServices.size(); ++i) {
         services.set(i, message.unreachableServices[i].value());
--- a/state/routetable.cpp
+++ b/state/routetable.cpp
@@ -104,6 +104,15 @@
     return nullptr;
 }
 
+Duration RouteTable::longestStream() const
+{
+    Duration longest;
+    for (const Route &route : m_source.routes) {
+        longest = std::max(longest, route.kind == RequestKind::Stream ? route.timeout : Duration());
+    }
+    return longest;
+}
+
 const RoutedService *RouteTable::service(const ServiceName &name) const
 {
     const auto at = std::find_if(
--- a/state/routetable.h
+++ b/state/routetable.h
@@ -141,6 +141,8 @@
     /** Null if there is no service of this name. */
     const RoutedService *service(const ServiceName &name) const;
 
+    /** The longest time that a stream may take; zero if there are no routes of streams. */
+    Duration longestStream() const;
     /** Whether requests on routes that are not public need a key. */
     bool requiresKeys() const
     {
--- a/tests/coordination/testadapterplan.cpp
+++ b/tests/coordination/testadapterplan.cpp
@@ -41,6 +41,16 @@
     {
         m_uses.push_back(AdapterUse { BaseModelId("m"), AdapterId(adapter), UpstreamId(), 1, hasOverloadedCopies });
     }
+    /** Requests wait for a copy on an engine with this software version. */
+    void addPendingAt(const std::string &adapter, const std::string &software)
+    {
+        addPending(adapter);
+        m_uses.back().software = SoftwareVersion(software);
+    }
+    void setSoftware(int engine, const std::string &software)
+    {
+        m_records[static_cast<std::size_t>(engine)].softwareVersion = SoftwareVersion(software);
+    }
     void clearUses()
     {
         m_uses.clear();
@@ -271,6 +281,38 @@
     cr_assert_eq(simulation.loads(), 1);
 }
 
+// Guards against streams that cannot go on because their adapter is loaded only at engines of another software version.
+Test(adapterplan, aStreamsAdapterIsLoadedAtItsSoftwareVersion)
+{
+    PlanSimulation simulation(3);
+    for (int engine = 0; engine < 3; ++engine) {
+        simulation.setSoftware(engine, engine == 2 ? "v2" : "v1");
+    }
+    simulation.setLoad(2, 100'000);
+    simulation.addPending("a");
+    simulation.run(Duration(400));
+    cr_assert_eq(simulation.copies("a"), 1);
+    cr_assert_not(simulation.holds(2, "a"));
+    simulation.clearUses();
+    simulation.addPendingAt("a", "v2");
+    simulation.run(Duration(600));
+    cr_assert(simulation.holds(2, "a"));
+    cr_assert_eq(simulation.loads(), 2);
+}
+
+// Guards against a second load for requests that wait for the same adapter, some at one software version and some at any.
+Test(adapterplan, oneLoadServesRequestsWithAndWithoutASoftwareVersion)
+{
+    PlanSimulation simulation(3);
+    for (int engine = 0; engine < 3; ++engine) {
+        simulation.setSoftware(engine, "v1");
+    }
+    simulation.addPending("a");
+    simulation.addPendingAt("a", "v1");
+    simulation.run(Duration(400));
+    cr_assert_eq(simulation.loads(), 1);
+}
+
 // Each second requests ask for other adapters than the engines hold, while late reports still list unloaded ones. An engine that is ordered
 // beyond its slots crashes, and all its requests fail.
 Test(adapterplan, changingDemandNeverOverfillsAnEngine)
--- a/tests/coordination/testpendingadapterorder.cpp
+++ b/tests/coordination/testpendingadapterorder.cpp
@@ -13,7 +13,7 @@
 
 PendingAdapter pending(const std::string &name, Duration age, std::uint32_t waiting, Duration latencySlack)
 {
-    return PendingAdapter { AdapterRef { BaseModelId("m"), AdapterId(name) }, false, Now - age, waiting, Now + latencySlack };
+    return PendingAdapter { AdapterRef { BaseModelId("m"), AdapterId(name) }, {}, false, Now - age, waiting, Now + latencySlack };
 }
 
 std::string order(std::vector<PendingAdapter> pendingAdapters)
--- a/tests/main/fixtures.h
+++ b/tests/main/fixtures.h
@@ -34,9 +34,10 @@
         m_body = std::move(body);
         m_done.Notify();
     }
-    void beginStream(int status, const HttpHeaders &) override
+    void beginStream(int status, const HttpHeaders &headers) override
     {
         m_status = status;
+        m_headers = headers;
         ++m_startedStreams;
     }
     bool write(std::string_view data) override
--- a/tests/main/testfleetlink.cpp
+++ b/tests/main/testfleetlink.cpp
@@ -54,6 +54,7 @@
         callbacks.onResidencyChanged = [] {};
         callbacks.onBrittleUpstreams = [](const NodeId &, const std::vector<BrittleStatement> &) {};
         callbacks.onNewerConfiguration = [](const Peer &) {};
+        callbacks.onStreamAnswers = [this](const std::vector<StreamAnswer> &answers) { m_answers += static_cast<int>(answers.size()); };
         FleetIdentity identity { NodeId("node-a-0"), Incarnation(7), OwnZone, { OwnZone, OtherZone }, 1, "127.0.0.1:1", freeAddress(), {} };
         m_address = identity.peerAddress;
         m_link = std::make_unique<FleetLink>(m_loop, m_log, m_clusterState, identity, OrderLeaseLimits {}, std::move(callbacks));
@@ -97,6 +98,21 @@
         }
         m_socket->send(m_address, encodeFleetMessage(message));
     }
+    ClusterState &clusterState()
+    {
+        return m_clusterState;
+    }
+    /** A peer of the same zone sends @p edit added to an ordinary message. */
+    void send(const std::function<void(FleetMessage &)> &edit)
+    {
+        FleetMessage message = messageOf(0);
+        edit(message);
+        m_socket->send(m_address, encodeFleetMessage(message));
+    }
+    int answers() const
+    {
+        return m_answers;
+    }
     /** What the link has sent since the last call. */
     std::vector<FleetMessage> takeSent()
     {
@@ -170,6 +186,7 @@
     NodeLoadReport m_report;
     bool m_isOtherZoneClaimed = false;
     Time m_grantedClaim;
+    int m_answers = 0;
     std::vector<FleetMessage> m_sent;
 };
 
@@ -253,3 +270,65 @@
     fleet.link().leave();
     cr_assert_eq(answered(), 0);
 }
+
+namespace
+{
+
+const StreamOrigin Origin { ServiceName("llm"), SoftwareVersion("v1") };
+
+} // namespace
+
+// Guards against a stream that only the node knows that began it: it cannot be asked once it is gone.
+Test(fleetlink, begunStreamsAreAnnouncedInTheZone)
+{
+    LargeFleet fleet;
+    fleet.run(Duration(800));
+    fleet.clusterState().streamOrigins.onBegun({ StreamId(5), Origin, Duration(17'000) }, SystemClock().now());
+    fleet.takeSent();
+    fleet.run(Duration(1000));
+    int announced = 0;
+    for (const FleetMessage &message : fleet.takeSent()) {
+        announced += message.begunStreams.empty() ? 0 : 1;
+        cr_assert(message.begunStreams.empty() || message.begunStreams.front().origin == Origin);
+        cr_assert(message.begunStreams.empty() || message.engineLoads.empty(), "nodes of other zones ask if they need to know");
+    }
+    cr_assert_eq(announced, 2 * Peers / 2, "twice to each node of the zone");
+}
+
+// Guards against a node that does not learn where a stream of another node began, and does not tell it.
+Test(fleetlink, streamQueriesAreAnswered)
+{
+    LargeFleet fleet;
+    fleet.run(Duration(800));
+    fleet.send([](FleetMessage &message) { message.begunStreams = { BegunStream { StreamId(5), Origin, Duration(17'000) } }; });
+    fleet.run(Duration(50));
+    fleet.takeSent();
+    fleet.send([](FleetMessage &message) {
+        message.streamQueries = { StreamQuery { StreamId(5), ServiceName("llm") }, StreamQuery { StreamId(6), ServiceName("llm") } };
+    });
+    fleet.run(Duration(50));
+    std::vector<StreamAnswer> answers;
+    for (const FleetMessage &message : fleet.takeSent()) {
+        answers.insert(answers.end(), message.streamAnswers.begin(), message.streamAnswers.end());
+    }
+    cr_assert_eq(answers.size(), 2);
+    cr_assert(answers[0].origin == Origin);
+    cr_assert_not(answers[1].origin.has_value());
+}
+
+// Guards against a query that reaches only the nodes of one zone, which know the streams of that zone only.
+Test(fleetlink, streamQueriesGoToAllZones)
+{
+    LargeFleet fleet;
+    fleet.run(Duration(800));
+    fleet.takeSent();
+    const int asked = fleet.link().sendStreamQuery(StreamQuery { StreamId(5), ServiceName("llm") });
+    cr_assert_eq(asked, 8);
+    fleet.run(Duration(50));
+    const auto sent = fleet.takeSent();
+    cr_assert_eq(
+        std::count_if(sent.begin(), sent.end(), [](const FleetMessage &message) { return !message.streamQueries.empty(); }), asked);
+    fleet.send([](FleetMessage &message) { message.streamAnswers = { StreamAnswer {} }; });
+    fleet.run(Duration(50));
+    cr_assert_eq(fleet.answers(), 1);
+}
--- a/tests/main/testmetrics.cpp
+++ b/tests/main/testmetrics.cpp
@@ -92,6 +92,7 @@
     entry.brittleRefusal();
     entry.serviceReachability(false);
     entry.relayed("sent");
+    entry.resumed("own");
     entry.order("done");
     entry.keyRefused("unauthenticated");
     entry.teamRequest(TeamName("t"), "admitted");
--- a/tests/main/testrequestforwarderfixture.h
+++ b/tests/main/testrequestforwarderfixture.h
@@ -32,6 +32,10 @@
 constexpr const char *StreamHead =
     "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/** The head of a stream that another node passes on; it names the software that began the stream. */
+constexpr const char *RelayedStreamHead = "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\n"
+                                          "relay-stream-origin: svc\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 inline std::string chunk(const std::string &text)
 {
     return absl::StrCat(absl::Hex(text.size()), "\r\n", text, "\r\n");
@@ -50,6 +54,7 @@
     std::optional<Duration> ordersIn = Duration(0);
     std::vector<RelayNode> relays;
     int brittleRefusals = 0;
+    std::function<int(const StreamQuery &)> sendStreamQuery = [](const StreamQuery &) { return 0; };
 
     ForwarderFixture()
     {
@@ -61,6 +66,7 @@
         callbacks.ordersIn = [this] { return ordersIn; };
         callbacks.fleetSize = [] { return std::optional(1); };
         callbacks.onBrittleRefusal = [this] { ++brittleRefusals; };
+        callbacks.sendStreamQuery = [this](const StreamQuery &query) { return sendStreamQuery(query); };
         callbacks.relays = [this](const ServiceName &, ConfigVersion) { return relays; };
         callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { return answerAsIssuer(queries); };
         forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, ForwarderSettings {}, std::move(callbacks));
@@ -176,6 +182,7 @@
         callbacks.canOthersAcceptKeys = [] { return true; };
         callbacks.fleetSize = [] { return std::optional(100); };
         callbacks.onBrittleRefusal = [this] { ++brittleRefusals; };
+        callbacks.sendStreamQuery = [this](const StreamQuery &query) { return sendStreamQuery(query); };
         callbacks.relays = [this](const ServiceName &, ConfigVersion) { return relays; };
         callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { return answerQueries(queries); };
         settings.teamCredit.overrun = 0.25;
--- a/tests/main/testrequestforwarderrelay.cpp
+++ b/tests/main/testrequestforwarderrelay.cpp
@@ -197,9 +197,9 @@
 {
     int calls = 0;
     const ScriptedUpstream relay([&](const std::string &) {
-        return ++calls == 1
-            ? ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 1\ndata: a\n\nid: 2\nda")), ScriptedAnswer::ConnectionAction::Reset }
-            : ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 2\ndata: b\n\n"), "0\r\n\r\n") };
+        return ++calls == 1 ? ScriptedAnswer { absl::StrCat(RelayedStreamHead, chunk("id: 1\ndata: a\n\nid: 2\nda")),
+            ScriptedAnswer::ConnectionAction::Reset }
+                            : ScriptedAnswer { absl::StrCat(RelayedStreamHead, chunk("id: 2\ndata: b\n\n"), "0\r\n\r\n") };
     });
     ForwarderFixture fixture;
     fixture.configure(RequestKind::Stream, 2, true);
--- a/tests/main/testrequestforwardersoftware.cpp
+++ b/tests/main/testrequestforwardersoftware.cpp
@@ -1,5 +1,7 @@
 #include "testrequestforwarderfixture.h"
 
+#include <absl/strings/str_replace.h>
+
 #include <criterion/criterion.h>
 
 using namespace ApricotStep;
@@ -63,7 +65,7 @@
 } // namespace
 
 // Guards against a stream that a node continues, within one answer, at an upstream of another software version.
-Test(knownred, software_streamIsContinuedOnlyAtItsVersion)
+Test(softwareversions, streamIsContinuedOnlyAtItsVersion)
 {
     TwoVersionsFixture fixture([](const std::string &) {
         std::this_thread::sleep_for(std::chrono::milliseconds(50)); // The second upstream is listed before the stream breaks off.
@@ -76,7 +78,7 @@
 }
 
 // Guards against a stream that its caller takes up again and that goes on at an upstream of another software version.
-Test(knownred, software_resumedStreamGoesOnOnlyAtItsVersion)
+Test(softwareversions, resumedStreamGoesOnOnlyAtItsVersion)
 {
     TwoVersionsFixture fixture([](const std::string &request) {
         return absl::StrContains(request, "Last-Event-Id") ? wholeStream("id: 2\ndata: b\n\n") : wholeStream("id: 1\ndata: a\n\n");
@@ -92,7 +94,7 @@
 
 // Guards against a stream whose software version no node knows and that goes on at any upstream. Nothing has run, and it is refused at
 // once.
-Test(knownred, software_unknownStreamIsRefusedWhileVersionsDiffer)
+Test(softwareversions, unknownStreamIsRefusedWhileVersionsDiffer)
 {
     for (const char *resumed : { "r-0", "" }) {
         TwoVersionsFixture fixture([](const std::string &) { return wholeStream("id: 1\ndata: a\n\n"); });
@@ -108,7 +110,7 @@
 }
 
 // Guards against a stream that is taken up again after all upstreams of its version have left, and goes on at another version.
-Test(knownred, software_streamIsRefusedOnceItsVersionHasLeft)
+Test(softwareversions, streamIsRefusedOnceItsVersionHasLeft)
 {
     TwoVersionsFixture fixture([](const std::string &) { return wholeStream("id: 1\ndata: a\n\n"); });
     fixture.begin();
@@ -118,3 +120,93 @@
     cr_assert_eq(caller->status(), 503);
     cr_assert(fixture.second.requests().empty());
 }
+
+// Guards against a stream that another node continues for this one, at an upstream of another software version.
+Test(softwareversions, relayedStreamGoesOnOnlyAtItsVersion)
+{
+    const ScriptedUpstream relay([](const std::string &request) {
+        const bool isContinued = absl::StrContains(request, "Last-Event-Id");
+        const std::string events = isContinued ? "id: 2\ndata: b\n\n" : "id: 1\ndata: a\n\n";
+        const std::string head = absl::StrReplaceAll(RelayedStreamHead, { { "origin: svc", "origin: svc v1" } });
+        return isContinued ? ScriptedAnswer { absl::StrCat(head, chunk(events), "0\r\n\r\n") }
+                           : ScriptedAnswer { absl::StrCat(head, chunk(events)), ScriptedAnswer::ConnectionAction::Reset };
+    });
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Stream, 2, true);
+    fixture.addUpstreamAt("u1", "127.0.0.1:1", "v1");
+    fixture.addRelay("n2", relay);
+    fixture.addRelay("n3", relay);
+    const auto caller = fixture.send(ForwarderFixture::request());
+    fixture.runUntil([&] { return caller->isDone(); });
+    cr_assert(caller->isFinished());
+    cr_assert_not(caller->hasHeader("relay-stream-origin"));
+    cr_assert_not(absl::StrContains(relay.requests().front(), "relay-stream-origin"));
+    cr_assert(absl::StrContains(relay.requests().back(), "relay-stream-origin: svc v1\r\n"), "%s", relay.requests().back().c_str());
+    cr_assert(fixture.clusterState.streamOrigins.find(streamIdOf("r-1"), fixture.clock.now())
+        == StreamOrigin({ ServiceName("svc"), SoftwareVersion("v1") }));
+}
+
+// Guards against a node that continues a stream for another one at any software version, and against an answer that does not name the
+// version.
+Test(softwareversions, streamOfAnotherNodeIsBoundToItsVersion)
+{
+    TwoVersionsFixture fixture([](const std::string &request) {
+        return absl::StrContains(request, "Last-Event-Id") ? wholeStream("id: 2\ndata: b\n\n") : wholeStream("id: 1\ndata: a\n\n");
+    });
+    fixture.addUpstream("u2", fixture.second, "v2");
+    for (int i = 0; i < 12; ++i) {
+        auto caller = std::make_shared<Caller>();
+        const StreamOrigin origin { ServiceName("svc"), SoftwareVersion("v1") };
+        fixture.forwarder->onRelayedRequest(resumption("r-2", "r-1"), RelayedRequest { ConfigVersion(1), {}, Duration(1), origin }, caller);
+        fixture.runUntil([&] { return caller->isDone(); });
+        cr_assert_eq(caller->status(), 200);
+        cr_assert(caller->hasHeader("relay-stream-origin"));
+    }
+    cr_assert(fixture.second.requests().empty());
+}
+
+namespace
+{
+
+/** A forwarder that asks two other nodes where a stream began, which answer @p answers, or not at all. */
+std::shared_ptr<Caller> resumeWithPeers(TwoVersionsFixture &fixture, const std::vector<std::optional<StreamOrigin>> &answers)
+{
+    fixture.addUpstream("u2", fixture.second, "v2");
+    StreamQuery asked;
+    fixture.sendStreamQuery = [&asked](const StreamQuery &query) {
+        asked = query;
+        return 2;
+    };
+    const auto caller = fixture.send(resumption("r-2", "r-1"));
+    cr_assert_not(caller->isDone());
+    for (const auto &answer : answers) {
+        fixture.forwarder->onStreamAnswers({ StreamAnswer { asked, answer } });
+    }
+    fixture.runUntil([&] { return caller->isDone(); });
+    return caller;
+}
+
+} // namespace
+
+// Guards against a stream that is refused at a node that does not know it, although another node does.
+Test(softwareversions, streamThatAnotherNodeKnowsGoesOn)
+{
+    TwoVersionsFixture fixture([](const std::string &) { return wholeStream("id: 1\ndata: a\n\n"); });
+    const auto caller = resumeWithPeers(fixture, { std::nullopt, StreamOrigin { ServiceName("svc"), SoftwareVersion("v2") } });
+    cr_assert_eq(caller->status(), 200);
+    cr_assert(fixture.first.requests().empty());
+}
+
+// Guards against a caller that waits for nodes that are gone, and against one whose stream no node knows and goes on all the same.
+Test(softwareversions, streamThatNoOtherNodeKnowsIsRefused)
+{
+    const std::vector<std::vector<std::optional<StreamOrigin>>> cases { { std::nullopt, std::nullopt }, { std::nullopt }, {} };
+    for (const auto &answers : cases) {
+        TwoVersionsFixture fixture([](const std::string &) { return wholeStream("id: 1\ndata: a\n\n"); });
+        const Time before = fixture.clock.now();
+        const auto caller = resumeWithPeers(fixture, answers);
+        cr_assert_eq(caller->status(), 503);
+        cr_assert_leq((fixture.clock.now() - before).milliseconds(), 400);
+        cr_assert(fixture.first.requests().empty() && fixture.second.requests().empty());
+    }
+}
--- a/tests/main/testrequestforwarderstream.cpp
+++ b/tests/main/testrequestforwarderstream.cpp
@@ -1,6 +1,8 @@
 #include "testrequestforwarderfixture.h"
 #include "unreachableaddress.h"
 
+#include <absl/strings/str_replace.h>
+
 #include <criterion/criterion.h>
 
 using namespace ApricotStep;
@@ -97,8 +99,9 @@
 Test(unframedanswers, relayedStreamThatEndsInsideAnEventContinues)
 {
     const ScriptedUpstream relay([](const std::string &request) {
-        return absl::StrContains(request, "Last-Event-Id: 1\r\n") ? unframed("id: 2\ndata: b\n\n")
-                                                                  : unframed("id: 1\ndata: a\n\nid: 2\nda");
+        const bool isContinued = absl::StrContains(request, "Last-Event-Id: 1\r\n");
+        const std::string events = isContinued ? "id: 2\ndata: b\n\n" : "id: 1\ndata: a\n\nid: 2\nda";
+        return ScriptedAnswer { absl::StrReplaceAll(RelayedStreamHead, { { "Transfer-Encoding: chunked\r\n", "" } }) + events, Close };
     });
     ForwarderFixture fixture;
     fixture.configure(RequestKind::Stream, 2, true);
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -38,6 +38,13 @@
     message.brittleUpstreams = { BrittleStatement { UpstreamId("y"), 16, 5, Duration(20), Duration(10) },
         BrittleStatement { UpstreamId("z"), 17, std::nullopt, Duration(30), std::nullopt } };
     message.unreachableServices = { ServiceName("s1"), ServiceName("s2") };
+    const StreamOrigin first { ServiceName("s1"), SoftwareVersion("v1") };
+    const StreamOrigin second { ServiceName("s1"), SoftwareVersion() };
+    message.begunStreams = { BegunStream { StreamId(21), second, Duration(17) }, BegunStream { StreamId(~0ULL), first, Duration(18) },
+        BegunStream { StreamId(23), first, Duration(18) } };
+    message.streamQueries = { StreamQuery { StreamId(24), ServiceName("s2") } };
+    message.streamAnswers = { StreamAnswer { message.streamQueries.front(), std::nullopt },
+        StreamAnswer { StreamQuery { StreamId(25), ServiceName("s1") }, first }, StreamAnswer { StreamQuery {}, second } };
     message.configVersion = ConfigVersion(9);
     message.claims = { LeaseClaim { EngineShard(2), FencingToken(5), Duration(30), Time(4) } };
     message.grants = { LeaseGrant { EngineShard(1), NodeId("n2"), Incarnation(3), Time(8), FencingToken(6) } };
@@ -46,7 +53,7 @@
     message.releases = { EngineShard(3) };
     message.contacts = { "10.0.0.2:81" };
     message.loads = { UpstreamLoad { UpstreamId("u"), 2, 300 } };
-    message.uses = { AdapterUse { BaseModelId("m"), AdapterId("a"), UpstreamId("u"), 4, true, 3, Duration(-70) } };
+    message.uses = { AdapterUse { BaseModelId("m"), AdapterId("a"), UpstreamId("u"), 4, true, 3, Duration(-70), SoftwareVersion("v2") } };
     message.engineLoads = { UpstreamLoad { UpstreamId("e7"), 4, 900 } };
     message.residencies = { EngineResidency {
         UpstreamId("u"), 12, FencingToken(5), 6, { AdapterCopy { BaseModelId("m"), AdapterId("a"), AdapterVersion("1"), true } } } };
@@ -78,6 +85,8 @@
     cr_assert(message.upstreamRests == sent.upstreamRests && message.leavingUpstreams == sent.leavingUpstreams);
     cr_assert(message.brittleUpstreams == sent.brittleUpstreams);
     cr_assert(message.unreachableServices == sent.unreachableServices);
+    cr_assert(message.begunStreams == sent.begunStreams);
+    cr_assert(message.streamQueries == sent.streamQueries && message.streamAnswers == sent.streamAnswers);
 }
 
 // Datagrams may be truncated, modified or sent by other programs. None may crash a node, and one without a sender is rejected.
