--- a/coordination/streamorigins.cpp
+++ b/coordination/streamorigins.cpp
@@ -70,12 +70,12 @@
     std::vector<BegunStream> result;
     for (auto own = m_own.rbegin(); own != m_own.rend() && result.size() < m_limits.maxAnnounced; ++own) {
         const auto at = m_streams.find(own->stream);
-        if (own->announced >= m_limits.announcements || at == m_streams.end() || now >= at->second.expiresAt) {
+        if (own->isAnnounced || at == m_streams.end() || now >= at->second.expiresAt) {
             continue;
         }
         const StreamOrigin &origin = m_origins[at->second.origin];
         if (isNeeded(origin.service)) {
-            ++own->announced;
+            own->isAnnounced = true;
             result.push_back(BegunStream { own->stream, origin, at->second.expiresAt - now });
         }
     }
--- a/coordination/streamorigins.h
+++ b/coordination/streamorigins.h
@@ -68,8 +68,6 @@
 {
     /** Streams to remember: some hundred each second, for half a minute. */
     std::size_t maxStreams = 20'000;
-    /** How often each stream is announced, since datagrams are lost. */
-    int announcements = 2;
     /** Streams in one message; the others follow in the next. */
     std::size_t maxAnnounced = 64;
 };
@@ -85,7 +83,10 @@
     /** Another node has begun it. */
     void onAnnounced(const BegunStream &begun, Time now);
     std::optional<StreamOrigin> find(StreamId stream, Time now) const;
-    /** The streams of this node to announce now, each only as often as the limits say. @p isNeeded: whether others have to know them. */
+    /**
+     * The streams of this node to announce now, each only once: a node that a datagram does not reach asks others. @p isNeeded: whether
+     * other nodes have to know the streams of a service.
+     */
     std::vector<BegunStream> takeAnnouncements(const std::function<bool(const ServiceName &)> &isNeeded, Time now);
     std::size_t size() const
     {
@@ -101,7 +102,7 @@
     struct OwnStream
     {
         StreamId stream;
-        int announced = 0;
+        bool isAnnounced = false;
     };
 
     void put(const BegunStream &begun, Time now);
