--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -177,7 +177,8 @@
 {
     m_phase = Phase::LookingUp;
     const StreamQuery query { streamIdOf(m_decoded.resumedRequest), m_service };
-    if (const auto origin = m_context.clusterState().originOf(query, now())) {
+    // A process that was suspended must not take its old view of the upstreams for a current one.
+    if (const auto origin = m_context.clusterState().originOf(query, m_context.loop().clock().now())) {
         onOrigin(origin, "own");
     } else {
         m_context.lookUpOrigin(query, shared_from_this());
