--- a/bench/streamorigins.cpp
+++ b/bench/streamorigins.cpp
@@ -144,6 +144,7 @@
         }
         std::partial_sort(scores.begin(), scores.begin() + Holders, scores.end(), std::greater<>());
         std::vector<std::size_t> holders;
+        holders.reserve(Holders);
         for (int i = 0; i < Holders; ++i) {
             holders.push_back(scores[static_cast<std::size_t>(i)].second);
         }
