Log the time of a cut answer, callers that leave while an upstream works, and rounds that come late

The record of the answers cut around configurations has no line of its requests, and could not tell its hypotheses apart. A cut stream now names the time that it had on arrival, what is left of it, its runs, route and configuration on a line that is always kept; so does a request whose caller leaves while an upstream works on it, which was a routine line. A round of the node's loop that comes late is logged as `node: delayed`, so that a silence of upstreams can be told from one of the node itself.

--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -460,6 +460,9 @@
 
 void EntryNode::run()
 {
+    d->loop.onDelayed([this](Duration delay) {
+        d->log.write(EventLog::Severity::Important, "node", "delayed", { { "byMs", delay.milliseconds() } });
+    });
     d->store->start();
     d->orders->start();
     d->checkConnections();
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -1014,8 +1014,10 @@
 void RequestJob::abortStream(const std::string &reason)
 {
     m_context.log().write(Important, "request", "stream_cut",
-        { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "lastEvent", m_events.lastId() },
-            { "silentMs", (now() - m_lastReceivedAt).milliseconds() }, { "paused", m_isPaused } });
+        { { "request", m_decoded.id }, { "route", m_route.name }, { "configVersion", std::int64_t(m_table->version().value()) },
+            { "upstream", m_upstream.id.value() }, { "runs", std::int64_t(m_possibleRuns) }, { "lastEvent", m_events.lastId() },
+            { "silentMs", (now() - m_lastReceivedAt).milliseconds() }, { "paused", m_isPaused },
+            { "hadMs", (m_deadline - m_arrivedAt).milliseconds() }, { "leftMs", timeLeft().milliseconds() } });
     m_exchange->abort();
     end(RequestOutcome::Truncated, reason);
 }
@@ -1034,8 +1036,7 @@
     if (m_phase == Phase::Ended) {
         return;
     }
-    cancelAttempt();
-    end(RequestOutcome::CallerGone, "");
+    end(RequestOutcome::CallerGone, cancelAttempt() ? "an upstream was at work" : "");
 }
 
 void RequestJob::end(RequestOutcome outcome, const std::string &reason)
@@ -1055,7 +1056,7 @@
     m_context.loop().cancel(m_stallTimer);
     m_context.log().write(reason.empty() ? RequestStep : Important, "request", outcomeName(outcome),
         { { "request", m_decoded.id }, { "reason", reason }, { "arrivals", std::int64_t(m_attemptsSent) },
-            { "tookMs", (now() - m_arrivedAt).milliseconds() } });
+            { "tookMs", (now() - m_arrivedAt).milliseconds() }, { "hadMs", (m_deadline - m_arrivedAt).milliseconds() } });
     m_context.onEnded(m_number);
 }
 
--- a/transport/ioloop.cpp
+++ b/transport/ioloop.cpp
@@ -40,6 +40,7 @@
     absl::btree_map<std::pair<Time, TimerId>, std::function<void()>> timers;
     absl::btree_map<TimerId, Time> dueTimes;
     TimerId lastTimer = 0;
+    std::function<void(Duration)> delayed;
     std::atomic<bool> isStopping { false };
 
     explicit Private(const Clock &clock)
@@ -139,6 +140,11 @@
     }
 }
 
+void IoLoop::onDelayed(std::function<void(Duration delay)> callback)
+{
+    d->delayed = std::move(callback);
+}
+
 void IoLoop::run()
 {
     std::vector<int> descriptors;
@@ -157,7 +163,11 @@
         Duration wait = d->haveServersWork() ? Duration(0) : d->untilNextTimer();
         wait = areDatagramsDue || d->sockets.empty() ? wait : std::min(wait, untilDatagramRead);
         const std::vector<bool> areReady = d->client.step(descriptors, wait);
+        const Time due = d->now + wait;
         d->now = d->clock.now();
+        if (d->now - due >= MinReportedDelay && d->delayed) {
+            d->delayed(d->now - due);
+        }
         d->stepServers(areReady);
         if (std::find(areReady.begin() + static_cast<std::ptrdiff_t>(d->servers.size()), areReady.end(), true) != areReady.end()) {
             d->receiveDatagrams();
--- a/transport/ioloop.h
+++ b/transport/ioloop.h
@@ -15,6 +15,9 @@
 /** Identifies a function to be called later; 0 means none. */
 using TimerId = std::uint64_t;
 
+/** Shorter delays of a round are usual on a VM with a fraction of a core. */
+inline constexpr Duration MinReportedDelay { 400 };
+
 /**
  * One thread that serves driven HTTP servers, a driven HTTP client, UDP sockets and timers in turn.
  *
@@ -42,6 +45,11 @@
     TimerId after(Duration wait, std::function<void()> function);
     /** Does nothing when the function was already called or cancelled. */
     void cancel(TimerId id);
+    /**
+     * Sets the callback for a round that began MinReportedDelay or more after it was due, because the process was suspended, got no
+     * processor time or worked on the round before. It is called before the timers of the round.
+     */
+    void onDelayed(std::function<void(Duration delay)> callback);
     /** Runs until stop(); may be called again afterwards. */
     void run();
     /** Makes run() return after the current round of work. Thread-safe. */
