Keep answers that end for silence as known red tests, and let the soak see them

Callers saw streams end with a closed connection, though their upstream still worked on them.

The soak now keeps connections over configurations, SIGHUP and SIGTERM, has streams of up to 40 events with pauses of the engine of up to 2.6 s, publishes configurations in series that change times, services, routes and limits, and fails with LOST on an answer that was cut without a reason.

--- a/tests/main/scriptedupstream.cpp
+++ b/tests/main/scriptedupstream.cpp
@@ -1,6 +1,7 @@
 #include "scriptedupstream.h"
 
 #include <absl/strings/str_replace.h>
+#include <absl/time/clock.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -100,6 +101,10 @@
         const ScriptedAnswer answer = m_script(request);
         const std::string bytes = absl::StrReplaceAll(answer.bytes, { { "{id}", id } });
         static_cast<void>(!send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+        for (const std::string &part : answer.laterParts) {
+            absl::SleepFor(absl::Milliseconds(answer.pause.milliseconds()));
+            static_cast<void>(!send(socket, part.data(), part.size(), MSG_NOSIGNAL));
+        }
         if (answer.isHanging) {
             char byte = 0;
             recv(socket, &byte, 1, 0);
--- a/tests/main/scriptedupstream.h
+++ b/tests/main/scriptedupstream.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/clock.h"
+
 #include <absl/synchronization/mutex.h>
 
 #include <atomic>
@@ -26,6 +28,9 @@
     ConnectionAction connectionAction = ConnectionAction::Keep;
     /** After the bytes, sends nothing more and waits until the peer closes the connection. */
     bool isHanging = false;
+    /** Sent after the bytes, each part after a pause. */
+    std::vector<std::string> laterParts;
+    ApricotStep::Duration pause;
 };
 
 /** A TCP server on a free port of 127.0.0.1 that answers with bytes chosen by the test, which need not be valid HTTP. */
--- /dev/null
+++ b/tests/main/testrequestforwardersilence.cpp
@@ -0,0 +1,143 @@
+#include "testrequestforwarderfixture.h"
+
+#include <absl/strings/match.h>
+#include <absl/time/clock.h>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+using namespace Fixtures;
+
+namespace
+{
+
+constexpr Duration LongPause { 1900 };
+constexpr const char *Events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+HttpRequest patientRequest()
+{
+    HttpRequest request = ForwarderFixture::request();
+    request.headers["apricotstep-deadline-ms"] = "8000";
+    for (auto &[name, value] : request.headerList) {
+        value = name == "Apricotstep-Deadline-Ms" ? "8000" : value;
+    }
+    return request;
+}
+
+/** A stream of two events with a long pause between them; continued after the first event, only the second without a pause. */
+ScriptedAnswer pausingStream(const std::string &request, const char *head = StreamHead)
+{
+    if (absl::StrContains(request, "Last-Event-Id: 1\r\n")) {
+        return ScriptedAnswer { absl::StrCat(head, chunk("id: 2\ndata: b\n\n"), "0\r\n\r\n") };
+    }
+    ScriptedAnswer answer { absl::StrCat(head, chunk("id: 1\ndata: a\n\n")) };
+    answer.laterParts = { absl::StrCat(chunk("id: 2\ndata: b\n\n"), "0\r\n\r\n") };
+    answer.pause = LongPause;
+    return answer;
+}
+
+struct SilenceFixture : ForwarderFixture
+{
+    explicit SilenceFixture(int maxAttempts = 2)
+    {
+        configure(RequestKind::Stream, maxAttempts, true, Duration(8000));
+    }
+    std::shared_ptr<Caller> answer()
+    {
+        const auto caller = send(patientRequest());
+        for (int i = 0; i < 4 && !caller->isDone(); ++i) {
+            runUntil([&] { return caller->isDone(); });
+        }
+        return caller;
+    }
+};
+
+} // namespace
+
+// Guards against a stream that is broken off because its upstream, the only one, is silent for a while.
+Test(knownred, streamOfAnUpstreamThatPausesIsDelivered)
+{
+    const ScriptedUpstream upstream([](const std::string &request) { return pausingStream(request); });
+    SilenceFixture fixture;
+    fixture.addUpstream("u1", upstream);
+    const auto caller = fixture.answer();
+    cr_assert(caller->isFinished());
+    cr_assert_str_eq(caller->body().c_str(), Events);
+    cr_assert_eq(upstream.requests().size(), 1U);
+}
+
+// Guards against a stream that is broken off because the node through which it is sent receives nothing for a while.
+Test(knownred, relayedStreamOfAnUpstreamThatPausesIsDelivered)
+{
+    const ScriptedUpstream relay([](const std::string &request) { return pausingStream(request, RelayedStreamHead); });
+    SilenceFixture fixture;
+    fixture.addUnreachableUpstream("u1");
+    fixture.addRelay("n2", relay);
+    const auto caller = fixture.answer();
+    cr_assert(caller->isFinished());
+    cr_assert_str_eq(caller->body().c_str(), Events);
+}
+
+// Guards against a stream that was continued once and is then broken off because the second upstream is silent for a while.
+Test(knownred, continuedStreamOfAnUpstreamThatPausesIsDelivered)
+{
+    std::atomic<int> calls = 0;
+    const auto script = [&calls](const std::string &) {
+        if (++calls == 1) {
+            return ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 1\ndata: a\n\n")), ScriptedAnswer::ConnectionAction::Close };
+        }
+        ScriptedAnswer answer { absl::StrCat(StreamHead, chunk("id: 2\nda")) };
+        answer.laterParts = { absl::StrCat(chunk("ta: b\n\n"), "0\r\n\r\n") };
+        answer.pause = LongPause;
+        return answer;
+    };
+    const ScriptedUpstream first(script);
+    const ScriptedUpstream second(script);
+    SilenceFixture fixture;
+    fixture.addUpstream("u1", first);
+    fixture.addUpstream("u2", second);
+    const auto caller = fixture.answer();
+    cr_assert(caller->isFinished());
+    cr_assert_str_eq(caller->body().c_str(), Events);
+}
+
+// Guards against streams that end at all upstreams, though they have sent data, because this process got no processor time.
+Test(knownred, streamsOfANodeThatWasSuspendedAreDelivered)
+{
+    const auto script = [](const std::string &) {
+        ScriptedAnswer answer { absl::StrCat(StreamHead, chunk("id: 1\ndata: a\n\n")) };
+        for (int i = 2; i <= 20; ++i) {
+            answer.laterParts.push_back(chunk(absl::StrCat("id: ", i, "\ndata: a\n\n")));
+        }
+        answer.laterParts.emplace_back("0\r\n\r\n");
+        answer.pause = Duration(100);
+        return answer;
+    };
+    const ScriptedUpstream first(script);
+    const ScriptedUpstream second(script);
+    SilenceFixture fixture;
+    fixture.addUpstream("u1", first);
+    fixture.addUpstream("u2", second);
+    fixture.loop.after(Duration(200), [] { absl::SleepFor(absl::Milliseconds(1700)); });
+    const auto caller = fixture.answer();
+    cr_assert(caller->isFinished());
+    cr_assert(absl::StrContains(caller->body(), "id: 20\ndata: a\n\n"));
+    cr_assert_eq(first.requests().size() + second.requests().size(), 1U);
+}
+
+// Guards against answers that are replaced by an error, though they arrived in time, because this process got no processor time until after
+// the deadline.
+Test(knownred, answerThatArrivedWhileTheNodeWasSuspendedIsDelivered)
+{
+    const ScriptedUpstream upstream([](const std::string &) {
+        absl::SleepFor(absl::Milliseconds(700));
+        return ScriptedAnswer { CompleteAnswer };
+    });
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::NonIdempotent, 1);
+    fixture.addUpstream("u1", upstream);
+    fixture.loop.after(Duration(500), [] { absl::SleepFor(absl::Milliseconds(1500)); });
+    const auto caller = fixture.send(ForwarderFixture::request());
+    fixture.runUntil([&] { return caller->isDone(); });
+    cr_assert_eq(caller->status(), 200);
+}
--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -88,24 +88,50 @@
     writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
 
 
+class Connection:
+    """A client's connection, which is kept for further requests as long as the server allows it."""
+
+    def __init__(self, address):
+        self.address = address
+        self.is_open = False
+        # Requests that were answered on it.
+        self.answered = 0
+        self._reader = None
+        self._writer = None
+
+    async def call(self, method, target, headers, body=b"", timeout=10.0, connect_timeout=1.0):
+        """Sends one request and returns the response. The connection is closed if it cannot be used again."""
+        response = Response()
+        try:
+            if not self.is_open:
+                host, port = self.address.rsplit(":", 1)
+                self._reader, self._writer = await asyncio.wait_for(asyncio.open_connection(host, int(port), limit=1 << 20), connect_timeout)
+                self.is_open = True
+            lines = [f"{method} {target} HTTP/1.1", f"Content-Length: {len(body)}"]
+            lines += [f"{name}: {value}" for name, value in headers.items()]
+            self._writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
+            await self._writer.drain()
+            response.is_sent = True
+            await asyncio.wait_for(receive(self._reader, response), timeout)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
+            response.error = type(error).__name__
+        if response.is_complete:
+            self.answered += 1
+        if not response.is_complete or response.headers.get("connection", "").lower() == "close":
+            self.close()
+        return response
+
+    def close(self):
+        self.is_open = False
+        if self._writer is not None:
+            self._writer.close()
+
+
 async def call(address, method, target, headers, body=b"", timeout=10.0, connect_timeout=1.0):
     """Sends one request on a new connection and returns the response."""
-    response = Response()
-    host, port = address.rsplit(":", 1)
-    writer = None
-    try:
-        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port), limit=1 << 20), connect_timeout)
-        lines = [f"{method} {target} HTTP/1.1", f"Content-Length: {len(body)}"]
-        lines += [f"{name}: {value}" for name, value in headers.items()]
-        writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
-        await writer.drain()
-        response.is_sent = True
-        await asyncio.wait_for(receive(reader, response), timeout)
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
-        response.error = type(error).__name__
-    finally:
-        if writer is not None:
-            writer.close()
+    connection = Connection(address)
+    response = await connection.call(method, target, headers, body, timeout, connect_timeout)
+    connection.close()
     return response
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 import time
 
 import http1
+import lostanswers
 import proxy
 import standins
 
@@ -35,15 +36,18 @@
 RECONNECT_S = 3.0
 CONFIG_SLACK_S = 1.0
 FAULTS = ("stop_gracefully,kill,kill_many,pause,harm_store_link,harm_caller_link,harm_upstream,upstream_leaves,upstream_crashes,"
-          "upstream_limits_requests,upstream_rests,upstream_says_it_leaves,store_away,store_silent,change_config,withdraw_key,hup")
+          "upstream_limits_requests,upstream_rests,upstream_says_it_leaves,store_away,store_silent,change_config,config_series,withdraw_key,hup")
 # Nodes poll an unresponsive store again within this time.
 POLL_RETRY_S = 5.0
 DRAIN_BOUND_S = 2.0
 DRAIN_SLACK_S = 2.0
 RECOVERY_S = 12.0
 ADAPTERS = 24
-STREAM_TIMEOUT_MS = 4000
+STREAM_TIMEOUT_MS = 8000
+SHORT_STREAM_TIMEOUT_MS = 5000
 PLAIN_TIMEOUT_MS = 1500
+STREAM_KINDS = ("chat", "talk")
+LONG_STREAM_SHARE = 0.3
 # No node may accept a key this long after it was withdrawn, whatever happens to the node.
 REVOCATION_BOUND_S = 5.0
 # Runs of the limited team, in tokens; callers ask for several times as much.
@@ -83,6 +87,8 @@
         self.caller_link = None
         self.is_paused = False
         self.should_run = True
+        self.stopping_since = None
+        self.grace_s = SHUTDOWN_GRACE_S
         self.started_at = 0.0
         # The last time that a fault affected the node or its links.
         self.undisturbed_since = 0.0
@@ -142,6 +148,7 @@
         log.close()
         self.started_at = time.monotonic()
         self.should_run = True
+        self.stopping_since = None
         self.mark_disturbed()
 
     def mark_disturbed(self):
@@ -154,6 +161,16 @@
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
+    def is_unharmed_since(self, at):
+        """Whether nothing but planned work has affected the node since then. A planned stop may be in progress or just over."""
+        links = self.store_link.mode == proxy.PASS and self.caller_link.mode == proxy.PASS
+        is_alive = self.is_running() or self.stopping_since is not None
+        return is_alive and not self.is_paused and links and self.undisturbed_since < at
+
+    def stopping_for_s(self):
+        """How long ago a planned stop began; None without one."""
+        return None if self.stopping_since is None else time.monotonic() - self.stopping_since
+
     def is_undisturbed(self, duration_s):
         links = self.store_link.mode == proxy.PASS and self.caller_link.mode == proxy.PASS
         return self.is_running() and self.should_run and not self.is_paused and links \
@@ -180,6 +197,12 @@
         self.is_store_check_running = False
         self.version = 1
         self.has_extra_route = False
+        # What series of configurations change.
+        self.has_talk_route = True
+        self.stream_timeout_ms = STREAM_TIMEOUT_MS
+        self.look_service = "api"
+        self.idle_timeout_ms = 15000
+        self.lost_answers = lostanswers.LostAnswers(self)
         self.config_published_at = 0.0
         self.failures = []
         self.runs = {}
@@ -214,6 +237,10 @@
     def expected_event(self, request_id, number):
         return f"id: {number}\ndata: {request_id} part {number}\n\n".encode()
 
+    def event_count(self, request_id):
+        is_long = random.Random(request_id).random() < LONG_STREAM_SHARE
+        return standins.EVENTS_PER_LONG_STREAM if is_long else standins.EVENTS_PER_STREAM
+
     def adapter_version(self, _adapter):
         return 1
 
@@ -297,6 +324,8 @@
             await self.add_upstream(standins.Engine, f"e{index}", "llm", 16)
         for index in range(3):
             await self.add_upstream(standins.PlainUpstream, f"p{index}", "api", 6)
+        for index in range(2):
+            await self.add_upstream(standins.PlainUpstream, f"q{index}", "other_api", 6)
         for index in range(self.arguments.nodes):
             node = Node(self, index)
             await node.prepare()
@@ -324,20 +353,25 @@
     def publish(self):
         engine = {"slots": 16, "kvCapacity": 100000, "weightsMb": 1000, "adapterSlots": standins.ADAPTER_SLOTS, "loadsPerS": 10,
                   "models": [{"name": "m", "weightsMb": 900, "loadS": 1, "adapters": ADAPTERS, "adapterMb": 10}]}
-        stream = {"name": "chat", "host": HOST, "pathPrefix": "/chat/", "kind": "stream", "timeoutMs": STREAM_TIMEOUT_MS, "priority": 0,
+        stream = {"name": "chat", "host": HOST, "pathPrefix": "/chat/", "kind": "stream", "timeoutMs": self.stream_timeout_ms, "priority": 0,
                   "targetLatencyMs": 1000, "service": "llm", "maxAttempts": 2, "resumable": True, "gapAimMs": 250}
         plain = {"host": HOST, "timeoutMs": PLAIN_TIMEOUT_MS, "targetLatencyMs": 200, "priority": 1, "service": "api"}
         routes = [stream, dict(plain, name="pay", pathPrefix="/pay/", kind="non_idempotent", maxAttempts=1),
-                  dict(plain, name="look", pathPrefix="/look/", kind="idempotent", maxAttempts=2)]
+                  dict(plain, name="look", pathPrefix="/look/", kind="idempotent", maxAttempts=2, service=self.look_service)]
+        if self.has_talk_route:
+            routes.append(dict(stream, name="talk", pathPrefix="/talk/"))
         if self.has_extra_route:
             routes.append(dict(plain, name="extra", pathPrefix="/extra/", kind="idempotent", maxAttempts=2))
         services = [{"name": "llm", "healthPath": "/health", "maxConns": 500, "engine": engine},
-                    {"name": "api", "healthPath": "/health", "maxConns": 200}]
+                    {"name": "api", "healthPath": "/health", "maxConns": 200},
+                    {"name": "other_api", "healthPath": "/health", "maxConns": 200}]
         teams = [{"name": "free", "apiKeys": self.keys["free"]},
                  {"name": "limited", "apiKeys": self.keys["limited"], "unit": "token_stream", "plainTokens": PLAIN_TOKENS,
                   "ratePerS": LIMIT_PER_S, "burst": LIMIT_BURST}]
-        self.store.put("op/config", {"version": self.version, "routes": routes, "services": services, "limits": {}, "tenants": teams})
+        limits = {"idleTimeoutMs": self.idle_timeout_ms}
+        self.store.put("op/config", {"version": self.version, "routes": routes, "services": services, "limits": limits, "tenants": teams})
         self.config_published_at = time.monotonic()
+        self.lost_answers.record_configuration(self.stream_timeout_ms / 1000)
 
     def stop_all(self):
         for node in self.nodes:
@@ -349,30 +383,39 @@
     # Callers.
 
     async def caller(self):
+        """Sends one request at a time, most of them on connections that it keeps to each node until the node closes them."""
+        connections = {}
         while not self.is_finished:
             await asyncio.sleep(self.random.expovariate(6.0))
-            await self.send_random_request()
-
-    async def send_random_request(self):
-        await self.send_request(self.random.choices(("chat", "pay", "look", "extra"), (5, 3, 3, 1))[0], self.random.choice(self.nodes))
-
-    async def send_request(self, kind, node):
+            kind = self.random.choices(("chat", "talk", "pay", "look", "extra"), (4, 2, 3, 3, 1))[0]
+            node = self.random.choice(self.nodes)
+            connection = connections.setdefault(node, http1.Connection(node.caller_link.address))
+            await self.send_request(kind, node, connection if self.random.random() < 0.7 else None)
+        for connection in connections.values():
+            connection.close()
+
+    async def send_request(self, kind, node, connection=None):
         self.next_request += 1
         request_id = f"{self.arguments.seed:x}-{self.next_request:06x}"
         self.request_kinds[request_id] = kind
         key = self.choose_key()
-        headers = {"Host": HOST, "Apricotstep-Request-Id": request_id, "Connection": "close", "Authorization": f"Token {key}",
-                   "Apricotstep-Tenant": "forged"}
-        timeout_ms = STREAM_TIMEOUT_MS if kind == "chat" else PLAIN_TIMEOUT_MS
+        headers = {"Host": HOST, "Apricotstep-Request-Id": request_id, "Authorization": f"Token {key}", "Apricotstep-Tenant": "forged"}
+        if connection is None:
+            headers["Connection"] = "close"
+        timeout_ms = STREAM_TIMEOUT_MS if kind in STREAM_KINDS else PLAIN_TIMEOUT_MS
         headers["Apricotstep-Deadline-Ms"] = str(timeout_ms)
-        if kind == "chat":
+        if kind in STREAM_KINDS:
             adapter = min(int(self.random.paretovariate(0.8)), ADAPTERS)
             headers.update({"Apricotstep-Model": f"m/a{adapter}", "Apricotstep-Token-Count": "%d,%d" % CHAT_TOKENS})
         was_extra, was_undisturbed, sent_at = self.has_extra_route, node.is_undisturbed(3.0), time.monotonic()
         self.request_keys[request_id] = (key, sent_at)
         self.request_nodes[request_id] = node
-        response = await http1.call(node.caller_link.address, "GET" if kind in ("look", "extra") else "POST", f"/{kind}/x", headers,
-                                  b"" if kind in ("look", "extra") else b"{}", timeout_ms / 1000 + 1.5)
+        used = http1.Connection(node.caller_link.address) if connection is None else connection
+        method, body = ("GET", b"") if kind in ("look", "extra") else ("POST", b"{}")
+        response = await used.call(method, f"/{kind}/x", headers, body, timeout_ms / 1000 + 1.5)
+        if connection is None:
+            used.close()
+        self.lost_answers.check(request_id, kind, node, response, sent_at, PLAIN_TIMEOUT_MS / 1000)
         self.check_response(request_id, kind, node, response, was_extra, was_undisturbed, sent_at)
 
     def choose_key(self):
@@ -382,8 +425,8 @@
         return self.random.choice(self.keys[self.random.choice(("free", "free", "limited"))])
 
     def check_response(self, request_id, kind, node, response, was_extra, was_undisturbed, sent_at):
-        expected = b"".join(self.expected_event(request_id, n) for n in range(1, standins.EVENTS_PER_STREAM + 1)) \
-            if kind == "chat" else self.expected_body(request_id)
+        expected = b"".join(self.expected_event(request_id, n) for n in range(1, self.event_count(request_id) + 1)) \
+            if kind in STREAM_KINDS else self.expected_body(request_id)
         if 200 <= response.status < 300 and response.is_complete and response.body != expected:
             self.fail("MIXED", f"{request_id} ({kind}) at {node.name} received a wrong body: {response.body[:80]!r}")
         if response.status in NOT_RUN_STATUSES:
@@ -396,7 +439,7 @@
                 and sent_at - self.store_undisturbed_since > RECONNECT_S:
             if (response.status == 404) == self.has_extra_route and response.status in (200, 404):
                 self.fail("CONFIG", f"{request_id}: {response.status} at {node.name}, route {'is' if was_extra else 'is not'} in force")
-        if kind != "extra" and response.status == 404:
+        if kind not in ("extra", "talk") and response.status == 404:
             self.fail("DENIED", f"{request_id} ({kind}) got 404 at {node.name}")
         key = self.request_keys[request_id][0]
         is_original = key.rsplit("-", 1)[1] in [str(number + 1) for number in range(2 * KEYS_PER_TEAM)]
@@ -406,7 +449,7 @@
         result = "served" if is_served else "refused" if response.status in NOT_RUN_STATUSES else "failed"
         self.counts[result] += 1
         is_owed = key in self.keys["free"]
-        if sent_at > self.faults_end + RECOVERY_S and kind != "extra" and is_owed:
+        if sent_at > self.faults_end + RECOVERY_S and kind not in ("extra", "talk") and is_owed:
             self.late_counts["served" if is_served or response.status == 500 else "other"] += 1
 
     # Faults.
@@ -445,6 +488,7 @@
         if not node.should_run or not node.is_running() or node.is_paused:
             return
         node.should_run = False
+        node.stopping_since = time.monotonic()
         node.signal(signal.SIGTERM)
         for _ in range(SHUTDOWN_GRACE_S * 20):
             if not node.is_running():
@@ -467,6 +511,7 @@
         node = self.pick_node()
         if node.should_run and node.is_running():
             node.should_run = False
+            node.mark_disturbed()
             node.signal(signal.SIGKILL)
             await self.restart(node)
 
@@ -474,6 +519,7 @@
         victims = [node for node in self.nodes if node.should_run and node.is_running() and self.random.random() < 0.6]
         for node in victims:
             node.should_run = False
+            node.mark_disturbed()
             node.signal(signal.SIGKILL)
         await asyncio.gather(*(self.restart(node) for node in victims))
 
@@ -510,7 +556,10 @@
         await self.disrupt(node.caller_link, [node])
 
     async def harm_upstream(self):
-        await self.disrupt(self.links[self.random.choice(list(self.links))], self.nodes)
+        name = self.random.choice(list(self.links))
+        self.lost_answers.begin_harm(name)
+        await self.disrupt(self.links[name], self.nodes)
+        self.lost_answers.end_harm(name)
 
     async def upstream_leaves(self):
         upstream = self.random.choice(self.upstreams)
@@ -552,6 +601,7 @@
             return
         upstream.is_draining = True
         upstream.draining_since = time.monotonic() + 60.0  # A crash is not announced, so the DRAIN check must not apply.
+        self.lost_answers.begin_harm(upstream.name)
         upstream._server.close()
         self.links[upstream.name].reset_all()
         if self.random.random() < 0.5:
@@ -559,11 +609,14 @@
             self.store.delete("servers/" + upstream.name)
         await asyncio.sleep(self.random.uniform(0.2, 2.0))
         await self.replace(upstream, upstream.name)
+        self.lost_answers.end_harm(upstream.name)
 
     async def replace(self, upstream, name):
+        self.lost_answers.begin_harm(name)
         upstream._server.close()
         self.upstreams.remove(upstream)
         self.links[name].reset_all()
+        self.lost_answers.end_harm(name)
         await self.add_upstream(type(upstream), name, upstream.service, upstream.slots)
 
     def count_usable(self, service):
@@ -610,6 +663,22 @@
         self.has_extra_route = not self.has_extra_route
         self.publish()
 
+    async def config_series(self):
+        """Publishes configurations in quick succession: times, services and presence of routes, and limits change."""
+        for _ in range(self.random.randint(2, 8)):
+            self.version += self.random.randint(1, 5)
+            change = self.random.choice(("timeout", "service", "route", "idle"))
+            if change == "timeout":
+                self.stream_timeout_ms = self.random.choice((STREAM_TIMEOUT_MS, SHORT_STREAM_TIMEOUT_MS))
+            elif change == "service":
+                self.look_service = self.random.choice(("api", "other_api"))
+            elif change == "route":
+                self.has_talk_route = not self.has_talk_route
+            else:
+                self.idle_timeout_ms = self.random.choice((4000, 15000, 60000))
+            self.publish()
+            await asyncio.sleep(self.random.uniform(0.05, 0.8))
+
     async def withdraw_key(self):
         team = self.random.choice(list(self.keys))
         key = self.keys[team].pop(self.random.randrange(len(self.keys[team])))
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -12,6 +12,10 @@
 LEASE_S = 3.0
 ADAPTER_SLOTS = 4
 EVENTS_PER_STREAM = 6
+EVENTS_PER_LONG_STREAM = 40
+# An engine sends nothing for this long, in the middle of this share of its long streams, while it works on others.
+PAUSE_S = (1.0, 2.6)
+PAUSE_SHARE = 0.15
 # Longer than any caller or node waits for a response.
 HANG_S = 30.0
 JSON = {"Content-Type": "application/json"}
@@ -238,15 +242,27 @@
 
     async def stream(self, request, writer):
         request_id = request.header("apricotstep-request-id")
+        try:
+            is_kept = await self.write_events(request, writer, request_id)
+            self.cluster.lost_answers.record_run_end(request_id, True)
+            return is_kept
+        except ConnectionError:
+            self.cluster.lost_answers.record_run_end(request_id, False)
+            raise
+
+    async def write_events(self, request, writer, request_id):
         lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         lines += [f"{name}: {value}" for name, value in self.head(request).items()]
         first = int(request.header("last-event-id") or 0) + 1
-        for number in range(first, EVENTS_PER_STREAM + 1):
-            await asyncio.sleep(self.cluster.random.uniform(0.01, 0.06))
+        count = self.cluster.event_count(request_id)
+        pauses_at = self.cluster.random.randint(first, count) if count > EVENTS_PER_STREAM and first <= count else 0
+        pauses_at *= self.cluster.random.random() < PAUSE_SHARE
+        for number in range(first, count + 1):
+            await asyncio.sleep(self.cluster.random.uniform(*PAUSE_S) if number == pauses_at else self.cluster.random.uniform(0.01, 0.06))
             event = self.cluster.expected_event(request_id, number)
             prefix = "\r\n".join(lines).encode() + b"\r\n\r\n" if number == first else b""
             writer.write(prefix + b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
-        return first <= EVENTS_PER_STREAM
+        return first <= count
