Read what arrived while the node was suspended before its timers judge it missing

Callers got an error although their upstream had answered in time: a node that got no processor time until after the deadline called its timers first, and so gave up requests whose answers lay unread in its sockets. Cause: a round of the loop read servers and datagrams, then called timers, and left the answers of upstreams to the next round.

A loop that is late in every round still calls them.

--- a/tests/main/testrequestforwardersilence.cpp
+++ b/tests/main/testrequestforwardersilence.cpp
@@ -127,7 +127,7 @@
 
 // Guards against answers that are replaced by an error, though they arrived in time, because this process got no processor time until after
 // the deadline.
-Test(knownred, answerThatArrivedWhileTheNodeWasSuspendedIsDelivered)
+Test(suspendednode, answerThatArrivedWhileTheNodeWasSuspendedIsDelivered)
 {
     const ScriptedUpstream upstream([](const std::string &) {
         absl::SleepFor(absl::Milliseconds(700));
--- a/transport/ioloop.cpp
+++ b/transport/ioloop.cpp
@@ -148,6 +148,7 @@
 void IoLoop::run()
 {
     std::vector<int> descriptors;
+    bool areTimersPostponed = false;
     while (!d->isStopping) {
         descriptors.clear();
         for (const HttpServer *server : d->servers) {
@@ -165,14 +166,20 @@
         const std::vector<bool> areReady = d->client.step(descriptors, wait);
         const Time due = d->now + wait;
         d->now = d->clock.now();
-        if (d->now - due >= MinReportedDelay && d->delayed) {
+        const bool isDelayed = d->now - due >= MinReportedDelay;
+        if (isDelayed && d->delayed) {
             d->delayed(d->now - due);
         }
         d->stepServers(areReady);
         if (std::find(areReady.begin() + static_cast<std::ptrdiff_t>(d->servers.size()), areReady.end(), true) != areReady.end()) {
             d->receiveDatagrams();
         }
-        d->callDueTimers();
+        // What arrived during the delay is read in the next round, before timers judge that it is missing. A loop that is delayed in every
+        // round still calls them.
+        areTimersPostponed = isDelayed && !areTimersPostponed;
+        if (!areTimersPostponed) {
+            d->callDueTimers();
+        }
     }
     d->isStopping = false;
 }
