Read answers before the timers of each round, and all of them after a delay

Cause: timers ran before answers that poll() had already reported. Each round now reads these first, and a late round reads all that has arrived, so no timer is postponed. The test now covers an answer of 100 KB and a shorter suspension, and one more a loop whose rounds are all late.

--- a/tests/main/testrequestforwardersilence.cpp
+++ b/tests/main/testrequestforwardersilence.cpp
@@ -127,17 +127,44 @@
 
 // Guards against answers that are replaced by an error, though they arrived in time, because this process got no processor time until after
 // the deadline.
-Test(suspendednode, answerThatArrivedWhileTheNodeWasSuspendedIsDelivered)
+Test(suspendednode, answersThatArrivedWhileTheNodeWasSuspendedAreDelivered)
+{
+    constexpr std::size_t LongBody = 100'000;
+    const std::string longAnswer =
+        absl::StrCat("HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: ", LongBody,
+            "\r\n\r\n", std::string(LongBody, 'b'));
+    for (const std::string &answer : { std::string(CompleteAnswer), longAnswer }) {
+        for (const Duration suspension : { Duration(760), Duration(1000) }) {
+            const ScriptedUpstream upstream([&answer](const std::string &) {
+                absl::SleepFor(absl::Milliseconds(700));
+                return ScriptedAnswer { answer };
+            });
+            ForwarderFixture fixture;
+            fixture.configure(RequestKind::NonIdempotent, 1);
+            fixture.addUpstream("u1", upstream);
+            fixture.loop.after(Duration(500), [suspension] { absl::SleepFor(absl::Milliseconds(suspension.milliseconds())); });
+            const auto caller = fixture.send(ForwarderFixture::request());
+            fixture.runUntil([&] { return caller->isDone(); });
+            cr_assert_eq(caller->status(), 200);
+        }
+    }
+}
+
+// Guards against a node that is late in every round and keeps no deadline.
+Test(suspendednode, deadlinesHoldThoughEveryRoundIsLate)
 {
     const ScriptedUpstream upstream([](const std::string &) {
-        absl::SleepFor(absl::Milliseconds(700));
-        return ScriptedAnswer { CompleteAnswer };
+        return ScriptedAnswer { "", ScriptedAnswer::ConnectionAction::Keep, true };
     });
     ForwarderFixture fixture;
     fixture.configure(RequestKind::NonIdempotent, 1);
     fixture.addUpstream("u1", upstream);
-    fixture.loop.after(Duration(500), [] { absl::SleepFor(absl::Milliseconds(1500)); });
+    std::function<void()> work = [&] {
+        absl::SleepFor(absl::Milliseconds(450));
+        fixture.loop.after(Duration(1), work);
+    };
+    fixture.loop.after(Duration(0), work);
     const auto caller = fixture.send(ForwarderFixture::request());
     fixture.runUntil([&] { return caller->isDone(); });
-    cr_assert_eq(caller->status(), 200);
+    cr_assert_eq(caller->status(), 504);
 }
--- a/transport/curlevents.cpp
+++ b/transport/curlevents.cpp
@@ -91,7 +91,7 @@
     }
 }
 
-void CurlEvents::runReady()
+int CurlEvents::runReady()
 {
     std::array<epoll_event, MaxEventsPerRound> ready;
     const int count = epoll_wait(m_epoll, ready.data(), MaxEventsPerRound, 0);
@@ -100,6 +100,7 @@
         int running = 0;
         curl_multi_socket_action(m_multi, event.data.fd, actionOf(event.events), &running);
     }
+    return count;
 }
 
 } // namespace ApricotStep
--- a/transport/curlevents.h
+++ b/transport/curlevents.h
@@ -28,8 +28,8 @@
     Duration untilTimeout(Duration longest) const;
     /** Continues the transfers whose timeout has expired. */
     void runTimeouts();
-    /** Continues the transfers whose sockets are ready. To be called when descriptor() is readable. */
-    void runReady();
+    /** Continues the transfers whose sockets are ready, of a limited number of sockets; returns that number. */
+    int runReady();
 
 private:
     static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self, void *known);
--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -26,6 +26,8 @@
 {
 
 constexpr int PollMilliseconds = 1000;
+// Each round reads up to ReceiveBufferBytes of each of some connections. A peer that sends without end must not hold up the others.
+constexpr int MaxReadRounds = 64;
 // Buffers of a call. Answers arrive in parts of a few kilobytes; libcurl's default buffers of 16 and 64 KB would take most of the memory of
 // a small node.
 constexpr long ReceiveBufferBytes = 8L << 10;
@@ -223,9 +225,6 @@
             execute(std::move(command));
         }
         if (events != nullptr) {
-            if (std::exchange(areEventsReady, false)) {
-                events->runReady();
-            }
             events->runTimeouts();
         } else {
             int running = 0;
@@ -467,7 +466,6 @@
     }
     pollDescriptors.push_back(pollfd { d->events->descriptor(), POLLIN, 0 });
     poll(pollDescriptors.data(), pollDescriptors.size(), static_cast<int>(d->events->untilTimeout(wait).milliseconds()));
-    // Answers are read in the next step, after the caller has updated its time.
     d->areEventsReady = pollDescriptors.back().revents != 0;
     std::vector<bool> areReady;
     areReady.reserve(descriptors.size());
@@ -477,4 +475,13 @@
     return areReady;
 }
 
+void HttpClient::readAnswers(bool isAll)
+{
+    bool isReady = std::exchange(d->areEventsReady, false) || isAll;
+    for (int round = 0; isReady && round < MaxReadRounds; ++round) {
+        isReady = d->events->runReady() > 0 && isAll;
+        d->finishCompleted();
+    }
+}
+
 } // namespace ApricotStep
--- a/transport/httpclient.h
+++ b/transport/httpclient.h
@@ -98,10 +98,12 @@
     void resume(CallId id);
 
     /**
-     * For a driven client: does the pending work, then waits for at most @p wait until there is more or one of @p descriptors is readable.
+     * For a driven client: does the pending work, then waits for at most @p wait until answers arrive or one of @p descriptors is readable.
      * Returns for each descriptor, in their order, whether it is readable.
      */
     std::vector<bool> step(const std::vector<int> &descriptors, Duration wait);
+    /** For a driven client: reads what had arrived at the end of step(), or, if @p isAll is set, all that has arrived. */
+    void readAnswers(bool isAll);
 
 private:
     struct Private;
--- a/transport/ioloop.cpp
+++ b/transport/ioloop.cpp
@@ -148,7 +148,6 @@
 void IoLoop::run()
 {
     std::vector<int> descriptors;
-    bool areTimersPostponed = false;
     while (!d->isStopping) {
         descriptors.clear();
         for (const HttpServer *server : d->servers) {
@@ -170,16 +169,13 @@
         if (isDelayed && d->delayed) {
             d->delayed(d->now - due);
         }
+        // Answers are read before timers judge that they are missing.
+        d->client.readAnswers(isDelayed);
         d->stepServers(areReady);
         if (std::find(areReady.begin() + static_cast<std::ptrdiff_t>(d->servers.size()), areReady.end(), true) != areReady.end()) {
             d->receiveDatagrams();
         }
-        // What arrived during the delay is read in the next round, before timers judge that it is missing. A loop that is delayed in every
-        // round still calls them.
-        areTimersPostponed = isDelayed && !areTimersPostponed;
-        if (!areTimersPostponed) {
-            d->callDueTimers();
-        }
+        d->callDueTimers();
     }
     d->isStopping = false;
 }
--- a/transport/ioloop.h
+++ b/transport/ioloop.h
@@ -47,7 +47,7 @@
     void cancel(TimerId id);
     /**
      * Sets the callback for a round that began MinReportedDelay or more after it was due, because the process was suspended, got no
-     * processor time or worked on the round before. Timers that are due then are called one round later, after what has arrived was read.
+     * processor time or worked on the round before. It is called before anything else of the round.
      */
     void onDelayed(std::function<void(Duration delay)> callback);
     /** Runs until stop(); may be called again afterwards. */
