End requests with an answer and a line when a node stops

What still ran at the end of a node's grace time ended with a closed connection, and no log line named it. The node now ends it 0.5 s before the platform would: requests without an answer get one, which says not run only where that is true, and streams are broken off with their usual lines. New answers have 0.2 s to be written. The test covers both kinds; the function that it calls is new, so it did not compile before.

--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -42,6 +42,8 @@
 constexpr Duration LingerAfterDrain { 3200 };
 // Time to shut down before the platform's SIGKILL.
 constexpr Duration ReserveBeforeKill { 500 };
+// Time in which the last answers are written.
+constexpr Duration TimeToFlush { 200 };
 // File descriptors that are not for callers' connections but for the store, engines and peers.
 constexpr int ReservedDescriptors = 600;
 // Must match the metrics port in deploy/system.toml.
@@ -84,6 +86,7 @@
     std::atomic<bool> isReloadRequested { false };
     bool isLeaving = false;
     bool isListenerClosed = false;
+    bool haveRequestsEnded = false;
     Time drainStartedAt;
 
     explicit Private(const Platform::ProcessSettings &settings)
@@ -433,8 +436,11 @@
         isListenerClosed = true;
         callerServer->stopAccepting();
     }
+    if (elapsed >= longest && !std::exchange(haveRequestsEnded, true)) {
+        forwarder->endAll();
+    }
     const bool isIdle = forwarder->activeCount() == 0 && callerServer->activeCount() == 0 && peerServer->activeCount() == 0;
-    if ((isIdle && elapsed >= LingerAfterDrain) || elapsed >= longest) {
+    if ((isIdle && elapsed >= LingerAfterDrain) || elapsed >= longest + TimeToFlush) {
         log.write(EventLog::Severity::Important, "node", "stopped",
             { { "active", std::int64_t(forwarder->activeCount()) }, { "drainedMs", elapsed.milliseconds() } });
         loop.stop();
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -167,6 +167,8 @@
     void refuseBeyondLimit(const PendingRequest &pending, ErrorKind kind, Duration retryAfter);
     void refuse(HttpExchange &exchange, const std::string &id, ErrorKind kind, const std::string &detail);
     std::shared_ptr<PendingRequest> accept(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
+    /** A copy, since a job may end while it is told something, which changes the list. */
+    std::vector<std::shared_ptr<RequestJob>> currentJobs() const;
     void retryPlacements();
     Result<const Team *> authenticate(const Platform::CallerRequest &decoded, const RouteTable &table, const Route &route) const;
     void refuseKey(HttpExchange &exchange, const Platform::CallerRequest &decoded, const Route &route, const Error &error);
@@ -502,15 +504,19 @@
     d->startJob(*pending, pending->arrivedAt);
 }
 
-void RequestForwarder::Private::retryPlacements()
+std::vector<std::shared_ptr<RequestJob>> RequestForwarder::Private::currentJobs() const
 {
-    // A job may end while it retries its placement, which changes the list.
     std::vector<std::shared_ptr<RequestJob>> current;
     current.reserve(jobs.size());
     for (const auto &[number, job] : jobs) {
         current.push_back(job);
     }
-    for (const auto &job : current) {
+    return current;
+}
+
+void RequestForwarder::Private::retryPlacements()
+{
+    for (const auto &job : currentJobs()) {
         job->retryPlacement();
     }
 }
@@ -520,6 +526,16 @@
     d->retryPlacements();
 }
 
+void RequestForwarder::endAll()
+{
+    for (const auto &[id, pending] : std::exchange(d->pendingRequests, {})) {
+        d->refuse(*pending->exchange, pending->decoded.id, ErrorKind::Draining, "this process exits");
+    }
+    for (const auto &job : d->currentJobs()) {
+        job->onNodeStops();
+    }
+}
+
 std::vector<AdapterUse> RequestForwarder::uses()
 {
     std::vector<AdapterUse> result;
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -84,6 +84,8 @@
     std::vector<AdapterUse> uses();
     /** Returns only the adapters that requests wait for; counts no request as new. */
     std::vector<AdapterUse> pendingAdapters() const;
+    /** Ends all requests in progress, before the node stops. */
+    void endAll();
     /** Returns the number of requests in progress. */
     int activeCount() const;
     /** Requests per second that this node receives. */
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -1007,6 +1007,17 @@
     giveUp(wasAtUpstream || m_executionState == ExecutionState::MayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::NoUpstream);
 }
 
+void RequestJob::onNodeStops()
+{
+    if (m_phase == Phase::Ended) {
+        return;
+    }
+    if (cancelAttempt()) {
+        m_executionState = ExecutionState::MayHaveRun;
+    }
+    giveUp(ErrorKind::Draining);
+}
+
 void RequestJob::onCallerGone()
 {
     if (m_phase == Phase::Ended) {
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -89,6 +89,8 @@
     void onReserved(const Admission &admission);
     /** It is known where the stream began that the request continues, or that no node in reach knows. @p source is for log and metrics. */
     void onOrigin(const std::optional<StreamOrigin> &origin, std::string_view source);
+    /** The node stops: ends the request with an answer, or breaks its stream off. */
+    void onNodeStops();
     /** Returns the adapter that this job runs on or waits for; empty if it needs none. The first call counts the job as new. */
     std::optional<AdapterUse> adapterUse();
     /** Returns the adapter that this job waits for, if any. */
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -526,3 +526,28 @@
     cr_assert_eq(brittle.requests().size(), 1 + 4); // It has four slots.
     cr_assert_eq(std::count_if(callers.begin(), callers.end(), [](const auto &caller) { return caller->isDone(); }), 4);
 }
+
+// Guards against requests in progress that end without an answer and a log line when the node stops.
+Test(requestforwarder, requestsInProgressEndWithAnAnswerWhenTheNodeStops)
+{
+    for (const RequestKind kind : { RequestKind::NonIdempotent, RequestKind::Stream }) {
+        const bool isStream = kind == RequestKind::Stream;
+        const ScriptedUpstream upstream([isStream](const std::string &) {
+            ScriptedAnswer answer { isStream ? absl::StrCat(StreamHead, chunk("id: 1\ndata: a\n\n")) : "" };
+            answer.isHanging = true;
+            return answer;
+        });
+        ForwarderFixture fixture;
+        fixture.configure(kind, 1);
+        fixture.addUpstream("u1", upstream);
+        const auto caller = fixture.send(ForwarderFixture::request());
+        fixture.runUntil([&] { return isStream ? caller->bodyContains("id: 1") : upstream.requests().size() == 1; });
+        fixture.forwarder->endAll();
+        fixture.runUntil([&] { return caller->isDone() && upstream.closedByPeer() == 1 && fixture.forwarder->activeCount() == 0; });
+        cr_assert(caller->isDone());
+        cr_assert_not(caller->isFinished());
+        cr_assert_eq(caller->status(), isStream ? 200 : 502);
+        cr_assert_eq(upstream.closedByPeer(), 1);
+        cr_assert_eq(fixture.forwarder->activeCount(), 0);
+    }
+}
