Take back the answers for callers that closed their sending side

A caller that has read its 100 Continue and then leaves is never noticed at all. Neither was measured.

--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -58,8 +58,7 @@
 
     void checkConnections();
     void checkConnectionsLoop();
-    MHD_Result onAccess(MHD_Connection *connection, const char *url, const char *method, const char *version, const char *data,
-        std::size_t *size, void **state);
+    MHD_Result onAccess(MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **state);
     void onCompleted(MHD_Connection *connection, void **state, MHD_RequestTerminationCode code);
     void onConnection(MHD_Connection *connection, void **socketContext, MHD_ConnectionNotificationCode code);
     static int retrieveCertificate(gnutls_session_t session, const gnutls_datum_t *authorities, int authorityCount,
@@ -135,7 +134,7 @@
 }
 
 MHD_Result HttpServer::Private::onAccess(
-    MHD_Connection *connection, const char *url, const char *method, const char *version, const char *data, std::size_t *size, void **state)
+    MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **state)
 {
     // MHD calls this several times for one request: at its headers, for each part of its body, at its end and after each resume. The
     // handler is called only once, at the end of the request; otherwise the request would be admitted and run more than once.
@@ -145,7 +144,6 @@
         request.method = method;
         request.path = url;
         request.peer = peerAddress(connection);
-        exchange->acceptsInterimAnswer = settings.tls == nullptr && version == std::string_view(MHD_HTTP_VERSION_1_1);
         MHD_get_connection_values(connection, MHD_HEADER_KIND, addHeader, &request);
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, addParameter, &request);
         active.fetch_add(1);
@@ -268,9 +266,9 @@
     if (inet_pton(AF_INET, settings.address.c_str(), &address.sin_addr) != 1) {
         return Error { ErrorKind::SettingsInvalid, "'" + settings.address + "' is not an IPv4 address" };
     }
-    const auto access = [](void *context, MHD_Connection *connection, const char *url, const char *method, const char *version,
-                            const char *data, std::size_t *size, void **state) -> MHD_Result {
-        return static_cast<Private *>(context)->onAccess(connection, url, method, version, data, size, state);
+    const auto access = [](void *context, MHD_Connection *connection, const char *url, const char *method, const char *, const char *data,
+                            std::size_t *size, void **state) -> MHD_Result {
+        return static_cast<Private *>(context)->onAccess(connection, url, method, data, size, state);
     };
     const auto completed = [](void *context, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code) {
         static_cast<Private *>(context)->onCompleted(connection, state, code);
--- a/transport/httpserver.h
+++ b/transport/httpserver.h
@@ -101,8 +101,8 @@
     bool isDriven = false;
 };
 
-/** A caller that disconnects is detected within twice this time, so that the work for it can be stopped. */
-inline constexpr Duration GoneCheckInterval { 100 };
+/** A caller that disconnects while its request waits is detected within this time, so that the work for it can be stopped. */
+inline constexpr Duration GoneCheckInterval { 200 };
 
 /** An HTTP/1.1 server. */
 class HttpServer
--- a/transport/mhdexchange.cpp
+++ b/transport/mhdexchange.cpp
@@ -1,11 +1,8 @@
 #include "transport/mhdexchange.h"
 
-#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cerrno>
-#include <string_view>
 
 namespace ApricotStep
 {
@@ -16,8 +13,6 @@
 // Number of buffered bytes of a stream above which write() asks for a pause.
 constexpr std::size_t HighWaterBytes = 256U << 10U;
 constexpr std::size_t StreamBlockBytes = 16U << 10U;
-// Callers must accept interim answers at any time before the final one.
-constexpr std::string_view InterimAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
 
@@ -151,7 +146,8 @@
     std::function<void()> gone;
     {
         const absl::MutexLock lock(&m_mutex);
-        if (!m_isSuspended || m_isGone || !hasCallerLeftLocked()) {
+        char byte = 0;
+        if (!m_isSuspended || m_isGone || recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0) {
             return;
         }
         m_isGone = true;
@@ -166,25 +162,6 @@
     }
 }
 
-bool MhdExchange::hasCallerLeftLocked()
-{
-    char byte = 0;
-    const ssize_t received = recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (received > 0 || (received < 0 && (errno == EAGAIN || errno == EINTR))) {
-        return false;
-    }
-    pollfd state { m_socket, POLLOUT, 0 };
-    if (received < 0 || (poll(&state, 1, 0) == 1 && (state.revents & (POLLERR | POLLHUP)) != 0)) {
-        return true;
-    }
-    // The end of the input is the same for a caller that left and for one that only closed its sending side, until something is written.
-    if (m_hasAnswer || m_isProbed) {
-        return false;
-    }
-    m_isProbed = true;
-    return !acceptsInterimAnswer || send(m_socket, InterimAnswer.data(), InterimAnswer.size(), MSG_DONTWAIT | MSG_NOSIGNAL) < 0;
-}
-
 ssize_t MhdExchange::read(void *context, std::uint64_t, char *out, std::size_t max)
 {
     return static_cast<MhdExchange *>(context)->readSome(out, max);
--- a/transport/mhdexchange.h
+++ b/transport/mhdexchange.h
@@ -27,8 +27,6 @@
     HttpRequest request;
     bool isTooLarge = false;
     bool isHandled = false;
-    /** Set before the handler is called: an interim answer may be written to the socket, and the caller understands it. */
-    bool acceptsInterimAnswer = false;
 
     void respond(int status, const HttpHeaders &headers, std::string body) override;
     void beginStream(int status, const HttpHeaders &headers) override;
@@ -49,8 +47,6 @@
     static ssize_t read(void *context, std::uint64_t position, char *out, std::size_t max);
     ssize_t readSome(char *out, std::size_t max);
     ssize_t emptyBufferResultLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    /** Whether the caller has left. A caller that only closed its sending side still reads its answer. */
-    bool hasCallerLeftLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void suspendLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void resumeLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
@@ -66,8 +62,6 @@
     bool m_isSuspended ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isFull ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isGone ABSL_GUARDED_BY(m_mutex) = false;
-    /** Something was written since the caller closed its sending side; its host resets the connection if the caller has left. */
-    bool m_isProbed ABSL_GUARDED_BY(m_mutex) = false;
     int m_status ABSL_GUARDED_BY(m_mutex) = 0;
     HttpHeaders m_headers ABSL_GUARDED_BY(m_mutex);
     std::string m_buffer ABSL_GUARDED_BY(m_mutex);
