Read all answers that have arrived before any timer that is due

A round with timers that are due now reads all that has arrived, however late it is. The test covers a suspension of 300 ms.

--- a/tests/main/testrequestforwardersilence.cpp
+++ b/tests/main/testrequestforwardersilence.cpp
@@ -133,16 +133,24 @@
     const std::string longAnswer =
         absl::StrCat("HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: ", LongBody,
             "\r\n\r\n", std::string(LongBody, 'b'));
+    struct Suspension
+    {
+        Duration begin;
+        Duration length;
+        Duration answerAt;
+    };
     for (const std::string &answer : { std::string(CompleteAnswer), longAnswer }) {
-        for (const Duration suspension : { Duration(760), Duration(1000) }) {
-            const ScriptedUpstream upstream([&answer](const std::string &) {
-                absl::SleepFor(absl::Milliseconds(700));
+        for (const Suspension &suspension :
+            { Suspension { Duration(950), Duration(300), Duration(1050) }, Suspension { Duration(500), Duration(760), Duration(700) },
+                Suspension { Duration(500), Duration(1000), Duration(700) } }) {
+            const ScriptedUpstream upstream([&](const std::string &) {
+                absl::SleepFor(absl::Milliseconds(suspension.answerAt.milliseconds()));
                 return ScriptedAnswer { answer };
             });
             ForwarderFixture fixture;
             fixture.configure(RequestKind::NonIdempotent, 1);
             fixture.addUpstream("u1", upstream);
-            fixture.loop.after(Duration(500), [suspension] { absl::SleepFor(absl::Milliseconds(suspension.milliseconds())); });
+            fixture.loop.after(suspension.begin, [&] { absl::SleepFor(absl::Milliseconds(suspension.length.milliseconds())); });
             const auto caller = fixture.send(ForwarderFixture::request());
             fixture.runUntil([&] { return caller->isDone(); });
             cr_assert_eq(caller->status(), 200);
--- a/transport/ioloop.cpp
+++ b/transport/ioloop.cpp
@@ -170,7 +170,7 @@
             d->delayed(d->now - due);
         }
         // Answers are read before timers judge that they are missing.
-        d->client.readAnswers(isDelayed);
+        d->client.readAnswers(isDelayed || d->untilNextTimer() <= Duration(0));
         d->stepServers(areReady);
         if (std::find(areReady.begin() + static_cast<std::ptrdiff_t>(d->servers.size()), areReady.end(), true) != areReady.end()) {
             d->receiveDatagrams();
