Give the last answers of a node time to be written, and give back credit that waits

Requests that wait for their team's credit give it back then, and a node with a short grace time accepts none after it.

--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -21,6 +21,7 @@
 #include <atomic>
 #include <csignal>
 #include <iostream>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -86,7 +87,8 @@
     std::atomic<bool> isReloadRequested { false };
     bool isLeaving = false;
     bool isListenerClosed = false;
-    bool haveRequestsEnded = false;
+    /** When the requests still in progress were ended, before the process stops. */
+    std::optional<Time> requestsEndedAt;
     Time drainStartedAt;
 
     explicit Private(const Platform::ProcessSettings &settings)
@@ -223,7 +225,7 @@
     callbacks.isLeaving = [this] { return isLeaving; };
     callbacks.canAccept = [this](Duration longest) {
         const Duration elapsed = clock.now() - drainStartedAt;
-        return !isLeaving || elapsed < AcceptAllAfterDrain || longest < settings.grace - ReserveBeforeKill - elapsed;
+        return !isLeaving || (elapsed < AcceptAllAfterDrain && !requestsEndedAt) || longest < settings.grace - ReserveBeforeKill - elapsed;
     };
     callbacks.ordersIn = [this] { return fleet->ordersIn(); };
     callbacks.fleetSize = [this] { return fleet->fleetSize(); };
@@ -436,11 +438,13 @@
         isListenerClosed = true;
         callerServer->stopAccepting();
     }
-    if (elapsed >= longest && !std::exchange(haveRequestsEnded, true)) {
+    if (elapsed >= longest && !requestsEndedAt) {
+        requestsEndedAt = clock.now();
         forwarder->endAll();
     }
     const bool isIdle = forwarder->activeCount() == 0 && callerServer->activeCount() == 0 && peerServer->activeCount() == 0;
-    if ((isIdle && elapsed >= LingerAfterDrain) || elapsed >= longest + TimeToFlush) {
+    const bool isFlushed = requestsEndedAt && clock.now() - *requestsEndedAt >= TimeToFlush;
+    if ((isIdle && elapsed >= LingerAfterDrain) || isFlushed) {
         log.write(EventLog::Severity::Important, "node", "stopped",
             { { "active", std::int64_t(forwarder->activeCount()) }, { "drainedMs", elapsed.milliseconds() } });
         loop.stop();
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -529,6 +529,7 @@
 void RequestForwarder::endAll()
 {
     for (const auto &[id, pending] : std::exchange(d->pendingRequests, {})) {
+        d->limiter.cancel(accountOf(pending->team->name), id);
         d->refuse(*pending->exchange, pending->decoded.id, ErrorKind::Draining, "this process exits");
     }
     for (const auto &job : d->currentJobs()) {
