Remember claims of leases between heartbeats

Cause: a node counts as holding a shard by the claims in its last message, but only heartbeats contain claims. Grants, pending adapters and queries, of which there are many while requests wait, made each of two nodes that held a shard look to the other as if it held none; nodes that hold none go first, so each left the other shards to the other. Claims now hold until further heartbeats are overdue, or the shard is released. They only decide who claims first, not who may give orders.

--- a/coordination/leasevoters.cpp
+++ b/coordination/leasevoters.cpp
@@ -51,9 +51,14 @@
     voter.isLeaving = message.isLeaving;
     voter.rememberedNodes = std::min<std::size_t>(message.rememberedNodes, MaxNodes);
     voter.startedAt = now - message.uptime;
-    voter.claimedShards.clear();
+    std::erase_if(voter.claims, [&](const ReceivedClaim &known) {
+        const auto isOfSameShard = [&known](const LeaseClaim &claim) { return claim.shard == known.shard; };
+        const bool isReleased = std::find(message.releases.begin(), message.releases.end(), known.shard) != message.releases.end();
+        return isReleased || std::any_of(message.claims.begin(), message.claims.end(), isOfSameShard)
+            || now - known.receivedAt > voter.heartbeatTimeout;
+    });
     for (const LeaseClaim &claim : message.claims) {
-        voter.claimedShards.push_back(claim.shard);
+        voter.claims.push_back(ReceivedClaim { claim.shard, now });
     }
 }
 
--- a/coordination/leasevoters.h
+++ b/coordination/leasevoters.h
@@ -35,6 +35,13 @@
     Duration livenessTimeout { 900 };
 };
 
+/** The last claim of a shard by another node. */
+struct ReceivedClaim
+{
+    EngineShard shard;
+    Time receivedAt;
+};
+
 /** Another node, as far as the leases need to know it. */
 struct LeaseVoter
 {
@@ -45,8 +52,8 @@
     /** Share of a CPU core. */
     double capacity = 0;
     bool isLeaving = false;
-    /** The shards that it claimed with its last message. */
-    std::vector<EngineShard> claimedShards;
+    /** One for each shard. Only heartbeats contain claims, so a claim holds until further heartbeats are overdue. */
+    std::vector<ReceivedClaim> claims;
     /** Number of nodes that it knows of. */
     std::size_t rememberedNodes = 0;
     /** Its process has been running since then; never() if unknown. */
--- a/coordination/orderlease.cpp
+++ b/coordination/orderlease.cpp
@@ -67,14 +67,14 @@
         return std::none_of(voters.others().begin(), voters.others().end(), [this, now, &own](const auto &entry) {
             const LeaseVoter &voter = entry.second;
             return LeaseVoters::isLive(voter, now) && !voter.isLeaving
-                && priority(entry.first, voter.zone, voter.capacity, claimsOther(voter)) > own;
+                && priority(entry.first, voter.zone, voter.capacity, claimsOther(voter, now)) > own;
         });
     }
     /** Whether the node claims the lease of another shard. */
-    bool claimsOther(const LeaseVoter &voter) const
+    bool claimsOther(const LeaseVoter &voter, Time now) const
     {
-        return std::any_of(
-            voter.claimedShards.begin(), voter.claimedShards.end(), [this](EngineShard claimed) { return claimed != shard; });
+        return std::any_of(voter.claims.begin(), voter.claims.end(),
+            [&](const ReceivedClaim &claim) { return claim.shard != shard && now - claim.receivedAt <= voter.heartbeatTimeout; });
     }
     bool hasGrantedToOther(Time now) const
     {
--- a/tests/coordination/testorderlease.cpp
+++ b/tests/coordination/testorderlease.cpp
@@ -458,3 +458,25 @@
     const std::string violation = violationInRandomHistory(1263);
     cr_assert(violation.empty(), "seed 1263: %s", violation.c_str());
 }
+
+// Guards against a shard that nobody claims: two nodes that hold a shard each take the other for one that holds none, since its messages
+// between heartbeats contain no claims, and leave the third shard to it.
+Test(orderlease, oneOfTwoNodesThatHoldShardsClaimsAnother)
+{
+    const Time start { 1'000'000 };
+    const Time now = start + OrderLeaseLimits {}.leaseDuration + OrderLeaseLimits {}.clockMargin + Duration(100);
+    int claims = 0;
+    for (const bool isFirst : { true, false }) {
+        const NodeId self(isFirst ? "node-01" : "node-02");
+        LeaseVoters voters(LeaseVoterLimits {}, self);
+        FleetMessage message;
+        message.sender = NodeId(isFirst ? "node-02" : "node-01");
+        message.claims = { LeaseClaim { EngineShard(isFirst ? 5 : 4), FencingToken(1), Duration(0), now } };
+        voters.onMessage(message, now - Duration(200));
+        message.claims.clear();
+        voters.onMessage(message, now - Duration(10));
+        OrderLease lease(OrderLeaseLimits {}, EngineShard(6), self, Incarnation(1), voters, start);
+        claims += lease.claim(true, true, now, now) ? 1 : 0;
+    }
+    cr_assert_eq(claims, 1);
+}
