--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -127,14 +127,6 @@
             self._writer.close()
 
 
-async def call(address, method, target, headers, body=b"", timeout=10.0, connect_timeout=1.0):
-    """Sends one request on a new connection and returns the response."""
-    connection = Connection(address)
-    response = await connection.call(method, target, headers, body, timeout, connect_timeout)
-    connection.close()
-    return response
-
-
 async def receive(reader, response):
     head = await read_head(reader)
     if head is None:
