Log which upstreams end, and a digest of what they were asked

Nothing in logs or metrics told a connection that broke off from an upstream that ended, or related two attempts of one caller: they have different ids. `request: broken` has the digest, too. It covers what a request holds (method, host, target, model, adapter, prompt parts, body), not what differs between attempts.

A connection that hangs is a cut link or a lost host and counts for nothing, so the two are told apart by the host's answer, which the HTTP client now passes on. No decision uses any of this yet.

--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -66,6 +66,11 @@
                                              .Help("Refusals with which upstreams asked this node for a time without requests.")
                                              .Register(registry)
                                              .Add({});
+    prometheus::Counter &endedUpstreams = prometheus::BuildCounter()
+                                              .Name("apricotstep_entry_upstreams_ended_total")
+                                              .Help("Upstreams that ended before they had begun to answer requests of this node.")
+                                              .Register(registry)
+                                              .Add({});
     prometheus::Counter &brittleRefusals =
         prometheus::BuildCounter()
             .Name("apricotstep_entry_brittle_refusals_total")
@@ -200,6 +205,11 @@
     d->upstreamRests.Increment();
 }
 
+void EntryMetrics::upstreamEnded()
+{
+    d->endedUpstreams.Increment();
+}
+
 void EntryMetrics::brittleRefusal()
 {
     d->brittleRefusals.Increment();
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -65,6 +65,8 @@
     void sentOutOfScope();
     /** Counts an attempt that an upstream refused before execution ("not_run"), failed ("failed") or left incomplete ("broken"). */
     void upstreamFailed(std::string_view what);
+    /** Counts an upstream that ended before it had begun to answer requests of this node. */
+    void upstreamEnded();
     /** Counts a limit on its requests that an upstream names, changes or lifts. */
     void upstreamLimitChanged(bool isLimited);
     /** Counts an upstream that wants no requests from this node for some time. */
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -1,6 +1,7 @@
 #include "main/entry/requestjob.h"
 
 #include "core/result.h"
+#include "main/entry/contentdigest.h"
 #include "main/entry/refusal.h"
 #include "main/entry/relayedrequest.h"
 
@@ -74,6 +75,7 @@
     , m_number(number)
     , m_request(std::move(request))
     , m_decoded(std::move(decoded))
+    , m_content(describeContent(m_request, m_decoded))
     , m_table(std::move(table))
     , m_route(route)
     , m_team(team)
@@ -847,6 +849,11 @@
     end(RequestOutcome::Served, "");
 }
 
+bool RequestJob::hasBegunToAnswer() const
+{
+    return m_route.kind == RequestKind::Stream ? m_hasEvents : !m_body.empty();
+}
+
 // A body without a length and chunks ends with its connection, also when the upstream fails. A stream without any event is none.
 bool RequestJob::isStreamBrokenOff() const
 {
@@ -914,10 +921,14 @@
     m_executionState = ExecutionState::MayHaveRun;
     m_context.log().write(Important, "request", "broken",
         { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "peer", m_relay ? m_relay->id.value() : std::string() },
-            { "reason", result.detail }, { "afterMs", (now() - m_sentAt).milliseconds() } });
+            { "content", digestName(m_content.request) }, { "reason", result.detail }, { "afterMs", (now() - m_sentAt).milliseconds() } });
     if (m_relay) {
         m_excludedRelays.insert(m_relay->id);
     } else {
+        // What has begun to receive its answer is not what ended the upstream.
+        if (!hasBegunToAnswer()) {
+            m_context.reportBroken(m_upstream, m_content);
+        }
         m_context.clusterState().outliers.onFailure(m_upstream.id, now());
         m_context.reachabilityProber().onBroken(m_service);
     }
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/relaychoice.h"
+#include "coordination/requestcontent.h"
 #include "coordination/upstreamchoice.h"
 #include "main/entry/reachabilityprober.h"
 #include "main/entry/requestforwarder.h"
@@ -38,6 +39,8 @@
     virtual void reportFull(const UpstreamRecord &upstream) = 0;
     /** Reports that requests for @p adapter wait too long at every engine that has it loaded. */
     virtual void reportCrowded(const AdapterRef &adapter) = 0;
+    /** @p upstream broke off a request that it had not begun to answer. */
+    virtual void reportBroken(const UpstreamRecord &upstream, const RequestContent &content) = 0;
     /** Called once per request, when it first reaches its service; adds to the retry budget. */
     virtual void reportFirstArrival(const ServiceName &service) = 0;
     virtual void onEnded(std::uint64_t job) = 0;
@@ -173,6 +176,8 @@
     void onDone(const CallResult &result);
     void onNotSent(const CallResult &result);
     void onAnswered();
+    /** Whether the upstream of the attempt in progress has sent a part of an answer. */
+    bool hasBegunToAnswer() const;
     /** Whether the stream of the attempt has been broken off although its connection ended in order. */
     bool isStreamBrokenOff() const;
     void onNotRun();
@@ -199,6 +204,7 @@
     std::uint64_t m_number;
     HttpRequest m_request;
     Platform::CallerRequest m_decoded;
+    RequestContent m_content;
     /** Keeps m_route alive; a request keeps the configuration that was active when it arrived. */
     std::shared_ptr<const RouteTable> m_table;
     const Route &m_route;
--- a/tests/main/scriptedupstream.cpp
+++ b/tests/main/scriptedupstream.cpp
@@ -45,6 +45,11 @@
     }
 }
 
+void ScriptedUpstream::stopListening() const
+{
+    shutdown(m_listener, SHUT_RDWR);
+}
+
 std::vector<std::string> ScriptedUpstream::requests() const
 {
     const absl::MutexLock lock(&m_mutex);
--- a/tests/main/scriptedupstream.h
+++ b/tests/main/scriptedupstream.h
@@ -46,6 +46,8 @@
     {
         return "127.0.0.1:" + std::to_string(m_port);
     }
+    /** Refuses connections from now on, as after the end of its process. */
+    void stopListening() const;
     /** Returns heads and bodies of the requests received so far, in order. */
     std::vector<std::string> requests() const;
     /** Returns the number of connections accepted so far. */
--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <deque>
 #include <thread>
 #include <utility>
@@ -154,6 +155,13 @@
     return code == CURLE_OPERATION_TIMEDOUT ? ErrorKind::UpstreamTimeout : ErrorKind::UpstreamFailed;
 }
 
+bool isRefusedByHost(CURL *easy)
+{
+    long error = 0;
+    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
+    return error == ECONNREFUSED;
+}
+
 } // namespace
 
 struct HttpClient::Private
@@ -401,6 +409,7 @@
             result.state = transfer.isSent ? AttemptState::Sent : AttemptState::NotSent;
             result.error = errorOf(code, transfer.isSent);
             result.detail = curl_easy_strerror(code);
+            result.isConnectionRefused = code == CURLE_COULDNT_CONNECT && isRefusedByHost(transfer.easy);
         }
         end(transfer, result);
     }
--- a/transport/httpclient.h
+++ b/transport/httpclient.h
@@ -31,6 +31,8 @@
     /** Unset when state is Answered. */
     ErrorKind error = ErrorKind::Internal;
     std::string detail;
+    /** The upstream's host answered that no process accepts connections at the address. */
+    bool isConnectionRefused = false;
 };
 
 /** One call to an upstream or to the platform. The callbacks are called on the client's thread and must not block. */
