Keep a request that ends one upstream after the other as a known red test

One node, 14 upstreams that end when they get a certain request, and a caller that comes again with a new id each time: 14 arrivals, each ending an upstream. Three crashes are enough to tell, so three arrivals more are allowed, six in all.

--- /dev/null
+++ b/tests/main/testcrashingrequests.cpp
@@ -0,0 +1,73 @@
+#include "testrequestforwarderfixture.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <criterion/criterion.h>
+
+using namespace ApricotStep;
+using namespace Fixtures;
+
+namespace
+{
+
+constexpr int Engines = 14;
+// What may still reach upstreams once so many have ended under it.
+constexpr int ToleratedAfterwards = 3;
+constexpr int CrashesToTell = 3;
+
+/** A forwarder before upstreams that end when they get a request whose body contains "deadly". */
+struct CrashFixture : ForwarderFixture
+{
+    std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+    std::atomic<int> deadlyArrivals { 0 };
+    int lastRequest = 0;
+
+    explicit CrashFixture(int maxAttempts)
+    {
+        configure(RequestKind::Idempotent, maxAttempts);
+        for (int i = 0; i < Engines; ++i) {
+            upstreams.push_back(std::make_unique<ScriptedUpstream>([this, i](const std::string &request) {
+                if (!absl::StrContains(request, "deadly")) {
+                    return ScriptedAnswer { CompleteAnswer };
+                }
+                ++deadlyArrivals;
+                upstreams[static_cast<std::size_t>(i)]->stopListening();
+                return ScriptedAnswer { "", ScriptedAnswer::ConnectionAction::Reset };
+            }));
+            addUpstream(absl::StrCat("u", i), *upstreams.back());
+        }
+    }
+    /** Sends a request with a new id, as a caller does that comes again, and returns its status. */
+    int sendWithNewId(const std::string &body)
+    {
+        HttpRequest attempt = request();
+        attempt.headers["apricotstep-request-id"] = absl::StrCat("r-", ++lastRequest);
+        for (auto &[name, value] : attempt.headerList) {
+            value = name == "Apricotstep-Request-Id" ? attempt.headers["apricotstep-request-id"] : value;
+        }
+        attempt.body = body;
+        const auto caller = send(std::move(attempt));
+        runUntil([&] { return caller->isDone(); });
+        return caller->status();
+    }
+    void runFor(Duration duration)
+    {
+        const Time end = clock.now() + duration;
+        runUntil([&] { return clock.now() >= end; });
+    }
+};
+
+} // namespace
+
+// A caller repeats a request under which upstreams end, each time with a new id, and takes one upstream after the other with it.
+Test(knownred, requestUnderWhichUpstreamsEndedReachesFewMore)
+{
+    CrashFixture fixture(2);
+    for (int i = 0; i < 2 * Engines; ++i) {
+        fixture.sendWithNewId("deadly");
+        fixture.runFor(Duration(100));
+    }
+    cr_assert_leq(fixture.deadlyArrivals, CrashesToTell + ToleratedAfterwards, "%d arrivals", fixture.deadlyArrivals.load());
+    cr_assert_eq(fixture.sendWithNewId("sound"), 200);
+}
