--- /dev/null
+++ b/coordination/contentquarantine.h
@@ -0,0 +1,232 @@
+#pragma once
+
+#include "coordination/requestcontent.h"
+#include "coordination/upstreamdirectory.h"
+#include "core/clock.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace ApricotStep
+{
+
+// Some content ends each upstream that begins to answer it. Its callers come again, with new request ids and at any node, and no node sees
+// more than a few of the crashes. An upstream that ends takes all its requests with it, so a crash alone accuses sound content as well.
+//
+// So nodes tell each other what upstreams were asked when they ended. Content is held back once several upstreams in a row have ended under
+// it, at different moments, and none has begun to answer it in between, which a sound request, or one that many callers share, does not
+// survive by chance. Any node that knows of an answer objects. A crash under content that is held back accuses nothing else. Held content
+// gets a few trials, each by a single node of the fleet, and is released once an upstream answers it.
+
+struct ContentQuarantineLimits
+{
+    /** Crashes under the same content, without an answer to it in between, after which it is held back. */
+    int crashesToHold = 3;
+    /** Crashes closer together than this count as one: a rack that fails or a release ends many upstreams at the same moment. */
+    Duration minCrashInterval { 100 };
+    /** Content is held back this long after the last crash needed became known, unless a node knows of an answer. */
+    Duration objectionTime { 300 };
+    /** Crashes longer ago do not count. */
+    Duration crashMemory = Duration::seconds(300);
+    /** How long this node remembers that upstreams answered its requests. */
+    Duration answerMemory = Duration::seconds(60);
+    /** How long this node repeats to its peers what it has learned. */
+    Duration repeatTime = Duration::seconds(3);
+    /** Requests with held content that may still be sent by all nodes together. */
+    int maxTrials = 2;
+    /** Time from the last crash to the first trial. Each further trial takes this times the trial backoff, again and again. */
+    Duration firstTrialAfter = Duration::seconds(10);
+    int trialBackoff = 4;
+    /** Nodes may begin a trial one after the other, so that the first can tell the others. */
+    Duration trialStagger { 500 };
+    /** Content that nobody has asked for this long is released. */
+    Duration lapseAfter = Duration::seconds(600);
+    std::size_t maxCrashes = 256;
+    /** Requests of one crash that one node reports. */
+    std::size_t maxSuspects = 24;
+    std::size_t maxAnswers = 16384;
+};
+
+/** Requests of a node that an upstream had not begun to answer when it ended. */
+struct CrashReport
+{
+    UpstreamStart upstream;
+    /** Since it ended. */
+    Duration age;
+    std::vector<RequestContent> suspects;
+
+    bool operator==(const CrashReport &) const = default;
+};
+
+/** An upstream has begun to answer a request with this content. */
+struct AnsweredContent
+{
+    ContentDigest content;
+    /** Since then. */
+    Duration age;
+
+    bool operator==(const AnsweredContent &) const = default;
+};
+
+/** Content that is held back, as nodes tell each other. */
+struct HeldContent
+{
+    ContentDigest content;
+    int crashes = 0;
+    Duration sinceFirstCrash;
+    Duration sinceLastCrash;
+    int trials = 0;
+    /** Unset without trials. */
+    std::optional<Duration> sinceLastTrial;
+    /** Since a caller last asked for it. */
+    Duration sinceLastRequest;
+
+    bool operator==(const HeldContent &) const = default;
+};
+
+/** What one node tells the others. */
+struct QuarantineStatements
+{
+    std::vector<CrashReport> crashes;
+    std::vector<AnsweredContent> answers;
+    std::vector<HeldContent> held;
+
+    bool isEmpty() const
+    {
+        return crashes.empty() && answers.empty() && held.empty();
+    }
+    bool operator==(const QuarantineStatements &) const = default;
+};
+
+/** Requests with the content are refused from now on. */
+struct ContentHeldBack
+{
+    ContentDigest content;
+    int crashes = 0;
+    /** Those that ended, as far as this node knows. */
+    std::vector<UpstreamId> upstreams;
+};
+/** Requests with the content are sent again. */
+struct ContentReleased
+{
+    enum class Reason {
+        /** An upstream has begun to answer it. */
+        Answered,
+        /** Nobody has asked for it for long. */
+        Lapsed,
+    };
+    ContentDigest content;
+    Reason reason = Reason::Answered;
+};
+using QuarantineChange = std::variant<ContentHeldBack, ContentReleased>;
+
+/** Decides which content is held back because upstreams end under it. Not thread-safe. */
+class ContentQuarantine
+{
+public:
+    /**
+     * The order in which nodes may begin a trial of some content, 0 for the first; unset if this node must not, since it may not know of
+     * the trials of others.
+     */
+    using TrialRank = std::function<std::optional<int>(ContentDigest)>;
+
+    explicit ContentQuarantine(ContentQuarantineLimits limits);
+
+    /** An upstream ended at @p at, before it had begun to answer @p suspects of this node. Returns whether peers must know at once. */
+    bool onCrash(const UpstreamStart &upstream, const std::vector<RequestContent> &suspects, Time at, Time now);
+    /** An upstream has begun to answer a request of this node. Returns whether peers must know at once. */
+    bool onAnswered(const RequestContent &content, Time now);
+    void onPeerStatements(const QuarantineStatements &statements, Time now);
+    /** Whether an upstream has already ended under the request, and none has begun to answer it since. */
+    bool isAccused(ContentDigest request) const;
+    /** Returns the held content of a request that must not be sent, if any. */
+    std::optional<ContentDigest> heldBy(const RequestContent &content, Time now);
+    /** A caller asks for held content. Returns whether its request may be sent as a trial; peers must then know at once. */
+    bool beginTrial(const RequestContent &content, const TrialRank &rank, Time now);
+    /** What to tell the peers. @p isFull: also what they were told before, for those that missed it. */
+    QuarantineStatements statements(bool isFull, Time now);
+    /** Returns what has changed since the last call. */
+    std::vector<QuarantineChange> takeChanges();
+    std::size_t heldCount() const
+    {
+        return m_held.size();
+    }
+
+private:
+    struct Crash
+    {
+        Time at;
+        Time knownSince;
+        std::vector<RequestContent> suspects;
+        /** Those of this node, which it tells its peers until then. */
+        std::vector<RequestContent> ownSuspects;
+        Time tellUntil;
+    };
+    struct Answer
+    {
+        Time at;
+        /** The latest answer that all nodes were told of. */
+        std::optional<Time> toldAt;
+        /** This node tells its peers until then. */
+        Time tellUntil;
+    };
+    struct Held
+    {
+        int crashes = 0;
+        Time firstCrashAt;
+        Time lastCrashAt;
+        int trials = 0;
+        std::optional<Time> lastTrialAt;
+        Time lastRequestAt;
+        /** This node tells its peers in each message until then. */
+        Time tellUntil;
+    };
+    /** How many crashes accuse some content. */
+    struct Evidence
+    {
+        int crashes = 0;
+        Time firstAt;
+        Time lastCountedAt;
+        Time lastAt;
+        /** When the crash became known with which there were enough to hold the content back. */
+        Time sufficientSince;
+        std::vector<UpstreamId> upstreams;
+    };
+    /** Which answers clear content of earlier crashes. */
+    enum class AnswerBasis {
+        /** All that this node knows of. */
+        Known,
+        /** Those that the other nodes know of, too. */
+        Told,
+    };
+
+    void update(Time now);
+    void forget(Time now);
+    absl::flat_hash_map<ContentDigest, Evidence> evidence(AnswerBasis basis) const;
+    std::optional<Time> answeredAt(ContentDigest content, AnswerBasis basis) const;
+    bool isExplained(const Crash &crash) const;
+    Crash &addCrash(const UpstreamStart &upstream, const std::vector<RequestContent> &suspects, Time at, Time now);
+    void hold(ContentDigest content, const Evidence &evidence, Time now);
+    void release(ContentDigest content, ContentReleased::Reason reason);
+    void onPeerHeld(const HeldContent &statement, Time now);
+    void objectToCrashes(Time now);
+    Time nextTrialAt(const Held &held) const;
+    bool isTrialDue(ContentDigest content, const TrialRank &rank, Time now) const;
+
+    ContentQuarantineLimits m_limits;
+    std::map<UpstreamStart, Crash> m_crashes;
+    absl::flat_hash_map<ContentDigest, Answer> m_answers;
+    std::map<ContentDigest, Held> m_held;
+    /** When there may be enough evidence to hold back more. */
+    Time m_reviewAt = Time::never();
+    std::vector<QuarantineChange> m_changes;
+};
+
+} // namespace ApricotStep
--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/brittleupstreams.h"
+#include "coordination/contentquarantine.h"
 #include "coordination/streamorigins.h"
 #include "coordination/teamcredit.h"
 #include "coordination/upstreamdirectory.h"
@@ -201,6 +202,8 @@
     std::vector<BegunStream> begunStreams;
     std::vector<StreamQuery> streamQueries;
     std::vector<StreamAnswer> streamAnswers;
+    /** What the sender knows of content under which upstreams end. */
+    QuarantineStatements quarantine;
 };
 
 } // namespace ApricotStep
--- a/core/errors.cpp
+++ b/core/errors.cpp
@@ -63,6 +63,8 @@
         "This node cannot learn now which software version began the stream, so it does not continue it." },
     ErrorAnswer { StreamVersionGone, 503, "stream_version_gone", NotRun, RetryAdvice::AfterDelay,
         "No upstream of the software version that began the stream takes requests now." },
+    ErrorAnswer { ContentHeldBack, 400, "content_held_back", NotRun, RetryAdvice::Never,
+        "Upstreams ended each time that they began to answer what this request holds." },
     ErrorAnswer { AdapterLoadFailed, 503, "adapter_load_failed", NotRun, RetryAdvice::AfterDelay, "The adapter could not be loaded." },
     ErrorAnswer {
         UpstreamFailed, 502, "upstream_failed", MayHaveRun, RetryAdvice::Never, "The upstream failed after the request was sent." },
--- a/core/errors.h
+++ b/core/errors.h
@@ -38,6 +38,7 @@
     UpstreamRefused,
     StreamUnknown,
     StreamVersionGone,
+    ContentHeldBack,
     AdapterLoadFailed,
     UpstreamFailed,
     UpstreamTimeout,
--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -2,6 +2,7 @@
 
 #include "coordination/adapterloadestimator.h"
 #include "coordination/brittleupstreams.h"
+#include "coordination/contentquarantine.h"
 #include "coordination/outlierdetector.h"
 #include "coordination/outofscopeengines.h"
 #include "coordination/residencytable.h"
@@ -52,6 +53,7 @@
     ServiceReachability reachability { ReachabilityLimits {} };
     SoftwareHistory softwareHistory { SoftwareHistoryLimits {} };
     StreamOrigins streamOrigins { StreamOriginLimits {} };
+    ContentQuarantine quarantine { ContentQuarantineLimits {} };
 
     /** Updates what is known of the adapters at an engine. Returns whether @p residency was newer than the stored one. */
     bool updateResidency(const EngineResidency &residency, Time now)
--- /dev/null
+++ b/main/entry/crashguard.cpp
@@ -0,0 +1,119 @@
+#include "main/entry/crashguard.h"
+
+#include "core/result.h"
+#include "main/entry/contentdigest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ApricotStep
+{
+
+namespace
+{
+
+constexpr EventLog::Severity Important = EventLog::Severity::Important;
+constexpr std::size_t MaxLoggedUpstreams = 8;
+
+} // namespace
+
+CrashGuard::CrashGuard(IoLoop &loop, EventLog &log, EntryMetrics &metrics, ClusterState &clusterState, Callbacks callbacks)
+    : m_loop(loop)
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_quarantine(clusterState.quarantine)
+    , m_callbacks(std::move(callbacks))
+    , m_detector(loop, log, metrics,
+          [this](const UpstreamRecord &upstream, const std::vector<RequestContent> &suspects, Time at) { onEnded(upstream, suspects, at); })
+{
+}
+
+// Not the loop's time: a process that was suspended must not take old crashes for new ones.
+Time CrashGuard::now() const
+{
+    return m_loop.clock().now();
+}
+
+void CrashGuard::onBroken(const UpstreamRecord &upstream, const RequestContent &content)
+{
+    m_detector.onBroken(upstream, content);
+}
+
+void CrashGuard::onEnded(const UpstreamRecord &upstream, const std::vector<RequestContent> &suspects, Time at)
+{
+    if (m_quarantine.onCrash(UpstreamStart { upstream.id, upstream.startedAt }, suspects, at, now())) {
+        m_callbacks.onNews();
+    }
+    reportChanges();
+}
+
+void CrashGuard::onAnswered(const RequestContent &content)
+{
+    if (m_quarantine.onAnswered(content, now())) {
+        m_callbacks.onNews();
+    }
+    reportChanges();
+}
+
+void CrashGuard::onPeerStatements(const QuarantineStatements &statements)
+{
+    m_quarantine.onPeerStatements(statements, now());
+    reportChanges();
+}
+
+bool CrashGuard::isAccused(const RequestContent &content) const
+{
+    return m_quarantine.isAccused(content.request);
+}
+
+bool CrashGuard::isHeld(const RequestContent &content)
+{
+    const bool result = m_quarantine.heldBy(content, now()).has_value();
+    reportChanges();
+    return result;
+}
+
+ContentVerdict CrashGuard::decide(const RequestContent &content, const std::string &id)
+{
+    const auto held = m_quarantine.heldBy(content, now());
+    reportChanges();
+    if (!held) {
+        return ContentVerdict::Allowed;
+    }
+    if (!m_quarantine.beginTrial(content, m_callbacks.trialRank, now())) {
+        m_metrics.quarantine("refused");
+        m_log.write(EventLog::Severity::Routine, "quarantine", "refused", { { "content", digestName(*held) }, { "request", id } });
+        return ContentVerdict::HeldBack;
+    }
+    m_metrics.quarantine("trial");
+    m_log.write(Important, "quarantine", "trial", { { "content", digestName(*held) }, { "request", id } });
+    m_callbacks.onNews();
+    return ContentVerdict::Trial;
+}
+
+void CrashGuard::reportChanges()
+{
+    for (const QuarantineChange &change : m_quarantine.takeChanges()) {
+        std::visit(
+            Overloaded {
+                [this](const ContentHeldBack &held) {
+                    std::string upstreams;
+                    for (std::size_t i = 0; i < std::min(held.upstreams.size(), MaxLoggedUpstreams); ++i) {
+                        upstreams += (i > 0 ? " " : "") + held.upstreams[i].value();
+                    }
+                    m_metrics.quarantine("held");
+                    m_log.write(Important, "quarantine", "held",
+                        { { "content", digestName(held.content) }, { "crashes", std::int64_t(held.crashes) }, { "upstreams", upstreams } });
+                },
+                [this](const ContentReleased &released) {
+                    m_metrics.quarantine("released");
+                    m_log.write(Important, "quarantine", "released",
+                        { { "content", digestName(released.content) },
+                            { "reason", released.reason == ContentReleased::Reason::Answered ? "answered" : "lapsed" } });
+                },
+            },
+            change);
+    }
+}
+
+} // namespace ApricotStep
--- /dev/null
+++ b/main/entry/crashguard.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "coordination/contentquarantine.h"
+#include "main/entry/clusterstate.h"
+#include "main/entry/crashdetector.h"
+#include "main/entry/entrymetrics.h"
+#include "main/entry/eventlog.h"
+#include "transport/ioloop.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ApricotStep
+{
+
+/** Whether a request may be sent, by what it holds. */
+enum class ContentVerdict {
+    Allowed,
+    /** The content is held back, and this request may find out whether upstreams answer it now. It is sent once. */
+    Trial,
+    HeldBack,
+};
+
+/** Keeps requests from upstreams that would end under them: observes crashes and answers, tells peers, logs and counts. */
+class CrashGuard
+{
+public:
+    struct Callbacks
+    {
+        /** All nodes must know at once what this one has learned. */
+        std::function<void()> onNews;
+        ContentQuarantine::TrialRank trialRank;
+    };
+
+    CrashGuard(IoLoop &loop, EventLog &log, EntryMetrics &metrics, ClusterState &clusterState, Callbacks callbacks);
+
+    /** @p upstream broke off a request that it had not begun to answer. */
+    void onBroken(const UpstreamRecord &upstream, const RequestContent &content);
+    /** An upstream has begun to answer a request. */
+    void onAnswered(const RequestContent &content);
+    void onPeerStatements(const QuarantineStatements &statements);
+    /** Decides on the next attempt of the request @p id. */
+    ContentVerdict decide(const RequestContent &content, const std::string &id);
+    /** Whether another upstream has already ended under the request. */
+    bool isAccused(const RequestContent &content) const;
+    /** Whether the content is held back at this moment. */
+    bool isHeld(const RequestContent &content);
+
+private:
+    Time now() const;
+    void onEnded(const UpstreamRecord &upstream, const std::vector<RequestContent> &suspects, Time at);
+    void reportChanges();
+
+    IoLoop &m_loop;
+    EventLog &m_log;
+    EntryMetrics &m_metrics;
+    ContentQuarantine &m_quarantine;
+    Callbacks m_callbacks;
+    CrashDetector m_detector;
+};
+
+} // namespace ApricotStep
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -82,6 +82,11 @@
                                                 .Help("Requests that an upstream did not get because of what it stated in its answers.")
                                                 .Register(registry)
                                                 .Add({});
+    prometheus::Family<prometheus::Counter> &quarantineEvents =
+        prometheus::BuildCounter()
+            .Name("apricotstep_entry_quarantine_total")
+            .Help("Contents of requests that are held back because upstreams ended under them, or no longer, and requests with them.")
+            .Register(registry);
     prometheus::Family<prometheus::Counter> &reachabilityChanges =
         prometheus::BuildCounter()
             .Name("apricotstep_entry_service_reachability_total")
@@ -220,6 +225,11 @@
     d->reachabilityChanges.Add({ { "state", isReachable ? "reachable" : "unreachable" } }).Increment();
 }
 
+void EntryMetrics::quarantine(std::string_view what)
+{
+    d->quarantineEvents.Add({ { "event", std::string(what) } }).Increment();
+}
+
 void EntryMetrics::relayed(std::string_view direction)
 {
     d->relayedRequests.Add({ { "direction", std::string(direction) } }).Increment();
@@ -265,6 +275,7 @@
     d->setGauge("log_lines_dropped", static_cast<double>(gauges.logLinesDropped));
     d->setGauge("config_age_seconds", gauges.configurationAge.toSeconds());
     d->setGauge("unreachable_services", gauges.unreachableServices);
+    d->setGauge("held_contents", gauges.heldContents);
     d->setGauge("ready", gauges.isReady ? 1 : 0);
     std::ostringstream out;
     prometheus::TextSerializer().Serialize(out, d->registry.Collect());
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -40,6 +40,8 @@
     bool isReady = false;
     /** Services whose upstreams this node does not reach. */
     int unreachableServices = 0;
+    /** Contents of requests that are held back. */
+    int heldContents = 0;
     /** Time since the active configuration was known to be the newest. */
     Duration configurationAge;
 };
@@ -67,6 +69,9 @@
     void upstreamFailed(std::string_view what);
     /** Counts an upstream that ended before it had begun to answer requests of this node. */
     void upstreamEnded();
+    /** Counts content that is held back ("held") or no longer ("released"), and requests with it that are "refused" or sent as a "trial".
+     */
+    void quarantine(std::string_view what);
     /** Counts a limit on its requests that an upstream names, changes or lifts. */
     void upstreamLimitChanged(bool isLimited);
     /** Counts an upstream that wants no requests from this node for some time. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -194,6 +194,9 @@
     fleetCallbacks.onBrittleUpstreams = [this](const NodeId &peer, const std::vector<BrittleStatement> &upstreams) {
         statements.onPeerBrittleness(peer, upstreams, clock.now());
     };
+    fleetCallbacks.onQuarantineStatements = [this](const NodeId &, const QuarantineStatements &quarantine) {
+        forwarder->onQuarantineStatements(quarantine);
+    };
     fleetCallbacks.onLeavingUpstreams = [this](const std::vector<UpstreamStart> &starts) { statements.onPeerLeaving(starts, clock.now()); };
     fleetCallbacks.onStreamAnswers = [this](const std::vector<StreamAnswer> &answers) { forwarder->onStreamAnswers(answers); };
     fleetCallbacks.onNewerConfiguration = [this](const Peer &peer) { peers->fetchFrom(peer); };
@@ -232,6 +235,8 @@
     callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { return fleet->sendCreditQueries(queries); };
     callbacks.canOthersAcceptKeys = [this] { return canOthersAcceptKeys(); };
     callbacks.sendStreamQuery = [this](const StreamQuery &query) { return fleet->sendStreamQuery(query); };
+    callbacks.onQuarantineNews = [this] { fleet->sendQuarantine(); };
+    callbacks.trialRank = [this](ContentDigest content) { return fleet->rankFor(content.value()); };
     callbacks.onBrittleRefusal = [this] { fleet->sendBrittleUpstreams(); };
     callbacks.relays = [this](const ServiceName &service, ConfigVersion atLeast) { return relays(service, atLeast); };
     forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, std::move(forwarderSettings), std::move(callbacks));
@@ -365,6 +370,7 @@
     gauges.logLinesDropped = log.dropped();
     gauges.isReady = isReady();
     gauges.unreachableServices = static_cast<int>(clusterState.reachability.unreachable().size());
+    gauges.heldContents = static_cast<int>(clusterState.quarantine.heldCount());
     gauges.configurationAge = clock.now() - clusterState.routesKnownAt;
     exchange.respond(OkStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text(gauges));
 }
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -30,6 +30,11 @@
 constexpr Duration DiscoveryTime { 800 };
 // Pending adapters of requests that arrive together are sent in one message.
 constexpr Duration PendingAdaptersDelay { 3 };
+// Upstreams that end under the same requests are told in one message.
+constexpr Duration QuarantineDelay { 20 };
+// Each node tells all it knows of held content at this interval if there are few nodes, and so many of them if there are more.
+constexpr Duration QuarantineInterval = Duration::seconds(2);
+constexpr double QuarantineRepeaters = 8;
 // A peer that has sent nothing for this long is removed.
 constexpr Duration PeerTimeout = Duration::seconds(60);
 // Limits the residencies in one datagram by their copies, of about a dozen bytes each, to the size that every link carries without
@@ -69,6 +74,8 @@
     Time residenciesSentAt;
     bool isLeaving = false;
     bool isPendingSendScheduled = false;
+    bool isQuarantineSendScheduled = false;
+    Time quarantineRepeatedAt;
     std::vector<EngineShard> releasedShards;
     std::vector<NodeId> lastHolders;
     std::optional<int> fleetSize;
@@ -128,7 +135,9 @@
         lastClockReading = loop.clock().now();
     }
     FleetMessage baseMessage() const;
-    FleetMessage loadMessage() const;
+    FleetMessage loadMessage();
+    bool isQuarantineRepeatDue();
+    void sendQuarantine();
     std::set<NodeId> holders() const;
     std::vector<UpstreamLoad> engineLoads();
     void sendUsesOutOfScope(const FleetMessage &message);
@@ -193,7 +202,7 @@
     return message;
 }
 
-FleetMessage FleetLink::Private::loadMessage() const
+FleetMessage FleetLink::Private::loadMessage()
 {
     FleetMessage message = baseMessage();
     NodeLoadReport loadReport = callbacks.loadReport();
@@ -206,9 +215,30 @@
     message.brittleUpstreams = clusterState.brittleUpstreams.statements(now());
     const auto isNeeded = [this](const ServiceName &service) { return !clusterState.softwareHistory.soleVersion(service, now()); };
     message.begunStreams = clusterState.streamOrigins.takeAnnouncements(isNeeded, now());
+    message.quarantine = clusterState.quarantine.statements(isQuarantineRepeatDue(), now());
     return message;
 }
 
+bool FleetLink::Private::isQuarantineRepeatDue()
+{
+    if (clusterState.quarantine.heldCount() == 0 || now() - quarantineRepeatedAt < QuarantineInterval) {
+        return false;
+    }
+    quarantineRepeatedAt = now();
+    return std::bernoulli_distribution(std::min(1.0, QuarantineRepeaters / static_cast<double>(peers.size() + 1)))(random);
+}
+
+void FleetLink::Private::sendQuarantine()
+{
+    readClock();
+    isQuarantineSendScheduled = false;
+    FleetMessage message = baseMessage();
+    message.quarantine = clusterState.quarantine.statements(false, now());
+    if (!message.quarantine.isEmpty()) {
+        sendToAll(message);
+    }
+}
+
 // Seeds and contacts from which no message has come yet.
 std::set<std::string> FleetLink::Private::unconfirmedAddresses() const
 {
@@ -610,6 +640,7 @@
     FleetMessage answer = baseMessage();
     answer.contacts = randomContacts(ContactsForNewPeer);
     answer.store = clusterState.loadEstimator.view();
+    answer.quarantine = clusterState.quarantine.statements(true, now());
     socket->send(from.peerAddress, encodeFleetMessage(answer));
 }
 
@@ -646,6 +677,9 @@
     if (!message.brittleUpstreams.empty()) {
         callbacks.onBrittleUpstreams(message.sender, message.brittleUpstreams);
     }
+    if (!message.quarantine.isEmpty()) {
+        callbacks.onQuarantineStatements(message.sender, message.quarantine);
+    }
     if (!message.creditQueries.empty()) {
         FleetMessage answer = baseMessage();
         answer.creditGrants = answerCreditQueries(message.sender, message.incarnation, message.creditQueries);
@@ -784,6 +818,33 @@
     d->sendToAll(message);
 }
 
+void FleetLink::sendQuarantine()
+{
+    if (d->isQuarantineSendScheduled) {
+        return;
+    }
+    d->isQuarantineSendScheduled = true;
+    d->loop.after(QuarantineDelay, [weak = std::weak_ptr(d)] {
+        if (const auto self = weak.lock()) {
+            self->sendQuarantine();
+        }
+    });
+}
+
+std::optional<int> FleetLink::rankFor(std::uint64_t key) const
+{
+    if (d->now() - d->startedAt < StartupTime || !d->voters.reachesMajority(d->now())) {
+        return std::nullopt;
+    }
+    const auto score = [key](const NodeId &node) { return mixHashes(key, stableHash(node.value())); };
+    int rank = 0;
+    for (const auto &[id, peer] : d->peers) {
+        const bool isCandidate = d->isAlive(peer) && peer.isReady && !peer.isLeaving;
+        rank += isCandidate && score(id) > score(d->identity.id) ? 1 : 0;
+    }
+    return rank;
+}
+
 std::vector<CreditAccount> FleetLink::sendCreditQueries(const std::vector<CreditQuery> &queries)
 {
     return d->sendCreditQueries(queries);
--- a/main/entry/fleetlink.h
+++ b/main/entry/fleetlink.h
@@ -105,6 +105,8 @@
         std::function<void(const NodeId &, const std::vector<UpstreamLimitStatement> &)> onUpstreamLimits;
         /** A peer repeats what it heard of upstreams that fail if they refuse too many requests. */
         std::function<void(const NodeId &, const std::vector<BrittleStatement> &)> onBrittleUpstreams;
+        /** What a peer knows of content under which upstreams end. */
+        std::function<void(const NodeId &, const QuarantineStatements &)> onQuarantineStatements;
         /** Upstreams stated in answers to a peer that they are leaving. */
         std::function<void(const std::vector<UpstreamStart> &)> onLeavingUpstreams;
         std::function<void(const std::vector<StreamAnswer> &)> onStreamAnswers;
@@ -124,6 +126,10 @@
     void sendPendingAdapters();
     /** Sends what this node knows of brittle upstreams to all nodes without waiting for the next heartbeat. */
     void sendBrittleUpstreams();
+    /** Sends what this node has learned of content under which upstreams end to all nodes without waiting for the next heartbeat. */
+    void sendQuarantine();
+    /** The order in which this node comes among the nodes that accept requests, for @p key; unset if it may be cut off from most others. */
+    std::optional<int> rankFor(std::uint64_t key) const;
     /** Sends queries to the lease holders of their accounts' shards. Returns the accounts without a known holder. */
     std::vector<CreditAccount> sendCreditQueries(const std::vector<CreditQuery> &queries);
     /** Asks other nodes where a stream began. Returns the number of nodes asked; each answers once, unless the datagram is lost. */
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -2,7 +2,7 @@
 
 #include "coordination/ratemeter.h"
 #include "coordination/retrybudget.h"
-#include "main/entry/crashdetector.h"
+#include "main/entry/crashguard.h"
 #include "main/entry/refusal.h"
 #include "main/entry/requestjob.h"
 #include "platform/requests.h"
@@ -90,7 +90,7 @@
     CreditLimiter limiter;
     CreditLimiter upstreamLimiter;
     ReachabilityProber prober;
-    CrashDetector crashDetector;
+    CrashGuard guard;
     /** Jobs that wait for a part of an upstream's limit. */
     std::map<AdmissionId, std::weak_ptr<RequestJob>> reservingJobs;
     std::map<StreamQuery, StreamLookup> streamLookups;
@@ -107,7 +107,7 @@
         , limiter(loop, m_settings.teamCredit, teamLimiterCallbacks())
         , upstreamLimiter(loop, m_settings.upstreamCredit, upstreamLimiterCallbacks())
         , prober(loop, log, metrics, clusterState, [this] { retryPlacements(); })
-        , crashDetector(loop, log, metrics, [](const UpstreamRecord &, const std::vector<RequestContent> &, Time) {})
+        , guard(loop, log, metrics, clusterState, CrashGuard::Callbacks { m_callbacks.onQuarantineNews, m_callbacks.trialRank })
     {
     }
 
@@ -131,6 +131,10 @@
     {
         return prober;
     }
+    CrashGuard &crashGuard() override
+    {
+        return guard;
+    }
     ClusterState &clusterState() override
     {
         return m_clusterState;
@@ -153,10 +157,6 @@
     void reportFirstArrival(const ServiceName &service) override;
     void reportCrowded(const AdapterRef &adapter) override;
     void reportFull(const UpstreamRecord &upstream) override;
-    void reportBroken(const UpstreamRecord &upstream, const RequestContent &content) override
-    {
-        crashDetector.onBroken(upstream, content);
-    }
     void onEnded(std::uint64_t job) override;
 
     CreditLimiter::Callbacks limiterCallbacks() const;
@@ -624,6 +624,11 @@
     }
 }
 
+void RequestForwarder::onQuarantineStatements(const QuarantineStatements &statements)
+{
+    d->guard.onPeerStatements(statements);
+}
+
 void RequestForwarder::onStreamAnswers(const std::vector<StreamAnswer> &answers)
 {
     for (const StreamAnswer &answer : answers) {
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -60,6 +60,10 @@
     std::function<std::optional<int>()> fleetSize;
     /** Returns the nodes that reach the upstreams of @p service and have a configuration as new as @p atLeast. */
     std::function<std::vector<RelayNode>(const ServiceName &service, ConfigVersion atLeast)> relays;
+    /** Called when all nodes must know at once what this one has learned of content under which upstreams end. */
+    std::function<void()> onQuarantineNews;
+    /** The order in which nodes may send a request with held content to see whether upstreams answer it. */
+    ContentQuarantine::TrialRank trialRank;
     /** Asks other nodes where a stream began; returns how many were asked. */
     std::function<int(const StreamQuery &)> sendStreamQuery;
     /** Sends queries to the nodes that issue the credit of their accounts. Returns the accounts for which no such node is known. */
@@ -96,6 +100,8 @@
     std::optional<CreditGrant> answerCreditQuery(
         std::uint64_t shard, const NodeId &from, Incarnation incarnation, const CreditQuery &query);
     void onCreditGrants(const std::vector<CreditGrant> &grants);
+    /** Another node tells what it knows of content under which upstreams end. */
+    void onQuarantineStatements(const QuarantineStatements &statements);
     /** Other nodes answer where streams began. */
     void onStreamAnswers(const std::vector<StreamAnswer> &answers);
 
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -386,6 +386,10 @@
         onDeadline();
         return;
     }
+    if (!isContentAllowed()) {
+        giveUp(ErrorKind::ContentHeldBack);
+        return;
+    }
     if (m_origin && !hasUpstreamOfOrigin()) {
         refuse(ErrorKind::StreamVersionGone, RetryAfterRefusal);
         return;
@@ -431,6 +435,16 @@
     giveUp(m_executionState == ExecutionState::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed);
 }
 
+bool RequestJob::isContentAllowed()
+{
+    if (m_isTrial) {
+        return true;
+    }
+    const ContentVerdict verdict = m_context.crashGuard().decide(m_content, m_decoded.id);
+    m_isTrial = verdict == ContentVerdict::Trial;
+    return verdict != ContentVerdict::HeldBack;
+}
+
 bool RequestJob::sendThroughRelay()
 {
     if (m_excludedRelays.size() >= MaxRelays) {
@@ -655,6 +669,9 @@
     if (m_phase != Phase::Sent || m_deadline - current < MinUsefulTime) {
         return false;
     }
+    if (!m_isTrial && m_context.crashGuard().isHeld(m_content)) {
+        return false;
+    }
     if (m_relay) {
         return true;
     }
@@ -729,7 +746,10 @@
         return true;
     }
     const std::string events = m_events.push(data);
-    m_hasEvents = m_hasEvents || !events.empty();
+    if (!m_hasEvents && !events.empty()) {
+        m_hasEvents = true;
+        reportAnswered();
+    }
     if (events.empty() || m_exchange->write(events)) {
         return true;
     }
@@ -737,6 +757,14 @@
     return false;
 }
 
+// The node through which an attempt goes reports for itself.
+void RequestJob::reportAnswered()
+{
+    if (!m_relay) {
+        m_context.crashGuard().onAnswered(m_content);
+    }
+}
+
 void RequestJob::onDrained()
 {
     if (std::exchange(m_isPaused, false)) {
@@ -774,6 +802,7 @@
     if (result.state != AttemptState::NotSent && m_attemptsSent++ == 0 && !m_relay) {
         m_context.reportFirstArrival(m_service);
     }
+    m_isTrial = m_isTrial && (result.state == AttemptState::NotSent || (m_answer && m_answer->isNotRun));
     switch (result.state) {
     case AttemptState::NotSent:
         onNotSent(result);
@@ -830,6 +859,9 @@
     }
     ++m_possibleRuns;
     m_executionState = ExecutionState::MayHaveRun;
+    if (!m_hasEvents) {
+        reportAnswered();
+    }
     if (!isSuccess(m_answer->status)) {
         onServerFailure();
         return;
@@ -927,7 +959,8 @@
     } else {
         // What has begun to receive its answer is not what ended the upstream.
         if (!hasBegunToAnswer()) {
-            m_context.reportBroken(m_upstream, m_content);
+            m_isAccused = m_context.crashGuard().isAccused(m_content);
+            m_context.crashGuard().onBroken(m_upstream, m_content);
         }
         m_context.clusterState().outliers.onFailure(m_upstream.id, now());
         m_context.reachabilityProber().onBroken(m_service);
@@ -939,10 +972,15 @@
     retryOrGiveUp(result.error == ErrorKind::UpstreamTimeout ? ErrorKind::UpstreamTimeout : ErrorKind::UpstreamFailed);
 }
 
+bool RequestJob::hasAttemptsLeft() const
+{
+    return m_possibleRuns < m_maxAttempts && !m_isAccused;
+}
+
 void RequestJob::onStreamInterrupted()
 {
     m_events.discardPartialEvent();
-    if (!m_route.isResumable || m_possibleRuns >= m_maxAttempts || !m_origin) {
+    if (!m_route.isResumable || !hasAttemptsLeft() || !m_origin) {
         abortStream("the upstream did not finish the stream");
         return;
     }
@@ -953,7 +991,7 @@
 void RequestJob::retryOrGiveUp(ErrorKind kind)
 {
     m_excluded.insert(m_upstream.id);
-    if (isRepeatable() && m_possibleRuns < m_maxAttempts) {
+    if (isRepeatable() && hasAttemptsLeft()) {
         tryNext();
         return;
     }
@@ -980,7 +1018,7 @@
         const Platform::UpstreamAnswer answer = *m_failure;
         deliver(answer, std::move(m_failureBody));
     } else {
-        refuse(kind, retryAfterRefusal());
+        refuse(kind, errorAnswer(kind).retry == RetryAdvice::Never ? Duration(0) : retryAfterRefusal());
     }
 }
 
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -3,6 +3,7 @@
 #include "coordination/relaychoice.h"
 #include "coordination/requestcontent.h"
 #include "coordination/upstreamchoice.h"
+#include "main/entry/crashguard.h"
 #include "main/entry/reachabilityprober.h"
 #include "main/entry/requestforwarder.h"
 #include "platform/requests.h"
@@ -30,6 +31,7 @@
     virtual EntryMetrics &metrics() = 0;
     virtual UpstreamStatements &upstreamStatements() = 0;
     virtual ReachabilityProber &reachabilityProber() = 0;
+    virtual CrashGuard &crashGuard() = 0;
     virtual const ForwarderSettings &settings() const = 0;
     virtual const ForwarderCallbacks &callbacks() const = 0;
     virtual std::mt19937_64 &random() = 0;
@@ -39,8 +41,6 @@
     virtual void reportFull(const UpstreamRecord &upstream) = 0;
     /** Reports that requests for @p adapter wait too long at every engine that has it loaded. */
     virtual void reportCrowded(const AdapterRef &adapter) = 0;
-    /** @p upstream broke off a request that it had not begun to answer. */
-    virtual void reportBroken(const UpstreamRecord &upstream, const RequestContent &content) = 0;
     /** Called once per request, when it first reaches its service; adds to the retry budget. */
     virtual void reportFirstArrival(const ServiceName &service) = 0;
     virtual void onEnded(std::uint64_t job) = 0;
@@ -137,6 +137,8 @@
     /** The stream begins with this attempt: remembers where, for its caller's next request. */
     void rememberOrigin();
     void tryNext();
+    /** Whether an attempt may begin, by what the request holds. */
+    bool isContentAllowed();
     void wait();
     std::vector<UpstreamOption> options();
     AdapterUse waitingAdapterUse() const;
@@ -173,6 +175,8 @@
     bool acceptsHead(int status, const HttpHeaders &headers);
     void onHead();
     bool onData(std::string_view data);
+    /** An upstream has begun to answer the attempt in progress. */
+    void reportAnswered();
     void onDone(const CallResult &result);
     void onNotSent(const CallResult &result);
     void onAnswered();
@@ -184,6 +188,7 @@
     /** The relay answered itself: the upstream's answer is not known. */
     void onRelayError();
     void onIncompleteAnswer(const CallResult &result);
+    bool hasAttemptsLeft() const;
     void onStreamInterrupted();
     void onServerFailure();
     void endAttempt();
@@ -250,6 +255,10 @@
     /** The engine has not read the prompt yet, so the load tracker still counts its tokens as pending. */
     bool m_isPromptPending = false;
     AdmissionId m_reservation;
+    /** Another upstream had already ended under the request when one broke it off. */
+    bool m_isAccused = false;
+    /** The content is held back, and this request may try it once. */
+    bool m_isTrial = false;
     /** When a part of the upstream's limit was reserved for the attempt. */
     std::optional<Time> m_reservedAt;
     Time m_sentAt;
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -136,6 +136,32 @@
     originSoftware @4 :Text;
 }
 
+struct RequestContentWire {
+    request @0 :UInt64;
+}
+
+struct CrashReportWire {
+    upstream @0 :Text;
+    startedAt @1 :Int64;
+    ageMs @2 :Int64;
+    suspects @3 :List(RequestContentWire);
+}
+
+struct AnsweredContentWire {
+    content @0 :UInt64;
+    ageMs @1 :Int64;
+}
+
+struct HeldContentWire {
+    content @0 :UInt64;
+    crashes @1 :UInt32;
+    sinceFirstCrashMs @2 :Int64;
+    sinceLastCrashMs @3 :Int64;
+    trials @4 :UInt32;
+    sinceLastTrialMs @5 :Int64;
+    sinceLastRequestMs @6 :Int64;
+}
+
 struct FleetMessageWire {
     sender @0 :Text;
     incarnation @1 :UInt64;
@@ -175,4 +201,7 @@
     begunStreams @35 :List(BegunStreamsWire);
     streamQueries @36 :List(StreamQueryWire);
     streamAnswers @37 :List(StreamAnswerWire);
+    crashes @38 :List(CrashReportWire);
+    answeredContents @39 :List(AnsweredContentWire);
+    heldContents @40 :List(HeldContentWire);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -33,6 +33,10 @@
 CAPNP_DECLARE_SCHEMA(bfc084cee8ba6c23);
 CAPNP_DECLARE_SCHEMA(f0d1916815c91a8b);
 CAPNP_DECLARE_SCHEMA(89891ca689afdf89);
+CAPNP_DECLARE_SCHEMA(f3dbfa3dea813602);
+CAPNP_DECLARE_SCHEMA(d54e4a108723b8ef);
+CAPNP_DECLARE_SCHEMA(e10500095a09c7a2);
+CAPNP_DECLARE_SCHEMA(a56e3e006d7f7b47);
 CAPNP_DECLARE_SCHEMA(8b8b5daee920bcb2);
 
 }  // namespace schemas
@@ -296,6 +300,66 @@
   };
 };
 
+struct RequestContentWire {
+  RequestContentWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f3dbfa3dea813602, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashReportWire {
+  CrashReportWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d54e4a108723b8ef, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AnsweredContentWire {
+  AnsweredContentWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e10500095a09c7a2, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HeldContentWire {
+  HeldContentWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a56e3e006d7f7b47, 6, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetMessageWire {
   FleetMessageWire() = delete;
 
@@ -304,7 +368,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 25)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 28)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1910,9 +1974,378 @@
 };
 
 #if !CAPNP_LITE
-class StreamQueryWire::Pipeline {
+class StreamQueryWire::Pipeline {
+public:
+  typedef StreamQueryWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamAnswerWire::Reader {
+public:
+  typedef StreamAnswerWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool getIsKnown() const;
+
+  inline bool hasOriginService() const;
+  inline  ::capnp::Text::Reader getOriginService() const;
+
+  inline bool hasOriginSoftware() const;
+  inline  ::capnp::Text::Reader getOriginSoftware() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamAnswerWire::Builder {
+public:
+  typedef StreamAnswerWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool getIsKnown();
+  inline void setIsKnown(bool value);
+
+  inline bool hasOriginService();
+  inline  ::capnp::Text::Builder getOriginService();
+  inline void setOriginService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOriginService(unsigned int size);
+  inline void adoptOriginService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOriginService();
+
+  inline bool hasOriginSoftware();
+  inline  ::capnp::Text::Builder getOriginSoftware();
+  inline void setOriginSoftware( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOriginSoftware(unsigned int size);
+  inline void adoptOriginSoftware(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOriginSoftware();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamAnswerWire::Pipeline {
+public:
+  typedef StreamAnswerWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RequestContentWire::Reader {
+public:
+  typedef RequestContentWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RequestContentWire::Builder {
+public:
+  typedef RequestContentWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RequestContentWire::Pipeline {
+public:
+  typedef RequestContentWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashReportWire::Reader {
+public:
+  typedef CrashReportWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+  inline  ::int64_t getAgeMs() const;
+
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReportWire::Builder {
+public:
+  typedef CrashReportWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
+
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReportWire::Pipeline {
+public:
+  typedef CrashReportWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AnsweredContentWire::Reader {
+public:
+  typedef AnsweredContentWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getContent() const;
+
+  inline  ::int64_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AnsweredContentWire::Builder {
+public:
+  typedef AnsweredContentWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getContent();
+  inline void setContent( ::uint64_t value);
+
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AnsweredContentWire::Pipeline {
 public:
-  typedef StreamQueryWire Pipelines;
+  typedef AnsweredContentWire Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1926,9 +2359,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StreamAnswerWire::Reader {
+class HeldContentWire::Reader {
 public:
-  typedef StreamAnswerWire Reads;
+  typedef HeldContentWire Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1943,18 +2376,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getStream() const;
+  inline  ::uint64_t getContent() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline  ::uint32_t getCrashes() const;
 
-  inline bool getIsKnown() const;
+  inline  ::int64_t getSinceFirstCrashMs() const;
 
-  inline bool hasOriginService() const;
-  inline  ::capnp::Text::Reader getOriginService() const;
+  inline  ::int64_t getSinceLastCrashMs() const;
 
-  inline bool hasOriginSoftware() const;
-  inline  ::capnp::Text::Reader getOriginSoftware() const;
+  inline  ::uint32_t getTrials() const;
+
+  inline  ::int64_t getSinceLastTrialMs() const;
+
+  inline  ::int64_t getSinceLastRequestMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1968,9 +2402,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StreamAnswerWire::Builder {
+class HeldContentWire::Builder {
 public:
-  typedef StreamAnswerWire Builds;
+  typedef HeldContentWire Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1984,32 +2418,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getStream();
-  inline void setStream( ::uint64_t value);
+  inline  ::uint64_t getContent();
+  inline void setContent( ::uint64_t value);
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline  ::uint32_t getCrashes();
+  inline void setCrashes( ::uint32_t value);
 
-  inline bool getIsKnown();
-  inline void setIsKnown(bool value);
+  inline  ::int64_t getSinceFirstCrashMs();
+  inline void setSinceFirstCrashMs( ::int64_t value);
 
-  inline bool hasOriginService();
-  inline  ::capnp::Text::Builder getOriginService();
-  inline void setOriginService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOriginService(unsigned int size);
-  inline void adoptOriginService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOriginService();
+  inline  ::int64_t getSinceLastCrashMs();
+  inline void setSinceLastCrashMs( ::int64_t value);
 
-  inline bool hasOriginSoftware();
-  inline  ::capnp::Text::Builder getOriginSoftware();
-  inline void setOriginSoftware( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOriginSoftware(unsigned int size);
-  inline void adoptOriginSoftware(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOriginSoftware();
+  inline  ::uint32_t getTrials();
+  inline void setTrials( ::uint32_t value);
+
+  inline  ::int64_t getSinceLastTrialMs();
+  inline void setSinceLastTrialMs( ::int64_t value);
+
+  inline  ::int64_t getSinceLastRequestMs();
+  inline void setSinceLastRequestMs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2021,9 +2449,9 @@
 };
 
 #if !CAPNP_LITE
-class StreamAnswerWire::Pipeline {
+class HeldContentWire::Pipeline {
 public:
-  typedef StreamAnswerWire Pipelines;
+  typedef HeldContentWire Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2155,6 +2583,15 @@
   inline bool hasStreamAnswers() const;
   inline  ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>::Reader getStreamAnswers() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasAnsweredContents() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>::Reader getAnsweredContents() const;
+
+  inline bool hasHeldContents() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>::Reader getHeldContents() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2400,6 +2837,27 @@
   inline void adoptStreamAnswers(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::StreamAnswerWire,  ::capnp::Kind::STRUCT>> disownStreamAnswers();
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasAnsweredContents();
+  inline  ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>::Builder getAnsweredContents();
+  inline void setAnsweredContents( ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>::Builder initAnsweredContents(unsigned int size);
+  inline void adoptAnsweredContents(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>> disownAnsweredContents();
+
+  inline bool hasHeldContents();
+  inline  ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>::Builder getHeldContents();
+  inline void setHeldContents( ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>::Builder initHeldContents(unsigned int size);
+  inline void adoptHeldContents(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>> disownHeldContents();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4023,6 +4481,242 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t RequestContentWire::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RequestContentWire::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RequestContentWire::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReportWire::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReportWire::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashReportWire::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CrashReportWire::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReportWire::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashReportWire::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReportWire::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashReportWire::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t CrashReportWire::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CrashReportWire::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReportWire::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CrashReportWire::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CrashReportWire::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReportWire::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReportWire::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReportWire::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>::Reader CrashReportWire::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>::Builder CrashReportWire::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashReportWire::Builder::setSuspects( ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>::Builder CrashReportWire::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashReportWire::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>> CrashReportWire::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AnsweredContentWire::Reader::getContent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AnsweredContentWire::Builder::getContent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AnsweredContentWire::Builder::setContent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t AnsweredContentWire::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t AnsweredContentWire::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AnsweredContentWire::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HeldContentWire::Reader::getContent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldContentWire::Builder::getContent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HeldContentWire::Builder::setContent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HeldContentWire::Reader::getCrashes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HeldContentWire::Builder::getCrashes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HeldContentWire::Builder::setCrashes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t HeldContentWire::Reader::getSinceFirstCrashMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HeldContentWire::Builder::getSinceFirstCrashMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HeldContentWire::Builder::setSinceFirstCrashMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t HeldContentWire::Reader::getSinceLastCrashMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HeldContentWire::Builder::getSinceLastCrashMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void HeldContentWire::Builder::setSinceLastCrashMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HeldContentWire::Reader::getTrials() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HeldContentWire::Builder::getTrials() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void HeldContentWire::Builder::setTrials( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t HeldContentWire::Reader::getSinceLastTrialMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HeldContentWire::Builder::getSinceLastTrialMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void HeldContentWire::Builder::setSinceLastTrialMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t HeldContentWire::Reader::getSinceLastRequestMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HeldContentWire::Builder::getSinceLastRequestMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void HeldContentWire::Builder::setSinceLastRequestMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetMessageWire::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5072,6 +5766,108 @@
       ::capnp::bounded<24>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessageWire::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<25>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<25>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<25>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<25>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setCrashes( ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<25>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<25>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<25>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::CrashReportWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<25>() * ::capnp::POINTERS));
+}
+
+inline bool FleetMessageWire::Reader::hasAnsweredContents() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<26>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasAnsweredContents() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<26>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getAnsweredContents() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<26>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getAnsweredContents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<26>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setAnsweredContents( ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<26>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initAnsweredContents(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<26>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptAnsweredContents(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<26>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownAnsweredContents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::AnsweredContentWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<26>() * ::capnp::POINTERS));
+}
+
+inline bool FleetMessageWire::Reader::hasHeldContents() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<27>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasHeldContents() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<27>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getHeldContents() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<27>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getHeldContents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<27>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setHeldContents( ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<27>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initHeldContents(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<27>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptHeldContents(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<27>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownHeldContents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<27>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -26,6 +26,8 @@
 
 // Statements of upstreams are repeated for a few seconds, and so are rests. Forged ones must not hold for long.
 constexpr Duration MaxStatementAge = Duration::seconds(60);
+constexpr Duration MaxContentAge = Duration::seconds(86'400);
+constexpr std::uint32_t MaxCount = 1'000'000;
 
 // Bounds the memory that forged messages can take.
 constexpr Duration MaxStreamLifetime = Duration::seconds(600);
@@ -385,6 +387,68 @@
     }
 }
 
+void encodeQuarantine(const QuarantineStatements &statements, Wire::FleetMessageWire::Builder wire)
+{
+    auto crashes = initList(statements.crashes, [&wire](unsigned int size) { return wire.initCrashes(size); });
+    for (unsigned int i = 0; i < crashes.size(); ++i) {
+        const CrashReport &report = statements.crashes[i];
+        crashes[i].setUpstream(report.upstream.upstream.value());
+        crashes[i].setStartedAt(report.upstream.startedAt);
+        crashes[i].setAgeMs(report.age.milliseconds());
+        auto suspects = crashes[i].initSuspects(static_cast<unsigned int>(report.suspects.size()));
+        for (unsigned int j = 0; j < suspects.size(); ++j) {
+            suspects[j].setRequest(report.suspects[j].request.value());
+        }
+    }
+    auto answers = initList(statements.answers, [&wire](unsigned int size) { return wire.initAnsweredContents(size); });
+    for (unsigned int i = 0; i < answers.size(); ++i) {
+        answers[i].setContent(statements.answers[i].content.value());
+        answers[i].setAgeMs(statements.answers[i].age.milliseconds());
+    }
+    auto held = initList(statements.held, [&wire](unsigned int size) { return wire.initHeldContents(size); });
+    for (unsigned int i = 0; i < held.size(); ++i) {
+        const HeldContent &statement = statements.held[i];
+        held[i].setContent(statement.content.value());
+        held[i].setCrashes(static_cast<std::uint32_t>(statement.crashes));
+        held[i].setSinceFirstCrashMs(statement.sinceFirstCrash.milliseconds());
+        held[i].setSinceLastCrashMs(statement.sinceLastCrash.milliseconds());
+        held[i].setTrials(static_cast<std::uint32_t>(statement.trials));
+        held[i].setSinceLastTrialMs(statement.sinceLastTrial.value_or(Duration(0)).milliseconds());
+        held[i].setSinceLastRequestMs(statement.sinceLastRequest.milliseconds());
+    }
+}
+
+Duration decodeContentAge(std::int64_t milliseconds)
+{
+    return Duration(std::clamp<std::int64_t>(milliseconds, 0, MaxContentAge.milliseconds()));
+}
+
+QuarantineStatements decodeQuarantine(Wire::FleetMessageWire::Reader wire)
+{
+    QuarantineStatements statements;
+    for (const auto crash : wire.getCrashes()) {
+        CrashReport report { { UpstreamId(textOf(crash.getUpstream())), crash.getStartedAt() }, decodeContentAge(crash.getAgeMs()), {} };
+        for (const auto suspect : crash.getSuspects()) {
+            report.suspects.push_back(RequestContent { ContentDigest(suspect.getRequest()) });
+        }
+        statements.crashes.push_back(std::move(report));
+    }
+    for (const auto answer : wire.getAnsweredContents()) {
+        statements.answers.push_back(AnsweredContent { ContentDigest(answer.getContent()), decodeContentAge(answer.getAgeMs()) });
+    }
+    for (const auto entry : wire.getHeldContents()) {
+        HeldContent held { ContentDigest(entry.getContent()), static_cast<int>(std::min(entry.getCrashes(), MaxCount)),
+            decodeContentAge(entry.getSinceFirstCrashMs()), decodeContentAge(entry.getSinceLastCrashMs()),
+            static_cast<int>(std::min(entry.getTrials(), MaxCount)) };
+        if (held.trials > 0) {
+            held.sinceLastTrial = decodeContentAge(entry.getSinceLastTrialMs());
+        }
+        held.sinceLastRequest = decodeContentAge(entry.getSinceLastRequestMs());
+        statements.held.push_back(held);
+    }
+    return statements;
+}
+
 StreamOrigin decodeOrigin(capnp::Text::Reader service, capnp::Text::Reader software)
 {
     return StreamOrigin { ServiceName(textOf(service)), SoftwareVersion(textOf(software)) };
@@ -453,6 +517,7 @@
     message.leavingUpstreams = decodeStarts(wire.getLeavingUpstreams());
     message.brittleUpstreams = decodeBrittle(wire.getBrittleUpstreams());
     decodeStreams(wire, message);
+    message.quarantine = decodeQuarantine(wire);
     for (const auto service : wire.getUnreachableServices()) {
         message.unreachableServices.emplace_back(textOf(service));
     }
@@ -495,6 +560,7 @@
     encodeBrittle(message.brittleUpstreams,
         initList(message.brittleUpstreams, [&wire](unsigned int size) { return wire.initBrittleUpstreams(size); }));
     encodeStreams(message, wire);
+    encodeQuarantine(message.quarantine, wire);
     auto services = initList(message.unreachableServices, [&wire](unsigned int size) { return wire.initUnreachableServices(size); });
     for (unsigned int i = 0; i < message.unreachableServices.size(); ++i) {
         services.set(i, message.unreachableServices[i].value());
--- a/tests/main/testfleetlink.cpp
+++ b/tests/main/testfleetlink.cpp
@@ -53,6 +53,7 @@
         callbacks.onPeerReadFurther = [] {};
         callbacks.onResidencyChanged = [] {};
         callbacks.onBrittleUpstreams = [](const NodeId &, const std::vector<BrittleStatement> &) {};
+        callbacks.onQuarantineStatements = [](const NodeId &, const QuarantineStatements &) {};
         callbacks.onNewerConfiguration = [](const Peer &) {};
         callbacks.onStreamAnswers = [this](const std::vector<StreamAnswer> &answers) { m_answers += static_cast<int>(answers.size()); };
         FleetIdentity identity { NodeId("node-a-0"), Incarnation(7), OwnZone, { OwnZone, OtherZone }, 1, "127.0.0.1:1", freeAddress(), {} };
--- a/tests/main/testmetrics.cpp
+++ b/tests/main/testmetrics.cpp
@@ -90,6 +90,7 @@
     entry.withheld();
     entry.upstreamRests();
     entry.brittleRefusal();
+    entry.quarantine("held");
     entry.serviceReachability(false);
     entry.relayed("sent");
     entry.resumed("own");
--- a/tests/main/testcrashingrequests.cpp
+++ b/tests/main/testrequestforwardercrash.cpp
@@ -61,7 +61,7 @@
 } // namespace
 
 // A caller repeats a request under which upstreams end, each time with a new id, and takes one upstream after the other with it.
-Test(knownred, requestUnderWhichUpstreamsEndedReachesFewMore)
+Test(crashingrequests, requestUnderWhichUpstreamsEndedReachesFewMore)
 {
     CrashFixture fixture(2);
     for (int i = 0; i < 2 * Engines; ++i) {
@@ -71,3 +71,43 @@
     cr_assert_leq(fixture.deadlyArrivals, CrashesToTell + ToleratedAfterwards, "%d arrivals", fixture.deadlyArrivals.load());
     cr_assert_eq(fixture.sendWithNewId("sound"), 200);
 }
+
+// A refusal that says "come again" makes the caller of a request under which upstreams end try the next node.
+Test(crashingrequests, heldRequestIsRefusedForGoodAndNotRun)
+{
+    CrashFixture fixture(2);
+    for (int i = 0; i < Engines; ++i) {
+        fixture.sendWithNewId("deadly");
+        fixture.runFor(Duration(100));
+    }
+    const int arrivals = fixture.deadlyArrivals;
+    HttpRequest request = ForwarderFixture::request();
+    request.body = "deadly";
+    const auto caller = fixture.send(std::move(request));
+    fixture.runUntil([&] { return caller->isDone(); });
+    cr_assert_eq(caller->status(), 400);
+    cr_assert(caller->bodyContains("content_held_back"));
+    cr_assert_not(caller->hasHeader("Retry-After"));
+    cr_assert_eq(fixture.deadlyArrivals, arrivals);
+}
+
+// Upstreams reset connections, or break answers off, and go on: no request is to blame, however often it meets them.
+Test(crashingrequests, upstreamsThatBreakOffAndGoOnAccuseNothing)
+{
+    for (const std::string &answer : { std::string(), std::string(IncompleteAnswer) }) {
+        ForwarderFixture fixture;
+        fixture.configure(RequestKind::Idempotent, 1);
+        const ScriptedUpstream upstream([&](const std::string &) {
+            return ScriptedAnswer { answer, ScriptedAnswer::ConnectionAction::Reset };
+        });
+        fixture.addUpstream("u", upstream);
+        for (int i = 0; i < 8; ++i) {
+            const auto caller = fixture.send(ForwarderFixture::request());
+            fixture.runUntil([&] { return caller->isDone(); });
+            cr_assert_neq(caller->status(), 400);
+            const Time end = fixture.clock.now() + Duration(150);
+            fixture.runUntil([&] { return fixture.clock.now() >= end; });
+        }
+        cr_assert_eq(fixture.clusterState.quarantine.heldCount(), 0);
+    }
+}
--- a/tests/main/testrequestforwarderfixture.h
+++ b/tests/main/testrequestforwarderfixture.h
@@ -54,6 +54,7 @@
     std::optional<Duration> ordersIn = Duration(0);
     std::vector<RelayNode> relays;
     int brittleRefusals = 0;
+    std::optional<int> trialRank;
     std::function<int(const StreamQuery &)> sendStreamQuery = [](const StreamQuery &) { return 0; };
 
     ForwarderFixture()
@@ -66,6 +67,8 @@
         callbacks.ordersIn = [this] { return ordersIn; };
         callbacks.fleetSize = [] { return std::optional(1); };
         callbacks.onBrittleRefusal = [this] { ++brittleRefusals; };
+        callbacks.onQuarantineNews = [] {};
+        callbacks.trialRank = [this](ContentDigest) { return trialRank; };
         callbacks.sendStreamQuery = [this](const StreamQuery &query) { return sendStreamQuery(query); };
         callbacks.relays = [this](const ServiceName &, ConfigVersion) { return relays; };
         callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { return answerAsIssuer(queries); };
@@ -182,6 +185,8 @@
         callbacks.canOthersAcceptKeys = [] { return true; };
         callbacks.fleetSize = [] { return std::optional(100); };
         callbacks.onBrittleRefusal = [this] { ++brittleRefusals; };
+        callbacks.onQuarantineNews = [] {};
+        callbacks.trialRank = [this](ContentDigest) { return trialRank; };
         callbacks.sendStreamQuery = [this](const StreamQuery &query) { return sendStreamQuery(query); };
         callbacks.relays = [this](const ServiceName &, ConfigVersion) { return relays; };
         callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { return answerQueries(queries); };
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -45,6 +45,12 @@
     message.streamQueries = { StreamQuery { StreamId(24), ServiceName("s2") } };
     message.streamAnswers = { StreamAnswer { message.streamQueries.front(), std::nullopt },
         StreamAnswer { StreamQuery { StreamId(25), ServiceName("s1") }, first }, StreamAnswer { StreamQuery {}, second } };
+    const RequestContent one { ContentDigest(~0ULL) };
+    const RequestContent two { ContentDigest(31) };
+    message.quarantine.crashes = { CrashReport { { UpstreamId("c"), 18 }, Duration(40), { one, two } } };
+    message.quarantine.answers = { AnsweredContent { two.request, Duration(41) } };
+    message.quarantine.held = { HeldContent { one.request, 4, Duration(90), Duration(50), 1, Duration(12), Duration(11) },
+        HeldContent { two.request, 3, Duration(80), Duration(60), 0, std::nullopt, Duration(5) } };
     message.configVersion = ConfigVersion(9);
     message.claims = { LeaseClaim { EngineShard(2), FencingToken(5), Duration(30), Time(4) } };
     message.grants = { LeaseGrant { EngineShard(1), NodeId("n2"), Incarnation(3), Time(8), FencingToken(6) } };
@@ -86,6 +92,7 @@
     cr_assert(message.brittleUpstreams == sent.brittleUpstreams);
     cr_assert(message.unreachableServices == sent.unreachableServices);
     cr_assert(message.begunStreams == sent.begunStreams);
+    cr_assert(message.quarantine == sent.quarantine);
     cr_assert(message.streamQueries == sent.streamQueries && message.streamAnswers == sent.streamAnswers);
 }
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -21,6 +21,15 @@
         self._server = await asyncio.start_server(self._on_connection, host, 0)
         self.address = "%s:%d" % self._server.sockets[0].getsockname()[:2]
 
+    def close_port(self):
+        """Refuses new connections until open_port(), and resets the open ones: the process behind the address has ended."""
+        self._server.close()
+        self.reset_all()
+
+    async def open_port(self):
+        host, port = self.address.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._on_connection, host, int(port))
+
     def reset_all(self):
         """Resets every open connection on both sides."""
         for writer in list(self._writers):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,6 +22,7 @@
 import tempfile
 import time
 
+import deadlycontents
 import http1
 import lostanswers
 import proxy
@@ -36,7 +37,10 @@
 RECONNECT_S = 3.0
 CONFIG_SLACK_S = 1.0
 FAULTS = ("stop_gracefully,kill,kill_many,pause,harm_store_link,harm_caller_link,harm_upstream,upstream_leaves,upstream_crashes,"
-          "upstream_limits_requests,upstream_rests,upstream_says_it_leaves,store_away,store_silent,change_config,config_series,withdraw_key,hup")
+          "upstream_limits_requests,upstream_rests,upstream_says_it_leaves,store_away,store_silent,change_config,config_series,withdraw_key,hup,"
+          "request_ends_engines")
+# The faults beside which sound streams are compared: any other would account for streams that are not served.
+CONTENT_FAULTS = {"request_ends_engines"}
 # Nodes poll an unresponsive store again within this time.
 POLL_RETRY_S = 5.0
 DRAIN_BOUND_S = 2.0
@@ -203,6 +207,7 @@
         self.look_service = "api"
         self.idle_timeout_ms = 15000
         self.lost_answers = lostanswers.LostAnswers(self)
+        self.deadly_contents = deadlycontents.DeadlyContents(self)
         self.config_published_at = 0.0
         self.failures = []
         self.runs = {}
@@ -320,7 +325,7 @@
         for team in self.keys:
             self.keys[team] = [self.new_key(team) for _ in range(KEYS_PER_TEAM)]
         self.publish()
-        for index in range(4):
+        for index in range(self.arguments.engines):
             await self.add_upstream(standins.Engine, f"e{index}", "llm", 16)
         for index in range(3):
             await self.add_upstream(standins.PlainUpstream, f"p{index}", "api", 6)
@@ -394,7 +399,7 @@
         for connection in connections.values():
             connection.close()
 
-    async def send_request(self, kind, node, connection=None):
+    async def send_request(self, kind, node, connection=None, body=None, adapter=None):
         self.next_request += 1
         request_id = f"{self.arguments.seed:x}-{self.next_request:06x}"
         self.request_kinds[request_id] = kind
@@ -405,18 +410,20 @@
         timeout_ms = STREAM_TIMEOUT_MS if kind in STREAM_KINDS else PLAIN_TIMEOUT_MS
         headers["Apricotstep-Deadline-Ms"] = str(timeout_ms)
         if kind in STREAM_KINDS:
-            adapter = min(int(self.random.paretovariate(0.8)), ADAPTERS)
+            adapter = adapter or min(int(self.random.paretovariate(0.8)), ADAPTERS)
             headers.update({"Apricotstep-Model": f"m/a{adapter}", "Apricotstep-Token-Count": "%d,%d" % CHAT_TOKENS})
         was_extra, was_undisturbed, sent_at = self.has_extra_route, node.is_undisturbed(3.0), time.monotonic()
         self.request_keys[request_id] = (key, sent_at)
         self.request_nodes[request_id] = node
         used = http1.Connection(node.caller_link.address) if connection is None else connection
-        method, body = ("GET", b"") if kind in ("look", "extra") else ("POST", b"{}")
+        method, body = ("GET", b"") if kind in ("look", "extra") else ("POST", body or self.random.choice((b"{}", b"call " + request_id.encode())))
         response = await used.call(method, f"/{kind}/x", headers, body, timeout_ms / 1000 + 1.5)
         if connection is None:
             used.close()
         self.lost_answers.check(request_id, kind, node, response, sent_at, PLAIN_TIMEOUT_MS / 1000)
         self.check_response(request_id, kind, node, response, was_extra, was_undisturbed, sent_at)
+        if kind in STREAM_KINDS:
+            self.deadly_contents.on_response(request_id, body, kind, response, sent_at, key in self.keys["free"])
 
     def choose_key(self):
         """Returns a key of a random team, now and then a withdrawn one."""
@@ -611,6 +618,26 @@
         await self.replace(upstream, upstream.name)
         self.lost_answers.end_harm(upstream.name)
 
+    async def request_ends_engines(self):
+        await self.deadly_contents.repeat_request()
+
+    async def crash_engine(self, engine, downtime_s):
+        """The process of the engine ends; another one starts at the same address."""
+        if engine.has_crashed or engine not in self.upstreams:
+            return
+        engine.has_crashed = True
+        engine.is_draining = True
+        engine.draining_since = time.monotonic() + 60.0  # A crash is not announced, so the DRAIN check must not apply.
+        link = self.links[engine.name]
+        self.lost_answers.begin_harm(engine.name)
+        engine._server.close()
+        link.close_port()
+        await asyncio.sleep(downtime_s)
+        await link.open_port()
+        if engine in self.upstreams:
+            await self.replace(engine, engine.name)
+        self.lost_answers.end_harm(engine.name)
+
     async def replace(self, upstream, name):
         self.lost_answers.begin_harm(name)
         upstream._server.close()
@@ -713,6 +740,8 @@
         total = sum(self.late_counts.values())
         if total == 0 or self.late_counts["served"] < 0.9 * total:
             self.fail("RECOVER", f"{self.late_counts['served']} of {total} requests succeeded {RECOVERY_S:.0f} s after the last fault")
+        if set(self.arguments.faults.split(",")) <= CONTENT_FAULTS:
+            self.deadly_contents.check_sound_streams()
         self.stop_all()
         self.check_logs()
         await self.end_connections()
@@ -740,6 +769,7 @@
     parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 30))
     parser.add_argument("--seconds", type=float, default=20.0, help="duration of the fault injection")
     parser.add_argument("--nodes", type=int, default=6, help="number of entry nodes, at most 200")
+    parser.add_argument("--engines", type=int, default=4, help="number of engines")
     parser.add_argument("--callers", type=int, default=8, help="number of callers; each sends one request at a time")
     arguments = parser.parse_args()
     print(f"seed {arguments.seed}, {arguments.seconds:.0f} s of faults, {arguments.nodes} nodes", flush=True)
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -169,6 +169,7 @@
         self.loading = {}
         self.running_by_adapter = {}
         self.order_count = 0
+        self.has_crashed = False
 
     def entry(self):
         return dict(super().entry(), models=[{"name": "m", "version": 1, "adapters": []}])
@@ -235,6 +236,11 @@
         self.start_run(request)
         self.running_by_adapter[adapter] = self.running_by_adapter.get(adapter, 0) + 1
         try:
+            deadly = self.cluster.deadly_contents.of(request)
+            if deadly is not None:
+                await self.cluster.deadly_contents.run(deadly, self, request)
+                writer.transport.abort()
+                return False
             return await self.stream(request, writer)
         finally:
             self.running_by_adapter[adapter] -= 1
