Hold back parts of prompts under which upstreams end

What callers saw (rule BUDGET): requests of which no two were alike, with one part in their prompts, crashed one upstream after the other; after five had ended, 29 and 38 more were sent. Sound requests on the same upstreams were lost with them.

Cause: crashes were related to whole requests only, and the part that these share was in no digest. Class: as for the whole request, harm that no single node or request shows.

Now the reports of crashes carry digests of the parts and of the adapter, and the same decision runs over each part, and each part on its adapter. A part needs three different requests, five ends if upstreams have answered it before or if it is only to blame on one adapter, and then waits 1 s for objections, since most parts are shared with sound requests and answered all the time. A crash under a held part accuses nothing else. Ends count apart from 50 ms on instead of 100: four requests within 130 ms ended eight upstreams in one history and counted once.

--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -1,6 +1,7 @@
 #include "coordination/contentquarantine.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace ApricotStep
@@ -21,9 +22,9 @@
     }
 }
 
-std::set<ContentDigest> elementsOfAll(const std::vector<RequestContent> &contents)
+std::set<ContentElement> elementsOfAll(const std::vector<RequestContent> &contents)
 {
-    std::set<ContentDigest> result;
+    std::set<ContentElement> result;
     for (const RequestContent &content : contents) {
         const auto elements = elementsOf(content);
         result.insert(elements.begin(), elements.end());
@@ -51,40 +52,85 @@
 {
     const auto isHeld = [this](const RequestContent &content) {
         const auto elements = elementsOf(content);
-        return std::any_of(elements.begin(), elements.end(), [this](ContentDigest element) { return m_held.contains(element); });
+        return std::any_of(
+            elements.begin(), elements.end(), [this](const ContentElement &element) { return m_held.contains(element.digest); });
     };
     return std::any_of(crash.suspects.begin(), crash.suspects.end(), isHeld);
 }
 
+// A crash under a held part accuses nothing else. One under a held request may still be due to a part that the request shares with others.
+std::vector<RequestContent> ContentQuarantine::accusedBy(const Crash &crash) const
+{
+    std::vector<RequestContent> heldRequests;
+    for (const RequestContent &content : crash.suspects) {
+        for (const ContentElement &element : elementsOf(content)) {
+            if (!m_held.contains(element.digest)) {
+                continue;
+            }
+            if (element.kind != ContentElement::Kind::Request) {
+                return {};
+            }
+            heldRequests.push_back(content);
+        }
+    }
+    return heldRequests.empty() ? crash.suspects : heldRequests;
+}
+
+bool ContentQuarantine::isSufficient(const Evidence &evidence) const
+{
+    const bool isPart = evidence.kind != ContentElement::Kind::Request;
+    return evidence.crashes >= (isUnlikely(evidence) ? m_limits.crashesToHoldUnlikely : m_limits.crashesToHold)
+        && (!isPart || std::ssize(evidence.requests) >= m_limits.requestsToHoldPart);
+}
+
+void ContentQuarantine::addEvidence(
+    const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, absl::flat_hash_map<ContentDigest, Evidence> &result) const
+{
+    std::set<ContentDigest> counted;
+    for (const RequestContent &content : accusedBy(crash)) {
+        for (const ContentElement &element : elementsOf(content)) {
+            const auto answered = answeredAt(element.digest, basis);
+            if (m_held.contains(element.digest) || (answered && *answered >= crash.at)) {
+                continue;
+            }
+            Evidence &entry = result[element.digest];
+            entry.kind = element.kind;
+            entry.wasAnswered = answered.has_value();
+            entry.requests.insert(content.request);
+            entry.lastAt = crash.at;
+            if (counted.insert(element.digest).second) {
+                entry.upstreams.push_back(upstream.upstream);
+                if (entry.crashes == 0 || crash.at - entry.lastCountedAt >= m_limits.minCrashInterval) {
+                    entry.firstAt = entry.crashes == 0 ? crash.at : entry.firstAt;
+                    entry.lastCountedAt = crash.at;
+                    ++entry.crashes;
+                }
+            }
+            if (!entry.sufficientSince && isSufficient(entry)) {
+                entry.sufficientSince = crash.knownSince;
+            }
+        }
+    }
+}
+
+// The greatest is the most probable: what most upstreams ended under, then what none has ever answered, then what explains most by itself.
+std::tuple<int, bool, bool, bool> ContentQuarantine::order(const Evidence &evidence)
+{
+    const bool isPart = evidence.kind != ContentElement::Kind::Request;
+    return std::tuple(evidence.crashes, !evidence.wasAnswered, isPart, evidence.kind == ContentElement::Kind::Part);
+}
+
 // Counts for each content the crashes since it was last answered.
 absl::flat_hash_map<ContentDigest, ContentQuarantine::Evidence> ContentQuarantine::evidence(AnswerBasis basis) const
 {
     std::vector<std::pair<const UpstreamStart *, const Crash *>> inOrder;
     for (const auto &[upstream, crash] : m_crashes) {
-        if (!isExplained(crash)) {
-            inOrder.emplace_back(&upstream, &crash);
-        }
+        inOrder.emplace_back(&upstream, &crash);
     }
     std::sort(inOrder.begin(), inOrder.end(), [](const auto &a, const auto &b) { return a.second->at < b.second->at; });
     absl::flat_hash_map<ContentDigest, Evidence> result;
     for (const auto &[upstream, crash] : inOrder) {
-        for (const ContentDigest element : elementsOfAll(crash->suspects)) {
-            const auto answered = answeredAt(element, basis);
-            if (answered && *answered >= crash->at) {
-                continue;
-            }
-            Evidence &entry = result[element];
-            entry.upstreams.push_back(upstream->upstream);
-            entry.lastAt = crash->at;
-            if (entry.crashes > 0 && crash->at - entry.lastCountedAt < m_limits.minCrashInterval) {
-                continue;
-            }
-            entry.firstAt = entry.crashes == 0 ? crash->at : entry.firstAt;
-            entry.lastCountedAt = crash->at;
-            if (++entry.crashes == m_limits.crashesToHold) {
-                entry.sufficientSince = crash->knownSince;
-            }
-        }
+        addEvidence(*upstream, *crash, basis, result);
     }
     return result;
 }
@@ -95,13 +141,15 @@
     forget(now);
     // What accounts for most crashes comes first: the others that it leaves unexplained may be too few to hold back anything else.
     for (;;) {
-        const auto accused = evidence(AnswerBasis::Known);
+        auto accused = evidence(AnswerBasis::Known);
+        absl::erase_if(accused, [this](const auto &entry) { return !isSufficient(entry.second); });
         const auto worst = std::max_element(accused.begin(), accused.end(),
-            [](const auto &a, const auto &b) { return std::pair(a.second.crashes, a.first) < std::pair(b.second.crashes, b.first); });
-        if (worst == accused.end() || worst->second.crashes < m_limits.crashesToHold) {
+            [](const auto &a, const auto &b) { return std::pair(order(a.second), a.first) < std::pair(order(b.second), b.first); });
+        if (worst == accused.end()) {
             return;
         }
-        const Time holdAt = worst->second.sufficientSince + m_limits.objectionTime;
+        const Evidence &found = worst->second;
+        const Time holdAt = *found.sufficientSince + (isUnlikely(found) ? m_limits.objectionTimeUnlikely : m_limits.objectionTime);
         if (now < holdAt) {
             m_reviewAt = holdAt;
             return;
@@ -131,7 +179,7 @@
 void ContentQuarantine::hold(ContentDigest content, const Evidence &evidence, Time now)
 {
     m_held[content] = Held { evidence.crashes, evidence.firstAt, evidence.lastAt, 0, std::nullopt, now, now + m_limits.repeatTime };
-    m_changes.emplace_back(ContentHeldBack { content, evidence.crashes, evidence.upstreams });
+    m_changes.emplace_back(ContentHeldBack { content, evidence.kind, evidence.crashes, evidence.upstreams });
 }
 
 void ContentQuarantine::release(ContentDigest content, ContentReleased::Reason reason)
@@ -147,8 +195,8 @@
     Crash &crash = m_crashes.try_emplace(upstream, Crash { at, now }).first->second;
     crash.at = std::min(crash.at, at);
     addUnique(crash.suspects, suspects, m_limits.maxSuspects * 4);
-    for (const ContentDigest element : elementsOfAll(suspects)) {
-        const auto held = m_held.find(element);
+    for (const ContentElement &element : elementsOfAll(suspects)) {
+        const auto held = m_held.find(element.digest);
         if (held != m_held.end() && crash.at > held->second.lastCrashAt) {
             held->second.lastCrashAt = crash.at;
             ++held->second.crashes;
@@ -169,12 +217,12 @@
 bool ContentQuarantine::onAnswered(const RequestContent &content, Time now)
 {
     bool isNews = false;
-    for (const ContentDigest element : elementsOf(content)) {
-        Answer &answer = m_answers[element];
+    for (const ContentElement &element : elementsOf(content)) {
+        Answer &answer = m_answers[element.digest];
         answer.at = now;
-        if (m_held.contains(element)) {
+        if (m_held.contains(element.digest)) {
             answer.tellUntil = now + m_limits.repeatTime;
-            release(element, ContentReleased::Reason::Answered);
+            release(element.digest, ContentReleased::Reason::Answered);
             isNews = true;
         }
     }
@@ -227,7 +275,7 @@
         held.lastTrialAt = std::max(held.lastTrialAt.value_or(Time()), now - *statement.sinceLastTrial);
     }
     if (isNew) {
-        m_changes.emplace_back(ContentHeldBack { statement.content, statement.crashes, {} });
+        m_changes.emplace_back(ContentHeldBack { statement.content, std::nullopt, statement.crashes, {} });
     }
 }
 
@@ -250,9 +298,9 @@
     if (m_held.empty()) {
         return std::nullopt;
     }
-    for (const ContentDigest element : elementsOf(content)) {
-        if (m_held.contains(element)) {
-            return element;
+    for (const ContentElement &element : elementsOf(content)) {
+        if (m_held.contains(element.digest)) {
+            return element.digest;
         }
     }
     return std::nullopt;
@@ -277,15 +325,16 @@
 bool ContentQuarantine::beginTrial(const RequestContent &content, const TrialRank &rank, Time now)
 {
     auto elements = elementsOf(content);
-    std::erase_if(elements, [this](ContentDigest element) { return !m_held.contains(element); });
-    for (const ContentDigest element : elements) {
-        m_held[element].lastRequestAt = now;
+    std::erase_if(elements, [this](const ContentElement &element) { return !m_held.contains(element.digest); });
+    for (const ContentElement &element : elements) {
+        m_held[element.digest].lastRequestAt = now;
     }
-    if (!std::all_of(elements.begin(), elements.end(), [&](ContentDigest element) { return isTrialDue(element, rank, now); })) {
+    const auto isDue = [&](const ContentElement &element) { return isTrialDue(element.digest, rank, now); };
+    if (!std::all_of(elements.begin(), elements.end(), isDue)) {
         return false;
     }
-    for (const ContentDigest element : elements) {
-        Held &held = m_held[element];
+    for (const ContentElement &element : elements) {
+        Held &held = m_held[element.digest];
         ++held.trials;
         held.lastTrialAt = now;
         held.tellUntil = now + m_limits.repeatTime;
@@ -301,7 +350,7 @@
     }
     for (const auto &[content, entry] : evidence(AnswerBasis::Told)) {
         const auto known = m_answers.find(content);
-        const bool isUnknownToOthers = known != m_answers.end() && known->second.at > entry.firstAt;
+        const bool isUnknownToOthers = known != m_answers.end() && (known->second.at > entry.firstAt || !known->second.toldAt);
         if (isUnknownToOthers && entry.crashes + 1 >= m_limits.crashesToHold) {
             known->second.tellUntil = now + ObjectionRepeatTime;
         }
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -11,28 +11,36 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <variant>
 #include <vector>
 
 namespace ApricotStep
 {
 
-// Some content ends each upstream that begins to answer it. Its callers come again, with new request ids and at any node, and no node sees
-// more than a few of the crashes. An upstream that ends takes all its requests with it, so a crash alone accuses sound content as well.
+// Some content ends each upstream that begins to answer it: a whole request that its caller repeats, or a part of the prompts of many
+// requests, on every adapter or on one. Callers come with new request ids and at any node, and no node sees more than a few of the crashes.
+// An upstream that ends takes all its requests with it, so a crash alone accuses sound content as well.
 //
 // So nodes tell each other what upstreams were asked when they ended. Content is held back once several upstreams in a row have ended under
 // it, at different moments, and none has begun to answer it in between, which a sound request, or one that many callers share, does not
-// survive by chance. Any node that knows of an answer objects. A crash under content that is held back accuses nothing else. Held content
-// gets a few trials, each by a single node of the fleet, and is released once an upstream answers it.
+// survive by chance. Any node that knows of an answer objects, as most do for a part that many requests share. A part must have ended
+// upstreams in several different requests. A crash under a part that is held back accuses nothing else; one under a held request accuses
+// its own parts only. Held content gets a few trials, each by a single node of the fleet, and is released once an upstream answers it.
 
 struct ContentQuarantineLimits
 {
     /** Crashes under the same content, without an answer to it in between, after which it is held back. */
     int crashesToHold = 3;
+    /** The same for content that upstreams have answered before, and for a part on one adapter: it is less likely that it is to blame. */
+    int crashesToHoldUnlikely = 5;
+    /** Different requests with the same part that upstreams ended under, before the part is held back. */
+    int requestsToHoldPart = 3;
     /** Crashes closer together than this count as one: a rack that fails or a release ends many upstreams at the same moment. */
-    Duration minCrashInterval { 100 };
+    Duration minCrashInterval { 50 };
     /** Content is held back this long after the last crash needed became known, unless a node knows of an answer. */
     Duration objectionTime { 300 };
+    Duration objectionTimeUnlikely { 1000 };
     /** Crashes longer ago do not count. */
     Duration crashMemory = Duration::seconds(300);
     /** How long this node remembers that upstreams answered its requests. */
@@ -109,6 +117,8 @@
 struct ContentHeldBack
 {
     ContentDigest content;
+    /** Unset if a peer told of it. */
+    std::optional<ContentElement::Kind> kind;
     int crashes = 0;
     /** Those that ended, as far as this node knows. */
     std::vector<UpstreamId> upstreams;
@@ -188,15 +198,19 @@
         /** This node tells its peers in each message until then. */
         Time tellUntil;
     };
-    /** How many crashes accuse some content. */
+    /** How many crashes accuse some content since it was last answered. */
     struct Evidence
     {
+        ContentElement::Kind kind = ContentElement::Kind::Request;
+        bool wasAnswered = false;
         int crashes = 0;
+        /** The different requests among which the upstreams ended. */
+        std::set<ContentDigest> requests;
         Time firstAt;
         Time lastCountedAt;
         Time lastAt;
         /** When the crash became known with which there were enough to hold the content back. */
-        Time sufficientSince;
+        std::optional<Time> sufficientSince;
         std::vector<UpstreamId> upstreams;
     };
     /** Which answers clear content of earlier crashes. */
@@ -212,6 +226,15 @@
     absl::flat_hash_map<ContentDigest, Evidence> evidence(AnswerBasis basis) const;
     std::optional<Time> answeredAt(ContentDigest content, AnswerBasis basis) const;
     bool isExplained(const Crash &crash) const;
+    std::vector<RequestContent> accusedBy(const Crash &crash) const;
+    void addEvidence(
+        const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, absl::flat_hash_map<ContentDigest, Evidence> &result) const;
+    bool isSufficient(const Evidence &evidence) const;
+    static std::tuple<int, bool, bool, bool> order(const Evidence &evidence);
+    static bool isUnlikely(const Evidence &evidence)
+    {
+        return evidence.wasAnswered || evidence.kind == ContentElement::Kind::PartOnAdapter;
+    }
     Crash &addCrash(const UpstreamStart &upstream, const std::vector<RequestContent> &suspects, Time at, Time now);
     void hold(ContentDigest content, const Evidence &evidence, Time now);
     void release(ContentDigest content, ContentReleased::Reason reason);
--- a/coordination/requestcontent.h
+++ b/coordination/requestcontent.h
@@ -14,11 +14,31 @@
 struct RequestContent
 {
     ContentDigest request;
+    /** The adapter of a prompt, 0 if it has none. */
+    ContentDigest adapter {};
+    /** The parts of the prompt, in order. */
+    std::vector<ContentDigest> parts {};
 
     bool operator==(const RequestContent &) const = default;
 };
 
-/** Everything in a request that may be what upstreams end under. */
-std::vector<ContentDigest> elementsOf(const RequestContent &content);
+/** Something in a request that may be what upstreams end under. */
+struct ContentElement
+{
+    enum class Kind {
+        /** The whole request. */
+        Request,
+        /** A part of the prompt, on whatever adapter. */
+        Part,
+        /** A part of the prompt, on one adapter. */
+        PartOnAdapter,
+    };
+    ContentDigest digest;
+    Kind kind = Kind::Request;
+
+    auto operator<=>(const ContentElement &) const = default;
+};
+
+std::vector<ContentElement> elementsOf(const RequestContent &content);
 
 } // namespace ApricotStep
--- a/main/entry/contentdigest.cpp
+++ b/main/entry/contentdigest.cpp
@@ -38,8 +38,13 @@
     }
     const Platform::GenerationRequest &generation = *decoded.generation;
     const std::string parts = absl::StrJoin(generation.promptParts, ",");
-    return RequestContent { digestOf({ request.method, decoded.host, request.target, request.body, generation.model.value(),
+    RequestContent content { digestOf({ request.method, decoded.host, request.target, request.body, generation.model.value(),
         generation.adapter.value(), std::to_string(generation.promptTokens), std::to_string(generation.maxAnswerTokens), parts }) };
+    content.adapter = digestOf({ generation.model.value(), generation.adapter.value() });
+    for (const std::string &part : generation.promptParts) {
+        content.parts.push_back(digestOf({ part }));
+    }
+    return content;
 }
 
 std::string digestName(ContentDigest digest)
--- a/main/entry/crashdetector.cpp
+++ b/main/entry/crashdetector.cpp
@@ -92,6 +92,9 @@
     std::vector<std::string> digests;
     for (std::size_t i = 0; i < std::min(suspects.size(), MaxLoggedDigests); ++i) {
         digests.push_back(digestName(suspects[i].request));
+        for (const ContentDigest part : suspects[i].parts) {
+            digests.back() += '/' + digestName(part);
+        }
     }
     log.write(Important, "upstream", "ended",
         { { "upstream", suspicion.upstream.id.value() }, { "service", suspicion.upstream.service.value() },
--- a/main/entry/crashguard.cpp
+++ b/main/entry/crashguard.cpp
@@ -15,6 +15,22 @@
 constexpr EventLog::Severity Important = EventLog::Severity::Important;
 constexpr std::size_t MaxLoggedUpstreams = 8;
 
+std::string kindName(const std::optional<ContentElement::Kind> &kind)
+{
+    if (!kind) {
+        return "";
+    }
+    switch (*kind) {
+    case ContentElement::Kind::Request:
+        return "request";
+    case ContentElement::Kind::Part:
+        return "part";
+    case ContentElement::Kind::PartOnAdapter:
+        return "part_on_adapter";
+    }
+    return "";
+}
+
 } // namespace
 
 CrashGuard::CrashGuard(IoLoop &loop, EventLog &log, EntryMetrics &metrics, ClusterState &clusterState, Callbacks callbacks)
@@ -94,24 +110,24 @@
 void CrashGuard::reportChanges()
 {
     for (const QuarantineChange &change : m_quarantine.takeChanges()) {
-        std::visit(
-            Overloaded {
-                [this](const ContentHeldBack &held) {
-                    std::string upstreams;
-                    for (std::size_t i = 0; i < std::min(held.upstreams.size(), MaxLoggedUpstreams); ++i) {
-                        upstreams += (i > 0 ? " " : "") + held.upstreams[i].value();
-                    }
-                    m_metrics.quarantine("held");
-                    m_log.write(Important, "quarantine", "held",
-                        { { "content", digestName(held.content) }, { "crashes", std::int64_t(held.crashes) }, { "upstreams", upstreams } });
-                },
-                [this](const ContentReleased &released) {
-                    m_metrics.quarantine("released");
-                    m_log.write(Important, "quarantine", "released",
-                        { { "content", digestName(released.content) },
-                            { "reason", released.reason == ContentReleased::Reason::Answered ? "answered" : "lapsed" } });
-                },
-            },
+        std::visit(Overloaded {
+                       [this](const ContentHeldBack &held) {
+                           std::string upstreams;
+                           for (std::size_t i = 0; i < std::min(held.upstreams.size(), MaxLoggedUpstreams); ++i) {
+                               upstreams += (i > 0 ? " " : "") + held.upstreams[i].value();
+                           }
+                           m_metrics.quarantine("held");
+                           m_log.write(Important, "quarantine", "held",
+                               { { "content", digestName(held.content) }, { "kind", kindName(held.kind) },
+                                   { "crashes", std::int64_t(held.crashes) }, { "upstreams", upstreams } });
+                       },
+                       [this](const ContentReleased &released) {
+                           m_metrics.quarantine("released");
+                           m_log.write(Important, "quarantine", "released",
+                               { { "content", digestName(released.content) },
+                                   { "reason", released.reason == ContentReleased::Reason::Answered ? "answered" : "lapsed" } });
+                       },
+                   },
             change);
     }
 }
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -138,6 +138,8 @@
 
 struct RequestContentWire {
     request @0 :UInt64;
+    adapter @1 :UInt64;
+    parts @2 :List(UInt64);
 }
 
 struct CrashReportWire {
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -308,7 +308,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f3dbfa3dea813602, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f3dbfa3dea813602, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2120,6 +2120,11 @@
 
   inline  ::uint64_t getRequest() const;
 
+  inline  ::uint64_t getAdapter() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2151,6 +2156,17 @@
   inline  ::uint64_t getRequest();
   inline void setRequest( ::uint64_t value);
 
+  inline  ::uint64_t getAdapter();
+  inline void setAdapter( ::uint64_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4495,6 +4511,58 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t RequestContentWire::Reader::getAdapter() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RequestContentWire::Builder::getAdapter() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RequestContentWire::Builder::setAdapter( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RequestContentWire::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestContentWire::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader RequestContentWire::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RequestContentWire::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RequestContentWire::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void RequestContentWire::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RequestContentWire::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RequestContentWire::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> RequestContentWire::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool CrashReportWire::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -397,7 +397,13 @@
         crashes[i].setAgeMs(report.age.milliseconds());
         auto suspects = crashes[i].initSuspects(static_cast<unsigned int>(report.suspects.size()));
         for (unsigned int j = 0; j < suspects.size(); ++j) {
-            suspects[j].setRequest(report.suspects[j].request.value());
+            const RequestContent &suspect = report.suspects[j];
+            suspects[j].setRequest(suspect.request.value());
+            suspects[j].setAdapter(suspect.adapter.value());
+            auto parts = initList(suspect.parts, [&](unsigned int size) { return suspects[j].initParts(size); });
+            for (unsigned int k = 0; k < parts.size(); ++k) {
+                parts.set(k, suspect.parts[k].value());
+            }
         }
     }
     auto answers = initList(statements.answers, [&wire](unsigned int size) { return wire.initAnsweredContents(size); });
@@ -429,7 +435,11 @@
     for (const auto crash : wire.getCrashes()) {
         CrashReport report { { UpstreamId(textOf(crash.getUpstream())), crash.getStartedAt() }, decodeContentAge(crash.getAgeMs()), {} };
         for (const auto suspect : crash.getSuspects()) {
-            report.suspects.push_back(RequestContent { ContentDigest(suspect.getRequest()) });
+            RequestContent content { ContentDigest(suspect.getRequest()), ContentDigest(suspect.getAdapter()) };
+            for (const std::uint64_t part : suspect.getParts()) {
+                content.parts.emplace_back(part);
+            }
+            report.suspects.push_back(std::move(content));
         }
         statements.crashes.push_back(std::move(report));
     }
--- a/tests/coordination/testcontentquarantine.cpp
+++ b/tests/coordination/testcontentquarantine.cpp
@@ -1,4 +1,5 @@
 #include "coordination/contentquarantine.h"
+#include "core/hash.h"
 
 #include <algorithm>
 #include <deque>
@@ -26,9 +27,14 @@
 constexpr Duration ContactTime { 3000 };
 constexpr int ToleratedAfterwards = 3;
 
+ContentDigest digestOf(std::uint64_t number)
+{
+    return ContentDigest(mixHashes(number, 0x5bd1e995));
+}
+
 RequestContent contentOf(std::uint64_t request)
 {
-    return RequestContent { ContentDigest(request) };
+    return RequestContent { digestOf(request) };
 }
 
 /** Requests that arrive at any of many nodes before upstreams, some of which end under what they hold; in steps of a millisecond. */
@@ -110,6 +116,10 @@
     {
         return std::all_of(m_nodes.begin(), m_nodes.end(), [&](auto &node) { return node->heldBy(content, m_now).has_value(); });
     }
+    bool anyHolds(const RequestContent &content)
+    {
+        return std::any_of(m_nodes.begin(), m_nodes.end(), [&](auto &node) { return node->heldBy(content, m_now).has_value(); });
+    }
     std::size_t heldAnywhere() const
     {
         std::size_t most = 0;
@@ -437,3 +447,121 @@
         cr_assert_not(quarantine.heldBy(contentOf(5), now));
     }
 }
+
+namespace
+{
+
+constexpr std::uint64_t FirstPart = 1;
+constexpr std::uint64_t DeadlyPart = 666;
+constexpr int CrashesToTellPart = 5;
+// In service before anything ends.
+constexpr Duration WarmUp = Duration::seconds(3);
+
+/** A request of its own with a prompt of the part that all share, @p middle and one of its own. */
+RequestContent promptOf(FleetReplay &replay, std::uint64_t middle, std::uint64_t adapter)
+{
+    const std::uint64_t own = (1ULL << 40U) + replay.random()() % (1ULL << 40U);
+    return RequestContent { digestOf(own), digestOf(adapter + 1'000'000), { digestOf(FirstPart), digestOf(middle), digestOf(own + 1) } };
+}
+
+FleetReplay::Traffic soundPrompts(FleetReplay &replay, double rate, std::uint64_t middles = 200, std::uint64_t adapters = 30)
+{
+    return { rate,
+        [&replay, middles, adapters] { return promptOf(replay, 1000 + replay.random()() % middles, replay.random()() % adapters); } };
+}
+
+FleetReplay::Traffic deadlyPrompts(FleetReplay &replay, std::uint64_t part, double rate)
+{
+    return { rate, [&replay, part] { return promptOf(replay, part, replay.random()() % 30); },
+        [](const RequestContent &) { return true; } };
+}
+
+} // namespace
+
+// Requests of which no two are alike share a part of their prompts under which upstreams end; the first part is in all sound ones, too.
+Test(contentquarantine, partOfDifferentRequestsReachesFewMoreUpstreams)
+{
+    for (const auto &[nodes, upstreams] : std::vector<std::pair<int, int>> { { 6, 12 }, { 20, 9 }, { 140, 60 } }) {
+        for (unsigned seed = 0; seed < Seeds; ++seed) {
+            FleetReplay replay(nodes, upstreams, seed, CrashesToTellPart);
+            replay.run(Duration::seconds(30), { soundPrompts(replay, 30), deadlyPrompts(replay, DeadlyPart, 2.5) });
+            cr_assert_leq(
+                replay.counts().lateArrivals, ToleratedAfterwards, "%d nodes, seed %u: %d", nodes, seed, replay.counts().lateArrivals);
+            cr_assert_eq(replay.counts().soundRefused, 0, "%d nodes, seed %u: %d", nodes, seed, replay.counts().soundRefused);
+            cr_assert(replay.holds(promptOf(replay, DeadlyPart, 7)));
+        }
+    }
+}
+
+// Two such parts come at the same time.
+Test(contentquarantine, twoPartsAtOnceAreBothHeldBack)
+{
+    for (unsigned seed = 0; seed < Seeds; ++seed) {
+        FleetReplay replay(20, 9, seed, 2 * CrashesToTellPart);
+        replay.run(WarmUp, { soundPrompts(replay, 30) });
+        replay.run(Duration::seconds(30),
+            { soundPrompts(replay, 30), deadlyPrompts(replay, DeadlyPart, 1.5), deadlyPrompts(replay, DeadlyPart + 1, 1.5) });
+        cr_assert(replay.holds(promptOf(replay, DeadlyPart, 7)) && replay.holds(promptOf(replay, DeadlyPart + 1, 7)), "seed %u", seed);
+        cr_assert_leq(replay.counts().lateArrivals, 2 * ToleratedAfterwards, "seed %u: %d", seed, replay.counts().lateArrivals);
+        cr_assert_eq(replay.counts().soundRefused, 0, "seed %u: %d", seed, replay.counts().soundRefused);
+    }
+}
+
+// A part ends upstreams on one adapter only. On the others it is answered, and must go on.
+Test(contentquarantine, partIsHeldBackOnItsAdapterOnly)
+{
+    for (unsigned seed = 0; seed < Seeds; ++seed) {
+        FleetReplay replay(20, 30, seed, CrashesToTellPart);
+        const FleetReplay::Traffic onOne { 2.5, [&replay] { return promptOf(replay, DeadlyPart, 3); },
+            [](const RequestContent &) { return true; } };
+        const FleetReplay::Traffic onOthers { 20, [&replay] { return promptOf(replay, DeadlyPart, 4 + replay.random()() % 20); } };
+        replay.run(WarmUp, { soundPrompts(replay, 10, 200, 6), onOthers });
+        replay.run(Duration::seconds(30), { soundPrompts(replay, 10, 200, 6), onOne, onOthers });
+        cr_assert_leq(replay.counts().lateArrivals, ToleratedAfterwards, "seed %u: %d", seed, replay.counts().lateArrivals);
+        cr_assert_eq(replay.counts().soundRefused, 0, "seed %u: %d", seed, replay.counts().soundRefused);
+        cr_assert(replay.holds(promptOf(replay, DeadlyPart, 3)), "seed %u", seed);
+    }
+}
+
+// Racks fail, one after the other. What the lost prompts share is not to blame.
+Test(contentquarantine, partsLostWithRacksAreNotHeldBack)
+{
+    for (unsigned seed = 0; seed < Seeds; ++seed) {
+        FleetReplay replay(20, 12, seed, CrashesToTellPart);
+        for (std::size_t rack = 0; rack < 6; ++rack) {
+            replay.run(Duration::seconds(2), { soundPrompts(replay, 50, 20) });
+            for (std::size_t i = 0; i < 4; ++i) {
+                replay.endUpstreams(rack * 4 + i, 1);
+                replay.run(Duration(60), { soundPrompts(replay, 50, 20) });
+            }
+        }
+        replay.run(Duration::seconds(5), { soundPrompts(replay, 50, 20) });
+        cr_assert_eq(replay.heldAnywhere(), 0, "seed %u", seed);
+    }
+}
+
+// One caller names parts of others in requests that end upstreams by what is their own: those parts are answered for others.
+Test(contentquarantine, namingPartsOfOthersDoesNotHoldThemBack)
+{
+    for (unsigned seed = 0; seed < Seeds; ++seed) {
+        FleetReplay replay(20, 9, seed, CrashesToTellPart);
+        const FleetReplay::Traffic malicious { 0.7, [&replay] { return promptOf(replay, 1000, 1); },
+            [](const RequestContent &) { return true; } };
+        replay.run(WarmUp, { soundPrompts(replay, 30, 3, 3) });
+        replay.run(Duration::seconds(20), { soundPrompts(replay, 30, 3, 3), malicious });
+        cr_assert_eq(replay.counts().soundRefused, 0, "seed %u: %d", seed, replay.counts().soundRefused);
+    }
+}
+
+// The engines are mended while a part is held back.
+Test(contentquarantine, mendedPartIsReleasedEverywhere)
+{
+    for (unsigned seed = 0; seed < Seeds; ++seed) {
+        FleetReplay replay(20, 9, seed, CrashesToTellPart);
+        replay.run(Duration::seconds(6), { soundPrompts(replay, 20), deadlyPrompts(replay, DeadlyPart, 2.5) });
+        cr_assert(replay.holds(promptOf(replay, DeadlyPart, 7)), "seed %u", seed);
+        const FleetReplay::Traffic mended { 2.5, [&replay] { return promptOf(replay, DeadlyPart, 7); } };
+        replay.run(Duration::seconds(25), { soundPrompts(replay, 20), mended });
+        cr_assert_not(replay.anyHolds(promptOf(replay, DeadlyPart, 7)), "seed %u", seed);
+    }
+}
--- a/tests/main/testrequestforwardercrash.cpp
+++ b/tests/main/testrequestforwardercrash.cpp
@@ -129,7 +129,7 @@
 }
 
 // Requests of which no two are alike share a part of their prompts under which upstreams end, beside sound ones with the same first part.
-Test(knownred, partUnderWhichUpstreamsEndedReachesFewMore)
+Test(crashingrequests, partUnderWhichUpstreamsEndedReachesFewMore)
 {
     constexpr int CrashesToTellPart = 5;
     CrashFixture fixture(2);
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -46,7 +46,7 @@
     message.streamAnswers = { StreamAnswer { message.streamQueries.front(), std::nullopt },
         StreamAnswer { StreamQuery { StreamId(25), ServiceName("s1") }, first }, StreamAnswer { StreamQuery {}, second } };
     const RequestContent one { ContentDigest(~0ULL) };
-    const RequestContent two { ContentDigest(31) };
+    const RequestContent two { ContentDigest(31), ContentDigest(32), { ContentDigest(33), ContentDigest(34) } };
     message.quarantine.crashes = { CrashReport { { UpstreamId("c"), 18 }, Duration(40), { one, two } } };
     message.quarantine.answers = { AnsweredContent { two.request, Duration(41) } };
     message.quarantine.held = { HeldContent { one.request, 4, Duration(90), Duration(50), 1, Duration(12), Duration(11) },
--- a/tests/soak/deadlycontents.py
+++ b/tests/soak/deadlycontents.py
@@ -1,10 +1,12 @@
-"""Requests under which engines end: what may still reach engines once enough have ended, and whether sound requests are served beside them."""
+"""Requests, and parts of prompts, under which engines end: what may still reach engines once enough have ended, and whether sound requests are
+served beside them."""
 
 import asyncio
 import time
 
-# Enough engines ended under one request to tell; what may reach engines later than this, from nodes that nothing harmed for as long.
+# Enough engines ended under one request, or one part, to tell; what may reach engines later than this, from nodes that nothing harmed for as long.
 ENOUGH_CRASHES = 3
+ENOUGH_CRASHES_OF_PART = 5
 CONTACT_S = 3.0
 TOLERATED_ARRIVALS = 3
 TIME_TO_CRASH_S = 0.03
@@ -24,8 +26,9 @@
 class DeadlyContent:
     """One content under which engines end, the crashes and the arrivals at engines."""
 
-    def __init__(self, name):
+    def __init__(self, name, enough):
         self.name = name
+        self.enough = enough
         self.began_at = time.monotonic()
         self.crashes = []
         self.late_arrivals = 0
@@ -33,14 +36,14 @@
 
     def told_at(self):
         """When enough engines had ended under it to tell, or the last one if there were fewer."""
-        return self.crashes[min(ENOUGH_CRASHES, len(self.crashes)) - 1] if self.crashes else self.began_at
+        return self.crashes[min(self.enough, len(self.crashes)) - 1] if self.crashes else self.began_at
 
     def is_settled(self, at):
         """Whether it was known for long enough that sound requests are served again."""
         return at > self.told_at() + 2 * CONTACT_S
 
     def is_enough_since(self, seconds):
-        return len(self.crashes) >= ENOUGH_CRASHES and time.monotonic() - self.crashes[ENOUGH_CRASHES - 1] > seconds
+        return len(self.crashes) >= self.enough and time.monotonic() - self.crashes[self.enough - 1] > seconds
 
 
 class DeadlyContents:
@@ -52,22 +55,33 @@
 
     def of(self, request):
         """The deadly content that a request at an engine holds, if any."""
-        return self.contents.get(request.body) if request.body.startswith(MARK) else None
+        parts = [part.partition(":")[0] for part in request.header("apricotstep-prompt-prefix").split(",")]
+        return next((self.contents[key] for key in [request.body] + parts if key in self.contents), None)
 
     async def repeat_request(self):
         """One caller repeats a request under which engines end, with new ids at any node."""
-        if sum(content.ended_at is None for content in self.contents.values()) >= MAX_AT_ONCE:
-            return
         body = MARK + b"%d" % len(self.contents)
-        content = self.contents[body] = DeadlyContent(body.decode())
+        prompt = self.cluster.new_prompt(f"repeated{len(self.contents)}")
+        adapter = self.cluster.random.randint(1, 3)
+        await self._send_each(body, DeadlyContent(body.decode(), ENOUGH_CRASHES),
+                              lambda node: self.cluster.send_request("chat", node, body=body, adapter=adapter, prompt=prompt))
+
+    async def send_part(self):
+        """Requests of which no two are alike share a part of their prompts under which engines end."""
+        part = f"deadlypart{len(self.contents)}"
+        await self._send_each(part, DeadlyContent(part, ENOUGH_CRASHES_OF_PART), lambda node: self.cluster.send_request(
+            "chat", node, body=MARK + b"part %d" % self.cluster.next_request, prompt=self.cluster.new_prompt(part)))
+
+    async def _send_each(self, key, content, send):
+        if sum(other.ended_at is None for other in self.contents.values()) >= MAX_AT_ONCE:
+            return
+        self.contents[key] = content
         await asyncio.sleep(max(0.0, self.cluster.began_at + WARM_UP_S - time.monotonic()))
         content.began_at = time.monotonic()
-        adapter = self.cluster.random.randint(1, 3)
         tasks = []
         end = time.monotonic() + self.cluster.random.uniform(12.0, 20.0)
         while time.monotonic() < end and time.monotonic() < self.cluster.faults_end:
-            node = self.cluster.random.choice(self.cluster.nodes)
-            tasks.append(asyncio.create_task(self.cluster.send_request("chat", node, body=body, adapter=adapter)))
+            tasks.append(asyncio.create_task(send(self.cluster.random.choice(self.cluster.nodes))))
             await asyncio.sleep(REQUEST_INTERVAL_S)
         content.ended_at = time.monotonic()
         await asyncio.gather(*tasks)
@@ -80,7 +94,7 @@
             content.late_arrivals += 1
             if content.late_arrivals > TOLERATED_ARRIVALS:
                 self.cluster.fail("BUDGET", f"{request_id} with {content.name} reached {engine.name} from {node.name}; "
-                                            f"{content.late_arrivals} did so {CONTACT_S:.0f} s after {ENOUGH_CRASHES} engines had ended")
+                                            f"{content.late_arrivals} did so {CONTACT_S:.0f} s after {content.enough} engines had ended")
         await asyncio.sleep(TIME_TO_CRASH_S)
         if engine.has_crashed:
             return
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -38,15 +38,17 @@
 CONFIG_SLACK_S = 1.0
 FAULTS = ("stop_gracefully,kill,kill_many,pause,harm_store_link,harm_caller_link,harm_upstream,upstream_leaves,upstream_crashes,"
           "upstream_limits_requests,upstream_rests,upstream_says_it_leaves,store_away,store_silent,change_config,config_series,withdraw_key,hup,"
-          "request_ends_engines")
+          "request_ends_engines,part_ends_engines")
 # The faults beside which sound streams are compared: any other would account for streams that are not served.
-CONTENT_FAULTS = {"request_ends_engines"}
+CONTENT_FAULTS = {"request_ends_engines", "part_ends_engines"}
 # Nodes poll an unresponsive store again within this time.
 POLL_RETRY_S = 5.0
 DRAIN_BOUND_S = 2.0
 DRAIN_SLACK_S = 2.0
 RECOVERY_S = 12.0
 ADAPTERS = 24
+# The second parts of prompts, which requests share.
+PAPERS = 40
 STREAM_TIMEOUT_MS = 8000
 SHORT_STREAM_TIMEOUT_MS = 5000
 PLAIN_TIMEOUT_MS = 1500
@@ -228,6 +230,7 @@
         self.is_finished = False
         self.faults_end = time.monotonic() + arguments.seconds
         self.next_request = 0
+        self.last_prompt = 0
 
     # Interface for the stand-ins.
 
@@ -399,7 +402,7 @@
         for connection in connections.values():
             connection.close()
 
-    async def send_request(self, kind, node, connection=None, body=None, adapter=None):
+    async def send_request(self, kind, node, connection=None, body=None, adapter=None, prompt=None):
         self.next_request += 1
         request_id = f"{self.arguments.seed:x}-{self.next_request:06x}"
         self.request_kinds[request_id] = kind
@@ -411,7 +414,8 @@
         headers["Apricotstep-Deadline-Ms"] = str(timeout_ms)
         if kind in STREAM_KINDS:
             adapter = adapter or min(int(self.random.paretovariate(0.8)), ADAPTERS)
-            headers.update({"Apricotstep-Model": f"m/a{adapter}", "Apricotstep-Token-Count": "%d,%d" % CHAT_TOKENS})
+            headers.update({"Apricotstep-Model": f"m/a{adapter}", "Apricotstep-Token-Count": "%d,%d" % CHAT_TOKENS,
+                            "Apricotstep-Prompt-Prefix": prompt or self.new_prompt(f"paper{self.random.randrange(PAPERS)}")})
         was_extra, was_undisturbed, sent_at = self.has_extra_route, node.is_undisturbed(3.0), time.monotonic()
         self.request_keys[request_id] = (key, sent_at)
         self.request_nodes[request_id] = node
@@ -425,6 +429,11 @@
         if kind in STREAM_KINDS:
             self.deadly_contents.on_response(request_id, body, kind, response, sent_at, key in self.keys["free"])
 
+    def new_prompt(self, middle):
+        """The parts of a prompt: one that all share, the given one and one of its own."""
+        self.last_prompt += 1
+        return f"manual:120,{middle}:60,{self.last_prompt:x}:20"
+
     def choose_key(self):
         """Returns a key of a random team, now and then a withdrawn one."""
         if self.withdrawn_keys and self.random.random() < 0.15:
@@ -621,6 +630,9 @@
     async def request_ends_engines(self):
         await self.deadly_contents.repeat_request()
 
+    async def part_ends_engines(self):
+        await self.deadly_contents.send_part()
+
     async def crash_engine(self, engine, downtime_s):
         """The process of the engine ends; another one starts at the same address."""
         if engine.has_crashed or engine not in self.upstreams:
