--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -211,6 +211,7 @@
         }
     }
     m_reviewAt = Time();
+    m_crashKnownAt = now;
     return crash;
 }
 
@@ -353,7 +354,7 @@
 // A node that has had an answer from an upstream tells it before others hold back the content without knowing.
 void ContentQuarantine::objectToCrashes(Time now)
 {
-    if (m_crashes.empty()) {
+    if (now - m_crashKnownAt > ObjectionRepeatTime) {
         return;
     }
     for (const auto &[content, entry] : evidence(AnswerBasis::Told)) {
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -250,6 +250,8 @@
     std::map<UpstreamStart, Crash> m_crashes;
     absl::flat_hash_map<ContentDigest, Answer> m_answers;
     std::map<ContentDigest, Held> m_held;
+    /** When the last report of a crash came. */
+    Time m_crashKnownAt;
     /** When there may be enough evidence to hold back more. */
     Time m_reviewAt = Time::never();
     std::vector<QuarantineChange> m_changes;
--- a/tests/main/testfleetlink.cpp
+++ b/tests/main/testfleetlink.cpp
@@ -333,3 +333,36 @@
     fleet.run(Duration(50));
     cr_assert_eq(fleet.answers(), 1);
 }
+
+// Each zone would have to lose upstreams of its own to content of which only its own nodes know.
+Test(fleetlink, crashesAreToldToAllZonesAtOnce)
+{
+    LargeFleet fleet;
+    fleet.run(Duration(300));
+    fleet.takeSent();
+    const Time now = SystemClock().now();
+    fleet.clusterState().quarantine.onCrash({ UpstreamId("u"), 1 }, { RequestContent { ContentDigest(7) } }, now, now);
+    fleet.link().sendQuarantine();
+    fleet.run(Duration(60));
+    const auto sent = fleet.takeSent();
+    const auto tellsCrash = [](const FleetMessage &message) { return !message.quarantine.crashes.empty(); };
+    cr_assert_geq(std::count_if(sent.begin(), sent.end(), tellsCrash), Peers);
+}
+
+// A node that starts, or returns from a partition, would send what all others hold back.
+Test(fleetlink, newNodesAreToldWhatIsHeldBack)
+{
+    LargeFleet fleet;
+    fleet.run(Duration(300));
+    QuarantineStatements statements;
+    statements.held = { HeldContent { ContentDigest(7), 3 } };
+    fleet.clusterState().quarantine.onPeerStatements(statements, SystemClock().now());
+    fleet.takeSent();
+    fleet.send([](FleetMessage &message) { message.sender = NodeId("node-new"); });
+    fleet.run(Duration(100));
+    const auto sent = fleet.takeSent();
+    const auto tellsHeld = [](const FleetMessage &message) {
+        return message.quarantine.held.size() == 1 && message.quarantine.held.front().content == ContentDigest(7);
+    };
+    cr_assert(std::any_of(sent.begin(), sent.end(), tellsHeld));
+}
