--- a/tests/platform/testrequests.cpp
+++ b/tests/platform/testrequests.cpp
@@ -69,6 +69,18 @@
     cr_assert_eq(decoded.generation->promptTokens, 0);
 }
 
+// An unreadable number of tokens in the last part, which no request shares, would hide the parts that others share.
+Test(requests, lastPromptPartNeedsNoTokens)
+{
+    const auto decoded =
+        decodeCallerRequest(requestWith({ { "Apricotstep-Model", "m" }, { "Apricotstep-Prompt-Prefix", "a:800,b:410,c:x" } }));
+    cr_assert(decoded.generation->sharedPrefix == "a:800,b:410" && decoded.generation->sharedTokens == 1210);
+    cr_assert(decoded.generation->promptParts == std::vector<std::string>({ "a", "b", "c" }));
+    const auto single = decodeCallerRequest(requestWith({ { "Apricotstep-Model", "m" }, { "Apricotstep-Prompt-Prefix", "a:800" } }));
+    cr_assert(single.generation->sharedPrefix.empty() && single.generation->promptParts == std::vector<std::string>({ "a" }));
+    cr_assert(decodeCallerRequest(requestWith({ { "Apricotstep-Model", "m" } })).generation->promptParts.empty());
+}
+
 // Headers that only the system may set must be removed from a caller's request in any spelling, and those that bind the request to its
 // upstream must be present exactly once.
 Test(requests, systemHeadersOfCallerAreReplaced)
