--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import lateanswers
+
 
 class Request:
     """A received request; header names are in lower case."""
@@ -60,19 +62,26 @@
     return await reader.read() if is_response else b""
 
 
-async def serve(host, port, handle):
+async def serve(host, port, handle, late_answers=None):
     """Starts a server. handle(request, writer) responds to one request and returns whether the connection stays open."""
 
     async def on_connection(reader, writer):
+        earlier, late_copy = None, b""
         try:
             while True:
                 head = await read_head(reader)
                 if head is None:
                     break
                 method, target, _ = head[0].split(" ", 2)
-                body = await read_body(reader, head[1])
-                if not await handle(Request(method, target, head[1], body), writer):
+                request = Request(method, target, head[1], await read_body(reader, head[1]))
+                if late_copy:
+                    writer.write(late_copy)
+                    late_answers.on_sent(earlier, request)
+                used = writer if late_answers is None else lateanswers.RecordingWriter(writer)
+                if not await handle(request, used):
                     break
+                if late_answers is not None:
+                    earlier, late_copy = request, late_answers.copy_of(request, used.answer)
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass  # The peer closed the connection; the soak checks what was sent.
         finally:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -38,7 +38,7 @@
 CONFIG_SLACK_S = 1.0
 FAULTS = ("stop_gracefully,kill,kill_many,pause,harm_store_link,harm_caller_link,harm_upstream,upstream_leaves,upstream_crashes,"
           "upstream_limits_requests,upstream_rests,upstream_says_it_leaves,store_away,store_silent,change_config,config_series,withdraw_key,hup,"
-          "request_ends_engines,part_ends_engines")
+          "request_ends_engines,part_ends_engines,late_answers,upstream_is_full")
 # The faults beside which sound streams are compared: any other would account for streams that are not served.
 CONTENT_FAULTS = {"request_ends_engines", "part_ends_engines"}
 # Nodes poll an unresponsive store again within this time.
@@ -226,6 +226,7 @@
         self.last_orders = {}
         self.store_undisturbed_since = 0.0
         self.counts = {"served": 0, "refused": 0, "failed": 0}
+        self.late_answer_counts = {"sent": 0, "same_request": 0}
         self.late_counts = {"served": 0, "other": 0}
         self.is_finished = False
         self.faults_end = time.monotonic() + arguments.seconds
@@ -329,11 +330,11 @@
             self.keys[team] = [self.new_key(team) for _ in range(KEYS_PER_TEAM)]
         self.publish()
         for index in range(self.arguments.engines):
-            await self.add_upstream(standins.Engine, f"e{index}", "llm", 16)
+            await self.add_upstream(standins.Engine, f"e{index}", "llm", self.arguments.slots)
         for index in range(3):
-            await self.add_upstream(standins.PlainUpstream, f"p{index}", "api", 6)
+            await self.add_upstream(standins.PlainUpstream, f"p{index}", "api", self.arguments.plain_slots)
         for index in range(2):
-            await self.add_upstream(standins.PlainUpstream, f"q{index}", "other_api", 6)
+            await self.add_upstream(standins.PlainUpstream, f"q{index}", "other_api", self.arguments.plain_slots)
         for index in range(self.arguments.nodes):
             node = Node(self, index)
             await node.prepare()
@@ -627,6 +628,30 @@
         await self.replace(upstream, upstream.name)
         self.lost_answers.end_harm(upstream.name)
 
+    async def upstream_is_full(self):
+        """Only a few requests fit an upstream, as if it ran others from elsewhere: it refuses most that nodes send."""
+        upstream = self.random.choice(self.upstreams)
+        usual = upstream.slots
+        if upstream.is_full:
+            return
+        upstream.is_full = True
+        upstream.slots = self.random.choice((0, 1))
+        await asyncio.sleep(self.random.uniform(2.0, 6.0))
+        upstream.slots = usual
+        upstream.is_full = False
+
+    async def late_answers(self):
+        """An upstream sends late second answers of all kinds; for it, that is a way to break off other answers."""
+        upstream = self.random.choice(self.upstreams)
+        if upstream.late_answers.share > 0:
+            return
+        self.lost_answers.begin_harm(upstream.name)
+        upstream.late_answers.share = self.random.uniform(0.1, 0.9)
+        upstream.late_answers.share_without_id = self.random.choice((0.0, 0.0, 0.5, 1.0))
+        await asyncio.sleep(self.random.uniform(3.0, 8.0))
+        upstream.late_answers.share = 0.0
+        self.lost_answers.end_harm(upstream.name)
+
     async def request_ends_engines(self):
         await self.deadly_contents.repeat_request()
 
@@ -782,6 +807,8 @@
     parser.add_argument("--seconds", type=float, default=20.0, help="duration of the fault injection")
     parser.add_argument("--nodes", type=int, default=6, help="number of entry nodes, at most 200")
     parser.add_argument("--engines", type=int, default=4, help="number of engines")
+    parser.add_argument("--slots", type=int, default=16, help="requests that an engine runs at once; with few of them engines refuse often")
+    parser.add_argument("--plain-slots", type=int, default=6, help="requests that a plain upstream runs at once, with as many in its queue")
     parser.add_argument("--callers", type=int, default=8, help="number of callers; each sends one request at a time")
     arguments = parser.parse_args()
     print(f"seed {arguments.seed}, {arguments.seconds:.0f} s of faults, {arguments.nodes} nodes", flush=True)
@@ -790,7 +817,7 @@
         asyncio.run(cluster.run())
     finally:
         cluster.stop_all()
-    print(json.dumps({"seed": arguments.seed, "requests": cluster.next_request, **cluster.counts, "failures": len(cluster.failures)}))
+    print(json.dumps({"seed": arguments.seed, "requests": cluster.next_request, **cluster.counts, "late_answers": cluster.late_answer_counts, "failures": len(cluster.failures)}))
     if cluster.failures:
         print(f"logs: {cluster.folder}")
         return 1
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -7,6 +7,7 @@
 import urllib.parse
 
 import http1
+from lateanswers import LateAnswers
 from statements import Statements
 
 LEASE_S = 3.0
@@ -99,12 +100,14 @@
         self.start_time_ms = int(time.time() * 1000)
         self.address = ""
         self.running = 0
+        self.is_full = False
         self.is_draining = False
         self.statements = Statements(cluster, self)
+        self.late_answers = LateAnswers(cluster)
         self._server = None
 
     async def start(self):
-        self._server = await http1.serve("127.0.0.1", 0, self.handle)
+        self._server = await http1.serve("127.0.0.1", 0, self.handle, self.late_answers)
         self.proxy_target = "%s:%d" % self._server.sockets[0].getsockname()[:2]
 
     def entry(self):
