--- a/tests/main/scriptedupstream.cpp
+++ b/tests/main/scriptedupstream.cpp
@@ -94,6 +94,7 @@
 void ScriptedUpstream::serve(int socket)
 {
     std::string request;
+    std::string lateCopy;
     while (readRequest(socket, request)) {
         {
             const absl::MutexLock lock(&m_mutex);
@@ -104,7 +105,8 @@
         const std::string id =
             field == std::string::npos ? "" : request.substr(field + FieldSize, request.find('\r', field) - field - FieldSize);
         const ScriptedAnswer answer = m_script(request);
-        const std::string bytes = absl::StrReplaceAll(answer.bytes, { { "{id}", id } });
+        const std::string bytes = lateCopy + absl::StrReplaceAll(answer.bytes, { { "{id}", id } });
+        lateCopy = absl::StrReplaceAll(answer.lateCopy, { { "{id}", id } });
         static_cast<void>(!send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL));
         for (const std::string &part : answer.laterParts) {
             absl::SleepFor(absl::Milliseconds(answer.pause.milliseconds()));
--- a/tests/main/scriptedupstream.h
+++ b/tests/main/scriptedupstream.h
@@ -31,6 +31,8 @@
     /** Sent after the bytes, each part after a pause. */
     std::vector<std::string> laterParts;
     ApricotStep::Duration pause;
+    /** A second answer to the same request, sent right before the next answer on the connection. */
+    std::string lateCopy;
 };
 
 /** A TCP server on a free port of 127.0.0.1 that answers with bytes chosen by the test, which need not be valid HTTP. */
