Remember which calls a connection has carried, and log it with refusals and foreign answers

The lines of a refused request that ran do not tell whether its refusal came on a connection that had carried it before, or any other call: not_run and foreign_answer now say whether the answer bears the id, and how many calls the connection had carried. HttpClient can also keep a call off a connection that has carried one with the same id; nothing uses that yet.

--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -641,9 +641,9 @@
         const auto self = weak.lock();
         return self != nullptr && self->maySend();
     };
-    call.acceptsHead = [weak](int status, const HttpHeaders &headers) {
+    call.acceptsHead = [weak](int status, const HttpHeaders &headers, const AnswerConnection &connection) {
         const auto self = weak.lock();
-        return self != nullptr && self->acceptsHead(status, headers);
+        return self != nullptr && self->acceptsHead(status, headers, connection);
     };
     call.onHead = [weak](int, const HttpHeaders &) {
         if (const auto self = weak.lock()) {
@@ -687,7 +687,7 @@
     return !isPaused && (isReserved || !clusterState.requestLimit(*record, current));
 }
 
-bool RequestJob::acceptsHead(int status, const HttpHeaders &headers)
+bool RequestJob::acceptsHead(int status, const HttpHeaders &headers, const AnswerConnection &connection)
 {
     Platform::UpstreamAnswer answer = Platform::decodeUpstreamAnswer(status, headers);
     const bool isRelaysOwn = m_relay && !answer.isSealed;
@@ -695,10 +695,11 @@
     if (!isForThisRequest || answer.isEncoded || (isSuccess(status) && !answer.isSealed)) {
         m_context.log().write(Important, "request", "foreign_answer",
             { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "answered", answer.requestId },
-                { "status", std::int64_t(status) } });
+                { "status", std::int64_t(status) }, { "earlierCalls", std::int64_t(connection.earlierCalls) } });
         return false;
     }
     m_answer = std::move(answer);
+    m_answerConnection = connection;
     if (m_relay) {
         m_relayedOrigin = takeOriginHeader(m_answer->callerHeaders);
     } else {
@@ -899,7 +900,8 @@
     constexpr int FullStatus = 503;
     m_context.metrics().upstreamFailed("not_run");
     m_context.log().write(RequestStep, "request", "not_run",
-        { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "status", std::int64_t(m_answer->status) } });
+        { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "status", std::int64_t(m_answer->status) },
+            { "named", !m_answer->requestId.empty() }, { "earlierCalls", std::int64_t(m_answerConnection.earlierCalls) } });
     if (m_answer->status == MisdirectedStatus && needsAdapter()) {
         m_context.clusterState().residencies.markMissing(m_upstream.id, adapter());
         m_context.clusterState().outOfScope.markMissing(m_upstream.id, adapter());
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -172,7 +172,7 @@
     /** Starts the attempt in progress; false if the retry budget does not allow it, which ends the request. */
     bool beginAttempt();
     bool maySend() const;
-    bool acceptsHead(int status, const HttpHeaders &headers);
+    bool acceptsHead(int status, const HttpHeaders &headers, const AnswerConnection &connection);
     void onHead();
     bool onData(std::string_view data);
     /** An upstream has begun to answer the attempt in progress. */
@@ -249,6 +249,7 @@
     /** Set while the attempt goes through another node, which chooses the upstream. */
     std::optional<RelayNode> m_relay;
     std::optional<Platform::UpstreamAnswer> m_answer;
+    AnswerConnection m_answerConnection;
     /** Where the stream began, by the node through which the attempt goes. */
     std::optional<StreamOrigin> m_relayedOrigin;
     std::string m_body;
--- a/tests/transport/testhttp.cpp
+++ b/tests/transport/testhttp.cpp
@@ -166,3 +166,37 @@
     client.cancel(id);
     cr_assert(gone.WaitForNotificationWithTimeout(absl::Seconds(20)));
 }
+
+// Guards against a late second answer that is taken for the answer to a call with the same id: such a call gets a new connection, and only
+// such a call.
+Test(http, connectionCarriesOneCallOfAnId)
+{
+    const auto server =
+        serve([](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) { exchange->respond(200, {}, "answer"); });
+    HttpClient client;
+    const auto earlierCalls = [&](const std::string &id) {
+        auto answer = std::make_shared<std::size_t>(0);
+        absl::Notification done;
+        HttpCall httpCall;
+        httpCall.url = "http://127.0.0.1:" + std::to_string(server->port()) + "/";
+        httpCall.answerId = id;
+        httpCall.isSentOnce = true;
+        httpCall.acceptsHead = [answer](int, const auto &, const AnswerConnection &connection) {
+            *answer = connection.earlierCalls;
+            return true;
+        };
+        httpCall.onDone = [&done](const CallResult &result) {
+            cr_assert(result.state == AttemptState::Answered);
+            done.Notify();
+        };
+        client.start(std::move(httpCall));
+        done.WaitForNotification();
+        return *answer;
+    };
+    cr_assert_eq(earlierCalls("a"), 0);
+    cr_assert_eq(earlierCalls("b"), 1);
+    cr_assert_eq(earlierCalls("a"), 0, "a new connection");
+    cr_assert_eq(earlierCalls("b"), 1);
+    cr_assert_eq(earlierCalls(""), 2);
+    cr_assert_eq(earlierCalls("c"), 3);
+}
--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "transport/httpclient.h"
 
 #include "transport/curlevents.h"
+#include "transport/exchangehistory.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
@@ -12,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
@@ -44,6 +46,11 @@
     HttpCall call;
     CURL *easy = nullptr;
     curl_slist *headerList = nullptr;
+    ExchangeHistory *history = nullptr;
+    /** The socket of the connection that was opened for this call; -1 if it reuses one. */
+    curl_socket_t openedSocket = -1;
+    AnswerConnection connection;
+    bool needsNewConnection = false;
     bool isSent = false;
     bool isHeadReported = false;
     bool isHeadChecked = false;
@@ -82,7 +89,7 @@
         return true;
     }
     transfer.isHeadChecked = true;
-    return transfer.call.acceptsHead(status, transfer.answerHeaders);
+    return transfer.call.acceptsHead(status, transfer.answerHeaders, transfer.connection);
 }
 
 std::size_t onHeaderLine(char *data, std::size_t, std::size_t count, void *context)
@@ -120,7 +127,8 @@
     return count;
 }
 
-int beforeRequest(void *context, char *, char *, int, int)
+// NOLINTNEXTLINE(bugprone-easily-swappable-parameters): libcurl's own signature.
+int beforeRequest(void *context, char *peerAddress, char * /*ownAddress*/, int peerPort, int ownPort)
 {
     auto &transfer = *static_cast<Transfer *>(context);
     // When a kept connection fails, libcurl calls this again before it sends the request on a new connection. The upstream may have run the
@@ -133,20 +141,36 @@
     if (transfer.call.maySend && !transfer.call.maySend()) {
         return CURL_PREREQFUNC_ABORT;
     }
+    const ConnectionEnds ends { peerAddress, peerPort, ownPort };
+    if (transfer.openedSocket != -1) {
+        transfer.history->opened(std::exchange(transfer.openedSocket, -1), ends);
+    }
+    if (!transfer.call.answerId.empty() && !transfer.history->canCarry(ends, transfer.call.answerId)) {
+        transfer.needsNewConnection = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    transfer.connection.earlierCalls = transfer.history->onSent(ends, transfer.call.answerId);
     transfer.isSent = true;
     return CURL_PREREQFUNC_OK;
 }
 
 int onSocket(void *context, curl_socket_t socket, curlsocktype)
 {
-    const auto &call = static_cast<Transfer *>(context)->call;
-    const auto milliseconds = static_cast<unsigned int>(call.acknowledgeTimeout.milliseconds());
+    auto &transfer = *static_cast<Transfer *>(context);
+    transfer.openedSocket = socket;
+    const auto milliseconds = static_cast<unsigned int>(transfer.call.acknowledgeTimeout.milliseconds());
     if (milliseconds > 0) {
         setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
     }
     return CURL_SOCKOPT_OK;
 }
 
+int onSocketClosed(void *history, curl_socket_t socket)
+{
+    static_cast<ExchangeHistory *>(history)->closed(socket);
+    return close(socket);
+}
+
 ErrorKind errorOf(CURLcode code, bool isSent)
 {
     if (!isSent) {
@@ -185,6 +209,7 @@
     absl::Mutex mutex;
     std::deque<Command> commands ABSL_GUARDED_BY(mutex);
     // Used only on the client's thread.
+    ExchangeHistory history;
     absl::flat_hash_map<CallId, std::unique_ptr<Transfer>> transfers;
     std::vector<CURL *> idleHandles;
 
@@ -202,6 +227,7 @@
     void prepare(Transfer &transfer);
     void end(Transfer &transfer, const CallResult &result);
     void finishCompleted();
+    void restartOnNewConnection(Transfer &transfer);
 };
 
 void HttpClient::Private::post(Command command)
@@ -360,9 +386,12 @@
     if (call.maxConnectionIdle > Duration(0)) {
         curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(call.maxConnectionIdle.milliseconds() / 1000));
     }
+    transfer.history = &history;
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onSocket);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &onSocketClosed);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &history);
     if (call.acknowledgeTimeout > Duration(0)) {
-        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onSocket);
-        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
         curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
         curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KeepAliveSeconds);
         curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KeepAliveSeconds);
@@ -389,6 +418,15 @@
     }
 }
 
+// The connection that the call was about to reuse has been closed.
+void HttpClient::Private::restartOnNewConnection(Transfer &transfer)
+{
+    transfer.needsNewConnection = false;
+    curl_multi_remove_handle(multi, transfer.easy);
+    curl_easy_setopt(transfer.easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_multi_add_handle(multi, transfer.easy);
+}
+
 void HttpClient::Private::finishCompleted()
 {
     int left = 0;
@@ -400,6 +438,10 @@
         void *context = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &context);
         auto &transfer = *static_cast<Transfer *>(context);
+        if (transfer.needsNewConnection) {
+            restartOnNewConnection(transfer);
+            continue;
+        }
         CallResult result;
         result.status = statusOf(transfer.easy);
         if (code == CURLE_OK) {
--- a/transport/httpclient.h
+++ b/transport/httpclient.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/errors.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -35,6 +36,13 @@
     bool isConnectionRefused = false;
 };
 
+/** The connection on which an answer arrives. */
+struct AnswerConnection
+{
+    /** Number of calls that it carried before the answered one. A late second answer can only belong to one of them. */
+    std::size_t earlierCalls = 0;
+};
+
 /** One call to an upstream or to the platform. The callbacks are called on the client's thread and must not block. */
 struct HttpCall
 {
@@ -65,11 +73,16 @@
     Duration acknowledgeTimeout = Duration(0);
     /** Called on the open connection right before the first byte is sent; false ends the call as not sent. May be empty. */
     std::function<bool()> maySend;
+    /**
+     * The id by which answers name this call. The call is not sent on a connection that has carried one with the same id: a late second
+     * answer to that one would be taken for its own. Empty if answers do not name it.
+     */
+    std::string answerId;
     /**
      * Returns whether the answer with this status and these headers belongs to this call. False ends the call and closes its connection, so
      * that an answer to an earlier request is never taken for the answer to this one. May be empty.
      */
-    std::function<bool(int, const std::vector<std::pair<std::string, std::string>> &)> acceptsHead;
+    std::function<bool(int, const std::vector<std::pair<std::string, std::string>> &, const AnswerConnection &)> acceptsHead;
     /** Status and headers (names in lower case) of the answer. May be empty. */
     std::function<void(int, const std::vector<std::pair<std::string, std::string>> &)> onHead;
     /** Part of the answer's body. False pauses the answer until resume(); that part counts as consumed. May be empty. */
