Take a refusal as true only where it cannot be a late answer to an earlier call

What callers saw: requests ran that had been refused with 503, and payments ran twice. Cause: an upstream may send a second answer late, where the next one on the connection is due. The id tells them apart only if the connection carried it once; a request that waits was sent to the same upstream again on the same connection under the same id, and the copy of its first refusal was taken for the answer to the attempt that ran. A refusal without an id was believed on any connection, though orders and reports, which have none, use the same ones.

A call is no longer sent on a connection that has carried its id, and an answer without an id is believed only as the first answer on its connection. Then an answer with the id can only be to this attempt. A true refusal is believed as before.

--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -636,6 +636,7 @@
     call.acknowledgeTimeout = AcknowledgeTimeout;
     call.maxConnectionIdle = m_route.kind == RequestKind::NonIdempotent ? MaxConnectionIdleNonIdempotent : MaxConnectionIdle;
     call.isSentOnce = true;
+    call.answerId = m_decoded.id;
     const auto weak = weak_from_this();
     call.maySend = [weak] {
         const auto self = weak.lock();
@@ -691,7 +692,9 @@
 {
     Platform::UpstreamAnswer answer = Platform::decodeUpstreamAnswer(status, headers);
     const bool isRelaysOwn = m_relay && !answer.isSealed;
-    const bool isForThisRequest = answer.requestId == m_decoded.id || (answer.requestId.empty() && (answer.isNotRun || isRelaysOwn));
+    // An answer without an id may be a late one to an earlier call on the connection. Relays answer each call once.
+    const bool isFirstAnswer = answer.isNotRun && connection.earlierCalls == 0;
+    const bool isForThisRequest = answer.requestId == m_decoded.id || (answer.requestId.empty() && (isFirstAnswer || isRelaysOwn));
     if (!isForThisRequest || answer.isEncoded || (isSuccess(status) && !answer.isSealed)) {
         m_context.log().write(Important, "request", "foreign_answer",
             { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "answered", answer.requestId },
--- a/tests/main/testrequestforwarderlateanswers.cpp
+++ b/tests/main/testrequestforwarderlateanswers.cpp
@@ -36,7 +36,7 @@
 
 // Guards against a request that runs twice, or runs though its caller was told that it did not: the second copy of its first refusal is
 // taken for the answer to its next attempt at the same upstream.
-Test(knownred, copyOfARefusalIsNotTakenForTheAnswerToTheSameRequest)
+Test(lateanswers, copyOfARefusalIsNotTakenForTheAnswerToTheSameRequest)
 {
     std::atomic<int> calls { 0 };
     std::atomic<int> runs { 0 };
@@ -60,7 +60,7 @@
 
 // Guards against a refusal that names no request and is taken for the answer to one that runs: it may be a late answer to an earlier call
 // on the connection, such as an order, which has no id.
-Test(knownred, refusalWithoutIdOnAKeptConnectionDoesNotProveThatTheRequestDidNotRun)
+Test(lateanswers, refusalWithoutIdOnAKeptConnectionDoesNotProveThatTheRequestDidNotRun)
 {
     std::atomic<int> calls { 0 };
     const auto script = [&calls](const std::string &) {
