Do not take late answers to requests or earlier orders for the answer to an order

Orders and reports go out on the connections of requests, and any answer was believed: a copy of an earlier 200 freed the place of an adapter that stayed loaded, a refusal of a request that of one that was being loaded.

Answers to orders bear neither an id nor a seal: what does is not one, nor is a refusal on a connection that has carried other calls. 503 and 429 keep the place. An unload that is answered as done on a kept connection is sent once more: the true answer comes in that turn.

--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -50,6 +50,17 @@
 
 } // namespace
 
+/** An order to an engine whose answer is awaited. */
+struct SentOrder
+{
+    EngineOrder order;
+    FencingToken fence;
+    Time sentAt;
+    /** It repeats an order that was answered as done. */
+    bool isConfirmed = false;
+    AnswerConnection connection;
+};
+
 struct OrderRunner::Private : std::enable_shared_from_this<OrderRunner::Private>
 {
     IoLoop &loop;
@@ -103,10 +114,12 @@
     void updateActiveHolders();
     std::vector<PlannedEngine> engines() const;
     void execute(const PlanAction &action, std::vector<EngineResidency> &residencies);
-    void sendOrder(const EngineOrder &order);
-    void onAnswer(const EngineOrder &order, FencingToken callFence, const CallResult &result, Time requestedAt);
+    void sendOrder(const EngineOrder &order, bool isConfirmed = false);
+    void onAnswer(const SentOrder &sent, const CallResult &result);
     void requestReport(const UpstreamId &engine);
     HttpCall makeCall(const UpstreamRecord &record, std::string_view path);
+    bool needsConfirmation(const SentOrder &sent, OrderAnswer answer) const;
+    bool acceptsHead(const UpstreamRecord &record, const Platform::UpstreamAnswer &answer, const AnswerConnection &connection) const;
 };
 
 void OrderRunner::Private::tick()
@@ -266,6 +279,10 @@
     call.maxConnectionIdle = MaxConnectionIdle;
     call.acknowledgeTimeout = AcknowledgeTimeout;
     call.isSentOnce = true;
+    call.acceptsHead = [weak = weak_from_this(), record](int status, const HttpHeaders &headers, const AnswerConnection &connection) {
+        const auto self = weak.lock();
+        return self != nullptr && self->acceptsHead(record, Platform::decodeUpstreamAnswer(status, headers), connection);
+    };
     call.onHead = [weak = weak_from_this(), record, sentAt = now()](int status, const HttpHeaders &headers) {
         if (const auto self = weak.lock()) {
             self->statements.onAnswer(record, Platform::decodeUpstreamAnswer(status, headers), sentAt, self->now());
@@ -274,7 +291,30 @@
     return call;
 }
 
-void OrderRunner::Private::sendOrder(const EngineOrder &order)
+// Answers to orders and reports bear no id and no seal. What does, or refuses on a connection that has carried other calls, may be a late
+// answer to a request.
+bool OrderRunner::Private::acceptsHead(
+    const UpstreamRecord &record, const Platform::UpstreamAnswer &answer, const AnswerConnection &connection) const
+{
+    const bool isOfRequest = !answer.requestId.empty() || answer.isSealed;
+    if (!isOfRequest && (!answer.isNotRun || connection.earlierCalls == 0)) {
+        return true;
+    }
+    log.write(EventLog::Severity::Important, "orders", "foreign_answer",
+        { { "engine", record.id.value() }, { "answered", answer.requestId }, { "status", std::int64_t(answer.status) },
+            { "earlierCalls", std::int64_t(connection.earlierCalls) } });
+    return false;
+}
+
+// The place of an adapter that is wrongly taken for unloaded would be filled twice, and the engine fail. A late second answer to an earlier
+// order looks like the answer to this one, which then follows in the turn of the repeated order.
+bool OrderRunner::Private::needsConfirmation(const SentOrder &sent, OrderAnswer answer) const
+{
+    const bool isUnloaded = sent.order.kind == EngineOrder::Kind::Unload && answer == OrderAnswer::Done;
+    return isUnloaded && !sent.isConfirmed && sent.connection.earlierCalls > 0;
+}
+
+void OrderRunner::Private::sendOrder(const EngineOrder &order, bool isConfirmed)
 {
     const UpstreamRecord *record = clusterState.upstreams.usable(order.engine);
     const FencingToken callFence = fence;
@@ -296,23 +336,34 @@
         const auto self = weak.lock();
         return self != nullptr && self->fleet.lease(self->shard).mayOrder(self->loop.clock().now()) == callFence;
     };
-    call.onDone = [weak = weak_from_this(), order, callFence, requestedAt = now()](const CallResult &result) {
+    const auto sent = std::make_shared<SentOrder>(SentOrder { order, callFence, now(), isConfirmed, {} });
+    call.acceptsHead = [sent, accepts = std::move(call.acceptsHead)](
+                           int status, const HttpHeaders &headers, const AnswerConnection &connection) {
+        sent->connection = connection;
+        return accepts(status, headers, connection);
+    };
+    call.onDone = [weak = weak_from_this(), sent](const CallResult &result) {
         if (const auto self = weak.lock()) {
-            self->onAnswer(order, callFence, result, requestedAt);
+            self->onAnswer(*sent, result);
         }
     };
     loop.client().start(std::move(call));
 }
 
-void OrderRunner::Private::onAnswer(const EngineOrder &order, FencingToken callFence, const CallResult &result, Time requestedAt)
+void OrderRunner::Private::onAnswer(const SentOrder &sent, const CallResult &result)
 {
+    const EngineOrder &order = sent.order;
     const OrderAnswer answer = result.state == AttemptState::Answered ? Platform::decodeOrderAnswer(result.status) : OrderAnswer::Unknown;
     log.write(EventLog::Severity::Routine, "orders", "answered",
         { { "engine", order.engine.value() }, { "adapter", order.adapter.value() }, { "version", order.version.value() },
             { "load", order.kind == EngineOrder::Kind::Load }, { "status", std::int64_t(result.status) }, { "error", result.detail },
-            { "tookMs", (now() - requestedAt).milliseconds() } });
+            { "tookMs", (now() - sent.sentAt).milliseconds() } });
     metrics.order(answerName(answer));
-    if (plan != nullptr && callFence == fence) {
+    if (plan != nullptr && sent.fence == fence) {
+        if (needsConfirmation(sent, answer)) {
+            sendOrder(order, true);
+            return;
+        }
         plan->onOrderAnswer(order, answer, now());
         decideSoon();
     }
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -194,6 +194,14 @@
     cr_assert(decodeOrderAnswer(202) == OrderAnswer::Accepted && decodeOrderAnswer(500) == OrderAnswer::Refused);
 }
 
+// Guards against an adapter that occupies a place though its place is taken for free: an engine that cannot answer now may have taken an
+// earlier order to load it.
+Test(enginecalls, answerOfAnEngineThatIsUnavailableDoesNotFreeThePlace)
+{
+    cr_assert(decodeOrderAnswer(503) == OrderAnswer::Busy);
+    cr_assert(decodeOrderAnswer(429) == OrderAnswer::Busy);
+}
+
 // A missing or invalid field must be an error that names it, so that the process does not start without it. Unknown fields are ignored.
 Test(settings, errorNamesField)
 {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -38,7 +38,7 @@
 CONFIG_SLACK_S = 1.0
 FAULTS = ("stop_gracefully,kill,kill_many,pause,harm_store_link,harm_caller_link,harm_upstream,upstream_leaves,upstream_crashes,"
           "upstream_limits_requests,upstream_rests,upstream_says_it_leaves,store_away,store_silent,change_config,config_series,withdraw_key,hup,"
-          "request_ends_engines,part_ends_engines,late_answers,upstream_is_full")
+          "request_ends_engines,part_ends_engines,late_answers,upstreams_are_full")
 # The faults beside which sound streams are compared: any other would account for streams that are not served.
 CONTENT_FAULTS = {"request_ends_engines", "part_ends_engines"}
 # Nodes poll an unresponsive store again within this time.
@@ -628,29 +628,32 @@
         await self.replace(upstream, upstream.name)
         self.lost_answers.end_harm(upstream.name)
 
-    async def upstream_is_full(self):
-        """Only a few requests fit an upstream, as if it ran others from elsewhere: it refuses most that nodes send."""
-        upstream = self.random.choice(self.upstreams)
-        usual = upstream.slots
-        if upstream.is_full:
-            return
-        upstream.is_full = True
-        upstream.slots = self.random.choice((0, 1))
+    def pick_upstreams(self):
+        """Returns about half of the upstreams, at least one."""
+        return self.random.sample(self.upstreams, (len(self.upstreams) + 1) // 2)
+
+    async def upstreams_are_full(self):
+        """Only a few requests fit some upstreams, as if they ran others from elsewhere: they refuse most that nodes send."""
+        full = [upstream for upstream in self.pick_upstreams() if not upstream.is_full]
+        for upstream in full:
+            upstream.is_full = True
+            upstream.usual_slots, upstream.slots = upstream.slots, self.random.choice((0, 1))
         await asyncio.sleep(self.random.uniform(2.0, 6.0))
-        upstream.slots = usual
-        upstream.is_full = False
+        for upstream in full:
+            upstream.slots = upstream.usual_slots
+            upstream.is_full = False
 
     async def late_answers(self):
-        """An upstream sends late second answers of all kinds; for it, that is a way to break off other answers."""
-        upstream = self.random.choice(self.upstreams)
-        if upstream.late_answers.share > 0:
-            return
-        self.lost_answers.begin_harm(upstream.name)
-        upstream.late_answers.share = self.random.uniform(0.1, 0.9)
-        upstream.late_answers.share_without_id = self.random.choice((0.0, 0.0, 0.5, 1.0))
+        """Some upstreams send late second answers of all kinds, which breaks off the answers in whose turn they come."""
+        late = [upstream for upstream in self.pick_upstreams() if upstream.late_answers.share == 0]
+        for upstream in late:
+            self.lost_answers.begin_harm(upstream.name)
+            upstream.late_answers.share = self.random.uniform(0.2, 0.9)
+            upstream.late_answers.share_without_id = self.random.choice((0.0, 0.0, 0.5, 1.0))
         await asyncio.sleep(self.random.uniform(3.0, 8.0))
-        upstream.late_answers.share = 0.0
-        self.lost_answers.end_harm(upstream.name)
+        for upstream in late:
+            upstream.late_answers.share = 0.0
+            self.lost_answers.end_harm(upstream.name)
 
     async def request_ends_engines(self):
         await self.deadly_contents.repeat_request()
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -100,6 +100,7 @@
         self.start_time_ms = int(time.time() * 1000)
         self.address = ""
         self.running = 0
+        self.usual_slots = slots
         self.is_full = False
         self.is_draining = False
         self.statements = Statements(cluster, self)
