Let callers of the soak close their sending side, and say what remains of the answers lost to them

The soak still lost the answers: when a driven server resumes a suspended connection, libmicrohttpd 0.9.75 reads first, finds the end of the input and closes it.

--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -108,7 +108,7 @@
         self._reader = None
         self._writer = None
 
-    async def call(self, method, target, headers, body=b"", timeout=10.0, connect_timeout=1.0):
+    async def call(self, method, target, headers, body=b"", timeout=10.0, connect_timeout=1.0, closes_sending_side=False):
         """Sends one request and returns the response. The connection is closed if it cannot be used again."""
         response = Response()
         try:
@@ -120,6 +120,8 @@
             lines += [f"{name}: {value}" for name, value in headers.items()]
             self._writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
             await self._writer.drain()
+            if closes_sending_side:
+                self._writer.write_eof()
             response.is_sent = True
             await asyncio.wait_for(receive(self._reader, response), timeout)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
@@ -138,6 +140,8 @@
 
 async def receive(reader, response):
     head = await read_head(reader)
+    while head is not None and head[0].split(" ")[1].startswith("1"):
+        head = await read_head(reader)  # The final answer follows an interim one.
     if head is None:
         response.error = "closed"
         return
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -422,7 +422,8 @@
         self.request_nodes[request_id] = node
         used = http1.Connection(node.caller_link.address) if connection is None else connection
         method, body = ("GET", b"") if kind in ("look", "extra") else ("POST", body or self.random.choice((b"{}", b"call " + request_id.encode())))
-        response = await used.call(method, f"/{kind}/x", headers, body, timeout_ms / 1000 + 1.5)
+        closes_sending_side = connection is None and self.random.random() < self.arguments.half_closed
+        response = await used.call(method, f"/{kind}/x", headers, body, timeout_ms / 1000 + 1.5, closes_sending_side=closes_sending_side)
         if connection is None:
             used.close()
         self.lost_answers.check(request_id, kind, node, response, sent_at, PLAIN_TIMEOUT_MS / 1000)
@@ -812,6 +813,8 @@
     parser.add_argument("--engines", type=int, default=4, help="number of engines")
     parser.add_argument("--slots", type=int, default=16, help="requests that an engine runs at once; with few of them engines refuse often")
     parser.add_argument("--plain-slots", type=int, default=6, help="requests that a plain upstream runs at once, with as many in its queue")
+    parser.add_argument("--half-closed", type=float, default=0.0,
+                        help="share of the callers with a connection for one request that close its sending side and read on")
     parser.add_argument("--callers", type=int, default=8, help="number of callers; each sends one request at a time")
     arguments = parser.parse_args()
     print(f"seed {arguments.seed}, {arguments.seconds:.0f} s of faults, {arguments.nodes} nodes", flush=True)
