--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -81,7 +81,7 @@
                 if not await handle(request, used):
                     break
                 if late_answers is not None:
-                    earlier, late_copy = request, late_answers.copy_of(request, used.answer)
+                    earlier, late_copy = request, late_answers.copy_of(used.answer)
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass  # The peer closed the connection; the soak checks what was sent.
         finally:
--- a/tests/soak/lateanswers.py
+++ b/tests/soak/lateanswers.py
@@ -31,7 +31,7 @@
         # The share of the copies that do not name their request.
         self.share_without_id = 0.0
 
-    def copy_of(self, request, answer):
+    def copy_of(self, answer):
         """Returns the copy to send before the next answer on the connection, or nothing. To be called when the answer is complete."""
         if not answer or self._cluster.random.random() >= self.share:
             return b""
