Bound what answers without end make a node keep

What callers saw: while an upstream sent one event without an end, a node answered nobody; a one-shot body without an end took memory until the deadline of its request, and its caller got 504.

Cause: EventSplitter kept a part of an event without a bound and searched all of it twice with each part; RequestJob appended bodies without a bound; so did the answers of the store, of other nodes and of engines to reports.

Why it works: an answer kept whole, an event, and all answers in progress together have a limit; what exceeds it is broken off within the read and counts as broken by its upstream.

The listen backlog of ScriptedUpstream is 128: with 16, some of the 25 connections that a test opens at once took longer than their time-out.

--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -276,6 +276,7 @@
     d->setGauge("config_age_seconds", gauges.configurationAge.toSeconds());
     d->setGauge("unreachable_services", gauges.unreachableServices);
     d->setGauge("held_contents", gauges.heldContents);
+    d->setGauge("answer_bytes", static_cast<double>(gauges.answerBytes));
     d->setGauge("ready", gauges.isReady ? 1 : 0);
     std::ostringstream out;
     prometheus::TextSerializer().Serialize(out, d->registry.Collect());
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -42,6 +42,8 @@
     int unreachableServices = 0;
     /** Contents of requests that are held back. */
     int heldContents = 0;
+    /** Memory of answers in progress. */
+    std::size_t answerBytes = 0;
     /** Time since the active configuration was known to be the newest. */
     Duration configurationAge;
 };
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -50,6 +50,8 @@
 // Must match the metrics port in deploy/system.toml.
 constexpr std::uint16_t MetricsPort = 9464;
 constexpr const char *MetricsPath = "/metrics";
+// Answers in progress may use one part in so many of the memory of this process.
+constexpr std::size_t AnswerMemoryDivisor = 8;
 constexpr std::size_t MaxHeaderBytes = 24U << 10U;
 constexpr Duration ArrivalTimeout = Duration::seconds(30);
 
@@ -219,6 +221,7 @@
     forwarderSettings.teamCredit.window = settings.limitWindow;
     forwarderSettings.teamCredit.overrun = settings.limitOverrun;
     forwarderSettings.teamCredit.reserve = settings.limitReserve;
+    forwarderSettings.answers = { settings.maxAnswerBytes, settings.maxEventBytes, settings.memoryBytes / AnswerMemoryDivisor };
     ForwarderCallbacks callbacks;
     callbacks.onPendingAdapters = [this] {
         fleet->sendPendingAdapters();
@@ -371,6 +374,7 @@
     gauges.isReady = isReady();
     gauges.unreachableServices = static_cast<int>(clusterState.reachability.unreachable().size());
     gauges.heldContents = static_cast<int>(clusterState.quarantine.heldCount());
+    gauges.answerBytes = forwarder->answerBytes();
     gauges.configurationAge = clock.now() - clusterState.routesKnownAt;
     exchange.respond(OkStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text(gauges));
 }
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -18,6 +18,8 @@
 constexpr Duration CallTimeout { 1000 };
 constexpr Duration MaxConnectionIdle = Duration::seconds(10);
 constexpr Duration AcknowledgeTimeout { 700 };
+// Reports name the adapters of an engine.
+constexpr std::size_t MaxAnswerBytes = std::size_t(1) << 20U;
 // Pending adapters, answers and residencies that arrive within this time are handled by one decision. Each decision compares all pending
 // adapters with all engines: one for each datagram would take half of a holder's CPU time and delay the answers to its callers.
 constexpr Duration DecisionInterval { 8 };
@@ -278,6 +280,7 @@
     call.totalTimeout = CallTimeout;
     call.maxConnectionIdle = MaxConnectionIdle;
     call.acknowledgeTimeout = AcknowledgeTimeout;
+    call.maxBodyBytes = MaxAnswerBytes;
     call.isSentOnce = true;
     call.acceptsHead = [weak = weak_from_this(), record](int status, const HttpHeaders &headers, const AnswerConnection &connection) {
         const auto self = weak.lock();
--- a/main/entry/peerservice.cpp
+++ b/main/entry/peerservice.cpp
@@ -1,5 +1,7 @@
 #include "main/entry/peerservice.h"
 
+#include "main/entry/storereplica.h"
+
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 
@@ -65,6 +67,7 @@
     call.connectTimeout = ConnectTimeout;
     call.totalTimeout = FetchTimeout;
     call.acknowledgeTimeout = ConnectTimeout;
+    call.maxBodyBytes = MaxStoreCopyBytes;
     auto changes = std::make_shared<PeerChanges>();
     changes->requestedAt = loop.clock().now();
     call.onHead = [changes](int, const HttpHeaders &headers) {
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -75,6 +75,7 @@
     ClusterState &m_clusterState;
     UpstreamStatements m_statements;
     ForwarderSettings m_settings;
+    AnswerMemory m_answerMemory;
     ForwarderCallbacks m_callbacks;
     std::mt19937_64 m_random { std::random_device {}() };
     std::map<std::uint64_t, std::shared_ptr<RequestJob>> jobs;
@@ -103,6 +104,7 @@
         , m_clusterState(clusterState)
         , m_statements(log, metrics, clusterState)
         , m_settings(std::move(settings))
+        , m_answerMemory(m_settings.answers.maxMemoryBytes)
         , m_callbacks(std::move(callbacks))
         , limiter(loop, m_settings.teamCredit, teamLimiterCallbacks())
         , upstreamLimiter(loop, m_settings.upstreamCredit, upstreamLimiterCallbacks())
@@ -135,6 +137,10 @@
     {
         return guard;
     }
+    AnswerMemory &answerMemory() override
+    {
+        return m_answerMemory;
+    }
     ClusterState &clusterState() override
     {
         return m_clusterState;
@@ -576,6 +582,11 @@
     return static_cast<int>(d->jobs.size() + d->pendingRequests.size());
 }
 
+std::size_t RequestForwarder::answerBytes() const
+{
+    return d->m_answerMemory.usedBytes();
+}
+
 double RequestForwarder::requestRate() const
 {
     return d->arrivals.rate(d->m_loop.now());
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/answermemory.h"
 #include "coordination/fleetmessage.h"
 #include "coordination/relaychoice.h"
 #include "coordination/revocationbound.h"
@@ -37,6 +38,7 @@
     TeamCreditLimits teamCredit;
     /** How the fleet keeps the limits that upstreams state for their requests. */
     TeamCreditLimits upstreamCredit = upstreamCreditLimits();
+    AnswerLimits answers;
 };
 
 /** Callbacks from the forwarder into the rest of the node. */
@@ -92,6 +94,8 @@
     void endAll();
     /** Returns the number of requests in progress. */
     int activeCount() const;
+    /** Memory that answers in progress hold, in bytes. */
+    std::size_t answerBytes() const;
     /** Requests per second that this node receives. */
     double requestRate() const;
     /** This node holds the lease of the shard; to be called when it gets the lease, and repeatedly while it holds it. */
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -5,6 +5,8 @@
 #include "main/entry/refusal.h"
 #include "main/entry/relayedrequest.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -572,7 +574,8 @@
     }
     m_phase = Phase::Sent;
     m_answer.reset();
-    m_body.clear();
+    discardAnswer();
+    m_breakReason.clear();
     m_hasEvents = false;
     m_sentAt = now();
     return true;
@@ -651,6 +654,10 @@
             self->onHead();
         }
     };
+    call.acceptsData = [weak](std::string_view data) {
+        const auto self = weak.lock();
+        return self == nullptr || self->acceptsData(data);
+    };
     call.onData = [weak](std::string_view data) {
         const auto self = weak.lock();
         return self == nullptr || self->onData(data);
@@ -739,6 +746,32 @@
     }
 }
 
+// Which limit the attempt in progress exceeds with @p data, which follows what it has kept; empty if none.
+std::string RequestJob::exceededLimit(std::string_view data) const
+{
+    const AnswerLimits &limits = m_context.settings().answers;
+    const bool isKeptWhole = !m_isStreaming || !isSuccess(m_answer->status);
+    if (isKeptWhole && m_body.size() + data.size() > limits.maxAnswerBytes) {
+        return absl::StrCat("the answer is longer than ", limits.maxAnswerBytes, " bytes");
+    }
+    if (!isKeptWhole && m_events.partialEvent().size() > limits.maxEventBytes) {
+        return absl::StrCat("an event is longer than ", limits.maxEventBytes, " bytes");
+    }
+    return m_hasMemory ? "" : "answers in progress use all of their memory";
+}
+
+bool RequestJob::acceptsData(std::string_view data)
+{
+    if (m_phase != Phase::Answering) {
+        return true;
+    }
+    m_breakReason = exceededLimit(data);
+    if (!m_breakReason.empty()) {
+        discardAnswer();
+    }
+    return m_breakReason.empty();
+}
+
 bool RequestJob::onData(std::string_view data)
 {
     m_lastReceivedAt = now();
@@ -747,9 +780,11 @@
     }
     if (!m_isStreaming || !isSuccess(m_answer->status)) {
         m_body.append(data);
+        accountMemory();
         return true;
     }
     const std::string events = m_events.push(data);
+    accountMemory();
     if (!m_hasEvents && !events.empty()) {
         m_hasEvents = true;
         reportAnswered();
@@ -761,6 +796,20 @@
     return false;
 }
 
+void RequestJob::accountMemory()
+{
+    const auto bytesOf = [](const std::string &text) { return text.empty() ? 0 : text.capacity(); };
+    const std::size_t bytes = bytesOf(m_body) + bytesOf(m_failureBody) + bytesOf(m_events.partialEvent());
+    m_hasMemory = m_context.answerMemory().resize(std::exchange(m_accountedBytes, bytes), bytes);
+}
+
+void RequestJob::discardAnswer()
+{
+    m_body = std::string();
+    m_events.discardPartialEvent();
+    accountMemory();
+}
+
 // The node through which an attempt goes reports for itself.
 void RequestJob::reportAnswered()
 {
@@ -1092,6 +1141,7 @@
         m_context.giveBackCredit(*m_team.team, m_team.cost, m_team.admittedAt);
     }
     m_phase = Phase::Ended;
+    m_context.answerMemory().resize(std::exchange(m_accountedBytes, 0), 0);
     m_context.loop().cancel(m_deadlineTimer);
     m_context.loop().cancel(m_waitTimer);
     m_context.log().write(reason.empty() ? RequestStep : Important, "request", outcomeName(outcome),
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/answermemory.h"
 #include "coordination/relaychoice.h"
 #include "coordination/requestcontent.h"
 #include "coordination/upstreamchoice.h"
@@ -32,6 +33,7 @@
     virtual UpstreamStatements &upstreamStatements() = 0;
     virtual ReachabilityProber &reachabilityProber() = 0;
     virtual CrashGuard &crashGuard() = 0;
+    virtual AnswerMemory &answerMemory() = 0;
     virtual const ForwarderSettings &settings() const = 0;
     virtual const ForwarderCallbacks &callbacks() const = 0;
     virtual std::mt19937_64 &random() = 0;
@@ -175,6 +177,12 @@
     bool acceptsHead(int status, const HttpHeaders &headers, const AnswerConnection &connection);
     void onHead();
     bool onData(std::string_view data);
+    std::string exceededLimit(std::string_view data) const;
+    /** Whether the attempt in progress may go on with this part of its answer. */
+    bool acceptsData(std::string_view data);
+    /** Accounts for what this job has kept of answers. */
+    void accountMemory();
+    void discardAnswer();
     /** An upstream has begun to answer the attempt in progress. */
     void reportAnswered();
     void onDone(const CallResult &result);
@@ -253,6 +261,12 @@
     /** Where the stream began, by the node through which the attempt goes. */
     std::optional<StreamOrigin> m_relayedOrigin;
     std::string m_body;
+    /** Why this node broke off the attempt in progress; empty if it did not. */
+    std::string m_breakReason;
+    /** What answerMemory() counts for this job. */
+    std::size_t m_accountedBytes = 0;
+    /** Whether this job may keep as much as it does. */
+    bool m_hasMemory = true;
     /** The engine has not read the prompt yet, so the load tracker still counts its tokens as pending. */
     bool m_isPromptPending = false;
     AdmissionId m_reservation;
--- a/main/entry/storepoller.cpp
+++ b/main/entry/storepoller.cpp
@@ -1,5 +1,7 @@
 #include "main/entry/storepoller.h"
 
+#include "main/entry/storereplica.h"
+
 #include <map>
 #include <random>
 #include <utility>
@@ -55,6 +57,7 @@
     call.connectTimeout = ConnectTimeout;
     call.totalTimeout = query.timeout;
     call.acknowledgeTimeout = AcknowledgeTimeout;
+    call.maxBodyBytes = MaxStoreCopyBytes;
     call.onData = [weak = weak_from_this(), body, queryNumber = currentQuery](std::string_view data) {
         body->append(data);
         const auto self = weak.lock();
--- a/main/entry/storereplica.h
+++ b/main/entry/storereplica.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "platform/store.h"
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -10,6 +11,9 @@
 namespace ApricotStep
 {
 
+/** Longest answer of the store or of another node with what it holds, in bytes. */
+inline constexpr std::size_t MaxStoreCopyBytes = std::size_t(32) << 20U;
+
 /**
  * The items that a node has read from the store, with tombstones for the deletions of the last minute, so that other nodes can follow it.
  *
--- a/protocol/eventsplitter.cpp
+++ b/protocol/eventsplitter.cpp
@@ -1,20 +1,25 @@
 #include "protocol/eventsplitter.h"
 
+#include <algorithm>
+
 namespace ApricotStep
 {
 
 std::string EventSplitter::push(std::string_view bytes)
 {
+    // An event ends with an empty line. Lines end with LF or CRLF. Only a delimiter that ends in the new bytes can be new.
+    constexpr std::string_view LongestDelimiter = "\n\r\n";
+    const std::size_t searchFrom = m_partialEvent.size() - std::min(m_partialEvent.size(), LongestDelimiter.size() - 1);
     m_partialEvent.append(bytes);
-    // An event ends with an empty line. Lines end with LF or CRLF.
-    std::size_t end = std::string::npos;
-    for (const std::string_view delimiter : { "\n\n", "\n\r\n" }) {
-        const std::size_t at = m_partialEvent.rfind(delimiter);
-        if (at != std::string::npos && (end == std::string::npos || at + delimiter.size() > end)) {
-            end = at + delimiter.size();
+    const std::string_view searched = std::string_view(m_partialEvent).substr(searchFrom);
+    std::size_t end = 0;
+    for (const std::string_view delimiter : { std::string_view("\n\n"), LongestDelimiter }) {
+        const std::size_t at = searched.rfind(delimiter);
+        if (at != std::string_view::npos) {
+            end = std::max(end, searchFrom + at + delimiter.size());
         }
     }
-    if (end == std::string::npos) {
+    if (end == 0) {
         return {};
     }
     std::string wholeEvents = m_partialEvent.substr(0, end);
--- a/protocol/eventsplitter.h
+++ b/protocol/eventsplitter.h
@@ -30,7 +30,7 @@
     /** Discards the bytes received after the last whole event. */
     void discardPartialEvent()
     {
-        m_partialEvent.clear();
+        m_partialEvent = std::string(); // Returns its memory, which may be much.
     }
     /** The id of the last whole event that had one; empty if none had. */
     const std::string &lastId() const
--- a/tests/main/scriptedupstream.cpp
+++ b/tests/main/scriptedupstream.cpp
@@ -19,7 +19,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof address;
-    constexpr int Backlog = 16;
+    constexpr int Backlog = 128;
     if (bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0 || listen(m_listener, Backlog) != 0) {
         std::abort();
     }
@@ -91,6 +91,23 @@
     return true;
 }
 
+void ScriptedUpstream::sendEndless(int socket, const std::string &bytes)
+{
+    std::string block;
+    constexpr std::size_t BlockBytes = 64 << 10;
+    while (block.size() < BlockBytes) {
+        block += bytes;
+    }
+    for (;;) {
+        const ssize_t sent = send(socket, block.data(), block.size(), MSG_NOSIGNAL);
+        if (sent <= 0) {
+            ++m_endedEndless;
+            return;
+        }
+        m_endlessBytes += static_cast<std::size_t>(sent);
+    }
+}
+
 void ScriptedUpstream::serve(int socket)
 {
     std::string request;
@@ -112,6 +129,10 @@
             absl::SleepFor(absl::Milliseconds(answer.pause.milliseconds()));
             static_cast<void>(!send(socket, part.data(), part.size(), MSG_NOSIGNAL));
         }
+        if (!answer.endless.empty()) {
+            sendEndless(socket, answer.endless);
+            break;
+        }
         if (answer.isHanging) {
             char byte = 0;
             recv(socket, &byte, 1, 0);
--- a/tests/main/scriptedupstream.h
+++ b/tests/main/scriptedupstream.h
@@ -31,6 +31,8 @@
     /** Sent after the bytes, each part after a pause. */
     std::vector<std::string> laterParts;
     ApricotStep::Duration pause;
+    /** Sent after the bytes, again and again as fast as the peer reads, until it closes the connection. */
+    std::string endless;
     /** A second answer to the same request, sent right before the next answer on the connection. */
     std::string lateCopy;
 };
@@ -57,6 +59,16 @@
     {
         return m_connections;
     }
+    /** Returns the number of endless answers that the peer has ended. */
+    int endedEndless() const
+    {
+        return m_endedEndless;
+    }
+    /** Returns the bytes of endless answers that the peer and the buffers between have taken. */
+    std::size_t endlessBytes() const
+    {
+        return m_endlessBytes;
+    }
     /** Returns the number of connections that the peer closed while the upstream was hanging. */
     int closedByPeer() const
     {
@@ -66,6 +78,7 @@
 private:
     void accept();
     void serve(int socket);
+    void sendEndless(int socket, const std::string &bytes);
     static bool readRequest(int socket, std::string &request);
 
     Script m_script;
@@ -74,6 +87,8 @@
     std::atomic<bool> m_isStopping { false };
     std::atomic<int> m_connections { 0 };
     std::atomic<int> m_closedByPeer { 0 };
+    std::atomic<int> m_endedEndless { 0 };
+    std::atomic<std::size_t> m_endlessBytes { 0 };
     mutable absl::Mutex m_mutex;
     std::vector<std::string> m_requests ABSL_GUARDED_BY(m_mutex);
     std::vector<int> m_sockets ABSL_GUARDED_BY(m_mutex);
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -211,6 +211,13 @@
     cr_assert(settings.value().peerAddress == "10.0.0.1:3");
     cr_assert(decodeSettings(replaced(Settings, "graceS = 8", "")).error().detail.find("graceS") != std::string::npos);
     cr_assert(decodeSettings(replaced(Settings, "maxFds = 2870", "maxFds = 0")).error().detail.find("maxFds") != std::string::npos);
+    cr_assert_eq(settings.value().maxAnswerBytes, 4U << 20U);
+    cr_assert_eq(settings.value().memoryBytes, 128'000'000);
+    const auto ownLimits = decodeSettings(Settings + "[answers]\nmaxBytes = 2048\nmaxEventBytes = 4096\n");
+    cr_assert_eq(ownLimits.value().maxAnswerBytes, 2048);
+    cr_assert_eq(ownLimits.value().maxEventBytes, 4096);
+    const auto withoutAnswers = decodeSettings(Settings + "[answers]\nmaxEventBytes = 0\n");
+    cr_assert(!withoutAnswers.isOk() && withoutAnswers.error().detail.find("answers.maxEventBytes") != std::string::npos);
     const auto withoutBound = decodeSettings(replaced(Settings, "configBoundMs = 2000", "configBoundMs = 0"));
     cr_assert(!withoutBound.isOk() && withoutBound.error().detail.find("configBoundMs") != std::string::npos);
     cr_assert(decodeSettings("node = ").error().detail.find("line 1") != std::string::npos);
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -3,6 +3,7 @@
 
 #include <random>
 
+#include <chrono>
 #include <limits>
 
 #include <criterion/criterion.h>
@@ -125,6 +126,39 @@
     cr_assert(splitter.lastId() == "3");
 }
 
+// A delimiter that arrives in several pieces ends its event, wherever they are cut.
+Test(eventsplitter, delimitersMayArriveInPieces)
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    for (std::size_t first = 0; first <= stream.size(); ++first) {
+        for (std::size_t second = first; second <= stream.size(); ++second) {
+            EventSplitter splitter;
+            std::string events = splitter.push(stream.substr(0, first));
+            events += splitter.push(stream.substr(first, second - first));
+            events += splitter.push(stream.substr(second));
+            cr_assert(events == stream);
+            cr_assert(splitter.lastId() == "3");
+        }
+    }
+}
+
+// An event without end made each part cost as much as all before it together.
+Test(eventsplitter, costOfAPartDoesNotGrowWithTheEvent)
+{
+    constexpr int Parts = 4000;
+    const std::string part(8000, 'x');
+    EventSplitter splitter;
+    const auto timeOf = [&](int parts) {
+        const auto begin = std::chrono::steady_clock::now();
+        for (int i = 0; i < parts; ++i) {
+            cr_assert(splitter.push(part).empty());
+        }
+        return std::chrono::steady_clock::now() - begin;
+    };
+    timeOf(Parts / 2);
+    cr_assert_lt(std::chrono::duration_cast<std::chrono::milliseconds>(timeOf(Parts)).count(), 2000);
+}
+
 // Guards against a damaged amount that empties an issuer's bucket for good, or that a node could spend without end.
 Test(fleetcodec, invalidCreditAmountsAreLimited)
 {
--- a/tests/soak/deadlycontents.py
+++ b/tests/soak/deadlycontents.py
@@ -10,6 +10,8 @@
 CONTACT_S = 3.0
 TOLERATED_ARRIVALS = 3
 TIME_TO_CRASH_S = 0.03
+# How much of their answers engines send before they end: nothing, the head, or events.
+BEGINNINGS = {"nothing": None, "head": 0, "one_event": 1, "three_events": 3}
 DOWNTIME_S = 3.0
 REQUEST_INTERVAL_S = 0.4
 # Contents at a time: more of them leave no engine for sound requests, whatever nodes do.
@@ -26,9 +28,10 @@
 class DeadlyContent:
     """One content under which engines end, the crashes and the arrivals at engines."""
 
-    def __init__(self, name, enough):
+    def __init__(self, name, enough, beginning):
         self.name = name
         self.enough = enough
+        self.beginning = beginning
         self.began_at = time.monotonic()
         self.crashes = []
         self.late_arrivals = 0
@@ -47,8 +50,9 @@
 
 
 class DeadlyContents:
-    def __init__(self, cluster):
+    def __init__(self, cluster, beginnings):
         self.cluster = cluster
+        self._beginnings = beginnings
         self.contents = {}
         # When sound streams were sent, and whether they were served.
         self._streams = []
@@ -63,15 +67,18 @@
         body = MARK + b"%d" % len(self.contents)
         prompt = self.cluster.new_prompt(f"repeated{len(self.contents)}")
         adapter = self.cluster.random.randint(1, 3)
-        await self._send_each(body, DeadlyContent(body.decode(), ENOUGH_CRASHES),
+        await self._send_each(body, DeadlyContent(body.decode(), ENOUGH_CRASHES, self._any_beginning()),
                               lambda node: self.cluster.send_request("chat", node, body=body, adapter=adapter, prompt=prompt))
 
     async def send_part(self):
         """Requests of which no two are alike share a part of their prompts under which engines end."""
         part = f"deadlypart{len(self.contents)}"
-        await self._send_each(part, DeadlyContent(part, ENOUGH_CRASHES_OF_PART), lambda node: self.cluster.send_request(
+        await self._send_each(part, DeadlyContent(part, ENOUGH_CRASHES_OF_PART, self._any_beginning()), lambda node: self.cluster.send_request(
             "chat", node, body=MARK + b"part %d" % self.cluster.next_request, prompt=self.cluster.new_prompt(part)))
 
+    def _any_beginning(self):
+        return self.cluster.random.choice(self._beginnings)
+
     async def _send_each(self, key, content, send):
         if sum(other.ended_at is None for other in self.contents.values()) >= MAX_AT_ONCE:
             return
@@ -86,8 +93,8 @@
         content.ended_at = time.monotonic()
         await asyncio.gather(*tasks)
 
-    async def run(self, content, engine, request):
-        """Ends the engine that got the request."""
+    async def run(self, content, engine, request, writer):
+        """Ends the engine that got the request, once it has begun to answer as far as the content lets it."""
         request_id = request.header("apricotstep-request-id")
         node, _ = self.cluster.sender(request_id)
         if node is not None and content.is_enough_since(CONTACT_S) and node.is_undisturbed(CONTACT_S):
@@ -95,11 +102,13 @@
             if content.late_arrivals > TOLERATED_ARRIVALS:
                 self.cluster.fail("BUDGET", f"{request_id} with {content.name} reached {engine.name} from {node.name}; "
                                             f"{content.late_arrivals} did so {CONTACT_S:.0f} s after {content.enough} engines had ended")
+        if BEGINNINGS[content.beginning] is not None:
+            await engine.stream(request, writer, BEGINNINGS[content.beginning])
         await asyncio.sleep(TIME_TO_CRASH_S)
         if engine.has_crashed:
             return
         content.crashes.append(time.monotonic())
-        print(f"{time.monotonic() - self.cluster.began_at:7.2f} {engine.name} ends under {content.name} of {request_id}", flush=True)
+        print(f"{time.monotonic() - self.cluster.began_at:7.2f} {engine.name} ends under {content.name} of {request_id} after {content.beginning}", flush=True)
         asyncio.create_task(self.cluster.crash_engine(engine, DOWNTIME_S))
 
     def on_response(self, request_id, body, kind, response, sent_at, is_owed):
--- a/tests/soak/lateanswers.py
+++ b/tests/soak/lateanswers.py
@@ -17,6 +17,10 @@
     async def drain(self):
         await self._writer.drain()
 
+    @property
+    def unrecorded(self):
+        return self._writer
+
     @property
     def transport(self):
         return self._writer.transport
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 import time
 
 import deadlycontents
+import endlessanswers
 import http1
 import lostanswers
 import proxy
@@ -38,7 +39,7 @@
 CONFIG_SLACK_S = 1.0
 FAULTS = ("stop_gracefully,kill,kill_many,pause,harm_store_link,harm_caller_link,harm_upstream,upstream_leaves,upstream_crashes,"
           "upstream_limits_requests,upstream_rests,upstream_says_it_leaves,store_away,store_silent,change_config,config_series,withdraw_key,hup,"
-          "request_ends_engines,part_ends_engines,late_answers,upstreams_are_full")
+          "request_ends_engines,part_ends_engines,late_answers,upstreams_are_full,endless_answers")
 # The faults beside which sound streams are compared: any other would account for streams that are not served.
 CONTENT_FAULTS = {"request_ends_engines", "part_ends_engines"}
 # Nodes poll an unresponsive store again within this time.
@@ -209,9 +210,11 @@
         self.look_service = "api"
         self.idle_timeout_ms = 15000
         self.lost_answers = lostanswers.LostAnswers(self)
-        self.deadly_contents = deadlycontents.DeadlyContents(self)
+        self.deadly_contents = deadlycontents.DeadlyContents(self, arguments.endings.split(","))
         self.config_published_at = 0.0
         self.failures = []
+        # The answers without end that upstreams have sent, by kind.
+        self.endless_counts = {}
         self.runs = {}
         self.request_kinds = {}
         # The key and the time of each request, the keys of the teams, and the withdrawn keys with their team and time.
@@ -656,6 +659,17 @@
             upstream.late_answers.share = 0.0
             self.lost_answers.end_harm(upstream.name)
 
+    async def endless_answers(self):
+        """Some upstreams send a share of their answers without end."""
+        endless = [upstream for upstream in self.pick_upstreams() if upstream.endless_answers.share == 0]
+        for upstream in endless:
+            self.lost_answers.begin_harm(upstream.name)
+            upstream.endless_answers.share = self.random.uniform(0.05, 0.3)
+        await asyncio.sleep(self.random.uniform(2.0, 6.0))
+        for upstream in endless:
+            upstream.endless_answers.share = 0.0
+            self.lost_answers.end_harm(upstream.name)
+
     async def request_ends_engines(self):
         await self.deadly_contents.repeat_request()
 
@@ -783,10 +797,18 @@
             self.fail("RECOVER", f"{self.late_counts['served']} of {total} requests succeeded {RECOVERY_S:.0f} s after the last fault")
         if set(self.arguments.faults.split(",")) <= CONTENT_FAULTS:
             self.deadly_contents.check_sound_streams()
+        self.check_memory()
         self.stop_all()
         self.check_logs()
         await self.end_connections()
 
+    def check_memory(self):
+        peaks = [(endlessanswers.peak_memory_kb(node.process.pid), node) for node in self.nodes if node.is_running()]
+        for peak_kb, node in peaks:
+            if peak_kb is not None and peak_kb > endlessanswers.MEMORY_BOUND_KB:
+                self.fail("MEMORY", f"{node.name} has held {peak_kb >> 10} MB")
+        print(f"peak memory: {max((peak or 0 for peak, _ in peaks), default=0) >> 10} MB; endless answers: {self.endless_counts}", flush=True)
+
     def check_logs(self):
         for node in self.nodes:
             with open(os.path.join(self.folder, node.name + ".log"), "rb") as log:
@@ -815,6 +837,8 @@
     parser.add_argument("--plain-slots", type=int, default=6, help="requests that a plain upstream runs at once, with as many in its queue")
     parser.add_argument("--half-closed", type=float, default=0.0,
                         help="share of the callers with a connection for one request that close its sending side and read on")
+    parser.add_argument("--endings", default="nothing,head",
+                        help="how much of their answers engines send before they end under what a request holds, separated by commas")
     parser.add_argument("--callers", type=int, default=8, help="number of callers; each sends one request at a time")
     arguments = parser.parse_args()
     print(f"seed {arguments.seed}, {arguments.seconds:.0f} s of faults, {arguments.nodes} nodes", flush=True)
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -7,6 +7,7 @@
 import urllib.parse
 
 import http1
+from endlessanswers import EndlessAnswers
 from lateanswers import LateAnswers
 from statements import Statements
 
@@ -105,6 +106,7 @@
         self.is_draining = False
         self.statements = Statements(cluster, self)
         self.late_answers = LateAnswers(cluster)
+        self.endless_answers = EndlessAnswers(cluster)
         self._server = None
 
     async def start(self):
@@ -155,6 +157,10 @@
             return self.reject(writer, request, 503)
         self.start_run(request)
         try:
+            if self.endless_answers.is_next():
+                await self.endless_answers.send(writer, self.head(request), False)
+                writer.transport.abort()
+                return False
             await asyncio.sleep(self.cluster.random.uniform(0.005, 0.04))
         finally:
             self.running -= 1
@@ -242,7 +248,11 @@
         try:
             deadly = self.cluster.deadly_contents.of(request)
             if deadly is not None:
-                await self.cluster.deadly_contents.run(deadly, self, request)
+                await self.cluster.deadly_contents.run(deadly, self, request, writer)
+                writer.transport.abort()
+                return False
+            if self.endless_answers.is_next():
+                await self.endless_answers.send(writer, self.head(request), True)
                 writer.transport.abort()
                 return False
             return await self.stream(request, writer)
@@ -250,7 +260,8 @@
             self.running_by_adapter[adapter] -= 1
             self.running -= 1
 
-    async def stream(self, request, writer):
+    async def stream(self, request, writer, most_events=None):
+        """Sends the stream of a request, or only its head and as many events."""
         request_id = request.header("apricotstep-request-id")
         lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         lines += [f"{name}: {value}" for name, value in self.head(request).items()]
@@ -258,12 +269,17 @@
         count = self.cluster.event_count(request_id)
         pauses_at = self.cluster.random.randint(first, count) if count > EVENTS_PER_STREAM and first <= count else 0
         pauses_at *= self.cluster.random.random() < PAUSE_SHARE
-        for number in range(first, count + 1):
+        last = count if most_events is None else min(count, first + most_events - 1)
+        if last < first and first <= count:
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        for number in range(first, last + 1):
             await asyncio.sleep(self.cluster.random.uniform(*PAUSE_S) if number == pauses_at else self.cluster.random.uniform(0.01, 0.06))
             event = self.cluster.expected_event(request_id, number)
             prefix = "\r\n".join(lines).encode() + b"\r\n\r\n" if number == first else b""
             writer.write(prefix + b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
+        if most_events is not None:
+            return False
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return first <= count
--- a/tests/transport/testhttp.cpp
+++ b/tests/transport/testhttp.cpp
@@ -135,6 +135,46 @@
     cr_assert_eq(size, Parts * 1000);
 }
 
+// The store, a peer or an engine sends an answer without end: it is broken off at the limit, with the reason.
+Test(http, answerBeyondTheLimitIsBrokenOff)
+{
+    constexpr std::size_t MaxBytes = 100'000;
+    const auto server = serve([](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->beginStream(200, {});
+        std::thread([exchange] {
+            while (exchange->write(std::string(1000, 'x'))) { }
+        }).detach();
+    });
+    for (const std::size_t limit : { MaxBytes, std::size_t(0) }) {
+        HttpClient client;
+        std::atomic<std::size_t> size { 0 };
+        absl::Notification done;
+        CallResult result;
+        HttpCall httpCall;
+        httpCall.url = "http://127.0.0.1:" + std::to_string(server->port()) + "/";
+        httpCall.maxBodyBytes = limit;
+        httpCall.totalTimeout = Duration(500);
+        httpCall.onData = [&](std::string_view data) {
+            size += data.size();
+            return true;
+        };
+        httpCall.onDone = [&](const CallResult &ended) {
+            result = ended;
+            done.Notify();
+        };
+        client.start(std::move(httpCall));
+        done.WaitForNotification();
+        cr_assert(result.state == AttemptState::Sent);
+        if (limit > 0) {
+            cr_assert(result.error == ErrorKind::UpstreamFailed);
+            cr_assert_eq(result.detail, "the answer is longer than 100000 bytes");
+            cr_assert_leq(size, limit);
+        } else {
+            cr_assert(result.error == ErrorKind::UpstreamTimeout);
+        }
+    }
+}
+
 Test(http, callStoppedByMaySendIsReportedAsNotSent)
 {
     // A node is suspended between its decision and the sending, and resumes after the deadline. It must not send then.
--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -7,6 +7,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
 #include <curl/curl.h>
 #include <netinet/in.h>
@@ -35,6 +36,8 @@
 // a small node.
 constexpr long ReceiveBufferBytes = 8L << 10;
 constexpr long SendBufferBytes = 16L << 10;
+// The system would let its buffer of a connection grow to tens of megabytes while this process does not read.
+constexpr int SystemReceiveBufferBytes = 256 << 10;
 // Connections kept for reuse, over all upstreams: a few to each upstream of the largest fleet.
 constexpr long MaxKeptConnections = 256;
 // An unresponsive peer is detected after one second without traffic and two keepalive probes one second apart.
@@ -55,6 +58,7 @@
     bool isHeadReported = false;
     bool isHeadChecked = false;
     bool isPausePending = false;
+    std::size_t bodyBytes = 0;
     std::vector<std::pair<std::string, std::string>> answerHeaders;
 
     ~Transfer()
@@ -111,6 +115,11 @@
     return count;
 }
 
+bool isTooLong(const Transfer &transfer)
+{
+    return transfer.call.maxBodyBytes > 0 && transfer.bodyBytes > transfer.call.maxBodyBytes;
+}
+
 std::size_t onBody(char *data, std::size_t, std::size_t count, void *context)
 {
     auto &transfer = *static_cast<Transfer *>(context);
@@ -121,7 +130,12 @@
         return CURL_WRITEFUNC_PAUSE;
     }
     reportHead(transfer);
-    if (transfer.call.onData && !transfer.call.onData(std::string_view(data, count))) {
+    transfer.bodyBytes += count;
+    const std::string_view part(data, count);
+    if (isTooLong(transfer) || (transfer.call.acceptsData && !transfer.call.acceptsData(part))) {
+        return 0;
+    }
+    if (transfer.call.onData && !transfer.call.onData(part)) {
         transfer.isPausePending = true;
     }
     return count;
@@ -158,6 +172,7 @@
 {
     auto &transfer = *static_cast<Transfer *>(context);
     transfer.openedSocket = socket;
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &SystemReceiveBufferBytes, sizeof SystemReceiveBufferBytes);
     const auto milliseconds = static_cast<unsigned int>(transfer.call.acknowledgeTimeout.milliseconds());
     if (milliseconds > 0) {
         setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
@@ -450,7 +465,8 @@
         } else {
             result.state = transfer.isSent ? AttemptState::Sent : AttemptState::NotSent;
             result.error = errorOf(code, transfer.isSent);
-            result.detail = curl_easy_strerror(code);
+            result.detail = isTooLong(transfer) ? absl::StrCat("the answer is longer than ", transfer.call.maxBodyBytes, " bytes")
+                                                : curl_easy_strerror(code);
             result.isConnectionRefused = code == CURLE_COULDNT_CONNECT && isRefusedByHost(transfer.easy);
         }
         end(transfer, result);
--- a/transport/httpclient.h
+++ b/transport/httpclient.h
@@ -67,6 +67,8 @@
     bool isSentOnce = false;
     /** Path and query to send unchanged, byte for byte, instead of those of the URL. May be empty. */
     std::string target;
+    /** Longest body of the answer in bytes; a longer one is broken off. Zero means no limit. */
+    std::size_t maxBodyBytes = 0;
     /** A kept connection that was idle for longer is not reused; in whole seconds; zero means libcurl's default of 118 s. */
     Duration maxConnectionIdle = Duration(0);
     /** The connection fails when sent bytes stay unacknowledged for this long; zero means the system's default, which is minutes. */
@@ -85,6 +87,8 @@
     std::function<bool(int, const std::vector<std::pair<std::string, std::string>> &, const AnswerConnection &)> acceptsHead;
     /** Status and headers (names in lower case) of the answer. May be empty. */
     std::function<void(int, const std::vector<std::pair<std::string, std::string>> &)> onHead;
+    /** Called before onData with the same part. False ends the call and closes its connection at once. May be empty. */
+    std::function<bool(std::string_view)> acceptsData;
     /** Part of the answer's body. False pauses the answer until resume(); that part counts as consumed. May be empty. */
     std::function<bool(std::string_view)> onData;
     /** Called exactly once, also after cancel(). */
