--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -13,20 +13,24 @@
 // An objection is repeated for some messages, as datagrams may be lost.
 constexpr Duration ObjectionRepeatTime = Duration::seconds(3);
 
-void addUnique(std::vector<RequestContent> &contents, const std::vector<RequestContent> &added, std::size_t limit)
+void addUnique(std::vector<CrashSuspect> &suspects, const std::vector<CrashSuspect> &added, std::size_t limit)
 {
-    for (const RequestContent &content : added) {
-        if (contents.size() < limit && std::find(contents.begin(), contents.end(), content) == contents.end()) {
-            contents.push_back(content);
+    for (const CrashSuspect &suspect : added) {
+        const auto known = std::find_if(
+            suspects.begin(), suspects.end(), [&suspect](const CrashSuspect &other) { return other.content == suspect.content; });
+        if (known != suspects.end()) {
+            known->hasBegun = known->hasBegun || suspect.hasBegun;
+        } else if (suspects.size() < limit) {
+            suspects.push_back(suspect);
         }
     }
 }
 
-std::set<ContentElement> elementsOfAll(const std::vector<RequestContent> &contents)
+std::set<ContentElement> elementsOfAll(const std::vector<CrashSuspect> &suspects)
 {
     std::set<ContentElement> result;
-    for (const RequestContent &content : contents) {
-        const auto elements = elementsOf(content);
+    for (const CrashSuspect &suspect : suspects) {
+        const auto elements = elementsOf(suspect.content);
         result.insert(elements.begin(), elements.end());
     }
     return result;
@@ -45,13 +49,33 @@
     if (at == m_answers.end()) {
         return std::nullopt;
     }
-    return basis == AnswerBasis::Known ? std::optional(at->second.at) : at->second.toldAt;
+    return basis == AnswerBasis::Known ? latest(content, at->second.known) : at->second.told.wholeAt;
+}
+
+bool ContentQuarantine::isBegunAfter(ContentDigest content, Time at) const
+{
+    const auto broken = m_brokenAnswers.find(content);
+    return broken == m_brokenAnswers.end() || at > broken->second;
+}
+
+std::optional<Time> ContentQuarantine::latest(ContentDigest content, const AnswerTimes &times) const
+{
+    if (times.begunAt && isBegunAfter(content, *times.begunAt)) {
+        return std::max(times.begunAt, times.wholeAt);
+    }
+    return times.wholeAt;
+}
+
+void ContentQuarantine::AnswerTimes::add(AnswerProgress progress, Time at)
+{
+    std::optional<Time> &latestAt = progress == AnswerProgress::Whole ? wholeAt : begunAt;
+    latestAt = std::max(latestAt.value_or(at), at);
 }
 
 bool ContentQuarantine::isExplained(const Crash &crash) const
 {
-    const auto isHeld = [this](const RequestContent &content) {
-        const auto elements = elementsOf(content);
+    const auto isHeld = [this](const CrashSuspect &suspect) {
+        const auto elements = elementsOf(suspect.content);
         return std::any_of(
             elements.begin(), elements.end(), [this](const ContentElement &element) { return m_held.contains(element.digest); });
     };
@@ -59,18 +83,18 @@
 }
 
 // A crash under a held part accuses nothing else. One under a held request may still be due to a part that the request shares with others.
-std::vector<RequestContent> ContentQuarantine::accusedBy(const Crash &crash) const
+std::vector<CrashSuspect> ContentQuarantine::accusedBy(const Crash &crash) const
 {
-    std::vector<RequestContent> heldRequests;
-    for (const RequestContent &content : crash.suspects) {
-        for (const ContentElement &element : elementsOf(content)) {
+    std::vector<CrashSuspect> heldRequests;
+    for (const CrashSuspect &suspect : crash.suspects) {
+        for (const ContentElement &element : elementsOf(suspect.content)) {
             if (!m_held.contains(element.digest)) {
                 continue;
             }
             if (element.kind != ContentElement::Kind::Request) {
                 return {};
             }
-            heldRequests.push_back(content);
+            heldRequests.push_back(suspect);
         }
     }
     return heldRequests.empty() ? crash.suspects : heldRequests;
@@ -81,7 +105,15 @@
     if (evidence.wasAnswered) {
         return m_limits.crashesToHoldAnswered;
     }
-    return evidence.kind == ContentElement::Kind::PartOnAdapter ? m_limits.crashesToHoldOnAdapter : m_limits.crashesToHold;
+    switch (evidence.kind) {
+    case ContentElement::Kind::Request:
+        return evidence.hasBegun ? m_limits.crashesToHoldBegunRequest : m_limits.crashesToHold;
+    case ContentElement::Kind::Part:
+        return evidence.hasBegun ? m_limits.crashesToHoldBegunPart : m_limits.crashesToHold;
+    case ContentElement::Kind::PartOnAdapter:
+        return evidence.hasBegun ? m_limits.crashesToHoldBegunOnAdapter : m_limits.crashesToHoldOnAdapter;
+    }
+    return m_limits.crashesToHoldAnswered;
 }
 
 bool ContentQuarantine::isSufficient(const Evidence &evidence) const
@@ -94,7 +126,7 @@
     const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, absl::flat_hash_map<ContentDigest, Evidence> &result) const
 {
     std::set<ContentDigest> counted;
-    for (const RequestContent &content : accusedBy(crash)) {
+    for (const auto &[content, hasBegun] : accusedBy(crash)) {
         for (const ContentElement &element : elementsOf(content)) {
             const auto answered = answeredAt(element.digest, basis);
             if (m_held.contains(element.digest) || (answered && *answered >= crash.at)) {
@@ -103,11 +135,14 @@
             Evidence &entry = result[element.digest];
             entry.kind = element.kind;
             entry.wasAnswered = answered.has_value();
+            entry.hasBegun = entry.hasBegun || hasBegun;
             entry.requests.insert(content.request);
             entry.lastAt = crash.at;
             if (counted.insert(element.digest).second) {
                 entry.upstreams.push_back(upstream.upstream);
-                if (entry.crashes == 0 || crash.at - entry.lastCountedAt >= m_limits.minCrashInterval) {
+                const Duration interval =
+                    entry.kind == ContentElement::Kind::PartOnAdapter ? m_limits.minCrashIntervalOnAdapter : m_limits.minCrashInterval;
+                if (entry.crashes == 0 || crash.at - entry.lastCountedAt >= interval) {
                     entry.firstAt = entry.crashes == 0 ? crash.at : entry.firstAt;
                     entry.lastCountedAt = crash.at;
                     ++entry.crashes;
@@ -120,11 +155,13 @@
     }
 }
 
-// The greatest is the most probable: what most upstreams ended under, then what none has ever answered, then what explains most by itself.
-std::tuple<int, bool, bool, bool> ContentQuarantine::order(const Evidence &evidence)
+// The greatest is the most probable: what most upstreams ended under, then what none has ever answered or begun to answer, then what
+// explains most by itself. Of two that are alike, the one in more of the lost requests is what they share with sound ones.
+std::tuple<int, bool, bool, bool, bool, std::ptrdiff_t> ContentQuarantine::order(const Evidence &evidence)
 {
     const bool isPart = evidence.kind != ContentElement::Kind::Request;
-    return std::tuple(evidence.crashes, !evidence.wasAnswered, isPart, evidence.kind == ContentElement::Kind::Part);
+    return std::tuple(evidence.crashes, !evidence.wasAnswered, !evidence.hasBegun, isPart, evidence.kind == ContentElement::Kind::Part,
+        -std::ssize(evidence.requests));
 }
 
 // Counts for each content the crashes since it was last answered.
@@ -172,6 +209,7 @@
         m_crashes.erase(
             std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto &a, const auto &b) { return a.second.at < b.second.at; }));
     }
+    absl::erase_if(m_brokenAnswers, [&](const auto &entry) { return now - entry.second > m_limits.crashMemory; });
     std::vector<ContentDigest> lapsed;
     for (const auto &[content, held] : m_held) {
         if (now - std::max(held.lastRequestAt, held.lastCrashAt) > m_limits.lapseAfter) {
@@ -198,11 +236,19 @@
 }
 
 ContentQuarantine::Crash &ContentQuarantine::addCrash(
-    const UpstreamStart &upstream, const std::vector<RequestContent> &suspects, Time at, Time now)
+    const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now)
 {
     Crash &crash = m_crashes.try_emplace(upstream, Crash { at, now }).first->second;
     crash.at = std::min(crash.at, at);
     addUnique(crash.suspects, suspects, m_limits.maxSuspects * 4);
+    for (const CrashSuspect &suspect : suspects) {
+        for (const ContentElement &element : elementsOf(suspect.content)) {
+            if (suspect.hasBegun) {
+                Time &brokenAt = m_brokenAnswers.try_emplace(element.digest, crash.at).first->second;
+                brokenAt = std::max(brokenAt, crash.at);
+            }
+        }
+    }
     for (const ContentElement &element : elementsOfAll(suspects)) {
         const auto held = m_held.find(element.digest);
         if (held != m_held.end() && crash.at > held->second.lastCrashAt) {
@@ -215,7 +261,7 @@
     return crash;
 }
 
-bool ContentQuarantine::onCrash(const UpstreamStart &upstream, const std::vector<RequestContent> &suspects, Time at, Time now)
+bool ContentQuarantine::onCrash(const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now)
 {
     Crash &crash = addCrash(upstream, suspects, at, now);
     addUnique(crash.ownSuspects, suspects, m_limits.maxSuspects);
@@ -223,13 +269,14 @@
     return !isExplained(crash);
 }
 
-bool ContentQuarantine::onAnswered(const RequestContent &content, Time now)
+bool ContentQuarantine::onAnswered(const RequestContent &content, AnswerProgress progress, Time now)
 {
     bool isNews = false;
     for (const ContentElement &element : elementsOf(content)) {
         Answer &answer = m_answers[element.digest];
-        answer.at = now;
-        if (m_held.contains(element.digest)) {
+        answer.known.add(progress, now);
+        // The beginning of an answer does not show that the upstream survives it.
+        if (progress == AnswerProgress::Whole && m_held.contains(element.digest)) {
             answer.tellUntil = now + m_limits.repeatTime;
             release(element.digest, ContentReleased::Reason::Answered);
             isNews = true;
@@ -237,7 +284,10 @@
     }
     if (m_answers.size() > m_limits.maxAnswers) {
         // Old answers clear content of old crashes only.
-        absl::erase_if(m_answers, [&](const auto &entry) { return now - entry.second.at > m_limits.answerMemory; });
+        absl::erase_if(m_answers, [&](const auto &entry) {
+            const AnswerTimes &known = entry.second.known;
+            return now - std::max(known.wholeAt, known.begunAt).value_or(Time()) > m_limits.answerMemory;
+        });
         if (m_answers.size() > m_limits.maxAnswers) {
             m_answers.clear();
         }
@@ -250,10 +300,11 @@
     for (const AnsweredContent &answered : statements.answers) {
         const Time at = now - answered.age;
         Answer &answer = m_answers[answered.content];
-        answer.at = std::max(answer.at, at);
-        answer.toldAt = std::max(answer.toldAt.value_or(at), at);
+        answer.known.add(answered.progress, at);
+        answer.told.add(answered.progress, at);
         const auto held = m_held.find(answered.content);
-        if (held != m_held.end() && at > held->second.firstCrashAt) {
+        const bool isWhole = answered.progress == AnswerProgress::Whole;
+        if (isWhole && held != m_held.end() && at > held->second.firstCrashAt) {
             release(answered.content, ContentReleased::Reason::Answered);
         }
     }
@@ -268,9 +319,9 @@
 void ContentQuarantine::onPeerHeld(const HeldContent &statement, Time now)
 {
     const Time firstCrashAt = now - statement.sinceFirstCrash;
-    const auto answered = answeredAt(statement.content, AnswerBasis::Known);
-    if (answered && *answered > firstCrashAt) {
-        m_answers[statement.content].tellUntil = now + ObjectionRepeatTime;
+    const auto answer = m_answers.find(statement.content);
+    if (answer != m_answers.end() && answer->second.known.wholeAt > firstCrashAt) {
+        answer->second.tellUntil = now + ObjectionRepeatTime;
         return;
     }
     const auto [at, isNew] = m_held.try_emplace(statement.content, Held { statement.crashes, firstCrashAt });
@@ -290,12 +341,13 @@
 
 bool ContentQuarantine::isAccused(ContentDigest request) const
 {
-    const auto answered = answeredAt(request, AnswerBasis::Known);
+    const auto answer = m_answers.find(request);
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &entry) {
         const Crash &crash = entry.second;
         const bool isSuspect = std::any_of(
-            crash.suspects.begin(), crash.suspects.end(), [&](const RequestContent &suspect) { return suspect.request == request; });
-        return isSuspect && (!answered || *answered < crash.at);
+            crash.suspects.begin(), crash.suspects.end(), [&](const CrashSuspect &suspect) { return suspect.content.request == request; });
+        const bool isAnsweredSince = answer != m_answers.end() && answer->second.known.wholeAt >= crash.at;
+        return isSuspect && !isAnsweredSince;
     });
 }
 
@@ -358,10 +410,10 @@
         return;
     }
     for (const auto &[content, entry] : evidence(AnswerBasis::Told)) {
-        const auto known = m_answers.find(content);
-        const bool isUnknownToOthers = known != m_answers.end() && (known->second.at > entry.firstAt || !known->second.toldAt);
+        const auto answered = answeredAt(content, AnswerBasis::Known);
+        const bool isUnknownToOthers = answered && (*answered > entry.firstAt || !answeredAt(content, AnswerBasis::Told));
         if (isUnknownToOthers && entry.crashes + 1 >= m_limits.crashesToHold) {
-            known->second.tellUntil = now + ObjectionRepeatTime;
+            m_answers[content].tellUntil = now + ObjectionRepeatTime;
         }
     }
 }
@@ -379,10 +431,17 @@
         }
     }
     for (auto &[content, answer] : m_answers) {
-        if (answer.tellUntil >= now) {
-            answer.toldAt = answer.at;
-            result.answers.push_back(AnsweredContent { content, now - answer.at });
+        if (answer.tellUntil < now) {
+            continue;
+        }
+        const AnswerTimes &known = answer.known;
+        if (known.wholeAt) {
+            result.answers.push_back(AnsweredContent { content, now - *known.wholeAt, AnswerProgress::Whole });
+        }
+        if (known.begunAt > known.wholeAt && isBegunAfter(content, *known.begunAt)) {
+            result.answers.push_back(AnsweredContent { content, now - *known.begunAt, AnswerProgress::Begun });
         }
+        answer.told = known;
     }
     for (const auto &[content, held] : m_held) {
         if (isFull || held.tellUntil >= now) {
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -23,23 +23,32 @@
 // An upstream that ends takes all its requests with it, so a crash alone accuses sound content as well.
 //
 // So nodes tell each other what upstreams were asked when they ended. Content is held back once several upstreams in a row have ended under
-// it, at different moments, and none has begun to answer it in between, which a sound request, or one that many callers share, does not
-// survive by chance. Any node that knows of an answer objects, as most do for a part that many requests share. A part must have ended
-// upstreams in several different requests. A crash under a part that is held back accuses nothing else; one under a held request accuses
-// its own parts only. Held content gets a few trials, each by a single node of the fleet, and is released once an upstream answers it.
+// it, at different moments, and none has answered it in between, which a sound request, or one that many callers share, does not survive by
+// chance. Any node that knows of an answer objects, as most do for a part that many requests share. The beginning of an answer counts like
+// a whole one until an upstream ends in the middle of an answer to the same content: upstreams may end while they write, too. A part must
+// have ended upstreams in several different requests. A crash under a part that is held back accuses nothing else; one under a held request
+// accuses its own parts only. Held content gets a few trials, each by a single node of the fleet, and is released once an upstream answers
+// it.
 
 struct ContentQuarantineLimits
 {
     /** Crashes under the same content, without an answer to it in between, after which it is held back. */
     int crashesToHold = 3;
-    /** The same for a part on one adapter, and for content that upstreams have answered before: it is less likely that they are to blame.
+    /**
+     * The same for what is less likely to be to blame: a part on one adapter, content that upstreams have answered before, and content that
+     * upstreams had begun to answer when they ended.
      */
     int crashesToHoldOnAdapter = 4;
+    int crashesToHoldBegunRequest = 4;
     int crashesToHoldAnswered = 5;
+    int crashesToHoldBegunPart = 5;
+    int crashesToHoldBegunOnAdapter = 6;
     /** Different requests with the same part that upstreams ended under, before the part is held back. */
     int requestsToHoldPart = 3;
     /** Crashes closer together than this count as one: a rack that fails or a release ends many upstreams at the same moment. */
     Duration minCrashInterval { 50 };
+    /** The same for a part on one adapter: upstreams that end in turn take many requests with it, and few others have it. */
+    Duration minCrashIntervalOnAdapter { 300 };
     /** Content is held back this long after the last crash needed became known, unless a node knows of an answer. */
     Duration objectionTime { 300 };
     Duration objectionTimeUnlikely { 1000 };
@@ -64,23 +73,39 @@
     std::size_t maxAnswers = 16384;
 };
 
-/** Requests of a node that an upstream had not begun to answer when it ended. */
+/** A request that an upstream had when it ended. */
+struct CrashSuspect
+{
+    RequestContent content;
+    /** The upstream had sent a part of the answer. */
+    bool hasBegun = false;
+
+    bool operator==(const CrashSuspect &) const = default;
+};
+
+/** Requests of a node that an upstream had when it ended. */
 struct CrashReport
 {
     UpstreamStart upstream;
     /** Since it ended. */
     Duration age;
-    std::vector<RequestContent> suspects;
+    std::vector<CrashSuspect> suspects;
 
     bool operator==(const CrashReport &) const = default;
 };
 
-/** An upstream has begun to answer a request with this content. */
+enum class AnswerProgress {
+    Begun,
+    Whole,
+};
+
+/** An upstream has answered a request with this content, or begun to. */
 struct AnsweredContent
 {
     ContentDigest content;
     /** Since then. */
     Duration age;
+    AnswerProgress progress = AnswerProgress::Whole;
 
     bool operator==(const AnsweredContent &) const = default;
 };
@@ -129,7 +154,7 @@
 struct ContentReleased
 {
     enum class Reason {
-        /** An upstream has begun to answer it. */
+        /** An upstream has answered it. */
         Answered,
         /** Nobody has asked for it for long. */
         Lapsed,
@@ -151,12 +176,12 @@
 
     explicit ContentQuarantine(ContentQuarantineLimits limits);
 
-    /** An upstream ended at @p at, before it had begun to answer @p suspects of this node. Returns whether peers must know at once. */
-    bool onCrash(const UpstreamStart &upstream, const std::vector<RequestContent> &suspects, Time at, Time now);
-    /** An upstream has begun to answer a request of this node. Returns whether peers must know at once. */
-    bool onAnswered(const RequestContent &content, Time now);
+    /** An upstream ended at @p at, while it had @p suspects of this node. Returns whether peers must know at once. */
+    bool onCrash(const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now);
+    /** An upstream has answered a request of this node, or begun to. Returns whether peers must know at once. */
+    bool onAnswered(const RequestContent &content, AnswerProgress progress, Time now);
     void onPeerStatements(const QuarantineStatements &statements, Time now);
-    /** Whether an upstream has already ended under the request, and none has begun to answer it since. */
+    /** Whether an upstream has already ended under the request, and none has answered it to the end since. */
     bool isAccused(ContentDigest request) const;
     /** Returns the held content of a request that must not be sent, if any. */
     std::optional<ContentDigest> heldBy(const RequestContent &content, Time now);
@@ -176,16 +201,24 @@
     {
         Time at;
         Time knownSince;
-        std::vector<RequestContent> suspects;
+        std::vector<CrashSuspect> suspects;
         /** Those of this node, which it tells its peers until then. */
-        std::vector<RequestContent> ownSuspects;
+        std::vector<CrashSuspect> ownSuspects;
         Time tellUntil;
     };
+    /** The latest answers to some content. */
+    struct AnswerTimes
+    {
+        std::optional<Time> wholeAt;
+        std::optional<Time> begunAt;
+
+        void add(AnswerProgress progress, Time at);
+    };
     struct Answer
     {
-        Time at;
-        /** The latest answer that all nodes were told of. */
-        std::optional<Time> toldAt;
+        AnswerTimes known;
+        /** Those that all nodes were told of. */
+        AnswerTimes told;
         /** This node tells its peers until then. */
         Time tellUntil;
     };
@@ -205,6 +238,8 @@
     {
         ContentElement::Kind kind = ContentElement::Kind::Request;
         bool wasAnswered = false;
+        /** An upstream ended in the middle of an answer. */
+        bool hasBegun = false;
         int crashes = 0;
         /** The different requests among which the upstreams ended. */
         std::set<ContentDigest> requests;
@@ -228,17 +263,21 @@
     absl::flat_hash_map<ContentDigest, Evidence> evidence(AnswerBasis basis) const;
     std::optional<Time> answeredAt(ContentDigest content, AnswerBasis basis) const;
     bool isExplained(const Crash &crash) const;
-    std::vector<RequestContent> accusedBy(const Crash &crash) const;
+    std::vector<CrashSuspect> accusedBy(const Crash &crash) const;
+    /** The latest answer that was not broken off by the end of an upstream. */
+    std::optional<Time> latest(ContentDigest content, const AnswerTimes &times) const;
+    bool isBegunAfter(ContentDigest content, Time at) const;
     void addEvidence(
         const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, absl::flat_hash_map<ContentDigest, Evidence> &result) const;
     int crashesToHold(const Evidence &evidence) const;
     bool isSufficient(const Evidence &evidence) const;
-    static std::tuple<int, bool, bool, bool> order(const Evidence &evidence);
+    static std::tuple<int, bool, bool, bool, bool, std::ptrdiff_t> order(const Evidence &evidence);
     static bool isUnlikely(const Evidence &evidence)
     {
-        return evidence.wasAnswered || evidence.kind == ContentElement::Kind::PartOnAdapter;
+        const bool isBegunPart = evidence.hasBegun && evidence.kind != ContentElement::Kind::Request;
+        return evidence.wasAnswered || isBegunPart || evidence.kind == ContentElement::Kind::PartOnAdapter;
     }
-    Crash &addCrash(const UpstreamStart &upstream, const std::vector<RequestContent> &suspects, Time at, Time now);
+    Crash &addCrash(const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now);
     void hold(ContentDigest content, const Evidence &evidence, Time now);
     void release(ContentDigest content, ContentReleased::Reason reason);
     void onPeerHeld(const HeldContent &statement, Time now);
@@ -249,6 +288,8 @@
     ContentQuarantineLimits m_limits;
     std::map<UpstreamStart, Crash> m_crashes;
     absl::flat_hash_map<ContentDigest, Answer> m_answers;
+    /** When an upstream last ended in the middle of an answer. The beginnings of answers until then show nothing. */
+    absl::flat_hash_map<ContentDigest, Time> m_brokenAnswers;
     std::map<ContentDigest, Held> m_held;
     /** When the last report of a crash came. */
     Time m_crashKnownAt;
--- a/main/entry/crashdetector.cpp
+++ b/main/entry/crashdetector.cpp
@@ -31,7 +31,7 @@
     {
         UpstreamRecord upstream;
         Time at;
-        std::vector<RequestContent> suspects;
+        std::vector<CrashSuspect> suspects;
         bool hasEnded = false;
     };
 
@@ -88,18 +88,19 @@
 
 void CrashDetector::Private::report(Suspicion &suspicion)
 {
-    const std::vector<RequestContent> suspects = std::exchange(suspicion.suspects, {});
+    const std::vector<CrashSuspect> suspects = std::exchange(suspicion.suspects, {});
+    const auto begun = std::count_if(suspects.begin(), suspects.end(), [](const CrashSuspect &suspect) { return suspect.hasBegun; });
     std::vector<std::string> digests;
     for (std::size_t i = 0; i < std::min(suspects.size(), MaxLoggedDigests); ++i) {
-        digests.push_back(digestName(suspects[i].request));
-        for (const ContentDigest part : suspects[i].parts) {
+        digests.push_back(digestName(suspects[i].content.request));
+        for (const ContentDigest part : suspects[i].content.parts) {
             digests.back() += '/' + digestName(part);
         }
     }
     log.write(Important, "upstream", "ended",
         { { "upstream", suspicion.upstream.id.value() }, { "service", suspicion.upstream.service.value() },
-            { "startedAt", suspicion.upstream.startedAt }, { "unanswered", static_cast<std::int64_t>(suspects.size()) },
-            { "contents", absl::StrJoin(digests, " ") } });
+            { "startedAt", suspicion.upstream.startedAt }, { "requests", static_cast<std::int64_t>(suspects.size()) },
+            { "begun", static_cast<std::int64_t>(begun) }, { "contents", absl::StrJoin(digests, " ") } });
     onEnded(suspicion.upstream, suspects, suspicion.at);
 }
 
@@ -110,13 +111,13 @@
 
 CrashDetector::~CrashDetector() = default;
 
-void CrashDetector::onBroken(const UpstreamRecord &upstream, const RequestContent &content)
+void CrashDetector::onBroken(const UpstreamRecord &upstream, const CrashSuspect &suspect)
 {
     const Time now = d->loop.clock().now();
     std::erase_if(d->suspicions, [now](const auto &entry) { return now - entry.second.at > Memory; });
     const UpstreamStart start { upstream.id, upstream.startedAt };
     const auto [at, isNew] = d->suspicions.try_emplace(start, Private::Suspicion { upstream, now, {}, false });
-    at->second.suspects.push_back(content);
+    at->second.suspects.push_back(suspect);
     if (isNew) {
         d->loop.after(ProbeDelay, [weak = std::weak_ptr(d), start] {
             if (const auto self = weak.lock(); self != nullptr && self->suspicions.contains(start)) {
--- a/main/entry/crashdetector.h
+++ b/main/entry/crashdetector.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/requestcontent.h"
+#include "coordination/contentquarantine.h"
 #include "main/entry/entrymetrics.h"
 #include "main/entry/eventlog.h"
 #include "state/upstreamrecord.h"
@@ -17,14 +17,14 @@
 class CrashDetector
 {
 public:
-    /** The upstream ended at @p at, before it began to answer requests with @p suspects. */
-    using OnEnded = std::function<void(const UpstreamRecord &upstream, const std::vector<RequestContent> &suspects, Time at)>;
+    /** The upstream ended at @p at, while it had requests with @p suspects. */
+    using OnEnded = std::function<void(const UpstreamRecord &upstream, const std::vector<CrashSuspect> &suspects, Time at)>;
 
     CrashDetector(IoLoop &loop, EventLog &log, EntryMetrics &metrics, OnEnded onEnded);
     ~CrashDetector();
 
-    /** @p upstream broke off a request that it had not begun to answer. */
-    void onBroken(const UpstreamRecord &upstream, const RequestContent &content);
+    /** @p upstream broke off a request. */
+    void onBroken(const UpstreamRecord &upstream, const CrashSuspect &suspect);
 
 private:
     struct Private;
--- a/main/entry/crashguard.cpp
+++ b/main/entry/crashguard.cpp
@@ -40,7 +40,7 @@
     , m_quarantine(clusterState.quarantine)
     , m_callbacks(std::move(callbacks))
     , m_detector(loop, log, metrics,
-          [this](const UpstreamRecord &upstream, const std::vector<RequestContent> &suspects, Time at) { onEnded(upstream, suspects, at); })
+          [this](const UpstreamRecord &upstream, const std::vector<CrashSuspect> &suspects, Time at) { onEnded(upstream, suspects, at); })
 {
 }
 
@@ -50,12 +50,12 @@
     return m_loop.clock().now();
 }
 
-void CrashGuard::onBroken(const UpstreamRecord &upstream, const RequestContent &content)
+void CrashGuard::onBroken(const UpstreamRecord &upstream, const CrashSuspect &suspect)
 {
-    m_detector.onBroken(upstream, content);
+    m_detector.onBroken(upstream, suspect);
 }
 
-void CrashGuard::onEnded(const UpstreamRecord &upstream, const std::vector<RequestContent> &suspects, Time at)
+void CrashGuard::onEnded(const UpstreamRecord &upstream, const std::vector<CrashSuspect> &suspects, Time at)
 {
     if (m_quarantine.onCrash(UpstreamStart { upstream.id, upstream.startedAt }, suspects, at, now())) {
         m_callbacks.onNews();
@@ -63,9 +63,9 @@
     reportChanges();
 }
 
-void CrashGuard::onAnswered(const RequestContent &content)
+void CrashGuard::onAnswered(const RequestContent &content, AnswerProgress progress)
 {
-    if (m_quarantine.onAnswered(content, now())) {
+    if (m_quarantine.onAnswered(content, progress, now())) {
         m_callbacks.onNews();
     }
     reportChanges();
--- a/main/entry/crashguard.h
+++ b/main/entry/crashguard.h
@@ -36,10 +36,10 @@
 
     CrashGuard(IoLoop &loop, EventLog &log, EntryMetrics &metrics, ClusterState &clusterState, Callbacks callbacks);
 
-    /** @p upstream broke off a request that it had not begun to answer. */
-    void onBroken(const UpstreamRecord &upstream, const RequestContent &content);
-    /** An upstream has begun to answer a request. */
-    void onAnswered(const RequestContent &content);
+    /** @p upstream broke off a request. */
+    void onBroken(const UpstreamRecord &upstream, const CrashSuspect &suspect);
+    /** An upstream has answered a request, or begun to. */
+    void onAnswered(const RequestContent &content, AnswerProgress progress);
     void onPeerStatements(const QuarantineStatements &statements);
     /** Decides on the next attempt of the request @p id. */
     ContentVerdict decide(const RequestContent &content, const std::string &id);
@@ -50,7 +50,7 @@
 
 private:
     Time now() const;
-    void onEnded(const UpstreamRecord &upstream, const std::vector<RequestContent> &suspects, Time at);
+    void onEnded(const UpstreamRecord &upstream, const std::vector<CrashSuspect> &suspects, Time at);
     void reportChanges();
 
     IoLoop &m_loop;
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -787,7 +787,7 @@
     accountMemory();
     if (!m_hasEvents && !events.empty()) {
         m_hasEvents = true;
-        reportAnswered();
+        reportAnswered(AnswerProgress::Begun);
     }
     if (events.empty() || m_exchange->write(events)) {
         return true;
@@ -811,10 +811,10 @@
 }
 
 // The node through which an attempt goes reports for itself.
-void RequestJob::reportAnswered()
+void RequestJob::reportAnswered(AnswerProgress progress)
 {
     if (!m_relay) {
-        m_context.crashGuard().onAnswered(m_content);
+        m_context.crashGuard().onAnswered(m_content, progress);
     }
 }
 
@@ -912,9 +912,7 @@
     }
     ++m_possibleRuns;
     m_executionState = ExecutionState::MayHaveRun;
-    if (!m_hasEvents) {
-        reportAnswered();
-    }
+    reportAnswered(AnswerProgress::Whole);
     if (!isSuccess(m_answer->status)) {
         onServerFailure();
         return;
@@ -1011,11 +1009,8 @@
     if (m_relay) {
         m_excludedRelays.insert(m_relay->id);
     } else {
-        // What has begun to receive its answer is not what ended the upstream.
-        if (!hasBegunToAnswer()) {
-            m_isAccused = m_context.crashGuard().isAccused(m_content);
-            m_context.crashGuard().onBroken(m_upstream, m_content);
-        }
+        m_isAccused = m_context.crashGuard().isAccused(m_content);
+        m_context.crashGuard().onBroken(m_upstream, CrashSuspect { m_content, hasBegunToAnswer() });
         m_context.clusterState().outliers.onFailure(m_upstream.id, now());
         m_context.reachabilityProber().onBroken(m_service);
     }
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -183,8 +183,8 @@
     /** Accounts for what this job has kept of answers. */
     void accountMemory();
     void discardAnswer();
-    /** An upstream has begun to answer the attempt in progress. */
-    void reportAnswered();
+    /** An upstream has answered the attempt in progress, or begun to. */
+    void reportAnswered(AnswerProgress progress);
     void onDone(const CallResult &result);
     void onNotSent(const CallResult &result);
     void onAnswered();
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -140,6 +140,7 @@
     request @0 :UInt64;
     adapter @1 :UInt64;
     parts @2 :List(UInt64);
+    hasBegun @3 :Bool;
 }
 
 struct CrashReportWire {
@@ -152,6 +153,8 @@
 struct AnsweredContentWire {
     content @0 :UInt64;
     ageMs @1 :Int64;
+    # Only the beginning of an answer is known.
+    isPart @2 :Bool;
 }
 
 struct HeldContentWire {
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -308,7 +308,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f3dbfa3dea813602, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f3dbfa3dea813602, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -338,7 +338,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e10500095a09c7a2, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e10500095a09c7a2, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2125,6 +2125,8 @@
   inline bool hasParts() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
+  inline bool getHasBegun() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2167,6 +2169,9 @@
   inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
 
+  inline bool getHasBegun();
+  inline void setHasBegun(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2315,6 +2320,8 @@
 
   inline  ::int64_t getAgeMs() const;
 
+  inline bool getIsPart() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2349,6 +2356,9 @@
   inline  ::int64_t getAgeMs();
   inline void setAgeMs( ::int64_t value);
 
+  inline bool getIsPart();
+  inline void setIsPart(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4563,6 +4573,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool RequestContentWire::Reader::getHasBegun() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool RequestContentWire::Builder::getHasBegun() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void RequestContentWire::Builder::setHasBegun(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CrashReportWire::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4687,6 +4711,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AnsweredContentWire::Reader::getIsPart() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool AnsweredContentWire::Builder::getIsPart() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void AnsweredContentWire::Builder::setIsPart(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldContentWire::Reader::getContent() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -397,7 +397,8 @@
         crashes[i].setAgeMs(report.age.milliseconds());
         auto suspects = crashes[i].initSuspects(static_cast<unsigned int>(report.suspects.size()));
         for (unsigned int j = 0; j < suspects.size(); ++j) {
-            const RequestContent &suspect = report.suspects[j];
+            const RequestContent &suspect = report.suspects[j].content;
+            suspects[j].setHasBegun(report.suspects[j].hasBegun);
             suspects[j].setRequest(suspect.request.value());
             suspects[j].setAdapter(suspect.adapter.value());
             auto parts = initList(suspect.parts, [&](unsigned int size) { return suspects[j].initParts(size); });
@@ -410,6 +411,7 @@
     for (unsigned int i = 0; i < answers.size(); ++i) {
         answers[i].setContent(statements.answers[i].content.value());
         answers[i].setAgeMs(statements.answers[i].age.milliseconds());
+        answers[i].setIsPart(statements.answers[i].progress == AnswerProgress::Begun);
     }
     auto held = initList(statements.held, [&wire](unsigned int size) { return wire.initHeldContents(size); });
     for (unsigned int i = 0; i < held.size(); ++i) {
@@ -439,12 +441,13 @@
             for (const std::uint64_t part : suspect.getParts()) {
                 content.parts.emplace_back(part);
             }
-            report.suspects.push_back(std::move(content));
+            report.suspects.push_back(CrashSuspect { std::move(content), suspect.getHasBegun() });
         }
         statements.crashes.push_back(std::move(report));
     }
     for (const auto answer : wire.getAnsweredContents()) {
-        statements.answers.push_back(AnsweredContent { ContentDigest(answer.getContent()), decodeContentAge(answer.getAgeMs()) });
+        statements.answers.push_back(AnsweredContent { ContentDigest(answer.getContent()), decodeContentAge(answer.getAgeMs()),
+            answer.getIsPart() ? AnswerProgress::Begun : AnswerProgress::Whole });
     }
     for (const auto entry : wire.getHeldContents()) {
         HeldContent held { ContentDigest(entry.getContent()), static_cast<int>(std::min(entry.getCrashes(), MaxCount)),
--- a/tests/coordination/testcontentquarantine.cpp
+++ b/tests/coordination/testcontentquarantine.cpp
@@ -77,9 +77,9 @@
     ContentQuarantine quarantine { ContentQuarantineLimits {} };
     Time now(1000);
     for (std::int64_t crash = 0; crash < 20; ++crash) {
-        quarantine.onCrash({ UpstreamId("u"), crash }, { contentOf(5) }, now, now);
+        quarantine.onCrash({ UpstreamId("u"), crash }, { { contentOf(5) } }, now, now);
         now = now + Duration(400);
-        quarantine.onAnswered(contentOf(5), now);
+        quarantine.onAnswered(contentOf(5), AnswerProgress::Whole, now);
         now = now + Duration(400);
         cr_assert_not(quarantine.heldBy(contentOf(5), now));
     }
@@ -92,10 +92,10 @@
     ContentQuarantine accuser { ContentQuarantineLimits {} };
     Time now(1000);
     for (std::int64_t crash = 0; crash < 12; ++crash) {
-        accuser.onCrash({ UpstreamId("u"), crash }, { contentOf(5) }, now, now);
+        accuser.onCrash({ UpstreamId("u"), crash }, { { contentOf(5) } }, now, now);
         witness.onPeerStatements(accuser.statements(false, now), now);
         now = now + HeartbeatInterval;
-        witness.onAnswered(contentOf(5), now);
+        witness.onAnswered(contentOf(5), AnswerProgress::Whole, now);
         accuser.onPeerStatements(witness.statements(false, now), now);
         now = now + HeartbeatInterval;
         cr_assert_not(accuser.heldBy(contentOf(5), now));
@@ -145,7 +145,7 @@
     Time now(1000);
     for (int report = 0; report < 20; ++report) {
         quarantine.onPeerStatements(
-            QuarantineStatements { { CrashReport { { UpstreamId("u"), 1 }, Duration(0), { contentOf(5) } } }, {}, {} }, now);
+            QuarantineStatements { { CrashReport { { UpstreamId("u"), 1 }, Duration(0), { { contentOf(5) } } } }, {}, {} }, now);
         now = now + Duration(400);
         cr_assert_not(quarantine.heldBy(contentOf(5), now));
     }
@@ -238,3 +238,44 @@
         cr_assert_not(replay.anyHolds(promptOf(replay, DeadlyPart, 7)), "seed %u", seed);
     }
 }
+
+// Upstreams end in the middle of their answers: under a repeated request, and under a part of requests of which no two are alike.
+Test(contentquarantine, contentThatEndsUpstreamsMidAnswerReachesFewMore)
+{
+    for (const Duration timeToCrash : { Duration(100), Duration(300), Duration(1200) }) {
+        CrashReplayWays ways;
+        ways.timeToCrash = timeToCrash;
+        for (unsigned seed = 0; seed < Seeds; ++seed) {
+            CrashReplay requests(20, 12, seed, 3, ways);
+            requests.run(WarmUp, { soundTraffic(requests, 30) });
+            requests.run(Duration::seconds(30), { soundTraffic(requests, 30), repeatedRequest(7, 2.5) });
+            cr_assert_leq(requests.counts().lateArrivals, ToleratedAfterwards, "seed %u: %d", seed, requests.counts().lateArrivals);
+            cr_assert_leq(
+                requests.counts().soundRefused * 100, requests.counts().soundServed, "seed %u: %d", seed, requests.counts().soundRefused);
+            CrashReplay parts(20, 12, seed, CrashesToTellPart, ways);
+            parts.run(WarmUp, { soundPrompts(parts, 30) });
+            parts.run(Duration::seconds(30), { soundPrompts(parts, 30), deadlyPrompts(parts, DeadlyPart, 2.5) });
+            cr_assert_leq(parts.counts().lateArrivals, ToleratedAfterwards, "seed %u: %d", seed, parts.counts().lateArrivals);
+            cr_assert_leq(parts.counts().soundRefused * 100, parts.counts().soundServed, "seed %u: %d", seed, parts.counts().soundRefused);
+        }
+    }
+}
+
+// The first event of an answer in which the upstream then ended was taken for proof that the content is sound.
+Test(contentquarantine, beginningOfAnAnswerIsVoidOnceAnUpstreamEndsInIt)
+{
+    ContentQuarantine quarantine { ContentQuarantineLimits {} };
+    Time now(1000);
+    for (std::int64_t crash = 0; crash < 4; ++crash) {
+        quarantine.onAnswered(contentOf(5), AnswerProgress::Begun, now);
+        cr_assert_not(quarantine.heldBy(contentOf(5), now), "crash %d", static_cast<int>(crash));
+        now = now + Duration(100);
+        quarantine.onCrash({ UpstreamId("u"), crash }, { { contentOf(5), true } }, now, now);
+        now = now + Duration(400);
+    }
+    cr_assert(quarantine.heldBy(contentOf(5), now));
+    quarantine.onAnswered(contentOf(5), AnswerProgress::Begun, now);
+    cr_assert(quarantine.heldBy(contentOf(5), now));
+    quarantine.onAnswered(contentOf(5), AnswerProgress::Whole, now);
+    cr_assert_not(quarantine.heldBy(contentOf(5), now));
+}
--- a/tests/fakes/crashreplay.h
+++ b/tests/fakes/crashreplay.h
@@ -24,8 +24,7 @@
 inline constexpr Duration HeartbeatInterval { 200 };
 inline constexpr Duration FullInterval { 2000 };
 inline constexpr double Repeaters = 8;
-// An upstream ends so long after it got a request under which it ends, and is back later.
-inline constexpr Duration TimeToCrash { 30 };
+// An upstream that ended is back so long after.
 inline constexpr Duration Downtime { 3000 };
 // What the users' pages bound: arrivals later than this after the upstreams ended that are enough to tell.
 inline constexpr Duration ContactTime { 3000 };
@@ -49,6 +48,10 @@
     bool object = true;
     /** A request under which another upstream has ended is sent on. */
     bool retryAccused = false;
+    /** An upstream ends so long after it got a request under which it ends, whatever it has sent of the answer by then. */
+    Duration timeToCrash { 30 };
+    /** When it has sent the first part of the answer; none if it ends sooner. */
+    Duration timeToFirst { 60 };
     ContentQuarantineLimits limits {};
     /** Bytes of a message; empty if it does not matter. */
     std::function<std::size_t(const QuarantineStatements &)> sizeOf {};
@@ -163,9 +166,10 @@
         bool isDeadly = false;
         std::size_t node = 0;
         int attempt = 0;
+        Time beginsAt;
+        /** When it is answered to the end, or ends its upstream. */
         Time actsAt;
-        Time endsAt;
-        bool isAnswered = false;
+        bool hasBegun = false;
     };
     struct UpstreamState
     {
@@ -215,28 +219,31 @@
             m_counts.lateArrivals += m_toldAt && m_now - *m_toldAt > ContactTime ? 1 : 0;
         }
         const std::size_t chosen = up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(m_random)];
-        const Duration toFirst = isDeadly ? TimeToCrash : Duration(std::uniform_int_distribution<int>(100, 900)(m_random));
-        m_upstreams[chosen].running.push_back(
-            Running { content, isDeadly, node, attempt, m_now + toFirst, m_now + toFirst + Duration(1500), false });
+        const Duration toFirst = isDeadly ? m_ways.timeToFirst : Duration(std::uniform_int_distribution<int>(100, 900)(m_random));
+        const Duration toEnd = isDeadly ? m_ways.timeToCrash : toFirst + Duration(1500);
+        m_upstreams[chosen].running.push_back(Running { content, isDeadly, node, attempt, m_now + toFirst, m_now + toEnd });
     }
     void work(std::size_t index)
     {
         UpstreamState &upstream = m_upstreams[index];
         for (Running &request : upstream.running) {
-            if (request.isAnswered || m_now < request.actsAt) {
+            if (!request.hasBegun && m_now >= request.beginsAt) {
+                request.hasBegun = true;
+                m_nodes[request.node]->onAnswered(request.content, AnswerProgress::Begun, m_now);
+            }
+            if (m_now < request.actsAt) {
                 continue;
             }
             if (request.isDeadly) {
                 crash(index);
                 return;
             }
-            request.isAnswered = true;
             ++m_counts.soundServed;
-            if (m_nodes[request.node]->onAnswered(request.content, m_now)) {
+            if (m_nodes[request.node]->onAnswered(request.content, AnswerProgress::Whole, m_now)) {
                 tell(request.node);
             }
         }
-        std::erase_if(upstream.running, [this](const Running &request) { return m_now >= request.endsAt; });
+        std::erase_if(upstream.running, [this](const Running &request) { return m_now >= request.actsAt; });
     }
     void crash(std::size_t index)
     {
@@ -250,11 +257,9 @@
         if (isByContent && ++m_counts.crashes == m_crashesToTell) {
             m_toldAt = m_now;
         }
-        std::map<std::size_t, std::vector<RequestContent>> suspects;
+        std::map<std::size_t, std::vector<CrashSuspect>> suspects;
         for (const Running &request : lost) {
-            if (!request.isAnswered) {
-                suspects[request.node].push_back(request.content);
-            }
+            suspects[request.node].push_back(CrashSuspect { request.content, request.hasBegun });
         }
         std::set<ContentDigest> wasAccused;
         for (const Running &request : lost) {
@@ -269,9 +274,9 @@
         }
         for (const Running &request : lost) {
             const bool mayRetry = m_ways.retryAccused || !wasAccused.contains(request.content.request);
-            if (!request.isAnswered && request.attempt == 0 && mayRetry) {
+            if (request.attempt == 0 && mayRetry) {
                 arrive(request.content, request.isDeadly, request.node, 1);
-            } else if (!request.isAnswered && !request.isDeadly) {
+            } else if (!request.isDeadly) {
                 ++m_counts.soundBroken;
             }
         }
--- a/tests/main/testfleetlink.cpp
+++ b/tests/main/testfleetlink.cpp
@@ -341,7 +341,7 @@
     fleet.run(Duration(300));
     fleet.takeSent();
     const Time now = SystemClock().now();
-    fleet.clusterState().quarantine.onCrash({ UpstreamId("u"), 1 }, { RequestContent { ContentDigest(7) } }, now, now);
+    fleet.clusterState().quarantine.onCrash({ UpstreamId("u"), 1 }, { { RequestContent { ContentDigest(7) } } }, now, now);
     fleet.link().sendQuarantine();
     fleet.run(Duration(60));
     const auto sent = fleet.takeSent();
--- a/tests/main/testrequestforwardercrash.cpp
+++ b/tests/main/testrequestforwardercrash.cpp
@@ -11,11 +11,13 @@
 namespace
 {
 
-constexpr int Engines = 14;
+constexpr int Engines = 20;
 // What may still reach upstreams once so many have ended under it.
 constexpr int ToleratedAfterwards = 3;
 constexpr int CrashesToTell = 3;
 
+const std::string SoundStream = absl::StrCat(StreamHead, chunk("id: 1\ndata: a\n\n"), chunk("id: 2\ndata: b\n\n"), "0\r\n\r\n");
+
 /** A forwarder before upstreams that end when they get a request that contains "deadly" in its head or body. */
 struct CrashFixture : ForwarderFixture
 {
@@ -26,14 +28,29 @@
     explicit CrashFixture(int maxAttempts)
     {
         configure(RequestKind::Idempotent, maxAttempts);
+        addUpstreams("", CompleteAnswer);
+    }
+    /** Upstreams that send @p beginning of their streams before they end. */
+    CrashFixture(const std::string &beginning, bool isResumable)
+    {
+        configure(RequestKind::Stream, 2, isResumable);
+        addUpstreams(beginning, SoundStream);
+    }
+    void addUpstreams(const std::string &beginning, const std::string &soundAnswer)
+    {
         for (int i = 0; i < Engines; ++i) {
-            upstreams.push_back(std::make_unique<ScriptedUpstream>([this, i](const std::string &request) {
+            upstreams.push_back(std::make_unique<ScriptedUpstream>([this, i, beginning, soundAnswer](const std::string &request) {
                 if (!absl::StrContains(request, "deadly")) {
-                    return ScriptedAnswer { CompleteAnswer };
+                    return ScriptedAnswer { soundAnswer };
                 }
                 ++deadlyArrivals;
                 upstreams[static_cast<std::size_t>(i)]->stopListening();
-                return ScriptedAnswer { "", ScriptedAnswer::ConnectionAction::Reset };
+                ScriptedAnswer answer { beginning, ScriptedAnswer::ConnectionAction::Reset };
+                if (!beginning.empty()) {
+                    answer.laterParts = { "" }; // A reset right after the bytes would discard them.
+                    answer.pause = Duration(20);
+                }
+                return answer;
             }));
             addUpstream(absl::StrCat("u", i), *upstreams.back());
         }
@@ -67,6 +84,25 @@
         }
         return sendAttempt(std::move(attempt), absl::StrCat("prompt ", number));
     }
+    /** Sends for some seconds; returns the arrivals of deadly requests later than the contact time after @p crashesToTell of them. */
+    int lateArrivals(int crashesToTell, const std::function<void(int number)> &sendOne)
+    {
+        constexpr Duration ContactTime { 3000 };
+        int late = 0;
+        std::optional<Time> toldAt;
+        const Time end = clock.now() + Duration(5500);
+        for (int number = 0; clock.now() < end; ++number) {
+            const int arrivals = deadlyArrivals;
+            const bool isLate = toldAt && clock.now() - *toldAt > ContactTime;
+            sendOne(number);
+            late += isLate ? deadlyArrivals - arrivals : 0;
+            if (!toldAt && deadlyArrivals >= crashesToTell) {
+                toldAt = clock.now();
+            }
+            runFor(Duration(100));
+        }
+        return late;
+    }
     void runFor(Duration duration)
     {
         const Time end = clock.now() + duration;
@@ -142,3 +178,65 @@
     cr_assert_leq(fixture.deadlyArrivals, CrashesToTellPart + ToleratedAfterwards, "%d arrivals", fixture.deadlyArrivals.load());
     cr_assert_eq(served, Engines);
 }
+
+// An upstream that ends while it writes its answer was taken for proof that the request is sound, and its caller took one after the other.
+Test(crashingrequests, requestUnderWhichUpstreamsEndedMidAnswerReachesFewMore)
+{
+    const std::string firstEvent = StreamHead + chunk("id: 1\ndata: a\n\n");
+    const std::string threeEvents = firstEvent + chunk("id: 2\ndata: b\n\n") + chunk("id: 3\ndata: c\n\n");
+    const std::vector<std::pair<std::string, bool>> ways { { StreamHead, true }, { firstEvent, true }, { firstEvent, false },
+        { threeEvents, true } };
+    for (const auto &[beginning, isResumable] : ways) {
+        CrashFixture fixture(beginning, isResumable);
+        cr_assert_leq(fixture.lateArrivals(CrashesToTell, [&](int) { fixture.sendWithNewId("deadly"); }), ToleratedAfterwards);
+        cr_assert_lt(fixture.deadlyArrivals, Engines);
+        cr_assert_eq(fixture.sendWithNewId("deadly"), 400);
+        cr_assert_eq(fixture.sendWithNewId("sound"), 200);
+    }
+}
+
+// The same for a part of prompts of which no two are alike, beside sound ones with the same first part.
+Test(crashingrequests, partUnderWhichUpstreamsEndedMidAnswerReachesFewMore)
+{
+    constexpr int CrashesToTellPart = 5;
+    CrashFixture fixture(StreamHead + chunk("id: 1\ndata: a\n\n"), true);
+    int sent = 0;
+    int served = 0;
+    const int late = fixture.lateArrivals(CrashesToTellPart, [&](int number) {
+        fixture.sendPrompt("first:100,deadly:50");
+        served += fixture.sendPrompt(absl::StrCat("first:100,other", number % 3, ":50")) == 200 ? 1 : 0;
+        ++sent;
+        fixture.runFor(Duration(300));
+    });
+    cr_assert_leq(late, ToleratedAfterwards, "%d arrivals", late);
+    cr_assert_lt(fixture.deadlyArrivals, Engines);
+    cr_assert_eq(served, sent);
+    cr_assert_eq(fixture.sendPrompt("first:100,deadly:50"), 400);
+}
+
+// Upstreams end, one after the other, while they write the answer to a sound request, which others continue to its end.
+Test(crashingrequests, streamThatOthersFinishIsNotHeldBack)
+{
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Stream, 2, true);
+    std::vector<std::unique_ptr<ScriptedUpstream>> ending;
+    const ScriptedUpstream steady([](const std::string &) { return ScriptedAnswer { SoundStream }; });
+    constexpr int Ends = 8;
+    for (int i = 0; i < Ends; ++i) {
+        ending.push_back(std::make_unique<ScriptedUpstream>([&ending, i](const std::string &) {
+            ending[static_cast<std::size_t>(i)]->stopListening();
+            ScriptedAnswer answer { StreamHead + chunk("id: 1\ndata: a\n\n"), ScriptedAnswer::ConnectionAction::Reset };
+            answer.laterParts = { "" };
+            answer.pause = Duration(20);
+            return answer;
+        }));
+        fixture.addUpstream("ending", *ending.back());
+        fixture.addUpstream("steady", steady);
+        const auto caller = fixture.send(ForwarderFixture::request());
+        fixture.runUntil([&] { return caller->isDone(); });
+        cr_assert(caller->isFinished());
+        const Time end = fixture.clock.now() + Duration(400);
+        fixture.runUntil([&] { return fixture.clock.now() >= end; });
+    }
+    cr_assert_eq(fixture.clusterState.quarantine.heldCount(), 0);
+}
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -48,8 +48,9 @@
         StreamAnswer { StreamQuery { StreamId(25), ServiceName("s1") }, first }, StreamAnswer { StreamQuery {}, second } };
     const RequestContent one { ContentDigest(~0ULL) };
     const RequestContent two { ContentDigest(31), ContentDigest(32), { ContentDigest(33), ContentDigest(34) } };
-    message.quarantine.crashes = { CrashReport { { UpstreamId("c"), 18 }, Duration(40), { one, two } } };
-    message.quarantine.answers = { AnsweredContent { two.request, Duration(41) } };
+    message.quarantine.crashes = { CrashReport { { UpstreamId("c"), 18 }, Duration(40), { { one, true }, { two } } } };
+    message.quarantine.answers = { AnsweredContent { two.request, Duration(41) },
+        AnsweredContent { one.request, Duration(42), AnswerProgress::Begun } };
     message.quarantine.held = { HeldContent { one.request, 4, Duration(90), Duration(50), 1, Duration(12), Duration(11) },
         HeldContent { two.request, 3, Duration(80), Duration(60), 0, std::nullopt, Duration(5) } };
     message.configVersion = ConfigVersion(9);
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -837,7 +837,7 @@
     parser.add_argument("--plain-slots", type=int, default=6, help="requests that a plain upstream runs at once, with as many in its queue")
     parser.add_argument("--half-closed", type=float, default=0.0,
                         help="share of the callers with a connection for one request that close its sending side and read on")
-    parser.add_argument("--endings", default="nothing,head",
+    parser.add_argument("--endings", default=",".join(deadlycontents.BEGINNINGS),
                         help="how much of their answers engines send before they end under what a request holds, separated by commas")
     parser.add_argument("--callers", type=int, default=8, help="number of callers; each sends one request at a time")
     arguments = parser.parse_args()
