--- a/bench/crashes.cpp
+++ b/bench/crashes.cpp
@@ -19,6 +19,8 @@
 constexpr double SoundRate = 30;
 constexpr double DeadlyRate = 2.5;
 constexpr int CrashesToTellRequest = 3;
+// Upstreams send the first part of an answer after 60 ms.
+constexpr Duration TimeToCrashMidAnswer { 200 };
 // Between two upstreams that end whatever they work on.
 constexpr Duration EndInterval { 500 };
 
@@ -96,7 +98,10 @@
     CrashReplayWays off;
     off.limits.crashesToHold = 1'000'000;
     off.limits.crashesToHoldOnAdapter = 1'000'000;
+    off.limits.crashesToHoldBegunRequest = 1'000'000;
     off.limits.crashesToHoldAnswered = 1'000'000;
+    off.limits.crashesToHoldBegunPart = 1'000'000;
+    off.limits.crashesToHoldBegunOnAdapter = 1'000'000;
     off.tellPeers = false;
     off.retryAccused = true;
     CrashReplayWays alone;
@@ -106,7 +111,11 @@
     CrashReplayWays withRetries;
     withRetries.retryAccused = true;
     CrashReplayWays kept;
-    for (CrashReplayWays *ways : { &alone, &withoutObjections, &withRetries, &kept }) {
+    CrashReplayWays keptMidAnswer;
+    keptMidAnswer.timeToCrash = TimeToCrashMidAnswer;
+    CrashReplayWays trustingMidAnswer = keptMidAnswer;
+    trustingMidAnswer.trustBeginnings = true;
+    for (CrashReplayWays *ways : { &alone, &withoutObjections, &withRetries, &kept, &keptMidAnswer, &trustingMidAnswer }) {
         ways->sizeOf = messageSize;
     }
     for (const Fleet &fleet : { Fleet { 20, 9 }, Fleet { 20, 30 }, Fleet { 140, 60 } }) {
@@ -116,6 +125,8 @@
             report("without objections", fleet, withoutObjections, trouble);
             report("retries go on", fleet, withRetries, trouble);
             report("kept", fleet, kept, trouble);
+            report("mid-answer, trusting", fleet, trustingMidAnswer, trouble);
+            report("mid-answer, kept", fleet, keptMidAnswer, trouble);
         }
     }
     return 0;
--- a/tests/fakes/crashreplay.h
+++ b/tests/fakes/crashreplay.h
@@ -46,6 +46,8 @@
     bool tellPeers = true;
     /** Nodes tell of answers. */
     bool object = true;
+    /** The beginning of an answer counts as a whole one, and what an upstream had begun to answer when it ended is not accused. */
+    bool trustBeginnings = false;
     /** A request under which another upstream has ended is sent on. */
     bool retryAccused = false;
     /** An upstream ends so long after it got a request under which it ends, whatever it has sent of the answer by then. */
@@ -229,7 +231,8 @@
         for (Running &request : upstream.running) {
             if (!request.hasBegun && m_now >= request.beginsAt) {
                 request.hasBegun = true;
-                m_nodes[request.node]->onAnswered(request.content, AnswerProgress::Begun, m_now);
+                m_nodes[request.node]->onAnswered(
+                    request.content, m_ways.trustBeginnings ? AnswerProgress::Whole : AnswerProgress::Begun, m_now);
             }
             if (m_now < request.actsAt) {
                 continue;
@@ -259,7 +262,9 @@
         }
         std::map<std::size_t, std::vector<CrashSuspect>> suspects;
         for (const Running &request : lost) {
-            suspects[request.node].push_back(CrashSuspect { request.content, request.hasBegun });
+            if (!m_ways.trustBeginnings || !request.hasBegun) {
+                suspects[request.node].push_back(CrashSuspect { request.content, request.hasBegun });
+            }
         }
         std::set<ContentDigest> wasAccused;
         for (const Running &request : lost) {
--- a/tests/main/testrequestforwardercrash.cpp
+++ b/tests/main/testrequestforwardercrash.cpp
@@ -25,20 +25,20 @@
     std::atomic<int> deadlyArrivals { 0 };
     int lastRequest = 0;
 
-    explicit CrashFixture(int maxAttempts)
+    explicit CrashFixture(int maxAttempts, int engines = Engines)
     {
         configure(RequestKind::Idempotent, maxAttempts);
-        addUpstreams("", CompleteAnswer);
+        addUpstreams("", CompleteAnswer, engines);
     }
     /** Upstreams that send @p beginning of their streams before they end. */
     CrashFixture(const std::string &beginning, bool isResumable)
     {
         configure(RequestKind::Stream, 2, isResumable);
-        addUpstreams(beginning, SoundStream);
+        addUpstreams(beginning, SoundStream, Engines);
     }
-    void addUpstreams(const std::string &beginning, const std::string &soundAnswer)
+    void addUpstreams(const std::string &beginning, const std::string &soundAnswer, int engines)
     {
-        for (int i = 0; i < Engines; ++i) {
+        for (int i = 0; i < engines; ++i) {
             upstreams.push_back(std::make_unique<ScriptedUpstream>([this, i, beginning, soundAnswer](const std::string &request) {
                 if (!absl::StrContains(request, "deadly")) {
                     return ScriptedAnswer { soundAnswer };
@@ -240,3 +240,56 @@
     }
     cr_assert_eq(fixture.clusterState.quarantine.heldCount(), 0);
 }
+
+// A request under which only some upstreams end is answered by the others: it is sound there, and must not be refused.
+Test(crashingrequests, requestThatSomeUpstreamsAnswerIsServed)
+{
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Idempotent, 2);
+    std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+    for (int i = 0; i < Engines; ++i) {
+        upstreams.push_back(std::make_unique<ScriptedUpstream>([&upstreams, i](const std::string &) {
+            if (i % 2 == 0) {
+                return ScriptedAnswer { CompleteAnswer };
+            }
+            upstreams[static_cast<std::size_t>(i)]->stopListening();
+            return ScriptedAnswer { "", ScriptedAnswer::ConnectionAction::Reset };
+        }));
+        fixture.addUpstream(absl::StrCat("u", i), *upstreams.back());
+    }
+    for (int i = 0; i < Engines; ++i) {
+        const auto caller = fixture.send(ForwarderFixture::request());
+        fixture.runUntil([&] { return caller->isDone(); });
+        cr_assert_neq(caller->status(), 400);
+        const Time end = fixture.clock.now() + Duration(100);
+        fixture.runUntil([&] { return fixture.clock.now() >= end; });
+    }
+    cr_assert_eq(fixture.clusterState.quarantine.heldCount(), 0);
+}
+
+// Callers send the same request five at once, again and again, before anyone can know that upstreams end under it.
+Test(crashingrequests, burstsOfARequestReachFewMore)
+{
+    constexpr int AtOnce = 5;
+    constexpr int ManyEngines = 80;
+    CrashFixture fixture(2, ManyEngines);
+    const int late = fixture.lateArrivals(CrashesToTell, [&](int number) {
+        std::vector<std::shared_ptr<Caller>> callers;
+        for (int i = 0; i < AtOnce; ++i) {
+            HttpRequest request = ForwarderFixture::request();
+            request.headers["apricotstep-request-id"] = absl::StrCat("b-", number, "-", i);
+            for (auto &[name, value] : request.headerList) {
+                value = name == "Apricotstep-Request-Id" ? request.headers["apricotstep-request-id"] : value;
+            }
+            request.body = "deadly";
+            callers.push_back(fixture.send(std::move(request)));
+        }
+        for (const auto &caller : callers) {
+            fixture.runUntil([&] { return caller->isDone(); });
+        }
+        fixture.runFor(Duration(100));
+    });
+    cr_assert_leq(late, ToleratedAfterwards, "%d arrivals", late);
+    cr_assert_lt(fixture.deadlyArrivals, ManyEngines);
+    cr_assert_eq(fixture.sendWithNewId("sound"), 200);
+}
