--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -74,30 +74,31 @@
 
 bool ContentQuarantine::isExplained(const Crash &crash) const
 {
-    const auto isHeld = [this](const CrashSuspect &suspect) {
-        const auto elements = elementsOf(suspect.content);
-        return std::any_of(
-            elements.begin(), elements.end(), [this](const ContentElement &element) { return m_held.contains(element.digest); });
+    const auto isHeld = [this](const Suspect &suspect) {
+        return std::any_of(suspect.elements.begin(), suspect.elements.end(),
+            [this](const ContentElement &element) { return m_held.contains(element.digest); });
     };
     return std::any_of(crash.suspects.begin(), crash.suspects.end(), isHeld);
 }
 
 // A crash under a held part accuses nothing else. One under a held request may still be due to a part that the request shares with others.
-std::vector<CrashSuspect> ContentQuarantine::accusedBy(const Crash &crash) const
+std::vector<const ContentQuarantine::Suspect *> ContentQuarantine::accusedBy(const Crash &crash) const
 {
-    std::vector<CrashSuspect> heldRequests;
-    for (const CrashSuspect &suspect : crash.suspects) {
-        for (const ContentElement &element : elementsOf(suspect.content)) {
+    std::vector<const Suspect *> heldRequests;
+    std::vector<const Suspect *> all;
+    for (const Suspect &suspect : crash.suspects) {
+        all.push_back(&suspect);
+        for (const ContentElement &element : suspect.elements) {
             if (!m_held.contains(element.digest)) {
                 continue;
             }
             if (element.kind != ContentElement::Kind::Request) {
                 return {};
             }
-            heldRequests.push_back(suspect);
+            heldRequests.push_back(&suspect);
         }
     }
-    return heldRequests.empty() ? crash.suspects : heldRequests;
+    return heldRequests.empty() ? all : heldRequests;
 }
 
 int ContentQuarantine::crashesToHold(const Evidence &evidence) const
@@ -125,9 +126,9 @@
 void ContentQuarantine::addEvidence(
     const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, absl::flat_hash_map<ContentDigest, Evidence> &result) const
 {
-    std::set<ContentDigest> counted;
-    for (const auto &[content, hasBegun] : accusedBy(crash)) {
-        for (const ContentElement &element : elementsOf(content)) {
+    absl::flat_hash_set<ContentDigest> counted;
+    for (const Suspect *accused : accusedBy(crash)) {
+        for (const ContentElement &element : accused->elements) {
             const auto answered = answeredAt(element.digest, basis);
             if (m_held.contains(element.digest) || (answered && *answered >= crash.at)) {
                 continue;
@@ -135,11 +136,11 @@
             Evidence &entry = result[element.digest];
             entry.kind = element.kind;
             entry.wasAnswered = answered.has_value();
-            entry.hasBegun = entry.hasBegun || hasBegun;
-            entry.requests.insert(content.request);
+            entry.hasBegun = entry.hasBegun || accused->suspect.hasBegun;
+            entry.requests.insert(accused->suspect.content.request);
             entry.lastAt = crash.at;
             if (counted.insert(element.digest).second) {
-                entry.upstreams.push_back(upstream.upstream);
+                entry.upstreams.push_back(&upstream);
                 const Duration interval =
                     entry.kind == ContentElement::Kind::PartOnAdapter ? m_limits.minCrashIntervalOnAdapter : m_limits.minCrashInterval;
                 if (entry.crashes == 0 || crash.at - entry.lastCountedAt >= interval) {
@@ -204,11 +205,13 @@
 
 void ContentQuarantine::forget(Time now)
 {
+    const std::size_t known = m_crashes.size();
     std::erase_if(m_crashes, [&](const auto &entry) { return now - entry.second.at > m_limits.crashMemory; });
     while (m_crashes.size() > m_limits.maxCrashes) {
         m_crashes.erase(
             std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto &a, const auto &b) { return a.second.at < b.second.at; }));
     }
+    m_isToldEvidenceKnown = m_isToldEvidenceKnown && m_crashes.size() == known;
     absl::erase_if(m_brokenAnswers, [&](const auto &entry) { return now - entry.second > m_limits.crashMemory; });
     std::vector<ContentDigest> lapsed;
     for (const auto &[content, held] : m_held) {
@@ -223,24 +226,53 @@
 
 void ContentQuarantine::hold(ContentDigest content, const Evidence &evidence, Time now)
 {
+    m_isToldEvidenceKnown = false;
     // Peers find it out by themselves, or with the next full statements.
     m_held[content] = Held { evidence.crashes, evidence.firstAt, evidence.lastAt, 0, std::nullopt, now };
-    m_changes.emplace_back(ContentHeldBack { content, evidence.kind, evidence.crashes, evidence.upstreams });
+    std::vector<UpstreamId> upstreams;
+    for (const UpstreamStart *start : evidence.upstreams) {
+        upstreams.push_back(start->upstream);
+    }
+    m_changes.emplace_back(ContentHeldBack { content, evidence.kind, evidence.crashes, std::move(upstreams) });
 }
 
 void ContentQuarantine::release(ContentDigest content, ContentReleased::Reason reason)
 {
     m_held.erase(content);
+    m_isToldEvidenceKnown = false;
     m_changes.emplace_back(ContentReleased { content, reason });
     m_reviewAt = Time(); // The crashes that it explained may accuse other content.
 }
 
+bool ContentQuarantine::addSuspects(Crash &crash, const std::vector<CrashSuspect> &suspects) const
+{
+    bool isNews = false;
+    for (const CrashSuspect &added : suspects) {
+        const auto known = std::find_if(crash.suspects.begin(), crash.suspects.end(),
+            [&added](const Suspect &other) { return other.suspect.content == added.content; });
+        if (known != crash.suspects.end()) {
+            isNews = isNews || (added.hasBegun && !known->suspect.hasBegun);
+            known->suspect.hasBegun = known->suspect.hasBegun || added.hasBegun;
+        } else if (crash.suspects.size() < m_limits.maxSuspects * 4) {
+            crash.suspects.push_back(Suspect { added, elementsOf(added.content) });
+            isNews = true;
+        }
+    }
+    return isNews;
+}
+
 ContentQuarantine::Crash &ContentQuarantine::addCrash(
     const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now)
 {
-    Crash &crash = m_crashes.try_emplace(upstream, Crash { at, now }).first->second;
+    const auto [position, isNew] = m_crashes.try_emplace(upstream, Crash { at, now });
+    Crash &crash = position->second;
+    const bool isEarlier = at < crash.at;
     crash.at = std::min(crash.at, at);
-    addUnique(crash.suspects, suspects, m_limits.maxSuspects * 4);
+    // Most reports are repeated ones.
+    if (addSuspects(crash, suspects) || isNew || isEarlier) {
+        m_reviewAt = Time();
+        m_isToldEvidenceKnown = false;
+    }
     for (const CrashSuspect &suspect : suspects) {
         for (const ContentElement &element : elementsOf(suspect.content)) {
             if (suspect.hasBegun) {
@@ -256,7 +288,6 @@
             ++held->second.crashes;
         }
     }
-    m_reviewAt = Time();
     m_crashKnownAt = now;
     return crash;
 }
@@ -302,6 +333,7 @@
         Answer &answer = m_answers[answered.content];
         answer.known.add(answered.progress, at);
         answer.told.add(answered.progress, at);
+        m_isToldEvidenceKnown = false;
         const auto held = m_held.find(answered.content);
         const bool isWhole = answered.progress == AnswerProgress::Whole;
         if (isWhole && held != m_held.end() && at > held->second.firstCrashAt) {
@@ -325,6 +357,7 @@
         return;
     }
     const auto [at, isNew] = m_held.try_emplace(statement.content, Held { statement.crashes, firstCrashAt });
+    m_isToldEvidenceKnown = m_isToldEvidenceKnown && !isNew;
     Held &held = at->second;
     held.crashes = std::max(held.crashes, statement.crashes);
     held.firstCrashAt = std::min(held.firstCrashAt, firstCrashAt);
@@ -345,7 +378,7 @@
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &entry) {
         const Crash &crash = entry.second;
         const bool isSuspect = std::any_of(
-            crash.suspects.begin(), crash.suspects.end(), [&](const CrashSuspect &suspect) { return suspect.content.request == request; });
+            crash.suspects.begin(), crash.suspects.end(), [&](const Suspect &other) { return other.suspect.content.request == request; });
         const bool isAnsweredSince = answer != m_answers.end() && answer->second.known.wholeAt >= crash.at;
         return isSuspect && !isAnsweredSince;
     });
@@ -409,7 +442,10 @@
     if (now - m_crashKnownAt > ObjectionRepeatTime) {
         return;
     }
-    for (const auto &[content, entry] : evidence(AnswerBasis::Told)) {
+    if (!std::exchange(m_isToldEvidenceKnown, true)) {
+        m_toldEvidence = evidence(AnswerBasis::Told);
+    }
+    for (const auto &[content, entry] : m_toldEvidence) {
         const auto answered = answeredAt(content, AnswerBasis::Known);
         const bool isUnknownToOthers = answered && (*answered > entry.firstAt || !answeredAt(content, AnswerBasis::Told));
         if (isUnknownToOthers && entry.crashes + 1 >= m_limits.crashesToHold) {
@@ -442,6 +478,7 @@
             result.answers.push_back(AnsweredContent { content, now - *known.begunAt, AnswerProgress::Begun });
         }
         answer.told = known;
+        m_isToldEvidenceKnown = false;
     }
     for (const auto &[content, held] : m_held) {
         if (isFull || held.tellUntil >= now) {
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -5,12 +5,12 @@
 #include "core/clock.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <tuple>
 #include <variant>
 #include <vector>
@@ -197,11 +197,16 @@
     }
 
 private:
+    struct Suspect
+    {
+        CrashSuspect suspect;
+        std::vector<ContentElement> elements;
+    };
     struct Crash
     {
         Time at;
         Time knownSince;
-        std::vector<CrashSuspect> suspects;
+        std::vector<Suspect> suspects;
         /** Those of this node, which it tells its peers until then. */
         std::vector<CrashSuspect> ownSuspects;
         Time tellUntil;
@@ -242,13 +247,13 @@
         bool hasBegun = false;
         int crashes = 0;
         /** The different requests among which the upstreams ended. */
-        std::set<ContentDigest> requests;
+        absl::flat_hash_set<ContentDigest> requests;
         Time firstAt;
         Time lastCountedAt;
         Time lastAt;
         /** When the crash became known with which there were enough to hold the content back. */
         std::optional<Time> sufficientSince;
-        std::vector<UpstreamId> upstreams;
+        std::vector<const UpstreamStart *> upstreams;
     };
     /** Which answers clear content of earlier crashes. */
     enum class AnswerBasis {
@@ -263,7 +268,7 @@
     absl::flat_hash_map<ContentDigest, Evidence> evidence(AnswerBasis basis) const;
     std::optional<Time> answeredAt(ContentDigest content, AnswerBasis basis) const;
     bool isExplained(const Crash &crash) const;
-    std::vector<CrashSuspect> accusedBy(const Crash &crash) const;
+    std::vector<const Suspect *> accusedBy(const Crash &crash) const;
     /** The latest answer that was not broken off by the end of an upstream. */
     std::optional<Time> latest(ContentDigest content, const AnswerTimes &times) const;
     bool isBegunAfter(ContentDigest content, Time at) const;
@@ -277,6 +282,8 @@
         const bool isBegunPart = evidence.hasBegun && evidence.kind != ContentElement::Kind::Request;
         return evidence.wasAnswered || isBegunPart || evidence.kind == ContentElement::Kind::PartOnAdapter;
     }
+    /** Returns whether there is one that was not known. */
+    bool addSuspects(Crash &crash, const std::vector<CrashSuspect> &suspects) const;
     Crash &addCrash(const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now);
     void hold(ContentDigest content, const Evidence &evidence, Time now);
     void release(ContentDigest content, ContentReleased::Reason reason);
@@ -288,6 +295,9 @@
     ContentQuarantineLimits m_limits;
     std::map<UpstreamStart, Crash> m_crashes;
     absl::flat_hash_map<ContentDigest, Answer> m_answers;
+    /** The evidence by what all nodes were told, until something changes it. */
+    absl::flat_hash_map<ContentDigest, Evidence> m_toldEvidence;
+    bool m_isToldEvidenceKnown = false;
     /** When an upstream last ended in the middle of an answer. The beginnings of answers until then show nothing. */
     absl::flat_hash_map<ContentDigest, Time> m_brokenAnswers;
     std::map<ContentDigest, Held> m_held;
