--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -1005,7 +1005,8 @@
     m_executionState = ExecutionState::MayHaveRun;
     m_context.log().write(Important, "request", "broken",
         { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "peer", m_relay ? m_relay->id.value() : std::string() },
-            { "content", digestName(m_content.request) }, { "reason", result.detail }, { "afterMs", (now() - m_sentAt).milliseconds() } });
+            { "content", digestName(m_content.request) }, { "reason", m_breakReason.empty() ? result.detail : m_breakReason },
+            { "afterMs", (now() - m_sentAt).milliseconds() } });
     if (m_relay) {
         m_excludedRelays.insert(m_relay->id);
     } else {
