--- a/protocol/eventsplitter.cpp
+++ b/protocol/eventsplitter.cpp
@@ -12,6 +12,9 @@
     const std::size_t searchFrom = m_partialEvent.size() - std::min(m_partialEvent.size(), LongestDelimiter.size() - 1);
     m_partialEvent.append(bytes);
     const std::string_view searched = std::string_view(m_partialEvent).substr(searchFrom);
+    if (searched.find('\n') == std::string_view::npos) {
+        return {};
+    }
     std::size_t end = 0;
     for (const std::string_view delimiter : { std::string_view("\n\n"), LongestDelimiter }) {
         const std::size_t at = searched.rfind(delimiter);
