Do not blame a part of prompts for ends that two requests account for

Cause: two deadly requests on one adapter shared the first part of their prompts. The part on that adapter had six ends to its name, five of them counted, while neither request had as many, so it came first and waited for objections; no whole answer came in those three seconds. The third request that it needed was one that was lost with the two. And five were enough because it had been answered before: the limit for answered content replaced the higher one for beginnings on an adapter, so an answer lowered it.

Now a part needs ends that no two requests account for, and the highest of the limits that apply. Two deadly requests cannot hold back what they share; a part that is deadly itself comes in ever new requests.

partThatTwoDeadlyRequestsShareIsNotHeldBack failed before (crash 7).

--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -103,24 +103,46 @@
 
 int ContentQuarantine::crashesToHold(const Evidence &evidence) const
 {
-    if (evidence.wasAnswered) {
-        return m_limits.crashesToHoldAnswered;
-    }
+    const int answered = evidence.wasAnswered ? m_limits.crashesToHoldAnswered : 0;
     switch (evidence.kind) {
     case ContentElement::Kind::Request:
-        return evidence.hasBegun ? m_limits.crashesToHoldBegunRequest : m_limits.crashesToHold;
+        return std::max(answered, evidence.hasBegun ? m_limits.crashesToHoldBegunRequest : m_limits.crashesToHold);
     case ContentElement::Kind::Part:
-        return evidence.hasBegun ? m_limits.crashesToHoldBegunPart : m_limits.crashesToHold;
+        return std::max(answered, evidence.hasBegun ? m_limits.crashesToHoldBegunPart : m_limits.crashesToHold);
     case ContentElement::Kind::PartOnAdapter:
-        return evidence.hasBegun ? m_limits.crashesToHoldBegunOnAdapter : m_limits.crashesToHoldOnAdapter;
+        return std::max(answered, evidence.hasBegun ? m_limits.crashesToHoldBegunOnAdapter : m_limits.crashesToHoldOnAdapter);
     }
     return m_limits.crashesToHoldAnswered;
 }
 
+bool ContentQuarantine::areCoveredBy(const Evidence &evidence, std::size_t first, int maxRequests, std::vector<ContentDigest> &chosen)
+{
+    const auto begin = evidence.requestsByCrash.begin() + static_cast<std::ptrdiff_t>(first);
+    const auto uncovered = std::find_if(begin, evidence.requestsByCrash.end(), [&chosen](const auto &requests) {
+        return std::none_of(chosen.begin(), chosen.end(), [&requests](ContentDigest request) { return requests.contains(request); });
+    });
+    if (uncovered == evidence.requestsByCrash.end()) {
+        return true;
+    }
+    if (maxRequests == 0) {
+        return false;
+    }
+    const auto next = static_cast<std::size_t>(uncovered - evidence.requestsByCrash.begin()) + 1;
+    return std::any_of(uncovered->begin(), uncovered->end(), [&](ContentDigest request) {
+        chosen.push_back(request);
+        const bool areCovered = areCoveredBy(evidence, next, maxRequests - 1, chosen);
+        chosen.pop_back();
+        return areCovered;
+    });
+}
+
 bool ContentQuarantine::isSufficient(const Evidence &evidence) const
 {
-    const bool isPart = evidence.kind != ContentElement::Kind::Request;
-    return evidence.crashes >= crashesToHold(evidence) && (!isPart || std::ssize(evidence.requests) >= m_limits.requestsToHoldPart);
+    if (evidence.crashes < crashesToHold(evidence)) {
+        return false;
+    }
+    std::vector<ContentDigest> chosen;
+    return evidence.kind == ContentElement::Kind::Request || !areCoveredBy(evidence, 0, m_limits.requestsToHoldPart - 1, chosen);
 }
 
 void ContentQuarantine::addEvidence(
@@ -137,10 +159,10 @@
             entry.kind = element.kind;
             entry.wasAnswered = answered.has_value();
             entry.hasBegun = entry.hasBegun || accused->suspect.hasBegun;
-            entry.requests.insert(accused->suspect.content.request);
             entry.lastAt = crash.at;
             if (counted.insert(element.digest).second) {
                 entry.upstreams.push_back(&upstream);
+                entry.requestsByCrash.emplace_back();
                 const Duration interval =
                     entry.kind == ContentElement::Kind::PartOnAdapter ? m_limits.minCrashIntervalOnAdapter : m_limits.minCrashInterval;
                 if (entry.crashes == 0 || crash.at - entry.lastCountedAt >= interval) {
@@ -149,9 +171,14 @@
                     ++entry.crashes;
                 }
             }
-            if (!entry.sufficientSince && isSufficient(entry)) {
-                entry.sufficientSince = crash.knownSince;
-            }
+            entry.requests.insert(accused->suspect.content.request);
+            entry.requestsByCrash.back().insert(accused->suspect.content.request);
+        }
+    }
+    for (const ContentDigest content : counted) {
+        Evidence &entry = result[content];
+        if (!entry.sufficientSince && isSufficient(entry)) {
+            entry.sufficientSince = crash.knownSince;
         }
     }
 }
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -26,9 +26,9 @@
 // it, at different moments, and none has answered it in between, which a sound request, or one that many callers share, does not survive by
 // chance. Any node that knows of an answer objects, as most do for a part that many requests share. The beginning of an answer counts like
 // a whole one until an upstream ends in the middle of an answer to the same content: upstreams may end while they write, too. A part must
-// have ended upstreams in several different requests. A crash under a part that is held back accuses nothing else; one under a held request
-// accuses its own parts only. Held content gets a few trials, each by a single node of the fleet, and is released once an upstream answers
-// it.
+// have ended upstreams in several different requests: what two deadly requests share is not to blame. A crash under a part that is held
+// back accuses nothing else; one under a held request accuses its own parts only. Held content gets a few trials, each by a single node of
+// the fleet, and is released once an upstream answers it.
 
 struct ContentQuarantineLimits
 {
@@ -43,7 +43,7 @@
     int crashesToHoldAnswered = 5;
     int crashesToHoldBegunPart = 5;
     int crashesToHoldBegunOnAdapter = 6;
-    /** Different requests with the same part that upstreams ended under, before the part is held back. */
+    /** A part is held back only if fewer requests than this do not account for all of its crashes. */
     int requestsToHoldPart = 3;
     /** Crashes closer together than this count as one: a rack that fails or a release ends many upstreams at the same moment. */
     Duration minCrashInterval { 50 };
@@ -246,8 +246,10 @@
         /** An upstream ended in the middle of an answer. */
         bool hasBegun = false;
         int crashes = 0;
-        /** The different requests among which the upstreams ended. */
+        /** The different requests with the content that the upstreams had. */
         absl::flat_hash_set<ContentDigest> requests;
+        /** The same for each upstream. */
+        std::vector<absl::flat_hash_set<ContentDigest>> requestsByCrash;
         Time firstAt;
         Time lastCountedAt;
         Time lastAt;
@@ -276,6 +278,8 @@
         const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, absl::flat_hash_map<ContentDigest, Evidence> &result) const;
     int crashesToHold(const Evidence &evidence) const;
     bool isSufficient(const Evidence &evidence) const;
+    /** Whether each upstream from @p first on had one of at most @p maxRequests requests, apart from those that had one of @p chosen. */
+    static bool areCoveredBy(const Evidence &evidence, std::size_t first, int maxRequests, std::vector<ContentDigest> &chosen);
     static std::tuple<int, bool, bool, bool, bool, std::ptrdiff_t> order(const Evidence &evidence);
     static bool isUnlikely(const Evidence &evidence)
     {
--- a/tests/coordination/testcontentquarantine.cpp
+++ b/tests/coordination/testcontentquarantine.cpp
@@ -279,3 +279,33 @@
     quarantine.onAnswered(contentOf(5), AnswerProgress::Whole, now);
     cr_assert_not(quarantine.heldBy(contentOf(5), now));
 }
+
+// Two requests under which upstreams end had parts in common, and these were blamed for all the crashes: sound requests were refused.
+Test(contentquarantine, partThatTwoDeadlyRequestsShareIsNotHeldBack)
+{
+    const auto prompt = [](std::uint64_t request) {
+        return RequestContent { digestOf(request), digestOf(100), { digestOf(200), digestOf(300 + request) } };
+    };
+    const CrashSuspect first { prompt(1), true };
+    const CrashSuspect second { prompt(2), true };
+    const CrashSuspect lostWithThem { prompt(3), true };
+    const CrashSuspect alsoLost { prompt(4), true };
+    for (const bool isAnsweredBefore : { false, true }) {
+        ContentQuarantine quarantine { ContentQuarantineLimits {} };
+        Time now(1000);
+        if (isAnsweredBefore) {
+            quarantine.onAnswered(prompt(5), AnswerProgress::Whole, now);
+        }
+        std::int64_t start = 0;
+        for (const auto &suspects : std::vector<std::vector<CrashSuspect>> { { first, lostWithThem }, { first, lostWithThem },
+                 { first, alsoLost, second }, { second }, { first, second }, { first }, { second }, { second }, { second } }) {
+            now = now + Duration(500);
+            quarantine.onCrash({ UpstreamId("u"), ++start }, suspects, now, now);
+            cr_assert_not(quarantine.heldBy(prompt(5), now), "crash %d", static_cast<int>(start));
+        }
+        now = now + Duration(1500);
+        cr_assert_not(quarantine.heldBy(prompt(5), now));
+        cr_assert(quarantine.heldBy(first.content, now));
+        cr_assert(quarantine.heldBy(second.content, now));
+    }
+}
