--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-// An objection is repeated for some messages, as datagrams may be lost.
-constexpr Duration ObjectionRepeatTime = Duration::seconds(3);
-
 void addUnique(std::vector<CrashSuspect> &suspects, const std::vector<CrashSuspect> &added, std::size_t limit)
 {
     for (const CrashSuspect &suspect : added) {
@@ -380,7 +377,7 @@
     const Time firstCrashAt = now - statement.sinceFirstCrash;
     const auto answer = m_answers.find(statement.content);
     if (answer != m_answers.end() && answer->second.known.wholeAt > firstCrashAt) {
-        answer->second.tellUntil = now + ObjectionRepeatTime;
+        answer->second.tellUntil = now + m_limits.repeatTime;
         return;
     }
     const auto [at, isNew] = m_held.try_emplace(statement.content, Held { statement.crashes, firstCrashAt });
@@ -466,7 +463,7 @@
 // A node that has had an answer from an upstream tells it before others hold back the content without knowing.
 void ContentQuarantine::objectToCrashes(Time now)
 {
-    if (now - m_crashKnownAt > ObjectionRepeatTime) {
+    if (now - m_crashKnownAt > m_limits.objectionWindow) {
         return;
     }
     if (!std::exchange(m_isToldEvidenceKnown, true)) {
@@ -476,7 +473,7 @@
         const auto answered = answeredAt(content, AnswerBasis::Known);
         const bool isUnknownToOthers = answered && (*answered > entry.firstAt || !answeredAt(content, AnswerBasis::Told));
         if (isUnknownToOthers && entry.crashes + 1 >= m_limits.crashesToHold) {
-            m_answers[content].tellUntil = now + ObjectionRepeatTime;
+            m_answers[content].tellUntil = now + m_limits.repeatTime;
         }
     }
 }
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -57,7 +57,9 @@
     /** How long this node remembers that upstreams answered its requests. */
     Duration answerMemory = Duration::seconds(60);
     /** How long this node repeats to its peers what it has learned. */
-    Duration repeatTime = Duration::seconds(3);
+    Duration repeatTime = Duration::seconds(1);
+    /** This long after a report of a crash, nodes object to it. */
+    Duration objectionWindow = Duration::seconds(3);
     /** Requests with held content that may still be sent by all nodes together. */
     int maxTrials = 2;
     /** Time from the last crash to the first trial. Each further trial takes this times the trial backoff, again and again. */
