--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -280,7 +280,7 @@
         const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, absl::flat_hash_map<ContentDigest, Evidence> &result) const;
     int crashesToHold(const Evidence &evidence) const;
     bool isSufficient(const Evidence &evidence) const;
-    /** Whether each upstream from @p first on had one of at most @p maxRequests requests, apart from those that had one of @p chosen. */
+    /** Whether each upstream from @p first on had one of @p chosen, or of at most @p maxRequests further requests. */
     static bool areCoveredBy(const Evidence &evidence, std::size_t first, int maxRequests, std::vector<ContentDigest> &chosen);
     static std::tuple<int, bool, bool, bool, bool, std::ptrdiff_t> order(const Evidence &evidence);
     static bool isUnlikely(const Evidence &evidence)
