--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -116,7 +116,7 @@
 {
     const auto begin = evidence.requestsByCrash.begin() + static_cast<std::ptrdiff_t>(first);
     const auto uncovered = std::find_if(begin, evidence.requestsByCrash.end(), [&chosen](const auto &requests) {
-        return std::none_of(chosen.begin(), chosen.end(), [&requests](ContentDigest request) { return requests.contains(request); });
+        return std::find_first_of(requests.begin(), requests.end(), chosen.begin(), chosen.end()) == requests.end();
     });
     if (uncovered == evidence.requestsByCrash.end()) {
         return true;
@@ -169,7 +169,7 @@
                 }
             }
             entry.requests.insert(accused->suspect.content.request);
-            entry.requestsByCrash.back().insert(accused->suspect.content.request);
+            entry.requestsByCrash.back().push_back(accused->suspect.content.request);
         }
     }
     for (const ContentDigest content : counted) {
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -251,7 +251,7 @@
         /** The different requests with the content that the upstreams had. */
         absl::flat_hash_set<ContentDigest> requests;
         /** The same for each upstream. */
-        std::vector<absl::flat_hash_set<ContentDigest>> requestsByCrash;
+        std::vector<std::vector<ContentDigest>> requestsByCrash;
         Time firstAt;
         Time lastCountedAt;
         Time lastAt;
