Simplify the quarantine: one function for suspects, one pass over a report

The suspects of a crash and those of this node are merged by one function; addCrash goes through a report once instead of three times, since the second occurrence of an element changes nothing; the told evidence is an optional instead of a map and a flag; the cover of ends needs no place to go on from. Behaviour is the same: contentquarantine/* passes (22 cases).

--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -10,27 +10,23 @@
 namespace
 {
 
-void addUnique(std::vector<CrashSuspect> &suspects, const std::vector<CrashSuspect> &added, std::size_t limit)
+/** Adds those that are not known yet, up to @p limit. Returns whether any of them is news. */
+template<typename Suspect>
+bool addUnique(std::vector<Suspect> &suspects, const std::vector<CrashSuspect> &added, std::size_t limit)
 {
+    bool isNews = false;
     for (const CrashSuspect &suspect : added) {
         const auto known = std::find_if(
             suspects.begin(), suspects.end(), [&suspect](const CrashSuspect &other) { return other.content == suspect.content; });
         if (known != suspects.end()) {
+            isNews = isNews || (suspect.hasBegun && !known->hasBegun);
             known->hasBegun = known->hasBegun || suspect.hasBegun;
         } else if (suspects.size() < limit) {
-            suspects.push_back(suspect);
+            suspects.emplace_back(suspect);
+            isNews = true;
         }
     }
-}
-
-std::set<ContentElement> elementsOfAll(const std::vector<CrashSuspect> &suspects)
-{
-    std::set<ContentElement> result;
-    for (const CrashSuspect &suspect : suspects) {
-        const auto elements = elementsOf(suspect.content);
-        result.insert(elements.begin(), elements.end());
-    }
-    return result;
+    return isNews;
 }
 
 } // namespace
@@ -100,22 +96,24 @@
 
 int ContentQuarantine::crashesToHold(const Evidence &evidence) const
 {
-    const int answered = evidence.wasAnswered ? m_limits.crashesToHoldAnswered : 0;
+    int result = 0;
     switch (evidence.kind) {
     case ContentElement::Kind::Request:
-        return std::max(answered, evidence.hasBegun ? m_limits.crashesToHoldBegunRequest : m_limits.crashesToHold);
+        result = evidence.hasBegun ? m_limits.crashesToHoldBegunRequest : m_limits.crashesToHold;
+        break;
     case ContentElement::Kind::Part:
-        return std::max(answered, evidence.hasBegun ? m_limits.crashesToHoldBegunPart : m_limits.crashesToHold);
+        result = evidence.hasBegun ? m_limits.crashesToHoldBegunPart : m_limits.crashesToHold;
+        break;
     case ContentElement::Kind::PartOnAdapter:
-        return std::max(answered, evidence.hasBegun ? m_limits.crashesToHoldBegunOnAdapter : m_limits.crashesToHoldOnAdapter);
+        result = evidence.hasBegun ? m_limits.crashesToHoldBegunOnAdapter : m_limits.crashesToHoldOnAdapter;
+        break;
     }
-    return m_limits.crashesToHoldAnswered;
+    return evidence.wasAnswered ? std::max(result, m_limits.crashesToHoldAnswered) : result;
 }
 
-bool ContentQuarantine::areCoveredBy(const Evidence &evidence, std::size_t first, int maxRequests, std::vector<ContentDigest> &chosen)
+bool ContentQuarantine::areCoveredBy(const Evidence &evidence, int maxRequests, std::vector<ContentDigest> &chosen)
 {
-    const auto begin = evidence.requestsByCrash.begin() + static_cast<std::ptrdiff_t>(first);
-    const auto uncovered = std::find_if(begin, evidence.requestsByCrash.end(), [&chosen](const auto &requests) {
+    const auto uncovered = std::find_if(evidence.requestsByCrash.begin(), evidence.requestsByCrash.end(), [&chosen](const auto &requests) {
         return std::find_first_of(requests.begin(), requests.end(), chosen.begin(), chosen.end()) == requests.end();
     });
     if (uncovered == evidence.requestsByCrash.end()) {
@@ -124,10 +122,9 @@
     if (maxRequests == 0) {
         return false;
     }
-    const auto next = static_cast<std::size_t>(uncovered - evidence.requestsByCrash.begin()) + 1;
     return std::any_of(uncovered->begin(), uncovered->end(), [&](ContentDigest request) {
         chosen.push_back(request);
-        const bool areCovered = areCoveredBy(evidence, next, maxRequests - 1, chosen);
+        const bool areCovered = areCoveredBy(evidence, maxRequests - 1, chosen);
         chosen.pop_back();
         return areCovered;
     });
@@ -139,7 +136,7 @@
         return false;
     }
     std::vector<ContentDigest> chosen;
-    return evidence.kind == ContentElement::Kind::Request || !areCoveredBy(evidence, 0, m_limits.requestsToHoldPart - 1, chosen);
+    return evidence.kind == ContentElement::Kind::Request || !areCoveredBy(evidence, m_limits.requestsToHoldPart - 1, chosen);
 }
 
 void ContentQuarantine::addEvidence(
@@ -155,7 +152,7 @@
             Evidence &entry = result[element.digest];
             entry.kind = element.kind;
             entry.wasAnswered = answered.has_value();
-            entry.hasBegun = entry.hasBegun || accused->suspect.hasBegun;
+            entry.hasBegun = entry.hasBegun || accused->hasBegun;
             entry.lastAt = crash.at;
             if (counted.insert(element.digest).second) {
                 entry.upstreams.push_back(&upstream);
@@ -168,8 +165,8 @@
                     ++entry.crashes;
                 }
             }
-            entry.requests.insert(accused->suspect.content.request);
-            entry.requestsByCrash.back().push_back(accused->suspect.content.request);
+            entry.requests.insert(accused->content.request);
+            entry.requestsByCrash.back().push_back(accused->content.request);
         }
     }
     for (const ContentDigest content : counted) {
@@ -235,7 +232,9 @@
         m_crashes.erase(
             std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto &a, const auto &b) { return a.second.at < b.second.at; }));
     }
-    m_isToldEvidenceKnown = m_isToldEvidenceKnown && m_crashes.size() == known;
+    if (m_crashes.size() != known) {
+        m_toldEvidence.reset();
+    }
     absl::erase_if(m_brokenAnswers, [&](const auto &entry) { return now - entry.second > m_limits.crashMemory; });
     std::vector<ContentDigest> lapsed;
     for (const auto &[content, held] : m_held) {
@@ -250,7 +249,7 @@
 
 void ContentQuarantine::hold(ContentDigest content, const Evidence &evidence, Time now)
 {
-    m_isToldEvidenceKnown = false;
+    m_toldEvidence.reset();
     // Peers find it out by themselves, or with the next full statements.
     m_held[content] = Held { evidence.crashes, evidence.firstAt, evidence.lastAt, 0, std::nullopt, now };
     std::vector<UpstreamId> upstreams;
@@ -263,28 +262,11 @@
 void ContentQuarantine::release(ContentDigest content, ContentReleased::Reason reason)
 {
     m_held.erase(content);
-    m_isToldEvidenceKnown = false;
+    m_toldEvidence.reset();
     m_changes.emplace_back(ContentReleased { content, reason });
     m_reviewAt = Time(); // The crashes that it explained may accuse other content.
 }
 
-bool ContentQuarantine::addSuspects(Crash &crash, const std::vector<CrashSuspect> &suspects) const
-{
-    bool isNews = false;
-    for (const CrashSuspect &added : suspects) {
-        const auto known = std::find_if(crash.suspects.begin(), crash.suspects.end(),
-            [&added](const Suspect &other) { return other.suspect.content == added.content; });
-        if (known != crash.suspects.end()) {
-            isNews = isNews || (added.hasBegun && !known->suspect.hasBegun);
-            known->suspect.hasBegun = known->suspect.hasBegun || added.hasBegun;
-        } else if (crash.suspects.size() < m_limits.maxSuspects * 4) {
-            crash.suspects.push_back(Suspect { added, elementsOf(added.content) });
-            isNews = true;
-        }
-    }
-    return isNews;
-}
-
 ContentQuarantine::Crash &ContentQuarantine::addCrash(
     const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now)
 {
@@ -293,9 +275,9 @@
     const bool isEarlier = at < crash.at;
     crash.at = std::min(crash.at, at);
     // Most reports are repeated ones.
-    if (addSuspects(crash, suspects) || isNew || isEarlier) {
+    if (addUnique(crash.suspects, suspects, m_limits.maxSuspects * 4) || isNew || isEarlier) {
         m_reviewAt = Time();
-        m_isToldEvidenceKnown = false;
+        m_toldEvidence.reset();
     }
     for (const CrashSuspect &suspect : suspects) {
         for (const ContentElement &element : elementsOf(suspect.content)) {
@@ -303,13 +285,11 @@
                 Time &brokenAt = m_brokenAnswers.try_emplace(element.digest, crash.at).first->second;
                 brokenAt = std::max(brokenAt, crash.at);
             }
-        }
-    }
-    for (const ContentElement &element : elementsOfAll(suspects)) {
-        const auto held = m_held.find(element.digest);
-        if (held != m_held.end() && crash.at > held->second.lastCrashAt) {
-            held->second.lastCrashAt = crash.at;
-            ++held->second.crashes;
+            const auto held = m_held.find(element.digest);
+            if (held != m_held.end() && crash.at > held->second.lastCrashAt) {
+                held->second.lastCrashAt = crash.at;
+                ++held->second.crashes;
+            }
         }
     }
     m_crashKnownAt = now;
@@ -357,7 +337,7 @@
         Answer &answer = m_answers[answered.content];
         answer.known.add(answered.progress, at);
         answer.told.add(answered.progress, at);
-        m_isToldEvidenceKnown = false;
+        m_toldEvidence.reset();
         const auto held = m_held.find(answered.content);
         const bool isWhole = answered.progress == AnswerProgress::Whole;
         if (isWhole && held != m_held.end() && at > held->second.firstCrashAt) {
@@ -381,7 +361,6 @@
         return;
     }
     const auto [at, isNew] = m_held.try_emplace(statement.content, Held { statement.crashes, firstCrashAt });
-    m_isToldEvidenceKnown = m_isToldEvidenceKnown && !isNew;
     Held &held = at->second;
     held.crashes = std::max(held.crashes, statement.crashes);
     held.firstCrashAt = std::min(held.firstCrashAt, firstCrashAt);
@@ -392,6 +371,7 @@
         held.lastTrialAt = std::max(held.lastTrialAt.value_or(Time()), now - *statement.sinceLastTrial);
     }
     if (isNew) {
+        m_toldEvidence.reset();
         m_changes.emplace_back(ContentHeldBack { statement.content, std::nullopt, statement.crashes, {} });
     }
 }
@@ -402,7 +382,7 @@
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &entry) {
         const Crash &crash = entry.second;
         const bool isSuspect = std::any_of(
-            crash.suspects.begin(), crash.suspects.end(), [&](const Suspect &other) { return other.suspect.content.request == request; });
+            crash.suspects.begin(), crash.suspects.end(), [&](const Suspect &other) { return other.content.request == request; });
         const bool isAnsweredSince = answer != m_answers.end() && answer->second.known.wholeAt >= crash.at;
         return isSuspect && !isAnsweredSince;
     });
@@ -466,10 +446,10 @@
     if (now - m_crashKnownAt > m_limits.objectionWindow) {
         return;
     }
-    if (!std::exchange(m_isToldEvidenceKnown, true)) {
+    if (!m_toldEvidence) {
         m_toldEvidence = evidence(AnswerBasis::Told);
     }
-    for (const auto &[content, entry] : m_toldEvidence) {
+    for (const auto &[content, entry] : *m_toldEvidence) {
         const auto at = m_answers.find(content);
         if (at == m_answers.end() || entry.crashes + 1 < m_limits.crashesToHold) {
             continue;
@@ -508,7 +488,7 @@
             result.answers.push_back(AnsweredContent { content, now - *known.begunAt, AnswerProgress::Begun });
         }
         answer.told = known;
-        m_isToldEvidenceKnown = false;
+        m_toldEvidence.reset();
     }
     for (const auto &[content, held] : m_held) {
         if (isFull || held.tellUntil >= now) {
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -199,10 +199,15 @@
     }
 
 private:
-    struct Suspect
+    struct Suspect : CrashSuspect
     {
-        CrashSuspect suspect;
         std::vector<ContentElement> elements;
+
+        explicit Suspect(const CrashSuspect &suspect)
+            : CrashSuspect(suspect)
+            , elements(elementsOf(suspect.content))
+        {
+        }
     };
     struct Crash
     {
@@ -280,16 +285,14 @@
         const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, absl::flat_hash_map<ContentDigest, Evidence> &result) const;
     int crashesToHold(const Evidence &evidence) const;
     bool isSufficient(const Evidence &evidence) const;
-    /** Whether each upstream from @p first on had one of @p chosen, or of at most @p maxRequests further requests. */
-    static bool areCoveredBy(const Evidence &evidence, std::size_t first, int maxRequests, std::vector<ContentDigest> &chosen);
+    /** Whether each upstream had one of @p chosen, or of at most @p maxRequests further requests. */
+    static bool areCoveredBy(const Evidence &evidence, int maxRequests, std::vector<ContentDigest> &chosen);
     static std::tuple<int, bool, bool, bool, bool, std::ptrdiff_t> order(const Evidence &evidence);
     static bool isUnlikely(const Evidence &evidence)
     {
         const bool isBegunPart = evidence.hasBegun && evidence.kind != ContentElement::Kind::Request;
         return evidence.wasAnswered || isBegunPart || evidence.kind == ContentElement::Kind::PartOnAdapter;
     }
-    /** Returns whether there is one that was not known. */
-    bool addSuspects(Crash &crash, const std::vector<CrashSuspect> &suspects) const;
     Crash &addCrash(const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now);
     void hold(ContentDigest content, const Evidence &evidence, Time now);
     void release(ContentDigest content, ContentReleased::Reason reason);
@@ -302,8 +305,7 @@
     std::map<UpstreamStart, Crash> m_crashes;
     absl::flat_hash_map<ContentDigest, Answer> m_answers;
     /** The evidence by what all nodes were told, until something changes it. */
-    absl::flat_hash_map<ContentDigest, Evidence> m_toldEvidence;
-    bool m_isToldEvidenceKnown = false;
+    std::optional<absl::flat_hash_map<ContentDigest, Evidence>> m_toldEvidence;
     /** When an upstream last ended in the middle of an answer. The beginnings of answers until then show nothing. */
     absl::flat_hash_map<ContentDigest, Time> m_brokenAnswers;
     std::map<ContentDigest, Held> m_held;
