--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -746,15 +746,19 @@
     }
 }
 
+bool RequestJob::isKeptWhole() const
+{
+    return !m_isStreaming || !isSuccess(m_answer->status);
+}
+
 // Which limit the attempt in progress exceeds with @p data, which follows what it has kept; empty if none.
 std::string RequestJob::exceededLimit(std::string_view data) const
 {
     const AnswerLimits &limits = m_context.settings().answers;
-    const bool isKeptWhole = !m_isStreaming || !isSuccess(m_answer->status);
-    if (isKeptWhole && m_body.size() + data.size() > limits.maxAnswerBytes) {
+    if (isKeptWhole() && m_body.size() + data.size() > limits.maxAnswerBytes) {
         return absl::StrCat("the answer is longer than ", limits.maxAnswerBytes, " bytes");
     }
-    if (!isKeptWhole && m_events.partialEvent().size() > limits.maxEventBytes) {
+    if (!isKeptWhole() && m_events.partialEvent().size() > limits.maxEventBytes) {
         return absl::StrCat("an event is longer than ", limits.maxEventBytes, " bytes");
     }
     return m_hasMemory ? "" : "answers in progress use all of their memory";
@@ -778,7 +782,7 @@
     if (m_phase != Phase::Answering) {
         return true;
     }
-    if (!m_isStreaming || !isSuccess(m_answer->status)) {
+    if (isKeptWhole()) {
         m_body.append(data);
         accountMemory();
         return true;
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -177,6 +177,8 @@
     bool acceptsHead(int status, const HttpHeaders &headers, const AnswerConnection &connection);
     void onHead();
     bool onData(std::string_view data);
+    /** Whether the answer in progress is delivered as a whole, rather than event by event. */
+    bool isKeptWhole() const;
     std::string exceededLimit(std::string_view data) const;
     /** Whether the attempt in progress may go on with this part of its answer. */
     bool acceptsData(std::string_view data);
