--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -136,14 +136,7 @@
         cr_assert(absl::StrContains(request, "Last-Event-Id: 1\r\n"), "%s", request.c_str());
         return ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 2\ndata: b\n\n"), "0\r\n\r\n") };
     };
-    const ScriptedUpstream first(script);
-    const ScriptedUpstream second(script);
-    ForwarderFixture fixture;
-    fixture.configure(RequestKind::Stream, 2, true);
-    fixture.addUpstream("u1", first);
-    fixture.addUpstream("u2", second);
-    const auto caller = fixture.send(ForwarderFixture::request());
-    fixture.runUntil([&] { return caller->isDone(); });
+    const auto caller = answerOfTwo(RequestKind::Stream, 2, true, script);
     cr_assert(caller->body() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "%s", caller->body().c_str());
     cr_assert(caller->isFinished());
 }
--- a/tests/main/testrequestforwardercrash.cpp
+++ b/tests/main/testrequestforwardercrash.cpp
@@ -62,10 +62,7 @@
     }
     int sendAttempt(HttpRequest attempt, const std::string &body)
     {
-        attempt.headers["apricotstep-request-id"] = absl::StrCat("r-", ++lastRequest);
-        for (auto &[name, value] : attempt.headerList) {
-            value = name == "Apricotstep-Request-Id" ? attempt.headers["apricotstep-request-id"] : value;
-        }
+        setRequestId(attempt, absl::StrCat("r-", ++lastRequest));
         attempt.body = body;
         const auto caller = send(std::move(attempt));
         runUntil([&] { return caller->isDone(); });
@@ -276,11 +273,7 @@
     const int late = fixture.lateArrivals(CrashesToTell, [&](int number) {
         std::vector<std::shared_ptr<Caller>> callers;
         for (int i = 0; i < AtOnce; ++i) {
-            HttpRequest request = ForwarderFixture::request();
-            request.headers["apricotstep-request-id"] = absl::StrCat("b-", number, "-", i);
-            for (auto &[name, value] : request.headerList) {
-                value = name == "Apricotstep-Request-Id" ? request.headers["apricotstep-request-id"] : value;
-            }
+            HttpRequest request = ForwarderFixture::requestWithId(absl::StrCat("b-", number, "-", i));
             request.body = "deadly";
             callers.push_back(fixture.send(std::move(request)));
         }
--- a/tests/main/testrequestforwarderendless.cpp
+++ b/tests/main/testrequestforwarderendless.cpp
@@ -64,11 +64,7 @@
     }
     std::shared_ptr<Caller> sendBody(const std::string &id, const std::string &body)
     {
-        HttpRequest request = ForwarderFixture::request();
-        request.headers["apricotstep-request-id"] = id;
-        for (auto &[name, value] : request.headerList) {
-            value = name == "Apricotstep-Request-Id" ? id : value;
-        }
+        HttpRequest request = requestWithId(id);
         request.body = body;
         sentAt = clock.now();
         return send(std::move(request));
@@ -103,21 +99,14 @@
 {
     for (const ScriptedAnswer &endless : endlessAnswers()) {
         std::atomic<int> calls { 0 };
-        const ScriptedUpstream::Script script = [&](const std::string &) {
-            return ++calls == 1 ? endless : ScriptedAnswer { CompleteAnswer };
-        };
-        const ScriptedUpstream first(script);
-        const ScriptedUpstream second(script);
-        ForwarderFixture fixture;
-        fixture.configure(RequestKind::Idempotent, 2);
-        fixture.addUpstream("u1", first);
-        fixture.addUpstream("u2", second);
-        const Time sentAt = fixture.clock.now();
-        const auto caller = fixture.send(ForwarderFixture::request());
-        fixture.runUntil([&] { return caller->isDone(); });
+        const auto script = [&](const std::string &) { return ++calls == 1 ? endless : ScriptedAnswer { CompleteAnswer }; };
+        const SystemClock clock;
+        const Time sentAt = clock.now();
+        const auto caller = answerOfTwo(RequestKind::Idempotent, 2, false, script);
+        const Duration took = clock.now() - sentAt;
         cr_assert_eq(caller->status(), 200);
         cr_assert(caller->body() == "whole");
-        cr_assert_lt((fixture.clock.now() - sentAt).milliseconds(), Soon.milliseconds());
+        cr_assert_lt(took.milliseconds(), Soon.milliseconds());
     }
 }
 
@@ -146,14 +135,7 @@
     const ScriptedUpstream::Script script = [&](const std::string &) {
         return ++calls == 1 ? endlessEvent() : ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 2\ndata: b\n\n"), "0\r\n\r\n") };
     };
-    const ScriptedUpstream first(script);
-    const ScriptedUpstream second(script);
-    ForwarderFixture fixture;
-    fixture.configure(RequestKind::Stream, 2, true);
-    fixture.addUpstream("u1", first);
-    fixture.addUpstream("u2", second);
-    const auto caller = fixture.send(ForwarderFixture::request());
-    fixture.runUntil([&] { return caller->isDone(); });
+    const auto caller = answerOfTwo(RequestKind::Stream, 2, true, script);
     cr_assert(caller->isFinished());
     cr_assert(caller->body() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "%s", caller->body().c_str());
 }
--- a/tests/main/testrequestforwarderfixture.h
+++ b/tests/main/testrequestforwarderfixture.h
@@ -143,6 +143,19 @@
         request.body = method == "POST" ? "body" : "";
         return request;
     }
+    static void setRequestId(HttpRequest &request, const std::string &id)
+    {
+        request.headers["apricotstep-request-id"] = id;
+        for (auto &[name, value] : request.headerList) {
+            value = name == "Apricotstep-Request-Id" ? id : value;
+        }
+    }
+    static HttpRequest requestWithId(const std::string &id)
+    {
+        HttpRequest result = request();
+        setRequestId(result, id);
+        return result;
+    }
     std::shared_ptr<Fixtures::Caller> send(HttpRequest httpRequest)
     {
         auto caller = std::make_shared<Fixtures::Caller>();
@@ -169,6 +182,20 @@
     }
 };
 
+/** Sends a request of @p kind to two upstreams with the same script, and returns its caller once the answer has ended. */
+inline std::shared_ptr<Caller> answerOfTwo(RequestKind kind, int maxAttempts, bool isResumable, const ScriptedUpstream::Script &script)
+{
+    const ScriptedUpstream first(script);
+    const ScriptedUpstream second(script);
+    ForwarderFixture fixture;
+    fixture.configure(kind, maxAttempts, isResumable);
+    fixture.addUpstream("u1", first);
+    fixture.addUpstream("u2", second);
+    const auto caller = fixture.send(ForwarderFixture::request());
+    fixture.runUntil([&] { return caller->isDone(); });
+    return caller;
+}
+
 /** A forwarder whose configuration has one team with the key "good". */
 struct KeyFixture : ForwarderFixture
 {
--- a/tests/main/testrequestforwarderlateanswers.cpp
+++ b/tests/main/testrequestforwarderlateanswers.cpp
@@ -22,16 +22,6 @@
     return request;
 }
 
-HttpRequest requestWithId(const std::string &id)
-{
-    HttpRequest request = ForwarderFixture::request();
-    request.headers["apricotstep-request-id"] = id;
-    for (auto &[name, value] : request.headerList) {
-        value = name == "Apricotstep-Request-Id" ? id : value;
-    }
-    return request;
-}
-
 } // namespace
 
 // Guards against a request that runs twice, or runs though its caller was told that it did not: the second copy of its first refusal is
@@ -72,10 +62,10 @@
     ForwarderFixture fixture;
     fixture.configure(RequestKind::NonIdempotent, 1);
     fixture.addUpstream("u1", upstream);
-    const auto first = fixture.send(requestWithId("r-1"));
+    const auto first = fixture.send(ForwarderFixture::requestWithId("r-1"));
     fixture.runUntil([&] { return first->isDone(); });
     cr_assert_eq(first->status(), 200);
-    const auto second = fixture.send(requestWithId("r-2"));
+    const auto second = fixture.send(ForwarderFixture::requestWithId("r-2"));
     fixture.runUntil([&] { return second->isDone(); });
     cr_assert_eq(calls, 2);
     cr_assert_eq(second->status(), 502);
@@ -92,7 +82,7 @@
         fixture.configure(RequestKind::NonIdempotent, 1);
         fixture.addUpstream("full", full);
         fixture.addUpstream("free", free);
-        const auto caller = fixture.send(requestWithId("r-1"));
+        const auto caller = fixture.send(ForwarderFixture::requestWithId("r-1"));
         fixture.runUntil([&] { return caller->isDone(); });
         cr_assert_eq(caller->status(), 200);
     }
@@ -101,7 +91,7 @@
     ForwarderFixture fixture;
     fixture.configure(RequestKind::NonIdempotent, 1);
     fixture.addUpstream("full", full);
-    const auto refused = fixture.send(requestWithId("r-1"));
+    const auto refused = fixture.send(ForwarderFixture::requestWithId("r-1"));
     fixture.runUntil([&] { return refused->isDone(); });
     cr_assert_eq(refused->status(), 503);
 }
--- a/tests/main/testrequestforwardersoftware.cpp
+++ b/tests/main/testrequestforwardersoftware.cpp
@@ -23,11 +23,7 @@
 /** A request with the id @p id that takes up the stream which the request @p resumed began, after its first event. */
 HttpRequest resumption(const std::string &id, const std::string &resumed)
 {
-    HttpRequest request = ForwarderFixture::request();
-    for (auto &[name, value] : request.headerList) {
-        value = name == "Apricotstep-Request-Id" ? id : value;
-    }
-    request.headers["apricotstep-request-id"] = id;
+    HttpRequest request = ForwarderFixture::requestWithId(id);
     const HttpHeaders added { { "Last-Event-Id", "1" }, { "Resumes", resumed } };
     for (const auto &[name, value] : added) {
         if (!value.empty()) {
--- a/tests/main/testrequestforwarderstream.cpp
+++ b/tests/main/testrequestforwarderstream.cpp
@@ -21,18 +21,10 @@
     return ScriptedAnswer { UnframedHead + body, action };
 }
 
-/** Sends a request of @p kind to two upstreams with the same script, and returns its caller once the answer has ended. */
+/** The answer to a request that has a second attempt only if it is resumable. */
 std::shared_ptr<Caller> answerOf(RequestKind kind, bool isResumable, const ScriptedUpstream::Script &script)
 {
-    const ScriptedUpstream first(script);
-    const ScriptedUpstream second(script);
-    ForwarderFixture fixture;
-    fixture.configure(kind, isResumable ? 2 : 1, isResumable);
-    fixture.addUpstream("u1", first);
-    fixture.addUpstream("u2", second);
-    const auto caller = fixture.send(ForwarderFixture::request());
-    fixture.runUntil([&] { return caller->isDone(); });
-    return caller;
+    return answerOfTwo(kind, isResumable ? 2 : 1, isResumable, script);
 }
 
 } // namespace
