Send no engine more tokens than its KV cache holds

Cause: requests were placed by load alone.

EngineMemory decides whether an engine has room for a request. Each request reserves its whole prompt and its expected answer until it ends. A fixed limit alone does not hold, since all nodes with waiting requests use the same room before they hear of each other. Beyond half of the capacity, a node therefore sends at random with the part of the room that is left to it. A request for which no engine has room waits and is refused in time with 503; one that is larger than the capacity is refused at once with 413. Engines without a stated capacity are served as before.

--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -3,6 +3,7 @@
 #include "coordination/adapterloadestimator.h"
 #include "coordination/brittleupstreams.h"
 #include "coordination/contentquarantine.h"
+#include "coordination/enginememory.h"
 #include "coordination/outlierdetector.h"
 #include "coordination/outofscopeengines.h"
 #include "coordination/residencytable.h"
@@ -43,6 +44,7 @@
     AdapterLoadEstimator loadEstimator;
     std::map<AdapterRef, KnownVersion> versions;
     UpstreamLoadTracker loadTracker;
+    EngineMemory engineMemory { EngineMemoryLimits {} };
     /** The availability zone whose engines this node uses; empty when it uses all. */
     ZoneId engineScope;
     OutlierDetector outliers { OutlierLimits {} };
@@ -84,6 +86,7 @@
         removeResidency(upstream);
         outliers.remove(upstream);
         outOfScope.remove(upstream);
+        engineMemory.remove(upstream);
     }
     const EngineSpec *engineSpec(const ServiceName &service) const
     {
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -82,6 +82,11 @@
                                                 .Help("Requests that an upstream did not get because of what it stated in its answers.")
                                                 .Register(registry)
                                                 .Add({});
+    prometheus::Counter &noEngineMemory = prometheus::BuildCounter()
+                                              .Name("apricotstep_entry_no_engine_memory_total")
+                                              .Help("Requests that waited or were refused because no engine had room for their tokens.")
+                                              .Register(registry)
+                                              .Add({});
     prometheus::Family<prometheus::Counter> &quarantineEvents =
         prometheus::BuildCounter()
             .Name("apricotstep_entry_quarantine_total")
@@ -245,6 +250,11 @@
     d->withheldRequests.Increment();
 }
 
+void EntryMetrics::noEngineMemory()
+{
+    d->noEngineMemory.Increment();
+}
+
 void EntryMetrics::keyRefused(std::string_view reason)
 {
     d->keyRefusals.Add({ { "reason", std::string(reason) } }).Increment();
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -82,6 +82,8 @@
     void brittleRefusal();
     /** Counts a request that an upstream does not get, or gets later, because of what the upstream stated. */
     void withheld();
+    /** Counts a request for which no engine had room in its memory. */
+    void noEngineMemory();
     /** Counts a service whose upstreams this node no longer reaches, or reaches again. */
     void serviceReachability(bool isReachable);
     /** Counts a request that another node sends to the upstream for this one ("sent"), or this one for another node ("received"). */
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace ApricotStep
@@ -294,6 +295,52 @@
     return false;
 }
 
+double RequestJob::engineCapacity() const
+{
+    const EngineSpec *spec = m_decoded.generation ? m_context.clusterState().engineSpec(m_service) : nullptr;
+    return spec != nullptr ? spec->kvCacheTokens : 0;
+}
+
+double RequestJob::reservation() const
+{
+    if (!m_decoded.generation) {
+        return 0;
+    }
+    const Platform::GenerationRequest &generation = *m_decoded.generation;
+    return m_context.clusterState().engineMemory.reservation(
+        generation.promptTokens, generation.sharedTokens, generation.maxAnswerTokens, engineCapacity());
+}
+
+bool RequestJob::hasRoom(const UpstreamRecord &record, const FleetLoad &load)
+{
+    const double capacity = engineCapacity();
+    if (capacity <= 0) {
+        return true;
+    }
+    const EngineMemoryUse use { reservation(), capacity, load.reservedTokens, m_context.callbacks().nodeCount() };
+    const bool hasRoom = m_context.clusterState().engineMemory.hasRoom(record.id, use, now(), m_context.random());
+    m_isEngineFull = m_isEngineFull || !hasRoom;
+    return hasRoom;
+}
+
+void RequestJob::waitForMemory()
+{
+    if (!std::exchange(m_hasLackedMemory, true)) {
+        m_context.metrics().noEngineMemory();
+        m_context.log().write(RequestStep, "request", "no_engine_memory",
+            { { "request", m_decoded.id }, { "service", m_service.value() }, { "tokens", static_cast<std::int64_t>(reservation()) } });
+    }
+    if (needsAdapter()) {
+        m_context.reportCrowded(adapter());
+    }
+    const Duration answerTime = expectedTimeToFirstToken(UpstreamOption {}, promptTokens(), ChoiceParameters {});
+    if (answerTime + PlacementRetryInterval < firstByteTimeLeft()) {
+        wait();
+    } else {
+        giveUp(m_executionState == ExecutionState::NotRun ? ErrorKind::NoUpstream : ErrorKind::UpstreamFailed);
+    }
+}
+
 Duration RequestJob::retryAfterRefusal() const
 {
     // What binds this node need not bind the one to which the caller returns, so a long rest is no reason for a long wait.
@@ -316,9 +363,13 @@
     std::vector<UpstreamOption> result;
     ClusterState &clusterState = m_context.clusterState();
     for (const UpstreamRecord *record : m_decoded.generation ? clusterState.engines(m_service) : clusterState.upstreams.usable(m_service)) {
-        if (isUsable(*record)) {
-            result.push_back(UpstreamOption { record, clusterState.loadTracker.load(record->id, now()),
-                clusterState.outliers.share(record->id, now()), record->zone == m_context.settings().zone });
+        if (!isUsable(*record)) {
+            continue;
+        }
+        const FleetLoad load = clusterState.loadTracker.load(record->id, now());
+        if (hasRoom(*record, load)) {
+            result.push_back(
+                UpstreamOption { record, load, clusterState.outliers.share(record->id, now()), record->zone == m_context.settings().zone });
         }
     }
     return result;
@@ -346,6 +397,10 @@
         FleetLoad load = clusterState.loadTracker.load(engine, now());
         load.running += reported->running;
         load.pendingTokens += reported->pendingTokens;
+        load.reservedTokens += reported->reservedTokens;
+        if (!hasRoom(*record, load)) {
+            continue;
+        }
         result.push_back(UpstreamOption { record, load, clusterState.outliers.share(engine, now()), false });
     }
     return result;
@@ -392,6 +447,11 @@
         giveUp(ErrorKind::ContentHeldBack);
         return;
     }
+    if (reservation() > engineCapacity()) {
+        m_context.metrics().noEngineMemory();
+        giveUp(ErrorKind::RequestTooLarge);
+        return;
+    }
     if (m_origin && !hasUpstreamOfOrigin()) {
         refuse(ErrorKind::StreamVersionGone, RetryAfterRefusal);
         return;
@@ -407,6 +467,7 @@
         }
     }
     m_withheldUntil.reset();
+    m_isEngineFull = false;
     auto candidates = options();
     if (m_decoded.generation) {
         creditSharedPrefix(candidates, m_decoded.generation->sharedPrefix, m_decoded.generation->sharedTokens);
@@ -426,6 +487,10 @@
         send(*chosen->record, copy ? copy->version : AdapterVersion());
         return;
     }
+    if (m_isEngineFull) {
+        waitForMemory();
+        return;
+    }
     if (canWaitForAdapter()) {
         if (const auto retryDelay = retryDelayIfTooLate()) {
             refuse(ErrorKind::NoUpstream, *retryDelay);
@@ -588,6 +653,8 @@
     }
     m_isPromptPending = true;
     m_context.clusterState().loadTracker.onSent(m_upstream.id, promptTokens());
+    m_reservedTokens = static_cast<std::uint32_t>(std::min<double>(reservation(), std::numeric_limits<std::uint32_t>::max()));
+    m_context.clusterState().loadTracker.reserve(m_upstream.id, m_reservedTokens);
     m_context.log().write(RequestStep, "request", "sent",
         { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "arrival", std::int64_t(m_attemptsSent + 1) },
             { "version", m_version.value() }, { "software", m_upstream.softwareVersion.value() }, { "leftMs", timeLeft().milliseconds() },
@@ -833,6 +900,7 @@
 void RequestJob::endAttempt()
 {
     if (!m_relay) {
+        m_context.clusterState().loadTracker.release(m_upstream.id, m_reservedTokens);
         m_context.clusterState().loadTracker.onEnded(m_upstream.id, m_isPromptPending ? promptTokens() : 0);
     }
     m_call = 0;
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -149,6 +149,13 @@
     bool isUsable(const UpstreamRecord &record);
     /** Whether this node may send to the upstream now, by what the upstream stated in its answers. */
     bool isPermitted(const UpstreamRecord &record);
+    /** The tokens that the request reserves at an engine of its service; 0 if the engines have no stated capacity. */
+    double reservation() const;
+    double engineCapacity() const;
+    /** Whether an engine with this load has room for the request. */
+    bool hasRoom(const UpstreamRecord &record, const FleetLoad &load);
+    /** No engine has room for the request: waits, or refuses it if it cannot be answered in time. */
+    void waitForMemory();
     /** Retry-After of a refusal for lack of an upstream. */
     Duration retryAfterRefusal() const;
     /** Whether requests may still run on @p version of the adapter. */
@@ -249,6 +256,9 @@
     /** Where the stream began that the request continues; unset if it has not begun, or it is not known where. */
     std::optional<StreamOrigin> m_origin;
     bool m_hasBeenWithheld = false;
+    /** An engine was left out of the last choice because it lacks room for the request. */
+    bool m_isEngineFull = false;
+    bool m_hasLackedMemory = false;
     TimerId m_deadlineTimer = 0;
     TimerId m_waitTimer = 0;
 
@@ -269,6 +279,8 @@
     std::size_t m_accountedBytes = 0;
     /** Whether this job may keep as much as it does. */
     bool m_hasMemory = true;
+    /** Tokens reserved at the engine. */
+    std::uint32_t m_reservedTokens = 0;
     /** The engine has not read the prompt yet, so the load tracker still counts its tokens as pending. */
     bool m_isPromptPending = false;
     AdmissionId m_reservation;
--- a/tests/main/testmetrics.cpp
+++ b/tests/main/testmetrics.cpp
@@ -88,6 +88,7 @@
     entry.upstreamFailed("broken");
     entry.upstreamLimitChanged(true);
     entry.withheld();
+    entry.noEngineMemory();
     entry.upstreamRests();
     entry.brittleRefusal();
     entry.quarantine("held");
--- a/tests/main/testrequestforwarderfixture.h
+++ b/tests/main/testrequestforwarderfixture.h
@@ -88,12 +88,13 @@
         forwarder->onCreditGrants(grants);
         return {};
     }
-    void configure(RequestKind kind, int maxAttempts, bool isResumable = false, Duration timeout = Duration(1500))
+    void configure(RequestKind kind, int maxAttempts, bool isResumable = false, Duration timeout = Duration(1500), double kvCacheTokens = 0)
     {
         RouteTableSource source;
         source.version = ConfigVersion(1);
         EngineSpec engine;
         engine.adapterSlots = 2;
+        engine.kvCacheTokens = kvCacheTokens;
         source.services.push_back(RoutedService { ServiceName("svc"), "/health", 10, engine });
         Route route;
         route.name = "r";
