--- a/coordination/upstreamchoice.cpp
+++ b/coordination/upstreamchoice.cpp
@@ -51,7 +51,7 @@
 {
     const double unreadTokens = std::max(promptTokens - option.cachedTokens, 0.0);
     const double readingTime = (option.load.pendingTokens + unreadTokens) / parameters.promptTokensPerMs;
-    return Duration(static_cast<std::int64_t>(readingTime + option.load.running * parameters.runningCostMs));
+    return Duration(static_cast<std::int64_t>((readingTime + option.load.running * parameters.runningCostMs) * option.slowness));
 }
 
 const UpstreamOption *chooseEngine(
--- a/coordination/upstreamchoice.h
+++ b/coordination/upstreamchoice.h
@@ -31,6 +31,8 @@
     bool isSameZone = false;
     /** Prompt tokens that it has probably processed before and still caches. */
     double cachedTokens = 0;
+    /** The time that it takes, relative to other engines under the same load. */
+    double slowness = 1;
 };
 
 struct ChoiceParameters
