Observe engine speeds in streams and exchange them in heartbeats

Cause: a node sees only a few gaps of one engine in a turn of 600 ms, and a node that has just started knows nothing of the engines.

Change: RequestJob::onData() observes the gap between two receptions that each completed events, divided by the events that the later one completed. Gaps that begin or end while the engine has pending prompt tokens do not count, nor do those of relayed attempts, of plain services, and of a stream after a pause: what has piled up during the pause arrives in bursts. Heartbeats carry up to 16 reports (engineSpeeds @41); the codec bounds their number, slowness and age. The slowness of each option is filled in for the choice of an engine. The gauge apricotstep_entry_slow_engines counts engines whose slowness is over 1.25.

The observation in RequestJob has no test of its own.

--- a/coordination/fleetmessage.h
+++ b/coordination/fleetmessage.h
@@ -2,6 +2,7 @@
 
 #include "coordination/brittleupstreams.h"
 #include "coordination/contentquarantine.h"
+#include "coordination/enginespeed.h"
 #include "coordination/streamorigins.h"
 #include "coordination/teamcredit.h"
 #include "coordination/upstreamdirectory.h"
@@ -192,6 +193,8 @@
     std::vector<UpstreamLimitStatement> upstreamLimits;
     /** The rests that upstreams asked the sender for. */
     std::vector<UpstreamRest> upstreamRests;
+    /** Engines that the sender has lately observed to be slower or faster than others. */
+    std::vector<EngineSpeedReport> engineSpeeds;
     /** Upstreams that lately stated in answers to the sender that they are leaving. */
     std::vector<UpstreamStart> leavingUpstreams;
     /** The services whose upstreams the sender cannot connect to. */
--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -3,6 +3,7 @@
 #include "coordination/adapterloadestimator.h"
 #include "coordination/brittleupstreams.h"
 #include "coordination/contentquarantine.h"
+#include "coordination/enginespeed.h"
 #include "coordination/outlierdetector.h"
 #include "coordination/outofscopeengines.h"
 #include "coordination/residencytable.h"
@@ -49,6 +50,7 @@
     OutOfScopeEngines outOfScope { OutOfScopeLimits {} };
     UpstreamLimits upstreamLimits;
     UpstreamRests upstreamRests;
+    EngineSpeed engineSpeed;
     BrittleUpstreams brittleUpstreams { BrittleUpstreamLimits {} };
     ServiceReachability reachability { ReachabilityLimits {} };
     SoftwareHistory softwareHistory { SoftwareHistoryLimits {} };
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -129,6 +129,11 @@
                                                            .Name("apricotstep_entry_wait_seconds")
                                                            .Help("Arrival to the first sending: the wait for an adapter or an upstream.")
                                                            .Register(registry);
+    prometheus::Gauge &slowEngines = prometheus::BuildGauge()
+                                         .Name("apricotstep_entry_slow_engines")
+                                         .Help("Engines that are slower than others under the same load, as this node knows.")
+                                         .Register(registry)
+                                         .Add({});
     prometheus::Family<prometheus::Gauge> &gauges =
         prometheus::BuildGauge().Name("apricotstep_entry_state").Help("What the node believes, by name.").Register(registry);
 
@@ -277,6 +282,7 @@
     d->setGauge("unreachable_services", gauges.unreachableServices);
     d->setGauge("held_contents", gauges.heldContents);
     d->setGauge("answer_bytes", static_cast<double>(gauges.answerBytes));
+    d->slowEngines.Set(gauges.slowEngines);
     d->setGauge("ready", gauges.isReady ? 1 : 0);
     std::ostringstream out;
     prometheus::TextSerializer().Serialize(out, d->registry.Collect());
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -44,6 +44,8 @@
     int heldContents = 0;
     /** Memory of answers in progress. */
     std::size_t answerBytes = 0;
+    /** Engines that are slower than others under the same load. */
+    int slowEngines = 0;
     /** Time since the active configuration was known to be the newest. */
     Duration configurationAge;
 };
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -375,6 +375,7 @@
     gauges.unreachableServices = static_cast<int>(clusterState.reachability.unreachable().size());
     gauges.heldContents = static_cast<int>(clusterState.quarantine.heldCount());
     gauges.answerBytes = forwarder->answerBytes();
+    gauges.slowEngines = clusterState.engineSpeed.slowCount(clock.now());
     gauges.configurationAge = clock.now() - clusterState.routesKnownAt;
     exchange.respond(OkStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text(gauges));
 }
--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -211,6 +211,7 @@
     message.store = clusterState.loadEstimator.view();
     message.upstreamLimits = clusterState.upstreamLimits.statements(now());
     message.upstreamRests = clusterState.upstreamRests.own(now());
+    message.engineSpeeds = clusterState.engineSpeed.takeReports(now());
     message.leavingUpstreams = clusterState.upstreams.heardLeaving(now());
     message.brittleUpstreams = clusterState.brittleUpstreams.statements(now());
     const auto isNeeded = [this](const ServiceName &service) { return !clusterState.softwareHistory.soleVersion(service, now()); };
@@ -668,6 +669,7 @@
         socket->send(message.peerAddress, encodeFleetMessage(answer));
     }
     clusterState.upstreamRests.onPeerRests(message.upstreamRests, now());
+    clusterState.engineSpeed.onPeerSpeeds(message.sender, message.engineSpeeds, now());
     if (!message.leavingUpstreams.empty()) {
         callbacks.onLeavingUpstreams(message.leavingUpstreams);
     }
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -317,8 +317,9 @@
     ClusterState &clusterState = m_context.clusterState();
     for (const UpstreamRecord *record : m_decoded.generation ? clusterState.engines(m_service) : clusterState.upstreams.usable(m_service)) {
         if (isUsable(*record)) {
-            result.push_back(UpstreamOption { record, clusterState.loadTracker.load(record->id, now()),
-                clusterState.outliers.share(record->id, now()), record->zone == m_context.settings().zone });
+            result.push_back(
+                UpstreamOption { record, clusterState.loadTracker.load(record->id, now()), clusterState.outliers.share(record->id, now()),
+                    record->zone == m_context.settings().zone, 0, clusterState.engineSpeed.slowness(*record, now()) });
         }
     }
     return result;
@@ -346,7 +347,8 @@
         FleetLoad load = clusterState.loadTracker.load(engine, now());
         load.running += reported->running;
         load.pendingTokens += reported->pendingTokens;
-        result.push_back(UpstreamOption { record, load, clusterState.outliers.share(engine, now()), false });
+        result.push_back(UpstreamOption {
+            record, load, clusterState.outliers.share(engine, now()), false, 0, clusterState.engineSpeed.slowness(*record, now()) });
     }
     return result;
 }
@@ -793,13 +795,29 @@
         m_hasEvents = true;
         reportAnswered(AnswerProgress::Begun);
     }
+    observeSpeed(events);
     if (events.empty() || m_exchange->write(events)) {
         return true;
     }
     m_isPaused = true;
+    m_hasPaused = true;
     return false;
 }
 
+void RequestJob::observeSpeed(std::string_view events)
+{
+    if (events.empty() || m_relay || !m_decoded.generation || m_hasPaused) {
+        return;
+    }
+    ClusterState &clusterState = m_context.clusterState();
+    const FleetLoad load = clusterState.loadTracker.load(m_upstream.id, now());
+    if (m_lastEventsAt) {
+        clusterState.engineSpeed.onGap(m_upstream, load.running, load.pendingTokens, now() - *m_lastEventsAt, countEvents(events), now());
+    }
+    // A gap that begins while a prompt is read does not show the speed either.
+    m_lastEventsAt = load.pendingTokens > 0 ? std::nullopt : std::optional(now());
+}
+
 void RequestJob::accountMemory()
 {
     const auto bytesOf = [](const std::string &text) { return text.empty() ? 0 : text.capacity(); };
@@ -836,6 +854,8 @@
         m_context.clusterState().loadTracker.onEnded(m_upstream.id, m_isPromptPending ? promptTokens() : 0);
     }
     m_call = 0;
+    m_lastEventsAt.reset();
+    m_hasPaused = false;
 }
 
 bool RequestJob::cancelAttempt()
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -185,6 +185,8 @@
     /** Accounts for what this job has kept of answers. */
     void accountMemory();
     void discardAnswer();
+    /** Observes the speed of the engine, which has just delivered @p events. */
+    void observeSpeed(std::string_view events);
     /** An upstream has answered the attempt in progress, or begun to. */
     void reportAnswered(AnswerProgress progress);
     void onDone(const CallResult &result);
@@ -286,6 +288,10 @@
     bool m_isPaused = false;
     /** The attempt in progress has delivered an event. */
     bool m_hasEvents = false;
+    /** When the attempt in progress last delivered events, if the next ones show the engine's speed. */
+    std::optional<Time> m_lastEventsAt;
+    /** The attempt in progress has been paused: what has piled up meanwhile arrives in bursts. */
+    bool m_hasPaused = false;
     EventSplitter m_events;
     /** An upstream's error answer, forwarded to the caller if no retry gives a better one. */
     std::optional<Platform::UpstreamAnswer> m_failure;
--- a/protocol/eventsplitter.cpp
+++ b/protocol/eventsplitter.cpp
@@ -5,6 +5,19 @@
 namespace ApricotStep
 {
 
+int countEvents(std::string_view events)
+{
+    int count = 0;
+    bool isInsideEvent = false;
+    for (std::size_t begin = 0, end = 0; (end = events.find('\n', begin)) != std::string_view::npos; begin = end + 1) {
+        const std::string_view line = events.substr(begin, end - begin);
+        const bool isBlank = line.empty() || line == "\r";
+        count += isBlank && isInsideEvent ? 1 : 0;
+        isInsideEvent = !isBlank;
+    }
+    return count;
+}
+
 std::string EventSplitter::push(std::string_view bytes)
 {
     // An event ends with an empty line. Lines end with LF or CRLF. Only a delimiter that ends in the new bytes can be new.
--- a/protocol/eventsplitter.h
+++ b/protocol/eventsplitter.h
@@ -6,6 +6,9 @@
 namespace ApricotStep
 {
 
+/** The number of events in @p events, which consists of whole events. Further blank lines after an event are none. */
+int countEvents(std::string_view events);
+
 /**
  * Splits a text/event-stream into whole events and keeps the id of the last one.
  *
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -167,6 +167,13 @@
     sinceLastRequestMs @6 :Int64;
 }
 
+struct EngineSpeedWire {
+    upstream @0 :Text;
+    startedAt @1 :Int64;
+    slownessPercent @2 :UInt16;
+    ageMs @3 :Int32;
+}
+
 struct FleetMessageWire {
     sender @0 :Text;
     incarnation @1 :UInt64;
@@ -209,4 +216,5 @@
     crashes @38 :List(CrashReportWire);
     answeredContents @39 :List(AnsweredContentWire);
     heldContents @40 :List(HeldContentWire);
+    engineSpeeds @41 :List(EngineSpeedWire);
 }
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -37,6 +37,7 @@
 CAPNP_DECLARE_SCHEMA(d54e4a108723b8ef);
 CAPNP_DECLARE_SCHEMA(e10500095a09c7a2);
 CAPNP_DECLARE_SCHEMA(a56e3e006d7f7b47);
+CAPNP_DECLARE_SCHEMA(b34d4b8d936464b6);
 CAPNP_DECLARE_SCHEMA(8b8b5daee920bcb2);
 
 }  // namespace schemas
@@ -360,6 +361,21 @@
   };
 };
 
+struct EngineSpeedWire {
+  EngineSpeedWire() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b34d4b8d936464b6, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetMessageWire {
   FleetMessageWire() = delete;
 
@@ -368,7 +384,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 28)
+    CAPNP_DECLARE_STRUCT_HEADER(8b8b5daee920bcb2, 8, 29)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2491,6 +2507,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class EngineSpeedWire::Reader {
+public:
+  typedef EngineSpeedWire Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+  inline  ::uint16_t getSlownessPercent() const;
+
+  inline  ::int32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EngineSpeedWire::Builder {
+public:
+  typedef EngineSpeedWire Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+  inline  ::uint16_t getSlownessPercent();
+  inline void setSlownessPercent( ::uint16_t value);
+
+  inline  ::int32_t getAgeMs();
+  inline void setAgeMs( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EngineSpeedWire::Pipeline {
+public:
+  typedef EngineSpeedWire Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetMessageWire::Reader {
 public:
   typedef FleetMessageWire Reads;
@@ -2618,6 +2730,9 @@
   inline bool hasHeldContents() const;
   inline  ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>::Reader getHeldContents() const;
 
+  inline bool hasEngineSpeeds() const;
+  inline  ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>::Reader getEngineSpeeds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2884,6 +2999,13 @@
   inline void adoptHeldContents(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::HeldContentWire,  ::capnp::Kind::STRUCT>> disownHeldContents();
 
+  inline bool hasEngineSpeeds();
+  inline  ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>::Builder getEngineSpeeds();
+  inline void setEngineSpeeds( ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>::Builder initEngineSpeeds(unsigned int size);
+  inline void adoptEngineSpeeds(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>> disownEngineSpeeds();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4823,6 +4945,82 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EngineSpeedWire::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EngineSpeedWire::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EngineSpeedWire::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EngineSpeedWire::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EngineSpeedWire::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EngineSpeedWire::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EngineSpeedWire::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EngineSpeedWire::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t EngineSpeedWire::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t EngineSpeedWire::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EngineSpeedWire::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t EngineSpeedWire::Reader::getSlownessPercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t EngineSpeedWire::Builder::getSlownessPercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void EngineSpeedWire::Builder::setSlownessPercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t EngineSpeedWire::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t EngineSpeedWire::Builder::getAgeMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void EngineSpeedWire::Builder::setAgeMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetMessageWire::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5974,6 +6172,40 @@
       ::capnp::bounded<27>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessageWire::Reader::hasEngineSpeeds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<28>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessageWire::Builder::hasEngineSpeeds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<28>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>::Reader FleetMessageWire::Reader::getEngineSpeeds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<28>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::getEngineSpeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<28>() * ::capnp::POINTERS));
+}
+inline void FleetMessageWire::Builder::setEngineSpeeds( ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<28>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>::Builder FleetMessageWire::Builder::initEngineSpeeds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<28>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessageWire::Builder::adoptEngineSpeeds(
+    ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<28>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>> FleetMessageWire::Builder::disownEngineSpeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ApricotStep::Wire::EngineSpeedWire,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<28>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -300,6 +300,33 @@
     return rests;
 }
 
+void encodeSpeeds(const std::vector<EngineSpeedReport> &speeds, capnp::List<Wire::EngineSpeedWire>::Builder wire)
+{
+    for (unsigned int i = 0; i < wire.size(); ++i) {
+        wire[i].setUpstream(speeds[i].upstream.value());
+        wire[i].setStartedAt(speeds[i].startedAt);
+        wire[i].setSlownessPercent(static_cast<std::uint16_t>(std::clamp(speeds[i].slownessPercent, 0, int(UINT16_MAX))));
+        wire[i].setAgeMs(static_cast<std::int32_t>(speeds[i].age.milliseconds()));
+    }
+}
+
+// Forged reports must neither keep requests away from an engine for good nor draw all of them to it.
+std::vector<EngineSpeedReport> decodeSpeeds(capnp::List<Wire::EngineSpeedWire>::Reader wire)
+{
+    constexpr int MinPercent = static_cast<int>(EngineSpeed::MinSlowness * 100);
+    constexpr int MaxPercent = static_cast<int>(EngineSpeed::MaxSlowness * 100);
+    std::vector<EngineSpeedReport> speeds;
+    for (const auto speed : wire) {
+        if (speeds.size() == EngineSpeed::MaxReports) {
+            break;
+        }
+        speeds.push_back(EngineSpeedReport { UpstreamId(textOf(speed.getUpstream())), speed.getStartedAt(),
+            std::clamp<int>(speed.getSlownessPercent(), MinPercent, MaxPercent),
+            Duration(std::clamp<std::int64_t>(speed.getAgeMs(), 0, EngineSpeed::Lifetime.milliseconds())) });
+    }
+    return speeds;
+}
+
 void encodeStarts(const std::vector<UpstreamStart> &starts, capnp::List<Wire::UpstreamStartWire>::Builder wire)
 {
     for (unsigned int i = 0; i < wire.size(); ++i) {
@@ -527,6 +554,7 @@
     decodeCredit(wire, message);
     message.upstreamLimits = decodeLimits(wire.getUpstreamLimits());
     message.upstreamRests = decodeRests(wire.getUpstreamRests());
+    message.engineSpeeds = decodeSpeeds(wire.getEngineSpeeds());
     message.leavingUpstreams = decodeStarts(wire.getLeavingUpstreams());
     message.brittleUpstreams = decodeBrittle(wire.getBrittleUpstreams());
     decodeStreams(wire, message);
@@ -568,6 +596,7 @@
         message.upstreamLimits, initList(message.upstreamLimits, [&wire](unsigned int size) { return wire.initUpstreamLimits(size); }));
     encodeRests(
         message.upstreamRests, initList(message.upstreamRests, [&wire](unsigned int size) { return wire.initUpstreamRests(size); }));
+    encodeSpeeds(message.engineSpeeds, initList(message.engineSpeeds, [&wire](unsigned int size) { return wire.initEngineSpeeds(size); }));
     encodeStarts(message.leavingUpstreams,
         initList(message.leavingUpstreams, [&wire](unsigned int size) { return wire.initLeavingUpstreams(size); }));
     encodeBrittle(message.brittleUpstreams,
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -35,6 +35,8 @@
     message.upstreamLimits = { UpstreamLimitStatement { UpstreamId("u"), 12, 1.5, Duration(40) },
         UpstreamLimitStatement { UpstreamId("v"), 13, std::nullopt, Duration(90) } };
     message.upstreamRests = { UpstreamRest { UpstreamId("w"), 14, Duration(2900) } };
+    message.engineSpeeds = { EngineSpeedReport { UpstreamId("w"), 14, 250, Duration(40) },
+        EngineSpeedReport { UpstreamId("v"), 13, 78, Duration(1900) } };
     message.leavingUpstreams = { UpstreamStart { UpstreamId("x"), 15 } };
     message.brittleUpstreams = { BrittleStatement { UpstreamId("y"), 16, 5, Duration(20), Duration(10) },
         BrittleStatement { UpstreamId("z"), 17, std::nullopt, Duration(30), std::nullopt } };
@@ -91,7 +93,7 @@
     cr_assert(message.engineLoads == sent.engineLoads);
     cr_assert(message.store == sent.store && message.upstreamLimits == sent.upstreamLimits);
     cr_assert(message.upstreamRests == sent.upstreamRests && message.leavingUpstreams == sent.leavingUpstreams);
-    cr_assert(message.brittleUpstreams == sent.brittleUpstreams);
+    cr_assert(message.brittleUpstreams == sent.brittleUpstreams && message.engineSpeeds == sent.engineSpeeds);
     cr_assert(message.unreachableServices == sent.unreachableServices);
     cr_assert(message.begunStreams == sent.begunStreams);
     cr_assert(message.quarantine == sent.quarantine);
@@ -114,6 +116,27 @@
     cr_assert_not(decodeFleetMessage(encodeFleetMessage(FleetMessage {})).isOk());
 }
 
+// Guards against a forged report that makes an engine endlessly slow or infinitely fast, or that counts for longer than a true one.
+Test(fleetcodec, forgedEngineSpeedsAreBounded)
+{
+    FleetMessage sent = fullMessage();
+    sent.engineSpeeds.assign(400, EngineSpeedReport { UpstreamId("w"), 14, 65'000, Duration(-7) });
+    sent.engineSpeeds.front() = EngineSpeedReport { UpstreamId("v"), 13, 0, Duration(1'000'000) };
+    const auto decoded = decodeFleetMessage(encodeFleetMessage(sent));
+    cr_assert(decoded.isOk() && decoded.value().engineSpeeds.size() == EngineSpeed::MaxReports);
+    const EngineSpeedReport first { UpstreamId("v"), 13, 25, EngineSpeed::Lifetime };
+    const EngineSpeedReport last { UpstreamId("w"), 14, 400, Duration(0) };
+    cr_assert(decoded.value().engineSpeeds.front() == first && decoded.value().engineSpeeds.back() == last);
+}
+
+// Guards against a reception that completes several events and is taken for a single, short gap.
+Test(eventsplitter, countsEvents)
+{
+    cr_assert_eq(countEvents(""), 0);
+    cr_assert_eq(countEvents("id: 1\ndata: a\n\n"), 1);
+    cr_assert_eq(countEvents("data: a\r\n\r\n\r\ndata: b\n\n\ndata: c\n\n"), 3);
+}
+
 // A stream arrives in pieces that end anywhere. Only whole events are returned, byte for byte, and the id of the last one is kept.
 Test(eventsplitter, emitsOnlyWholeEvents)
 {
