--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -4,6 +4,7 @@
 #include "coordination/brittleupstreams.h"
 #include "coordination/contentquarantine.h"
 #include "coordination/enginememory.h"
+#include "coordination/enginespeed.h"
 #include "coordination/outlierdetector.h"
 #include "coordination/outofscopeengines.h"
 #include "coordination/residencytable.h"
@@ -51,6 +52,7 @@
     OutOfScopeEngines outOfScope { OutOfScopeLimits {} };
     UpstreamLimits upstreamLimits;
     UpstreamRests upstreamRests;
+    EngineSpeed engineSpeed;
     BrittleUpstreams brittleUpstreams { BrittleUpstreamLimits {} };
     ServiceReachability reachability { ReachabilityLimits {} };
     SoftwareHistory softwareHistory { SoftwareHistoryLimits {} };
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -368,8 +368,8 @@
         }
         const FleetLoad load = clusterState.loadTracker.load(record->id, now());
         if (hasRoom(*record, load)) {
-            result.push_back(
-                UpstreamOption { record, load, clusterState.outliers.share(record->id, now()), record->zone == m_context.settings().zone });
+            result.push_back(UpstreamOption { record, load, clusterState.outliers.share(record->id, now()),
+                record->zone == m_context.settings().zone, 0, clusterState.engineSpeed.slowness(*record, now()) });
         }
     }
     return result;
@@ -401,7 +401,8 @@
         if (!hasRoom(*record, load)) {
             continue;
         }
-        result.push_back(UpstreamOption { record, load, clusterState.outliers.share(engine, now()), false });
+        result.push_back(UpstreamOption {
+            record, load, clusterState.outliers.share(engine, now()), false, 0, clusterState.engineSpeed.slowness(*record, now()) });
     }
     return result;
 }
@@ -860,13 +861,29 @@
         m_hasEvents = true;
         reportAnswered(AnswerProgress::Begun);
     }
+    observeSpeed(events);
     if (events.empty() || m_exchange->write(events)) {
         return true;
     }
     m_isPaused = true;
+    m_hasPaused = true;
     return false;
 }
 
+void RequestJob::observeSpeed(std::string_view events)
+{
+    if (events.empty() || m_relay || !m_decoded.generation || m_hasPaused) {
+        return;
+    }
+    ClusterState &clusterState = m_context.clusterState();
+    const FleetLoad load = clusterState.loadTracker.load(m_upstream.id, now());
+    if (m_lastEventsAt) {
+        clusterState.engineSpeed.onGap(m_upstream, load.running, load.pendingTokens, now() - *m_lastEventsAt, countEvents(events), now());
+    }
+    // A gap that begins while a prompt is read does not show the speed either.
+    m_lastEventsAt = load.pendingTokens > 0 ? std::nullopt : std::optional(now());
+}
+
 void RequestJob::accountMemory()
 {
     const auto bytesOf = [](const std::string &text) { return text.empty() ? 0 : text.capacity(); };
@@ -904,6 +921,8 @@
         m_context.clusterState().loadTracker.onEnded(m_upstream.id, m_isPromptPending ? promptTokens() : 0);
     }
     m_call = 0;
+    m_lastEventsAt.reset();
+    m_hasPaused = false;
 }
 
 bool RequestJob::cancelAttempt()
