Keep reading an upstream's stream for a caller that reads slowly

Cause: a node stopped reading a stream once 256 KiB were unread by its caller, so the upstream's slot stayed occupied. What callers had not read did not count in the memory of answers, and a caller that stopped reading a complete answer held its part for as long as its connection lasted.

Change: a stream is read within answers.maxUnreadBytes for each caller, and the unread bytes count in AnswerMemory. When the memory is used up, the answer with the most unread bytes ends (if it holds more than an equal share) by a reset of its connection. Complete streams are delivered until their deadline. Unread bytes are kept in a Cord, since a string kept what had been read until it was empty. New metric apricotstep_entry_slow_readers_total, new log line request slow_reader.

--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -102,6 +102,10 @@
             .Name("apricotstep_entry_resumed_streams_total")
             .Help("Streams that their callers took up again, by who knew where they began.")
             .Register(registry);
+    prometheus::Family<prometheus::Counter> &slowReaders = prometheus::BuildCounter()
+                                                               .Name("apricotstep_entry_slow_readers_total")
+                                                               .Help("Answers whose callers read slowly, by outcome.")
+                                                               .Register(registry);
     prometheus::Family<prometheus::Counter> &orders =
         prometheus::BuildCounter().Name("apricotstep_entry_orders_total").Help("Orders to engines by answer.").Register(registry);
     prometheus::Family<prometheus::Counter> &keyRefusals = prometheus::BuildCounter()
@@ -240,6 +244,11 @@
     d->resumedStreams.Add({ { "known_by", std::string(knownBy) } }).Increment();
 }
 
+void EntryMetrics::slowReader(std::string_view outcome)
+{
+    d->slowReaders.Add({ { "outcome", std::string(outcome) } }).Increment();
+}
+
 void EntryMetrics::withheld()
 {
     d->withheldRequests.Increment();
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -88,6 +88,11 @@
     void relayed(std::string_view direction);
     /** Counts a stream that its caller takes up again. @p knownBy: who knew where it began, from a fixed list. */
     void resumed(std::string_view knownBy);
+    /**
+     * Counts an answer whose caller reads slowly: the node keeps it for the caller ("buffered"), stops reading it ("paused") or ends it
+     * ("ended"). Each answer counts at most once for each outcome.
+     */
+    void slowReader(std::string_view outcome);
     /** Counts a request that is refused because of its key. @p reason comes from a fixed list, since each value creates a time series. */
     void keyRefused(std::string_view reason);
     /** Counts a decision on a request of a limited team. @p decision comes from a fixed list. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -52,6 +52,8 @@
 constexpr const char *MetricsPath = "/metrics";
 // Answers in progress may use one part in so many of the memory of this process.
 constexpr std::size_t AnswerMemoryDivisor = 8;
+// A caller with more unread bytes of a stream counts as slow: several events of the longest kind that upstreams usually send.
+constexpr std::size_t StreamBufferBytes = std::size_t(32) << 10U;
 constexpr std::size_t MaxHeaderBytes = 24U << 10U;
 constexpr Duration ArrivalTimeout = Duration::seconds(30);
 
@@ -221,7 +223,8 @@
     forwarderSettings.teamCredit.window = settings.limitWindow;
     forwarderSettings.teamCredit.overrun = settings.limitOverrun;
     forwarderSettings.teamCredit.reserve = settings.limitReserve;
-    forwarderSettings.answers = { settings.maxAnswerBytes, settings.maxEventBytes, settings.memoryBytes / AnswerMemoryDivisor };
+    forwarderSettings.answers = { settings.maxAnswerBytes, settings.maxEventBytes, settings.memoryBytes / AnswerMemoryDivisor,
+        settings.maxUnreadBytes };
     ForwarderCallbacks callbacks;
     callbacks.onPendingAdapters = [this] {
         fleet->sendPendingAdapters();
@@ -252,6 +255,7 @@
     server.address = endpoint.ip;
     server.port = endpoint.port;
     server.isDriven = true;
+    server.streamBufferBytes = std::min(StreamBufferBytes, settings.maxUnreadBytes);
     server.maxHeaderBytes = MaxHeaderBytes;
     server.maxConnections = std::max(settings.maxDescriptors - ReservedDescriptors, 64);
     server.arrivalTimeout = ArrivalTimeout;
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -76,6 +76,7 @@
     UpstreamStatements m_statements;
     ForwarderSettings m_settings;
     AnswerMemory m_answerMemory;
+    AnswerDelivery m_answerDelivery;
     ForwarderCallbacks m_callbacks;
     std::mt19937_64 m_random { std::random_device {}() };
     std::map<std::uint64_t, std::shared_ptr<RequestJob>> jobs;
@@ -105,6 +106,7 @@
         , m_statements(log, metrics, clusterState)
         , m_settings(std::move(settings))
         , m_answerMemory(m_settings.answers.maxMemoryBytes)
+        , m_answerDelivery(loop, log, metrics, m_answerMemory)
         , m_callbacks(std::move(callbacks))
         , limiter(loop, m_settings.teamCredit, teamLimiterCallbacks())
         , upstreamLimiter(loop, m_settings.upstreamCredit, upstreamLimiterCallbacks())
@@ -141,6 +143,13 @@
     {
         return m_answerMemory;
     }
+    AnswerDelivery &answerDelivery() override
+    {
+        return m_answerDelivery;
+    }
+    void freeAnswerMemory() override;
+    /** Callers may have read more since their answers last grew. */
+    void refreshUnread();
     ClusterState &clusterState() override
     {
         return m_clusterState;
@@ -244,6 +253,26 @@
     });
 }
 
+void RequestForwarder::Private::refreshUnread()
+{
+    for (const auto &[number, job] : jobs) {
+        job->accountUnread();
+    }
+    m_answerDelivery.refresh();
+}
+
+void RequestForwarder::Private::freeAnswerMemory()
+{
+    refreshUnread();
+    while (const auto number = m_answerMemory.answerToEnd()) {
+        const auto job = jobs.find(*number);
+        if (!m_answerDelivery.end(*number) && job != jobs.end()) {
+            job->second->endSlowReader();
+        }
+        m_answerMemory.setUnread(*number, 0);
+    }
+}
+
 void RequestForwarder::Private::refuse(HttpExchange &exchange, const std::string &id, ErrorKind kind, const std::string &detail)
 {
     const ErrorAnswer &answer = errorAnswer(kind);
@@ -584,6 +613,7 @@
 
 std::size_t RequestForwarder::answerBytes() const
 {
+    d->refreshUnread();
     return d->m_answerMemory.usedBytes();
 }
 
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -785,6 +785,7 @@
     if (isKeptWhole()) {
         m_body.append(data);
         accountMemory();
+        makeRoom();
         return true;
     }
     const std::string events = m_events.push(data);
@@ -793,11 +794,54 @@
         m_hasEvents = true;
         reportAnswered(AnswerProgress::Begun);
     }
-    if (events.empty() || m_exchange->write(events)) {
+    const bool isReadSlowly = !events.empty() && !m_exchange->write(events);
+    accountUnread();
+    makeRoom();
+    if (m_phase != Phase::Answering || !isReadSlowly) {
         return true;
     }
-    m_isPaused = true;
-    return false;
+    m_isPaused = mustPause();
+    return !m_isPaused;
+}
+
+bool RequestJob::mustPause()
+{
+    if (!std::exchange(m_isCountedBuffered, true)) {
+        m_context.metrics().slowReader("buffered");
+    }
+    if (m_exchange->unreadBytes() <= m_context.settings().answers.maxUnreadBytes) {
+        return false;
+    }
+    if (!std::exchange(m_isCountedPaused, true)) {
+        m_context.metrics().slowReader("paused");
+    }
+    return true;
+}
+
+void RequestJob::accountUnread()
+{
+    if (m_phase != Phase::Ended) {
+        m_context.answerMemory().setUnread(m_number, countedUnreadBytes(*m_exchange));
+    }
+}
+
+void RequestJob::makeRoom()
+{
+    if (m_context.answerMemory().answerToEnd()) {
+        m_context.freeAnswerMemory();
+        m_hasMemory = m_hasMemory || m_context.answerMemory().mayHold(m_accountedBytes);
+    }
+}
+
+void RequestJob::endSlowReader()
+{
+    if (m_phase == Phase::Ended) {
+        return;
+    }
+    cancelAttempt();
+    reportSlowReader(m_context.log(), m_context.metrics(), m_decoded.id, "memory", m_context.answerMemory().unreadBytes(m_number));
+    m_exchange->abortNow();
+    end(RequestOutcome::Truncated, "the caller reads too slowly");
 }
 
 void RequestJob::accountMemory()
@@ -1142,6 +1186,7 @@
     }
     m_phase = Phase::Ended;
     m_context.answerMemory().resize(std::exchange(m_accountedBytes, 0), 0);
+    m_context.answerDelivery().add(m_number, { m_decoded.id, m_exchange, m_isStreaming ? std::optional(m_deadline) : std::nullopt });
     m_context.loop().cancel(m_deadlineTimer);
     m_context.loop().cancel(m_waitTimer);
     m_context.log().write(reason.empty() ? RequestStep : Important, "request", outcomeName(outcome),
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -4,6 +4,7 @@
 #include "coordination/relaychoice.h"
 #include "coordination/requestcontent.h"
 #include "coordination/upstreamchoice.h"
+#include "main/entry/answerdelivery.h"
 #include "main/entry/crashguard.h"
 #include "main/entry/reachabilityprober.h"
 #include "main/entry/requestforwarder.h"
@@ -34,6 +35,9 @@
     virtual ReachabilityProber &reachabilityProber() = 0;
     virtual CrashGuard &crashGuard() = 0;
     virtual AnswerMemory &answerMemory() = 0;
+    /** Ends answers whose callers have not read them until the others have enough memory; may end the job that calls. */
+    virtual void freeAnswerMemory() = 0;
+    virtual AnswerDelivery &answerDelivery() = 0;
     virtual const ForwarderSettings &settings() const = 0;
     virtual const ForwarderCallbacks &callbacks() const = 0;
     virtual std::mt19937_64 &random() = 0;
@@ -94,6 +98,10 @@
     void onReserved(const Admission &admission);
     /** It is known where the stream began that the request continues, or that no node in reach knows. @p source is for log and metrics. */
     void onOrigin(const std::optional<StreamOrigin> &origin, std::string_view source);
+    /** Updates in answerMemory() what the caller has not read. */
+    void accountUnread();
+    /** Ends a stream that the caller reads so slowly that the node has no memory left. */
+    void endSlowReader();
     /** The node stops: ends the request with an answer, or breaks its stream off. */
     void onNodeStops();
     /** Returns the adapter that this job runs on or waits for; empty if it needs none. The first call counts the job as new. */
@@ -184,6 +192,10 @@
     bool acceptsData(std::string_view data);
     /** Accounts for what this job has kept of answers. */
     void accountMemory();
+    /** Lets other answers give way if the memory is used up. May end this job. */
+    void makeRoom();
+    /** Whether the upstream has to wait, since the caller has more unread bytes than the node keeps for one. */
+    bool mustPause();
     void discardAnswer();
     /** An upstream has answered the attempt in progress, or begun to. */
     void reportAnswered(AnswerProgress progress);
@@ -284,6 +296,9 @@
     // State of a stream that is being sent to the caller.
     bool m_isStreaming = false;
     bool m_isPaused = false;
+    /** The caller has been counted as a slow reader whose answer is kept, or does not go on. */
+    bool m_isCountedBuffered = false;
+    bool m_isCountedPaused = false;
     /** The attempt in progress has delivered an event. */
     bool m_hasEvents = false;
     EventSplitter m_events;
--- a/tests/coordination/testanswermemory.cpp
+++ b/tests/coordination/testanswermemory.cpp
@@ -1,6 +1,8 @@
 #include "coordination/answermemory.h"
 
+#include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <random>
 #include <vector>
 
@@ -50,3 +52,39 @@
     }
     cr_assert_eq(memory.usedBytes(), 0);
 }
+
+// Callers that stop reading use up the memory: the one that holds the most ends, and no more answers than needed.
+Test(answermemory, answerWithMostUnreadBytesEndsFirst)
+{
+    constexpr std::uint64_t Answers = 20;
+    for (unsigned seed = 0; seed < 50; ++seed) {
+        AnswerMemory memory(MaxBytes);
+        std::mt19937 random(seed);
+        std::vector<std::size_t> unread(Answers, 0);
+        for (int step = 0; step < 2'000; ++step) {
+            const std::uint64_t grown = random() % Answers;
+            unread[grown] += random() % 20'000;
+            memory.setUnread(grown, unread[grown]);
+            while (const auto ended = memory.answerToEnd()) {
+                cr_assert_gt(memory.usedBytes(), MaxBytes, "seed %u: ended without need", seed);
+                cr_assert_eq(unread[*ended], *std::max_element(unread.begin(), unread.end()), "seed %u", seed);
+                unread[*ended] = 0;
+                memory.setUnread(*ended, 0);
+            }
+            cr_assert_leq(memory.usedBytes(), MaxBytes);
+        }
+    }
+}
+
+// An upstream that answers without end must not make the answers of callers end that read a little slowly.
+Test(answermemory, endlessAnswerGivesWayToSmallUnreadParts)
+{
+    AnswerMemory memory(MaxBytes);
+    for (std::uint64_t answer = 1; answer <= 4; ++answer) {
+        memory.setUnread(answer, 50'000);
+    }
+    cr_assert_not(memory.resize(0, MaxBytes));
+    cr_assert_not(memory.answerToEnd().has_value());
+    memory.resize(MaxBytes, 0);
+    cr_assert_eq(memory.usedBytes(), 200'000);
+}
--- a/tests/main/fixtures.h
+++ b/tests/main/fixtures.h
@@ -54,6 +54,14 @@
     {
         m_done.Notify();
     }
+    void abortNow() override
+    {
+        abort();
+    }
+    std::size_t unreadBytes() const override
+    {
+        return 0;
+    }
     void onDrained(std::function<void()>) override
     {
     }
--- a/tests/main/testmetrics.cpp
+++ b/tests/main/testmetrics.cpp
@@ -94,6 +94,7 @@
     entry.serviceReachability(false);
     entry.relayed("sent");
     entry.resumed("own");
+    entry.slowReader("buffered");
     entry.order("done");
     entry.keyRefused("unauthenticated");
     entry.teamRequest(TeamName("t"), "admitted");
--- a/tests/main/testrequestforwarderfixture.h
+++ b/tests/main/testrequestforwarderfixture.h
@@ -57,7 +57,7 @@
     std::optional<int> trialRank;
     std::function<int(const StreamQuery &)> sendStreamQuery = [](const StreamQuery &) { return 0; };
 
-    ForwarderFixture()
+    explicit ForwarderFixture(const ForwarderSettings &settings = {})
     {
         ForwarderCallbacks callbacks;
         callbacks.onPendingAdapters = [] {};
@@ -72,7 +72,7 @@
         callbacks.sendStreamQuery = [this](const StreamQuery &query) { return sendStreamQuery(query); };
         callbacks.relays = [this](const ServiceName &, ConfigVersion) { return relays; };
         callbacks.sendCreditQueries = [this](const std::vector<CreditQuery> &queries) { return answerAsIssuer(queries); };
-        forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, ForwarderSettings {}, std::move(callbacks));
+        forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, settings, std::move(callbacks));
     }
 
     /** This node itself issues all credit. */
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -213,9 +213,10 @@
     cr_assert(decodeSettings(replaced(Settings, "maxFds = 2870", "maxFds = 0")).error().detail.find("maxFds") != std::string::npos);
     cr_assert_eq(settings.value().maxAnswerBytes, 4U << 20U);
     cr_assert_eq(settings.value().memoryBytes, 128'000'000);
-    const auto ownLimits = decodeSettings(Settings + "[answers]\nmaxBytes = 2048\nmaxEventBytes = 4096\n");
+    const auto ownLimits = decodeSettings(Settings + "[answers]\nmaxBytes = 2048\nmaxEventBytes = 4096\nmaxUnreadBytes = 8192\n");
     cr_assert_eq(ownLimits.value().maxAnswerBytes, 2048);
     cr_assert_eq(ownLimits.value().maxEventBytes, 4096);
+    cr_assert_eq(ownLimits.value().maxUnreadBytes, 8192);
     const auto withoutAnswers = decodeSettings(Settings + "[answers]\nmaxEventBytes = 0\n");
     cr_assert(!withoutAnswers.isOk() && withoutAnswers.error().detail.find("answers.maxEventBytes") != std::string::npos);
     const auto withoutBound = decodeSettings(replaced(Settings, "configBoundMs = 2000", "configBoundMs = 0"));
--- a/tests/transport/testnoderpc.cpp
+++ b/tests/transport/testnoderpc.cpp
@@ -80,6 +80,14 @@
         m_isEnded = true;
         m_isAborted = true;
     }
+    void abortNow() override
+    {
+        abort();
+    }
+    std::size_t unreadBytes() const override
+    {
+        return 0;
+    }
     void onDrained(std::function<void()> callback) override
     {
         const absl::MutexLock lock(&m_mutex);
--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -108,9 +108,10 @@
 }
 
 // Keeps the raw target in addition to the one that MHD parses, so that it can be passed on unchanged.
-void *onUri(void *isAnyResumed, const char *uri, MHD_Connection *connection)
+void *onUri(void *context, const char *uri, MHD_Connection *connection)
 {
-    auto exchange = std::make_shared<MhdExchange>(connection, *static_cast<std::shared_ptr<std::atomic<bool>> *>(isAnyResumed));
+    const auto *server = static_cast<const HttpServer::Private *>(context);
+    auto exchange = std::make_shared<MhdExchange>(connection, server->isAnyResumed, server->settings.streamBufferBytes);
     exchange->request.target = uri;
     const char *mark = std::char_traits<char>::find(uri, std::char_traits<char>::length(uri), '?');
     if (mark != nullptr) {
@@ -281,7 +282,7 @@
         { MHD_OPTION_SOCK_ADDR, 0, &address },
         { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(static_cast<MHD_RequestCompletedCallback>(+completed)), d },
         { MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<std::intptr_t>(static_cast<MHD_NotifyConnectionCallback>(+notify)), d },
-        { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&onUri), &d->isAnyResumed },
+        { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&onUri), d },
         { MHD_OPTION_THREAD_POOL_SIZE, settings.threads > 1 && !settings.isDriven ? settings.threads : 0, nullptr },
         { MHD_OPTION_CONNECTION_LIMIT, settings.maxConnections, nullptr },
         { MHD_OPTION_CONNECTION_TIMEOUT, settings.idleTimeout.milliseconds() / 1000, nullptr },
--- a/transport/httpserver.h
+++ b/transport/httpserver.h
@@ -61,6 +61,10 @@
     virtual void finish() = 0;
     /** Closes the connection in such a way that the caller cannot mistake the answer for a complete one. */
     virtual void abort() = 0;
+    /** Like abort(), but at once: drops what the caller has not read, also of an answer that is already complete. */
+    virtual void abortNow() = 0;
+    /** Bytes of the answer that are held until the caller reads them, without those in the buffers of the system. */
+    virtual std::size_t unreadBytes() const = 0;
     /**
      * Sets the callback for each time that a full buffer has been emptied. It is called on a server thread. To be set before beginStream().
      */
@@ -86,6 +90,8 @@
     /** A connection on which nothing is sent or received for this long is closed; 1 to 3600 s. */
     Duration idleTimeout = Duration::seconds(75);
     int maxConnections = 4096;
+    /** Unread bytes of a stream above which write() returns false. */
+    std::size_t streamBufferBytes = 256U << 10U;
     /**
      * A connection whose next request has not arrived completely within this time is closed, over plain HTTP with a 408 answer; 100 ms to
      * 1 h. The time starts when the connection opens or its previous request ends, so that it also limits how long a connection may be
--- a/transport/mhdexchange.cpp
+++ b/transport/mhdexchange.cpp
@@ -10,15 +10,14 @@
 namespace
 {
 
-// Number of buffered bytes of a stream above which write() asks for a pause.
-constexpr std::size_t HighWaterBytes = 256U << 10U;
 constexpr std::size_t StreamBlockBytes = 16U << 10U;
 
 } // namespace
 
-MhdExchange::MhdExchange(MHD_Connection *connection, std::shared_ptr<std::atomic<bool>> isAnyResumed)
+MhdExchange::MhdExchange(MHD_Connection *connection, std::shared_ptr<std::atomic<bool>> isAnyResumed, std::size_t streamBufferBytes)
     : m_connection(connection)
     , m_isAnyResumed(std::move(isAnyResumed))
+    , m_streamBufferBytes(streamBufferBytes)
 {
     const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     m_socket = info != nullptr ? info->connect_fd : -1;
@@ -34,7 +33,7 @@
     m_isWhole = true;
     m_status = status;
     m_headers = headers;
-    m_buffer = std::move(body);
+    m_body = std::move(body);
     resumeLocked();
 }
 
@@ -56,9 +55,9 @@
     if (m_isClosed || m_isFinished) {
         return true;
     }
-    m_buffer.append(data);
+    m_buffer.Append(absl::string_view(data.data(), data.size()));
     resumeLocked();
-    m_isFull = m_isFull || m_buffer.size() - m_offset > HighWaterBytes;
+    m_isFull = m_isFull || m_buffer.size() > m_streamBufferBytes;
     return !m_isFull;
 }
 
@@ -78,6 +77,32 @@
     resumeLocked();
 }
 
+// Without a reset a caller of HTTP/1.0, whose answers end with the connection, would take a part for a whole answer. MHD does not ask for
+// more of an answer while the socket takes no bytes, so it notices the abort only by the socket.
+void MhdExchange::abortNow()
+{
+    const absl::MutexLock lock(&m_mutex);
+    if (m_isClosed) {
+        return;
+    }
+    m_isFinished = true;
+    m_isAborted = true;
+    m_hasAnswer = true;
+    m_body = std::string();
+    m_queuedBytes = 0;
+    m_buffer.Clear();
+    sockaddr none {};
+    none.sa_family = AF_UNSPEC;
+    connect(m_socket, &none, sizeof none); // Resets the connection, which a shutdown would end only after what the system has buffered.
+    resumeLocked();
+}
+
+std::size_t MhdExchange::unreadBytes() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_isClosed ? 0 : m_body.size() + m_queuedBytes + m_buffer.size();
+}
+
 void MhdExchange::onDrained(std::function<void()> callback)
 {
     const absl::MutexLock lock(&m_mutex);
@@ -107,8 +132,12 @@
         return MHD_NO;
     }
     MHD_Response *response = m_isWhole
-        ? MHD_create_response_from_buffer(m_buffer.size(), m_buffer.data(), MHD_RESPMEM_MUST_COPY)
+        ? MHD_create_response_from_buffer(m_body.size(), m_body.data(), MHD_RESPMEM_MUST_COPY)
         : MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, StreamBlockBytes, &MhdExchange::read, this, nullptr);
+    if (m_isWhole) {
+        m_queuedBytes = m_body.size();
+        m_body = std::string();
+    }
     for (const auto &[name, value] : m_headers) {
         MHD_add_response_header(response, name.c_str(), value.c_str());
     }
@@ -127,6 +156,8 @@
         }
         m_isClosed = true;
         m_isSuspended = false;
+        m_body = std::string();
+        m_buffer.Clear();
         if (!isWhole && !m_isAborted && !m_isGone) {
             m_isGone = true;
             gone = std::move(m_gone);
@@ -173,13 +204,13 @@
     ssize_t result = 0;
     {
         const absl::MutexLock lock(&m_mutex);
-        const std::size_t count = std::min(max, m_buffer.size() - m_offset);
-        m_buffer.copy(out, count, m_offset);
-        m_offset += count;
+        std::size_t count = 0;
+        for (auto part = m_buffer.chunk_begin(); part != m_buffer.chunk_end() && count < max; ++part) {
+            count += part->copy(out + count, max - count);
+        }
+        m_buffer.RemovePrefix(count);
         result = static_cast<ssize_t>(count);
-        if (m_offset == m_buffer.size()) {
-            m_buffer.clear();
-            m_offset = 0;
+        if (m_buffer.empty()) {
             if (m_isFull) {
                 m_isFull = false;
                 drained = m_drained;
--- a/transport/mhdexchange.h
+++ b/transport/mhdexchange.h
@@ -3,6 +3,7 @@
 #include "transport/httpserver.h"
 
 #include <absl/base/thread_annotations.h>
+#include <absl/strings/cord.h>
 #include <absl/synchronization/mutex.h>
 #include <microhttpd.h>
 
@@ -20,8 +21,10 @@
 class MhdExchange final : public HttpExchange, public std::enable_shared_from_this<MhdExchange>
 {
 public:
-    /** @p isAnyResumed is set each time that the connection is resumed. */
-    MhdExchange(MHD_Connection *connection, std::shared_ptr<std::atomic<bool>> isAnyResumed);
+    /**
+     * @p isAnyResumed is set each time that the connection is resumed. write() returns false above @p streamBufferBytes of unread bytes.
+     */
+    MhdExchange(MHD_Connection *connection, std::shared_ptr<std::atomic<bool>> isAnyResumed, std::size_t streamBufferBytes);
 
     // Used only on the connection's server thread.
     HttpRequest request;
@@ -33,6 +36,8 @@
     bool write(std::string_view data) override;
     void finish() override;
     void abort() override;
+    void abortNow() override;
+    std::size_t unreadBytes() const override;
     void onDrained(std::function<void()> callback) override;
     void onCallerGone(std::function<void()> callback) override;
 
@@ -52,8 +57,9 @@
 
     MHD_Connection *m_connection;
     std::shared_ptr<std::atomic<bool>> m_isAnyResumed;
+    std::size_t m_streamBufferBytes;
     int m_socket = -1;
-    absl::Mutex m_mutex;
+    mutable absl::Mutex m_mutex;
     bool m_hasAnswer ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isWhole ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isFinished ABSL_GUARDED_BY(m_mutex) = false;
@@ -64,8 +70,12 @@
     bool m_isGone ABSL_GUARDED_BY(m_mutex) = false;
     int m_status ABSL_GUARDED_BY(m_mutex) = 0;
     HttpHeaders m_headers ABSL_GUARDED_BY(m_mutex);
-    std::string m_buffer ABSL_GUARDED_BY(m_mutex);
-    std::size_t m_offset ABSL_GUARDED_BY(m_mutex) = 0;
+    /** A complete answer that is not queued yet. */
+    std::string m_body ABSL_GUARDED_BY(m_mutex);
+    /** What is to be read of a stream. A string would keep up to twice that, and what has been read as long as it is never empty. */
+    absl::Cord m_buffer ABSL_GUARDED_BY(m_mutex);
+    /** Size of a complete answer that MHD holds until the caller has read all of it. */
+    std::size_t m_queuedBytes ABSL_GUARDED_BY(m_mutex) = 0;
     std::function<void()> m_drained ABSL_GUARDED_BY(m_mutex);
     std::function<void()> m_gone ABSL_GUARDED_BY(m_mutex);
 };
--- a/transport/rpcanswer.cpp
+++ b/transport/rpcanswer.cpp
@@ -173,6 +173,22 @@
     post([](AnswerSender &sender) { sender.end(true); });
 }
 
+void RpcExchange::abortNow()
+{
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_unacknowledged -= m_pending.size();
+        m_pending.clear();
+    }
+    abort();
+}
+
+std::size_t RpcExchange::unreadBytes() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_unacknowledged;
+}
+
 void RpcExchange::onDrained(std::function<void()> callback)
 {
     const absl::MutexLock lock(&m_mutex);
--- a/transport/rpcanswer.h
+++ b/transport/rpcanswer.h
@@ -51,6 +51,8 @@
     bool write(std::string_view data) override;
     void finish() override;
     void abort() override;
+    void abortNow() override;
+    std::size_t unreadBytes() const override;
     void onDrained(std::function<void()> callback) override;
     void onCallerGone(std::function<void()> callback) override;
 
@@ -66,7 +68,7 @@
     const std::shared_ptr<RpcLoop> m_loop;
     const std::shared_ptr<LiveCalls<AnswerSender>> m_senders;
     const std::uint64_t m_callId;
-    absl::Mutex m_mutex;
+    mutable absl::Mutex m_mutex;
     bool m_hasAnswer ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isEnded ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isClosed ABSL_GUARDED_BY(m_mutex) = false;
