Learn the length of streams and compare it with the estimate

Cause: nothing fed the model of answer lengths, and its error was not visible.

Change: Apricotstep-Length-Hint is decoded; zero and what is no number count as none. EventSplitter counts events with data. A request takes its estimate on arrival, and a whole stream that one attempt delivered is learned; continued streams are not. The log line that ends a served stream has events and expectedEvents, and apricotstep_entry_answer_length_ratio shows the model's error.

--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/adapterloadestimator.h"
+#include "coordination/answerlength.h"
 #include "coordination/brittleupstreams.h"
 #include "coordination/contentquarantine.h"
 #include "coordination/outlierdetector.h"
@@ -54,6 +55,7 @@
     SoftwareHistory softwareHistory { SoftwareHistoryLimits {} };
     StreamOrigins streamOrigins { StreamOriginLimits {} };
     ContentQuarantine quarantine { ContentQuarantineLimits {} };
+    AnswerLengthModel answerLengths { AnswerLengthLimits {} };
 
     /** Updates what is known of the adapters at an engine. Returns whether @p residency was newer than the stored one. */
     bool updateResidency(const EngineResidency &residency, Time now)
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -19,6 +19,9 @@
 // objectives of 0.1, 0.3, 0.6 and 1 s are among them.
 const prometheus::Histogram::BucketBoundaries BucketBounds { 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1, 2, 5, 15 };
 
+// Symmetric on a logarithmic scale, and narrower around 1, where most answers should be.
+const prometheus::Histogram::BucketBoundaries LengthRatioBounds { 0.1, 0.2, 0.4, 0.67, 0.8, 0.91, 1.1, 1.25, 1.5, 2.5, 5, 10 };
+
 // Further teams share the label "other".
 constexpr std::size_t MaxLabelledTeams = 64;
 
@@ -129,6 +132,11 @@
                                                            .Name("apricotstep_entry_wait_seconds")
                                                            .Help("Arrival to the first sending: the wait for an adapter or an upstream.")
                                                            .Register(registry);
+    prometheus::Histogram &answerLengthRatios = prometheus::BuildHistogram()
+                                                    .Name("apricotstep_entry_answer_length_ratio")
+                                                    .Help("Observed by expected number of events, whole answers of streams.")
+                                                    .Register(registry)
+                                                    .Add({}, LengthRatioBounds);
     prometheus::Family<prometheus::Gauge> &gauges =
         prometheus::BuildGauge().Name("apricotstep_entry_state").Help("What the node believes, by name.").Register(registry);
 
@@ -182,6 +190,11 @@
     d->firstBytes.Add({ { "kind", kindName(kind) } }, BucketBounds).Observe(after.toSeconds());
 }
 
+void EntryMetrics::answerLength(std::uint64_t events, double expectedEvents)
+{
+    d->answerLengthRatios.Observe(static_cast<double>(events) / expectedEvents);
+}
+
 void EntryMetrics::sent(RequestKind kind, Duration waited, bool isRepeat)
 {
     d->sentRequests.Add({ { "kind", kindName(kind) }, { "repeat", isRepeat ? "yes" : "no" } }).Increment();
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -63,6 +63,8 @@
     void requestEnded(RequestKind kind, RequestOutcome outcome, Duration took);
     /** Records that the answer of a stream began @p after its request arrived. */
     void answerBegan(RequestKind kind, Duration after);
+    /** Records that the whole answer of a stream had @p events where @p expectedEvents were expected. */
+    void answerLength(std::uint64_t events, double expectedEvents);
     /** Records that a request was sent to an upstream @p waited after its arrival. @p isRepeat is set if it had been sent before. */
     void sent(RequestKind kind, Duration waited, bool isRepeat);
     /** Counts a request that is sent to an engine outside of this node's scope. */
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace ApricotStep
@@ -89,6 +90,9 @@
     const Duration requested = m_decoded.deadline.value_or(m_route.timeout);
     m_deadline = m_arrivedAt + std::min(requested, m_route.timeout);
     m_service = selectTarget(m_route, std::uniform_real_distribution<double>(0, 1)(context.random())).service;
+    if (m_route.kind == RequestKind::Stream) {
+        m_expectedLength = context.clusterState().answerLengths.estimate(m_route.name, lengthHint(), maxAnswerTokens());
+    }
 }
 
 Time RequestJob::now() const
@@ -133,6 +137,16 @@
     return m_decoded.generation ? m_decoded.generation->promptTokens : 0;
 }
 
+std::optional<std::uint32_t> RequestJob::lengthHint() const
+{
+    return m_decoded.generation ? m_decoded.generation->lengthHint : std::nullopt;
+}
+
+std::uint32_t RequestJob::maxAnswerTokens() const
+{
+    return m_decoded.generation ? m_decoded.generation->maxAnswerTokens : 0;
+}
+
 int RequestJob::priority() const
 {
     constexpr int MaxPriority = 9;
@@ -577,6 +591,7 @@
     discardAnswer();
     m_breakReason.clear();
     m_hasEvents = false;
+    m_eventsBefore = m_events.count();
     m_sentAt = now();
     return true;
 }
@@ -789,8 +804,10 @@
     }
     const std::string events = m_events.push(data);
     accountMemory();
+    m_lastEventAt = events.empty() ? m_lastEventAt : now();
     if (!m_hasEvents && !events.empty()) {
         m_hasEvents = true;
+        m_firstEventAt = now();
         reportAnswered(AnswerProgress::Begun);
     }
     if (events.empty() || m_exchange->write(events)) {
@@ -933,9 +950,22 @@
         m_exchange->write(m_events.partialEvent()); // What follows the last event of an answer whose framing says that it is whole.
     }
     m_exchange->finish();
+    learnLength();
     end(RequestOutcome::Served, "");
 }
 
+void RequestJob::learnLength()
+{
+    if (!m_decoded.lastEventId.empty() || m_eventsBefore > 0 || m_events.count() == 0) {
+        return;
+    }
+    m_context.clusterState().answerLengths.onAnswer(
+        m_route.name, lengthHint(), maxAnswerTokens(), m_events.count(), m_lastEventAt - m_firstEventAt);
+    if (m_expectedLength) {
+        m_context.metrics().answerLength(m_events.count(), m_expectedLength->expected);
+    }
+}
+
 bool RequestJob::hasBegunToAnswer() const
 {
     return m_route.kind == RequestKind::Stream ? m_hasEvents : !m_body.empty();
@@ -1144,10 +1174,24 @@
     m_context.answerMemory().resize(std::exchange(m_accountedBytes, 0), 0);
     m_context.loop().cancel(m_deadlineTimer);
     m_context.loop().cancel(m_waitTimer);
-    m_context.log().write(reason.empty() ? RequestStep : Important, "request", outcomeName(outcome),
-        { { "request", m_decoded.id }, { "reason", reason }, { "arrivals", std::int64_t(m_attemptsSent) },
-            { "tookMs", (now() - m_arrivedAt).milliseconds() }, { "hadMs", (m_deadline - m_arrivedAt).milliseconds() } });
+    logEnd(outcome, reason);
     m_context.onEnded(m_number);
 }
 
+void RequestJob::logEnd(RequestOutcome outcome, const std::string &reason)
+{
+    const LogField request { "request", m_decoded.id };
+    const LogField arrivals { "arrivals", std::int64_t(m_attemptsSent) };
+    const LogField took { "tookMs", (now() - m_arrivedAt).milliseconds() };
+    const LogField had { "hadMs", (m_deadline - m_arrivedAt).milliseconds() };
+    const EventLog::Severity severity = reason.empty() ? RequestStep : Important;
+    if (outcome == RequestOutcome::Served && m_isStreaming) {
+        m_context.log().write(severity, "request", outcomeName(outcome),
+            { request, { "reason", reason }, arrivals, took, had, { "events", std::int64_t(m_events.count()) },
+                { "expectedEvents", m_expectedLength ? std::int64_t(std::llround(m_expectedLength->expected)) : -1 } });
+        return;
+    }
+    m_context.log().write(severity, "request", outcomeName(outcome), { request, { "reason", reason }, arrivals, took, had });
+}
+
 } // namespace ApricotStep
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -214,6 +214,13 @@
     void onCallerGone();
     void onDrained();
     void end(RequestOutcome outcome, const std::string &reason);
+    /** The caller's hint at the length of the answer, in tokens. */
+    std::optional<std::uint32_t> lengthHint() const;
+    /** The maximum length of the answer, in tokens; 0 if unknown. */
+    std::uint32_t maxAnswerTokens() const;
+    /** The stream has ended: learns its length, unless this node has not observed one attempt deliver all of it. */
+    void learnLength();
+    void logEnd(RequestOutcome outcome, const std::string &reason);
 
     RequestContext &m_context;
     std::uint64_t m_number;
@@ -231,6 +238,8 @@
 
     Time m_arrivedAt;
     Time m_deadline;
+    /** Unset if nothing is known, or the request is no stream. */
+    std::optional<AnswerLength> m_expectedLength;
     Phase m_phase = Phase::Waiting;
     ExecutionState m_executionState = ExecutionState::NotRun;
     /** Number of attempts that an upstream may have begun to run. */
@@ -287,6 +296,10 @@
     /** The attempt in progress has delivered an event. */
     bool m_hasEvents = false;
     EventSplitter m_events;
+    /** Number of events of the stream that earlier attempts delivered. */
+    std::uint64_t m_eventsBefore = 0;
+    Time m_firstEventAt;
+    Time m_lastEventAt;
     /** An upstream's error answer, forwarded to the caller if no retry gives a better one. */
     std::optional<Platform::UpstreamAnswer> m_failure;
     std::string m_failureBody;
--- a/protocol/eventsplitter.cpp
+++ b/protocol/eventsplitter.cpp
@@ -27,13 +27,14 @@
     }
     std::string wholeEvents = m_partialEvent.substr(0, end);
     m_partialEvent.erase(0, end);
-    recordLastId(wholeEvents);
+    recordEvents(wholeEvents);
     return wholeEvents;
 }
 
-void EventSplitter::recordLastId(std::string_view events)
+void EventSplitter::recordEvents(std::string_view events)
 {
     constexpr std::string_view Field = "id:";
+    bool hasData = false;
     std::size_t begin = 0;
     while (begin < events.size()) {
         const std::size_t end = events.find('\n', begin);
@@ -42,6 +43,11 @@
             line.remove_prefix(Field.size());
             line.remove_prefix(line.starts_with(' ') ? 1 : 0);
             m_lastId = std::string(line.substr(0, line.find('\r')));
+        } else if (line.starts_with("data:")) {
+            hasData = true;
+        } else if (line.empty() || line == "\r") {
+            m_count += hasData ? 1 : 0;
+            hasData = false;
         }
         begin = end == std::string_view::npos ? events.size() : end + 1;
     }
--- a/protocol/eventsplitter.h
+++ b/protocol/eventsplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -7,7 +8,7 @@
 {
 
 /**
- * Splits a text/event-stream into whole events and keeps the id of the last one.
+ * Splits a text/event-stream into whole events, counts them and keeps the id of the last one.
  *
  * An upstream may fail in the middle of an event. If a caller received part of an event and then the remaining stream from another
  * upstream, it would read the output of two runs joined in one event. So only whole events may be passed on.
@@ -37,12 +38,18 @@
     {
         return m_lastId;
     }
+    /** The number of whole events with data. Comments and events without data, which keep a connection alive, do not count. */
+    std::uint64_t count() const
+    {
+        return m_count;
+    }
 
 private:
-    void recordLastId(std::string_view events);
+    void recordEvents(std::string_view events);
 
     std::string m_partialEvent;
     std::string m_lastId;
+    std::uint64_t m_count = 0;
 };
 
 } // namespace ApricotStep
--- a/tests/main/testrequestforwarderstream.cpp
+++ b/tests/main/testrequestforwarderstream.cpp
@@ -122,3 +122,30 @@
         cr_assert(caller->body() == body, "%s", caller->body().c_str());
     }
 }
+
+// Guards against lengths that count what is no event, and times that contain an interruption of the stream.
+Test(streamlengths, onlyWholeStreamsAreLearned)
+{
+    bool isBroken = true;
+    const ScriptedUpstream::Script script = [&isBroken](const std::string &request) {
+        const bool isContinued = absl::StrContains(request, "Last-Event-Id: 1\r\n");
+        return isContinued ? unframed("id: 2\ndata: b\n\n")
+            : isBroken     ? unframed("id: 1\ndata: a\n\n", Reset)
+                           : unframed("id: 1\ndata: a\n\n: alive\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n\n");
+    };
+    const ScriptedUpstream first(script);
+    const ScriptedUpstream second(script);
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Stream, 2, true);
+    fixture.addUpstream("u1", first);
+    fixture.addUpstream("u2", second);
+    for (const double expected : { 0.0, 3.0 }) {
+        isBroken = expected == 0;
+        const auto caller = fixture.send(ForwarderFixture::requestWithId(isBroken ? "r-1" : "r-2"));
+        fixture.runUntil([&] { return caller->isDone(); });
+        cr_assert(caller->isFinished());
+        const auto estimate = fixture.clusterState.answerLengths.estimate("r", std::nullopt, 0);
+        cr_assert_eq(estimate.has_value(), !isBroken);
+        cr_assert_float_eq(estimate.value_or(AnswerLength {}).expected, expected, 0.2);
+    }
+}
--- a/tests/platform/testrequests.cpp
+++ b/tests/platform/testrequests.cpp
@@ -69,6 +69,20 @@
     cr_assert_eq(decoded.generation->promptTokens, 0);
 }
 
+// A hint that is no positive number of tokens must not be taken for a short answer.
+Test(requests, lengthHintIsDecoded)
+{
+    const auto hintOf = [](const std::string &text) {
+        return decodeCallerRequest(requestWith({ { "Apricotstep-Model", "m" }, { "Apricotstep-Length-Hint", text } }))
+            .generation->lengthHint;
+    };
+    cr_assert(hintOf("294") == 294U);
+    for (const char *text : { "", "0", "-5", "many", "12,13", "1.5", "99999999999" }) {
+        cr_assert_not(hintOf(text).has_value(), "%s", text);
+    }
+    cr_assert_not(decodeCallerRequest(requestWith({ { "Apricotstep-Model", "m" } })).generation->lengthHint.has_value());
+}
+
 // An unreadable number of tokens in the last part, which no request shares, would hide the parts that others share.
 Test(requests, lastPromptPartNeedsNoTokens)
 {
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -139,10 +139,22 @@
             events += splitter.push(stream.substr(second));
             cr_assert(events == stream);
             cr_assert(splitter.lastId() == "3");
+            cr_assert_eq(splitter.count(), 3);
         }
     }
 }
 
+// Guards against lengths of answers that include blank lines, and comments that keep a connection alive.
+Test(eventsplitter, countsEventsWithData)
+{
+    EventSplitter splitter;
+    splitter.push("data: a\n\n\n\n: alive\n\nid: 2\n\ndata: b\ndata: c\n\r\n");
+    cr_assert_eq(splitter.count(), 2);
+    splitter.push("data: d\n");
+    splitter.discardPartialEvent();
+    cr_assert_eq(splitter.count(), 2);
+}
+
 // An event without end made each part cost as much as all before it together.
 Test(eventsplitter, costOfAPartDoesNotGrowWithTheEvent)
 {
