--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -90,6 +91,9 @@
     const Duration requested = m_decoded.deadline.value_or(m_route.timeout);
     m_deadline = m_arrivedAt + std::min(requested, m_route.timeout);
     m_service = selectTarget(m_route, std::uniform_real_distribution<double>(0, 1)(context.random())).service;
+    if (m_route.kind == RequestKind::Stream) {
+        m_expectedLength = context.clusterState().answerLengths.estimate(m_route.name, lengthHint(), maxAnswerTokens());
+    }
 }
 
 Time RequestJob::now() const
@@ -134,6 +138,16 @@
     return m_decoded.generation ? m_decoded.generation->promptTokens : 0;
 }
 
+std::optional<std::uint32_t> RequestJob::lengthHint() const
+{
+    return m_decoded.generation ? m_decoded.generation->lengthHint : std::nullopt;
+}
+
+std::uint32_t RequestJob::maxAnswerTokens() const
+{
+    return m_decoded.generation ? m_decoded.generation->maxAnswerTokens : 0;
+}
+
 int RequestJob::priority() const
 {
     constexpr int MaxPriority = 9;
@@ -643,6 +657,7 @@
     discardAnswer();
     m_breakReason.clear();
     m_hasEvents = false;
+    m_eventsBefore = m_events.count();
     m_sentAt = now();
     return true;
 }
@@ -856,13 +871,16 @@
         makeRoom();
         return true;
     }
+    const std::uint64_t countBefore = m_events.count();
     const std::string events = m_events.push(data);
     accountMemory();
+    m_lastEventAt = events.empty() ? m_lastEventAt : now();
     if (!m_hasEvents && !events.empty()) {
         m_hasEvents = true;
+        m_firstEventAt = now();
         reportAnswered(AnswerProgress::Begun);
     }
-    observeSpeed(events);
+    observeSpeed(static_cast<int>(m_events.count() - countBefore));
     const bool isReadSlowly = !events.empty() && !m_exchange->write(events);
     accountUnread();
     makeRoom();
@@ -914,15 +932,15 @@
     end(RequestOutcome::Truncated, "the caller reads too slowly");
 }
 
-void RequestJob::observeSpeed(std::string_view events)
+void RequestJob::observeSpeed(int eventCount)
 {
-    if (events.empty() || m_relay || !m_decoded.generation || m_hasPaused) {
+    if (eventCount == 0 || m_relay || !m_decoded.generation || m_hasPaused) {
         return;
     }
     ClusterState &clusterState = m_context.clusterState();
     const FleetLoad load = clusterState.loadTracker.load(m_upstream.id, now());
     if (m_lastEventsAt) {
-        clusterState.engineSpeed.onGap(m_upstream, load.running, load.pendingTokens, now() - *m_lastEventsAt, countEvents(events), now());
+        clusterState.engineSpeed.onGap(m_upstream, load.running, load.pendingTokens, now() - *m_lastEventsAt, eventCount, now());
     }
     // A gap that begins while a prompt is read does not show the speed either.
     m_lastEventsAt = load.pendingTokens > 0 ? std::nullopt : std::optional(now());
@@ -1064,9 +1082,22 @@
         m_exchange->write(m_events.partialEvent()); // What follows the last event of an answer whose framing says that it is whole.
     }
     m_exchange->finish();
+    learnLength();
     end(RequestOutcome::Served, "");
 }
 
+void RequestJob::learnLength()
+{
+    if (!m_decoded.lastEventId.empty() || m_eventsBefore > 0 || m_events.count() == 0) {
+        return;
+    }
+    m_context.clusterState().answerLengths.onAnswer(
+        m_route.name, lengthHint(), maxAnswerTokens(), m_events.count(), m_lastEventAt - m_firstEventAt);
+    if (m_expectedLength) {
+        m_context.metrics().answerLength(m_events.count(), m_expectedLength->expected);
+    }
+}
+
 bool RequestJob::hasBegunToAnswer() const
 {
     return m_route.kind == RequestKind::Stream ? m_hasEvents : !m_body.empty();
@@ -1276,10 +1307,24 @@
     m_context.answerDelivery().add(m_number, { m_decoded.id, m_exchange, m_isStreaming ? std::optional(m_deadline) : std::nullopt });
     m_context.loop().cancel(m_deadlineTimer);
     m_context.loop().cancel(m_waitTimer);
-    m_context.log().write(reason.empty() ? RequestStep : Important, "request", outcomeName(outcome),
-        { { "request", m_decoded.id }, { "reason", reason }, { "arrivals", std::int64_t(m_attemptsSent) },
-            { "tookMs", (now() - m_arrivedAt).milliseconds() }, { "hadMs", (m_deadline - m_arrivedAt).milliseconds() } });
+    logEnd(outcome, reason);
     m_context.onEnded(m_number);
 }
 
+void RequestJob::logEnd(RequestOutcome outcome, const std::string &reason)
+{
+    const LogField request { "request", m_decoded.id };
+    const LogField arrivals { "arrivals", std::int64_t(m_attemptsSent) };
+    const LogField took { "tookMs", (now() - m_arrivedAt).milliseconds() };
+    const LogField had { "hadMs", (m_deadline - m_arrivedAt).milliseconds() };
+    const EventLog::Severity severity = reason.empty() ? RequestStep : Important;
+    if (outcome == RequestOutcome::Served && m_isStreaming) {
+        m_context.log().write(severity, "request", outcomeName(outcome),
+            { request, { "reason", reason }, arrivals, took, had, { "events", std::int64_t(m_events.count()) },
+                { "expectedEvents", m_expectedLength ? std::int64_t(std::llround(m_expectedLength->expected)) : -1 } });
+        return;
+    }
+    m_context.log().write(severity, "request", outcomeName(outcome), { request, { "reason", reason }, arrivals, took, had });
+}
+
 } // namespace ApricotStep
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -204,8 +204,8 @@
     /** Whether the upstream has to wait, since the caller has more unread bytes than the node keeps for one. */
     bool mustPause();
     void discardAnswer();
-    /** Observes the speed of the engine, which has just delivered @p events. */
-    void observeSpeed(std::string_view events);
+    /** Observes the speed of the engine, which has just delivered @p eventCount events. */
+    void observeSpeed(int eventCount);
     /** An upstream has answered the attempt in progress, or begun to. */
     void reportAnswered(AnswerProgress progress);
     void onDone(const CallResult &result);
@@ -235,6 +235,13 @@
     void onCallerGone();
     void onDrained();
     void end(RequestOutcome outcome, const std::string &reason);
+    /** The caller's hint at the length of the answer, in tokens. */
+    std::optional<std::uint32_t> lengthHint() const;
+    /** The maximum length of the answer, in tokens; 0 if unknown. */
+    std::uint32_t maxAnswerTokens() const;
+    /** The stream has ended: learns its length, unless this node has not observed one attempt deliver all of it. */
+    void learnLength();
+    void logEnd(RequestOutcome outcome, const std::string &reason);
 
     RequestContext &m_context;
     std::uint64_t m_number;
@@ -252,6 +259,8 @@
 
     Time m_arrivedAt;
     Time m_deadline;
+    /** Unset if nothing is known, or the request is no stream. */
+    std::optional<AnswerLength> m_expectedLength;
     Phase m_phase = Phase::Waiting;
     ExecutionState m_executionState = ExecutionState::NotRun;
     /** Number of attempts that an upstream may have begun to run. */
@@ -320,6 +329,10 @@
     /** The attempt in progress has been paused: what has piled up meanwhile arrives in bursts. */
     bool m_hasPaused = false;
     EventSplitter m_events;
+    /** Number of events of the stream that earlier attempts delivered. */
+    std::uint64_t m_eventsBefore = 0;
+    Time m_firstEventAt;
+    Time m_lastEventAt;
     /** An upstream's error answer, forwarded to the caller if no retry gives a better one. */
     std::optional<Platform::UpstreamAnswer> m_failure;
     std::string m_failureBody;
--- a/protocol/eventsplitter.cpp
+++ b/protocol/eventsplitter.cpp
@@ -5,19 +5,6 @@
 namespace ApricotStep
 {
 
-int countEvents(std::string_view events)
-{
-    int count = 0;
-    bool isInsideEvent = false;
-    for (std::size_t begin = 0, end = 0; (end = events.find('\n', begin)) != std::string_view::npos; begin = end + 1) {
-        const std::string_view line = events.substr(begin, end - begin);
-        const bool isBlank = line.empty() || line == "\r";
-        count += isBlank && isInsideEvent ? 1 : 0;
-        isInsideEvent = !isBlank;
-    }
-    return count;
-}
-
 std::string EventSplitter::push(std::string_view bytes)
 {
     // An event ends with an empty line. Lines end with LF or CRLF. Only a delimiter that ends in the new bytes can be new.
@@ -40,13 +27,14 @@
     }
     std::string wholeEvents = m_partialEvent.substr(0, end);
     m_partialEvent.erase(0, end);
-    recordLastId(wholeEvents);
+    recordEvents(wholeEvents);
     return wholeEvents;
 }
 
-void EventSplitter::recordLastId(std::string_view events)
+void EventSplitter::recordEvents(std::string_view events)
 {
     constexpr std::string_view Field = "id:";
+    bool hasData = false;
     std::size_t begin = 0;
     while (begin < events.size()) {
         const std::size_t end = events.find('\n', begin);
@@ -55,6 +43,11 @@
             line.remove_prefix(Field.size());
             line.remove_prefix(line.starts_with(' ') ? 1 : 0);
             m_lastId = std::string(line.substr(0, line.find('\r')));
+        } else if (line.starts_with("data:")) {
+            hasData = true;
+        } else if (line.empty() || line == "\r") {
+            m_count += hasData ? 1 : 0;
+            hasData = false;
         }
         begin = end == std::string_view::npos ? events.size() : end + 1;
     }
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -132,9 +132,14 @@
 // Guards against a reception that completes several events and is taken for a single, short gap.
 Test(eventsplitter, countsEvents)
 {
-    cr_assert_eq(countEvents(""), 0);
-    cr_assert_eq(countEvents("id: 1\ndata: a\n\n"), 1);
-    cr_assert_eq(countEvents("data: a\r\n\r\n\r\ndata: b\n\n\ndata: c\n\n"), 3);
+    const auto countOf = [](std::string_view bytes) {
+        EventSplitter splitter;
+        splitter.push(bytes);
+        return splitter.count();
+    };
+    cr_assert_eq(countOf(""), 0);
+    cr_assert_eq(countOf("id: 1\ndata: a\n\n"), 1);
+    cr_assert_eq(countOf("data: a\r\n\r\n\r\ndata: b\n\n\ndata: c\n\n"), 3);
 }
 
 // A stream arrives in pieces that end anywhere. Only whole events are returned, byte for byte, and the id of the last one is kept.
@@ -162,10 +167,22 @@
             events += splitter.push(stream.substr(second));
             cr_assert(events == stream);
             cr_assert(splitter.lastId() == "3");
+            cr_assert_eq(splitter.count(), 3);
         }
     }
 }
 
+// Guards against lengths of answers that include blank lines, and comments that keep a connection alive.
+Test(eventsplitter, countsEventsWithData)
+{
+    EventSplitter splitter;
+    splitter.push("data: a\n\n\n\n: alive\n\nid: 2\n\ndata: b\ndata: c\n\r\n");
+    cr_assert_eq(splitter.count(), 2);
+    splitter.push("data: d\n");
+    splitter.discardPartialEvent();
+    cr_assert_eq(splitter.count(), 2);
+}
+
 // An event without end made each part cost as much as all before it together.
 Test(eventsplitter, costOfAPartDoesNotGrowWithTheEvent)
 {
