Check configurations of entry nodes before they are published

An operator learned of an error in a configuration from the logs of the nodes that rejected it, one error at a time, and of entries without effect not at all.

`apricotstep check-config FILE [--in-force FILE] [--json] [--warnings-as-errors]` reads the JSON text with decodeConfiguration() and RouteTable::make(), as entry nodes do. These stop at the first error; the check applies them to each entry by itself to list all errors. Warnings name entries that nodes accept but that have no effect or contradict each other, and a version that nodes would ignore. Differences are listed by route, service and team. Keys appear as counts; positions replace the parser's messages, which quote the text. Nesting over 64 levels and files over 16 MiB are errors. A name that ends with .ini is checked as a catalog, as before.

The whole of test_main was not run.

--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,4 +1,4 @@
-#include "main/checkcommand.h"
+#include "main/configcheckcommand.h"
 #include "main/entry/entrynode.h"
 #include "main/entry/tracecommand.h"
 #include "main/errorspage.h"
@@ -72,9 +72,13 @@
     trace->add_option("files", tracing.files, "Log files of any number of nodes.")->required();
     trace->add_flag("--json", tracing.isJson, "Print the lines as they were written.");
     auto *errors = app.add_subcommand("errors-page", "Print docs/ERRORS.md.");
-    std::string catalogPath;
-    auto *check = app.add_subcommand("check-config", "Check a catalog INI file and print all its errors.");
-    check->add_option("catalog", catalogPath, "The operator's catalog.")->required();
+    ConfigCheckOptions checking;
+    auto *check = app.add_subcommand("check-config", "Check a configuration before it is published.");
+    check->add_option("file", checking.file, "A configuration of entry nodes in JSON, or a catalog if the name ends with .ini.")
+        ->required();
+    check->add_option("--in-force", checking.inForceFile, "The configuration in force; differences from it are listed.");
+    check->add_flag("--json", checking.isJson, "Print JSON.");
+    check->add_flag("--warnings-as-errors", checking.isWarningError, "Exit with 1 if there are warnings.");
     PackOptions packing;
     auto *pack = app.add_subcommand("pack", "Build the configuration values to publish from a catalog INI file.");
     pack->add_option("--in", packing.in, "The operator's catalog.")->required();
@@ -119,7 +123,7 @@
         return 0;
     }
     if (*check) {
-        return checkConfig(catalogPath, std::cout, std::cerr);
+        return runConfigCheck(checking, std::cout, std::cerr);
     }
     if (*pack) {
         return packConfig(packing, SystemClock().wallTime(), std::cout, std::cerr);
