--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -5,6 +5,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <optional>
@@ -342,7 +343,11 @@
             bestCost = *cost;
         }
     }
-    if (best == nullptr || !best->planned.isOwn || (isReady && bestCost + fetchTimeMs(limits.extraCopyGain) > currentWait)) {
+    if (best == nullptr || !best->planned.isOwn) {
+        return;
+    }
+    const double extraCopyGain = std::lerp(limits.extraCopyGain, limits.separatedExtraCopyGain, best->planned.separation);
+    if (isReady && bestCost + fetchTimeMs(extraCopyGain) > currentWait) {
         return;
     }
     if (static_cast<int>(best->copies.size()) < best->planned.spec->adapterSlots) {
--- a/coordination/adapterplan.h
+++ b/coordination/adapterplan.h
@@ -72,6 +72,8 @@
     double preferredEngineGain = 0.6;
     /** How much of the wait for a first token another copy of an adapter must save, in fetch times. */
     double extraCopyGain = 1.2;
+    /** The same at a full separation of long prompts and streams (EventGapMonitor). */
+    double separatedExtraCopyGain = 0.4;
 };
 
 /** Send this order; the answer goes to onOrderAnswer(). */
@@ -115,6 +117,8 @@
     bool hasHolder = true;
     /** Recent connections to it succeeded. */
     bool isReachable = true;
+    /** How much prompts and streams of its service are to be kept apart, 0 to 1 (EventGapMonitor). */
+    double separation = 0;
 };
 
 /** Decides which engine holds which adapters. Runs only on the node that holds the lease. Not thread-safe. */
--- a/coordination/upstreamchoice.cpp
+++ b/coordination/upstreamchoice.cpp
@@ -55,10 +55,14 @@
 }
 
 const UpstreamOption *chooseEngine(
-    const std::vector<UpstreamOption> &options, std::uint32_t promptTokens, const ChoiceParameters &parameters, std::mt19937_64 &random)
+    const std::vector<UpstreamOption> &options, const RequestCost &cost, const ChoiceParameters &parameters, std::mt19937_64 &random)
 {
-    return cheapest(options, random, [promptTokens, &parameters](const UpstreamOption &option) {
-        return static_cast<double>(expectedTimeToFirstToken(option, promptTokens, parameters).milliseconds()) + 1;
+    return cheapest(options, random, [&cost, &parameters](const UpstreamOption &option) {
+        const double own = static_cast<double>(expectedTimeToFirstToken(option, cost.promptTokens, parameters).milliseconds()) + 1;
+        const double prefillTime = std::max(cost.promptTokens - option.cachedTokens, 0.0) / parameters.promptTokensPerMs;
+        const double delayOfOthers = prefillTime * option.load.running;
+        const double exposure = option.load.prefillShare * static_cast<double>(cost.answerTime.milliseconds());
+        return own + parameters.separation * (parameters.delayWeight * delayOfOthers + parameters.exposureWeight * exposure);
     });
 }
 
--- a/coordination/upstreamchoice.h
+++ b/coordination/upstreamchoice.h
@@ -41,6 +41,23 @@
     double runningCostMs = 4;
     /** Extra cost of an upstream in another zone, as a part of the cost of one request per slot. */
     double otherZoneCost = 0.3;
+    /**
+     * How much the delays count that prefill causes to streams, 0 to 1 (EventGapMonitor). At 0 only the time to first token and the load
+     * count.
+     */
+    double separation = 0;
+    /** Cost of each ms by which other running requests are delayed, in ms of time to first token, at a separation of 1. */
+    double delayWeight = 0.5;
+    /** The same for each ms by which the prompts of others will delay the answer of this request. */
+    double exposureWeight = 2;
+};
+
+/** What a request is expected to need of an engine. */
+struct RequestCost
+{
+    std::uint32_t promptTokens = 0;
+    /** Time from the first to the last token of the answer, at an engine that does not prefill meanwhile. */
+    Duration answerTime;
 };
 
 /**
@@ -61,7 +78,7 @@
  * has a much higher cost, so that it is normally chosen only if all are ejected.
  */
 const UpstreamOption *chooseEngine(
-    const std::vector<UpstreamOption> &options, std::uint32_t promptTokens, const ChoiceParameters &parameters, std::mt19937_64 &random);
+    const std::vector<UpstreamOption> &options, const RequestCost &cost, const ChoiceParameters &parameters, std::mt19937_64 &random);
 
 /**
  * The upstream of a plain service with the lowest load per slot, a random one among equals; null if there are no options. Ejected
--- a/coordination/upstreamloadtracker.cpp
+++ b/coordination/upstreamloadtracker.cpp
@@ -1,6 +1,7 @@
 #include "coordination/upstreamloadtracker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace ApricotStep
 {
@@ -10,28 +11,34 @@
 
 // Time between two checks for stale peers; short compared with UpstreamLoadTracker::PeerTimeout.
 constexpr Duration SweepInterval { 100 };
+// Time constant of the average of what an upstream has to prefill.
+constexpr Duration PrefillMemory { 2000 };
+// With this many prompt tokens to process, an engine's steps are as long as they get.
+constexpr double LongPromptTokens = 2048;
 
 } // namespace
 
-void UpstreamLoadTracker::onSent(const UpstreamId &upstream, std::uint32_t promptTokens)
+void UpstreamLoadTracker::onSent(const UpstreamId &upstream, std::uint32_t promptTokens, Time now)
 {
     UpstreamLoad &load = m_own[upstream];
     load.upstream = upstream;
     ++load.running;
     load.pendingTokens += promptTokens;
+    updatePrefill(upstream, now);
 }
 
-void UpstreamLoadTracker::onFirstToken(const UpstreamId &upstream, std::uint32_t promptTokens)
+void UpstreamLoadTracker::onFirstToken(const UpstreamId &upstream, std::uint32_t promptTokens, Time now)
 {
     const auto at = m_own.find(upstream);
     if (at != m_own.end()) {
         at->second.pendingTokens -= std::min(at->second.pendingTokens, promptTokens);
+        updatePrefill(upstream, now);
     }
 }
 
-void UpstreamLoadTracker::onEnded(const UpstreamId &upstream, std::uint32_t unreadTokens)
+void UpstreamLoadTracker::onEnded(const UpstreamId &upstream, std::uint32_t unreadTokens, Time now)
 {
-    onFirstToken(upstream, unreadTokens);
+    onFirstToken(upstream, unreadTokens, now);
     const auto at = m_own.find(upstream);
     if (at != m_own.end() && --at->second.running == 0) {
         m_own.erase(at);
@@ -43,15 +50,38 @@
     Peer &known = m_peers[peer];
     subtract(known.loads);
     known = Peer { now, loads };
-    add(known.loads);
+    add(known.loads, now);
 }
 
-void UpstreamLoadTracker::add(const std::vector<UpstreamLoad> &loads)
+double UpstreamLoadTracker::pendingTokens(const UpstreamId &upstream) const
+{
+    const auto own = m_own.find(upstream);
+    const auto peerTotal = m_peerTotals.find(upstream);
+    return (own != m_own.end() ? own->second.pendingTokens : 0) + (peerTotal != m_peerTotals.end() ? peerTotal->second.pendingTokens : 0);
+}
+
+double UpstreamLoadTracker::averageAt(const PrefillAverage &prefill, Time now)
+{
+    const double elapsed = static_cast<double>(std::max(now - prefill.updatedAt, Duration()).milliseconds());
+    const double weight = std::exp(-elapsed / static_cast<double>(PrefillMemory.milliseconds()));
+    return prefill.average * weight + prefill.current * (1 - weight);
+}
+
+void UpstreamLoadTracker::updatePrefill(const UpstreamId &upstream, Time now)
+{
+    PrefillAverage &prefill = m_prefill[upstream];
+    prefill.average = averageAt(prefill, now);
+    prefill.updatedAt = now;
+    prefill.current = std::min(pendingTokens(upstream) / LongPromptTokens, 1.0);
+}
+
+void UpstreamLoadTracker::add(const std::vector<UpstreamLoad> &loads, Time now)
 {
     for (const UpstreamLoad &load : loads) {
         FleetLoad &sum = m_peerTotals[load.upstream];
         sum.running += load.running;
         sum.pendingTokens += load.pendingTokens;
+        updatePrefill(load.upstream, now);
     }
 }
 
@@ -99,6 +129,10 @@
         sum.running += own->second.running;
         sum.pendingTokens += own->second.pendingTokens;
     }
+    const auto prefill = m_prefill.find(upstream);
+    if (prefill != m_prefill.end()) {
+        sum.prefillShare = averageAt(prefill->second, now);
+    }
     return sum;
 }
 
--- a/coordination/upstreamloadtracker.h
+++ b/coordination/upstreamloadtracker.h
@@ -17,6 +17,8 @@
 {
     double running = 0;
     double pendingTokens = 0;
+    /** Fraction of the recent time in which it had long prompts to process, 0 to 1. */
+    double prefillShare = 0;
 };
 
 /**
@@ -32,11 +34,11 @@
     /** The load of a peer is removed after this time without a message from it: six missed messages. */
     static constexpr Duration PeerTimeout { 1500 };
 
-    void onSent(const UpstreamId &upstream, std::uint32_t promptTokens);
+    void onSent(const UpstreamId &upstream, std::uint32_t promptTokens, Time now);
     /** The prompt has been processed. */
-    void onFirstToken(const UpstreamId &upstream, std::uint32_t promptTokens);
+    void onFirstToken(const UpstreamId &upstream, std::uint32_t promptTokens, Time now);
     /** @p unreadTokens: the prompt's tokens if it was not processed yet, otherwise 0. */
-    void onEnded(const UpstreamId &upstream, std::uint32_t unreadTokens);
+    void onEnded(const UpstreamId &upstream, std::uint32_t unreadTokens, Time now);
     /** Replaces the load that @p peer reported before. */
     void onPeerLoads(const NodeId &peer, const std::vector<UpstreamLoad> &loads, Time now);
 
@@ -51,8 +53,20 @@
         std::vector<UpstreamLoad> loads;
     };
 
-    void add(const std::vector<UpstreamLoad> &loads);
+    /** Averages how much an upstream has to prefill. */
+    struct PrefillAverage
+    {
+        Time updatedAt;
+        /** The share since the last update, and the decaying average until then. */
+        double current = 0;
+        double average = 0;
+    };
+
+    void add(const std::vector<UpstreamLoad> &loads, Time now);
     void subtract(const std::vector<UpstreamLoad> &loads);
+    void updatePrefill(const UpstreamId &upstream, Time now);
+    static double averageAt(const PrefillAverage &prefill, Time now);
+    double pendingTokens(const UpstreamId &upstream) const;
     /** Removes the load of peers that have sent no message for PeerTimeout. */
     void removeStalePeers(Time now);
 
@@ -60,6 +74,7 @@
     absl::flat_hash_map<NodeId, Peer> m_peers;
     /** The load of all peers together at each upstream. */
     absl::flat_hash_map<UpstreamId, FleetLoad> m_peerTotals;
+    absl::flat_hash_map<UpstreamId, PrefillAverage> m_prefill;
     Time m_sweptAt;
 };
 
--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -3,6 +3,7 @@
 #include "coordination/adapterloadestimator.h"
 #include "coordination/brittleupstreams.h"
 #include "coordination/contentquarantine.h"
+#include "coordination/eventgapmonitor.h"
 #include "coordination/outlierdetector.h"
 #include "coordination/outofscopeengines.h"
 #include "coordination/residencytable.h"
@@ -46,6 +47,7 @@
     /** The availability zone whose engines this node uses; empty when it uses all. */
     ZoneId engineScope;
     OutlierDetector outliers { OutlierLimits {} };
+    EventGapMonitor eventGaps;
     OutOfScopeEngines outOfScope { OutOfScopeLimits {} };
     UpstreamLimits upstreamLimits;
     UpstreamRests upstreamRests;
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -42,6 +42,10 @@
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter> &requests =
         prometheus::BuildCounter().Name("apricotstep_entry_requests_total").Help("Requests by kind and outcome.").Register(registry);
+    prometheus::Family<prometheus::Counter> &streams = prometheus::BuildCounter()
+                                                           .Name("apricotstep_entry_streams_total")
+                                                           .Help("Streams that ended after their first event, by what made them late.")
+                                                           .Register(registry);
     prometheus::Family<prometheus::Counter> &sentRequests = prometheus::BuildCounter()
                                                                 .Name("apricotstep_entry_sent_total")
                                                                 .Help("Requests sent to upstreams; repeats are those after the first.")
@@ -182,6 +186,14 @@
     d->firstBytes.Add({ { "kind", kindName(kind) } }, BucketBounds).Observe(after.toSeconds());
 }
 
+void EntryMetrics::streamEnded(StreamTiming timing)
+{
+    const char *name = timing == StreamTiming::OnTime ? "on_time"
+        : timing == StreamTiming::LateFirstEvent      ? "late_first_event"
+                                                      : "late_event_gap";
+    d->streams.Add({ { "timing", name } }).Increment();
+}
+
 void EntryMetrics::sent(RequestKind kind, Duration waited, bool isRepeat)
 {
     d->sentRequests.Add({ { "kind", kindName(kind) }, { "repeat", isRepeat ? "yes" : "no" } }).Increment();
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/eventgapmonitor.h"
 #include "core/clock.h"
 #include "core/strongid.h"
 #include "state/routetable.h"
@@ -63,6 +64,8 @@
     void requestEnded(RequestKind kind, RequestOutcome outcome, Duration took);
     /** Records that the answer of a stream began @p after its request arrived. */
     void answerBegan(RequestKind kind, Duration after);
+    /** A stream ended that had at least one event. */
+    void streamEnded(StreamTiming timing);
     /** Records that a request was sent to an upstream @p waited after its arrival. @p isRepeat is set if it had been sent before. */
     void sent(RequestKind kind, Duration waited, bool isRepeat);
     /** Counts a request that is sent to an engine outside of this node's scope. */
--- a/main/entry/orderrunner.cpp
+++ b/main/entry/orderrunner.cpp
@@ -191,7 +191,7 @@
             const bool isAvoided = areInNeedAvoided && clusterState.isInNeed(*record, now());
             const double share = isAvoided ? 0 : clusterState.outliers.share(record->id, now());
             result.push_back(PlannedEngine { record, &*service.engine, load.running, load.pendingTokens, share, owner == shard, hasHolder,
-                clusterState.outliers.isReachable(record->id, now()) });
+                clusterState.outliers.isReachable(record->id, now()), clusterState.eventGaps.separation(service.name) });
         }
     }
     return result;
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace ApricotStep
@@ -40,6 +41,8 @@
 // An adapter is reported as crowded, which asks for a further copy, if a prompt would wait longer than this many fetch times before it is
 // read. Shorter waits end before a further copy helps.
 constexpr double CrowdedWaitInFetches = 1.8;
+// The same where prefill makes streams late: a queue of prompts delays all streams of the engine, not only the request that waits.
+constexpr double SeparatedCrowdedWaitInFetches = 0.6;
 // Retry-After while this node is cut off from most of the others: another node can serve the request at once.
 constexpr Duration RetryAfterIsolated { 50 };
 // Time from the order to load an adapter until the first event, in fetch times: the load itself, the wait behind other loads, and the
@@ -133,6 +136,18 @@
     return m_decoded.generation ? m_decoded.generation->promptTokens : 0;
 }
 
+RequestCost RequestJob::requestCost() const
+{
+    return RequestCost { promptTokens(), Duration(m_decoded.generation && promptTokens() > 3000 ? 400 : 2000) };
+}
+
+ChoiceParameters RequestJob::choiceParameters() const
+{
+    ChoiceParameters parameters;
+    parameters.separation = m_context.clusterState().eventGaps.separation(m_service);
+    return parameters;
+}
+
 int RequestJob::priority() const
 {
     constexpr int MaxPriority = 9;
@@ -354,8 +369,8 @@
 bool RequestJob::sendOutOfScope(const UpstreamOption *inScope)
 {
     const auto candidates = outOfScopeOptions();
-    const ChoiceParameters parameters;
-    const UpstreamOption *chosen = chooseEngine(candidates, promptTokens(), parameters, m_context.random());
+    const ChoiceParameters parameters = choiceParameters();
+    const UpstreamOption *chosen = chooseEngine(candidates, requestCost(), parameters, m_context.random());
     if (chosen == nullptr) {
         return false;
     }
@@ -411,14 +426,15 @@
     if (m_decoded.generation) {
         creditSharedPrefix(candidates, m_decoded.generation->sharedPrefix, m_decoded.generation->sharedTokens);
     }
-    const ChoiceParameters parameters;
-    const UpstreamOption *chosen = m_decoded.generation ? chooseEngine(candidates, promptTokens(), parameters, m_context.random())
+    const ChoiceParameters parameters = choiceParameters();
+    const UpstreamOption *chosen = m_decoded.generation ? chooseEngine(candidates, requestCost(), parameters, m_context.random())
                                                         : chooseService(candidates, parameters, m_context.random());
     if (sendOutOfScope(chosen)) {
         return;
     }
     if (chosen != nullptr) {
-        if (needsAdapter() && expectedTimeToFirstToken(*chosen, 0, parameters) > fetchTime(CrowdedWaitInFetches)) {
+        const double crowdedWait = std::lerp(CrowdedWaitInFetches, SeparatedCrowdedWaitInFetches, parameters.separation);
+        if (needsAdapter() && expectedTimeToFirstToken(*chosen, 0, parameters) > fetchTime(crowdedWait)) {
             m_context.reportCrowded(adapter());
         }
         const auto copy =
@@ -587,7 +603,7 @@
         return;
     }
     m_isPromptPending = true;
-    m_context.clusterState().loadTracker.onSent(m_upstream.id, promptTokens());
+    m_context.clusterState().loadTracker.onSent(m_upstream.id, promptTokens(), now());
     m_context.log().write(RequestStep, "request", "sent",
         { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() }, { "arrival", std::int64_t(m_attemptsSent + 1) },
             { "version", m_version.value() }, { "software", m_upstream.softwareVersion.value() }, { "leftMs", timeLeft().milliseconds() },
@@ -729,7 +745,7 @@
         return;
     }
     if (std::exchange(m_isPromptPending, false)) {
-        m_context.clusterState().loadTracker.onFirstToken(m_upstream.id, promptTokens());
+        m_context.clusterState().loadTracker.onFirstToken(m_upstream.id, promptTokens(), now());
     }
     if (!m_isStreaming) {
         m_isStreaming = true;
@@ -789,14 +805,19 @@
     }
     const std::string events = m_events.push(data);
     accountMemory();
+    if (!events.empty()) {
+        m_eventGaps.onEvents(now());
+    }
     if (!m_hasEvents && !events.empty()) {
         m_hasEvents = true;
+        m_firstEventAfter = m_firstEventAfter.value_or(now() - m_arrivedAt);
         reportAnswered(AnswerProgress::Begun);
     }
     if (events.empty() || m_exchange->write(events)) {
         return true;
     }
     m_isPaused = true;
+    m_eventGaps.skipGap();
     return false;
 }
 
@@ -833,7 +854,7 @@
 void RequestJob::endAttempt()
 {
     if (!m_relay) {
-        m_context.clusterState().loadTracker.onEnded(m_upstream.id, m_isPromptPending ? promptTokens() : 0);
+        m_context.clusterState().loadTracker.onEnded(m_upstream.id, m_isPromptPending ? promptTokens() : 0, now());
     }
     m_call = 0;
 }
@@ -1129,9 +1150,31 @@
     end(RequestOutcome::CallerGone, cancelAttempt() ? "an upstream was at work" : "");
 }
 
+StreamTiming RequestJob::streamTiming() const
+{
+    if (m_firstEventAfter > m_route.latencyObjective) {
+        return StreamTiming::LateFirstEvent;
+    }
+    const bool hasBound = m_route.eventGapObjective > Duration();
+    return hasBound && m_eventGaps.longest() > m_route.eventGapObjective ? StreamTiming::LateEventGap : StreamTiming::OnTime;
+}
+
+// The node through which a request goes observes the gaps of the upstreams itself.
+void RequestJob::reportStreamTiming()
+{
+    if (!m_firstEventAfter) {
+        return;
+    }
+    m_context.metrics().streamEnded(streamTiming());
+    if (!m_relay && m_route.eventGapObjective > Duration()) {
+        m_context.clusterState().eventGaps.onStreamEnded(m_service, m_eventGaps.longest() > m_route.eventGapObjective);
+    }
+}
+
 void RequestJob::end(RequestOutcome outcome, const std::string &reason)
 {
     m_context.metrics().requestEnded(m_route.kind, outcome, now() - m_arrivedAt);
+    reportStreamTiming();
     const bool wasNeverSent = outcome == RequestOutcome::CallerGone && m_executionState == ExecutionState::NotRun
         && (m_phase == Phase::LookingUp || m_phase == Phase::Waiting || m_phase == Phase::Reserving);
     if (m_phase == Phase::Reserving) {
@@ -1146,7 +1189,9 @@
     m_context.loop().cancel(m_waitTimer);
     m_context.log().write(reason.empty() ? RequestStep : Important, "request", outcomeName(outcome),
         { { "request", m_decoded.id }, { "reason", reason }, { "arrivals", std::int64_t(m_attemptsSent) },
-            { "tookMs", (now() - m_arrivedAt).milliseconds() }, { "hadMs", (m_deadline - m_arrivedAt).milliseconds() } });
+            { "tookMs", (now() - m_arrivedAt).milliseconds() }, { "hadMs", (m_deadline - m_arrivedAt).milliseconds() },
+            { "firstEventMs", m_firstEventAfter ? m_firstEventAfter->milliseconds() : -1 },
+            { "longestGapMs", m_eventGaps.longest().milliseconds() } });
     m_context.onEnded(m_number);
 }
 
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/answermemory.h"
+#include "coordination/eventgapmonitor.h"
 #include "coordination/relaychoice.h"
 #include "coordination/requestcontent.h"
 #include "coordination/upstreamchoice.h"
@@ -128,6 +129,8 @@
     bool needsAdapter() const;
     AdapterRef adapter() const;
     std::uint32_t promptTokens() const;
+    RequestCost requestCost() const;
+    ChoiceParameters choiceParameters() const;
     /** The priority of the caller's team, if it has one, otherwise that of the route; 0 is the highest. */
     int priority() const;
 
@@ -213,6 +216,8 @@
     void onDeadline();
     void onCallerGone();
     void onDrained();
+    StreamTiming streamTiming() const;
+    void reportStreamTiming();
     void end(RequestOutcome outcome, const std::string &reason);
 
     RequestContext &m_context;
@@ -287,6 +292,9 @@
     /** The attempt in progress has delivered an event. */
     bool m_hasEvents = false;
     EventSplitter m_events;
+    EventGaps m_eventGaps;
+    /** Time from the arrival to the first event; unset before it. */
+    std::optional<Duration> m_firstEventAfter;
     /** An upstream's error answer, forwarded to the caller if no retry gives a better one. */
     std::optional<Platform::UpstreamAnswer> m_failure;
     std::string m_failureBody;
--- a/tests/coordination/testupstreamdirectory.cpp
+++ b/tests/coordination/testupstreamdirectory.cpp
@@ -134,7 +134,7 @@
         for (const UpstreamRecord &entry : records) {
             options.push_back(UpstreamOption { &entry, tracker.load(entry.id, Start), 1, false });
         }
-        tracker.onSent(chooseEngine(options, 1000, {}, random)->record->id, 1000);
+        tracker.onSent(chooseEngine(options, { 1000, {} }, {}, random)->record->id, 1000, Start);
     }
     for (const UpstreamLoad &load : tracker.own()) {
         cr_assert_eq(load.running, 10);
@@ -154,10 +154,10 @@
         { &ejected, { 0, 0 }, 0, true },
         { &healthy, { 3, 0 }, 1, false },
     };
-    cr_assert_eq(chooseEngine(options, 800, {}, random)->record, &healthy);
+    cr_assert_eq(chooseEngine(options, { 800, {} }, {}, random)->record, &healthy);
     const std::vector<UpstreamOption> onlyEjected { { &ejected, { 0, 0 }, 0, true } };
-    cr_assert_eq(chooseEngine(onlyEjected, 800, {}, random)->record, &ejected);
-    cr_assert_null(chooseEngine({}, 800, {}, random));
+    cr_assert_eq(chooseEngine(onlyEjected, { 800, {} }, {}, random)->record, &ejected);
+    cr_assert_null(chooseEngine({}, { 800, {} }, {}, random));
 }
 
 // Requests for a popular adapter share twelve long prefixes and go to its four copies, chosen by each node on its own. If each went to the
@@ -178,7 +178,7 @@
             options.push_back(UpstreamOption { &entry, { 0, queued[entry.id.value()] }, 1, true });
         }
         creditSharedPrefix(options, prefix, 6300);
-        const std::string chosen = chooseEngine(options, 9200, {}, random)->record->id.value();
+        const std::string chosen = chooseEngine(options, { 9200, {} }, {}, random)->record->id.value();
         bool &isProcessed = processed[{ chosen, prefix }];
         cacheHits += isProcessed ? 1 : 0;
         queued[chosen] += isProcessed ? 2900 : 9200;
@@ -193,7 +193,7 @@
     creditSharedPrefix(twoOptions, "p", 6300);
     UpstreamOption &preferred = twoOptions[0].cachedTokens > 0 ? twoOptions[0] : twoOptions[1];
     preferred.load.pendingTokens = 20'000;
-    cr_assert_neq(chooseEngine(twoOptions, 9200, {}, random)->record, preferred.record,
+    cr_assert_neq(chooseEngine(twoOptions, { 9200, {} }, {}, random)->record, preferred.record,
         "a queue that costs more than processing the prefix sends the request elsewhere");
 }
 
@@ -204,8 +204,8 @@
     tracker.onPeerLoads(NodeId("n"), { UpstreamLoad { UpstreamId("u"), 5, 100 } }, Start);
     cr_assert_eq(tracker.load(UpstreamId("u"), Start).running, 5);
     cr_assert_eq(tracker.load(UpstreamId("u"), Start + Duration(1600)).running, 0);
-    tracker.onSent(UpstreamId("u"), 100);
-    tracker.onEnded(UpstreamId("u"), 100);
+    tracker.onSent(UpstreamId("u"), 100, Start);
+    tracker.onEnded(UpstreamId("u"), 100, Start);
     cr_assert(tracker.own().empty());
 }
 
