--- a/main/entry/clusterstate.h
+++ b/main/entry/clusterstate.h
@@ -6,6 +6,7 @@
 #include "coordination/contentquarantine.h"
 #include "coordination/enginememory.h"
 #include "coordination/enginespeed.h"
+#include "coordination/eventgapmonitor.h"
 #include "coordination/outlierdetector.h"
 #include "coordination/outofscopeengines.h"
 #include "coordination/residencytable.h"
@@ -50,6 +51,7 @@
     /** The availability zone whose engines this node uses; empty when it uses all. */
     ZoneId engineScope;
     OutlierDetector outliers { OutlierLimits {} };
+    EventGapMonitor eventGaps;
     OutOfScopeEngines outOfScope { OutOfScopeLimits {} };
     UpstreamLimits upstreamLimits;
     UpstreamRests upstreamRests;
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -148,6 +148,19 @@
     return m_decoded.generation ? m_decoded.generation->maxAnswerTokens : 0;
 }
 
+RequestCost RequestJob::requestCost() const
+{
+    const auto answerTime = m_context.clusterState().answerLengths.expectedAnswerTime(m_route.name);
+    return RequestCost { promptTokens(), answerTime.value_or(Duration()) };
+}
+
+ChoiceParameters RequestJob::choiceParameters() const
+{
+    ChoiceParameters parameters;
+    parameters.separation = m_context.clusterState().eventGaps.separation(m_service);
+    return parameters;
+}
+
 int RequestJob::priority() const
 {
     constexpr int MaxPriority = 9;
@@ -424,8 +437,8 @@
 bool RequestJob::sendOutOfScope(const UpstreamOption *inScope)
 {
     const auto candidates = outOfScopeOptions();
-    const ChoiceParameters parameters;
-    const UpstreamOption *chosen = chooseEngine(candidates, promptTokens(), parameters, m_context.random());
+    const ChoiceParameters parameters = choiceParameters();
+    const UpstreamOption *chosen = chooseEngine(candidates, requestCost(), parameters, m_context.random());
     if (chosen == nullptr) {
         return false;
     }
@@ -487,8 +500,8 @@
     if (m_decoded.generation) {
         creditSharedPrefix(candidates, m_decoded.generation->sharedPrefix, m_decoded.generation->sharedTokens);
     }
-    const ChoiceParameters parameters;
-    const UpstreamOption *chosen = m_decoded.generation ? chooseEngine(candidates, promptTokens(), parameters, m_context.random())
+    const ChoiceParameters parameters = choiceParameters();
+    const UpstreamOption *chosen = m_decoded.generation ? chooseEngine(candidates, requestCost(), parameters, m_context.random())
                                                         : chooseService(candidates, parameters, m_context.random());
     if (sendOutOfScope(chosen)) {
         return;
@@ -668,7 +681,7 @@
         return;
     }
     m_isPromptPending = true;
-    m_context.clusterState().loadTracker.onSent(m_upstream.id, promptTokens());
+    m_context.clusterState().loadTracker.onSent(m_upstream.id, promptTokens(), now());
     m_reservedTokens = static_cast<std::uint32_t>(std::min<double>(reservation(), std::numeric_limits<std::uint32_t>::max()));
     m_context.clusterState().loadTracker.reserve(m_upstream.id, m_reservedTokens);
     m_context.log().write(RequestStep, "request", "sent",
@@ -812,7 +825,7 @@
         return;
     }
     if (std::exchange(m_isPromptPending, false)) {
-        m_context.clusterState().loadTracker.onFirstToken(m_upstream.id, promptTokens());
+        m_context.clusterState().loadTracker.onFirstToken(m_upstream.id, promptTokens(), now());
     }
     if (!m_isStreaming) {
         m_isStreaming = true;
@@ -875,9 +888,13 @@
     const std::string events = m_events.push(data);
     accountMemory();
     m_lastEventAt = events.empty() ? m_lastEventAt : now();
+    if (!events.empty()) {
+        m_eventGaps.onEvents(now());
+    }
     if (!m_hasEvents && !events.empty()) {
         m_hasEvents = true;
         m_firstEventAt = now();
+        m_firstEventAfter = m_firstEventAfter.value_or(now() - m_arrivedAt);
         reportAnswered(AnswerProgress::Begun);
     }
     observeSpeed(static_cast<int>(m_events.count() - countBefore));
@@ -888,7 +905,10 @@
         return true;
     }
     m_isPaused = mustPause();
-    m_hasPaused = m_hasPaused || m_isPaused;
+    if (m_isPaused) {
+        m_hasPaused = true;
+        m_eventGaps.skipGap();
+    }
     return !m_isPaused;
 }
 
@@ -980,7 +1000,7 @@
 {
     if (!m_relay) {
         m_context.clusterState().loadTracker.release(m_upstream.id, m_reservedTokens);
-        m_context.clusterState().loadTracker.onEnded(m_upstream.id, m_isPromptPending ? promptTokens() : 0);
+        m_context.clusterState().loadTracker.onEnded(m_upstream.id, m_isPromptPending ? promptTokens() : 0, now());
     }
     m_call = 0;
     m_lastEventsAt.reset();
@@ -1291,9 +1311,31 @@
     end(RequestOutcome::CallerGone, cancelAttempt() ? "an upstream was at work" : "");
 }
 
+StreamTiming RequestJob::streamTiming() const
+{
+    if (m_firstEventAfter > m_route.latencyObjective) {
+        return StreamTiming::LateFirstEvent;
+    }
+    const bool hasBound = m_route.eventGapObjective > Duration();
+    return hasBound && m_eventGaps.longest() > m_route.eventGapObjective ? StreamTiming::LateEventGap : StreamTiming::OnTime;
+}
+
+// The node through which a request goes observes the gaps of the upstreams itself.
+void RequestJob::reportStreamTiming()
+{
+    if (!m_firstEventAfter) {
+        return;
+    }
+    m_context.metrics().streamEnded(streamTiming());
+    if (!m_relay && m_route.eventGapObjective > Duration()) {
+        m_context.clusterState().eventGaps.onStreamEnded(m_service, m_eventGaps.longest() > m_route.eventGapObjective);
+    }
+}
+
 void RequestJob::end(RequestOutcome outcome, const std::string &reason)
 {
     m_context.metrics().requestEnded(m_route.kind, outcome, now() - m_arrivedAt);
+    reportStreamTiming();
     const bool wasNeverSent = outcome == RequestOutcome::CallerGone && m_executionState == ExecutionState::NotRun
         && (m_phase == Phase::LookingUp || m_phase == Phase::Waiting || m_phase == Phase::Reserving);
     if (m_phase == Phase::Reserving) {
@@ -1321,7 +1363,9 @@
     if (outcome == RequestOutcome::Served && m_isStreaming) {
         m_context.log().write(severity, "request", outcomeName(outcome),
             { request, { "reason", reason }, arrivals, took, had, { "events", std::int64_t(m_events.count()) },
-                { "expectedEvents", m_expectedLength ? std::int64_t(std::llround(m_expectedLength->expected)) : -1 } });
+                { "expectedEvents", m_expectedLength ? std::int64_t(std::llround(m_expectedLength->expected)) : -1 },
+                { "firstEventMs", m_firstEventAfter ? m_firstEventAfter->milliseconds() : -1 },
+                { "longestGapMs", m_eventGaps.longest().milliseconds() } });
         return;
     }
     m_context.log().write(severity, "request", outcomeName(outcome), { request, { "reason", reason }, arrivals, took, had });
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/answermemory.h"
+#include "coordination/eventgapmonitor.h"
 #include "coordination/relaychoice.h"
 #include "coordination/requestcontent.h"
 #include "coordination/upstreamchoice.h"
@@ -136,6 +137,8 @@
     bool needsAdapter() const;
     AdapterRef adapter() const;
     std::uint32_t promptTokens() const;
+    RequestCost requestCost() const;
+    ChoiceParameters choiceParameters() const;
     /** The priority of the caller's team, if it has one, otherwise that of the route; 0 is the highest. */
     int priority() const;
 
@@ -234,6 +237,8 @@
     void onDeadline();
     void onCallerGone();
     void onDrained();
+    StreamTiming streamTiming() const;
+    void reportStreamTiming();
     void end(RequestOutcome outcome, const std::string &reason);
     /** The caller's hint at the length of the answer, in tokens. */
     std::optional<std::uint32_t> lengthHint() const;
@@ -333,6 +338,9 @@
     std::uint64_t m_eventsBefore = 0;
     Time m_firstEventAt;
     Time m_lastEventAt;
+    EventGaps m_eventGaps;
+    /** Time from the arrival to the first event; unset before it. */
+    std::optional<Duration> m_firstEventAfter;
     /** An upstream's error answer, forwarded to the caller if no retry gives a better one. */
     std::optional<Platform::UpstreamAnswer> m_failure;
     std::string m_failureBody;
--- a/tests/coordination/testenginememory.cpp
+++ b/tests/coordination/testenginememory.cpp
@@ -101,7 +101,7 @@
             m_ends.erase(m_ends.begin());
             m_tokens[ended.engine] -= ended.tokens;
             m_nodes[ended.node].tracker.release(engineId(ended.engine), ended.tokens);
-            m_nodes[ended.node].tracker.onEnded(engineId(ended.engine), 0);
+            m_nodes[ended.node].tracker.onEnded(engineId(ended.engine), 0, now);
         }
     }
 
@@ -151,7 +151,7 @@
             return false;
         }
         const auto tokens = static_cast<std::uint32_t>(needed);
-        node.tracker.onSent(engineId(chosen), 0);
+        node.tracker.onSent(engineId(chosen), 0, now);
         node.tracker.reserve(engineId(chosen), tokens);
         m_tokens[chosen] += tokens;
         m_result.maxTokens = std::max(m_result.maxTokens, m_tokens[chosen]);
@@ -232,11 +232,11 @@
     const UpstreamId engine("e");
     tracker.onPeerLoads(NodeId("old"), { UpstreamLoad { engine, 1, 700 } }, Time(1000));
     tracker.onPeerLoads(NodeId("new"), { UpstreamLoad { engine, 2, 100, 1'500 } }, Time(1200));
-    tracker.onSent(engine, 300);
+    tracker.onSent(engine, 300, Time(1250));
     tracker.reserve(engine, 400);
     cr_assert_eq(tracker.load(engine, Time(1300)).reservedTokens, 2'600);
     tracker.release(engine, 400);
-    tracker.onEnded(engine, 300);
+    tracker.onEnded(engine, 300, Time(1350));
     cr_assert_eq(tracker.load(engine, Time(2600)).reservedTokens, 1'500);
     cr_assert_eq(tracker.load(engine, Time(3000)).reservedTokens, 0);
 }
