--- a/tests/coordination/testenginespeed.cpp
+++ b/tests/coordination/testenginespeed.cpp
@@ -232,7 +232,7 @@
     const UpstreamRecord usual = engine(2);
     const std::vector<UpstreamOption> options { { &slow, { 4, 0 }, 1, false, 0, 2.5 }, { &usual, { 6, 0 } } };
     std::mt19937_64 random(1);
-    cr_assert_eq(chooseEngine(options, 2000, ChoiceParameters {}, random)->record, &usual);
+    cr_assert_eq(chooseEngine(options, { 2000, {} }, ChoiceParameters {}, random)->record, &usual);
 }
 
 // Guards against state that grows with the engines that were ever seen or that forged reports name.
