--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -225,6 +225,7 @@
     forwarderSettings.teamCredit.reserve = settings.limitReserve;
     forwarderSettings.answers = { settings.maxAnswerBytes, settings.maxEventBytes, settings.memoryBytes / AnswerMemoryDivisor,
         settings.maxUnreadBytes };
+    forwarderSettings.limitsEngineMemory = settings.limitsEngineMemory;
     ForwarderCallbacks callbacks;
     callbacks.onPendingAdapters = [this] {
         fleet->sendPendingAdapters();
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -39,6 +39,8 @@
     /** How the fleet keeps the limits that upstreams state for their requests. */
     TeamCreditLimits upstreamCredit = upstreamCreditLimits();
     AnswerLimits answers;
+    /** Engines get no more requests than their configured KV cache holds. */
+    bool limitsEngineMemory = false;
 };
 
 /** Callbacks from the forwarder into the rest of the node. */
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -324,7 +324,8 @@
 
 double RequestJob::engineCapacity() const
 {
-    const EngineSpec *spec = m_decoded.generation ? m_context.clusterState().engineSpec(m_service) : nullptr;
+    const bool isLimited = m_context.settings().limitsEngineMemory && m_decoded.generation;
+    const EngineSpec *spec = isLimited ? m_context.clusterState().engineSpec(m_service) : nullptr;
     return spec != nullptr ? spec->kvCacheTokens : 0;
 }
 
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -160,7 +160,7 @@
     bool isUsable(const UpstreamRecord &record);
     /** Whether this node may send to the upstream now, by what the upstream stated in its answers. */
     bool isPermitted(const UpstreamRecord &record);
-    /** The tokens that the request reserves at an engine of its service; 0 if the engines have no stated capacity. */
+    /** The tokens that the request reserves at an engine of its service; 0 if their memory is not limited. */
     double reservation() const;
     double engineCapacity() const;
     /** Whether an engine with this load has room for the request. */
--- a/tests/main/testrequestforwardermemory.cpp
+++ b/tests/main/testrequestforwardermemory.cpp
@@ -15,7 +15,14 @@
 {
     ScriptedUpstream engine { [](const std::string &) { return ScriptedAnswer { CompleteAnswer }; } };
 
+    static ForwarderSettings limitedMemory()
+    {
+        ForwarderSettings settings;
+        settings.limitsEngineMemory = true;
+        return settings;
+    }
     MemoryFixture()
+        : ForwarderFixture(limitedMemory())
     {
         configure(RequestKind::Idempotent, 2, false, Duration(1500), 10'000);
         addUpstream("e1", engine);
