Keep the names of a configuration's fields in the platform's folder

The check of configurations named fields of the users' platform outside of platform/, which tests/layers.sh rejects. The decoder and the check use the same constants now. layers.sh passes.

--- a/main/configcheck.cpp
+++ b/main/configcheck.cpp
@@ -1,5 +1,6 @@
 #include "main/configcheck.h"
 
+#include "platform/configfields.h"
 #include "platform/records.h"
 #include "state/routetable.h"
 
@@ -15,6 +16,8 @@
 namespace ApricotStep
 {
 
+namespace ConfigField = Platform::ConfigField;
+
 namespace
 {
 
@@ -25,6 +28,11 @@
 constexpr int MaxNesting = 64;
 constexpr const char *WholeConfiguration = "configuration";
 
+std::string fieldOf(const std::string &path, const char *name)
+{
+    return path + "." + name;
+}
+
 void addError(Findings &findings, std::string field, std::string message)
 {
     findings.push_back({ FindingSeverity::Error, std::move(field), std::move(message) });
@@ -171,20 +179,21 @@
                 fmt::format(
                     "route '{}' never matches: requests are compared without a port, and the host is '{}'", route.name, route.host));
         } else if (found->name != route.name || found->pathPrefix != route.pathPrefix) {
-            addWarning(findings, path + ".pathPrefix", fmt::format("route '{}' is shadowed by route '{}'", route.name, found->name));
+            addWarning(findings, fieldOf(path, ConfigField::PathPrefix),
+                fmt::format("route '{}' is shadowed by route '{}'", route.name, found->name));
         }
         if (route.pathPrefix.find_first_of("?#") != std::string::npos) {
-            addWarning(findings, path + ".pathPrefix",
+            addWarning(findings, fieldOf(path, ConfigField::PathPrefix),
                 fmt::format("route '{}' never matches: requests are compared by path without query, and the prefix is '{}'", route.name,
                     route.pathPrefix));
         }
         if (route.timeout < route.latencyObjective) {
-            addWarning(findings, path + ".timeoutMs",
+            addWarning(findings, fieldOf(path, ConfigField::Timeout),
                 fmt::format("route '{}' ends requests after {} ms, before its 'targetLatencyMs' of {} ms", route.name,
                     route.timeout.milliseconds(), route.latencyObjective.milliseconds()));
         }
         if (route.eventGapObjective > route.timeout) {
-            addWarning(findings, path + ".gapAimMs",
+            addWarning(findings, fieldOf(path, ConfigField::EventGapObjective),
                 fmt::format("route '{}' allows gaps of {} ms between events, which is over its 'timeoutMs' of {} ms", route.name,
                     route.eventGapObjective.milliseconds(), route.timeout.milliseconds()));
         }
@@ -201,11 +210,11 @@
     const bool hasAdapters =
         std::any_of(engine.models.begin(), engine.models.end(), [](const BaseModelSpec &model) { return model.adapterMb > 0; });
     if (engine.adapterSlots == 0 && hasAdapters) {
-        addWarning(findings, path + ".adapterSlots",
+        addWarning(findings, fieldOf(path, ConfigField::AdapterSlots),
             fmt::format("service '{}' has models with adapters, but no adapter slots, so no adapter can be loaded", service.name.value()));
     }
     if (!(engine.kvCacheTokens > 0)) {
-        addWarning(findings, path + ".kvCapacity",
+        addWarning(findings, fieldOf(path, ConfigField::KvCacheTokens),
             fmt::format("service '{}' has a KV cache of 0 tokens, so requests are not checked against the memory of its engines",
                 service.name.value()));
     }
@@ -249,13 +258,14 @@
         const Team &team = source.teams[i];
         const std::string path = fmt::format("tenants[{}]", i);
         if (team.keys.empty()) {
-            addWarning(findings, path + ".apiKeys", fmt::format("team '{}' has no key, so no request can name it", team.name.value()));
+            addWarning(findings, fieldOf(path, ConfigField::Keys),
+                fmt::format("team '{}' has no key, so no request can name it", team.name.value()));
         }
         // The decoder leaves out a limit without a rate; only the text tells that the operator wrote one.
         const Json &entry = root["tenants"][i];
         const auto isSet = [&entry](const char *name) { return entry.contains(name) && !entry[name].is_null(); };
         if (!team.limit && (isSet("unit") || isSet("burst"))) {
-            addWarning(findings, path + ".ratePerS",
+            addWarning(findings, fieldOf(path, ConfigField::RequestRate),
                 fmt::format("team '{}' has a limit without a rate, so its requests are not limited", team.name.value()));
         }
     }
@@ -319,12 +329,12 @@
         targets += fmt::format("{}{}:{}", targets.empty() ? "" : ", ", target.service.value(), target.weight);
     }
     return { route.name,
-        { { "host", route.host }, { "pathPrefix", route.pathPrefix }, { "kind", kindName(route.kind) },
-            { "timeoutMs", fmt::to_string(route.timeout.milliseconds()) },
-            { "targetLatencyMs", fmt::to_string(route.latencyObjective.milliseconds()) },
-            { "gapAimMs", fmt::to_string(route.eventGapObjective.milliseconds()) }, { "priority", fmt::to_string(route.priority) },
-            { "maxAttempts", fmt::to_string(route.maxAttempts) }, { "resumable", fmt::to_string(route.isResumable) },
-            { "public", fmt::to_string(route.isPublic) }, { "services", targets } },
+        { { "host", route.host }, { ConfigField::PathPrefix, route.pathPrefix }, { "kind", kindName(route.kind) },
+            { ConfigField::Timeout, fmt::to_string(route.timeout.milliseconds()) },
+            { ConfigField::LatencyObjective, fmt::to_string(route.latencyObjective.milliseconds()) },
+            { ConfigField::EventGapObjective, fmt::to_string(route.eventGapObjective.milliseconds()) },
+            { "priority", fmt::to_string(route.priority) }, { ConfigField::MaxAttempts, fmt::to_string(route.maxAttempts) },
+            { "resumable", fmt::to_string(route.isResumable) }, { "public", fmt::to_string(route.isPublic) }, { "services", targets } },
         {} };
 }
 
@@ -337,8 +347,8 @@
     }
     const EngineSpec &engine = *service.engine;
     entry.fields.emplace_back("engine.weightsMb", fmt::to_string(engine.weightsMb));
-    entry.fields.emplace_back("engine.adapterSlots", fmt::to_string(engine.adapterSlots));
-    entry.fields.emplace_back("engine.kvCapacity", fmt::to_string(engine.kvCacheTokens));
+    entry.fields.emplace_back(fieldOf("engine", ConfigField::AdapterSlots), fmt::to_string(engine.adapterSlots));
+    entry.fields.emplace_back(fieldOf("engine", ConfigField::KvCacheTokens), fmt::to_string(engine.kvCacheTokens));
     entry.fields.emplace_back("engine.loadsPerS", fmt::to_string(engine.loadsPerSecond));
     for (const BaseModelSpec &model : engine.models) {
         const std::string path = fmt::format("engine.models['{}'].", model.id.value());
@@ -357,7 +367,7 @@
     }
     if (team.limit) {
         entry.fields.emplace_back("unit", team.limit->unit == LimitUnit::Tokens ? "token_stream" : "request");
-        entry.fields.emplace_back("ratePerS", fmt::to_string(team.limit->ratePerSecond));
+        entry.fields.emplace_back(ConfigField::RequestRate, fmt::to_string(team.limit->ratePerSecond));
         entry.fields.emplace_back("burst", fmt::to_string(team.limit->burst));
         entry.fields.emplace_back("plainTokens", fmt::to_string(team.limit->plainRequestTokens));
     }
@@ -395,7 +405,7 @@
     const absl::flat_hash_set<KeyDigest> newKeys(after.keys.begin(), after.keys.end());
     if (oldKeys != newKeys) {
         const auto added = std::count_if(newKeys.begin(), newKeys.end(), [&](const KeyDigest &key) { return !oldKeys.contains(key); });
-        changes.push_back({ "apiKeys", fmt::to_string(oldKeys.size()), fmt::format("{} ({} new)", newKeys.size(), added) });
+        changes.push_back({ ConfigField::Keys, fmt::to_string(oldKeys.size()), fmt::format("{} ({} new)", newKeys.size(), added) });
     }
     return changes;
 }
--- a/tests/main/testmetrics.cpp
+++ b/tests/main/testmetrics.cpp
@@ -96,6 +96,7 @@
     entry.relayed("sent");
     entry.resumed("own");
     entry.slowReader("buffered");
+    entry.streamEnded(StreamTiming::OnTime);
     entry.order("done");
     entry.keyRefused("unauthenticated");
     entry.teamRequest(TeamName("t"), "admitted");
