Weigh delays and speeds of engines only where the settings ask for it

Each part is a setting now, off by default, so that placement stays as it was until a part is shown to serve callers better.

--- a/coordination/upstreamchoice.h
+++ b/coordination/upstreamchoice.h
@@ -35,6 +35,17 @@
     double slowness = 1;
 };
 
+/** What placement takes into account beyond the time to first token at engines of usual speed. */
+struct PlacementPolicy
+{
+    /** Engines get no more requests than their configured KV cache holds (EngineMemory). */
+    bool limitsMemory = false;
+    /** The time to first token is longer at engines that are slow (EngineSpeed). */
+    bool weighsSpeed = false;
+    /** Where gaps make streams late, the delays count that prefill causes to streams (EventGapMonitor). */
+    bool weighsDelays = false;
+};
+
 struct ChoiceParameters
 {
     /** Prompt tokens that an engine processes per millisecond. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -225,7 +225,7 @@
     forwarderSettings.teamCredit.reserve = settings.limitReserve;
     forwarderSettings.answers = { settings.maxAnswerBytes, settings.maxEventBytes, settings.memoryBytes / AnswerMemoryDivisor,
         settings.maxUnreadBytes };
-    forwarderSettings.limitsEngineMemory = settings.limitsEngineMemory;
+    forwarderSettings.placement = settings.placement;
     ForwarderCallbacks callbacks;
     callbacks.onPendingAdapters = [this] {
         fleet->sendPendingAdapters();
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -4,6 +4,7 @@
 #include "coordination/fleetmessage.h"
 #include "coordination/relaychoice.h"
 #include "coordination/revocationbound.h"
+#include "coordination/upstreamchoice.h"
 #include "core/errors.h"
 #include "main/entry/clusterstate.h"
 #include "main/entry/creditlimiter.h"
@@ -39,8 +40,7 @@
     /** How the fleet keeps the limits that upstreams state for their requests. */
     TeamCreditLimits upstreamCredit = upstreamCreditLimits();
     AnswerLimits answers;
-    /** Engines get no more requests than their configured KV cache holds. */
-    bool limitsEngineMemory = false;
+    PlacementPolicy placement;
 };
 
 /** Callbacks from the forwarder into the rest of the node. */
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -157,7 +157,9 @@
 ChoiceParameters RequestJob::choiceParameters() const
 {
     ChoiceParameters parameters;
-    parameters.separation = m_context.clusterState().eventGaps.separation(m_service);
+    if (m_context.settings().placement.weighsDelays) {
+        parameters.separation = m_context.clusterState().eventGaps.separation(m_service);
+    }
     return parameters;
 }
 
@@ -324,7 +326,7 @@
 
 double RequestJob::engineCapacity() const
 {
-    const bool isLimited = m_context.settings().limitsEngineMemory && m_decoded.generation;
+    const bool isLimited = m_context.settings().placement.limitsMemory && m_decoded.generation;
     const EngineSpec *spec = isLimited ? m_context.clusterState().engineSpec(m_service) : nullptr;
     return spec != nullptr ? spec->kvCacheTokens : 0;
 }
@@ -386,6 +388,11 @@
     return now() - known->second.learnedAt < m_context.settings().adapterVersionBound - Duration(2500);
 }
 
+double RequestJob::slowness(const UpstreamRecord &record) const
+{
+    return m_context.settings().placement.weighsSpeed ? m_context.clusterState().engineSpeed.slowness(record, now()) : 1;
+}
+
 std::vector<UpstreamOption> RequestJob::options()
 {
     std::vector<UpstreamOption> result;
@@ -397,7 +404,7 @@
         const FleetLoad load = clusterState.loadTracker.load(record->id, now());
         if (hasRoom(*record, load)) {
             result.push_back(UpstreamOption { record, load, clusterState.outliers.share(record->id, now()),
-                record->zone == m_context.settings().zone, 0, clusterState.engineSpeed.slowness(*record, now()) });
+                record->zone == m_context.settings().zone, 0, slowness(*record) });
         }
     }
     return result;
@@ -429,8 +436,7 @@
         if (!hasRoom(*record, load)) {
             continue;
         }
-        result.push_back(UpstreamOption {
-            record, load, clusterState.outliers.share(engine, now()), false, 0, clusterState.engineSpeed.slowness(*record, now()) });
+        result.push_back(UpstreamOption { record, load, clusterState.outliers.share(engine, now()), false, 0, slowness(*record) });
     }
     return result;
 }
@@ -955,7 +961,7 @@
 
 void RequestJob::observeSpeed(int eventCount)
 {
-    if (eventCount == 0 || m_relay || !m_decoded.generation || m_hasPaused) {
+    if (!m_context.settings().placement.weighsSpeed || eventCount == 0 || m_relay || !m_decoded.generation || m_hasPaused) {
         return;
     }
     ClusterState &clusterState = m_context.clusterState();
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -163,6 +163,8 @@
     /** The tokens that the request reserves at an engine of its service; 0 if their memory is not limited. */
     double reservation() const;
     double engineCapacity() const;
+    /** How slow the engine is, 1 if usual or if the placement policy ignores it. */
+    double slowness(const UpstreamRecord &record) const;
     /** Whether an engine with this load has room for the request. */
     bool hasRoom(const UpstreamRecord &record, const FleetLoad &load);
     /** No engine has room for the request: waits, or refuses it if it cannot be answered in time. */
--- a/tests/main/testrequestforwardermemory.cpp
+++ b/tests/main/testrequestforwardermemory.cpp
@@ -18,7 +18,7 @@
     static ForwarderSettings limitedMemory()
     {
         ForwarderSettings settings;
-        settings.limitsEngineMemory = true;
+        settings.placement.limitsMemory = true;
         return settings;
     }
     MemoryFixture()
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -217,8 +217,10 @@
     cr_assert_eq(ownLimits.value().maxAnswerBytes, 2048);
     cr_assert_eq(ownLimits.value().maxEventBytes, 4096);
     cr_assert_eq(ownLimits.value().maxUnreadBytes, 8192);
-    cr_assert_not(ownLimits.value().limitsEngineMemory);
-    cr_assert(decodeSettings(Settings + "[engines]\nlimitMemory = true\n").value().limitsEngineMemory);
+    cr_assert_not(
+        ownLimits.value().placement.limitsMemory || ownLimits.value().placement.weighsSpeed || ownLimits.value().placement.weighsDelays);
+    const auto weighing = decodeSettings(Settings + "[engines]\nlimitMemory = true\nweighSpeed = true\nweighDelays = true\n");
+    cr_assert(weighing.value().placement.limitsMemory && weighing.value().placement.weighsSpeed && weighing.value().placement.weighsDelays);
     cr_assert_not(decodeSettings(Settings + "[engines]\nlimitMemory = 1\n").isOk());
     const auto withoutAnswers = decodeSettings(Settings + "[answers]\nmaxEventBytes = 0\n");
     cr_assert(!withoutAnswers.isOk() && withoutAnswers.error().detail.find("answers.maxEventBytes") != std::string::npos);
