Average the prefill of upstreams only where placement weighs it

Each load that a peer reports updated the average, also on nodes whose settings do not use it, and entries of upstreams that are gone stayed.

--- a/coordination/upstreamloadtracker.cpp
+++ b/coordination/upstreamloadtracker.cpp
@@ -13,6 +13,8 @@
 constexpr Duration SweepInterval { 100 };
 // Time constant of the average of what an upstream has to prefill.
 constexpr Duration PrefillMemory { 2000 };
+// An upstream with a smaller share than this, and nothing to prefill, is forgotten.
+constexpr double MinPrefillShare = 0.001;
 // With this many prompt tokens to process, an engine's steps are as long as they get.
 constexpr double LongPromptTokens = 2048;
 
@@ -24,6 +26,11 @@
 
 } // namespace
 
+void UpstreamLoadTracker::trackPrefill()
+{
+    m_isTrackingPrefill = true;
+}
+
 void UpstreamLoadTracker::onSent(const UpstreamId &upstream, std::uint32_t promptTokens, Time now)
 {
     UpstreamLoad &load = m_own[upstream];
@@ -88,6 +95,9 @@
 
 void UpstreamLoadTracker::updatePrefill(const UpstreamId &upstream, Time now)
 {
+    if (!m_isTrackingPrefill) {
+        return;
+    }
     PrefillAverage &prefill = m_prefill[upstream];
     prefill.average = averageAt(prefill, now);
     prefill.updatedAt = now;
@@ -128,6 +138,8 @@
         return;
     }
     m_sweptAt = now;
+    absl::erase_if(
+        m_prefill, [now](const auto &entry) { return entry.second.current == 0 && averageAt(entry.second, now) < MinPrefillShare; });
     for (auto at = m_peers.begin(); at != m_peers.end();) {
         const auto current = at++;
         if (now - current->second.receivedAt > PeerTimeout) {
--- a/coordination/upstreamloadtracker.h
+++ b/coordination/upstreamloadtracker.h
@@ -36,6 +36,8 @@
     /** The load of a peer is removed after this time without a message from it: six missed messages. */
     static constexpr Duration PeerTimeout { 1500 };
 
+    /** Averages from now on how much each upstream has to prefill; without it, FleetLoad::prefillShare is 0. */
+    void trackPrefill();
     void onSent(const UpstreamId &upstream, std::uint32_t promptTokens, Time now);
     /** The prompt has been processed. */
     void onFirstToken(const UpstreamId &upstream, std::uint32_t promptTokens, Time now);
@@ -81,6 +83,7 @@
     /** The load of all peers together at each upstream. */
     absl::flat_hash_map<UpstreamId, FleetLoad> m_peerTotals;
     absl::flat_hash_map<UpstreamId, PrefillAverage> m_prefill;
+    bool m_isTrackingPrefill = false;
     Time m_sweptAt;
 };
 
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -113,6 +113,9 @@
         , prober(loop, log, metrics, clusterState, [this] { retryPlacements(); })
         , guard(loop, log, metrics, clusterState, CrashGuard::Callbacks { m_callbacks.onQuarantineNews, m_callbacks.trialRank })
     {
+        if (m_settings.placement.weighsDelays) {
+            clusterState.loadTracker.trackPrefill();
+        }
     }
 
     IoLoop &loop() override
--- a/tests/coordination/testmarginalcost.cpp
+++ b/tests/coordination/testmarginalcost.cpp
@@ -52,6 +52,7 @@
     explicit Replay(bool isSeparating)
         : m_isSeparating(isSeparating)
     {
+        m_tracker.trackPrefill();
         for (int i = 0; i < Engines; ++i) {
             m_engines[i].record.id = UpstreamId("engine-" + std::to_string(i));
             m_engines[i].record.slots = 96;
