--- a/transport/mhdexchange.cpp
+++ b/transport/mhdexchange.cpp
@@ -93,7 +93,9 @@
     m_buffer.Clear();
     sockaddr none {};
     none.sa_family = AF_UNSPEC;
-    connect(m_socket, &none, sizeof none); // Resets the connection, which a shutdown would end only after what the system has buffered.
+    // Resets the connection, which a shutdown would end only after what the system has buffered. If this fails, MHD aborts it as soon as
+    // the caller reads.
+    static_cast<void>(connect(m_socket, &none, sizeof none));
     resumeLocked();
 }
 
