Name request kinds and configuration fields in one place

The configuration check spelled out names of the platform that its decoder spells as well, and had a second copy of the names of request kinds. The decoder and the check now share platform/configfields.h, and the check and the metrics share requestKindName(). What a metric calls a late stream is a switch instead of a nested condition, and the comment on EventGapMonitor::onStreamEnded() says which streams count. Output, labels and errors are unchanged.

--- a/coordination/eventgapmonitor.h
+++ b/coordination/eventgapmonitor.h
@@ -42,7 +42,7 @@
 class EventGapMonitor
 {
 public:
-    /** A stream of @p service ended; only streams with two events or more count. */
+    /** A stream of @p service ended that had at least one event. */
     void onStreamEnded(const ServiceName &service, bool hadLateGap);
     /** A recent average of the share of streams with a late gap, 0 to 1; 0 if none is known. */
     double lateShare(const ServiceName &service) const;
--- a/main/configcheck.cpp
+++ b/main/configcheck.cpp
@@ -33,6 +33,11 @@
     return path + "." + name;
 }
 
+std::string entryPath(const std::string &list, std::size_t index)
+{
+    return fmt::format("{}[{}]", list, index);
+}
+
 void addError(Findings &findings, std::string field, std::string message)
 {
     findings.push_back({ FindingSeverity::Error, std::move(field), std::move(message) });
@@ -141,26 +146,26 @@
             }
         }
         if (std::string error = tableError(std::move(part)); !error.empty()) {
-            addError(findings, fmt::format("routes[{}]", i), std::move(error));
+            addError(findings, entryPath(ConfigField::Routes, i), std::move(error));
         } else {
             validRoutes.routes.push_back(source.routes[i]);
         }
     }
     if (std::string error = tableError(std::move(validRoutes)); !error.empty()) {
-        addError(findings, "routes", std::move(error));
+        addError(findings, ConfigField::Routes, std::move(error));
     }
     RouteTableSource validTeams;
     for (std::size_t i = 0; i < source.teams.size(); ++i) {
         RouteTableSource part;
         part.teams = { source.teams[i] };
         if (std::string error = tableError(std::move(part)); !error.empty()) {
-            addError(findings, fmt::format("tenants[{}]", i), std::move(error));
+            addError(findings, entryPath(ConfigField::Teams, i), std::move(error));
         } else {
             validTeams.teams.push_back(source.teams[i]);
         }
     }
     if (std::string error = tableError(std::move(validTeams)); !error.empty()) {
-        addError(findings, "tenants", std::move(error));
+        addError(findings, ConfigField::Teams, std::move(error));
     }
     if (findings.size() == countBefore) {
         addError(findings, WholeConfiguration, wholeError);
@@ -172,7 +177,7 @@
     absl::flat_hash_map<std::string, std::size_t> indexByName;
     for (std::size_t i = 0; i < source.routes.size(); ++i) {
         const Route &route = source.routes[i];
-        const std::string path = fmt::format("routes[{}]", i);
+        const std::string path = entryPath(ConfigField::Routes, i);
         const Route *found = table.find(route.host, route.pathPrefix);
         if (found == nullptr) {
             addWarning(findings, path + ".host",
@@ -189,13 +194,13 @@
         }
         if (route.timeout < route.latencyObjective) {
             addWarning(findings, fieldOf(path, ConfigField::Timeout),
-                fmt::format("route '{}' ends requests after {} ms, before its 'targetLatencyMs' of {} ms", route.name,
-                    route.timeout.milliseconds(), route.latencyObjective.milliseconds()));
+                fmt::format("route '{}' ends requests after {} ms, before its '{}' of {} ms", route.name, route.timeout.milliseconds(),
+                    ConfigField::LatencyObjective, route.latencyObjective.milliseconds()));
         }
         if (route.eventGapObjective > route.timeout) {
             addWarning(findings, fieldOf(path, ConfigField::EventGapObjective),
-                fmt::format("route '{}' allows gaps of {} ms between events, which is over its 'timeoutMs' of {} ms", route.name,
-                    route.eventGapObjective.milliseconds(), route.timeout.milliseconds()));
+                fmt::format("route '{}' allows gaps of {} ms between events, which is over its '{}' of {} ms", route.name,
+                    route.eventGapObjective.milliseconds(), ConfigField::Timeout, route.timeout.milliseconds()));
         }
         if (const auto [at, isNew] = indexByName.emplace(route.name, i); !isNew) {
             addWarning(findings, path + ".name",
@@ -221,7 +226,7 @@
     for (std::size_t i = 0; i < engine.models.size(); ++i) {
         const BaseModelSpec &model = engine.models[i];
         if (model.weightsMb > engine.weightsMb) {
-            addWarning(findings, fmt::format("{}.models[{}].weightsMb", path, i),
+            addWarning(findings, fieldOf(entryPath(fieldOf(path, ConfigField::Models), i), ConfigField::WeightsMb),
                 fmt::format("model '{}' needs {} MB, and engines of service '{}' have {} MB for weights", model.id.value(), model.weightsMb,
                     service.name.value(), engine.weightsMb));
         }
@@ -239,7 +244,7 @@
     absl::flat_hash_map<ServiceName, std::size_t> indexByName;
     for (std::size_t i = 0; i < source.services.size(); ++i) {
         const RoutedService &service = source.services[i];
-        const std::string path = fmt::format("services[{}]", i);
+        const std::string path = entryPath(ConfigField::Services, i);
         if (const auto [at, isNew] = indexByName.emplace(service.name, i); !isNew) {
             addWarning(findings, path + ".name",
                 fmt::format("services[{}] has the name '{}' as well, so this one is not used", at->second, service.name.value()));
@@ -247,7 +252,7 @@
             addWarning(findings, path + ".name", fmt::format("no route sends requests to service '{}'", service.name.value()));
         }
         if (service.engine) {
-            checkEngine(service, path + ".engine", findings);
+            checkEngine(service, fieldOf(path, ConfigField::Engine), findings);
         }
     }
 }
@@ -256,15 +261,15 @@
 {
     for (std::size_t i = 0; i < source.teams.size(); ++i) {
         const Team &team = source.teams[i];
-        const std::string path = fmt::format("tenants[{}]", i);
+        const std::string path = entryPath(ConfigField::Teams, i);
         if (team.keys.empty()) {
             addWarning(findings, fieldOf(path, ConfigField::Keys),
                 fmt::format("team '{}' has no key, so no request can name it", team.name.value()));
         }
         // The decoder leaves out a limit without a rate; only the text tells that the operator wrote one.
-        const Json &entry = root["tenants"][i];
+        const Json &entry = root[ConfigField::Teams][i];
         const auto isSet = [&entry](const char *name) { return entry.contains(name) && !entry[name].is_null(); };
-        if (!team.limit && (isSet("unit") || isSet("burst"))) {
+        if (!team.limit && (isSet(ConfigField::Unit) || isSet(ConfigField::Burst))) {
             addWarning(findings, fieldOf(path, ConfigField::RequestRate),
                 fmt::format("team '{}' has a limit without a rate, so its requests are not limited", team.name.value()));
         }
@@ -309,19 +314,6 @@
     std::vector<KeyDigest> keys;
 };
 
-const char *kindName(RequestKind kind)
-{
-    switch (kind) {
-    case RequestKind::Idempotent:
-        return "idempotent";
-    case RequestKind::NonIdempotent:
-        return "non_idempotent";
-    case RequestKind::Stream:
-        return "stream";
-    }
-    return "";
-}
-
 Entry entryOf(const Route &route)
 {
     std::string targets;
@@ -329,32 +321,33 @@
         targets += fmt::format("{}{}:{}", targets.empty() ? "" : ", ", target.service.value(), target.weight);
     }
     return { route.name,
-        { { "host", route.host }, { ConfigField::PathPrefix, route.pathPrefix }, { "kind", kindName(route.kind) },
+        { { "host", route.host }, { ConfigField::PathPrefix, route.pathPrefix }, { "kind", std::string(requestKindName(route.kind)) },
             { ConfigField::Timeout, fmt::to_string(route.timeout.milliseconds()) },
             { ConfigField::LatencyObjective, fmt::to_string(route.latencyObjective.milliseconds()) },
             { ConfigField::EventGapObjective, fmt::to_string(route.eventGapObjective.milliseconds()) },
-            { "priority", fmt::to_string(route.priority) }, { ConfigField::MaxAttempts, fmt::to_string(route.maxAttempts) },
-            { "resumable", fmt::to_string(route.isResumable) }, { "public", fmt::to_string(route.isPublic) }, { "services", targets } },
+            { ConfigField::Priority, fmt::to_string(route.priority) }, { ConfigField::MaxAttempts, fmt::to_string(route.maxAttempts) },
+            { ConfigField::Resumable, fmt::to_string(route.isResumable) }, { ConfigField::Public, fmt::to_string(route.isPublic) },
+            { "services", targets } },
         {} };
 }
 
 Entry entryOf(const RoutedService &service)
 {
-    Entry entry { service.name.value(), { { "healthPath", service.healthPath }, { "maxConns", fmt::to_string(service.maxConnections) } },
-        {} };
+    Entry entry { service.name.value(),
+        { { ConfigField::HealthPath, service.healthPath }, { ConfigField::MaxConnections, fmt::to_string(service.maxConnections) } }, {} };
     if (!service.engine) {
         return entry;
     }
     const EngineSpec &engine = *service.engine;
-    entry.fields.emplace_back("engine.weightsMb", fmt::to_string(engine.weightsMb));
-    entry.fields.emplace_back(fieldOf("engine", ConfigField::AdapterSlots), fmt::to_string(engine.adapterSlots));
-    entry.fields.emplace_back(fieldOf("engine", ConfigField::KvCacheTokens), fmt::to_string(engine.kvCacheTokens));
-    entry.fields.emplace_back("engine.loadsPerS", fmt::to_string(engine.loadsPerSecond));
+    entry.fields.emplace_back(fieldOf(ConfigField::Engine, ConfigField::WeightsMb), fmt::to_string(engine.weightsMb));
+    entry.fields.emplace_back(fieldOf(ConfigField::Engine, ConfigField::AdapterSlots), fmt::to_string(engine.adapterSlots));
+    entry.fields.emplace_back(fieldOf(ConfigField::Engine, ConfigField::KvCacheTokens), fmt::to_string(engine.kvCacheTokens));
+    entry.fields.emplace_back(fieldOf(ConfigField::Engine, ConfigField::LoadsPerSecond), fmt::to_string(engine.loadsPerSecond));
     for (const BaseModelSpec &model : engine.models) {
-        const std::string path = fmt::format("engine.models['{}'].", model.id.value());
-        entry.fields.emplace_back(path + "weightsMb", fmt::to_string(model.weightsMb));
-        entry.fields.emplace_back(path + "adapterMb", fmt::to_string(model.adapterMb));
-        entry.fields.emplace_back(path + "loadS", fmt::to_string(model.loadTime.toSeconds()));
+        const std::string path = fmt::format("{}.{}['{}'].", ConfigField::Engine, ConfigField::Models, model.id.value());
+        entry.fields.emplace_back(path + ConfigField::WeightsMb, fmt::to_string(model.weightsMb));
+        entry.fields.emplace_back(path + ConfigField::AdapterMb, fmt::to_string(model.adapterMb));
+        entry.fields.emplace_back(path + ConfigField::LoadTime, fmt::to_string(model.loadTime.toSeconds()));
     }
     return entry;
 }
@@ -363,13 +356,14 @@
 {
     Entry entry { team.name.value(), {}, team.keys };
     if (team.priority) {
-        entry.fields.emplace_back("priority", fmt::to_string(*team.priority));
+        entry.fields.emplace_back(ConfigField::Priority, fmt::to_string(*team.priority));
     }
     if (team.limit) {
-        entry.fields.emplace_back("unit", team.limit->unit == LimitUnit::Tokens ? "token_stream" : "request");
+        entry.fields.emplace_back(
+            ConfigField::Unit, team.limit->unit == LimitUnit::Tokens ? ConfigField::TokenUnit : ConfigField::RequestUnit);
         entry.fields.emplace_back(ConfigField::RequestRate, fmt::to_string(team.limit->ratePerSecond));
-        entry.fields.emplace_back("burst", fmt::to_string(team.limit->burst));
-        entry.fields.emplace_back("plainTokens", fmt::to_string(team.limit->plainRequestTokens));
+        entry.fields.emplace_back(ConfigField::Burst, fmt::to_string(team.limit->burst));
+        entry.fields.emplace_back(ConfigField::PlainTokens, fmt::to_string(team.limit->plainRequestTokens));
     }
     return entry;
 }
@@ -377,9 +371,10 @@
 Entry entryOf(const CallerLimits &limits)
 {
     return { {},
-        { { "maxHeaderBytes", fmt::to_string(limits.headerBytes) }, { "maxBodyBytes", fmt::to_string(limits.bodyBytes) },
-            { "headerTimeoutMs", fmt::to_string(limits.headerTimeout.milliseconds()) },
-            { "idleTimeoutMs", fmt::to_string(limits.idleTimeout.milliseconds()) } },
+        { { ConfigField::MaxHeaderBytes, fmt::to_string(limits.headerBytes) },
+            { ConfigField::MaxBodyBytes, fmt::to_string(limits.bodyBytes) },
+            { ConfigField::HeaderTimeout, fmt::to_string(limits.headerTimeout.milliseconds()) },
+            { ConfigField::IdleTimeout, fmt::to_string(limits.idleTimeout.milliseconds()) } },
         {} };
 }
 
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -25,15 +25,20 @@
 // Further teams share the label "other".
 constexpr std::size_t MaxLabelledTeams = 64;
 
-const char *kindName(RequestKind kind)
+std::string kindLabel(RequestKind kind)
 {
-    switch (kind) {
-    case RequestKind::Idempotent:
-        return "idempotent";
-    case RequestKind::NonIdempotent:
-        return "non_idempotent";
-    case RequestKind::Stream:
-        return "stream";
+    return std::string(requestKindName(kind));
+}
+
+const char *timingName(StreamTiming timing)
+{
+    switch (timing) {
+    case StreamTiming::OnTime:
+        return "on_time";
+    case StreamTiming::LateFirstEvent:
+        return "late_first_event";
+    case StreamTiming::LateEventGap:
+        return "late_event_gap";
     }
     return "unknown";
 }
@@ -197,15 +202,15 @@
 
 void EntryMetrics::requestEnded(RequestKind kind, RequestOutcome outcome, Duration took)
 {
-    d->requests.Add({ { "kind", kindName(kind) }, { "outcome", outcomeName(outcome) } }).Increment();
+    d->requests.Add({ { "kind", kindLabel(kind) }, { "outcome", outcomeName(outcome) } }).Increment();
     if (outcome == RequestOutcome::Served) {
-        d->durations.Add({ { "kind", kindName(kind) } }, BucketBounds).Observe(took.toSeconds());
+        d->durations.Add({ { "kind", kindLabel(kind) } }, BucketBounds).Observe(took.toSeconds());
     }
 }
 
 void EntryMetrics::answerBegan(RequestKind kind, Duration after)
 {
-    d->firstBytes.Add({ { "kind", kindName(kind) } }, BucketBounds).Observe(after.toSeconds());
+    d->firstBytes.Add({ { "kind", kindLabel(kind) } }, BucketBounds).Observe(after.toSeconds());
 }
 
 void EntryMetrics::answerLength(std::uint64_t events, double expectedEvents)
@@ -215,17 +220,14 @@
 
 void EntryMetrics::streamEnded(StreamTiming timing)
 {
-    const char *name = timing == StreamTiming::OnTime ? "on_time"
-        : timing == StreamTiming::LateFirstEvent      ? "late_first_event"
-                                                      : "late_event_gap";
-    d->streams.Add({ { "timing", name } }).Increment();
+    d->streams.Add({ { "timing", timingName(timing) } }).Increment();
 }
 
 void EntryMetrics::sent(RequestKind kind, Duration waited, bool isRepeat)
 {
-    d->sentRequests.Add({ { "kind", kindName(kind) }, { "repeat", isRepeat ? "yes" : "no" } }).Increment();
+    d->sentRequests.Add({ { "kind", kindLabel(kind) }, { "repeat", isRepeat ? "yes" : "no" } }).Increment();
     if (!isRepeat) {
-        d->waits.Add({ { "kind", kindName(kind) } }, BucketBounds).Observe(waited.toSeconds());
+        d->waits.Add({ { "kind", kindLabel(kind) } }, BucketBounds).Observe(waited.toSeconds());
     }
 }
 
--- a/state/routetable.cpp
+++ b/state/routetable.cpp
@@ -56,6 +56,19 @@
 
 } // namespace
 
+std::string_view requestKindName(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Idempotent:
+        return "idempotent";
+    case RequestKind::NonIdempotent:
+        return "non_idempotent";
+    case RequestKind::Stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
 RouteTable::RouteTable(RouteTableSource source)
     : m_source(std::move(source))
 {
--- a/state/routetable.h
+++ b/state/routetable.h
@@ -26,6 +26,9 @@
     Stream,
 };
 
+/** The name of @p kind in metrics and reports. */
+std::string_view requestKindName(RequestKind kind);
+
 /** A service that gets a share of a route's requests. */
 struct RouteTarget
 {
