--- a/tests/soak/deadlycontents.py
+++ b/tests/soak/deadlycontents.py
@@ -13,6 +13,9 @@
 # How much of their answers engines send before they end: nothing, the head, or events.
 BEGINNINGS = {"nothing": None, "head": 0, "one_event": 1, "three_events": 3}
 DOWNTIME_S = 3.0
+# What is seen of a process that has ended: its host refuses connections until another one starts after the downtime; another one is back at its
+# address at once; its host is silent for the downtime.
+PROCESS_ENDS = ("refuses", "returns", "silent")
 REQUEST_INTERVAL_S = 0.4
 # Contents at a time: more of them leave no engine for sound requests, whatever nodes do.
 MAX_AT_ONCE = 2
@@ -50,9 +53,10 @@
 
 
 class DeadlyContents:
-    def __init__(self, cluster, beginnings):
+    def __init__(self, cluster, beginnings, process_ends):
         self.cluster = cluster
         self._beginnings = beginnings
+        self._process_ends = process_ends
         self.contents = {}
         # When sound streams were sent, and whether they were served.
         self._streams = []
@@ -76,6 +80,9 @@
         await self._send_each(part, DeadlyContent(part, ENOUGH_CRASHES_OF_PART, self._any_beginning()), lambda node: self.cluster.send_request(
             "chat", node, body=MARK + b"part %d" % self.cluster.next_request, prompt=self.cluster.new_prompt(part)))
 
+    def any_process_end(self):
+        return self.cluster.random.choice(self._process_ends)
+
     def _any_beginning(self):
         return self.cluster.random.choice(self._beginnings)
 
@@ -109,7 +116,7 @@
             return
         content.crashes.append(time.monotonic())
         print(f"{time.monotonic() - self.cluster.began_at:7.2f} {engine.name} ends under {content.name} of {request_id} after {content.beginning}", flush=True)
-        asyncio.create_task(self.cluster.crash_engine(engine, DOWNTIME_S))
+        asyncio.create_task(self.cluster.crash_engine(engine, DOWNTIME_S, self.any_process_end()))
 
     def on_response(self, request_id, body, kind, response, sent_at, is_owed):
         """To be called for each response to a stream request."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -210,7 +210,7 @@
         self.look_service = "api"
         self.idle_timeout_ms = 15000
         self.lost_answers = lostanswers.LostAnswers(self)
-        self.deadly_contents = deadlycontents.DeadlyContents(self, arguments.endings.split(","))
+        self.deadly_contents = deadlycontents.DeadlyContents(self, arguments.endings.split(","), arguments.process_ends.split(","))
         self.config_published_at = 0.0
         self.failures = []
         # The answers without end that upstreams have sent, by kind.
@@ -676,7 +676,15 @@
     async def part_ends_engines(self):
         await self.deadly_contents.send_part()
 
-    async def crash_engine(self, engine, downtime_s):
+    async def half_of_engines_end(self):
+        """Half of the engines end at the same moment, whatever they work on."""
+        engines = [upstream for upstream in self.upstreams if isinstance(upstream, standins.Engine) and not upstream.has_crashed]
+        ends = self.deadly_contents.any_process_end()
+        await asyncio.gather(*(self.crash_engine(engine, deadlycontents.DOWNTIME_S, ends)
+                               for engine in self.random.sample(engines, len(engines) // 2)))
+        await asyncio.sleep(self.random.uniform(0.5, 1.5))
+
+    async def crash_engine(self, engine, downtime_s, process_end):
         """The process of the engine ends; another one starts at the same address."""
         if engine.has_crashed or engine not in self.upstreams:
             return
@@ -686,9 +694,15 @@
         link = self.links[engine.name]
         self.lost_answers.begin_harm(engine.name)
         engine._server.close()
-        link.close_port()
-        await asyncio.sleep(downtime_s)
-        await link.open_port()
+        if process_end == "refuses":
+            link.close_port()
+            await asyncio.sleep(downtime_s)
+            await link.open_port()
+        elif process_end == "silent":
+            link.mode = proxy.HANG
+            await asyncio.sleep(downtime_s)
+            link.reset_all()
+            link.mode = proxy.PASS
         if engine in self.upstreams:
             await self.replace(engine, engine.name)
         self.lost_answers.end_harm(engine.name)
@@ -839,6 +853,7 @@
                         help="share of the callers with a connection for one request that close its sending side and read on")
     parser.add_argument("--endings", default=",".join(deadlycontents.BEGINNINGS),
                         help="how much of their answers engines send before they end under what a request holds, separated by commas")
+    parser.add_argument("--process-ends", default="refuses", help="what is seen of engines that have ended: refuses,returns,silent")
     parser.add_argument("--callers", type=int, default=8, help="number of callers; each sends one request at a time")
     arguments = parser.parse_args()
     print(f"seed {arguments.seed}, {arguments.seconds:.0f} s of faults, {arguments.nodes} nodes", flush=True)
