Know which software versions are in service while their entries do not change

What callers saw: a stream that broke off and was taken up again went on at another software version than had begun it, or was refused for good by nodes that had just started, though only one version was left.

Cause: nodes noted a version when an entry of the store changed, not while it was listed. An upstream whose entry does not change was forgotten once no stream from before could be left; then the version of any other entry that did change was taken for the only one. And nodes that had just started allowed for one timeout of the longest route, though callers who wait for longer take a stream up in a second request; nodes that lived on had learned up to two timeouts from their callers.

Change: the directory counts the software of all listed upstreams, and each confirmed view renews them. A route says itself how long its streams may last: two timeouts.

Streams of a time under an older configuration with longer timeouts are not covered.

--- a/coordination/softwarehistory.cpp
+++ b/coordination/softwarehistory.cpp
@@ -18,7 +18,8 @@
 void SoftwareHistory::onListed(const ServiceName &service, const SoftwareVersion &software, Time now)
 {
     auto &versions = m_lastListedAt[service];
-    versions[software] = now;
+    Time &lastListedAt = versions[software];
+    lastListedAt = std::max(lastListedAt, now);
     if (versions.size() > 1) {
         absl::erase_if(versions, [this, now](const auto &entry) { return now - entry.second > streamLifetime(); });
     }
--- a/coordination/upstreamdirectory.cpp
+++ b/coordination/upstreamdirectory.cpp
@@ -25,6 +25,22 @@
     return !entry.record.isLeaving;
 }
 
+void UpstreamDirectory::setRecord(Entry &entry, const UpstreamRecord &record)
+{
+    countSoftware(entry.record, -1);
+    entry.record = record;
+    countSoftware(entry.record, 1);
+}
+
+void UpstreamDirectory::countSoftware(const UpstreamRecord &record, int change)
+{
+    const auto at = m_listedSoftware.try_emplace(SoftwareOfService { record.service, record.softwareVersion }, 0).first;
+    at->second += change;
+    if (at->second == 0) {
+        m_listedSoftware.erase(at);
+    }
+}
+
 void UpstreamDirectory::rememberLeaving(const UpstreamStart &start, Time now)
 {
     absl::erase_if(m_leaving, [now](const auto &entry) { return now - entry.second.since > LeavingMemory; });
@@ -67,6 +83,7 @@
     const auto at = m_entries.find(record.id);
     if (at == m_entries.end()) {
         m_entries.emplace(record.id, Entry { record });
+        countSoftware(record, 1);
         return { UpstreamStarted { record } };
     }
     Entry &entry = at->second;
@@ -78,7 +95,7 @@
     // Leaving is final until the upstream restarts.
     record.isLeaving = record.isLeaving || (entry.record.isLeaving && !isNewStart);
     const bool hasLeft = !entry.record.isLeaving && record.isLeaving;
-    entry.record = record;
+    setRecord(entry, record);
     if (isNewStart) {
         return { UpstreamStarted { entry.record } };
     }
@@ -99,6 +116,7 @@
         return {};
     }
     const bool hasLapsed = !at->second.record.isLeaving;
+    countSoftware(at->second.record, -1);
     m_entries.erase(at);
     return { UpstreamLeft { id, reason, hasLapsed } };
 }
@@ -117,6 +135,7 @@
             continue;
         }
         changes.emplace_back(UpstreamLeft { at->first, "its entry did not come back after the outage of the store" });
+        countSoftware(at->second.record, -1);
         at = m_entries.erase(at);
     }
     return changes;
--- a/coordination/upstreamdirectory.h
+++ b/coordination/upstreamdirectory.h
@@ -38,6 +38,15 @@
     auto operator<=>(const UpstreamStart &) const = default;
 };
 
+/** A software version that upstreams of a service run. */
+struct SoftwareOfService
+{
+    ServiceName service;
+    SoftwareVersion software;
+
+    auto operator<=>(const SoftwareOfService &) const = default;
+};
+
 /** An upstream is new, or a known one has restarted. */
 struct UpstreamStarted
 {
@@ -94,6 +103,11 @@
     {
         return m_entries.size();
     }
+    /** The software of all listed upstreams, with their numbers. */
+    const absl::btree_map<SoftwareOfService, int> &listedSoftware() const
+    {
+        return m_listedSoftware;
+    }
 
 private:
     struct Entry
@@ -111,11 +125,14 @@
     };
 
     bool isUsable(const Entry &entry) const;
+    void setRecord(Entry &entry, const UpstreamRecord &record);
+    void countSoftware(const UpstreamRecord &record, int change);
     void rememberLeaving(const UpstreamStart &start, Time now);
 
     UpstreamDirectoryLimits m_limits;
     Time m_graceUntil;
     absl::btree_map<UpstreamId, Entry> m_entries;
+    absl::btree_map<SoftwareOfService, int> m_listedSoftware;
     /** Outlives the entries: an entry that expired, or an older record, may list a leaving upstream again. */
     absl::btree_map<UpstreamStart, Leaving> m_leaving;
 };
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -238,6 +238,10 @@
 {
     snapshotTime = std::max(snapshotTime, time);
     clusterState.softwareHistory.onViewConfirmed(snapshotTime);
+    // The entry of an upstream that goes on without a change is not delivered again.
+    for (const auto &[listed, count] : clusterState.upstreams.listedSoftware()) {
+        clusterState.softwareHistory.onListed(listed.service, listed.software, snapshotTime);
+    }
     if (!isConfigurationRefused) {
         clusterState.routesKnownAt = std::max(clusterState.routesKnownAt, time);
     }
--- a/state/routetable.cpp
+++ b/state/routetable.cpp
@@ -121,7 +121,7 @@
 {
     Duration longest;
     for (const Route &route : m_source.routes) {
-        longest = std::max(longest, route.kind == RequestKind::Stream ? route.timeout : Duration());
+        longest = std::max(longest, route.longestStream());
     }
     return longest;
 }
--- a/state/routetable.h
+++ b/state/routetable.h
@@ -61,6 +61,12 @@
     bool isPublic = false;
     /** At least one. */
     std::vector<RouteTarget> targets;
+
+    /** How long a stream may last: a caller that waits for longer than one request may take takes it up in a second one at most. */
+    Duration longestStream() const
+    {
+        return kind == RequestKind::Stream ? timeout * 2 : Duration();
+    }
 };
 
 /** A base model as the configuration describes it. */
@@ -144,7 +150,7 @@
     /** Null if there is no service of this name. */
     const RoutedService *service(const ServiceName &name) const;
 
-    /** The longest time that a stream may take; zero if there are no routes of streams. */
+    /** The longest time that a stream may last; zero if there are no routes of streams. */
     Duration longestStream() const;
     /** Whether requests on routes that are not public need a key. */
     bool requiresKeys() const
--- a/tests/coordination/testupstreamdirectory.cpp
+++ b/tests/coordination/testupstreamdirectory.cpp
@@ -260,3 +260,31 @@
     cr_assert(directory.markLeaving(UpstreamStart { record.id, 7 }, false, Time(60)).empty());
     cr_assert_not_null(directory.usable(record.id));
 }
+
+// An upstream whose entry does not change went on, and its software was forgotten once streams had ended that began before.
+Test(upstreamdirectory, softwareOfListedUpstreamsIsKnownUntilTheyAreRemoved)
+{
+    UpstreamDirectory directory { UpstreamDirectoryLimits {} };
+    const auto put = [&directory](const std::string &id, const std::string &software, std::int64_t startedAt) {
+        UpstreamRecord record;
+        record.id = UpstreamId(id);
+        record.service = ServiceName("svc");
+        record.softwareVersion = SoftwareVersion(software);
+        record.startedAt = startedAt;
+        directory.put(record, Time(1));
+    };
+    const auto count = [&directory](const std::string &software) {
+        const auto &listed = directory.listedSoftware();
+        const auto at = listed.find(SoftwareOfService { ServiceName("svc"), SoftwareVersion(software) });
+        return at != listed.end() ? at->second : 0;
+    };
+    put("a", "v1", 1);
+    put("b", "v1", 1);
+    cr_assert_eq(count("v1"), 2);
+    put("a", "v2", 2);
+    put("a", "v2", 2);
+    cr_assert_eq(count("v1"), 1);
+    cr_assert_eq(count("v2"), 1);
+    directory.remove(UpstreamId("b"), "left", Time(2));
+    cr_assert_eq(directory.listedSoftware().size(), 1);
+}
--- a/tests/lintfile.sh
+++ b/tests/lintfile.sh
@@ -7,7 +7,7 @@
 root="$(cd "$(dirname "$0")/.." && pwd)"
 cache="${XDG_CACHE_HOME:-$HOME/.cache}/apricotstep-lint"
 
-command="$(jq -r --arg file "$root/$source" '.[] | select(.file == $file) | .command' "$build/compile_commands.json")"
+command="$(jq -r --arg file "$root/$source" '.[] | select(.file == $file) | .command' "$build/compile_commands.json" | sed 's| -o [^ ]* -c | |')"
 if [ -z "$command" ]; then
     echo "$source: not in $build/compile_commands.json" >&2
     exit 1
@@ -18,7 +18,7 @@
     clang-tidy --version
     cat "$root/.clang-tidy" "$0"
     echo "$command"
-    (cd "$build" && eval "$command -E -C -o -")
+    (cd "$build" && eval "$command -E -C")
 } | sed "s|$root|.|g" | sha256sum | cut -d' ' -f1)"
 if [ -e "$cache/$key" ]; then
     exit 0
--- a/tests/main/testentrynodestream.cpp
+++ b/tests/main/testentrynodestream.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <atomic>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -23,21 +24,27 @@
         ScriptedAnswer::ConnectionAction::Close };
 }
 
-/** A store that lists one upstream of each of two software versions. */
-ScriptedAnswer answerAsStore(const std::string &request, const std::vector<std::string> &addresses)
+std::string upstreamItem(std::size_t number, const std::string &address, int slots = 4, int revision = 2)
+{
+    return item(absl::StrCat("servers/u", number),
+        absl::StrCat(R"({"service":"svc","address":")", address, R"(","zone":"z","version":"v)", number, R"(","slots":)", slots,
+            R"(,"state":"ready","seq":1,"born":5})"),
+        revision);
+}
+
+/** A store that lists one upstream of each of some software versions. */
+ScriptedAnswer answerAsStore(const std::string &request, const std::vector<std::string> &addresses, int timeoutMs = 15000)
 {
     if (absl::StrContains(request, "kv-watch")) {
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
         return ScriptedAnswer { json(R"({"events":[],"storeRevision":2})") };
     }
-    const std::string config =
-        R"({"version":4,"routes":[{"name":"chat","host":"h.example","pathPrefix":"/chat/","kind":"stream",)"
-        R"("resumable":true,"maxAttempts":2,"timeoutMs":15000,"service":"svc"}],"services":[{"name":"svc","maxConns":10}]})";
+    const std::string config = absl::StrCat(
+        R"({"version":4,"routes":[{"name":"chat","host":"h.example","pathPrefix":"/chat/","kind":"stream",)",
+        R"("resumable":true,"maxAttempts":2,"timeoutMs":)", timeoutMs, R"(,"service":"svc"}],"services":[{"name":"svc","maxConns":10}]})");
     std::vector<std::string> items { item("op/config", config) };
     for (std::size_t i = 0; i < addresses.size(); ++i) {
-        items.push_back(item(absl::StrCat("servers/u", i),
-            absl::StrCat(R"({"service":"svc","address":")", addresses[i], R"(","zone":"z","version":"v)", i,
-                R"(","slots":4,"state":"ready","seq":1,"born":5})")));
+        items.push_back(upstreamItem(i, addresses[i]));
     }
     return ScriptedAnswer { json(absl::StrCat(R"({"hasMore":false,"items":[)", absl::StrJoin(items, ","), R"(],"storeRevision":2})")) };
 }
@@ -88,3 +95,85 @@
     }
     cr_expect_eq(send(settings, { { "Apricotstep-Request-Id", "x" }, { "Last-Event-Id", "1" }, { "Resumes", "unknown" } }).status, 503);
 }
+
+namespace
+{
+
+constexpr int TimeoutMs = 1000;
+// A stream lasts for two timeouts at most, and nodes add two seconds.
+constexpr Duration StreamLifetime { 4000 };
+constexpr Duration Lateness { 2500 };
+
+/** One node, started after all others were lost, that is asked to continue streams which no node knows. */
+struct LoneNode
+{
+    SystemClock clock;
+    HttpClient client;
+    Platform::ProcessSettings settings;
+    RunningNode node;
+    Time startedAt = clock.now();
+    int lastRequest = 0;
+
+    explicit LoneNode(const ScriptedUpstream &store)
+        : settings(settingsFor(store.address()))
+        , node(settings)
+    {
+        cr_assert(becomesReady(client, settings));
+    }
+    int takeUp()
+    {
+        return get(client, settings.callerAddress, "/chat/x",
+            { { "Host", "h.example" }, { "Apricotstep-Request-Id", absl::StrCat("again", ++lastRequest) }, { "Last-Event-Id", "1" },
+                { "Resumes", "unknown" } })
+            .status;
+    }
+    Duration age() const
+    {
+        return clock.now() - startedAt;
+    }
+};
+
+} // namespace
+
+// All nodes are lost right after a release. The version that is left continued streams that the other one had begun, since a caller waits
+// for longer than one request lasts; or it continued none for good, since the entries of its upstreams do not change.
+Test(entrynode, nodesThatHaveJustStartedContinueStreamsOnceNoneFromBeforeAreLeft)
+{
+    const ScriptedUpstream upstream(&answerWithStream);
+    const ScriptedUpstream store(
+        [address = upstream.address()](const std::string &request) { return answerAsStore(request, { address }, TimeoutMs); });
+    LoneNode lone(store);
+    int status = 0;
+    while (status != 200 && lone.age() < StreamLifetime + Lateness) {
+        const bool isEarly = lone.age() < StreamLifetime - Duration(500);
+        status = lone.takeUp();
+        cr_assert(status == 503 || (status == 200 && !isEarly), "%d after %d ms", status, static_cast<int>(lone.age().milliseconds()));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    cr_assert_eq(status, 200);
+}
+
+// An upstream whose entry does not change serves on beside one of another version whose entry does. Its version was forgotten, and the
+// other one continued its streams.
+Test(entrynode, softwareOfAnUpstreamWhoseEntryDoesNotChangeIsNotForgotten)
+{
+    const ScriptedUpstream first(&answerWithStream);
+    const ScriptedUpstream second(&answerWithStream);
+    std::atomic<bool> isChanged { false };
+    const ScriptedUpstream store([&](const std::string &request) {
+        if (isChanged && absl::StrContains(request, "kv-watch") && absl::StrContains(request, "after=2")) {
+            return ScriptedAnswer { json(
+                absl::StrCat(R"({"events":[)", upstreamItem(1, second.address(), 5, 3), R"(],"storeRevision":3})")) };
+        }
+        return answerAsStore(request, { first.address(), second.address() }, TimeoutMs);
+    });
+    LoneNode lone(store);
+    while (lone.age() < StreamLifetime + Duration(500)) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    isChanged = true;
+    while (lone.age() < StreamLifetime + Lateness) {
+        cr_assert_eq(lone.takeUp(), 503, "after %d ms", static_cast<int>(lone.age().milliseconds()));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,7 @@
 import deadlycontents
 import endlessanswers
 import http1
+import joinedstreams
 import lostanswers
 import proxy
 import standins
@@ -233,8 +234,12 @@
         self.late_counts = {"served": 0, "other": 0}
         self.is_finished = False
         self.faults_end = time.monotonic() + arguments.seconds
+        # The software version of upstreams that start from now on.
+        self.software = "v1"
+        self.joined_streams = joinedstreams.JoinedStreams(self)
         self.crashes = []
         self.is_half_ending = False
+        self.is_power_lost = False
         self.next_request = 0
         self.last_prompt = 0
 
@@ -436,6 +441,19 @@
         if kind in STREAM_KINDS:
             self.deadly_contents.on_response(request_id, body, kind, response, sent_at, key in self.keys["free"])
 
+    def joined_request(self, node, headers, adapter, patience_s):
+        """Registers a request of a caller that takes streams up again; returns its id and all of its headers."""
+        self.next_request += 1
+        request_id = f"{self.arguments.seed:x}-{self.next_request:06x}"
+        self.request_kinds[request_id] = "joined"
+        key = self.keys["free"][0]
+        self.request_keys[request_id] = (key, time.monotonic())
+        self.request_nodes[request_id] = node
+        common = {"Host": HOST, "Apricotstep-Request-Id": request_id, "Authorization": f"Token {key}", "Connection": "close",
+                  "Apricotstep-Deadline-Ms": str(int(patience_s * 1000)), "Apricotstep-Model": f"m/a{adapter}",
+                  "Apricotstep-Token-Count": "%d,%d" % CHAT_TOKENS, "Apricotstep-Prompt-Prefix": self.new_prompt("joined")}
+        return request_id, dict(common, **headers)
+
     def new_prompt(self, middle):
         """The parts of a prompt: one that all share, the given one and one of its own."""
         self.last_prompt += 1
@@ -678,6 +696,41 @@
     async def part_ends_engines(self):
         await self.deadly_contents.send_part()
 
+    async def release(self):
+        """Some engines of the oldest software version in service give way at once to engines of the next one."""
+        engines = [upstream for upstream in self.upstreams if isinstance(upstream, standins.Engine) and not upstream.is_draining]
+        old = [engine for engine in engines if engine.software != self.software]
+        if not old:
+            self.software = "v%d" % (int(self.software[1:]) + 1)
+            old = engines
+        for engine in self.random.sample(old, self.random.choice((1, (len(old) + 1) // 2, len(old)))):
+            self.lost_answers.begin_harm(engine.name)
+            await self.replace(engine, engine.name)
+            self.lost_answers.end_harm(engine.name)
+        await asyncio.sleep(self.random.uniform(0.0, 2.0))
+
+    async def kill_all(self):
+        """All nodes lose power at the same moment; not again while streams from before may still be taken up."""
+        if self.is_power_lost:
+            return
+        self.is_power_lost = True
+        victims = [node for node in self.nodes if node.should_run and node.is_running()]
+        for node in victims:
+            node.should_run = False
+            node.mark_disturbed()
+            node.signal(signal.SIGKILL)
+        await asyncio.gather(*(self.restart(node) for node in victims))
+        await asyncio.sleep(self.random.uniform(10.0, 16.0))
+        self.is_power_lost = False
+
+    async def release_then_kill_all(self):
+        """All nodes are lost right after a release; then nothing happens until no stream from before can be taken up any more."""
+        if self.is_power_lost:
+            return
+        await self.release()
+        await self.kill_all()
+        await asyncio.sleep(self.random.uniform(4.0, 8.0))
+
     async def half_of_engines_end(self):
         """Half of the engines end at the same moment, whatever they work on; one half after the other, some four seconds apart."""
         if self.is_half_ending:
@@ -809,6 +862,7 @@
         await self.start()
         await asyncio.sleep(3.0)
         callers = [asyncio.create_task(self.caller()) for _ in range(self.arguments.callers)]
+        callers += [asyncio.create_task(self.joined_streams.caller()) for _ in range(self.arguments.joining_callers)]
         faults = asyncio.create_task(self.faults())
         end = self.faults_end + RECOVERY_S + 6.0
         while time.monotonic() < end or not faults.done():
@@ -865,6 +919,7 @@
     parser.add_argument("--endings", default=",".join(deadlycontents.BEGINNINGS),
                         help="how much of their answers engines send before they end under what a request holds, separated by commas")
     parser.add_argument("--process-ends", default="refuses", help="what is seen of engines that have ended: refuses,returns,silent")
+    parser.add_argument("--joining-callers", type=int, default=0, help="number of callers that take their streams up again")
     parser.add_argument("--callers", type=int, default=8, help="number of callers; each sends one request at a time")
     arguments = parser.parse_args()
     print(f"seed {arguments.seed}, {arguments.seconds:.0f} s of faults, {arguments.nodes} nodes", flush=True)
@@ -873,7 +928,7 @@
         asyncio.run(cluster.run())
     finally:
         cluster.stop_all()
-    print(json.dumps({"seed": arguments.seed, "requests": cluster.next_request, **cluster.counts, "late_answers": cluster.late_answer_counts, "failures": len(cluster.failures)}))
+    print(json.dumps({"seed": arguments.seed, "requests": cluster.next_request, **cluster.counts, "joined": cluster.joined_streams.counts, "late_answers": cluster.late_answer_counts, "failures": len(cluster.failures)}))
     if cluster.failures:
         print(f"logs: {cluster.folder}")
         return 1
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -7,6 +7,7 @@
 import urllib.parse
 
 import http1
+import joinedstreams
 from endlessanswers import EndlessAnswers
 from lateanswers import LateAnswers
 from statements import Statements
@@ -15,6 +16,7 @@
 ADAPTER_SLOTS = 4
 EVENTS_PER_STREAM = 6
 EVENTS_PER_LONG_STREAM = 40
+EVENT_INTERVAL_S = (0.01, 0.06)
 # An engine sends nothing for this long, in the middle of this share of its long streams, while it works on others.
 PAUSE_S = (1.0, 2.6)
 PAUSE_SHARE = 0.15
@@ -104,6 +106,7 @@
         self.usual_slots = slots
         self.is_full = False
         self.is_draining = False
+        self.software = cluster.software
         self.statements = Statements(cluster, self)
         self.late_answers = LateAnswers(cluster)
         self.endless_answers = EndlessAnswers(cluster)
@@ -115,7 +118,7 @@
 
     def entry(self):
         return {"service": self.service, "address": self.address, "zone": self.zone, "slots": self.slots, "seq": 1,
-                "born": self.start_time_ms, "state": "draining" if self.is_draining else "ready", "coldLeftMs": 0}
+                "version": self.software, "born": self.start_time_ms, "state": "draining" if self.is_draining else "ready", "coldLeftMs": 0}
 
     def register(self):
         self.cluster.store.put("servers/" + self.name, self.entry())
@@ -266,15 +269,17 @@
         lines = ["HTTP/1.1 200 X", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         lines += [f"{name}: {value}" for name, value in self.head(request).items()]
         first = int(request.header("last-event-id") or 0) + 1
-        count = self.cluster.event_count(request_id)
+        stream = request.header("stream-id")
+        count = joinedstreams.EVENTS if stream else self.cluster.event_count(request_id)
         pauses_at = self.cluster.random.randint(first, count) if count > EVENTS_PER_STREAM and first <= count else 0
         pauses_at *= self.cluster.random.random() < PAUSE_SHARE
         last = count if most_events is None else min(count, first + most_events - 1)
         if last < first and first <= count:
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         for number in range(first, last + 1):
-            await asyncio.sleep(self.cluster.random.uniform(*PAUSE_S) if number == pauses_at else self.cluster.random.uniform(0.01, 0.06))
-            event = self.cluster.expected_event(request_id, number)
+            interval_s = joinedstreams.EVENT_INTERVAL_S if stream else EVENT_INTERVAL_S
+            await asyncio.sleep(self.cluster.random.uniform(*(PAUSE_S if number == pauses_at else interval_s)))
+            event = joinedstreams.event_of(stream, number, self.software) if stream else self.cluster.expected_event(request_id, number)
             prefix = "\r\n".join(lines).encode() + b"\r\n\r\n" if number == first else b""
             writer.write(prefix + b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
