Bind a stream to the new start of an upstream that had begun it

Cause: an upstream that starts again under its id with another version answers before nodes have read its new entry. The stream was bound to the version that the node knew, and went on there when it broke off.

Change: when a new start is listed, attempts in progress that were sent after it, by the wall clocks, are bound to it, and the node tells others so. streamBelongsToTheNewStartThatHadBegunIt failed without it: the caller's next request went on at the old version. A stream that begins and breaks off before the new start is listed is still bound to the old version.

--- a/coordination/streamorigins.cpp
+++ b/coordination/streamorigins.cpp
@@ -40,7 +40,10 @@
     if (m_streams.empty()) {
         m_origins.clear();
     }
-    if (m_streams.try_emplace(begun.stream, Entry { indexOf(begun.origin), now + begun.lifetime }).second) {
+    const std::uint32_t origin = indexOf(begun.origin);
+    const auto [at, isNew] = m_streams.try_emplace(begun.stream, Entry { origin, now + begun.lifetime });
+    at->second.origin = origin; // The node that has begun a stream may find out later where.
+    if (isNew) {
         m_order.push_back(begun.stream);
     }
 }
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -680,6 +680,9 @@
 
 void RequestForwarder::onUpstreamStarted(const UpstreamRecord &record)
 {
+    for (const auto &[number, job] : d->jobs) {
+        job->onUpstreamStarted(record);
+    }
     d->guard.detector().onStarted(record, d->attempts([&record](const UnansweredRequest &attempt) {
         const bool isSame = attempt.upstream.id == record.id;
         const bool wasSentBefore = attempt.upstream.startedAt != record.startedAt && attempt.sentAtWall.milliseconds() < record.startedAt;
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -255,11 +255,9 @@
     if (!m_origin) {
         return;
     }
-    // A caller that waits for longer than the route allows takes the stream up in a second request at most.
-    SoftwareHistory &history = m_context.clusterState().softwareHistory;
-    history.onStreamTime(std::clamp(m_decoded.deadline.value_or(m_route.timeout), m_route.timeout, m_route.timeout * 2));
-    m_context.clusterState().streamOrigins.onBegun(
-        BegunStream { streamIdOf(m_decoded.id), *m_origin, history.streamLifetime() }, m_context.loop().clock().now());
+    ClusterState &clusterState = m_context.clusterState();
+    clusterState.streamOrigins.onBegun(
+        BegunStream { streamIdOf(m_decoded.id), *m_origin, clusterState.softwareHistory.streamLifetime() }, m_context.loop().clock().now());
 }
 
 std::optional<AdapterUse> RequestJob::adapterUse()
@@ -1035,6 +1033,19 @@
     return unansweredRequest();
 }
 
+void RequestJob::onUpstreamStarted(const UpstreamRecord &record)
+{
+    const bool isAtFormerStart = m_upstream.id == record.id && m_upstream.startedAt != record.startedAt;
+    if (!attemptInProgress() || !isAtFormerStart || unansweredRequest().sentAtWall.milliseconds() < record.startedAt) {
+        return;
+    }
+    m_upstream = record;
+    const bool hasBegunHere = m_isStreaming && m_decoded.lastEventId.empty() && m_eventsBefore == 0;
+    if (hasBegunHere) {
+        rememberOrigin();
+    }
+}
+
 void RequestJob::reportIfSilent()
 {
     const auto attempt = attemptInProgress();
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -109,6 +109,8 @@
     std::optional<AdapterUse> adapterUse();
     /** Returns the adapter that this job waits for, if any. */
     std::optional<AdapterUse> pendingAdapter() const;
+    /** The store lists a new start of an upstream: the attempt in progress may have gone to it already. */
+    void onUpstreamStarted(const UpstreamRecord &record);
     /** The attempt at an upstream in progress, if any. */
     std::optional<UnansweredRequest> attemptInProgress() const;
 
--- a/tests/main/testrequestforwardersoftware.cpp
+++ b/tests/main/testrequestforwardersoftware.cpp
@@ -206,3 +206,33 @@
         cr_assert(fixture.first.requests().empty() && fixture.second.requests().empty());
     }
 }
+
+// An upstream has started again with another version when it begins a stream, but the node learns that only afterwards. The stream went on
+// at the version that the node had known.
+Test(softwareversions, streamBelongsToTheNewStartThatHadBegunIt)
+{
+    ForwarderFixture fixture;
+    const ScriptedUpstream restarted([](const std::string &) {
+        ScriptedAnswer answer = brokenStream("id: 1\ndata: a\n\n");
+        answer.laterParts = { "" };
+        answer.pause = Duration(200);
+        return answer;
+    });
+    const ScriptedUpstream other([](const std::string &) { return wholeStream("id: 2\ndata: b\n\n"); });
+    fixture.configure(RequestKind::Stream, 2, true);
+    fixture.addUpstream("u1", restarted, "v1");
+    UpstreamRecord record = *fixture.clusterState.upstreams.usable(UpstreamId("u1"));
+    record.startedAt = (fixture.clock.wallTime() - Duration::seconds(1)).milliseconds();
+    record.softwareVersion = SoftwareVersion("v2");
+    const auto caller = fixture.send(ForwarderFixture::request());
+    fixture.runUntil([&] { return !caller->body().empty(); });
+    fixture.addUpstream("u2", other, "v1");
+    fixture.clusterState.upstreams.put(record, fixture.clock.now());
+    fixture.forwarder->onUpstreamStarted(record);
+    fixture.runUntil([&] { return caller->isDone(); });
+    cr_assert(other.requests().empty());
+    cr_assert_not(caller->isFinished());
+    const auto resumed = fixture.send(resumption("r-2", "r-1"));
+    fixture.runUntil([&] { return resumed->isDone(); });
+    cr_assert(other.requests().empty());
+}
