Refuse JSON that is nested too deep instead of exhausting the stack

What callers saw: nothing yet; all entry nodes that read a configuration with callers' keys that is nested some hundred thousand levels deep would end at once, and a node that gets such a body of a caller, too.

Cause: nlohmann::json writes nested values recursively. Entry nodes write a configuration again with digests in place of keys, and nodes write a caller's body again with the adapter's name. Only check-config had a limit.

Change: core/jsonnesting limits what is read from the store and from callers to 64 levels, as check-config does; a configuration is then refused as invalid, and a body with 400. configurationThatIsNestedTooDeepIsInvalid crashed and bodyThatIsNestedTooDeepIsRejected failed without it.

--- a/main/configcheck.cpp
+++ b/main/configcheck.cpp
@@ -1,5 +1,6 @@
 #include "main/configcheck.h"
 
+#include "core/jsonnesting.h"
 #include "platform/configfields.h"
 #include "platform/records.h"
 #include "state/routetable.h"
@@ -24,8 +25,6 @@
 using Json = nlohmann::json;
 using Findings = std::vector<ConfigFinding>;
 
-// nlohmann::json copies and writes nested values recursively, so unlimited nesting would exhaust the stack.
-constexpr int MaxNesting = 64;
 constexpr const char *WholeConfiguration = "configuration";
 
 std::string fieldOf(const std::string &path, const char *name)
@@ -65,18 +64,12 @@
         addError(findings, WholeConfiguration, "the text is empty");
         return std::nullopt;
     }
-    bool isTooDeep = false;
-    const auto limitNesting = [&isTooDeep](int depth, Json::parse_event_t /*event*/, Json & /*parsed*/) {
-        isTooDeep = isTooDeep || depth > MaxNesting;
-        return !isTooDeep;
-    };
+    if (isJsonNestedTooDeep(text)) {
+        addError(findings, WholeConfiguration, fmt::format("nested more than {} levels deep", MaxJsonNesting));
+        return std::nullopt;
+    }
     try {
-        Json root = Json::parse(text, limitNesting);
-        if (isTooDeep) {
-            addError(findings, WholeConfiguration, fmt::format("nested more than {} levels deep", MaxNesting));
-            return std::nullopt;
-        }
-        return root;
+        return Json::parse(text);
     } catch (const Json::parse_error &error) {
         addError(findings, WholeConfiguration, syntaxError(text, error.byte));
     } catch (const Json::out_of_range &) {
--- a/protocol/callerapi.cpp
+++ b/protocol/callerapi.cpp
@@ -1,5 +1,7 @@
 #include "protocol/callerapi.h"
 
+#include "core/jsonnesting.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -29,6 +31,9 @@
 
 Result<CompletionRequest> parseCompletionRequest(std::string_view body)
 {
+    if (isJsonNestedTooDeep(body)) {
+        return badRequest("the body is nested more than 64 levels deep");
+    }
     const Json json = Json::parse(body, nullptr, false);
     if (!json.is_object()) {
         return badRequest("the body is not a JSON object");
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -298,3 +298,13 @@
     text.insert(text.find("graceS"), "strictRevoke = \"yes\"\n");
     cr_assert_not(decodeSettings(text).isOk());
 }
+
+// A value of the store that is nested very deeply ended all nodes that read it.
+Test(records, configurationThatIsNestedTooDeepIsInvalid)
+{
+    constexpr std::size_t Levels = 400'000;
+    const std::string teams = R"([{"name":"t1","apiKeys":["secret1"],"x":)" + std::string(Levels, '[') + std::string(Levels, ']') + "}]";
+    const std::string text = configurationWithTeams(teams);
+    cr_assert_not(decodeConfiguration(withKeyDigests(text)).isOk());
+    cr_assert_not(decodeConfiguration(text).isOk());
+}
--- a/tests/protocol/testcallerapi.cpp
+++ b/tests/protocol/testcallerapi.cpp
@@ -30,6 +30,15 @@
     }
 }
 
+// A caller's body that was nested very deeply ended the node when it was written again with the adapter's name.
+Test(callerapi, bodyThatIsNestedTooDeepIsRejected)
+{
+    constexpr std::size_t Levels = 400'000;
+    const auto request = parseCompletionRequest(R"({"model":"a","x":)" + std::string(Levels, '[') + std::string(Levels, ']') + "}");
+    cr_assert_not(request.isOk());
+    cr_assert(request.error().detail.find("64 levels") != std::string::npos);
+}
+
 Test(callerapi, errorBodyStatesWhetherTheRequestRan)
 {
     const auto body = nlohmann::json::parse(errorBody(ErrorKind::Overloaded, { "queue is full", Duration(1500), {}, {}, "r1" }));
