--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -80,7 +80,7 @@
                                              .Add({});
     prometheus::Counter &endedUpstreams = prometheus::BuildCounter()
                                               .Name("apricotstep_entry_upstreams_ended_total")
-                                              .Help("Upstreams that ended before they had begun to answer requests of this node.")
+                                              .Help("Upstreams that ended while requests of this node were without a whole answer.")
                                               .Register(registry)
                                               .Add({});
     prometheus::Counter &brittleRefusals =
