Bound what is remembered of upstreams that may have ended, and rebind only streams that have begun

Cause: by reading. Each broken request prolonged the memory of all earlier ones at that upstream, with a copy of its record, so an upstream that resets many connections and goes on made a node keep them without a bound, and accused them all when it ended at last. An attempt that continues a stream, and was not sent yet when a new start was listed, would have gone to that start, whatever its version.

Change: each request is forgotten by itself after the suspicion time, and at most 64 are kept of a start. Only an attempt that has begun its stream is bound to the new start; others are not sent, as before. fewRequestsOfAnUpstreamThatGoesOnAreRemembered replays 1,000 resets; the code before had no bound to test.

--- a/coordination/upstreamends.cpp
+++ b/coordination/upstreamends.cpp
@@ -24,22 +24,34 @@
 
 std::optional<UpstreamEnd> UpstreamEnds::onUnanswered(const UnansweredRequest &request, Time now)
 {
-    std::erase_if(m_suspicions, [&](const auto &entry) { return now - entry.second.updatedAt > m_limits.suspicionTime; });
+    forget(now);
     const auto known = m_suspicions.find(startOf(request.upstream));
     if (known != m_suspicions.end() && known->second.sign && request.sentAt <= known->second.confirmedAt) {
-        return endOf(known->second, { request });
+        return UpstreamEnd { request.upstream, known->second.endedAt, *known->second.sign, { request.suspect } };
     }
     add(request.upstream, request, now);
     return std::nullopt;
 }
 
+void UpstreamEnds::forget(Time now)
+{
+    for (auto &[start, suspicion] : m_suspicions) {
+        std::erase_if(suspicion.open, [&](const OpenRequest &request) { return now - request.knownSince > m_limits.suspicionTime; });
+    }
+    std::erase_if(m_suspicions, [&](const auto &entry) {
+        const Suspicion &suspicion = entry.second;
+        return suspicion.open.empty() && (!suspicion.sign || now - suspicion.confirmedAt > m_limits.suspicionTime);
+    });
+}
+
 void UpstreamEnds::add(const UpstreamRecord &upstream, const UnansweredRequest &request, Time now)
 {
     Suspicion &suspicion = m_suspicions[startOf(upstream)];
     suspicion.upstream = upstream;
-    suspicion.updatedAt = now;
-    suspicion.since = suspicion.open.empty() ? now : suspicion.since;
-    suspicion.open.push_back(request);
+    if (suspicion.open.size() >= m_limits.maxOpen) {
+        suspicion.open.erase(suspicion.open.begin());
+    }
+    suspicion.open.push_back(OpenRequest { request, now });
 }
 
 bool UpstreamEnds::isSuspected(const UpstreamStart &start) const
@@ -51,12 +63,15 @@
 bool UpstreamEnds::onAnswer(const UpstreamStart &start, Time sentAt, Time now)
 {
     const auto at = m_suspicions.find(start);
-    const bool isAlive =
-        at != m_suspicions.end() && !at->second.sign && sentAt < at->second.since && now - at->second.since > m_limits.lastAnswersTime;
-    if (isAlive) {
-        m_suspicions.erase(at);
+    if (at == m_suspicions.end() || at->second.sign || at->second.open.empty()) {
+        return false;
+    }
+    const Time since = at->second.open.front().knownSince;
+    if (sentAt >= since || now - since <= m_limits.lastAnswersTime) {
+        return false;
     }
-    return isAlive;
+    m_suspicions.erase(at);
+    return true;
 }
 
 std::optional<UpstreamEnd> UpstreamEnds::onConnectionRefused(const UpstreamStart &start, Time now)
@@ -75,7 +90,7 @@
 std::vector<UpstreamEnd> UpstreamEnds::onStarted(const UpstreamRecord &record, Time now)
 {
     std::vector<UpstreamEnd> result;
-    std::vector<UnansweredRequest> later;
+    std::vector<OpenRequest> later;
     bool isLaterRefused = false;
     for (auto &[start, suspicion] : m_suspicions) {
         if (start == startOf(record) || (start.upstream != record.id && suspicion.upstream.address != record.address)) {
@@ -92,8 +107,8 @@
         // What was sent after the end of this start was known, and before the new one, has reached neither.
         suspicion.open.clear();
     }
-    for (const UnansweredRequest &request : later) {
-        add(record, request, now);
+    for (const OpenRequest &request : later) {
+        add(record, request, request.knownSince);
     }
     if (isLaterRefused && !later.empty()) {
         result.push_back(confirm(m_suspicions[startOf(record)], EndSign::ConnectionRefused, now));
@@ -102,16 +117,18 @@
 }
 
 // Without any request before the new start, the first one counts as such: the wall clocks of this node and the upstream may differ.
-std::vector<UnansweredRequest> UpstreamEnds::takeThoseAfter(Suspicion &suspicion, std::int64_t startedAt) const
+std::vector<UpstreamEnds::OpenRequest> UpstreamEnds::takeThoseAfter(Suspicion &suspicion, std::int64_t startedAt)
 {
-    std::vector<UnansweredRequest> &open = suspicion.open;
-    const auto first = std::min_element(open.begin(), open.end(), [](const auto &a, const auto &b) { return a.sentAt < b.sentAt; });
-    const Time firstSentAt = first != open.end() ? first->sentAt : Time();
-    const auto isBefore = [&](const UnansweredRequest &request) {
+    std::vector<OpenRequest> &open = suspicion.open;
+    Time firstSentAt = Time::never();
+    for (const OpenRequest &request : open) {
+        firstSentAt = std::min(firstSentAt, request.sentAt);
+    }
+    const auto isBefore = [&](const OpenRequest &request) {
         return request.sentAtWall.milliseconds() < startedAt || (!suspicion.sign && request.sentAt == firstSentAt);
     };
     const auto middle = std::stable_partition(open.begin(), open.end(), isBefore);
-    std::vector<UnansweredRequest> later(std::make_move_iterator(middle), std::make_move_iterator(open.end()));
+    std::vector<OpenRequest> later(std::make_move_iterator(middle), std::make_move_iterator(open.end()));
     open.erase(middle, open.end());
     return later;
 }
@@ -130,7 +147,7 @@
 std::optional<Time> UpstreamEnds::lastSignAt(const Suspicion &suspicion) const
 {
     std::optional<Time> result;
-    for (const UnansweredRequest &request : suspicion.open) {
+    for (const OpenRequest &request : suspicion.open) {
         const bool wasAliveUntilBroken = request.brokenAt && request.silence(*request.brokenAt) < m_limits.minSilence;
         result = std::max({ result, request.lastPartAt, wasAliveUntilBroken ? request.brokenAt : std::nullopt });
     }
@@ -140,28 +157,21 @@
 // A refused connection shows the end when it happens. Otherwise it may have happened long before, and what was sent since is not to blame.
 UpstreamEnd UpstreamEnds::confirm(Suspicion &suspicion, EndSign sign, Time now) const
 {
-    const auto lastSign = lastSignAt(suspicion);
-    suspicion.sign = sign;
-    suspicion.confirmedAt = now;
-    std::vector<UnansweredRequest> open = std::exchange(suspicion.open, {});
-    if (sign == EndSign::ConnectionRefused) {
-        suspicion.endedAt = suspicion.since;
-        return endOf(suspicion, open);
-    }
     Time firstSentAt = now;
-    for (const UnansweredRequest &request : open) {
+    Time firstKnownAt = now;
+    for (const OpenRequest &request : suspicion.open) {
         firstSentAt = std::min(firstSentAt, request.sentAt);
+        firstKnownAt = std::min(firstKnownAt, request.knownSince);
     }
-    suspicion.endedAt = lastSign.value_or(firstSentAt);
-    std::erase_if(open, [&](const UnansweredRequest &request) { return request.sentAt > suspicion.endedAt + m_limits.sendingTime; });
-    return endOf(suspicion, open);
-}
-
-UpstreamEnd UpstreamEnds::endOf(const Suspicion &suspicion, const std::vector<UnansweredRequest> &requests)
-{
-    UpstreamEnd end { suspicion.upstream, suspicion.endedAt, *suspicion.sign, {} };
-    for (const UnansweredRequest &request : requests) {
-        end.suspects.push_back(request.suspect);
+    const bool isSeenAtOnce = sign == EndSign::ConnectionRefused;
+    suspicion.endedAt = isSeenAtOnce ? firstKnownAt : lastSignAt(suspicion).value_or(firstSentAt);
+    suspicion.sign = sign;
+    suspicion.confirmedAt = now;
+    UpstreamEnd end { suspicion.upstream, suspicion.endedAt, sign, {} };
+    for (const OpenRequest &request : std::exchange(suspicion.open, {})) {
+        if (isSeenAtOnce || request.sentAt <= suspicion.endedAt + m_limits.sendingTime) {
+            end.suspects.push_back(request.suspect);
+        }
     }
     return end;
 }
--- a/coordination/upstreamends.h
+++ b/coordination/upstreamends.h
@@ -70,6 +70,8 @@
     Duration minSilence = Duration::seconds(1);
     /** What was sent this long after the last sign of life has not reached the upstream. */
     Duration sendingTime { 500 };
+    /** Requests to remember of one start: an upstream may break off many and go on. */
+    std::size_t maxOpen = 64;
 };
 
 /** Relates requests that were not answered to the end to upstreams that have ended. Not thread-safe. */
@@ -96,15 +98,16 @@
     std::vector<UpstreamEnd> onLapsed(const UpstreamId &upstream, Time now);
 
 private:
+    struct OpenRequest : UnansweredRequest
+    {
+        Time knownSince;
+    };
     /** One start of an upstream. */
     struct Suspicion
     {
         UpstreamRecord upstream;
-        Time updatedAt;
-        /** When the first of the open requests broke off. */
-        Time since;
-        /** Those under which it is not known yet whether the upstream has ended. */
-        std::vector<UnansweredRequest> open;
+        /** Those under which it is not known yet whether the upstream has ended, the oldest first. */
+        std::vector<OpenRequest> open;
         /** Set once it is known that this start has ended. */
         std::optional<EndSign> sign;
         Time endedAt;
@@ -113,12 +116,13 @@
         bool isLaterRefused = false;
     };
 
+    void forget(Time now);
     void add(const UpstreamRecord &upstream, const UnansweredRequest &request, Time now);
     /** When the upstream last showed that it worked, by its open requests; unset if it never did. */
     std::optional<Time> lastSignAt(const Suspicion &suspicion) const;
     UpstreamEnd confirm(Suspicion &suspicion, EndSign sign, Time now) const;
-    static UpstreamEnd endOf(const Suspicion &suspicion, const std::vector<UnansweredRequest> &requests);
-    std::vector<UnansweredRequest> takeThoseAfter(Suspicion &suspicion, std::int64_t startedAt) const;
+    /** Takes the open requests that were sent after a new start. */
+    static std::vector<OpenRequest> takeThoseAfter(Suspicion &suspicion, std::int64_t startedAt);
 
     UpstreamEndsLimits m_limits;
     std::map<UpstreamStart, Suspicion> m_suspicions;
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -1036,14 +1036,12 @@
 void RequestJob::onUpstreamStarted(const UpstreamRecord &record)
 {
     const bool isAtFormerStart = m_upstream.id == record.id && m_upstream.startedAt != record.startedAt;
-    if (!attemptInProgress() || !isAtFormerStart || unansweredRequest().sentAtWall.milliseconds() < record.startedAt) {
+    const bool hasBegunStream = m_phase == Phase::Answering && m_isStreaming && m_decoded.lastEventId.empty() && m_eventsBefore == 0;
+    if (!isAtFormerStart || !hasBegunStream || m_relay || unansweredRequest().sentAtWall.milliseconds() < record.startedAt) {
         return;
     }
     m_upstream = record;
-    const bool hasBegunHere = m_isStreaming && m_decoded.lastEventId.empty() && m_eventsBefore == 0;
-    if (hasBegunHere) {
-        rememberOrigin();
-    }
+    rememberOrigin();
 }
 
 void RequestJob::reportIfSilent()
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -109,7 +109,7 @@
     std::optional<AdapterUse> adapterUse();
     /** Returns the adapter that this job waits for, if any. */
     std::optional<AdapterUse> pendingAdapter() const;
-    /** The store lists a new start of an upstream: the attempt in progress may have gone to it already. */
+    /** The store lists a new start of an upstream, which may have begun the stream of the attempt in progress already. */
     void onUpstreamStarted(const UpstreamRecord &record);
     /** The attempt at an upstream in progress, if any. */
     std::optional<UnansweredRequest> attemptInProgress() const;
--- a/tests/coordination/testupstreamends.cpp
+++ b/tests/coordination/testupstreamends.cpp
@@ -187,3 +187,18 @@
     cr_assert_eq(found[0].at, Begin);
     cr_assert_eq(contentsOf(found[0]), (std::vector<std::uint64_t> { 7, 8 }));
 }
+
+// An upstream resets the connections of many requests and goes on for long, and then ends under another one.
+Test(upstreamends, fewRequestsOfAnUpstreamThatGoesOnAreRemembered)
+{
+    UpstreamEnds ends { UpstreamEndsLimits {} };
+    Time now = Begin;
+    for (std::uint64_t i = 0; i < 1000; ++i) {
+        now = now + Duration(100);
+        ends.onUnanswered(unanswered(i, now - Duration(20), now), now);
+    }
+    const auto found = ends.onStarted(record(now.milliseconds() + 1), now + Duration(100));
+    cr_assert_eq(found.size(), 1);
+    cr_assert_eq(found[0].suspects.size(), UpstreamEndsLimits {}.maxOpen);
+    cr_assert_eq(contentsOf(found[0]).back(), 999);
+}
