Count answers only once they have gone on where upstreams end in the middle of answers

What callers saw: content under which hosts fall silent mid-answer went to upstream after upstream although their ends were known.

Cause: the beginning of an answer voids the crashes before it until an upstream is known to have ended in it. A silent host is known some two seconds later, and the same content begins further answers in that time, each of which cleared the crashes that had just become known.

Change: once an upstream has ended in the middle of an answer to some content, a later answer to it counts when it has gone on for 0.5 s.

--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -42,26 +42,27 @@
     if (at == m_answers.end()) {
         return std::nullopt;
     }
-    return basis == AnswerBasis::Known ? latest(content, at->second.known) : at->second.told.wholeAt;
-}
-
-bool ContentQuarantine::isBegunAfter(ContentDigest content, Time at) const
-{
-    const auto broken = m_brokenAnswers.find(content);
-    return broken == m_brokenAnswers.end() || at > broken->second;
+    if (basis == AnswerBasis::Told) {
+        return at->second.told.wholeAt;
+    }
+    return latest(content, at->second.known);
 }
 
 std::optional<Time> ContentQuarantine::latest(ContentDigest content, const AnswerTimes &times) const
 {
-    if (times.begunAt && isBegunAfter(content, *times.begunAt)) {
-        return std::max(times.begunAt, times.wholeAt);
+    // Where upstreams have ended in the middle of answers, the beginning of another one shows nothing until it has gone on.
+    const auto broken = m_brokenAnswers.find(content);
+    if (broken == m_brokenAnswers.end()) {
+        return std::max({ times.begunAt, times.continuedAt, times.wholeAt });
     }
-    return times.wholeAt;
+    return times.continuedAt > broken->second ? std::max(times.continuedAt, times.wholeAt) : times.wholeAt;
 }
 
 void ContentQuarantine::AnswerTimes::add(AnswerProgress progress, Time at)
 {
-    std::optional<Time> &latestAt = progress == AnswerProgress::Whole ? wholeAt : begunAt;
+    std::optional<Time> &latestAt = progress == AnswerProgress::Whole ? wholeAt
+        : progress == AnswerProgress::Continued                       ? continuedAt
+                                                                      : begunAt;
     latestAt = std::max(latestAt.value_or(at), at);
 }
 
@@ -321,7 +322,7 @@
         // Old answers clear content of old crashes only.
         absl::erase_if(m_answers, [&](const auto &entry) {
             const AnswerTimes &known = entry.second.known;
-            return now - std::max(known.wholeAt, known.begunAt).value_or(Time()) > m_limits.answerMemory;
+            return now - std::max({ known.wholeAt, known.continuedAt, known.begunAt }).value_or(Time()) > m_limits.answerMemory;
         });
         if (m_answers.size() > m_limits.maxAnswers) {
             m_answers.clear();
@@ -484,8 +485,9 @@
         if (known.wholeAt) {
             result.answers.push_back(AnsweredContent { content, now - *known.wholeAt, AnswerProgress::Whole });
         }
-        if (known.begunAt > known.wholeAt && isBegunAfter(content, *known.begunAt)) {
-            result.answers.push_back(AnsweredContent { content, now - *known.begunAt, AnswerProgress::Begun });
+        if (const auto latestAt = latest(content, known); latestAt > known.wholeAt) {
+            const AnswerProgress progress = latestAt == known.continuedAt ? AnswerProgress::Continued : AnswerProgress::Begun;
+            result.answers.push_back(AnsweredContent { content, now - *latestAt, progress });
         }
         answer.told = known;
         m_toldEvidence.reset();
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -25,10 +25,10 @@
 // So nodes tell each other what upstreams were asked when they ended. Content is held back once several upstreams in a row have ended under
 // it, at different moments, and none has answered it in between, which a sound request, or one that many callers share, does not survive by
 // chance. Any node that knows of an answer objects, as most do for a part that many requests share. The beginning of an answer counts like
-// a whole one until an upstream ends in the middle of an answer to the same content: upstreams may end while they write, too. A part must
-// have ended upstreams in several different requests: what two deadly requests share is not to blame. A crash under a part that is held
-// back accuses nothing else; one under a held request accuses its own parts only. Held content gets a few trials, each by a single node of
-// the fleet, and is released once an upstream answers it.
+// a whole one until an upstream ends in the middle of an answer to the same content; from then on an answer must have gone on for some time,
+// since upstreams may end while they write, too. A part must have ended upstreams in several different requests: what two deadly requests
+// share is not to blame. A crash under a part that is held back accuses nothing else; one under a held request accuses its own parts only.
+// Held content gets a few trials, each by a single node of the fleet, and is released once an upstream answers it.
 
 struct ContentQuarantineLimits
 {
@@ -98,6 +98,8 @@
 
 enum class AnswerProgress {
     Begun,
+    /** It has gone on for ContentQuarantine::BeginningTime since. */
+    Continued,
     Whole,
 };
 
@@ -176,6 +178,13 @@
      */
     using TrialRank = std::function<std::optional<int>(ContentDigest)>;
 
+    /**
+     * Where upstreams end in the middle of answers, an answer counts once it has gone on for so long. Otherwise the content would be
+     * cleared by its own next beginnings, as long as nobody knows that those have ended upstreams as well: hosts that fall silent are
+     * recognised late.
+     */
+    static constexpr Duration BeginningTime { 500 };
+
     explicit ContentQuarantine(ContentQuarantineLimits limits);
 
     /** An upstream ended at @p at, while it had @p suspects of this node. Returns whether peers must know at once. */
@@ -222,6 +231,7 @@
     struct AnswerTimes
     {
         std::optional<Time> wholeAt;
+        std::optional<Time> continuedAt;
         std::optional<Time> begunAt;
 
         void add(AnswerProgress progress, Time at);
@@ -278,9 +288,8 @@
     std::optional<Time> answeredAt(ContentDigest content, AnswerBasis basis) const;
     bool isExplained(const Crash &crash) const;
     std::vector<const Suspect *> accusedBy(const Crash &crash) const;
-    /** The latest answer that was not broken off by the end of an upstream. */
+    /** The latest answer that shows that upstreams survive the content. */
     std::optional<Time> latest(ContentDigest content, const AnswerTimes &times) const;
-    bool isBegunAfter(ContentDigest content, Time at) const;
     void addEvidence(
         const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, absl::flat_hash_map<ContentDigest, Evidence> &result) const;
     int crashesToHold(const Evidence &evidence) const;
@@ -306,7 +315,7 @@
     absl::flat_hash_map<ContentDigest, Answer> m_answers;
     /** The evidence by what all nodes were told, until something changes it. */
     std::optional<absl::flat_hash_map<ContentDigest, Evidence>> m_toldEvidence;
-    /** When an upstream last ended in the middle of an answer. The beginnings of answers until then show nothing. */
+    /** When an upstream last ended in the middle of an answer. */
     absl::flat_hash_map<ContentDigest, Time> m_brokenAnswers;
     std::map<ContentDigest, Held> m_held;
     /** When the last report of a crash came. */
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -677,6 +677,7 @@
     discardAnswer();
     m_breakReason.clear();
     m_hasEvents = false;
+    m_hasContinued = false;
     m_eventsBefore = m_events.count();
     m_sentAt = now();
     return true;
@@ -907,6 +908,10 @@
         m_firstEventAfter = m_firstEventAfter.value_or(now() - m_arrivedAt);
         reportAnswered(AnswerProgress::Begun);
     }
+    if (!m_hasContinued && !events.empty() && now() - m_firstEventAt >= ContentQuarantine::BeginningTime) {
+        m_hasContinued = true;
+        reportAnswered(AnswerProgress::Continued);
+    }
     observeSpeed(static_cast<int>(m_events.count() - countBefore));
     const bool isReadSlowly = !events.empty() && !m_exchange->write(events);
     accountUnread();
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -339,6 +339,8 @@
     bool m_isCountedPaused = false;
     /** The attempt in progress has delivered an event. */
     bool m_hasEvents = false;
+    /** Its answer has gone on for some time since. */
+    bool m_hasContinued = false;
     /** When the attempt in progress last delivered events, if the next ones show the engine's speed. */
     std::optional<Time> m_lastEventsAt;
     /** The attempt in progress has been paused: what has piled up meanwhile arrives in bursts. */
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -154,8 +154,10 @@
 struct AnsweredContentWire {
     content @0 :UInt64;
     ageMs @1 :Int64;
-    # Only the beginning of an answer is known.
+    # The end of the answer is not known.
     isPart @2 :Bool;
+    # It has gone on since its beginning.
+    hasContinued @3 :Bool;
 }
 
 struct HeldContentWire {
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -2343,6 +2343,8 @@
 
   inline bool getIsPart() const;
 
+  inline bool getHasContinued() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2380,6 +2382,9 @@
   inline bool getIsPart();
   inline void setIsPart(bool value);
 
+  inline bool getHasContinued();
+  inline void setHasContinued(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4866,6 +4871,20 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AnsweredContentWire::Reader::getHasContinued() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool AnsweredContentWire::Builder::getHasContinued() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void AnsweredContentWire::Builder::setHasContinued(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldContentWire::Reader::getContent() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -440,7 +440,8 @@
     for (unsigned int i = 0; i < answers.size(); ++i) {
         answers[i].setContent(statements.answers[i].content.value());
         answers[i].setAgeMs(statements.answers[i].age.milliseconds());
-        answers[i].setIsPart(statements.answers[i].progress == AnswerProgress::Begun);
+        answers[i].setIsPart(statements.answers[i].progress != AnswerProgress::Whole);
+        answers[i].setHasContinued(statements.answers[i].progress == AnswerProgress::Continued);
     }
     auto held = initList(statements.held, [&wire](unsigned int size) { return wire.initHeldContents(size); });
     for (unsigned int i = 0; i < held.size(); ++i) {
@@ -475,8 +476,9 @@
         statements.crashes.push_back(std::move(report));
     }
     for (const auto answer : wire.getAnsweredContents()) {
-        statements.answers.push_back(AnsweredContent { ContentDigest(answer.getContent()), decodeContentAge(answer.getAgeMs()),
-            answer.getIsPart() ? AnswerProgress::Begun : AnswerProgress::Whole });
+        const AnswerProgress part = answer.getHasContinued() ? AnswerProgress::Continued : AnswerProgress::Begun;
+        statements.answers.push_back(AnsweredContent {
+            ContentDigest(answer.getContent()), decodeContentAge(answer.getAgeMs()), answer.getIsPart() ? part : AnswerProgress::Whole });
     }
     for (const auto entry : wire.getHeldContents()) {
         HeldContent held { ContentDigest(entry.getContent()), static_cast<int>(std::min(entry.getCrashes(), MaxCount)),
--- a/tests/coordination/testcontentquarantine.cpp
+++ b/tests/coordination/testcontentquarantine.cpp
@@ -276,6 +276,29 @@
     }
 }
 
+// Hosts fall silent in the middle of their answers, and nodes know of each 1.5 s later; the same content begins new answers meanwhile, at
+// other upstreams.
+Test(contentquarantine, contentUnderWhichHostsFallSilentReachesFewMore)
+{
+    for (const Duration timeToCrash : { Duration(30), Duration(100), Duration(300) }) {
+        CrashReplayWays ways;
+        ways.timeToCrash = timeToCrash;
+        ways.timeToNotice = Duration(1500);
+        for (unsigned seed = 0; seed < Seeds; ++seed) {
+            CrashReplay requests(6, 12, seed, 3, ways);
+            requests.run(WarmUp, { soundTraffic(requests, 30) });
+            requests.run(Duration::seconds(20), { soundTraffic(requests, 30), repeatedRequest(7, 2.5) });
+            cr_assert_leq(requests.counts().lateArrivals, ToleratedAfterwards, "seed %u: %d", seed, requests.counts().lateArrivals);
+            cr_assert_eq(requests.counts().soundRefused, 0, "seed %u", seed);
+            CrashReplay parts(6, 12, seed, CrashesToTellPart, ways);
+            parts.run(WarmUp, { soundPrompts(parts, 30) });
+            parts.run(Duration::seconds(20), { soundPrompts(parts, 30), deadlyPrompts(parts, DeadlyPart, 2.5) });
+            cr_assert_leq(parts.counts().lateArrivals, ToleratedAfterwards, "seed %u: %d", seed, parts.counts().lateArrivals);
+            cr_assert_leq(parts.counts().soundRefused * 100, parts.counts().soundServed, "seed %u: %d", seed, parts.counts().soundRefused);
+        }
+    }
+}
+
 // The first event of an answer in which the upstream then ended was taken for proof that the content is sound.
 Test(contentquarantine, beginningOfAnAnswerIsVoidOnceAnUpstreamEndsInIt)
 {
--- a/tests/fakes/crashreplay.h
+++ b/tests/fakes/crashreplay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/contentquarantine.h"
+#include "coordination/upstreamends.h"
 #include "core/hash.h"
 
 #include <algorithm>
@@ -54,6 +55,8 @@
     Duration timeToCrash { 30 };
     /** When it has sent the first part of the answer; none if it ends sooner. */
     Duration timeToFirst { 60 };
+    /** An upstream that ends answers nothing and refuses nothing, and nodes know of it so long after. */
+    Duration timeToNotice {};
     ContentQuarantineLimits limits {};
     /** Bytes of a message; empty if it does not matter. */
     std::function<std::size_t(const QuarantineStatements &)> sizeOf {};
@@ -171,12 +174,16 @@
         Time beginsAt;
         /** When it is answered to the end, or ends its upstream. */
         Time actsAt;
+        Time sentAt;
         bool hasBegun = false;
+        bool hasContinued = false;
     };
     struct UpstreamState
     {
         std::int64_t start = 1;
         Time downUntil;
+        /** Nodes do not know yet that it has ended. */
+        std::optional<Time> silentSince;
         std::vector<Running> running;
     };
     struct Message
@@ -208,7 +215,7 @@
         }
         std::vector<std::size_t> up;
         for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
-            if (m_now >= m_upstreams[i].downUntil) {
+            if (m_now >= m_upstreams[i].downUntil || m_upstreams[i].silentSince) {
                 up.push_back(i);
             }
         }
@@ -216,19 +223,29 @@
             m_counts.soundBroken += isDeadly ? 0 : 1;
             return;
         }
-        if (isDeadly) {
+        const std::size_t chosen = up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(m_random)];
+        if (isDeadly && !m_upstreams[chosen].silentSince) {
             ++m_counts.deadlyArrivals;
             m_counts.lateArrivals += m_toldAt && m_now - *m_toldAt > ContactTime ? 1 : 0;
         }
-        const std::size_t chosen = up[std::uniform_int_distribution<std::size_t>(0, up.size() - 1)(m_random)];
         const Duration toFirst = isDeadly ? m_ways.timeToFirst : Duration(std::uniform_int_distribution<int>(100, 900)(m_random));
         const Duration toEnd = isDeadly ? m_ways.timeToCrash : toFirst + Duration(1500);
-        m_upstreams[chosen].running.push_back(Running { content, isDeadly, node, attempt, m_now + toFirst, m_now + toEnd });
+        m_upstreams[chosen].running.push_back(Running { content, isDeadly, node, attempt, m_now + toFirst, m_now + toEnd, m_now });
     }
     void work(std::size_t index)
     {
         UpstreamState &upstream = m_upstreams[index];
+        if (upstream.silentSince) {
+            if (m_now - *upstream.silentSince >= m_ways.timeToNotice) {
+                notice(index);
+            }
+            return;
+        }
         for (Running &request : upstream.running) {
+            if (!request.hasContinued && m_now - request.beginsAt >= ContentQuarantine::BeginningTime) {
+                request.hasContinued = true;
+                m_nodes[request.node]->onAnswered(request.content, AnswerProgress::Continued, m_now);
+            }
             if (!request.hasBegun && m_now >= request.beginsAt) {
                 request.hasBegun = true;
                 m_nodes[request.node]->onAnswered(
@@ -251,18 +268,32 @@
     void crash(std::size_t index)
     {
         UpstreamState &upstream = m_upstreams[index];
-        const std::vector<Running> lost = std::exchange(upstream.running, {});
-        const UpstreamStart start = startOf(index);
-        ++upstream.start;
-        upstream.downUntil = m_now + Downtime;
-        const bool isByContent =
-            std::any_of(lost.begin(), lost.end(), [this](const Running &request) { return request.isDeadly && m_now >= request.actsAt; });
+        if (upstream.silentSince) {
+            return;
+        }
+        const bool isByContent = std::any_of(upstream.running.begin(), upstream.running.end(),
+            [this](const Running &request) { return request.isDeadly && m_now >= request.actsAt; });
         if (isByContent && ++m_counts.crashes == m_crashesToTell) {
             m_toldAt = m_now;
         }
+        upstream.downUntil = m_now + Downtime;
+        upstream.silentSince = m_now;
+        if (m_ways.timeToNotice == Duration()) {
+            notice(index);
+        }
+    }
+    /** Nodes learn that the upstream has ended. */
+    void notice(std::size_t index)
+    {
+        UpstreamState &upstream = m_upstreams[index];
+        const std::vector<Running> lost = std::exchange(upstream.running, {});
+        const UpstreamStart start = startOf(index);
+        const Time endedAt = *std::exchange(upstream.silentSince, std::nullopt);
+        ++upstream.start;
         std::map<std::size_t, std::vector<CrashSuspect>> suspects;
         for (const Running &request : lost) {
-            if (!m_ways.trustBeginnings || !request.hasBegun) {
+            const bool isBlamed = request.sentAt <= endedAt + UpstreamEndsLimits {}.sendingTime;
+            if (isBlamed && (!m_ways.trustBeginnings || !request.hasBegun)) {
                 suspects[request.node].push_back(CrashSuspect { request.content, request.hasBegun });
             }
         }
@@ -273,7 +304,7 @@
             }
         }
         for (const auto &[node, contents] : suspects) {
-            if (m_nodes[node]->onCrash(start, contents, m_now, m_now)) {
+            if (m_nodes[node]->onCrash(start, contents, endedAt, m_now)) {
                 tell(node);
             }
         }
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -52,7 +52,8 @@
     const RequestContent two { ContentDigest(31), ContentDigest(32), { ContentDigest(33), ContentDigest(34) } };
     message.quarantine.crashes = { CrashReport { { UpstreamId("c"), 18 }, Duration(40), { { one, true }, { two } } } };
     message.quarantine.answers = { AnsweredContent { two.request, Duration(41) },
-        AnsweredContent { one.request, Duration(42), AnswerProgress::Begun } };
+        AnsweredContent { one.request, Duration(42), AnswerProgress::Begun },
+        AnsweredContent { one.request, Duration(43), AnswerProgress::Continued } };
     message.quarantine.held = { HeldContent { one.request, 4, Duration(90), Duration(50), 1, Duration(12), Duration(11) },
         HeldContent { two.request, 3, Duration(80), Duration(60), 0, std::nullopt, Duration(5) } };
     message.configVersion = ConfigVersion(9);
