Compare short field names more strictly in check-config

Cause: two letters make 'moves' out of 'models', and check-config took the platform's own field for a misspelled one (configurations of three deployments, one warning each).

Change: names under eight letters may differ by one letter or one swap of neighbours, longer ones by two.

--- a/main/configcheck.cpp
+++ b/main/configcheck.cpp
@@ -13,7 +13,6 @@
 
 #include <algorithm>
 #include <map>
-#include <numeric>
 #include <utility>
 
 namespace ApricotStep
@@ -80,20 +79,24 @@
     return std::nullopt;
 }
 
-/** The number of letters to insert, remove or replace to get from one word to the other, @p limit + 1 if there are more. */
-std::size_t editDistance(std::string_view from, std::string_view to, std::size_t limit)
-{
-    std::vector<std::size_t> row(to.size() + 1);
-    std::iota(row.begin(), row.end(), std::size_t(0));
-    for (std::size_t i = 0; i < from.size(); ++i) {
-        std::size_t diagonal = std::exchange(row[0], i + 1);
-        for (std::size_t j = 0; j < to.size(); ++j) {
-            const std::size_t replaced = diagonal + (from[i] == to[j] ? 0 : 1);
-            diagonal = row[j + 1];
-            row[j + 1] = std::min({ replaced, row[j] + 1, diagonal + 1 });
+/** The number of letters to insert, remove, replace or swap with the next one to get from one word to the other. */
+std::size_t editDistance(std::string_view from, std::string_view to)
+{
+    std::vector<std::vector<std::size_t>> rows(from.size() + 1, std::vector<std::size_t>(to.size() + 1));
+    for (std::size_t i = 0; i <= from.size(); ++i) {
+        for (std::size_t j = 0; j <= to.size(); ++j) {
+            if (i == 0 || j == 0) {
+                rows[i][j] = i + j;
+                continue;
+            }
+            const std::size_t replaced = rows[i - 1][j - 1] + (from[i - 1] == to[j - 1] ? 0 : 1);
+            rows[i][j] = std::min({ replaced, rows[i - 1][j] + 1, rows[i][j - 1] + 1 });
+            if (i > 1 && j > 1 && from[i - 1] == to[j - 2] && from[i - 2] == to[j - 1]) {
+                rows[i][j] = std::min(rows[i][j], rows[i - 2][j - 2] + 1);
+            }
         }
     }
-    return std::min(row[to.size()], limit + 1);
+    return rows[from.size()][to.size()];
 }
 
 std::string decodeError(const Json &root)
@@ -292,23 +295,22 @@
 // Nodes ignore fields that they do not know, so a misspelled one has no effect. Other unknown fields may be meant for other programs.
 std::string_view meantName(std::string_view written, const FieldNames &known)
 {
-    constexpr std::size_t MaxDistance = 2;
     constexpr std::size_t MinLength = 4;
-    std::string_view best;
-    std::size_t bestDistance = MaxDistance + 1;
-    for (const std::string_view name : known) {
-        if (name == written) {
-            return {};
-        }
-        const bool isSameLetters =
-            absl::EqualsIgnoreCase(absl::string_view(name.data(), name.size()), absl::string_view(written.data(), written.size()));
-        const std::size_t distance = isSameLetters ? 0 : editDistance(name, written, MaxDistance);
-        if (distance < bestDistance && (isSameLetters || std::min(name.size(), written.size()) >= MinLength + distance - 1)) {
-            best = name;
-            bestDistance = distance;
+    constexpr std::size_t MinLengthForTwo = 8;
+    const auto isMeant = [written](std::string_view name) {
+        if (absl::EqualsIgnoreCase(absl::string_view(name.data(), name.size()), absl::string_view(written.data(), written.size()))) {
+            return true;
         }
+        const std::size_t length = std::min(name.size(), written.size());
+        const std::size_t maxDistance = length >= MinLengthForTwo ? 2 : 1;
+        const std::size_t difference = std::max(name.size(), written.size()) - length;
+        return length >= MinLength && difference <= maxDistance && editDistance(written, name) <= maxDistance;
+    };
+    if (std::find(known.begin(), known.end(), written) != known.end()) {
+        return {};
     }
-    return best;
+    const auto at = std::find_if(known.begin(), known.end(), isMeant);
+    return at != known.end() ? *at : std::string_view();
 }
 
 void checkFieldNames(const Json &object, const std::string &path, const FieldNames &known, Findings &findings)
--- a/tests/main/testentrynodeconfigcheck.cpp
+++ b/tests/main/testentrynodeconfigcheck.cpp
@@ -131,6 +131,8 @@
     const auto found = checkConfiguration(replaced(Clean, "\"gapAimMs\"", "\"gapAimMS\""), std::nullopt).findings;
     cr_assert(found.at(0).message.find("'gapAimMs'") != std::string::npos, "%s", found.at(0).message.c_str());
     cr_assert(findings(replaced(Clean, "\"version\":8", "\"version\":8,\"comment\":\"x\",\"x\":1")).empty(), "other fields are no fault");
+    cr_assert(findings(replaced(Clean, "\"adapterSlots\":8", "\"adapterSlots\":8,\"moves\":true,\"hostMb\":5")).empty(),
+        "short names of their own");
 }
 
 // The decoder stops at its first error. An operator must learn of all of them at once, or each publication fails for the next one.
