Send nothing to an upstream that some node knows to have ended

What callers saw: while a host was silent, sound requests went on to it from all nodes until its entry lapsed, and each hung there.

Cause: nodes told each other of an end only to relate it to content; the choice of engines did not use it.

Change: a node that finds out that an upstream has ended, or is told so, sends no requests for adapters to that start for three seconds, and the plan of adapters counts its copies as unavailable. A new start or a whole answer lifts it. upstreamThatEndedAtAnotherNodeGetsNoRequests guards it.

--- a/coordination/outlierdetector.cpp
+++ b/coordination/outlierdetector.cpp
@@ -26,6 +26,7 @@
     /** The end of the last ejection, from which the time without ejection is counted. */
     Time lastEjectionEnd;
     Time unreachableUntil;
+    Time endedUntil;
 };
 
 } // namespace
@@ -103,10 +104,23 @@
     d->states[upstream].unreachableUntil = now + d->limits.unreachableBackoff;
 }
 
+void OutlierDetector::onEnded(const UpstreamId &upstream, Time now)
+{
+    d->states[upstream].endedUntil = now + d->limits.endedBackoff;
+}
+
+void OutlierDetector::onStarted(const UpstreamId &upstream)
+{
+    const auto at = d->states.find(upstream);
+    if (at != d->states.end()) {
+        at->second.endedUntil = Time();
+    }
+}
+
 bool OutlierDetector::isReachable(const UpstreamId &upstream, Time now) const
 {
     const auto at = d->states.find(upstream);
-    return at == d->states.end() || now >= at->second.unreachableUntil;
+    return at == d->states.end() || now >= std::max(at->second.unreachableUntil, at->second.endedUntil);
 }
 
 void OutlierDetector::onSuccess(const UpstreamId &upstream, Time now)
@@ -114,6 +128,7 @@
     UpstreamState &entry = d->states[upstream];
     d->resetOldEjections(entry, now);
     entry.consecutiveFailures = 0;
+    entry.endedUntil = Time();
     entry.failureRate -= entry.failureRate * NewestWeight;
 }
 
--- a/coordination/outlierdetector.h
+++ b/coordination/outlierdetector.h
@@ -36,6 +36,8 @@
      * backoff they would connect again at each placement decision, and a crashed engine would get thousands of connection attempts.
      */
     Duration unreachableBackoff { 300 };
+    /** How long an upstream that has ended gets no requests, unless it starts again or answers: about as long as it remains listed. */
+    Duration endedBackoff = Duration::seconds(3);
     /** Only an upstream whose recent failure rate exceeds the mean of the others by this much is ejected. */
     double failureRateMargin = 0.3;
 };
@@ -58,10 +60,14 @@
     void onFailure(const UpstreamId &upstream, Time now);
     /** A connection attempt failed. */
     void onUnreachable(const UpstreamId &upstream, Time now);
+    /** Some node has found out that the upstream has ended. */
+    void onEnded(const UpstreamId &upstream, Time now);
+    /** The upstream has started again. */
+    void onStarted(const UpstreamId &upstream);
     /** The upstream restarted with cold caches: begins a slow start unless the upstream is ejected. */
     void onRestart(const UpstreamId &upstream, Time now);
 
-    /** Returns false during the backoff after a failed connection attempt. */
+    /** Returns false during the backoff after a failed connection attempt, or after its end. */
     bool isReachable(const UpstreamId &upstream, Time now) const;
     bool isEjected(const UpstreamId &upstream, Time now) const;
     /** 0 if ejected; during a slow start the share that it has reached; otherwise 1. */
--- a/main/entry/crashguard.cpp
+++ b/main/entry/crashguard.cpp
@@ -38,6 +38,7 @@
     : m_loop(loop)
     , m_log(log)
     , m_metrics(metrics)
+    , m_clusterState(clusterState)
     , m_quarantine(clusterState.quarantine)
     , m_callbacks(std::move(callbacks))
     , m_detector(loop, log, metrics, suspicionTime, [this](const UpstreamEnd &end) { onEnded(end); })
@@ -50,8 +51,17 @@
     return m_loop.clock().now();
 }
 
+void CrashGuard::avoid(const UpstreamStart &ended)
+{
+    const UpstreamRecord *record = m_clusterState.upstreams.usable(ended.upstream);
+    if (record != nullptr && record->startedAt == ended.startedAt) {
+        m_clusterState.outliers.onEnded(ended.upstream, now());
+    }
+}
+
 void CrashGuard::onEnded(const UpstreamEnd &end)
 {
+    avoid(UpstreamStart { end.upstream.id, end.upstream.startedAt });
     if (m_quarantine.onCrash(UpstreamStart { end.upstream.id, end.upstream.startedAt }, end.suspects, end.at, now())) {
         m_callbacks.onNews();
     }
@@ -68,6 +78,9 @@
 
 void CrashGuard::onPeerStatements(const QuarantineStatements &statements)
 {
+    for (const CrashReport &report : statements.crashes) {
+        avoid(report.upstream);
+    }
     m_quarantine.onPeerStatements(statements, now());
     reportChanges();
 }
--- a/main/entry/crashguard.h
+++ b/main/entry/crashguard.h
@@ -55,11 +55,14 @@
 private:
     Time now() const;
     void onEnded(const UpstreamEnd &end);
+    /** The upstream gets no requests until it starts again. */
+    void avoid(const UpstreamStart &ended);
     void reportChanges();
 
     IoLoop &m_loop;
     EventLog &m_log;
     EntryMetrics &m_metrics;
+    ClusterState &m_clusterState;
     ContentQuarantine &m_quarantine;
     Callbacks m_callbacks;
     CrashDetector m_detector;
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -339,6 +339,7 @@
         std::visit(Overloaded {
                        [this](const UpstreamStarted &started) {
                            clusterState.outOfScope.put(started.record);
+                           clusterState.outliers.onStarted(started.record.id);
                            forwarder->onUpstreamStarted(started.record);
                            log.write(EventLog::Severity::Important, "upstream", "started",
                                { { "upstream", started.record.id.value() }, { "service", started.record.service.value() },
--- a/tests/coordination/testupstreamtrouble.cpp
+++ b/tests/coordination/testupstreamtrouble.cpp
@@ -116,6 +116,23 @@
     cr_assert(outliers.isReachable(Sick, Time(1400)));
 }
 
+// An upstream that has ended stays listed for seconds, and a silent host keeps each request that is sent to it.
+Test(outliers, upstreamThatHasEndedGetsNothingUntilItStartsAgainOrAnswers)
+{
+    OutlierDetector outliers({});
+    outliers.setUpstreams(upstreams(9));
+    outliers.onStarted(Sick);
+    outliers.onEnded(Sick, Time(1000));
+    cr_assert_not(outliers.isReachable(Sick, Time(3900)));
+    cr_assert(outliers.isReachable(Sick, Time(4000)));
+    outliers.onEnded(Sick, Time(4000));
+    outliers.onStarted(Sick);
+    cr_assert(outliers.isReachable(Sick, Time(4001)));
+    outliers.onEnded(Sick, Time(4002));
+    outliers.onSuccess(Sick, Time(4100));
+    cr_assert(outliers.isReachable(Sick, Time(4101)), "it has not ended after all");
+}
+
 // Engines come and go all day under new ids. If removed engines counted as ejected, the limit of a third would soon be reached, and the
 // next failing engine would keep getting requests.
 Test(outliers, removedUpstreamsDoNotCountAsEjected)
--- a/tests/main/testrequestforwardercrash.cpp
+++ b/tests/main/testrequestforwardercrash.cpp
@@ -368,3 +368,31 @@
     fixture.silenceUpstreams();
     cr_assert_eq(fixture.sendWithNewId("deadly"), 504);
 }
+
+// Another node has found out that an engine has ended, and this one would send it requests for as long as the store lists it.
+Test(crashingrequests, upstreamThatEndedAtAnotherNodeGetsNoRequests)
+{
+    const ScriptedUpstream ended([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    const ScriptedUpstream other([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Idempotent, 1);
+    fixture.addUpstream("u1", ended);
+    fixture.addUpstream("u2", other);
+    for (const char *engine : { "u1", "u2" }) {
+        fixture.clusterState.residencies.put(EngineResidency {
+            UpstreamId(engine), 1, FencingToken(1), 1, { AdapterCopy { BaseModelId("m"), AdapterId("a7"), AdapterVersion("1"), true } } });
+    }
+    QuarantineStatements statements;
+    statements.crashes = { CrashReport { { UpstreamId("u1"), 1 }, Duration(1500), { { RequestContent { ContentDigest(5) } } } },
+        CrashReport { { UpstreamId("u2"), 0 }, Duration(1500), { { RequestContent { ContentDigest(5) } } } } };
+    fixture.forwarder->onQuarantineStatements(statements);
+    for (int i = 0; i < 8; ++i) {
+        HttpRequest request = ForwarderFixture::request();
+        request.headers["apricotstep-model"] = "m/a7";
+        ForwarderFixture::setRequestId(request, absl::StrCat("r-", i));
+        const auto caller = fixture.send(std::move(request));
+        fixture.runUntil([&] { return caller->isDone(); });
+        cr_assert_eq(caller->status(), 200);
+    }
+    cr_assert(ended.requests().empty());
+}
