Run the known red tests of engine memory in the program of their layer

Cause: coordination.engine_memory_burst in KNOWN-RED.txt named no test, so nothing showed whether it still fails.

--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -25,10 +25,10 @@
 // So nodes tell each other what upstreams were asked when they ended. Content is held back once several upstreams in a row have ended under
 // it, at different moments, and none has answered it in between, which a sound request, or one that many callers share, does not survive by
 // chance. Any node that knows of an answer objects, as most do for a part that many requests share. The beginning of an answer counts like
-// a whole one until an upstream ends in the middle of an answer to the same content; from then on an answer must have gone on for some time,
-// since upstreams may end while they write, too. A part must have ended upstreams in several different requests: what two deadly requests
-// share is not to blame. A crash under a part that is held back accuses nothing else; one under a held request accuses its own parts only.
-// Held content gets a few trials, each by a single node of the fleet, and is released once an upstream answers it.
+// a whole one until an upstream ends in the middle of an answer to the same content; from then on an answer must have gone on for some
+// time, since upstreams may end while they write, too. A part must have ended upstreams in several different requests: what two deadly
+// requests share is not to blame. A crash under a part that is held back accuses nothing else; one under a held request accuses its own
+// parts only. Held content gets a few trials, each by a single node of the fleet, and is released once an upstream answers it.
 
 struct ContentQuarantineLimits
 {
--- a/tests/coordination/testenginememory.cpp
+++ b/tests/coordination/testenginememory.cpp
@@ -22,6 +22,8 @@
     int nodes = 36;
     int engines = 4;
     double requestsPerSecond = 60;
+    /** Requests that arrive in the same millisecond, over all nodes. */
+    int burst = 0;
 };
 
 struct ReplayResult
@@ -53,7 +55,8 @@
         for (int ms = 0; ms < 20'000; ++ms) {
             const Time now(100'000 + ms);
             endRequests(now);
-            if (arrives(m_random)) {
+            int arrivals = (arrives(m_random) ? 1 : 0) + (ms == BurstAtMs ? m_load.burst : 0);
+            for (; arrivals > 0; --arrivals) {
                 m_nodes[m_random() % m_nodes.size()].waiting.push_back({ m_random() % 10 < 7, now, now });
             }
             for (std::size_t i = 0; i < m_nodes.size(); ++i) {
@@ -68,6 +71,7 @@
 
 private:
     static constexpr int MessageIntervalMs = 250;
+    static constexpr int BurstAtMs = 1000;
 
     struct Request
     {
@@ -196,6 +200,24 @@
     }
 }
 
+// Hundreds of requests arrive at all nodes in one millisecond, before any message can tell of the first.
+Test(knownred, burstDoesNotFillEnginesBeyondTheirMemory)
+{
+    for (unsigned seed = 1; seed <= 3; ++seed) {
+        const ReplayResult result = Replay(ReplayLoad { 36, 4, 0, 600 }, EngineMemoryLimits {}, seed).run();
+        cr_expect_leq(result.maxTokens, Capacity, "seed %u: %.2f times the capacity", seed, result.maxTokens / Capacity);
+    }
+}
+
+// Many more nodes than an engine has room for requests send four times what the engines read: the room of each node is less than a request.
+Test(knownred, manyNodesDoNotFillFewEnginesBeyondTheirMemory)
+{
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        const ReplayResult result = Replay(ReplayLoad { 135, 4, 94 }, EngineMemoryLimits {}, seed).run();
+        cr_expect_leq(result.maxTokens, Capacity, "seed %u: %.2f times the capacity", seed, result.maxTokens / Capacity);
+    }
+}
+
 // Once the other nodes send no more, a node that has seen an engine full must not go on leaving room for them.
 Test(enginememory, contentionEndsWithItsCause)
 {
