Bound the bytes of the reports of engine speed at any size of the fleet

What operators would see: nothing by default; with engines.weighSpeed, more than 2 KB/s a node for these reports alone.

Cause: up to 16 reports in each heartbeat. Encoded, one takes 29.6 bytes, 16 take 473 (measured); to 24 nodes of a zone five times a second that is 57 KB/s a node at 400 nodes, and as much again every two seconds for the nodes outside of the zone, which do not use these engines.

--- a/main/entry/fleetlink.cpp
+++ b/main/entry/fleetlink.cpp
@@ -1,5 +1,6 @@
 #include "main/entry/fleetlink.h"
 
+#include "coordination/reportbudget.h"
 #include "core/hash.h"
 #include "protocol/fleetcodec.h"
 
@@ -45,6 +46,9 @@
 // the streams of that scope.
 constexpr std::size_t AskedScopePeers = 6;
 constexpr std::size_t AskedPeersOfOtherScope = 2;
+// What a node spends on reports of the speed of engines, of the 2 KB/s that control may take.
+constexpr double SpeedBytesPerSecond = 500;
+constexpr double SpeedReportBytes = 32;
 constexpr EventLog::Severity Important = EventLog::Severity::Important;
 
 } // namespace
@@ -68,6 +72,7 @@
     /** Addresses that peers named of nodes that have not sent anything yet, and until when this node sends to them. */
     std::map<std::string, Time> contacts;
     std::mt19937_64 random { std::random_device {}() };
+    ReportBudget speedBudget { SpeedBytesPerSecond, SpeedReportBytes };
     /** The residencies that this node announced, to be sent again. */
     std::map<UpstreamId, EngineResidency> ownResidencies;
     const Time startedAt;
@@ -137,6 +142,7 @@
     }
     FleetMessage baseMessage() const;
     FleetMessage loadMessage();
+    std::size_t scopePeerCount() const;
     bool isQuarantineRepeatDue();
     void sendQuarantine();
     std::set<NodeId> holders() const;
@@ -215,6 +221,7 @@
     message.upstreamLimits = clusterState.upstreamLimits.statements(now());
     message.upstreamRests = clusterState.upstreamRests.own(now());
     message.engineSpeeds = clusterState.engineSpeed.takeReports(now());
+    message.engineSpeeds.resize(speedBudget.take(message.engineSpeeds.size(), scopePeerCount(), now()));
     message.leavingUpstreams = clusterState.upstreams.heardLeaving(now());
     message.brittleUpstreams = clusterState.brittleUpstreams.statements(now());
     const auto isNeeded = [this](const ServiceName &service) { return !clusterState.softwareHistory.soleVersion(service, now()); };
@@ -223,6 +230,12 @@
     return message;
 }
 
+std::size_t FleetLink::Private::scopePeerCount() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        peers.begin(), peers.end(), [this](const auto &entry) { return scope.isScopePeer(entry.second.zone, entry.second.scope); }));
+}
+
 bool FleetLink::Private::isQuarantineRepeatDue()
 {
     if (clusterState.quarantine.heldCount() == 0 || now() - quarantineRepeatedAt < QuarantineInterval) {
@@ -304,6 +317,7 @@
         outOfScopeMessage.uses.clear();
         outOfScopeMessage.loads.reset();
         outOfScopeMessage.begunStreams.clear();
+        outOfScopeMessage.engineSpeeds.clear();
         outOfScopeMessage.engineLoads = engineLoads();
         outOfScopeBytes = encodeFleetMessage(outOfScopeMessage);
     }
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -120,6 +120,21 @@
     cr_assert_not(decodeFleetMessage(encodeFleetMessage(FleetMessage {})).isOk());
 }
 
+// A node plans its heartbeats by the bytes that a report takes; more would exceed what control may use.
+Test(fleetcodec, reportOfAnEnginesSpeedTakesNoMoreBytesThanPlanned)
+{
+    FleetMessage message = fullMessage();
+    message.engineSpeeds.clear();
+    const std::size_t without = encodeFleetMessage(message).size();
+    for (std::size_t i = 0; i < EngineSpeed::MaxReports; ++i) {
+        const std::int64_t startedAt = 1'796'428'585'374 + static_cast<std::int64_t>(i) * 1001;
+        message.engineSpeeds.push_back(
+            EngineSpeedReport { UpstreamId("i-3c58c91f" + std::to_string(10 + i)), startedAt, 251, Duration(1234) });
+    }
+    const std::size_t bytes = encodeFleetMessage(message).size() - without;
+    cr_assert_leq(bytes, EngineSpeed::MaxReports * 32, "%zu bytes", bytes);
+}
+
 // Guards against a forged report that makes an engine endlessly slow or infinitely fast, or that counts for longer than a true one.
 Test(fleetcodec, forgedEngineSpeedsAreBounded)
 {
