Look at the requests in progress without copying them

Cause: ten times a second a node copied the record of the upstream of each request in progress, with its adapters, to find the silent ones.

Change: it copies only if one of them has been silent for long enough, as few are.

--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -183,6 +183,7 @@
     void reportFull(const UpstreamRecord &upstream) override;
     void onEnded(std::uint64_t job) override;
     /** The attempts in progress at upstreams that @p isWanted chooses. */
+    std::vector<WaitingAttempt> waitingAttempts();
     UpstreamProber::Callbacks upstreamProberCallbacks();
     std::vector<UnansweredRequest> attempts(const std::function<bool(const UnansweredRequest &)> &isWanted) const;
 
@@ -712,25 +713,30 @@
     }));
 }
 
+std::vector<WaitingAttempt> RequestForwarder::Private::waitingAttempts()
+{
+    const Time now = m_loop.clock().now();
+    std::vector<UnansweredRequest> waiting = guard.detector().suspected();
+    const bool isAnySilent = std::any_of(
+        jobs.begin(), jobs.end(), [now](const auto &job) { return job.second->silence(now) >= IndirectProbeLimits {}.minSilence; });
+    for (const auto &[number, job] : jobs) {
+        const bool isWaiting = isAnySilent && job->silence(now) > Duration();
+        if (const auto attempt = isWaiting ? job->attemptInProgress() : std::nullopt) {
+            waiting.push_back(*attempt);
+        }
+    }
+    std::vector<WaitingAttempt> result;
+    for (const UnansweredRequest &request : waiting) {
+        const UpstreamRecord &upstream = request.upstream;
+        result.push_back(WaitingAttempt { { upstream.id, upstream.startedAt }, upstream.zone, request.sentAt, request.lastPartAt });
+    }
+    return result;
+}
+
 UpstreamProber::Callbacks RequestForwarder::Private::upstreamProberCallbacks()
 {
     UpstreamProber::Callbacks result;
-    result.attempts = [this] {
-        std::vector<WaitingAttempt> waiting;
-        const auto add = [&waiting](const UnansweredRequest &request) {
-            const UpstreamRecord &upstream = request.upstream;
-            waiting.push_back(WaitingAttempt { { upstream.id, upstream.startedAt }, upstream.zone, request.sentAt, request.lastPartAt });
-        };
-        for (const auto &[number, job] : jobs) {
-            if (const auto attempt = job->attemptWaitingForUpstream()) {
-                add(*attempt);
-            }
-        }
-        for (const UnansweredRequest &request : guard.detector().suspected()) {
-            add(request);
-        }
-        return waiting;
-    };
+    result.attempts = [this] { return waitingAttempts(); };
     result.peers = m_callbacks.probePeers;
     result.requestProbes = m_callbacks.requestProbes;
     result.tellResult = m_callbacks.tellProbeResult;
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -1038,9 +1038,10 @@
     return unansweredRequest();
 }
 
-std::optional<UnansweredRequest> RequestJob::attemptWaitingForUpstream() const
+Duration RequestJob::silence(Time now) const
 {
-    return m_isPaused ? std::nullopt : attemptInProgress();
+    const bool isWaiting = !m_relay && !m_isPaused && (m_phase == Phase::Sent || m_phase == Phase::Answering);
+    return isWaiting ? now - std::max(m_sentAt, m_lastReceivedAt) : Duration();
 }
 
 void RequestJob::onUpstreamStarted(const UpstreamRecord &record)
@@ -1056,9 +1057,8 @@
 
 void RequestJob::reportIfSilent()
 {
-    const auto attempt = attemptWaitingForUpstream();
-    if (attempt && attempt->silence(now()) >= MinSilence) {
-        m_context.crashGuard().detector().onSilent(*attempt);
+    if (silence(now()) >= MinSilence) {
+        m_context.crashGuard().detector().onSilent(unansweredRequest());
     }
 }
 
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -113,8 +113,8 @@
     void onUpstreamStarted(const UpstreamRecord &record);
     /** The attempt at an upstream in progress, if any. */
     std::optional<UnansweredRequest> attemptInProgress() const;
-    /** The same, unless the answer waits for the caller. */
-    std::optional<UnansweredRequest> attemptWaitingForUpstream() const;
+    /** How long the attempt in progress has received nothing; zero if there is none, or if it waits for the caller. */
+    Duration silence(Time now) const;
 
 private:
     enum class Phase {
