Take no late probe for silence of an upstream

Cause: a node that gets no processor time for a while ends its probe by its time limit although an answer may have arrived, and would tell others that the upstream is silent. Several such nodes under load could agree.

Change: a probe that ends more than 100 ms after its limit does not count as unanswered. By reading; no run showed it.

--- a/main/entry/upstreamprober.cpp
+++ b/main/entry/upstreamprober.cpp
@@ -16,6 +16,7 @@
 constexpr Duration CheckInterval { 100 };
 // Longer than an engine takes to answer on a busy network, and short against the silence before it is asked.
 constexpr Duration ProbeTimeout { 300 };
+constexpr Duration MaxDelay { 100 };
 constexpr std::size_t MaxReportBytes = 1U << 20U;
 
 // A reset or refused connection shows a host that lives as well; whether the process has ended is found out otherwise.
@@ -117,9 +118,11 @@
     call.isSentOnce = true;
     auto hasHead = std::make_shared<bool>(false);
     call.onHead = [hasHead](int, const HttpHeaders &) { *hasHead = true; };
-    call.onDone = [weak = weak_from_this(), upstream, hasHead](const CallResult &result) {
+    call.onDone = [weak = weak_from_this(), upstream, hasHead, startedAt = now()](const CallResult &result) {
         if (const auto self = weak.lock()) {
-            self->onProbed(ProbeResult { upstream, *hasHead || isSignOfLife(result) });
+            // A node that got no processor time may have an answer that it has not read.
+            const bool isLate = self->now() - startedAt > ProbeTimeout + MaxDelay;
+            self->onProbed(ProbeResult { upstream, *hasHead || isLate || isSignOfLife(result) });
         }
     };
     loop.client().start(std::move(call));
