--- a/main/configcheck.cpp
+++ b/main/configcheck.cpp
@@ -320,17 +320,17 @@
     }
     for (const auto &[key, value] : object.items()) {
         if (const std::string_view meant = meantName(key, known); !meant.empty()) {
-            addWarning(
-                findings, path.empty() ? key : path + "." + key, fmt::format("unknown field, which has no effect; is '{}' meant?", meant));
+            addWarning(findings, path.empty() ? key : fieldOf(path, key.c_str()),
+                fmt::format("unknown field, which has no effect; is '{}' meant?", meant));
         }
     }
 }
 
 const Json &member(const Json &object, const char *name)
 {
-    static const Json Nothing;
+    static const Json nothing;
     const auto at = object.is_object() ? object.find(name) : object.end();
-    return at != object.end() ? *at : Nothing;
+    return at != object.end() ? *at : nothing;
 }
 
 void checkListNames(const Json &object, const char *list, const std::string &path, const FieldNames &known, Findings &findings)
