--- a/review/3/case.py
+++ b/review/earlier/3/case.py
@@ -8,7 +8,7 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(FOLDER)), "standins"))
 
 import fleet
 
--- a/review/4/case.py
+++ b/review/earlier/4/case.py
@@ -5,7 +5,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(FOLDER)), "standins"))
 
 import fleet
 import http1
