--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,12 +1,9 @@
-"""The store cuts some of the watches that wait, while servers leave that never report `draining`."""
+"""Some clients send many headers, within `maxHeaderBytes` of the configuration, on connections that they keep."""
 
 import asyncio
-import base64
-import json
 import os
 import sys
 import time
-import urllib.parse
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
@@ -14,129 +11,97 @@
 import fleet
 import http1
 
-LENGTH_S, QUIET_S = 60, 5
-REQUESTS_PER_S = 120
-CUT_BEFORE_S = 0.06  # The store cuts the watches that wait, so long before the entry is removed.
-LEAVE_EVERY_S = 3.0
-DRAIN_S = fleet.BOUNDS["drainMs"] / 1000
-CLOCK_SLACK_S = 0.05  # The check and the stand-ins share one thread.
-
-
-def without_seq(value):
-    return {name: field for name, field in json.loads(base64.b64decode(value)).items() if name != "seq"}
-
-
-class Store(fleet.Store):
-    """An entry changes when more than its `seq` changes. A watch that is waiting may be cut."""
-
-    def __init__(self, case):
-        super().__init__()
-        self.case = case
-
-    def put(self, key, value):
-        known = self.items.get(key)
-        if known is not None and key.startswith("servers/") and without_seq(known["value"]) == {k: v for k, v in value.items() if k != "seq"}:
-            known["value"] = base64.b64encode(json.dumps(value).encode()).decode()
-            return
-        super().put(key, value)
-
-    async def handle(self, request, reader, writer):
-        query = dict(urllib.parse.parse_qsl(request.query))
-        while request.path == "/apricotstep/kv-watch" and self.revision <= int(query["after"]):
-            waited_from = query.setdefault("from", str(time.monotonic()))
-            if time.monotonic() >= float(waited_from) + int(query.get("waitMs", "0")) / 1000:
-                break
-            cuts = self.cuts
-            await asyncio.sleep(0.005)
-            if self.cuts > cuts:
-                self.case.record.counts["watches cut"] += 1
-                self.case.record.note("cut", peer=writer.get_extra_info("peername"))
-                return False
-        return await super().handle(request, reader, writer)
-
-    cuts = 0
-
-    def cut_watches(self):
-        """Cuts the watches that wait at this moment, each of them once."""
-        self.cuts += 1
+LENGTH_S = 40
+REQUESTS_PER_S, CLIENTS = 15, 10
+MAX_HEADER_BYTES = 16384  # Of the configuration.
+MOST_HEADER_BYTES = 16000 if os.environ.get("TROUBLE", "1") != "0" else 6000
+HEADER_BYTES = 100  # One field with its name, separator and line end.
+ANSWER_HEADER_BYTES, ANSWER_HEADERS = 1500, 5
+DEADLINE_MS = 1500
+LOST_ALLOWED, DENIED_ALLOWED, DENIED_SHARE = 3, 5, 1 / 500  # Of the rules.
 
 
 class Service(fleet.Service):
-    gone_at = None
-
-    def leave(self):
-        """Its entry is removed, and it goes on serving for drainMs and a little longer."""
-        self.fleet.store.delete("servers/" + self.name)
-        self.gone_at = time.monotonic()
-        self.is_listed = False
-        self.fleet.record.note("removed", server=self.name)
-        self.fleet.loop_later(DRAIN_S + 3, self.end)
-
-    async def _beat_forever(self):
-        while self.is_up and self.gone_at is None:
-            await asyncio.sleep(fleet.HEARTBEAT_S * self.fleet.random.uniform(0.9, 1.1))
-            if self.is_up and self.gone_at is None:
-                self.beat()
-
-    def end(self):
-        self.is_up = False
-        self._server.close()
-        if not self.fleet.is_over:
-            self.fleet.record.note("exits", server=self.name)
-
-    async def handle(self, request, reader, writer):
-        if request.path != "/health" and self.gone_at is not None:
-            self.fleet.check(self, request)
-        return await super().handle(request, reader, writer)
+    def seal(self, request):
+        """The answers bear some further headers, as those of web applications do."""
+        headers = super().seal(request)
+        for number in range(ANSWER_HEADERS):
+            headers[f"X-Answer-{number}"] = "w" * (ANSWER_HEADER_BYTES // ANSWER_HEADERS - 15)
+        return headers
 
 
 class Case(fleet.Fleet):
-    node_count, engine_count, service_count = 4, 1, 4
+    node_count, engine_count, service_count = 2, 1, 3
 
     def __init__(self, folder):
         super().__init__(folder)
-        self.store = Store(self)
+        self.lost = []
+        self.denied = []
 
     def make_service(self, index):
-        return Service(self, f"i-s{index + 1}", "api", fleet.ZONES[index % len(fleet.ZONES)], 6)
-
-    def check(self, server, request):
-        late_s = time.monotonic() - server.gone_at - DRAIN_S
-        identifier = request.header("apricotstep-request-id")
-        self.record.note("arrived", id=identifier, server=server.name, afterRemovalS=f"{late_s + DRAIN_S:.3f}")
-        if late_s > CLOCK_SLACK_S:
-            sent_after = self.sent[identifier] - server.gone_at
-            self.record.break_rule("DRAIN", f"request {identifier}, sent {sent_after:.2f} s after the removal of {server.name} was acknowledged, "
-                                            f"reaches it {late_s + DRAIN_S:.2f} s after; drainMs is {DRAIN_S} s")
-
-    async def clients(self):
+        return Service(self, f"i-s{index + 1}", "api", fleet.ZONES[index % len(fleet.ZONES)], 24)
+
+    def head(self, size):
+        """Returns a request's id and its head of some @p size bytes."""
+        identifier = self.new_id()
+        headers = {"Host": fleet.HOST, "Apricotstep-Request-Id": identifier, "Apricotstep-Deadline-Ms": DEADLINE_MS, "Content-Length": 100}
+        first = "POST /post/2f HTTP/1.1"
+        used = len(http1.head(first, headers))
+        while used + HEADER_BYTES <= size:
+            name = f"X-Field-{len(headers):03d}"
+            headers[name] = "v" * (HEADER_BYTES - len(name) - 4)
+            used += HEADER_BYTES
+        raw = http1.head(first, headers)
+        assert len(raw) <= MAX_HEADER_BYTES
+        return identifier, raw
+
+    async def exchange(self, reader, writer, size):
+        """Sends one request on the kept connection. Returns whether it can be used again."""
+        identifier, raw = self.head(size)
+        self.sent[identifier] = time.monotonic()
+        self.record.counts["sent"] += 1
+        self.record.note("sent", id=identifier, headerBytes=len(raw))
+        response = http1.Response()
+        try:
+            writer.write(raw + b"x" * 100)
+            await asyncio.wait_for(http1.receive(reader, response), DEADLINE_MS / 1000 + 1)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
+            response.error = type(error).__name__
+        self.record.counts[f"answered {response.status}"] += 1
+        self.record.note("answered", id=identifier, status=response.status, error=response.error, runs=len(self.runs[identifier]))
+        if response.status == 0 and self.runs[identifier]:
+            self.lost.append(identifier)
+        if 300 <= response.status < 500 and response.status not in (408, 421, 429):
+            self.denied.append(identifier)
+        return response.is_complete and response.headers.get("connection", "").lower() != "close"
+
+    async def client(self):
         while not self.is_over:
-            await asyncio.sleep(self.random.expovariate(REQUESTS_PER_S))
             node = self.random.choice(self.nodes)
-            self.task(self.request("GET", "/read/2f", {}, deadline_ms=1500, address=node.address(8149)))
-
-    async def releases(self):
-        """Servers are replaced one after the other: the new one starts first."""
-        serving = list(self.services)
-        while not self.is_over:
-            await asyncio.sleep(LEAVE_EVERY_S * self.random.uniform(0.8, 1.2))
-            index = len(self.services)
-            self.services.append(self.make_service(index))
-            await self.services[-1].start(f"127.0.{self.network}.{150 + index}")
-            serving.append(self.services[-1])
-            await asyncio.sleep(1.5)
-            if self.has_trouble:
-                self.store.cut_watches()
-            await asyncio.sleep(CUT_BEFORE_S)
-            serving.pop(0).leave()
+            try:
+                reader, writer = await asyncio.open_connection(*node.address(8149).split(":"), limit=1 << 20)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                is_open = await self.exchange(reader, writer, 400)
+                while is_open and not self.is_over:
+                    await asyncio.sleep(self.random.expovariate(REQUESTS_PER_S / CLIENTS))
+                    is_open = await self.exchange(reader, writer, self.random.uniform(400, MOST_HEADER_BYTES))
+            finally:
+                writer.transport.abort()
 
     async def run(self):
-        await asyncio.sleep(QUIET_S)
-        self.task(self.clients())
-        self.task(self.releases())
-        until = time.monotonic() + LENGTH_S
-        while time.monotonic() < until and len(self.record.broken) < 5:
-            await asyncio.sleep(0.1)
+        await asyncio.sleep(3)
+        for _ in range(CLIENTS):
+            self.task(self.client())
+        await asyncio.sleep(LENGTH_S)
+        sent = self.record.counts["sent"]
+        if len(self.lost) > LOST_ALLOWED:
+            self.record.break_rule("LOST", f"{len(self.lost)} of {sent} requests were run by a sound server, and their kept connection was closed "
+                                           "without an answer")
+        if len(self.denied) > DENIED_ALLOWED + sent * DENIED_SHARE:
+            self.record.break_rule("DENIED", f"{len(self.denied)} of {sent} proper requests were refused with 431")
 
 
 fleet.play(Case, FOLDER)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,9 @@
-"""Some clients send many headers, within `maxHeaderBytes` of the configuration, on connections that they keep."""
+"""The machines are cut into two halves for 5.5 s and all their processes are killed and started again; both halves reach the rest."""
 
 import asyncio
+import collections
 import os
+import signal
 import sys
 import time
 
@@ -9,99 +11,101 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
 
 import fleet
-import http1
 
-LENGTH_S = 40
-REQUESTS_PER_S, CLIENTS = 15, 10
-MAX_HEADER_BYTES = 16384  # Of the configuration.
-MOST_HEADER_BYTES = 16000 if os.environ.get("TROUBLE", "1") != "0" else 6000
-HEADER_BYTES = 100  # One field with its name, separator and line end.
-ANSWER_HEADER_BYTES, ANSWER_HEADERS = 1500, 5
-DEADLINE_MS = 1500
-LOST_ALLOWED, DENIED_ALLOWED, DENIED_SHARE = 3, 5, 1 / 500  # Of the rules.
+CUT_FOR_S = 5.5
+RESTART_AFTER_S = 0.1
+SEEDS = 3
+ADAPTERS, REQUESTS_PER_S = 200, 40
 
 
-class Service(fleet.Service):
-    def seal(self, request):
-        """The answers bear some further headers, as those of web applications do."""
-        headers = super().seal(request)
-        for number in range(ANSWER_HEADERS):
-            headers[f"X-Answer-{number}"] = "w" * (ANSWER_HEADER_BYTES // ANSWER_HEADERS - 15)
-        return headers
+class Link(asyncio.DatagramProtocol):
+    """The way of datagrams from one half to a seed of the other half."""
+
+    def __init__(self, fleet_, target):
+        self.fleet = fleet_
+        self.target = target
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, _address):
+        if not self.fleet.is_cut:
+            self.transport.sendto(data, self.target)
 
 
 class Case(fleet.Fleet):
-    node_count, engine_count, service_count = 2, 1, 3
+    node_count, engine_count = 6, 4
 
     def __init__(self, folder):
         super().__init__(folder)
-        self.lost = []
-        self.denied = []
-
-    def make_service(self, index):
-        return Service(self, f"i-s{index + 1}", "api", fleet.ZONES[index % len(fleet.ZONES)], 24)
-
-    def head(self, size):
-        """Returns a request's id and its head of some @p size bytes."""
-        identifier = self.new_id()
-        headers = {"Host": fleet.HOST, "Apricotstep-Request-Id": identifier, "Apricotstep-Deadline-Ms": DEADLINE_MS, "Content-Length": 100}
-        first = "POST /post/2f HTTP/1.1"
-        used = len(http1.head(first, headers))
-        while used + HEADER_BYTES <= size:
-            name = f"X-Field-{len(headers):03d}"
-            headers[name] = "v" * (HEADER_BYTES - len(name) - 4)
-            used += HEADER_BYTES
-        raw = http1.head(first, headers)
-        assert len(raw) <= MAX_HEADER_BYTES
-        return identifier, raw
-
-    async def exchange(self, reader, writer, size):
-        """Sends one request on the kept connection. Returns whether it can be used again."""
-        identifier, raw = self.head(size)
-        self.sent[identifier] = time.monotonic()
-        self.record.counts["sent"] += 1
-        self.record.note("sent", id=identifier, headerBytes=len(raw))
-        response = http1.Response()
-        try:
-            writer.write(raw + b"x" * 100)
-            await asyncio.wait_for(http1.receive(reader, response), DEADLINE_MS / 1000 + 1)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
-            response.error = type(error).__name__
-        self.record.counts[f"answered {response.status}"] += 1
-        self.record.note("answered", id=identifier, status=response.status, error=response.error, runs=len(self.runs[identifier]))
-        if response.status == 0 and self.runs[identifier]:
-            self.lost.append(identifier)
-        if 300 <= response.status < 500 and response.status not in (408, 421, 429):
-            self.denied.append(identifier)
-        return response.is_complete and response.headers.get("connection", "").lower() != "close"
-
-    async def client(self):
-        while not self.is_over:
-            node = self.random.choice(self.nodes)
-            try:
-                reader, writer = await asyncio.open_connection(*node.address(8149).split(":"), limit=1 << 20)
-            except OSError:
-                await asyncio.sleep(0.1)
+        self.is_cut = False
+        self.healed_at = 0.0
+        self.last_orders = collections.defaultdict(dict)
+        self.links = {}
+
+    # Nodes learn the addresses of the others from seeds, so links to seeds of the other half decide whether the halves meet.
+    async def make_node(self, index):
+        node = await super().make_node(index)
+        for seed in range(SEEDS):
+            if seed not in self.links:
+                target = (f"127.0.{self.network}.{seed + 1}", 8144)
+                loop = asyncio.get_running_loop()
+                await loop.create_datagram_endpoint(lambda target=target: Link(self, target), local_addr=(f"127.0.{self.network}.{210 + seed}", 8144))
+                self.links[seed] = f"127.0.{self.network}.{210 + seed}:8144"
+        node.seeds = [f"127.0.{self.network}.{seed + 1}:8144" if seed % 2 == index % 2 else self.links[seed] for seed in range(SEEDS)]
+        return node
+
+    def on_order(self, engine, order, status):
+        super().on_order(engine, order, status)
+        now = time.monotonic()
+        if not self.is_cut and now - self.healed_at < self.bounds["thawSlackMs"] / 1000:
+            return
+        last = self.last_orders[engine.name]
+        holder, fence = order["holder"], order["fence"]
+        for other, (at, other_fence) in last.items():
+            apart_s = now - at
+            if other == holder:
                 continue
-            try:
-                is_open = await self.exchange(reader, writer, 400)
-                while is_open and not self.is_over:
-                    await asyncio.sleep(self.random.expovariate(REQUESTS_PER_S / CLIENTS))
-                    is_open = await self.exchange(reader, writer, self.random.uniform(400, MOST_HEADER_BYTES))
-            finally:
-                writer.transport.abort()
+            if apart_s < self.bounds["leaseMs"] / 1000 and not self.broken_once:
+                self.broken_once = True
+                self.record.break_rule("ONE", f"{engine.name} gets an order of {holder} (fence {fence}) {apart_s * 1000:.0f} ms after one of {other} "
+                                              f"(fence {other_fence})")
+        last[holder] = (now, fence)
+
+    broken_once = False
+
+    async def clients(self):
+        while not self.is_over:
+            await asyncio.sleep(self.random.expovariate(REQUESTS_PER_S))
+            adapter = f"a{1 + int(ADAPTERS * self.random.random() ** 2)}"
+            self.task(self.request("POST", "/chat/2f", self.stream_headers(adapter), b"x" * 600, deadline_ms=8000))
+
+    async def restart_all(self):
+        for node in self.nodes:
+            node.signal(signal.SIGKILL)
+        for node in self.nodes:
+            node.process.wait()
+        await asyncio.sleep(RESTART_AFTER_S)
+        for node in self.nodes:
+            node.start()
 
     async def run(self):
-        await asyncio.sleep(3)
-        for _ in range(CLIENTS):
-            self.task(self.client())
-        await asyncio.sleep(LENGTH_S)
-        sent = self.record.counts["sent"]
-        if len(self.lost) > LOST_ALLOWED:
-            self.record.break_rule("LOST", f"{len(self.lost)} of {sent} requests were run by a sound server, and their kept connection was closed "
-                                           "without an answer")
-        if len(self.denied) > DENIED_ALLOWED + sent * DENIED_SHARE:
-            self.record.break_rule("DENIED", f"{len(self.denied)} of {sent} proper requests were refused with 431")
+        await asyncio.sleep(6)  # The holders of the leases begin to order.
+        self.task(self.clients())
+        for _ in range(3):
+            await asyncio.sleep(8)
+            if self.has_trouble and os.environ.get("CUT", "1") != "0":
+                self.is_cut = True
+                self.record.note("cut", on=True)
+            if self.has_trouble:
+                await self.restart_all()
+            await asyncio.sleep(CUT_FOR_S - RESTART_AFTER_S)
+            if self.is_cut:
+                self.is_cut, self.healed_at = False, time.monotonic()
+                self.record.note("cut", on=False)
+            await asyncio.sleep(3)
+            if self.record.broken:
+                return
 
 
 fleet.play(Case, FOLDER)
