Hold content back only where chance does not explain the crashes

What callers saw: sound streams refused with 400 content_held_back while engines crashed for reasons of their own.

Cause: the quarantine counted the crashes with some content on board and had no figure for how many there would be by chance. A part that many long streams share is on nearly every engine that crashes, and an answer that goes on was told once only, so nothing cleared it for seconds.

Change: reports say how long the upstream had each request, and among how many upstreams of which service it ended. Content is held back only if chance gives as many crashes with a probability of 1e-6 at most, by the rate at which others end and by the share of all crashes. Answers that go on are told each 0.5 s, and must have gone on for 1.5 times as long as the ones that broke.

The log line 'held' names the exposure and the expected crashes.

--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -1,6 +1,7 @@
 #include "coordination/contentquarantine.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -19,8 +20,10 @@
         const auto known = std::find_if(
             suspects.begin(), suspects.end(), [&suspect](const CrashSuspect &other) { return other.content == suspect.content; });
         if (known != suspects.end()) {
-            isNews = isNews || (suspect.hasBegun && !known->hasBegun);
+            isNews = isNews || (suspect.hasBegun && !known->hasBegun) || suspect.exposure > known->exposure;
             known->hasBegun = known->hasBegun || suspect.hasBegun;
+            known->exposure = std::max(known->exposure, suspect.exposure);
+            known->answerAge = std::max(known->answerAge, suspect.answerAge);
         } else if (suspects.size() < limit) {
             suspects.emplace_back(suspect);
             isNews = true;
@@ -29,6 +32,46 @@
     return isNews;
 }
 
+/** The probability of @p count events or more where @p expected are expected, if they come independently of each other. */
+double poissonTail(int count, double expected)
+{
+    constexpr int MaxTerms = 1000;
+    constexpr double Negligible = 1e-9;
+    if (expected <= 0) {
+        return 0;
+    }
+    double term = std::exp(count * std::log(expected) - expected - std::lgamma(count + 1.0));
+    double sum = term;
+    for (int i = 1; i < MaxTerms && term > sum * Negligible; ++i) {
+        term *= expected / (count + i);
+        sum += term;
+    }
+    return std::min(sum, 1.0);
+}
+
+/** The probability that @p count or more of @p total independent events fall into @p share of the time. */
+double binomialTail(int count, std::ptrdiff_t total, double share)
+{
+    if (share >= 1 || count > total) {
+        return share >= 1 ? 1 : 0;
+    }
+    double sum = 0;
+    for (std::ptrdiff_t i = count; i <= total; ++i) {
+        const auto hits = static_cast<double>(i);
+        const auto misses = static_cast<double>(total - i);
+        const double ways = std::lgamma(static_cast<double>(total) + 1) - std::lgamma(hits + 1) - std::lgamma(misses + 1);
+        sum += std::exp(ways + hits * std::log(share) + misses * std::log1p(-share));
+    }
+    return sum;
+}
+
+/** How many of @p times, the earliest first, are later than @p begin and not later than @p end. */
+std::ptrdiff_t countBetween(const std::vector<Time> &times, Time begin, Time end)
+{
+    const auto first = std::upper_bound(times.begin(), times.end(), begin);
+    return std::upper_bound(first, times.end(), end) - first;
+}
+
 } // namespace
 
 ContentQuarantine::ContentQuarantine(ContentQuarantineLimits limits)
@@ -51,18 +94,29 @@
 std::optional<Time> ContentQuarantine::latest(ContentDigest content, const AnswerTimes &times) const
 {
     // Where upstreams have ended in the middle of answers, the beginning of another one shows nothing until it has gone on.
-    const auto broken = m_brokenAnswers.find(content);
-    if (broken == m_brokenAnswers.end()) {
+    const auto entry = m_brokenAnswers.find(content);
+    if (entry == m_brokenAnswers.end()) {
         return std::max({ times.begunAt, times.continuedAt, times.wholeAt });
     }
-    return times.continuedAt > broken->second ? std::max(times.continuedAt, times.wholeAt) : times.wholeAt;
+    const BrokenAnswers &broken = entry->second;
+    const auto meanAge = static_cast<double>(broken.totalAge.milliseconds()) / broken.count;
+    const Duration sufficientAge(static_cast<std::int64_t>(m_limits.survivalFactor * meanAge));
+    const bool hasSurvived = times.continuedAt > broken.lastAt && times.continuedAge >= std::max(BeginningTime, sufficientAge);
+    return hasSurvived ? std::max(times.continuedAt, times.wholeAt) : times.wholeAt;
 }
 
-void ContentQuarantine::AnswerTimes::add(AnswerProgress progress, Time at)
+void ContentQuarantine::AnswerTimes::add(AnswerProgress progress, Time at, Duration answerAge)
 {
-    std::optional<Time> &latestAt = progress == AnswerProgress::Whole ? wholeAt
-        : progress == AnswerProgress::Continued                       ? continuedAt
-                                                                      : begunAt;
+    if (progress == AnswerProgress::Continued) {
+        // Answers that go on are reported again after this time.
+        const bool isOutdated = !continuedAt || at - *continuedAt > BeginningTime * 2;
+        if (isOutdated || answerAge >= continuedAge) {
+            continuedAt = std::max(continuedAt.value_or(at), at);
+            continuedAge = answerAge;
+        }
+        return;
+    }
+    std::optional<Time> &latestAt = progress == AnswerProgress::Whole ? wholeAt : begunAt;
     latestAt = std::max(latestAt.value_or(at), at);
 }
 
@@ -140,10 +194,39 @@
     return evidence.kind == ContentElement::Kind::Request || !areCoveredBy(evidence, m_limits.requestsToHoldPart - 1, chosen);
 }
 
-void ContentQuarantine::addEvidence(
-    const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, absl::flat_hash_map<ContentDigest, Evidence> &result) const
+// Two questions. Would other upstreams have ended as often in the time that these had the content? Ends come in bursts, so the highest rate
+// of several spans counts. And how probably would as many of all crashes have happened in that time, if they happened at any? Many requests
+// that share some content are on most upstreams that end.
+bool ContentQuarantine::isBeyondChance(const Crash &crash, const CrashTimes &crashTimes, Evidence &evidence) const
+{
+    constexpr int Spans = 4;
+    constexpr int SpanFactor = 3;
+    const auto times = crashTimes.find(crash.group.service);
+    if (crash.group.size == 0 || times == crashTimes.end()) {
+        return true;
+    }
+    const double exposure = evidence.exposure.toSeconds();
+    Duration span = m_limits.rateWindow;
+    const auto all = countBetween(times->second, crash.at - span, crash.at);
+    const double share = std::min(1.0, exposure / (span.toSeconds() * crash.group.size));
+    evidence.expectedCrashes = static_cast<double>(all) * share;
+    bool result = binomialTail(evidence.crashes, all, share) <= m_limits.maxChance;
+    for (int i = 0; i < Spans; ++i) {
+        const auto own = countBetween(evidence.crashTimes, crash.at - span, crash.at);
+        // An upstream may end without any cause that shows, so the rate is never zero.
+        const auto others = std::max<std::ptrdiff_t>(countBetween(times->second, crash.at - span, crash.at) - own, i == 0 ? 1 : 0);
+        const double expected = static_cast<double>(others) * exposure / (span.toSeconds() * crash.group.size);
+        evidence.expectedCrashes = std::max(evidence.expectedCrashes, expected);
+        result = result && poissonTail(evidence.crashes, expected) <= m_limits.maxChance;
+        span = Duration(span.milliseconds() / SpanFactor);
+    }
+    return result;
+}
+
+void ContentQuarantine::addEvidence(const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, const CrashTimes &crashTimes,
+    absl::flat_hash_map<ContentDigest, Evidence> &result) const
 {
-    absl::flat_hash_set<ContentDigest> counted;
+    absl::flat_hash_map<ContentDigest, Duration> exposures;
     for (const Suspect *accused : accusedBy(crash)) {
         for (const ContentElement &element : accused->elements) {
             const auto answered = answeredAt(element.digest, basis);
@@ -155,9 +238,12 @@
             entry.wasAnswered = answered.has_value();
             entry.hasBegun = entry.hasBegun || accused->hasBegun;
             entry.lastAt = crash.at;
-            if (counted.insert(element.digest).second) {
+            const auto [exposure, isFirst] = exposures.try_emplace(element.digest, m_limits.minExposure);
+            exposure->second = std::max(exposure->second, accused->exposure);
+            if (isFirst) {
                 entry.upstreams.push_back(&upstream);
                 entry.requestsByCrash.emplace_back();
+                entry.crashTimes.push_back(crash.at);
                 const Duration interval =
                     entry.kind == ContentElement::Kind::PartOnAdapter ? m_limits.minCrashIntervalOnAdapter : m_limits.minCrashInterval;
                 if (entry.crashes == 0 || crash.at - entry.lastCountedAt >= interval) {
@@ -170,9 +256,15 @@
             entry.requestsByCrash.back().push_back(accused->content.request);
         }
     }
-    for (const ContentDigest content : counted) {
+    for (const auto &[content, exposure] : exposures) {
         Evidence &entry = result[content];
-        if (!entry.sufficientSince && isSufficient(entry)) {
+        entry.exposure = entry.exposure + exposure;
+        if (basis == AnswerBasis::Told) {
+            continue;
+        }
+        if (entry.crashes < crashesToHold(entry) || !isBeyondChance(crash, crashTimes, entry)) {
+            entry.sufficientSince.reset();
+        } else if (!entry.sufficientSince && isSufficient(entry)) {
             entry.sufficientSince = crash.knownSince;
         }
     }
@@ -195,9 +287,15 @@
         inOrder.emplace_back(&upstream, &crash);
     }
     std::sort(inOrder.begin(), inOrder.end(), [](const auto &a, const auto &b) { return a.second->at < b.second->at; });
+    CrashTimes crashTimes;
+    for (const auto &[upstream, crash] : inOrder) {
+        if (!isExplained(*crash)) {
+            crashTimes[crash->group.service].push_back(crash->at);
+        }
+    }
     absl::flat_hash_map<ContentDigest, Evidence> result;
     for (const auto &[upstream, crash] : inOrder) {
-        addEvidence(*upstream, *crash, basis, result);
+        addEvidence(*upstream, *crash, basis, crashTimes, result);
     }
     return result;
 }
@@ -209,7 +307,7 @@
     // What accounts for most crashes comes first: the others that it leaves unexplained may be too few to hold back anything else.
     for (;;) {
         auto accused = evidence(AnswerBasis::Known);
-        absl::erase_if(accused, [this](const auto &entry) { return !isSufficient(entry.second); });
+        absl::erase_if(accused, [](const auto &entry) { return !entry.second.sufficientSince; });
         const auto worst = std::max_element(accused.begin(), accused.end(),
             [](const auto &a, const auto &b) { return std::pair(order(a.second), a.first) < std::pair(order(b.second), b.first); });
         if (worst == accused.end()) {
@@ -236,7 +334,7 @@
     if (m_crashes.size() != known) {
         m_toldEvidence.reset();
     }
-    absl::erase_if(m_brokenAnswers, [&](const auto &entry) { return now - entry.second > m_limits.crashMemory; });
+    absl::erase_if(m_brokenAnswers, [&](const auto &entry) { return now - entry.second.lastAt > m_limits.crashMemory; });
     std::vector<ContentDigest> lapsed;
     for (const auto &[content, held] : m_held) {
         if (now - std::max(held.lastRequestAt, held.lastCrashAt) > m_limits.lapseAfter) {
@@ -257,7 +355,8 @@
     for (const UpstreamStart *start : evidence.upstreams) {
         upstreams.push_back(start->upstream);
     }
-    m_changes.emplace_back(ContentHeldBack { content, evidence.kind, evidence.crashes, std::move(upstreams) });
+    m_changes.emplace_back(
+        ContentHeldBack { content, evidence.kind, evidence.crashes, std::move(upstreams), evidence.exposure, evidence.expectedCrashes });
 }
 
 void ContentQuarantine::release(ContentDigest content, ContentReleased::Reason reason)
@@ -269,22 +368,26 @@
 }
 
 ContentQuarantine::Crash &ContentQuarantine::addCrash(
-    const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now)
+    const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, const UpstreamGroup &group, Time at, Time now)
 {
-    const auto [position, isNew] = m_crashes.try_emplace(upstream, Crash { at, now });
+    const auto [position, isNew] = m_crashes.try_emplace(upstream, Crash { at, now, group });
     Crash &crash = position->second;
     const bool isEarlier = at < crash.at;
     crash.at = std::min(crash.at, at);
+    crash.group = group.size > crash.group.size ? group : crash.group;
     // Most reports are repeated ones.
-    if (addUnique(crash.suspects, suspects, m_limits.maxSuspects * 4) || isNew || isEarlier) {
+    const bool isNews = addUnique(crash.suspects, suspects, m_limits.maxSuspects * 4) || isNew || isEarlier;
+    if (isNews) {
         m_reviewAt = Time();
         m_toldEvidence.reset();
     }
     for (const CrashSuspect &suspect : suspects) {
         for (const ContentElement &element : elementsOf(suspect.content)) {
-            if (suspect.hasBegun) {
-                Time &brokenAt = m_brokenAnswers.try_emplace(element.digest, crash.at).first->second;
-                brokenAt = std::max(brokenAt, crash.at);
+            if (suspect.hasBegun && isNews) {
+                BrokenAnswers &broken = m_brokenAnswers[element.digest];
+                broken.lastAt = std::max(broken.lastAt, crash.at);
+                broken.totalAge = broken.totalAge + suspect.answerAge;
+                ++broken.count;
             }
             const auto held = m_held.find(element.digest);
             if (held != m_held.end() && crash.at > held->second.lastCrashAt) {
@@ -297,20 +400,21 @@
     return crash;
 }
 
-bool ContentQuarantine::onCrash(const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now)
+bool ContentQuarantine::onCrash(
+    const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now, const UpstreamGroup &group)
 {
-    Crash &crash = addCrash(upstream, suspects, at, now);
+    Crash &crash = addCrash(upstream, suspects, group, at, now);
     addUnique(crash.ownSuspects, suspects, m_limits.maxSuspects);
     crash.tellUntil = now + m_limits.repeatTime;
     return !isExplained(crash);
 }
 
-bool ContentQuarantine::onAnswered(const RequestContent &content, AnswerProgress progress, Time now)
+bool ContentQuarantine::onAnswered(const RequestContent &content, AnswerProgress progress, Time now, Duration answerAge)
 {
     bool isNews = false;
     for (const ContentElement &element : elementsOf(content)) {
         Answer &answer = m_answers[element.digest];
-        answer.known.add(progress, now);
+        answer.known.add(progress, now, answerAge);
         // The beginning of an answer does not show that the upstream survives it.
         if (progress == AnswerProgress::Whole && m_held.contains(element.digest)) {
             answer.tellUntil = now + m_limits.repeatTime;
@@ -336,8 +440,8 @@
     for (const AnsweredContent &answered : statements.answers) {
         const Time at = now - answered.age;
         Answer &answer = m_answers[answered.content];
-        answer.known.add(answered.progress, at);
-        answer.told.add(answered.progress, at);
+        answer.known.add(answered.progress, at, answered.answerAge);
+        answer.told.add(answered.progress, at, answered.answerAge);
         m_toldEvidence.reset();
         const auto held = m_held.find(answered.content);
         const bool isWhole = answered.progress == AnswerProgress::Whole;
@@ -346,7 +450,7 @@
         }
     }
     for (const CrashReport &report : statements.crashes) {
-        addCrash(report.upstream, report.suspects, now - report.age, now);
+        addCrash(report.upstream, report.suspects, report.group, now - report.age, now);
     }
     for (const HeldContent &statement : statements.held) {
         onPeerHeld(statement, now);
@@ -474,7 +578,7 @@
     QuarantineStatements result;
     for (const auto &[upstream, crash] : m_crashes) {
         if (crash.tellUntil >= now) {
-            result.crashes.push_back(CrashReport { upstream, now - crash.at, crash.ownSuspects });
+            result.crashes.push_back(CrashReport { upstream, now - crash.at, crash.ownSuspects, crash.group });
         }
     }
     for (auto &[content, answer] : m_answers) {
@@ -486,8 +590,9 @@
             result.answers.push_back(AnsweredContent { content, now - *known.wholeAt, AnswerProgress::Whole });
         }
         if (const auto latestAt = latest(content, known); latestAt > known.wholeAt) {
-            const AnswerProgress progress = latestAt == known.continuedAt ? AnswerProgress::Continued : AnswerProgress::Begun;
-            result.answers.push_back(AnsweredContent { content, now - *latestAt, progress });
+            const bool isContinued = latestAt == known.continuedAt;
+            result.answers.push_back(AnsweredContent { content, now - *latestAt,
+                isContinued ? AnswerProgress::Continued : AnswerProgress::Begun, isContinued ? known.continuedAge : Duration() });
         }
         answer.told = known;
         m_toldEvidence.reset();
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -24,11 +24,13 @@
 //
 // So nodes tell each other what upstreams were asked when they ended. Content is held back once several upstreams in a row have ended under
 // it, at different moments, and none has answered it in between, which a sound request, or one that many callers share, does not survive by
-// chance. Any node that knows of an answer objects, as most do for a part that many requests share. The beginning of an answer counts like
-// a whole one until an upstream ends in the middle of an answer to the same content; from then on an answer must have gone on for some
-// time, since upstreams may end while they write, too. A part must have ended upstreams in several different requests: what two deadly
-// requests share is not to blame. A crash under a part that is held back accuses nothing else; one under a held request accuses its own
-// parts only. Held content gets a few trials, each by a single node of the fleet, and is released once an upstream answers it.
+// chance. Where upstreams end often for reasons of their own, that takes more crashes: how long they had the content, and how often others
+// end, tell how many of them would have ended by chance. Any node that knows of an answer objects, as most do for a part that many share.
+// The beginning of an answer counts like a whole one until an upstream ends in the middle of an answer to the same content; from then on an
+// answer must have gone on for some time, since upstreams may end while they write, too. A part must have ended upstreams in several
+// different requests: what two deadly requests share is not to blame. A crash under a part that is held back accuses nothing else; one
+// under a held request accuses its own parts only. Held content gets a few trials, each by a single node of the fleet, and is released once
+// an upstream answers it.
 
 struct ContentQuarantineLimits
 {
@@ -52,6 +54,20 @@
     /** Content is held back this long after the last crash needed became known, unless a node knows of an answer. */
     Duration objectionTime { 300 };
     Duration objectionTimeUnlikely { 1000 };
+    /**
+     * Content is held back only if as many of its upstreams would end by chance with at most this probability, at the rate at which other
+     * upstreams of the service end.
+     */
+    double maxChance = 1e-6;
+    /** Ends are not timed more closely: what an upstream had for a shorter time counts like this. */
+    Duration minExposure { 100 };
+    /** The longest time over which the rate of ends is observed. */
+    Duration rateWindow = Duration::seconds(30);
+    /**
+     * Where upstreams end in the middle of answers, an answer counts once it has gone on for this times the mean time that those had
+     * gone on for.
+     */
+    double survivalFactor = 1.5;
     /** Crashes longer ago do not count. */
     Duration crashMemory = Duration::seconds(300);
     /** How long this node remembers that upstreams answered its requests. */
@@ -81,10 +97,24 @@
     RequestContent content;
     /** The upstream had sent a part of the answer. */
     bool hasBegun = false;
+    /** How long the upstream had the request. */
+    Duration exposure {};
+    /** How long it had been sending the answer; zero if it had not begun. */
+    Duration answerAge {};
 
     bool operator==(const CrashSuspect &) const = default;
 };
 
+/** The upstreams among which one has ended. */
+struct UpstreamGroup
+{
+    ServiceName service {};
+    /** How many there are; 0 if not known. */
+    int size = 0;
+
+    bool operator==(const UpstreamGroup &) const = default;
+};
+
 /** Requests of a node that an upstream had when it ended. */
 struct CrashReport
 {
@@ -92,13 +122,14 @@
     /** Since it ended. */
     Duration age;
     std::vector<CrashSuspect> suspects;
+    UpstreamGroup group {};
 
     bool operator==(const CrashReport &) const = default;
 };
 
 enum class AnswerProgress {
     Begun,
-    /** It has gone on for ContentQuarantine::BeginningTime since. */
+    /** It has gone on for ContentQuarantine::BeginningTime or longer, and still does. */
     Continued,
     Whole,
 };
@@ -110,6 +141,8 @@
     /** Since then. */
     Duration age;
     AnswerProgress progress = AnswerProgress::Whole;
+    /** How long the answer had gone on by then; for answers in progress. */
+    Duration answerAge {};
 
     bool operator==(const AnsweredContent &) const = default;
 };
@@ -153,6 +186,10 @@
     int crashes = 0;
     /** Those that ended, as far as this node knows. */
     std::vector<UpstreamId> upstreams;
+    /** How long these had it, in sum. */
+    Duration exposure {};
+    /** How many of them would have ended by chance in that time; 0 if not known. */
+    double expectedCrashes = 0;
 };
 /** Requests with the content are sent again. */
 struct ContentReleased
@@ -179,18 +216,22 @@
     using TrialRank = std::function<std::optional<int>(ContentDigest)>;
 
     /**
-     * Where upstreams end in the middle of answers, an answer counts once it has gone on for so long. Otherwise the content would be
-     * cleared by its own next beginnings, as long as nobody knows that those have ended upstreams as well: hosts that fall silent are
+     * Where upstreams end in the middle of answers, an answer counts once it has gone on for so long at least. Otherwise the content would
+     * be cleared by its own next beginnings, as long as nobody knows that those have ended upstreams as well: hosts that fall silent are
      * recognised late.
      */
     static constexpr Duration BeginningTime { 500 };
 
     explicit ContentQuarantine(ContentQuarantineLimits limits);
 
-    /** An upstream ended at @p at, while it had @p suspects of this node. Returns whether peers must know at once. */
-    bool onCrash(const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now);
-    /** An upstream has answered a request of this node, or begun to. Returns whether peers must know at once. */
-    bool onAnswered(const RequestContent &content, AnswerProgress progress, Time now);
+    /** An upstream of @p group ended at @p at, while it had @p suspects of this node. Returns whether peers must know at once. */
+    bool onCrash(
+        const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now, const UpstreamGroup &group = {});
+    /**
+     * An upstream has answered a request of this node, or begun to, or goes on; then for @p answerAge by now. Returns whether peers must
+     * know at once.
+     */
+    bool onAnswered(const RequestContent &content, AnswerProgress progress, Time now, Duration answerAge = {});
     void onPeerStatements(const QuarantineStatements &statements, Time now);
     /** Whether an upstream has already ended under the request, and none has answered it to the end since. */
     bool isAccused(ContentDigest request) const;
@@ -222,6 +263,7 @@
     {
         Time at;
         Time knownSince;
+        UpstreamGroup group;
         std::vector<Suspect> suspects;
         /** Those of this node, which it tells its peers until then. */
         std::vector<CrashSuspect> ownSuspects;
@@ -232,9 +274,11 @@
     {
         std::optional<Time> wholeAt;
         std::optional<Time> continuedAt;
+        /** How long the answer had gone on by then: the longest of those that went on lately. */
+        Duration continuedAge;
         std::optional<Time> begunAt;
 
-        void add(AnswerProgress progress, Time at);
+        void add(AnswerProgress progress, Time at, Duration answerAge);
     };
     struct Answer
     {
@@ -270,10 +314,23 @@
         Time firstAt;
         Time lastCountedAt;
         Time lastAt;
+        /** When the crashes happened, also those that count together. */
+        std::vector<Time> crashTimes;
+        Duration exposure;
+        double expectedCrashes = 0;
         /** When the crash became known with which there were enough to hold the content back. */
         std::optional<Time> sufficientSince;
         std::vector<const UpstreamStart *> upstreams;
     };
+    /** Crashes of one service that no held content explains, the earliest first. */
+    using CrashTimes = absl::flat_hash_map<ServiceName, std::vector<Time>>;
+    /** Upstreams that ended in the middle of answers. */
+    struct BrokenAnswers
+    {
+        Time lastAt;
+        Duration totalAge;
+        int count = 0;
+    };
     /** Which answers clear content of earlier crashes. */
     enum class AnswerBasis {
         /** All that this node knows of. */
@@ -290,8 +347,10 @@
     std::vector<const Suspect *> accusedBy(const Crash &crash) const;
     /** The latest answer that shows that upstreams survive the content. */
     std::optional<Time> latest(ContentDigest content, const AnswerTimes &times) const;
-    void addEvidence(
-        const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, absl::flat_hash_map<ContentDigest, Evidence> &result) const;
+    void addEvidence(const UpstreamStart &upstream, const Crash &crash, AnswerBasis basis, const CrashTimes &crashTimes,
+        absl::flat_hash_map<ContentDigest, Evidence> &result) const;
+    /** Whether @p evidence, up to @p crash, has more crashes than its upstreams would have by chance. */
+    bool isBeyondChance(const Crash &crash, const CrashTimes &crashTimes, Evidence &evidence) const;
     int crashesToHold(const Evidence &evidence) const;
     bool isSufficient(const Evidence &evidence) const;
     /** Whether each upstream had one of @p chosen, or of at most @p maxRequests further requests. */
@@ -302,7 +361,8 @@
         const bool isBegunPart = evidence.hasBegun && evidence.kind != ContentElement::Kind::Request;
         return evidence.wasAnswered || isBegunPart || evidence.kind == ContentElement::Kind::PartOnAdapter;
     }
-    Crash &addCrash(const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now);
+    Crash &addCrash(
+        const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, const UpstreamGroup &group, Time at, Time now);
     void hold(ContentDigest content, const Evidence &evidence, Time now);
     void release(ContentDigest content, ContentReleased::Reason reason);
     void onPeerHeld(const HeldContent &statement, Time now);
@@ -315,8 +375,7 @@
     absl::flat_hash_map<ContentDigest, Answer> m_answers;
     /** The evidence by what all nodes were told, until something changes it. */
     std::optional<absl::flat_hash_map<ContentDigest, Evidence>> m_toldEvidence;
-    /** When an upstream last ended in the middle of an answer. */
-    absl::flat_hash_map<ContentDigest, Time> m_brokenAnswers;
+    absl::flat_hash_map<ContentDigest, BrokenAnswers> m_brokenAnswers;
     std::map<ContentDigest, Held> m_held;
     /** When the last report of a crash came. */
     Time m_crashKnownAt;
--- a/coordination/upstreamends.cpp
+++ b/coordination/upstreamends.cpp
@@ -30,7 +30,7 @@
         if (!isBlamed(known->second, request)) {
             return std::nullopt;
         }
-        return UpstreamEnd { request.upstream, known->second.endedAt, *known->second.sign, { request.suspect } };
+        return UpstreamEnd { request.upstream, known->second.endedAt, *known->second.sign, { exposedSuspect(known->second, request) } };
     }
     add(request.upstream, request, now);
     return std::nullopt;
@@ -182,6 +182,14 @@
     return suspicion.sign == EndSign::ConnectionRefused || request.sentAt <= suspicion.endedAt + m_limits.sendingTime;
 }
 
+CrashSuspect UpstreamEnds::exposedSuspect(const Suspicion &suspicion, const UnansweredRequest &request) const
+{
+    const Duration uncertainty = suspicion.sign == EndSign::ConnectionRefused ? Duration() : m_limits.sendingTime;
+    CrashSuspect result = request.suspect;
+    result.exposure = std::max(Duration(), suspicion.endedAt + uncertainty - request.sentAt);
+    return result;
+}
+
 // A refused connection shows the end when it happens. Otherwise it may have happened long before, and what was sent since is not to blame.
 UpstreamEnd UpstreamEnds::confirm(Suspicion &suspicion, EndSign sign, Time now) const
 {
@@ -197,7 +205,7 @@
     UpstreamEnd end { suspicion.upstream, suspicion.endedAt, sign, {} };
     for (const OpenRequest &request : std::exchange(suspicion.open, {})) {
         if (isBlamed(suspicion, request)) {
-            end.suspects.push_back(request.suspect);
+            end.suspects.push_back(exposedSuspect(suspicion, request));
         }
     }
     return end;
--- a/coordination/upstreamends.h
+++ b/coordination/upstreamends.h
@@ -46,6 +46,7 @@
 struct UnansweredRequest
 {
     UpstreamRecord upstream;
+    /** Its exposure is set once the end is known. */
     CrashSuspect suspect;
     Time sentAt;
     /** The same by the wall clock, to compare it with the starts of upstreams. */
@@ -129,6 +130,8 @@
     /** Whether the upstream may have ended under the request: what was sent after its end has not reached it. */
     bool isBlamed(const Suspicion &suspicion, const UnansweredRequest &request) const;
     UpstreamEnd confirm(Suspicion &suspicion, EndSign sign, Time now) const;
+    /** The request with the time for which the upstream can have had it. */
+    CrashSuspect exposedSuspect(const Suspicion &suspicion, const UnansweredRequest &request) const;
     /** Takes the open requests that were sent after a new start. */
     static std::vector<OpenRequest> takeThoseAfter(Suspicion &suspicion, std::int64_t startedAt);
 
--- a/main/entry/crashguard.cpp
+++ b/main/entry/crashguard.cpp
@@ -4,6 +4,7 @@
 #include "main/entry/contentdigest.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace ApricotStep
@@ -62,15 +63,16 @@
 void CrashGuard::onEnded(const UpstreamEnd &end)
 {
     avoid(UpstreamStart { end.upstream.id, end.upstream.startedAt });
-    if (m_quarantine.onCrash(UpstreamStart { end.upstream.id, end.upstream.startedAt }, end.suspects, end.at, now())) {
+    const UpstreamGroup group { end.upstream.service, static_cast<int>(m_clusterState.upstreams.usable(end.upstream.service).size()) };
+    if (m_quarantine.onCrash(UpstreamStart { end.upstream.id, end.upstream.startedAt }, end.suspects, end.at, now(), group)) {
         m_callbacks.onNews();
     }
     reportChanges();
 }
 
-void CrashGuard::onAnswered(const RequestContent &content, AnswerProgress progress)
+void CrashGuard::onAnswered(const RequestContent &content, AnswerProgress progress, Duration answerAge)
 {
-    if (m_quarantine.onAnswered(content, progress, now())) {
+    if (m_quarantine.onAnswered(content, progress, now(), answerAge)) {
         m_callbacks.onNews();
     }
     reportChanges();
@@ -127,7 +129,9 @@
                            m_metrics.quarantine("held");
                            m_log.write(Important, "quarantine", "held",
                                { { "content", digestName(held.content) }, { "kind", kindName(held.kind) },
-                                   { "crashes", std::int64_t(held.crashes) }, { "upstreams", upstreams } });
+                                   { "crashes", std::int64_t(held.crashes) }, { "upstreams", upstreams },
+                                   { "exposureMs", held.exposure.milliseconds() },
+                                   { "expectedMilli", std::llround(held.expectedCrashes * 1000) } });
                        },
                        [this](const ContentReleased &released) {
                            m_metrics.quarantine("released");
--- a/main/entry/crashguard.h
+++ b/main/entry/crashguard.h
@@ -42,8 +42,8 @@
     {
         return m_detector;
     }
-    /** An upstream has answered a request, or begun to. */
-    void onAnswered(const RequestContent &content, AnswerProgress progress);
+    /** An upstream has answered a request, or begun to, or goes on; then for @p answerAge by now. */
+    void onAnswered(const RequestContent &content, AnswerProgress progress, Duration answerAge);
     void onPeerStatements(const QuarantineStatements &statements);
     /** Decides on the next attempt of the request @p id. */
     ContentVerdict decide(const RequestContent &content, const std::string &id);
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -677,7 +677,7 @@
     discardAnswer();
     m_breakReason.clear();
     m_hasEvents = false;
-    m_hasContinued = false;
+    m_progressReportedAt = Time();
     m_eventsBefore = m_events.count();
     m_sentAt = now();
     return true;
@@ -908,8 +908,8 @@
         m_firstEventAfter = m_firstEventAfter.value_or(now() - m_arrivedAt);
         reportAnswered(AnswerProgress::Begun);
     }
-    if (!m_hasContinued && !events.empty() && now() - m_firstEventAt >= ContentQuarantine::BeginningTime) {
-        m_hasContinued = true;
+    if (!events.empty() && now() - std::max(m_firstEventAt, m_progressReportedAt) >= ContentQuarantine::BeginningTime) {
+        m_progressReportedAt = now();
         reportAnswered(AnswerProgress::Continued);
     }
     observeSpeed(static_cast<int>(m_events.count() - countBefore));
@@ -995,11 +995,16 @@
     accountMemory();
 }
 
+Duration RequestJob::answerAge() const
+{
+    return m_hasEvents ? m_lastEventAt - m_firstEventAt : Duration();
+}
+
 // The node through which an attempt goes reports for itself.
 void RequestJob::reportAnswered(AnswerProgress progress)
 {
     if (!m_relay) {
-        m_context.crashGuard().onAnswered(m_content, progress);
+        m_context.crashGuard().onAnswered(m_content, progress, answerAge());
     }
 }
 
@@ -1027,7 +1032,8 @@
     const Clock &clock = m_context.loop().clock();
     const Time sentAtWall = clock.wallTime() - (clock.now() - m_sentAt);
     const auto lastPartAt = m_lastReceivedAt >= m_sentAt ? std::optional(m_lastReceivedAt) : std::nullopt;
-    return UnansweredRequest { m_upstream, CrashSuspect { m_content, hasBegunToAnswer() }, m_sentAt, sentAtWall, lastPartAt, std::nullopt };
+    return UnansweredRequest { m_upstream, CrashSuspect { m_content, hasBegunToAnswer(), Duration(), answerAge() }, m_sentAt, sentAtWall,
+        lastPartAt, std::nullopt };
 }
 
 std::optional<UnansweredRequest> RequestJob::attemptInProgress() const
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -224,6 +224,8 @@
     void onAnswered();
     /** Whether the upstream of the attempt in progress has sent a part of an answer. */
     bool hasBegunToAnswer() const;
+    /** How long the upstream has been sending the events of the attempt in progress. */
+    Duration answerAge() const;
     /** Whether the stream of the attempt has been broken off although its connection ended in order. */
     bool isStreamBrokenOff() const;
     void onNotRun();
@@ -342,7 +344,7 @@
     /** The attempt in progress has delivered an event. */
     bool m_hasEvents = false;
     /** Its answer has gone on for some time since. */
-    bool m_hasContinued = false;
+    Time m_progressReportedAt;
     /** When the attempt in progress last delivered events, if the next ones show the engine's speed. */
     std::optional<Time> m_lastEventsAt;
     /** The attempt in progress has been paused: what has piled up meanwhile arrives in bursts. */
--- a/protocol/fleet.capnp
+++ b/protocol/fleet.capnp
@@ -142,6 +142,9 @@
     adapter @1 :UInt64;
     parts @2 :List(UInt64);
     hasBegun @3 :Bool;
+    # How long the upstream had the request, and had been sending the answer.
+    exposureMs @4 :UInt32;
+    answerAgeMs @5 :UInt32;
 }
 
 struct CrashReportWire {
@@ -149,6 +152,9 @@
     startedAt @1 :Int64;
     ageMs @2 :Int64;
     suspects @3 :List(RequestContentWire);
+    # The upstreams among which it ended; 0 if their number is not known.
+    service @4 :Text;
+    groupSize @5 :UInt32;
 }
 
 struct AnsweredContentWire {
@@ -158,6 +164,7 @@
     isPart @2 :Bool;
     # It has gone on since its beginning.
     hasContinued @3 :Bool;
+    answerAgeMs @4 :UInt32;
 }
 
 struct HeldContentWire {
--- a/protocol/fleet.capnp.h
+++ b/protocol/fleet.capnp.h
@@ -310,7 +310,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f3dbfa3dea813602, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f3dbfa3dea813602, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -325,7 +325,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d54e4a108723b8ef, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d54e4a108723b8ef, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2164,6 +2164,10 @@
 
   inline bool getHasBegun() const;
 
+  inline  ::uint32_t getExposureMs() const;
+
+  inline  ::uint32_t getAnswerAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2209,6 +2213,12 @@
   inline bool getHasBegun();
   inline void setHasBegun(bool value);
 
+  inline  ::uint32_t getExposureMs();
+  inline void setExposureMs( ::uint32_t value);
+
+  inline  ::uint32_t getAnswerAgeMs();
+  inline void setAnswerAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2262,6 +2272,11 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint32_t getGroupSize() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2310,6 +2325,16 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ApricotStep::Wire::RequestContentWire,  ::capnp::Kind::STRUCT>> disownSuspects();
 
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint32_t getGroupSize();
+  inline void setGroupSize( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2361,6 +2386,8 @@
 
   inline bool getHasContinued() const;
 
+  inline  ::uint32_t getAnswerAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2401,6 +2428,9 @@
   inline bool getHasContinued();
   inline void setHasContinued(bool value);
 
+  inline  ::uint32_t getAnswerAgeMs();
+  inline void setAnswerAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4860,6 +4890,34 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RequestContentWire::Reader::getExposureMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestContentWire::Builder::getExposureMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RequestContentWire::Builder::setExposureMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RequestContentWire::Reader::getAnswerAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestContentWire::Builder::getAnswerAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void RequestContentWire::Builder::setAnswerAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CrashReportWire::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4956,6 +5014,54 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool CrashReportWire::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReportWire::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashReportWire::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CrashReportWire::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashReportWire::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashReportWire::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashReportWire::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashReportWire::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CrashReportWire::Reader::getGroupSize() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReportWire::Builder::getGroupSize() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CrashReportWire::Builder::setGroupSize( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AnsweredContentWire::Reader::getContent() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5012,6 +5118,20 @@
       ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t AnsweredContentWire::Reader::getAnswerAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AnsweredContentWire::Builder::getAnswerAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void AnsweredContentWire::Builder::setAnswerAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldContentWire::Reader::getContent() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/protocol/fleetcodec.cpp
+++ b/protocol/fleetcodec.cpp
@@ -441,6 +441,11 @@
     }
 }
 
+std::uint32_t encodeContentAge(Duration age)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age.milliseconds(), 0, MaxContentAge.milliseconds()));
+}
+
 void encodeQuarantine(const QuarantineStatements &statements, Wire::FleetMessageWire::Builder wire)
 {
     auto crashes = initList(statements.crashes, [&wire](unsigned int size) { return wire.initCrashes(size); });
@@ -449,10 +454,14 @@
         crashes[i].setUpstream(report.upstream.upstream.value());
         crashes[i].setStartedAt(report.upstream.startedAt);
         crashes[i].setAgeMs(report.age.milliseconds());
+        crashes[i].setService(report.group.service.value());
+        crashes[i].setGroupSize(static_cast<std::uint32_t>(report.group.size));
         auto suspects = crashes[i].initSuspects(static_cast<unsigned int>(report.suspects.size()));
         for (unsigned int j = 0; j < suspects.size(); ++j) {
             const RequestContent &suspect = report.suspects[j].content;
             suspects[j].setHasBegun(report.suspects[j].hasBegun);
+            suspects[j].setExposureMs(encodeContentAge(report.suspects[j].exposure));
+            suspects[j].setAnswerAgeMs(encodeContentAge(report.suspects[j].answerAge));
             suspects[j].setRequest(suspect.request.value());
             suspects[j].setAdapter(suspect.adapter.value());
             auto parts = initList(suspect.parts, [&](unsigned int size) { return suspects[j].initParts(size); });
@@ -467,6 +476,7 @@
         answers[i].setAgeMs(statements.answers[i].age.milliseconds());
         answers[i].setIsPart(statements.answers[i].progress != AnswerProgress::Whole);
         answers[i].setHasContinued(statements.answers[i].progress == AnswerProgress::Continued);
+        answers[i].setAnswerAgeMs(encodeContentAge(statements.answers[i].answerAge));
     }
     auto held = initList(statements.held, [&wire](unsigned int size) { return wire.initHeldContents(size); });
     for (unsigned int i = 0; i < held.size(); ++i) {
@@ -496,14 +506,17 @@
             for (const std::uint64_t part : suspect.getParts()) {
                 content.parts.emplace_back(part);
             }
-            report.suspects.push_back(CrashSuspect { std::move(content), suspect.getHasBegun() });
+            report.suspects.push_back(CrashSuspect { std::move(content), suspect.getHasBegun(), decodeContentAge(suspect.getExposureMs()),
+                decodeContentAge(suspect.getAnswerAgeMs()) });
         }
+        report.group =
+            UpstreamGroup { ServiceName(textOf(crash.getService())), static_cast<int>(std::min(crash.getGroupSize(), MaxCount)) };
         statements.crashes.push_back(std::move(report));
     }
     for (const auto answer : wire.getAnsweredContents()) {
         const AnswerProgress part = answer.getHasContinued() ? AnswerProgress::Continued : AnswerProgress::Begun;
-        statements.answers.push_back(AnsweredContent {
-            ContentDigest(answer.getContent()), decodeContentAge(answer.getAgeMs()), answer.getIsPart() ? part : AnswerProgress::Whole });
+        statements.answers.push_back(AnsweredContent { ContentDigest(answer.getContent()), decodeContentAge(answer.getAgeMs()),
+            answer.getIsPart() ? part : AnswerProgress::Whole, decodeContentAge(answer.getAnswerAgeMs()) });
     }
     for (const auto entry : wire.getHeldContents()) {
         HeldContent held { ContentDigest(entry.getContent()), static_cast<int>(std::min(entry.getCrashes(), MaxCount)),
--- a/tests/coordination/testcontentquarantine.cpp
+++ b/tests/coordination/testcontentquarantine.cpp
@@ -29,6 +29,26 @@
     }
 }
 
+/** Upstreams end in groups of @p share for reasons of their own, beside sound requests with long answers. */
+void expectNothingRefusedWhileUpstreamsEnd(
+    int nodes, int upstreams, double rate, std::uint64_t middles, Duration answerTime, double share, unsigned seeds)
+{
+    for (unsigned seed = 0; seed < seeds; ++seed) {
+        CrashReplayWays ways;
+        ways.soundAnswerTime = answerTime;
+        CrashReplay replay(nodes, upstreams, seed, CrashesToTellPart, ways);
+        replay.run(WarmUp, { soundPrompts(replay, rate, middles) });
+        for (int group = 0; group < 20; ++group) {
+            for (int ended = 0; ended < share * upstreams; ++ended) {
+                replay.endUpstreams(replay.random()(), 1);
+            }
+            replay.run(Duration(1500), { soundPrompts(replay, rate, middles) });
+        }
+        cr_expect_eq(replay.counts().soundRefused, 0, "%d nodes, %d upstreams, seed %u: %d refused", nodes, upstreams, seed,
+            replay.counts().soundRefused);
+    }
+}
+
 } // namespace
 
 // One caller repeats a request under which upstreams end at any node, beside sound requests that are lost with it.
@@ -228,6 +248,20 @@
     expectNothingHeldAfterRacks(2 * Seeds / 3, Seeds);
 }
 
+// Engines crashed for reasons of their own, and what many long streams shared was held back: sound requests were refused with 400.
+Test(contentquarantine, crashesWithoutRelationToContentHoldNothingBack)
+{
+    expectNothingRefusedWhileUpstreamsEnd(20, 9, 30, 20, Duration::seconds(2), 0.2, Seeds / 2);
+    expectNothingRefusedWhileUpstreamsEnd(20, 9, 12, 6, Duration::seconds(4), 0.2, Seeds / 2);
+    expectNothingRefusedWhileUpstreamsEnd(6, 9, 12, 200, Duration::seconds(6), 0.3, Seeds / 2);
+}
+
+// The same in a large fleet, where a tenth of the upstreams is down at a time.
+Test(contentquarantine, crashesInALargeFleetHoldNothingBack)
+{
+    expectNothingRefusedWhileUpstreamsEnd(36, 90, 100, 60, Duration::seconds(5), 0.15, 1);
+}
+
 // One caller names parts of others in requests that end upstreams by what is their own: those parts are answered for others.
 Test(contentquarantine, namingPartsOfOthersDoesNotHoldThemBack)
 {
--- a/tests/fakes/crashreplay.h
+++ b/tests/fakes/crashreplay.h
@@ -57,6 +57,8 @@
     Duration timeToFirst { 60 };
     /** An upstream that ends answers nothing and refuses nothing, and nodes know of it so long after. */
     Duration timeToNotice {};
+    /** From the first part of a sound answer to its end. */
+    Duration soundAnswerTime { 1500 };
     ContentQuarantineLimits limits {};
     /** Bytes of a message; empty if it does not matter. */
     std::function<std::size_t(const QuarantineStatements &)> sizeOf {};
@@ -176,7 +178,8 @@
         Time actsAt;
         Time sentAt;
         bool hasBegun = false;
-        bool hasContinued = false;
+        /** When its node last told that the answer goes on. */
+        Time continuedAt {};
     };
     struct UpstreamState
     {
@@ -229,7 +232,7 @@
             m_counts.lateArrivals += m_toldAt && m_now - *m_toldAt > ContactTime ? 1 : 0;
         }
         const Duration toFirst = isDeadly ? m_ways.timeToFirst : Duration(std::uniform_int_distribution<int>(100, 900)(m_random));
-        const Duration toEnd = isDeadly ? m_ways.timeToCrash : toFirst + Duration(1500);
+        const Duration toEnd = isDeadly ? m_ways.timeToCrash : toFirst + m_ways.soundAnswerTime;
         m_upstreams[chosen].running.push_back(Running { content, isDeadly, node, attempt, m_now + toFirst, m_now + toEnd, m_now });
     }
     void work(std::size_t index)
@@ -242,9 +245,10 @@
             return;
         }
         for (Running &request : upstream.running) {
-            if (!request.hasContinued && m_now - request.beginsAt >= ContentQuarantine::BeginningTime) {
-                request.hasContinued = true;
-                m_nodes[request.node]->onAnswered(request.content, AnswerProgress::Continued, m_now);
+            const Time toldAt = std::max(request.beginsAt, request.continuedAt);
+            if (request.hasBegun && m_now - toldAt >= ContentQuarantine::BeginningTime) {
+                request.continuedAt = m_now;
+                m_nodes[request.node]->onAnswered(request.content, AnswerProgress::Continued, m_now, m_now - request.beginsAt);
             }
             if (!request.hasBegun && m_now >= request.beginsAt) {
                 request.hasBegun = true;
@@ -282,6 +286,12 @@
             notice(index);
         }
     }
+    /** A node does not know when within UpstreamEndsLimits::sendingTime an upstream ended that refuses no connections. */
+    Duration exposureAt(const Running &request, Time endedAt) const
+    {
+        const Duration uncertainty = m_ways.timeToNotice > Duration() ? UpstreamEndsLimits {}.sendingTime : Duration();
+        return endedAt + uncertainty - request.sentAt;
+    }
     /** Nodes learn that the upstream has ended. */
     void notice(std::size_t index)
     {
@@ -294,7 +304,9 @@
         for (const Running &request : lost) {
             const bool isBlamed = request.sentAt <= endedAt + UpstreamEndsLimits {}.sendingTime;
             if (isBlamed && (!m_ways.trustBeginnings || !request.hasBegun)) {
-                suspects[request.node].push_back(CrashSuspect { request.content, request.hasBegun });
+                const Duration answerAge = request.hasBegun ? endedAt - request.beginsAt : Duration();
+                suspects[request.node].push_back(
+                    CrashSuspect { request.content, request.hasBegun, exposureAt(request, endedAt), answerAge });
             }
         }
         std::set<ContentDigest> wasAccused;
@@ -304,7 +316,8 @@
             }
         }
         for (const auto &[node, contents] : suspects) {
-            if (m_nodes[node]->onCrash(start, contents, endedAt, m_now)) {
+            const UpstreamGroup group { ServiceName("s"), static_cast<int>(m_upstreams.size()) };
+            if (m_nodes[node]->onCrash(start, contents, endedAt, m_now, group)) {
                 tell(node);
             }
         }
--- a/tests/protocol/testfleetcodec.cpp
+++ b/tests/protocol/testfleetcodec.cpp
@@ -52,7 +52,8 @@
     message.probeResults = { ProbeResult { { UpstreamId("p"), 19 }, true }, ProbeResult { { UpstreamId("q"), 20 }, false } };
     const RequestContent one { ContentDigest(~0ULL) };
     const RequestContent two { ContentDigest(31), ContentDigest(32), { ContentDigest(33), ContentDigest(34) } };
-    message.quarantine.crashes = { CrashReport { { UpstreamId("c"), 18 }, Duration(40), { { one, true }, { two } } } };
+    message.quarantine.crashes = { CrashReport {
+        { UpstreamId("c"), 18 }, Duration(40), { { one, true, Duration(300), Duration(200) }, { two } }, { ServiceName("s"), 9 } } };
     message.quarantine.answers = { AnsweredContent { two.request, Duration(41) },
         AnsweredContent { one.request, Duration(42), AnswerProgress::Begun },
         AnsweredContent { one.request, Duration(43), AnswerProgress::Continued } };
