Accuse nothing of the planned ends of upstreams

Cause: an entry that lapsed without an announcement was taken for an end, though some upstreams leave like that and serve on; and a node that had missed an announcement reported a planned end, with all that ran there, to every other node. The class: silence of the store taken for news of an upstream.

Change: an engine whose entry lapses is asked for a report first; if it answers, its end is taken for planned. Each node counts no end of a start that it knows to have announced that it leaves, whoever reported it, and asks itself again each time, since it may learn of it later.

Measured: crashingrequests::upstreamsThatServeOnAfterTheirEntryLapsesAccuseNothing fails when the lapse is taken for the end as before (400 at the fourth request), and passes; contentquarantine::plannedEndsAccuseNothing passes.

--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -79,6 +79,11 @@
 {
 }
 
+void ContentQuarantine::setPlannedEnds(PlannedEnds planned)
+{
+    m_plannedEnds = std::move(planned);
+}
+
 std::optional<Time> ContentQuarantine::answeredAt(ContentDigest content, AnswerBasis basis) const
 {
     const auto at = m_answers.find(content);
@@ -284,7 +289,9 @@
 {
     std::vector<std::pair<const UpstreamStart *, const Crash *>> inOrder;
     for (const auto &[upstream, crash] : m_crashes) {
-        inOrder.emplace_back(&upstream, &crash);
+        if (!isPlanned(upstream)) {
+            inOrder.emplace_back(&upstream, &crash);
+        }
     }
     std::sort(inOrder.begin(), inOrder.end(), [](const auto &a, const auto &b) { return a.second->at < b.second->at; });
     CrashTimes crashTimes;
@@ -489,7 +496,7 @@
         const bool isSuspect = std::any_of(
             crash.suspects.begin(), crash.suspects.end(), [&](const Suspect &other) { return other.content.request == request; });
         const bool isAnsweredSince = answer != m_answers.end() && answer->second.known.wholeAt >= crash.at;
-        return isSuspect && !isAnsweredSince;
+        return isSuspect && !isAnsweredSince && !isPlanned(entry.first);
     });
 }
 
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -222,8 +222,17 @@
      */
     static constexpr Duration BeginningTime { 500 };
 
+    /** Whether an upstream was leaving when this start of it ended. */
+    using PlannedEnds = std::function<bool(const UpstreamStart &)>;
+
     explicit ContentQuarantine(ContentQuarantineLimits limits);
 
+    /**
+     * Ends that @p planned knows accuse nothing. It is asked each time, since a node may learn of a leaving upstream only after its end, or
+     * after others have reported the end to it.
+     */
+    void setPlannedEnds(PlannedEnds planned);
+
     /** An upstream of @p group ended at @p at, while it had @p suspects of this node. Returns whether peers must know at once. */
     bool onCrash(
         const UpstreamStart &upstream, const std::vector<CrashSuspect> &suspects, Time at, Time now, const UpstreamGroup &group = {});
@@ -339,6 +348,10 @@
         Told,
     };
 
+    bool isPlanned(const UpstreamStart &start) const
+    {
+        return m_plannedEnds && m_plannedEnds(start);
+    }
     void update(Time now);
     void forget(Time now);
     absl::flat_hash_map<ContentDigest, Evidence> evidence(AnswerBasis basis) const;
@@ -371,6 +384,7 @@
     bool isTrialDue(ContentDigest content, const TrialRank &rank, Time now) const;
 
     ContentQuarantineLimits m_limits;
+    PlannedEnds m_plannedEnds;
     std::map<UpstreamStart, Crash> m_crashes;
     absl::flat_hash_map<ContentDigest, Answer> m_answers;
     /** The evidence by what all nodes were told, until something changes it. */
--- a/coordination/upstreamdirectory.cpp
+++ b/coordination/upstreamdirectory.cpp
@@ -115,10 +115,10 @@
         at->second.removeAt = std::min(at->second.removeAt, m_graceUntil);
         return {};
     }
-    const bool hasLapsed = !at->second.record.isLeaving;
-    countSoftware(at->second.record, -1);
+    const UpstreamRecord record = at->second.record;
+    countSoftware(record, -1);
     m_entries.erase(at);
-    return { UpstreamLeft { id, reason, hasLapsed } };
+    return { UpstreamLeft { id, reason, record.isLeaving ? std::nullopt : std::optional(record) } };
 }
 
 void UpstreamDirectory::onStoreRegained(Time now)
--- a/coordination/upstreamdirectory.h
+++ b/coordination/upstreamdirectory.h
@@ -63,8 +63,8 @@
     UpstreamId id;
     /** The reason, for the log. */
     std::string reason;
-    /** It is no longer listed, although it has not announced that it is leaving. */
-    bool hasLapsed = false;
+    /** What was listed last, if it is no longer listed although it has not announced that it is leaving. */
+    std::optional<UpstreamRecord> lapsed {};
 };
 using UpstreamChange = std::variant<UpstreamStarted, UpstreamUpdated, UpstreamLeft>;
 
@@ -83,6 +83,11 @@
      * Returns a change if the upstream gets no new work from now on.
      */
     std::vector<UpstreamChange> markLeaving(const UpstreamStart &start, bool isHeard, Time now);
+    /** Whether this start of the upstream announced, in the store or in an answer, that it is leaving. */
+    bool hasAnnouncedLeaving(const UpstreamStart &start) const
+    {
+        return m_leaving.contains(start);
+    }
     /** The starts that lately stated in answers to this node that they are leaving. */
     std::vector<UpstreamStart> heardLeaving(Time now) const;
     /** The store responds again after an outage; entries that go missing until the grace period ends may come back. */
--- a/main/entry/crashdetector.cpp
+++ b/main/entry/crashdetector.cpp
@@ -1,7 +1,9 @@
 #include "main/entry/crashdetector.h"
 
 #include "main/entry/contentdigest.h"
+#include "platform/enginecalls.h"
 
+#include <absl/container/btree_map.h>
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
@@ -18,6 +20,10 @@
 // A process that ends closes its connections one after the other, and requests on them are reported together.
 constexpr Duration ProbeDelay { 10 };
 constexpr std::size_t MaxLoggedDigests = 8;
+constexpr Duration ReportTimeout { 800 };
+constexpr std::size_t MaxReportBytes = 1U << 20U;
+// Upstreams that leave end within minutes.
+constexpr Duration OutlivedMemory = Duration::seconds(1200);
 
 UpstreamStart startOf(const UpstreamRecord &record)
 {
@@ -48,6 +54,8 @@
     EntryMetrics &metrics;
     OnEnded onEnded;
     UpstreamEnds ends;
+    /** Since when. */
+    absl::btree_map<UpstreamStart, Time> outlivedEntries;
 
     Private(IoLoop &loop, EventLog &log, EntryMetrics &metrics, Duration suspicionTime, OnEnded onEnded)
         : loop(loop)
@@ -66,6 +74,8 @@
     void addAll(const std::vector<UnansweredRequest> &requests);
     void probe(const UpstreamRecord &upstream);
     void onProbed(const UpstreamRecord &upstream, const CallResult &result);
+    void askForReport(const UpstreamRecord &upstream);
+    void onReport(const UpstreamRecord &upstream, const CallResult &result, Duration took);
     void reportAll(const std::vector<UpstreamEnd> &found);
     void report(const UpstreamEnd &end);
 };
@@ -116,6 +126,37 @@
     }
 }
 
+void CrashDetector::Private::askForReport(const UpstreamRecord &upstream)
+{
+    HttpCall call;
+    call.url = "http://" + upstream.address + std::string(Platform::reportPath());
+    call.headers = Platform::reportHeaders(upstream.id);
+    call.connectTimeout = ConnectTimeout;
+    call.totalTimeout = ReportTimeout;
+    call.maxBodyBytes = MaxReportBytes;
+    call.isSentOnce = true;
+    call.onDone = [weak = weak_from_this(), upstream, askedAt = now()](const CallResult &result) {
+        if (const auto self = weak.lock()) {
+            self->onReport(upstream, result, self->now() - askedAt);
+        }
+    };
+    loop.client().start(std::move(call));
+}
+
+void CrashDetector::Private::onReport(const UpstreamRecord &upstream, const CallResult &result, Duration took)
+{
+    constexpr int OkStatus = 200;
+    // A node that got no processor time may have an answer that it has not read.
+    const bool isLate = took > ReportTimeout * 2;
+    if (result.state == AttemptState::Answered && result.status == OkStatus) {
+        absl::erase_if(outlivedEntries, [this](const auto &entry) { return now() - entry.second > OutlivedMemory; });
+        outlivedEntries[startOf(upstream)] = now();
+        log.write(Important, "upstream", "outlives_entry", { { "upstream", upstream.id.value() }, { "startedAt", upstream.startedAt } });
+    } else if (!isLate) {
+        reportAll(ends.onLapsed(upstream.id, now()));
+    }
+}
+
 void CrashDetector::Private::reportAll(const std::vector<UpstreamEnd> &found)
 {
     for (const UpstreamEnd &end : found) {
@@ -192,14 +233,24 @@
 
 void CrashDetector::onStarted(const UpstreamRecord &record, const std::vector<UnansweredRequest> &unanswered)
 {
+    d->outlivedEntries.erase(startOf(record));
     d->addAll(unanswered);
     d->reportAll(d->ends.onStarted(record, d->now()));
 }
 
-void CrashDetector::onLapsed(const UpstreamId &upstream, const std::vector<UnansweredRequest> &silent)
+void CrashDetector::onLapsed(const UpstreamRecord &upstream, bool canReport, const std::vector<UnansweredRequest> &silent)
 {
     d->addAll(silent);
-    d->reportAll(d->ends.onLapsed(upstream, d->now()));
+    if (canReport) {
+        d->askForReport(upstream);
+    } else {
+        d->reportAll(d->ends.onLapsed(upstream.id, d->now()));
+    }
+}
+
+bool CrashDetector::hasOutlivedEntry(const UpstreamStart &start) const
+{
+    return d->outlivedEntries.contains(start);
 }
 
 } // namespace ApricotStep
--- a/main/entry/crashdetector.h
+++ b/main/entry/crashdetector.h
@@ -37,9 +37,13 @@
     void onSilenceConfirmed(const UpstreamStart &upstream, const std::vector<UnansweredRequest> &unanswered);
     /** The store lists a new start of an upstream; @p unanswered are the requests at the one that it replaces. */
     void onStarted(const UpstreamRecord &record, const std::vector<UnansweredRequest> &unanswered);
-    /** The store no longer lists an upstream, although it has not announced that it is leaving; @p silent are requests there without
-     * answer. */
-    void onLapsed(const UpstreamId &upstream, const std::vector<UnansweredRequest> &silent);
+    /**
+     * The store no longer lists an upstream, although it has not announced that it is leaving; @p silent are requests there without answer.
+     * Some leave like that, and serve on for some time. @p canReport: it answers when it is asked for a report, unless it has ended.
+     */
+    void onLapsed(const UpstreamRecord &upstream, bool canReport, const std::vector<UnansweredRequest> &silent);
+    /** Whether this start served on after the store no longer listed it, so that its end was planned. */
+    bool hasOutlivedEntry(const UpstreamStart &start) const;
 
 private:
     struct Private;
--- a/main/entry/crashguard.cpp
+++ b/main/entry/crashguard.cpp
@@ -44,6 +44,9 @@
     , m_callbacks(std::move(callbacks))
     , m_detector(loop, log, metrics, suspicionTime, [this](const UpstreamEnd &end) { onEnded(end); })
 {
+    m_quarantine.setPlannedEnds([this](const UpstreamStart &start) {
+        return m_clusterState.upstreams.hasAnnouncedLeaving(start) || m_detector.hasOutlivedEntry(start);
+    });
 }
 
 // Not the loop's time: a process that was suspended must not take old crashes for new ones.
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -349,8 +349,8 @@
                        [this](const UpstreamUpdated &updated) { clusterState.outOfScope.put(updated.record); },
                        [this](const UpstreamLeft &left) {
                            clusterState.onUpstreamLeft(left.id);
-                           if (left.hasLapsed) {
-                               forwarder->onUpstreamLapsed(left.id);
+                           if (left.lapsed) {
+                               forwarder->onUpstreamLapsed(*left.lapsed);
                            }
                            log.write(EventLog::Severity::Important, "upstream", "left",
                                { { "upstream", left.id.value() }, { "reason", left.reason } });
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -705,12 +705,13 @@
     }));
 }
 
-void RequestForwarder::onUpstreamLapsed(const UpstreamId &upstream)
+void RequestForwarder::onUpstreamLapsed(const UpstreamRecord &upstream)
 {
     const Time now = d->m_loop.clock().now();
-    d->guard.detector().onLapsed(upstream, d->attempts([&](const UnansweredRequest &attempt) {
-        return attempt.upstream.id == upstream && attempt.silence(now) >= SilenceOfLapsed;
-    }));
+    const bool canReport = d->m_clusterState.engineSpec(upstream.service) != nullptr;
+    const auto silent = d->attempts(
+        [&](const UnansweredRequest &attempt) { return attempt.upstream.id == upstream.id && attempt.silence(now) >= SilenceOfLapsed; });
+    d->guard.detector().onLapsed(upstream, canReport, silent);
 }
 
 std::vector<WaitingAttempt> RequestForwarder::Private::waitingAttempts()
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -123,7 +123,7 @@
     /** The store lists a new start of an upstream. */
     void onUpstreamStarted(const UpstreamRecord &record);
     /** The store no longer lists an upstream, although it has not announced that it is leaving. */
-    void onUpstreamLapsed(const UpstreamId &upstream);
+    void onUpstreamLapsed(const UpstreamRecord &upstream);
     /** Other nodes answer where streams began. */
     void onStreamAnswers(const std::vector<StreamAnswer> &answers);
 
--- a/tests/coordination/testcontentquarantine.cpp
+++ b/tests/coordination/testcontentquarantine.cpp
@@ -121,6 +121,23 @@
     }
 }
 
+// A node that was out of step reported upstreams that left on plan during a release as crashed, and what they had was held back everywhere.
+Test(contentquarantine, plannedEndsAccuseNothing)
+{
+    ContentQuarantine quarantine { ContentQuarantineLimits {} };
+    std::int64_t announced = 0;
+    quarantine.setPlannedEnds([&announced](const UpstreamStart &start) { return start.startedAt <= announced; });
+    Time now(1000);
+    for (std::int64_t end = 1; end <= 12; ++end) {
+        quarantine.onPeerStatements({ { CrashReport { { UpstreamId("u"), end }, Duration(0), { { contentOf(5) } } } }, {}, {} }, now);
+        now = now + Duration(100);
+        announced = end; // Later than the report.
+        now = now + Duration(400);
+        cr_assert_not(quarantine.heldBy(contentOf(5), now), "end %d", static_cast<int>(end));
+        cr_assert_not(quarantine.isAccused(contentOf(5).request));
+    }
+}
+
 // A node that knows of no answer would hold content back that upstreams answer at another node.
 Test(contentquarantine, nodeThatKnowsOfAnswersObjects)
 {
--- a/tests/main/testrequestforwardercrash.cpp
+++ b/tests/main/testrequestforwardercrash.cpp
@@ -381,6 +381,42 @@
     cr_assert_eq(fixture.sendWithNewId("deadly"), 504);
 }
 
+// Some upstreams leave without announcing it: their entries lapse, and they serve on. What they were slow with was held back as deadly.
+Test(crashingrequests, upstreamsThatServeOnAfterTheirEntryLapsesAccuseNothing)
+{
+    constexpr int Lapses = 4;
+    const ScriptedUpstream::Script answerReportsOnly = [](const std::string &request) {
+        ScriptedAnswer answer;
+        answer.isHanging = !absl::StrContains(request, "/apricotstep/report");
+        answer.bytes = answer.isHanging ? "" : "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+        return answer;
+    };
+    std::vector<std::unique_ptr<ScriptedUpstream>> leaving;
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Idempotent, 1);
+    for (int i = 0; i < Lapses; ++i) {
+        leaving.push_back(std::make_unique<ScriptedUpstream>(answerReportsOnly));
+        const UpstreamId id(absl::StrCat("u", i));
+        fixture.addUpstream(id.value(), *leaving.back());
+        HttpRequest request = ForwarderFixture::request();
+        ForwarderFixture::setRequestId(request, absl::StrCat("r-", i));
+        const auto caller = fixture.send(std::move(request));
+        fixture.runUntil([&] { return caller->isDone(); });
+        cr_assert_eq(caller->status(), 504);
+        const UpstreamRecord record = *fixture.clusterState.upstreams.usable(id);
+        fixture.clusterState.upstreams.remove(id, "its entry lapsed", fixture.clock.now());
+        fixture.forwarder->onUpstreamLapsed(record);
+        const Time end = fixture.clock.now() + Duration(400);
+        fixture.runUntil([&] { return fixture.clock.now() >= end; });
+    }
+    const Time end = fixture.clock.now() + Duration(1500);
+    fixture.runUntil([&] {
+        fixture.clusterState.quarantine.statements(false, fixture.clock.now());
+        return fixture.clock.now() >= end;
+    });
+    cr_assert_eq(fixture.clusterState.quarantine.heldCount(), 0);
+}
+
 // Another node has found out that an engine has ended, and this one would send it requests for as long as the store lists it.
 Test(crashingrequests, upstreamThatEndedAtAnotherNodeGetsNoRequests)
 {
