Begin no streams on a version that other nodes may not know of

What callers saw: streams joined from two software versions (ORDER), beside releases, at nodes whose view of the store was some seconds old.

Cause: a node takes its view for complete until it is as old as the bound of changes and a second, and then calls the only version that it lists the one that began every stream; others began streams on a newer version meanwhile. The class: silence of the store taken for 'nothing has changed'.

Change: streams that can be taken up begin on a version only once a node has listed it for longer than any view is trusted. A node that has just started goes by the starts of the upstreams, so that a restart of all nodes delays nothing.

Measured: softwarehistory::newVersionBeginsNoStreamsWhileAnotherNodeMayNotKnowIt and softwareversions::newStreamsBeginOnAVersionOnlyOnceAllNodesKnowIt pass; all of softwarehistory and softwareversions pass.

--- a/coordination/softwarehistory.cpp
+++ b/coordination/softwarehistory.cpp
@@ -15,13 +15,16 @@
     m_limits.maxViewAge = age;
 }
 
-void SoftwareHistory::onListed(const ServiceName &service, const SoftwareVersion &software, Time now)
+void SoftwareHistory::onListed(const ServiceName &service, const SoftwareVersion &software, Time now, Duration upstreamAge)
 {
-    auto &versions = m_lastListedAt[service];
-    Time &lastListedAt = versions[software];
-    lastListedAt = std::max(lastListedAt, now);
+    auto &versions = m_listings[service];
+    Listing &listing = versions.try_emplace(software, Listing { now, now }).first->second;
+    if (!m_viewedSince) {
+        listing.firstAt = std::min(listing.firstAt, now - upstreamAge);
+    }
+    listing.lastAt = std::max(listing.lastAt, now);
     if (versions.size() > 1) {
-        absl::erase_if(versions, [this, now](const auto &entry) { return now - entry.second > streamLifetime(); });
+        absl::erase_if(versions, [this, now](const auto &entry) { return now - entry.second.lastAt > streamLifetime(); });
     }
 }
 
@@ -46,13 +49,13 @@
 std::optional<SoftwareVersion> SoftwareHistory::soleVersion(const ServiceName &service, Time now) const
 {
     const bool isViewComplete = m_viewedSince && now - m_viewedAt <= m_limits.maxViewAge && now - *m_viewedSince >= streamLifetime();
-    const auto versions = m_lastListedAt.find(service);
-    if (!isViewComplete || versions == m_lastListedAt.end()) {
+    const auto versions = m_listings.find(service);
+    if (!isViewComplete || versions == m_listings.end()) {
         return std::nullopt;
     }
     std::optional<SoftwareVersion> sole;
-    for (const auto &[software, listedAt] : versions->second) {
-        if (now - listedAt > streamLifetime()) {
+    for (const auto &[software, listing] : versions->second) {
+        if (now - listing.lastAt > streamLifetime()) {
             continue;
         }
         if (sole) {
@@ -63,4 +66,14 @@
     return sole;
 }
 
+bool SoftwareHistory::mayBeginStreams(const ServiceName &service, const SoftwareVersion &software, Time now) const
+{
+    const auto versions = m_listings.find(service);
+    if (versions == m_listings.end()) {
+        return true;
+    }
+    const auto listing = versions->second.find(software);
+    return listing == versions->second.end() || now - listing->second.firstAt > m_limits.maxViewAge;
+}
+
 } // namespace ApricotStep
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -243,6 +243,13 @@
     return !m_origin || record.softwareVersion == m_origin->software;
 }
 
+bool RequestJob::mayBegin(const UpstreamRecord &record) const
+{
+    const bool canBeResumed = m_route.kind == RequestKind::Stream && m_route.isResumable;
+    return !canBeResumed || m_origin
+        || m_context.clusterState().softwareHistory.mayBeginStreams(m_service, record.softwareVersion, m_context.loop().clock().now());
+}
+
 bool RequestJob::hasUpstreamOfOrigin() const
 {
     const auto records = m_context.clusterState().upstreams.usable(m_service);
@@ -291,7 +298,7 @@
 
 bool RequestJob::isUsable(const UpstreamRecord &record)
 {
-    if (m_excluded.contains(record.id) || !isOfOrigin(record)) {
+    if (m_excluded.contains(record.id) || !isOfOrigin(record) || !mayBegin(record)) {
         return false;
     }
     if (!m_decoded.generation) {
@@ -421,7 +428,8 @@
         const UpstreamRecord *record = clusterState.upstreams.usable(engine);
         const auto reported = clusterState.outOfScope.load(engine, now());
         const bool isKnown = record != nullptr && record->zone != clusterState.engineScope && record->service == m_service && reported;
-        if (!isKnown || m_excluded.contains(engine) || !isOfOrigin(*record) || !clusterState.outliers.isReachable(engine, now())) {
+        if (!isKnown || m_excluded.contains(engine) || !isOfOrigin(*record) || !mayBegin(*record)
+            || !clusterState.outliers.isReachable(engine, now())) {
             continue;
         }
         const auto version = clusterState.outOfScope.version(engine, adapter());
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -151,6 +151,8 @@
     void findOrigin();
     /** Whether the upstream may run the request: it runs the software that began the stream, if that has begun. */
     bool isOfOrigin(const UpstreamRecord &record) const;
+    /** Whether the upstream may begin the answer, if nobody has begun it yet. */
+    bool mayBegin(const UpstreamRecord &record) const;
     /** Whether an upstream of the software that began the stream may get work. */
     bool hasUpstreamOfOrigin() const;
     /** The stream begins with this attempt: remembers where, for its caller's next request. */
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -310,7 +310,8 @@
         found = clusterState.upstreams.remove(id, "the store removed it", now);
     } else if (auto record = Platform::decodeUpstream(id, item.value); record.isOk()) {
         found = clusterState.upstreams.put(record.value(), now);
-        clusterState.softwareHistory.onListed(record.value().service, record.value().softwareVersion, now);
+        const Duration age(std::max<std::int64_t>(0, loop.clock().wallTime().milliseconds() - record.value().startedAt));
+        clusterState.softwareHistory.onListed(record.value().service, record.value().softwareVersion, now, age);
     } else {
         log.write(Important, "upstream", "unreadable", { { "upstream", id.value() }, { "reason", record.error().detail } });
         found = clusterState.upstreams.remove(id, "its entry cannot be read", now);
--- a/tests/coordination/testsoftwarehistory.cpp
+++ b/tests/coordination/testsoftwarehistory.cpp
@@ -52,6 +52,41 @@
     cr_assert(replay.sole() == First);
 }
 
+// Guards against a node out of step that takes the old version for the only one while others begin streams on the new one.
+Test(softwarehistory, newVersionBeginsNoStreamsWhileAnotherNodeMayNotKnowIt)
+{
+    for (Duration outOfStepBefore; outOfStepBefore <= Duration::seconds(4); outOfStepBefore = outOfStepBefore + Step) {
+        Replay outOfStep;
+        Replay inStep;
+        outOfStep.run(Duration::seconds(30) - outOfStepBefore, { First });
+        outOfStep.run(outOfStepBefore, {}, false);
+        inStep.run(Duration::seconds(30), { First });
+        int begunSteps = 0;
+        for (int step = 0; step < 20; ++step) {
+            outOfStep.run(Step, {}, false);
+            inStep.run(Step, { First, Second });
+            const bool mayBegin = inStep.history.mayBeginStreams(Service, Second, inStep.now);
+            begunSteps += mayBegin ? 1 : 0;
+            cr_assert_not(mayBegin && outOfStep.sole() == First, "step %d", step);
+            cr_assert(inStep.history.mayBeginStreams(Service, First, inStep.now));
+        }
+        cr_assert_gt(begunSteps, 0);
+    }
+}
+
+// Guards against a fleet that begins no streams for seconds after all its nodes have started again.
+Test(softwarehistory, nodeThatHasJustStartedBeginsStreamsOnVersionsThatHaveServed)
+{
+    Replay started;
+    started.history.onListed(Service, First, started.now, Duration::seconds(60));
+    started.history.onListed(Service, Second, started.now, Duration(500));
+    started.history.onViewConfirmed(started.now);
+    cr_assert(started.history.mayBeginStreams(Service, First, started.now));
+    cr_assert_not(started.history.mayBeginStreams(Service, Second, started.now));
+    started.history.onListed(Service, Second, started.now + Step, Duration::seconds(60));
+    cr_assert_not(started.history.mayBeginStreams(Service, Second, started.now + Step));
+}
+
 // Guards against streams that go on at the new version because all upstreams of the one that began them have just left.
 Test(softwarehistory, versionThatHasLeftCountsForAsLongAsItsStreamsLast)
 {
--- a/tests/main/testrequestforwardersoftware.cpp
+++ b/tests/main/testrequestforwardersoftware.cpp
@@ -88,6 +88,30 @@
     cr_assert(fixture.second.requests().empty());
 }
 
+// Guards against streams that begin on a version which another node, whose view is some seconds old, does not know of yet.
+Test(softwareversions, newStreamsBeginOnAVersionOnlyOnceAllNodesKnowIt)
+{
+    TwoVersionsFixture fixture([](const std::string &) { return wholeStream("id: 1\ndata: a\n\n"); });
+    SoftwareHistory &history = fixture.clusterState.softwareHistory;
+    history.setMaxViewAge(Duration(1500));
+    history.onListed(ServiceName("svc"), SoftwareVersion("v1"), fixture.clock.now(), Duration::seconds(60));
+    history.onViewConfirmed(fixture.clock.now());
+    fixture.addUpstream("u2", fixture.second, "v2");
+    history.onListed(ServiceName("svc"), SoftwareVersion("v2"), fixture.clock.now());
+    const Time listedAt = fixture.clock.now();
+    for (int number = 0; fixture.clock.now() - listedAt < Duration(1000); ++number) {
+        const auto caller = fixture.send(ForwarderFixture::requestWithId(absl::StrCat("r-", number)));
+        fixture.runUntil([&] { return caller->isDone(); });
+        cr_assert_eq(caller->status(), 200);
+    }
+    cr_assert(fixture.second.requests().empty());
+    for (int number = 0; fixture.second.requests().empty() && number < 3000; ++number) {
+        const auto caller = fixture.send(ForwarderFixture::requestWithId(absl::StrCat("s-", number)));
+        fixture.runUntil([&] { return caller->isDone(); });
+    }
+    cr_assert_not(fixture.second.requests().empty());
+}
+
 // Guards against a stream whose software version no node knows and that goes on at any upstream. Nothing has run, and it is refused at
 // once.
 Test(softwareversions, unknownStreamIsRefusedWhileVersionsDiffer)
