Ask an engine for its start before a stream goes on there

Cause: a continuation relied on the record of the upstream, which may be seconds old, and an id outlives a start. The adapter was missing there, too; the node ordered its load and went on.

Change: what a continuation brings is kept back until the engine's report, asked for after the head, names the start that the node knows. Another start is not gone on with: no event of it reaches the caller. An engine that gives no report, or names no start in it, is taken at the store's word.

Two tests whose scripts took each call for a request now answer reports first; what they assert of the continuing request is unchanged.

--- a/coordination/engineorder.h
+++ b/coordination/engineorder.h
@@ -56,6 +56,8 @@
     double totalTokens = 0;
     /** The engine is carrying out an order for a base model. */
     bool isBusy = false;
+    /** When the engine started, in Unix milliseconds; 0 if it does not say. */
+    std::int64_t startedAt = 0;
 };
 
 } // namespace ApricotStep
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -4,6 +4,7 @@
 #include "main/entry/contentdigest.h"
 #include "main/entry/refusal.h"
 #include "main/entry/relayedrequest.h"
+#include "platform/enginecalls.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -55,6 +56,9 @@
 constexpr Duration ReservationLifetime { 500 };
 // An upstream that has sent nothing for so long when its answer is given up may have ended.
 constexpr Duration MinSilence = Duration::seconds(1);
+// How long the continuation of an answer waits for the report of its engine, which needs no free place.
+constexpr Duration VerificationTimeout { 500 };
+constexpr std::size_t MaxReportBytes = 1U << 20U;
 constexpr int MaxRelays = 3;
 constexpr int OkStatus = 200;
 constexpr int FirstErrorStatus = 300;
@@ -840,6 +844,88 @@
     if (m_route.kind != RequestKind::Stream || !isSuccess(m_answer->status)) {
         return;
     }
+    const bool canReport = !m_relay && m_context.clusterState().engineSpec(m_service) != nullptr;
+    if (continuesAnswer() && canReport) {
+        verifyStart();
+    } else {
+        beginAnswer();
+    }
+}
+
+bool RequestJob::continuesAnswer() const
+{
+    return m_origin && (!m_decoded.lastEventId.empty() || m_eventsBefore > 0);
+}
+
+// An upstream may have started again under its id, with other software, and the store may not have told this node yet. The report comes
+// after the head: an engine that is the known start then has sent the head as well.
+void RequestJob::verifyStart()
+{
+    HttpCall call;
+    call.url = "http://" + m_upstream.address + std::string(Platform::reportPath());
+    call.headers = Platform::reportHeaders(m_upstream.id);
+    call.connectTimeout = ConnectTimeout;
+    call.totalTimeout = std::min(VerificationTimeout, std::max(timeLeft(), Duration(1)));
+    call.maxBodyBytes = MaxReportBytes;
+    call.isSentOnce = true;
+    auto body = std::make_shared<std::string>();
+    call.onData = [body](std::string_view data) {
+        body->append(data);
+        return true;
+    };
+    call.onDone = [weak = weak_from_this(), body](const CallResult &result) {
+        if (const auto self = weak.lock()) {
+            self->onReport(result, *body);
+        }
+    };
+    m_verification = m_context.loop().client().start(std::move(call));
+}
+
+void RequestJob::onReport(const CallResult &result, const std::string &body)
+{
+    if (m_phase != Phase::Answering || std::exchange(m_verification, 0) == 0) {
+        return;
+    }
+    const bool isAnswered = result.state == AttemptState::Answered && result.status == OkStatus;
+    const Result<EngineReport> report = isAnswered ? Platform::decodeReport(body) : EngineReport();
+    const bool isOtherStart = report.isOk() && report.value().startedAt != 0 && report.value().startedAt != m_upstream.startedAt;
+    if (isOtherStart) {
+        onOtherStart();
+        return;
+    }
+    beginAnswer();
+    const std::string data = std::exchange(m_unverifiedData, {});
+    const auto done = std::exchange(m_unverifiedResult, std::nullopt);
+    if (!data.empty()) {
+        onData(data);
+    }
+    if (done) {
+        onDone(*done);
+    }
+}
+
+void RequestJob::onOtherStart()
+{
+    const CallId call = m_call;
+    const bool isDone = m_unverifiedResult.has_value();
+    endAttempt();
+    if (!isDone) {
+        m_context.loop().client().cancel(call);
+    }
+    discardAnswer();
+    ++m_attemptsSent;
+    ++m_possibleRuns;
+    m_executionState = ExecutionState::MayHaveRun;
+    m_context.log().write(Important, "request", "other_start", { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() } });
+    if (m_isStreaming) {
+        onStreamInterrupted();
+    } else {
+        retryOrGiveUp(ErrorKind::UpstreamFailed);
+    }
+}
+
+void RequestJob::beginAnswer()
+{
     if (std::exchange(m_isPromptPending, false)) {
         m_context.clusterState().loadTracker.onFirstToken(m_upstream.id, promptTokens(), now());
     }
@@ -867,7 +953,7 @@
 std::string RequestJob::exceededLimit(std::string_view data) const
 {
     const AnswerLimits &limits = m_context.settings().answers;
-    if (isKeptWhole() && m_body.size() + data.size() > limits.maxAnswerBytes) {
+    if (isKeptWhole() && m_body.size() + m_unverifiedData.size() + data.size() > limits.maxAnswerBytes) {
         return absl::StrCat("the answer is longer than ", limits.maxAnswerBytes, " bytes");
     }
     if (!isKeptWhole() && m_events.partialEvent().size() > limits.maxEventBytes) {
@@ -897,6 +983,11 @@
     if (m_phase != Phase::Answering) {
         return true;
     }
+    if (m_verification != 0) {
+        m_unverifiedData.append(data);
+        accountMemory();
+        return true;
+    }
     if (isKeptWhole()) {
         m_body.append(data);
         accountMemory();
@@ -992,13 +1083,14 @@
 void RequestJob::accountMemory()
 {
     const auto bytesOf = [](const std::string &text) { return text.empty() ? 0 : text.capacity(); };
-    const std::size_t bytes = bytesOf(m_body) + bytesOf(m_failureBody) + bytesOf(m_events.partialEvent());
+    const std::size_t bytes = bytesOf(m_body) + bytesOf(m_failureBody) + bytesOf(m_events.partialEvent()) + bytesOf(m_unverifiedData);
     m_hasMemory = m_context.answerMemory().resize(std::exchange(m_accountedBytes, bytes), bytes);
 }
 
 void RequestJob::discardAnswer()
 {
     m_body = std::string();
+    m_unverifiedData = std::string();
     m_events.discardPartialEvent();
     accountMemory();
 }
@@ -1031,6 +1123,8 @@
         m_context.clusterState().loadTracker.onEnded(m_upstream.id, m_isPromptPending ? promptTokens() : 0, now());
     }
     m_call = 0;
+    m_verification = 0;
+    m_unverifiedResult.reset();
     m_lastEventsAt.reset();
     m_hasPaused = false;
 }
@@ -1093,6 +1187,10 @@
     if (m_phase == Phase::Ended) {
         return;
     }
+    if (m_verification != 0) {
+        m_unverifiedResult = result;
+        return;
+    }
     endAttempt();
     // The relay reports the first arrival.
     if (result.state != AttemptState::NotSent && m_attemptsSent++ == 0 && !m_relay) {
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -204,6 +204,14 @@
     bool maySend() const;
     bool acceptsHead(int status, const HttpHeaders &headers, const AnswerConnection &connection);
     void onHead();
+    /** The answer to the attempt in progress goes to the caller from now on. */
+    void beginAnswer();
+    /** Whether the attempt in progress goes on with an answer that another one began. */
+    bool continuesAnswer() const;
+    /** Asks the engine at which the answer goes on whether it is the start that this node knows. What comes meanwhile is kept back. */
+    void verifyStart();
+    void onReport(const CallResult &result, const std::string &body);
+    void onOtherStart();
     bool onData(std::string_view data);
     /** Whether the answer in progress is delivered as a whole, rather than event by event. */
     bool isKeptWhole() const;
@@ -308,6 +316,11 @@
 
     // The attempt in progress.
     CallId m_call = 0;
+    /** The call that asks for the engine's report; 0 if there is none. */
+    CallId m_verification = 0;
+    /** What has arrived of the answer since then. */
+    std::string m_unverifiedData;
+    std::optional<CallResult> m_unverifiedResult;
     UpstreamRecord m_upstream;
     AdapterVersion m_version;
     /** Set while the attempt goes through another node, which chooses the upstream. */
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -129,6 +129,9 @@
 {
     int calls = 0;
     const auto script = [&](const std::string &request) {
+        if (asksForReport(request)) {
+            return ScriptedAnswer { EmptyReport };
+        }
         if (++calls == 1) {
             return ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 1\ndata: a\n\n"), chunk("id: 2\nda")),
                 ScriptedAnswer::ConnectionAction::Reset };
--- a/tests/main/testrequestforwardercrash.cpp
+++ b/tests/main/testrequestforwardercrash.cpp
@@ -387,8 +387,8 @@
     constexpr int Lapses = 4;
     const ScriptedUpstream::Script answerReportsOnly = [](const std::string &request) {
         ScriptedAnswer answer;
-        answer.isHanging = !absl::StrContains(request, "/apricotstep/report");
-        answer.bytes = answer.isHanging ? "" : "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+        answer.isHanging = !asksForReport(request);
+        answer.bytes = answer.isHanging ? "" : EmptyReport;
         return answer;
     };
     std::vector<std::unique_ptr<ScriptedUpstream>> leaving;
--- a/tests/main/testrequestforwarderfixture.h
+++ b/tests/main/testrequestforwarderfixture.h
@@ -23,6 +23,14 @@
 
 constexpr const char *CompleteAnswer =
     "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwhole";
+/** The report of an engine that says nothing of its start. */
+constexpr const char *EmptyReport = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+inline bool asksForReport(const std::string &request)
+{
+    return absl::StartsWith(request, "GET /apricotstep/report ");
+}
+
 constexpr const char *IncompleteAnswer =
     "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Length: 500\r\n\r\nhalf";
 constexpr const char *FailureAnswer =
--- a/tests/main/testrequestforwardersoftware.cpp
+++ b/tests/main/testrequestforwardersoftware.cpp
@@ -112,6 +112,36 @@
     cr_assert_not(fixture.second.requests().empty());
 }
 
+// Guards against a stream that goes on at an upstream which has started again under its id, with other software, before the store tells it.
+Test(softwareversions, streamDoesNotGoOnAtANewStartThatTheStoreHasNotTold)
+{
+    std::atomic<bool> hasRestarted { false };
+    ForwarderFixture fixture;
+    const ScriptedUpstream upstream([&hasRestarted](const std::string &request) {
+        if (asksForReport(request)) {
+            const std::string body = absl::StrCat("{\"born\":", hasRestarted ? 77 : 1, "}");
+            return ScriptedAnswer { absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body) };
+        }
+        return absl::StrContains(request, "Last-Event-Id") ? wholeStream("id: 2\ndata: b\n\n") : wholeStream("id: 1\ndata: a\n\n");
+    });
+    fixture.configure(RequestKind::Stream, 2, true);
+    fixture.addUpstream("u1", upstream, "v1");
+    UpstreamRecord record = *fixture.clusterState.upstreams.usable(UpstreamId("u1"));
+    record.startedAt = 1;
+    fixture.clusterState.upstreams.put(record, fixture.clock.now());
+    const auto begun = fixture.send(ForwarderFixture::requestWithId("r-1"));
+    fixture.runUntil([&] { return begun->isDone(); });
+    const auto resumed = fixture.send(resumption("r-2", "r-1"));
+    fixture.runUntil([&] { return resumed->isDone(); });
+    cr_assert_eq(resumed->status(), 200);
+    cr_assert_eq(resumed->body(), "id: 2\ndata: b\n\n");
+    hasRestarted = true;
+    const auto joined = fixture.send(resumption("r-3", "r-1"));
+    fixture.runUntil([&] { return joined->isDone(); });
+    cr_assert_neq(joined->status(), 200);
+    cr_assert_not(absl::StrContains(joined->body(), "data: b"));
+}
+
 // Guards against a stream whose software version no node knows and that goes on at any upstream. Nothing has run, and it is refused at
 // once.
 Test(softwareversions, unknownStreamIsRefusedWhileVersionsDiffer)
--- a/tests/main/testrequestforwarderstream.cpp
+++ b/tests/main/testrequestforwarderstream.cpp
@@ -54,6 +54,9 @@
 {
     int calls = 0;
     const auto caller = answerOf(RequestKind::Stream, true, [&calls](const std::string &request) {
+        if (asksForReport(request)) {
+            return ScriptedAnswer { EmptyReport };
+        }
         if (++calls == 1) {
             return unframed("id: 1\ndata: a\n\nid: 2\nda");
         }
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -210,7 +210,8 @@
         held = [f"{name}@{version}" for name, version in self.adapters.items()]
         loading = [f"m/{name}@{version}" for name, (version, _) in self.loading.items()]
         return {"stage": "colocated", "models": [{"name": "m", "version": 1, "adapters": held}], "coming": loading, "busy": False,
-                "seq": self.order_count, "waiting": 0, "running": self.running, "kvUsed": 0, "kvTotal": 1000, "handles": 0}
+                "seq": self.order_count, "waiting": 0, "running": self.running, "kvUsed": 0, "kvTotal": 1000, "handles": 0,
+                "born": self.start_time_ms}
 
     def order(self, order):
         self.cluster.record_order(self, order)
