Weigh reports of crashes together and keep the told evidence

While engines of a large fleet crash, each report made every node weigh all crashes again, and each answer that it was told threw away what it had weighed for its objections.

Change: reports within 100 ms are weighed together, which is short against the 0.3 s in which others may object; an answer that is told removes its content from the told evidence instead of all.

--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -307,9 +307,27 @@
     return result;
 }
 
+void ContentQuarantine::reviewSoon()
+{
+    m_reviewAt = std::min(m_reviewAt, m_reviewedAt + m_limits.reviewInterval);
+}
+
+// An answer between crashes leaves the entry as it is until the next crash: it then counts a crash too many, and this node objects sooner.
+void ContentQuarantine::onTold(ContentDigest content, const AnswerTimes &told)
+{
+    if (!m_toldEvidence) {
+        return;
+    }
+    const auto entry = m_toldEvidence->find(content);
+    if (entry != m_toldEvidence->end() && told.wholeAt >= entry->second.lastAt) {
+        m_toldEvidence->erase(entry);
+    }
+}
+
 void ContentQuarantine::update(Time now)
 {
     m_reviewAt = Time::never();
+    m_reviewedAt = now;
     forget(now);
     // What accounts for most crashes comes first: the others that it leaves unexplained may be too few to hold back anything else.
     for (;;) {
@@ -371,7 +389,7 @@
     m_held.erase(content);
     m_toldEvidence.reset();
     m_changes.emplace_back(ContentReleased { content, reason });
-    m_reviewAt = Time(); // The crashes that it explained may accuse other content.
+    reviewSoon(); // The crashes that it explained may accuse other content.
 }
 
 ContentQuarantine::Crash &ContentQuarantine::addCrash(
@@ -385,7 +403,7 @@
     // Most reports are repeated ones.
     const bool isNews = addUnique(crash.suspects, suspects, m_limits.maxSuspects * 4) || isNew || isEarlier;
     if (isNews) {
-        m_reviewAt = Time();
+        reviewSoon();
         m_toldEvidence.reset();
     }
     for (const CrashSuspect &suspect : suspects) {
@@ -449,7 +467,7 @@
         Answer &answer = m_answers[answered.content];
         answer.known.add(answered.progress, at, answered.answerAge);
         answer.told.add(answered.progress, at, answered.answerAge);
-        m_toldEvidence.reset();
+        onTold(answered.content, answer.told);
         const auto held = m_held.find(answered.content);
         const bool isWhole = answered.progress == AnswerProgress::Whole;
         if (isWhole && held != m_held.end() && at > held->second.firstCrashAt) {
@@ -602,7 +620,7 @@
                 isContinued ? AnswerProgress::Continued : AnswerProgress::Begun, isContinued ? known.continuedAge : Duration() });
         }
         answer.told = known;
-        m_toldEvidence.reset();
+        onTold(content, answer.told);
     }
     for (const auto &[content, held] : m_held) {
         if (isFull || held.tellUntil >= now) {
--- a/coordination/contentquarantine.h
+++ b/coordination/contentquarantine.h
@@ -54,6 +54,8 @@
     /** Content is held back this long after the last crash needed became known, unless a node knows of an answer. */
     Duration objectionTime { 300 };
     Duration objectionTimeUnlikely { 1000 };
+    /** Reports that arrive within this time are weighed together; short against the objection time. */
+    Duration reviewInterval { 100 };
     /**
      * Content is held back only if as many of its upstreams would end by chance with at most this probability, at the rate at which other
      * upstreams of the service end.
@@ -352,6 +354,9 @@
     {
         return m_plannedEnds && m_plannedEnds(start);
     }
+    void reviewSoon();
+    /** All nodes were told of answers to the content. */
+    void onTold(ContentDigest content, const AnswerTimes &told);
     void update(Time now);
     void forget(Time now);
     absl::flat_hash_map<ContentDigest, Evidence> evidence(AnswerBasis basis) const;
@@ -395,6 +400,7 @@
     Time m_crashKnownAt;
     /** When there may be enough evidence to hold back more. */
     Time m_reviewAt = Time::never();
+    Time m_reviewedAt;
     std::vector<QuarantineChange> m_changes;
 };
 
