Take no answer for whole whose head was cut

Reported by operators of systems like this one: an upstream that stops within its head and closes gets its callers a 200 with an empty body, framed as whole. Cause: libcurl takes a connection that closes within the headers for the end of an answer without a body, and HttpClient reported that as answered. The class: an end of a connection taken for an end of a message.

Change: a call is answered only once the empty line after the headers of a final answer has arrived.

Measured: unframedanswers::callThatChecksNoHeadDoesNotTakeACutOneForAnAnswer fails without the change (cut at byte 17, right after the status line) and passes. Requests of entry nodes check the head and were safe before: answerThatIsCutInItsHeadIsNotDelivered (13 cuts, closed and reset, on a new and a kept connection and through a relay) and streamWhoseContinuationIsCutInItsHeadDoesNotLookWhole pass on both codes.

--- a/tests/main/testrequestforwarderstream.cpp
+++ b/tests/main/testrequestforwarderstream.cpp
@@ -2,6 +2,7 @@
 #include "unreachableaddress.h"
 
 #include <absl/strings/str_replace.h>
+#include <absl/synchronization/notification.h>
 
 #include <criterion/criterion.h>
 
@@ -67,6 +68,86 @@
     cr_assert(caller->isFinished());
 }
 
+// Guards against an answer whose upstream closed within its head and that is delivered as whole, with an empty or short body.
+Test(unframedanswers, answerThatIsCutInItsHeadIsNotDelivered)
+{
+    enum class Way { Direct, KeptConnection, Relayed };
+    const std::string head = "HTTP/1.1 200 OK\r\nApricotstep-Request-Id: {id}\r\nApricotstep-Server-Seal: s\r\nContent-Type: text/plain\r\n"
+                             "Content-Length: 5\r\n\r\n";
+    for (const Way way : { Way::Direct, Way::KeptConnection, Way::Relayed }) {
+        for (const auto action : { ScriptedAnswer::ConnectionAction::Close, ScriptedAnswer::ConnectionAction::Reset }) {
+            // In the status line, before and within a name, within and after a value, and before the empty line.
+            for (const std::size_t cut :
+                { std::size_t(0), std::size_t(5), std::size_t(13), std::size_t(17), std::size_t(25), std::size_t(48), head.find("Seal"),
+                    head.find(": s") + 3, head.find("text/"), head.find("Length"), head.size() - 5, head.size() - 4, head.size() - 2 }) {
+                ForwarderFixture fixture;
+                fixture.configure(RequestKind::NonIdempotent, 1);
+                int calls = 0;
+                const ScriptedUpstream upstream([&](const std::string &) {
+                    const bool isWhole = way == Way::KeptConnection && ++calls == 1;
+                    return isWhole ? ScriptedAnswer { CompleteAnswer } : ScriptedAnswer { head.substr(0, cut), action };
+                });
+                if (way == Way::Relayed) {
+                    fixture.addUnreachableUpstream("u1");
+                    fixture.addRelay("n2", upstream);
+                } else {
+                    fixture.addUpstream("u1", upstream);
+                }
+                if (way == Way::KeptConnection) {
+                    const auto first = fixture.send(ForwarderFixture::requestWithId("r-1"));
+                    fixture.runUntil([&] { return first->isDone(); });
+                    cr_assert_eq(first->status(), 200);
+                }
+                const auto caller = fixture.send(ForwarderFixture::requestWithId("r-2"));
+                fixture.runUntil([&] { return caller->isDone(); });
+                cr_assert_geq(caller->status(), 500, "way %d, cut at %zu: %d", static_cast<int>(way), cut, caller->status());
+            }
+        }
+    }
+}
+
+// Guards against calls that check no head and take one that is cut for an answer without a body.
+Test(unframedanswers, callThatChecksNoHeadDoesNotTakeACutOneForAnAnswer)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t cut = 0; cut <= head.size(); ++cut) {
+        const ScriptedUpstream upstream([&](const std::string &) {
+            return ScriptedAnswer { head.substr(0, cut), ScriptedAnswer::ConnectionAction::Close };
+        });
+        HttpClient client;
+        absl::Notification isDone;
+        CallResult result;
+        HttpCall call;
+        call.url = "http://" + upstream.address() + "/";
+        call.onDone = [&](const CallResult &ended) {
+            result = ended;
+            isDone.Notify();
+        };
+        client.start(std::move(call));
+        cr_assert(isDone.WaitForNotificationWithTimeout(absl::Seconds(5)));
+        cr_assert_eq(result.state == AttemptState::Answered, cut == head.size(), "cut at %zu", cut);
+    }
+}
+
+// Guards against a stream whose continuation is cut within its head and that ends as if it were whole.
+Test(unframedanswers, streamWhoseContinuationIsCutInItsHeadDoesNotLookWhole)
+{
+    for (const std::size_t cut : { std::size_t(0), std::size_t(12), std::size_t(17), std::size_t(60) }) {
+        int calls = 0;
+        const auto caller = answerOf(RequestKind::Stream, true, [&](const std::string &request) {
+            if (asksForReport(request)) {
+                return ScriptedAnswer { EmptyReport };
+            }
+            if (++calls == 1) {
+                return ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 1\ndata: a\n\n")), ScriptedAnswer::ConnectionAction::Reset };
+            }
+            return ScriptedAnswer { std::string(StreamHead).substr(0, cut), ScriptedAnswer::ConnectionAction::Close };
+        });
+        cr_assert_not(caller->isFinished(), "cut at %zu", cut);
+        cr_assert_eq(caller->body(), "id: 1\ndata: a\n\n");
+    }
+}
+
 // Guards against whole answers that are taken for broken ones because they end with their connection.
 Test(unframedanswers, wholeAnswersAreDelivered)
 {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -772,6 +772,8 @@
         self.lost_answers.end_harm(engine.name)
 
     async def replace(self, upstream, name):
+        if upstream not in self.upstreams:
+            return  # Another series has replaced it meanwhile.
         self.lost_answers.begin_harm(name)
         upstream._server.close()
         self.upstreams.remove(upstream)
--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -57,6 +57,8 @@
     bool isSent = false;
     bool isHeadReported = false;
     bool isHeadChecked = false;
+    /** The empty line after the headers of a final answer has arrived. */
+    bool isHeadComplete = false;
     bool isPausePending = false;
     std::size_t bodyBytes = 0;
     std::vector<std::pair<std::string, std::string>> answerHeaders;
@@ -74,6 +76,8 @@
     return static_cast<int>(status);
 }
 
+constexpr int FirstFinalStatus = 200;
+
 void reportHead(Transfer &transfer)
 {
     if (!transfer.isHeadReported) {
@@ -87,7 +91,6 @@
 // Called at the end of the headers. Interim answers (1xx) are accepted here, since another head follows them.
 bool acceptsHead(Transfer &transfer)
 {
-    constexpr int FirstFinalStatus = 200;
     const int status = statusOf(transfer.easy);
     if (status < FirstFinalStatus || transfer.isHeadChecked || !transfer.call.acceptsHead) {
         return true;
@@ -101,6 +104,7 @@
     auto &transfer = *static_cast<Transfer *>(context);
     const std::string_view line(data, count);
     if (line == "\r\n" || line == "\n") {
+        transfer.isHeadComplete = transfer.isHeadComplete || statusOf(transfer.easy) >= FirstFinalStatus;
         return acceptsHead(transfer) ? count : 0;
     }
     if (line.starts_with("HTTP/")) {
@@ -459,7 +463,12 @@
         }
         CallResult result;
         result.status = statusOf(transfer.easy);
-        if (code == CURLE_OK) {
+        if (code == CURLE_OK && !transfer.isHeadComplete) {
+            // libcurl takes a connection that closes within the headers for the end of an answer without a body.
+            result.state = AttemptState::Sent;
+            result.error = ErrorKind::UpstreamFailed;
+            result.detail = "the connection closed within the head of the answer";
+        } else if (code == CURLE_OK) {
             reportHead(transfer);
             result.state = AttemptState::Answered;
         } else {
