Refuse requests with malformed header names

Cause: the check against ambiguous lengths compares the names of headers exactly, and the HTTP library hands on 'Content-Length ' with its space, so the body was taken for the next request. RFC 9112, section 5.1, asks for 400.

Change: a header whose name is no token is refused with 400 and its connection closed, before anything has run.

Measured: serverlimits::requestWhoseLengthReceiversReadDifferentlyIsRefused, eight ways of smuggling. bodyInChunksIsAcceptedHoweverItIsCut, for the case of the incident with its body in chunks: chunks with extensions, leading zeros, capitals and trailers are accepted, cut at every third byte.

No test asked for names with spaces: the unit tests of lengths wrote well-formed names only.

--- a/tests/transport/testserverlimits.cpp
+++ b/tests/transport/testserverlimits.cpp
@@ -92,6 +92,42 @@
 
 } // namespace
 
+// Guards against a request that is hidden in the body of another and run, where receivers read different lengths from the same bytes.
+Test(serverlimits, requestWhoseLengthReceiversReadDifferentlyIsRefused)
+{
+    const std::string hidden = "POST /hidden HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+    const std::string length = std::to_string(hidden.size());
+    for (const std::string &headers :
+        { "Content-Length : " + length, "Content-Length\t: " + length, std::string("Transfer-Encoding : chunked"),
+            "Content-Length: 0\r\nContent-Length: " + length, "Content-Length: " + length + "\r\nTransfer-Encoding: chunked",
+            "Content-Length: +" + length, std::string("Transfer-Encoding: xchunked"), "X(Y): 1\r\nContent-Length: " + length }) {
+        std::atomic<int> count { 0 };
+        const auto server = HttpServer::start(HttpServerSettings {}, countingHandler(count));
+        const RawConnection connection(server.value()->port());
+        connection.sendText("POST / HTTP/1.1\r\nHost: x\r\n" + headers + "\r\n\r\n" + hidden);
+        const std::string answer = connection.readAll();
+        cr_assert(answer.starts_with("HTTP/1.1 400 "), "%s: %s", headers.c_str(), answer.c_str());
+        cr_assert_eq(count, 0, "%s", headers.c_str());
+    }
+}
+
+// Guards against sound requests that are refused because their bodies come in chunks.
+Test(serverlimits, bodyInChunksIsAcceptedHoweverItIsCut)
+{
+    const std::string body = "4\r\nabcd\r\n00a;name=\"value\"\r\n0123456789\r\nA\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\n";
+    for (std::size_t cut = 0; cut <= body.size(); cut += 3) {
+        std::atomic<int> count { 0 };
+        const auto server = HttpServer::start(HttpServerSettings {}, countingHandler(count));
+        const RawConnection connection(server.value()->port());
+        connection.sendText("POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: Chunked\r\n\r\n" + body.substr(0, cut));
+        usleep(3000);
+        connection.sendText(body.substr(cut));
+        const std::string answer = connection.readAll();
+        cr_assert(answer.starts_with("HTTP/1.1 200 "), "cut at %zu: %s", cut, answer.c_str());
+        cr_assert_eq(count, 1);
+    }
+}
+
 Test(serverlimits, incompleteRequestTimesOutWith408)
 {
     // A sender opens connections and transmits one byte now and then. Without a limit on the arrival of the whole request it would hold all
--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <microhttpd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 #include <utility>
@@ -88,6 +89,16 @@
     return info != nullptr ? info->connect_fd : -1;
 }
 
+// RFC 9110, section 5.6.2.
+bool isFieldName(std::string_view name)
+{
+    constexpr std::string_view Symbols = "!#$%&'*+-.^_`|~";
+    const auto isTokenCharacter = [Symbols](char c) {
+        return absl::ascii_isalnum(static_cast<unsigned char>(c)) || Symbols.find(c) != std::string_view::npos;
+    };
+    return !name.empty() && std::all_of(name.begin(), name.end(), isTokenCharacter);
+}
+
 // Prevents request smuggling: a sender and a receiver that disagree on where a body ends see different requests in the same bytes, and the
 // receiver runs a request that was never sent. Such a request is refused and its connection closed, so that nothing after it is read.
 bool hasAmbiguousLength(const HttpRequest &request)
@@ -96,6 +107,10 @@
     int encodings = 0;
     bool isOnlyChunked = true;
     for (const auto &[name, value] : request.headerList) {
+        // A space before the colon: some take "Content-Length " for the length, others do not know it.
+        if (!isFieldName(name)) {
+            return true;
+        }
         if (absl::EqualsIgnoreCase(name, "Content-Length")) {
             ++lengths;
             isOnlyChunked = isOnlyChunked && value.find_first_not_of("0123456789") == std::string::npos && !value.empty();
