Refuse requests for adapters whose names are no UTF-8

What happened: one request that named an adapter in bytes that are no UTF-8 ended two of four nodes, those that held the leases of engines that could load it.

Cause: the order to load it is encoded as JSON, which throws for such bytes, and nothing caught it.

No test had names that are no text.

--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -498,6 +498,10 @@
         refuse(*exchange, decoded.id, ErrorKind::BadRequest, "missing request id");
         return nullptr;
     }
+    if (decoded.hasInvalidModel) {
+        refuse(*exchange, decoded.id, ErrorKind::BadRequest, "the name of the model is no UTF-8");
+        return nullptr;
+    }
     const Route *route = table->find(decoded.host, decoded.path);
     if (route == nullptr) {
         refuse(*exchange, decoded.id, ErrorKind::NotFound,
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -123,6 +123,23 @@
     }
 }
 
+// Guards against nodes that end because a request names an adapter in bytes that no message to an engine can hold.
+Test(requestforwarder, requestForAnAdapterWhoseNameIsNoTextIsRefused)
+{
+    const ScriptedUpstream upstream([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Idempotent, 1);
+    fixture.addUpstream("u1", upstream);
+    for (const char *model : { "m/a\xff\xfe", "m\xc3/a1", "m/\xed\xa0\x80" }) {
+        HttpRequest request = ForwarderFixture::request();
+        request.headers["apricotstep-model"] = model;
+        const auto caller = fixture.send(std::move(request));
+        fixture.runUntil([&] { return caller->isDone(); });
+        cr_assert_eq(caller->status(), 400, "%s", model);
+    }
+    cr_assert(upstream.requests().empty());
+}
+
 // An upstream resets a stream in the middle of an event. Another upstream must continue it after the last complete event, so that no event
 // is missing, duplicated or cut for the caller.
 Test(requestforwarder, resumableStreamContinuesAtAnotherUpstream)
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -182,6 +182,14 @@
     cr_assert_not(decodeRange("").isOk());
 }
 
+// Guards against a node that ends because a name in an order is no UTF-8.
+Test(enginecalls, orderWithANameThatIsNoTextIsStillEncoded)
+{
+    const EngineOrder order { EngineOrder::Kind::Load, BaseModelId("m"), AdapterId("a\xff\xfe"), AdapterVersion(), UpstreamId("u") };
+    const std::string body = orderBody(order, OrderAuthority { NodeId("n"), FencingToken(1) });
+    cr_assert(body.find("\"model\":\"m\"") != std::string::npos);
+}
+
 Test(enginecalls, orderNamesLeaseHolderAndReportIsDecoded)
 {
     const EngineOrder order { EngineOrder::Kind::Load, BaseModelId("m"), AdapterId("a1"), AdapterVersion("3"), UpstreamId("u") };
