--- a/tests/main/testentrynodefixture.h
+++ b/tests/main/testentrynodefixture.h
@@ -45,7 +45,8 @@
 
 inline std::string upstreamEntry(const std::string &upstreamAddress)
 {
-    return absl::StrCat(R"({"service":"svc","address":")", upstreamAddress, R"(","zone":"z","slots":4,"state":"ready","seq":1,"born":5})");
+    return absl::StrCat(R"({"service":"svc","address":")", upstreamAddress,
+        R"(","zone":"z","version":"v1","slots":4,"state":"ready","coldLeftMs":0,"seq":1,"born":5})");
 }
 
 /** An upstream that answers every request completely. */
--- a/tests/main/testentrynodestream.cpp
+++ b/tests/main/testentrynodestream.cpp
@@ -28,7 +28,7 @@
 {
     return item(absl::StrCat("servers/u", number),
         absl::StrCat(R"({"service":"svc","address":")", address, R"(","zone":"z","version":"v)", number, R"(","slots":)", slots,
-            R"(,"state":"ready","seq":1,"born":5})"),
+            R"(,"state":"ready","coldLeftMs":0,"seq":1,"born":5})"),
         revision);
 }
 
--- a/tests/platform/testrecords.cpp
+++ b/tests/platform/testrecords.cpp
@@ -25,7 +25,8 @@
   "models":[{"name":"m","weightsMb":65500.0,"loadS":1.9,"adapterMb":40.0}]}}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
-const std::string UpstreamEntry = R"({"service":"llm","address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","seq":1,"coldLeftMs":0,
+const std::string UpstreamEntry =
+    R"({"service":"llm","address":"10.0.0.1:80","zone":"z","version":"v1","slots":64,"state":"ready","seq":1,"coldLeftMs":0,
  "born":1769525387965,"models":[{"name":"m","version":1,"adapters":["a7@2","a9@1"]}]})";
 
 const std::string Settings = R"(
@@ -118,7 +119,14 @@
     const auto isRejected = [](const std::string &from, const std::string &to) {
         return !decodeUpstream(UpstreamId("u"), replaced(UpstreamEntry, from, to)).isOk();
     };
-    cr_assert(isRejected("\"address\":\"10.0.0.1:80\",", ""));
+    for (const char *field : { "\"service\":\"llm\",", "\"address\":\"10.0.0.1:80\",", "\"zone\":\"z\",", "\"version\":\"v1\",",
+             "\"slots\":64,", "\"state\":\"ready\",", "\"seq\":1,", "\"coldLeftMs\":0," }) {
+        cr_assert(isRejected(field, ""), "without %s", field);
+    }
+    cr_assert(isRejected("\"seq\":1", "\"seq\":\"1\""));
+    cr_assert(isRejected("\"seq\":1", "\"seq\":1e400"));
+    cr_assert(isRejected("\"coldLeftMs\":0", "\"coldLeftMs\":-1"));
+    cr_assert(isRejected("\"version\":\"v1\"", "\"version\":[1]"));
     cr_assert(isRejected("\"slots\":64", "\"slots\":\"many\""));
     cr_assert(isRejected("\"slots\":64", "\"slots\":0"));
     cr_assert(isRejected("\"ready\"", "\"dreaming\""));
