Take one cut watch for no outage of the store

What happened: a removed upstream got requests for over two seconds after the store had acknowledged its removal (DRAIN): the store had cut one waiting watch just before.

Cause: any call without an answer counted as an outage, and after an outage an entry that goes missing is kept for two seconds. The store may cut a waiting watch at any time.

Change: entries are kept only after two calls in a row have failed, or none was answered in time.

No test cut a watch without an outage.

--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -51,6 +51,10 @@
     /** The newest configuration cannot be read, and an older one is active. */
     bool isConfigurationRefused = false;
     bool isLost = false;
+    /** Calls in a row that the store did not answer. */
+    int failedCalls = 0;
+    /** No call has been answered for so long that the store counts as lost, whether the calls have failed or not. */
+    bool isOverdue = false;
     bool isFollowing = false;
     /** This node follows, and has no call to the store in flight. */
     bool isPaused = false;
@@ -90,9 +94,13 @@
     StorePoller::Callbacks callbacks;
     callbacks.onFailed = [this](const std::string &reason, Duration waited) {
         log.write(Important, "store", "no_answer", { { "reason", reason }, { "waitedMs", waited.milliseconds() } });
+        ++failedCalls;
         markLost(reason);
     };
-    callbacks.onOverdue = [this] { markLost("no answer in time"); };
+    callbacks.onOverdue = [this] {
+        isOverdue = true;
+        markLost("no answer in time");
+    };
     poller = std::make_unique<StorePoller>(loop, std::move(address), limits, std::move(callbacks));
 }
 
@@ -124,9 +132,13 @@
     const Time now = loop.clock().now();
     const Duration timeSinceLastAnswer = now - lastAnswerAt;
     lastAnswerAt = now;
+    // The store may cut a waiting watch at any time. If it answers the next call, it was not away.
+    const bool wasAway = isOverdue || failedCalls > 1;
+    failedCalls = 0;
+    isOverdue = false;
     if (isLost) {
         isLost = false;
-        if (hasReadAll && timeSinceLastAnswer >= MinOutageToLoseEntries) {
+        if (hasReadAll && wasAway && timeSinceLastAnswer >= MinOutageToLoseEntries) {
             clusterState.upstreams.onStoreRegained(now);
             recoveredAt = now;
         }
--- a/tests/main/testentrynode.cpp
+++ b/tests/main/testentrynode.cpp
@@ -216,6 +216,38 @@
     cr_assert_eq(get(client, settings.callerAddress, "/p/x", headers).status, 200);
 }
 
+// Guards against requests to an upstream that was removed just after the store had cut one waiting watch, which was taken for an outage.
+Test(storereader, oneCutWatchIsNoOutage)
+{
+    std::atomic<int> watches { 0 };
+    const ScriptedUpstream store([&watches](const std::string &request) {
+        if (!absl::StrContains(request, "kv-watch")) {
+            return ScriptedAnswer { json(absl::StrCat(
+                R"({"hasMore":false,"items":[)", item("servers/u1", upstreamEntry("10.0.0.1:1")), R"(],"storeRevision":2})")) };
+        }
+        switch (++watches) {
+        case 1:
+            std::this_thread::sleep_for(std::chrono::milliseconds(900));
+            return ScriptedAnswer { "", ScriptedAnswer::ConnectionAction::Reset };
+        case 2:
+            return ScriptedAnswer { json(R"({"events":[{"key":"servers/u1","revision":3,"tombstone":true}],"storeRevision":3})") };
+        default:
+            return ScriptedAnswer { "", ScriptedAnswer::ConnectionAction::Keep, true };
+        }
+    });
+    const SystemClock clock;
+    EventLog log(clock, "n1");
+    ClusterState clusterState;
+    IoLoop loop(clock);
+    StoreReader reader(loop, log, clusterState, store.address(), Duration::seconds(2), [](const ClusterStateChanges &) {});
+    loop.after(Duration(700), [&] { cr_assert_not_null(clusterState.upstreams.usable(UpstreamId("u1"))); });
+    loop.after(Duration(1700), [&] { loop.stop(); });
+    reader.start();
+    loop.run();
+    cr_assert_geq(watches, 2);
+    cr_assert_null(clusterState.upstreams.usable(UpstreamId("u1")));
+}
+
 // Guards against losing an upstream that a peer reports while the node reads the store page by page.
 Test(storereader, keepsPeerChangesReceivedBetweenPages)
 {
