Time ends by connections that break off, too

Where a supervisor starts an upstream again at once, half a second was added to the time for which the upstream had had each request, though the broken connection tells when it ended. So content that does end upstreams took more of them before chance was excluded: soak.returns_at_once failed once (BUDGET, 4 arrivals 3 s after 3 engines had ended; at most 3 are allowed).

Change: the half second is added only where nothing tells the time.

--- a/coordination/upstreamends.cpp
+++ b/coordination/upstreamends.cpp
@@ -184,7 +184,10 @@
 
 CrashSuspect UpstreamEnds::exposedSuspect(const Suspicion &suspicion, const UnansweredRequest &request) const
 {
-    const Duration uncertainty = suspicion.sign == EndSign::ConnectionRefused ? Duration() : m_limits.sendingTime;
+    // A connection that breaks off while the upstream still sends shows when it ended.
+    const bool isTimed =
+        suspicion.sign == EndSign::ConnectionRefused || (request.brokenAt && request.silence(*request.brokenAt) < m_limits.minSilence);
+    const Duration uncertainty = isTimed ? Duration() : m_limits.sendingTime;
     CrashSuspect result = request.suspect;
     result.exposure = std::max(Duration(), suspicion.endedAt + uncertainty - request.sentAt);
     return result;
