Leave out what told evidence does not use, and correct a comment

Evidence that is told to other nodes is not compared with chance, so the times of crashes are not gathered for it: each heartbeat looked through all suspects of all crashes for that. The comment of the time of the last report of progress still described the flag that it replaced.

--- a/coordination/contentquarantine.cpp
+++ b/coordination/contentquarantine.cpp
@@ -296,7 +296,8 @@
     std::sort(inOrder.begin(), inOrder.end(), [](const auto &a, const auto &b) { return a.second->at < b.second->at; });
     CrashTimes crashTimes;
     for (const auto &[upstream, crash] : inOrder) {
-        if (!isExplained(*crash)) {
+        // What is told is not compared with chance.
+        if (basis == AnswerBasis::Known && !isExplained(*crash)) {
             crashTimes[crash->group.service].push_back(crash->at);
         }
     }
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -358,7 +358,7 @@
     bool m_isCountedPaused = false;
     /** The attempt in progress has delivered an event. */
     bool m_hasEvents = false;
-    /** Its answer has gone on for some time since. */
+    /** When it was last reported that its answer goes on. */
     Time m_progressReportedAt;
     /** When the attempt in progress last delivered events, if the next ones show the engine's speed. */
     std::optional<Time> m_lastEventsAt;
