Size the memory of connections by the limit on heads

What callers saw: requests with heads within maxHeaderBytes ran, and their kept connections were closed without an answer (LOST); others were refused with 431 (DENIED).

Cause: libmicrohttpd keeps the head of a request, 64 bytes for each field, query parameter and cookie, and the head of the answer in one block per connection. The block was a constant of 24 KB, the limit of the configuration was used by no listener, and an answer counted as sent once it was queued.

Evidence: the smallest block with which the library answers a head of 16,384 bytes is 17 KB with fields of 1,000 bytes, 48 KB with 30, 268 KB with 4, and grows by the size of the answer's head.

Change: the block follows from the limit; heads above it, or with more entries than it holds, are refused with 431 before anything runs. The limit of the configuration applies while the node runs; where it needs larger blocks, a second server takes over the listening socket. An answer whose head does not fit is answered with 502; one that cannot be sent is logged and counted. Connections share a part of the node's memory, and idle ones give way when it is short.

No test or soak had long heads or answers with more than a few headers.

--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -99,6 +99,11 @@
                                               .Help("Requests that waited or were refused because no engine had room for their tokens.")
                                               .Register(registry)
                                               .Add({});
+    prometheus::Counter &answersNotDelivered = prometheus::BuildCounter()
+                                                   .Name("apricotstep_entry_answers_not_delivered_total")
+                                                   .Help("Answers that could not be sent whole to callers that were still connected.")
+                                                   .Register(registry)
+                                                   .Add({});
     prometheus::Family<prometheus::Counter> &upstreamProbes =
         prometheus::BuildCounter()
             .Name("apricotstep_entry_upstream_probes_total")
@@ -306,6 +311,11 @@
     d->noEngineMemory.Increment();
 }
 
+void EntryMetrics::answerNotDelivered()
+{
+    d->answersNotDelivered.Increment();
+}
+
 void EntryMetrics::keyRefused(std::string_view reason)
 {
     d->keyRefusals.Add({ { "reason", std::string(reason) } }).Increment();
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -107,6 +107,8 @@
      * ("ended"). Each answer counts at most once for each outcome.
      */
     void slowReader(std::string_view outcome);
+    /** Counts an answer that could not be sent whole to a caller that is still connected. */
+    void answerNotDelivered();
     /** Counts a request that is refused because of its key. @p reason comes from a fixed list, since each value creates a time series. */
     void keyRefused(std::string_view reason);
     /** Counts a decision on a request of a limited team. @p decision comes from a fixed list. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -54,7 +54,13 @@
 constexpr std::size_t AnswerMemoryDivisor = 8;
 // A caller with more unread bytes of a stream counts as slow: several events of the longest kind that upstreams usually send.
 constexpr std::size_t StreamBufferBytes = std::size_t(32) << 10U;
-constexpr std::size_t MaxHeaderBytes = 24U << 10U;
+// Headers that a node adds to a request for another node.
+constexpr std::size_t RelayHeaderBytes = 1U << 10U;
+// Answers of the node itself have short heads.
+constexpr std::size_t OwnAnswerHeadBytes = 2U << 10U;
+// Callers' connections may use one part in so many of the memory of this process, and those of each other listener.
+constexpr std::size_t CallerMemoryDivisor = 3;
+constexpr std::size_t OtherMemoryDivisor = 8;
 constexpr Duration ArrivalTimeout = Duration::seconds(30);
 // The store removes the entry of an upstream after three heartbeats without one, which this node may read some time later.
 constexpr int HeartbeatsUntilLapse = 5;
@@ -89,8 +95,12 @@
     /** Whether this node reads the store itself, as of the last decision. */
     bool isStoreReader = true;
     std::vector<std::unique_ptr<HttpServer>> servers;
+    /** Servers that have handed over, until their last connection closes. */
+    std::vector<std::unique_ptr<HttpServer>> replacedServers;
     HttpServer *callerServer = nullptr;
     HttpServer *peerServer = nullptr;
+    HttpServer *readinessServer = nullptr;
+    HttpServer *directoryServer = nullptr;
     std::atomic<bool> isDrainRequested { false };
     std::atomic<bool> isReloadRequested { false };
     bool isLeaving = false;
@@ -108,7 +118,12 @@
     }
 
     Result<bool> open();
-    Result<HttpServer *> listen(const std::string &address, HttpHandler handler);
+    HttpServerSettings serverSettings(const std::string &address);
+    HttpServerSettings ownServerSettings(const std::string &address);
+    Result<HttpServer *> listen(const HttpServerSettings &server, HttpHandler handler);
+    void applyHeaderLimits();
+    void applyHeaderLimit(HttpServer *&server, std::size_t bytes);
+    void removeReplacedServers();
     void makeComponents();
     bool isReady() const;
     bool hasOutdatedKeys() const;
@@ -277,7 +292,7 @@
     forwarder = std::make_unique<RequestForwarder>(loop, log, metrics, clusterState, std::move(forwarderSettings), std::move(callbacks));
 }
 
-Result<HttpServer *> EntryNode::Private::listen(const std::string &address, HttpHandler handler)
+HttpServerSettings EntryNode::Private::serverSettings(const std::string &address)
 {
     const Endpoint endpoint = parseEndpoint(address);
     HttpServerSettings server;
@@ -285,10 +300,27 @@
     server.port = endpoint.port;
     server.isDriven = true;
     server.streamBufferBytes = std::min(StreamBufferBytes, settings.maxUnreadBytes);
-    server.maxHeaderBytes = MaxHeaderBytes;
-    server.maxConnections = std::max(settings.maxDescriptors - ReservedDescriptors, 64);
+    server.maxHeaderBytes = CallerLimits().headerBytes + RelayHeaderBytes;
+    server.maxMemory = settings.memoryBytes / OtherMemoryDivisor;
+    server.maxConnections = std::max(settings.maxDescriptors - ReservedDescriptors, MinConnections);
     server.arrivalTimeout = ArrivalTimeout;
     server.idleTimeout = Duration(0); // The arrival timeout closes idle connections, too.
+    server.onAnswerNotDelivered = [this](int status) {
+        metrics.answerNotDelivered();
+        log.write(EventLog::Severity::Important, "node", "not_delivered", { { "status", std::int64_t(status) } });
+    };
+    return server;
+}
+
+HttpServerSettings EntryNode::Private::ownServerSettings(const std::string &address)
+{
+    HttpServerSettings server = serverSettings(address);
+    server.maxAnswerHeadBytes = OwnAnswerHeadBytes;
+    return server;
+}
+
+Result<HttpServer *> EntryNode::Private::listen(const HttpServerSettings &server, HttpHandler handler)
+{
     auto started = HttpServer::start(server, std::move(handler));
     if (!started.isOk()) {
         return started.error();
@@ -301,30 +333,34 @@
 Result<bool> EntryNode::Private::open()
 {
     makeComponents();
-    const auto callers = listen(settings.callerAddress, [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+    HttpServerSettings callerSettings = serverSettings(settings.callerAddress);
+    callerSettings.maxMemory = settings.memoryBytes / CallerMemoryDivisor;
+    const auto callers = listen(callerSettings, [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
         forwarder->onRequest(std::move(request), std::move(exchange));
     });
     if (!callers.isOk()) {
         return callers.error();
     }
     callerServer = callers.value();
-    const auto readiness = listen(settings.readinessAddress,
+    const auto readiness = listen(ownServerSettings(settings.readinessAddress),
         [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerReadiness(request, *exchange); });
     if (!readiness.isOk()) {
         return readiness.error();
     }
-    const auto directory = listen(settings.directoryAddress,
+    readinessServer = readiness.value();
+    const auto directory = listen(ownServerSettings(settings.directoryAddress),
         [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerDirectory(request, *exchange); });
     if (!directory.isOk()) {
         return directory.error();
     }
+    directoryServer = directory.value();
     // A node that cannot open its metrics port still serves its callers.
-    const auto metricsServer = listen(parseEndpoint(settings.callerAddress).ip + ':' + std::to_string(MetricsPort),
+    const auto metricsServer = listen(ownServerSettings(parseEndpoint(settings.callerAddress).ip + ':' + std::to_string(MetricsPort)),
         [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { answerMetrics(request, *exchange); });
     if (!metricsServer.isOk()) {
         log.write(EventLog::Severity::Important, "node", "no_metrics", { { "reason", metricsServer.error().detail } });
     }
-    const auto openedPeerServer = listen(settings.peerAddress,
+    const auto openedPeerServer = listen(serverSettings(settings.peerAddress),
         [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) { answerPeer(std::move(request), std::move(exchange)); });
     if (!openedPeerServer.isOk()) {
         return openedPeerServer.error();
@@ -448,12 +484,64 @@
     }
 }
 
+// Other nodes may have a configuration with a higher limit already, so the peers' limit is not lowered.
+void EntryNode::Private::applyHeaderLimits()
+{
+    if (clusterState.routes == nullptr || isLeaving) {
+        return;
+    }
+    const std::size_t bytes = clusterState.routes->limits().headerBytes;
+    applyHeaderLimit(callerServer, bytes);
+    applyHeaderLimit(readinessServer, bytes);
+    applyHeaderLimit(directoryServer, bytes);
+    applyHeaderLimit(peerServer, std::max(bytes + RelayHeaderBytes, peerServer->maxHeaderBytes()));
+}
+
+void EntryNode::Private::applyHeaderLimit(HttpServer *&server, std::size_t bytes)
+{
+    if (bytes == server->maxHeaderBytes()) {
+        return;
+    }
+    const bool isHandedOver = !server->setMaxHeaderBytes(bytes);
+    if (isHandedOver) {
+        auto successor = server->handOver(bytes);
+        if (!successor.isOk()) {
+            log.write(EventLog::Severity::Important, "node", "no_listener", { { "reason", successor.error().detail } });
+            loop.stop();
+            return;
+        }
+        const auto replaced =
+            std::find_if(servers.begin(), servers.end(), [server](const auto &candidate) { return candidate.get() == server; });
+        replacedServers.push_back(std::exchange(*replaced, std::move(successor.value())));
+        server = replaced->get();
+        loop.add(server);
+    }
+    log.write(EventLog::Severity::Important, "node", "header_limit",
+        { { "bytes", static_cast<std::int64_t>(bytes) }, { "newConnections", isHandedOver } });
+}
+
+void EntryNode::Private::removeReplacedServers()
+{
+    std::erase_if(replacedServers, [this](const std::unique_ptr<HttpServer> &server) {
+        if (server->connectionCount() > 0) {
+            return false;
+        }
+        loop.remove(server.get());
+        return true;
+    });
+}
+
 void EntryNode::Private::checkConnections()
 {
     updateStoreReading();
+    applyHeaderLimits();
     for (const auto &server : servers) {
         server->checkConnections();
     }
+    for (const auto &server : replacedServers) {
+        server->checkConnections();
+    }
+    removeReplacedServers();
     checkSignals();
     loop.after(GoneCheckInterval, [this] { checkConnections(); });
 }
@@ -491,7 +579,10 @@
         requestsEndedAt = clock.now();
         forwarder->endAll();
     }
-    const bool isIdle = forwarder->activeCount() == 0 && callerServer->activeCount() == 0 && peerServer->activeCount() == 0;
+    const bool areReplacedIdle = std::all_of(replacedServers.begin(), replacedServers.end(),
+        [](const std::unique_ptr<HttpServer> &server) { return server->activeCount() == 0; });
+    const bool isIdle =
+        forwarder->activeCount() == 0 && callerServer->activeCount() == 0 && peerServer->activeCount() == 0 && areReplacedIdle;
     const bool isFlushed = requestsEndedAt && clock.now() - *requestsEndedAt >= TimeToFlush;
     if ((isIdle && elapsed >= LingerAfterDrain) || isFlushed) {
         log.write(EventLog::Severity::Important, "node", "stopped",
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -824,6 +824,10 @@
                 { "status", std::int64_t(status) }, { "earlierCalls", std::int64_t(connection.earlierCalls) } });
         return false;
     }
+    if (!m_isStreaming && headBytes(answer.callerHeaders) > m_exchange->maxAnswerHeadBytes()) {
+        m_breakReason = absl::StrCat("the head of the answer is longer than ", m_exchange->maxAnswerHeadBytes(), " bytes");
+        return false;
+    }
     m_answer = std::move(answer);
     m_answerConnection = connection;
     if (m_relay) {
--- a/tests/main/fixtures.h
+++ b/tests/main/fixtures.h
@@ -62,6 +62,10 @@
     {
         return 0;
     }
+    std::size_t maxAnswerHeadBytes() const override
+    {
+        return std::size_t(1) << 20U;
+    }
     void onDrained(std::function<void()>) override
     {
     }
--- a/tests/transport/testnoderpc.cpp
+++ b/tests/transport/testnoderpc.cpp
@@ -84,6 +84,10 @@
     {
         abort();
     }
+    std::size_t maxAnswerHeadBytes() const override
+    {
+        return std::size_t(1) << 20U;
+    }
     std::size_t unreadBytes() const override
     {
         return 0;
--- a/tests/transport/testserverlimits.cpp
+++ b/tests/transport/testserverlimits.cpp
@@ -9,7 +9,9 @@
 #include <atomic>
 #include <cstdlib>
 #include <filesystem>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -39,6 +41,16 @@
     {
         send(m_socket, text.data(), text.size(), MSG_NOSIGNAL);
     }
+    // What is received until it holds @p end, or until the server closes the connection.
+    std::string readUntil(const std::string &end) const
+    {
+        std::string all;
+        char part[4096];
+        for (ssize_t count = 0; all.find(end) == std::string::npos && (count = recv(m_socket, part, sizeof part, 0)) > 0;) {
+            all.append(part, static_cast<std::size_t>(count));
+        }
+        return all;
+    }
     // Everything that is received until the server closes the connection.
     std::string readAll() const
     {
@@ -111,6 +123,166 @@
     }
 }
 
+namespace
+{
+
+// A request whose head has exactly @p size bytes, in fields of @p fieldBytes each but for the last one.
+std::string requestWithHead(std::size_t size, std::size_t fieldBytes, const std::string &body)
+{
+    std::string head = "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    while (head.size() + 2 * fieldBytes + 2 <= size) {
+        head += "n:" + std::string(fieldBytes - 4, 'v') + "\r\n";
+    }
+    head += "n:" + std::string(size - head.size() - 6, 'v') + "\r\n";
+    return head + "\r\n" + body;
+}
+
+} // namespace
+
+// Guards against a request within the limit that runs and whose connection is then closed without an answer, since the head of the answer
+// finds no memory beside that of the request.
+Test(serverlimits, headsWithinTheLimitAreAnsweredWhateverTheAnswersHead, .timeout = 60)
+{
+    HttpServerSettings settings;
+    settings.maxHeaderBytes = 16U << 10U;
+    std::atomic<std::size_t> answerHead { 0 };
+    std::atomic<int> failures { 0 };
+    settings.onAnswerNotDelivered = [&failures](int) { ++failures; };
+    for (const bool isStream : { false, true }) {
+        const auto server = HttpServer::start(settings, [&](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+            HttpHeaders headers;
+            for (std::size_t bytes = 0; bytes + 1000 <= answerHead; bytes += 1000) {
+                headers.emplace_back("X-Answer", std::string(988, 'w'));
+            }
+            cr_assert_leq(headBytes(headers), exchange->maxAnswerHeadBytes());
+            if (isStream) {
+                exchange->beginStream(200, headers);
+                exchange->write(request.body);
+                exchange->finish();
+            } else {
+                exchange->respond(200, headers, request.body);
+            }
+        });
+        for (const std::size_t fieldBytes : { 8, 16, 30, 100, 1000, 8000 }) {
+            for (const std::size_t bytes : { 0, 1500, 9000, 15000 }) {
+                answerHead = bytes;
+                const RawConnection connection(server.value()->port());
+                const std::string body(100 + bytes, 'b');
+                const std::string end = body + (isStream ? "\r\n0\r\n\r\n" : "");
+                connection.sendText(requestWithHead(settings.maxHeaderBytes - 1, fieldBytes, body));
+                const std::string first = connection.readUntil(end);
+                connection.sendText(requestWithHead(settings.maxHeaderBytes, fieldBytes, body));
+                const std::string second = connection.readUntil(end);
+                cr_assert(first.starts_with("HTTP/1.1 200 "), "fields of %zu, answer %zu: %s", fieldBytes, bytes, first.c_str());
+                cr_assert(second.starts_with("HTTP/1.1 200 "), "fields of %zu, answer %zu: %s", fieldBytes, bytes, second.c_str());
+            }
+        }
+    }
+    cr_assert_eq(failures, 0);
+}
+
+// Guards against requests above the limit that run, or that are closed without an answer.
+Test(serverlimits, headsAboveTheLimitAreRefusedWith431BeforeTheyRun, .timeout = 60)
+{
+    std::atomic<int> count { 0 };
+    HttpServerSettings settings;
+    settings.maxHeaderBytes = 16U << 10U;
+    const auto server = HttpServer::start(settings, countingHandler(count));
+    for (const std::size_t fieldBytes : { 16, 100, 8000 }) {
+        for (const std::size_t bytes : { settings.maxHeaderBytes + 1, settings.maxHeaderBytes * 2, std::size_t(400000) }) {
+            const RawConnection connection(server.value()->port());
+            connection.sendText(requestWithHead(bytes, fieldBytes, ""));
+            const std::string answer = connection.readAll();
+            cr_assert(answer.starts_with("HTTP/1.1 431 "), "fields of %zu, %zu bytes: %s", fieldBytes, bytes, answer.c_str());
+        }
+    }
+    const RawConnection longTarget(server.value()->port());
+    longTarget.sendText("GET /" + std::string(settings.maxHeaderBytes, 'a') + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_assert(longTarget.readAll().starts_with("HTTP/1.1 431 "));
+    cr_assert_eq(count, 0);
+}
+
+// Guards against connections that are closed without an answer because the entries of many short fields, parameters or cookies use the
+// memory for the head of the answer.
+Test(serverlimits, headsOfVeryManyEntriesAreAnsweredOrRefusedWith431, .timeout = 60)
+{
+    std::atomic<int> count { 0 };
+    HttpServerSettings settings;
+    settings.maxHeaderBytes = 16U << 10U;
+    const auto server = HttpServer::start(settings, [&count](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        ++count;
+        exchange->respond(200, { { "X-Answer", std::string(15000, 'w') } }, "ok");
+    });
+    int answered = 0;
+    for (std::size_t entries = 0; entries < 5000; entries += 200) {
+        std::string fields;
+        std::string parameters;
+        std::string cookies;
+        for (std::size_t i = 0; i < entries; ++i) {
+            fields += "a:\r\n";
+            parameters += "a&";
+            cookies += "a=1;";
+        }
+        for (const std::string &head : { "GET / HTTP/1.1\r\nHost: x\r\n" + fields, "GET /?" + parameters + " HTTP/1.1\r\nHost: x\r\n",
+                 "GET / HTTP/1.1\r\nHost: x\r\nCookie: " + cookies + "\r\n" }) {
+            const RawConnection connection(server.value()->port());
+            connection.sendText(head + "Connection: close\r\n\r\n");
+            const std::string answer = connection.readAll();
+            const bool isAnswered = answer.starts_with("HTTP/1.1 200 ") && answer.ends_with("ok");
+            cr_assert(isAnswered || answer.starts_with("HTTP/1.1 431 "), "%zu entries: %s", entries, answer.c_str());
+            answered += isAnswered ? 1 : 0;
+        }
+    }
+    cr_assert_eq(count, answered);
+    cr_assert_gt(answered, 30);
+}
+
+// Guards against callers that cannot connect because idle connections use all the memory for connections.
+Test(serverlimits, idleConnectionsGiveWayToNewCallers)
+{
+    std::atomic<int> count { 0 };
+    HttpServerSettings settings;
+    settings.maxConnections = MinConnections;
+    settings.arrivalTimeout = Duration::seconds(30);
+    const auto server = HttpServer::start(settings, countingHandler(count));
+    std::vector<std::unique_ptr<RawConnection>> idle;
+    for (int i = 0; i < MinConnections; ++i) {
+        idle.push_back(std::make_unique<RawConnection>(server.value()->port()));
+        idle.back()->sendText(requestWithHead(200, 100, ""));
+        cr_assert(idle.back()->readUntil("ok").starts_with("HTTP/1.1 200 "));
+    }
+    const RawConnection another(server.value()->port());
+    another.sendText(requestWithHead(200, 100, ""));
+    cr_assert(another.readUntil("ok").starts_with("HTTP/1.1 200 "));
+}
+
+// Guards against a higher limit that applies only after a restart, and against connections that are cut off when it is raised.
+Test(serverlimits, higherLimitAppliesToARunningServer)
+{
+    std::atomic<int> count { 0 };
+    HttpServerSettings settings;
+    settings.maxHeaderBytes = 8U << 10U;
+    const auto server = HttpServer::start(settings, countingHandler(count));
+    const std::size_t higher = 256U << 10U;
+    const RawConnection kept(server.value()->port());
+    kept.sendText(requestWithHead(1000, 100, ""));
+    cr_assert(kept.readUntil("ok").starts_with("HTTP/1.1 200 "));
+    cr_assert_not(server.value()->setMaxHeaderBytes(higher));
+    const auto successor = server.value()->handOver(higher);
+    cr_assert(successor.isOk());
+    cr_assert_eq(successor.value()->port(), server.value()->port());
+    kept.sendText(requestWithHead(1000, 100, ""));
+    const std::string last = kept.readAll();
+    cr_assert(last.starts_with("HTTP/1.1 200 ") && last.find("Connection: close") != std::string::npos, "%s", last.c_str());
+    const RawConnection connection(successor.value()->port());
+    connection.sendText(requestWithHead(higher, 100, ""));
+    cr_assert(connection.readUntil("ok").starts_with("HTTP/1.1 200 "));
+    cr_assert(successor.value()->setMaxHeaderBytes(1000));
+    connection.sendText(requestWithHead(1001, 100, ""));
+    cr_assert(connection.readAll().starts_with("HTTP/1.1 431 "));
+    cr_assert_eq(count, 3);
+}
+
 // Guards against sound requests that are refused because their bodies come in chunks.
 Test(serverlimits, bodyInChunksIsAcceptedHoweverItIsCut)
 {
--- a/transport/connectionwatch.cpp
+++ b/transport/connectionwatch.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <string_view>
 
 namespace ApricotStep
@@ -14,6 +15,9 @@
     "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: 159\r\n\r\n"
     R"({"error":{"message":"The request did not arrive whole in time.","type":"invalid_request_error","code":"request_timeout","not_run":true,"retry":"same_request"}})";
 
+// Callers reuse a connection within this time when they send several requests in a row.
+constexpr Duration CrowdedLimit { 2000 };
+
 } // namespace
 
 ConnectionWatch::ConnectionWatch(const Clock &clock, Duration arrivalLimit)
@@ -55,12 +59,13 @@
     }
 }
 
-void ConnectionWatch::closeOverdue()
+void ConnectionWatch::closeOverdue(bool isCrowded)
 {
     const Time now = m_clock.now();
+    const Duration limit = isCrowded ? std::min(m_limit, CrowdedLimit) : m_limit;
     const absl::MutexLock lock(&m_mutex);
     for (auto &[socket, watched] : m_connections) {
-        if (watched.isServing || watched.isEnded || now - watched.since <= m_limit) {
+        if (watched.isServing || watched.isEnded || now - watched.since <= limit) {
             continue;
         }
         if (watched.isPlain) {
--- a/transport/connectionwatch.h
+++ b/transport/connectionwatch.h
@@ -33,8 +33,11 @@
      */
     bool requestArrived(int socket);
     void requestCompleted(int socket);
-    /** Shuts down the sockets of overdue connections. A connection without TLS is sent a 408 answer first. */
-    void closeOverdue();
+    /**
+     * Shuts down the sockets of overdue connections. A connection without TLS is sent a 408 answer first. @p isCrowded: connections without
+     * a request are overdue sooner, so that other callers can connect.
+     */
+    void closeOverdue(bool isCrowded);
 
 private:
     struct WatchedConnection
--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -7,8 +7,10 @@
 #include <absl/container/flat_hash_set.h>
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
 #include <microhttpd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -29,6 +31,16 @@
 constexpr std::string_view MalformedBody =
     R"({"error":{"message":"The request is malformed.","type":"invalid_request_error","code":"bad_request","not_run":true,"retry":"never"}})";
 constexpr int MalformedStatus = 400;
+constexpr std::string_view LargeHeadBody =
+    R"({"error":{"message":"The head of the request is larger than this node accepts.","type":"invalid_request_error","code":"head_too_large","not_run":true,"retry":"never"}})";
+constexpr int LargeHeadStatus = 431;
+// What libmicrohttpd keeps for each field, query parameter and cookie.
+constexpr std::size_t EntryBytes = 64;
+constexpr std::size_t MinAverageEntryBytes = 8;
+// A server is crowded when less than one part in so many of its connections is free.
+constexpr std::size_t CrowdedDivisor = 8;
+// Buffers for the body, and headers that libmicrohttpd adds to an answer.
+constexpr std::size_t OtherConnectionBytes = 2U << 10U;
 
 std::string peerAddress(MHD_Connection *connection)
 {
@@ -47,6 +59,11 @@
     HttpServerSettings settings;
     HttpHandler handler;
     MHD_Daemon *daemon = nullptr;
+    std::size_t connectionBytes = 0;
+    std::size_t maxConnections = 0;
+    /** Shared with the servers that this one replaces. */
+    std::shared_ptr<std::atomic<std::size_t>> maxHeaderBytes;
+    std::atomic<bool> isClosingAfterAnswers { false };
     std::atomic<int> active { 0 };
     /** Set when a suspended connection was resumed: it continues at the next step, which no descriptor signals. */
     std::shared_ptr<std::atomic<bool>> isAnyResumed = std::make_shared<std::atomic<bool>>(false);
@@ -57,6 +74,8 @@
     absl::Mutex mutex;
     absl::flat_hash_set<std::shared_ptr<MhdExchange>> exchanges ABSL_GUARDED_BY(mutex);
 
+    /** Callers could not connect before long if idle connections stayed open. */
+    bool isCrowded() const;
     void checkConnections();
     void checkConnectionsLoop();
     MHD_Result onAccess(MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **state);
@@ -69,6 +88,38 @@
 namespace
 {
 
+struct EntryCount
+{
+    std::size_t entries = 0;
+    std::size_t cookieBytes = 0;
+};
+
+MHD_Result countEntry(void *context, MHD_ValueKind kind, const char *name, const char *value)
+{
+    auto &count = *static_cast<EntryCount *>(context);
+    ++count.entries;
+    if (kind == MHD_HEADER_KIND && value != nullptr && absl::EqualsIgnoreCase(name, "Cookie")) {
+        count.cookieBytes += std::char_traits<char>::length(value) + 1; // The values of cookies are parsed in a copy.
+    }
+    return MHD_YES;
+}
+
+std::size_t headBytesOf(MHD_Connection *connection)
+{
+    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+    return info != nullptr ? info->header_size : 0;
+}
+
+/** Memory of the connection that the head of its request uses. */
+std::size_t usedMemory(MHD_Connection *connection)
+{
+    EntryCount count;
+    for (const MHD_ValueKind kind : { MHD_HEADER_KIND, MHD_GET_ARGUMENT_KIND, MHD_COOKIE_KIND }) {
+        MHD_get_connection_values(connection, kind, countEntry, &count);
+    }
+    return headBytesOf(connection) + count.entries * EntryBytes + count.cookieBytes + OtherConnectionBytes;
+}
+
 MHD_Result addHeader(void *context, MHD_ValueKind, const char *name, const char *value)
 {
     auto &request = *static_cast<HttpRequest *>(context);
@@ -122,11 +173,31 @@
     return lengths + encodings > 1 || !isOnlyChunked;
 }
 
+// libmicrohttpd never answers a request whose query parameters do not fit into the memory of its connection.
+bool doParametersFit(std::string_view target, std::size_t connectionBytes)
+{
+    const auto entries = static_cast<std::size_t>(std::count(target.begin(), target.end(), '&')) + 1;
+    return target.size() + entries * EntryBytes + OtherConnectionBytes <= connectionBytes;
+}
+
+void refuseLargeHead(int socket, bool isPlain)
+{
+    if (isPlain) {
+        const std::string answer = absl::StrCat("HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n",
+            "Content-Type: application/json\r\nContent-Length: ", LargeHeadBody.size(), "\r\n\r\n", std::string(LargeHeadBody));
+        send(socket, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    shutdown(socket, SHUT_RDWR);
+}
+
 // Keeps the raw target in addition to the one that MHD parses, so that it can be passed on unchanged.
 void *onUri(void *context, const char *uri, MHD_Connection *connection)
 {
     const auto *server = static_cast<const HttpServer::Private *>(context);
-    auto exchange = std::make_shared<MhdExchange>(connection, server->isAnyResumed, server->settings.streamBufferBytes);
+    if (!doParametersFit(uri, server->connectionBytes)) {
+        refuseLargeHead(socketOf(connection), server->settings.tls == nullptr);
+    }
+    auto exchange = std::make_shared<MhdExchange>(connection, server->isAnyResumed, server->settings);
     exchange->request.target = uri;
     const char *mark = std::char_traits<char>::find(uri, std::char_traits<char>::length(uri), '?');
     if (mark != nullptr) {
@@ -137,6 +208,24 @@
 
 } // namespace
 
+std::size_t headBytes(const HttpHeaders &headers)
+{
+    constexpr std::size_t FirstLineBytes = 64;
+    constexpr std::size_t SeparatorBytes = 4;
+    std::size_t bytes = FirstLineBytes;
+    for (const auto &[name, value] : headers) {
+        bytes += name.size() + value.size() + SeparatorBytes;
+    }
+    return bytes;
+}
+
+std::size_t connectionMemory(const HttpServerSettings &settings)
+{
+    const std::size_t entries = settings.maxHeaderBytes / MinAverageEntryBytes;
+    const std::size_t needed = settings.maxHeaderBytes + entries * EntryBytes + settings.maxAnswerHeadBytes + OtherConnectionBytes;
+    return settings.maxMemory > 0 ? std::min(needed, settings.maxMemory / MinConnections) : needed;
+}
+
 std::string HttpRequest::header(const std::string &name) const
 {
     const auto at = headers.find(name);
@@ -167,12 +256,18 @@
             const absl::MutexLock lock(&mutex);
             exchanges.insert(*static_cast<std::shared_ptr<MhdExchange> *>(*state));
         }
-        if (hasAmbiguousLength(request)) {
+        const std::size_t used = usedMemory(connection);
+        const std::size_t available = connectionBytes > used ? connectionBytes - used : 0;
+        exchange->setMaxAnswerHeadBytes(available);
+        const bool isHeadTooLarge = headBytesOf(connection) > *maxHeaderBytes || available < settings.maxAnswerHeadBytes;
+        if (isHeadTooLarge || hasAmbiguousLength(request)) {
             exchange->isHandled = true;
-            exchange->respond(
-                MalformedStatus, { { "Content-Type", "application/json" }, { "Connection", "close" } }, std::string(MalformedBody));
+            exchange->respond(isHeadTooLarge ? LargeHeadStatus : MalformedStatus,
+                { { "Content-Type", "application/json" }, { "Connection", "close" } },
+                std::string(isHeadTooLarge ? LargeHeadBody : MalformedBody));
             return exchange->answerOrSuspend();
         }
+        exchange->closesConnection = isClosingAfterAnswers;
         return MHD_YES;
     }
     if (*size > 0) {
@@ -205,6 +300,10 @@
         return;
     }
     (*held)->close(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+    const int status = code == MHD_REQUEST_TERMINATED_WITH_ERROR ? (*held)->pendingStatus() : 0;
+    if (status != 0 && settings.onAnswerNotDelivered) {
+        settings.onAnswerNotDelivered(status);
+    }
     {
         const absl::MutexLock lock(&mutex);
         if (exchanges.erase(*held) > 0) {
@@ -215,6 +314,12 @@
     *state = nullptr;
 }
 
+bool HttpServer::Private::isCrowded() const
+{
+    const auto *info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return info != nullptr && info->num_connections > maxConnections - maxConnections / CrowdedDivisor;
+}
+
 void HttpServer::Private::checkConnections()
 {
     std::vector<std::shared_ptr<MhdExchange>> current;
@@ -225,7 +330,7 @@
     for (const auto &exchange : current) {
         exchange->checkCallerGone();
     }
-    watch->closeOverdue();
+    watch->closeOverdue(isCrowded());
 }
 
 void HttpServer::Private::checkConnectionsLoop()
@@ -271,6 +376,12 @@
 }
 
 Result<std::unique_ptr<HttpServer>> HttpServer::start(const HttpServerSettings &settings, HttpHandler handler)
+{
+    return start(settings, std::move(handler), std::make_shared<std::atomic<std::size_t>>(settings.maxHeaderBytes));
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::start(
+    const HttpServerSettings &settings, HttpHandler handler, std::shared_ptr<std::atomic<std::size_t>> maxHeaderBytes)
 {
     std::unique_ptr<HttpServer> server(new HttpServer);
     Private *d = server->d.get();
@@ -293,16 +404,24 @@
         static_cast<Private *>(context)->onConnection(connection, socketContext, code);
     };
     d->watch = std::make_unique<ConnectionWatch>(d->clock, settings.arrivalTimeout);
+    d->connectionBytes = connectionMemory(settings);
+    d->maxHeaderBytes = std::move(maxHeaderBytes);
+    d->maxConnections = settings.maxMemory > 0
+        ? std::clamp<std::size_t>(settings.maxMemory / d->connectionBytes, MinConnections, settings.maxConnections)
+        : settings.maxConnections;
     std::vector<MHD_OptionItem> options {
         { MHD_OPTION_SOCK_ADDR, 0, &address },
         { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(static_cast<MHD_RequestCompletedCallback>(+completed)), d },
         { MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<std::intptr_t>(static_cast<MHD_NotifyConnectionCallback>(+notify)), d },
         { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&onUri), d },
         { MHD_OPTION_THREAD_POOL_SIZE, settings.threads > 1 && !settings.isDriven ? settings.threads : 0, nullptr },
-        { MHD_OPTION_CONNECTION_LIMIT, settings.maxConnections, nullptr },
+        { MHD_OPTION_CONNECTION_LIMIT, static_cast<std::intptr_t>(d->maxConnections), nullptr },
         { MHD_OPTION_CONNECTION_TIMEOUT, settings.idleTimeout.milliseconds() / 1000, nullptr },
-        { MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(settings.maxHeaderBytes), nullptr },
+        { MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(d->connectionBytes), nullptr },
     };
+    if (settings.listener >= 0) {
+        options.push_back({ MHD_OPTION_LISTEN_SOCKET, settings.listener, nullptr });
+    }
     if (settings.tls != nullptr) {
         options.push_back({ MHD_OPTION_HTTPS_CERT_CALLBACK, 0, reinterpret_cast<void *>(&Private::retrieveCertificate) });
         options.push_back({ MHD_OPTION_HTTPS_PRIORITIES, 0, const_cast<char *>(TlsPriorities) });
@@ -360,6 +479,38 @@
     }
 }
 
+int HttpServer::connectionCount() const
+{
+    const auto *info = MHD_get_daemon_info(d->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return info != nullptr ? static_cast<int>(info->num_connections) : 0;
+}
+
+bool HttpServer::setMaxHeaderBytes(std::size_t bytes)
+{
+    HttpServerSettings wanted = d->settings;
+    wanted.maxHeaderBytes = bytes;
+    if (connectionMemory(wanted) > d->connectionBytes) {
+        return false;
+    }
+    *d->maxHeaderBytes = bytes;
+    return true;
+}
+
+std::size_t HttpServer::maxHeaderBytes() const
+{
+    return *d->maxHeaderBytes;
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::handOver(std::size_t maxHeaderBytes)
+{
+    HttpServerSettings settings = d->settings;
+    settings.maxHeaderBytes = maxHeaderBytes;
+    settings.listener = MHD_quiesce_daemon(d->daemon);
+    d->isClosingAfterAnswers = true;
+    *d->maxHeaderBytes = maxHeaderBytes;
+    return start(settings, d->handler, d->maxHeaderBytes);
+}
+
 int HttpServer::pollDescriptor() const
 {
     const auto *info = MHD_get_daemon_info(d->daemon, MHD_DAEMON_INFO_EPOLL_FD);
--- a/transport/httpserver.h
+++ b/transport/httpserver.h
@@ -4,6 +4,7 @@
 #include "core/result.h"
 #include "transport/tlscredentials.h"
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -65,6 +66,8 @@
     virtual void abortNow() = 0;
     /** Bytes of the answer that are held until the caller reads them, without those in the buffers of the system. */
     virtual std::size_t unreadBytes() const = 0;
+    /** Largest head of an answer, as headBytes() counts it, that can be sent. What the head of the request uses is not available. */
+    virtual std::size_t maxAnswerHeadBytes() const = 0;
     /**
      * Sets the callback for each time that a full buffer has been emptied. It is called on a server thread. To be set before beginStream().
      */
@@ -73,6 +76,9 @@
     virtual void onCallerGone(std::function<void()> callback) = 0;
 };
 
+/** Size of the head of an answer with these headers, as it is sent. */
+std::size_t headBytes(const HttpHeaders &headers);
+
 /** Called once for each complete request, on a server thread; must not block. */
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
 
@@ -85,11 +91,18 @@
     /** 1 to 64. */
     int threads = 2;
     std::size_t maxBodyBytes = 8U << 20U;
-    /** Limit on the size of the headers; also the memory of a connection. */
+    /** Limit on the head of a request: its first line and its header fields as they arrive. A larger one is refused with 431. */
     std::size_t maxHeaderBytes = 32U << 10U;
+    /** Room for the head of an answer, whatever the head of its request. */
+    std::size_t maxAnswerHeadBytes = 16U << 10U;
     /** A connection on which nothing is sent or received for this long is closed; 1 to 3600 s. */
     Duration idleTimeout = Duration::seconds(75);
     int maxConnections = 4096;
+    /**
+     * Limit on the memory of all connections together; 0 means none. It reduces the number of connections down to MinConnections, and then
+     * the memory of each.
+     */
+    std::size_t maxMemory = 0;
     /** Unread bytes of a stream above which write() returns false. */
     std::size_t streamBufferBytes = 256U << 10U;
     /**
@@ -105,8 +118,21 @@
      * thread costs memory and parallel threads gain nothing.
      */
     bool isDriven = false;
+    /** A socket that listens already, which is used instead of @c address and @c port; -1 for none. */
+    int listener = -1;
+    /** Called with the status of an answer that could not be sent whole to a caller that is still connected. May be empty. */
+    std::function<void(int status)> onAnswerNotDelivered;
 };
 
+/** Number of connections that a server accepts however little memory it has. */
+inline constexpr int MinConnections = 64;
+
+/**
+ * Memory of a connection, in bytes. It holds the head of a request, an entry for each of its fields, query parameters and cookies, and
+ * the head of the answer. Heads up to the limit fit if their entries are 8 bytes long or more on average; others are refused with 431.
+ */
+std::size_t connectionMemory(const HttpServerSettings &settings);
+
 /** A caller that disconnects while its request waits is detected within this time, so that the work for it can be stopped. */
 inline constexpr Duration GoneCheckInterval { 200 };
 
@@ -124,6 +150,19 @@
     int activeCount() const;
     /** Accepts no new connections from now on; existing connections continue. */
     void stopAccepting();
+    int connectionCount() const;
+
+    /**
+     * Applies another limit to the heads of the requests that arrive from now on. Returns false if the connections have too little memory
+     * for it; then handOver() is needed.
+     */
+    bool setMaxHeaderBytes(std::size_t bytes);
+    std::size_t maxHeaderBytes() const;
+    /**
+     * Starts a server that takes the place of this one, with another limit on the heads of requests. This one accepts no new connections,
+     * and closes each of its own after the next answer. Errors: SettingsInvalid when the server cannot be started.
+     */
+    Result<std::unique_ptr<HttpServer>> handOver(std::size_t maxHeaderBytes);
 
     // For a driven server.
 
@@ -139,6 +178,9 @@
     struct Private;
 
 private:
+    static Result<std::unique_ptr<HttpServer>> start(
+        const HttpServerSettings &settings, HttpHandler handler, std::shared_ptr<std::atomic<std::size_t>> maxHeaderBytes);
+
     HttpServer();
     std::unique_ptr<Private> d;
 };
--- a/transport/ioloop.cpp
+++ b/transport/ioloop.cpp
@@ -112,6 +112,11 @@
     d->servers.push_back(server);
 }
 
+void IoLoop::remove(const HttpServer *server)
+{
+    std::erase(d->servers, server);
+}
+
 void IoLoop::add(UdpSocket *socket, UdpSocket::Handler handler)
 {
     d->sockets.push_back(Socket { socket, std::move(handler) });
--- a/transport/ioloop.h
+++ b/transport/ioloop.h
@@ -37,8 +37,10 @@
      * acts.
      */
     Time now() const;
-    /** Serves @p server, which must be driven and must outlive run(). */
+    /** Serves @p server, which must be driven and must outlive run() or be removed. To be called before run() or by a timer. */
     void add(HttpServer *server);
+    /** Serves @p server no longer. To be called by a timer only. */
+    void remove(const HttpServer *server);
     /** Reads @p socket, which must outlive run(). */
     void add(UdpSocket *socket, UdpSocket::Handler handler);
     /** Calls @p function once, no sooner than @p wait from now(). */
--- a/transport/mhdexchange.cpp
+++ b/transport/mhdexchange.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 
 namespace ApricotStep
 {
@@ -14,10 +15,11 @@
 
 } // namespace
 
-MhdExchange::MhdExchange(MHD_Connection *connection, std::shared_ptr<std::atomic<bool>> isAnyResumed, std::size_t streamBufferBytes)
+MhdExchange::MhdExchange(MHD_Connection *connection, std::shared_ptr<std::atomic<bool>> isAnyResumed, const HttpServerSettings &settings)
     : m_connection(connection)
     , m_isAnyResumed(std::move(isAnyResumed))
-    , m_streamBufferBytes(streamBufferBytes)
+    , m_streamBufferBytes(settings.streamBufferBytes)
+    , m_maxAnswerHeadBytes(settings.maxAnswerHeadBytes)
 {
     const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     m_socket = info != nullptr ? info->connect_fd : -1;
@@ -105,6 +107,24 @@
     return m_isClosed ? 0 : m_body.size() + m_queuedBytes + m_buffer.size();
 }
 
+std::size_t MhdExchange::maxAnswerHeadBytes() const
+{
+    return m_maxAnswerHeadBytes;
+}
+
+void MhdExchange::setMaxAnswerHeadBytes(std::size_t bytes)
+{
+    m_maxAnswerHeadBytes = bytes;
+}
+
+int MhdExchange::pendingStatus() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    char byte = 0;
+    const bool isConnected = recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0 || errno == EAGAIN;
+    return m_isQueued && !m_isAborted && isConnected ? m_status : 0;
+}
+
 void MhdExchange::onDrained(std::function<void()> callback)
 {
     const absl::MutexLock lock(&m_mutex);
@@ -143,7 +163,11 @@
     for (const auto &[name, value] : m_headers) {
         MHD_add_response_header(response, name.c_str(), value.c_str());
     }
+    if (closesConnection) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
     const MHD_Result result = MHD_queue_response(m_connection, static_cast<unsigned int>(m_status), response);
+    m_isQueued = true;
     MHD_destroy_response(response);
     return result;
 }
--- a/transport/mhdexchange.h
+++ b/transport/mhdexchange.h
@@ -22,14 +22,16 @@
 {
 public:
     /**
-     * @p isAnyResumed is set each time that the connection is resumed. write() returns false above @p streamBufferBytes of unread bytes.
+     * @p isAnyResumed is set each time that the connection is resumed. Of @p settings the limits on the answer apply.
      */
-    MhdExchange(MHD_Connection *connection, std::shared_ptr<std::atomic<bool>> isAnyResumed, std::size_t streamBufferBytes);
+    MhdExchange(MHD_Connection *connection, std::shared_ptr<std::atomic<bool>> isAnyResumed, const HttpServerSettings &settings);
 
     // Used only on the connection's server thread.
     HttpRequest request;
     bool isTooLarge = false;
     bool isHandled = false;
+    /** The answer announces that the connection closes after it. */
+    bool closesConnection = false;
 
     void respond(int status, const HttpHeaders &headers, std::string body) override;
     void beginStream(int status, const HttpHeaders &headers) override;
@@ -38,9 +40,14 @@
     void abort() override;
     void abortNow() override;
     std::size_t unreadBytes() const override;
+    std::size_t maxAnswerHeadBytes() const override;
     void onDrained(std::function<void()> callback) override;
     void onCallerGone(std::function<void()> callback) override;
 
+    /** To be called before the request is handled. */
+    void setMaxAnswerHeadBytes(std::size_t bytes);
+    /** The status of an answer that is queued although its caller is still connected; 0 otherwise. */
+    int pendingStatus() const;
     /** On the server's thread: queues the answer if there is one, otherwise suspends the connection until there is. */
     MHD_Result answerOrSuspend();
     /** The request is over; @p isWhole tells whether the caller received the complete answer. */
@@ -58,6 +65,7 @@
     MHD_Connection *m_connection;
     std::shared_ptr<std::atomic<bool>> m_isAnyResumed;
     std::size_t m_streamBufferBytes;
+    std::size_t m_maxAnswerHeadBytes;
     int m_socket = -1;
     mutable absl::Mutex m_mutex;
     bool m_hasAnswer ABSL_GUARDED_BY(m_mutex) = false;
@@ -68,6 +76,7 @@
     bool m_isSuspended ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isFull ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isGone ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_isQueued ABSL_GUARDED_BY(m_mutex) = false;
     int m_status ABSL_GUARDED_BY(m_mutex) = 0;
     HttpHeaders m_headers ABSL_GUARDED_BY(m_mutex);
     /** A complete answer that is not queued yet. */
--- a/transport/rpcanswer.cpp
+++ b/transport/rpcanswer.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/callerapi.h"
 
+#include <limits>
 #include <utility>
 
 namespace ApricotStep
@@ -183,6 +184,11 @@
     abort();
 }
 
+std::size_t RpcExchange::maxAnswerHeadBytes() const
+{
+    return std::numeric_limits<std::size_t>::max(); // The caller's node knows the limit.
+}
+
 std::size_t RpcExchange::unreadBytes() const
 {
     const absl::MutexLock lock(&m_mutex);
--- a/transport/rpcanswer.h
+++ b/transport/rpcanswer.h
@@ -53,6 +53,7 @@
     void abort() override;
     void abortNow() override;
     std::size_t unreadBytes() const override;
+    std::size_t maxAnswerHeadBytes() const override;
     void onDrained(std::function<void()> callback) override;
     void onCallerGone(std::function<void()> callback) override;
 
