Count only polls that fail towards an outage of the store

What callers saw: requests reached a server more than drainMs after the store had acknowledged that its entry was removed (DRAIN).

Cause: the node took two failed calls in a row, 700 ms after the last answer, for an outage, and keeps entries that go missing after one for two seconds. The store may cut a waiting watch as often as it likes, a quiet one answers up to a second apart, and what followed a cut watch was another watch. A node also took over the grace period of a peer that had been cut off, though it had contact with the store itself.

Change: calls after a failed one do not wait, and only they count: an outage lasts 700 ms from the first failure. A node that has contact with the store takes over no grace period.

The stand-ins of the tests never cut a watch.

--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -51,8 +51,9 @@
     /** The newest configuration cannot be read, and an older one is active. */
     bool isConfigurationRefused = false;
     bool isLost = false;
-    /** Calls in a row that the store did not answer. */
-    int failedCalls = 0;
+    Time lostAt;
+    /** Polls that the store did not answer since it counts as lost. */
+    int failedPolls = 0;
     /** No call has been answered for so long that the store counts as lost, whether the calls have failed or not. */
     bool isOverdue = false;
     bool isFollowing = false;
@@ -75,6 +76,7 @@
     std::optional<Error> onPage(int status, const std::string &body);
     void watch();
     std::optional<Error> onWatch(int status, const std::string &body);
+    void onCallFailed(const std::string &reason, Duration waited);
     void markLost(const std::string &reason);
     void markAnswered();
     void watchAfter(Duration delay);
@@ -94,8 +96,7 @@
     StorePoller::Callbacks callbacks;
     callbacks.onFailed = [this](const std::string &reason, Duration waited) {
         log.write(Important, "store", "no_answer", { { "reason", reason }, { "waitedMs", waited.milliseconds() } });
-        ++failedCalls;
-        markLost(reason);
+        onCallFailed(reason, waited);
     };
     callbacks.onOverdue = [this] {
         isOverdue = true;
@@ -119,10 +120,19 @@
     });
 }
 
+// The store may cut waiting watches as often as it likes. Calls that are started after a cut do not wait, so they tell whether it answers.
+void StoreReader::Private::onCallFailed(const std::string &reason, Duration waited)
+{
+    const Time startedAt = loop.clock().now() - waited;
+    failedPolls += isLost && startedAt >= lostAt ? 1 : 0;
+    markLost(reason);
+}
+
 void StoreReader::Private::markLost(const std::string &reason)
 {
     if (!isLost) {
         isLost = true;
+        lostAt = loop.clock().now();
         log.write(Important, "store", "lost", { { "reason", reason } });
     }
 }
@@ -132,13 +142,12 @@
     const Time now = loop.clock().now();
     const Duration timeSinceLastAnswer = now - lastAnswerAt;
     lastAnswerAt = now;
-    // The store may cut a waiting watch at any time. If it answers the next call, it was not away.
-    const bool wasAway = isOverdue || failedCalls > 1;
-    failedCalls = 0;
+    const bool wasAway = isOverdue || (failedPolls > 0 && now - lostAt >= MinOutageToLoseEntries);
+    failedPolls = 0;
     isOverdue = false;
     if (isLost) {
         isLost = false;
-        if (hasReadAll && wasAway && timeSinceLastAnswer >= MinOutageToLoseEntries) {
+        if (hasReadAll && wasAway) {
             clusterState.upstreams.onStoreRegained(now);
             recoveredAt = now;
         }
@@ -202,7 +211,7 @@
 {
     watchStartedAt = loop.clock().now();
     StoreQuery query;
-    query.target = [this] { return Platform::watchTarget("", *watchFrom, limits.longPollTimeout); };
+    query.target = [this] { return Platform::watchTarget("", *watchFrom, isLost ? Duration(0) : limits.longPollTimeout); };
     query.holdTime = limits.longPollTimeout;
     query.timeout = limits.longPollTimeout + WatchSlack;
     query.onAnswer = [this](int status, const std::string &body) { return onWatch(status, body); };
@@ -400,8 +409,9 @@
         return false;
     }
     const Time now = d->loop.clock().now();
-    if (offered.timeSinceRecovery) {
-        // The peer has seen an outage of the store. Entries missing afterwards get the grace period as if this node had seen it, too.
+    if (offered.timeSinceRecovery && (d->isFollowing || d->isLost)) {
+        // The peer has seen an outage of the store. Entries missing afterwards get the grace period as if this node had seen it, too. A
+        // node that has contact with the store knows that there was none.
         d->clusterState.upstreams.onStoreRegained(now - *offered.timeSinceRecovery);
         d->recoveredAt = now - *offered.timeSinceRecovery;
     }
--- a/tests/main/testentrynode.cpp
+++ b/tests/main/testentrynode.cpp
@@ -248,6 +248,72 @@
     cr_assert_null(clusterState.upstreams.usable(UpstreamId("u1")));
 }
 
+// Guards against requests to an upstream that was removed after the store had cut several watches in a row, which were taken for an outage.
+Test(storereader, cutWatchesInARowAreNoOutage)
+{
+    constexpr int Cuts = 4;
+    std::atomic<int> cuts { 0 };
+    const ScriptedUpstream store([&cuts](const std::string &request) {
+        if (!absl::StrContains(request, "kv-watch")) {
+            return ScriptedAnswer { json(absl::StrCat(
+                R"({"hasMore":false,"items":[)", item("servers/u1", upstreamEntry("10.0.0.1:1")), R"(],"storeRevision":2})")) };
+        }
+        const bool waits = !absl::StrContains(request, "waitMs=0");
+        if (waits && cuts < Cuts) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(250));
+            ++cuts;
+            return ScriptedAnswer { "", ScriptedAnswer::ConnectionAction::Reset };
+        }
+        if (cuts < Cuts) {
+            return ScriptedAnswer { json(R"({"events":[],"storeRevision":2})") };
+        }
+        return ScriptedAnswer { json(R"({"events":[{"key":"servers/u1","revision":3,"tombstone":true}],"storeRevision":3})") };
+    });
+    const SystemClock clock;
+    EventLog log(clock, "n1");
+    ClusterState clusterState;
+    IoLoop loop(clock);
+    StoreReader reader(loop, log, clusterState, store.address(), Duration::seconds(2), [](const ClusterStateChanges &) {});
+    loop.after(Duration(200), [&] { cr_assert_not_null(clusterState.upstreams.usable(UpstreamId("u1"))); });
+    std::function<void()> stopAfterLastCut = [&] {
+        const bool areAllCut = cuts >= Cuts;
+        loop.after(Duration(areAllCut ? 500 : 20), [&, areAllCut] { areAllCut ? loop.stop() : stopAfterLastCut(); });
+    };
+    stopAfterLastCut();
+    reader.start();
+    loop.run();
+    cr_assert_null(clusterState.upstreams.usable(UpstreamId("u1")));
+}
+
+// Guards against requests to a removed upstream at nodes that have contact with the store, because another node was cut off from it.
+Test(storereader, outageThatAPeerSawDelaysNoRemoval)
+{
+    std::atomic<int> watches { 0 };
+    const ScriptedUpstream store([&watches](const std::string &request) {
+        if (!absl::StrContains(request, "kv-watch")) {
+            return ScriptedAnswer { json(absl::StrCat(
+                R"({"hasMore":false,"items":[)", item("servers/u1", upstreamEntry("10.0.0.1:1")), R"(],"storeRevision":2})")) };
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+        return ++watches == 1
+            ? ScriptedAnswer { json(R"({"events":[{"key":"servers/u1","revision":3,"tombstone":true}],"storeRevision":3})") }
+            : ScriptedAnswer { json(R"({"events":[],"storeRevision":3})") };
+    });
+    const SystemClock clock;
+    EventLog log(clock, "n1");
+    ClusterState clusterState;
+    IoLoop loop(clock);
+    StoreReader reader(loop, log, clusterState, store.address(), Duration::seconds(2), [](const ClusterStateChanges &) {});
+    loop.after(Duration(200), [&] {
+        cr_assert_not_null(clusterState.upstreams.usable(UpstreamId("u1")));
+        cr_assert(reader.mergeFromPeer(NodeId("n2"), PeerChanges { Platform::encodeWatch({}, 2), Duration(50), {}, clock.now() }));
+    });
+    loop.after(Duration(700), [&] { loop.stop(); });
+    reader.start();
+    loop.run();
+    cr_assert_null(clusterState.upstreams.usable(UpstreamId("u1")));
+}
+
 // Guards against losing an upstream that a peer reports while the node reads the store page by page.
 Test(storereader, keepsPeerChangesReceivedBetweenPages)
 {
