--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -406,9 +406,11 @@
     d->watch = std::make_unique<ConnectionWatch>(d->clock, settings.arrivalTimeout);
     d->connectionBytes = connectionMemory(settings);
     d->maxHeaderBytes = std::move(maxHeaderBytes);
-    d->maxConnections = settings.maxMemory > 0
-        ? std::clamp<std::size_t>(settings.maxMemory / d->connectionBytes, MinConnections, settings.maxConnections)
-        : settings.maxConnections;
+    d->maxConnections = static_cast<std::size_t>(settings.maxConnections);
+    if (settings.maxMemory > 0) {
+        const std::size_t affordable = std::max<std::size_t>(settings.maxMemory / d->connectionBytes, MinConnections);
+        d->maxConnections = std::min(d->maxConnections, affordable);
+    }
     std::vector<MHD_OptionItem> options {
         { MHD_OPTION_SOCK_ADDR, 0, &address },
         { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(static_cast<MHD_RequestCompletedCallback>(+completed)), d },
