--- a/tests/main/testentrynode.cpp
+++ b/tests/main/testentrynode.cpp
@@ -84,6 +84,12 @@
     ScriptedUpstream m_server;
 };
 
+ScriptedAnswer pageWithOneUpstream()
+{
+    return ScriptedAnswer { json(
+        absl::StrCat(R"({"hasMore":false,"items":[)", item("servers/u1", upstreamEntry("10.0.0.1:1")), R"(],"storeRevision":2})")) };
+}
+
 /** A store of two pages with an upstream each, the second of which takes SecondPageTime; nothing changes after them. */
 ScriptedAnswer answerInTwoPages(const std::string &request)
 {
@@ -222,8 +228,7 @@
     std::atomic<int> watches { 0 };
     const ScriptedUpstream store([&watches](const std::string &request) {
         if (!absl::StrContains(request, "kv-watch")) {
-            return ScriptedAnswer { json(absl::StrCat(
-                R"({"hasMore":false,"items":[)", item("servers/u1", upstreamEntry("10.0.0.1:1")), R"(],"storeRevision":2})")) };
+            return pageWithOneUpstream();
         }
         switch (++watches) {
         case 1:
@@ -255,8 +260,7 @@
     std::atomic<int> cuts { 0 };
     const ScriptedUpstream store([&cuts](const std::string &request) {
         if (!absl::StrContains(request, "kv-watch")) {
-            return ScriptedAnswer { json(absl::StrCat(
-                R"({"hasMore":false,"items":[)", item("servers/u1", upstreamEntry("10.0.0.1:1")), R"(],"storeRevision":2})")) };
+            return pageWithOneUpstream();
         }
         const bool waits = !absl::StrContains(request, "waitMs=0");
         if (waits && cuts < Cuts) {
@@ -291,8 +295,7 @@
     std::atomic<int> watches { 0 };
     const ScriptedUpstream store([&watches](const std::string &request) {
         if (!absl::StrContains(request, "kv-watch")) {
-            return ScriptedAnswer { json(absl::StrCat(
-                R"({"hasMore":false,"items":[)", item("servers/u1", upstreamEntry("10.0.0.1:1")), R"(],"storeRevision":2})")) };
+            return pageWithOneUpstream();
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(400));
         return ++watches == 1
