--- a/coordination/leasevoters.cpp
+++ b/coordination/leasevoters.cpp
@@ -71,15 +71,23 @@
     })) + (m_isSeed ? 1 : 0);
 }
 
+std::size_t LeaseVoters::seedCount() const
+{
+    return m_seeds.size() + (m_isSeed ? 1 : 0);
+}
+
+bool LeaseVoters::reachesMostSeeds(Time now) const
+{
+    return 2 * liveSeeds(now) > seedCount();
+}
+
 // How long after its start a node waits, given the seeds that it has contact with.
 Duration LeaseVoters::seedWait(Time now) const
 {
-    const std::size_t all = m_seeds.size() + (m_isSeed ? 1 : 0);
-    const std::size_t live = liveSeeds(now);
-    if (live == all) {
+    if (liveSeeds(now) == seedCount()) {
         return m_limits.discoveryTime;
     }
-    return 2 * live > all ? m_limits.partialSeedTimeout : m_limits.seedTimeout;
+    return reachesMostSeeds(now) ? m_limits.partialSeedTimeout : m_limits.seedTimeout;
 }
 
 // A node that was told of the fleet goes on counting the nodes that it was told of while it learns of them. Otherwise the nodes of a part
@@ -103,7 +111,7 @@
 void LeaseVoters::updateKnowledge(Time now)
 {
     if (m_knowledge == FleetKnowledge::None && now - m_startedAt >= seedWait(now)) {
-        m_knowledge = 2 * liveSeeds(now) > m_seeds.size() + (m_isSeed ? 1 : 0) ? FleetKnowledge::FromSeeds : FleetKnowledge::Assumed;
+        m_knowledge = reachesMostSeeds(now) ? FleetKnowledge::FromSeeds : FleetKnowledge::Assumed;
     }
 }
 
--- a/coordination/leasevoters.h
+++ b/coordination/leasevoters.h
@@ -162,7 +162,10 @@
     };
 
     bool isRemembered(const LeaseVoter &voter, Time now) const;
+    /** Number of seeds, this node included if it is one. */
+    std::size_t seedCount() const;
     std::size_t liveSeeds(Time now) const;
+    bool reachesMostSeeds(Time now) const;
     Duration seedWait(Time now) const;
     void adoptReportedSize(const FleetMessage &message, Time now);
     void updateKnowledge(Time now);
