--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -188,6 +188,8 @@
 class TestCluster:
     """The nodes, upstreams and store of one soak, with the observed runs, orders and violations."""
 
+    node_type = Node
+
     def __init__(self, arguments):
         self.arguments = arguments
         self.random = random.Random(arguments.seed)
@@ -346,7 +348,7 @@
         for index in range(2):
             await self.add_upstream(standins.PlainUpstream, f"q{index}", "other_api", self.arguments.plain_slots)
         for index in range(self.arguments.nodes):
-            node = Node(self, index)
+            node = self.node_type(self, index)
             await node.prepare()
             self.nodes.append(node)
             node.start()
