Share the bodies of requests instead of copying them

A request kept its body, each call to an upstream had a copy of it, its digest was made from another copy, and a string that grew while the body arrived held up to twice its size while it moved. Bodies are now received into a ByteBuffer, which extends large blocks in place, and held by all as SharedBytes, which the last holder frees; digests are made in parts, with the same result.

--- a/core/hash.cpp
+++ b/core/hash.cpp
@@ -47,6 +47,31 @@
     return toHex(digest.data(), digest.size());
 }
 
+struct Sha256::Private
+{
+    std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context { EVP_MD_CTX_new(), &EVP_MD_CTX_free };
+};
+
+Sha256::Sha256()
+    : d(std::make_unique<Private>())
+{
+    EVP_DigestInit_ex(d->context.get(), EVP_sha256(), nullptr);
+}
+
+Sha256::~Sha256() = default;
+
+void Sha256::update(std::string_view part)
+{
+    EVP_DigestUpdate(d->context.get(), part.data(), part.size());
+}
+
+std::string Sha256::hex()
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
+    EVP_DigestFinal_ex(d->context.get(), digest.data(), nullptr);
+    return toHex(digest.data(), digest.size());
+}
+
 std::string hmacHex(std::string_view secret, std::string_view text)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
--- a/core/hash.h
+++ b/core/hash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,22 @@
 /** SHA-256 of @p text as 64 lower-case hexadecimal digits. */
 std::string sha256Hex(std::string_view text);
 
+/** SHA-256 of a text that is given in parts. */
+class Sha256
+{
+public:
+    Sha256();
+    ~Sha256();
+
+    void update(std::string_view part);
+    /** The hash of all parts, as sha256Hex(). To be called once. */
+    std::string hex();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
 /** HMAC-SHA256 of @p text under @p secret, the first 16 bytes as 32 lower-case hexadecimal digits. */
 std::string hmacHex(std::string_view secret, std::string_view text);
 
--- a/main/entry/contentdigest.cpp
+++ b/main/entry/contentdigest.cpp
@@ -19,12 +19,14 @@
 ContentDigest digestOf(std::initializer_list<std::string_view> fields)
 {
     constexpr std::size_t DigestDigits = 16;
-    std::string text;
+    Sha256 hash;
     for (const std::string_view field : fields) {
-        text.append(std::to_string(field.size())).append(":").append(field);
+        hash.update(std::to_string(field.size()));
+        hash.update(":");
+        hash.update(field);
     }
     std::uint64_t value = 0;
-    static_cast<void>(absl::SimpleHexAtoi(sha256Hex(text).substr(0, DigestDigits), &value)); // The digits are hexadecimal.
+    static_cast<void>(absl::SimpleHexAtoi(hash.hex().substr(0, DigestDigits), &value)); // The digits are hexadecimal.
     return ContentDigest(value);
 }
 
--- a/main/servicerunner.cpp
+++ b/main/servicerunner.cpp
@@ -60,8 +60,10 @@
 std::string requestHash(const ServiceJob &job)
 {
     constexpr std::size_t HashDigits = 30;
-    return absl::HexStringToBytes(
-        sha256Hex(job.request.method + '\n' + job.service.value() + '\n' + job.target + '\n' + job.request.body).substr(0, HashDigits));
+    Sha256 hash;
+    hash.update(job.request.method + '\n' + job.service.value() + '\n' + job.target + '\n');
+    hash.update(job.request.body);
+    return absl::HexStringToBytes(hash.hex().substr(0, HashDigits));
 }
 
 void answer(HttpExchange &exchange, const StoredAnswer &stored, const std::string &requestId, bool isReplay)
--- a/tests/main/testownership.cpp
+++ b/tests/main/testownership.cpp
@@ -49,7 +49,7 @@
             return;
         }
         highest = token;
-        const std::string name = Json::parse(request.body).value("lora_name", "");
+        const std::string name = Json::parse(request.body.view()).value("lora_name", "");
         const bool isLoad = request.path == "/v1/load_lora_adapter";
         if (isLoad && !loaded.empty()) {
             exchange.respond(409, json, R"({"error":"no free slot"})");
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -47,7 +47,7 @@
 
     void handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
     {
-        const Json json = Json::parse(request.body, nullptr, false);
+        const Json json = Json::parse(request.body.view(), nullptr, false);
         if (request.path == "/v1/load_lora_adapter") {
             load(request, json.value("lora_name", ""), exchange);
         } else if (request.path == "/v1/unload_lora_adapter") {
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -206,10 +206,10 @@
         const std::string key = request.header("idempotency-key");
         const int runs = ++service->runs[key];
         if (request.method == "POST") {
-            ++service->bodies[request.body];
+            ++service->bodies[std::string(request.body.view())];
         }
         respondJson(*exchange, 200,
-            Json { { "path", request.path }, { "receipt", service->total }, { "runs_of_key", runs }, { "body", request.body } }.dump());
+            Json { { "path", request.path }, { "receipt", service->total }, { "runs_of_key", runs }, { "body", request.body.view() } }.dump());
     };
 }
 
--- a/tests/transport/testserverlimits.cpp
+++ b/tests/transport/testserverlimits.cpp
@@ -160,7 +160,7 @@
                 exchange->write(request.body);
                 exchange->finish();
             } else {
-                exchange->respond(200, headers, request.body);
+                exchange->respond(200, headers, std::string(request.body.view()));
             }
         });
         for (const std::size_t fieldBytes : { 8, 16, 30, 100, 1000, 8000 }) {
--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -369,7 +369,7 @@
         curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
     }
     if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.c_str());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.empty() ? "" : call.body.view().data());
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
         transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
     }
--- a/transport/httpclient.h
+++ b/transport/httpclient.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/errors.h"
+#include "core/sharedbytes.h"
 
 #include <cstddef>
 #include <functional>
@@ -49,7 +50,7 @@
     std::string method = "GET";
     std::string url;
     std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
+    SharedBytes body;
     /** At least 1 ms. */
     Duration connectTimeout = Duration(1000);
     /** Limit on the whole call; zero means none. */
--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -271,9 +271,9 @@
         return MHD_YES;
     }
     if (*size > 0) {
-        exchange->isTooLarge = exchange->isTooLarge || request.body.size() + *size > settings.maxBodyBytes;
+        exchange->isTooLarge = exchange->isTooLarge || exchange->body.size() + *size > settings.maxBodyBytes;
         if (!exchange->isTooLarge) {
-            request.body.append(data, *size);
+            exchange->body.append({ data, *size });
         }
         *size = 0;
         return MHD_YES;
@@ -286,6 +286,9 @@
         if (exchange->isTooLarge) {
             exchange->respond(TooLargeStatus, { { "Content-Type", "application/json" } }, std::string(TooLargeBody));
         } else {
+            if (exchange->body.size() > 0) {
+                request.body = SharedBytes(std::move(exchange->body), nullptr);
+            }
             handler(std::exchange(request, HttpRequest { "handled" }), exchange->shared_from_this());
         }
     }
--- a/transport/httpserver.h
+++ b/transport/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/result.h"
+#include "core/sharedbytes.h"
 #include "transport/tlscredentials.h"
 
 #include <atomic>
@@ -33,7 +34,7 @@
     std::map<std::string, std::string> headers;
     /** All headers as they arrived, in order. */
     HttpHeaders headerList;
-    std::string body;
+    SharedBytes body;
     /** The caller's IP address. */
     std::string peer;
 
--- a/transport/mhdexchange.h
+++ b/transport/mhdexchange.h
@@ -28,6 +28,8 @@
 
     // Used only on the connection's server thread.
     HttpRequest request;
+    /** What has arrived of the body. */
+    ByteBuffer body;
     bool isTooLarge = false;
     bool isHandled = false;
     /** The answer announces that the connection closes after it. */
--- a/transport/noderpc.cpp
+++ b/transport/noderpc.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-capnp::Data::Reader bytesOf(const std::string &text)
+capnp::Data::Reader bytesOf(std::string_view text)
 {
     return { reinterpret_cast<const kj::byte *>(text.data()), text.size() };
 }
