Notice callers that reset their connections or leave unread bytes

A suspended connection was taken for open unless recv() returned the end of the input.

An error of recv() now counts as the end, and where bytes are unread, poll() tells whether the peer has closed its side. serverlimits::callerThatLeavesWithUnreadBytesIsNoticed fails without it.

--- a/tests/transport/testserverlimits.cpp
+++ b/tests/transport/testserverlimits.cpp
@@ -379,3 +379,22 @@
     cr_assert_eq(get(server.value()->port(), second).status, 200, "a failed reload leaves the certificate in place");
     std::filesystem::remove_all(folder);
 }
+
+// Guards against work for a caller that has left, which is not noticed because bytes behind its request are unread.
+Test(serverlimits, callerThatLeavesWithUnreadBytesIsNoticed)
+{
+    absl::Notification arrived;
+    absl::Notification gone;
+    std::shared_ptr<HttpExchange> held;
+    const auto server = HttpServer::start(HttpServerSettings {}, [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        held = exchange;
+        exchange->onCallerGone([&gone] { gone.Notify(); });
+        arrived.Notify();
+    });
+    auto connection = std::make_unique<RawConnection>(server.value()->port());
+    connection->sendText("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    arrived.WaitForNotification();
+    connection->sendText(std::string(10'000, 'x'));
+    connection.reset();
+    cr_assert(gone.WaitForNotificationWithTimeout(absl::Seconds(5)));
+}
--- a/transport/mhdexchange.cpp
+++ b/transport/mhdexchange.cpp
@@ -1,5 +1,6 @@
 #include "transport/mhdexchange.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -13,6 +14,18 @@
 
 constexpr std::size_t StreamBlockBytes = 16U << 10U;
 
+// Bytes that the peer sent before it closed the connection hide the end of the input from recv().
+bool isClosedByPeer(int socket)
+{
+    char byte = 0;
+    const ssize_t count = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count <= 0) {
+        return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    }
+    pollfd state { socket, POLLRDHUP, 0 };
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 } // namespace
 
 MhdExchange::MhdExchange(MHD_Connection *connection, std::shared_ptr<std::atomic<bool>> isAnyResumed, const HttpServerSettings &settings)
@@ -203,8 +216,7 @@
     std::function<void()> gone;
     {
         const absl::MutexLock lock(&m_mutex);
-        char byte = 0;
-        if (!m_isSuspended || m_isGone || recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0) {
+        if (!m_isSuspended || m_isGone || !isClosedByPeer(m_socket)) {
             return;
         }
         m_isGone = true;
