Break off answers that nobody reads

An answer that was sent as a whole was kept for its caller as long as the connection lasted, and the connection with it: callers that never read use up a node's connections and an eighth of its memory for good. A stream was broken off at its deadline.

A caller now has 30 s to read such an answer; the connection is reset after that. slowreaders::answerThatWasSentAsAWholeIsBrokenOffWhenNobodyReadsIt fails without it.

--- a/coordination/answermemory.h
+++ b/coordination/answermemory.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/clock.h"
+
 #include <absl/container/flat_hash_map.h>
 
 #include <cstddef>
@@ -20,6 +22,8 @@
     std::size_t maxMemoryBytes = std::size_t(16) << 20U;
     /** What is kept of one stream for a caller that reads slowly. A caller beyond it slows its upstream down. */
     std::size_t maxUnreadBytes = std::size_t(256) << 10U;
+    /** How long a caller may read an answer that was sent to it as a whole. */
+    Duration maxDeliveryTime = Duration::seconds(30);
 };
 
 /**
--- a/main/entry/answerdelivery.cpp
+++ b/main/entry/answerdelivery.cpp
@@ -49,9 +49,7 @@
     if (bytes == 0) {
         return;
     }
-    if (answer.deadline) {
-        answer.deadline = std::max(*answer.deadline, m_loop.now() + MinDeliveryTime);
-    }
+    answer.deadline = std::max(answer.deadline, m_loop.now() + MinDeliveryTime);
     m_answers.insert_or_assign(number, std::move(answer));
     startTimer();
 }
@@ -75,7 +73,7 @@
         m_memory.setUnread(at->first, bytes);
         if (bytes == 0) {
             at = m_answers.erase(at);
-        } else if (at->second.deadline && m_loop.now() >= *at->second.deadline) {
+        } else if (m_loop.now() >= at->second.deadline) {
             at = breakOff(at, "deadline");
         } else {
             ++at;
--- a/main/entry/answerdelivery.h
+++ b/main/entry/answerdelivery.h
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace ApricotStep
@@ -33,8 +32,8 @@
         /** Id of the request. */
         std::string request;
         std::shared_ptr<HttpExchange> exchange;
-        /** When the delivery is broken off; unset for an answer that was sent as a whole. */
-        std::optional<Time> deadline;
+        /** When the delivery is broken off. */
+        Time deadline;
     };
 
     AnswerDelivery(IoLoop &loop, EventLog &log, EntryMetrics &metrics, AnswerMemory &memory);
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -260,8 +260,10 @@
     forwarderSettings.teamCredit.window = settings.limitWindow;
     forwarderSettings.teamCredit.overrun = settings.limitOverrun;
     forwarderSettings.teamCredit.reserve = settings.limitReserve;
-    forwarderSettings.answers = { settings.maxAnswerBytes, settings.maxEventBytes, settings.memoryBytes / AnswerMemoryDivisor,
-        settings.maxUnreadBytes };
+    forwarderSettings.answers.maxAnswerBytes = settings.maxAnswerBytes;
+    forwarderSettings.answers.maxEventBytes = settings.maxEventBytes;
+    forwarderSettings.answers.maxMemoryBytes = settings.memoryBytes / AnswerMemoryDivisor;
+    forwarderSettings.answers.maxUnreadBytes = settings.maxUnreadBytes;
     forwarderSettings.placement = settings.placement;
     forwarderSettings.upstreamLapseTime = settings.upstreamHeartbeat * HeartbeatsUntilLapse;
     ForwarderCallbacks callbacks;
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -1520,7 +1520,8 @@
     }
     m_phase = Phase::Ended;
     m_context.answerMemory().resize(std::exchange(m_accountedBytes, 0), 0);
-    m_context.answerDelivery().add(m_number, { m_decoded.id, m_exchange, m_isStreaming ? std::optional(m_deadline) : std::nullopt });
+    const Time readUntil = m_isStreaming ? m_deadline : now() + m_context.settings().answers.maxDeliveryTime;
+    m_context.answerDelivery().add(m_number, { m_decoded.id, m_exchange, readUntil });
     m_context.loop().cancel(m_deadlineTimer);
     m_context.loop().cancel(m_waitTimer);
     logEnd(outcome, reason);
--- a/tests/main/testrequestforwarderslowreaders.cpp
+++ b/tests/main/testrequestforwarderslowreaders.cpp
@@ -225,3 +225,20 @@
     fixture.runUntil([&] { return stopped.read(); });
     cr_assert(stopped.isReset(), "a part of an answer looks complete");
 }
+
+// Guards against callers that never read an answer that was sent to them as a whole, and hold its memory and their connections for good.
+Test(slowreaders, answerThatWasSentAsAWholeIsBrokenOffWhenNobodyReadsIt)
+{
+    constexpr std::size_t AnswerKiB = 3 * KiB;
+    ForwarderSettings settings = settingsWith(4 * KiB * KiB, 16 * KiB * KiB);
+    settings.answers.maxDeliveryTime = Duration(1200);
+    SlowReaderFixture fixture(settings);
+    fixture.configure(RequestKind::Idempotent, 1, false, Timeout);
+    SocketCaller stopped(fixture.server->port(), "stopped", absl::StrCat(AnswerKiB));
+    cr_assert(fixture.isSoon([&] { return fixture.isUpstreamFree(1); }));
+    cr_assert_not(fixture.hasCounted("ended", 1));
+    fixture.runUntil([&] { return fixture.forwarder->answerBytes() == 0; });
+    cr_assert(fixture.hasCounted("ended", 1));
+    fixture.runUntil([&] { return stopped.read(); });
+    cr_assert(stopped.isReset(), "a part of an answer looks complete");
+}
