--- a/core/errors.cpp
+++ b/core/errors.cpp
@@ -27,6 +27,7 @@
     ErrorAnswer { MethodNotAllowed, 405, "method_not_allowed", NotRun, RetryAdvice::Never, "This path does not take this method." },
     ErrorAnswer { RequestTooLarge, 413, "request_too_large", NotRun, RetryAdvice::Never, "The request is larger than this node accepts." },
     ErrorAnswer { RequestTimeout, 408, "request_timeout", NotRun, RetryAdvice::SameRequest, "The request did not arrive whole in time." },
+    ErrorAnswer { NoMemory, 503, "no_memory", NotRun, RetryAdvice::OtherNode, "This node has no memory now for a request of this size." },
     ErrorAnswer { UnknownSelector, 404, "unknown_selector", NotRun, RetryAdvice::Never, "No adapter version matches the selector." },
     ErrorAnswer {
         AmbiguousSelector, 409, "ambiguous_selector", NotRun, RetryAdvice::Never, "The selector matches more than one adapter version." },
--- a/core/errors.h
+++ b/core/errors.h
@@ -17,6 +17,7 @@
     MethodNotAllowed,
     RequestTooLarge,
     RequestTimeout,
+    NoMemory,
     UnknownSelector,
     AmbiguousSelector,
     UnknownService,
--- a/main/entry/entrymetrics.cpp
+++ b/main/entry/entrymetrics.cpp
@@ -133,6 +133,10 @@
                                                                .Name("apricotstep_entry_slow_readers_total")
                                                                .Help("Answers whose callers read slowly, by outcome.")
                                                                .Register(registry);
+    prometheus::Family<prometheus::Counter> &clientLimits = prometheus::BuildCounter()
+                                                                .Name("apricotstep_entry_client_limits_total")
+                                                                .Help("Clients that met a limit, by limit.")
+                                                                .Register(registry);
     prometheus::Family<prometheus::Counter> &orders =
         prometheus::BuildCounter().Name("apricotstep_entry_orders_total").Help("Orders to engines by answer.").Register(registry);
     prometheus::Family<prometheus::Counter> &keyRefusals = prometheus::BuildCounter()
@@ -301,6 +305,11 @@
     d->slowReaders.Add({ { "outcome", std::string(outcome) } }).Increment();
 }
 
+void EntryMetrics::clientLimit(ClientLimit limit)
+{
+    d->clientLimits.Add({ { "limit", std::string(clientLimitName(limit)) } }).Increment();
+}
+
 void EntryMetrics::withheld()
 {
     d->withheldRequests.Increment();
@@ -348,6 +357,8 @@
     d->setGauge("unreachable_services", gauges.unreachableServices);
     d->setGauge("held_contents", gauges.heldContents);
     d->setGauge("answer_bytes", static_cast<double>(gauges.answerBytes));
+    d->setGauge("body_bytes", static_cast<double>(gauges.bodyBytes));
+    d->setGauge("connection_bytes", static_cast<double>(gauges.connectionBytes));
     d->slowEngines.Set(gauges.slowEngines);
     d->setGauge("ready", gauges.isReady ? 1 : 0);
     std::ostringstream out;
--- a/main/entry/entrymetrics.h
+++ b/main/entry/entrymetrics.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/strongid.h"
 #include "state/routetable.h"
+#include "transport/httpserver.h"
 
 #include <cstdint>
 #include <memory>
@@ -45,6 +46,10 @@
     int heldContents = 0;
     /** Memory of answers in progress. */
     std::size_t answerBytes = 0;
+    /** Reserved for the bodies of requests. */
+    std::size_t bodyBytes = 0;
+    /** Set aside for open connections. */
+    std::size_t connectionBytes = 0;
     /** Engines that are slower than others under the same load. */
     int slowEngines = 0;
     /** Time since the active configuration was known to be the newest. */
@@ -107,6 +112,8 @@
      * ("ended"). Each answer counts at most once for each outcome.
      */
     void slowReader(std::string_view outcome);
+    /** Counts a client that met a limit. */
+    void clientLimit(ClientLimit limit);
     /** Counts an answer that could not be sent whole to a caller that is still connected. */
     void answerNotDelivered();
     /** Counts a request that is refused because of its key. @p reason comes from a fixed list, since each value creates a time series. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -9,6 +9,7 @@
 #include "main/entry/fleetlink.h"
 #include "main/entry/orderrunner.h"
 #include "main/entry/peerservice.h"
+#include "main/entry/relayedrequest.h"
 #include "main/entry/requestforwarder.h"
 #include "main/entry/storereader.h"
 #include "main/entry/upstreamstatements.h"
@@ -21,6 +22,7 @@
 #include <atomic>
 #include <csignal>
 #include <iostream>
+#include <map>
 #include <optional>
 #include <random>
 #include <utility>
@@ -45,28 +47,41 @@
 constexpr Duration ReserveBeforeKill { 500 };
 // Time in which the last answers are written.
 constexpr Duration TimeToFlush { 200 };
-// File descriptors that are not for callers' connections but for the store, engines and peers.
+// File descriptors for files, the store, engines and the other listeners. Of the rest, each caller's connection needs one of its own and
+// one to an upstream.
 constexpr int ReservedDescriptors = 600;
+constexpr int DescriptorsPerCaller = 2;
 // Must match the metrics port in deploy/system.toml.
 constexpr std::uint16_t MetricsPort = 9464;
 constexpr const char *MetricsPath = "/metrics";
 // Answers in progress may use one part in so many of the memory of this process.
 constexpr std::size_t AnswerMemoryDivisor = 8;
+// All answers together hold less than so many times their limit.
+constexpr std::size_t MaxAnswerMemoryFactor = 2;
 // A caller with more unread bytes of a stream counts as slow: several events of the longest kind that upstreams usually send.
 constexpr std::size_t StreamBufferBytes = std::size_t(32) << 10U;
 // Headers that a node adds to a request for another node.
 constexpr std::size_t RelayHeaderBytes = 1U << 10U;
 // Answers of the node itself have short heads.
 constexpr std::size_t OwnAnswerHeadBytes = 2U << 10U;
-// Callers' connections may use one part in so many of the memory of this process, and those of each other listener.
-constexpr std::size_t CallerMemoryDivisor = 3;
-constexpr std::size_t OtherMemoryDivisor = 8;
+// Connections of other nodes, and those of a listener for requests without bodies, may use one part in so many of the memory of this
+// process.
+constexpr std::size_t PeerMemoryDivisor = 8;
+constexpr std::size_t OwnMemoryDivisor = 64;
+constexpr int MaxPeerConnections = 128;
+// Requests to the node itself have no bodies of their own, and a caller may still send a short one.
+constexpr std::size_t MaxOwnBodyBytes = std::size_t(4) << 10U;
+// Until the limits of the configuration are known.
 constexpr Duration ArrivalTimeout = Duration::seconds(30);
+// Limits that clients met are logged together.
+constexpr Duration LimitLogInterval = Duration::seconds(1);
 // The store removes the entry of an upstream after three heartbeats without one, which this node may read some time later.
 constexpr int HeartbeatsUntilLapse = 5;
 // Nodes of a zone that has just been cut off are still asked, so that the cut is not taken for silence of its upstreams.
 constexpr Duration ProbePeerMemory = Duration::seconds(10);
 
+constexpr int MappedBlockBytes = 128 << 10;
+
 StoreReaderLimits storeReaderLimits(const RevocationBound &revocationBound)
 {
     StoreReaderLimits limits;
@@ -94,6 +109,11 @@
     StoreReaderElection storeReaderElection;
     /** Whether this node reads the store itself, as of the last decision. */
     bool isStoreReader = true;
+    /** Shared by the connections of callers and of other nodes, and by the bodies of their requests. */
+    std::shared_ptr<RequestMemory> requestMemory;
+    /** Limits that clients have met since they were last logged. */
+    std::map<ClientLimit, std::int64_t> limitsMet;
+    Time limitsLoggedAt;
     std::vector<std::unique_ptr<HttpServer>> servers;
     /** Servers that have handed over, until their last connection closes. */
     std::vector<std::unique_ptr<HttpServer>> replacedServers;
@@ -114,14 +134,19 @@
         , log(clock, settings.node.value())
         , revocationBound(settings.revocationBound)
         , storeReaderElection(storeReaderLimits(revocationBound), settings.node, settings.cpuShare)
+        , requestMemory(std::make_shared<RequestMemory>(
+              RequestMemoryLimits::ofProcess(settings.memoryBytes, MaxAnswerMemoryFactor * settings.memoryBytes / AnswerMemoryDivisor)))
     {
     }
 
     Result<bool> open();
     HttpServerSettings serverSettings(const std::string &address);
     HttpServerSettings ownServerSettings(const std::string &address);
+    HttpServerSettings callerServerSettings();
+    HttpServerSettings peerServerSettings();
+    void logLimits();
     Result<HttpServer *> listen(const HttpServerSettings &server, HttpHandler handler);
-    void applyHeaderLimits();
+    void applyCallerLimits();
     void applyHeaderLimit(HttpServer *&server, std::size_t bytes);
     void removeReplacedServers();
     void makeComponents();
@@ -303,14 +328,17 @@
     server.isDriven = true;
     server.streamBufferBytes = std::min(StreamBufferBytes, settings.maxUnreadBytes);
     server.maxHeaderBytes = CallerLimits().headerBytes + RelayHeaderBytes;
-    server.maxMemory = settings.memoryBytes / OtherMemoryDivisor;
-    server.maxConnections = std::max(settings.maxDescriptors - ReservedDescriptors, MinConnections);
+    server.maxConnections = MinConnections;
     server.arrivalTimeout = ArrivalTimeout;
     server.idleTimeout = Duration(0); // The arrival timeout closes idle connections, too.
     server.onAnswerNotDelivered = [this](int status) {
         metrics.answerNotDelivered();
         log.write(EventLog::Severity::Important, "node", "not_delivered", { { "status", std::int64_t(status) } });
     };
+    server.onClientLimit = [this](ClientLimit limit) {
+        metrics.clientLimit(limit);
+        ++limitsMet[limit];
+    };
     return server;
 }
 
@@ -318,6 +346,36 @@
 {
     HttpServerSettings server = serverSettings(address);
     server.maxAnswerHeadBytes = OwnAnswerHeadBytes;
+    server.maxMemory = settings.memoryBytes / OwnMemoryDivisor;
+    server.maxBodyBytes = MaxOwnBodyBytes;
+    return server;
+}
+
+HttpServerSettings EntryNode::Private::callerServerSettings()
+{
+    HttpServerSettings server = serverSettings(settings.callerAddress);
+    server.maxConnections = std::max((settings.maxDescriptors - ReservedDescriptors) / DescriptorsPerCaller, MinConnections);
+    server.memory = requestMemory;
+    server.onLargeBody = [this](const HttpRequest &head, HttpExchange &exchange) {
+        return forwarder->admitBody(head, exchange, RequestSource::Caller);
+    };
+    return server;
+}
+
+HttpServerSettings EntryNode::Private::peerServerSettings()
+{
+    HttpServerSettings server = serverSettings(settings.peerAddress);
+    server.maxMemory = settings.memoryBytes / PeerMemoryDivisor;
+    server.maxConnections = MaxPeerConnections;
+    server.memory = requestMemory;
+    server.onLargeBody = [this](const HttpRequest &head, HttpExchange &exchange) -> std::optional<BodyTerms> {
+        HttpRequest relayed = head;
+        if (!takeRelayHeaders(relayed)) {
+            exchange.respond(NotFoundStatus, {}, "");
+            return std::nullopt;
+        }
+        return forwarder->admitBody(relayed, exchange, RequestSource::Node);
+    };
     return server;
 }
 
@@ -335,9 +393,7 @@
 Result<bool> EntryNode::Private::open()
 {
     makeComponents();
-    HttpServerSettings callerSettings = serverSettings(settings.callerAddress);
-    callerSettings.maxMemory = settings.memoryBytes / CallerMemoryDivisor;
-    const auto callers = listen(callerSettings, [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+    const auto callers = listen(callerServerSettings(), [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
         forwarder->onRequest(std::move(request), std::move(exchange));
     });
     if (!callers.isOk()) {
@@ -362,7 +418,7 @@
     if (!metricsServer.isOk()) {
         log.write(EventLog::Severity::Important, "node", "no_metrics", { { "reason", metricsServer.error().detail } });
     }
-    const auto openedPeerServer = listen(serverSettings(settings.peerAddress),
+    const auto openedPeerServer = listen(peerServerSettings(),
         [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) { answerPeer(std::move(request), std::move(exchange)); });
     if (!openedPeerServer.isOk()) {
         return openedPeerServer.error();
@@ -451,6 +507,8 @@
     gauges.unreachableServices = static_cast<int>(clusterState.reachability.unreachable().size());
     gauges.heldContents = static_cast<int>(clusterState.quarantine.heldCount());
     gauges.answerBytes = forwarder->answerBytes();
+    gauges.bodyBytes = requestMemory->bodyBytes();
+    gauges.connectionBytes = requestMemory->connectionBytes();
     gauges.slowEngines = clusterState.engineSpeed.slowCount(clock.now());
     gauges.configurationAge = clock.now() - clusterState.routesKnownAt;
     exchange.respond(OkStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.text(gauges));
@@ -487,12 +545,14 @@
 }
 
 // Other nodes may have a configuration with a higher limit already, so the peers' limit is not lowered.
-void EntryNode::Private::applyHeaderLimits()
+void EntryNode::Private::applyCallerLimits()
 {
     if (clusterState.routes == nullptr || isLeaving) {
         return;
     }
-    const std::size_t bytes = clusterState.routes->limits().headerBytes;
+    const CallerLimits &limits = clusterState.routes->limits();
+    callerServer->setArrivalTimeout(limits.idleTimeout + limits.headerTimeout);
+    const std::size_t bytes = limits.headerBytes;
     applyHeaderLimit(callerServer, bytes);
     applyHeaderLimit(readinessServer, bytes);
     applyHeaderLimit(directoryServer, bytes);
@@ -522,6 +582,18 @@
         { { "bytes", static_cast<std::int64_t>(bytes) }, { "newConnections", isHandedOver } });
 }
 
+void EntryNode::Private::logLimits()
+{
+    if (limitsMet.empty() || clock.now() - limitsLoggedAt < LimitLogInterval) {
+        return;
+    }
+    limitsLoggedAt = clock.now();
+    for (const auto &[limit, count] : std::exchange(limitsMet, {})) {
+        log.write(EventLog::Severity::Important, "node", "client_limit",
+            { { "limit", std::string(clientLimitName(limit)) }, { "clients", count } });
+    }
+}
+
 void EntryNode::Private::removeReplacedServers()
 {
     std::erase_if(replacedServers, [this](const std::unique_ptr<HttpServer> &server) {
@@ -536,7 +608,8 @@
 void EntryNode::Private::checkConnections()
 {
     updateStoreReading();
-    applyHeaderLimits();
+    applyCallerLimits();
+    logLimits();
     for (const auto &server : servers) {
         server->checkConnections();
     }
@@ -673,6 +746,8 @@
     }
     // A single malloc arena, so that memory freed by one part of the program is reused by the others.
     mallopt(M_ARENA_MAX, 1);
+    // A fixed threshold, so that large bodies and answers are blocks of their own, which go back to the system as soon as they are freed.
+    mallopt(M_MMAP_THRESHOLD, MappedBlockBytes);
     auto node = EntryNode::start(settings.value());
     if (!node.isOk()) {
         std::cerr << "settings: " << node.error().detail << "\n";
--- a/main/entry/refusal.cpp
+++ b/main/entry/refusal.cpp
@@ -2,29 +2,16 @@
 
 #include "protocol/callerapi.h"
 
-#include <cstdio>
 #include <utility>
 
 namespace ApricotStep
 {
 
-namespace
-{
-
-std::string secondsText(Duration wait)
-{
-    char text[16] = {};
-    std::snprintf(text, sizeof text, "%.3f", wait.toSeconds());
-    return text;
-}
-
-} // namespace
-
 void refuse(HttpExchange &exchange, ErrorKind kind, const RefusalOptions &options)
 {
     HttpHeaders headers { { "Content-Type", "application/json" } };
     if (options.retryAfter > Duration(0)) {
-        headers.emplace_back("Retry-After", secondsText(options.retryAfter));
+        headers.emplace_back("Retry-After", retryAfterText(options.retryAfter));
     }
     ErrorDetails details;
     details.retryAfter = options.retryAfter;
--- a/main/entry/requestforwarder.cpp
+++ b/main/entry/requestforwarder.cpp
@@ -201,6 +201,9 @@
     void giveBackCredit(const Team &team, double cost, Time admittedAt) override;
     void refuseBeyondLimit(const PendingRequest &pending, ErrorKind kind, Duration retryAfter);
     void refuse(HttpExchange &exchange, const std::string &id, ErrorKind kind, const std::string &detail);
+    /** Refuses a request that no route of the active configuration accepts, or that would outlive this process; then the result is null. */
+    const Route *acceptHead(const Platform::CallerRequest &decoded, HttpExchange &exchange);
+    /** Like acceptHead(), for a whole request. */
     std::shared_ptr<PendingRequest> accept(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
     /** A copy, since a job may end while it is told something, which changes the list. */
     std::vector<std::shared_ptr<RequestJob>> currentJobs() const;
@@ -484,42 +487,67 @@
 
 RequestForwarder::~RequestForwarder() = default;
 
-// Refuses a request that no route of the active configuration accepts, or that would outlive this process; then the result is null.
-std::shared_ptr<PendingRequest> RequestForwarder::Private::accept(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+const Route *RequestForwarder::Private::acceptHead(const Platform::CallerRequest &decoded, HttpExchange &exchange)
 {
-    arrivals.onEvent(m_loop.now());
-    Platform::CallerRequest decoded = Platform::decodeCallerRequest(request);
     const auto table = m_clusterState.routes;
     if (table == nullptr) {
-        refuse(*exchange, decoded.id, ErrorKind::NotReady, "no configuration received yet");
+        refuse(exchange, decoded.id, ErrorKind::NotReady, "no configuration received yet");
         return nullptr;
     }
     if (decoded.id.empty()) {
-        refuse(*exchange, decoded.id, ErrorKind::BadRequest, "missing request id");
+        refuse(exchange, decoded.id, ErrorKind::BadRequest, "missing request id");
         return nullptr;
     }
     if (decoded.hasInvalidModel) {
-        refuse(*exchange, decoded.id, ErrorKind::BadRequest, "the name of the model is no UTF-8");
+        refuse(exchange, decoded.id, ErrorKind::BadRequest, "the name of the model is no UTF-8");
         return nullptr;
     }
     const Route *route = table->find(decoded.host, decoded.path);
     if (route == nullptr) {
-        refuse(*exchange, decoded.id, ErrorKind::NotFound,
+        refuse(exchange, decoded.id, ErrorKind::NotFound,
             "host " + decoded.host + ", path " + decoded.path + ", version " + std::to_string(table->version().value()));
         return nullptr;
     }
-    if (request.body.size() > table->limits().bodyBytes) {
-        refuse(*exchange, decoded.id, ErrorKind::RequestTooLarge, std::to_string(request.body.size()) + " bytes");
+    if (!m_callbacks.canAccept(decoded.timeAllowed(route->timeout))) {
+        refuse(exchange, decoded.id, ErrorKind::Draining, "the request might not end before this process exits");
+        return nullptr;
+    }
+    return route;
+}
+
+std::shared_ptr<PendingRequest> RequestForwarder::Private::accept(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    arrivals.onEvent(m_loop.now());
+    Platform::CallerRequest decoded = Platform::decodeCallerRequest(request);
+    const Route *route = acceptHead(decoded, *exchange);
+    if (route == nullptr) {
         return nullptr;
     }
-    if (!m_callbacks.canAccept(std::min(route->timeout, decoded.deadline.value_or(route->timeout)))) {
-        refuse(*exchange, decoded.id, ErrorKind::Draining, "the request might not end before this process exits");
+    const auto table = m_clusterState.routes;
+    if (request.body.size() > table->limits().bodyBytes) {
+        refuse(*exchange, decoded.id, ErrorKind::RequestTooLarge, std::to_string(request.body.size()) + " bytes");
         return nullptr;
     }
     return std::make_shared<PendingRequest>(
         PendingRequest { std::move(request), std::move(decoded), table, route, nullptr, 0, std::move(exchange), m_loop.now() });
 }
 
+std::optional<BodyTerms> RequestForwarder::admitBody(const HttpRequest &head, HttpExchange &exchange, RequestSource source)
+{
+    const Platform::CallerRequest decoded = Platform::decodeCallerRequest(head);
+    const Route *route = d->acceptHead(decoded, exchange);
+    if (route == nullptr) {
+        return std::nullopt;
+    }
+    const RouteTable &table = *d->m_clusterState.routes;
+    const auto team = source == RequestSource::Caller ? d->authenticate(decoded, table, *route) : Result<const Team *>(nullptr);
+    if (!team.isOk()) {
+        d->refuseKey(exchange, decoded, *route, team.error());
+        return std::nullopt;
+    }
+    return BodyTerms { table.limits().bodyBytes, decoded.timeAllowed(route->timeout) };
+}
+
 void RequestForwarder::onRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
 {
     const auto pending = d->accept(std::move(request), std::move(exchange));
--- a/main/entry/requestforwarder.h
+++ b/main/entry/requestforwarder.h
@@ -45,6 +45,13 @@
     Duration upstreamLapseTime = Duration::seconds(6);
 };
 
+/** Where a request comes from. */
+enum class RequestSource {
+    Caller,
+    /** Another node that does not reach the upstreams. It tries again itself, and its request is not sent to a third node. */
+    Node,
+};
+
 /** Callbacks from the forwarder into the rest of the node. */
 struct ForwarderCallbacks
 {
@@ -90,6 +97,11 @@
         ForwarderCallbacks callbacks);
     ~RequestForwarder();
 
+    /**
+     * Decides on the large body of a caller's request, or of a relayed one, from its head. Answers a request that cannot be served whatever
+     * its body is, and returns nothing then.
+     */
+    std::optional<BodyTerms> admitBody(const HttpRequest &head, HttpExchange &exchange, RequestSource source);
     /** A caller's request. */
     void onRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
     /** A request of another node's caller, which that node has admitted and cannot send to an upstream itself. */
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -94,8 +94,7 @@
     , m_maxAttempts(source == RequestSource::Caller ? m_route.maxAttempts : 1)
     , m_arrivedAt(arrivedAt)
 {
-    const Duration requested = m_decoded.deadline.value_or(m_route.timeout);
-    m_deadline = m_arrivedAt + std::min(requested, m_route.timeout);
+    m_deadline = m_arrivedAt + m_decoded.timeAllowed(m_route.timeout);
     m_service = selectTarget(m_route, std::uniform_real_distribution<double>(0, 1)(context.random())).service;
     if (m_route.kind == RequestKind::Stream) {
         m_expectedLength = context.clusterState().answerLengths.estimate(m_route.name, lengthHint(), maxAnswerTokens());
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -75,13 +75,6 @@
     Time admittedAt;
 };
 
-/** Where a request comes from. */
-enum class RequestSource {
-    Caller,
-    /** Another node that does not reach the upstreams. It tries again itself, and its request is not sent to a third node. */
-    Node,
-};
-
 /** Handles one request of a caller, from its arrival to the end of its answer. */
 class RequestJob : public std::enable_shared_from_this<RequestJob>
 {
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -24,6 +24,7 @@
 constexpr auto TickInterval = std::chrono::milliseconds(20);
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
 constexpr int OperatorThreads = 1;
+constexpr std::size_t MaxOperatorBodyBytes = std::size_t(64) << 10U;
 
 // A later start gets a greater incarnation; the random part distinguishes starts within the same millisecond.
 Incarnation newIncarnation(const Clock &clock)
@@ -42,6 +43,8 @@
     server.maxBodyBytes = static_cast<std::size_t>(settings.number("callers.max_body_bytes"));
     server.maxHeaderBytes = static_cast<std::size_t>(settings.number("callers.max_header_bytes"));
     server.maxConnections = static_cast<int>(settings.number("callers.max_connections"));
+    server.memory =
+        std::make_shared<RequestMemory>(RequestMemoryLimits::of(static_cast<std::size_t>(settings.number("callers.memory_bytes"))));
     server.idleTimeout = settings.duration("callers.idle_timeout_ms");
     server.arrivalTimeout = settings.duration("callers.arrival_timeout_ms");
     return server;
@@ -226,6 +229,7 @@
     operatorSettings.address = d->settings->text("operator.address");
     operatorSettings.port = static_cast<std::uint16_t>(d->settings->number("operator.port"));
     operatorSettings.threads = OperatorThreads;
+    operatorSettings.maxBodyBytes = MaxOperatorBodyBytes;
     auto operators = HttpServer::start(operatorSettings,
         [d](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) { d->operatorPort->handle(request, exchange); });
     if (!operators.isOk()) {
--- a/main/settingtable.cpp
+++ b/main/settingtable.cpp
@@ -43,6 +43,8 @@
         number("callers", "port", "", 0, MaxPort, "8080", "TCP port for callers; 0 picks a free one."),
         number("callers", "threads", "", 1, 64, "2", "Threads that serve callers."),
         number("callers", "max_body_bytes", "bytes", 1024, 1 << 30, "8388608", "Largest request body that is taken."),
+        number("callers", "memory_bytes", "bytes", 16 << 20, std::int64_t(1) << 40, "2147483648",
+            "Memory for callers' connections and the bodies of their requests together; beyond it large bodies are refused with 503."),
         number("callers", "max_header_bytes", "bytes", 4096, 1 << 20, "32768",
             "Largest request head that is taken; a connection has ten times as much memory."),
         number("callers", "max_connections", "", 16, 100'000, "4096", "Connections at once; more are not accepted."),
--- a/protocol/callerapi.cpp
+++ b/protocol/callerapi.cpp
@@ -97,6 +97,13 @@
     return dump({ { "idempotency_key", key }, { "lifetime_ms", lifetime.milliseconds() } });
 }
 
+std::string retryAfterText(Duration delay)
+{
+    char text[24] = {};
+    std::snprintf(text, sizeof text, "%.3f", delay.toSeconds());
+    return text;
+}
+
 std::string errorBody(ErrorKind kind, const ErrorDetails &details)
 {
     const ErrorAnswer &answer = errorAnswer(kind);
--- a/protocol/callerapi.h
+++ b/protocol/callerapi.h
@@ -74,6 +74,9 @@
 
 std::string addressBody(const AddressAnswer &answer);
 std::string keyBody(std::string_view key, Duration lifetime);
+/** The value of Retry-After: @p delay in seconds. */
+std::string retryAfterText(Duration delay);
+
 /** The body of an error answer: an OpenAI error object with `not_run` and the retry advice as additional fields. */
 std::string errorBody(ErrorKind kind, const ErrorDetails &details);
 /** The same as a server-sent event, for a stream that has already begun. */
--- a/tests/main/testcallerfrontend.cpp
+++ b/tests/main/testcallerfrontend.cpp
@@ -86,7 +86,8 @@
     nodes.frontend.handle(nodes.completion("track=stable"), std::make_shared<Fixtures::Caller>());
     cr_assert(nodes.peers.address == "127.0.0.1:22");
     cr_assert_eq(nodes.peers.hopsSoFar, 1);
-    cr_assert(nlohmann::json::parse(nodes.peers.forwarded.body.view())["model"] == "lessons@2", "%s", std::string(nodes.peers.forwarded.body.view()).c_str());
+    cr_assert(nlohmann::json::parse(nodes.peers.forwarded.body.view())["model"] == "lessons@2", "%s",
+        std::string(nodes.peers.forwarded.body.view()).c_str());
 }
 
 Test(callerfrontend, unknownForwardedVersionIsNotReady)
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -209,7 +209,8 @@
             ++service->bodies[std::string(request.body.view())];
         }
         respondJson(*exchange, 200,
-            Json { { "path", request.path }, { "receipt", service->total }, { "runs_of_key", runs }, { "body", request.body.view() } }.dump());
+            Json { { "path", request.path }, { "receipt", service->total }, { "runs_of_key", runs }, { "body", request.body.view() } }
+                .dump());
     };
 }
 
--- a/transport/connectionwatch.cpp
+++ b/transport/connectionwatch.cpp
@@ -1,9 +1,12 @@
 #include "transport/connectionwatch.h"
 
+#include "transport/memoryrefusal.h"
+
 #include <sys/socket.h>
 
-#include <algorithm>
+#include <string>
 #include <string_view>
+#include <utility>
 
 namespace ApricotStep
 {
@@ -15,27 +18,78 @@
     "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: 159\r\n\r\n"
     R"({"error":{"message":"The request did not arrive whole in time.","type":"invalid_request_error","code":"request_timeout","not_run":true,"retry":"same_request"}})";
 
-// Callers reuse a connection within this time when they send several requests in a row.
-constexpr Duration CrowdedLimit { 2000 };
+// How long a client may read an answer that it got before it had sent its body.
+constexpr Duration RefusedLimit { 2000 };
+// A body of which no part has arrived for so long may give way to other connections.
+constexpr Duration StallLimit { 1000 };
 
 } // namespace
 
-ConnectionWatch::ConnectionWatch(const Clock &clock, Duration arrivalLimit)
+ConnectionWatch::ConnectionWatch(const Clock &clock, Duration arrivalLimit, std::function<void(ClientLimit)> onLimit)
     : m_clock(clock)
+    , m_onLimit(std::move(onLimit))
     , m_limit(arrivalLimit)
 {
 }
 
 void ConnectionWatch::opened(int socket, bool isPlain)
 {
+    WatchedConnection watched;
+    watched.since = m_clock.now();
+    watched.isPlain = isPlain;
     const absl::MutexLock lock(&m_mutex);
-    m_connections[socket] = WatchedConnection { m_clock.now(), false, isPlain };
+    m_connections[socket] = std::move(watched);
 }
 
 void ConnectionWatch::closed(int socket)
 {
     const absl::MutexLock lock(&m_mutex);
-    m_connections.erase(socket);
+    const auto at = m_connections.find(socket);
+    if (at != m_connections.end()) {
+        m_endedCount -= at->second.isEnded ? 1 : 0;
+        m_connections.erase(at);
+    }
+}
+
+void ConnectionWatch::headArrived(int socket)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto at = m_connections.find(socket);
+    if (at != m_connections.end()) {
+        at->second.phase = Phase::ReceivingBody;
+        at->second.since = m_clock.now();
+        at->second.deadline = at->second.since + m_limit;
+    }
+}
+
+void ConnectionWatch::bodyArrived(int socket)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto at = m_connections.find(socket);
+    if (at != m_connections.end()) {
+        at->second.since = m_clock.now();
+    }
+}
+
+void ConnectionWatch::limitBody(int socket, Time deadline, std::shared_ptr<BodyReservation> reservation)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto at = m_connections.find(socket);
+    if (at != m_connections.end()) {
+        at->second.deadline = deadline;
+        at->second.reservation = std::move(reservation);
+    }
+}
+
+void ConnectionWatch::refused(int socket)
+{
+    const absl::MutexLock lock(&m_mutex);
+    const auto at = m_connections.find(socket);
+    if (at != m_connections.end()) {
+        at->second.phase = Phase::Refused;
+        at->second.since = m_clock.now();
+        at->second.reservation.reset();
+    }
 }
 
 bool ConnectionWatch::requestArrived(int socket)
@@ -45,7 +99,8 @@
     if (at == m_connections.end()) {
         return true;
     }
-    at->second.isServing = true;
+    at->second.phase = Phase::Serving;
+    at->second.reservation.reset();
     return !at->second.isEnded;
 }
 
@@ -54,26 +109,91 @@
     const absl::MutexLock lock(&m_mutex);
     const auto at = m_connections.find(socket);
     if (at != m_connections.end()) {
-        at->second.isServing = false;
+        at->second.phase = Phase::AwaitingHead;
         at->second.since = m_clock.now();
+        at->second.reservation.reset();
+        at->second.isUsed = true;
+    }
+}
+
+void ConnectionWatch::setArrivalLimit(Duration limit)
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_limit = limit;
+}
+
+void ConnectionWatch::end(int socket, WatchedConnection &watched, ClientLimit limit)
+{
+    if (watched.isPlain && watched.phase != Phase::Refused) {
+        const std::string answer = limit == ClientLimit::BodyPace ? memoryRefusal() : std::string(TimeoutAnswer);
+        send(socket, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    shutdown(socket, SHUT_RDWR);
+    watched.isEnded = true; // MHD closes the connection when it reads the end of the input.
+    ++m_endedCount;
+    // That a client leaves its connection idle until it is closed is usual.
+    const bool isUsual = watched.phase == Phase::Refused || (watched.phase == Phase::AwaitingHead && limit == ClientLimit::ArrivalTime);
+    if (m_onLimit && !isUsual) {
+        m_onLimit(limit);
     }
 }
 
-void ConnectionWatch::closeOverdue(bool isCrowded)
+void ConnectionWatch::closeOverdue()
 {
     const Time now = m_clock.now();
-    const Duration limit = isCrowded ? std::min(m_limit, CrowdedLimit) : m_limit;
     const absl::MutexLock lock(&m_mutex);
     for (auto &[socket, watched] : m_connections) {
-        if (watched.isServing || watched.isEnded || now - watched.since <= limit) {
+        if (watched.isEnded || watched.phase == Phase::Serving) {
             continue;
         }
-        if (watched.isPlain) {
-            send(socket, TimeoutAnswer.data(), TimeoutAnswer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        const bool isReceiving = watched.phase == Phase::ReceivingBody;
+        const Duration limit = watched.phase == Phase::Refused ? RefusedLimit : m_limit;
+        if (isReceiving && watched.reservation != nullptr && watched.reservation->isTakenBack()) {
+            end(socket, watched, ClientLimit::BodyPace);
+        } else if (isReceiving ? now > watched.deadline : now - watched.since > limit) {
+            end(socket, watched, ClientLimit::ArrivalTime);
         }
-        shutdown(socket, SHUT_RDWR);
-        watched.isEnded = true; // MHD closes the connection when it reads the end of the input.
     }
 }
 
+int ConnectionWatch::usefulness(const WatchedConnection &watched, Time now) const
+{
+    if (watched.isEnded || watched.phase == Phase::Serving) {
+        return -1;
+    }
+    if (watched.phase == Phase::Refused) {
+        return 0;
+    }
+    if (watched.phase == Phase::AwaitingHead) {
+        return watched.isUsed ? 2 : 1;
+    }
+    return now - watched.since > StallLimit ? 3 : -1;
+}
+
+bool ConnectionWatch::closeLeastUseful()
+{
+    const Time now = m_clock.now();
+    const absl::MutexLock lock(&m_mutex);
+    int leastSocket = -1;
+    std::pair<int, Time> least;
+    for (const auto &[socket, watched] : m_connections) {
+        const std::pair<int, Time> rank { usefulness(watched, now), watched.since };
+        if (rank.first >= 0 && (leastSocket < 0 || rank < least)) {
+            leastSocket = socket;
+            least = rank;
+        }
+    }
+    if (leastSocket < 0) {
+        return false;
+    }
+    end(leastSocket, m_connections[leastSocket], ClientLimit::IdleConnection);
+    return true;
+}
+
+std::size_t ConnectionWatch::openCount() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_connections.size() - m_endedCount;
+}
+
 } // namespace ApricotStep
--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -40,6 +40,8 @@
 constexpr int SystemReceiveBufferBytes = 256 << 10;
 // Connections kept for reuse, over all upstreams: a few to each upstream of the largest fleet.
 constexpr long MaxKeptConnections = 256;
+// Handles of ended calls that are kept for others. Each keeps its buffers.
+constexpr std::size_t MaxIdleHandles = 32;
 // An unresponsive peer is detected after one second without traffic and two keepalive probes one second apart.
 constexpr long KeepAliveSeconds = 1;
 
@@ -429,7 +431,11 @@
 {
     if (transfer.easy != nullptr) {
         curl_multi_remove_handle(multi, transfer.easy);
-        idleHandles.push_back(transfer.easy);
+        if (idleHandles.size() < MaxIdleHandles) {
+            idleHandles.push_back(transfer.easy);
+        } else {
+            curl_easy_cleanup(transfer.easy);
+        }
     }
     const auto finished = std::move(transfers.extract(transfer.id).mapped());
     if (finished->call.onDone) {
--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -1,12 +1,16 @@
 #include "transport/httpserver.h"
 
+#include "core/errors.h"
+#include "protocol/callerapi.h"
 #include "transport/connectionwatch.h"
+#include "transport/memoryrefusal.h"
 #include "transport/mhdexchange.h"
 #include "transport/tlsgeneration.h"
 
 #include <absl/container/flat_hash_set.h>
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -15,6 +19,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <limits>
 #include <thread>
 #include <utility>
 
@@ -24,21 +29,23 @@
 namespace
 {
 
-constexpr std::string_view TooLargeBody =
-    R"({"error":{"message":"The request is larger than this node accepts.","type":"invalid_request_error","code":"request_too_large","not_run":true,"retry":"never"}})";
-constexpr int TooLargeStatus = 413;
-constexpr const char *TlsPriorities = "SECURE256:SECURE128:-VERS-ALL:+VERS-TLS1.3:+VERS-TLS1.2";
-constexpr std::string_view MalformedBody =
-    R"({"error":{"message":"The request is malformed.","type":"invalid_request_error","code":"bad_request","not_run":true,"retry":"never"}})";
-constexpr int MalformedStatus = 400;
 constexpr std::string_view LargeHeadBody =
     R"({"error":{"message":"The head of the request is larger than this node accepts.","type":"invalid_request_error","code":"head_too_large","not_run":true,"retry":"never"}})";
 constexpr int LargeHeadStatus = 431;
+constexpr const char *TlsPriorities = "SECURE256:SECURE128:-VERS-ALL:+VERS-TLS1.3:+VERS-TLS1.2";
 // What libmicrohttpd keeps for each field, query parameter and cookie.
 constexpr std::size_t EntryBytes = 64;
 constexpr std::size_t MinAverageEntryBytes = 8;
-// A server is crowded when less than one part in so many of its connections is free.
-constexpr std::size_t CrowdedDivisor = 8;
+// First reservation for a body in chunks.
+constexpr std::size_t MinBodyReservation = 4U << 10U;
+// Buffers of the system for a connection on which nothing large arrives. More than that may wait where a large body has arrived before.
+constexpr std::size_t SystemBufferBytes = 64U << 10U;
+constexpr int LargeBodyReceiveBytes = 256 << 10;
+constexpr int OtherReceiveBytes = 32 << 10;
+// A client that sends on after it was refused has its connection closed before it has read the answer.
+constexpr std::size_t MaxDroppedBytes = std::size_t(4) << 20U;
+// Connections beyond the limit that libmicrohttpd may have open while others close in their favour.
+constexpr std::size_t ClosingConnections = 64;
 // Buffers for the body, and headers that libmicrohttpd adds to an answer.
 constexpr std::size_t OtherConnectionBytes = 2U << 10U;
 
@@ -74,9 +81,25 @@
     absl::Mutex mutex;
     absl::flat_hash_set<std::shared_ptr<MhdExchange>> exchanges ABSL_GUARDED_BY(mutex);
 
-    /** Callers could not connect before long if idle connections stayed open. */
-    bool isCrowded() const;
     void checkConnections();
+    /** What a connection counts in the memory that is shared. */
+    std::size_t connectionCost() const
+    {
+        return connectionBytes + SystemBufferBytes;
+    }
+    /** Whether a new connection may open, if need be in place of another one. */
+    bool admitsConnection();
+    void report(ClientLimit limit) const;
+    void refuseForMemory(MhdExchange &exchange) const;
+    /** Whether the large body of a request may arrive, of which @p bytes are to be kept. Otherwise the request has been answered. */
+    bool admitLargeBody(MHD_Connection *connection, MhdExchange &exchange, std::uint64_t bytes);
+    /** Whether @p bytes of the body may be kept. Otherwise the request has been answered. */
+    bool makeRoom(MHD_Connection *connection, MhdExchange &exchange, std::size_t bytes);
+    /** Sends the answer of a request whose body has not arrived, and drops the body. */
+    MHD_Result refuseBody(MHD_Connection *connection, MhdExchange &exchange);
+    MHD_Result onHead(MHD_Connection *connection, const char *url, const char *method, const std::shared_ptr<MhdExchange> &exchange);
+    MHD_Result onBody(MHD_Connection *connection, MhdExchange &exchange, std::string_view part);
+    MHD_Result onEnd(MHD_Connection *connection, MhdExchange &exchange);
     void checkConnectionsLoop();
     MHD_Result onAccess(MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **state);
     void onCompleted(MHD_Connection *connection, void **state, MHD_RequestTerminationCode code);
@@ -238,63 +261,271 @@
     return at == parameters.end() ? std::string() : at->second;
 }
 
-MHD_Result HttpServer::Private::onAccess(
-    MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **state)
+namespace
 {
-    // MHD calls this several times for one request: at its headers, for each part of its body, at its end and after each resume. The
-    // handler is called only once, at the end of the request; otherwise the request would be admitted and run more than once.
-    auto *exchange = static_cast<std::shared_ptr<MhdExchange> *>(*state)->get();
-    HttpRequest &request = exchange->request;
-    if (request.method.empty()) {
-        request.method = method;
-        request.path = url;
-        request.peer = peerAddress(connection);
-        MHD_get_connection_values(connection, MHD_HEADER_KIND, addHeader, &request);
-        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, addParameter, &request);
-        active.fetch_add(1);
-        {
-            const absl::MutexLock lock(&mutex);
-            exchanges.insert(*static_cast<std::shared_ptr<MhdExchange> *>(*state));
-        }
-        const std::size_t used = usedMemory(connection);
-        const std::size_t available = connectionBytes > used ? connectionBytes - used : 0;
-        exchange->setMaxAnswerHeadBytes(available);
-        const bool isHeadTooLarge = headBytesOf(connection) > *maxHeaderBytes || available < settings.maxAnswerHeadBytes;
-        if (isHeadTooLarge || hasAmbiguousLength(request)) {
-            exchange->isHandled = true;
-            exchange->respond(isHeadTooLarge ? LargeHeadStatus : MalformedStatus,
-                { { "Content-Type", "application/json" }, { "Connection", "close" } },
-                std::string(isHeadTooLarge ? LargeHeadBody : MalformedBody));
-            return exchange->answerOrSuspend();
+
+std::optional<std::uint64_t> announcedLength(const HttpRequest &request)
+{
+    if (!request.header("transfer-encoding").empty()) {
+        return std::nullopt;
+    }
+    const std::string length = request.header("content-length");
+    std::uint64_t bytes = 0;
+    if (!length.empty() && !absl::SimpleAtoi(length, &bytes)) {
+        return std::numeric_limits<std::uint64_t>::max(); // More digits than any length that can be kept.
+    }
+    return bytes;
+}
+
+void setReceiveBuffer(MHD_Connection *connection, int bytes)
+{
+    // Without it a peer that sends more than is read could fill megabytes. A system that does not obey has buffers of its own size.
+    static_cast<void>(setsockopt(socketOf(connection), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes));
+}
+
+void refuse(MhdExchange &exchange, ErrorKind kind, Duration retryAfter = Duration())
+{
+    HttpHeaders headers { { "Content-Type", "application/json" }, { "Connection", "close" } };
+    ErrorDetails details;
+    details.retryAfter = retryAfter;
+    if (retryAfter > Duration()) {
+        headers.emplace_back("Retry-After", retryAfterText(retryAfter));
+    }
+    exchange.respond(errorAnswer(kind).httpStatus, headers, errorBody(kind, details));
+}
+
+} // namespace
+
+std::string_view clientLimitName(ClientLimit limit)
+{
+    switch (limit) {
+    case ClientLimit::BodySize:
+        return "body_size";
+    case ClientLimit::BodyMemory:
+        return "body_memory";
+    case ClientLimit::BodyPace:
+        return "body_pace";
+    case ClientLimit::ArrivalTime:
+        return "arrival_time";
+    case ClientLimit::IdleConnection:
+        return "idle_connection";
+    case ClientLimit::Connections:
+        return "connections";
+    }
+    return "unknown";
+}
+
+void HttpServer::Private::report(ClientLimit limit) const
+{
+    if (settings.onClientLimit) {
+        settings.onClientLimit(limit);
+    }
+}
+
+bool HttpServer::Private::admitsConnection()
+{
+    const bool isBelowLimit = watch->openCount() < maxConnections;
+    if (isBelowLimit && (settings.memory == nullptr || settings.memory->hasRoomForConnection(connectionCost()))) {
+        return true;
+    }
+    if (watch->closeLeastUseful()) {
+        return true;
+    }
+    report(ClientLimit::Connections);
+    return false;
+}
+
+void HttpServer::Private::refuseForMemory(MhdExchange &exchange) const
+{
+    report(ClientLimit::BodyMemory);
+    refuse(exchange, ErrorKind::NoMemory, retryDelayForMemory());
+}
+
+bool HttpServer::Private::admitLargeBody(MHD_Connection *connection, MhdExchange &exchange, std::uint64_t bytes)
+{
+    BodyTerms terms { settings.maxBodyBytes, settings.arrivalTimeout };
+    if (settings.onLargeBody) {
+        const auto decided = settings.onLargeBody(exchange.request, exchange);
+        if (!decided) {
+            return false;
         }
-        exchange->closesConnection = isClosingAfterAnswers;
-        return MHD_YES;
+        terms = *decided;
     }
-    if (*size > 0) {
-        exchange->isTooLarge = exchange->isTooLarge || exchange->body.size() + *size > settings.maxBodyBytes;
-        if (!exchange->isTooLarge) {
-            exchange->body.append({ data, *size });
+    if (bytes > terms.maxBytes) {
+        report(ClientLimit::BodySize);
+        refuse(exchange, ErrorKind::RequestTooLarge);
+        return false;
+    }
+    const Time now = clock.now();
+    if (settings.memory != nullptr) {
+        exchange.reservedBytes = exchange.announcedBytes ? bytes : std::min<std::size_t>(bytes * 2, terms.maxBytes);
+        const std::size_t reserved = exchange.reservedBytes + LargeBodyReceiveBytes;
+        exchange.reservation.reset();
+        exchange.reservation = settings.memory->reserve(reserved, now + terms.timeout, now);
+        if (exchange.reservation == nullptr) {
+            refuseForMemory(exchange);
+            return false;
         }
-        *size = 0;
-        return MHD_YES;
     }
-    if (!exchange->isHandled) {
+    exchange.terms = terms;
+    watch->limitBody(socketOf(connection), now + terms.timeout, exchange.reservation);
+    setReceiveBuffer(connection, LargeBodyReceiveBytes);
+    return true;
+}
+
+bool HttpServer::Private::makeRoom(MHD_Connection *connection, MhdExchange &exchange, std::size_t bytes)
+{
+    if (!exchange.terms && bytes > std::min(SmallBodyBytes, settings.maxBodyBytes)) {
+        return admitLargeBody(connection, exchange, bytes);
+    }
+    const std::size_t maxBytes = exchange.terms ? exchange.terms->maxBytes : settings.maxBodyBytes;
+    if (bytes > maxBytes) {
+        report(ClientLimit::BodySize);
+        refuse(exchange, ErrorKind::RequestTooLarge);
+        return false;
+    }
+    if (settings.memory == nullptr || bytes <= exchange.reservedBytes) {
+        return true;
+    }
+    const std::size_t announced = exchange.announcedBytes ? static_cast<std::size_t>(*exchange.announcedBytes) : 0;
+    const std::size_t wanted = std::min(std::max({ bytes, announced, exchange.reservedBytes * 2, MinBodyReservation }), maxBytes);
+    const std::size_t systemBytes = exchange.terms ? LargeBodyReceiveBytes : 0;
+    if (exchange.reservation == nullptr) {
+        const Time now = clock.now();
+        exchange.reservation = settings.memory->reserve(wanted, now + settings.arrivalTimeout, now);
+    } else if (!exchange.reservation->resize(wanted + systemBytes)) {
+        exchange.reservation.reset();
+    }
+    if (exchange.reservation == nullptr) {
+        refuseForMemory(exchange);
+        return false;
+    }
+    exchange.reservedBytes = wanted;
+    return true;
+}
+
+MHD_Result HttpServer::Private::refuseBody(MHD_Connection *connection, MhdExchange &exchange)
+{
+    exchange.isHandled = true;
+    exchange.body = ByteBuffer();
+    exchange.reservation.reset();
+    exchange.isRefused = true;
+    const int socket = socketOf(connection);
+    watch->refused(socket);
+    if (settings.tls != nullptr) {
+        return MHD_NO;
+    }
+    // libmicrohttpd cannot answer within a body. A connection that closes while bytes arrive is reset, which can destroy the answer before
+    // its client reads it, so the rest of the body is read for a while.
+    const std::string answer = exchange.rawAnswer();
+    send(socket, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    shutdown(socket, SHUT_WR);
+    setReceiveBuffer(connection, OtherReceiveBytes);
+    return MHD_YES;
+}
+
+MHD_Result HttpServer::Private::onHead(
+    MHD_Connection *connection, const char *url, const char *method, const std::shared_ptr<MhdExchange> &exchange)
+{
+    HttpRequest &request = exchange->request;
+    request.method = method;
+    request.path = url;
+    request.peer = peerAddress(connection);
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, addHeader, &request);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, addParameter, &request);
+    active.fetch_add(1);
+    {
+        const absl::MutexLock lock(&mutex);
+        exchanges.insert(exchange);
+    }
+    watch->headArrived(socketOf(connection));
+    const std::size_t used = usedMemory(connection);
+    const std::size_t available = connectionBytes > used ? connectionBytes - used : 0;
+    exchange->setMaxAnswerHeadBytes(available);
+    const bool isHeadTooLarge = headBytesOf(connection) > *maxHeaderBytes || available < settings.maxAnswerHeadBytes;
+    if (isHeadTooLarge || hasAmbiguousLength(request)) {
         exchange->isHandled = true;
-        if (!watch->requestArrived(socketOf(connection))) {
-            return MHD_NO;
-        }
-        if (exchange->isTooLarge) {
-            exchange->respond(TooLargeStatus, { { "Content-Type", "application/json" } }, std::string(TooLargeBody));
+        if (isHeadTooLarge) {
+            exchange->respond(
+                LargeHeadStatus, { { "Content-Type", "application/json" }, { "Connection", "close" } }, std::string(LargeHeadBody));
         } else {
-            if (exchange->body.size() > 0) {
-                request.body = SharedBytes(std::move(exchange->body), nullptr);
-            }
-            handler(std::exchange(request, HttpRequest { "handled" }), exchange->shared_from_this());
+            refuse(*exchange, ErrorKind::BadRequest);
         }
+        return exchange->answerOrSuspend();
+    }
+    exchange->closesConnection = isClosingAfterAnswers;
+    exchange->announcedBytes = announcedLength(request);
+    const std::uint64_t announced = exchange->announcedBytes.value_or(0);
+    if (announced <= std::min(SmallBodyBytes, settings.maxBodyBytes) || admitLargeBody(connection, *exchange, announced)) {
+        return MHD_YES;
     }
+    if (settings.tls == nullptr && request.header("expect").empty()) {
+        return refuseBody(connection, *exchange);
+    }
+    exchange->isHandled = true;
     return exchange->answerOrSuspend();
 }
 
+MHD_Result HttpServer::Private::onBody(MHD_Connection *connection, MhdExchange &exchange, std::string_view part)
+{
+    if (exchange.isRefused) {
+        exchange.droppedBytes += part.size();
+        return exchange.droppedBytes <= MaxDroppedBytes ? MHD_YES : MHD_NO;
+    }
+    const std::size_t bytes = exchange.body.size() + part.size();
+    if (!makeRoom(connection, exchange, bytes)) {
+        return refuseBody(connection, exchange);
+    }
+    if (exchange.body.size() == 0 && exchange.announcedBytes) {
+        exchange.body.reserve(static_cast<std::size_t>(*exchange.announcedBytes));
+    }
+    exchange.body.append(part);
+    if (exchange.reservation != nullptr) {
+        exchange.reservation->onArrived(bytes);
+    }
+    watch->bodyArrived(socketOf(connection));
+    return MHD_YES;
+}
+
+MHD_Result HttpServer::Private::onEnd(MHD_Connection *connection, MhdExchange &exchange)
+{
+    exchange.isHandled = true;
+    if (!watch->requestArrived(socketOf(connection))) {
+        return MHD_NO;
+    }
+    if (exchange.terms) {
+        setReceiveBuffer(connection, OtherReceiveBytes);
+    }
+    if (exchange.body.size() > 0) {
+        if (exchange.reservation != nullptr) {
+            exchange.reservation->onComplete(exchange.body.size());
+        }
+        exchange.request.body = SharedBytes(std::move(exchange.body), std::exchange(exchange.reservation, nullptr));
+    }
+    HttpRequest handled;
+    handled.method = "handled";
+    handler(std::exchange(exchange.request, std::move(handled)), exchange.shared_from_this());
+    return exchange.answerOrSuspend();
+}
+
+MHD_Result HttpServer::Private::onAccess(
+    MHD_Connection *connection, const char *url, const char *method, const char *data, std::size_t *size, void **state)
+{
+    // MHD calls this several times for one request: at its headers, for each part of its body, at its end and after each resume. The
+    // handler is called only once, at the end of the request; otherwise the request would be admitted and run more than once.
+    const std::shared_ptr<MhdExchange> exchange = *static_cast<std::shared_ptr<MhdExchange> *>(*state);
+    if (exchange->request.method.empty()) {
+        return onHead(connection, url, method, exchange);
+    }
+    if (*size > 0) {
+        return onBody(connection, *exchange, { data, std::exchange(*size, 0) });
+    }
+    if (exchange->isRefused) {
+        return MHD_NO;
+    }
+    return exchange->isHandled ? exchange->answerOrSuspend() : onEnd(connection, *exchange);
+}
+
 void HttpServer::Private::onCompleted(MHD_Connection *connection, void **state, MHD_RequestTerminationCode code)
 {
     watch->requestCompleted(socketOf(connection));
@@ -317,12 +548,6 @@
     *state = nullptr;
 }
 
-bool HttpServer::Private::isCrowded() const
-{
-    const auto *info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-    return info != nullptr && info->num_connections > maxConnections - maxConnections / CrowdedDivisor;
-}
-
 void HttpServer::Private::checkConnections()
 {
     std::vector<std::shared_ptr<MhdExchange>> current;
@@ -333,7 +558,10 @@
     for (const auto &exchange : current) {
         exchange->checkCallerGone();
     }
-    watch->closeOverdue(isCrowded());
+    if (settings.memory != nullptr) {
+        settings.memory->takeBack(clock.now());
+    }
+    watch->closeOverdue();
 }
 
 void HttpServer::Private::checkConnectionsLoop()
@@ -368,8 +596,14 @@
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
         *socketContext = this;
         watch->opened(socketOf(connection), settings.tls == nullptr);
+        if (settings.memory != nullptr) {
+            settings.memory->onConnectionOpened(connectionCost());
+        }
     } else {
         watch->closed(socketOf(connection));
+        if (settings.memory != nullptr) {
+            settings.memory->onConnectionClosed(connectionCost());
+        }
     }
 }
 
@@ -406,7 +640,7 @@
     const auto notify = [](void *context, MHD_Connection *connection, void **socketContext, MHD_ConnectionNotificationCode code) {
         static_cast<Private *>(context)->onConnection(connection, socketContext, code);
     };
-    d->watch = std::make_unique<ConnectionWatch>(d->clock, settings.arrivalTimeout);
+    d->watch = std::make_unique<ConnectionWatch>(d->clock, settings.arrivalTimeout, settings.onClientLimit);
     d->connectionBytes = connectionMemory(settings);
     d->maxHeaderBytes = std::move(maxHeaderBytes);
     d->maxConnections = static_cast<std::size_t>(settings.maxConnections);
@@ -420,7 +654,7 @@
         { MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<std::intptr_t>(static_cast<MHD_NotifyConnectionCallback>(+notify)), d },
         { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&onUri), d },
         { MHD_OPTION_THREAD_POOL_SIZE, settings.threads > 1 && !settings.isDriven ? settings.threads : 0, nullptr },
-        { MHD_OPTION_CONNECTION_LIMIT, static_cast<std::intptr_t>(d->maxConnections), nullptr },
+        { MHD_OPTION_CONNECTION_LIMIT, static_cast<std::intptr_t>(d->maxConnections + ClosingConnections), nullptr },
         { MHD_OPTION_CONNECTION_TIMEOUT, settings.idleTimeout.milliseconds() / 1000, nullptr },
         { MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(d->connectionBytes), nullptr },
     };
@@ -435,7 +669,10 @@
     const unsigned int polling = settings.isDriven ? MHD_USE_EPOLL : MHD_USE_EPOLL_INTERNAL_THREAD;
     const unsigned int flags =
         polling | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | (settings.tls != nullptr ? static_cast<unsigned int>(MHD_USE_TLS) : 0U);
-    d->daemon = MHD_start_daemon(flags, settings.port, nullptr, nullptr, +access, d, MHD_OPTION_ARRAY, options.data(), MHD_OPTION_END);
+    const auto accept = [](void *context, const sockaddr *, socklen_t) -> MHD_Result {
+        return static_cast<Private *>(context)->admitsConnection() ? MHD_YES : MHD_NO;
+    };
+    d->daemon = MHD_start_daemon(flags, settings.port, +accept, d, +access, d, MHD_OPTION_ARRAY, options.data(), MHD_OPTION_END);
     if (d->daemon == nullptr) {
         return Error { ErrorKind::SettingsInvalid, "cannot listen on " + settings.address + ":" + std::to_string(settings.port) };
     }
@@ -501,6 +738,11 @@
     return true;
 }
 
+void HttpServer::setArrivalTimeout(Duration timeout)
+{
+    d->watch->setArrivalLimit(timeout);
+}
+
 std::size_t HttpServer::maxHeaderBytes() const
 {
     return *d->maxHeaderBytes;
--- a/transport/httpserver.h
+++ b/transport/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/requestmemory.h"
 #include "core/clock.h"
 #include "core/result.h"
 #include "core/sharedbytes.h"
@@ -10,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -83,6 +85,39 @@
 /** Called once for each complete request, on a server thread; must not block. */
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
 
+/** What a large body may take. */
+struct BodyTerms
+{
+    std::size_t maxBytes = 0;
+    /** How long it may take to arrive. */
+    Duration timeout;
+};
+
+/**
+ * Called on a server thread when the head of a request with a large body has arrived, or when a body in chunks has become large; must not
+ * block. May answer the request, whose body is not read then, and returns nothing in that case.
+ */
+using LargeBodyHandler = std::function<std::optional<BodyTerms>(const HttpRequest &head, HttpExchange &exchange)>;
+
+/** A limit that a client has met. */
+enum class ClientLimit {
+    /** The body of its request is too large. */
+    BodySize,
+    /** There is no memory for the body of its request. */
+    BodyMemory,
+    /** Its request arrived too slowly for the memory that others need. */
+    BodyPace,
+    /** Its request, or the next one on its connection, did not arrive in time. */
+    ArrivalTime,
+    /** Its connection was closed in favour of a new one. */
+    IdleConnection,
+    /** Its connection was not accepted. */
+    Connections,
+};
+
+/** The name of @p limit in metrics and logs. */
+std::string_view clientLimitName(ClientLimit limit);
+
 struct HttpServerSettings
 {
     /** IPv4 address to listen on. */
@@ -91,13 +126,21 @@
     std::uint16_t port = 0;
     /** 1 to 64. */
     int threads = 2;
+    /** Largest body of a request, unless onLargeBody says otherwise. A larger one is refused with 413, at the head if that announces it. */
     std::size_t maxBodyBytes = 8U << 20U;
+    /** Decides on requests with large bodies before these arrive. May be empty. */
+    LargeBodyHandler onLargeBody;
+    /** The memory that connections and bodies share, also those of other servers. Null means no limit. */
+    std::shared_ptr<RequestMemory> memory;
+    /** Called for each client that meets a limit, on a server thread. May be empty. */
+    std::function<void(ClientLimit)> onClientLimit;
     /** Limit on the head of a request: its first line and its header fields as they arrive. A larger one is refused with 431. */
     std::size_t maxHeaderBytes = 32U << 10U;
     /** Room for the head of an answer, whatever the head of its request. */
     std::size_t maxAnswerHeadBytes = 16U << 10U;
     /** A connection on which nothing is sent or received for this long is closed; 1 to 3600 s. */
     Duration idleTimeout = Duration::seconds(75);
+    /** A new connection beyond this takes the place of one without a request, or is closed if there is none. */
     int maxConnections = 4096;
     /**
      * Limit on the memory of all connections together; 0 means none. It reduces the number of connections down to MinConnections, and then
@@ -107,9 +150,9 @@
     /** Unread bytes of a stream above which write() returns false. */
     std::size_t streamBufferBytes = 256U << 10U;
     /**
-     * A connection whose next request has not arrived completely within this time is closed, over plain HTTP with a 408 answer; 100 ms to
-     * 1 h. The time starts when the connection opens or its previous request ends, so that it also limits how long a connection may be
-     * idle.
+     * A connection on which the next head has not arrived within this time is closed, over plain HTTP with a 408 answer; 100 ms to 1 h. The
+     * time starts when the connection opens or its previous request ends, so that it also limits how long a connection may be idle. The
+     * same time applies from the head to the end of the body, unless onLargeBody says otherwise.
      */
     Duration arrivalTimeout = Duration::seconds(75);
     /** The server uses TLS when this is set. */
@@ -159,6 +202,8 @@
      */
     bool setMaxHeaderBytes(std::size_t bytes);
     std::size_t maxHeaderBytes() const;
+    /** Applies another arrival timeout to all connections. */
+    void setArrivalTimeout(Duration timeout);
     /**
      * Starts a server that takes the place of this one, with another limit on the heads of requests. This one accepts no new connections,
      * and closes each of its own after the next answer. Errors: SettingsInvalid when the server cannot be started.
--- a/transport/mhdexchange.cpp
+++ b/transport/mhdexchange.cpp
@@ -1,10 +1,13 @@
 #include "transport/mhdexchange.h"
 
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 #include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 namespace ApricotStep
 {
@@ -14,6 +17,11 @@
 
 constexpr std::size_t StreamBlockBytes = 16U << 10U;
 
+void freeBody(void *body)
+{
+    delete static_cast<std::string *>(body);
+}
+
 // Bytes that the peer sent before it closed the connection hide the end of the input from recv().
 bool isClosedByPeer(int socket)
 {
@@ -130,6 +138,25 @@
     m_maxAnswerHeadBytes = bytes;
 }
 
+bool MhdExchange::hasAnswer() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_hasAnswer;
+}
+
+std::string MhdExchange::rawAnswer() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    std::string answer = absl::StrCat("HTTP/1.1 ", m_status, " ", MHD_get_reason_phrase_for(static_cast<unsigned int>(m_status)), "\r\n");
+    for (const auto &[name, value] : m_headers) {
+        if (!absl::EqualsIgnoreCase(name, MHD_HTTP_HEADER_CONNECTION)) {
+            absl::StrAppend(&answer, name, ": ", value, "\r\n");
+        }
+    }
+    absl::StrAppend(&answer, "Connection: close\r\nContent-Length: ", m_body.size(), "\r\n\r\n", m_body);
+    return answer;
+}
+
 int MhdExchange::pendingStatus() const
 {
     const absl::MutexLock lock(&m_mutex);
@@ -166,12 +193,13 @@
     if (m_isAborted) {
         return MHD_NO;
     }
-    MHD_Response *response = m_isWhole
-        ? MHD_create_response_from_buffer(m_body.size(), m_body.data(), MHD_RESPMEM_MUST_COPY)
-        : MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, StreamBlockBytes, &MhdExchange::read, this, nullptr);
+    MHD_Response *response = nullptr;
     if (m_isWhole) {
         m_queuedBytes = m_body.size();
-        m_body = std::string();
+        auto *body = new std::string(std::exchange(m_body, {}));
+        response = MHD_create_response_from_buffer_with_free_callback_cls(body->size(), body->data(), &freeBody, body);
+    } else {
+        response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, StreamBlockBytes, &MhdExchange::read, this, nullptr);
     }
     for (const auto &[name, value] : m_headers) {
         MHD_add_response_header(response, name.c_str(), value.c_str());
--- a/transport/mhdexchange.h
+++ b/transport/mhdexchange.h
@@ -8,7 +8,10 @@
 #include <microhttpd.h>
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace ApricotStep
 {
@@ -28,10 +31,18 @@
 
     // Used only on the connection's server thread.
     HttpRequest request;
+    bool isHandled = false;
     /** What has arrived of the body. */
     ByteBuffer body;
-    bool isTooLarge = false;
-    bool isHandled = false;
+    /** The length of the body by the head; unset if it comes in chunks. */
+    std::optional<std::uint64_t> announcedBytes;
+    std::shared_ptr<BodyReservation> reservation;
+    std::size_t reservedBytes = 0;
+    /** Set once a large body has been admitted. */
+    std::optional<BodyTerms> terms;
+    /** The request was answered before its body had arrived. The rest of the body is read and dropped. */
+    bool isRefused = false;
+    std::size_t droppedBytes = 0;
     /** The answer announces that the connection closes after it. */
     bool closesConnection = false;
 
@@ -46,6 +57,9 @@
     void onDrained(std::function<void()> callback) override;
     void onCallerGone(std::function<void()> callback) override;
 
+    bool hasAnswer() const;
+    /** The bytes of an answer that was given by respond(), which closes the connection. Nothing else is sent for it. */
+    std::string rawAnswer() const;
     /** To be called before the request is handled. */
     void setMaxAnswerHeadBytes(std::size_t bytes);
     /** The status of an answer that is queued although its caller is still connected; 0 otherwise. */
