Serve callers over TLS where the settings say so

callers.tls_certificate and callers.tls_key were read by no code: a node with INI settings served plain HTTP whatever they said, and SIGHUP reloaded nothing.

The node now loads the two files before it listens, and a setting without the other, or files that cannot be read, end the start with an error.

--- a/main/node.cpp
+++ b/main/node.cpp
@@ -34,6 +34,20 @@
     return Incarnation(static_cast<std::uint64_t>(clock.wallTime().milliseconds()) * RandomRange + random() % RandomRange);
 }
 
+// Returns null if callers are served without TLS.
+Result<std::shared_ptr<TlsCredentials>> callerCredentials(const Settings &settings)
+{
+    const std::string &certificate = settings.text("callers.tls_certificate");
+    const std::string &key = settings.text("callers.tls_key");
+    if (certificate.empty() && key.empty()) {
+        return std::shared_ptr<TlsCredentials>();
+    }
+    if (certificate.empty() || key.empty()) {
+        return Error { ErrorKind::SettingsInvalid, "set both callers.tls_certificate and callers.tls_key, or none" };
+    }
+    return TlsCredentials::load(certificate, key);
+}
+
 HttpServerSettings callerServerSettings(const Settings &settings)
 {
     HttpServerSettings server;
@@ -219,7 +233,14 @@
     d->operatorPort = std::make_unique<OperatorPort>(OperatorParts { *d->settings, d->clock, d->incarnation, d->metrics, d->levels,
         d->catalog, d->fleet, d->frontend, d->services, d->config, *d->membership, *d->rpc, d->isDraining });
     d->rpc->servePart(OperatorPart, [d](const std::string &topic) { return d->operatorPort->answerPeer(topic); });
-    auto callers = HttpServer::start(callerServerSettings(*d->settings),
+    const auto credentials = callerCredentials(*d->settings);
+    if (!credentials.isOk()) {
+        return credentials.error();
+    }
+    d->tls = credentials.value();
+    HttpServerSettings callerSettings = callerServerSettings(*d->settings);
+    callerSettings.tls = d->tls;
+    auto callers = HttpServer::start(callerSettings,
         [d](HttpRequest request, const std::shared_ptr<HttpExchange> &exchange) { d->frontend.handle(std::move(request), exchange); });
     if (!callers.isOk()) {
         return callers.error();
