Keep the time of small bodies apart from that of idle connections

The limit on heads follows idleTimeoutMs and headerTimeoutMs of the configuration, and applied to small bodies too: with an idle timeout of 4 s a small body that arrives slowly would have been ended after 7 s, before the deadline of its request. Small bodies have 30 s again, as documented; largebodies::shorterLimitOnHeadsDoesNotEndBodies guards it.

--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -71,7 +71,7 @@
 constexpr int MaxPeerConnections = 128;
 // Requests to the node itself have no bodies of their own, and a caller may still send a short one.
 constexpr std::size_t MaxOwnBodyBytes = std::size_t(4) << 10U;
-// Until the limits of the configuration are known.
+// For small bodies, and for heads until the limits of the configuration are known.
 constexpr Duration ArrivalTimeout = Duration::seconds(30);
 // Limits that clients met are logged together.
 constexpr Duration LimitLogInterval = Duration::seconds(1);
@@ -551,7 +551,7 @@
         return;
     }
     const CallerLimits &limits = clusterState.routes->limits();
-    callerServer->setArrivalTimeout(limits.idleTimeout + limits.headerTimeout);
+    callerServer->setHeadTimeout(limits.idleTimeout + limits.headerTimeout);
     const std::size_t bytes = limits.headerBytes;
     applyHeaderLimit(callerServer, bytes);
     applyHeaderLimit(readinessServer, bytes);
--- a/tests/transport/testlargebodies.cpp
+++ b/tests/transport/testlargebodies.cpp
@@ -198,3 +198,17 @@
     cr_assert(absl::StrContains(kept.readUntil("."), "length 4."), "the kept connection was closed");
     cr_assert_gt(server.met(ClientLimit::IdleConnection), 0);
 }
+
+// Guards against bodies that are ended as soon as idle connections are, although their clients have more time for them.
+Test(largebodies, shorterLimitOnHeadsDoesNotEndBodies)
+{
+    BodyServer server(HttpServerSettings {});
+    server.server->setHeadTimeout(Duration(300));
+    const RawConnection idle(server.server->port());
+    const RawConnection sending(server.server->port());
+    sending.sendText(headOf(10, "Connection: close\r\n") + "12345");
+    cr_assert(idle.readAll().starts_with("HTTP/1.1 408 "));
+    usleep(600'000);
+    sending.sendText("12345");
+    cr_assert(sending.readAll().ends_with("length 10."));
+}
--- a/transport/connectionwatch.cpp
+++ b/transport/connectionwatch.cpp
@@ -28,7 +28,8 @@
 ConnectionWatch::ConnectionWatch(const Clock &clock, Duration arrivalLimit, std::function<void(ClientLimit)> onLimit)
     : m_clock(clock)
     , m_onLimit(std::move(onLimit))
-    , m_limit(arrivalLimit)
+    , m_bodyLimit(arrivalLimit)
+    , m_headLimit(arrivalLimit)
 {
 }
 
@@ -58,7 +59,7 @@
     if (at != m_connections.end()) {
         at->second.phase = Phase::ReceivingBody;
         at->second.since = m_clock.now();
-        at->second.deadline = at->second.since + m_limit;
+        at->second.deadline = at->second.since + m_bodyLimit;
     }
 }
 
@@ -116,10 +117,10 @@
     }
 }
 
-void ConnectionWatch::setArrivalLimit(Duration limit)
+void ConnectionWatch::setHeadLimit(Duration limit)
 {
     const absl::MutexLock lock(&m_mutex);
-    m_limit = limit;
+    m_headLimit = limit;
 }
 
 void ConnectionWatch::end(int socket, WatchedConnection &watched, ClientLimit limit)
@@ -147,7 +148,7 @@
             continue;
         }
         const bool isReceiving = watched.phase == Phase::ReceivingBody;
-        const Duration limit = watched.phase == Phase::Refused ? RefusedLimit : m_limit;
+        const Duration limit = watched.phase == Phase::Refused ? RefusedLimit : m_headLimit;
         if (isReceiving && watched.reservation != nullptr && watched.reservation->isTakenBack()) {
             end(socket, watched, ClientLimit::BodyPace);
         } else if (isReceiving ? now > watched.deadline : now - watched.since > limit) {
--- a/transport/connectionwatch.h
+++ b/transport/connectionwatch.h
@@ -26,8 +26,8 @@
 public:
     /**
      * @p arrivalLimit: longest time from the opening of the connection, or from the end of its previous request, until the next head has
-     * arrived; and from there until its body has, unless limitBody() says otherwise. @p onLimit is called for each connection that is
-     * closed, with the lock held; may be empty.
+     * arrived, unless setHeadLimit() says otherwise; and from there until its body has, unless limitBody() does. @p onLimit is called for
+     * each connection that is closed, with the lock held; may be empty.
      */
     ConnectionWatch(const Clock &clock, Duration arrivalLimit, std::function<void(ClientLimit)> onLimit);
 
@@ -47,7 +47,7 @@
      */
     bool requestArrived(int socket);
     void requestCompleted(int socket);
-    void setArrivalLimit(Duration limit);
+    void setHeadLimit(Duration limit);
     /** Shuts down the sockets of overdue connections. A connection without TLS is sent a 408 or 503 answer first. */
     void closeOverdue();
     /** Shuts down the connection that others miss least, if there is one without a request in progress. */
@@ -83,8 +83,9 @@
 
     const Clock &m_clock;
     const std::function<void(ClientLimit)> m_onLimit;
+    const Duration m_bodyLimit;
     mutable absl::Mutex m_mutex;
-    Duration m_limit ABSL_GUARDED_BY(m_mutex);
+    Duration m_headLimit ABSL_GUARDED_BY(m_mutex);
     std::size_t m_endedCount ABSL_GUARDED_BY(m_mutex) = 0;
     // Each listed socket is valid: MHD calls closed() before it closes the socket.
     absl::flat_hash_map<int, WatchedConnection> m_connections ABSL_GUARDED_BY(m_mutex);
--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -738,9 +738,9 @@
     return true;
 }
 
-void HttpServer::setArrivalTimeout(Duration timeout)
+void HttpServer::setHeadTimeout(Duration timeout)
 {
-    d->watch->setArrivalLimit(timeout);
+    d->watch->setHeadLimit(timeout);
 }
 
 std::size_t HttpServer::maxHeaderBytes() const
--- a/transport/httpserver.h
+++ b/transport/httpserver.h
@@ -202,8 +202,8 @@
      */
     bool setMaxHeaderBytes(std::size_t bytes);
     std::size_t maxHeaderBytes() const;
-    /** Applies another arrival timeout to all connections. */
-    void setArrivalTimeout(Duration timeout);
+    /** Applies another limit than the arrival timeout to the arrival of heads, and so to idle connections. */
+    void setHeadTimeout(Duration timeout);
     /**
      * Starts a server that takes the place of this one, with another limit on the heads of requests. This one accepts no new connections,
      * and closes each of its own after the next answer. Errors: SettingsInvalid when the server cannot be started.
