Let stalled small bodies give way when memory lacks

The reservation of a small body could be taken back, but nothing looked at it: bodies of up to 64 KiB that stop short of their end kept their memory for 30 s while others were refused. The watch of their connections now has their reservations, as it has those of large ones. requestbodies::stalledSmallBodiesGiveWayWhenMemoryLacks guards it: without the line the stalled request is still there when the test gives up.

--- a/tests/transport/testlargebodies.cpp
+++ b/tests/transport/testrequestbodies.cpp
@@ -71,7 +71,7 @@
 } // namespace
 
 // Guards against bodies over the limit that are received before they are refused.
-Test(largebodies, announcedBodyOverTheLimitIsRefusedAtItsHead)
+Test(requestbodies, announcedBodyOverTheLimitIsRefusedAtItsHead)
 {
     BodyServer server(settingsWithMemory(64 * MiB));
     for (const std::uint64_t length : { std::uint64_t(Large) + 1, std::uint64_t(100'000'000'000) }) {
@@ -86,7 +86,7 @@
 }
 
 // Guards against a client that is asked to send a body which is refused anyway.
-Test(largebodies, refusedClientIsNotAskedToContinue)
+Test(requestbodies, refusedClientIsNotAskedToContinue)
 {
     BodyServer server(settingsWithMemory(64 * MiB));
     const RawConnection connection(server.server->port());
@@ -100,7 +100,7 @@
 }
 
 // Guards against bodies in chunks without end.
-Test(largebodies, bodyInChunksIsRefusedWhenItPassesTheLimit)
+Test(requestbodies, bodyInChunksIsRefusedWhenItPassesTheLimit)
 {
     BodyServer server(settingsWithMemory(64 * MiB));
     const RawConnection connection(server.server->port());
@@ -114,7 +114,7 @@
 }
 
 // Guards against a refusal that its client never reads, since the connection is reset while it still sends.
-Test(largebodies, refusalCanBeReadByAClientThatSendsItsWholeBodyFirst)
+Test(requestbodies, refusalCanBeReadByAClientThatSendsItsWholeBodyFirst)
 {
     HttpServerSettings settings = settingsWithMemory(64 * MiB);
     settings.onLargeBody = [](const HttpRequest &, HttpExchange &exchange) -> std::optional<BodyTerms> {
@@ -133,7 +133,7 @@
 }
 
 // Guards against bodies that are kept although there is no memory for them, and against memory that does not come back.
-Test(largebodies, bodyWithoutMemoryIsRefusedAndServedLater)
+Test(requestbodies, bodyWithoutMemoryIsRefusedAndServedLater)
 {
     HttpServerSettings settings = settingsWithMemory(24 * MiB);
     BodyServer server(settings);
@@ -166,7 +166,7 @@
 }
 
 // Guards against a body that nobody will complete before its request is over, and that holds memory until then and longer.
-Test(largebodies, largeBodyHasToArriveInItsTime)
+Test(requestbodies, largeBodyHasToArriveInItsTime)
 {
     HttpServerSettings settings = settingsWithMemory(64 * MiB);
     settings.onLargeBody = [](const HttpRequest &, HttpExchange &) { return BodyTerms { Large, Duration(300) }; };
@@ -180,7 +180,7 @@
 
 // Guards against callers that cannot connect because others keep connections open, and against kept connections that close for newcomers
 // that send nothing.
-Test(largebodies, silentConnectionsGiveWayBeforeKeptOnes)
+Test(requestbodies, silentConnectionsGiveWayBeforeKeptOnes)
 {
     HttpServerSettings settings;
     settings.maxConnections = MinConnections;
@@ -200,7 +200,7 @@
 }
 
 // Guards against bodies that are ended as soon as idle connections are, although their clients have more time for them.
-Test(largebodies, shorterLimitOnHeadsDoesNotEndBodies)
+Test(requestbodies, shorterLimitOnHeadsDoesNotEndBodies)
 {
     BodyServer server(HttpServerSettings {});
     server.server->setHeadTimeout(Duration(300));
@@ -212,3 +212,27 @@
     sending.sendText("12345");
     cr_assert(sending.readAll().ends_with("length 10."));
 }
+
+// Guards against small bodies that stop short of their end, and leave no memory to the requests of others until they time out.
+Test(requestbodies, stalledSmallBodiesGiveWayWhenMemoryLacks, .timeout = 30)
+{
+    HttpServerSettings settings = settingsWithMemory(64 * MiB);
+    settings.arrivalTimeout = Duration::seconds(60);
+    BodyServer server(settings);
+    std::vector<std::shared_ptr<BodyReservation>> others;
+    while (auto reservation = settings.memory->reserve(SmallBodyBytes, Time::never(), Time())) {
+        reservation->onComplete(SmallBodyBytes);
+        others.push_back(std::move(reservation));
+    }
+    others.pop_back();
+    const RawConnection stalled(server.server->port());
+    stalled.sendText(headOf(SmallBodyBytes) + std::string(SmallBodyBytes - 1, 'b'));
+    while (server.serves(SmallBodyBytes)) {
+        usleep(1000);
+    }
+    while (!server.serves(SmallBodyBytes)) {
+        usleep(100'000);
+    }
+    cr_assert_eq(server.met(ClientLimit::BodyPace), 1);
+    cr_assert(stalled.readAll().starts_with("HTTP/1.1 503 "));
+}
--- a/transport/connectionwatch.cpp
+++ b/transport/connectionwatch.cpp
@@ -125,6 +125,11 @@
 
 void ConnectionWatch::end(int socket, WatchedConnection &watched, ClientLimit limit)
 {
+    // That a client leaves its connection idle until it is closed is usual.
+    const bool isUsual = watched.phase == Phase::Refused || (watched.phase == Phase::AwaitingHead && limit == ClientLimit::ArrivalTime);
+    if (m_onLimit && !isUsual) {
+        m_onLimit(limit);
+    }
     if (watched.isPlain && watched.phase != Phase::Refused) {
         const std::string answer = limit == ClientLimit::BodyPace ? memoryRefusal() : std::string(TimeoutAnswer);
         send(socket, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -132,11 +137,6 @@
     shutdown(socket, SHUT_RDWR);
     watched.isEnded = true; // MHD closes the connection when it reads the end of the input.
     ++m_endedCount;
-    // That a client leaves its connection idle until it is closed is usual.
-    const bool isUsual = watched.phase == Phase::Refused || (watched.phase == Phase::AwaitingHead && limit == ClientLimit::ArrivalTime);
-    if (m_onLimit && !isUsual) {
-        m_onLimit(limit);
-    }
 }
 
 void ConnectionWatch::closeOverdue()
--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -393,6 +393,7 @@
     if (exchange.reservation == nullptr) {
         const Time now = clock.now();
         exchange.reservation = settings.memory->reserve(wanted, now + settings.arrivalTimeout, now);
+        watch->limitBody(socketOf(connection), now + settings.arrivalTimeout, exchange.reservation);
     } else if (!exchange.reservation->resize(wanted + systemBytes)) {
         exchange.reservation.reset();
     }
