Spare connections with unread bytes when others need a place

Ordinary callers that had just connected lost their first requests when a crowd connected at the same moment: their heads had arrived, the loop had not read them yet, and the connections gave way as if they were silent.

A connection with unread bytes is now passed over. Alone, silent, pipelined and short_of_end pass.

--- a/transport/connectionwatch.cpp
+++ b/transport/connectionwatch.cpp
@@ -23,6 +23,13 @@
 // A body of which no part has arrived for so long may give way to other connections.
 constexpr Duration StallLimit { 1000 };
 
+// A connection with unread bytes is not silent: its request is about to be read.
+bool hasUnreadBytes(int socket)
+{
+    char byte = 0;
+    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 } // namespace
 
 ConnectionWatch::ConnectionWatch(const Clock &clock, Duration arrivalLimit, std::function<void(ClientLimit)> onLimit)
@@ -179,7 +186,7 @@
     std::pair<int, Time> least;
     for (const auto &[socket, watched] : m_connections) {
         const std::pair<int, Time> rank { usefulness(watched, now), watched.since };
-        if (rank.first >= 0 && (leastSocket < 0 || rank < least)) {
+        if (rank.first >= 0 && (leastSocket < 0 || rank < least) && (watched.phase != Phase::AwaitingHead || !hasUnreadBytes(socket))) {
             leastSocket = socket;
             least = rank;
         }
