Remove what nothing uses of reservations and exchanges

BodyReservation kept whether it is complete, which nothing read, and bytes() and MhdExchange::hasAnswer() had no caller.

--- a/coordination/requestmemory.cpp
+++ b/coordination/requestmemory.cpp
@@ -38,12 +38,6 @@
     m_memory->m_arriving.erase(this);
 }
 
-std::size_t BodyReservation::bytes() const
-{
-    const absl::MutexLock lock(&m_memory->m_mutex);
-    return m_bytes;
-}
-
 bool BodyReservation::resize(std::size_t bytes)
 {
     const absl::MutexLock lock(&m_memory->m_mutex);
@@ -67,7 +61,6 @@
     const absl::MutexLock lock(&m_memory->m_mutex);
     m_memory->m_bodyBytes = m_memory->m_bodyBytes - m_bytes + bytes;
     m_bytes = bytes;
-    m_isComplete = true;
     m_memory->m_arriving.erase(this);
 }
 
--- a/coordination/requestmemory.h
+++ b/coordination/requestmemory.h
@@ -47,7 +47,6 @@
     BodyReservation(const BodyReservation &) = delete;
     BodyReservation &operator=(const BodyReservation &) = delete;
 
-    std::size_t bytes() const;
     /** Reserves @p bytes in all instead. Returns false if there is not enough memory; then nothing has changed. */
     bool resize(std::size_t bytes);
     /** @p bytes of the body have arrived so far. */
@@ -73,7 +72,6 @@
     Time m_deadline;
     Time m_checkedAt;
     std::size_t m_arrivedAtCheck = 0;
-    bool m_isComplete = false;
     bool m_isTakenBack = false;
 };
 
--- a/transport/mhdexchange.cpp
+++ b/transport/mhdexchange.cpp
@@ -138,12 +138,6 @@
     m_maxAnswerHeadBytes = bytes;
 }
 
-bool MhdExchange::hasAnswer() const
-{
-    const absl::MutexLock lock(&m_mutex);
-    return m_hasAnswer;
-}
-
 std::string MhdExchange::rawAnswer() const
 {
     const absl::MutexLock lock(&m_mutex);
--- a/transport/mhdexchange.h
+++ b/transport/mhdexchange.h
@@ -57,7 +57,6 @@
     void onDrained(std::function<void()> callback) override;
     void onCallerGone(std::function<void()> callback) override;
 
-    bool hasAnswer() const;
     /** The bytes of an answer that was given by respond(), which closes the connection. Nothing else is sent for it. */
     std::string rawAnswer() const;
     /** To be called before the request is handled. */
