Give each exchange a libcurl handle of its own

What callers saw: none of their requests in progress was answered. One answer whose status line is followed by a line that begins with a blank (a folded line without a field before it) ended the node, with SIGSEGV or SIGABRT. An upstream, the report of an engine or the store could send it; the store's would end every node that reads it.

Cause: handles of ended calls were reset and used again. libcurl 7.88 frees the headers of the earlier answer when a handle is reset, but goes on pointing to the last of them, and folds such a line onto it before any callback sees the line. Refusing the line in the callback is too late.

Change: a handle serves one exchange. There is no earlier header then, so libcurl itself refuses the line, whatever it holds. Within one exchange the headers of interim answers stay allocated. A call that is begun anew on another connection gets a new handle, too.

--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -40,8 +40,6 @@
 constexpr int SystemReceiveBufferBytes = 256 << 10;
 // Connections kept for reuse, over all upstreams: a few to each upstream of the largest fleet.
 constexpr long MaxKeptConnections = 256;
-// Handles of ended calls that are kept for others. Each keeps its buffers.
-constexpr std::size_t MaxIdleHandles = 32;
 // An unresponsive peer is detected after one second without traffic and two keepalive probes one second apart.
 constexpr long KeepAliveSeconds = 1;
 
@@ -232,7 +230,6 @@
     // Used only on the client's thread.
     ExchangeHistory history;
     absl::flat_hash_map<CallId, std::unique_ptr<Transfer>> transfers;
-    std::vector<CURL *> idleHandles;
 
     /** Set only for a driven client. */
     std::unique_ptr<CurlEvents> events;
@@ -333,13 +330,6 @@
 
 void HttpClient::Private::begin(std::unique_ptr<Transfer> transfer)
 {
-    if (idleHandles.empty()) {
-        transfer->easy = curl_easy_init();
-    } else {
-        transfer->easy = idleHandles.back();
-        idleHandles.pop_back();
-        curl_easy_reset(transfer->easy);
-    }
     prepare(*transfer);
     curl_multi_add_handle(multi, transfer->easy);
     transfers.emplace(transfer->id, std::move(transfer));
@@ -356,8 +346,11 @@
     }
 }
 
+// Each exchange gets a handle of its own. A handle that is reset goes on pointing to the last header of its earlier answer, which it has
+// freed, and writes there when the next answer begins with a folded line.
 void HttpClient::Private::prepare(Transfer &transfer)
 {
+    transfer.easy = curl_easy_init();
     CURL *easy = transfer.easy;
     const HttpCall &call = transfer.call;
     curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
@@ -431,11 +424,7 @@
 {
     if (transfer.easy != nullptr) {
         curl_multi_remove_handle(multi, transfer.easy);
-        if (idleHandles.size() < MaxIdleHandles) {
-            idleHandles.push_back(transfer.easy);
-        } else {
-            curl_easy_cleanup(transfer.easy);
-        }
+        curl_easy_cleanup(transfer.easy);
     }
     const auto finished = std::move(transfers.extract(transfer.id).mapped());
     if (finished->call.onDone) {
@@ -448,6 +437,9 @@
 {
     transfer.needsNewConnection = false;
     curl_multi_remove_handle(multi, transfer.easy);
+    curl_easy_cleanup(transfer.easy);
+    curl_slist_free_all(std::exchange(transfer.headerList, nullptr));
+    prepare(transfer);
     curl_easy_setopt(transfer.easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_multi_add_handle(multi, transfer.easy);
 }
@@ -511,9 +503,6 @@
         curl_multi_wakeup(d->multi);
         d->thread.join();
     }
-    for (CURL *easy : d->idleHandles) {
-        curl_easy_cleanup(easy);
-    }
     d->events.reset();
     curl_multi_cleanup(d->multi);
 }
