Read the heads of answers by the grammar of HTTP

What callers saw: answers of servers in trouble as whole ones, with another body than the server's, or with lines passed on that no field may have. A length such as "10x", "1 0" or "5, 380", two lengths that differ, "Transfer-Encoding" followed by a blank, names with blanks, control bytes or bytes above 127, a bare CR, statuses 600 and 999, status lines such as "200x": some forty ways.

Cause: the client took length, coding and status from libcurl, whose reading is lenient on purpose, and each line with a colon for a field. Nothing checked the head after that, for any reader of answers.

Change: AnswerReader, without I/O, accepts what RFC 9110 and RFC 9112 allow and refuses the rest: status line with 100 to 599 (101 was never asked for), names that are tokens, values without control characters, no folded lines, one framing. The client reads every head with it, so forwarded requests, relays, reports, orders, the store, probes, peers and the nodes with INI settings are behind it. A body is whole only if it ends where the head says. Bytes behind a whole answer close its connection. A malformed answer has no status, so it cannot promise that the request has not run, and CallResult tells it from a broken connection. The server's check of request heads shares the grammar of names and lengths.

Proper answers stay served: no length, equal lengths, interim heads, no reason phrase, bare LF, empty values, tabs, all token characters, bytes above 127 in values.

--- a/tests/transport/testbrokenanswers.cpp
+++ b/tests/transport/testbrokenanswers.cpp
@@ -5,7 +5,10 @@
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/notification.h>
 
+#include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -80,3 +83,125 @@
         }
     }
 }
+
+// Guards against a broken answer that passes for a whole one: its caller gets a body that the server did not send.
+Test(brokenanswers, brokenAnswersAreReportedAsMalformed)
+{
+    const std::string length = "Content-Length: 5\r\n";
+    const std::string chunks = "5\r\nwhole\r\n0\r\n\r\n";
+    std::vector<std::string> answers;
+    for (const char *fields : { "Content-Length: 5x\r\n", "Content-Length: 5.0\r\n", "Content-Length: 0 5\r\n", "Content-Length: 0x5\r\n",
+             "Content-Length: 5, 380\r\n", "Content-Length: 5\r\nContent-Length: 380\r\n", "Content-Length: +5\r\n",
+             "Content-Length: 99999999999999999999999999\r\n", "Content-Length : 5\r\n", "Content-Length\t: 5\r\n",
+             "Content-Length\x01: 5\r\n", "Transfer-Encoding : chunked\r\n", "Transfer-Encoding: \r\n", "Content-Length: \r\n",
+             "Content-Length: -5\r\n" }) {
+        answers.push_back(absl::StrCat(StatusLine, fields, "\r\nwhole"));
+    }
+    for (const char *fields : { "Transfer-Encoding: chunked, identity\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+             "Transfer-Encoding: chunked\r\nContent-Length: 380\r\n", "Transfer-Encoding: x\r\n" }) {
+        answers.push_back(absl::StrCat(StatusLine, fields, "\r\n", chunks));
+    }
+    for (const char *line : { ": no name", "X Blank: 1", "X-Blank : 1", "X-Tab\t: 1", "X-\x01: 1", "X-\x7f: 1", "X-\xc3\xa4: 1", "X(: 1",
+             "X/: 1", "X\": 1", "X-Cr: a\rb", "\rX: 1", " X-Fold: 1", "no field" }) {
+        answers.push_back(absl::StrCat(StatusLine, length, line, "\r\n\r\nwhole"));
+        answers.push_back(absl::StrCat(StatusLine, line, "\r\n", length, "\r\nwhole"));
+    }
+    for (const char *line : { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 200x",
+             "HTTP/1.1  200 OK", "HTTP/2 200 OK", "http/1.1 200 OK", "HTTP/1.1 101 Switching", "junk" }) {
+        answers.push_back(absl::StrCat(line, "\r\n", length, "\r\nwhole"));
+        answers.push_back(absl::StrCat(line, "\r\n\r\n"));
+    }
+    HttpClient client;
+    for (const std::string &bytes : answers) {
+        const ScriptedUpstream upstream(answersBroken(bytes));
+        const Received broken = call(client, upstream, "/broken");
+        cr_expect(broken.result.state == AttemptState::Sent && broken.result.error == ErrorKind::UpstreamFailed, "%s", bytes.c_str());
+        cr_expect(broken.result.isMalformed && broken.result.status == 0, "%s: %s", bytes.c_str(), broken.result.detail.c_str());
+        cr_expect_eq(call(client, upstream, "/sound").body, "whole");
+    }
+}
+
+// Guards against an answer that is cut, or refused by the reader of its head, and passes for a whole one.
+Test(brokenanswers, cutAnswersAreReportedAsFailed)
+{
+    HttpClient client;
+    for (const char *bytes : { "", "HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\n",
+             "HTTP/1.1 200 OK\r\nContent-Length: 380\r\n\r\nwhole", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n", "HTTP/1.1 100 Continue\r\n\r\n" }) {
+        const ScriptedUpstream upstream(answersBroken(bytes));
+        const Received broken = call(client, upstream, "/broken");
+        cr_expect(broken.result.state == AttemptState::Sent && !broken.result.isMalformed, "%s", bytes);
+    }
+}
+
+// Guards against proper answers that are refused because they are rare.
+Test(brokenanswers, properAnswersAreServed)
+{
+    HttpClient client;
+    for (const char *bytes : { "HTTP/1.1 200 OK\r\n\r\nwhole", "HTTP/1.0 200 OK\r\n\r\nwhole", "HTTP/1.1 200\nContent-Length: 5\n\nwhole",
+             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+             "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: 1\r\nX-Empty:\r\nX-Tab: a\tb\r\nContent-Length: 5\r\n\r\nwhole",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: CHUNKED\r\n\r\n2;a=b\r\nwh\r\n3;c=\"d\"\r\nole\r\n0\r\nX-Trailer: 1\r\n\r\n",
+             "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n5\nwhole\n0\n\n",
+             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nwhole",
+             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeand more",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\nmore" }) {
+        const ScriptedUpstream upstream(answersBroken(bytes));
+        const Received received = call(client, upstream, "/broken");
+        cr_expect(received.result.state == AttemptState::Answered, "%s: %s", bytes, received.result.detail.c_str());
+        cr_expect_eq(received.body, "whole", "%s", bytes);
+        cr_expect_eq(received.result.status, 200);
+    }
+}
+
+// Guards against a connection that is used again after a whole answer with more bytes behind it, which the next call would get.
+Test(brokenanswers, connectionWithBytesBehindAnAnswerIsNotUsedAgain)
+{
+    for (const char *bytes :
+        { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
+            "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother" }) {
+        const ScriptedUpstream upstream([bytes](const std::string &request) {
+            return ScriptedAnswer { absl::StartsWith(request, "GET /broken ") ? bytes : SoundAnswer };
+        });
+        HttpClient client;
+        for (int i = 0; i < 10; ++i) {
+            cr_assert(call(client, upstream, "/broken").result.state == AttemptState::Answered);
+            cr_assert_eq(call(client, upstream, "/sound").body, "whole", "%s", bytes);
+        }
+    }
+}
+
+// Guards against a process that ends, or a call that never does, whatever an upstream sends on kept connections.
+Test(brokenanswers, anyBytesEndTheirCall)
+{
+    constexpr int Rounds = 1500;
+    const std::vector<std::string> heads { "HTTP/1.1 200 OK\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 401 No\r\nWWW-Authenticate: Basic\r\n", "HTTP/1.1 302 Found\r\nLocation: /other\r\n" };
+    const std::vector<std::string> lines { " fold\r\n", "\tfold: 1\r\n", "X-A: b\r\n", "X-B:\r\n", "\r\n", "\n", "\r\r\n",
+        "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "Connection: keep-alive\r\n", "Trailer: X\r\n", ": x\r\n",
+        std::string("\0\r\n", 3), "5\r\nwhole\r\n0\r\n" };
+    std::mt19937_64 random(1);
+    const ScriptedUpstream upstream([&](const std::string &request) {
+        if (!absl::StartsWith(request, "GET /broken ")) {
+            return ScriptedAnswer { SoundAnswer };
+        }
+        std::string bytes = random() % 8 == 0 ? "" : heads[random() % heads.size()];
+        for (auto count = random() % 8; count > 0; --count) {
+            bytes += random() % 4 == 0 ? heads[random() % heads.size()] : lines[random() % lines.size()];
+        }
+        const bool isClosed = random() % 4 != 0;
+        return ScriptedAnswer { bytes + "\r\nwhole",
+            isClosed ? ScriptedAnswer::ConnectionAction::Close : ScriptedAnswer::ConnectionAction::Reset };
+    });
+    HttpClient client;
+    int soundCount = 0;
+    for (int i = 0; i < Rounds; ++i) {
+        call(client, upstream, "/broken");
+        // The kept connection that it takes may have been closed.
+        const Received sound = call(client, upstream, "/sound");
+        soundCount += sound.body == "whole" ? 1 : 0;
+        cr_assert(sound.body == "whole" || sound.result.state == AttemptState::Sent);
+    }
+    cr_assert_gt(soundCount, Rounds / 2);
+}
--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -1,11 +1,11 @@
 #include "transport/httpclient.h"
 
+#include "transport/answerreader.h"
 #include "transport/curlevents.h"
 #include "transport/exchangehistory.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
@@ -56,12 +56,11 @@
     bool needsNewConnection = false;
     bool isSent = false;
     bool isHeadReported = false;
-    bool isHeadChecked = false;
-    /** The empty line after the headers of a final answer has arrived. */
-    bool isHeadComplete = false;
     bool isPausePending = false;
+    /** The connection was closed behind a whole answer, since more bytes followed. */
+    bool isClosedAfterAnswer = false;
+    AnswerReader reader;
     std::size_t bodyBytes = 0;
-    std::vector<std::pair<std::string, std::string>> answerHeaders;
 
     ~Transfer()
     {
@@ -69,54 +68,28 @@
     }
 };
 
-int statusOf(CURL *easy)
-{
-    long status = 0;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    return static_cast<int>(status);
-}
-
-constexpr int FirstFinalStatus = 200;
-
 void reportHead(Transfer &transfer)
 {
     if (!transfer.isHeadReported) {
         transfer.isHeadReported = true;
         if (transfer.call.onHead) {
-            transfer.call.onHead(statusOf(transfer.easy), transfer.answerHeaders);
+            transfer.call.onHead(transfer.reader.status(), transfer.reader.headers());
         }
     }
 }
 
-// Called at the end of the headers. Interim answers (1xx) are accepted here, since another head follows them.
-bool acceptsHead(Transfer &transfer)
+// Interim answers (1xx) are accepted here, since another head follows them.
+bool acceptsHead(const Transfer &transfer)
 {
-    const int status = statusOf(transfer.easy);
-    if (status < FirstFinalStatus || transfer.isHeadChecked || !transfer.call.acceptsHead) {
-        return true;
-    }
-    transfer.isHeadChecked = true;
-    return transfer.call.acceptsHead(status, transfer.answerHeaders, transfer.connection);
+    const AnswerReader &reader = transfer.reader;
+    return !reader.isHeadComplete() || !transfer.call.acceptsHead
+        || transfer.call.acceptsHead(reader.status(), reader.headers(), transfer.connection);
 }
 
 std::size_t onHeaderLine(char *data, std::size_t, std::size_t count, void *context)
 {
     auto &transfer = *static_cast<Transfer *>(context);
-    const std::string_view line(data, count);
-    if (line == "\r\n" || line == "\n") {
-        transfer.isHeadComplete = transfer.isHeadComplete || statusOf(transfer.easy) >= FirstFinalStatus;
-        return acceptsHead(transfer) ? count : 0;
-    }
-    if (line.starts_with("HTTP/")) {
-        transfer.answerHeaders.clear();
-        return count;
-    }
-    const std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        transfer.answerHeaders.emplace_back(absl::AsciiStrToLower(std::string(line.substr(0, colon))),
-            std::string(absl::StripAsciiWhitespace(std::string(line.substr(colon + 1)))));
-    }
-    return count;
+    return transfer.reader.readHeadLine({ data, count }) && acceptsHead(transfer) ? count : 0;
 }
 
 bool isTooLong(const Transfer &transfer)
@@ -124,6 +97,22 @@
     return transfer.call.maxBodyBytes > 0 && transfer.bodyBytes > transfer.call.maxBodyBytes;
 }
 
+bool acceptsPart(Transfer &transfer, std::string_view part)
+{
+    if (part.empty()) {
+        return true;
+    }
+    reportHead(transfer);
+    transfer.bodyBytes += part.size();
+    if (isTooLong(transfer) || (transfer.call.acceptsData && !transfer.call.acceptsData(part))) {
+        return false;
+    }
+    if (transfer.call.onData && !transfer.call.onData(part)) {
+        transfer.isPausePending = true;
+    }
+    return true;
+}
+
 std::size_t onBody(char *data, std::size_t, std::size_t count, void *context)
 {
     auto &transfer = *static_cast<Transfer *>(context);
@@ -133,16 +122,13 @@
         transfer.isPausePending = false;
         return CURL_WRITEFUNC_PAUSE;
     }
-    reportHead(transfer);
-    transfer.bodyBytes += count;
-    const std::string_view part(data, count);
-    if (isTooLong(transfer) || (transfer.call.acceptsData && !transfer.call.acceptsData(part))) {
+    const auto part = transfer.reader.readBody({ data, count });
+    if (!part || !acceptsPart(transfer, *part)) {
         return 0;
     }
-    if (transfer.call.onData && !transfer.call.onData(part)) {
-        transfer.isPausePending = true;
-    }
-    return count;
+    // An error is the only way to make libcurl close the connection.
+    transfer.isClosedAfterAnswer = transfer.reader.isBodyComplete() && transfer.reader.hasExcess();
+    return transfer.isClosedAfterAnswer ? 0 : count;
 }
 
 // NOLINTNEXTLINE(bugprone-easily-swappable-parameters): libcurl's own signature.
@@ -198,6 +184,13 @@
     return code == CURLE_OPERATION_TIMEDOUT ? ErrorKind::UpstreamTimeout : ErrorKind::UpstreamFailed;
 }
 
+// Whether libcurl has refused the bytes that arrived, before the reader saw them.
+bool isRefusedAsAnswer(CURLcode code)
+{
+    return code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_BAD_CONTENT_ENCODING
+        || code == CURLE_BAD_FUNCTION_ARGUMENT; // A folded line without a field before it.
+}
+
 bool isRefusedByHost(CURL *easy)
 {
     long error = 0;
@@ -205,6 +198,48 @@
     return error == ECONNREFUSED;
 }
 
+// libcurl takes a connection that closes within a head for the end of an answer without a body, and guesses the end of many malformed
+// bodies.
+bool isWhole(const Transfer &transfer, CURLcode code)
+{
+    const AnswerReader &reader = transfer.reader;
+    const bool isEndFoundByLibcurl = reader.isHeadComplete() && (reader.endsWithConnection() || reader.isInChunks());
+    return transfer.isClosedAfterAnswer || (code == CURLE_OK && (reader.isBodyComplete() || isEndFoundByLibcurl));
+}
+
+std::string failureDetail(const Transfer &transfer, CURLcode code)
+{
+    const AnswerReader &reader = transfer.reader;
+    if (!reader.error().empty()) {
+        return reader.error();
+    }
+    if (isTooLong(transfer)) {
+        return absl::StrCat("the answer is longer than ", transfer.call.maxBodyBytes, " bytes");
+    }
+    if (code == CURLE_OK) {
+        return absl::StrCat("the connection closed within the ", reader.isHeadComplete() ? "body" : "head", " of the answer");
+    }
+    return curl_easy_strerror(code);
+}
+
+CallResult resultOf(const Transfer &transfer, CURLcode code)
+{
+    const AnswerReader &reader = transfer.reader;
+    CallResult result;
+    if (isWhole(transfer, code)) {
+        result.state = AttemptState::Answered;
+        result.status = reader.status();
+        return result;
+    }
+    result.state = transfer.isSent ? AttemptState::Sent : AttemptState::NotSent;
+    result.error = errorOf(code, transfer.isSent);
+    result.detail = failureDetail(transfer, code);
+    result.isConnectionRefused = code == CURLE_COULDNT_CONNECT && isRefusedByHost(transfer.easy);
+    result.isMalformed = !reader.error().empty() || (transfer.isSent && isRefusedAsAnswer(code));
+    result.status = result.isMalformed ? 0 : reader.status();
+    return result;
+}
+
 } // namespace
 
 struct HttpClient::Private
@@ -325,7 +360,7 @@
         return;
     }
     const auto state = transfer.isSent ? AttemptState::Sent : AttemptState::NotSent;
-    end(transfer, CallResult { state, statusOf(transfer.easy), ErrorKind::CallerGone, "cancelled" });
+    end(transfer, CallResult { state, transfer.reader.status(), ErrorKind::CallerGone, "cancelled" });
 }
 
 void HttpClient::Private::begin(std::unique_ptr<Transfer> transfer)
@@ -401,6 +436,7 @@
         curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(call.maxConnectionIdle.milliseconds() / 1000));
     }
     transfer.history = &history;
+    transfer.reader = AnswerReader(call.method == "HEAD");
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onSocket);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &onSocketClosed);
@@ -459,22 +495,9 @@
             restartOnNewConnection(transfer);
             continue;
         }
-        CallResult result;
-        result.status = statusOf(transfer.easy);
-        if (code == CURLE_OK && !transfer.isHeadComplete) {
-            // libcurl takes a connection that closes within the headers for the end of an answer without a body.
-            result.state = AttemptState::Sent;
-            result.error = ErrorKind::UpstreamFailed;
-            result.detail = "the connection closed within the head of the answer";
-        } else if (code == CURLE_OK) {
+        const CallResult result = resultOf(transfer, code);
+        if (result.state == AttemptState::Answered) {
             reportHead(transfer);
-            result.state = AttemptState::Answered;
-        } else {
-            result.state = transfer.isSent ? AttemptState::Sent : AttemptState::NotSent;
-            result.error = errorOf(code, transfer.isSent);
-            result.detail = isTooLong(transfer) ? absl::StrCat("the answer is longer than ", transfer.call.maxBodyBytes, " bytes")
-                                                : curl_easy_strerror(code);
-            result.isConnectionRefused = code == CURLE_COULDNT_CONNECT && isRefusedByHost(transfer.easy);
         }
         end(transfer, result);
     }
--- a/transport/httpclient.h
+++ b/transport/httpclient.h
@@ -3,13 +3,13 @@
 #include "core/clock.h"
 #include "core/errors.h"
 #include "core/sharedbytes.h"
+#include "transport/httpfields.h"
 
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace ApricotStep
@@ -35,6 +35,8 @@
     std::string detail;
     /** The upstream's host answered that no process accepts connections at the address. */
     bool isConnectionRefused = false;
+    /** Bytes arrived that are no valid answer. They belong to no request, and show that the upstream's process lives. */
+    bool isMalformed = false;
 };
 
 /** The connection on which an answer arrives. */
@@ -49,7 +51,7 @@
 {
     std::string method = "GET";
     std::string url;
-    std::vector<std::pair<std::string, std::string>> headers;
+    HttpHeaders headers;
     SharedBytes body;
     /** At least 1 ms. */
     Duration connectTimeout = Duration(1000);
@@ -85,9 +87,9 @@
      * Returns whether the answer with this status and these headers belongs to this call. False ends the call and closes its connection, so
      * that an answer to an earlier request is never taken for the answer to this one. May be empty.
      */
-    std::function<bool(int, const std::vector<std::pair<std::string, std::string>> &, const AnswerConnection &)> acceptsHead;
+    std::function<bool(int, const HttpHeaders &, const AnswerConnection &)> acceptsHead;
     /** Status and headers (names in lower case) of the answer. May be empty. */
-    std::function<void(int, const std::vector<std::pair<std::string, std::string>> &)> onHead;
+    std::function<void(int, const HttpHeaders &)> onHead;
     /** Called before onData with the same part. False ends the call and closes its connection at once. May be empty. */
     std::function<bool(std::string_view)> acceptsData;
     /** Part of the answer's body. False pauses the answer until resume(); that part counts as consumed. May be empty. */
--- a/transport/httpserver.cpp
+++ b/transport/httpserver.cpp
@@ -163,16 +163,6 @@
     return info != nullptr ? info->connect_fd : -1;
 }
 
-// RFC 9110, section 5.6.2.
-bool isFieldName(std::string_view name)
-{
-    constexpr std::string_view Symbols = "!#$%&'*+-.^_`|~";
-    const auto isTokenCharacter = [Symbols](char c) {
-        return absl::ascii_isalnum(static_cast<unsigned char>(c)) || Symbols.find(c) != std::string_view::npos;
-    };
-    return !name.empty() && std::all_of(name.begin(), name.end(), isTokenCharacter);
-}
-
 // Prevents request smuggling: a sender and a receiver that disagree on where a body ends see different requests in the same bytes, and the
 // receiver runs a request that was never sent. Such a request is refused and its connection closed, so that nothing after it is read.
 bool hasAmbiguousLength(const HttpRequest &request)
@@ -182,12 +172,12 @@
     bool isOnlyChunked = true;
     for (const auto &[name, value] : request.headerList) {
         // A space before the colon: some take "Content-Length " for the length, others do not know it.
-        if (!isFieldName(name)) {
+        if (!isToken(name)) {
             return true;
         }
         if (absl::EqualsIgnoreCase(name, "Content-Length")) {
             ++lengths;
-            isOnlyChunked = isOnlyChunked && value.find_first_not_of("0123456789") == std::string::npos && !value.empty();
+            isOnlyChunked = isOnlyChunked && parseContentLength(value).has_value();
         } else if (absl::EqualsIgnoreCase(name, "Transfer-Encoding")) {
             ++encodings;
             isOnlyChunked = isOnlyChunked && absl::EqualsIgnoreCase(value, "chunked");
--- a/transport/httpserver.h
+++ b/transport/httpserver.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/result.h"
 #include "core/sharedbytes.h"
+#include "transport/httpfields.h"
 #include "transport/tlscredentials.h"
 
 #include <atomic>
@@ -19,8 +20,6 @@
 namespace ApricotStep
 {
 
-using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
-
 /** A complete request as it arrived. */
 struct HttpRequest
 {
