Decode the chunks of answers strictly

What callers saw: an answer whose chunk size is "10x" as a whole one with 16 bytes. Beside it, lines without end around a body (an extension of a chunk, trailers) were read until the deadline of the call.

Cause: libcurl takes the hexadecimal digits at the beginning of a line for the size and skips what follows, and its lines around chunks reach no callback while it decodes them.

Evidence: on the code before, "5x" and "5;" came as whole in brokenAnswersAreReportedAsMalformed, and in linesWithoutEndAreBrokenOff extensions and trailers without end were read for the 5 s of the call.

Change: ChunkDecoder, without I/O, decodes chunks by RFC 9112: sizes with extensions (names, values, quoted strings), the end of the data, trailers. A part in one chunk is not copied, others are joined in a buffer of the client, so that a call keeps none.

--- a/tests/main/testrequestforwarderbrokenanswers.cpp
+++ b/tests/main/testrequestforwarderbrokenanswers.cpp
@@ -28,7 +28,8 @@
         headOf("200 OK", Sealed + "X-\x01: 1\r\nContent-Length: 5\r\n\r\nwhole"), headOf("200 OK", " X-Fold: 1\r\n" + Sealed + "\r\nwhole"),
         headOf("200 OK", Sealed + "no field\r\n\r\nwhole"), headOf("000 OK", Sealed + "Content-Length: 5\r\n\r\nwhole"),
         headOf("600 OK", Sealed + "Content-Length: 5\r\n\r\nwhole"),
-        headOf("200 OK", Sealed + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"), headOf("503 Full", NotRun + SpoiltLength),
+        headOf("200 OK", Sealed + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"),
+        headOf("200 OK", Sealed + "Transfer-Encoding: chunked\r\n\r\n5x\r\nwhole\r\n0\r\n\r\n"), headOf("503 Full", NotRun + SpoiltLength),
         headOf("429 Many", NotRun + " X-Fold: 1\r\nContent-Length: 0\r\n\r\n") };
 }
 
--- a/tests/transport/testanswerreader.cpp
+++ b/tests/transport/testanswerreader.cpp
@@ -42,15 +42,16 @@
     Outcome outcome;
     outcome.status = reader.status();
     outcome.headers = reader.headers();
+    std::string buffer;
     while (!bytes.empty()) {
-        const auto part = reader.readBody(bytes.substr(0, partBytes));
+        const auto part = reader.readBody(bytes.substr(0, partBytes), buffer);
         if (!part) {
             return std::nullopt;
         }
         outcome.body.append(*part);
         bytes.remove_prefix(std::min(partBytes, bytes.size()));
     }
-    outcome.isWhole = reader.isBodyComplete() || reader.endsWithConnection() || reader.isInChunks();
+    outcome.isWhole = reader.isBodyComplete() || reader.endsWithConnection();
     outcome.hasExcess = reader.hasExcess();
     return outcome;
 }
@@ -60,6 +61,17 @@
     return absl::StrCat("HTTP/1.1 200 OK\r\n", fields, "\r\n", body);
 }
 
+std::string inChunks(const std::string &body)
+{
+    return withFields("Transfer-Encoding: chunked\r\n", body);
+}
+
+bool isBroken(const std::string &bytes)
+{
+    const auto outcome = read(bytes);
+    return !outcome || !outcome->isWhole;
+}
+
 void expectBody(const std::string &bytes, const std::string &body)
 {
     for (const std::size_t partBytes : { std::size_t(1), std::size_t(7), bytes.size() }) {
@@ -84,6 +96,11 @@
     expectBody("HTTP/1.1 200 Quite \xe9\tfine\r\n\r\nwhole", "whole");
     expectBody(
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + withFields("Content-Length: 5\r\n"), "whole");
+    expectBody(inChunks("5\r\nwhole\r\n0\r\n\r\n"), "whole");
+    expectBody(withFields("Transfer-Encoding: CHUNKED\r\n", "2\r\nwh\r\n003\r\nole\r\n000\r\n\r\n"), "whole");
+    expectBody(inChunks("5;a;b=c ; d = \"e;\\\"f\"\r\nwhole\r\n0;last\r\nX-Trailer: 1\r\nX-Sum:\r\n\r\n"), "whole");
+    expectBody(inChunks("A\n0123456789\na\n0123456789\n0\n\n"), "01234567890123456789");
+    expectBody(inChunks("0\r\n\r\n"), "");
 }
 
 Test(answerreader, answersWithoutABodyAreWhole)
@@ -129,6 +146,7 @@
         cr_assert_not(read(withFields("Content-Length: 5\r\n" + line + "\r\n")), "%s", line.c_str());
         cr_assert_not(read(withFields(line + "\r\nContent-Length: 5\r\n")), "%s", line.c_str());
         cr_assert_not(read("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + withFields("Content-Length: 5\r\n")), "%s", line.c_str());
+        cr_assert_not(read(inChunks("5\r\nwhole\r\n0\r\n" + line + "\r\n\r\n")), "%s", line.c_str());
     }
 }
 
@@ -145,19 +163,47 @@
     cr_assert_not(read("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole"));
 }
 
+// Guards against a body whose chunks are spoilt and that is taken for a whole one.
+Test(answerreader, spoiltChunksAreMalformed)
+{
+    for (const char *body : { "5x\r\nwhole\r\n0\r\n\r\n", "0x5\r\nwhole\r\n0\r\n\r\n", " 5\r\nwhole\r\n0\r\n\r\n",
+             "5 \r\nwhole\r\n0\r\n\r\n", "+5\r\nwhole\r\n0\r\n\r\n", "-5\r\nwhole\r\n0\r\n\r\n", "\r\nwhole\r\n0\r\n\r\n",
+             "5;\r\nwhole\r\n0\r\n\r\n", "5;a=\r\nwhole\r\n0\r\n\r\n", "5;a=\"b\r\nwhole\r\n0\r\n\r\n", "5;a b\r\nwhole\r\n0\r\n\r\n",
+             "5;\x01\r\nwhole\r\n0\r\n\r\n", "5\rx\nwhole\r\n0\r\n\r\n", "10000000000000005\r\nwhole\r\n0\r\n\r\n", "5\r\nwhole0\r\n\r\n",
+             "5\r\nwholeX\r\n0\r\n\r\n", "4\r\nwhole\r\n0\r\n\r\n", "5\r\nwhole\r\n0x\r\n\r\n", "5\r\nwhole\r\n0\r\nno field\r\n\r\n" }) {
+        cr_assert_not(read(inChunks(body)), "%s", body);
+    }
+    for (const char *body :
+        { "", "5", "5\r\nwho", "5\r\nwhole", "5\r\nwhole\r\n", "5\r\nwhole\r\n0", "5\r\nwhole\r\n0\r\n", "5\r\nwhole\r\n0\r\nX: 1\r\n" }) {
+        cr_assert(isBroken(inChunks(body)), "cut: %s", body);
+    }
+}
+
 // Guards against bytes behind a whole answer that are taken for a part of it.
 Test(answerreader, bytesBehindAnAnswerBelongToNone)
 {
-    const auto outcome = read(withFields("Content-Length: 5\r\n", "wholemore"));
-    cr_assert(outcome && outcome->isWhole && outcome->hasExcess);
-    cr_assert_eq(outcome->body, "whole");
+    for (const std::string &bytes : { withFields("Content-Length: 5\r\n", "wholemore"), inChunks("5\r\nwhole\r\n0\r\n\r\nmore") }) {
+        const auto outcome = read(bytes);
+        cr_assert(outcome && outcome->isWhole && outcome->hasExcess);
+        cr_assert_eq(outcome->body, "whole");
+    }
     const auto empty = read("HTTP/1.1 204 No Content\r\n\r\nmore");
     cr_assert(empty && empty->isWhole && empty->hasExcess && empty->body.empty());
 }
 
-// Guards against heads without end, which would be kept.
-Test(answerreader, headsWithoutEndAreMalformed)
+// Guards against lines around a body and heads without end, which would be kept.
+Test(answerreader, linesWithoutEndAreMalformed)
 {
+    const std::string endless(ChunkDecoder::MaxLineBytes * 2, '1');
+    cr_assert_not(read(inChunks(endless)));
+    cr_assert_not(read(inChunks("5;" + endless)));
+    cr_assert_not(read(inChunks("5\r\nwhole" + endless)));
+    cr_assert_not(read(inChunks("0\r\nX: " + endless)));
+    std::string fields;
+    while (fields.size() <= ChunkDecoder::MaxTrailerBytes * 2) {
+        fields += "X-More: x\r\n";
+    }
+    cr_assert_not(read(inChunks("0\r\n" + fields)));
     std::string interim;
     while (interim.size() <= AnswerReader::MaxHeadBytes) {
         interim += "HTTP/1.1 102 Processing\r\nX-More: x\r\n\r\n";
@@ -170,6 +216,7 @@
 {
     constexpr int Rounds = 20'000;
     const std::vector<std::string> seeds { withFields("Content-Length: 5\r\nX-A: b\r\n"),
+        inChunks("5;a=\"b\"\r\nwhole\r\n2\r\nof\r\n0\r\nX-Trailer: 1\r\n\r\n"),
         "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + withFields("Content-Length: 5\r\n") };
     std::mt19937_64 random(1);
     int accepted = 0;
--- a/tests/transport/testbrokenanswers.cpp
+++ b/tests/transport/testbrokenanswers.cpp
@@ -111,6 +111,10 @@
         answers.push_back(absl::StrCat(line, "\r\n", length, "\r\nwhole"));
         answers.push_back(absl::StrCat(line, "\r\n\r\n"));
     }
+    for (const char *body : { "5x\r\nwhole\r\n0\r\n\r\n", "5;\r\nwhole\r\n0\r\n\r\n", "5\r\nwholeX\r\n0\r\n\r\n",
+             "5\r\nwhole\r\n0x\r\n\r\n", "5\r\nwhole\r\n0\r\nno field\r\n\r\n", "x\r\n" }) {
+        answers.push_back(absl::StrCat(StatusLine, "Transfer-Encoding: chunked\r\n\r\n", body));
+    }
     HttpClient client;
     for (const std::string &bytes : answers) {
         const ScriptedUpstream upstream(answersBroken(bytes));
@@ -172,6 +176,25 @@
     }
 }
 
+// Guards against lines without end around a body and heads without end, which the process would keep.
+Test(brokenanswers, linesWithoutEndAreBrokenOff)
+{
+    const std::string inChunks = StatusLine + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> parts { { inChunks + "5;", "a" }, { inChunks + "0\r\n", "X-More: x\r\n" },
+        { inChunks + "0\r\nX: ", "x" }, { inChunks, "1" }, { inChunks + "5\r\nwhole", "x" },
+        { "", "HTTP/1.1 102 Processing\r\nX-More: x\r\n\r\n" }, { StatusLine, "X-More: x\r\n" }, { StatusLine + "X-More: ", "x" },
+        { "", "x" }, { "HTTP/1.1 200 ", "x" } };
+    for (const auto &[beginning, repeated] : parts) {
+        ScriptedAnswer answer { beginning };
+        answer.endless = repeated;
+        const ScriptedUpstream upstream([answer](const std::string &) { return answer; });
+        HttpClient client;
+        const Received broken = call(client, upstream, "/");
+        cr_expect(broken.result.state == AttemptState::Sent && broken.result.error == ErrorKind::UpstreamFailed, "%s...%s: %s",
+            beginning.c_str(), repeated.c_str(), broken.result.detail.c_str());
+    }
+}
+
 // Guards against a process that ends, or a call that never does, whatever an upstream sends on kept connections.
 Test(brokenanswers, anyBytesEndTheirCall)
 {
--- a/transport/answerreader.cpp
+++ b/transport/answerreader.cpp
@@ -26,6 +26,7 @@
 struct BodyPartReader
 {
     std::string_view &data;
+    std::string &buffer;
 
     std::optional<std::string_view> operator()(NoBody &) const
     {
@@ -42,9 +43,26 @@
     {
         return std::exchange(data, {});
     }
-    std::optional<std::string_view> operator()(BodyInChunks &) const
+    // Mostly one chunk arrives at a time, and is not copied.
+    std::optional<std::string_view> operator()(ChunkDecoder &framing) const
     {
-        return std::exchange(data, {});
+        std::string_view first;
+        buffer.clear();
+        for (;;) {
+            std::string_view part;
+            const ChunkDecoder::Progress progress = framing.decode(data, part);
+            if (progress == ChunkDecoder::Progress::Malformed) {
+                return std::nullopt;
+            }
+            if (first.empty()) {
+                first = part;
+            } else if (!part.empty()) {
+                buffer.append(buffer.empty() ? first : std::string_view()).append(part);
+            }
+            if (data.empty() || progress == ChunkDecoder::Progress::Complete) {
+                return buffer.empty() ? first : std::string_view(buffer);
+            }
+        }
     }
 };
 
@@ -62,9 +80,9 @@
     {
         return false;
     }
-    bool operator()(const BodyInChunks &) const
+    bool operator()(const ChunkDecoder &framing) const
     {
-        return false;
+        return framing.isComplete();
     }
 };
 
@@ -99,9 +117,6 @@
     case Part::Fields:
         return line.empty() ? onHeadEnd() : onField(line);
     case Part::Body:
-        if (isInChunks() && (line.empty() || parseField(line))) {
-            return true; // A trailer.
-        }
         break;
     }
     return fail("a line of a head follows the end of the answer's head");
@@ -188,7 +203,7 @@
         return mayAnnounceBody || (length == 0 && codings.empty());
     }
     if (!codings.empty()) {
-        m_framing = BodyInChunks();
+        m_framing = ChunkDecoder();
     } else if (!lengths.empty()) {
         m_framing = BodyOfLength { length };
     } else {
@@ -197,13 +212,16 @@
     return true;
 }
 
-std::optional<std::string_view> AnswerReader::readBody(std::string_view data)
+std::optional<std::string_view> AnswerReader::readBody(std::string_view data, std::string &buffer)
 {
     if (!isHeadComplete()) {
         fail("a body precedes the end of the answer's head");
         return std::nullopt;
     }
-    const auto part = std::visit(BodyPartReader { data }, m_framing);
+    const auto part = std::visit(BodyPartReader { data, buffer }, m_framing);
+    if (!part) {
+        fail("the chunks of the answer's body are malformed");
+    }
     m_hasExcess = m_hasExcess || !data.empty();
     return part;
 }
--- a/transport/answerreader.h
+++ b/transport/answerreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "transport/chunkdecoder.h"
 #include "transport/httpfields.h"
 
 #include <cstddef>
@@ -22,18 +23,13 @@
     std::uint64_t bytesLeft = 0;
 };
 
-/** The decoder of the chunks finds the end of the body. */
-struct BodyInChunks
-{
-};
-
 /** The end of the connection is the end of the body. */
 struct BodyUntilClose
 {
 };
 
 /** How the end of a body is found (RFC 9112, section 6.3). */
-using BodyFraming = std::variant<NoBody, BodyOfLength, BodyInChunks, BodyUntilClose>;
+using BodyFraming = std::variant<NoBody, BodyOfLength, ChunkDecoder, BodyUntilClose>;
 
 /**
  * Reads the answer to one request, strictly by the grammar of RFC 9110 and RFC 9112. A receiver that guesses what a malformed answer means
@@ -51,21 +47,18 @@
     /** Reads a line of a head, with its line end. Returns false if the answer is malformed. */
     bool readHeadLine(std::string_view line);
     /**
-     * Reads what follows the final head, with chunks decoded. Returns the part of the body in it; nothing if the answer is malformed.
+     * Reads what follows the final head. Returns the part of the body in it, which is valid as long as @p data and @p buffer are
+     * unchanged; nothing if the answer is malformed.
      */
-    std::optional<std::string_view> readBody(std::string_view data);
+    std::optional<std::string_view> readBody(std::string_view data, std::string &buffer);
 
     /** The final head has been read up to its end. */
     bool isHeadComplete() const
     {
         return m_part == Part::Body;
     }
-    /** All of the body has been read. Never true of a body that ends with its connection or whose chunks are decoded elsewhere. */
+    /** All of the body has been read. Never true of a body that ends with its connection. */
     bool isBodyComplete() const;
-    bool isInChunks() const
-    {
-        return std::holds_alternative<BodyInChunks>(m_framing);
-    }
     bool endsWithConnection() const
     {
         return std::holds_alternative<BodyUntilClose>(m_framing);
--- a/transport/httpclient.cpp
+++ b/transport/httpclient.cpp
@@ -60,6 +60,8 @@
     /** The connection was closed behind a whole answer, since more bytes followed. */
     bool isClosedAfterAnswer = false;
     AnswerReader reader;
+    /** The client's, for the parts of a body that have to be joined. */
+    std::string *bodyBuffer = nullptr;
     std::size_t bodyBytes = 0;
 
     ~Transfer()
@@ -122,7 +124,7 @@
         transfer.isPausePending = false;
         return CURL_WRITEFUNC_PAUSE;
     }
-    const auto part = transfer.reader.readBody({ data, count });
+    const auto part = transfer.reader.readBody({ data, count }, *transfer.bodyBuffer);
     if (!part || !acceptsPart(transfer, *part)) {
         return 0;
     }
@@ -203,8 +205,8 @@
 bool isWhole(const Transfer &transfer, CURLcode code)
 {
     const AnswerReader &reader = transfer.reader;
-    const bool isEndFoundByLibcurl = reader.isHeadComplete() && (reader.endsWithConnection() || reader.isInChunks());
-    return transfer.isClosedAfterAnswer || (code == CURLE_OK && (reader.isBodyComplete() || isEndFoundByLibcurl));
+    const bool isEndedByClose = reader.isHeadComplete() && reader.endsWithConnection();
+    return transfer.isClosedAfterAnswer || (code == CURLE_OK && (reader.isBodyComplete() || isEndedByClose));
 }
 
 std::string failureDetail(const Transfer &transfer, CURLcode code)
@@ -265,6 +267,7 @@
     // Used only on the client's thread.
     ExchangeHistory history;
     absl::flat_hash_map<CallId, std::unique_ptr<Transfer>> transfers;
+    std::string bodyBuffer;
 
     /** Set only for a driven client. */
     std::unique_ptr<CurlEvents> events;
@@ -437,6 +440,7 @@
     }
     transfer.history = &history;
     transfer.reader = AnswerReader(call.method == "HEAD");
+    transfer.bodyBuffer = &bodyBuffer;
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onSocket);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &onSocketClosed);
@@ -450,6 +454,8 @@
     curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, SendBufferBytes);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &beforeRequest);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    // libcurl takes whatever begins like the size of a chunk for one.
+    curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeaderLine);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
