Count no end of an upstream for a broken answer

What callers could see: sound requests refused for their content (400), because upstreams that answer badly count as ended under them.

Cause: a broken answer was reported as a request that the upstream did not answer to the end, and an engine whose entry lapsed, and whose report was broken, counted as ended. Both prove the opposite: only a process that lives sends bytes. The stricter reading would have made both frequent.

Change: neither accuses content. The upstream still counts as failed, and a request that may run again goes to another one.

Evidence: enginesWithBrokenReportsAccuseNothing and upstreamsThatEndAfterBrokenAnswersAccuseNothing fail without the change.

--- a/main/entry/crashdetector.cpp
+++ b/main/entry/crashdetector.cpp
@@ -148,7 +148,8 @@
     constexpr int OkStatus = 200;
     // A node that got no processor time may have an answer that it has not read.
     const bool isLate = took > ReportTimeout * 2;
-    if (result.state == AttemptState::Answered && result.status == OkStatus) {
+    const bool isAlive = result.isMalformed || (result.state == AttemptState::Answered && result.status == OkStatus);
+    if (isAlive) {
         absl::erase_if(outlivedEntries, [this](const auto &entry) { return now() - entry.second > OutlivedMemory; });
         outlivedEntries[startOf(upstream)] = now();
         log.write(Important, "upstream", "outlives_entry", { { "upstream", upstream.id.value() }, { "startedAt", upstream.startedAt } });
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -1368,9 +1368,12 @@
         m_excludedRelays.insert(m_relay->id);
     } else {
         m_isAccused = m_context.crashGuard().isAccused(m_content);
-        UnansweredRequest request = unansweredRequest();
-        request.brokenAt = m_context.loop().clock().now();
-        m_context.crashGuard().detector().onBroken(request);
+        // A process that answers, however badly, has not ended under the request.
+        if (!result.isMalformed) {
+            UnansweredRequest request = unansweredRequest();
+            request.brokenAt = m_context.loop().clock().now();
+            m_context.crashGuard().detector().onBroken(request);
+        }
         m_context.clusterState().outliers.onFailure(m_upstream.id, now());
         m_context.reachabilityProber().onBroken(m_service);
     }
--- a/tests/main/testrequestforwardercrash.cpp
+++ b/tests/main/testrequestforwardercrash.cpp
@@ -381,28 +381,30 @@
     cr_assert_eq(fixture.sendWithNewId("deadly"), 504);
 }
 
-// Some upstreams leave without announcing it: their entries lapse, and they serve on. What they were slow with was held back as deadly.
-Test(crashingrequests, upstreamsThatServeOnAfterTheirEntryLapsesAccuseNothing)
+namespace
+{
+
+/** Sends a request to each of some upstreams, one after the other, whose entries lapse then. Returns how much content is held back. */
+std::size_t heldAfterLapses(const ScriptedUpstream::Script &script, int status, bool isGone = false)
 {
     constexpr int Lapses = 4;
-    const ScriptedUpstream::Script answerReportsOnly = [](const std::string &request) {
-        ScriptedAnswer answer;
-        answer.isHanging = !asksForReport(request);
-        answer.bytes = answer.isHanging ? "" : EmptyReport;
-        return answer;
-    };
     std::vector<std::unique_ptr<ScriptedUpstream>> leaving;
     ForwarderFixture fixture;
     fixture.configure(RequestKind::Idempotent, 1);
     for (int i = 0; i < Lapses; ++i) {
-        leaving.push_back(std::make_unique<ScriptedUpstream>(answerReportsOnly));
+        leaving.push_back(std::make_unique<ScriptedUpstream>(script));
         const UpstreamId id(absl::StrCat("u", i));
         fixture.addUpstream(id.value(), *leaving.back());
         HttpRequest request = ForwarderFixture::request();
         ForwarderFixture::setRequestId(request, absl::StrCat("r-", i));
         const auto caller = fixture.send(std::move(request));
         fixture.runUntil([&] { return caller->isDone(); });
-        cr_assert_eq(caller->status(), 504);
+        cr_assert_eq(caller->status(), status);
+        if (isGone) {
+            const Time probed = fixture.clock.now() + Duration(200);
+            fixture.runUntil([&] { return fixture.clock.now() >= probed; });
+            leaving.back()->stopListening();
+        }
         const UpstreamRecord record = *fixture.clusterState.upstreams.usable(id);
         fixture.clusterState.upstreams.remove(id, "its entry lapsed", fixture.clock.now());
         fixture.forwarder->onUpstreamLapsed(record);
@@ -414,7 +416,42 @@
         fixture.clusterState.quarantine.statements(false, fixture.clock.now());
         return fixture.clock.now() >= end;
     });
-    cr_assert_eq(fixture.clusterState.quarantine.heldCount(), 0);
+    return fixture.clusterState.quarantine.heldCount();
+}
+
+ScriptedUpstream::Script hangsAndReports(const std::string &report)
+{
+    return [report](const std::string &request) {
+        ScriptedAnswer answer;
+        answer.isHanging = !asksForReport(request);
+        answer.bytes = answer.isHanging ? "" : report;
+        return answer;
+    };
+}
+
+} // namespace
+
+// Some upstreams leave without announcing it: their entries lapse, and they serve on. What they were slow with was held back as deadly.
+Test(crashingrequests, upstreamsThatServeOnAfterTheirEntryLapsesAccuseNothing)
+{
+    cr_assert_eq(heldAfterLapses(hangsAndReports(EmptyReport), 504), 0);
+}
+
+// Guards against engines whose report is broken and that are taken for ended: only a process that lives answers.
+Test(crashingrequests, enginesWithBrokenReportsAccuseNothing)
+{
+    for (const char *report : { "HTTP/1.1 200 OK\r\nContent-Length: 2x\r\n\r\n{}", "junk\r\n\r\n" }) {
+        cr_assert_eq(heldAfterLapses(hangsAndReports(report), 504), 0);
+    }
+}
+
+// Guards against sound content that is refused because upstreams sent broken answers to it before they ended.
+Test(crashingrequests, upstreamsThatEndAfterBrokenAnswersAccuseNothing)
+{
+    const auto answersBroken = [](const std::string &) {
+        return ScriptedAnswer { "HTTP/1.1 200 OK\r\nContent-Length: 5x\r\n\r\nwhole", ScriptedAnswer::ConnectionAction::Close };
+    };
+    cr_assert_eq(heldAfterLapses(answersBroken, 502, true), 0);
 }
 
 // Another node has found out that an engine has ended, and this one would send it requests for as long as the store lists it.
