Do not send waiting requests that may outlive a stopping node

What callers could see: a request that must not run twice is accepted in the first seconds of a planned stop, waits for an upstream, is sent late in the grace period, and cut when the process exits.

Cause: whether a request is certain to end in time was checked when it arrived, not when it was sent.

Change: a request that may not run twice is checked again whenever it looks for an upstream, and refused as not run if it might not end before the process exits, so that its caller can go to another node. The check runs at once when the node stops accepting such requests.

Not affected: requests that arrive late, their bodies too, since both are checked when the body is complete.

Measured: waitingRequestIsNotSentWhenItMightOutliveTheNode fails without the change for plain requests and streams, and passes with it; requests that may run again are sent as before.

--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -649,6 +649,7 @@
     if (!isListenerClosed && elapsed >= AcceptAllAfterDrain) {
         isListenerClosed = true;
         callerServer->stopAccepting();
+        forwarder->onClusterStateChanged(); // Waiting requests that might not end in time are refused.
     }
     if (elapsed >= longest && !requestsEndedAt) {
         requestsEndedAt = clock.now();
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -489,6 +489,11 @@
         onDeadline();
         return;
     }
+    // Its answer might be cut off when this process exits, and it must not run a second time.
+    if (!isRepeatable() && !m_context.callbacks().canAccept(timeLeft())) {
+        giveUp(ErrorKind::Draining);
+        return;
+    }
     if (!isContentAllowed()) {
         giveUp(ErrorKind::ContentHeldBack);
         return;
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -540,6 +540,36 @@
     cr_assert_eq(std::count_if(callers.begin(), callers.end(), [](const auto &caller) { return caller->isDone(); }), 4);
 }
 
+// Guards against a request that waits for an upstream while its node stops, is sent late, and cut when the process exits: one that must not
+// run twice is lost then.
+Test(requestforwarder, waitingRequestIsNotSentWhenItMightOutliveTheNode)
+{
+    for (const RequestKind kind : { RequestKind::NonIdempotent, RequestKind::Stream, RequestKind::Idempotent }) {
+        const ScriptedUpstream upstream([kind](const std::string &) {
+            const bool isStream = kind == RequestKind::Stream;
+            return ScriptedAnswer { isStream ? absl::StrCat(StreamHead, chunk("id: 1\ndata: a\n\n"), "0\r\n\r\n") : CompleteAnswer };
+        });
+        ForwarderFixture fixture;
+        fixture.configure(kind, 1);
+        fixture.addUpstream("u", upstream);
+        HttpRequest request = ForwarderFixture::request();
+        request.headers["apricotstep-model"] = "m/a7";
+        const auto caller = fixture.send(request);
+        const Time later = fixture.clock.now() + Duration(100);
+        fixture.runUntil([&] { return fixture.clock.now() >= later; });
+        cr_assert_not(caller->isDone());
+        fixture.isLeaving = true;
+        fixture.longestAccepted = Duration(200);
+        fixture.clusterState.residencies.put(EngineResidency {
+            UpstreamId("u"), 1, FencingToken(1), 1, { AdapterCopy { BaseModelId("m"), AdapterId("a7"), AdapterVersion("1"), true } } });
+        fixture.forwarder->onClusterStateChanged();
+        fixture.runUntil([&] { return caller->isDone(); });
+        const bool isSent = kind == RequestKind::Idempotent;
+        cr_expect_eq(caller->status(), isSent ? 200 : 503);
+        cr_expect_eq(upstream.requests().size(), isSent ? 1U : 0U);
+    }
+}
+
 // Guards against requests in progress that end without an answer and a log line when the node stops.
 Test(requestforwarder, requestsInProgressEndWithAnAnswerWhenTheNodeStops)
 {
--- a/tests/main/testrequestforwarderfixture.h
+++ b/tests/main/testrequestforwarderfixture.h
@@ -59,6 +59,8 @@
     ClusterState clusterState;
     std::unique_ptr<RequestForwarder> forwarder;
     bool isLeaving = false;
+    /** How long a request may take to be accepted. */
+    Duration longestAccepted = Duration::seconds(3600);
     std::optional<Duration> ordersIn = Duration(0);
     std::vector<RelayNode> relays;
     int brittleRefusals = 0;
@@ -74,7 +76,7 @@
         callbacks.onPendingAdapters = [] {};
         callbacks.nodeCount = [] { return 1; };
         callbacks.isLeaving = [this] { return isLeaving; };
-        callbacks.canAccept = [](Duration) { return true; };
+        callbacks.canAccept = [this](Duration longest) { return longest < longestAccepted; };
         callbacks.ordersIn = [this] { return ordersIn; };
         callbacks.fleetSize = [] { return std::optional(1); };
         callbacks.onBrittleRefusal = [this] { ++brittleRefusals; };
@@ -228,7 +230,7 @@
         callbacks.onPendingAdapters = [] {};
         callbacks.nodeCount = [] { return 1; };
         callbacks.isLeaving = [] { return false; };
-        callbacks.canAccept = [](Duration) { return true; };
+        callbacks.canAccept = [this](Duration longest) { return longest < longestAccepted; };
         callbacks.ordersIn = [] { return std::optional(Duration(0)); };
         callbacks.canOthersAcceptKeys = [] { return true; };
         callbacks.fleetSize = [] { return std::optional(100); };
