Break off answers without end at the readers of INI nodes

What operators could see: "apricotstep burn" or "status" against a port that sends bytes without end took memory for ten seconds, without a bound. The readers of the VM list, of values of the configuration and of ownership reports kept no more than their limit, but read on until the deadline, and the VM list could be put together from parts.

Cause: these readers did not use the limit of bytes that calls have.

Change: they do. The limit of the commands is 64 MB.

Not changed: answers of engines to orders and of services keep their own limits, which bound what is kept; they are read until the call's deadline.

--- a/main/configreader.cpp
+++ b/main/configreader.cpp
@@ -208,11 +208,10 @@
         call.url += "?after=" + std::to_string(fetch.after.value()) + "&wait_ms=" + std::to_string(fetch.wait.milliseconds());
     }
     call.totalTimeout = fetch.timeout;
+    call.maxBodyBytes = MaxConfigValueBytes;
     const auto body = std::make_shared<std::string>();
     call.onData = [body](std::string_view data) {
-        if (body->size() <= MaxConfigValueBytes) {
-            body->append(data);
-        }
+        body->append(data);
         return true;
     };
     call.onDone = [self = shared_from_this(), fetch, body](const CallResult &result) {
--- a/main/operatorcommands.cpp
+++ b/main/operatorcommands.cpp
@@ -23,6 +23,7 @@
 constexpr int FailedExit = 1;
 constexpr int UsageExit = 2;
 constexpr Duration RequestTimeout = Duration::seconds(10);
+constexpr std::size_t MaxAnswerBytes = 64U << 20U;
 constexpr int MaxPort = 65535;
 
 bool isHostPort(const std::string &text)
@@ -57,6 +58,7 @@
     HttpCall call;
     call.url = "http://" + node + target;
     call.totalTimeout = RequestTimeout;
+    call.maxBodyBytes = MaxAnswerBytes;
     call.onData = [&](std::string_view data) {
         body.append(data);
         return true;
--- a/main/ownershiprunner.cpp
+++ b/main/ownershiprunner.cpp
@@ -113,6 +113,7 @@
     call.url = "http://" + spec.address + std::string(path);
     call.connectTimeout = std::min(settings.duration("upstreams.connect_timeout_ms"), CallTimeout);
     call.totalTimeout = CallTimeout;
+    call.maxBodyBytes = MaxReportBytes;
     return call;
 }
 
@@ -122,9 +123,7 @@
     auto body = std::make_shared<std::string>();
     HttpCall report = call(EngineReportPath);
     report.onData = [body](std::string_view data) {
-        if (body->size() + data.size() <= MaxReportBytes) {
-            body->append(data);
-        }
+        body->append(data);
         return true;
     };
     report.onDone = [self = shared_from_this(), body, requestedAt](
@@ -158,9 +157,7 @@
     claim.body = engineClaimBody();
     auto body = std::make_shared<std::string>();
     claim.onData = [body](std::string_view data) {
-        if (body->size() + data.size() <= MaxReportBytes) {
-            body->append(data);
-        }
+        body->append(data);
         return true;
     };
     claim.onDone = [self = shared_from_this(), body, token = action.token](const CallResult &result) {
--- a/main/platformreader.cpp
+++ b/main/platformreader.cpp
@@ -48,10 +48,9 @@
     HttpCall call;
     call.url = url;
     call.totalTimeout = timeout;
+    call.maxBodyBytes = MaxValueBytes;
     call.onData = [body](std::string_view data) {
-        if (body->size() + data.size() <= MaxValueBytes) {
-            body->append(data);
-        }
+        body->append(data);
         return true;
     };
     call.onDone = [body, done = std::move(done)](const CallResult &result) { done(result, *body); };
--- a/tests/main/testoperators.cpp
+++ b/tests/main/testoperators.cpp
@@ -2,6 +2,7 @@
 #include "main/operatorcommands.h"
 #include "main/operatorport.h"
 #include "tests/main/fixtures.h"
+#include "tests/main/scriptedupstream.h"
 
 #include <nlohmann/json.hpp>
 
@@ -158,3 +159,17 @@
     cr_assert_eq(showAddress(other.address(), "kitchen", false, out, errors), 1);
     cr_assert(out.str().empty());
 }
+
+// Guards against a command that keeps an answer without end until its memory is used up.
+Test(operators, answerWithoutEndIsBrokenOff)
+{
+    const Fixtures::ScriptedUpstream node([](const std::string &) {
+        Fixtures::ScriptedAnswer answer { "HTTP/1.1 200 OK\r\n\r\n" };
+        answer.endless = std::string(4000, ' ');
+        return answer;
+    });
+    std::ostringstream out;
+    std::ostringstream errors;
+    cr_assert_eq(showStatus({ node.address(), false, false, "" }, out, errors), 1);
+    cr_assert_eq(errors.str(), "node " + node.address() + " did not answer: the answer is longer than 67108864 bytes\n");
+}
