Send broken answers in the soak

A stand-in for an upstream, an engine's report or the store sends answers broken in twenty ways, some that end a process and some that passed for whole ones. They carry a body that is not the server's, so that the check of bodies sees any that is taken for an answer.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,6 +22,7 @@
 import tempfile
 import time
 
+import brokenanswers
 import deadlycontents
 import endlessanswers
 import http1
@@ -218,6 +219,7 @@
         self.failures = []
         # The answers without end that upstreams have sent, by kind.
         self.endless_counts = {}
+        self.broken_counts = {}
         self.runs = {}
         self.request_kinds = {}
         # The key and the time of each request, the keys of the teams, and the withdrawn keys with their team and time.
@@ -692,6 +694,20 @@
             upstream.endless_answers.share = 0.0
             self.lost_answers.end_harm(upstream.name)
 
+    async def broken_answers(self):
+        """Some upstreams and the store send a share of their answers broken."""
+        broken = [upstream for upstream in self.pick_upstreams() if upstream.broken_answers.share == 0]
+        for upstream in broken:
+            self.lost_answers.begin_harm(upstream.name)
+            upstream.broken_answers.share = self.random.uniform(0.05, 0.3)
+        store_answers = self.store.broken_answers = brokenanswers.BrokenAnswers(self)
+        store_answers.share = self.random.uniform(0.0, 0.2)
+        await asyncio.sleep(self.random.uniform(2.0, 6.0))
+        store_answers.share = 0.0
+        for upstream in broken:
+            upstream.broken_answers.share = 0.0
+            self.lost_answers.end_harm(upstream.name)
+
     async def request_ends_engines(self):
         await self.deadly_contents.repeat_request()
 
@@ -890,7 +906,8 @@
         for peak_kb, node in peaks:
             if peak_kb is not None and peak_kb > endlessanswers.MEMORY_BOUND_KB:
                 self.fail("MEMORY", f"{node.name} has held {peak_kb >> 10} MB")
-        print(f"peak memory: {max((peak or 0 for peak, _ in peaks), default=0) >> 10} MB; endless answers: {self.endless_counts}", flush=True)
+        print(f"peak memory: {max((peak or 0 for peak, _ in peaks), default=0) >> 10} MB; endless answers: {self.endless_counts}; "
+              f"broken answers: {self.broken_counts}", flush=True)
 
     def check_logs(self):
         for node in self.nodes:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -8,6 +8,7 @@
 
 import http1
 import joinedstreams
+from brokenanswers import BrokenAnswers
 from endlessanswers import EndlessAnswers
 from lateanswers import LateAnswers
 from statements import Statements
@@ -37,6 +38,7 @@
         self.unanswered_polls = []
         self._hang_count = 0
         self._changed = asyncio.Event()
+        self.broken_answers = None
 
     def stop_responding(self):
         """Leaves pending and future requests without a response."""
@@ -70,6 +72,8 @@
         if self.is_down:
             http1.respond(writer, 503)
             return True
+        if self.broken_answers is not None and self.broken_answers.is_next():
+            return await self.broken_answers.send(writer, JSON)
         hang_count = self._hang_count
         query = dict(urllib.parse.parse_qsl(request.query))
         if request.path == "/apricotstep/kv-range":
@@ -110,6 +114,7 @@
         self.statements = Statements(cluster, self)
         self.late_answers = LateAnswers(cluster)
         self.endless_answers = EndlessAnswers(cluster)
+        self.broken_answers = BrokenAnswers(cluster)
         self._server = None
 
     async def start(self):
@@ -164,6 +169,8 @@
                 await self.endless_answers.send(writer, self.head(request), False)
                 writer.transport.abort()
                 return False
+            if self.broken_answers.is_next():
+                return await self.broken_answers.send(writer, self.head(request))
             await asyncio.sleep(self.cluster.random.uniform(0.005, 0.04))
         finally:
             self.running -= 1
@@ -191,6 +198,8 @@
         if self.is_misdirected(request):
             return self.reject(writer, request, 421)
         self.complete_loads()
+        if request.path == "/apricotstep/report" and self.broken_answers.is_next():
+            return await self.broken_answers.send(writer, JSON)
         if request.path == "/apricotstep/report":
             http1.respond(writer, 200, json.dumps(self.report()).encode(), JSON)
             return True
@@ -259,6 +268,8 @@
                 await self.endless_answers.send(writer, self.head(request), True)
                 writer.transport.abort()
                 return False
+            if self.broken_answers.is_next():
+                return await self.broken_answers.send(writer, self.head(request))
             return await self.stream(request, writer)
         finally:
             self.running_by_adapter[adapter] -= 1
