Test early answers whose connection is reset

On other systems a part of an answer without a length, sent while a long upload was still being written, reached a caller as whole after a reset.

--- a/tests/main/scriptedupstream.cpp
+++ b/tests/main/scriptedupstream.cpp
@@ -11,8 +11,9 @@
 namespace Fixtures
 {
 
-ScriptedUpstream::ScriptedUpstream(Script script)
+ScriptedUpstream::ScriptedUpstream(Script script, Reading reading)
     : m_script(std::move(script))
+    , m_reading(reading)
 {
     m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address {};
@@ -70,7 +71,7 @@
     }
 }
 
-bool ScriptedUpstream::readRequest(int socket, std::string &request)
+bool ScriptedUpstream::readRequest(int socket, std::string &request) const
 {
     char buffer[4096];
     std::size_t requestSize = std::string::npos;
@@ -84,6 +85,9 @@
         if (head == std::string::npos) {
             continue;
         }
+        if (m_reading == Reading::Heads) {
+            return true;
+        }
         const std::size_t field = request.find("Content-Length: ");
         const std::size_t body = field < head ? std::stoul(request.substr(field + 16)) : 0;
         requestSize = head + 4 + body;
--- a/tests/main/scriptedupstream.h
+++ b/tests/main/scriptedupstream.h
@@ -43,7 +43,12 @@
 public:
     using Script = std::function<ScriptedAnswer(const std::string &request)>;
 
-    explicit ScriptedUpstream(Script script);
+    enum class Reading {
+        WholeRequests,
+        /** Answers once the head has arrived, and reads no body. */
+        Heads,
+    };
+    explicit ScriptedUpstream(Script script, Reading reading = Reading::WholeRequests);
     ~ScriptedUpstream();
 
     std::string address() const
@@ -79,9 +84,10 @@
     void accept();
     void serve(int socket);
     void sendEndless(int socket, const std::string &bytes);
-    static bool readRequest(int socket, std::string &request);
+    bool readRequest(int socket, std::string &request) const;
 
     Script m_script;
+    Reading m_reading;
     int m_listener = -1;
     std::uint16_t m_port = 0;
     std::atomic<bool> m_isStopping { false };
--- a/tests/transport/testbrokenanswers.cpp
+++ b/tests/transport/testbrokenanswers.cpp
@@ -28,12 +28,14 @@
     std::string body;
 };
 
-Received call(HttpClient &client, const ScriptedUpstream &upstream, const std::string &path)
+Received call(HttpClient &client, const ScriptedUpstream &upstream, const std::string &path, const std::string &body = {})
 {
     Received received;
     absl::Notification done;
     HttpCall httpCall;
     httpCall.url = absl::StrCat("http://", upstream.address(), path);
+    httpCall.method = body.empty() ? "GET" : "POST";
+    httpCall.body = body;
     httpCall.isSentOnce = true;
     httpCall.totalTimeout = Duration::seconds(5);
     httpCall.onData = [&](std::string_view data) {
@@ -138,6 +140,30 @@
     }
 }
 
+// Guards against a part of an answer that passes for a whole one because its connection was reset while the request was still being sent.
+Test(brokenanswers, earlyAnswerThatIsResetIsReportedAsFailed)
+{
+    constexpr int Rounds = 10;
+    const std::string body(4U << 20U, 'b');
+    for (const char *bytes : { "HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n" }) {
+        for (const Duration pause : { Duration(0), Duration(1), Duration(20) }) {
+            ScriptedAnswer answer { bytes, ScriptedAnswer::ConnectionAction::Reset };
+            if (pause > Duration(0)) {
+                answer.laterParts = { "" };
+                answer.pause = pause;
+            }
+            const ScriptedUpstream upstream([answer](const std::string &) { return answer; }, ScriptedUpstream::Reading::Heads);
+            HttpClient client;
+            for (int i = 0; i < Rounds; ++i) {
+                const Received broken = call(client, upstream, "/", body);
+                cr_expect(
+                    broken.result.state == AttemptState::Sent, "%s, reset after %d ms", bytes, static_cast<int>(pause.milliseconds()));
+            }
+        }
+    }
+}
+
 // Guards against proper answers that are refused because they are rare.
 Test(brokenanswers, properAnswersAreServed)
 {
