Let a stalled body arrive before its test takes the last place

requestbodies::stalledSmallBodiesGiveWayWhenMemoryLacks timed out once, under AddressSanitizer beside a build. Cause: the test opens a connection that stalls and then others that take the last place in memory. A server that got no processor time reads the later one first, the stalled one is refused, and the test waits for it without end.

Change: the test waits until the stalled body holds its place. All checks stay as they were.

--- a/tests/transport/testrequestbodies.cpp
+++ b/tests/transport/testrequestbodies.cpp
@@ -225,8 +225,13 @@
         others.push_back(std::move(reservation));
     }
     others.pop_back();
+    const std::size_t bytesOfOthers = settings.memory->bodyBytes();
     const RawConnection stalled(server.server->port());
     stalled.sendText(headOf(SmallBodyBytes) + std::string(SmallBodyBytes - 1, 'b'));
+    // The server may read a later connection first.
+    while (settings.memory->bodyBytes() == bytesOfOthers) {
+        usleep(1000);
+    }
     while (server.serves(SmallBodyBytes)) {
         usleep(1000);
     }
