Let the chunk decoder tell only whether chunks are malformed

Its outcome had three values, two of which isComplete() tells as well, and the length of a line was checked at two places. No change of behaviour.

--- a/transport/answerreader.cpp
+++ b/transport/answerreader.cpp
@@ -50,8 +50,7 @@
         buffer.clear();
         for (;;) {
             std::string_view part;
-            const ChunkDecoder::Progress progress = framing.decode(data, part);
-            if (progress == ChunkDecoder::Progress::Malformed) {
+            if (!framing.decode(data, part)) {
                 return std::nullopt;
             }
             if (first.empty()) {
@@ -59,7 +58,7 @@
             } else if (!part.empty()) {
                 buffer.append(buffer.empty() ? first : std::string_view()).append(part);
             }
-            if (data.empty() || progress == ChunkDecoder::Progress::Complete) {
+            if (data.empty() || framing.isComplete()) {
                 return buffer.empty() ? first : std::string_view(buffer);
             }
         }
--- a/transport/chunkdecoder.cpp
+++ b/transport/chunkdecoder.cpp
@@ -79,28 +79,32 @@
 
 } // namespace
 
-ChunkDecoder::Progress ChunkDecoder::decode(std::string_view &data, std::string_view &part)
+bool ChunkDecoder::decode(std::string_view &data, std::string_view &part)
 {
     part = {};
-    while (!data.empty() && m_state != State::Complete) {
+    while (!data.empty() && !isComplete()) {
         if (m_state == State::Data) {
             part = data.substr(0, std::min<std::uint64_t>(m_bytesLeft, data.size()));
             data.remove_prefix(part.size());
             m_bytesLeft -= part.size();
             m_state = m_bytesLeft == 0 ? State::DataEnd : State::Data;
-            return Progress::Unfinished;
+            return true;
+        }
+        const bool isLineComplete = readLine(data);
+        if (m_line.size() > MaxLineBytes) {
+            return false;
         }
-        if (!readLine(data)) {
-            return m_line.size() > MaxLineBytes ? Progress::Malformed : Progress::Unfinished;
+        if (!isLineComplete) {
+            return true;
         }
         std::string_view line(m_line);
         line.remove_suffix(line.ends_with("\r\n") ? 2 : 1);
-        if (m_line.size() > MaxLineBytes || !onLine(line)) {
-            return Progress::Malformed;
+        if (!onLine(line)) {
+            return false;
         }
         m_line.clear();
     }
-    return isComplete() ? Progress::Complete : Progress::Unfinished;
+    return true;
 }
 
 bool ChunkDecoder::readLine(std::string_view &data)
--- a/transport/chunkdecoder.h
+++ b/transport/chunkdecoder.h
@@ -16,17 +16,12 @@
     static constexpr std::size_t MaxLineBytes = 8U << 10U;
     static constexpr std::size_t MaxTrailerBytes = 64U << 10U;
 
-    enum class Progress {
-        Unfinished,
-        Complete,
-        Malformed,
-    };
-
     /**
      * Decodes the next received bytes and takes them off the front of @p data. Stops after each part of the body, which @p part then refers
-     * to, and at the end of the last chunk's trailers, which may be followed by bytes that do not belong to the body.
+     * to, and at the end of the last chunk's trailers, which may be followed by bytes that do not belong to the body. Returns false if the
+     * chunks are malformed.
      */
-    Progress decode(std::string_view &data, std::string_view &part);
+    bool decode(std::string_view &data, std::string_view &part);
     bool isComplete() const
     {
         return m_state == State::Complete;
