--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -266,8 +266,7 @@
     ForwarderFixture fixture;
     fixture.configure(RequestKind::Stream, 2, true);
     fixture.addUpstream("u1", upstream);
-    fixture.clusterState.residencies.put(EngineResidency {
-        UpstreamId("u1"), 1, FencingToken(1), 1, { AdapterCopy { BaseModelId("m"), AdapterId("a7"), AdapterVersion("1"), true } } });
+    fixture.loadAdapter("u1");
     HttpRequest request = ForwarderFixture::request();
     request.headers["apricotstep-model"] = "m/a7";
     fixture.ordersIn = std::nullopt;
@@ -353,18 +352,14 @@
     fixture.configure(RequestKind::Stream, 1);
     fixture.addUpstream("tired", tired);
     fixture.addUpstream("other", other);
-    const auto load = [&fixture](const std::string &engine) {
-        fixture.clusterState.residencies.put(EngineResidency {
-            UpstreamId(engine), 1, FencingToken(1), 1, { AdapterCopy { BaseModelId("m"), AdapterId("a7"), AdapterVersion("1"), true } } });
-    };
-    load("tired");
+    fixture.loadAdapter("tired");
     HttpRequest request = ForwarderFixture::request();
     request.headers["apricotstep-model"] = "m/a7";
     const auto caller = fixture.send(request);
     const Time later = fixture.clock.now() + Duration(500);
     fixture.runUntil([&] { return fixture.clock.now() >= later; });
     cr_assert_not(caller->isDone());
-    load("other");
+    fixture.loadAdapter("other");
     fixture.forwarder->onClusterStateChanged();
     fixture.runUntil([&] { return caller->isDone(); });
     cr_assert_eq(caller->status(), 200);
@@ -560,8 +555,7 @@
         cr_assert_not(caller->isDone());
         fixture.isLeaving = true;
         fixture.longestAccepted = Duration(200);
-        fixture.clusterState.residencies.put(EngineResidency {
-            UpstreamId("u"), 1, FencingToken(1), 1, { AdapterCopy { BaseModelId("m"), AdapterId("a7"), AdapterVersion("1"), true } } });
+        fixture.loadAdapter("u");
         fixture.forwarder->onClusterStateChanged();
         fixture.runUntil([&] { return caller->isDone(); });
         const bool isSent = kind == RequestKind::Idempotent;
--- a/tests/main/testrequestforwardercrash.cpp
+++ b/tests/main/testrequestforwardercrash.cpp
@@ -464,8 +464,7 @@
     fixture.addUpstream("u1", ended);
     fixture.addUpstream("u2", other);
     for (const char *engine : { "u1", "u2" }) {
-        fixture.clusterState.residencies.put(EngineResidency {
-            UpstreamId(engine), 1, FencingToken(1), 1, { AdapterCopy { BaseModelId("m"), AdapterId("a7"), AdapterVersion("1"), true } } });
+        fixture.loadAdapter(engine);
     }
     QuarantineStatements statements;
     statements.crashes = { CrashReport { { UpstreamId("u1"), 1 }, Duration(1500), { { RequestContent { ContentDigest(5) } } } },
--- a/tests/main/testrequestforwarderfixture.h
+++ b/tests/main/testrequestforwarderfixture.h
@@ -185,6 +185,12 @@
         forwarder->onRequest(std::move(httpRequest), caller);
         return caller;
     }
+    /** The engine holds the adapter of the model "m/a7". */
+    void loadAdapter(const std::string &engine)
+    {
+        clusterState.residencies.put(EngineResidency {
+            UpstreamId(engine), 1, FencingToken(1), 1, { AdapterCopy { BaseModelId("m"), AdapterId("a7"), AdapterVersion("1"), true } } });
+    }
     void addRelay(const std::string &id, const ScriptedUpstream &node)
     {
         relays.push_back(RelayNode { NodeId(id), node.address(), 1, 0 });
--- a/tests/main/testrequestforwarderlateanswers.cpp
+++ b/tests/main/testrequestforwarderlateanswers.cpp
@@ -15,8 +15,7 @@
 /** A payment for an adapter that only the engine "u1" has loaded, so that it waits after each refusal. */
 HttpRequest paymentForAdapter(ForwarderFixture &fixture)
 {
-    fixture.clusterState.residencies.put(EngineResidency {
-        UpstreamId("u1"), 1, FencingToken(1), 1, { AdapterCopy { BaseModelId("m"), AdapterId("a7"), AdapterVersion("1"), true } } });
+    fixture.loadAdapter("u1");
     HttpRequest request = ForwarderFixture::request();
     request.headers["apricotstep-model"] = "m/a7";
     return request;
