Test requests that are complete late in a planned stop

A body whose head was admitted in time and that ends late, and a request that another node relays then, are refused as not run and reach no upstream. That held before by reading the code; the test keeps it so and was not run on earlier code.

--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -564,6 +564,30 @@
     }
 }
 
+// Guards against a body that ends late in a planned stop, or a request that another node relays then, whose answer would be cut.
+Test(requestforwarder, requestsThatAreCompleteLateInAStopAreRefused)
+{
+    for (const RequestSource source : { RequestSource::Caller, RequestSource::Node }) {
+        const ScriptedUpstream upstream([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+        ForwarderFixture fixture;
+        fixture.configure(RequestKind::NonIdempotent, 1);
+        fixture.addUpstream("u", upstream);
+        const auto caller = std::make_shared<Caller>();
+        cr_assert(fixture.forwarder->admitBody(ForwarderFixture::request(), *caller, source).has_value());
+        fixture.isLeaving = true;
+        fixture.longestAccepted = Duration(200);
+        if (source == RequestSource::Caller) {
+            fixture.forwarder->onRequest(ForwarderFixture::request(), caller);
+        } else {
+            fixture.forwarder->onRelayedRequest(
+                ForwarderFixture::request(), RelayedRequest { ConfigVersion(1), {}, Duration(1), {} }, caller);
+        }
+        fixture.runUntil([&] { return caller->isDone(); });
+        cr_expect_eq(caller->status(), 503);
+        cr_expect(upstream.requests().empty());
+    }
+}
+
 // Guards against requests in progress that end without an answer and a log line when the node stops.
 Test(requestforwarder, requestsInProgressEndWithAnAnswerWhenTheNodeStops)
 {
