--- a/tests/soak/brokenanswers.py
+++ b/tests/soak/brokenanswers.py
@@ -1,5 +1,7 @@
 """Broken answers: heads and chunks that no reader may take for an answer, with bodies that are not the server's."""
 
+from faultyanswers import FaultyAnswers
+
 BODY = b"not the server's"
 
 
@@ -37,15 +39,8 @@
     }
 
 
-class BrokenAnswers:
-    """The broken answers of one server, which sends them while the share is above 0."""
-
-    def __init__(self, cluster):
-        self._cluster = cluster
-        self.share = 0.0
-
-    def is_next(self):
-        return self.share > 0 and self._cluster.random.random() < self.share
+class BrokenAnswers(FaultyAnswers):
+    """The broken answers of one server."""
 
     async def send(self, writer, head):
         """Sends one on a connection that is closed then."""
--- a/tests/soak/endlessanswers.py
+++ b/tests/soak/endlessanswers.py
@@ -1,5 +1,7 @@
 """Answers without end: heads, bodies and events that an upstream goes on sending until its connection is closed."""
 
+from faultyanswers import FaultyAnswers
+
 # More than a node may read of such an answer, and the buffers on the way hold.
 MAX_BYTES = 64 << 20
 BLOCK_BYTES = 64 << 10
@@ -16,15 +18,8 @@
         return None
 
 
-class EndlessAnswers:
-    """The endless answers of one upstream, which sends them while the share is above 0."""
-
-    def __init__(self, cluster):
-        self._cluster = cluster
-        self.share = 0.0
-
-    def is_next(self):
-        return self.share > 0 and self._cluster.random.random() < self.share
+class EndlessAnswers(FaultyAnswers):
+    """The endless answers of one upstream."""
 
     async def send(self, writer, head, is_stream):
         lines = ["HTTP/1.1 200 X"] + [f"{name}: {value}" for name, value in head.items()]
