--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -10,6 +10,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -21,6 +22,18 @@
 JSON = {"Content-Type": "application/json"}
 
 
+def reserve_network():
+    """Returns a number n whose addresses 127.0.n.x no other deployment uses, and the socket that reserves it."""
+    for number in random.SystemRandom().sample(range(10, 210), 200):
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.0.{number}.250", 8149))
+            return number, lock
+        except OSError:
+            lock.close()
+    raise RuntimeError("all loopback networks are in use")
+
+
 class Record:
     """record.txt: what was sent, answered and run."""
 
@@ -161,6 +174,7 @@
         self.name = f"front-z1-{index + 1}"
         self.ip = f"127.0.{deployment.network}.{index + 1}"
         self.process = None
+        self.started_at = 0.0
 
     def address(self, port):
         return f"{self.ip}:{port}"
@@ -237,6 +251,7 @@
 ttlMinMs = 1000
 """)
         with open(os.path.join(self.deployment.folder, self.name + ".log"), "ab") as log:
+            self.started_at = time.monotonic()
             self.process = subprocess.Popen([BINARY, "entry"], stdout=log, stderr=log, env={"APRICOTSTEP_BOOT": path})
 
     def signal(self, number):
@@ -250,11 +265,16 @@
     def __init__(self, case_folder, node_count):
         self.record = Record(case_folder)
         self.folder = tempfile.mkdtemp(prefix="review-")
-        self.network = random.SystemRandom().randint(10, 210)
+        self.network, self._network_lock = reserve_network()
         self.node_count = node_count
         self.store = Store()
         self.nodes = [Node(self, index) for index in range(node_count)]
 
+    async def stop_tasks(self, tasks):
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def start_nodes(self):
         for node in self.nodes:
             node.start()
@@ -277,6 +297,7 @@
             node.signal(signal.SIGKILL)
             if node.process is not None:
                 node.process.wait()
+        self._network_lock.close()
         if keeps_logs:
             print(f"logs of the nodes: {self.folder}")
         else:
--- a/review/common-2/engine.py
+++ b/review/common-2/engine.py
@@ -32,6 +32,7 @@
         self.seq = 0
         self.next_heartbeat_at = time.monotonic() + HEARTBEAT_S
         self.runs = []
+        self.last_holder, self.last_order_at = None, 0.0
         # Set if it was ordered to hold more adapters than it has places for.
         self.overfilled = ""
 
@@ -126,6 +127,7 @@
             order = json.loads(request.body)
             status = self.order(order)
             self.seq += status == 202
+            self.last_holder, self.last_order_at = order["holder"], time.monotonic()
             self.deployment.record.write(f"{self.name} got the order {json.dumps(order)}: {status}")
             writer.write(answer(status))
             return True
