--- a/review/6/case.py
+++ b/review/6/case.py
@@ -91,8 +91,7 @@
         await asyncio.sleep(0.3)
         leaves_at.set()
         outcomes = await asyncio.gather(*tasks)
-        for beat in beats:
-            beat.cancel()
+        await world.stop_tasks(beats)
         known = [faults for faults in outcomes if faults is not None]
         if known:
             result = deployment.BROKEN if any(known) else deployment.HELD
