review: after the loss of most machines nobody loads adapters any more

Cause: lost nodes are forgotten only while more than half of the known ones are live, so the rest never finds a majority again.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -66,7 +66,7 @@
 
 
 async def case(trouble):
-    world = deployment.Deployment(FOLDER, 1)
+    world = deployment.Deployment(FOLDER, 3)
     result = deployment.NOT_RUN
     try:
         await world.store.listen()
@@ -87,7 +87,7 @@
             await asyncio.sleep(0.1)
         world.record.write(f"{engines[0].name} holds the model: {engines[0].has_model}")
         leaves_at = asyncio.Event()
-        tasks = [asyncio.ensure_future(client(world, world.nodes[0], number, leaves_at)) for number in range(CLIENTS)]
+        tasks = [asyncio.ensure_future(client(world, world.nodes[number % len(world.nodes)], number, leaves_at)) for number in range(CLIENTS)]
         await asyncio.sleep(0.3)
         leaves_at.set()
         outcomes = await asyncio.gather(*tasks)
