review: a cut of one node makes its zone send to removed servers

Cause: a node that was partitioned from the store takes that for an outage of the store, and in fleets of more than 32 nodes its followers take the outage over with its answers to their fetches; the entry that they hold then stays until the store changes again.

--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -131,6 +131,11 @@
         self.is_silent = False
         self._changed = asyncio.Event()
 
+    def delete(self, key):
+        del self.items[key]
+        self.revision += 1
+        self._note({"key": key, "revision": self.revision, "tombstone": True})
+
     def put(self, key, value):
         self.revision += 1
         text = base64.b64encode(json.dumps(value).encode()).decode()
@@ -173,6 +178,9 @@
         self.deployment = deployment
         self.name = f"front-z1-{index + 1}"
         self.ip = f"127.0.{deployment.network}.{index + 1}"
+        self.zone = "z1"
+        # Set if the way to the store leads through something else.
+        self.store_address = ""
         self.process = None
         self.started_at = 0.0
 
@@ -188,7 +196,7 @@
 machineClass = "front"
 serves = ["front","control","directory"]
 ip = "{self.ip}"
-zone = "z1"
+zone = "{self.zone}"
 region = "r"
 portRange = [7380,7395]
 seeds = [{seeds}]
@@ -199,7 +207,7 @@
 heartbeatMs = 1200
 contracts = ["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"]
 [zones]
-z1 = "r"
+{chr(10).join(f'{zone} = "r"' for zone in sorted({node.zone for node in self.deployment.nodes}))}
 [listen]
 front = "{self.address(8149)}"
 ready = "{self.address(8141)}"
@@ -219,13 +227,13 @@
 [bounds]
 seedLagS = 3
 reuseAfterS = 2
-contactMs = 3000
+contactMs = {self.deployment.bounds["contactMs"]}
 ackMs = 4000
 catchUpS = 4
-drainMs = 2000
+drainMs = {self.deployment.bounds["drainMs"]}
 graceS = 8
 lossSlackMs = 200
-configBoundMs = 2000
+configBoundMs = {self.deployment.bounds["configBoundMs"]}
 rollbackSlackMs = 250
 skewBoundMs = 5000
 budgetRatio = 0.2
@@ -242,7 +250,7 @@
 version_ms = 5000
 ttl_max_s = 5
 [platform]
-address = "{self.deployment.store.address}"
+address = "{self.store_address or self.deployment.store.address}"
 form = "read"
 writesPerS = 400
 readsPerS = 2000
@@ -267,6 +275,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.network, self._network_lock = reserve_network()
         self.node_count = node_count
+        self.bounds = {"contactMs": 3000, "drainMs": 2000, "configBoundMs": 2000}
         self.store = Store()
         self.nodes = [Node(self, index) for index in range(node_count)]
 
