Log reported outages of the store and deferred removals

A follower that keeps a removed upstream in use shows neither that a reader reported an outage to it nor that the removal waits for a later view of the store. 'store outage_reported' and 'upstream removal_deferred' tell whether a late request comes from a reported outage, from a removal that waits, or from a change that has not been read.

--- a/coordination/upstreamdirectory.cpp
+++ b/coordination/upstreamdirectory.cpp
@@ -141,6 +141,12 @@
     return changes;
 }
 
+std::optional<Time> UpstreamDirectory::removalTime(const UpstreamId &id) const
+{
+    const auto at = m_entries.find(id);
+    return at == m_entries.end() || at->second.removeAt == Time::never() ? std::nullopt : std::optional(at->second.removeAt);
+}
+
 std::vector<const UpstreamRecord *> UpstreamDirectory::usable(const ServiceName &service) const
 {
     std::vector<const UpstreamRecord *> result;
--- a/coordination/upstreamdirectory.h
+++ b/coordination/upstreamdirectory.h
@@ -94,6 +94,8 @@
     void onStoreRegained(Time now);
     /** All entries of the store are known as of @p knownUntil: removes missing upstreams whose grace period was over by then. */
     std::vector<UpstreamChange> endGracePeriods(Time knownUntil);
+    /** The time at which the store has to list @p id again, if its entry is missing in a grace period. */
+    std::optional<Time> removalTime(const UpstreamId &id) const;
     /** The end of the grace period after the last outage. */
     Time gracePeriodEnd() const
     {
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -23,6 +23,9 @@
 // Shorter outages do not let leases at the store expire.
 constexpr Duration MinOutageToLoseEntries { 700 };
 
+// Two reports of one outage differ in its end by their time on the way.
+constexpr Duration SameOutageMargin { 500 };
+
 constexpr int OkStatus = 200;
 constexpr EventLog::Severity Important = EventLog::Severity::Important;
 
@@ -82,6 +85,7 @@
     void watchAfter(Duration delay);
     void merge(const std::vector<Platform::StoreItem> &read, const std::string &source, ClusterStateChanges &changes);
     void advanceSnapshotTime(Time time, ClusterStateChanges &changes);
+    void takeOverOutage(const NodeId &peer, Time end);
     Duration delayAfterAnswer() const;
 
     void apply(const Platform::StoreItem &item, const std::string &source, ClusterStateChanges &changes);
@@ -271,6 +275,17 @@
     }
 }
 
+void StoreReader::Private::takeOverOutage(const NodeId &peer, Time end)
+{
+    const bool isKnown = recoveredAt != Time::never() && end - recoveredAt < SameOutageMargin;
+    if (!isKnown) {
+        log.write(Important, "store", "outage_reported",
+            { { "peer", peer.value() }, { "endedMsAgo", (loop.clock().now() - end).milliseconds() } });
+    }
+    clusterState.upstreams.onStoreRegained(end);
+    recoveredAt = end;
+}
+
 void StoreReader::Private::merge(const std::vector<Platform::StoreItem> &read, const std::string &source, ClusterStateChanges &changes)
 {
     for (const Platform::StoreItem &item : read) {
@@ -337,6 +352,9 @@
         log.write(Important, "upstream", "unreadable", { { "upstream", id.value() }, { "reason", record.error().detail } });
         found = clusterState.upstreams.remove(id, "its entry cannot be read", now);
     }
+    if (const auto removeAt = clusterState.upstreams.removalTime(id); removeAt && found.empty()) {
+        log.write(Important, "upstream", "removal_deferred", { { "upstream", id.value() }, { "byMs", (*removeAt - now).milliseconds() } });
+    }
     for (UpstreamChange &change : found) {
         changes.upstreams.push_back(std::move(change));
     }
@@ -412,8 +430,7 @@
     if (offered.timeSinceRecovery && (d->isFollowing || d->isLost)) {
         // The peer has seen an outage of the store. Entries missing afterwards get the grace period as if this node had seen it, too. A
         // node that has contact with the store knows that there was none.
-        d->clusterState.upstreams.onStoreRegained(now - *offered.timeSinceRecovery);
-        d->recoveredAt = now - *offered.timeSinceRecovery;
+        d->takeOverOutage(peer, now - *offered.timeSinceRecovery);
     }
     ClusterStateChanges changes;
     d->merge(page.value().items, "peer " + peer.value(), changes);
