End grace periods at nodes that follow a reader of the store

What callers saw: after an outage of the store that all nodes had, requests went on to a server whose entry had been removed, until the store changed again or the server ended.

Cause: an entry that is missing after an outage is dropped by a later view of the store only. A node that follows a reader gets one with the next change, and a store in which nothing changes brings none: the state has no end in time.

Change: UpstreamDirectory tells when the first missing entry has to be listed again, and StoreReaderElection has a follower fetch from then on until it has a view from after that time. So does a node that the store does not answer, from a reader beside it. A node that reads the store itself ends the period with its own next call, as before.

Tests: storereaderelection::followerFetchesToEndAGracePeriodOfAQuietStore and nodeThatLostTheStoreFetchesToEndAGracePeriod fail with the new condition taken out; upstreamdirectory::nextRemovalTimeIsThatOfTheMissingEntries is new.

--- a/coordination/storereaderelection.cpp
+++ b/coordination/storereaderelection.cpp
@@ -21,8 +21,8 @@
     return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), isBefore)) < m_limits.readers;
 }
 
-StoreReaderDecision StoreReaderElection::decide(
-    bool isDivided, bool isCurrent, std::uint64_t revision, const std::vector<StorePeer> &peers, Time now, Time snapshotTime)
+StoreReaderDecision StoreReaderElection::decide(bool isDivided, bool isCurrent, std::uint64_t revision, const std::vector<StorePeer> &peers,
+    Time now, Time snapshotTime, Time requiredSnapshotTime)
 {
     // A node whose own last call failed keeps reading until the store responds: only its own read shows it that there was an outage. What a
     // reader knows still tells it meanwhile that its configuration is the newest.
@@ -38,7 +38,8 @@
         return StoreReaderDecision { true, NodeId() };
     }
     const bool hasChanges = !readsItself && mostRecent->revision > revision;
-    const bool isDue = (hasChanges || isOutdated) && now - m_fetchedAt >= m_limits.fetchInterval;
+    const bool isSnapshotRequired = (!readsItself || !isCurrent) && now >= requiredSnapshotTime;
+    const bool isDue = (hasChanges || isOutdated || isSnapshotRequired) && now - m_fetchedAt >= m_limits.fetchInterval;
     return StoreReaderDecision { readsItself, isDue ? mostRecent->id : NodeId() };
 }
 
--- a/coordination/storereaderelection.h
+++ b/coordination/storereaderelection.h
@@ -57,10 +57,11 @@
     /**
      * @p isDivided: the fleet is large enough to be divided into scopes. @p isCurrent: this node has read the whole store once, and its
      * last call was answered. @p peers: the live scope peers. @p revision: the revision up to which this node has read or fetched.
-     * @p snapshotTime: it knows everything that the store held at this time.
+     * @p snapshotTime: it knows everything that the store held at this time. @p requiredSnapshotTime: it needs to know everything that the
+     * store held at this time or later, even if nothing has changed.
      */
     StoreReaderDecision decide(bool isDivided, bool isCurrent, std::uint64_t revision, const std::vector<StorePeer> &peers, Time now,
-        Time snapshotTime = Time::never());
+        Time snapshotTime = Time::never(), Time requiredSnapshotTime = Time::never());
     void onFetchFailed(Time now);
     void onFetched(Time now);
 
--- a/coordination/upstreamdirectory.cpp
+++ b/coordination/upstreamdirectory.cpp
@@ -1,6 +1,7 @@
 #include "coordination/upstreamdirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ApricotStep
 {
@@ -87,7 +88,9 @@
         return { UpstreamStarted { record } };
     }
     Entry &entry = at->second;
-    entry.removeAt = Time::never();
+    if (std::exchange(entry.removeAt, Time::never()) != Time::never()) {
+        updateNextRemovalTime();
+    }
     if (entry.record == record) {
         return {};
     }
@@ -113,11 +116,16 @@
     }
     if (now < m_graceUntil && !at->second.record.isLeaving) {
         at->second.removeAt = std::min(at->second.removeAt, m_graceUntil);
+        m_nextRemovalTime = std::min(m_nextRemovalTime, at->second.removeAt);
         return {};
     }
     const UpstreamRecord record = at->second.record;
+    const bool wasMissing = at->second.removeAt != Time::never();
     countSoftware(record, -1);
     m_entries.erase(at);
+    if (wasMissing) {
+        updateNextRemovalTime();
+    }
     return { UpstreamLeft { id, reason, record.isLeaving ? std::nullopt : std::optional(record) } };
 }
 
@@ -129,6 +137,9 @@
 std::vector<UpstreamChange> UpstreamDirectory::endGracePeriods(Time knownUntil)
 {
     std::vector<UpstreamChange> changes;
+    if (knownUntil < m_nextRemovalTime) {
+        return changes;
+    }
     for (auto at = m_entries.begin(); at != m_entries.end();) {
         if (knownUntil < at->second.removeAt) {
             ++at;
@@ -138,9 +149,18 @@
         countSoftware(at->second.record, -1);
         at = m_entries.erase(at);
     }
+    updateNextRemovalTime();
     return changes;
 }
 
+void UpstreamDirectory::updateNextRemovalTime()
+{
+    m_nextRemovalTime = Time::never();
+    for (const auto &[id, entry] : m_entries) {
+        m_nextRemovalTime = std::min(m_nextRemovalTime, entry.removeAt);
+    }
+}
+
 std::optional<Time> UpstreamDirectory::removalTime(const UpstreamId &id) const
 {
     const auto at = m_entries.find(id);
--- a/coordination/upstreamdirectory.h
+++ b/coordination/upstreamdirectory.h
@@ -96,6 +96,11 @@
     std::vector<UpstreamChange> endGracePeriods(Time knownUntil);
     /** The time at which the store has to list @p id again, if its entry is missing in a grace period. */
     std::optional<Time> removalTime(const UpstreamId &id) const;
+    /** The earliest removalTime() of all upstreams; never() if no entry is missing. */
+    Time nextRemovalTime() const
+    {
+        return m_nextRemovalTime;
+    }
     /** The end of the grace period after the last outage. */
     Time gracePeriodEnd() const
     {
@@ -132,12 +137,14 @@
     };
 
     bool isUsable(const Entry &entry) const;
+    void updateNextRemovalTime();
     void setRecord(Entry &entry, const UpstreamRecord &record);
     void countSoftware(const UpstreamRecord &record, int change);
     void rememberLeaving(const UpstreamStart &start, Time now);
 
     UpstreamDirectoryLimits m_limits;
     Time m_graceUntil;
+    Time m_nextRemovalTime = Time::never();
     absl::btree_map<UpstreamId, Entry> m_entries;
     absl::btree_map<SoftwareOfService, int> m_listedSoftware;
     /** Outlives the entries: an entry that expired, or an older record, may list a leaving upstream again. */
--- a/main/entry/entrynode.cpp
+++ b/main/entry/entrynode.cpp
@@ -523,8 +523,8 @@
         storePeers.push_back(StorePeer { peer->id, peer->capacity, peer->isLeaving, peer->isReadingStore, peer->readRevision });
     }
     const bool isCurrent = store->hasReadAll() && store->timeSinceLastAnswer() == Duration(0);
-    const StoreReaderDecision readerDecision =
-        storeReaderElection.decide(fleet->isDivided(), isCurrent, store->revision(), storePeers, clock.now(), clusterState.routesKnownAt);
+    const StoreReaderDecision readerDecision = storeReaderElection.decide(fleet->isDivided(), isCurrent, store->revision(), storePeers,
+        clock.now(), clusterState.routesKnownAt, clusterState.upstreams.nextRemovalTime());
     if (std::exchange(isStoreReader, readerDecision.readsItself) != readerDecision.readsItself) {
         log.write(EventLog::Severity::Important, "store", "turn",
             { { "reads", readerDecision.readsItself }, { "neighbours", static_cast<std::int64_t>(storePeers.size()) } });
--- a/tests/coordination/teststorereaderelection.cpp
+++ b/tests/coordination/teststorereaderelection.cpp
@@ -1,5 +1,7 @@
 #include "coordination/storereaderelection.h"
 
+#include "coordination/upstreamdirectory.h"
+
 #include <string>
 #include <vector>
 
@@ -87,3 +89,43 @@
     StoreReaderElection unbounded(StoreReaderLimits {}, NodeId("z"), 0.1);
     cr_assert(unbounded.decide(true, false, 50, others, Start, Time()).fetchFrom.isEmpty());
 }
+
+// Guards against followers that keep a removed upstream in use after an outage of the store, until the store changes again.
+Test(storereaderelection, followerFetchesToEndAGracePeriodOfAQuietStore)
+{
+    constexpr Duration Step { 200 };
+    constexpr Duration ReaderSnapshotAge { 1500 };
+    StoreReaderElection follower(StoreReaderLimits {}, NodeId("z"), 0.1);
+    const auto readers = peers(2, 0.5, 50, true);
+    UpstreamDirectory upstreams({});
+    UpstreamRecord record;
+    record.id = UpstreamId("u");
+    upstreams.put(record, Start);
+    upstreams.onStoreRegained(Start);
+    upstreams.remove(UpstreamId("u"), "the store removed it", Start + Duration(800));
+    int fetches = 0;
+    Time now = Start + Duration(800);
+    for (; upstreams.size() > 0 && now < Start + Duration::seconds(10); now = now + Step) {
+        const auto decision = follower.decide(true, true, 50, readers, now, now, upstreams.nextRemovalTime());
+        cr_assert(decision.fetchFrom.isEmpty() || now >= upstreams.gracePeriodEnd());
+        if (!decision.fetchFrom.isEmpty()) {
+            ++fetches;
+            follower.onFetched(now);
+            upstreams.endGracePeriods(now - ReaderSnapshotAge);
+        }
+    }
+    cr_assert_leq((now - upstreams.gracePeriodEnd()).milliseconds(), (ReaderSnapshotAge + Duration(800)).milliseconds());
+    cr_assert_leq(fetches, 5);
+    cr_assert(follower.decide(true, true, 50, readers, now + Duration(800), now, upstreams.nextRemovalTime()).fetchFrom.isEmpty());
+}
+
+// Guards against a node that the store does not answer and that keeps a removed upstream in use, although a reader beside it knows more.
+Test(storereaderelection, nodeThatLostTheStoreFetchesToEndAGracePeriod)
+{
+    const auto readers = peers(2, 0.5, 50, true);
+    StoreReaderElection lost(StoreReaderLimits {}, NodeId("z"), 0.1);
+    cr_assert_not(lost.decide(true, false, 50, readers, Start, Start, Start).fetchFrom.isEmpty());
+    // One that reads the store itself ends the grace period with its own next read.
+    StoreReaderElection reader(StoreReaderLimits {}, NodeId("a"), 0.9);
+    cr_assert(reader.decide(true, true, 50, readers, Start, Start, Start).fetchFrom.isEmpty());
+}
--- a/tests/coordination/testupstreamdirectory.cpp
+++ b/tests/coordination/testupstreamdirectory.cpp
@@ -82,6 +82,24 @@
     cr_assert_null(directory.usable(UpstreamId("gone")));
 }
 
+// Guards against a grace period of which no one knows when it ends.
+Test(upstreamdirectory, nextRemovalTimeIsThatOfTheMissingEntries)
+{
+    UpstreamDirectory directory({});
+    directory.put(record("u"), Start);
+    directory.put(record("v"), Start);
+    directory.onStoreRegained(Start);
+    cr_assert(directory.nextRemovalTime() == Time::never());
+    directory.remove(UpstreamId("u"), "lapsed", Start + Duration(10));
+    directory.remove(UpstreamId("v"), "lapsed", Start + Duration(10));
+    cr_assert(directory.nextRemovalTime() == directory.gracePeriodEnd());
+    directory.put(record("u"), Start + Duration(500));
+    cr_assert(directory.nextRemovalTime() == directory.gracePeriodEnd());
+    directory.endGracePeriods(directory.gracePeriodEnd());
+    cr_assert(directory.nextRemovalTime() == Time::never());
+    cr_assert_eq(usableCount(directory), 1);
+}
+
 // Without an outage of the store, an upstream gets no more work once its entry is removed.
 Test(upstreamdirectory, aRemovedUpstreamGetsNoWork)
 {
