Give each call to an upstream an owner that can silence it

With two attempts allowed callers got 502 although two sound engines were idle.

Cause: HttpClient::cancel() takes effect in the next turn of the loop, and the callbacks of a call do not say of which one they tell. When the report of an engine names another start, a request cancels its call and goes on elsewhere; the end of the cancelled call was then taken for the end of the next attempt, which counted a run, blamed the new engine, released its load and began a third attempt beside the second.

Change: CallHandle owns one call and its callbacks. Once it is cancelled, replaced or destroyed, nothing of the call reaches the owner. A request holds its attempt and the verification of a start in one each, and ends both in one place. An attempt that is given up because of another start counts like others: towards the attempts, the first arrival of the retry budget, and a trial of content that is held back.

--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -586,7 +586,7 @@
         { { "request", m_decoded.id }, { "peer", m_relay->id.value() }, { "arrival", std::int64_t(m_attemptsSent + 1) },
             { "leftMs", timeLeft().milliseconds() }, { "waitedMs", (now() - m_arrivedAt).milliseconds() } });
     m_context.metrics().relayed("sent");
-    m_call = m_context.loop().client().start(makeRelayCall());
+    m_call.start(m_context.loop().client(), makeRelayCall());
     return true;
 }
 
@@ -713,7 +713,7 @@
             { "version", m_version.value() }, { "software", m_upstream.softwareVersion.value() }, { "leftMs", timeLeft().milliseconds() },
             { "waitedMs", (now() - m_arrivedAt).milliseconds() } });
     m_context.metrics().sent(m_route.kind, now() - m_arrivedAt, m_attemptsSent > 0);
-    m_call = m_context.loop().client().start(makeCall(m_upstream));
+    m_call.start(m_context.loop().client(), makeCall(m_upstream));
 }
 
 Platform::UpstreamBinding RequestJob::binding() const
@@ -886,12 +886,12 @@
             self->onReport(result, *body);
         }
     };
-    m_verification = m_context.loop().client().start(std::move(call));
+    m_verification.start(m_context.loop().client(), std::move(call));
 }
 
 void RequestJob::onReport(const CallResult &result, const std::string &body)
 {
-    if (m_phase != Phase::Answering || std::exchange(m_verification, 0) == 0) {
+    if (m_phase != Phase::Answering) {
         return;
     }
     const bool isAnswered = result.state == AttemptState::Answered && result.status == OkStatus;
@@ -914,14 +914,10 @@
 
 void RequestJob::onOtherStart()
 {
-    const CallId call = m_call;
-    const bool isDone = m_unverifiedResult.has_value();
     endAttempt();
-    if (!isDone) {
-        m_context.loop().client().cancel(call);
-    }
     discardAnswer();
-    ++m_attemptsSent;
+    countSentAttempt();
+    m_isTrial = false;
     ++m_possibleRuns;
     m_executionState = ExecutionState::MayHaveRun;
     m_context.log().write(Important, "request", "other_start", { { "request", m_decoded.id }, { "upstream", m_upstream.id.value() } });
@@ -991,7 +987,7 @@
     if (m_phase != Phase::Answering) {
         return true;
     }
-    if (m_verification != 0) {
+    if (m_verification.isActive()) {
         m_unverifiedData.append(data);
         accountMemory();
         return true;
@@ -1120,7 +1116,7 @@
 {
     if (std::exchange(m_isPaused, false)) {
         m_lastReceivedAt = now();
-        m_context.loop().client().resume(m_call);
+        m_call.resume();
     }
 }
 
@@ -1130,8 +1126,8 @@
         m_context.clusterState().loadTracker.release(m_upstream.id, m_reservedTokens);
         m_context.clusterState().loadTracker.onEnded(m_upstream.id, m_isPromptPending ? promptTokens() : 0, now());
     }
-    m_call = 0;
-    m_verification = 0;
+    m_call.cancel();
+    m_verification.cancel();
     m_unverifiedResult.reset();
     m_lastEventsAt.reset();
     m_hasPaused = false;
@@ -1184,9 +1180,7 @@
         return false;
     }
     reportIfSilent();
-    const CallId call = m_call;
     endAttempt();
-    m_context.loop().client().cancel(call);
     return true;
 }
 
@@ -1195,14 +1189,13 @@
     if (m_phase == Phase::Ended) {
         return;
     }
-    if (m_verification != 0) {
+    if (m_verification.isActive()) {
         m_unverifiedResult = result;
         return;
     }
     endAttempt();
-    // The relay reports the first arrival.
-    if (result.state != AttemptState::NotSent && m_attemptsSent++ == 0 && !m_relay) {
-        m_context.reportFirstArrival(m_service);
+    if (result.state != AttemptState::NotSent) {
+        countSentAttempt();
     }
     m_isTrial = m_isTrial && (result.state == AttemptState::NotSent || (m_answer && m_answer->isNotRun));
     switch (result.state) {
@@ -1218,6 +1211,14 @@
     }
 }
 
+// The relay reports the first arrival.
+void RequestJob::countSentAttempt()
+{
+    if (m_attemptsSent++ == 0 && !m_relay) {
+        m_context.reportFirstArrival(m_service);
+    }
+}
+
 void RequestJob::onNotSent(const CallResult &result)
 {
     m_context.log().write(RequestStep, "request", "not_sent",
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -12,6 +12,7 @@
 #include "platform/requests.h"
 #include "protocol/eventsplitter.h"
 #include "state/routetable.h"
+#include "transport/callhandle.h"
 
 #include <memory>
 #include <optional>
@@ -223,6 +224,8 @@
     /** An upstream has answered the attempt in progress, or begun to. */
     void reportAnswered(AnswerProgress progress);
     void onDone(const CallResult &result);
+    /** The attempt that has just ended may have reached an upstream. */
+    void countSentAttempt();
     void onNotSent(const CallResult &result);
     void onAnswered();
     /** Whether the upstream of the attempt in progress has sent a part of an answer. */
@@ -308,9 +311,9 @@
     TimerId m_waitTimer = 0;
 
     // The attempt in progress.
-    CallId m_call = 0;
-    /** The call that asks for the engine's report; 0 if there is none. */
-    CallId m_verification = 0;
+    CallHandle m_call;
+    /** The call that asks for the engine's report. */
+    CallHandle m_verification;
     /** What has arrived of the answer since then. */
     std::string m_unverifiedData;
     std::optional<CallResult> m_unverifiedResult;
--- a/tests/main/testrequestforwardersoftware.cpp
+++ b/tests/main/testrequestforwardersoftware.cpp
@@ -2,6 +2,9 @@
 
 #include <absl/strings/str_replace.h>
 
+#include <atomic>
+#include <thread>
+
 #include <criterion/criterion.h>
 
 using namespace ApricotStep;
@@ -142,6 +145,61 @@
     cr_assert_not(absl::StrContains(joined->body(), "data: b"));
 }
 
+// Guards against a stream that two upstreams answer at once, because the end of a cancelled call is taken for that of the call after it,
+// and against a caller that is refused although an attempt is left.
+Test(softwareversions, streamThatLeavesANewStartGoesOnAtOneUpstream)
+{
+    for (const int maxAttempts : { 2, 3, 4 }) {
+        std::atomic<bool> hasRestarted { false };
+        const auto answerReport = [](int startedAt) {
+            const std::string body = absl::StrCat("{\"born\":", startedAt, "}");
+            return ScriptedAnswer { absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body) };
+        };
+        const ScriptedUpstream restarted([&](const std::string &request) {
+            if (asksForReport(request)) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(hasRestarted ? 100 : 0)); // The others are listed meanwhile.
+                return answerReport(hasRestarted ? 77 : 1);
+            }
+            if (!hasRestarted) {
+                return wholeStream("id: 1\ndata: a\n\n");
+            }
+            return ScriptedAnswer { absl::StrCat(StreamHead, chunk("id: 2\ndata: x\n\n")), ScriptedAnswer::ConnectionAction::Keep, true };
+        });
+        const auto continueStream = [&](const std::string &request) {
+            if (asksForReport(request)) {
+                return answerReport(1);
+            }
+            ScriptedAnswer answer { absl::StrCat(StreamHead, chunk("id: 2\ndata: b\n\n")) };
+            answer.laterParts = { chunk("id: 3\ndata: c\n\n"), chunk("id: 4\ndata: d\n\n"), "0\r\n\r\n" };
+            answer.pause = Duration(50);
+            return answer;
+        };
+        const ScriptedUpstream second(continueStream);
+        const ScriptedUpstream third(continueStream);
+        ForwarderFixture fixture;
+        fixture.configure(RequestKind::Stream, maxAttempts, true);
+        fixture.addUpstream("u1", restarted, "v1");
+        const auto begun = fixture.send(ForwarderFixture::requestWithId("r-1"));
+        fixture.runUntil([&] { return begun->isDone(); });
+        hasRestarted = true;
+        const auto resumed = fixture.send(resumption("r-2", "r-1"));
+        fixture.runUntil([&] { return restarted.requests().size() > 1; });
+        fixture.addUpstream("u2", second, "v1");
+        fixture.addUpstream("u3", third, "v1");
+        fixture.runUntil([&] { return resumed->isDone(); });
+        cr_assert_eq(resumed->status(), 200, "%d attempts", maxAttempts);
+        cr_assert_eq(resumed->body(), "id: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n", "%d attempts: %s", maxAttempts,
+            resumed->body().c_str());
+        cr_assert(resumed->isFinished());
+        // The stream itself and the report.
+        cr_assert_eq(second.requests().size() + third.requests().size(), 2);
+        // Nothing is left at an upstream that would weigh on the choice of the next one.
+        for (const char *id : { "u1", "u2", "u3" }) {
+            cr_assert_eq(fixture.clusterState.loadTracker.load(UpstreamId(id), fixture.clock.now()).running, 0);
+        }
+    }
+}
+
 // Guards against a stream whose software version no node knows and that goes on at any upstream. Nothing has run, and it is refused at
 // once.
 Test(softwareversions, unknownStreamIsRefusedWhileVersionsDiffer)
