Count the memory of engines beside their adapter slots

Cause: the plan counted slots only. weightsMb and adapterMb were decoded and used by no decision.

Change: WeightMemory is one account for each engine: models and adapters, loaded or under way, in MB beside the count of slots. The choice of an engine, first loads, repeated orders and loads of models ask it. After a configuration that leaves less room, copies that an engine reports beyond it are unloaded one by one, none in use. An adapter that no engine has room for is refused at once (adapter_too_large, 503, not run), logged with the configuration, and named by check-config.

Trials with room for one, six and seven adapters, with more wanted than fit, with slots as the tighter limit and with adapters that fit nowhere held.

--- a/coordination/adapterplan.cpp
+++ b/coordination/adapterplan.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/fleetdemand.h"
 #include "coordination/pendingadapterorder.h"
+#include "coordination/weightmemory.h"
 #include "core/hash.h"
 
 #include <algorithm>
@@ -65,11 +66,15 @@
     Time unresponsiveUntil;
     /** A report has come since this plan knows the engine; before, the number of its copies is uncertain. */
     bool hasReport = false;
+    /** The models of the adapters that the last report lists, one entry for each adapter. */
+    std::vector<BaseModelId> reportedAdapters;
     /** When copies were unloaded: earlier reports still list them. */
     std::map<AdapterRef, Time> droppedAt;
     bool isChanged = true;
     /** The copy to evict first, cached for the present round once it has been computed. */
     std::optional<std::optional<AdapterRef>> evictionCandidate;
+    /** What the engine has to hold, cached for the present round once it has been computed. */
+    std::optional<WeightMemory> memory;
 };
 
 /** An engine that is not listed, and since when. */
@@ -124,7 +129,8 @@
     static bool isLoaded(const Copy &copy);
     static bool isLoadRejected(OrderAnswer answer);
     static int loadsInFlight(const Engine &engine);
-    static bool mayExceedSlots(const Engine &engine);
+    static WeightMemory &memoryOf(Engine &engine);
+    static bool isMoreReportedThanFits(const Engine &engine);
     static bool holdsModel(const Engine &engine, const BaseModelId &model);
     AdapterVersion newestVersion(const AdapterRef &adapter) const;
 
@@ -137,6 +143,8 @@
     static bool canServe(const Engine &engine, const PendingAdapter &pending);
     double expectedWaitMs(const Engine &engine) const;
     void place(const PendingAdapter &pending, bool isReady, Time now, std::vector<PlanAction> &actions);
+    void beginUnload(const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions) const;
+    void unloadExcess(Time now, std::vector<PlanAction> &actions);
     void beginLoad(const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions);
     void verify(const PendingAdapter &pending, Time now);
     void servePendingAdapters(Time now, std::vector<PlanAction> &actions);
@@ -174,11 +182,35 @@
         std::count_if(engine.copies.begin(), engine.copies.end(), [](const auto &entry) { return isInFlight(entry.second); }));
 }
 
-// An engine that is ordered beyond its slots crashes. The plan never counts fewer copies than the engine has, so an order to load, even one
-// that only polls for a copy, is safe as long as the count fits.
-bool AdapterPlan::Private::mayExceedSlots(const Engine &engine)
+WeightMemory &AdapterPlan::Private::memoryOf(Engine &engine)
 {
-    return !engine.hasReport || static_cast<int>(engine.copies.size()) > engine.planned.spec->adapterSlots;
+    if (!engine.memory) {
+        engine.memory.emplace(*engine.planned.spec);
+        for (const BaseModelId &model : engine.models) {
+            engine.memory->addModel(model);
+        }
+        for (const auto &[model, since] : engine.loadingModels) {
+            if (!holdsModel(engine, model)) {
+                engine.memory->addModel(model);
+            }
+        }
+        for (const auto &[adapter, copy] : engine.copies) {
+            engine.memory->addAdapter(adapter.model);
+        }
+    }
+    return *engine.memory;
+}
+
+bool AdapterPlan::Private::isMoreReportedThanFits(const Engine &engine)
+{
+    WeightMemory reported(*engine.planned.spec);
+    for (const BaseModelId &model : engine.models) {
+        reported.addModel(model);
+    }
+    for (const BaseModelId &model : engine.reportedAdapters) {
+        reported.addAdapter(model);
+    }
+    return reported.isExceeded();
 }
 
 // The time of @p count fetches in ms.
@@ -195,6 +227,7 @@
         fetchesInFlight += static_cast<int>(std::count_if(engine.copies.begin(), engine.copies.end(),
             [](const auto &entry) { return isInFlight(entry.second) && !entry.second.isCached; }));
         engine.evictionCandidate.reset();
+        engine.memory.reset();
     }
 }
 
@@ -261,10 +294,12 @@
     }
     double cost = expectedWaitMs(engine) / std::max(engine.planned.share, 0.1)
         - loads.cacheHitProbability(engine.id, adapter) * fetchTimeMs(limits.cachedGain);
-    if (static_cast<int>(engine.copies.size()) < engine.planned.spec->adapterSlots) {
-        // Free slots are filled evenly, since an engine with few copies gets few requests.
-        return cost
-            + fetchTimeMs(limits.evictionCost) * static_cast<double>(engine.copies.size()) / std::max(engine.planned.spec->adapterSlots, 1);
+    if (memoryOf(engine).hasRoomForAdapter(adapter.model)) {
+        // Free room is filled evenly, since an engine with few copies gets few requests.
+        return cost + fetchTimeMs(limits.evictionCost) * memoryOf(engine).adapterShare(adapter.model);
+    }
+    if (!canHoldAdapter(*engine.planned.spec, adapter.model)) {
+        return std::nullopt;
     }
     const auto &least = evictionCandidate(engine, now);
     if (!least) {
@@ -286,6 +321,7 @@
 void AdapterPlan::Private::beginLoad(
     const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions)
 {
+    memoryOf(engine).addAdapter(adapter.model);
     Copy &copy = engine.copies[adapter];
     copy = Copy { newestVersion(adapter), CopyState::Ordered, now, Time::never(), now, true };
     copy.isCached = loads.isExpectedCached(engine.id, adapter);
@@ -345,20 +381,44 @@
     if (best == nullptr || !best->planned.isOwn || (isReady && bestCost + fetchTimeMs(limits.extraCopyGain) > currentWait)) {
         return;
     }
-    if (static_cast<int>(best->copies.size()) < best->planned.spec->adapterSlots) {
+    if (memoryOf(*best).hasRoomForAdapter(adapter.model)) {
         beginLoad(bestId, *best, adapter, now, actions);
         return;
     }
-    // The slot is free once the engine has confirmed the order; the adapter is still pending then.
+    // The room is free once the engine has confirmed the order; the adapter is still pending then.
     const AdapterRef least = *evictionCandidate(*best, now);
-    best->evictionCandidate.reset();
-    Copy &copy = best->copies[least];
+    beginUnload(bestId, *best, least, now, actions);
+}
+
+void AdapterPlan::Private::beginUnload(
+    const UpstreamId &id, Engine &engine, const AdapterRef &adapter, Time now, std::vector<PlanAction> &actions) const
+{
+    engine.evictionCandidate.reset();
+    Copy &copy = engine.copies[adapter];
     copy.state = CopyState::Unloading;
     copy.since = now;
     copy.nextPollAt = Time::never();
     copy.hasOrderInFlight = true;
-    best->isChanged = true;
-    actions.emplace_back(SendOrder { unloadOrder(bestId, least) });
+    engine.isChanged = true;
+    actions.emplace_back(SendOrder { unloadOrder(id, adapter) });
+}
+
+// Copies that no longer fit after a change of the configuration are unloaded one by one. Copies that are only believed to be there need no
+// order, so the engine's report counts as well. It is late, so the plan's own count tells whether enough has been unloaded.
+void AdapterPlan::Private::unloadExcess(Time now, std::vector<PlanAction> &actions)
+{
+    for (auto &[id, engine] : engines) {
+        const bool isOwn = engine.planned.isOwn && engine.planned.spec != nullptr;
+        if (!isOwn || !memoryOf(engine).isExceeded() || !isMoreReportedThanFits(engine)) {
+            continue;
+        }
+        const bool isUnloading = std::any_of(
+            engine.copies.begin(), engine.copies.end(), [](const auto &entry) { return entry.second.state == CopyState::Unloading; });
+        const std::optional<AdapterRef> least = evictionCandidate(engine, now);
+        if (!isUnloading && least) {
+            beginUnload(id, engine, *least, now, actions);
+        }
+    }
 }
 
 // Some node waits for an adapter that is believed to be loaded: either the node does not know yet or the engine lost the copy. The engine
@@ -419,14 +479,17 @@
 void AdapterPlan::Private::repeatOrders(Time now, std::vector<PlanAction> &actions)
 {
     for (auto &[id, engine] : engines) {
-        if (!engine.planned.isOwn || engine.planned.spec == nullptr || mayExceedSlots(engine)) {
+        if (!engine.planned.isOwn || engine.planned.spec == nullptr || !engine.hasReport) {
             continue;
         }
+        // The plan never counts less than the engine has, so an order to load, even one that only polls for a copy, is safe as long as what
+        // is counted fits.
+        const bool mayLoad = !memoryOf(engine).isExceeded();
         for (auto &[adapter, copy] : engine.copies) {
             if (copy.hasOrderInFlight || now < copy.nextPollAt) {
                 continue;
             }
-            if (copy.state == CopyState::Loading || copy.state == CopyState::Verifying) {
+            if (mayLoad && (copy.state == CopyState::Loading || copy.state == CopyState::Verifying)) {
                 copy.hasOrderInFlight = true;
                 actions.emplace_back(SendOrder { loadOrder(id, adapter) });
             } else if (copy.state == CopyState::Unloading) {
@@ -478,6 +541,10 @@
             continue;
         }
         const BaseModelId &model = engine.planned.spec->models.front().id;
+        if (!memoryOf(engine).hasRoomForModel(model)) {
+            continue;
+        }
+        memoryOf(engine).addModel(model);
         engine.loadingModels.emplace(model, now);
         ++inFlight;
         actions.emplace_back(SendOrder { EngineOrder { EngineOrder::Kind::Load, model, {}, {}, id } });
@@ -780,6 +847,10 @@
             reported.emplace(AdapterRef { model.id, key.id }, AdapterCopy { model.id, key.id, key.version, false });
         }
     }
+    engine.reportedAdapters.clear();
+    for (const auto &[adapter, copy] : reported) {
+        engine.reportedAdapters.push_back(adapter.model);
+    }
     const Time cutoff = polledAt - limits.reportLag;
     std::erase_if(engine.droppedAt, [cutoff](const auto &entry) { return entry.second < cutoff; });
     for (const auto &[adapter, copy] : reported) {
@@ -821,6 +892,7 @@
     d->beginRound(now);
     d->reloadOutdated(now);
     d->loadModels(now, actions);
+    d->unloadExcess(now, actions);
     d->servePendingAdapters(now, actions);
     d->repeatOrders(now, actions);
     d->pollReports(now, actions);
--- a/core/errors.cpp
+++ b/core/errors.cpp
@@ -67,6 +67,8 @@
     ErrorAnswer { ContentHeldBack, 400, "content_held_back", NotRun, RetryAdvice::Never,
         "Upstreams ended each time that they began to answer what this request holds." },
     ErrorAnswer { AdapterLoadFailed, 503, "adapter_load_failed", NotRun, RetryAdvice::AfterDelay, "The adapter could not be loaded." },
+    ErrorAnswer { AdapterTooLarge, 503, "adapter_too_large", NotRun, RetryAdvice::Never,
+        "No engine has room for this adapter, by the configuration in force." },
     ErrorAnswer {
         UpstreamFailed, 502, "upstream_failed", MayHaveRun, RetryAdvice::Never, "The upstream failed after the request was sent." },
     ErrorAnswer { UpstreamTimeout, 504, "upstream_timeout", MayHaveRun, RetryAdvice::Never, "The upstream did not answer in time." },
--- a/core/errors.h
+++ b/core/errors.h
@@ -41,6 +41,7 @@
     StreamVersionGone,
     ContentHeldBack,
     AdapterLoadFailed,
+    AdapterTooLarge,
     UpstreamFailed,
     UpstreamTimeout,
     StreamCut,
--- a/main/configcheck.cpp
+++ b/main/configcheck.cpp
@@ -243,6 +243,12 @@
             addWarning(findings, fieldOf(entryPath(fieldOf(path, ConfigField::Models), i), ConfigField::WeightsMb),
                 fmt::format("model '{}' needs {} MB, and engines of service '{}' have {} MB for weights", model.id.value(), model.weightsMb,
                     service.name.value(), engine.weightsMb));
+        } else if (engine.weightsMb > 0 && model.weightsMb + model.adapterMb > engine.weightsMb) {
+            addWarning(findings, fieldOf(entryPath(fieldOf(path, ConfigField::Models), i), ConfigField::AdapterMb),
+                fmt::format(
+                    "an adapter of model '{}' needs {} MB, and engines of service '{}' have room for {} MB beside the model, so requests "
+                    "for its adapters are refused",
+                    model.id.value(), model.adapterMb, service.name.value(), engine.weightsMb - model.weightsMb));
         }
     }
 }
--- a/main/entry/requestjob.cpp
+++ b/main/entry/requestjob.cpp
@@ -1,5 +1,6 @@
 #include "main/entry/requestjob.h"
 
+#include "coordination/weightmemory.h"
 #include "core/result.h"
 #include "main/entry/contentdigest.h"
 #include "main/entry/refusal.h"
@@ -481,6 +482,20 @@
     return needsAdapter() && isLoadedElsewhere && isAnyEligible && clusterState.engineSpec(m_service) != nullptr;
 }
 
+bool RequestJob::isAdapterTooLarge() const
+{
+    const ClusterState &clusterState = m_context.clusterState();
+    const EngineSpec *spec = clusterState.engineSpec(m_service);
+    if (!needsAdapter() || spec == nullptr || canHoldAdapter(*spec, adapter().model)) {
+        return false;
+    }
+    // One that was loaded before the configuration changed goes on being used.
+    const auto engines = clusterState.engines(m_service);
+    const auto holdsAdapter = [this, &clusterState](
+                                  const UpstreamRecord *record) { return clusterState.residencies.copy(*record, adapter()).has_value(); };
+    return std::none_of(engines.begin(), engines.end(), holdsAdapter) && clusterState.outOfScope.enginesWith(adapter()).empty();
+}
+
 void RequestJob::tryNext()
 {
     m_phase = Phase::Waiting;
@@ -542,6 +557,10 @@
         waitForMemory();
         return;
     }
+    if (isAdapterTooLarge()) {
+        giveUp(ErrorKind::AdapterTooLarge);
+        return;
+    }
     if (canWaitForAdapter()) {
         if (const auto retryDelay = retryDelayIfTooLate()) {
             refuse(ErrorKind::NoUpstream, *retryDelay);
--- a/main/entry/requestjob.h
+++ b/main/entry/requestjob.h
@@ -180,6 +180,8 @@
     /** Sends the request out of scope if that is better than @p inScope, which may be null. Returns whether it did. */
     bool sendOutOfScope(const UpstreamOption *inScope);
     bool canWaitForAdapter() const;
+    /** Whether no engine has the adapter and none has room for it. */
+    bool isAdapterTooLarge() const;
     /** Sends the request through another node that reaches the upstreams. Returns false if there is none. */
     bool sendThroughRelay();
     HttpCall makeRelayCall();
--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -1,5 +1,6 @@
 #include "main/entry/storereader.h"
 
+#include "coordination/weightmemory.h"
 #include "core/result.h"
 #include "main/entry/storepoller.h"
 #include "main/entry/storereplica.h"
@@ -96,6 +97,8 @@
 
     void apply(const Platform::StoreItem &item, const std::string &source, ClusterStateChanges &changes);
     void applyConfiguration(const Platform::StoreItem &item, const std::string &source, ClusterStateChanges &changes);
+    /** Logs the models whose adapters no engine has room for; callers that ask for them are refused. */
+    void logOversizedModels() const;
     void applyUpstream(const UpstreamId &id, const Platform::StoreItem &item, ClusterStateChanges &changes);
     void applyVersion(const Platform::StoreItem &item, ClusterStateChanges &changes);
     void publish(const ClusterStateChanges &changes);
@@ -351,6 +354,24 @@
     log.write(Important, "config", "in_force",
         { { "version", static_cast<std::int64_t>(clusterState.routes->version().value()) },
             { "revision", static_cast<std::int64_t>(item.revision) }, { "source", source } });
+    logOversizedModels();
+}
+
+void StoreReader::Private::logOversizedModels() const
+{
+    for (const RoutedService &service : clusterState.routes->services()) {
+        if (!service.engine) {
+            continue;
+        }
+        for (const BaseModelSpec &model : service.engine->models) {
+            if (model.adapterMb > 0 && !canHoldAdapter(*service.engine, model.id)) {
+                log.write(Important, "config", "adapters_too_large",
+                    { { "service", service.name.value() }, { "model", model.id.value() }, { "weightsMb", model.weightsMb },
+                        { "adapterMb", model.adapterMb }, { "engineMb", service.engine->weightsMb },
+                        { "slots", std::int64_t(service.engine->adapterSlots) } });
+            }
+        }
+    }
 }
 
 void StoreReader::Private::applyUpstream(const UpstreamId &id, const Platform::StoreItem &item, ClusterStateChanges &changes)
--- a/state/routetable.h
+++ b/state/routetable.h
@@ -83,7 +83,7 @@
 struct EngineSpec
 {
     std::vector<BaseModelSpec> models;
-    /** Memory for weights and adapters together. */
+    /** Memory for weights and adapters together; 0 if it is not limited. */
     double weightsMb = 0;
     /** Number of adapter slots; adapters that are being loaded occupy one as well. */
     int adapterSlots = 0;
--- a/tests/coordination/testadapterplan.cpp
+++ b/tests/coordination/testadapterplan.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr int Slots = 3;
+constexpr double ModelMb = 65500;
 
 /** One plan over a few engines that carry out orders after a load time and crash when they are overfull, as the users' engines do. */
 class PlanSimulation
@@ -22,7 +23,7 @@
     explicit PlanSimulation(int engines)
     {
         m_spec.adapterSlots = Slots;
-        m_spec.models.push_back(BaseModelSpec { BaseModelId("m"), 1, 1, Duration(1900) });
+        m_spec.models.push_back(BaseModelSpec { BaseModelId("m"), ModelMb, 1, Duration(1900) });
         for (int i = 0; i < engines; ++i) {
             UpstreamRecord record;
             record.id = UpstreamId("e" + std::to_string(i));
@@ -33,6 +34,22 @@
         m_engines.resize(static_cast<std::size_t>(engines));
     }
 
+    /** The configuration gives engines memory for @p room MB of adapters beside the model, and adapters this size. */
+    void setMemory(double room, double adapterMb, int slots = Slots)
+    {
+        m_spec.weightsMb = ModelMb + room;
+        m_spec.models.front().adapterMb = adapterMb;
+        m_spec.adapterSlots = slots;
+    }
+    /** The most adapters that an engine has held or loaded at once. */
+    std::size_t mostHeld() const
+    {
+        return m_mostHeld;
+    }
+    std::size_t held(int engine) const
+    {
+        return m_engines[static_cast<std::size_t>(engine)].held.size();
+    }
     void use(const std::string &adapter, const std::string &engine, std::uint32_t count = 1)
     {
         m_uses.push_back(AdapterUse { BaseModelId("m"), AdapterId(adapter), UpstreamId(engine), count, false });
@@ -248,7 +265,11 @@
         }
         ++m_loads;
         engine.loading.push_back(Load { name, m_now + Duration(250) });
-        m_crashes += engine.held.size() + engine.loading.size() > Slots ? 1 : 0;
+        const std::size_t count = engine.held.size() + engine.loading.size();
+        m_mostHeld = std::max(m_mostHeld, count);
+        const double usedMb = ModelMb + static_cast<double>(count) * m_spec.models.front().adapterMb;
+        const bool isMemoryExceeded = m_spec.weightsMb > 0 && usedMb > m_spec.weightsMb;
+        m_crashes += count > static_cast<std::size_t>(m_spec.adapterSlots) || isMemoryExceeded ? 1 : 0;
         return OrderAnswer::Accepted;
     }
 
@@ -267,8 +288,58 @@
     bool m_isUnloadWaiting = false;
     int m_crashes = 0;
     int m_loads = 0;
+    std::size_t m_mostHeld = 0;
 };
 
+/** Each of @p busy adapters is asked for some seconds, then the demand moves on by one. */
+void runMovingDemand(PlanSimulation &simulation, int busy)
+{
+    for (int round = 0; round < 40; ++round) {
+        simulation.clearUses();
+        for (int i = 0; i < busy; ++i) {
+            simulation.addPending("a" + std::to_string((round + i) % 23));
+        }
+        simulation.run(Duration(700));
+    }
+}
+
+/** Restarts an engine with so many slots and so much memory while an order is on its way, and returns how many more are ordered. */
+int ordersAfterRestart(int slots, double weightsMb)
+{
+    EngineSpec spec;
+    spec.adapterSlots = slots;
+    spec.weightsMb = weightsMb;
+    spec.models.push_back(BaseModelSpec { BaseModelId("m"), 1, 1, Duration(1900) });
+    UpstreamRecord record;
+    record.id = UpstreamId("e0");
+    record.startedAt = 1;
+    record.models = { LoadedModel { BaseModelId("m"), {} } };
+    EngineReport report;
+    report.models = record.models;
+    const ResidencyTable residencies;
+    AdapterLoadEstimator loads;
+    AdapterPlan plan(AdapterPlanLimits {}, FencingToken(7), loads);
+    Time now { 100'000 };
+    const auto ordersFor = [&](const std::vector<std::string> &pending) {
+        now = now + Duration(10);
+        std::vector<AdapterUse> uses;
+        for (const std::string &adapter : pending) {
+            uses.push_back(AdapterUse { BaseModelId("m"), AdapterId(adapter), UpstreamId(), 1, false });
+        }
+        plan.setEngines({ PlannedEngine { &record, &spec } }, residencies, now);
+        plan.onReport(record.id, report, now);
+        plan.onUses(NodeId("n"), uses, now);
+        int orders = 0;
+        for (const PlanAction &action : plan.decide(now)) {
+            orders += std::holds_alternative<SendOrder>(action) ? 1 : 0;
+        }
+        return orders;
+    };
+    cr_assert_eq(ordersFor({ "a" }), 1);
+    record.startedAt = 2;
+    return ordersFor({ "b", "c", "d" });
+}
+
 } // namespace
 
 // A request waits for an adapter that is loaded on no engine. The adapter is loaded once, although it is reported as pending many times.
@@ -329,6 +400,98 @@
     cr_assert_gt(simulation.loads(), 60);
 }
 
+// Guards against an engine that is ordered beyond its memory, since adapters are large and slots are left.
+Test(adapterplan, largeAdaptersNeverOverfillAnEngine)
+{
+    struct Case
+    {
+        double adapterMb;
+        int slots;
+        std::size_t fitting;
+        int busy;
+    };
+    for (const Case &item :
+        { Case { 1600, 8, 1, 1 }, Case { 400, 8, 4, 3 }, Case { 266, 8, 6, 5 }, Case { 213, 8, 7, 6 }, Case { 400, 8, 4, 9 } }) {
+        PlanSimulation simulation(2);
+        simulation.setMemory(1600, item.adapterMb, item.slots);
+        runMovingDemand(simulation, item.busy);
+        cr_assert_eq(simulation.crashes(), 0, "%g MB", item.adapterMb);
+        cr_assert_eq(simulation.mostHeld(), item.fitting, "%g MB", item.adapterMb);
+        cr_assert_geq(simulation.loads(), 23, "%g MB", item.adapterMb);
+    }
+}
+
+// Guards against a new lease holder that knows less of an engine's memory than the former one.
+Test(adapterplan, newHoldersDoNotOverfillTheMemoryOfAnEngine)
+{
+    StoreParameters parameters;
+    parameters.engines = 4;
+    parameters.adaptersInMemory = 3;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        WeightStoreSimulation simulation(parameters, seed);
+        simulation.runLoad(Duration::seconds(6), 10, 100, 1.0);
+        for (std::size_t node = 0; node < 3; ++node) {
+            simulation.replaceNode(node);
+            simulation.runLoad(Duration::seconds(2), 10, 100, 1.0);
+        }
+        simulation.restartNodes();
+        simulation.runLoad(Duration::seconds(6), 10, 100, 1.0);
+        cr_assert_eq(simulation.crashes(), 0, "seed %d", static_cast<int>(seed));
+        cr_assert_gt(simulation.fetches(), 20, "seed %d", static_cast<int>(seed));
+    }
+}
+
+// Guards against an order to load an adapter that is larger than the room beside the model.
+Test(adapterplan, adapterThatFitsNowhereIsNotLoaded)
+{
+    PlanSimulation simulation(2);
+    simulation.setMemory(1600, 1700, 8);
+    runMovingDemand(simulation, 3);
+    cr_assert_eq(simulation.loads(), 0);
+}
+
+// Guards against fewer loads than slots allow where there is memory to spare.
+Test(adapterplan, memoryToSpareChangesNothing)
+{
+    PlanSimulation unlimited(2);
+    runMovingDemand(unlimited, 4);
+    PlanSimulation wide(2);
+    wide.setMemory(1600, 40);
+    runMovingDemand(wide, 4);
+    cr_assert_eq(wide.loads(), unlimited.loads());
+    cr_assert_eq(wide.mostHeld(), Slots);
+    cr_assert_eq(wide.crashes(), 0);
+}
+
+// Guards against an engine that is ordered beyond its memory after a configuration has made adapters larger, and against the end of answers
+// that run on one of them.
+Test(adapterplan, copiesThatNoLongerFitAreUnloadedUnlessInUse)
+{
+    PlanSimulation simulation(1);
+    simulation.setMemory(1600, 400, 8);
+    for (const char *name : { "a", "b", "c", "d" }) {
+        simulation.addPending(name);
+    }
+    simulation.run(Duration(3000));
+    cr_assert_eq(simulation.held(0), 4);
+    simulation.setMemory(1600, 800, 8);
+    simulation.clearUses();
+    simulation.use("a", "e0");
+    simulation.use("b", "e0", 0);
+    simulation.use("c", "e0", 0);
+    simulation.run(Duration(4000));
+    cr_assert_eq(simulation.held(0), 3, "three are in use");
+    simulation.clearUses();
+    simulation.use("a", "e0");
+    simulation.run(Duration(4000));
+    cr_assert_eq(simulation.held(0), 2);
+    cr_assert(simulation.holds(0, "a"));
+    simulation.addPending("e");
+    simulation.run(Duration(2000));
+    cr_assert(simulation.holds(0, "a") && simulation.holds(0, "e"));
+    cr_assert_eq(simulation.crashes(), 0);
+}
+
 // After an outage of the store an engine's entry is missing for a moment. When it is listed again, its report is older than the last
 // orders, and an engine whose room is counted from that report alone is ordered beyond its slots and crashes.
 Test(adapterplan, anEngineListedAgainIsNotOverfilled)
@@ -358,37 +521,8 @@
 // and an engine whose room is counted without it is ordered beyond its slots and crashes.
 Test(adapterplan, anOrderOnItsWayCountsAfterARestart)
 {
-    EngineSpec spec;
-    spec.adapterSlots = Slots;
-    spec.models.push_back(BaseModelSpec { BaseModelId("m"), 1, 1, Duration(1900) });
-    UpstreamRecord record;
-    record.id = UpstreamId("e0");
-    record.startedAt = 1;
-    record.models = { LoadedModel { BaseModelId("m"), {} } };
-    EngineReport report;
-    report.models = record.models;
-    const ResidencyTable residencies;
-    AdapterLoadEstimator loads;
-    AdapterPlan plan(AdapterPlanLimits {}, FencingToken(7), loads);
-    Time now { 100'000 };
-    const auto ordersFor = [&](const std::vector<std::string> &pending) {
-        now = now + Duration(10);
-        std::vector<AdapterUse> uses;
-        for (const std::string &adapter : pending) {
-            uses.push_back(AdapterUse { BaseModelId("m"), AdapterId(adapter), UpstreamId(), 1, false });
-        }
-        plan.setEngines({ PlannedEngine { &record, &spec } }, residencies, now);
-        plan.onReport(record.id, report, now);
-        plan.onUses(NodeId("n"), uses, now);
-        int orders = 0;
-        for (const PlanAction &action : plan.decide(now)) {
-            orders += std::holds_alternative<SendOrder>(action) ? 1 : 0;
-        }
-        return orders;
-    };
-    cr_assert_eq(ordersFor({ "a" }), 1);
-    record.startedAt = 2;
-    cr_assert_eq(ordersFor({ "b", "c", "d" }), Slots - 1, "the order for a is still on its way");
+    cr_assert_eq(ordersAfterRestart(Slots, 0), Slots - 1, "the order for a is still on its way");
+    cr_assert_eq(ordersAfterRestart(8, 1 + 2), 1, "the model and two adapters fit");
 }
 
 // An engine accepts an order to unload an adapter but waits for a request that runs on it. The slot is not free before that request has
--- a/tests/coordination/weightstoresimulation.h
+++ b/tests/coordination/weightstoresimulation.h
@@ -48,6 +48,8 @@
     Duration observationDelay { 0 };
     /** The engines and plans are divided evenly into scopes; each request is for the engines of one of them. */
     int scopes = 1;
+    /** Memory of an engine for adapters, in adapters; 0 if it is not limited. */
+    int adaptersInMemory = 0;
 };
 
 /**
@@ -63,6 +65,7 @@
     {
         m_spec.adapterSlots = parameters.slots;
         m_spec.models.push_back(BaseModelSpec { BaseModelId("m"), 1, 1, Duration(1900) });
+        m_spec.weightsMb = parameters.adaptersInMemory > 0 ? 1 + parameters.adaptersInMemory : 0;
         m_records.resize(static_cast<std::size_t>(parameters.engines));
         m_engines.resize(m_records.size());
         for (std::size_t i = 0; i < m_records.size(); ++i) {
@@ -400,7 +403,9 @@
         engine.loading.push_back(Load { name, (isCached ? fetchMs / 10 : fetchMs) + delayMs, !isCached });
         m_fetches += isCached ? 0 : 1;
         m_cachedLoads += isCached ? 1 : 0;
-        m_crashes += static_cast<int>(engine.held.size() + engine.loading.size()) > m_parameters.slots ? 1 : 0;
+        const int count = static_cast<int>(engine.held.size() + engine.loading.size());
+        const bool isMemoryExceeded = m_parameters.adaptersInMemory > 0 && count > m_parameters.adaptersInMemory;
+        m_crashes += count > m_parameters.slots || isMemoryExceeded ? 1 : 0;
         return OrderAnswer::Accepted;
     }
 
--- a/tests/main/testentrynodeconfigcheck.cpp
+++ b/tests/main/testentrynodeconfigcheck.cpp
@@ -113,6 +113,7 @@
     expectFinding("\"adapterSlots\":8", "\"adapterSlots\":0", "warning services[1].engine.adapterSlots");
     expectFinding("\"kvCapacity\":232000", "\"kvCapacity\":0", "warning services[1].engine.kvCapacity");
     expectFinding("\"weightsMb\":67100", "\"weightsMb\":65000", "warning services[1].engine.models[0].weightsMb");
+    expectFinding("\"adapterMb\":40", "\"adapterMb\":1700", "warning services[1].engine.models[0].adapterMb");
     expectFinding("[\"secret-1\"]", "[]", "warning tenants[0].apiKeys");
     expectFinding("\"ratePerS\":5,\"burst\":2", "\"ratePerS\":0,\"burst\":0", "warning tenants[0].ratePerS");
 }
--- a/tests/main/testrequestforwarder.cpp
+++ b/tests/main/testrequestforwarder.cpp
@@ -258,6 +258,44 @@
     cr_assert(upstream.requests().empty());
 }
 
+// Guards against callers that wait until their deadline for an adapter that no engine has room for.
+Test(requestforwarder, requestForAnAdapterThatFitsNowhereIsRefusedAtOnce)
+{
+    const ScriptedUpstream upstream([](const std::string &) { return ScriptedAnswer { CompleteAnswer }; });
+    ForwarderFixture fixture;
+    fixture.configure(RequestKind::Idempotent, 1, false, Duration::seconds(15));
+    fixture.addUpstream("u1", upstream);
+    HttpRequest request = ForwarderFixture::request();
+    request.headers["apricotstep-model"] = "m/a7";
+    const auto configureMemory = [&fixture](double weightsMb, int slots) {
+        RouteTableSource source;
+        source.version = ConfigVersion(2);
+        source.services = fixture.clusterState.routes->services();
+        source.services[0].engine->weightsMb = weightsMb;
+        source.services[0].engine->adapterSlots = slots;
+        source.services[0].engine->models = { BaseModelSpec { BaseModelId("m"), 1000, 40, Duration() } };
+        Route route = *fixture.clusterState.routes->find("host.example", "/in/x");
+        source.routes = { route };
+        fixture.clusterState.routes = RouteTable::make(source).value();
+    };
+    for (const auto &[weightsMb, slots] : { std::pair(1039.0, 8), std::pair(1040.0, 0) }) {
+        configureMemory(weightsMb, slots);
+        const auto refused = fixture.send(request);
+        cr_assert_eq(refused->status(), 503);
+        cr_assert(absl::StrContains(refused->body(), "adapter_too_large"), "%s", refused->body().c_str());
+        cr_assert_not(refused->hasHeader("Retry-After"));
+    }
+    configureMemory(1040, 8);
+    const auto waiting = fixture.send(request);
+    cr_assert_not(waiting->isDone());
+    // One that an engine still has is used, whatever the configuration says by now.
+    configureMemory(1039, 8);
+    fixture.loadAdapter("u1");
+    const auto served = fixture.send(request);
+    fixture.runUntil([&] { return served->isDone(); });
+    cr_assert_eq(served->status(), 200);
+}
+
 // An upstream closes the connection before the first event of a resumable stream, so the request may have run. No other engine has loaded
 // the adapter, and no node can order loads. The answer must not state that the request was not run.
 Test(requestforwarder, requestThatMayHaveRunIsNotRefusedAsNotRun)
