Ignore what a peer with an older view of the store still lists

Cause, by reading: a node that has just started asks a peer for what that has read, and reads the whole store itself. If its own read ends first and the peer has not noticed a removal yet, the copy lists an entry that the node's read did not have. The node knows no tombstone for it and took it for a new one, and nothing later in the store removes it again.

The test fails on the code before.

Change: what is not newer than the revision up to which a node knows everything is no news, whoever tells it.

Test: storereader::copyOfAnOlderViewListsNoRemovedUpstream.

--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -474,8 +474,11 @@
         const Time end = now - *offered.timeSinceRecovery;
         d->onOutageReported(peer, StoreOutage { end - offered.outageDuration, end });
     }
+    // This node knows everything up to its own revision. What a peer with an older view still lists of that time has been removed since.
+    std::vector<Platform::StoreItem> news = page.value().items;
+    std::erase_if(news, [this](const Platform::StoreItem &item) { return item.revision <= revision(); });
     ClusterStateChanges changes;
-    d->merge(page.value().items, "peer " + peer.value(), changes);
+    d->merge(news, "peer " + peer.value(), changes);
     if (d->isFollowing && d->watchFrom) {
         d->watchFrom = std::max(*d->watchFrom, page.value().revision);
         d->lastAnswerAt = now;
--- a/tests/main/testentrynode.cpp
+++ b/tests/main/testentrynode.cpp
@@ -353,6 +353,33 @@
     }
 }
 
+// Guards against requests to a removed upstream at a node that has just started: a peer with an older view of the store still lists it.
+Test(storereader, copyOfAnOlderViewListsNoRemovedUpstream)
+{
+    const SystemClock clock;
+    const ScriptedUpstream store([](const std::string &request) {
+        return absl::StrContains(request, "kv-watch") ? ScriptedAnswer { "", ScriptedAnswer::ConnectionAction::Keep, true }
+                                                      : pageWithOneUpstream();
+    });
+    EventLog log(clock, "n1");
+    ClusterState clusterState;
+    IoLoop loop(clock);
+    StoreReader reader(loop, log, clusterState, store.address(), Duration::seconds(2), [](const ClusterStateChanges &) {});
+    loop.after(Duration(300), [&] {
+        cr_assert_eq(reader.revision(), 2);
+        const Platform::StoreItem removed { "servers/removed", upstreamEntry("10.0.0.2:1"), 1, false };
+        const Platform::StoreItem added { "servers/added", upstreamEntry("10.0.0.3:1"), 3, false };
+        cr_assert(reader.mergeFromPeer(NodeId("n2"), PeerChanges { Platform::encodeWatch({ removed }, 1), {}, {}, clock.now() }));
+        cr_assert(reader.mergeFromPeer(NodeId("n3"), PeerChanges { Platform::encodeWatch({ added }, 3), {}, {}, clock.now() }));
+        loop.stop();
+    });
+    reader.start();
+    loop.run();
+    cr_assert_null(clusterState.upstreams.usable(UpstreamId("removed")));
+    cr_assert_not_null(clusterState.upstreams.usable(UpstreamId("added")));
+    cr_assert_not_null(clusterState.upstreams.usable(UpstreamId("u1")));
+}
+
 // Guards against losing an upstream that a peer reports while the node reads the store page by page.
 Test(storereader, keepsPeerChangesReceivedBetweenPages)
 {
