Copy no items where a peer's changes are filtered, and name a log function after its line

The items that a node knows already are taken out of the decoded page itself, whose values may be whole configurations. logAdaptersTooLarge() writes 'config adapters_too_large'.

--- a/main/entry/storereader.cpp
+++ b/main/entry/storereader.cpp
@@ -98,7 +98,7 @@
     void apply(const Platform::StoreItem &item, const std::string &source, ClusterStateChanges &changes);
     void applyConfiguration(const Platform::StoreItem &item, const std::string &source, ClusterStateChanges &changes);
     /** Logs the models whose adapters no engine has room for; callers that ask for them are refused. */
-    void logOversizedModels() const;
+    void logAdaptersTooLarge() const;
     void applyUpstream(const UpstreamId &id, const Platform::StoreItem &item, ClusterStateChanges &changes);
     void applyVersion(const Platform::StoreItem &item, ClusterStateChanges &changes);
     void publish(const ClusterStateChanges &changes);
@@ -354,10 +354,10 @@
     log.write(Important, "config", "in_force",
         { { "version", static_cast<std::int64_t>(clusterState.routes->version().value()) },
             { "revision", static_cast<std::int64_t>(item.revision) }, { "source", source } });
-    logOversizedModels();
+    logAdaptersTooLarge();
 }
 
-void StoreReader::Private::logOversizedModels() const
+void StoreReader::Private::logAdaptersTooLarge() const
 {
     for (const RoutedService &service : clusterState.routes->services()) {
         if (!service.engine) {
@@ -463,7 +463,7 @@
 
 bool StoreReader::mergeFromPeer(const NodeId &peer, const PeerChanges &offered)
 {
-    const auto page = Platform::decodeWatch(offered.body);
+    auto page = Platform::decodeWatch(offered.body);
     if (!page.isOk()) {
         d->log.write(Important, "peers", "bad_copy", { { "peer", peer.value() }, { "reason", page.error().detail } });
         return false;
@@ -475,10 +475,9 @@
         d->onOutageReported(peer, StoreOutage { end - offered.outageDuration, end });
     }
     // This node knows everything up to its own revision. What a peer with an older view still lists of that time has been removed since.
-    std::vector<Platform::StoreItem> news = page.value().items;
-    std::erase_if(news, [this](const Platform::StoreItem &item) { return item.revision <= revision(); });
+    std::erase_if(page.value().items, [this](const Platform::StoreItem &item) { return item.revision <= revision(); });
     ClusterStateChanges changes;
-    d->merge(news, "peer " + peer.value(), changes);
+    d->merge(page.value().items, "peer " + peer.value(), changes);
     if (d->isFollowing && d->watchFrom) {
         d->watchFrom = std::max(*d->watchFrom, page.value().revision);
         d->lastAnswerAt = now;
